--- /dev/null
+++ b/libs/base/base.h
@@ -0,0 +1,13 @@
+/**
+ * @file
+ * Public header of the base library: identifiers, time, result codes, errors,
+ * seeded random numbers and hashing. Every other library builds on it.
+ */
+#pragma once
+
+#include "base/code.h"
+#include "base/error.h"
+#include "base/hash.h"
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
--- /dev/null
+++ b/libs/base/code.h
@@ -0,0 +1,91 @@
+/** @file Numbered result codes; docs/result-codes.md explains each of them. */
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace marigold::base {
+
+/** What a caller may conclude from an answer about its request. */
+enum class Outcome : std::uint8_t
+{
+  Ran,     ///< the request was executed and this is its answer
+  NotRun,  ///< proved: the request was not executed by this attempt
+  Unknown, ///< the request may or may not have been executed
+};
+
+enum class Code : std::uint16_t
+{
+  Ok = 0,
+  BadRequest = 100,
+  KeyMissing = 101,
+  KeyUnknown = 102,
+  KeyWithdrawn = 103,
+  RouteUnknown = 104,
+  ModelUnknown = 105,
+  KeyStale = 106,
+  IdempotencyKeyMissing = 107,
+  BodyTooLarge = 108,
+  RateExceeded = 120,
+  CostAboveBurst = 121,
+  Overloaded = 122,
+  DeadlineUnreachable = 123,
+  NoUpstream = 130,
+  UpstreamRefused = 131,
+  UpstreamFailed = 132,
+  UpstreamTimeout = 133,
+  AnswerTruncated = 134,
+  AnswerCrossed = 135,
+  ClaimQuorumMissing = 140,
+  ClaimInProgress = 141,
+  OutcomeUnknown = 142,
+  RequestPoisonous = 150,
+  Draining = 160,
+  NotReady = 161,
+  SettingsInvalid = 200,
+  ManifestInvalid = 201,
+  FileUnreadable = 202,
+  DocumentInvalid = 203,
+  PlatformUnreachable = 300,
+  PlatformTimeout = 301,
+  PlatformRateLimited = 302,
+  RevisionConflict = 303,
+  NotFound = 304,
+  ValueTooLarge = 305,
+  WriteOutcomeUnknown = 306,
+  LeaseLost = 307,
+  MessageForged = 400,
+  MessageReplayed = 401,
+  MessageTooLarge = 402,
+  MessageMalformed = 403,
+  MessageVersionUnsupported = 404,
+  MemoryWouldOvercommit = 500,
+  NotOwner = 501,
+  OrderRefused = 502,
+  Internal = 900,
+};
+
+/** One row of the table of result codes. */
+struct CodeInfo
+{
+  Code code;
+  std::string_view name; ///< stable name in logs and answers
+  int httpStatus;        ///< status towards a caller; 0 if never sent to one
+  Outcome outcome;       ///< what a caller may conclude
+};
+
+/**
+ * @param aCode any code
+ * @return its row in the table
+ */
+const CodeInfo&
+codeInfo(Code aCode);
+
+/**
+ * @param aOutcome any outcome
+ * @return its name in the Marigold-Outcome header: ran, not-run or unknown
+ */
+std::string_view
+outcomeName(Outcome aOutcome);
+
+} // namespace marigold::base
--- /dev/null
+++ b/libs/base/hash.h
@@ -0,0 +1,53 @@
+/** @file Hashes, digests and rendezvous hashing. */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marigold::base {
+
+/**
+ * @param aBytes data to hash
+ * @param aSeed separates independent uses
+ * @return a 64-bit hash that is stable across versions and machines
+ */
+std::uint64_t
+hash64(std::string_view aBytes, std::uint64_t aSeed = 0);
+
+/**
+ * @param aBytes data to digest
+ * @return SHA-256 as 64 lower-case hexadecimal digits
+ */
+std::string
+sha256Hex(std::string_view aBytes);
+
+/**
+ * @param aKey secret
+ * @param aBytes data to authenticate
+ * @return HMAC-SHA-256 as 32 raw bytes
+ */
+std::string
+hmacSha256(std::string_view aKey, std::string_view aBytes);
+
+/**
+ * Compares in time that depends only on the lengths, because a digest must not
+ * be guessable byte by byte.
+ * @return true if both strings are equal
+ */
+bool
+equalConstantTime(std::string_view aLeft, std::string_view aRight);
+
+/**
+ * Orders names by their rendezvous weight for a key. Every process that knows
+ * the same names computes the same order, and removing a name moves only the
+ * keys for which it stood first.
+ * @param aKey what is to be assigned
+ * @param aNames candidates
+ * @return the names, best first
+ */
+std::vector<std::string>
+rendezvousOrder(std::string_view aKey, std::vector<std::string> aNames);
+
+} // namespace marigold::base
--- /dev/null
+++ b/libs/base/tests/base_tests.cpp
@@ -0,0 +1,52 @@
+/** @file Tests of the base library. */
+#include "base/base.h"
+
+#include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/TestHarness.h>
+
+using namespace marigold::base;
+
+TEST_GROUP(Base){};
+
+// Guards against a changed hash function, which would assign keys to
+// different owners on VMs of different versions.
+TEST(Base, DigestsMatchPublishedVectors)
+{
+  STRCMP_EQUAL(
+    "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad",
+    sha256Hex("abc").c_str());
+  UNSIGNED_LONGLONGS_EQUAL(0xEF46DB3751D8E999ULL, hash64(""));
+}
+
+// Guards against assignments that move when an unrelated name disappears.
+TEST(Base, RendezvousOrderIsStableUnderRemoval)
+{
+  const auto all = rendezvousOrder("claim-7", { "vm-a", "vm-b", "vm-c" });
+  const auto fewer = rendezvousOrder("claim-7", { all[2], all[0] });
+  STRCMP_EQUAL(all[0].c_str(), fewer[0].c_str());
+  STRCMP_EQUAL(all[2].c_str(), fewer[1].c_str());
+}
+
+// Guards against an error that loses its code on the way to the caller.
+TEST(Base, CaptureKeepsCodeAndMessage)
+{
+  const auto outcome = capture(
+    []() -> Result<int> { return fail(Code::NotFound, "no such key"); });
+  CHECK(std::holds_alternative<Error>(outcome));
+  CHECK(std::get<Error>(outcome).code == Code::NotFound);
+  STRCMP_EQUAL("no such key", std::get<Error>(outcome).message.c_str());
+}
+
+// Guards against a code without a row in the table.
+TEST(Base, EveryRefusalHasAStatus)
+{
+  LONGS_EQUAL(429, codeInfo(Code::RateExceeded).httpStatus);
+  CHECK(codeInfo(Code::RateExceeded).outcome == Outcome::NotRun);
+  CHECK(codeInfo(Code::OutcomeUnknown).outcome == Outcome::Unknown);
+}
+
+int
+main(int aCount, char** aValues)
+{
+  return CommandLineTestRunner::RunAllTests(aCount, aValues);
+}
