--- /dev/null
+++ b/standins/platform/platform_service.cpp
@@ -0,0 +1,318 @@
+#include "standins/platform/platform_service.h"
+
+#include "observe/observe.h"
+
+#include <cstdlib>
+
+namespace marigold::standin {
+namespace {
+
+using nlohmann::json;
+
+constexpr base::Duration kExpiryPeriod = std::chrono::milliseconds(50);
+constexpr std::string_view kKvPath = "/v1/kv/";
+constexpr std::string_view kLeasePath = "/v1/leases";
+
+std::uint64_t
+numberIn(const http::Request& aRequest, std::string_view aName)
+{
+  return std::strtoull(
+    http::queryValue(aRequest.query, aName).c_str(), nullptr, 10);
+}
+
+std::optional<std::uint64_t>
+expectedRevision(const http::Request& aRequest)
+{
+  if (http::queryValue(aRequest.query, "revision").empty()) {
+    return std::nullopt;
+  }
+  return numberIn(aRequest, "revision");
+}
+
+json
+entryJson(const std::string& aKey, const StoredValue& aStored)
+{
+  return { { "key", aKey },
+           { "value", aStored.value ? json(*aStored.value) : json() },
+           { "revision", aStored.revision } };
+}
+
+} // namespace
+
+PlatformService::PlatformService(http::Loop& aLoop)
+  : mLoop(aLoop)
+  , mServer(aLoop, {}, [this](const http::Request& aRequest, Out aOut) {
+    handle(aRequest, aOut);
+  })
+{
+  mExpiry = mLoop.every(kExpiryPeriod, [this] {
+    if (mStore.expire(base::monotonicNow())) {
+      wakeWatchers();
+    }
+  });
+}
+
+base::Result<void>
+PlatformService::listen(const http::Address& aAddress)
+{
+  return mServer.listen(aAddress);
+}
+
+bool
+PlatformService::withinRate(bool aIsWrite)
+{
+  const base::TimePoint now = base::monotonicNow();
+  if (now - mSecondStart >= std::chrono::seconds(1)) {
+    mSecondStart = now;
+    mReadsThisSecond = 0;
+    mWritesThisSecond = 0;
+  }
+  int& used = aIsWrite ? mWritesThisSecond : mReadsThisSecond;
+  ++used;
+  return used <=
+         (aIsWrite ? mControl.writesPerSecond : mControl.readsPerSecond);
+}
+
+void
+PlatformService::handle(const http::Request& aRequest, const Out& aOut)
+{
+  if (handleControl(aRequest, aOut)) {
+    return;
+  }
+  const bool isWrite = aRequest.method != "GET";
+  ++mStats[isWrite ? "writes" : "reads"];
+  if (!mControl.up) {
+    ++mStats["refused_down"];
+    aOut->reply(observe::jsonAnswer(503, { { "error", "unavailable" } }));
+    return;
+  }
+  if (!withinRate(isWrite)) {
+    ++mStats["refused_rate"];
+    aOut->reply(observe::jsonAnswer(429, { { "error", "rate" } }));
+    return;
+  }
+  if (mControl.delay > base::Duration::zero()) {
+    mDelayed.push_back(mLoop.after(
+      mControl.delay, [this, aRequest, aOut] { dispatch(aRequest, aOut); }));
+    return;
+  }
+  dispatch(aRequest, aOut);
+}
+
+void
+PlatformService::dispatch(const http::Request& aRequest, const Out& aOut)
+{
+  if (aRequest.path.starts_with("/v1/kv")) {
+    handleKv(aRequest, aOut);
+  } else if (aRequest.path.starts_with(kLeasePath)) {
+    handleLease(aRequest, aOut);
+  } else if (aRequest.path == "/v1/watch") {
+    handleWatch(aRequest, aOut);
+  } else if (aRequest.path == "/v1/vms") {
+    aOut->reply(observe::jsonAnswer(200, visibleVms()));
+  } else {
+    aOut->reply(observe::jsonAnswer(404, { { "error", "no such path" } }));
+  }
+}
+
+void
+PlatformService::handleKv(const http::Request& aRequest, const Out& aOut)
+{
+  if (!aRequest.path.starts_with(kKvPath)) {
+    const std::string prefix = http::queryValue(aRequest.query, "prefix");
+    aOut->reply(observe::jsonAnswer(
+      200,
+      { { "revision", mStore.revision() }, { "items", items(prefix, 0) } }));
+    return;
+  }
+  const std::string key = aRequest.path.substr(kKvPath.size());
+  if (aRequest.method == "PUT") {
+    answerWrite(mStore.write(key,
+                             aRequest.body,
+                             expectedRevision(aRequest),
+                             http::queryValue(aRequest.query, "lease")),
+                aOut);
+    return;
+  }
+  if (aRequest.method == "DELETE") {
+    answerWrite(mStore.remove(key, expectedRevision(aRequest)), aOut);
+    return;
+  }
+  const StoredValue* stored = mStore.find(key);
+  if (stored == nullptr) {
+    aOut->reply(
+      observe::jsonAnswer(404, { { "revision", mStore.revision() } }));
+    return;
+  }
+  aOut->reply(observe::jsonAnswer(200, entryJson(key, *stored)));
+}
+
+void
+PlatformService::answerWrite(const WriteResult& aResult, const Out& aOut)
+{
+  wakeWatchers();
+  if (mControl.loseAnswers > 0) {
+    --mControl.loseAnswers;
+    ++mStats["answers_lost"];
+    aOut->abort();
+    return;
+  }
+  aOut->reply(observe::jsonAnswer(static_cast<int>(aResult.status),
+                                  { { "revision", aResult.revision } }));
+}
+
+void
+PlatformService::handleLease(const http::Request& aRequest, const Out& aOut)
+{
+  const base::TimePoint now = base::monotonicNow();
+  std::string id = aRequest.path.substr(kLeasePath.size());
+  if (id.empty()) {
+    const auto term = std::chrono::milliseconds(numberIn(aRequest, "ttl_ms"));
+    aOut->reply(
+      observe::jsonAnswer(200, { { "lease", mStore.grantLease(term, now) } }));
+    return;
+  }
+  id = id.substr(1);
+  bool found = false;
+  if (const auto renew = id.find("/renew"); renew != std::string::npos) {
+    found = mStore.renewLease(id.substr(0, renew), now);
+  } else if (aRequest.method == "DELETE") {
+    found = mStore.revokeLease(id);
+    wakeWatchers();
+  }
+  aOut->reply(observe::jsonAnswer(found ? 200 : 404, { { "lease", id } }));
+}
+
+json
+PlatformService::items(const std::string& aPrefix, std::uint64_t aAfter) const
+{
+  json list = json::array();
+  for (const auto& [key, stored] : mStore.changes(aPrefix, aAfter)) {
+    if (stored.value || aAfter > 0) {
+      list.push_back(entryJson(key, stored));
+    }
+  }
+  return list;
+}
+
+void
+PlatformService::handleWatch(const http::Request& aRequest, const Out& aOut)
+{
+  const std::string prefix = http::queryValue(aRequest.query, "prefix");
+  const std::uint64_t after = numberIn(aRequest, "after");
+  const json changed = items(prefix, after);
+  if (!changed.empty()) {
+    aOut->reply(observe::jsonAnswer(
+      200, { { "revision", mStore.revision() }, { "items", changed } }));
+    return;
+  }
+  const auto place =
+    mWatchers.insert(mWatchers.end(), { prefix, after, aOut, {} });
+  const auto end = [this, place] {
+    place->out->reply(observe::jsonAnswer(
+      200, { { "revision", mStore.revision() }, { "items", json::array() } }));
+    mWatchers.erase(place);
+  };
+  place->timer =
+    mLoop.after(std::chrono::milliseconds(numberIn(aRequest, "wait_ms")), end);
+  aOut->onDisconnect([this, place] { mWatchers.erase(place); });
+}
+
+void
+PlatformService::wakeWatchers()
+{
+  for (auto watcher = mWatchers.begin(); watcher != mWatchers.end();) {
+    const json changed = items(watcher->prefix, watcher->after);
+    if (changed.empty() || !mControl.up) {
+      ++watcher;
+      continue;
+    }
+    watcher->out->reply(observe::jsonAnswer(
+      200, { { "revision", mStore.revision() }, { "items", changed } }));
+    watcher = mWatchers.erase(watcher);
+  }
+}
+
+bool
+PlatformService::handleControl(const http::Request& aRequest, const Out& aOut)
+{
+  if (aRequest.path == "/stats") {
+    json stats = mStats;
+    stats["watchers"] = mWatchers.size();
+    aOut->reply(observe::jsonAnswer(200, stats));
+    return true;
+  }
+  if (!aRequest.path.starts_with("/control")) {
+    return false;
+  }
+  constexpr std::string_view kVmPath = "/control/vms/";
+  const json content = json::parse(aRequest.body, nullptr, false);
+  if (aRequest.method == "DELETE" && aRequest.path.starts_with(kVmPath)) {
+    changeVms(aRequest.path.substr(kVmPath.size()), nullptr);
+  } else if (!content.is_object()) {
+    aOut->reply(observe::jsonAnswer(400, { { "error", "not an object" } }));
+    return true;
+  } else if (aRequest.path == "/control/vms") {
+    changeVms(content.value("name", ""), &content);
+  } else {
+    setControl(content);
+  }
+  aOut->reply(observe::jsonAnswer(200, json::object()));
+  return true;
+}
+
+void
+PlatformService::setControl(const json& aContent)
+{
+  using std::chrono::milliseconds;
+  mControl.up = aContent.value("mode", mControl.up ? "up" : "down") == "up";
+  mControl.delay = milliseconds(
+    aContent.value("delay_ms", base::inMilliseconds(mControl.delay)));
+  mControl.loseAnswers = aContent.value("lose_answers", mControl.loseAnswers);
+  mControl.listLag = milliseconds(
+    aContent.value("list_lag_ms", base::inMilliseconds(mControl.listLag)));
+  mControl.readsPerSecond =
+    aContent.value("reads_per_s", mControl.readsPerSecond);
+  mControl.writesPerSecond =
+    aContent.value("writes_per_s", mControl.writesPerSecond);
+  if (mControl.up) {
+    wakeWatchers();
+    return;
+  }
+  // An outage also breaks the watches that wait.
+  for (Watcher& watcher : mWatchers) {
+    watcher.out->abort();
+  }
+  mWatchers.clear();
+}
+
+void
+PlatformService::changeVms(const std::string& aName, const json* aVm)
+{
+  if (aVm == nullptr) {
+    mVms.erase(aName);
+  } else {
+    mVms[aName] = *aVm;
+  }
+  json vms = json::array();
+  for (const auto& [name, vm] : mVms) {
+    vms.push_back(vm);
+  }
+  mLists.push_back(
+    { base::monotonicNow() + mControl.listLag, ++mListRevision, vms });
+}
+
+json
+PlatformService::visibleVms() const
+{
+  const base::TimePoint now = base::monotonicNow();
+  json visible = { { "revision", 0 }, { "vms", json::array() } };
+  for (const ListVersion& version : mLists) {
+    if (version.visibleAt <= now) {
+      visible = { { "revision", version.revision }, { "vms", version.vms } };
+    }
+  }
+  return visible;
+}
+
+} // namespace marigold::standin
