--- /dev/null
+++ b/standins/common/program.cpp
@@ -0,0 +1,60 @@
+#include "standins/common/program.h"
+
+#include "observe/observe.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace marigold::standin {
+
+int
+runProgram(const Program& aProgram, int aCount, char** aValues)
+{
+  const std::string version =
+    std::string(aProgram.name) + " " + MARIGOLD_VERSION;
+  Arguments arguments = docopt::docopt(
+    aProgram.usage, { aValues + 1, aValues + aCount }, true, version);
+  observe::startLog(aProgram.name, "info");
+  http::Loop loop;
+  const auto outcome =
+    base::capture([&] { return aProgram.serve(loop, arguments); });
+  if (const base::Error* error = base::errorOf(outcome)) {
+    std::cerr << error->message << "\n";
+    return 1;
+  }
+  return 0;
+}
+
+base::Result<http::Address>
+listenAddress(Arguments& aArguments)
+{
+  return http::parseAddress(aArguments["--listen"].asString());
+}
+
+int
+numberOf(Arguments& aArguments, const std::string& aName)
+{
+  return static_cast<int>(aArguments[aName].asLong());
+}
+
+base::Duration
+millisecondsOf(Arguments& aArguments, const std::string& aName)
+{
+  return std::chrono::milliseconds(aArguments[aName].asLong());
+}
+
+std::string
+textOf(Arguments& aArguments, const std::string& aName)
+{
+  const docopt::value& value = aArguments[aName];
+  return value ? value.asString() : "";
+}
+
+void
+runUntilTerminated(http::Loop& aLoop)
+{
+  const http::Watch term = aLoop.onSignal(SIGTERM, [&] { aLoop.stop(); });
+  aLoop.run();
+}
+
+} // namespace marigold::standin
--- a/tests/e2e/deployment.py
+++ b/tests/e2e/deployment.py
@@ -285,6 +285,20 @@
         return records
 
     def start(self, resident="drafting-assistant=v1"):
+        """Starts everything and waits until it serves; stops it all on a failure."""
+        try:
+            self.start_parts(resident)
+            stopped = [process.name for process in self.processes.values()
+                       if not process.running()]
+            if stopped:
+                # Another deployment on the same ports would answer in their place.
+                raise RuntimeError("processes ended at the start: %s" % stopped)
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def start_parts(self, resident):
         self.start_platform()
         for data_centre in self.data_centres:
             for number in range(1, self.engines_per_data_centre + 1):
@@ -313,7 +327,6 @@
         self.crew_id, self.crew_key = self.grant("crew")
         self.desk_id, self.desk_key = self.grant("desk")
         wait_until(self.upstreams_known)
-        return self
 
     def upstreams_known(self):
         """True once every entry VM has a report of every engine."""
@@ -337,11 +350,7 @@
             process.kill()
 
     def __enter__(self):
-        try:
-            return self.start()
-        except BaseException:
-            self.stop()
-            raise
+        return self.start()
 
     def __exit__(self, *_):
         self.stop()
