Wait at the platform's watch while the store is empty

Cause: the first watch of an entry VM does not wait, and "first" was told by revision 0. An empty store stays at revision 0, so until the first publication every VM asked again without a pause, exceeded the platform's 2000 reads a second, and the operator's publication was refused with 302 platform-rate-limited.

Ruled out: the stand-in counting wrongly; GET /stats showed the reads.

Before: MARIGOLD_TEST_PORT=26000 python3 tests/e2e/test_thin_path.py failed in 2 of 5 runs. After: 6 of 6 passed. A flag now says whether a first read was answered.

--- a/apps/entry/platform_sync.cpp
+++ b/apps/entry/platform_sync.cpp
@@ -94,7 +94,7 @@
   mLastRead = base::monotonicNow();
   // A VM that is no relay only reads; a waiting watch would count as a call.
   const base::Duration wait =
-    mayWatch() && mRevision > 0 ? kWatchWait : base::Duration::zero();
+    mayWatch() && mHasRead ? kWatchWait : base::Duration::zero();
   mPlatform.watch(kPrefix,
                   mRevision,
                   wait,
@@ -117,6 +117,7 @@
 void
 PlatformSync::apply(const platform::Snapshot& aSnapshot)
 {
+  mHasRead = true;
   mRevision = aSnapshot.revision;
   for (const platform::Entry& entry : aSnapshot.entries) {
     if (!entry.value) {
--- a/apps/entry/platform_sync.h
+++ b/apps/entry/platform_sync.h
@@ -46,6 +46,7 @@
   base::TimePoint mLastRead;
   base::TimePoint mLastList;
   bool mWatching = false;
+  bool mHasRead = false; ///< the first read does not wait for a change
   bool mListing = false;
 };
 
