Complete the platform and service stand-ins and share their main programs

Cause: the failure tests need marked requests at the plain service, a platform that hangs instead of refusing, answers lost for chosen keys, and a rate limit that also counts waiting watches. Each main program repeated the same parsing and signal code.

A waiting watch counts as one read in each second in which it waits. Only a write that took effect uses up a lost answer; a conflict before did, so that a test could lose the answer it did not mean. A delayed write takes effect although its caller no longer waits, as on a slow network. Calls in the silent mode hang until it ends.

--- a/standins/engine/faults.cpp
+++ b/standins/common/faults.cpp
@@ -1,6 +1,7 @@
-#include "standins/engine/faults.h"
+#include "standins/common/faults.h"
 
 #include <array>
+#include <cstdlib>
 #include <utility>
 
 namespace marigold::standin {
@@ -15,6 +16,21 @@
   std::pair<std::string_view, Fault>{ "stall", Fault::Stall },
 };
 
+/** @return the text between a marker's start and its "]]", or empty */
+std::string
+markerValue(std::string_view aBody, std::string_view aStart)
+{
+  const auto start = aBody.find(aStart);
+  if (start == std::string_view::npos) {
+    return "";
+  }
+  const auto first = start + aStart.size();
+  const auto end = aBody.find("]]", first);
+  return end == std::string_view::npos
+           ? ""
+           : std::string(aBody.substr(first, end - first));
+}
+
 } // namespace
 
 std::optional<Fault>
@@ -45,19 +61,17 @@
   return Fault::None;
 }
 
+base::Duration
+markedDelay(std::string_view aBody)
+{
+  return std::chrono::milliseconds(
+    std::atoi(markerValue(aBody, "[[delay:").c_str()));
+}
+
 std::string
 referenceIn(std::string_view aBody)
 {
-  constexpr std::string_view kStart = "[[ref:";
-  const auto start = aBody.find(kStart);
-  if (start == std::string_view::npos) {
-    return "";
-  }
-  const auto first = start + kStart.size();
-  const auto end = aBody.find("]]", first);
-  return end == std::string_view::npos
-           ? ""
-           : std::string(aBody.substr(first, end - first));
+  return markerValue(aBody, "[[ref:");
 }
 
 } // namespace marigold::standin
--- a/standins/engine/faults.h
+++ b/standins/common/faults.h
@@ -1,6 +1,8 @@
-/** @file Faults that tests inject into the answers of an engine. */
+/** @file Faults that tests inject into the answers of an upstream. */
 #pragma once
 
+#include "base/time.h"
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -41,6 +43,13 @@
   std::map<Fault, int> mCounts;
 };
 
+/**
+ * @param aBody body of a request
+ * @return N of a marker [[delay:N]], or zero: the request takes longer by it
+ */
+base::Duration
+markedDelay(std::string_view aBody);
+
 /**
  * @param aBody body of a request
  * @return the text after "[[ref:" up to "]]", which each token of the answer
--- a/standins/engine/accelerator.h
+++ b/standins/engine/accelerator.h
@@ -83,6 +83,8 @@
   int memoryMb() const { return mMemoryMb; }
   int highestMb() const { return mHighestMb; }
   std::uint64_t overcommits() const { return mOvercommits; }
+  /** @return loads of models so far, those at the start included */
+  std::uint64_t loads() const { return mLoads; }
   const std::map<ModelVersion, ResidentModel>& models() const
   {
     return mModels;
--- a/standins/engine/chat_service.h
+++ b/standins/engine/chat_service.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "http/http.h"
+#include "standins/common/faults.h"
 #include "standins/common/run_record.h"
 #include "standins/engine/accelerator.h"
 #include "standins/engine/batch.h"
-#include "standins/engine/faults.h"
 #include "standins/engine/prefix_cache.h"
 
 #include <map>
--- a/standins/engine/engine_service.cpp
+++ b/standins/engine/engine_service.cpp
@@ -354,7 +354,8 @@
   return { { "memory_mb", mAccelerator.memoryMb() },
            { "used_mb", mAccelerator.usedMb() },
            { "highest_mb", mAccelerator.highestMb() },
-           { "overcommits", mAccelerator.overcommits() } };
+           { "overcommits", mAccelerator.overcommits() },
+           { "loads", mAccelerator.loads() } };
 }
 
 } // namespace marigold::standin
--- a/standins/engine/tests/standin_engine_tests.cpp
+++ b/standins/engine/tests/standin_engine_tests.cpp
@@ -1,7 +1,7 @@
 /** @file Tests of the engine stand-in's state: an oracle must itself be right.
  */
 #include "standins/common/adapter_time.h"
-#include "standins/engine/faults.h"
+#include "standins/common/faults.h"
 #include "standins/engine/orders.h"
 #include "standins/engine/prefix_cache.h"
 
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -1,11 +1,7 @@
 /** @file Stand-in for the platform: key-value service and list of VMs. */
-#include "observe/observe.h"
+#include "standins/common/program.h"
 #include "standins/platform/platform_service.h"
 
-#include <csignal>
-#include <docopt/docopt.h>
-#include <iostream>
-
 using namespace marigold;
 
 namespace {
@@ -24,14 +20,12 @@
 )";
 
 base::Result<void>
-serve(const std::string& aAddress)
+serve(http::Loop& aLoop, standin::Arguments& aArguments)
 {
-  http::Loop loop;
-  standin::PlatformService service(loop);
-  BOOST_LEAF_AUTO(address, http::parseAddress(aAddress));
+  standin::PlatformService service(aLoop);
+  BOOST_LEAF_AUTO(address, standin::listenAddress(aArguments));
   BOOST_LEAF_CHECK(service.listen(address));
-  const http::Watch term = loop.onSignal(SIGTERM, [&] { loop.stop(); });
-  loop.run();
+  standin::runUntilTerminated(aLoop);
   return {};
 }
 
@@ -40,15 +34,6 @@
 int
 main(int aCount, char** aValues)
 {
-  auto arguments = docopt::docopt(kUsage,
-                                  { aValues + 1, aValues + aCount },
-                                  true,
-                                  "standin-platform " MARIGOLD_VERSION);
-  const auto outcome =
-    base::capture([&] { return serve(arguments["--listen"].asString()); });
-  if (const base::Error* error = base::errorOf(outcome)) {
-    std::cerr << error->message << "\n";
-    return 1;
-  }
-  return 0;
+  return standin::runProgram(
+    { "standin-platform", kUsage, serve }, aCount, aValues);
 }
--- a/standins/platform/platform_service.cpp
+++ b/standins/platform/platform_service.cpp
@@ -67,10 +67,12 @@
     mReadsThisSecond = 0;
     mWritesThisSecond = 0;
   }
-  int& used = aIsWrite ? mWritesThisSecond : mReadsThisSecond;
-  ++used;
-  return used <=
-         (aIsWrite ? mControl.writesPerSecond : mControl.readsPerSecond);
+  if (aIsWrite) {
+    return ++mWritesThisSecond <= mControl.writesPerSecond;
+  }
+  // A waiting watch counts as one call in each second in which it waits.
+  const int waiting = static_cast<int>(mWatchers.size());
+  return ++mReadsThisSecond + waiting <= mControl.readsPerSecond;
 }
 
 void
@@ -81,7 +83,12 @@
   }
   const bool isWrite = aRequest.method != "GET";
   ++mStats[isWrite ? "writes" : "reads"];
-  if (!mControl.up) {
+  if (mControl.mode == PlatformMode::Silent) {
+    ++mStats["unanswered"];
+    mUnanswered.push_back(aOut);
+    return;
+  }
+  if (mControl.mode == PlatformMode::Down) {
     ++mStats["refused_down"];
     aOut->reply(observe::jsonAnswer(503, { { "error", "unavailable" } }));
     return;
@@ -92,13 +99,23 @@
     return;
   }
   if (mControl.delay > base::Duration::zero()) {
-    mDelayed.push_back(mLoop.after(
-      mControl.delay, [this, aRequest, aOut] { dispatch(aRequest, aOut); }));
+    dispatchLater(aRequest, aOut);
     return;
   }
   dispatch(aRequest, aOut);
 }
 
+/** A delayed write takes effect even if its caller no longer waits. */
+void
+PlatformService::dispatchLater(const http::Request& aRequest, const Out& aOut)
+{
+  const auto place = mDelayed.emplace(mDelayed.end());
+  *place = mLoop.after(mControl.delay, [this, place, aRequest, aOut] {
+    dispatch(aRequest, aOut);
+    mDelayed.erase(place);
+  });
+}
+
 void
 PlatformService::dispatch(const http::Request& aRequest, const Out& aOut)
 {
@@ -127,7 +144,8 @@
   }
   const std::string key = aRequest.path.substr(kKvPath.size());
   if (aRequest.method == "PUT") {
-    answerWrite(mStore.write(key,
+    answerWrite(key,
+                mStore.write(key,
                              aRequest.body,
                              expectedRevision(aRequest),
                              http::queryValue(aRequest.query, "lease")),
@@ -135,7 +153,7 @@
     return;
   }
   if (aRequest.method == "DELETE") {
-    answerWrite(mStore.remove(key, expectedRevision(aRequest)), aOut);
+    answerWrite(key, mStore.remove(key, expectedRevision(aRequest)), aOut);
     return;
   }
   const StoredValue* stored = mStore.find(key);
@@ -148,10 +166,14 @@
 }
 
 void
-PlatformService::answerWrite(const WriteResult& aResult, const Out& aOut)
+PlatformService::answerWrite(const std::string& aKey,
+                             const WriteResult& aResult,
+                             const Out& aOut)
 {
   wakeWatchers();
-  if (mControl.loseAnswers > 0) {
+  const bool mayLose = aResult.status == WriteStatus::Done &&
+                       aKey.starts_with(mControl.losePrefix);
+  if (mControl.loseAnswers > 0 && mayLose) {
     --mControl.loseAnswers;
     ++mStats["answers_lost"];
     aOut->abort();
@@ -223,7 +245,7 @@
 {
   for (auto watcher = mWatchers.begin(); watcher != mWatchers.end();) {
     const json changed = items(watcher->prefix, watcher->after);
-    if (changed.empty() || !mControl.up) {
+    if (changed.empty() || mControl.mode != PlatformMode::Up) {
       ++watcher;
       continue;
     }
@@ -265,25 +287,44 @@
 PlatformService::setControl(const json& aContent)
 {
   using std::chrono::milliseconds;
-  mControl.up = aContent.value("mode", mControl.up ? "up" : "down") == "up";
+  if (aContent.contains("mode")) {
+    const std::string mode = aContent["mode"];
+    mControl.mode = mode == "up"       ? PlatformMode::Up
+                    : mode == "silent" ? PlatformMode::Silent
+                                       : PlatformMode::Down;
+  }
   mControl.delay = milliseconds(
     aContent.value("delay_ms", base::inMilliseconds(mControl.delay)));
   mControl.loseAnswers = aContent.value("lose_answers", mControl.loseAnswers);
+  mControl.losePrefix = aContent.value("lose_prefix", mControl.losePrefix);
   mControl.listLag = milliseconds(
     aContent.value("list_lag_ms", base::inMilliseconds(mControl.listLag)));
   mControl.readsPerSecond =
     aContent.value("reads_per_s", mControl.readsPerSecond);
   mControl.writesPerSecond =
     aContent.value("writes_per_s", mControl.writesPerSecond);
-  if (mControl.up) {
+  if (mControl.mode == PlatformMode::Up) {
     wakeWatchers();
-    return;
   }
-  // An outage also breaks the watches that wait.
-  for (Watcher& watcher : mWatchers) {
-    watcher.out->abort();
+  breakWaiting();
+}
+
+/** An outage breaks waiting watches; its end breaks calls without an answer. */
+void
+PlatformService::breakWaiting()
+{
+  if (mControl.mode == PlatformMode::Down) {
+    for (Watcher& watcher : mWatchers) {
+      watcher.out->abort();
+    }
+    mWatchers.clear();
+  }
+  if (mControl.mode != PlatformMode::Silent) {
+    for (const Out& out : mUnanswered) {
+      out->abort();
+    }
+    mUnanswered.clear();
   }
-  mWatchers.clear();
 }
 
 void
@@ -298,6 +339,10 @@
   for (const auto& [name, vm] : mVms) {
     vms.push_back(vm);
   }
+  while (mLists.size() > 1 &&
+         std::next(mLists.begin())->visibleAt <= base::monotonicNow()) {
+    mLists.pop_front();
+  }
   mLists.push_back(
     { base::monotonicNow() + mControl.listLag, ++mListRevision, vms });
 }
--- a/standins/platform/platform_service.h
+++ b/standins/platform/platform_service.h
@@ -10,12 +10,21 @@
 
 namespace marigold::standin {
 
+/** How the platform treats calls. */
+enum class PlatformMode : std::uint8_t
+{
+  Up,
+  Down,   ///< refuses each call
+  Silent, ///< accepts connections and never answers
+};
+
 /** Faults and limits that tests switch with POST /control. */
 struct PlatformControl
 {
-  bool up = true;
+  PlatformMode mode = PlatformMode::Up;
   base::Duration delay = base::Duration::zero();
   int loseAnswers = 0; ///< writes whose answer will be lost after they applied
+  std::string losePrefix; ///< only for keys that start with this
   base::Duration listLag = std::chrono::seconds(1);
   int readsPerSecond = 2000;
   int writesPerSecond = 400;
@@ -59,9 +68,13 @@
   void changeVms(const std::string& aName, const nlohmann::json* aVm);
   nlohmann::json visibleVms() const;
   nlohmann::json items(const std::string& aPrefix, std::uint64_t aAfter) const;
-  void answerWrite(const WriteResult& aResult, const Out& aOut);
+  void answerWrite(const std::string& aKey,
+                   const WriteResult& aResult,
+                   const Out& aOut);
   void wakeWatchers();
   bool withinRate(bool aIsWrite);
+  void dispatchLater(const http::Request& aRequest, const Out& aOut);
+  void breakWaiting();
 
   http::Loop& mLoop;
   http::Server mServer;
@@ -76,6 +89,7 @@
   int mWritesThisSecond = 0;
   std::map<std::string, std::uint64_t> mStats;
   std::list<http::Watch> mDelayed;
+  std::list<Out> mUnanswered; ///< calls of the silent mode
   http::Watch mExpiry;
 };
 
--- a/standins/service/main.cpp
+++ b/standins/service/main.cpp
@@ -1,20 +1,18 @@
-/** @file Stand-in for a plain service; it records every request that it ran. */
-#include "observe/observe.h"
+/** @file Stand-in for a plain service. */
+#include "standins/common/program.h"
+#include "standins/service/recording_service.h"
 
 #include <csignal>
-#include <docopt/docopt.h>
-#include <iostream>
-#include <list>
 
 using namespace marigold;
-using nlohmann::json;
+using standin::Arguments;
 
 namespace {
 
 constexpr const char* kUsage = R"(Stand-in for a plain service, for tests.
 
 Usage:
-  standin-service --listen ADDRESS --name NAME [--work-ms MS]
+  standin-service --listen ADDRESS --name NAME [options]
   standin-service (-h | --help)
   standin-service --version
 
@@ -22,80 +20,23 @@
   --listen ADDRESS  IP:port to listen on.
   --name NAME       Name of the upstream.
   --work-ms MS      Time that one request takes [default: 5].
+  --record FILE     File that keeps the record of runs over a crash.
   -h --help         Show this text.
   --version         Show the version.
 )";
 
-class RecordingService
-{
-public:
-  RecordingService(http::Loop& aLoop, std::string aName, base::Duration aWork)
-    : mLoop(aLoop)
-    , mName(std::move(aName))
-    , mWork(aWork)
-    , mServer(aLoop, {}, [this](const http::Request& aRequest, auto aOut) {
-      handle(aRequest, aOut);
-    })
-  {
-  }
-
-  base::Result<void> listen(const http::Address& aAddress)
-  {
-    return mServer.listen(aAddress);
-  }
-
-private:
-  void handle(const http::Request& aRequest,
-              const std::shared_ptr<http::Responder>& aOut)
-  {
-    if (aRequest.path == "/_ran") {
-      aOut->reply(observe::jsonAnswer(200, mRan));
-      return;
-    }
-    record(aRequest);
-    const std::string id(http::findHeader(aRequest.headers, "X-Request-Id"));
-    mTimers.push_back(mLoop.after(mWork, [this, id, aOut] {
-      http::Answer answer =
-        observe::jsonAnswer(200, { { "service", mName }, { "request", id } });
-      answer.headers.emplace_back("X-Request-Id", id);
-      aOut->reply(answer);
-    }));
-  }
-
-  void record(const http::Request& aRequest)
-  {
-    json headers = json::object();
-    for (const auto& [name, value] : aRequest.headers) {
-      headers[name] = value;
-    }
-    mRan.push_back({ { "method", aRequest.method },
-                     { "path", aRequest.path },
-                     { "query", aRequest.query },
-                     { "headers", headers },
-                     { "body", aRequest.body } });
-  }
-
-  http::Loop& mLoop;
-  std::string mName;
-  base::Duration mWork;
-  http::Server mServer;
-  json mRan = json::array();
-  std::list<http::Watch> mTimers;
-};
-
 base::Result<void>
-serve(std::map<std::string, docopt::value>& aArguments)
+serve(http::Loop& aLoop, Arguments& aArguments)
 {
-  http::Loop loop;
-  RecordingService service(
-    loop,
-    aArguments["--name"].asString(),
-    std::chrono::milliseconds(aArguments["--work-ms"].asLong()));
-  BOOST_LEAF_AUTO(address,
-                  http::parseAddress(aArguments["--listen"].asString()));
+  standin::RecordingService service(
+    aLoop,
+    { aArguments["--name"].asString(),
+      standin::millisecondsOf(aArguments, "--work-ms"),
+      standin::textOf(aArguments, "--record") });
+  BOOST_LEAF_AUTO(address, standin::listenAddress(aArguments));
   BOOST_LEAF_CHECK(service.listen(address));
-  const http::Watch term = loop.onSignal(SIGTERM, [&] { loop.stop(); });
-  loop.run();
+  const http::Watch term = aLoop.onSignal(SIGTERM, [&] { service.leave(); });
+  aLoop.run();
   return {};
 }
 
@@ -104,14 +45,6 @@
 int
 main(int aCount, char** aValues)
 {
-  auto arguments = docopt::docopt(kUsage,
-                                  { aValues + 1, aValues + aCount },
-                                  true,
-                                  "standin-service " MARIGOLD_VERSION);
-  const auto outcome = base::capture([&] { return serve(arguments); });
-  if (const base::Error* error = base::errorOf(outcome)) {
-    std::cerr << error->message << "\n";
-    return 1;
-  }
-  return 0;
+  return standin::runProgram(
+    { "standin-service", kUsage, serve }, aCount, aValues);
 }
