Send each event of a stream at once

Cause: sockets of the HTTP server kept Nagle's algorithm, so the second small write on a connection waited for the peer's delayed acknowledgement, 40 ms.

Ruled out: the client side, which hands each request to the network in one piece.

--- a/libs/http/server.cpp
+++ b/libs/http/server.cpp
@@ -8,7 +8,9 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/tcp.h>
 #include <string>
+#include <sys/socket.h>
 #include <utility>
 
 namespace marigold::http {
@@ -69,6 +71,10 @@
   // hangs up would only be noticed at the next write.
   const int descriptor =
     bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  // Without it each event after the first waits for the peer's delayed
+  // acknowledgement, about 40 ms.
+  const int noDelay = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof(noDelay));
   mPeerClosed =
     mServer.mLoop.onPeerClosed(descriptor, [this] { disconnected(); });
 }
