--- a/standins/service/recording_service.cpp
+++ b/standins/service/recording_service.cpp
@@ -12,6 +12,14 @@
 constexpr int kCrashExitCode = 70;
 constexpr base::Duration kLeaveCheckPeriod = std::chrono::milliseconds(10);
 
+/** Where markers are looked for: a GET has no body. */
+std::string
+markedText(const http::Request& aRequest)
+{
+  return aRequest.path + " " + http::percentDecode(aRequest.query) + " " +
+         aRequest.body;
+}
+
 } // namespace
 
 RecordingService::RecordingService(http::Loop& aLoop, ServiceOptions aOptions)
@@ -110,7 +118,8 @@
     { { "service", mOptions.name },
       { "request", id },
       { "reference",
-        aFault == Fault::WrongId ? "foreign" : referenceIn(aRequest.body) } });
+        aFault == Fault::WrongId ? "foreign"
+                                 : referenceIn(markedText(aRequest)) } });
   answer.headers.emplace_back("X-Request-Id", id);
   const std::string length = std::to_string(answer.body.size());
   if (aFault == Fault::Truncate) {
