Let a responder outlive its server

Cause: evhttp_free frees the requests of a server, and a responder that was still held answered a freed request (assertion in evhttp_send, seen in the platform tests). A responder now knows whether its server is alive.

--- a/libs/http/server.cpp
+++ b/libs/http/server.cpp
@@ -57,6 +57,7 @@
 Responder::Responder(Server& aServer, evhttp_request* aRequest)
   : mServer(aServer)
   , mRequest(aRequest)
+  , mServerAlive(aServer.mAlive)
 {
   evhttp_connection* connection = evhttp_request_get_connection(mRequest);
   evhttp_connection_set_closecb(
@@ -75,7 +76,7 @@
 
 Responder::~Responder()
 {
-  if (mRequest != nullptr) {
+  if (!finished()) {
     if (mStarted) {
       abort();
     } else {
@@ -89,7 +90,7 @@
 {
   // The descriptor is about to be closed or has nothing more to tell.
   mPeerClosed.reset();
-  if (mRequest == nullptr || !mDisconnect) {
+  if (finished() || !mDisconnect) {
     return;
   }
   const auto callback = std::move(mDisconnect);
@@ -121,7 +122,7 @@
 void
 Responder::reply(const Answer& aAnswer)
 {
-  if (mRequest == nullptr) {
+  if (finished()) {
     return;
   }
   mStarted = true;
@@ -137,7 +138,7 @@
 void
 Responder::startStream(int aStatus, const Headers& aHeaders)
 {
-  if (mRequest == nullptr) {
+  if (finished()) {
     return;
   }
   mStarted = true;
@@ -148,7 +149,7 @@
 void
 Responder::sendChunk(std::string_view aBytes)
 {
-  if (mRequest == nullptr || aBytes.empty()) {
+  if (finished() || aBytes.empty()) {
     return;
   }
   evbuffer* chunk = evbuffer_new();
@@ -160,7 +161,7 @@
 void
 Responder::endStream()
 {
-  if (mRequest == nullptr) {
+  if (finished()) {
     return;
   }
   evhttp_request* request = mRequest;
@@ -171,7 +172,7 @@
 void
 Responder::abort()
 {
-  if (mRequest == nullptr) {
+  if (finished()) {
     return;
   }
   mPeerClosed.reset();
@@ -197,7 +198,7 @@
 std::size_t
 Responder::pendingBytes() const
 {
-  if (mRequest == nullptr) {
+  if (finished()) {
     return 0;
   }
   evhttp_connection* connection = evhttp_request_get_connection(mRequest);
@@ -222,6 +223,7 @@
 
 Server::~Server()
 {
+  *mAlive = false;
   evhttp_free(mHttp);
 }
 
--- a/libs/http/server.h
+++ b/libs/http/server.h
@@ -69,7 +69,7 @@
   bool started() const { return mStarted; }
 
   /** @return true once the answer has ended or the caller has gone */
-  bool finished() const { return mRequest == nullptr; }
+  bool finished() const { return mRequest == nullptr || !*mServerAlive; }
 
 private:
   void finish();
@@ -80,6 +80,8 @@
   evhttp_request* mRequest;
   std::function<void()> mDisconnect;
   Watch mPeerClosed;
+  /** False once the server is gone, which frees its requests. */
+  std::shared_ptr<bool> mServerAlive;
   bool mStarted = false;
 };
 
@@ -123,6 +125,7 @@
   evhttp_bound_socket* mSocket = nullptr;
   std::size_t mOpenRequests = 0;
   bool mClosing = false;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
 } // namespace marigold::http
--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -127,6 +127,21 @@
   LONGS_EQUAL(0, server.openRequests());
 }
 
+// Guards against an answer to a request of a server that no longer exists.
+TEST(Http, ResponderMayOutliveItsServer)
+{
+  std::shared_ptr<http::Responder> held;
+  {
+    http::Server server(
+      loop, {}, [&](const http::Request&, const auto& aOut) { held = aOut; });
+    CHECK(bool(server.listen(kAddress)));
+    CHECK(call(kAddress, {}, 50ms).end == http::CallEnd::TimedOut);
+  }
+  CHECK(held->finished());
+  held->reply({ 200, {}, "" });
+  held.reset();
+}
+
 // Guards against malformed addresses that are accepted from settings.
 TEST(Http, AddressesAreChecked)
 {
