Pause the watch of an empty platform

Cause: the watch of a store with revision 0 returns at once, and each VM started the next one immediately. Ruled out: a longer list period, since the list was read once a second only. A failed start of a test deployment now ends its processes.

--- a/apps/entry/platform_sync.cpp
+++ b/apps/entry/platform_sync.cpp
@@ -108,7 +108,10 @@
                       return;
                     }
                     apply(std::get<platform::Snapshot>(aSnapshot));
-                    if (mayWatch()) {
+                    // An empty store has revision 0, for which a watch does not
+                    // wait; the
+                    // next tick asks again.
+                    if (mayWatch() && mRevision > 0) {
                       watch();
                     }
                   });
--- a/tests/e2e/deployment.py
+++ b/tests/e2e/deployment.py
@@ -285,6 +285,14 @@
         return records
 
     def start(self, resident="drafting-assistant=v1"):
+        """Starts everything; a failed start leaves no process behind."""
+        try:
+            return self.start_all(resident)
+        except BaseException:
+            self.stop()
+            raise
+
+    def start_all(self, resident):
         self.start_platform()
         for data_centre in self.data_centres:
             for number in range(1, self.engines_per_data_centre + 1):
@@ -337,11 +345,7 @@
             process.kill()
 
     def __enter__(self):
-        try:
-            return self.start()
-        except BaseException:
-            self.stop()
-            raise
+        return self.start()
 
     def __exit__(self, *_):
         self.stop()
