--- a/apps/entry/node.cpp
+++ b/apps/entry/node.cpp
@@ -69,6 +69,7 @@
   mOperator.onStatus([this] { return status(); });
   mOperator.addDump("status", [this] { return status(); });
   mOperator.addDump("membership", [this] { return dumpMembership(); });
+  mOperator.addDump("mesh", [this] { return dumpMesh(); });
   mOperator.addDump("upstreams", [this] { return mUpstreams.dump(); });
   mOperator.add("POST",
                 "/document",
@@ -119,6 +120,18 @@
                { "failures", mPlatform.counts().failures } } } };
 }
 
+json
+Node::dumpMesh()
+{
+  const mesh::TransportCounts& counts = mPeers.transport().counts();
+  return { { "sent", counts.sent },
+           { "sent_bytes", counts.sentBytes },
+           { "received", counts.received },
+           { "received_bytes", counts.receivedBytes },
+           { "dropped", counts.dropped },
+           { "rejected", counts.rejected } };
+}
+
 bool
 Node::authentic(const http::Request& aRequest) const
 {
--- a/apps/entry/node.h
+++ b/apps/entry/node.h
@@ -28,6 +28,7 @@
   bool authentic(const http::Request& aRequest) const;
   nlohmann::json status() const;
   nlohmann::json dumpMembership() const;
+  nlohmann::json dumpMesh();
 
   Settings mSettings;
   base::Incarnation mIncarnation;
--- a/apps/entry/platform_sync.cpp
+++ b/apps/entry/platform_sync.cpp
@@ -9,6 +9,10 @@
 
 constexpr base::Duration kTick = std::chrono::milliseconds(250);
 constexpr base::Duration kWatchWait = std::chrono::seconds(20);
+
+/** While documents are missing every VM watches, so the watches are short and
+ * end soon after a relay has passed the documents on. */
+constexpr base::Duration kFirstWatchWait = std::chrono::seconds(2);
 constexpr base::Duration kListPeriod = std::chrono::seconds(1);
 
 /** A VM that is no relay reads this seldom, in case every relay is wrong. */
@@ -93,8 +97,10 @@
   mWatching = true;
   mLastRead = base::monotonicNow();
   // A VM that is no relay only reads; a waiting watch would count as a call.
-  const base::Duration wait =
-    mayWatch() && mRevision > 0 ? kWatchWait : base::Duration::zero();
+  base::Duration wait = base::Duration::zero();
+  if (mayWatch() && mRevision > 0) {
+    wait = mConfiguration.complete() ? kWatchWait : kFirstWatchWait;
+  }
   mPlatform.watch(kPrefix,
                   mRevision,
                   wait,
