--- a/apps/entry/platform_sync.h
+++ b/apps/entry/platform_sync.h
@@ -46,7 +46,6 @@
   base::TimePoint mLastRead;
   base::TimePoint mLastList;
   bool mWatching = false;
-  bool mHasRead = false; ///< the first read does not wait for a change
   bool mListing = false;
 };
 
--- a/libs/http/server.cpp
+++ b/libs/http/server.cpp
@@ -59,6 +59,7 @@
 Responder::Responder(Server& aServer, evhttp_request* aRequest)
   : mServer(aServer)
   , mRequest(aRequest)
+  , mServerAlive(aServer.mAlive)
 {
   evhttp_connection* connection = evhttp_request_get_connection(mRequest);
   evhttp_connection_set_closecb(
@@ -81,7 +82,7 @@
 
 Responder::~Responder()
 {
-  if (mRequest != nullptr) {
+  if (!finished()) {
     if (mStarted) {
       abort();
     } else {
@@ -95,7 +96,7 @@
 {
   // The descriptor is about to be closed or has nothing more to tell.
   mPeerClosed.reset();
-  if (mRequest == nullptr || !mDisconnect) {
+  if (finished() || !mDisconnect) {
     return;
   }
   const auto callback = std::move(mDisconnect);
@@ -127,7 +128,7 @@
 void
 Responder::reply(const Answer& aAnswer)
 {
-  if (mRequest == nullptr) {
+  if (finished()) {
     return;
   }
   mStarted = true;
@@ -143,7 +144,7 @@
 void
 Responder::startStream(int aStatus, const Headers& aHeaders)
 {
-  if (mRequest == nullptr) {
+  if (finished()) {
     return;
   }
   mStarted = true;
@@ -154,7 +155,7 @@
 void
 Responder::sendChunk(std::string_view aBytes)
 {
-  if (mRequest == nullptr || aBytes.empty()) {
+  if (finished() || aBytes.empty()) {
     return;
   }
   evbuffer* chunk = evbuffer_new();
@@ -166,7 +167,7 @@
 void
 Responder::endStream()
 {
-  if (mRequest == nullptr) {
+  if (finished()) {
     return;
   }
   evhttp_request* request = mRequest;
@@ -177,7 +178,7 @@
 void
 Responder::abort()
 {
-  if (mRequest == nullptr) {
+  if (finished()) {
     return;
   }
   mPeerClosed.reset();
@@ -203,7 +204,7 @@
 std::size_t
 Responder::pendingBytes() const
 {
-  if (mRequest == nullptr) {
+  if (finished()) {
     return 0;
   }
   evhttp_connection* connection = evhttp_request_get_connection(mRequest);
@@ -228,6 +229,7 @@
 
 Server::~Server()
 {
+  *mAlive = false;
   evhttp_free(mHttp);
 }
 
