Let failure tests cut the links of an entry process

Cause: partitions between the system's own processes cannot be made with network tools in the tests. With fault_injection: true in its settings an entry process takes POST /fault {peers, platform} on its operator address: messages to and from the peers are dropped, and calls to the platform and their answers are lost until their timeout. A lost write ends as write-outcome-unknown.

Ruled out: pointing the platform client at an unused port. That refuses at once, which is the easier failure.

--- a/apps/entry/node.cpp
+++ b/apps/entry/node.cpp
@@ -76,6 +76,13 @@
                 [this](const http::Request& aRequest, const auto& aOut) {
                   pushDocument(aRequest, aOut);
                 });
+  if (mSettings.faultInjection) {
+    mOperator.add("POST",
+                  "/fault",
+                  [this](const http::Request& aRequest, const auto& aOut) {
+                    injectFault(aRequest, aOut);
+                  });
+  }
   mOperator.add("POST",
                 "/withdrawals",
                 [this](const http::Request& aRequest, const auto& aOut) {
@@ -124,12 +131,11 @@
 Node::dumpMesh()
 {
   const mesh::TransportCounts& counts = mPeers.transport().counts();
-  return { { "sent", counts.sent },
-           { "sent_bytes", counts.sentBytes },
-           { "received", counts.received },
-           { "received_bytes", counts.receivedBytes },
-           { "dropped", counts.dropped },
-           { "rejected", counts.rejected } };
+  return {
+    { "sent", counts.sent },         { "sent_bytes", counts.sentBytes },
+    { "received", counts.received }, { "received_bytes", counts.receivedBytes },
+    { "dropped", counts.dropped },   { "rejected", counts.rejected }
+  };
 }
 
 bool
@@ -160,6 +166,26 @@
   aOut->reply(observe::jsonAnswer(200, status()));
 }
 
+void
+Node::injectFault(const http::Request& aRequest,
+                  const std::shared_ptr<http::Responder>& aOut)
+{
+  const json content = json::parse(aRequest.body, nullptr, false);
+  if (!content.is_object()) {
+    aOut->reply(observe::jsonAnswer(
+      400, { { "error", "expected {peers: [names], platform: boolean}" } }));
+    return;
+  }
+  const auto peers = content.value("peers", std::set<std::string>{});
+  const bool platform = content.value("platform", false);
+  mPeers.transport().cut(peers);
+  mPlatform.cut(platform);
+  observe::logWarn("links cut by a failure test",
+                   { { "peers", std::to_string(peers.size()) },
+                     { "platform", platform ? "cut" : "linked" } });
+  aOut->reply(observe::jsonAnswer(200, json::object()));
+}
+
 void
 Node::pushWithdrawals(const http::Request& aRequest,
                       const std::shared_ptr<http::Responder>& aOut)
--- a/apps/entry/node.h
+++ b/apps/entry/node.h
@@ -23,6 +23,8 @@
   void serveOperators();
   void pushDocument(const http::Request& aRequest,
                     const std::shared_ptr<http::Responder>& aOut);
+  void injectFault(const http::Request& aRequest,
+                   const std::shared_ptr<http::Responder>& aOut);
   void pushWithdrawals(const http::Request& aRequest,
                        const std::shared_ptr<http::Responder>& aOut);
   bool authentic(const http::Request& aRequest) const;
--- a/apps/entry/settings.cpp
+++ b/apps/entry/settings.cpp
@@ -64,6 +64,9 @@
     settings.maxBodyBytes = static_cast<std::size_t>(
       aRoot.require("max_body_bytes").integer(1, kMaxBodyLimit));
   }
+  if (aRoot.has("fault_injection")) {
+    settings.faultInjection = aRoot.require("fault_injection").boolean();
+  }
   return settings;
 }
 
--- a/apps/entry/settings.h
+++ b/apps/entry/settings.h
@@ -27,6 +27,8 @@
   /** Time between SIGTERM and the end of listening, in which the balancer
    * notices that this VM is not ready. */
   base::Duration drainNotice = std::chrono::seconds(1);
+  /** Lets tests cut links with POST /fault on the operator address. */
+  bool faultInjection = false;
   std::size_t maxBodyBytes = 2UL * 1024 * 1024;
 };
 
--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -178,6 +178,10 @@
              Finish aDone)
 {
   ++(aIsWrite ? mCounts.writes : mCounts.reads);
+  if (mCut) {
+    lose(aTimeout, aIsWrite, std::move(aDone));
+    return;
+  }
   const auto place = mCalls.emplace(mCalls.end());
   http::CallEvents events;
   events.done = [this, place, aIsWrite, aDone = std::move(aDone)](
@@ -185,6 +189,9 @@
     // The call is removed first, because the callback may destroy this client.
     const std::unique_ptr<http::Call> ended = std::move(*place);
     mCalls.erase(place);
+    if (mCut) {
+      aEnd = http::CallEnd::TimedOut;
+    }
     if (aEnd != http::CallEnd::Complete) {
       ++mCounts.failures;
       aDone(transportError(aEnd, aIsWrite));
@@ -202,6 +209,19 @@
     mClient.start(mAddress, aRequest, aTimeout, std::move(events), !aIsWrite);
 }
 
+void
+Client::lose(base::Duration aTimeout, bool aIsWrite, Finish aDone)
+{
+  const auto place = mLost.emplace(mLost.end());
+  *place =
+    mLoop.after(aTimeout, [this, place, aIsWrite, aDone = std::move(aDone)] {
+      // Removed first, because the callback may destroy this client.
+      mLost.erase(place);
+      ++mCounts.failures;
+      aDone(transportError(http::CallEnd::TimedOut, aIsWrite));
+    });
+}
+
 void
 Client::read(const std::string& aKey, Callback<Entry> aDone)
 {
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -122,6 +122,10 @@
   /** @param aDone gets the lagging list of VMs as text for decodeVmList */
   void listVms(Callback<std::string> aDone);
 
+  /** Loses every call and answer, as a broken link would. For failure tests.
+   * @param aCut true until the link works again */
+  void cut(bool aCut) { mCut = aCut; }
+
   /** @return calls so far */
   const CallCounts& counts() const { return mCounts; }
 
@@ -132,6 +136,7 @@
             base::Duration aTimeout,
             bool aIsWrite,
             Finish aDone);
+  void lose(base::Duration aTimeout, bool aIsWrite, Finish aDone);
 
   http::Loop& mLoop;
   http::Address mAddress;
@@ -139,6 +144,8 @@
   http::Client mClient;
   CallCounts mCounts;
   std::list<std::unique_ptr<http::Call>> mCalls;
+  std::list<http::Watch> mLost; ///< calls that were started while cut off
+  bool mCut = false;
 };
 
 } // namespace marigold::platform
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -89,6 +89,17 @@
   CHECK(writeCode(answering(503, "{}")) == Code::PlatformUnreachable);
 }
 
+// Guards against a failure test whose cut link still carries answers, and
+// against a client that takes the lost answer to a write for a refusal.
+TEST(Platform, CutLinkLosesAnswers)
+{
+  client.cut(true);
+  CHECK(writeCode(answering(200, R"({"revision": 4})")) ==
+        Code::WriteOutcomeUnknown);
+  client.cut(false);
+  CHECK(writeCode(answering(200, R"({"revision": 4})")) == Code::Ok);
+}
+
 int
 main(int aCount, char** aValues)
 {
