Add libraries request and routing

Cause: retries, the crash guard, queues and the choice of an upstream were decided inside the exchange, without budget, memory of crashes or queue.

Ruled out: a crash count that each VM keeps and retries on by itself. The property PoisonCrashesAtMostTwoUpstreams finds a third crash without the single owner of the trial. The outcome of the last attempt as outcome of the request: NotRunIsOnlySaidWhenProved finds a false "not run" after an earlier attempt that may have run.

Conclusion: the entry process can use the libraries.

--- /dev/null
+++ b/libs/request/tests/request_tests.cpp
@@ -0,0 +1,415 @@
+/** @file Tests of the request library, with properties from fixed seeds. */
+#include "request/request.h"
+
+#include <CppUTest/TestHarness.h>
+// CppUTest defines `new` as a macro, which the headers below cannot take.
+#undef new
+#include <CppUTest/CommandLineTestRunner.h>
+#include <cstdlib>
+#include <deque>
+#include <rapidcheck.h>
+
+using namespace marigold;
+using namespace std::chrono_literals;
+using request::AttemptEnd;
+using request::GuardVerdict;
+using request::NextStep;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 20260117;
+constexpr int kRuns = 300;
+
+template<typename Property>
+bool
+holds(Property aProperty)
+{
+  rc::detail::TestParams parameters;
+  parameters.seed = kSeed;
+  parameters.maxSuccess = kRuns;
+  const auto result = rc::detail::checkTestable(
+    aProperty, rc::detail::TestMetadata(), parameters);
+  return result.template is<rc::detail::SuccessResult>();
+}
+
+int
+below(int aBound)
+{
+  return *rc::gen::inRange(0, aBound);
+}
+
+/** @return true if retries stay within 10% of the requests of any window */
+bool
+budgetHolds(bool aLimited)
+{
+  return holds([aLimited] {
+    request::RetryBudget budget;
+    std::deque<base::TimePoint> requests;
+    std::deque<base::TimePoint> retries;
+    base::TimePoint now(100s);
+    for (int step = 0; step < 400; ++step) {
+      now += std::chrono::milliseconds(below(40));
+      budget.onRequest(now);
+      requests.push_back(now);
+      if (below(2) == 0 && (!aLimited || budget.take(now))) {
+        retries.push_back(now);
+      }
+      // The window is counted in whole seconds, so it spans at least 9 s.
+      while (!retries.empty() && retries.front() < now - 9s) {
+        retries.pop_front();
+      }
+      while (!requests.empty() && requests.front() < now - 10s) {
+        requests.pop_front();
+      }
+      const double allowed = std::max<double>(
+        request::kLeastRetries,
+        request::kRetryShare * static_cast<double>(requests.size()));
+      RC_ASSERT(static_cast<double>(retries.size()) <= allowed);
+    }
+  });
+}
+
+/** @return true if "not run" is only said when no attempt may have run */
+bool
+outcomesAreTrue(bool aRemember)
+{
+  return holds([aRemember] {
+    request::RetryBudget budget;
+    request::Lifecycle life({ below(2) == 0, false, base::TimePoint(100s) });
+    bool ran = false;
+    for (int attempt = 0;; ++attempt) {
+      life.onAttempt("u" + std::to_string(attempt));
+      const auto end = static_cast<AttemptEnd>(below(6));
+      ran = ran || !request::provesNotRun(end);
+      const auto next = life.onAttemptEnded(
+        end, false, below(4) != 0, base::TimePoint(1s), budget);
+      if (next.step == NextStep::Retry) {
+        continue;
+      }
+      const base::Code code = aRemember ? next.code : request::codeOf(end);
+      const bool saysNotRun =
+        base::codeInfo(code).outcome == base::Outcome::NotRun;
+      RC_ASSERT(!saysNotRun || !ran);
+      return;
+    }
+  });
+}
+
+/** A fleet that exchanges reports of one poisonous request. */
+struct GuardedFleet
+{
+  std::vector<request::CrashGuard> guards;
+  std::vector<std::size_t> running; ///< VMs that run the request now
+  int crashes = 0;
+  bool asksOwner = true;
+
+  explicit GuardedFleet(int aVms)
+  {
+    for (int vm = 0; vm < aVms; ++vm) {
+      guards.emplace_back("vm" + std::to_string(vm));
+    }
+  }
+
+  bool mayRun(std::size_t aVm)
+  {
+    switch (guards[aVm].verdict("poison")) {
+      case GuardVerdict::Free:
+        return true;
+      case GuardVerdict::Trial:
+        return guards[aVm].takeTrial("poison");
+      case GuardVerdict::AskOwner:
+        return !asksOwner || askOwner(guards[aVm].owner("poison"));
+      default:
+        return false;
+    }
+  }
+
+  bool askOwner(const base::VmName& aOwner)
+  {
+    const std::size_t owner = std::stoul(aOwner.substr(2));
+    return guards[owner].takeTrial("poison");
+  }
+
+  void crash(std::size_t aVm)
+  {
+    const auto report = guards[aVm].onCrash(
+      "poison", "engine/" + std::to_string(crashes), base::TimePoint(1s));
+    ++crashes;
+    for (request::CrashGuard& guard : guards) {
+      guard.merge(report, base::TimePoint(1s));
+      if (below(3) == 0) {
+        guard.merge(report, base::TimePoint(1s));
+      }
+    }
+  }
+};
+
+/** @return true if at most two engines crash, in any order of VMs */
+bool
+crashesAreBounded(bool aAsksOwner)
+{
+  return holds([aAsksOwner] {
+    GuardedFleet fleet(6);
+    fleet.asksOwner = aAsksOwner;
+    fleet.crash(static_cast<std::size_t>(below(6)));
+    for (int step = 0; step < 60; ++step) {
+      const auto vm = static_cast<std::size_t>(below(6));
+      if (below(2) == 0 && fleet.mayRun(vm)) {
+        fleet.running.push_back(vm);
+      } else if (!fleet.running.empty()) {
+        fleet.crash(fleet.running.back());
+        fleet.running.pop_back();
+      }
+      RC_ASSERT(fleet.crashes <= 2);
+    }
+  });
+}
+
+struct GuardMessage
+{
+  std::string fingerprint;
+  request::CrashReport report;
+  bool cleared = false;
+};
+
+std::string
+verdicts(request::CrashGuard& aGuard)
+{
+  std::string text;
+  for (const char* fingerprint : { "f0", "f1", "f2" }) {
+    text += std::to_string(static_cast<int>(aGuard.verdict(fingerprint))) +
+            aGuard.owner(fingerprint) + ";";
+  }
+  return text;
+}
+
+void
+apply(request::CrashGuard& aGuard, const GuardMessage& aMessage)
+{
+  if (aMessage.cleared) {
+    aGuard.mergeCleared(
+      aMessage.fingerprint, { aMessage.report.crash }, base::TimePoint(1s));
+  } else {
+    aGuard.merge(aMessage.report, base::TimePoint(1s));
+  }
+}
+
+request::Waiting
+waiting(const std::string& aId,
+        const std::string& aTeam,
+        base::Duration aDeadline,
+        double aCost = 10)
+{
+  return { aId, aTeam, 1, aCost, base::TimePoint(aDeadline), 1s };
+}
+
+/** @return true if an in-rate team is served at once beside a flooding one */
+bool
+floodDoesNotDelay(bool aKnowsRates)
+{
+  return holds([aKnowsRates] {
+    request::ModelQueue queue(20);
+    if (aKnowsRates) {
+      queue.setRate("calm", 100);
+      queue.setRate("flood", 100);
+    }
+    base::TimePoint now(10s);
+    int number = 0;
+    for (int step = 0; step < 60; ++step) {
+      now += 100ms;
+      for (int extra = 0; extra < 3 + below(5); ++extra) {
+        queue.offer({ "f" + std::to_string(number++),
+                      "flood",
+                      1,
+                      10,
+                      now + std::chrono::seconds(3 + below(5)),
+                      1s },
+                    now);
+      }
+      if (step < 30) {
+        queue.take(now); // lets the flooding team use its credit up
+        queue.take(now);
+        queue.take(now);
+        continue;
+      }
+      const auto calm = queue.offer(
+        { "calm" + std::to_string(step), "calm", 1, 10, now + 9s, 1s }, now);
+      RC_ASSERT(calm.code == base::Code::Ok);
+      const auto taken = queue.take(now);
+      RC_ASSERT(taken && taken->team == "calm");
+    }
+  });
+}
+
+} // namespace
+
+TEST_GROUP(Request){};
+
+// Guards against retries that amplify an overload.
+TEST(Request, RetriesStayWithinTheBudget)
+{
+  CHECK(budgetHolds(true));
+  CHECK_FALSE(budgetHolds(false));
+}
+
+// Guards against "not run" after a first attempt that may have run.
+TEST(Request, NotRunIsOnlySaidWhenProved)
+{
+  CHECK(outcomesAreTrue(true));
+  CHECK_FALSE(outcomesAreTrue(false));
+}
+
+// Guards against a second execution of a non-idempotent request.
+TEST(Request, NonIdempotentIsRetriedOnlyBeforeTheFirstByte)
+{
+  request::RetryBudget budget;
+  for (const AttemptEnd end : { AttemptEnd::Broken,
+                                AttemptEnd::TimedOut,
+                                AttemptEnd::Crossed,
+                                AttemptEnd::Truncated }) {
+    request::Lifecycle life({ false, false, base::TimePoint(100s) });
+    life.onAttempt("a");
+    CHECK(
+      life.onAttemptEnded(end, false, true, base::TimePoint(1s), budget).step ==
+      NextStep::Refuse);
+  }
+  request::Lifecycle life({ false, false, base::TimePoint(100s) });
+  life.onAttempt("a");
+  CHECK(life
+          .onAttemptEnded(
+            AttemptEnd::NotSent, false, true, base::TimePoint(1s), budget)
+          .step == NextStep::Retry);
+}
+
+// Guards against a retry that starts after the deadline.
+TEST(Request, NoRetryAfterTheDeadline)
+{
+  request::RetryBudget budget;
+  request::Lifecycle life({ true, false, base::TimePoint(5s) });
+  life.onAttempt("a");
+  const auto next = life.onAttemptEnded(
+    AttemptEnd::NotSent, false, true, base::TimePoint(5s), budget);
+  CHECK(next.step == NextStep::Refuse);
+  CHECK(next.code == base::Code::UpstreamRefused);
+}
+
+// Guards against a third crash by a request that several VMs try again.
+TEST(Request, PoisonCrashesAtMostTwoUpstreams)
+{
+  CHECK(crashesAreBounded(true));
+  CHECK_FALSE(crashesAreBounded(false));
+}
+
+// Guards against views that differ by the order or repetition of messages.
+TEST(Request, MergeIsCommutativeAndIdempotent)
+{
+  CHECK(holds([] {
+    std::vector<GuardMessage> messages;
+    for (int count = 0; count < 8; ++count) {
+      const std::string fingerprint = "f" + std::to_string(below(3));
+      messages.push_back({ fingerprint,
+                           { fingerprint,
+                             "c" + std::to_string(below(4)),
+                             "vm" + std::to_string(below(3)),
+                             {} },
+                           below(3) == 0 });
+    }
+    request::CrashGuard first("vm0");
+    request::CrashGuard second("vm0");
+    for (const GuardMessage& message : messages) {
+      apply(first, message);
+    }
+    for (int extra = 0; extra < 4; ++extra) {
+      messages.push_back(messages[static_cast<std::size_t>(below(8))]);
+    }
+    while (!messages.empty()) {
+      const auto pick = below(static_cast<int>(messages.size()));
+      apply(second, messages[static_cast<std::size_t>(pick)]);
+      messages.erase(messages.begin() + pick);
+    }
+    RC_ASSERT(verdicts(first) == verdicts(second));
+  }));
+}
+
+// Guards against a suspect that shares an upstream with another suspect, and
+// against a request that stays suspect after it completed.
+TEST(Request, SuspectIsIsolatedAndCleared)
+{
+  request::CrashGuard guard("vm0");
+  const base::TimePoint now(1s);
+  guard.onCrash("a", "engine-1/1", now);
+  guard.onCrash("b", "engine-1/1", now);
+  CHECK(guard.takeTrial("a"));
+  CHECK_FALSE(guard.takeTrial("a"));
+  guard.onTrialAt("a", "engine-2");
+  CHECK(guard.occupiedByOthers("b") ==
+        std::set<base::UpstreamName>{ "engine-2" });
+  CHECK(guard.occupiedByOthers("a").empty());
+  CHECK(guard.verdict("c") == GuardVerdict::Free);
+  CHECK(guard.onCompleted("a", now) == std::set<std::string>{ "engine-1/1" });
+  CHECK(guard.verdict("a") == GuardVerdict::Free);
+  CHECK(guard.occupiedByOthers("b").empty());
+  guard.onCrash("b", "engine-2/1", now);
+  CHECK(guard.verdict("b") == GuardVerdict::Poisonous);
+  guard.expire(now + request::kCrashLifetime);
+  LONGS_EQUAL(0, guard.size());
+}
+
+// Guards against delay by a team that sends above its rate.
+TEST(Request, FloodDoesNotDelayOthers)
+{
+  CHECK(floodDoesNotDelay(true));
+  CHECK_FALSE(floodDoesNotDelay(false));
+}
+
+// Guards against work on requests that can no longer be answered in time.
+TEST(Request, QueueShedsBeforeWorkIsWasted)
+{
+  request::ModelQueue queue(2);
+  const base::TimePoint now(10s);
+  CHECK(queue.offer(waiting("late", "t", 10500ms), now).code ==
+        base::Code::DeadlineUnreachable);
+  queue.offer(waiting("second", "t", 14s), now);
+  queue.offer(waiting("first", "t", 12s), now);
+  CHECK(queue.offer(waiting("third", "t", 20s), now).code ==
+        base::Code::Overloaded);
+  const auto shed = queue.shed(now + 1500ms);
+  LONGS_EQUAL(1, shed.size());
+  CHECK(shed[0].id == "first");
+  CHECK(queue.take(now + 1500ms)->id == "second");
+  CHECK_FALSE(queue.take(now).has_value());
+}
+
+// Guards against traffic to a leaving or dead upstream, and against a burst of
+// requests on an upstream that has just come back.
+TEST(Request, HealthEjectsAndBacksOff)
+{
+  request::UpstreamHealth health;
+  base::TimePoint now(10s);
+  health.onFailure(now);
+  CHECK(health.usable(now));
+  health.onFailure(now);
+  CHECK_FALSE(health.usable(now));
+  now += request::kFirstBackOff;
+  CHECK(health.usable(now));
+  health.onSent(now);
+  CHECK_FALSE(health.usable(now));
+  health.onFailure(now);
+  CHECK_FALSE(health.usable(now + request::kFirstBackOff));
+  CHECK(health.usable(now + 2 * request::kFirstBackOff));
+  health.onConnected();
+  CHECK(health.usable(now));
+  health.onLeaving();
+  CHECK_FALSE(health.usable(now + 1h));
+}
+
+int
+main(int aCount, char** aValues)
+{
+  // Objects that rapidcheck keeps for the whole run are made here, before the
+  // leak check of the first test starts.
+  setenv("RC_PARAMS", ("seed=" + std::to_string(kSeed)).c_str(), 1);
+  holds([] { RC_ASSERT(*rc::gen::arbitrary<int>() * 0 == 0); });
+  holds([] { RC_ASSERT(below(2) >= 0); });
+  return CommandLineTestRunner::RunAllTests(aCount, aValues);
+}
--- /dev/null
+++ b/libs/request/upstream_health.h
@@ -0,0 +1,48 @@
+/** @file Ejection of dead upstreams and withdrawal of leaving ones. */
+#pragma once
+
+#include "base/base.h"
+
+namespace marigold::request {
+
+/** Two, because one failure may be a connection that was just being closed. */
+inline constexpr int kFailuresToEject = 2;
+inline constexpr base::Duration kFirstBackOff = std::chrono::seconds(1);
+inline constexpr int kMostBackOffDoublings = 4;
+
+/** What failures and announcements say about one upstream. */
+class UpstreamHealth
+{
+public:
+  /** @param aNow current time @return true if it may get new work. After a
+   * back-off one request at a time tries it until one has connected. */
+  bool usable(base::TimePoint aNow) const;
+
+  /** Notes that a request goes to the upstream. @param aNow current time */
+  void onSent(base::TimePoint aNow);
+
+  /** Notes a connection that worked. */
+  void onConnected();
+
+  /** @param aNow time of a failed connection */
+  void onFailure(base::TimePoint aNow);
+
+  /** Notes that the upstream said it is leaving. */
+  void onLeaving() { mLeaving = true; }
+
+  /** Notes that a later process of the upstream says it is live. */
+  void onReturned() { mLeaving = false; }
+
+  /** @return true while it is leaving */
+  bool leaving() const { return mLeaving; }
+
+  /** @param aNow current time @return true during a back-off */
+  bool ejected(base::TimePoint aNow) const { return aNow < mEjectedUntil; }
+
+private:
+  int mFailures = 0; ///< consecutive
+  base::TimePoint mEjectedUntil;
+  bool mLeaving = false;
+};
+
+} // namespace marigold::request
