Add end-to-end tests of the request path and mend a dangling reference in the engine stand-in

Cause: the path under faults was not tested with real processes. POST /control with faults ended the engine stand-in, because a range loop kept a reference into a temporary object.

--- a/standins/engine/engine_service.cpp
+++ b/standins/engine/engine_service.cpp
@@ -236,8 +236,9 @@
     aOut->reply(observe::jsonAnswer(400, { { "error", "not an object" } }));
     return;
   }
-  for (const auto& [name, count] :
-       content.value("faults", json::object()).items()) {
+  // items() refers to its object, which therefore has to outlive the loop.
+  const json faults = content.value("faults", json::object());
+  for (const auto& [name, count] : faults.items()) {
     const auto fault = faultNamed(name);
     if (!fault) {
       aOut->reply(observe::jsonAnswer(400, { { "error", "unknown fault" } }));
--- /dev/null
+++ b/tests/e2e/test_request_path.py
@@ -0,0 +1,370 @@
+"""The request path under failure of engines, callers, keys and under overload."""
+
+import hashlib
+import hmac
+import http.client
+import json
+import threading
+import time
+import unittest
+
+from deployment import (HOST, OPERATOR_KEY, Deployment, bearer, call, chat,
+                        wait_until)
+
+MODEL = "drafting-assistant"
+
+
+class Stream:
+    """One open streamed answer, read event by event."""
+
+    def __init__(self, port, key, tokens, text="hello", timeout=20):
+        self.connection = http.client.HTTPConnection(HOST, port, timeout=timeout)
+        self.connection.request(
+            "POST", "/v1/chat/completions",
+            json.dumps({"model": MODEL, "max_tokens": tokens, "stream": True,
+                        "messages": [{"role": "user", "content": text}]}), bearer(key))
+        self.answer = self.connection.getresponse()
+        self.id = self.answer.getheader("X-Request-Id")
+
+    def event(self):
+        """Content of the next event, or None at the end."""
+        lines = []
+        while True:
+            line = self.answer.readline()
+            if not line:
+                return None
+            if line == b"\n":
+                return b"".join(lines).decode()[len("data: "):].strip()
+            lines.append(line)
+
+    def rest(self):
+        return list(iter(self.event, None))
+
+    def close(self):
+        self.connection.sock.close()
+        self.answer.close()
+        self.connection.close()
+
+
+def tokens_of(events):
+    """Texts of the content events."""
+    return [json.loads(event)["choices"][0]["delta"]["content"].strip()
+            for event in events if event.startswith("{") and "choices" in event]
+
+
+def error_of(event):
+    return json.loads(event)["error"]["code"]
+
+
+class Fleet(unittest.TestCase):
+    ENGINES = 1
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Deployment("kochi", engines=cls.ENGINES).start()
+        cls.entries = sorted(cls.fleet.entries)
+        cls.key = cls.fleet.crew_key
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.fleet.stop()
+
+    def port(self, number=0):
+        return self.fleet.port(self.entries[number])
+
+    def live_engines(self):
+        return {name: engine for name, engine in self.fleet.engines.items()
+                if self.fleet.processes[name].running()}
+
+    def engine_of(self, request):
+        """Name of the engine that ran a request last."""
+        return [name for name, engine in self.live_engines().items()
+                if request in str(call(engine["port"], "GET", "/_ran").json())][-1]
+
+    def set_fault(self, fault, count=1):
+        """The next request at each engine but one suffers the fault."""
+        for name in sorted(self.live_engines())[1:]:
+            call(self.fleet.engines[name]["port"], "POST", "/control",
+                 {"faults": {fault: count}})
+
+    def running(self):
+        return sum(call(engine["port"], "GET", "/v1/report").json()["running"]
+                   for engine in self.live_engines().values())
+
+    def restart_dead(self):
+        for name, engine in self.fleet.engines.items():
+            if not self.fleet.processes[name].running():
+                number = int(name.rsplit("-", 1)[1])
+                self.fleet.start_engine(engine["data_centre"], number, MODEL + "=v1")
+        def usable():
+            upstreams = [self.fleet.dump(name)["upstreams"] for name in self.entries]
+            return all(not view[engine]["ejected"] and view[engine]["resident"]
+                       for view in upstreams for engine in self.fleet.engines)
+        wait_until(usable, 30)
+
+
+class Answers(Fleet):
+    def test_killed_engine_resumes_on_another(self):
+        """Guards against a stream that ends or repeats tokens when its engine dies."""
+        stream = Stream(self.port(), self.key, 300)
+        events = [stream.event() for _ in range(20)]
+        self.fleet.processes[self.engine_of(stream.id)].kill()
+        events += stream.rest()
+        self.assertEqual(events[-1], "[DONE]")
+        self.assertEqual(tokens_of(events), ["t%d" % n for n in range(300)])
+        self.restart_dead()
+
+    def test_crossed_answer_is_discarded(self):
+        """Guards against the answer to another request, and a retry that misses."""
+        self.set_fault("wrong-id")
+        for stream in (False, True):
+            answer = chat(self.port(1), self.key, 5, stream, "[[ref:mine]]")
+            self.assertEqual((answer.status, answer.outcome), (200, "ran"))
+            self.assertIn("mine.t4", answer.body)
+            self.assertNotIn("foreign", answer.body)
+        self.set_fault("wrong-id", 0)
+        answer = chat(self.port(1), self.key, 5, False, "[[wrong-id]]")
+        self.assertEqual((answer.code(), answer.outcome), ("answer-crossed", "unknown"))
+
+    def test_short_answer_is_never_passed_as_whole(self):
+        """Guards against a truncated body or stream that looks complete."""
+        self.set_fault("truncate")
+        answer = chat(self.port(2), self.key, 5, False, "[[ref:mine]]")
+        self.assertEqual(answer.status, 200)
+        self.assertIn("mine.t4", answer.json()["choices"][0]["message"]["content"])
+        self.set_fault("truncate", 0)
+        answer = chat(self.port(2), self.key, 5, False, "[[truncate]]")
+        self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
+        events = Stream(self.port(2), self.key, 20, "[[truncate]]").rest()
+        self.assertEqual(error_of(events[-1]), "answer-truncated")
+        self.assertNotIn("[DONE]", events)
+
+    def test_cut_stream_is_continued_without_suspicion(self):
+        """Guards against a live engine's broken answer that counts as a crash."""
+        self.set_fault("cut")
+        events = Stream(self.port(3), self.key, 20).rest()
+        self.set_fault("cut", 0)
+        self.assertEqual(tokens_of(events), ["t%d" % n for n in range(20)])
+        self.assertEqual(events[-1], "[DONE]")
+        path = self.fleet.dump(self.entries[3])["request_path"]
+        self.assertEqual(path["suspects"], [])
+
+    def test_surplus_bytes_reach_nobody(self):
+        """Guards against surplus bytes of one answer that start the next one."""
+        for number in range(12):
+            reference = "r%d" % number
+            stream = number % 2 == 0
+            chat(self.port(4), self.key, 3, stream, "[[surplus]] [[ref:%s]]" % reference)
+            answer = chat(self.port(4), self.key, 3, stream, "[[ref:%s]]" % reference)
+            self.assertEqual(answer.status, 200)
+            self.assertIn(reference + ".t2", answer.body)
+            self.assertNotIn("surplus", answer.body)
+
+    def test_hang_up_cancels_the_work(self):
+        """Guards against engines that work for callers that have gone."""
+        stream = Stream(self.port(5), self.key, 3000)
+        stream.event()
+        self.assertEqual(self.running(), 1)
+        stream.close()
+        self.assertLess(wait_until(lambda: self.running() == 0, 3), 1)
+
+    def test_dead_upstream_costs_no_request(self):
+        """Guards against failures while an upstream is gone but still listed."""
+        name = sorted(self.live_engines())[0]
+        self.fleet.processes[name].kill()
+        for number in range(30):
+            answer = chat(self.port(number % 6), self.key, 2, False, "d%d" % number)
+            self.assertEqual(answer.status, 200, answer.body)
+        self.restart_dead()
+
+    def test_leaving_upstream_gets_no_new_work(self):
+        """Guards against new work for an engine that announced to leave."""
+        self.fleet.control(list_lag_ms=60000)
+        name = sorted(self.live_engines())[1]
+        port = self.fleet.engines[name]["port"]
+        call(port, "POST", "/control", {"state": "leaving"})
+        end = time.monotonic() + 5
+        while time.monotonic() < end:
+            for number in range(6):
+                self.assertEqual(chat(self.port(number), self.key, 1).status, 200)
+            time.sleep(0.05)
+        late = [run for run in call(port, "GET", "/_ran").json()
+                if run["since_leaving_ms"] >= 3000]
+        self.fleet.control(list_lag_ms=200)
+        self.fleet.processes[name].kill()
+        self.restart_dead()
+        self.assertEqual(late, [])
+
+    def test_callers_of_a_cold_model_wait(self):
+        """Guards against refusal, and lost demand, while a model is not loaded."""
+        manifest = self.fleet.manifest(version="v1").replace(
+            "services:", "  - {name: night-notes, version: v1, memory_mb: 100}\nservices:")
+        self.fleet.publish(manifest)
+        answers = []
+        def ask():
+            answers.append(chat(self.port(), self.key, 2, model="night-notes"))
+        wait_until(lambda: "night-notes" in call(
+            self.port(), "GET", "/v1/models").body)
+        thread = threading.Thread(target=ask)
+        thread.start()
+        def demand():
+            return self.fleet.dump(self.entries[0])["request_path"]["demand"]
+        wait_until(lambda: demand().get("night-notes", {}).get("waiting") == 1, 3)
+        self.assertGreater(demand()["night-notes"]["earliest_deadline_ms"], 0)
+        engine = sorted(self.live_engines())[0]
+        call(self.fleet.engines[engine]["port"], "POST", "/v1/orders",
+             {"id": "o1", "fence": 1, "op": "load", "model": "night-notes",
+              "version": "v1", "memory_mb": 100})
+        thread.join()
+        self.assertEqual((answers[0].status, answers[0].outcome), (200, "ran"))
+        self.assertEqual(demand()["night-notes"]["waiting"], 0)
+
+
+class Poison(Fleet):
+    ENGINES = 2
+
+    def test_poison_crashes_two_engines_at_most(self):
+        """Guards against a request that goes round the fleet and crashes it."""
+        stop = threading.Event()
+        others = []
+        def ask(number):
+            count = 0
+            while not stop.is_set():
+                count += 1
+                others.append(chat(self.port(number), self.fleet.desk_key, 20, True,
+                                   "other %d %d" % (number, count)))
+        threads = [threading.Thread(target=ask, args=(n,)) for n in range(6)]
+        for thread in threads:
+            thread.start()
+        answers = [chat(self.port(n % 6), self.key, 5, n % 2 == 1, "[[crash]] me")
+                   for n in range(12)]
+        # The same text with and without streaming is two requests, so the second
+        # one may crash two more engines.
+        time.sleep(1)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        dead = len(self.fleet.engines) - len(self.live_engines())
+        self.assertLessEqual(dead, 4)
+        self.assertEqual({answer.code() for answer in answers[4:]},
+                         {"request-poisonous"})
+        self.assertGreater(len(others), 100)
+        broken = [answer for answer in others
+                  if answer.status != 200 or "[DONE]" not in answer.body]
+        self.assertEqual([answer.body for answer in broken], [])
+
+    def test_restarted_vm_knows_the_poison(self):
+        """Guards against a new entry process that runs what its peers know."""
+        self.restart_dead()
+        for number in range(3):
+            chat(self.port(number), self.key, 5, False, "[[crash]] again")
+        before = len(self.live_engines())
+        self.assertGreaterEqual(before, 4)
+        name = self.entries[5]
+        self.fleet.processes[name].kill()
+        self.fleet.start_entry(self.fleet.entries[name]["data_centre"], 2)
+        wait_until(lambda: self.fleet.ready(name))
+        wait_until(lambda: self.fleet.dump(name)["request_path"]["suspects"], 5)
+        answer = chat(self.port(5), self.key, 5, False, "[[crash]] again")
+        self.assertEqual(answer.code(), "request-poisonous")
+        self.assertEqual(len(self.live_engines()), before)
+
+
+class Keys(Fleet):
+    def withdraw_at(self, entry, key_id):
+        body = json.dumps([key_id])
+        signature = hmac.new(OPERATOR_KEY.encode(), body.encode(), hashlib.sha256)
+        return call(self.fleet.entries[entry]["operator"], "POST", "/withdrawals", body,
+                    {"X-Operator-Signature": signature.hexdigest()})
+
+    def check_withdrawal(self, tell):
+        key_id, key = self.fleet.grant("desk")
+        for number in range(6):
+            wait_until(lambda number=number: chat(self.port(number), key, 1).status == 200)
+        streams = [Stream(self.port(number), key, 1400) for number in range(6)]
+        for stream in streams:
+            stream.event()
+        start = time.monotonic()
+        tell(key_id)
+        for stream in streams:
+            self.assertEqual(error_of(stream.rest()[-1]), "key-withdrawn")
+        self.assertLess(time.monotonic() - start, 3)
+        for number in range(6):
+            self.assertEqual(chat(self.port(number), key, 1).code(), "key-withdrawn")
+
+    def test_withdrawn_key_ends_open_streams(self):
+        """Guards against open streams that outlive their key."""
+        self.check_withdrawal(lambda key_id: self.fleet.ctl("keys", "withdraw", key_id))
+
+    def test_withdrawal_spreads_from_one_vm_without_the_platform(self):
+        """Guards against streams that go on when only one other VM was told."""
+        def tell(key_id):
+            self.fleet.control(mode="down")
+            self.withdraw_at(self.entries[5], key_id)
+        try:
+            self.check_withdrawal(tell)
+        finally:
+            self.fleet.control(mode="up")
+
+    def test_isolated_vms_refuse_stale_keys(self):
+        """Guards against keys that work without end in a data centre cut off."""
+        manifest = self.fleet.manifest(version="v1").replace(
+            "priority: 0}", "priority: 0, key_staleness: 3s}")
+        self.fleet.publish(manifest)
+        isolated = self.entries[0]
+        same = self.fleet.entries[isolated]["data_centre"]
+        far = [name for name in self.entries
+               if self.fleet.entries[name]["data_centre"] != same]
+        wait_until(lambda: self.fleet.status(isolated)["versions"]["config/manifest"] > 1)
+        for name in far + ["platform"]:
+            self.fleet.processes[name].pause()
+        try:
+            self.assertEqual(chat(self.port(), self.key, 1).status, 200)
+            time.sleep(4)
+            self.assertEqual(chat(self.port(), self.key, 1).code(), "key-stale")
+            # The other team keeps the default of an hour.
+            self.assertEqual(chat(self.port(), self.fleet.desk_key, 1).status, 200)
+        finally:
+            for name in far + ["platform"]:
+                self.fleet.processes[name].resume()
+        wait_until(lambda: chat(self.port(), self.key, 1).status == 200, 10)
+
+
+class Overload(Fleet):
+    def test_flooding_team_does_not_delay_the_other(self):
+        """Guards against a team above its rate that takes the places of others."""
+        for name in list(self.fleet.engines):
+            self.fleet.processes[name].kill()
+            self.fleet.start_engine(self.fleet.engines[name]["data_centre"], 1,
+                                    MODEL + "=v1", ["--capacity", "4"])
+        self.restart_dead()
+        stop = threading.Event()
+        flood = []
+        def send(number):
+            while not stop.is_set():
+                flood.append(chat(self.port(number % 6), self.key, 150, False,
+                                  "flood %d %d" % (number, len(flood))))
+        threads = [threading.Thread(target=send, args=(n,)) for n in range(36)]
+        for thread in threads:
+            thread.start()
+        time.sleep(2)
+        times = []
+        for number in range(12):
+            start = time.monotonic()
+            answer = chat(self.port(number % 6), self.fleet.desk_key, 20, False,
+                          "calm %d" % number)
+            times.append(time.monotonic() - start)
+            self.assertEqual(answer.status, 200, answer.body)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        self.assertLess(max(times), 4, times)
+        wrong = {answer.code() for answer in flood} - {
+            None, "rate-exceeded", "overloaded", "deadline-unreachable"}
+        self.assertEqual(wrong, set())
+
+
+del Fleet  # only its subclasses hold tests
+
+if __name__ == "__main__":
+    unittest.main()
