--- a/apps/entry/peer_link.cpp
+++ b/apps/entry/peer_link.cpp
@@ -29,6 +29,7 @@
   WithdrawalsDigest,
   PlatformReachable,
   HearsOthers,
+  ContactAge, ///< milliseconds, -1 if never
   DataCentre,
   MeshAddress,
   OperatorAddress,
@@ -53,6 +54,9 @@
   heartbeat.withdrawalsDigest = body.at(WithdrawalsDigest);
   heartbeat.platformReachable = body.at(PlatformReachable);
   heartbeat.hearsOthers = body.at(HearsOthers);
+  if (const std::int64_t age = body.at(ContactAge); age >= 0) {
+    heartbeat.contactAge = std::chrono::milliseconds(age);
+  }
   if (body.size() > DataCentre) {
     heartbeat.dataCentre = body.at(DataCentre);
     heartbeat.meshAddress = body.at(MeshAddress);
@@ -146,14 +150,19 @@
 json
 PeerLink::heartbeat(bool aFull) const
 {
+  const base::TimePoint now = base::monotonicNow();
+  const base::Duration age = mMembership.contactAge(now);
+  const bool inTouch = age < base::Duration::max();
   json versions = json::array();
   for (const std::string_view name : kDocumentNames) {
     versions.push_back(mConfiguration.store().version(name));
   }
-  json body = json::array({ versions,
-                            mConfiguration.withdrawals().digest(),
-                            mPlatformReachable,
-                            mMembership.hearsOthers(base::monotonicNow()) });
+  json body =
+    json::array({ versions,
+                  mConfiguration.withdrawals().digest(),
+                  mPlatformReachable,
+                  mMembership.hearsOthers(now),
+                  inTouch ? base::inMilliseconds(age) : std::int64_t{ -1 } });
   if (aFull) {
     body.push_back(mSettings.dataCentre);
     body.push_back(mSettings.meshAddress.text());
--- a/libs/membership/membership.h
+++ b/libs/membership/membership.h
@@ -57,6 +57,9 @@
   std::uint64_t withdrawalsDigest = 0;
   bool platformReachable = false;
   bool hearsOthers = false; ///< hears a VM of another data centre itself
+  /** Time since the peer, or one of its data centre that it heard, was in touch
+   * with the platform or another data centre; max if never. */
+  base::Duration contactAge = base::Duration::max();
   std::string meshAddress;
   std::string operatorAddress;
 };
@@ -142,6 +145,14 @@
   /** @param aNow current time @return true if this VM is a relay */
   bool isRelay(base::TimePoint aNow) const;
 
+  /**
+   * Bounds how old this VM's view of the withdrawals can be.
+   * @param aNow current time
+   * @return time since this VM, or one of its data centre that it heard, was in
+   * touch with the platform or another data centre; max if never
+   */
+  base::Duration contactAge(base::TimePoint aNow) const;
+
   /** @return the newest list */
   const VmList& list() const { return mList; }
 
@@ -160,6 +171,7 @@
   VmList mList;
   std::map<base::VmName, Peer> mPeers;
   base::TimePoint mPlatformOkAt;
+  bool mPlatformAnswered = false; ///< at least once
   bool mPlatformOk = false;
 };
 
