--- a/apps/entry/node.h
+++ b/apps/entry/node.h
@@ -31,6 +31,7 @@
   nlohmann::json status() const;
   nlohmann::json dumpMembership() const;
   nlohmann::json dumpMesh();
+  nlohmann::json dumpRequestPath();
 
   Settings mSettings;
   base::Incarnation mIncarnation;
@@ -45,6 +46,7 @@
   UpstreamTable mUpstreams;
   UpstreamChoice mChoice;
   TeamLimits mLimits;
+  RequestPath mPath;
   ExchangeContext mContext;
   Front mFront;
   observe::OperatorServer mOperator;
--- a/apps/entry/settings.h
+++ b/apps/entry/settings.h
@@ -3,6 +3,7 @@
 
 #include "base/base.h"
 #include "http/http.h"
+#include "routing/routing.h"
 
 #include <string>
 #include <vector>
@@ -29,6 +30,8 @@
   base::Duration drainNotice = std::chrono::seconds(1);
   /** Lets tests cut links with POST /fault on the operator address. */
   bool faultInjection = false;
+  /** How the upstream of a request is chosen. */
+  routing::StrategyKind routing = routing::StrategyKind::Marigold;
   std::size_t maxBodyBytes = 2UL * 1024 * 1024;
 };
 
