--- a/tests/e2e/fault_cell.py
+++ b/tests/e2e/fault_cell.py
@@ -36,6 +36,10 @@
         """True if the fault ends upstreams, so that a stream may break."""
         return any(word in self.column for word in ("kill", "list-late", "poison"))
 
+    def crashes(self, name):
+        """True if a poison request ended this upstream."""
+        return self.fleet.processes[name].child.poll() == CRASH_EXIT_CODE
+
     def keep_running(self, names):
         """Starts crashed upstreams again, as a supervisor of their VM would."""
         self.supervised = names
