--- a/apps/ctl/session.cpp
+++ b/apps/ctl/session.cpp
@@ -204,7 +204,7 @@
               const std::string& aBody)
 {
   const std::string signature =
-    base::sha256Hex(base::hmacSha256(mSettings.operatorKey, aBody));
+    base::toHex(base::hmacSha256(mSettings.operatorKey, aBody));
   return call(
     aTarget,
     { "POST", aPath, "", { { "X-Operator-Signature", signature } }, aBody });
--- a/apps/entry/node.cpp
+++ b/apps/entry/node.cpp
@@ -172,7 +172,7 @@
 Node::authentic(const http::Request& aRequest) const
 {
   const std::string expected =
-    base::sha256Hex(base::hmacSha256(mSettings.operatorKey, aRequest.body));
+    base::toHex(base::hmacSha256(mSettings.operatorKey, aRequest.body));
   return base::equalConstantTime(
     expected, http::findHeader(aRequest.headers, "X-Operator-Signature"));
 }
--- a/libs/base/hash.cpp
+++ b/libs/base/hash.cpp
@@ -18,22 +18,29 @@
 }
 
 std::string
-sha256Hex(std::string_view aBytes)
+toHex(std::string_view aBytes)
 {
   static constexpr std::string_view kDigits = "0123456789abcdef";
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-  SHA256(reinterpret_cast<const unsigned char*>(aBytes.data()),
-         aBytes.size(),
-         digest.data());
   std::string text;
-  text.reserve(digest.size() * 2);
-  for (const unsigned char byte : digest) {
+  text.reserve(aBytes.size() * 2);
+  for (const char character : aBytes) {
+    const auto byte = static_cast<unsigned char>(character);
     text.push_back(kDigits[byte >> 4U]);
     text.push_back(kDigits[byte & 0xFU]);
   }
   return text;
 }
 
+std::string
+sha256Hex(std::string_view aBytes)
+{
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+  SHA256(reinterpret_cast<const unsigned char*>(aBytes.data()),
+         aBytes.size(),
+         digest.data());
+  return toHex({ reinterpret_cast<const char*>(digest.data()), digest.size() });
+}
+
 std::string
 hmacSha256(std::string_view aKey, std::string_view aBytes)
 {
--- a/libs/base/hash.h
+++ b/libs/base/hash.h
@@ -16,6 +16,13 @@
 std::uint64_t
 hash64(std::string_view aBytes, std::uint64_t aSeed = 0);
 
+/**
+ * @param aBytes raw bytes
+ * @return two lower-case hexadecimal digits for each byte
+ */
+std::string
+toHex(std::string_view aBytes);
+
 /**
  * @param aBytes data to digest
  * @return SHA-256 as 64 lower-case hexadecimal digits
