--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -56,7 +56,7 @@
             for number in range(self.models))
         return text.replace("services:", models + "\nservices:")
 
-    def start_all(self, resident):
+    def start_parts(self, resident):
         self.start_platform()
         for number in range(self.engine_count):
             data_centre = self.data_centres[number % len(self.data_centres)]
