Share the room of engines among VMs and keep priority from starving others

Cause: in an overload by an urgent team, a request of the other team waited past its deadline of 20 s: strict priority held it back here and again in the queue of the engine. VMs without a request in flight never saw a free place.

--- a/apps/entry/caller_request.cpp
+++ b/apps/entry/caller_request.cpp
@@ -345,8 +345,6 @@
                       "no route for " + aRequest.method + " " + aRequest.path);
   }
   caller.fingerprint = fingerprintOf(caller, aRequest);
-  caller.forward.headers.emplace_back("X-Priority",
-                                      std::to_string(caller.priority));
   return caller;
 }
 
--- a/apps/entry/exchange.cpp
+++ b/apps/entry/exchange.cpp
@@ -220,6 +220,12 @@
   AttemptPlan plan;
   plan.address = upstream->address;
   plan.request = mCaller.forward;
+  // Engines know no deadlines, so that time spent waiting raises the priority
+  // in the same measure as in the queue here.
+  const auto steps =
+    static_cast<int>((now - mStarted) / request::kPriorityStep);
+  plan.request.headers.emplace_back(
+    "X-Priority", std::to_string(std::max(0, mCaller.priority - steps)));
   if (mDelivered > 0) {
     plan.request.headers.emplace_back("X-Resume-From",
                                       std::to_string(mDelivered));
--- a/apps/entry/upstream_choice.cpp
+++ b/apps/entry/upstream_choice.cpp
@@ -5,10 +5,6 @@
 namespace marigold::entry {
 namespace {
 
-/** Requests above the batch that an engine gets, as a share of its capacity: so
- * that a place that becomes free is filled before this VM hears of it. */
-constexpr double kExtraShare = 0.25;
-
 /** Time to the nearest other region, one way; the manifest states none. */
 constexpr base::Duration kLinkTime = std::chrono::milliseconds(12);
 
@@ -43,11 +39,19 @@
            serves.end();
 }
 
+/**
+ * An engine has room up to its capacity: what waits there is ordered by strict
+ * priority, so that less urgent requests would starve. Each VM may use its own
+ * part of the capacity whatever the report says; otherwise the VMs whose
+ * requests end there learn first of a free place and keep the others out.
+ */
 bool
-hasRoomFor(const routing::UpstreamView& aView)
+hasRoomFor(const routing::UpstreamView& aView, int aEntryVms)
 {
-  return !aView.reported ||
-         routing::estimatedLoad(aView) < aView.capacity * (1 + kExtraShare);
+  const bool manyVms = aView.capacity * 2 < aEntryVms;
+  const int part = manyVms ? 0 : std::max(1, aView.capacity / aEntryVms);
+  return !aView.reported || aView.inflight < part ||
+         routing::estimatedLoad(aView) < aView.capacity;
 }
 
 } // namespace
@@ -107,7 +111,7 @@
       continue;
     }
     routing::UpstreamView candidate = view(upstream, &aCaller, aNow);
-    if (hasRoomFor(candidate)) {
+    if (hasRoomFor(candidate, mTable.entryVms())) {
       views.push_back(std::move(candidate));
     } else {
       chosen.full = true;
@@ -153,7 +157,7 @@
     mTable.all().begin(), mTable.all().end(), [&](const auto& aItem) {
       return holds(aItem.second, aModel, aAdapter) &&
              aItem.second.health.usable(aNow) &&
-             hasRoomFor(view(aItem.second, nullptr, aNow));
+             hasRoomFor(view(aItem.second, nullptr, aNow), mTable.entryVms());
     });
 }
 
--- a/apps/entry/upstream_table.cpp
+++ b/apps/entry/upstream_table.cpp
@@ -33,6 +33,10 @@
 UpstreamTable::update(const membership::VmList& aList)
 {
   std::map<base::UpstreamName, Upstream> updated;
+  mEntryVms = static_cast<int>(std::count_if(
+    aList.vms.begin(), aList.vms.end(), [](const membership::Vm& aVm) {
+      return aVm.role == membership::Role::Entry && !aVm.leaving;
+    }));
   for (const membership::Vm& vm : aList.vms) {
     const auto address =
       base::capture([&] { return http::parseAddress(vm.address); });
--- a/apps/entry/upstream_table.h
+++ b/apps/entry/upstream_table.h
@@ -7,6 +7,7 @@
 #include "request/request.h"
 #include "routing/routing.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -65,6 +66,9 @@
     return mUpstreams;
   }
 
+  /** @return entry VMs in the list, at least 1 */
+  int entryVms() const { return std::max(1, mEntryVms); }
+
   /** Notes that a request goes to an upstream. @param aName upstream */
   void onSent(const base::UpstreamName& aName);
 
@@ -111,6 +115,7 @@
   std::map<base::UpstreamName, std::unique_ptr<http::Call>> mCalls;
   std::map<base::UpstreamName, std::unique_ptr<http::Call>> mEventCalls;
   routing::PrefixIndex mPrefixes;
+  int mEntryVms = 1;
   sigc::signal<void()> mFreed;
   http::Watch mPoll;
 };
--- a/libs/request/model_queue.h
+++ b/libs/request/model_queue.h
@@ -10,6 +10,10 @@
 
 namespace marigold::request {
 
+/** What one level of priority is worth. With strict priorities a busy team
+ * would keep less urgent ones waiting until their deadlines have passed. */
+inline constexpr base::Duration kPriorityStep = std::chrono::seconds(2);
+
 /** A request that waits. */
 struct Waiting
 {
@@ -30,8 +34,9 @@
 
 /**
  * Bounded queue of one model. Teams within their rate are served before teams
- * above it; then priority counts, then the earliest deadline. When the queue is
- * full, a request of a team above its rate gives its place up first.
+ * above it; then the earliest deadline counts, to which each level of priority
+ * adds 2 s. When the queue is full, a request of a team above its rate gives
+ * its place up first.
  */
 class ModelQueue
 {
--- a/libs/request/tests/request_tests.cpp
+++ b/libs/request/tests/request_tests.cpp
@@ -362,6 +362,26 @@
   CHECK_FALSE(floodDoesNotDelay(false));
 }
 
+// Guards against an urgent team that keeps others waiting without end, and
+// against a priority that has no effect.
+TEST(Request, PriorityGoesFirstButStarvesNobody)
+{
+  request::ModelQueue queue(100);
+  base::TimePoint now(10s);
+  queue.offer({ "patient", "b", 1, 1, now + 10s, 1s }, now);
+  int served = 0;
+  for (; served < 100; ++served) {
+    now += 100ms;
+    queue.offer({ "u" + std::to_string(served), "a", 0, 1, now + 10s, 1s },
+                now);
+    if (queue.take(now)->id == "patient") {
+      break;
+    }
+  }
+  CHECK(served > 10);
+  CHECK(served < 40);
+}
+
 // Guards against work on requests that can no longer be answered in time.
 TEST(Request, QueueShedsBeforeWorkIsWasted)
 {
