Refresh the views of upstreams after a pause before requests go on

The process now looks at the clock every 100 ms and at each request; after a gap of more than 1 s, requests wait until each engine was asked again. Questions from before the pause are dropped, because their answers may be as old.

Ruled out: to wait a fixed time, which either loses time or proves nothing.

--- a/apps/entry/front.h
+++ b/apps/entry/front.h
@@ -42,6 +42,15 @@
   void listModels(const std::shared_ptr<http::Responder>& aOut) const;
   void checkKeys();
   bool isStale(const CallerRequest& aCaller) const;
+  void noteTime();
+  void resumeParked();
+
+  /** A request that waits until this VM's views are fresh again. */
+  struct Parked
+  {
+    http::Request request;
+    std::shared_ptr<http::Responder> out;
+  };
 
   ExchangeContext& mContext;
   const Settings& mSettings;
@@ -51,6 +60,10 @@
   std::list<Exchange> mExchanges;
   std::uint64_t mRequests = 0;
   bool mDraining = false;
+  base::TimePoint mAwakeAt;
+  bool mRefreshing = false;
+  std::vector<Parked> mParked;
+  http::Watch mPulse;
   http::Watch mDrainNotice;
   http::Watch mDrainCheck;
 };
--- a/apps/entry/upstream_table.cpp
+++ b/apps/entry/upstream_table.cpp
@@ -3,6 +3,7 @@
 #include "observe/observe.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marigold::entry {
 namespace {
@@ -171,6 +172,7 @@
       if (aEnd == http::CallEnd::Complete && aAnswer.status == 200) {
         read(upstreamName, aAnswer);
       }
+      finishRefresh();
     };
     mCalls[name] = mClient.start(upstream.address,
                                  { "GET", "/v1/report", "", {}, "" },
@@ -179,6 +181,28 @@
   }
 }
 
+void
+UpstreamTable::refresh(std::function<void()> aDone)
+{
+  // An answer that is already on its way may be as old as the last question.
+  mCalls.clear();
+  mRefreshed = std::move(aDone);
+  poll();
+  finishRefresh();
+}
+
+void
+UpstreamTable::finishRefresh()
+{
+  const bool open =
+    std::any_of(mCalls.begin(), mCalls.end(), [](const auto& aCall) {
+      return aCall.second != nullptr;
+    });
+  if (!open && mRefreshed) {
+    mLoop.post(std::exchange(mRefreshed, nullptr));
+  }
+}
+
 void
 UpstreamTable::read(const base::UpstreamName& aName,
                     const http::Answer& aAnswer)
