--- a/tests/e2e/test_request_path.py
+++ b/tests/e2e/test_request_path.py
@@ -275,9 +275,9 @@
 class Keys(Fleet):
     def withdraw_at(self, entry, key_id):
         body = json.dumps([key_id])
-        digest = hmac.new(OPERATOR_KEY.encode(), body.encode(), hashlib.sha256).digest()
+        signature = hmac.new(OPERATOR_KEY.encode(), body.encode(), hashlib.sha256)
         answer = call(self.fleet.entries[entry]["operator"], "POST", "/withdrawals", body,
-                      {"X-Operator-Signature": hashlib.sha256(digest).hexdigest()})
+                      {"X-Operator-Signature": signature.hexdigest()})
         self.assertEqual(answer.status, 200)
 
     def check_withdrawal(self, tell):
