Wait until a restarted stand-in listens before a test goes on

Cause: restart_dead judged engines by the entry VMs' views, which still showed the run before, so that the next test called an engine that did not listen yet.

--- a/tests/e2e/deployment.py
+++ b/tests/e2e/deployment.py
@@ -202,6 +202,7 @@
         self.engines[name] = {"data_centre": data_centre, "port": port}
         self.spawn(name, ["standin-engine", "--listen", "%s:%d" % (HOST, port), "--name",
                           name, "--resident", resident] + list(extra))
+        wait_until(lambda: call(port, "GET", "/v1/report").status == 200)
         self.list_vm({"name": name, "role": "engine", "data_centre": data_centre,
                       "state": "live", "address": "%s:%d" % (HOST, port),
                       "memory_mb": 80000, "fencing": True})
@@ -213,6 +214,7 @@
         self.services[name] = {"data_centre": data_centre, "port": port}
         self.spawn(name, ["standin-service", "--listen", "%s:%d" % (HOST, port),
                           "--name", name] + list(extra))
+        wait_until(lambda: call(port, "GET", "/_ran").status == 200)
         self.list_vm({"name": name, "role": "service", "data_centre": data_centre,
                       "state": "live", "address": "%s:%d" % (HOST, port),
                       "serves": serves})
