Offer the share of a leaving VM to its nearest peer

Cause: the tokens of a VM that stops were lost unless a peer happened to ask for them. The offer makes the nearest peer ask; the answer is an ordinary loan, so its lateness is bounded by the term.

--- a/libs/limits/holder.cpp
+++ b/libs/limits/holder.cpp
@@ -120,6 +120,9 @@
     share.settleWaiting(aNow, out);
   } else if (const auto* recall = std::get_if<LoanRecall>(&aMessage)) {
     share.onRecall(aFrom, *recall, aNow, out);
+  } else if (const auto* offer = std::get_if<LoanOffer>(&aMessage)) {
+    share.onOffer(
+      aFrom, *offer, mPrefix + std::to_string(++mNextLoan), aNow, out);
   }
   return out;
 }
@@ -145,7 +148,7 @@
   mStopping = true;
   Actions out;
   for (auto& [name, share] : mShares) {
-    share.returnAll(aNow, out);
+    share.handOver(aNow, mPeers.empty() ? "" : mPeers.front(), out);
   }
   return out;
 }
--- a/libs/limits/holder.h
+++ b/libs/limits/holder.h
@@ -83,8 +83,9 @@
    * @param aNow current time @return what to do */
   Actions tick(base::TimePoint aNow);
 
-  /** Starts a planned stop: loans go back, and everything is lent to peers
-   * that ask. @param aNow current time @return what to do */
+  /** Starts a planned stop: loans go back, the nearest peer is offered the
+   * share, and everything is lent to peers that ask. @param aNow current time
+   * @return what to do */
   Actions stop(base::TimePoint aNow);
 
   /** @return the shares by team */
--- a/libs/limits/messages.h
+++ b/libs/limits/messages.h
@@ -52,7 +52,17 @@
   base::TeamName team;
 };
 
-using Message = std::variant<LoanRequest, LoanGrant, LoanReturn, LoanRecall>;
+/** Tells a peer that a leaving VM can spare this; the peer asks for it like
+ * for any loan, so that its term is bounded. */
+struct LoanOffer
+{
+  base::TeamName team;
+  double tokens = 0;
+  double rate = 0; ///< tokens per second
+};
+
+using Message =
+  std::variant<LoanRequest, LoanGrant, LoanReturn, LoanRecall, LoanOffer>;
 
 /** A message with its receiver. */
 struct Outgoing
--- a/libs/limits/share.h
+++ b/libs/limits/share.h
@@ -114,8 +114,9 @@
   /** Renews loans that are needed and returns the others. */
   void tendLoans(base::TimePoint aNow, Actions& aOut);
 
-  /** Returns every loan, for a planned stop. */
-  void returnAll(base::TimePoint aNow, Actions& aOut);
+  /** Returns every loan and offers the own share to a peer, for a planned
+   * stop. @param aNow current time @param aHeir peer @param aOut messages */
+  void handOver(base::TimePoint aNow, const base::VmName& aHeir, Actions& aOut);
 
   /** @param aFrom borrower @param aRequest its request @param aAll true if
    * nothing is kept back @param aNow current time @param aOut gets the answer
@@ -136,6 +137,11 @@
                 const LoanRecall& aRecall,
                 base::TimePoint aNow,
                 Actions& aOut);
+  void onOffer(const base::VmName& aFrom,
+               const LoanOffer& aOffer,
+               LoanId aId,
+               base::TimePoint aNow,
+               Actions& aOut);
 
   const base::TeamName& team() const { return mTeam; }
   const Bucket& bucket() const { return mBucket; }
--- a/libs/limits/share_borrow.cpp
+++ b/libs/limits/share_borrow.cpp
@@ -225,12 +225,29 @@
 }
 
 void
-Share::returnAll(base::TimePoint aNow, Actions& aOut)
+Share::handOver(base::TimePoint aNow, const base::VmName& aHeir, Actions& aOut)
 {
   advance(aNow);
   while (!mBorrowed.empty()) {
     giveBack(mBorrowed.begin()->first, aOut);
   }
+  if (!aHeir.empty() && mBucket.level() > 0) {
+    aOut.send.push_back(
+      { aHeir, LoanOffer{ mTeam, mBucket.level(), mBucket.rate() } });
+  }
+}
+
+void
+Share::onOffer(const base::VmName& aFrom,
+               const LoanOffer& aOffer,
+               LoanId aId,
+               base::TimePoint aNow,
+               Actions& aOut)
+{
+  mAsked[aId] = { aFrom, aNow, false };
+  aOut.send.push_back(
+    { aFrom,
+      LoanRequest{ std::move(aId), mTeam, aOffer.tokens, aOffer.rate, 0 } });
 }
 
 void
