--- a/libs/limits/tests/model/oracle.cpp
+++ b/libs/limits/tests/model/oracle.cpp
@@ -47,8 +47,8 @@
   return sum;
 }
 
-std::string
-Oracle::violation(const std::vector<Bound>& aBounds) const
+Oracle::Excess
+Oracle::excess(const std::vector<Bound>& aBounds) const
 {
   // A zero charge at each change of a bound lets the bucket follow it.
   std::vector<Admission> events = mAdmissions;
@@ -61,6 +61,7 @@
                    [](const Admission& aLeft, const Admission& aRight) {
                      return aLeft.at < aRight.at;
                    });
+  Excess largest;
   double level = aBounds.front().burst;
   double filledAt = 0;
   for (const Admission& event : events) {
@@ -71,14 +72,24 @@
                      level + before.rate * (event.at - filledAt));
     filledAt = event.at;
     level -= event.net;
-    if (level < -kTolerance) {
-      std::ostringstream text;
-      text << "at " << event.at << " s the fleet has admitted " << -level
-           << " tokens more than the exact bucket";
-      return text.str();
+    if (-level > largest.tokens) {
+      largest = { event.at, -level };
     }
   }
-  return {};
+  return largest;
+}
+
+std::string
+Oracle::violation(const std::vector<Bound>& aBounds) const
+{
+  const Excess largest = excess(aBounds);
+  if (largest.tokens <= kTolerance) {
+    return {};
+  }
+  std::ostringstream text;
+  text << "at " << largest.at << " s the fleet has admitted " << largest.tokens
+       << " tokens more than the exact bucket";
+  return text.str();
 }
 
 } // namespace marigold::limits::model
--- a/libs/limits/tests/model/oracle.h
+++ b/libs/limits/tests/model/oracle.h
@@ -30,6 +30,16 @@
    * force, the larger rate and burst count @return empty or the violation */
   std::string violation(const std::vector<Bound>& aBounds) const;
 
+  /** The largest amount by which the fleet was ahead of the exact bucket. */
+  struct Excess
+  {
+    double at = 0;
+    double tokens = 0;
+  };
+
+  /** @param aBounds as for violation @return the excess; 0 tokens if none */
+  Excess excess(const std::vector<Bound>& aBounds) const;
+
   /** @return tokens admitted, net of refunds */
   double total() const;
 
