Move fewer loans between VMs, and later

A VM asks when its level is below 0.15 s of its demand or a request waits, two peers first (five if a request waits), twice as many in each further round. Demand is net of refunds. Loans that are not needed lapse. A peer that had nothing is left alone for at most 0.8 s. A waiting request may take more of a lender's reserve than borrowing ahead.

--- a/apps/entry/loan_codec.cpp
+++ b/apps/entry/loan_codec.cpp
@@ -10,11 +10,9 @@
 json
 bodyOf(const limits::LoanRequest& aRequest)
 {
-  return { { "id", aRequest.id },
-           { "team", aRequest.team },
-           { "tokens", aRequest.tokens },
-           { "rate", aRequest.rate },
-           { "renewal", aRequest.renewal } };
+  return { { "id", aRequest.id },           { "team", aRequest.team },
+           { "tokens", aRequest.tokens },   { "rate", aRequest.rate },
+           { "renewal", aRequest.renewal }, { "urgent", aRequest.urgent } };
 }
 
 json
@@ -116,6 +114,7 @@
   request.tokens = amount(aBody, "tokens");
   request.rate = amount(aBody, "rate");
   request.renewal = aBody.at("renewal");
+  request.urgent = aBody.at("urgent");
   return request;
 }
 
--- a/libs/limits/demand.h
+++ b/libs/limits/demand.h
@@ -3,16 +3,18 @@
 
 #include "base/base.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 
 namespace marigold::limits {
 
-/** Tokens that requests asked for within the last second. */
+/** Tokens that requests asked for within the last second, less refunds. */
 class Demand
 {
 public:
-  /** @param aTokens cost of a request, admitted or not @param aNow time */
+  /** @param aTokens cost of a request, admitted or not, or minus a refund
+   * @param aNow current time */
   void add(double aTokens, base::TimePoint aNow)
   {
     const std::int64_t number = stepOf(aNow);
@@ -32,7 +34,7 @@
       const bool recent = step.number > newest - std::int64_t{ kSteps };
       sum += recent && step.number <= newest ? step.tokens : 0.0;
     }
-    return sum;
+    return std::max(0.0, sum);
   }
 
 private:
--- a/libs/limits/messages.h
+++ b/libs/limits/messages.h
@@ -23,6 +23,7 @@
   /** 0 asks for a new loan; otherwise the number of this renewal, so that a
    * late answer to an earlier renewal is not taken for one to the last. */
   std::uint32_t renewal = 0;
+  bool urgent = false; ///< a request waits for the tokens
 };
 
 /** Answers a request; all amounts are zero if there is nothing to lend. */
--- a/libs/limits/policy.h
+++ b/libs/limits/policy.h
@@ -40,13 +40,17 @@
 /** Peers asked at once for one team; keeps messages linear in the fleet. */
 inline constexpr std::size_t kMostAsked = 16;
 
+/** Peers asked first; each further round without success asks twice as many. */
+inline constexpr std::size_t kFirstAsked = 2;
+inline constexpr std::size_t kFirstAskedUrgent = 5;
+
 /** Shortest time between two rounds of requests for one team. */
 inline constexpr base::Duration kAskPeriod = std::chrono::milliseconds(50);
 
 /** A peer that had nothing to lend is left alone for this time at first, and
  * twice as long after each further empty answer. */
 inline constexpr base::Duration kDryMin = std::chrono::milliseconds(100);
-inline constexpr base::Duration kDryMax = std::chrono::milliseconds(1600);
+inline constexpr base::Duration kDryMax = std::chrono::milliseconds(800);
 
 /** A request without an answer is taken for lost after this time. */
 inline constexpr base::Duration kAnswerTimeout = std::chrono::milliseconds(150);
@@ -64,11 +68,19 @@
 /** A loan is kept at least this long, so that loans do not oscillate. */
 inline constexpr base::Duration kLeastKept = std::chrono::milliseconds(300);
 
-/** Rate that is held, as a multiple of the demand of the last second. */
-inline constexpr double kRateMargin = 1.2;
+/** Rate that a borrower asks for, as a multiple of its recent demand. */
+inline constexpr double kRateMargin = 1.5;
+
+/** Rate that a lender keeps, as a multiple of its recent demand; its reserve of
+ * tokens covers the fluctuation. */
+inline constexpr double kLendMargin = 1.05;
 
-/** A loan goes back early when this multiple of the demand remains. */
-inline constexpr double kReturnMargin = 1.6;
+/** A loan is not renewed when this multiple of the demand remains. */
+inline constexpr double kRenewMargin = 1.3;
+
+/** A loan goes back before its term when this multiple of the demand remains.
+ */
+inline constexpr double kReturnMargin = 2.0;
 
 /** Tokens that a borrower wants to hold, in seconds of its demand. */
 inline constexpr double kTokenTarget = 1.0;
@@ -76,8 +88,12 @@
 /** Tokens that a lender keeps for itself, in seconds of its demand. */
 inline constexpr double kTokenReserve = 0.5;
 
+/** The same for a peer with a request that waits: a request at hand counts
+ * more than one that may come. */
+inline constexpr double kUrgentReserve = 0.1;
+
 /** Borrowing ahead starts when the level is below this many seconds of
  * demand. */
-inline constexpr double kLowLevel = 0.3;
+inline constexpr double kLowLevel = 0.15;
 
 } // namespace marigold::limits
--- a/libs/limits/share.cpp
+++ b/libs/limits/share.cpp
@@ -134,7 +134,9 @@
 Share::refund(const Charge& aCharge, double aUnused, base::TimePoint aNow)
 {
   advance(aNow);
-  return mBucket.refund(aCharge.at, aUnused);
+  const double back = mBucket.refund(aCharge.at, aUnused);
+  mDemand.add(-back, aNow);
+  return back;
 }
 
 double
--- a/libs/limits/share.h
+++ b/libs/limits/share.h
@@ -197,7 +197,9 @@
   LoanGrant offer(const LoanRequest& aRequest,
                   bool aAll,
                   base::TimePoint aNow) const;
-  bool needed(const Borrowed& aLoan, base::TimePoint aNow) const;
+  bool needed(const Borrowed& aLoan,
+              double aMargin,
+              base::TimePoint aNow) const;
   void giveBack(LoanId aId, Actions& aOut);
 
   base::TeamName mTeam;
@@ -215,6 +217,7 @@
   std::deque<Waiter> mWaiting;
   base::TimePoint mAskedAt;
   std::size_t mRotation = 0;
+  std::size_t mAskNext = 0; ///< peers to ask in the next round
   ShareCounts mCounts;
 };
 
--- a/libs/limits/share_borrow.cpp
+++ b/libs/limits/share_borrow.cpp
@@ -58,13 +58,9 @@
   missing.rate = std::max(0.0, demand * kRateMargin - lastingRate(aNow));
   const double target = std::min(mBurst, demand * kTokenTarget);
   missing.tokens = std::max(0.0, target - level);
+  // A gap in the rate is no reason to ask while there are tokens.
   const bool low = level < std::min(mBurst, demand * kLowLevel);
-  // A small gap in the rate is no reason to ask while there are tokens.
-  const bool slow = missing.rate > demand * (kRateMargin - 1.0) && demand > 0;
-  if (queued > 0 || low || slow) {
-    return missing;
-  }
-  return {};
+  return queued > 0 || low ? missing : Shortage{};
 }
 
 std::vector<base::VmName>
@@ -76,12 +72,15 @@
     std::count_if(mAsked.begin(), mAsked.end(), [](const auto& aEntry) {
       return !aEntry.second.lost;
     }));
-  // The start moves on, so that in a large fleet each peer gets its turn.
-  const std::size_t start = aPeers.size() > kMostAsked ? mRotation : 0;
+  const std::size_t most = std::min(mAskNext, kMostAsked);
   for (std::size_t step = 0;
-       step < aPeers.size() && chosen.size() + open < kMostAsked;
+       step < aPeers.size() && chosen.size() + open < most;
        ++step) {
-    const base::VmName& peer = aPeers[(start + step) % aPeers.size()];
+    // The nearest peer comes first. The others take turns, so that in a large
+    // fleet each of them is asked.
+    const std::size_t turn =
+      step == 0 ? 0 : 1 + (mRotation + step) % (aPeers.size() - 1);
+    const base::VmName& peer = aPeers[turn];
     const auto mood = mMoods.find(peer);
     const bool dry = mood != mMoods.end() && aNow < mood->second.dryUntil;
     const bool busy =
@@ -106,10 +105,16 @@
   advance(aNow);
   forgetLostRequests(aNow);
   const Shortage missing = shortage(aNow);
-  if ((missing.tokens <= 0 && missing.rate <= 0) ||
-      aNow - mAskedAt < kAskPeriod) {
+  if (missing.tokens <= 0 && missing.rate <= 0) {
+    mAskNext = 0;
+    return;
+  }
+  if (aNow - mAskedAt < kAskPeriod) {
     return;
   }
+  mAskNext =
+    std::max(mAskNext * 2, mWaiting.empty() ? kFirstAsked : kFirstAskedUrgent);
+  mAskNext = std::min(mAskNext, kMostAsked);
   recall(aNow, aOut);
   const std::vector<base::VmName> peers = choosePeers(aPeers, aNow);
   if (peers.empty()) {
@@ -122,10 +127,13 @@
     const LoanId id = aPrefix + std::to_string(++aNext);
     mAsked[id] = { peer, aNow, false };
     ++mCounts.asked;
-    aOut.send.push_back(
-      { peer,
-        LoanRequest{
-          id, mTeam, missing.tokens * part, missing.rate * part, 0 } });
+    aOut.send.push_back({ peer,
+                          LoanRequest{ id,
+                                       mTeam,
+                                       missing.tokens * part,
+                                       missing.rate * part,
+                                       0,
+                                       !mWaiting.empty() } });
   }
 }
 
@@ -169,12 +177,12 @@
 }
 
 bool
-Share::needed(const Borrowed& aLoan, base::TimePoint aNow) const
+Share::needed(const Borrowed& aLoan, double aMargin, base::TimePoint aNow) const
 {
   const double demand = mDemand.perSecond(aNow);
   const double rateLeft = mBucket.rate() - aLoan.rate;
   const double capacityLeft = mBucket.capacity() - aLoan.capacity;
-  return !mWaiting.empty() || rateLeft < demand * kReturnMargin ||
+  return !mWaiting.empty() || rateLeft < demand * aMargin ||
          capacityLeft < std::min(mBurst, demand * kTokenTarget);
 }
 
@@ -209,17 +217,19 @@
   for (const LoanId& id : ids) {
     Borrowed& loan = mBorrowed.at(id);
     const base::Duration left = loan.until - aNow;
-    const bool keep = aNow - loan.since < kLeastKept || needed(loan, aNow);
+    const bool keep =
+      aNow - loan.since < kLeastKept || needed(loan, kReturnMargin, aNow);
     if (left < kReturnAhead || !keep) {
       giveBack(id, aOut);
       continue;
     }
-    if (left < kRenewAhead && aNow - loan.renewalSentAt >= kRenewRetry) {
+    if (left < kRenewAhead && aNow - loan.renewalSentAt >= kRenewRetry &&
+        needed(loan, kRenewMargin, aNow)) {
       loan.renewalSentAt = aNow;
       loan.renewing = true;
       ++loan.renewal;
       aOut.send.push_back(
-        { loan.from, LoanRequest{ id, mTeam, 0, 0, loan.renewal } });
+        { loan.from, LoanRequest{ id, mTeam, 0, 0, loan.renewal, false } });
     }
   }
 }
@@ -247,7 +257,8 @@
   mAsked[aId] = { aFrom, aNow, false };
   aOut.send.push_back(
     { aFrom,
-      LoanRequest{ std::move(aId), mTeam, aOffer.tokens, aOffer.rate, 0 } });
+      LoanRequest{
+        std::move(aId), mTeam, aOffer.tokens, aOffer.rate, 0, false } });
 }
 
 void
--- a/libs/limits/share_lend.cpp
+++ b/libs/limits/share_lend.cpp
@@ -19,9 +19,10 @@
   const double demand = aAll ? 0.0 : mDemand.perSecond(aNow);
   const double freeRate = std::max(0.0, ownRate() - lentRate());
   const double freeCapacity = std::max(0.0, ownCapacity() - lentCapacity());
-  const double spareRate = std::max(0.0, freeRate - demand * kRateMargin);
-  const double spareTokens =
-    std::max(0.0, mBucket.level() - demand * kTokenReserve);
+  const double spareRate = std::max(0.0, freeRate - demand * kLendMargin);
+  const double reserve =
+    demand * (aRequest.urgent ? kUrgentReserve : kTokenReserve);
+  const double spareTokens = std::max(0.0, mBucket.level() - reserve);
   const double tokens =
     std::min({ aRequest.tokens, spareTokens, freeCapacity });
   const double rate = std::min(aRequest.rate, spareRate);
@@ -83,7 +84,7 @@
   }
   const double keep = std::max(0.0, ownRate() - lentRate());
   const bool needsIt =
-    !mWaiting.empty() || mDemand.perSecond(aNow) > keep * kRateMargin;
+    !mWaiting.empty() || mDemand.perSecond(aNow) > keep * kLendMargin;
   // After a cut of the limit a loan of the old size must end with its term.
   const bool overlent =
     lentRate() > ownRate() || lentCapacity() > ownCapacity();
