Measure small teams and the share of a cut-off data centre

In cut-off the requests now use all that they are charged, and the target is the share of 99% of the rate that VMs hand out.

--- a/tests/measure/measure_limits.cpp
+++ b/tests/measure/measure_limits.cpp
@@ -20,6 +20,7 @@
 
 Usage:
   measure-limits [--scenario NAME] [--policy NAME] [--seed N] [--load PART]
+                 [--rate N]
   measure-limits (-h | --help)
 
 Options:
@@ -29,14 +30,13 @@
   --seed N         Seed of the traffic [default: 1].
   --load PART      Charged tokens of an in-rate team as a part of its rate
                    [default: 0.8].
+  --rate N         Tokens per second and burst of each team [default: 20000].
   -h --help        Show this text.
 
 Prints one JSON object per line. Exits with 1 if the policy loans misses a
 target of docs/design.md section 1.
 )";
 
-constexpr double kRate = 20000;  ///< tokens per second of a team
-constexpr double kBurst = 20000; ///< tokens
 constexpr double kMeanCost = 400;
 constexpr double kOverload = 4; ///< of the team that is over its rate
 constexpr double kWarmUp = 5;
@@ -56,6 +56,7 @@
   std::string scenario;
   std::uint64_t seed = 1;
   double load = 0.8;
+  double rate = 20000; ///< tokens per second of a team; also its burst
 };
 
 struct Traffic
@@ -64,6 +65,7 @@
   int team = 0;
   std::function<int(double, base::Random&)> vm; ///< by time
   std::function<bool(double)> counted;
+  double unusedPart = 0.6; ///< largest part of a charge that comes back
 };
 
 void
@@ -84,7 +86,7 @@
     arrival.team = aTraffic.team;
     arrival.vm = aTraffic.vm(time, aRandom);
     arrival.cost = kMeanCost * (0.5 + aRandom.unit());
-    arrival.unused = arrival.cost * 0.6 * aRandom.unit();
+    arrival.unused = arrival.cost * aTraffic.unusedPart * aRandom.unit();
     arrival.duration = 0.5 + 2.5 * aRandom.unit();
     aFleet.request(arrival, aTraffic.counted(time));
   }
@@ -187,12 +189,12 @@
             const std::string& aPolicy,
             const Options& aOptions)
 {
-  LimitsFleet fleet(aSize, kPolicies.at(aPolicy), kRate, kBurst);
+  LimitsFleet fleet(aSize, kPolicies.at(aPolicy), aOptions.rate, aOptions.rate);
   base::Random random(aOptions.seed);
   for (int team = 0; team < aSize.teams; ++team) {
     const double load = team == aScenario.overTeam ? kOverload : aOptions.load;
     addTraffic(fleet,
-               { load * kRate,
+               { load * aOptions.rate,
                  team,
                  [&](double aTime, base::Random& aRandom) {
                    return aScenario.vm(fleet, aTime, aRandom);
@@ -216,18 +218,17 @@
   const bool ours = aPolicy == "loans";
   const bool met = !ours || (wrongful <= aScenario.target && over == 0);
   const double vmSeconds = fleet.vms() * aScenario.length;
-  json line = { { "scenario", aScenario.name },
-                { "deployment", aSize.name },
-                { "policy", aPolicy },
-                { "seed", aOptions.seed },
-                { "load", aOptions.load },
-                { "requests", inRate.requests },
-                { "wrongful_per_thousand", wrongful },
-                { "over_admitted_tokens", over } };
+  json line = {
+    { "scenario", aScenario.name },  { "deployment", aSize.name },
+    { "policy", aPolicy },           { "seed", aOptions.seed },
+    { "load", aOptions.load },       { "rate", aOptions.rate },
+    { "requests", inRate.requests }, { "wrongful_per_thousand", wrongful },
+    { "over_admitted_tokens", over }
+  };
   if (aScenario.overTeam >= 0) {
     const Tally& tally = fleet.tally(aScenario.overTeam);
     line["over_rate_team_admitted_per_rate"] =
-      tally.admittedTokens / (kRate * (aScenario.length - kWarmUp));
+      tally.admittedTokens / (aOptions.rate * (aScenario.length - kWarmUp));
   }
   if (ours) {
     line["messages_per_vm_s"] =
@@ -253,9 +254,10 @@
   constexpr double kDemand = 2; ///< of the cut-off data centre's share
   FleetSize size = aSize;
   size.teams = 1;
-  LimitsFleet fleet(size, kPolicies.at(aPolicy), kRate, kBurst);
+  LimitsFleet fleet(size, kPolicies.at(aPolicy), aOptions.rate, aOptions.rate);
   base::Random random(aOptions.seed);
-  const double share = kRate / size.dataCentres;
+  // What comes back would count twice, so the requests use all they charge.
+  const double share = aOptions.rate * limits::kClockMargin / size.dataCentres;
   for (int dataCentre = 0; dataCentre < size.dataCentres; ++dataCentre) {
     const double rate = share * (dataCentre == 0 ? kDemand : 0.5);
     addTraffic(fleet,
@@ -264,7 +266,8 @@
                  [dataCentre](double, base::Random& aRandom) {
                    return dataCentre * 2 + static_cast<int>(aRandom.below(2));
                  },
-                 [](double aTime) { return aTime >= kWarmUp; } },
+                 [](double aTime) { return aTime >= kWarmUp; },
+                 0 },
                kWarmUp + kCutLength,
                random);
   }
@@ -368,6 +371,7 @@
   options.scenario = arguments["--scenario"].asString();
   options.seed = static_cast<std::uint64_t>(arguments["--seed"].asLong());
   options.load = std::stod(arguments["--load"].asString());
+  options.rate = std::stod(arguments["--rate"].asString());
   const std::string policy = arguments["--policy"].asString();
   const auto wanted = [&options](const std::string& aName) {
     return options.scenario == "all" || options.scenario == aName;
