Claim keys of non-idempotent requests before they are forwarded

Cause: scripts/demo.py reported that one booking sent through two VMs ran 2 times.

The exchange claims the key between admission and forwarding and settles or releases the claim at its end. A caller that disconnects does not end an exchange that holds a claim.

--- a/apps/entry/caller_request.cpp
+++ b/apps/entry/caller_request.cpp
@@ -270,6 +270,8 @@
                         "\"");
   }
   aCaller.serviceName = aMatch.service->name;
+  aCaller.route =
+    aMatch.service->name + " " + route.method + " " + route.pathPrefix;
   aCaller.idempotent = route.idempotent;
   aCaller.idempotencyKey =
     std::string(http::findHeader(aRequest.headers, "Idempotency-Key"));
--- a/apps/entry/exchange.cpp
+++ b/apps/entry/exchange.cpp
@@ -63,10 +63,7 @@
 void
 Exchange::start()
 {
-  mOut->onDisconnect([this] {
-    cancelWork();
-    end(Code::Ok);
-  });
+  mOut->onDisconnect([this] { onDisconnect(); });
   mContext.path.budget.onRequest(mStarted);
   if (mCaller.isChat) {
     mContext.path.waiting.demand().onArrival(
@@ -79,6 +76,18 @@
   admit();
 }
 
+void
+Exchange::onDisconnect()
+{
+  // A claimed request may have been executed, so its answer is still awaited
+  // and stored for a caller that repeats the key.
+  if (mClaim == ClaimStep::Granted) {
+    return;
+  }
+  cancelWork();
+  end(Code::Ok);
+}
+
 void
 Exchange::admit()
 {
@@ -153,7 +162,87 @@
     case Permission::Free:
       break;
   }
-  place();
+  claim();
+}
+
+void
+Exchange::claim()
+{
+  // A further attempt of the same request goes on under the same claim.
+  if (mCaller.idempotent || mCaller.idempotencyKey.empty() ||
+      mClaim == ClaimStep::Granted) {
+    place();
+    return;
+  }
+  mClaim = ClaimStep::Asked;
+  mContext.claims.begin(
+    { mCaller.id,
+      mCaller.team,
+      mCaller.route,
+      mCaller.idempotencyKey,
+      mCaller.deadline },
+    guarded([this](const claims::Decision& aDecision) { onClaim(aDecision); }));
+}
+
+void
+Exchange::onClaim(const claims::Decision& aDecision)
+{
+  switch (aDecision.verdict) {
+    case claims::Verdict::Granted:
+      mClaim = ClaimStep::Granted;
+      place();
+      return;
+    case claims::Verdict::Repeat:
+      replyStored(*aDecision.answer);
+      return;
+    case claims::Verdict::InProgress:
+      stop(Code::ClaimInProgress,
+           "another request with this idempotency key is running");
+      return;
+    case claims::Verdict::Unknown:
+      stop(Code::OutcomeUnknown,
+           "an earlier request with this idempotency key may have run");
+      return;
+    case claims::Verdict::NoQuorum:
+      stop(Code::ClaimQuorumMissing,
+           "the idempotency key could not be claimed; the request was not "
+           "run");
+      return;
+  }
+}
+
+void
+Exchange::replyStored(const claims::StoredAnswer& aStored)
+{
+  http::Answer answer{ aStored.status, aStored.headers, aStored.body };
+  answer.headers.emplace_back(kIdHeader, mCaller.id);
+  answer.headers.emplace_back(kOutcomeHeader, "ran");
+  mOut->reply(answer);
+  end(Code::Ok);
+}
+
+void
+Exchange::settleClaim(const http::Answer& aAnswer)
+{
+  if (mClaim == ClaimStep::Granted) {
+    mClaim = ClaimStep::None;
+    mContext.claims.settle(
+      mCaller.id,
+      claims::StoredAnswer{ aAnswer.status, aAnswer.headers, aAnswer.body });
+  }
+}
+
+void
+Exchange::endClaim(Code aCode)
+{
+  const bool mayHaveRun = mLife.mayHaveRun() || base::codeInfo(aCode).outcome !=
+                                                  base::Outcome::NotRun;
+  if (mClaim == ClaimStep::Granted && mayHaveRun) {
+    mContext.claims.settle(mCaller.id, std::nullopt);
+  } else if (mClaim != ClaimStep::None) {
+    mContext.claims.release(mCaller.id);
+  }
+  mClaim = ClaimStep::None;
 }
 
 void
@@ -209,6 +298,11 @@
 void
 Exchange::send(const base::UpstreamName& aUpstream)
 {
+  if (mClaim == ClaimStep::Granted && !mContext.claims.mayForward(mCaller.id)) {
+    stop(Code::ClaimQuorumMissing,
+         "the claim ran out before the request was sent; it was not run");
+    return;
+  }
   const base::TimePoint now = base::monotonicNow();
   const Upstream* upstream = mContext.upstreams.find(aUpstream);
   mLife.onAttempt(aUpstream);
@@ -358,6 +452,7 @@
     return;
   }
   http::Answer answer{ aAnswer.status, passedHeaders(aAnswer), aAnswer.body };
+  settleClaim(answer);
   answer.headers.emplace_back(kIdHeader, mCaller.id);
   answer.headers.emplace_back(kOutcomeHeader, "ran");
   mOut->reply(answer);
@@ -499,6 +594,7 @@
   if (mTrial) {
     mContext.path.crashes.returnTrial(mCaller.fingerprint);
   }
+  endClaim(aCode);
   if (!mCharge.team.empty()) {
     mContext.limits.refund(mCharge,
                            std::max(0.0, mCharge.cost - usedTokens(aCode)),
--- a/apps/entry/node.cpp
+++ b/apps/entry/node.cpp
@@ -27,14 +27,22 @@
   , mPlatform(mLoop, mSettings.platform, mSettings.platformTimeout)
   , mPeers(mLoop, mSettings, mIncarnation, mMembership, mConfiguration)
   , mSync(mLoop, mPlatform, mMembership, mPeers, mConfiguration)
+  , mClaims(mLoop,
+            mSettings,
+            mIncarnation,
+            mPeers,
+            mPlatform,
+            mMembership,
+            mConfiguration,
+            mMetrics)
   , mUpstreams(mLoop, mClient)
   , mChoice(mUpstreams,
             mSettings.dataCentre,
             mSettings.routing,
             base::hash64(mSettings.vm, mIncarnation))
   , mPath(mLoop, mClient, mPeers, mMembership, mUpstreams, mChoice, mMetrics)
-  , mContext{ mLoop,      mClient, mConfiguration, mLimits,
-              mUpstreams, mChoice, mMetrics,       mPath }
+  , mContext{ mLoop,   mClient, mConfiguration, mLimits, mUpstreams,
+              mChoice, mClaims, mMetrics,       mPath }
   , mFront(mContext,
            mSettings,
            mIncarnation,
@@ -56,11 +64,12 @@
   BOOST_LEAF_CHECK(mPeers.start());
   BOOST_LEAF_CHECK(mFront.start());
   mSync.start();
+  mClaims.start();
   mUpstreams.start();
   mPath.crashes.start();
   const http::Watch term = mLoop.onSignal(SIGTERM, [this] {
     observe::logInfo("draining after SIGTERM");
-    mFront.drain([this] { mLoop.stop(); });
+    mFront.drain([this] { mClaims.finish([this] { mLoop.stop(); }); });
   });
   observe::logInfo("entry process started",
                    { { "vm", mSettings.vm },
@@ -80,6 +89,7 @@
   mOperator.addDump("membership", [this] { return dumpMembership(); });
   mOperator.addDump("mesh", [this] { return dumpMesh(); });
   mOperator.addDump("request_path", [this] { return dumpRequestPath(); });
+  mOperator.addDump("claims", [this] { return mClaims.dump(); });
   mOperator.addDump("upstreams", [this] { return mUpstreams.dump(); });
   mOperator.add("POST",
                 "/document",
