--- a/tests/e2e/deployment.py
+++ b/tests/e2e/deployment.py
@@ -181,7 +181,6 @@
 drain_notice: 300ms
 fault_injection: true
 log_level: info
-fault_injection: true
 peers:
 %s
 """ % (name, data_centre, HOST, entry["listen"], HOST, entry["operator"], HOST,
