--- a/apps/entry/exchange.cpp
+++ b/apps/entry/exchange.cpp
@@ -330,8 +330,8 @@
 Exchange::onStreamDone()
 {
   const Working done = takeWorking(true);
-  mContext.upstreams.onCompleted(done.run.name,
-                                 base::monotonicNow() - done.since);
+  mContext.upstreams.onCompleted(
+    done.run.name, base::monotonicNow() - done.since, mCaller.cost);
   mContext.path.crashes.completed(mCaller.fingerprint);
   mTrial = false;
   if (!mOut->started()) {
@@ -348,8 +348,8 @@
 Exchange::onWhole(const http::Answer& aAnswer)
 {
   const Working done = takeWorking(true);
-  mContext.upstreams.onCompleted(done.run.name,
-                                 base::monotonicNow() - done.since);
+  mContext.upstreams.onCompleted(
+    done.run.name, base::monotonicNow() - done.since, mCaller.cost);
   mContext.path.crashes.completed(mCaller.fingerprint);
   mTrial = false;
   if (mOut->started()) {
--- a/apps/entry/upstream_choice.cpp
+++ b/apps/entry/upstream_choice.cpp
@@ -8,9 +8,6 @@
 /** Time to the nearest other region, one way; the manifest states none. */
 constexpr base::Duration kLinkTime = std::chrono::milliseconds(12);
 
-/** Part of the mean time below which a request hardly ever ends. */
-constexpr int kLeastTimeDivisor = 4;
-
 bool
 holds(const Upstream& aUpstream,
       const base::ModelName& aModel,
@@ -77,10 +74,9 @@
   view.linkTime = view.near ? base::Duration::zero() : kLinkTime;
   view.reported = aUpstream.reported;
   view.reportAge = aNow - aUpstream.reportedAt;
-  view.reportedLoad = aUpstream.running + aUpstream.queued;
+  view.othersLoad = aUpstream.others.value();
   view.capacity = aUpstream.capacity;
   view.inflight = aUpstream.inflight;
-  view.inflightAtReport = aUpstream.inflightAtReport;
   view.meanTime = aUpstream.meanTime;
   view.adapterResident = true; // others cannot serve the request
   if (aCaller != nullptr && !aCaller->prefixes.empty()) {
@@ -164,15 +160,19 @@
 base::Duration
 UpstreamChoice::leastTime(const CallerRequest& aCaller) const
 {
-  base::Duration least{};
+  double least = 0;
   for (const auto& [name, upstream] : mTable.all()) {
-    const bool known = upstream.meanTime > base::Duration::zero();
-    if (canServe(upstream, aCaller) && known &&
-        (least == base::Duration::zero() || upstream.meanTime < least)) {
-      least = upstream.meanTime;
+    if (!canServe(upstream, aCaller) || upstream.meanCost <= 0) {
+      continue;
+    }
+    // A request that is cheaper than usual also needs less time.
+    const double share = std::min(1.0, aCaller.cost / upstream.meanCost);
+    const double seconds = base::inSeconds(upstream.meanTime) * share;
+    if (least == 0 || seconds < least) {
+      least = seconds;
     }
   }
-  return least / kLeastTimeDivisor;
+  return base::fromSeconds(least * request::kLeastTimeShare);
 }
 
 void
--- a/apps/entry/upstream_table.cpp
+++ b/apps/entry/upstream_table.cpp
@@ -101,7 +101,8 @@
 
 void
 UpstreamTable::onCompleted(const base::UpstreamName& aName,
-                           base::Duration aTime)
+                           base::Duration aTime,
+                           double aCost)
 {
   Upstream* upstream = find(aName);
   if (upstream == nullptr) {
@@ -112,6 +113,9 @@
     base::inSeconds(first ? aTime : upstream->meanTime) * (1 - kNewestWeight) +
     base::inSeconds(aTime) * kNewestWeight;
   upstream->meanTime = base::fromSeconds(mean);
+  upstream->meanCost =
+    first ? aCost
+          : upstream->meanCost * (1 - kNewestWeight) + aCost * kNewestWeight;
 }
 
 void
@@ -206,6 +210,7 @@
     if (upstream->incarnation != incarnation) {
       // A new engine process does not inherit that the old one was leaving.
       upstream->health.onReturned();
+      upstream->others = {};
       mPrefixes.forget(aName);
     }
     if (content.at("state") == "leaving" || upstream->vm.leaving) {
@@ -223,7 +228,8 @@
     if (newer) {
       upstream->sequence = sequence;
       upstream->reportedAt = base::monotonicNow();
-      upstream->inflightAtReport = upstream->inflightAtPoll;
+      upstream->others.onReport(upstream->running + upstream->queued,
+                                upstream->inflightAtPoll);
     }
     mFreed.emit();
   } catch (const json::exception& wrong) {
--- a/apps/entry/upstream_table.h
+++ b/apps/entry/upstream_table.h
@@ -36,10 +36,11 @@
   int running = 0;               ///< by the last report, all VMs together
   int queued = 0;
   int capacity = 1;
-  int inflight = 0;          ///< requests of this VM
-  int inflightAtPoll = 0;    ///< the same when the last poll was sent
-  int inflightAtReport = 0;  ///< the same when the report was asked for
-  base::Duration meanTime{}; ///< of requests that completed
+  int inflight = 0;           ///< requests of this VM
+  int inflightAtPoll = 0;     ///< the same when the last poll was sent
+  routing::OthersLoad others; ///< what other VMs contribute
+  base::Duration meanTime{};  ///< of requests that completed
+  double meanCost = 0;        ///< tokens, of the same requests
   request::UpstreamHealth health;
   std::map<base::ModelName, ResidentModel> resident;
 };
@@ -77,8 +78,11 @@
   void onEnded(const base::UpstreamName& aName, bool aConnected);
 
   /** Notes the time of a request that completed. @param aName upstream
-   * @param aTime from sending it to the end of its answer */
-  void onCompleted(const base::UpstreamName& aName, base::Duration aTime);
+   * @param aTime from sending it to the end of its answer
+   * @param aCost tokens that were charged for it */
+  void onCompleted(const base::UpstreamName& aName,
+                   base::Duration aTime,
+                   double aCost);
 
   /** Notes that an upstream died; it is ejected at once. @param aName which */
   void onDied(const base::UpstreamName& aName);
--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -157,6 +157,72 @@
   }
 }
 
+// Guards against memory that grows with the answer for a reader that is slow.
+TEST(Http, PausedCallStopsReading)
+{
+  constexpr std::size_t kAnswerBytes = 64UL * 1024 * 1024;
+  const std::string part(64UL * 1024, 'x');
+  std::shared_ptr<http::Responder> out;
+  http::Watch producer;
+  std::size_t produced = 0;
+  http::Server server(loop, {}, [&](const http::Request&, const auto& aOut) {
+    out = aOut;
+    out->startStream(200, {});
+    producer = loop.every(1ms, [&] {
+      if (produced < kAnswerBytes && out->pendingBytes() < part.size()) {
+        produced += part.size();
+        out->sendChunk(part);
+      }
+    });
+  });
+  CHECK(bool(server.listen(kAddress)));
+  std::size_t received = 0;
+  std::unique_ptr<http::Call> running;
+  running = client.start(kAddress,
+                         {},
+                         30s,
+                         { nullptr,
+                           [&](std::string_view aBytes) {
+                             if (received == 0) {
+                               running->setPaused(true);
+                             }
+                             received += aBytes.size();
+                           },
+                           [](http::CallEnd, const http::Answer&) {} });
+  std::size_t whilePaused = 0;
+  const http::Watch resume = loop.after(300ms, [&] {
+    whilePaused = received;
+    running->setPaused(false);
+  });
+  const http::Watch end = loop.after(600ms, [&] { loop.stop(); });
+  loop.run();
+  CHECK(whilePaused > 0);
+  CHECK(whilePaused < 4UL * 1024 * 1024);
+  CHECK(received > whilePaused);
+  producer.reset();
+  running.reset();
+  out->abort();
+  // The connection is freed by the loop.
+  const http::Watch freed = loop.after(10ms, [&] { loop.stop(); });
+  loop.run();
+}
+
+// Guards against surplus bytes that the next call takes for its answer.
+TEST(Http, SurplusBytesEndTheConnection)
+{
+  http::Server server(loop, {}, [](const http::Request& aRequest, auto aOut) {
+    aOut->reply(
+      { 200, { { "Content-Length", "2" } }, "okHTTP/1.1 200 OK\r\n" });
+    (void)aRequest;
+  });
+  CHECK(bool(server.listen(kAddress)));
+  for (int count = 0; count < 5; ++count) {
+    const Ended ended = call(kAddress, {});
+    CHECK(ended.end == http::CallEnd::Complete);
+    CHECK(ended.chunks == "ok");
+  }
+}
+
 int
 main(int aCount, char** aValues)
 {
--- a/libs/request/model_queue.h
+++ b/libs/request/model_queue.h
@@ -14,6 +14,10 @@
  * would keep less urgent ones waiting until their deadlines have passed. */
 inline constexpr base::Duration kPriorityStep = std::chrono::seconds(2);
 
+/** Part of the mean time of requests below which one hardly ever ends. A
+ * request that has less time left is shed: work on it would be wasted. */
+inline constexpr double kLeastTimeShare = 0.9;
+
 /** A request that waits. */
 struct Waiting
 {
--- a/libs/request/tests/request_tests.cpp
+++ b/libs/request/tests/request_tests.cpp
@@ -355,6 +355,16 @@
   LONGS_EQUAL(0, guard.size());
 }
 
+// Guards against a second trial that a restarted owner grants, because it has
+// forgotten the first one.
+TEST(Request, RestartedOwnerGrantsNoTrial)
+{
+  request::CrashGuard restarted("vm0");
+  restarted.merge({ "a", "engine-1/1", "vm0", {} }, base::TimePoint(1s));
+  CHECK(restarted.verdict("a") == GuardVerdict::InTrial);
+  CHECK_FALSE(restarted.takeTrial("a"));
+}
+
 // Guards against delay by a team that sends above its rate.
 TEST(Request, FloodDoesNotDelayOthers)
 {
--- a/libs/routing/strategy.cpp
+++ b/libs/routing/strategy.cpp
@@ -10,11 +10,19 @@
 /** After this age a report says little about the load of other VMs. */
 constexpr double kReportTrustSeconds = 5;
 
+/** Weight of the newest report; at two reports a second the mean spans about
+ * ten seconds. */
+constexpr double kReportWeight = 0.05;
+
 /** Assumed time of a request as long as none has ended there. */
 constexpr double kDefaultServiceSeconds = 1;
 
+/** An upstream counts as slow from this multiple of the fastest one's time on;
+ * smaller differences come from the requests and not from the upstream. */
+constexpr double kSlowFactor = 1.5;
+
 /** Part of a request's time that the prompt takes and a cached prefix saves. */
-constexpr double kPrefixSaving = 0.25;
+constexpr double kPrefixSaving = 0.5;
 
 /** Loading an adapter takes a few to 20 ms, and it evicts another one. */
 constexpr double kAdapterLoadSeconds = 0.02;
@@ -28,7 +36,7 @@
 
 /** Upstreams whose cost is this close count as equal and are chosen at random:
  * VMs with the same old report would otherwise all choose the same one. */
-constexpr double kEqualFactor = 1.05;
+constexpr double kEqualFactor = 1.0;
 
 /** Takes the upstreams in turn, those of the own data centre first. */
 class RoundRobin : public Strategy
@@ -100,8 +108,12 @@
     }
     std::vector<double> costs;
     costs.reserve(aViews.size());
+    const double scale = fleetScale(aViews);
+    const double usual = usualSeconds(aViews);
     for (const UpstreamView& view : aViews) {
-      costs.push_back(cost(aRequest, view));
+      const double load =
+        scale > 0 ? view.inflight * scale : estimatedLoad(view);
+      costs.push_back(cost(aRequest, view, load, usual));
     }
     const double least = *std::min_element(costs.begin(), costs.end());
     std::vector<std::size_t> best;
@@ -114,13 +126,46 @@
   }
 
 private:
+  /**
+   * The reports of all upstreams together tell how many requests of the fleet
+   * stand behind one of this VM. Per upstream they would not do: VMs that all
+   * avoid what was busy some time ago make it idle and then busy again.
+   * @return requests of the fleet for each of this VM, 0 if it has none
+   */
+  static double fleetScale(std::span<const UpstreamView> aViews)
+  {
+    double own = 0;
+    double all = 0;
+    for (const UpstreamView& view : aViews) {
+      own += view.inflight;
+      all += estimatedLoad(view);
+    }
+    return own > 0 ? all / own : 0;
+  }
+
+  /** @return mean time of a request at the fastest upstream */
+  static double usualSeconds(std::span<const UpstreamView> aViews)
+  {
+    double least = 0;
+    for (const UpstreamView& view : aViews) {
+      const double mean = base::inSeconds(view.meanTime);
+      if (mean > 0 && (least == 0 || mean < least)) {
+        least = mean;
+      }
+    }
+    return least > 0 ? least : kDefaultServiceSeconds;
+  }
+
   /** @return expected seconds until the answer is complete, with penalties */
-  static double cost(const RequestView& aRequest, const UpstreamView& aView)
+  static double cost(const RequestView& aRequest,
+                     const UpstreamView& aView,
+                     double aLoad,
+                     double aUsualSeconds)
   {
-    const double service = aView.meanTime > base::Duration::zero()
-                             ? base::inSeconds(aView.meanTime)
-                             : kDefaultServiceSeconds;
-    const double load = estimatedLoad(aView) / std::max(1, aView.capacity);
+    const double mean = base::inSeconds(aView.meanTime);
+    const double service =
+      mean > kSlowFactor * aUsualSeconds ? mean : aUsualSeconds;
+    const double load = aLoad / std::max(1, aView.capacity);
     // Below capacity a batch slows each of its requests; above it they wait.
     const double wait = service * std::max(0.0, load - 1);
     double seconds = service * (1 + std::min(load, 1.0)) + wait;
@@ -139,25 +184,23 @@
 
 } // namespace
 
+void
+OthersLoad::onReport(int aReported, int aInflight)
+{
+  const double others = std::max(0, aReported - aInflight);
+  mMean = mKnown ? mMean + kReportWeight * (others - mMean) : others;
+  mKnown = true;
+}
+
 double
 estimatedLoad(const UpstreamView& aView)
 {
   if (!aView.reported) {
     return aView.inflight;
   }
-  const double others =
-    std::max(0, aView.reportedLoad - aView.inflightAtReport);
   const double trust =
     std::exp(-base::inSeconds(aView.reportAge) / kReportTrustSeconds);
-  const double ownShare =
-    aView.reportedLoad > 0
-      ? std::clamp(static_cast<double>(aView.inflightAtReport) /
-                     aView.reportedLoad,
-                   0.1,
-                   1.0)
-      : 1.0;
-  const double inferred = aView.inflight * (1 / ownShare - 1);
-  return aView.inflight + trust * others + (1 - trust) * inferred;
+  return aView.inflight + trust * aView.othersLoad;
 }
 
 std::unique_ptr<Strategy>
--- a/libs/routing/strategy.h
+++ b/libs/routing/strategy.h
@@ -26,10 +26,9 @@
   base::Duration linkTime{};  ///< one way; zero in the own data centre
   bool reported = false;      ///< false for plain services
   base::Duration reportAge{}; ///< includes the lag that the upstream states
-  int reportedLoad = 0;       ///< running and queued, of all VMs
+  double othersLoad = 0;      ///< requests of other VMs, see OthersLoad
   int capacity = 1;           ///< requests that run at once
   int inflight = 0;           ///< requests of this VM now
-  int inflightAtReport = 0;   ///< requests of this VM when the report was made
   base::Duration meanTime{};  ///< of recent requests there; zero if unknown
   bool adapterResident = false;
   double prefixMatch = 0; ///< probability that the prompt prefix is cached
@@ -78,11 +77,29 @@
 strategyKind(std::string_view aName);
 
 /**
- * Estimates the load of an upstream: the last report, corrected by what this VM
- * has started and ended since. The part that other VMs contribute fades with
- * the age of the report towards the share that this VM sees itself.
+ * Follows what other VMs contribute to the load of an upstream. Reports lag by
+ * an unknown time, so that a single one cannot be corrected by what this VM
+ * has sent since; the mean of several does not depend on the lag.
+ */
+class OthersLoad
+{
+public:
+  /** @param aReported running and queued requests of all VMs, some time ago
+   * @param aInflight requests of this VM now */
+  void onReport(int aReported, int aInflight);
+
+  /** @return mean number of requests of other VMs */
+  double value() const { return mMean; }
+
+private:
+  bool mKnown = false;
+  double mMean = 0;
+};
+
+/**
  * @param aView upstream
- * @return requests that run or wait there
+ * @return requests that run or wait there: those of this VM, and those of
+ * others as far as the report can still be trusted
  */
 double
 estimatedLoad(const UpstreamView& aView);
--- a/tests/e2e/test_request_path.py
+++ b/tests/e2e/test_request_path.py
@@ -96,6 +96,9 @@
             if not self.fleet.processes[name].running():
                 number = int(name.rsplit("-", 1)[1])
                 self.fleet.start_engine(engine["data_centre"], number, MODEL + "=v1")
+        for engine in self.fleet.engines.values():
+            wait_until(lambda port=engine["port"]:
+                       call(port, "GET", "/v1/report").status == 200)
         def usable():
             upstreams = [self.fleet.dump(name)["upstreams"] for name in self.entries]
             return all(not view[engine]["ejected"] and view[engine]["resident"]
