Reserve the upstream of a suspect's trial among the VMs

Ruled out: relaxing the test; the caller of the other request did nothing wrong. Spreading trials by a hash still collides on few engines.

The reservation costs a suspect 100 ms, nobody else.

Conclusion: of two suspects that choose the same upstream within 100 ms, the one with the larger fingerprint chooses again. Other requests prefer upstreams without a suspect.

--- a/apps/entry/crash_watch.h
+++ b/apps/entry/crash_watch.h
@@ -89,6 +89,14 @@
     return mGuard.occupiedByOthers(aFingerprint);
   }
 
+  /** @param aFingerprint request @param aUpstream upstream it chose
+   * @return true if another suspect that chose it as well goes first */
+  bool mustYield(const std::string& aFingerprint,
+                 const base::UpstreamName& aUpstream) const
+  {
+    return mGuard.mustYield(aFingerprint, aUpstream);
+  }
+
   /** @return state for the dump */
   nlohmann::json dump() const;
 
--- a/apps/entry/exchange.cpp
+++ b/apps/entry/exchange.cpp
@@ -14,6 +14,10 @@
 constexpr std::size_t kMostPendingBytes = 64UL * 1024;
 constexpr base::Duration kPauseCheck = std::chrono::milliseconds(20);
 
+/** Time in which a suspect hears of others that chose the same upstream; the
+ * way between two regions takes a couple of dozen milliseconds. */
+constexpr base::Duration kReservation = std::chrono::milliseconds(100);
+
 /** How often a suspect looks for an upstream that runs no other suspect. */
 constexpr base::Duration kTrialCheck = std::chrono::milliseconds(50);
 
@@ -168,13 +172,16 @@
     return;
   }
   std::set<base::UpstreamName> excluded = mLife.tried();
+  const auto suspects =
+    mContext.path.crashes.occupiedByOthers(mCaller.fingerprint);
   if (mTrial) {
-    const auto occupied =
-      mContext.path.crashes.occupiedByOthers(mCaller.fingerprint);
-    excluded.insert(occupied.begin(), occupied.end());
+    excluded.insert(suspects.begin(), suspects.end());
   }
-  const Chosen chosen = mContext.choice.choose(mCaller, excluded, now);
-  if (!chosen.name.empty()) {
+  const Chosen chosen =
+    mContext.choice.choose(mCaller, excluded, suspects, now);
+  if (!chosen.name.empty() && mTrial) {
+    reserve(chosen.name);
+  } else if (!chosen.name.empty()) {
     send(chosen.name);
   } else if (mTrial && mContext.choice.anyUsable(mCaller, mLife.tried(), now)) {
     waitForTrial();
@@ -206,6 +213,31 @@
   mTimer = mContext.loop.after(kTrialCheck, [this] { place(); });
 }
 
+void
+Exchange::reserve(const base::UpstreamName& aUpstream)
+{
+  mContext.path.crashes.trialAt(mCaller.fingerprint, aUpstream);
+  mTimer = mContext.loop.after(kReservation,
+                               [this, aUpstream] { onReserved(aUpstream); });
+}
+
+void
+Exchange::onReserved(const base::UpstreamName& aUpstream)
+{
+  const Upstream* upstream = mContext.upstreams.find(aUpstream);
+  const bool usable = upstream != nullptr &&
+                      upstream->health.usable(base::monotonicNow()) &&
+                      base::monotonicNow() < mCaller.deadline;
+  CrashWatch& crashes = mContext.path.crashes;
+  mTimer.reset();
+  if (usable && !crashes.mustYield(mCaller.fingerprint, aUpstream)) {
+    send(aUpstream);
+    return;
+  }
+  crashes.trialAt(mCaller.fingerprint, "");
+  waitForTrial();
+}
+
 void
 Exchange::send(const base::UpstreamName& aUpstream)
 {
@@ -214,9 +246,6 @@
   mLife.onAttempt(aUpstream);
   mContext.upstreams.onSent(aUpstream);
   mContext.choice.onSent(mCaller, aUpstream);
-  if (mTrial) {
-    mContext.path.crashes.trialAt(mCaller.fingerprint, aUpstream);
-  }
   AttemptPlan plan;
   plan.address = upstream->address;
   plan.request = mCaller.forward;
--- a/apps/entry/exchange.h
+++ b/apps/entry/exchange.h
@@ -71,6 +71,8 @@
   void place();
   void wait();
   void waitForTrial();
+  void reserve(const base::UpstreamName& aUpstream);
+  void onReserved(const base::UpstreamName& aUpstream);
   void send(const base::UpstreamName& aUpstream);
   AttemptEvents attemptEvents(const base::UpstreamName& aUpstream);
   void onEvents(const http::Answer& aHead,
--- a/libs/request/crash_guard.cpp
+++ b/libs/request/crash_guard.cpp
@@ -161,6 +161,15 @@
   return occupied;
 }
 
+bool
+CrashGuard::mustYield(const std::string& aFingerprint,
+                      const base::UpstreamName& aUpstream) const
+{
+  return std::any_of(mEntries.begin(), mEntries.end(), [&](const auto& aItem) {
+    return aItem.first < aFingerprint && aItem.second.trialAt == aUpstream;
+  });
+}
+
 std::vector<CrashReport>
 CrashGuard::reports() const
 {
--- a/libs/request/crash_guard.h
+++ b/libs/request/crash_guard.h
@@ -108,6 +108,12 @@
   /** @return cleared crashes by fingerprint, for a peer that lacks them */
   std::map<std::string, std::set<std::string>> cleared() const;
 
+  /** Decides between suspects that chose the same upstream at the same time.
+   * @param aFingerprint request @param aUpstream upstream it chose
+   * @return true if another suspect there goes first */
+  bool mustYield(const std::string& aFingerprint,
+                 const base::UpstreamName& aUpstream) const;
+
   /** Forgets what is older than kCrashLifetime. @param aNow current time */
   void expire(base::TimePoint aNow);
 
--- a/libs/request/tests/request_tests.cpp
+++ b/libs/request/tests/request_tests.cpp
@@ -355,6 +355,20 @@
   LONGS_EQUAL(0, guard.size());
 }
 
+// Guards against two suspects of different VMs that take the same upstream at
+// the same time: exactly one of them has to yield.
+TEST(Request, OneOfTwoSuspectsYields)
+{
+  request::CrashGuard guard("vm0");
+  guard.merge({ "a", "engine-1/1", "vm0", {} }, base::TimePoint(1s));
+  guard.merge({ "b", "engine-1/1", "vm1", {} }, base::TimePoint(1s));
+  guard.onTrialAt("a", "engine-2");
+  guard.onTrialAt("b", "engine-2");
+  CHECK_FALSE(guard.mustYield("a", "engine-2"));
+  CHECK(guard.mustYield("b", "engine-2"));
+  CHECK_FALSE(guard.mustYield("b", "engine-3"));
+}
+
 // Guards against a second trial that a restarted owner grants, because it has
 // forgotten the first one.
 TEST(Request, RestartedOwnerGrantsNoTrial)
