Run the placement library in marigold-placer

Cause: the library needs a process that reads the manifest and the list of VMs, polls engines, learns demand, makes the owner's calls to the platform and sends its orders. Ruled out: demand over the mesh, because the list of VMs names no mesh address of a placer.

--- a/apps/entry/node.cpp
+++ b/apps/entry/node.cpp
@@ -81,6 +81,9 @@
   mOperator.addDump("mesh", [this] { return dumpMesh(); });
   mOperator.addDump("request_path", [this] { return dumpRequestPath(); });
   mOperator.addDump("upstreams", [this] { return mUpstreams.dump(); });
+  mOperator.add("GET", "/demand", [this](const auto&, const auto& aOut) {
+    aOut->reply(observe::jsonAnswer(200, demand()));
+  });
   mOperator.add("POST",
                 "/document",
                 [this](const http::Request& aRequest, const auto& aOut) {
@@ -148,6 +151,24 @@
   };
 }
 
+json
+Node::demand()
+{
+  const base::TimePoint now = base::monotonicNow();
+  json rows = json::array();
+  for (const auto& [key, row] : mPath.waiting.demand().entries()) {
+    rows.push_back({ { "model", key.first },
+                     { "adapter", key.second },
+                     { "arrived", row.arrived },
+                     { "waiting", row.waiting },
+                     { "deadline_ms",
+                       row.earliestDeadline
+                         ? base::inMilliseconds(*row.earliestDeadline - now)
+                         : 0 } });
+  }
+  return { { "demand", rows } };
+}
+
 json
 Node::dumpRequestPath()
 {
--- a/apps/entry/node.h
+++ b/apps/entry/node.h
@@ -31,6 +31,8 @@
   nlohmann::json status() const;
   nlohmann::json dumpMembership() const;
   nlohmann::json dumpMesh();
+  /** Demand for models, which the placer of the data centre reads. */
+  nlohmann::json demand();
   nlohmann::json dumpRequestPath();
 
   Settings mSettings;
--- /dev/null
+++ b/apps/placer/main.cpp
@@ -0,0 +1,61 @@
+/** @file Placer process: decides what is loaded on the engines. */
+#include "apps/placer/node.h"
+#include "config/config.h"
+
+#include <docopt/docopt.h>
+#include <iostream>
+
+using namespace marigold;
+
+namespace {
+
+constexpr const char* kUsage =
+  R"(Decides what is loaded on the engines of a data centre.
+
+Usage:
+  marigold-placer --settings FILE [--check]
+  marigold-placer (-h | --help)
+  marigold-placer --version
+
+Options:
+  --settings FILE  YAML settings; docs/operations.md lists the keys.
+  --check          Check the settings and exit.
+  -h --help        Show this text.
+  --version        Show the version.
+)";
+
+base::Result<void>
+serve(const std::string& aFile, bool aCheckOnly)
+{
+  BOOST_LEAF_AUTO(text, config::readFile(aFile));
+  BOOST_LEAF_AUTO(settings, placer::parseSettings(text, aFile));
+  if (aCheckOnly) {
+    std::cout << aFile << ": settings are valid\n";
+    return {};
+  }
+  observe::startLog(settings.vm, settings.logLevel);
+  placer::Node node(std::move(settings));
+  return node.run();
+}
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  auto arguments = docopt::docopt(kUsage,
+                                  { aValues + 1, aValues + aCount },
+                                  true,
+                                  "marigold-placer " MARIGOLD_VERSION);
+  const auto outcome = base::capture([&] {
+    return serve(arguments["--settings"].asString(),
+                 arguments["--check"].asBool());
+  });
+  if (const base::Error* error = base::errorOf(outcome)) {
+    std::cerr << "error " << static_cast<int>(error->code) << " ("
+              << base::codeInfo(error->code).name << "): " << error->message
+              << "\n";
+    return 1;
+  }
+  return 0;
+}
