Wait for full buckets before end-to-end tests start

The shares fill within a second.

Ruled out: the check itself; it needs a stream at every VM within the rate, which a fleet in operation gives.

--- a/tests/e2e/deployment.py
+++ b/tests/e2e/deployment.py
@@ -355,13 +355,20 @@
         self.crew_id, self.crew_key = self.grant("crew")
         self.desk_id, self.desk_key = self.grant("desk")
         wait_until(self.upstreams_known)
-        wait_until(lambda: all(self.slot_settled(name) for name in self.entries))
+        # A new fleet starts without tokens; tests expect full buckets.
+        wait_until(lambda: all(self.share_full(name) for name in self.entries))
 
     def slot_settled(self, name):
         """True once the VM's share of the team limits is in use."""
         slot = self.dump(name)["limits"]["slot"]
         return slot is not None and slot["settled"]
 
+    def share_full(self, name):
+        """True once the VM's share is in use and its buckets are full."""
+        teams = self.dump(name)["limits"]["teams"].values()
+        return self.slot_settled(name) and all(
+            team["tokens"] >= 0.99 * team["capacity"] for team in teams)
+
     def upstreams_known(self):
         """True once every entry VM has a report of every engine."""
         for name in self.entries:
