Judge the cut-off share against the declared share and every poison bystander by its time

The target says that a cut-off data centre admits at least its own share; the measurement compared with 99% of it, the part that is handed out because a clock may be 1% fast.

test_poison_crashes_two_engines_at_most counted how many other requests were answered, with a bound taken from one run; the count depends on the machine. The replacement checks that each of the six callers was answered and that none waited 3 s, which implies progress of all of them.

--- a/tests/e2e/fault_cell.py
+++ b/tests/e2e/fault_cell.py
@@ -77,6 +77,7 @@
         """Returns the problems, none if every promise was kept."""
         try:
             self.manifest()
+            self.fleet.with_placers = self.step.orders
             self.fleet.start()
             self.victim = self.random.choice(sorted(self.fleet.entries))
             upstreams = getattr(self.fleet, self.step.upstreams)
--- a/tests/e2e/fault_columns.py
+++ b/tests/e2e/fault_columns.py
@@ -25,11 +25,11 @@
 
     def inject(self, cell):
         cell.fleet.killed_entries.add(cell.victim)
-        for name in (cell.victim, cell.upstream):
+        for name in [cell.upstream] + cell.fleet.processes_of(cell.victim):
             cell.fleet.processes[name].kill()
 
     def heal(self, cell):
-        for name in (cell.upstream, cell.victim):
+        for name in [cell.upstream] + cell.fleet.processes_of(cell.victim):
             cell.fleet.restart(name)
 
 
@@ -38,12 +38,12 @@
 
     def inject(self, cell):
         self.started = time.monotonic()
-        for name in (cell.victim, cell.upstream):
+        for name in [cell.upstream] + cell.fleet.processes_of(cell.victim):
             cell.fleet.processes[name].pause()
 
     def heal(self, cell):
         time.sleep(max(0, self.started + PAUSE_SECONDS - time.monotonic()))
-        for name in (cell.victim, cell.upstream):
+        for name in [cell.upstream] + cell.fleet.processes_of(cell.victim):
             cell.fleet.processes[name].resume()
 
 
--- a/tests/e2e/fault_fleet.py
+++ b/tests/e2e/fault_fleet.py
@@ -6,7 +6,9 @@
 import threading
 import time
 
-from deployment import BIN, Deployment, HOST, bearer, call
+from deployment import Deployment, HOST, bearer, call
+
+RESIDENT_WITH_MEMORY = "drafting-assistant=v1=16000"
 
 SETTLE_SECONDS = 3.0
 """Target of design.md for a change to be in force everywhere."""
@@ -78,6 +80,7 @@
         self.watching = False
         self.files = 0
         self.lock = threading.Lock()
+        self.with_placers = False
 
     def write(self, name, text):
         # Operators that race must not share a file.
@@ -110,8 +113,17 @@
             if name in self.entries:
                 self.list_entry(name)
 
-    def has_placer(self):
-        return os.path.exists(os.path.join(BIN, "marigold-placer"))
+    def start_parts(self, resident):
+        super().start_parts(RESIDENT_WITH_MEMORY if self.with_placers else resident)
+        if self.with_placers:
+            for data_centre in self.data_centres:
+                for number in (1, 2):
+                    self.start_placer(data_centre, number)
+
+    def processes_of(self, entry):
+        """The processes of an entry VM; they fail together with it."""
+        placer = entry.replace("entry-", "placer-", 1)
+        return [entry] + ([placer] if placer in self.placers else [])
 
     # -- links -----------------------------------------------------------------
 
--- a/tests/e2e/fault_rows.py
+++ b/tests/e2e/fault_rows.py
@@ -186,8 +186,6 @@
             "a declared model is not reachable (P2)", 25)
 
     def after(self, cell):
-        if not cell.fleet.has_placer():
-            cell.fleet.problem("marigold-placer is missing")
         cell.fleet.join(30)
         self.check_service(cell)
 
@@ -198,8 +196,6 @@
     orders = True
 
     def during(self, cell):
-        if not cell.fleet.has_placer():
-            cell.fleet.problem("marigold-placer is missing")
         cell.fleet.publish(cell.fleet.manifest(version="v2"))
         for number in range(4):
             for entry in cell.fleet.entries:
@@ -218,8 +214,7 @@
             last = max(fleet.records(), key=lambda record: record["at_ms"])
             return last.get("version") == "v2"
 
-        if fleet.has_placer():
-            fleet.wait_for(new_version, "version v2 does not answer", 20)
+        fleet.wait_for(new_version, "version v2 does not answer", 20)
         self.check_service(cell)
 
 
--- a/tests/e2e/test_request_path.py
+++ b/tests/e2e/test_request_path.py
@@ -238,7 +238,7 @@
                 start = time.monotonic()
                 others.append(chat(self.port(number), self.fleet.desk_key, 20, True,
                                    "other %d %d" % (number, count)))
-                times.append(time.monotonic() - start)
+                times.append((number, time.monotonic() - start))
         threads = [threading.Thread(target=ask, args=(n,)) for n in range(6)]
         for thread in threads:
             thread.start()
@@ -252,8 +252,10 @@
         self.assertLessEqual(dead, 2)
         self.assertEqual({answer.code() for answer in answers[2:]},
                          {"request-poisonous"})
-        self.assertGreater(len(others), 40)
-        self.assertLess(max(times), 3)
+        # Each of the six callers asks without a pause, so that the longest time
+        # says whether any of them was held; a count would depend on the machine.
+        self.assertEqual({number for number, _ in times}, set(range(6)))
+        self.assertLess(max(length for _, length in times), 3)
         broken = [answer for answer in others
                   if answer.status != 200 or "[DONE]" not in answer.body]
         self.assertEqual([answer.body for answer in broken], [])
--- a/tests/measure/measure_limits.cpp
+++ b/tests/measure/measure_limits.cpp
@@ -257,7 +257,9 @@
   LimitsFleet fleet(size, kPolicies.at(aPolicy), aOptions.rate, aOptions.rate);
   base::Random random(aOptions.seed);
   // What comes back would count twice, so the requests use all they charge.
-  const double share = aOptions.rate * limits::kClockMargin / size.dataCentres;
+  // The target is the share that the manifest declares, without the margin for
+  // fast clocks.
+  const double share = aOptions.rate / size.dataCentres;
   for (int dataCentre = 0; dataCentre < size.dataCentres; ++dataCentre) {
     const double rate = share * (dataCentre == 0 ? kDemand : 0.5);
     addTraffic(fleet,
