Share address settings and the end of programs

Four programs read addresses from settings with the same function and printed their error with the same lines. CheckedNode::address and observe::exitCodeOf replace them; numeric addresses move to base, where config can use them.

--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -1,8 +1,8 @@
 /** @file Command line of operators. */
 #include "apps/ctl/commands.h"
+#include "observe/observe.h"
 
 #include <docopt/docopt.h>
-#include <iostream>
 
 using namespace marigold;
 
@@ -79,12 +79,8 @@
                                   { aValues + 1, aValues + aCount },
                                   true,
                                   "marigoldctl " MARIGOLD_VERSION);
-  const auto outcome = base::capture([&] { return run(arguments); });
-  if (const base::Error* error = base::errorOf(outcome)) {
-    std::cerr << "error " << static_cast<int>(error->code) << " ("
-              << base::codeInfo(error->code).name << "): " << error->message
-              << "\n";
-    return 1;
-  }
-  return 0;
+  return observe::exitCodeOf([&]() -> base::Result<int> {
+    BOOST_LEAF_CHECK(run(arguments));
+    return 0;
+  });
 }
--- a/apps/ctl/session.cpp
+++ b/apps/ctl/session.cpp
@@ -16,17 +16,6 @@
 constexpr int kReadBackAttempts = 10;
 constexpr base::Duration kReadBackPause = 500ms;
 
-http::Address
-readAddress(const config::CheckedNode& aNode)
-{
-  const auto outcome =
-    base::capture([&] { return http::parseAddress(aNode.text()); });
-  if (base::errorOf(outcome) != nullptr) {
-    aNode.reject("a numeric IPv4 address with a port");
-  }
-  return std::get<http::Address>(outcome);
-}
-
 } // namespace
 
 base::Result<Settings>
@@ -36,11 +25,11 @@
   return config::parseChecked(
     text, aFile, Code::SettingsInvalid, [](config::CheckedNode& aRoot) {
       Settings settings;
-      settings.platform = readAddress(aRoot.require("platform"));
+      settings.platform = aRoot.require("platform").address();
       settings.operatorKey = aRoot.require("operator_key").text();
       if (aRoot.has("vms")) {
         for (const config::CheckedNode& vm : aRoot.require("vms").items()) {
-          settings.vms.push_back(readAddress(vm));
+          settings.vms.push_back(vm.address());
         }
       }
       return settings;
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -1,5 +1,6 @@
 /** @file Entry process: serves callers from upstreams. */
 #include "apps/entry/node.h"
+#include "observe/observe.h"
 
 #include <docopt/docopt.h>
 #include <iostream>
@@ -45,15 +46,9 @@
                                   { aValues + 1, aValues + aCount },
                                   true,
                                   "marigold-entry " MARIGOLD_VERSION);
-  const auto outcome = base::capture([&] {
-    return serve(arguments["--settings"].asString(),
-                 arguments["--check"].asBool());
+  return observe::exitCodeOf([&]() -> base::Result<int> {
+    BOOST_LEAF_CHECK(
+      serve(arguments["--settings"].asString(), arguments["--check"].asBool()));
+    return 0;
   });
-  if (const base::Error* error = base::errorOf(outcome)) {
-    std::cerr << "error " << static_cast<int>(error->code) << " ("
-              << base::codeInfo(error->code).name << "): " << error->message
-              << "\n";
-    return 1;
-  }
-  return 0;
 }
--- a/apps/entry/settings.cpp
+++ b/apps/entry/settings.cpp
@@ -10,17 +10,6 @@
 
 constexpr std::size_t kLeastKeyLength = 16;
 
-http::Address
-readAddress(const CheckedNode& aNode)
-{
-  const auto outcome =
-    base::capture([&] { return http::parseAddress(aNode.text()); });
-  if (base::errorOf(outcome) != nullptr) {
-    aNode.reject("a numeric IPv4 address with a port");
-  }
-  return std::get<http::Address>(outcome);
-}
-
 std::string
 readKey(const CheckedNode& aNode)
 {
@@ -38,19 +27,19 @@
   Settings settings;
   settings.vm = aRoot.require("vm").name();
   settings.dataCentre = aRoot.require("data_centre").name();
-  settings.listen = readAddress(aRoot.require("listen"));
-  settings.operatorAddress = readAddress(aRoot.require("operator"));
-  settings.meshAddress = readAddress(aRoot.require("mesh"));
+  settings.listen = aRoot.require("listen").address();
+  settings.operatorAddress = aRoot.require("operator").address();
+  settings.meshAddress = aRoot.require("mesh").address();
   settings.meshKey = readKey(aRoot.require("mesh_key"));
   settings.operatorKey = readKey(aRoot.require("operator_key"));
-  settings.platform = readAddress(aRoot.require("platform"));
+  settings.platform = aRoot.require("platform").address();
   if (aRoot.has("platform_timeout")) {
     settings.platformTimeout =
       aRoot.require("platform_timeout").duration(10ms, 1min);
   }
   if (aRoot.has("peers")) {
     for (const CheckedNode& peer : aRoot.require("peers").items()) {
-      settings.peers.push_back(readAddress(peer));
+      settings.peers.push_back(peer.address());
     }
   }
   if (aRoot.has("log_level")) {
--- a/apps/load/main.cpp
+++ b/apps/load/main.cpp
@@ -1,6 +1,7 @@
 /** @file Load generator that measures from the caller's side. */
 #include "apps/load/runner.h"
 #include "config/config.h"
+#include "observe/observe.h"
 
 #include <docopt/docopt.h>
 #include <fstream>
@@ -111,12 +112,5 @@
                                   { aValues + 1, aValues + aCount },
                                   true,
                                   "marigold-load " MARIGOLD_VERSION);
-  const auto outcome = base::capture([&] { return run(arguments); });
-  if (const base::Error* error = base::errorOf(outcome)) {
-    std::cerr << "error " << static_cast<int>(error->code) << " ("
-              << base::codeInfo(error->code).name << "): " << error->message
-              << "\n";
-    return 1;
-  }
-  return std::get<int>(outcome);
+  return observe::exitCodeOf([&] { return run(arguments); });
 }
--- a/apps/load/scenario.cpp
+++ b/apps/load/scenario.cpp
@@ -33,24 +33,13 @@
   { "greedy", Shape::Greedy },
 };
 
-http::Address
-readAddress(const CheckedNode& aNode)
-{
-  const auto outcome =
-    base::capture([&] { return http::parseAddress(aNode.text()); });
-  if (base::errorOf(outcome) != nullptr) {
-    aNode.reject("a numeric IPv4 address with a port");
-  }
-  return std::get<http::Address>(outcome);
-}
-
 std::vector<http::Address>
 readAddresses(CheckedNode& aRoot, const std::string& aKey)
 {
   std::vector<http::Address> addresses;
   if (aRoot.has(aKey)) {
     for (const CheckedNode& item : aRoot.require(aKey).items()) {
-      addresses.push_back(readAddress(item));
+      addresses.push_back(item.address());
     }
   }
   return addresses;
--- a/apps/placer/main.cpp
+++ b/apps/placer/main.cpp
@@ -1,6 +1,7 @@
 /** @file Placer process: decides what is loaded on the engines. */
 #include "apps/placer/node.h"
 #include "config/config.h"
+#include "observe/observe.h"
 
 #include <docopt/docopt.h>
 #include <iostream>
@@ -47,15 +48,9 @@
                                   { aValues + 1, aValues + aCount },
                                   true,
                                   "marigold-placer " MARIGOLD_VERSION);
-  const auto outcome = base::capture([&] {
-    return serve(arguments["--settings"].asString(),
-                 arguments["--check"].asBool());
+  return observe::exitCodeOf([&]() -> base::Result<int> {
+    BOOST_LEAF_CHECK(
+      serve(arguments["--settings"].asString(), arguments["--check"].asBool()));
+    return 0;
   });
-  if (const base::Error* error = base::errorOf(outcome)) {
-    std::cerr << "error " << static_cast<int>(error->code) << " ("
-              << base::codeInfo(error->code).name << "): " << error->message
-              << "\n";
-    return 1;
-  }
-  return 0;
 }
--- a/apps/placer/settings.cpp
+++ b/apps/placer/settings.cpp
@@ -11,17 +11,6 @@
 constexpr double kHighestRate = 1000;
 constexpr int kHighestConcurrency = 10000;
 
-http::Address
-readAddress(const CheckedNode& aNode)
-{
-  const auto outcome =
-    base::capture([&] { return http::parseAddress(aNode.text()); });
-  if (base::errorOf(outcome) != nullptr) {
-    aNode.reject("a numeric IPv4 address with a port");
-  }
-  return std::get<http::Address>(outcome);
-}
-
 /** Replaces a default if the key is present. */
 void
 readDuration(CheckedNode& aRoot, const char* aKey, base::Duration& aValue)
@@ -61,8 +50,8 @@
   Settings settings;
   settings.vm = aRoot.require("vm").name();
   settings.dataCentre = aRoot.require("data_centre").name();
-  settings.operatorAddress = readAddress(aRoot.require("operator"));
-  settings.platform = readAddress(aRoot.require("platform"));
+  settings.operatorAddress = aRoot.require("operator").address();
+  settings.platform = aRoot.require("platform").address();
   if (aRoot.has("platform_timeout")) {
     settings.platformTimeout =
       aRoot.require("platform_timeout").duration(10ms, 1min);
--- a/libs/base/address.cpp
+++ b/libs/base/address.cpp
@@ -1,17 +1,17 @@
-#include "http/address.h"
+#include "base/address.h"
 
 #include <arpa/inet.h>
 #include <charconv>
 
-namespace marigold::http {
+namespace marigold::base {
 
-base::Result<Address>
+Result<Address>
 parseAddress(std::string_view aText)
 {
   const auto colon = aText.rfind(':');
   if (colon == std::string_view::npos) {
-    return base::fail(base::Code::BadRequest,
-                      "\"" + std::string(aText) + "\" is not HOST:PORT");
+    return fail(Code::BadRequest,
+                "\"" + std::string(aText) + "\" is not HOST:PORT");
   }
   Address address;
   address.host = std::string(aText.substr(0, colon));
@@ -22,11 +22,11 @@
   const bool numeric = inet_pton(AF_INET, address.host.c_str(), &parsed) == 1;
   if (!numeric || error != std::errc{} ||
       end != digits.data() + digits.size() || address.port == 0) {
-    return base::fail(base::Code::BadRequest,
-                      "\"" + std::string(aText) +
-                        "\" is not a numeric IPv4 address with a port");
+    return fail(Code::BadRequest,
+                "\"" + std::string(aText) +
+                  "\" is not a numeric IPv4 address with a port");
   }
   return address;
 }
 
-} // namespace marigold::http
+} // namespace marigold::base
--- a/libs/base/address.h
+++ b/libs/base/address.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace marigold::http {
+namespace marigold::base {
 
 /** A numeric IP address with a port. */
 struct Address
@@ -25,7 +25,7 @@
  * @param aText HOST:PORT with a numeric IPv4 address
  * @return the address, or BadRequest
  */
-base::Result<Address>
+Result<Address>
 parseAddress(std::string_view aText);
 
-} // namespace marigold::http
+} // namespace marigold::base
--- a/libs/base/base.h
+++ b/libs/base/base.h
@@ -1,10 +1,12 @@
 /**
  * @file
- * Public header of the base library: identifiers, time, result codes, errors,
- * seeded random numbers and hashing. Every other library builds on it.
+ * Public header of the base library: identifiers, addresses, time, result
+ * codes, errors, seeded random numbers and hashing. Every other library builds
+ * on it.
  */
 #pragma once
 
+#include "base/address.h"
 #include "base/code.h"
 #include "base/error.h"
 #include "base/hash.h"
--- a/libs/config/checked_node.cpp
+++ b/libs/config/checked_node.cpp
@@ -254,6 +254,17 @@
   reject(rule);
 }
 
+base::Address
+CheckedNode::address() const
+{
+  const auto outcome =
+    base::capture([this] { return base::parseAddress(text()); });
+  if (base::errorOf(outcome) != nullptr) {
+    reject("a numeric IPv4 address with a port");
+  }
+  return std::get<base::Address>(outcome);
+}
+
 std::string
 CheckedNode::oneOf(const std::set<std::string>& aAllowed) const
 {
--- a/libs/config/checked_node.h
+++ b/libs/config/checked_node.h
@@ -72,6 +72,9 @@
   base::Duration duration(base::Duration aLowest,
                           base::Duration aHighest) const;
 
+  /** @return a numeric IPv4 address with a port */
+  base::Address address() const;
+
   /** @param aAllowed allowed words @return one of them */
   std::string oneOf(const std::set<std::string>& aAllowed) const;
 
--- a/libs/observe/observe.h
+++ b/libs/observe/observe.h
@@ -8,3 +8,4 @@
 #include "observe/log.h"
 #include "observe/metrics.h"
 #include "observe/operator_server.h"
+#include "observe/program.h"
--- a/standins/common/program.cpp
+++ b/standins/common/program.cpp
@@ -3,7 +3,6 @@
 #include "observe/observe.h"
 
 #include <csignal>
-#include <iostream>
 
 namespace marigold::standin {
 
@@ -16,13 +15,10 @@
     aProgram.usage, { aValues + 1, aValues + aCount }, true, version);
   observe::startLog(aProgram.name, "info");
   http::Loop loop;
-  const auto outcome =
-    base::capture([&] { return aProgram.serve(loop, arguments); });
-  if (const base::Error* error = base::errorOf(outcome)) {
-    std::cerr << error->message << "\n";
-    return 1;
-  }
-  return 0;
+  return observe::exitCodeOf([&]() -> base::Result<int> {
+    BOOST_LEAF_CHECK(aProgram.serve(loop, arguments));
+    return 0;
+  });
 }
 
 base::Result<http::Address>
