Keep the tokens of teams when the configuration changes

Cause: setLimits gave every team a limit of zero before the new one, which took all tokens; every granted key and every change of the list of VMs emptied the buckets of all teams, so requests within the rate were refused for about a second. Ruled out: a share that had not settled (it was valid for a second), and a readiness check that passed too early.

--- a/apps/entry/answers.cpp
+++ b/apps/entry/answers.cpp
@@ -54,4 +54,31 @@
   return passed;
 }
 
+const char*
+messageOf(base::Code aCode)
+{
+  switch (aCode) {
+    case base::Code::UpstreamRefused:
+      return "the upstream could not be reached; the request was not run";
+    case base::Code::UpstreamTimeout:
+      return "the upstream did not answer in time";
+    case base::Code::UpstreamFailed:
+      return "the upstream broke off its answer";
+    case base::Code::AnswerCrossed:
+      return "the upstream answered another request";
+    case base::Code::AnswerTruncated:
+      return "the answer broke off and is not whole";
+    case base::Code::Overloaded:
+      return "too many requests wait for this model; it was not run";
+    case base::Code::DeadlineUnreachable:
+      return "the request cannot be served before its deadline";
+    case base::Code::NoUpstream:
+      return "no upstream can serve this request now";
+    case base::Code::RequestPoisonous:
+      return "this request crashed two upstreams and is not run again";
+    default:
+      return "the outcome of the request is not known";
+  }
+}
+
 } // namespace marigold::entry
--- a/apps/entry/answers.h
+++ b/apps/entry/answers.h
@@ -30,4 +30,8 @@
 http::Headers
 passedHeaders(const http::Answer& aAnswer);
 
+/** @param aCode why a request is refused @return one sentence for its caller */
+const char*
+messageOf(base::Code aCode);
+
 } // namespace marigold::entry
--- a/apps/entry/exchange.cpp
+++ b/apps/entry/exchange.cpp
@@ -9,11 +9,6 @@
 using request::AttemptEnd;
 using request::NextStep;
 
-/** Bytes that wait for a slow caller before its upstream is read no further;
- * with the socket buffers this bounds the memory of a stream. */
-constexpr std::size_t kMostPendingBytes = 64UL * 1024;
-constexpr base::Duration kPauseCheck = std::chrono::milliseconds(20);
-
 /** Time in which a suspect hears of others that chose the same upstream; the
  * way between two regions takes a couple of dozen milliseconds. */
 constexpr base::Duration kReservation = std::chrono::milliseconds(100);
@@ -21,33 +16,6 @@
 /** How often a suspect looks for an upstream that runs no other suspect. */
 constexpr base::Duration kTrialCheck = std::chrono::milliseconds(50);
 
-const char*
-messageOf(Code aCode)
-{
-  switch (aCode) {
-    case Code::UpstreamRefused:
-      return "the upstream could not be reached; the request was not run";
-    case Code::UpstreamTimeout:
-      return "the upstream did not answer in time";
-    case Code::UpstreamFailed:
-      return "the upstream broke off its answer";
-    case Code::AnswerCrossed:
-      return "the upstream answered another request";
-    case Code::AnswerTruncated:
-      return "the answer broke off and is not whole";
-    case Code::Overloaded:
-      return "too many requests wait for this model; it was not run";
-    case Code::DeadlineUnreachable:
-      return "the request cannot be served before its deadline";
-    case Code::NoUpstream:
-      return "no upstream can serve this request now";
-    case Code::RequestPoisonous:
-      return "this request crashed two upstreams and is not run again";
-    default:
-      return "the outcome of the request is not known";
-  }
-}
-
 } // namespace
 
 Exchange::Exchange(ExchangeContext& aContext,
@@ -172,86 +140,6 @@
   claim();
 }
 
-void
-Exchange::claim()
-{
-  // A further attempt of the same request goes on under the same claim.
-  if (mCaller.idempotent || mCaller.idempotencyKey.empty() ||
-      mClaim == ClaimStep::Granted) {
-    place();
-    return;
-  }
-  mClaim = ClaimStep::Asked;
-  mContext.claims.begin(
-    { mCaller.id,
-      mCaller.team,
-      mCaller.route,
-      mCaller.idempotencyKey,
-      mCaller.deadline },
-    guarded([this](const claims::Decision& aDecision) { onClaim(aDecision); }));
-}
-
-void
-Exchange::onClaim(const claims::Decision& aDecision)
-{
-  switch (aDecision.verdict) {
-    case claims::Verdict::Granted:
-      mClaim = ClaimStep::Granted;
-      place();
-      return;
-    case claims::Verdict::Repeat:
-      replyStored(*aDecision.answer);
-      return;
-    case claims::Verdict::InProgress:
-      stop(Code::ClaimInProgress,
-           "another request with this idempotency key is running");
-      return;
-    case claims::Verdict::Unknown:
-      stop(Code::OutcomeUnknown,
-           "an earlier request with this idempotency key may have run");
-      return;
-    case claims::Verdict::NoQuorum:
-      stop(Code::ClaimQuorumMissing,
-           "the idempotency key could not be claimed; the request was not "
-           "run");
-      return;
-  }
-}
-
-void
-Exchange::replyStored(const claims::StoredAnswer& aStored)
-{
-  http::Answer answer{ aStored.status, aStored.headers, aStored.body };
-  answer.headers.emplace_back(kIdHeader, mCaller.id);
-  answer.headers.emplace_back(kOutcomeHeader, "ran");
-  mOut->reply(answer);
-  end(Code::Ok);
-}
-
-void
-Exchange::settleClaim(const http::Answer& aAnswer)
-{
-  if (mClaim == ClaimStep::Granted) {
-    mClaim = ClaimStep::None;
-    mContext.claims.settle(
-      mCaller.id,
-      claims::StoredAnswer{ aAnswer.status, aAnswer.headers, aAnswer.body });
-  }
-}
-
-void
-Exchange::endClaim(Code aCode)
-{
-  const bool mayHaveRun = mLife.mayHaveRun() || base::codeInfo(aCode).outcome !=
-                                                  base::Outcome::NotRun;
-  if (mClaim == ClaimStep::Granted && mayHaveRun) {
-    mContext.claims.settle(mCaller.id, std::nullopt);
-  } else if (mClaim != ClaimStep::None) {
-    mContext.claims.release(mCaller.id);
-  }
-  mClaim = ClaimStep::None;
-}
-
 void
 Exchange::place()
 {
@@ -386,111 +274,6 @@
   return events;
 }
 
-void
-Exchange::onEvents(const http::Answer& aHead,
-                   const std::vector<std::string>& aEvents)
-{
-  for (const std::string& event : aEvents) {
-    // The final event is sent once the whole answer has proved complete.
-    if (SseParser::isDone(event)) {
-      mLastEvents = event;
-    } else {
-      passOn(event, aHead);
-    }
-  }
-  if (mOut->pendingBytes() > kMostPendingBytes) {
-    pause();
-  }
-}
-
-void
-Exchange::passOn(const std::string& aEvent, const http::Answer& aHead)
-{
-  const base::TimePoint now = base::monotonicNow();
-  if (!mOut->started()) {
-    http::Headers headers = passedHeaders(aHead);
-    headers.emplace_back(kIdHeader, mCaller.id);
-    headers.emplace_back(kOutcomeHeader, "ran");
-    mOut->startStream(200, headers);
-    mContext.path.firstEvent.Observe(base::inSeconds(now - mStarted));
-  } else {
-    mContext.path.betweenEvents.Observe(base::inSeconds(now - mLastEvent));
-  }
-  mLastEvent = now;
-  if (SseParser::isContent(aEvent)) {
-    ++mDelivered;
-  }
-  mOut->sendChunk(aEvent);
-}
-
-void
-Exchange::pause()
-{
-  if (mTimer || !mWorking) {
-    return;
-  }
-  mWorking->attempt->setPaused(true);
-  mTimer = mContext.loop.every(kPauseCheck, [this] {
-    const bool drained = mOut->pendingBytes() <= kMostPendingBytes / 2;
-    if (mWorking && !drained) {
-      return;
-    }
-    if (mWorking) {
-      mWorking->attempt->setPaused(false);
-    }
-    // Destroys this callback, so nothing follows.
-    mTimer.reset();
-  });
-}
-
-Exchange::Working
-Exchange::takeWorking(bool aConnected)
-{
-  Working working = std::move(*mWorking);
-  mWorking.reset();
-  mContext.upstreams.onEnded(working.run.name, aConnected);
-  return working;
-}
-
-void
-Exchange::onStreamDone()
-{
-  const Working done = takeWorking(true);
-  mContext.upstreams.onCompleted(
-    done.run.name, base::monotonicNow() - done.since, mCaller.cost);
-  mContext.path.crashes.completed(mCaller.fingerprint);
-  mTrial = false;
-  if (!mOut->started()) {
-    passOn(mLastEvents,
-           { 200, { { "Content-Type", "text/event-stream" } }, "" });
-  } else {
-    mOut->sendChunk(mLastEvents);
-  }
-  mOut->endStream();
-  end(Code::Ok);
-}
-
-void
-Exchange::onWhole(const http::Answer& aAnswer)
-{
-  const Working done = takeWorking(true);
-  mContext.upstreams.onCompleted(
-    done.run.name, base::monotonicNow() - done.since, mCaller.cost);
-  mContext.path.crashes.completed(mCaller.fingerprint);
-  mTrial = false;
-  if (mOut->started()) {
-    // A resumed stream that the other engine refused.
-    stop(Code::AnswerTruncated, messageOf(Code::AnswerTruncated));
-    return;
-  }
-  http::Answer answer{ aAnswer.status, passedHeaders(aAnswer), aAnswer.body };
-  settleClaim(answer);
-  answer.headers.emplace_back(kIdHeader, mCaller.id);
-  answer.headers.emplace_back(kOutcomeHeader, "ran");
-  mOut->reply(answer);
-  end(Code::Ok);
-}
-
 void
 Exchange::onFailed(AttemptEnd aEnd)
 {
--- a/libs/limits/holder.cpp
+++ b/libs/limits/holder.cpp
@@ -5,6 +5,18 @@
 #include <algorithm>
 
 namespace marigold::limits {
+namespace {
+
+bool
+declares(const FleetLimits& aLimits, const base::TeamName& aTeam)
+{
+  return std::any_of(
+    aLimits.teams.begin(),
+    aLimits.teams.end(),
+    [&aTeam](const TeamLimit& aLimit) { return aLimit.team == aTeam; });
+}
+
+} // namespace
 
 Holder::Holder(const base::VmName& aSelf, base::Incarnation aIncarnation)
   : mPrefix(aSelf + "/" + std::to_string(aIncarnation) + "/")
@@ -15,9 +27,13 @@
 Holder::setLimits(const FleetLimits& aLimits, base::TimePoint aNow)
 {
   const double slots = std::max(1, aLimits.slots);
-  // A team that left the manifest stays with nothing, until its loans end.
+  // A team that left the manifest stays with nothing, until its loans end. The
+  // others must not pass through a capacity of 0, which would take their
+  // tokens.
   for (auto& [name, share] : mShares) {
-    share.setLimit(0, 0, 0, aNow);
+    if (!declares(aLimits, name)) {
+      share.setLimit(0, 0, 0, aNow);
+    }
   }
   for (const TeamLimit& limit : aLimits.teams) {
     const auto [share, isNew] = mShares.try_emplace(limit.team, limit.team);
--- a/libs/limits/tests/slot_tests.cpp
+++ b/libs/limits/tests/slot_tests.cpp
@@ -136,6 +136,17 @@
   CHECK(holder.admit("team", 1, now, out).verdict != Verdict::Admitted);
 }
 
+// Guards against a change of the configuration, such as a granted key, that
+// takes the tokens of teams whose limits stay.
+TEST(Holders, UnchangedLimitsKeepTheTokens)
+{
+  Holder holder = holderOf("vm-a");
+  now += 10s;
+  holder.setLimits(fleet, now);
+  Actions out;
+  CHECK(holder.admit("team", 100, now, out).verdict == Verdict::Admitted);
+}
+
 // Guards against a refusal while a peer has tokens, and against a request that
 // waits although every peer has answered that it has none.
 TEST(Holders, AsksBeforeItRefuses)
