--- a/tests/e2e/deployment.py
+++ b/tests/e2e/deployment.py
@@ -367,7 +367,7 @@
         """True once the VM's share is in use and its buckets are full."""
         teams = self.dump(name)["limits"]["teams"].values()
         return self.slot_settled(name) and all(
-            team["tokens"] >= 0.99 * team["capacity"] for team in teams)
+            0 < 0.99 * team["capacity"] <= team["tokens"] for team in teams)
 
     def upstreams_known(self):
         """True once every entry VM has a report of every engine."""
