--- /dev/null
+++ b/apps/gateway/exchange_answer.cpp
@@ -0,0 +1,287 @@
+#include "apps/gateway/exchange.h"
+
+#include <algorithm>
+
+namespace marigold::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+using base::Code;
+
+/** A caller that reads slowly bounds the memory of its answer by this. */
+constexpr std::size_t kMostPendingOutput = 256UL * 1024;
+constexpr base::Duration kThrottlePeriod = 30ms;
+/** Answers that are not streams are held back until they are whole, up to this
+ * size, so that a broken one can be replaced. */
+constexpr std::size_t kMostHeldBytes = 1024UL * 1024;
+/** A model that an upstream refused is not asked for there for this long; its
+ * record catches up meanwhile. */
+constexpr base::Duration kMissingPeriod = 1500ms;
+/** Silence of an upstream, as a multiple of the target of the route. */
+constexpr double kFirstByteSilence = 0.75;
+constexpr double kPauseSilence = 3;
+constexpr base::Duration kLeastSilence = 60ms;
+constexpr int kFirstServerError = 500;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+
+bool
+isSuccess(int aStatus)
+{
+  return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
+}
+
+bool
+isEventStream(const http::Headers& aHeaders)
+{
+  return http::findHeader(aHeaders, "Content-Type")
+    .starts_with("text/event-stream");
+}
+
+} // namespace
+
+void
+Exchange::armSilence()
+{
+  if (!mRoute->repeatable()) {
+    return;
+  }
+  base::Duration limit = base::fromSeconds(
+    base::inSeconds(mRoute->targetLatency) * kFirstByteSilence);
+  if (mEventCount > 0 && mHeadSeen) {
+    limit = base::fromSeconds(base::inSeconds(mRoute->targetPause) *
+                              kPauseSilence);
+  } else {
+    limit += base::fromSeconds((mQueuedAhead + mOwnMs) / 1000);
+  }
+  mSilence = mPath.loop.after(
+    std::max(limit, kLeastSilence), [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        std::static_pointer_cast<Exchange>(self)->onSilence();
+      }
+    });
+}
+
+void
+Exchange::onSilence()
+{
+  if (mEnded || !mCall) {
+    return;
+  }
+  const base::TimePoint now = base::monotonicNow();
+  if (mSends >= mRoute->attempts || mCaller->pendingOutput() > 0) {
+    return;
+  }
+  if (!mPath.retries.spend(mService->name, now)) {
+    return;
+  }
+  mPath.health.onFailure(mLastUpstream, now);
+  mPath.log.step(mFacts.id, "silent upstream", mLastUpstream, "", now);
+  endCall();
+  dispatch();
+}
+
+void
+Exchange::endCall()
+{
+  mSilence.reset();
+  mHold.reset();
+  mCall.reset();
+}
+
+void
+Exchange::onHead(const wire::AnswerHead& aHead)
+{
+  mHead = aHead;
+  mHeadSeen = true;
+  const auto facts =
+    boundary::decodeAnswer(aHead.status, aHead.headers, mLastUpstream);
+  if (facts.load && mHold) {
+    mHold->upstream()->told = *facts.load;
+    mHold->upstream()->toldAt = base::monotonicNow();
+  }
+  mStreaming = mRoute->kind == catalog::RequestKind::Stream &&
+               isSuccess(aHead.status) && isEventStream(aHead.headers) &&
+               facts.genuine;
+}
+
+void
+Exchange::onBody(std::string_view aBytes)
+{
+  if (mStreaming) {
+    deliverEvents(aBytes);
+    return;
+  }
+  mBody.append(aBytes);
+  if (mBody.size() > kMostHeldBytes && !mCaller->answerStarted()) {
+    mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
+  }
+  if (mCaller->answerStarted()) {
+    mCaller->sendPart(mBody);
+    mBody.clear();
+    throttle();
+  }
+}
+
+void
+Exchange::deliverEvents(std::string_view aBytes)
+{
+  const base::TimePoint now = base::monotonicNow();
+  const auto events = mEvents.feed(aBytes);
+  if (events.empty()) {
+    return;
+  }
+  if (mEventCount == 0) {
+    mFirstByteAt = now;
+    if (isEngineCall() && mSends == 1) {
+      mPath.work.onFirstToken(mFacts.model->model,
+                              mOwnMs / mPath.work.msPerToken(mFacts.model->model),
+                              mQueuedAhead,
+                              now - mSentAt);
+    }
+  }
+  if (mHold) {
+    mHold->firstToken();
+  }
+  mPath.health.onSuccess(mLastUpstream, now);
+  std::string bytes;
+  for (const wire::StreamEvent& event : events) {
+    const bool repeated = event.id && mLastEventId && *event.id <= *mLastEventId;
+    if (repeated) {
+      continue; // A resumed stream may begin with what was delivered.
+    }
+    bytes += event.bytes;
+    mLastEventId = event.id ? event.id : mLastEventId;
+    ++mEventCount;
+  }
+  if (!mCaller->answerStarted()) {
+    mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
+  }
+  mCaller->sendPart(bytes);
+  throttle();
+  armSilence();
+}
+
+void
+Exchange::throttle()
+{
+  if (!mCall || mCaller->pendingOutput() < kMostPendingOutput) {
+    return;
+  }
+  mCall->pauseReading(true);
+  mThrottle = mPath.loop.every(kThrottlePeriod, [weak = weak_from_this()] {
+    const auto waiter = weak.lock();
+    if (!waiter) {
+      return;
+    }
+    const auto self = std::static_pointer_cast<Exchange>(waiter);
+    if (self->mCaller->pendingOutput() < kMostPendingOutput / 2) {
+      if (self->mCall) {
+        self->mCall->pauseReading(false);
+      }
+      self->mThrottle.reset();
+    }
+  });
+}
+
+void
+Exchange::onComplete()
+{
+  const base::TimePoint now = base::monotonicNow();
+  const auto facts =
+    boundary::decodeAnswer(mHead.status, mHead.headers, mLastUpstream);
+  if (facts.notRun) {
+    onRefused(facts);
+    return;
+  }
+  if (mStreaming) {
+    if (!mEvents.rest().empty() || mEventCount == 0) {
+      onSpoiled("stream ended inside an event");
+      return;
+    }
+    mPath.crashes.onSuccess(mFingerprint);
+    mCaller->endStream();
+    finish(Code::Ok, mHead.status, "");
+    return;
+  }
+  if (!facts.genuine && isSuccess(mHead.status)) {
+    onSpoiled("answer without signature");
+    return;
+  }
+  // An error that the upstream signed is its answer to the request, which
+  // another upstream would give as well.
+  if (mHead.status >= kFirstServerError && !facts.genuine) {
+    onSpoiled("error without signature");
+    return;
+  }
+  if (mHead.status < kFirstServerError) {
+    mPath.health.onSuccess(mLastUpstream, now);
+    mPath.work.onAnswer(mService->name, now - mSentAt);
+    mPath.crashes.onSuccess(mFingerprint);
+  }
+  deliverWhole();
+}
+
+void
+Exchange::deliverWhole()
+{
+  mFirstByteAt = base::monotonicNow();
+  if (mCaller->answerStarted()) {
+    mCaller->endStream();
+  } else {
+    mCaller->answer(
+      mHead.status, wire::endToEndHeaders(mHead.headers), mBody);
+  }
+  finish(Code::Ok, mHead.status, "");
+}
+
+void
+Exchange::onRefused(const boundary::AnswerFacts& aFacts)
+{
+  const base::TimePoint now = base::monotonicNow();
+  --mUnresolved;
+  constexpr int kMisdirected = 421;
+  const auto upstream = mHold ? mHold->upstream() : nullptr;
+  endCall();
+  if (aFacts.wrongUpstream && upstream) {
+    mPath.health.onUnreachable(mLastUpstream, now);
+  } else if (mHead.status == kMisdirected && upstream && mFacts.model) {
+    upstream->missing[*mFacts.model] = now + kMissingPeriod;
+  }
+  retryElsewhere(mHead.status == kMisdirected ? "upstream lacks the model"
+                                              : "upstream is full");
+}
+
+void
+Exchange::onSpoiled(const char* aReason)
+{
+  mPath.health.onFailure(mLastUpstream, base::monotonicNow());
+  endCall();
+  retryElsewhere(aReason);
+}
+
+void
+Exchange::onFailed(wire::CallFailure aFailure)
+{
+  const base::TimePoint now = base::monotonicNow();
+  if (aFailure == wire::CallFailure::NotConnected) {
+    --mUnresolved;
+    --mSends;
+    mPath.health.onUnreachable(mLastUpstream, now);
+    mPath.log.step(mFacts.id, "unreachable upstream", mLastUpstream, "", now);
+    endCall();
+    ++mUnreachable;
+    constexpr unsigned kMostUnreachable = 4;
+    if (mUnreachable < kMostUnreachable) {
+      dispatch();
+    } else {
+      retryElsewhere("upstreams cannot be reached");
+    }
+    return;
+  }
+  mPath.crashes.onCrash(mFingerprint, now);
+  onSpoiled(aFailure == wire::CallFailure::Broken ? "connection broke"
+                                                  : "malformed answer");
+}
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -0,0 +1,303 @@
+#include "apps/gateway/exchange.h"
+
+#include <algorithm>
+
+namespace marigold::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+using base::Code;
+
+constexpr base::Duration kLeastTimeLeft = 10ms;
+/** Load that an upstream told is used for this long. */
+constexpr base::Duration kToldLoadAge = 400ms;
+/** Delay and price of the way, as the time that a caller would accept for it. */
+constexpr double kSameRegionMs = 2;
+constexpr double kOtherRegionMs = 60;
+/** A choice may start this part of its target late before it is refused. */
+constexpr double kTargetUse = 0.9;
+/** Below this queue nothing is refused, because estimates are coarse. */
+constexpr base::Duration kShortQueue = 250ms;
+/** An order reaches its engine and the result this VM within this. */
+constexpr base::Duration kOrderDelay = 600ms;
+/** Most unreachable upstreams that one request tries. */
+constexpr unsigned kMostUnreachable = 4;
+constexpr base::Duration kOverloadRetry = 400ms;
+
+} // namespace
+
+dispatch::Candidate
+Exchange::describe(const Upstream& aUpstream) const
+{
+  const catalog::UpstreamRecord& record = aUpstream.record;
+  const peers::UpstreamLoad others = mPath.peers.loadOf(record.name);
+  const base::TimePoint now = base::monotonicNow();
+  dispatch::Candidate candidate;
+  candidate.slots = record.slots;
+  candidate.running = aUpstream.running + others.running;
+  if (now - aUpstream.toldAt < kToldLoadAge) {
+    candidate.running = std::max(
+      candidate.running, aUpstream.told.running + aUpstream.told.waiting);
+  }
+  if (isEngineCall() && mService->engine) {
+    candidate.queuedMs = aUpstream.queuedMs + others.queuedMs;
+    if (isPatient()) {
+      candidate.queuedMs += aUpstream.patientMs + others.patientMs;
+    }
+    candidate.memoryTokens = aUpstream.memoryTokens + others.memoryTokens;
+    candidate.memoryLimit = static_cast<double>(mService->engine->kvTokens);
+    const std::uint32_t cached = std::min(
+      mFacts.promptTokens,
+      mPath.prefixes.cachedTokens(
+        record.name, mFacts.model->text(), mFacts.prompt));
+    candidate.ownMs = (mFacts.promptTokens - cached) *
+                      mPath.work.msPerToken(mFacts.model->model);
+  } else {
+    const double serviceMs =
+      static_cast<double>(base::inMilliseconds(
+        mPath.work.serviceTime(mService->name)));
+    candidate.queuedMs = candidate.running * serviceMs / record.slots;
+    candidate.ownMs = serviceMs;
+  }
+  const auto& regions = mPath.settings.regions;
+  const auto own = regions.find(mPath.settings.dataCentre);
+  const auto there = regions.find(record.dataCentre);
+  if (record.dataCentre != mPath.settings.dataCentre) {
+    const bool sameRegion = own != regions.end() && there != regions.end() &&
+                            own->second == there->second;
+    candidate.linkMs = sameRegion ? kSameRegionMs : kOtherRegionMs;
+  }
+  candidate.failureRate = mPath.health.failureRate(record.name);
+  candidate.ejected = mPath.health.ejected(record.name, now);
+  return candidate;
+}
+
+std::vector<dispatch::Candidate>
+Exchange::candidates(std::vector<std::shared_ptr<Upstream>>& aUpstreams) const
+{
+  std::vector<dispatch::Candidate> found;
+  const base::TimePoint now = base::monotonicNow();
+  for (const auto& [name, upstream] : mPath.upstreams.all()) {
+    if (upstream->record.service != mService->name || !upstream->usable() ||
+        mTried.contains(name)) {
+      continue;
+    }
+    if (isEngineCall() && mService->engine &&
+        !mPath.upstreams.holds(*upstream, *mFacts.model, now)) {
+      continue;
+    }
+    dispatch::Candidate candidate = describe(*upstream);
+    candidate.index = aUpstreams.size();
+    aUpstreams.push_back(upstream);
+    found.push_back(candidate);
+  }
+  return found;
+}
+
+void
+Exchange::dispatch()
+{
+  if (timeLeft() < kLeastTimeLeft) {
+    onDeadline();
+    return;
+  }
+  std::vector<std::shared_ptr<Upstream>> upstreams;
+  const auto found = candidates(upstreams);
+  dispatch::Need need;
+  need.tokens = isEngineCall() ? mFacts.promptTokens + outputTokens() : 0;
+  const auto choice = dispatch::choose(found, need, mPath.random.bits());
+  if (choice) {
+    if (worthSending(*choice)) {
+      mQueuedAhead = found[choice->index].queuedMs;
+      mOwnMs = found[choice->index].ownMs;
+      send(upstreams[choice->index]);
+    }
+    return;
+  }
+  if (mayHaveRun()) {
+    fail(Code::UpstreamFailed, "no further upstream");
+    return;
+  }
+  if (isEngineCall() && mService->engine) {
+    waitForModel();
+    return;
+  }
+  refuse(Code::NoUpstream, "no upstream of " + mService->name, kOverloadRetry);
+}
+
+bool
+Exchange::worthSending(const dispatch::Choice& aChoice)
+{
+  if (mSends > 0) {
+    return true;
+  }
+  const base::Duration target = mRoute->targetLatency;
+  const base::Duration passed = base::monotonicNow() - mBegan;
+  const auto own = base::fromSeconds(mOwnMs / 1000);
+  const base::Duration queue = aChoice.expectedStart - own;
+  const auto allowed = std::max<base::Duration>(
+    base::fromSeconds(base::inSeconds(target) * kTargetUse) - own - passed,
+    kShortQueue);
+  if (queue <= allowed) {
+    return true;
+  }
+  const base::Duration wait = std::max(kOverloadRetry, queue - allowed);
+  refuse(Code::Overloaded,
+         "expected start in " +
+           std::to_string(base::inMilliseconds(aChoice.expectedStart)) + " ms",
+         wait);
+  return false;
+}
+
+std::optional<base::Duration>
+Exchange::timeToLoad() const
+{
+  const auto model = mService->engine->models.find(mFacts.model->model);
+  if (model == mService->engine->models.end()) {
+    return std::nullopt;
+  }
+  std::optional<base::Duration> best;
+  for (const auto& [name, upstream] : mPath.upstreams.all()) {
+    const catalog::UpstreamRecord& record = upstream->record;
+    if (record.service != mService->name || !upstream->usable()) {
+      continue;
+    }
+    base::Duration load = model->second.storeLoad;
+    if (record.models.contains(model->first)) {
+      load = {}; // only the adapter is missing
+    } else if (record.cachedInMemory.contains(model->first)) {
+      load = model->second.memoryLoad;
+    } else if (record.cachedOnDisk.contains(model->first)) {
+      load = model->second.diskLoad;
+    }
+    best = best ? std::min(*best, load) : load;
+  }
+  return best;
+}
+
+void
+Exchange::waitForModel()
+{
+  const auto load = timeToLoad();
+  if (!load) {
+    refuse(Code::NoUpstream,
+           "model " + mFacts.model->text() + " cannot be loaded",
+           1s);
+    return;
+  }
+  if (*load + kOrderDelay > timeLeft()) {
+    refuse(Code::DeadlineUnreachable,
+           "model " + mFacts.model->text() + " is not loaded; a load takes " +
+             std::to_string(base::inMilliseconds(*load)) + " ms",
+           *load);
+    return;
+  }
+  if (!mWaited) {
+    mWaited = true;
+    mPath.log.step(
+      mFacts.id, "waits for model", "", mFacts.model->text(), base::monotonicNow());
+  }
+  mPath.waiting.enter(*mFacts.model, shared_from_this());
+}
+
+bool
+Exchange::mayRetry()
+{
+  return mSends < mRoute->attempts && timeLeft() > kLeastTimeLeft &&
+         mPath.retries.spend(mService->name, base::monotonicNow());
+}
+
+void
+Exchange::retryElsewhere(const char* aReason)
+{
+  const bool allowed = !mayHaveRun() || mRoute->repeatable();
+  if (allowed && mayRetry()) {
+    mPath.log.step(mFacts.id,
+                   mCaller->answerStarted() ? "resume" : "retry",
+                   mLastUpstream,
+                   aReason,
+                   base::monotonicNow());
+    dispatch();
+    return;
+  }
+  if (!mayHaveRun()) {
+    refuse(Code::NoUpstream, aReason, kOverloadRetry);
+    return;
+  }
+  fail(Code::UpstreamFailed, aReason);
+}
+
+void
+Exchange::send(const std::shared_ptr<Upstream>& aUpstream)
+{
+  const catalog::UpstreamRecord& record = aUpstream->record;
+  mTried.insert(record.name);
+  mLastUpstream = record.name;
+  boundary::ForwardFacts facts;
+  facts.upstream = record.name;
+  facts.timeLeft = timeLeft();
+  if (mTeam != nullptr) {
+    facts.team = mTeam->name;
+  }
+  if (isEngineCall()) {
+    facts.urgency = urgency();
+  }
+  facts.resumeAfter = mLastEventId;
+  wire::Request request;
+  request.method = mRequest.method;
+  request.target = mRequest.target;
+  request.headers = boundary::forwardHeaders(mHeaders, facts);
+  request.body = mRequest.body;
+  const wire::OutgoingCall call{ wire::serialize(request),
+                                 boundary::kRequestIdHeader,
+                                 mFacts.id,
+                                 mRequest.method == "HEAD" };
+  const auto weak = weak_from_this();
+  const auto guarded = [weak](auto aAction) {
+    return [weak, aAction](const auto&... aArguments) {
+      if (const auto self = weak.lock()) {
+        aAction(*std::static_pointer_cast<Exchange>(self), aArguments...);
+      }
+    };
+  };
+  wire::CallEvents events;
+  events.head = guarded(
+    [](Exchange& aSelf, const wire::AnswerHead& aHead) { aSelf.onHead(aHead); });
+  events.body = guarded(
+    [](Exchange& aSelf, std::string_view aBytes) { aSelf.onBody(aBytes); });
+  events.complete = guarded([](Exchange& aSelf) { aSelf.onComplete(); });
+  events.failed = guarded([](Exchange& aSelf, wire::CallFailure aFailure) {
+    aSelf.onFailed(aFailure);
+  });
+  constexpr std::size_t kLeastConnections = 4;
+  const std::size_t limit = std::max(
+    kLeastConnections, mService->maxConnections / std::max<std::size_t>(1, mPath.fleetSize));
+  mCall = mPath.pool.start(aUpstream->peer(), call, std::move(events), limit);
+  if (!mCall) {
+    mPath.log.step(mFacts.id, "connection limit", record.name, "",
+                   base::monotonicNow());
+    if (++mUnreachable >= kMostUnreachable) {
+      refuse(Code::Overloaded, "connection limits reached", kOverloadRetry);
+      return;
+    }
+    dispatch();
+    return;
+  }
+  mSentAt = base::monotonicNow();
+  ++mSends;
+  mHold = std::make_unique<LoadHold>(
+    aUpstream,
+    isEngineCall() ? mOwnMs : 0,
+    isEngineCall() && isPatient(),
+    isEngineCall() ? mFacts.promptTokens + outputTokens() : 0);
+  ++mUnresolved;
+  mHeadSeen = false;
+  mBody.clear();
+  mEvents.clear();
+  if (isEngineCall()) {
+    mPath.prefixes.note(record.name, mFacts.model->text(), mFacts.prompt);
+  }
+  armSilence();
+}
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/fleet.cpp
@@ -0,0 +1,332 @@
+#include "apps/gateway/fleet.h"
+
+#include "observe/log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace marigold::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr const char* kPrefix = "marigold/";
+constexpr const char* kOwnerKey = "marigold/order-owner";
+constexpr const char* kMemberPrefix = "marigold/vm/";
+
+/** A VM that is gone frees its keys after this; shorter leases would end while
+ * the store answers slowly. */
+constexpr base::Duration kLeaseTerm = 3s;
+/** Three renewals fit into a term, so that one may be lost. */
+constexpr base::Duration kRenewEvery = 900ms;
+constexpr base::Duration kTick = 300ms;
+/** Least time between two waits for changes. */
+constexpr base::Duration kWatchPause = 50ms;
+/** Added to the pause between two owners for timers that fire late. */
+constexpr base::Duration kPauseMargin = 400ms;
+/** VMs claim a free ownership one after the other, so that one write is made
+ * in place of one for each VM. */
+constexpr base::Duration kClaimStagger = 150ms;
+constexpr std::size_t kMostStaggers = 8;
+
+} // namespace
+
+Fleet::Fleet(http::Loop& aLoop,
+             platform::Client& aClient,
+             const Settings& aSettings,
+             base::Incarnation aIncarnation)
+  : mLoop(aLoop)
+  , mClient(aClient)
+  , mSettings(aSettings)
+  , mIncarnation(aIncarnation)
+  , mWatch(aLoop,
+           aClient,
+           kPrefix,
+           kWatchPause,
+           { [this](const platform::Snapshot& aAll) { applySnapshot(aAll); },
+             [this](const platform::Entry& aEntry) {
+               apply(aEntry);
+               mChanged.emit();
+             },
+             [] { observe::logInfo("fleet registry reached"); },
+             [](const base::Error& aError) {
+               observe::logWarn("fleet registry lost",
+                                { { "error", aError.message } });
+             } })
+{
+}
+
+void
+Fleet::start()
+{
+  mWatch.start();
+  grant();
+  mTick = mLoop.every(kTick, [this] { tick(); });
+}
+
+void
+Fleet::leave()
+{
+  mLeaving = true;
+  if (!mLease.empty()) {
+    mClient.revokeLease(mLease, [](const auto&) {});
+  }
+  loseLease("leaving");
+}
+
+void
+Fleet::applySnapshot(const platform::Snapshot& aSnapshot)
+{
+  mOthers.clear();
+  mOwnKeyRevision = 0;
+  const auto before = mOwner;
+  mOwner.reset();
+  for (const platform::Entry& entry : aSnapshot.entries) {
+    apply(entry);
+  }
+  if (!mOwner && before) {
+    mOwnerGoneAt = base::monotonicNow();
+  }
+  mKnown = true;
+  mChanged.emit();
+}
+
+void
+Fleet::apply(const platform::Entry& aEntry)
+{
+  if (aEntry.key == kOwnerKey) {
+    applyOwner(aEntry);
+    return;
+  }
+  if (!aEntry.key.starts_with(kMemberPrefix)) {
+    return;
+  }
+  const base::VmName vm = aEntry.key.substr(std::string(kMemberPrefix).size());
+  if (vm == mSettings.vm) {
+    mOwnKeyRevision = aEntry.value ? aEntry.revision : 0;
+    if (!aEntry.value && aEntry.revision > mRegistration) {
+      mRegistration = 0;
+    }
+    return;
+  }
+  if (!aEntry.value) {
+    mOthers.erase(vm);
+    observe::logInfo("vm left the fleet", { { "peer", vm } });
+    return;
+  }
+  const json content = json::parse(*aEntry.value, nullptr, false);
+  Member member;
+  member.vm = vm;
+  const auto peer = base::parseAddress(content.value("peer_address", ""));
+  const auto operators = base::parseAddress(content.value("operator", ""));
+  if (!peer || !operators) {
+    observe::logWarn("registration of a vm cannot be read", { { "peer", vm } });
+    return;
+  }
+  member.peerAddress = peer.value();
+  member.operatorAddress = operators.value();
+  member.dataCentre = content.value("data_centre", "");
+  mOthers[vm] = member;
+}
+
+void
+Fleet::applyOwner(const platform::Entry& aEntry)
+{
+  if (!aEntry.value) {
+    observe::logInfo("order ownership is free",
+                     { { "revision", std::to_string(aEntry.revision) } });
+    mOwner.reset();
+    mOwnerGoneAt = base::monotonicNow();
+    return;
+  }
+  const json content = json::parse(*aEntry.value, nullptr, false);
+  Ownership owner;
+  owner.vm = content.value("vm", "");
+  owner.incarnation = content.value("incarnation", base::Incarnation{ 0 });
+  owner.fence = aEntry.revision;
+  const bool isNew = !mOwner || mOwner->fence != owner.fence;
+  mOwner = owner;
+  if (isNew) {
+    if (isSelf(owner)) {
+      mOwnedSince = base::monotonicNow();
+    }
+    observe::logInfo("order owner",
+                     { { "owner", owner.vm },
+                       { "fence", std::to_string(owner.fence) } });
+  }
+}
+
+bool
+Fleet::isSelf(const Ownership& aOwner) const
+{
+  return aOwner.vm == mSettings.vm && aOwner.incarnation == mIncarnation;
+}
+
+bool
+Fleet::leaseValid(base::TimePoint aNow, base::Duration aMargin) const
+{
+  return !mLease.empty() && aNow + aMargin < mLeaseSent + kLeaseTerm;
+}
+
+bool
+Fleet::mayOrder(base::TimePoint aNow, base::Duration aMargin) const
+{
+  // The owner before may have sent its last order just before its lease ended.
+  // An ownership ends with the lease under which it was written, also when a
+  // later lease is valid and the end of the ownership was not seen yet.
+  return mOwner && isSelf(*mOwner) && mOwnerLease == mLease &&
+         leaseValid(aNow, aMargin) &&
+         aNow > mOwnedSince + mSettings.orderPause + kPauseMargin;
+}
+
+platform::Revision
+Fleet::fence() const
+{
+  return mOwner && isSelf(*mOwner) && mOwnerLease == mLease ? mOwner->fence
+                                                            : 0;
+}
+
+void
+Fleet::tick()
+{
+  const base::TimePoint now = base::monotonicNow();
+  if (mLeaving) {
+    return;
+  }
+  if (mLease.empty()) {
+    grant();
+    return;
+  }
+  if (now - mLeaseSent > kRenewEvery) {
+    renew();
+  }
+  if (mRegistration == 0) {
+    writeRegistration();
+  }
+  if (mKnown && !mOwner && leaseValid(now, kRenewEvery)) {
+    std::size_t rank = 0;
+    for (const auto& [vm, member] : mOthers) {
+      rank += vm < mSettings.vm ? 1U : 0U;
+    }
+    if (now >= mOwnerGoneAt + kClaimStagger * std::min(rank, kMostStaggers)) {
+      claimOwnership();
+    }
+  }
+}
+
+void
+Fleet::grant()
+{
+  if (mLeaseCall || mLeaving) {
+    return;
+  }
+  mLeaseCall = true;
+  const base::TimePoint sent = base::monotonicNow();
+  mClient.grantLease(
+    kLeaseTerm, [this, sent](const base::Captured<std::string>& aOut) {
+      mLeaseCall = false;
+      if (base::errorOf(aOut) != nullptr) {
+        return; // The next tick asks again; the watch logs the lost store.
+      }
+      mLease = std::get<std::string>(aOut);
+      mLeaseSent = sent;
+      mRegistration = 0;
+      observe::logInfo("lease granted", { { "lease", mLease } });
+      writeRegistration();
+    });
+}
+
+void
+Fleet::renew()
+{
+  if (mLeaseCall) {
+    return;
+  }
+  mLeaseCall = true;
+  const base::TimePoint sent = base::monotonicNow();
+  mClient.renewLease(
+    mLease, [this, sent](const base::Captured<std::string>& aOut) {
+      mLeaseCall = false;
+      const base::Error* error = base::errorOf(aOut);
+      if (error == nullptr) {
+        mLeaseSent = sent;
+      } else if (error->code == base::Code::LeaseLost) {
+        loseLease("expired");
+      }
+    });
+}
+
+void
+Fleet::loseLease(const char* aReason)
+{
+  observe::logWarn("lease lost", { { "lease", mLease }, { "reason", aReason } });
+  mLease.clear();
+  mRegistration = 0;
+}
+
+void
+Fleet::writeRegistration()
+{
+  if (mWriteCall || !mKnown) {
+    return;
+  }
+  mWriteCall = true;
+  const json content{ { "peer_address", mSettings.peerAddress.text() },
+                      { "operator", mSettings.operatorAddress.text() },
+                      { "data_centre", mSettings.dataCentre },
+                      { "incarnation", mIncarnation } };
+  mClient.write(kMemberPrefix + mSettings.vm,
+                content.dump(),
+                mOwnKeyRevision,
+                mLease,
+                [this](const base::Captured<platform::Revision>& aOut) {
+                  mWriteCall = false;
+                  const base::Error* error = base::errorOf(aOut);
+                  if (error == nullptr) {
+                    mRegistration = std::get<platform::Revision>(aOut);
+                    mOwnKeyRevision = mRegistration;
+                    observe::logInfo("registered");
+                  } else if (error->code == base::Code::RevisionConflict ||
+                             error->code == base::Code::WriteOutcomeUnknown) {
+                    // The list shows the revision that the next try needs.
+                    mWatch.relist();
+                  } else if (error->code == base::Code::NotFound) {
+                    loseLease("unknown to the store");
+                  }
+                });
+}
+
+void
+Fleet::claimOwnership()
+{
+  if (mClaimCall) {
+    return;
+  }
+  mClaimCall = true;
+  mOwnerLease = mLease;
+  const json content{ { "vm", mSettings.vm }, { "incarnation", mIncarnation } };
+  mClient.write(
+    kOwnerKey,
+    content.dump(),
+    0,
+    mLease,
+    [this, content](const base::Captured<platform::Revision>& aOut) {
+      mClaimCall = false;
+      const base::Error* error = base::errorOf(aOut);
+      if (error == nullptr) {
+        applyOwner({ kOwnerKey,
+                     content.dump(),
+                     std::get<platform::Revision>(aOut) });
+        mChanged.emit();
+      } else if (error->code == base::Code::NotFound) {
+        loseLease("unknown to the store");
+      } else if (error->code != base::Code::RevisionConflict) {
+        // The write may still have been made: the watch will show its key.
+        observe::logWarn("ownership claim failed",
+                         { { "error", error->message } });
+      }
+    });
+}
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/main.cpp
@@ -0,0 +1,55 @@
+/** @file Gateway process: callers of the users' platform to its upstreams. */
+#include "apps/gateway/node.h"
+#include "config/config.h"
+
+#include <docopt/docopt.h>
+#include <iostream>
+
+using namespace marigold;
+
+namespace {
+
+constexpr const char* kUsage = R"(Serves callers of the users' platform.
+
+Usage:
+  marigold-gateway --settings FILE [--check]
+  marigold-gateway (-h | --help)
+  marigold-gateway --version
+
+Options:
+  --settings FILE  YAML settings; docs/OPERATIONS.md lists the keys.
+  --check          Check the settings and exit.
+  -h --help        Show this text.
+  --version        Show the version.
+)";
+
+base::Result<void>
+serve(const std::string& aFile, bool aCheckOnly)
+{
+  BOOST_LEAF_AUTO(text, config::readFile(aFile));
+  BOOST_LEAF_AUTO(settings, gateway::parseSettings(text, aFile));
+  if (aCheckOnly) {
+    std::cout << aFile << ": settings are valid\n";
+    return {};
+  }
+  observe::startLog(
+    settings.vm, settings.logLevel, observe::LogOutput::StandardOutput);
+  gateway::Node node(std::move(settings), aFile);
+  return node.run();
+}
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  auto arguments = docopt::docopt(kUsage,
+                                  { aValues + 1, aValues + aCount },
+                                  true,
+                                  "marigold-gateway " MARIGOLD_VERSION);
+  return observe::exitCodeOf([&]() -> base::Result<int> {
+    BOOST_LEAF_CHECK(
+      serve(arguments["--settings"].asString(), arguments["--check"].asBool()));
+    return 0;
+  });
+}
--- /dev/null
+++ b/apps/gateway/node.h
@@ -0,0 +1,92 @@
+/** @file The gateway process. */
+#pragma once
+
+#include "apps/gateway/exchange.h"
+#include "apps/gateway/fleet.h"
+#include "apps/gateway/order_book.h"
+#include "apps/gateway/peer_link.h"
+#include "observe/observe.h"
+
+namespace marigold::gateway {
+
+/** Joins all parts of the process and runs its loop. */
+class Node
+{
+public:
+  /** @param aSettings settings @param aFile where they were read */
+  Node(Settings aSettings, std::string aFile);
+
+  /** Runs until the process is stopped. @return an address that is taken */
+  base::Result<void> run();
+
+private:
+  // Configuration and records.
+  void applyCatalog(const std::string& aText, const char* aSource);
+  void applyUpstream(const platform::Entry& aEntry);
+  void applyUpstreams(const platform::Snapshot& aSnapshot);
+  void removeUpstream(const base::UpstreamName& aName, const char* aReason);
+  void sweepAbsent();
+  void fetchCatalogFrom(const base::VmName& aPeer);
+
+  // Peers.
+  void onStatus(peers::Status aStatus);
+  void sendStatus();
+  void fleetChanged();
+  void usePlaces();
+  residency::DemandTable fleetDemand();
+
+  // Life of the process.
+  void tick();
+  bool ready() const;
+  void beginDrain();
+  void continueDrain();
+  void reloadSettings();
+  void serveReady(const std::shared_ptr<http::Responder>& aResponder);
+  void addDumps();
+
+  Settings mSettings;
+  std::string mFile;
+  base::Incarnation mIncarnation;
+  http::Loop mLoop;
+  observe::Metrics mMetrics;
+  base::Random mRandom;
+  http::Client mClient;
+  platform::Client mPlatform;
+  CatalogHolder mCatalog;
+  UpstreamTable mUpstreams;
+  peers::Table mPeers;
+  quota::FleetQuota mQuota;
+  wire::Pool mPool;
+  dispatch::Health mHealth;
+  dispatch::WorkModel mWork;
+  dispatch::PrefixMemory mPrefixes;
+  dispatch::RetryBudget mRetries;
+  dispatch::CrashRecord mCrashes;
+  DemandMeter mDemand;
+  WaitingRoom mWaiting;
+  RequestLog mRequestLog;
+  RequestPath mPath;
+  Fleet mFleet;
+  PrefixWatch mCatalogWatch;
+  PrefixWatch mUpstreamWatch;
+  OrderBook mOrders;
+  PeerLink mLink;
+  wire::CallerServer mCallers;
+  http::Server mReadyServer;
+  observe::OperatorServer mOperator;
+  std::unique_ptr<http::Call> mCatalogCall;
+  /** Records that were absent when the store came back, with the time until
+   * which their upstreams may still write them again. */
+  std::map<base::UpstreamName, base::TimePoint> mAbsent;
+  base::TimePoint mStoreRegained{};
+  base::TimePoint mPeersKnownAt{};
+  std::uint64_t mSequence = 0;
+  bool mUpstreamsKnown = false;
+  bool mDraining = false;
+  base::TimePoint mDrainBegan{};
+  bool mStopped = false;
+  bool mStatusPosted = false;
+  std::vector<http::Watch> mWatches;
+};
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/peer_link.cpp
@@ -0,0 +1,106 @@
+#include "apps/gateway/peer_link.h"
+
+#include "observe/log.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace marigold::gateway {
+namespace {
+
+/** Largest datagram of UDP over IPv4. */
+constexpr std::size_t kLargestDatagram = 65507;
+
+sockaddr_in
+socketAddress(const base::Address& aAddress)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.port);
+  inet_pton(AF_INET, aAddress.host.c_str(), &address.sin_addr);
+  return address;
+}
+
+} // namespace
+
+PeerLink::PeerLink(http::Loop& aLoop,
+                   const Settings& aSettings,
+                   Handler aHandler)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mHandler(std::move(aHandler))
+{
+}
+
+PeerLink::~PeerLink()
+{
+  mReadable.reset();
+  if (mSocket >= 0) {
+    close(mSocket);
+  }
+}
+
+base::Result<void>
+PeerLink::listen()
+{
+  mSocket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = socketAddress(mSettings.peerAddress);
+  if (mSocket < 0 ||
+      bind(mSocket,
+           reinterpret_cast<const sockaddr*>(&address),
+           sizeof(address)) != 0) {
+    return base::fail(base::Code::SettingsInvalid,
+                      "cannot receive on " + mSettings.peerAddress.text());
+  }
+  mReadable = mLoop.onReadable(mSocket, [this] { receive(); });
+  return {};
+}
+
+void
+PeerLink::send(const peers::Status& aStatus,
+               const std::vector<base::Address>& aPeers)
+{
+  const std::string bytes = peers::encode(aStatus);
+  if (bytes.size() > kLargestDatagram) {
+    observe::logError("status is too large",
+                      { { "bytes", std::to_string(bytes.size()) } });
+    return;
+  }
+  for (const base::Address& peer : aPeers) {
+    const sockaddr_in address = socketAddress(peer);
+    // A lost status is replaced by the next one.
+    (void)sendto(mSocket,
+                 bytes.data(),
+                 bytes.size(),
+                 MSG_DONTWAIT,
+                 reinterpret_cast<const sockaddr*>(&address),
+                 sizeof(address));
+  }
+}
+
+void
+PeerLink::receive()
+{
+  std::array<char, kLargestDatagram> buffer{};
+  for (;;) {
+    const ssize_t size =
+      recv(mSocket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (size < 0) {
+      return;
+    }
+    auto status = base::capture(
+      [&] { return peers::decode({ buffer.data(), static_cast<std::size_t>(size) }); });
+    if (const base::Error* error = base::errorOf(status)) {
+      ++mMalformed;
+      observe::logWarn("status of a peer cannot be read",
+                       { { "error", error->message } });
+      continue;
+    }
+    mHandler(std::move(std::get<peers::Status>(status)));
+  }
+}
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/request_log.cpp
@@ -0,0 +1,116 @@
+#include "apps/gateway/request_log.h"
+
+#include "observe/log.h"
+
+#include <algorithm>
+
+namespace marigold::gateway {
+namespace {
+
+/** Lines a second; one costs about 30 microseconds, so the log stays below two
+ * percent of a quarter of a core. */
+constexpr double kLinesPerSecond = 100;
+constexpr double kBurstLines = 200;
+/** Lines that plain successes leave to the others. */
+constexpr double kReservedLines = 100;
+
+std::string
+milliseconds(base::Duration aDuration)
+{
+  return std::to_string(base::inMilliseconds(aDuration));
+}
+
+} // namespace
+
+RequestLog::RequestLog(observe::Metrics& aMetrics)
+  : mMetrics(aMetrics)
+  , mTokens(kBurstLines)
+{
+}
+
+bool
+RequestLog::take(double aReserve, base::TimePoint aNow)
+{
+  if (mRefilled != base::TimePoint{}) {
+    mTokens =
+      std::min(kBurstLines,
+               mTokens + kLinesPerSecond * base::inSeconds(aNow - mRefilled));
+  }
+  mRefilled = aNow;
+  if (mTokens < aReserve + 1) {
+    ++mLeftOut;
+    return false;
+  }
+  mTokens -= 1;
+  return true;
+}
+
+void
+RequestLog::ended(const RequestSummary& aSummary, base::TimePoint aNow)
+{
+  mMetrics
+    .counter("marigold_requests_total",
+             "Requests by outcome",
+             { { "kind", aSummary.kind }, { "outcome", aSummary.outcome } })
+    .Increment();
+  const bool answered = aSummary.firstByte > base::Duration::zero();
+  if (answered) {
+    mMetrics
+      .seconds("marigold_first_byte_seconds",
+               "Time from the request to the first byte of its answer",
+               { { "kind", aSummary.kind } })
+      .Observe(base::inSeconds(aSummary.firstByte));
+  }
+  const bool plain = aSummary.outcome == "ok" && aSummary.sends <= 1 &&
+                     aSummary.firstByte <= aSummary.targetLatency;
+  if (!take(plain ? kReservedLines : 0, aNow)) {
+    return;
+  }
+  observe::logInfo("request",
+                   { { "id", aSummary.id },
+                     { "route", aSummary.route },
+                     { "team", aSummary.team },
+                     { "model", aSummary.model },
+                     { "upstream", aSummary.upstream },
+                     { "outcome", aSummary.outcome },
+                     { "status", std::to_string(aSummary.status) },
+                     { "detail", aSummary.detail },
+                     { "sends", std::to_string(aSummary.sends) },
+                     { "events", std::to_string(aSummary.events) },
+                     { "first_byte_ms", milliseconds(aSummary.firstByte) },
+                     { "taken_ms", milliseconds(aSummary.taken) },
+                     { "catalog", std::to_string(aSummary.catalog) } });
+}
+
+void
+RequestLog::step(const std::string& aId,
+                 const char* aWhat,
+                 const std::string& aUpstream,
+                 const std::string& aReason,
+                 base::TimePoint aNow)
+{
+  mMetrics
+    .counter("marigold_request_steps_total",
+             "Decisions on the way of a request",
+             { { "step", aWhat } })
+    .Increment();
+  if (!take(0, aNow)) {
+    return;
+  }
+  observe::logInfo(aWhat,
+                   { { "id", aId },
+                     { "upstream", aUpstream },
+                     { "reason", aReason } });
+}
+
+void
+RequestLog::flush(base::TimePoint aNow)
+{
+  if (mLeftOut == 0 || !take(0, aNow)) {
+    return;
+  }
+  observe::logInfo("log lines left out", { { "count", std::to_string(mLeftOut) } });
+  mLeftOut = 0;
+}
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/settings.cpp
@@ -0,0 +1,60 @@
+#include "apps/gateway/settings.h"
+
+#include "config/config.h"
+
+namespace marigold::gateway {
+namespace {
+
+using config::CheckedNode;
+using namespace std::chrono_literals;
+
+/** Longest duration that any setting may have. */
+constexpr base::Duration kLongest = 24h;
+
+Settings
+readSettings(CheckedNode& aRoot)
+{
+  constexpr double kHighestRatio = 10;
+  constexpr double kHighestExtra = 1e6;
+  const auto duration = [&aRoot](const char* aKey) {
+    return aRoot.require(aKey).duration(0ms, kLongest);
+  };
+  Settings settings;
+  settings.vm = aRoot.require("vm").name();
+  settings.dataCentre = aRoot.require("data_centre").name();
+  for (CheckedNode& item : aRoot.require("data_centres").items()) {
+    const std::string name = item.require("name").name();
+    settings.regions[name] = item.require("region").name();
+    item.finish();
+  }
+  settings.listen = aRoot.require("listen").address();
+  settings.ready = aRoot.require("ready").address();
+  settings.peerAddress = aRoot.require("peer_address").address();
+  settings.operatorAddress = aRoot.require("operator").address();
+  settings.platform = aRoot.require("platform").address();
+  settings.gracePeriod = duration("grace_period");
+  settings.configLimit = duration("config_limit");
+  settings.orderPause = duration("order_pause");
+  settings.returnPeriod = duration("record_return");
+  settings.retryRatio = aRoot.require("retry_ratio").number(0, kHighestRatio);
+  settings.retryWindow = duration("retry_window");
+  settings.retryLeastExtra =
+    aRoot.require("retry_least_extra").number(0, kHighestExtra);
+  settings.loadWindow = duration("load_window");
+  if (aRoot.has("log_level")) {
+    settings.logLevel =
+      aRoot.require("log_level").oneOf({ "debug", "info", "warn", "error" });
+  }
+  return settings;
+}
+
+} // namespace
+
+base::Result<Settings>
+parseSettings(const std::string& aText, const std::string& aFile)
+{
+  return config::parseChecked(
+    aText, aFile, base::Code::SettingsInvalid, &readSettings);
+}
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/settings.h
@@ -0,0 +1,38 @@
+/** @file Settings of the gateway process. */
+#pragma once
+
+#include "base/base.h"
+
+#include <map>
+#include <string>
+
+namespace marigold::gateway {
+
+/** What a gateway is told at its start. */
+struct Settings
+{
+  base::VmName vm;
+  base::DataCentre dataCentre;
+  std::map<base::DataCentre, std::string> regions; ///< region by data centre
+  base::Address listen;          ///< callers
+  base::Address ready;           ///< readiness probes
+  base::Address peerAddress;     ///< status messages of other VMs, over UDP
+  base::Address operatorAddress; ///< metrics and dumps
+  base::Address platform;
+  std::string logLevel = "info";
+  base::Duration gracePeriod{};   ///< between the stop signal and the kill
+  base::Duration configLimit{};   ///< a configuration is in force after it
+  base::Duration orderPause{};    ///< between the orders of two owners
+  base::Duration returnPeriod{};  ///< records are back this long after an outage
+  double retryRatio = 0;
+  base::Duration retryWindow{};
+  double retryLeastExtra = 0;
+  base::Duration loadWindow{};
+};
+
+/** @param aText YAML @param aFile name for messages
+ * @return the settings or SettingsInvalid */
+base::Result<Settings>
+parseSettings(const std::string& aText, const std::string& aFile);
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/upstream_table.cpp
@@ -0,0 +1,142 @@
+#include "apps/gateway/upstream_table.h"
+
+namespace marigold::gateway {
+namespace {
+
+std::uint32_t
+processTag(const catalog::UpstreamRecord& aRecord)
+{
+  return static_cast<std::uint32_t>(aRecord.startedAt);
+}
+
+} // namespace
+
+UpstreamTable::Change
+UpstreamTable::apply(const catalog::UpstreamRecord& aRecord)
+{
+  std::shared_ptr<Upstream>& slot = mUpstreams[aRecord.name];
+  if (!slot) {
+    slot = std::make_shared<Upstream>();
+    slot->record = aRecord;
+    return Change::Added;
+  }
+  const bool restarted = slot->record.startedAt != aRecord.startedAt ||
+                         slot->record.address != aRecord.address;
+  if (restarted) {
+    // Requests of the process before keep their own reference.
+    slot = std::make_shared<Upstream>();
+    slot->record = aRecord;
+    mPlaces.erase(aRecord.name);
+    mRetiring.erase(aRecord.name);
+    return Change::Restarted;
+  }
+  const bool left = slot->usable() && aRecord.leaving;
+  if (slot->record.models != aRecord.models) {
+    slot->missing.clear();
+  }
+  // A process that is leaving never comes back.
+  const bool stillLeaving = slot->record.leaving;
+  slot->record = aRecord;
+  slot->record.leaving = aRecord.leaving || stillLeaving;
+  slot->gone = false;
+  return left ? Change::Left : Change::Updated;
+}
+
+bool
+UpstreamTable::remove(const base::UpstreamName& aName)
+{
+  const auto found = mUpstreams.find(aName);
+  if (found == mUpstreams.end()) {
+    return false;
+  }
+  found->second->gone = true;
+  mUpstreams.erase(found);
+  return true;
+}
+
+void
+UpstreamTable::markLeaving(
+  const std::map<base::UpstreamName, std::uint32_t>& aLeaving)
+{
+  for (const auto& [name, tag] : aLeaving) {
+    const auto found = mUpstreams.find(name);
+    if (found != mUpstreams.end() && processTag(found->second->record) == tag) {
+      found->second->record.leaving = true;
+    }
+  }
+}
+
+std::map<base::UpstreamName, std::uint32_t>
+UpstreamTable::leaving() const
+{
+  std::map<base::UpstreamName, std::uint32_t> names;
+  for (const auto& [name, upstream] : mUpstreams) {
+    if (upstream->record.leaving) {
+      names[name] = processTag(upstream->record);
+    }
+  }
+  return names;
+}
+
+void
+UpstreamTable::setPlaces(
+  const std::vector<peers::AdapterPlace>& aPlaces,
+  const std::map<base::UpstreamName, std::vector<std::string>>& aRetiring)
+{
+  mHasPlaces = true;
+  mPlaces.clear();
+  mRetiring.clear();
+  for (const peers::AdapterPlace& place : aPlaces) {
+    auto& refs = mPlaces[place.upstream];
+    for (const std::string& adapter : place.adapters) {
+      refs.insert({ place.model, adapter });
+    }
+  }
+  for (const auto& [name, models] : aRetiring) {
+    mRetiring[name].insert(models.begin(), models.end());
+  }
+}
+
+void
+UpstreamTable::clearPlaces()
+{
+  mHasPlaces = false;
+  mPlaces.clear();
+  mRetiring.clear();
+}
+
+bool
+UpstreamTable::holds(const Upstream& aUpstream,
+                     const catalog::ModelRef& aRef,
+                     base::TimePoint aNow) const
+{
+  const auto refused = aUpstream.missing.find(aRef);
+  if (refused != aUpstream.missing.end() && aNow < refused->second) {
+    return false;
+  }
+  const auto model = aUpstream.record.models.find(aRef.model);
+  if (model == aUpstream.record.models.end()) {
+    return false;
+  }
+  const auto retiring = mRetiring.find(aUpstream.record.name);
+  if (retiring != mRetiring.end() && retiring->second.contains(aRef.model)) {
+    return false;
+  }
+  if (aRef.adapter.empty()) {
+    return true;
+  }
+  if (!mHasPlaces) {
+    return model->second.contains(aRef.adapter);
+  }
+  const auto places = mPlaces.find(aUpstream.record.name);
+  return places != mPlaces.end() && places->second.contains(aRef);
+}
+
+std::shared_ptr<Upstream>
+UpstreamTable::find(const base::UpstreamName& aName) const
+{
+  const auto found = mUpstreams.find(aName);
+  return found == mUpstreams.end() ? nullptr : found->second;
+}
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/waiting_room.h
@@ -0,0 +1,81 @@
+/** @file Requests that wait for a model or an adapter to be loaded. */
+#pragma once
+
+#include "base/base.h"
+#include "catalog/catalog.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace marigold::gateway {
+
+/** Something that waits; it is called whenever an upstream may have changed. */
+class Waiter
+{
+public:
+  Waiter() = default;
+  Waiter(const Waiter&) = delete;
+  Waiter& operator=(const Waiter&) = delete;
+  virtual ~Waiter() = default;
+
+  /** Tries again. */
+  virtual void retry() = 0;
+};
+
+/** Holds waiting requests and the demand that they show. */
+class WaitingRoom
+{
+public:
+  /** @param aRef what is missing @param aWaiter who waits */
+  void enter(const catalog::ModelRef& aRef, const std::shared_ptr<Waiter>& aWaiter)
+  {
+    mWaiters.emplace_back(aRef, aWaiter);
+    if (mOnEnter) {
+      mOnEnter();
+    }
+  }
+
+  /** Lets everybody try again; who still lacks its model enters again. */
+  void wake()
+  {
+    auto waiters = std::move(mWaiters);
+    mWaiters.clear();
+    mWaking = true;
+    for (const auto& [ref, weak] : waiters) {
+      if (const auto waiter = weak.lock()) {
+        waiter->retry();
+      }
+    }
+    mWaking = false;
+  }
+
+  /** @return requests that wait, by what they lack */
+  std::map<catalog::ModelRef, unsigned> counts() const
+  {
+    std::map<catalog::ModelRef, unsigned> counts;
+    for (const auto& [ref, weak] : mWaiters) {
+      counts[ref] += weak.expired() ? 0U : 1U;
+    }
+    return counts;
+  }
+
+  bool empty() const { return mWaiters.empty(); }
+
+  /** @param aCallback runs when somebody begins to wait */
+  void onEnter(std::function<void()> aCallback)
+  {
+    mOnEnter = [this, aCallback = std::move(aCallback)] {
+      if (!mWaking) {
+        aCallback();
+      }
+    };
+  }
+
+private:
+  std::vector<std::pair<catalog::ModelRef, std::weak_ptr<Waiter>>> mWaiters;
+  std::function<void()> mOnEnter;
+  bool mWaking = false;
+};
+
+} // namespace marigold::gateway
--- a/cmake/Marigold.cmake
+++ b/cmake/Marigold.cmake
@@ -21,7 +21,7 @@
 # Declares the test program NAME_tests from tests/*.cpp of the current folder.
 function(marigold_tests name)
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-  if(tests)
+  if(tests AND MARIGOLD_TESTS)
     add_executable(${name}_tests ${tests})
     target_include_directories(${name}_tests PRIVATE ${CMAKE_SOURCE_DIR}/libs)
     if(TARGET marigold_${name})
--- /dev/null
+++ b/libs/dispatch/choice.h
@@ -0,0 +1,53 @@
+/** @file Choice of an upstream for a request. */
+#pragma once
+
+#include "base/base.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace marigold::dispatch {
+
+/** What is known of an upstream at the moment of a choice. */
+struct Candidate
+{
+  std::size_t index = 0;      ///< of the caller's own table
+  unsigned slots = 1;
+  unsigned running = 0;       ///< requests of all VMs there
+  double queuedMs = 0;        ///< work before it that cannot be overtaken
+  double memoryTokens = 0;    ///< tokens of all requests there
+  double memoryLimit = 0;     ///< 0: the upstream has no such memory
+  double ownMs = 0;           ///< work of the request that is not cached there
+  double linkMs = 0;          ///< price and delay of the way there
+  double failureRate = 0;     ///< part of recent requests that failed
+  bool ejected = false;       ///< avoided while another candidate is left
+};
+
+/** What matters of the request itself. */
+struct Need
+{
+  double tokens = 0; ///< memory that it takes at an engine
+};
+
+/** A choice with the time that it will probably take. */
+struct Choice
+{
+  std::size_t index = 0;
+  base::Duration expectedStart{}; ///< until the first byte of the answer
+};
+
+/**
+ * Takes the candidate with the earliest expected start, in which a distant or
+ * unreliable upstream counts as slower than it is.
+ * @param aCandidates upstreams that could run the request
+ * @param aNeed the request
+ * @param aTieBreak random bits; equal candidates share the load by it
+ * @return the choice, or nothing without candidates
+ */
+std::optional<Choice>
+choose(const std::vector<Candidate>& aCandidates,
+       const Need& aNeed,
+       std::uint64_t aTieBreak);
+
+} // namespace marigold::dispatch
--- /dev/null
+++ b/libs/dispatch/crash_record.cpp
@@ -0,0 +1,90 @@
+#include "dispatch/crash_record.h"
+
+#include <algorithm>
+
+namespace marigold::dispatch {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Crashes after which a request is refused on every VM. */
+constexpr std::uint32_t kBlockAt = 2;
+/** Longer than the pauses after which callers send such a request again. */
+constexpr base::Duration kRemember = 120s;
+/** Bounds the status message. */
+constexpr std::size_t kMaxRemembered = 64;
+
+} // namespace
+
+void
+CrashRecord::onCrash(const std::string& aFingerprint, base::TimePoint aNow)
+{
+  Seen& seen = mOwn[aFingerprint];
+  ++seen.count;
+  seen.latest = aNow;
+  if (mOwn.size() > kMaxRemembered) {
+    mOwn.erase(std::min_element(
+      mOwn.begin(), mOwn.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.latest < aRight.second.latest;
+      }));
+  }
+}
+
+void
+CrashRecord::onSuccess(const std::string& aFingerprint)
+{
+  mOwn.erase(aFingerprint);
+}
+
+void
+CrashRecord::onPeer(const base::VmName& aPeer,
+                    const std::map<std::string, std::uint32_t>& aCrashes,
+                    base::TimePoint aNow)
+{
+  ByFingerprint& rows = mPeers[aPeer];
+  for (const auto& [fingerprint, count] : aCrashes) {
+    Seen& seen = rows[fingerprint];
+    if (count != seen.count) {
+      seen = { count, aNow };
+    }
+  }
+}
+
+bool
+CrashRecord::blocked(const std::string& aFingerprint) const
+{
+  std::uint32_t total = 0;
+  const auto add = [&](const ByFingerprint& aRows) {
+    const auto found = aRows.find(aFingerprint);
+    total += found == aRows.end() ? 0 : found->second.count;
+  };
+  add(mOwn);
+  for (const auto& [peer, rows] : mPeers) {
+    add(rows);
+  }
+  return total >= kBlockAt;
+}
+
+std::map<std::string, std::uint32_t>
+CrashRecord::own() const
+{
+  std::map<std::string, std::uint32_t> counts;
+  for (const auto& [fingerprint, seen] : mOwn) {
+    counts[fingerprint] = seen.count;
+  }
+  return counts;
+}
+
+void
+CrashRecord::expire(base::TimePoint aNow)
+{
+  const auto isOld = [aNow](const auto& aItem) {
+    return aNow - aItem.second.latest > kRemember;
+  };
+  std::erase_if(mOwn, isOld);
+  for (auto& [peer, rows] : mPeers) {
+    std::erase_if(rows, isOld);
+  }
+}
+
+} // namespace marigold::dispatch
--- a/libs/observe/log.cpp
+++ b/libs/observe/log.cpp
@@ -36,7 +36,9 @@
 } // namespace
 
 bool
-startLog(const std::string& aProcess, const std::string& aLevel)
+startLog(const std::string& aProcess,
+         const std::string& aLevel,
+         LogOutput aOutput)
 {
   log4cxx::LevelPtr level;
   if (aLevel == "debug") {
@@ -52,7 +54,10 @@
   }
   const auto layout = std::make_shared<log4cxx::JSONLayout>();
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-    layout, log4cxx::ConsoleAppender::getSystemErr());
+    layout,
+    aOutput == LogOutput::StandardOutput
+      ? log4cxx::ConsoleAppender::getSystemOut()
+      : log4cxx::ConsoleAppender::getSystemErr());
   logger() = log4cxx::Logger::getLogger(aProcess);
   logger()->setAdditivity(false);
   logger()->removeAllAppenders();
--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -26,28 +26,6 @@
   return { Code::PlatformTimeout, "the platform did not answer in time" };
 }
 
-std::optional<Error>
-statusError(int aStatus)
-{
-  switch (aStatus) {
-    case 200:
-      return std::nullopt;
-    case 404:
-      return Error{ Code::NotFound, "no such key or lease" };
-    case 409:
-      return Error{ Code::RevisionConflict, "the key has another revision" };
-    case 413:
-      return Error{ Code::ValueTooLarge, "the value is above 1 MB" };
-    case 429:
-      return Error{ Code::PlatformRateLimited,
-                    "the platform refuses calls above its rate" };
-    default:
-      return Error{ Code::PlatformUnreachable,
-                    "the platform answered with status " +
-                      std::to_string(aStatus) };
-  }
-}
-
 /** Reads an answer's JSON; the platform's content is not trusted to be right.
  */
 template<typename Value, typename Read>
@@ -68,29 +46,6 @@
   }
 }
 
-Entry
-readEntry(const json& aJson)
-{
-  Entry entry;
-  entry.key = aJson.at("key");
-  if (!aJson.at("value").is_null()) {
-    entry.value = aJson.at("value").get<std::string>();
-  }
-  entry.revision = aJson.at("revision");
-  return entry;
-}
-
-Snapshot
-readSnapshot(const json& aJson)
-{
-  Snapshot snapshot;
-  snapshot.revision = aJson.at("revision");
-  for (const json& item : aJson.at("items")) {
-    snapshot.entries.push_back(readEntry(item));
-  }
-  return snapshot;
-}
-
 membership::Vm
 readVm(const json& aJson)
 {
@@ -122,22 +77,11 @@
   return list;
 }
 
-http::Request
-makeRequest(const std::string& aMethod,
-            const std::string& aPath,
-            const std::string& aQuery = "",
-            const std::string& aBody = "")
-{
-  return { aMethod, aPath, aQuery, {}, aBody };
-}
-
 /** Reads the answer to a write that the platform has accepted. */
 Captured<Revision>
-readRevision(const Captured<http::Answer>& aAnswer)
+readWritten(const WireForm& aForm, const Captured<http::Answer>& aAnswer)
 {
-  const auto revision = readAnswer<Revision>(aAnswer, [](const json& aContent) {
-    return aContent.at("revision").get<Revision>();
-  });
+  const auto revision = readAnswer<Revision>(aAnswer, aForm.readRevision);
   if (base::errorOf(aAnswer) == nullptr && base::errorOf(revision) != nullptr) {
     return Error{ Code::WriteOutcomeUnknown,
                   "malformed answer of the platform to a write" };
@@ -163,10 +107,12 @@
 
 Client::Client(http::Loop& aLoop,
                http::Address aAddress,
-               base::Duration aTimeout)
+               base::Duration aTimeout,
+               const WireForm& aForm)
   : mLoop(aLoop)
   , mAddress(std::move(aAddress))
   , mTimeout(aTimeout)
+  , mForm(aForm)
   , mClient(aLoop)
 {
 }
@@ -197,7 +143,7 @@
       aDone(transportError(aEnd, aIsWrite));
       return;
     }
-    if (const auto error = statusError(aAnswer.status)) {
+    if (const auto error = mForm.statusError(aAnswer.status)) {
       aDone(*error);
       return;
     }
@@ -225,22 +171,50 @@
 void
 Client::read(const std::string& aKey, Callback<Entry> aDone)
 {
-  send(makeRequest("GET", "/v1/kv/" + aKey),
+  send(mForm.read(aKey),
        mTimeout,
        false,
-       [aDone = std::move(aDone)](const Captured<http::Answer>& aAnswer) {
-         aDone(readAnswer<Entry>(aAnswer, &readEntry));
+       [this, aDone = std::move(aDone)](const Captured<http::Answer>& aAnswer) {
+         aDone(readAnswer<Entry>(aAnswer, mForm.readEntry));
        });
 }
 
 void
 Client::list(const std::string& aPrefix, Callback<Snapshot> aDone)
 {
-  send(makeRequest("GET", "/v1/kv", "prefix=" + http::percentEncode(aPrefix)),
+  listFrom(aPrefix, std::make_shared<Snapshot>(), std::move(aDone));
+}
+
+void
+Client::listFrom(const std::string& aPrefix,
+                 std::shared_ptr<Snapshot> aSoFar,
+                 Callback<Snapshot> aDone)
+{
+  const std::string after =
+    aSoFar->entries.empty() ? std::string() : aSoFar->entries.back().key;
+  send(mForm.list(aPrefix, after),
        mTimeout,
        false,
-       [aDone = std::move(aDone)](const Captured<http::Answer>& aAnswer) {
-         aDone(readAnswer<Snapshot>(aAnswer, &readSnapshot));
+       [this, aPrefix, aSoFar, aDone = std::move(aDone)](
+         const Captured<http::Answer>& aAnswer) {
+         auto page = readAnswer<Snapshot>(aAnswer, mForm.readPage);
+         if (base::errorOf(page) != nullptr) {
+           aDone(page);
+           return;
+         }
+         auto& read = std::get<Snapshot>(page);
+         if (aSoFar->revision == 0) {
+           aSoFar->revision = read.revision;
+         }
+         const bool more = read.more && !read.entries.empty();
+         std::move(read.entries.begin(),
+                   read.entries.end(),
+                   std::back_inserter(aSoFar->entries));
+         if (more) {
+           listFrom(aPrefix, aSoFar, aDone);
+           return;
+         }
+         aDone(std::move(*aSoFar));
        });
 }
 
@@ -251,15 +225,11 @@
               const std::string& aLease,
               Callback<Revision> aDone)
 {
-  std::string query = "revision=" + std::to_string(aExpected);
-  if (!aLease.empty()) {
-    query += "&lease=" + aLease;
-  }
-  send(makeRequest("PUT", "/v1/kv/" + aKey, query, aValue),
+  send(mForm.write({ aKey, aValue, aExpected, aLease }),
        mTimeout,
        true,
-       [aDone = std::move(aDone)](const Captured<http::Answer>& aAnswer) {
-         aDone(readRevision(aAnswer));
+       [this, aDone = std::move(aDone)](const Captured<http::Answer>& aAnswer) {
+         aDone(readWritten(mForm, aAnswer));
        });
 }
 
@@ -268,8 +238,7 @@
                Revision aExpected,
                Callback<Revision> aDone)
 {
-  send(makeRequest(
-         "DELETE", "/v1/kv/" + aKey, "revision=" + std::to_string(aExpected)),
+  send(mForm.remove(aKey, aExpected),
        mTimeout,
        true,
        [aDone = std::move(aDone)](const Captured<http::Answer>& aAnswer) {
@@ -285,29 +254,22 @@
               base::Duration aWait,
               Callback<Snapshot> aDone)
 {
-  const std::string query = "prefix=" + http::percentEncode(aPrefix) +
-                            "&after=" + std::to_string(aAfter) + "&wait_ms=" +
-                            std::to_string(base::inMilliseconds(aWait));
-  send(makeRequest("GET", "/v1/watch", query),
+  send(mForm.watch(aPrefix, aAfter, aWait),
        aWait + kWatchMargin,
        false,
-       [aDone = std::move(aDone)](const Captured<http::Answer>& aAnswer) {
-         aDone(readAnswer<Snapshot>(aAnswer, &readSnapshot));
+       [this, aDone = std::move(aDone)](const Captured<http::Answer>& aAnswer) {
+         aDone(readAnswer<Snapshot>(aAnswer, mForm.readChanges));
        });
 }
 
 void
 Client::grantLease(base::Duration aTerm, Callback<std::string> aDone)
 {
-  send(makeRequest("POST",
-                   "/v1/leases",
-                   "ttl_ms=" + std::to_string(base::inMilliseconds(aTerm))),
+  send(mForm.grantLease(aTerm),
        mTimeout,
        true,
-       [aDone = std::move(aDone)](const Captured<http::Answer>& aAnswer) {
-         aDone(readAnswer<std::string>(aAnswer, [](const json& aContent) {
-           return aContent.at("lease").get<std::string>();
-         }));
+       [this, aDone = std::move(aDone)](const Captured<http::Answer>& aAnswer) {
+         aDone(readAnswer<std::string>(aAnswer, mForm.readLease));
        });
 }
 
@@ -315,7 +277,7 @@
 Client::renewLease(const std::string& aLease, Callback<std::string> aDone)
 {
   send(
-    makeRequest("POST", "/v1/leases/" + aLease + "/renew"),
+    mForm.renewLease(aLease),
     mTimeout,
     true,
     [aLease, aDone = std::move(aDone)](const Captured<http::Answer>& aAnswer) {
@@ -327,7 +289,7 @@
 Client::revokeLease(const std::string& aLease, Callback<std::string> aDone)
 {
   send(
-    makeRequest("DELETE", "/v1/leases/" + aLease),
+    mForm.revokeLease(aLease),
     mTimeout,
     true,
     [aLease, aDone = std::move(aDone)](const Captured<http::Answer>& aAnswer) {
@@ -338,7 +300,7 @@
 void
 Client::listVms(Callback<std::string> aDone)
 {
-  send(makeRequest("GET", "/v1/vms"),
+  send({ "GET", "/v1/vms", "", {}, "" },
        mTimeout,
        false,
        [aDone = std::move(aDone)](const Captured<http::Answer>& aAnswer) {
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -9,6 +9,7 @@
 #include "base/base.h"
 #include "http/http.h"
 #include "membership/membership.h"
+#include "platform/wire_form.h"
 
 #include <cstdint>
 #include <functional>
@@ -20,23 +21,6 @@
 
 namespace marigold::platform {
 
-using Revision = std::uint64_t;
-
-/** A key with its value. */
-struct Entry
-{
-  std::string key;
-  std::optional<std::string> value; ///< absent: the key was deleted
-  Revision revision = 0;
-};
-
-/** Entries and the revision of the store that they show. */
-struct Snapshot
-{
-  Revision revision = 0;
-  std::vector<Entry> entries;
-};
-
 template<typename Value>
 using Callback = std::function<void(const base::Captured<Value>&)>;
 
@@ -69,13 +53,19 @@
    * @param aLoop loop that runs the calls
    * @param aAddress address of the platform
    * @param aTimeout time until a call fails
+   * @param aForm protocol of the platform
    */
-  Client(http::Loop& aLoop, http::Address aAddress, base::Duration aTimeout);
+  Client(http::Loop& aLoop,
+         http::Address aAddress,
+         base::Duration aTimeout,
+         const WireForm& aForm = productForm());
 
   /** @param aKey key @param aDone gets its entry or NotFound */
   void read(const std::string& aKey, Callback<Entry> aDone);
 
-  /** @param aPrefix first part of the keys @param aDone gets the entries */
+  /** Reads all pages; they are no snapshot, and the revision is that of the
+   * first page, from which a watch misses nothing.
+   * @param aPrefix first part of the keys @param aDone gets the entries */
   void list(const std::string& aPrefix, Callback<Snapshot> aDone);
 
   /**
@@ -103,7 +93,8 @@
    * @param aPrefix first part of the keys
    * @param aAfter revision that is already known
    * @param aWait longest wait
-   * @param aDone gets the changed entries, none after the longest wait
+   * @param aDone gets the changed entries, none after the longest wait, or
+   * HistoryCompacted if the changes are no longer known
    */
   void watch(const std::string& aPrefix,
              Revision aAfter,
@@ -137,10 +128,14 @@
             bool aIsWrite,
             Finish aDone);
   void lose(base::Duration aTimeout, bool aIsWrite, Finish aDone);
+  void listFrom(const std::string& aPrefix,
+                std::shared_ptr<Snapshot> aSoFar,
+                Callback<Snapshot> aDone);
 
   http::Loop& mLoop;
   http::Address mAddress;
   base::Duration mTimeout;
+  const WireForm& mForm;
   http::Client mClient;
   CallCounts mCounts;
   std::list<std::unique_ptr<http::Call>> mCalls;
--- /dev/null
+++ b/libs/platform/product_form.cpp
@@ -0,0 +1,151 @@
+#include "platform/wire_form.h"
+
+namespace marigold::platform {
+namespace {
+
+using base::Code;
+using base::Error;
+using nlohmann::json;
+
+http::Request
+makeRequest(const std::string& aMethod,
+            const std::string& aPath,
+            const std::string& aQuery = "",
+            const std::string& aBody = "")
+{
+  return { aMethod, aPath, aQuery, {}, aBody };
+}
+
+http::Request
+readRequest(const std::string& aKey)
+{
+  return makeRequest("GET", "/v1/kv/" + aKey);
+}
+
+http::Request
+listRequest(const std::string& aPrefix, const std::string& /*aAfterKey*/)
+{
+  return makeRequest(
+    "GET", "/v1/kv", "prefix=" + http::percentEncode(aPrefix));
+}
+
+http::Request
+watchRequest(const std::string& aPrefix, Revision aAfter, base::Duration aWait)
+{
+  return makeRequest("GET",
+                     "/v1/watch",
+                     "prefix=" + http::percentEncode(aPrefix) +
+                       "&after=" + std::to_string(aAfter) + "&wait_ms=" +
+                       std::to_string(base::inMilliseconds(aWait)));
+}
+
+http::Request
+writeRequest(const ConditionalWrite& aWrite)
+{
+  std::string query = "revision=" + std::to_string(aWrite.expected);
+  if (!aWrite.lease.empty()) {
+    query += "&lease=" + aWrite.lease;
+  }
+  return makeRequest("PUT", "/v1/kv/" + aWrite.key, query, aWrite.value);
+}
+
+http::Request
+removeRequest(const std::string& aKey, Revision aExpected)
+{
+  return makeRequest(
+    "DELETE", "/v1/kv/" + aKey, "revision=" + std::to_string(aExpected));
+}
+
+http::Request
+grantRequest(base::Duration aTerm)
+{
+  return makeRequest("POST",
+                     "/v1/leases",
+                     "ttl_ms=" + std::to_string(base::inMilliseconds(aTerm)));
+}
+
+http::Request
+renewRequest(const std::string& aLease)
+{
+  return makeRequest("POST", "/v1/leases/" + aLease + "/renew");
+}
+
+http::Request
+revokeRequest(const std::string& aLease)
+{
+  return makeRequest("DELETE", "/v1/leases/" + aLease);
+}
+
+Entry
+readEntry(const json& aJson)
+{
+  Entry entry;
+  entry.key = aJson.at("key");
+  if (!aJson.at("value").is_null()) {
+    entry.value = aJson.at("value").get<std::string>();
+  }
+  entry.revision = aJson.at("revision");
+  return entry;
+}
+
+Snapshot
+readSnapshot(const json& aJson)
+{
+  Snapshot snapshot;
+  snapshot.revision = aJson.at("revision");
+  for (const json& item : aJson.at("items")) {
+    snapshot.entries.push_back(readEntry(item));
+  }
+  return snapshot;
+}
+
+Revision
+readRevision(const json& aJson)
+{
+  return aJson.at("revision").get<Revision>();
+}
+
+std::string
+readLease(const json& aJson)
+{
+  return aJson.at("lease").get<std::string>();
+}
+
+std::optional<Error>
+statusError(int aStatus)
+{
+  switch (aStatus) {
+    case 200:
+      return std::nullopt;
+    case 404:
+      return Error{ Code::NotFound, "no such key or lease" };
+    case 409:
+      return Error{ Code::RevisionConflict, "the key has another revision" };
+    case 413:
+      return Error{ Code::ValueTooLarge, "the value is above 1 MB" };
+    case 429:
+      return Error{ Code::PlatformRateLimited,
+                    "the platform refuses calls above its rate" };
+    default:
+      return Error{ Code::PlatformUnreachable,
+                    "the platform answered with status " +
+                      std::to_string(aStatus) };
+  }
+}
+
+constexpr WireForm kProductForm{
+  &readRequest,  &listRequest,   &watchRequest, &writeRequest,
+  &removeRequest, &grantRequest, &renewRequest, &revokeRequest,
+  &readEntry,    &readSnapshot,  &readSnapshot, &readRevision,
+  &readLease,    &statusError
+};
+
+} // namespace
+
+const WireForm&
+productForm()
+{
+  return kProductForm;
+}
+
+} // namespace marigold::platform
--- /dev/null
+++ b/libs/quota/quota.cpp
@@ -0,0 +1,192 @@
+#include "quota/quota.h"
+
+#include <algorithm>
+
+namespace marigold::quota {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** A peer that reports every 100 ms and is silent for this long is cut off,
+ * stopped or overloaded. */
+constexpr base::Duration kSilence = 700ms;
+/** What peers admit stays unknown for about this long: one report and a link
+ * between regions. */
+constexpr base::Duration kReportLag = 150ms;
+/** Period over which the rate of the peers is measured: two reports. */
+constexpr base::Duration kRatePeriod = 200ms;
+/** Weight of the newest period in the smoothed rate of the peers. */
+constexpr double kRateWeight = 0.2;
+/** A longer pause of this process means that it was stopped; what the peers
+ * admitted meanwhile is not known yet. */
+constexpr base::Duration kLongestGap = 500ms;
+/** A retry before this would find about the same level. */
+constexpr base::Duration kLeastRetryAfter = 50ms;
+
+} // namespace
+
+void
+FleetQuota::setLimits(const std::map<base::TeamName, Limit>& aLimits,
+                      base::TimePoint aNow)
+{
+  refill(aNow);
+  std::erase_if(mBuckets, [&aLimits](const auto& aItem) {
+    return !aLimits.contains(aItem.first);
+  });
+  for (const auto& [team, limit] : aLimits) {
+    Bucket& bucket = mBuckets[team];
+    bucket.limit = limit;
+    bucket.level = std::min(bucket.level, limit.burst);
+  }
+}
+
+void
+FleetQuota::setPeers(const std::vector<base::VmName>& aPeers,
+                     base::TimePoint aNow)
+{
+  refill(aNow);
+  std::erase_if(mPeers, [&aPeers](const auto& aItem) {
+    return std::find(aPeers.begin(), aPeers.end(), aItem.first) ==
+           aPeers.end();
+  });
+  for (const base::VmName& name : aPeers) {
+    mPeers.try_emplace(name);
+  }
+}
+
+bool
+FleetQuota::isSilent(const Peer& aPeer, base::TimePoint aNow) const
+{
+  return !aPeer.heard || aNow - aPeer.heardAt > kSilence;
+}
+
+double
+FleetQuota::reach(base::TimePoint aNow) const
+{
+  const auto silent = std::count_if(
+    mPeers.begin(), mPeers.end(), [this, aNow](const auto& aItem) {
+      return isSilent(aItem.second, aNow);
+    });
+  const auto fleet = static_cast<double>(mPeers.size() + 1);
+  return (fleet - static_cast<double>(silent)) / fleet;
+}
+
+void
+FleetQuota::refill(base::TimePoint aNow)
+{
+  if (mRefilled == base::TimePoint{}) {
+    mRefilled = aNow;
+  }
+  const base::Duration passed = aNow - mRefilled;
+  if (passed <= base::Duration::zero()) {
+    return;
+  }
+  mRefilled = aNow;
+  const bool paused = passed > kLongestGap;
+  const double share =
+    paused ? 1.0 / static_cast<double>(mPeers.size() + 1) : reach(aNow);
+  for (auto& [team, bucket] : mBuckets) {
+    bucket.level = std::min(
+      bucket.limit.burst,
+      bucket.level + bucket.limit.rate * share * base::inSeconds(passed));
+  }
+  updatePeerRates(aNow);
+}
+
+void
+FleetQuota::updatePeerRates(base::TimePoint aNow)
+{
+  const base::Duration passed = aNow - mRatesUpdated;
+  if (passed < kRatePeriod) {
+    return;
+  }
+  mRatesUpdated = aNow;
+  for (auto& [team, bucket] : mBuckets) {
+    const double latest = bucket.peerTaken / base::inSeconds(passed);
+    bucket.peerTaken = 0;
+    bucket.peerRate += kRateWeight * (latest - bucket.peerRate);
+  }
+}
+
+Decision
+FleetQuota::admit(const base::TeamName& aTeam,
+                  double aCost,
+                  base::TimePoint aNow)
+{
+  refill(aNow);
+  const auto found = mBuckets.find(aTeam);
+  if (found == mBuckets.end() || found->second.limit.rate <= 0) {
+    return {};
+  }
+  Bucket& bucket = found->second;
+  // Peers may have taken units that their reports do not show yet.
+  const double reserve = bucket.peerRate * base::inSeconds(kReportLag);
+  const bool wholeBurst = aCost >= bucket.limit.burst;
+  const double needed =
+    wholeBurst ? bucket.limit.burst : std::min(aCost + reserve, bucket.limit.burst);
+  if (bucket.level < needed) {
+    const double missing = needed - bucket.level;
+    const auto wait = base::fromSeconds(missing / bucket.limit.rate);
+    return { false, std::max(wait, kLeastRetryAfter) };
+  }
+  bucket.level -= aCost;
+  mUsage[aTeam] += aCost;
+  return {};
+}
+
+void
+FleetQuota::refund(const base::TeamName& aTeam, double aCost)
+{
+  // Usage that peers already saw cannot be taken back, so the refund stays in
+  // this VM's copy only.
+  const auto found = mBuckets.find(aTeam);
+  if (found != mBuckets.end()) {
+    found->second.level =
+      std::min(found->second.limit.burst, found->second.level + aCost);
+  }
+}
+
+void
+FleetQuota::onPeerUsage(const base::VmName& aPeer,
+                        base::Incarnation aIncarnation,
+                        const Usage& aUsage,
+                        base::TimePoint aNow)
+{
+  refill(aNow);
+  Peer& peer = mPeers[aPeer];
+  const bool known = peer.heard && peer.incarnation == aIncarnation;
+  const base::Duration since = known ? aNow - peer.heardAt : base::Duration{};
+  const bool wasSilent = known && isSilent(peer, aNow);
+  const double fleet = static_cast<double>(mPeers.size() + 1);
+  for (const auto& [team, total] : aUsage) {
+    const auto bucket = mBuckets.find(team);
+    const auto before = peer.usage.find(team);
+    const double last =
+      known && before != peer.usage.end() ? before->second : 0;
+    if (bucket == mBuckets.end() || (!known && peer.incarnation == 0)) {
+      continue;
+    }
+    double taken = std::max(0.0, total - last);
+    if (wasSilent) {
+      // Its share did not flow into this copy while it was silent.
+      const double share = bucket->second.limit.rate / fleet *
+                           base::inSeconds(since - kSilence);
+      taken = std::max(0.0, taken - std::max(0.0, share));
+    }
+    bucket->second.level -= taken;
+    bucket->second.peerTaken += taken;
+  }
+  peer.usage = aUsage;
+  peer.incarnation = aIncarnation;
+  peer.heard = true;
+  peer.heardAt = aNow;
+}
+
+double
+FleetQuota::level(const base::TeamName& aTeam) const
+{
+  const auto found = mBuckets.find(aTeam);
+  return found == mBuckets.end() ? 0 : found->second.level;
+}
+
+} // namespace marigold::quota
--- /dev/null
+++ b/libs/quota/quota.h
@@ -0,0 +1,104 @@
+/**
+ * @file
+ * Public header of the quota library: one token bucket a team for the whole
+ * fleet, kept by every VM from what it admits itself and what its peers report.
+ */
+#pragma once
+
+#include "base/base.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace marigold::quota {
+
+/** Limit of a team over all VMs. */
+struct Limit
+{
+  double rate = 0; ///< units a second; 0: unlimited
+  double burst = 0;
+
+  bool operator==(const Limit&) const = default;
+};
+
+/** Answer to a request for units. */
+struct Decision
+{
+  bool admitted = true;
+  base::Duration retryAfter{}; ///< when the units will be there
+};
+
+/** Units that a VM has admitted since its start, by team; only increases. */
+using Usage = std::map<base::TeamName, double>;
+
+/**
+ * Every VM keeps a copy of each bucket. It takes out its own admissions at once
+ * and those of its peers when it hears of them. A peer that is silent may admit
+ * its share of the rate, so that share does not flow into this VM's copy until
+ * the peer is heard again. A partition of the fleet therefore admits at most
+ * the shares of its members.
+ */
+class FleetQuota
+{
+public:
+  /** @param aLimits limits by team; known teams keep their level */
+  void setLimits(const std::map<base::TeamName, Limit>& aLimits,
+                 base::TimePoint aNow);
+
+  /** @param aPeers names of the other VMs that may admit requests */
+  void setPeers(const std::vector<base::VmName>& aPeers, base::TimePoint aNow);
+
+  /**
+   * @param aTeam team @param aCost units @param aNow time
+   * @return whether the units were taken
+   */
+  Decision admit(const base::TeamName& aTeam, double aCost, base::TimePoint aNow);
+
+  /** Gives units back that were admitted for a request that did not run. */
+  void refund(const base::TeamName& aTeam, double aCost);
+
+  /**
+   * @param aPeer VM @param aIncarnation its process @param aUsage its total
+   * @param aNow time
+   */
+  void onPeerUsage(const base::VmName& aPeer,
+                   base::Incarnation aIncarnation,
+                   const Usage& aUsage,
+                   base::TimePoint aNow);
+
+  /** @return units admitted by this VM since its start */
+  const Usage& usage() const { return mUsage; }
+
+  /** @param aTeam team @return units that its bucket holds now */
+  double level(const base::TeamName& aTeam) const;
+
+private:
+  struct Bucket
+  {
+    Limit limit;
+    double level = 0;
+    double peerTaken = 0; ///< units that peers took in the current period
+    double peerRate = 0;  ///< units a second that peers take, smoothed
+  };
+  struct Peer
+  {
+    base::Incarnation incarnation = 0;
+    bool heard = false;
+    base::TimePoint heardAt{};
+    Usage usage;
+  };
+
+  void refill(base::TimePoint aNow);
+  void updatePeerRates(base::TimePoint aNow);
+  double reach(base::TimePoint aNow) const;
+  bool isSilent(const Peer& aPeer, base::TimePoint aNow) const;
+
+  std::map<base::TeamName, Bucket> mBuckets;
+  std::map<base::VmName, Peer> mPeers;
+  Usage mUsage;
+  base::TimePoint mRefilled{};
+  base::TimePoint mRatesUpdated{};
+};
+
+} // namespace marigold::quota
--- /dev/null
+++ b/libs/residency/plan_adapters.cpp
@@ -0,0 +1,141 @@
+#include "residency/fleet_view.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace marigold::residency {
+namespace {
+
+using catalog::ModelRef;
+
+/** An adapter with more work than this gets a second place. */
+constexpr double kHotAdapterMsPerSecond = 150;
+
+std::size_t
+adaptersAt(const Engine& aEngine)
+{
+  std::size_t count = 0;
+  for (const auto& [model, adapters] : aEngine.models) {
+    count += adapters.size();
+  }
+  return count;
+}
+
+bool
+holds(const Engine& aEngine, const ModelRef& aRef)
+{
+  const auto model = aEngine.models.find(aRef.model);
+  return model != aEngine.models.end() &&
+         model->second.contains(aRef.adapter);
+}
+
+/** Plans the adapters of one service. */
+class AdapterPlanner
+{
+public:
+  explicit AdapterPlanner(const Situation& aSituation)
+    : mView(aSituation)
+  {
+  }
+
+  std::vector<Step> plan()
+  {
+    for (const auto& [ref, demand] : mView.situation().demand) {
+      if (ref.adapter.empty() || !declared(ref)) {
+        continue;
+      }
+      const std::size_t places = placesOf(ref);
+      const bool missing = places == 0 && demand.waiting > 0;
+      const bool hot = places == 1 &&
+                       demand.workMsPerSecond > kHotAdapterMsPerSecond;
+      if (missing || hot) {
+        place(ref, missing ? "requests wait" : "hot");
+      }
+    }
+    return std::move(mSteps);
+  }
+
+private:
+  bool declared(const ModelRef& aRef) const
+  {
+    return mView.situation().spec->models.contains(aRef.model);
+  }
+
+  std::size_t placesOf(const ModelRef& aRef) const
+  {
+    const auto& engines = mView.situation().engines;
+    return static_cast<std::size_t>(
+      std::count_if(engines.begin(), engines.end(), [&](const Engine& aEngine) {
+        return !aEngine.leaving && holds(aEngine, aRef);
+      }));
+  }
+
+  double demandOf(const ModelRef& aRef) const
+  {
+    const auto found = mView.situation().demand.find(aRef);
+    return found == mView.situation().demand.end()
+             ? 0
+             : found->second.workMsPerSecond + found->second.waiting;
+  }
+
+  /** @return the adapter at the engine that is asked for least */
+  std::optional<ModelRef> coldestAt(const Engine& aEngine) const
+  {
+    std::optional<ModelRef> coldest;
+    for (const auto& [model, adapters] : aEngine.models) {
+      for (const std::string& adapter : adapters) {
+        const ModelRef ref{ model, adapter };
+        if (!coldest || demandOf(ref) < demandOf(*coldest)) {
+          coldest = ref;
+        }
+      }
+    }
+    return coldest;
+  }
+
+  void place(const ModelRef& aRef, const char* aReason)
+  {
+    const Engine* best = nullptr;
+    double bestCost = 0;
+    for (const Engine& engine : mView.situation().engines) {
+      if (engine.leaving || !engine.orderable || mUsed.contains(engine.name) ||
+          !engine.models.contains(aRef.model) || holds(engine, aRef)) {
+        continue;
+      }
+      constexpr double kFullCost = 500;
+      const bool full =
+        adaptersAt(engine) >= mView.situation().spec->adapterSlots;
+      const double cost = mView.engineLoad(engine) + (full ? kFullCost : 0);
+      if (best == nullptr || cost < bestCost) {
+        best = &engine;
+        bestCost = cost;
+      }
+    }
+    if (best == nullptr) {
+      return;
+    }
+    mUsed.insert(best->name);
+    if (adaptersAt(*best) < mView.situation().spec->adapterSlots) {
+      mSteps.push_back({ best->name, true, aRef, false, aReason });
+      return;
+    }
+    const auto victim = coldestAt(*best);
+    if (victim && demandOf(*victim) < demandOf(aRef) + 1) {
+      mSteps.push_back({ best->name, false, *victim, false, aReason });
+    }
+  }
+
+  FleetView mView;
+  std::set<base::UpstreamName> mUsed;
+  std::vector<Step> mSteps;
+};
+
+} // namespace
+
+std::vector<Step>
+planAdapters(const Situation& aSituation)
+{
+  return AdapterPlanner(aSituation).plan();
+}
+
+} // namespace marigold::residency
--- /dev/null
+++ b/libs/residency/residency.h
@@ -0,0 +1,83 @@
+/**
+ * @file
+ * Public header of the residency library: which models and adapters the engines
+ * of a service should hold under the demand of the moment, as the next orders to
+ * give. No sockets, no clocks.
+ */
+#pragma once
+
+#include "base/base.h"
+#include "catalog/model_name.h"
+#include "catalog/types.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace marigold::residency {
+
+/** What an engine holds. */
+struct Engine
+{
+  base::UpstreamName name;
+  base::DataCentre dataCentre;
+  bool leaving = false;
+  bool orderable = true; ///< false while an order runs or its state is unclear
+  std::map<base::ModelName, std::set<std::string>> models; ///< with adapters
+  std::set<base::ModelName> arriving; ///< loads that run; they take memory too
+  /** Unloads that run; the models still take memory but no requests. */
+  std::set<base::ModelName> retiring;
+  std::set<base::ModelName> cachedInMemory;
+  std::set<base::ModelName> cachedOnDisk;
+};
+
+/** Demand for a model or an adapter over the whole fleet. */
+struct Demand
+{
+  double workMsPerSecond = 0; ///< engine time that its requests need
+  unsigned waiting = 0;       ///< requests that no engine can serve now
+};
+
+using DemandTable = std::map<catalog::ModelRef, Demand>;
+
+/** One order to give. */
+struct Step
+{
+  base::UpstreamName engine;
+  bool load = true;
+  catalog::ModelRef what;
+  bool fromStore = false; ///< takes a load from the weights store
+  std::string reason;     ///< for the log
+
+  bool operator==(const Step& aOther) const
+  {
+    return engine == aOther.engine && load == aOther.load &&
+           what == aOther.what;
+  }
+};
+
+/** Everything that a plan depends on. */
+struct Situation
+{
+  const catalog::EngineSpec* spec = nullptr;
+  std::vector<Engine> engines;
+  DemandTable demand;
+  unsigned storeLoadsLeft = 0; ///< loads that the weights store still allows
+};
+
+/**
+ * @param aSituation engines of one service with the demand for their models
+ * @return at most one order an engine, the most needed first
+ */
+std::vector<Step>
+planModels(const Situation& aSituation);
+
+/**
+ * @param aSituation as for planModels
+ * @return orders for adapters whose requests wait, at most one an engine
+ */
+std::vector<Step>
+planAdapters(const Situation& aSituation);
+
+} // namespace marigold::residency
--- /dev/null
+++ b/libs/wire/parser.cpp
@@ -0,0 +1,189 @@
+#include "wire/parser.h"
+
+#include <limits>
+
+namespace marigold::wire {
+namespace {
+
+/** @return true if an answer has neither a length nor chunks, so that only the
+ * end of its connection ends it */
+bool
+lacksFraming(const http_parser& aNative)
+{
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  constexpr unsigned kFirstFinal = 200;
+  const unsigned status = aNative.status_code;
+  if (status < kFirstFinal || status == kNoContent || status == kNotModified) {
+    return false;
+  }
+  return (aNative.flags & F_CHUNKED) == 0 &&
+         aNative.content_length == std::numeric_limits<std::uint64_t>::max();
+}
+
+} // namespace
+
+Parser::Parser(Kind aKind, std::size_t aHeaderLimit, ParserEvents aEvents)
+  : mKind(aKind)
+  , mHeaderLimit(aHeaderLimit)
+  , mEvents(std::move(aEvents))
+{
+  next();
+}
+
+void
+Parser::next()
+{
+  http_parser_init(&mNative,
+                   mKind == Kind::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+  mNative.data = this;
+  mTarget.clear();
+  mHeaders.clear();
+  mHeaderBytes = 0;
+  mStatus = 0;
+  mValueSeen = true;
+  mStarted = false;
+  mHeadSeen = false;
+  mComplete = false;
+  mEndsWithConnection = false;
+}
+
+std::size_t
+Parser::feed(std::string_view aBytes)
+{
+  if (mFailed || mComplete || aBytes.empty()) {
+    return 0;
+  }
+  mStarted = true;
+  const std::size_t used =
+    http_parser_execute(&mNative, &callbacks(), aBytes.data(), aBytes.size());
+  const auto error = HTTP_PARSER_ERRNO(&mNative);
+  if (error == HPE_PAUSED) {
+    return used;
+  }
+  if (error != HPE_OK || (mNative.upgrade != 0 && mKind == Kind::Answers)) {
+    mFailed = !mComplete;
+  }
+  return used;
+}
+
+void
+Parser::feedEnd()
+{
+  if (mComplete || mFailed || !mStarted) {
+    return;
+  }
+  http_parser_execute(&mNative, &callbacks(), nullptr, 0);
+  if (!mComplete) {
+    mFailed = true;
+  }
+}
+
+std::string
+Parser::method() const
+{
+  return http_method_str(static_cast<http_method>(mNative.method));
+}
+
+bool
+Parser::isHttp11() const
+{
+  return mNative.http_major == 1 && mNative.http_minor == 1;
+}
+
+Parser*
+Parser::self(http_parser* aNative)
+{
+  return static_cast<Parser*>(aNative->data);
+}
+
+bool
+Parser::countHeaderBytes(std::size_t aSize)
+{
+  mHeaderBytes += aSize;
+  mHeaderTooLarge = mHeaderBytes > mHeaderLimit;
+  return !mHeaderTooLarge;
+}
+
+int
+Parser::onUrl(http_parser* aNative, const char* aAt, std::size_t aSize)
+{
+  self(aNative)->mTarget.append(aAt, aSize);
+  return self(aNative)->countHeaderBytes(aSize) ? 0 : 1;
+}
+
+int
+Parser::onField(http_parser* aNative, const char* aAt, std::size_t aSize)
+{
+  Parser* parser = self(aNative);
+  if (parser->mHeadSeen) {
+    return 0; // Trailer fields are dropped.
+  }
+  if (parser->mValueSeen) {
+    parser->mHeaders.emplace_back();
+    parser->mValueSeen = false;
+  }
+  parser->mHeaders.back().first.append(aAt, aSize);
+  return parser->countHeaderBytes(aSize) ? 0 : 1;
+}
+
+int
+Parser::onValue(http_parser* aNative, const char* aAt, std::size_t aSize)
+{
+  Parser* parser = self(aNative);
+  if (parser->mHeadSeen) {
+    return 0;
+  }
+  parser->mValueSeen = true;
+  parser->mHeaders.back().second.append(aAt, aSize);
+  return parser->countHeaderBytes(aSize) ? 0 : 1;
+}
+
+int
+Parser::onHeadersComplete(http_parser* aNative)
+{
+  constexpr int kSkipBody = 1;
+  Parser* parser = self(aNative);
+  parser->mHeadSeen = true;
+  parser->mStatus = aNative->status_code;
+  parser->mKeepAlive = http_should_keep_alive(aNative) != 0;
+  parser->mEndsWithConnection =
+    parser->mKind == Kind::Answers && lacksFraming(*aNative);
+  return parser->mEvents.head() ? 0 : kSkipBody;
+}
+
+int
+Parser::onBody(http_parser* aNative, const char* aAt, std::size_t aSize)
+{
+  self(aNative)->mEvents.body({ aAt, aSize });
+  return 0;
+}
+
+int
+Parser::onComplete(http_parser* aNative)
+{
+  Parser* parser = self(aNative);
+  parser->mComplete = true;
+  http_parser_pause(aNative, 1);
+  parser->mEvents.complete();
+  return 0;
+}
+
+const http_parser_settings&
+Parser::callbacks()
+{
+  static const http_parser_settings kCallbacks = [] {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_url = &Parser::onUrl;
+    settings.on_header_field = &Parser::onField;
+    settings.on_header_value = &Parser::onValue;
+    settings.on_headers_complete = &Parser::onHeadersComplete;
+    settings.on_body = &Parser::onBody;
+    settings.on_message_complete = &Parser::onComplete;
+    return settings;
+  }();
+  return kCallbacks;
+}
+
+} // namespace marigold::wire
--- /dev/null
+++ b/libs/wire/pool.cpp
@@ -0,0 +1,136 @@
+#include "wire/pool.h"
+
+namespace marigold::wire {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Kept this long where an upstream does not say its own limit. */
+constexpr base::Duration kDefaultIdle = 4s;
+/** A request must not cross the upstream's own close of an idle connection. */
+constexpr base::Duration kIdleMargin = 400ms;
+constexpr base::Duration kLeastIdle = 100ms;
+
+} // namespace
+
+PooledCall::PooledCall(Pool& aPool,
+                       PeerKey aPeer,
+                       std::unique_ptr<UpstreamConnection> aConnection)
+  : mPool(aPool)
+  , mPeer(std::move(aPeer))
+  , mConnection(std::move(aConnection))
+{
+  ++mPool.mActive[mPeer];
+}
+
+PooledCall::~PooledCall()
+{
+  if (mConnection) {
+    finish();
+  }
+}
+
+void
+PooledCall::finish()
+{
+  if (--mPool.mActive[mPeer] == 0) {
+    mPool.mActive.erase(mPeer);
+  }
+  if (mConnection->reusable()) {
+    mPool.keep(mPeer, std::move(mConnection));
+  } else {
+    mPool.discard(std::move(mConnection));
+  }
+}
+
+std::unique_ptr<PooledCall>
+Pool::start(const PeerKey& aPeer,
+            const OutgoingCall& aCall,
+            CallEvents aEvents,
+            std::size_t aLimit)
+{
+  auto connection = take(aPeer);
+  if (!connection) {
+    if (connections(aPeer) >= aLimit) {
+      return nullptr;
+    }
+    connection = std::make_unique<UpstreamConnection>(mLoop, aPeer.address);
+    ++mOpened;
+  }
+  connection->start(aCall, std::move(aEvents));
+  return std::make_unique<PooledCall>(*this, aPeer, std::move(connection));
+}
+
+std::size_t
+Pool::connections(const PeerKey& aPeer) const
+{
+  const auto active = mActive.find(aPeer);
+  const auto idle = mIdle.find(aPeer);
+  return (active == mActive.end() ? 0 : active->second) +
+         (idle == mIdle.end() ? 0 : idle->second.size());
+}
+
+std::unique_ptr<UpstreamConnection>
+Pool::take(const PeerKey& aPeer)
+{
+  const auto found = mIdle.find(aPeer);
+  if (found == mIdle.end()) {
+    return nullptr;
+  }
+  // The one used last is the least likely to be closed by the upstream.
+  auto connection = std::move(found->second.back().connection);
+  found->second.pop_back();
+  if (found->second.empty()) {
+    mIdle.erase(found);
+  }
+  return connection;
+}
+
+void
+Pool::keep(const PeerKey& aPeer, std::unique_ptr<UpstreamConnection> aConnection)
+{
+  const base::Duration limit =
+    aConnection->idleLimit().value_or(kDefaultIdle) - kIdleMargin;
+  if (limit < kLeastIdle) {
+    discard(std::move(aConnection));
+    return;
+  }
+  const UpstreamConnection* raw = aConnection.get();
+  const auto end = [this, aPeer, raw] { drop(aPeer, raw); };
+  aConnection->idle(end);
+  mIdle[aPeer].push_back(
+    { std::move(aConnection), mLoop.after(limit, end) });
+}
+
+void
+Pool::drop(const PeerKey& aPeer, const UpstreamConnection* aConnection)
+{
+  const auto found = mIdle.find(aPeer);
+  if (found == mIdle.end()) {
+    return;
+  }
+  auto& connections = found->second;
+  for (auto idle = connections.begin(); idle != connections.end(); ++idle) {
+    if (idle->connection.get() != aConnection) {
+      continue;
+    }
+    auto ended = std::move(idle->connection);
+    connections.erase(idle);
+    if (connections.empty()) {
+      mIdle.erase(found);
+    }
+    discard(std::move(ended));
+    return;
+  }
+}
+
+void
+Pool::discard(std::unique_ptr<UpstreamConnection> aConnection)
+{
+  // Freed later, because one of its callbacks may be running.
+  aConnection->idle({});
+  mLoop.post([held = std::shared_ptr<UpstreamConnection>(
+                std::move(aConnection))] {});
+}
+
+} // namespace marigold::wire
--- /dev/null
+++ b/libs/wire/pool.h
@@ -0,0 +1,99 @@
+/** @file Kept connections to upstreams. */
+#pragma once
+
+#include "wire/upstream.h"
+
+#include <list>
+#include <map>
+
+namespace marigold::wire {
+
+/** Identifies the upstream behind an address; a new process at the same
+ * address is another peer. */
+struct PeerKey
+{
+  std::string name;
+  base::Address address;
+
+  auto operator<=>(const PeerKey&) const = default;
+};
+
+class Pool;
+
+/** A call in progress; destroying it closes its connection. */
+class PooledCall
+{
+public:
+  PooledCall(Pool& aPool,
+             PeerKey aPeer,
+             std::unique_ptr<UpstreamConnection> aConnection);
+  ~PooledCall();
+  PooledCall(const PooledCall&) = delete;
+  PooledCall& operator=(const PooledCall&) = delete;
+
+  /** @param aPaused true to stop reading the answer */
+  void pauseReading(bool aPaused) { mConnection->pauseReading(aPaused); }
+
+  /** @return false while the connection is being set up */
+  bool connected() const { return mConnection->connected(); }
+
+private:
+  friend class Pool;
+  void finish();
+
+  Pool& mPool;
+  PeerKey mPeer;
+  std::unique_ptr<UpstreamConnection> mConnection;
+};
+
+/** Opens connections to upstreams and keeps those that can be used again. */
+class Pool
+{
+public:
+  /** @param aLoop loop */
+  explicit Pool(http::Loop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+
+  /**
+   * @param aPeer upstream
+   * @param aCall request
+   * @param aEvents callbacks, never called from inside this function
+   * @param aLimit most connections to this upstream
+   * @return the call, or nullptr if the limit is reached
+   */
+  std::unique_ptr<PooledCall> start(const PeerKey& aPeer,
+                                    const OutgoingCall& aCall,
+                                    CallEvents aEvents,
+                                    std::size_t aLimit);
+
+  /** Closes the kept connections to a peer. @param aPeer upstream */
+  void forget(const PeerKey& aPeer) { mIdle.erase(aPeer); }
+
+  /** @param aPeer upstream @return open connections to it */
+  std::size_t connections(const PeerKey& aPeer) const;
+
+  /** @return connections opened so far */
+  std::uint64_t opened() const { return mOpened; }
+
+private:
+  friend class PooledCall;
+  struct Idle
+  {
+    std::unique_ptr<UpstreamConnection> connection;
+    http::Watch expiry;
+  };
+  std::unique_ptr<UpstreamConnection> take(const PeerKey& aPeer);
+  void keep(const PeerKey& aPeer,
+            std::unique_ptr<UpstreamConnection> aConnection);
+  void drop(const PeerKey& aPeer, const UpstreamConnection* aConnection);
+  void discard(std::unique_ptr<UpstreamConnection> aConnection);
+
+  http::Loop& mLoop;
+  std::map<PeerKey, std::list<Idle>> mIdle;
+  std::map<PeerKey, std::size_t> mActive;
+  std::uint64_t mOpened = 0;
+};
+
+} // namespace marigold::wire
--- /dev/null
+++ b/libs/wire/transport.cpp
@@ -0,0 +1,190 @@
+#include "wire/transport.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace marigold::wire {
+namespace {
+
+/** Unacknowledged bytes fail a connection after this; a link that is cut loses
+ * bytes without a reset, and two seconds is well below every deadline of an
+ * assistant and above any retransmission on a healthy link. */
+constexpr int kUserTimeoutMs = 2500;
+/** Keep-alive probes find a silent peer within three seconds. */
+constexpr int kKeepAliveIdleS = 1;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveProbes = 2;
+
+void
+setOption(int aDescriptor, int aLevel, int aName, int aValue)
+{
+  setsockopt(aDescriptor, aLevel, aName, &aValue, sizeof(aValue));
+}
+
+void
+setSocketOptions(int aDescriptor)
+{
+  setOption(aDescriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  setOption(aDescriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(aDescriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
+  setOption(aDescriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
+  setOption(aDescriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+} // namespace
+
+void
+BuffereventDeleter::operator()(bufferevent* aEvent) const
+{
+  bufferevent_free(aEvent);
+}
+
+Transport::Transport(http::Loop& aLoop, int aDescriptor)
+  : mNative(bufferevent_socket_new(aLoop.native(),
+                                   aDescriptor,
+                                   BEV_OPT_CLOSE_ON_FREE |
+                                     BEV_OPT_DEFER_CALLBACKS))
+{
+  setSocketOptions(aDescriptor);
+  configure();
+}
+
+Transport::Transport(http::Loop& aLoop, const base::Address& aPeer)
+{
+  const int descriptor =
+    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor >= 0) {
+    setSocketOptions(descriptor);
+  }
+  mNative.reset(bufferevent_socket_new(aLoop.native(),
+                                       descriptor,
+                                       BEV_OPT_CLOSE_ON_FREE |
+                                         BEV_OPT_DEFER_CALLBACKS));
+  configure();
+  sockaddr_in peer{};
+  peer.sin_family = AF_INET;
+  peer.sin_port = htons(aPeer.port);
+  inet_pton(AF_INET, aPeer.host.c_str(), &peer.sin_addr);
+  // A failure is reported through the event callback.
+  bufferevent_socket_connect(
+    mNative.get(), reinterpret_cast<sockaddr*>(&peer), sizeof(peer));
+}
+
+Transport::~Transport() = default;
+
+void
+Transport::configure()
+{
+  bufferevent_setcb(mNative.get(),
+                    &Transport::onRead,
+                    &Transport::onWrite,
+                    &Transport::onEvent,
+                    this);
+  bufferevent_enable(mNative.get(), EV_READ | EV_WRITE);
+}
+
+void
+Transport::write(std::string_view aBytes)
+{
+  bufferevent_write(mNative.get(), aBytes.data(), aBytes.size());
+}
+
+std::string_view
+Transport::input()
+{
+  evbuffer* buffer = bufferevent_get_input(mNative.get());
+  const std::size_t size = evbuffer_get_length(buffer);
+  if (size == 0) {
+    return {};
+  }
+  return { reinterpret_cast<const char*>(evbuffer_pullup(buffer, -1)), size };
+}
+
+void
+Transport::consume(std::size_t aSize)
+{
+  evbuffer_drain(bufferevent_get_input(mNative.get()), aSize);
+}
+
+std::size_t
+Transport::pendingOutput() const
+{
+  return evbuffer_get_length(bufferevent_get_output(mNative.get()));
+}
+
+std::size_t
+Transport::pendingInput() const
+{
+  return evbuffer_get_length(bufferevent_get_input(mNative.get()));
+}
+
+void
+Transport::pauseReading(bool aPaused)
+{
+  if (aPaused) {
+    bufferevent_disable(mNative.get(), EV_READ);
+  } else {
+    bufferevent_enable(mNative.get(), EV_READ);
+  }
+}
+
+void
+Transport::shutdownOutput()
+{
+  shutdown(bufferevent_getfd(mNative.get()), SHUT_WR);
+}
+
+void
+Transport::resetOnClose()
+{
+  const linger option{ 1, 0 };
+  setsockopt(bufferevent_getfd(mNative.get()),
+             SOL_SOCKET,
+             SO_LINGER,
+             &option,
+             sizeof(option));
+}
+
+void
+Transport::onRead(bufferevent* /*aEvent*/, void* aSelf)
+{
+  const auto callback = static_cast<Transport*>(aSelf)->mEvents.readable;
+  if (callback) {
+    callback();
+  }
+}
+
+void
+Transport::onWrite(bufferevent* /*aEvent*/, void* aSelf)
+{
+  const auto callback = static_cast<Transport*>(aSelf)->mEvents.drained;
+  if (callback) {
+    callback();
+  }
+}
+
+void
+Transport::onEvent(bufferevent* /*aEvent*/, short aWhat, void* aSelf)
+{
+  auto* self = static_cast<Transport*>(aSelf);
+  if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
+    const auto callback = self->mEvents.connected;
+    if (callback) {
+      callback();
+    }
+    return;
+  }
+  const auto callback = self->mEvents.ended;
+  if (callback) {
+    callback((aWhat & BEV_EVENT_EOF) != 0 ? TransportEnd::Orderly
+                                          : TransportEnd::Failed);
+  }
+}
+
+} // namespace marigold::wire
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -4,7 +4,7 @@
 packages=(g++ cmake ninja-build pkg-config clang-format clang-tidy git curl python3
   libevent-dev libsigc++-3.0-dev libnng-dev nlohmann-json3-dev prometheus-cpp-dev
   liblog4cxx-dev libdocopt-dev libyaml-cpp-dev libboost1.81-dev libxxhash-dev
-  libssl-dev libcpputest-dev librapidcheck-dev)
+  libssl-dev libhttp-parser-dev libcpputest-dev librapidcheck-dev)
 missing=()
 for package in "${packages[@]}"; do
   # $package may be provided by another installed package; a failed query only
