--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -85,6 +85,9 @@
 Exchange::endCall()
 {
   mSilence.reset();
+  if (mHold && isEngineCall() && --mPath.runningByModel[*mFacts.model] == 0) {
+    mPath.runningByModel.erase(*mFacts.model);
+  }
   mHold.reset();
   mCall.reset();
 }
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -295,6 +295,7 @@
   mBody.clear();
   mEvents.clear();
   if (isEngineCall()) {
+    ++mPath.runningByModel[*mFacts.model];
     mPath.prefixes.note(record.name, mFacts.model->text(), mFacts.prompt);
   }
   armSilence();
--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -38,6 +38,19 @@
       .count());
 }
 
+std::string
+listModels(const catalog::UpstreamRecord& aRecord)
+{
+  std::string list;
+  for (const auto& [model, adapters] : aRecord.models) {
+    list += (list.empty() ? "" : " ") + model;
+    for (const std::string& adapter : adapters) {
+      list += "/" + adapter;
+    }
+  }
+  return list;
+}
+
 } // namespace
 
 Node::Node(Settings aSettings, std::string aFile)
@@ -55,7 +68,7 @@
   , mPath{ mLoop,     mSettings, mCatalog, mUpstreams, mPeers,
            mQuota,    mPool,     mHealth,  mWork,      mPrefixes,
            mRetries,  mCrashes,  mDemand,  mWaiting,   mRequestLog,
-           mRandom,   1,         {} }
+           mRandom,   1,         {},       {} }
   , mFleet(mLoop, mPlatform, mSettings, mIncarnation)
   , mCatalogWatch(
       mLoop,
@@ -119,6 +132,7 @@
                  })
   , mOperator(mLoop, mMetrics)
 {
+  mQuota.setSlack(mSettings.quotaSlack);
   mRetries.setLimits({ mSettings.retryRatio,
                        mSettings.retryLeastExtra,
                        mSettings.retryWindow });
@@ -237,11 +251,11 @@
     mHealth.forget(name);
     mPrefixes.forget(name);
   }
-  if (change == UpstreamTable::Change::None ||
-      change == UpstreamTable::Change::Updated) {
+  if (change == UpstreamTable::Change::None) {
     return;
   }
   static const std::map<UpstreamTable::Change, const char*> kNames{
+    { UpstreamTable::Change::ModelsChanged, "models" },
     { UpstreamTable::Change::Added, "added" },
     { UpstreamTable::Change::Restarted, "restarted" },
     { UpstreamTable::Change::Left, "leaving" }
@@ -252,7 +266,7 @@
                      { "service", record.service },
                      { "address", record.address.text() },
                      { "data_centre", record.dataCentre },
-                     { "models", std::to_string(record.models.size()) },
+                     { "models", listModels(record) },
                      { "revision", std::to_string(aEntry.revision) } });
 }
 
@@ -324,7 +338,10 @@
     return;
   }
   const peers::Status& status = mPeers.rows().at(vm).status;
-  if (mFleet.others().contains(vm)) {
+  if (status.departing) {
+    mQuota.onDeparted(vm, now);
+  } else {
+    mQuota.addLapsed(status.lapsed, now);
     mQuota.onPeerUsage(vm, status.incarnation, status.usage, now);
   }
   mCrashes.onPeer(vm, status.crashes, now);
@@ -379,11 +396,15 @@
   for (const auto& [ref, count] : mWaiting.counts()) {
     table[ref].waiting += count;
   }
+  for (const auto& [ref, count] : mPath.runningByModel) {
+    table[ref].running += count;
+  }
   for (const auto& [vm, row] : mPeers.rows()) {
     for (const auto& [name, demand] : row.status.demand) {
       auto& sum = table[catalog::parseModelRef(name)];
       sum.workMsPerSecond += demand.workMsPerSecond;
       sum.waiting += demand.waiting;
+      sum.running += demand.running;
     }
   }
   return table;
@@ -424,6 +445,11 @@
   for (const auto& [ref, count] : mWaiting.counts()) {
     status.demand[ref.text()].waiting = count;
   }
+  for (const auto& [ref, count] : mPath.runningByModel) {
+    status.demand[ref.text()].running = count;
+  }
+  status.lapsed = mQuota.lapsed();
+  status.departing = mStopped && mCallers.openRequests() == 0;
   status.crashes = mCrashes.own();
   status.leaving = mUpstreams.leaving();
   if (mOrders.active()) {
--- a/apps/gateway/order_book.cpp
+++ b/apps/gateway/order_book.cpp
@@ -16,6 +16,11 @@
 /** Pause after a conflict or a lost answer, in which a report catches up with
  * the engine. */
 constexpr base::Duration kReportDelay = 400ms;
+/** Pause between reports of an engine that carries out an unknown order. */
+constexpr base::Duration kBusyDelay = 1s;
+/** A new adapter stays at least for this long: the requests that waited for it
+ * arrive after the next status of the owner. */
+constexpr base::Duration kAdapterFresh = 1500ms;
 /** A model that is not in the record this long after the load should have
  * ended was not loaded. */
 constexpr base::Duration kLoadMargin = 6s;
@@ -130,6 +135,7 @@
   }
   if (aEngine.unloading && !aRecord.models.contains(*aEngine.unloading)) {
     aEngine.adapters.erase(*aEngine.unloading);
+    aEngine.reportedModels.erase(*aEngine.unloading);
     aEngine.unloading.reset();
   }
   const auto& live = mCatalog.current();
@@ -186,8 +192,14 @@
   }
   const auto& report = std::get<boundary::EngineReport>(decoded);
   Engine& engine = mEngines.at(aName);
+  if (report.orderRunning && !engine.loading && !engine.unloading) {
+    // What it loads is unknown, so its free memory is unknown too.
+    engine.retryAt = base::monotonicNow() + kBusyDelay;
+    return;
+  }
   engine.reported = true;
   engine.unclear = false;
+  engine.reportedModels.clear();
   if (engine.loading && !report.orderRunning &&
       engine.orderCount == report.orderCount) {
     // It did not arrive; should it still come, the next order rules it out.
@@ -197,6 +209,7 @@
   engine.adapters.clear();
   for (const auto& [model, adapters] : report.models) {
     engine.adapters[model] = adapters;
+    engine.reportedModels.insert(model);
   }
   mChanged.emit();
 }
@@ -231,6 +244,16 @@
     if (known.loading) {
       engine.arriving.insert(*known.loading);
     }
+    for (const base::ModelName& model : known.reportedModels) {
+      if (!engine.models.contains(model)) {
+        engine.arriving.insert(model);
+      }
+    }
+    for (const auto& [ref, loadedAt] : known.adapterLoadedAt) {
+      if (aNow - loadedAt < kAdapterFresh) {
+        engine.fresh.insert(ref);
+      }
+    }
     if (known.unloading) {
       engine.retiring.insert(*known.unloading);
     }
@@ -327,6 +350,11 @@
     case boundary::OrderReply::Started:
       ++engine.orderCount;
       applyDone(engine, aStep);
+      if (!aStep.load && !aStep.what.adapter.empty()) {
+        // The adapter leaves once its requests ended; a report tells when.
+        engine.unclear = true;
+        engine.retryAt = base::monotonicNow() + kReportDelay;
+      }
       break;
     case boundary::OrderReply::AlreadyHolds:
       applyDone(engine, aStep);
@@ -357,6 +385,7 @@
   auto& adapters = aEngine.adapters[aStep.what.model];
   if (aStep.load) {
     adapters.insert(aStep.what.adapter);
+    aEngine.adapterLoadedAt[aStep.what] = base::monotonicNow();
   } else {
     adapters.erase(aStep.what.adapter);
   }
--- a/apps/gateway/order_book.h
+++ b/apps/gateway/order_book.h
@@ -58,7 +58,9 @@
     bool unclear = false;     ///< the count may have changed unseen
     std::uint64_t orderCount = 0;
     std::map<base::ModelName, std::set<std::string>> adapters;
-    std::set<base::ModelName> gone; ///< unloaded, still in the record
+    /** Models of the last report, which may be newer than the record. */
+    std::set<base::ModelName> reportedModels;
+    std::map<catalog::ModelRef, base::TimePoint> adapterLoadedAt;
     std::optional<base::ModelName> loading;
     base::TimePoint loadStarted{};
     std::optional<base::ModelName> unloading;
--- a/apps/gateway/request_path.h
+++ b/apps/gateway/request_path.h
@@ -34,6 +34,8 @@
   RequestLog& log;
   base::Random& random;
   std::size_t fleetSize = 1;
+  /** Requests at upstreams by model and adapter. */
+  std::map<catalog::ModelRef, unsigned> runningByModel;
   /** Requests that have not ended; the set keeps them alive. */
   std::set<std::shared_ptr<Waiter>> open;
 };
--- a/apps/gateway/settings.cpp
+++ b/apps/gateway/settings.cpp
@@ -16,6 +16,7 @@
 {
   constexpr double kHighestRatio = 10;
   constexpr double kHighestExtra = 1e6;
+  constexpr double kHighestSlack = 1e12;
   const auto duration = [&aRoot](const char* aKey) {
     return aRoot.require(aKey).duration(0ms, kLongest);
   };
@@ -41,6 +42,8 @@
   settings.retryLeastExtra =
     aRoot.require("retry_least_extra").number(0, kHighestExtra);
   settings.loadWindow = duration("load_window");
+  settings.quotaSlack =
+    aRoot.require("quota_slack").number(0, kHighestSlack);
   if (aRoot.has("log_level")) {
     settings.logLevel =
       aRoot.require("log_level").oneOf({ "debug", "info", "warn", "error" });
--- a/apps/gateway/settings.h
+++ b/apps/gateway/settings.h
@@ -27,7 +27,8 @@
   double retryRatio = 0;
   base::Duration retryWindow{};
   double retryLeastExtra = 0;
-  base::Duration loadWindow{};
+  base::Duration loadWindow{};   ///< over which loads of weights are limited
+  double quotaSlack = 0; ///< units that the fleet may be late to count
 };
 
 /** @param aText YAML @param aFile name for messages
--- a/apps/gateway/upstream_table.cpp
+++ b/apps/gateway/upstream_table.cpp
@@ -31,7 +31,8 @@
     return Change::Restarted;
   }
   const bool left = slot->usable() && aRecord.leaving;
-  if (slot->record.models != aRecord.models) {
+  const bool modelsChanged = slot->record.models != aRecord.models;
+  if (modelsChanged) {
     slot->missing.clear();
   }
   // A process that is leaving never comes back.
@@ -39,7 +40,10 @@
   slot->record = aRecord;
   slot->record.leaving = aRecord.leaving || stillLeaving;
   slot->gone = false;
-  return left ? Change::Left : Change::Updated;
+  if (left) {
+    return Change::Left;
+  }
+  return modelsChanged ? Change::ModelsChanged : Change::None;
 }
 
 bool
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -42,7 +42,7 @@
   enum class Change : std::uint8_t
   {
     None,
-    Updated,
+    ModelsChanged,
     Added,
     Restarted, ///< another process under the same name
     Left,
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -26,7 +26,8 @@
 {
   json demand = json::object();
   for (const auto& [name, row] : aStatus.demand) {
-    demand[name] = json::array({ row.workMsPerSecond, row.waiting });
+    demand[name] = 
+      json::array({ row.workMsPerSecond, row.waiting, row.running });
   }
   return demand;
 }
@@ -49,7 +50,7 @@
     aStatus.loads[name] = { row.at(0), row.at(1), row.at(2), row.at(3) };
   }
   for (const auto& [name, row] : aFrom.at("demand").items()) {
-    aStatus.demand[name] = { row.at(0), row.at(1) };
+    aStatus.demand[name] = { row.at(0), row.at(1), row.at(2) };
   }
   for (const json& row : aFrom.at("adapters")) {
     aStatus.adapters.push_back({ row.at(0), row.at(1), row.at(2) });
@@ -67,6 +68,8 @@
                       { "sequence", aStatus.sequence },
                       { "catalog", aStatus.catalogVersion },
                       { "fence", aStatus.fence },
+                      { "departing", aStatus.departing },
+                      { "lapsed", aStatus.lapsed },
                       { "usage", aStatus.usage },
                       { "load", encodeLoads(aStatus) },
                       { "demand", encodeDemand(aStatus) },
@@ -93,6 +96,8 @@
     status.sequence = content.at("sequence");
     status.catalogVersion = content.at("catalog");
     status.fence = content.at("fence");
+    status.departing = content.at("departing");
+    status.lapsed = content.at("lapsed").get<std::vector<std::string>>();
     status.usage = content.at("usage").get<std::map<std::string, double>>();
     status.crashes =
       content.at("crashes").get<std::map<std::string, std::uint32_t>>();
--- a/libs/peers/peers.h
+++ b/libs/peers/peers.h
@@ -32,6 +32,7 @@
 {
   std::uint32_t workMsPerSecond = 0; ///< prompt and output work, smoothed
   std::uint32_t waiting = 0;         ///< requests that no upstream can serve
+  std::uint32_t running = 0;         ///< requests at upstreams
 };
 
 /** Adapters of a model that an upstream holds. */
@@ -50,7 +51,9 @@
   std::uint64_t sequence = 0;
   std::uint64_t catalogVersion = 0;
   std::uint64_t fence = 0; ///< of the owner of orders; 0: not the owner
+  bool departing = false;   ///< admits nothing more
   std::map<base::TeamName, double> usage;
+  std::vector<base::VmName> lapsed; ///< VMs whose registration ended
   std::map<base::UpstreamName, UpstreamLoad> loads;
   std::map<std::string, ModelDemand> demand; ///< by MODEL or MODEL/ADAPTER
   std::vector<AdapterPlace> adapters; ///< from the owner of orders
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -20,6 +20,8 @@
 /** A longer pause of this process means that it was stopped; what the peers
  * admitted meanwhile is not known yet. */
 constexpr base::Duration kLongestGap = 500ms;
+/** A partition of an hour with some minutes to notice its end. */
+constexpr base::Duration kReserveLapsed = 65min;
 /** A retry before this would find about the same level. */
 constexpr base::Duration kLeastRetryAfter = 50ms;
 
@@ -45,13 +47,51 @@
                      base::TimePoint aNow)
 {
   refill(aNow);
-  std::erase_if(mPeers, [&aPeers](const auto& aItem) {
-    return std::find(aPeers.begin(), aPeers.end(), aItem.first) ==
-           aPeers.end();
+  for (const base::VmName& name : aPeers) {
+    mPeers[name].lapsedAt.reset();
+  }
+  for (auto& [name, peer] : mPeers) {
+    const bool registered =
+      std::find(aPeers.begin(), aPeers.end(), name) != aPeers.end();
+    if (!registered && !peer.lapsedAt) {
+      peer.lapsedAt = aNow;
+    }
+  }
+  std::erase_if(mPeers, [aNow](const auto& aItem) {
+    const auto& lapsedAt = aItem.second.lapsedAt;
+    return lapsedAt && aNow - *lapsedAt > kReserveLapsed;
   });
+}
+
+void
+FleetQuota::addLapsed(const std::vector<base::VmName>& aPeers,
+                      base::TimePoint aNow)
+{
   for (const base::VmName& name : aPeers) {
-    mPeers.try_emplace(name);
+    const auto [peer, added] = mPeers.try_emplace(name);
+    if (added) {
+      peer->second.lapsedAt = aNow;
+    }
+  }
+}
+
+void
+FleetQuota::onDeparted(const base::VmName& aPeer, base::TimePoint aNow)
+{
+  refill(aNow);
+  mPeers.erase(aPeer);
+}
+
+std::vector<base::VmName>
+FleetQuota::lapsed() const
+{
+  std::vector<base::VmName> names;
+  for (const auto& [name, peer] : mPeers) {
+    if (peer.lapsedAt) {
+      names.push_back(name);
+    }
   }
+  return names;
 }
 
 bool
@@ -86,8 +126,10 @@
   const double share =
     paused ? 1.0 / static_cast<double>(mPeers.size() + 1) : reach(aNow);
   for (auto& [team, bucket] : mBuckets) {
+    // Every side of a partition keeps its share of the burst only, or each
+    // could spend all of it.
     bucket.level = std::min(
-      bucket.limit.burst,
+      bucket.limit.burst * share,
       bucket.level + bucket.limit.rate * share * base::inSeconds(passed));
   }
   updatePeerRates(aNow);
@@ -120,7 +162,8 @@
   }
   Bucket& bucket = found->second;
   // Peers may have taken units that their reports do not show yet.
-  const double reserve = bucket.peerRate * base::inSeconds(kReportLag);
+  const double reserve =
+    std::max(0.0, bucket.peerRate * base::inSeconds(kReportLag) - mSlack);
   const bool wholeBurst = aCost >= bucket.limit.burst;
   const double needed =
     wholeBurst ? bucket.limit.burst : std::min(aCost + reserve, bucket.limit.burst);
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -9,7 +9,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace marigold::quota {
 
@@ -46,9 +48,26 @@
   void setLimits(const std::map<base::TeamName, Limit>& aLimits,
                  base::TimePoint aNow);
 
-  /** @param aPeers names of the other VMs that may admit requests */
+  /** @param aSlack units by which reports of peers may lag behind before the
+   * bucket holds back units for what they have not reported */
+  void setSlack(double aSlack) { mSlack = aSlack; }
+
+  /**
+   * A VM that is no longer registered may be cut off and still serve callers,
+   * so its share stays reserved for a long time.
+   * @param aPeers names of the other registered VMs
+   */
   void setPeers(const std::vector<base::VmName>& aPeers, base::TimePoint aNow);
 
+  /** @param aPeers VMs that a peer knows to be unregistered */
+  void addLapsed(const std::vector<base::VmName>& aPeers, base::TimePoint aNow);
+
+  /** A VM has said that it admits nothing more. */
+  void onDeparted(const base::VmName& aPeer, base::TimePoint aNow);
+
+  /** @return VMs that are unregistered and whose share is reserved */
+  std::vector<base::VmName> lapsed() const;
+
   /**
    * @param aTeam team @param aCost units @param aNow time
    * @return whether the units were taken
@@ -86,6 +105,7 @@
     base::Incarnation incarnation = 0;
     bool heard = false;
     base::TimePoint heardAt{};
+    std::optional<base::TimePoint> lapsedAt; ///< since it is not registered
     Usage usage;
   };
 
@@ -97,6 +117,7 @@
   std::map<base::TeamName, Bucket> mBuckets;
   std::map<base::VmName, Peer> mPeers;
   Usage mUsage;
+  double mSlack = 0;
   base::TimePoint mRefilled{};
   base::TimePoint mRatesUpdated{};
 };
--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -11,6 +11,11 @@
 /** An adapter with more work than this gets a second place. */
 constexpr double kHotAdapterMsPerSecond = 150;
 
+/** Load that an engine without a free slot must have less than others. */
+constexpr double kEvictionCost = 300;
+/** Weight of a waiting request against work in ms per second. */
+constexpr double kWaitingWeight = 100;
+
 std::size_t
 adaptersAt(const Engine& aEngine)
 {
@@ -75,16 +80,21 @@
     const auto found = mView.situation().demand.find(aRef);
     return found == mView.situation().demand.end()
              ? 0
-             : found->second.workMsPerSecond + found->second.waiting;
+             : found->second.workMsPerSecond +
+                 kWaitingWeight * found->second.waiting;
   }
 
-  /** @return the adapter at the engine that is asked for least */
+  /** @return the idle adapter at the engine that is asked for least; one with
+   * running requests would block the engine's orders until they end */
   std::optional<ModelRef> coldestAt(const Engine& aEngine) const
   {
     std::optional<ModelRef> coldest;
     for (const auto& [model, adapters] : aEngine.models) {
       for (const std::string& adapter : adapters) {
         const ModelRef ref{ model, adapter };
+        if (aEngine.fresh.contains(ref) || inUse(ref)) {
+          continue;
+        }
         if (!coldest || demandOf(ref) < demandOf(*coldest)) {
           coldest = ref;
         }
@@ -93,21 +103,36 @@
     return coldest;
   }
 
+  bool inUse(const ModelRef& aRef) const
+  {
+    const auto found = mView.situation().demand.find(aRef);
+    return found != mView.situation().demand.end() &&
+           found->second.running > 0;
+  }
+
   void place(const ModelRef& aRef, const char* aReason)
   {
     const Engine* best = nullptr;
+    std::optional<ModelRef> bestVictim;
     double bestCost = 0;
     for (const Engine& engine : mView.situation().engines) {
       if (engine.leaving || !engine.orderable || mUsed.contains(engine.name) ||
-          !engine.models.contains(aRef.model) || holds(engine, aRef)) {
+          !engine.models.contains(aRef.model) ||
+          engine.retiring.contains(aRef.model) || holds(engine, aRef)) {
         continue;
       }
-      constexpr double kFullCost = 500;
-      const bool full =
-        adaptersAt(engine) >= mView.situation().spec->adapterSlots;
-      const double cost = mView.engineLoad(engine) + (full ? kFullCost : 0);
+      std::optional<ModelRef> victim;
+      double cost = mView.engineLoad(engine);
+      if (adaptersAt(engine) >= mView.situation().spec->adapterSlots) {
+        victim = coldestAt(engine);
+        if (!victim || demandOf(*victim) > demandOf(aRef)) {
+          continue;
+        }
+        cost += kEvictionCost + demandOf(*victim);
+      }
       if (best == nullptr || cost < bestCost) {
         best = &engine;
+        bestVictim = victim;
         bestCost = cost;
       }
     }
@@ -115,14 +140,11 @@
       return;
     }
     mUsed.insert(best->name);
-    if (adaptersAt(*best) < mView.situation().spec->adapterSlots) {
-      mSteps.push_back({ best->name, true, aRef, false, aReason });
-      return;
-    }
-    const auto victim = coldestAt(*best);
-    if (victim && demandOf(*victim) < demandOf(aRef) + 1) {
-      mSteps.push_back({ best->name, false, *victim, false, aReason });
-    }
+    mSteps.push_back({ best->name,
+                       !bestVictim,
+                       bestVictim.value_or(aRef),
+                       false,
+                       aReason });
   }
 
   FleetView mView;
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -28,6 +28,7 @@
   std::set<base::ModelName> arriving; ///< loads that run; they take memory too
   /** Unloads that run; the models still take memory but no requests. */
   std::set<base::ModelName> retiring;
+  std::set<catalog::ModelRef> fresh; ///< adapters loaded a moment ago
   std::set<base::ModelName> cachedInMemory;
   std::set<base::ModelName> cachedOnDisk;
 };
@@ -37,6 +38,7 @@
 {
   double workMsPerSecond = 0; ///< engine time that its requests need
   unsigned waiting = 0;       ///< requests that no engine can serve now
+  unsigned running = 0;       ///< requests that engines work on
 };
 
 using DemandTable = std::map<catalog::ModelRef, Demand>;
