--- a/apps/gateway/demand_meter.cpp
+++ b/apps/gateway/demand_meter.cpp
@@ -1,13 +1,15 @@
 #include "apps/gateway/demand_meter.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace marigold::gateway {
 namespace {
 
-/** Short enough to follow a demand that moves within seconds, long enough not
- * to chase single requests of a rare model. */
-constexpr double kMemorySeconds = 4;
+/** Follows a demand that moves within seconds. */
+constexpr double kQuickSeconds = 3;
+/** Outlasts the gaps between requests of a rare model. */
+constexpr double kSlowSeconds = 12;
 /** Work below this is forgotten. */
 constexpr double kLeastWorkMs = 0.5;
 
@@ -17,13 +19,15 @@
 DemandMeter::decay(base::TimePoint aNow)
 {
   if (mDecayed != base::TimePoint{}) {
-    const double factor =
-      std::exp(-base::inSeconds(aNow - mDecayed) / kMemorySeconds);
+    const double passed = base::inSeconds(aNow - mDecayed);
+    const double quick = std::exp(-passed / kQuickSeconds);
+    const double slow = std::exp(-passed / kSlowSeconds);
     for (auto& [ref, work] : mWork) {
-      work *= factor;
+      work.quick *= quick;
+      work.slow *= slow;
     }
     std::erase_if(mWork, [](const auto& aItem) {
-      return aItem.second < kLeastWorkMs;
+      return aItem.second.slow < kLeastWorkMs;
     });
   }
   mDecayed = aNow;
@@ -35,7 +39,8 @@
                  base::TimePoint aNow)
 {
   decay(aNow);
-  mWork[aRef] += aWorkMs;
+  mWork[aRef].quick += aWorkMs;
+  mWork[aRef].slow += aWorkMs;
 }
 
 std::map<catalog::ModelRef, double>
@@ -44,7 +49,7 @@
   decay(aNow);
   std::map<catalog::ModelRef, double> rates;
   for (const auto& [ref, work] : mWork) {
-    rates[ref] = work / kMemorySeconds;
+    rates[ref] = std::max(work.quick / kQuickSeconds, work.slow / kSlowSeconds);
   }
   return rates;
 }
--- a/apps/gateway/demand_meter.h
+++ b/apps/gateway/demand_meter.h
@@ -8,7 +8,11 @@
 
 namespace marigold::gateway {
 
-/** Rates of work by model and adapter, decaying over a few seconds. */
+/**
+ * Rates of work by model and adapter. The larger of a quick and a slow average
+ * counts, so that a rising demand shows at once and a pause does not yet end
+ * one.
+ */
 class DemandMeter
 {
 public:
@@ -19,9 +23,14 @@
   std::map<catalog::ModelRef, double> rates(base::TimePoint aNow);
 
 private:
+  struct Work
+  {
+    double quick = 0;
+    double slow = 0;
+  };
   void decay(base::TimePoint aNow);
 
-  std::map<catalog::ModelRef, double> mWork;
+  std::map<catalog::ModelRef, Work> mWork;
   base::TimePoint mDecayed{};
 };
 
--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -15,12 +15,15 @@
 constexpr const char* kOwnerKey = "marigold/order-owner";
 constexpr const char* kMemberPrefix = "marigold/vm/";
 
-/** A VM that is gone frees its keys after this; shorter leases would end while
- * the store answers slowly. */
-constexpr base::Duration kLeaseTerm = 3s;
+/** A VM that is gone frees its keys after this; a slow store answers within
+ * a few hundred milliseconds, so shorter leases would end by themselves. */
+constexpr base::Duration kLeaseTerm = 2s;
 /** Three renewals fit into a term, so that one may be lost. */
-constexpr base::Duration kRenewEvery = 900ms;
-constexpr base::Duration kTick = 300ms;
+constexpr base::Duration kRenewEvery = 450ms;
+/** An owner sends no orders in the last part of its lease. It covers an order
+ * that is on its way and most of the pause before the next owner's orders. */
+constexpr base::Duration kOrderLeaseMargin = 1100ms;
+constexpr base::Duration kTick = 150ms;
 /** Least time between two waits for changes. */
 constexpr base::Duration kWatchPause = 50ms;
 /** Added to the pause between two owners for timers that fire late. */
@@ -170,14 +173,16 @@
 }
 
 bool
-Fleet::mayOrder(base::TimePoint aNow, base::Duration aMargin) const
+Fleet::mayOrder(base::TimePoint aNow) const
 {
-  // The owner before may have sent its last order just before its lease ended.
+  // The owner before sent nothing in the last part of its lease, which counts
+  // towards the pause between two owners.
   // An ownership ends with the lease under which it was written, also when a
   // later lease is valid and the end of the ownership was not seen yet.
   return mOwner && isSelf(*mOwner) && mOwnerLease == mLease &&
-         leaseValid(aNow, aMargin) &&
-         aNow > mOwnedSince + mSettings.orderPause + kPauseMargin;
+         leaseValid(aNow, kOrderLeaseMargin) &&
+         aNow > mOwnedSince + mSettings.orderPause - kOrderLeaseMargin +
+                  kPauseMargin;
 }
 
 platform::Revision
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -59,9 +59,9 @@
   /** @return who owns the orders, as far as known */
   const std::optional<Ownership>& owner() const { return mOwner; }
 
-  /** @return true if this VM owns the orders and its lease lasts that long
-   * @param aNow time @param aMargin time until the last use */
-  bool mayOrder(base::TimePoint aNow, base::Duration aMargin) const;
+  /** @param aNow time @return true if this VM owns the orders and its lease
+   * lasts long enough to send one */
+  bool mayOrder(base::TimePoint aNow) const;
 
   /** @return the fencing token of this VM's ownership, 0 without */
   platform::Revision fence() const;
--- a/apps/gateway/order_book.cpp
+++ b/apps/gateway/order_book.cpp
@@ -11,8 +11,6 @@
 
 /** An order is answered within a round trip; later the answer counts as lost. */
 constexpr base::Duration kOrderTimeout = 700ms;
-/** The lease must outlast an order, from its sending to its arrival. */
-constexpr base::Duration kLeaseMargin = 900ms;
 /** Pause after a conflict or a lost answer, in which a report catches up with
  * the engine. */
 constexpr base::Duration kReportDelay = 400ms;
@@ -71,7 +69,7 @@
 OrderBook::run(const residency::DemandTable& aDemand)
 {
   const base::TimePoint now = base::monotonicNow();
-  const bool may = !mStopped && mFleet.mayOrder(now, kLeaseMargin);
+  const bool may = !mStopped && mFleet.mayOrder(now);
   if (may && (!mActive || mFence != mFleet.fence())) {
     takeOver();
   } else if (!may && mActive && mFleet.fence() != mFence) {
@@ -285,7 +283,7 @@
 OrderBook::give(const residency::Step& aStep)
 {
   const base::TimePoint now = base::monotonicNow();
-  if (!mFleet.mayOrder(now, kLeaseMargin)) {
+  if (!mFleet.mayOrder(now)) {
     return;
   }
   Engine& engine = mEngines.at(aStep.engine);
