--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -14,6 +14,8 @@
 constexpr base::Duration kDeadlineGrace = 120ms;
 /** A VM that has no configuration gets one within this. */
 constexpr base::Duration kNotReadyRetry = 500ms;
+/** Another VM takes the caller's next connection at once. */
+constexpr base::Duration kDrainingRetry = 50ms;
 /** Targets above this belong to requests that can wait for others. */
 constexpr base::Duration kPatientTarget = 3s;
 /** A request is urgent work for the whole fleet after the route's rank. */
@@ -233,6 +235,19 @@
   }
 }
 
+void
+Exchange::shutdown()
+{
+  if (mEnded) {
+    return;
+  }
+  if (!mayHaveRun()) {
+    refuse(Code::Draining, "the process stops", kDrainingRetry);
+    return;
+  }
+  fail(Code::UpstreamTimeout, "the process stops");
+}
+
 void
 Exchange::onCallerGone()
 {
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -47,6 +47,9 @@
   /** Tries again after an upstream may have changed. */
   void retry() override;
 
+  /** Answers the caller now: refused if nothing was sent, else failed. */
+  void shutdown() override;
+
 private:
   // Admission.
   bool findRoute();
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -185,6 +185,11 @@
            1s);
     return;
   }
+  if (mPath.stopsAt &&
+      base::monotonicNow() + *load + kOrderDelay > *mPath.stopsAt) {
+    shutdown();
+    return;
+  }
   if (*load + kOrderDelay > timeLeft()) {
     refuse(Code::DeadlineUnreachable,
            "model " + mFacts.model->text() + " is not loaded; a load takes " +
--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -25,8 +25,11 @@
 constexpr base::Duration kPeersHeardAfter = 400ms;
 /** The balancer takes a VM out after two failed probes, one a second. */
 constexpr base::Duration kDrainNotice = 2600ms;
-/** Time for the last bytes before the process is killed. */
-constexpr base::Duration kStopMargin = 500ms;
+/** Part of the grace period after which open requests are ended, so that their
+ * callers still get an answer. */
+constexpr double kServeUntil = 0.85;
+/** Time for the last bytes before the process ends by itself. */
+constexpr base::Duration kFlushPeriod = 400ms;
 
 base::Incarnation
 drawIncarnation()
@@ -68,7 +71,8 @@
   , mPath{ mLoop,     mSettings, mCatalog, mUpstreams, mPeers,
            mQuota,    mPool,     mHealth,  mWork,      mPrefixes,
            mRetries,  mCrashes,  mDemand,  mWaiting,   mRequestLog,
-           mRandom,   1,         {},       {} }
+           mRandom,   1,         {},       {},
+           {} }
   , mFleet(mLoop, mPlatform, mSettings, mIncarnation)
   , mCatalogWatch(
       mLoop,
@@ -527,6 +531,9 @@
   }
   mDraining = true;
   mDrainBegan = base::monotonicNow();
+  mPath.stopsAt =
+    mDrainBegan +
+    base::fromSeconds(base::inSeconds(mSettings.gracePeriod) * kServeUntil);
   mOrders.stop();
   mCallers.closeAfterAnswers();
   observe::logInfo(
@@ -542,9 +549,14 @@
     mCallers.stop();
     mFleet.leave();
   }
+  if (base::monotonicNow() > *mPath.stopsAt) {
+    for (const auto& request : std::set(mPath.open)) {
+      request->shutdown();
+    }
+  }
   const bool done = mStopped && mCallers.openRequests() == 0 &&
                     mCallers.connections() == 0;
-  if (done || passed > mSettings.gracePeriod - kStopMargin) {
+  if (done || base::monotonicNow() > *mPath.stopsAt + kFlushPeriod) {
     mLoop.stop();
   }
 }
--- a/apps/gateway/request_path.h
+++ b/apps/gateway/request_path.h
@@ -10,6 +10,7 @@
 #include "dispatch/dispatch.h"
 #include "quota/quota.h"
 
+#include <optional>
 #include <set>
 
 namespace marigold::gateway {
@@ -38,6 +39,8 @@
   std::map<catalog::ModelRef, unsigned> runningByModel;
   /** Requests that have not ended; the set keeps them alive. */
   std::set<std::shared_ptr<Waiter>> open;
+  /** Set while the process is being stopped: requests end before it. */
+  std::optional<base::TimePoint> stopsAt;
 };
 
 } // namespace marigold::gateway
--- a/apps/gateway/waiting_room.h
+++ b/apps/gateway/waiting_room.h
@@ -10,7 +10,7 @@
 
 namespace marigold::gateway {
 
-/** Something that waits; it is called whenever an upstream may have changed. */
+/** A request that may have to wait for an upstream. */
 class Waiter
 {
 public:
@@ -21,6 +21,9 @@
 
   /** Tries again. */
   virtual void retry() = 0;
+
+  /** Ends now, because the process stops. */
+  virtual void shutdown() = 0;
 };
 
 /** Holds waiting requests and the demand that they show. */
--- a/libs/wire/caller.cpp
+++ b/libs/wire/caller.cpp
@@ -55,7 +55,9 @@
   mTransport.setEvents({ {},
                          [this] { readInput(); },
                          [this] {
-                           if (mClosing) {
+                           // The callback may be late: an earlier part was
+                           // flushed and the last one still waits.
+                           if (mClosing && mTransport.pendingOutput() == 0) {
                              mTransport.shutdownOutput();
                            }
                          },
