--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -112,8 +112,7 @@
     fail(Code::RouteUnknown, "no route for this host and path");
     return false;
   }
-  const auto& name =
-    catalog::pickService(*mRoute, base::hash64(mFacts.id, 1));
+  const auto& name = catalog::pickService(*mRoute, base::hash64(mFacts.id, 1));
   const auto service = mCatalog->content.services.find(name);
   if (service == mCatalog->content.services.end()) {
     refuse(Code::NoUpstream, "service " + name + " is not declared", 1s);
@@ -193,9 +192,8 @@
   // step of the batch makes one for each running request.
   constexpr double kOutputWeight = 2;
   const double tokens = mFacts.promptTokens + kOutputWeight * outputTokens();
-  mPath.demand.add(*mFacts.model,
-                   tokens * mPath.work.msPerToken(mFacts.model->model),
-                   now);
+  mPath.demand.add(
+    *mFacts.model, tokens * mPath.work.msPerToken(mFacts.model->model), now);
 }
 
 base::Duration
@@ -254,13 +252,14 @@
   if (mEnded) {
     return;
   }
-  const bool finishesAlone = mRoute->kind == catalog::RequestKind::Once && mCall;
+  const bool finishesAlone =
+    mRoute->kind == catalog::RequestKind::Once && mCall;
   if (finishesAlone) {
     // A booking that has begun is not broken off; its answer goes nowhere.
     mDeadline.reset();
     mCaller->onGone(nullptr);
-    mPath.log.step(mFacts.id, "caller left", mLastUpstream, "runs on",
-                   base::monotonicNow());
+    mPath.log.step(
+      mFacts.id, "caller left", mLastUpstream, "runs on", base::monotonicNow());
     return;
   }
   finish(Code::Ok, 0, "caller left");
--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -49,13 +49,13 @@
   base::Duration limit = base::fromSeconds(
     base::inSeconds(mRoute->targetLatency) * kFirstByteSilence);
   if (mEventCount > 0 && mHeadSeen) {
-    limit = base::fromSeconds(base::inSeconds(mRoute->targetPause) *
-                              kPauseSilence);
+    limit =
+      base::fromSeconds(base::inSeconds(mRoute->targetPause) * kPauseSilence);
   } else {
     limit += base::fromSeconds((mQueuedAhead + mOwnMs) / 1000);
   }
-  mSilence = mPath.loop.after(
-    std::max(limit, kLeastSilence), [weak = weak_from_this()] {
+  mSilence =
+    mPath.loop.after(std::max(limit, kLeastSilence), [weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
         std::static_pointer_cast<Exchange>(self)->onSilence();
       }
@@ -138,7 +138,8 @@
     mFirstByteAt = now;
     if (isEngineCall() && mSends == 1) {
       mPath.work.onFirstToken(mFacts.model->model,
-                              mOwnMs / mPath.work.msPerToken(mFacts.model->model),
+                              mOwnMs /
+                                mPath.work.msPerToken(mFacts.model->model),
                               mQueuedAhead,
                               now - mSentAt);
     }
@@ -149,7 +150,8 @@
   mPath.health.onSuccess(mLastUpstream, now);
   std::string bytes;
   for (const wire::StreamEvent& event : events) {
-    const bool repeated = event.id && mLastEventId && *event.id <= *mLastEventId;
+    const bool repeated =
+      event.id && mLastEventId && *event.id <= *mLastEventId;
     if (repeated) {
       continue; // A resumed stream may begin with what was delivered.
     }
@@ -232,8 +234,7 @@
   if (mCaller->answerStarted()) {
     mCaller->endStream();
   } else {
-    mCaller->answer(
-      mHead.status, wire::endToEndHeaders(mHead.headers), mBody);
+    mCaller->answer(mHead.status, wire::endToEndHeaders(mHead.headers), mBody);
   }
   finish(Code::Ok, mHead.status, "");
 }
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -11,7 +11,8 @@
 constexpr base::Duration kLeastTimeLeft = 10ms;
 /** Load that an upstream told is used for this long. */
 constexpr base::Duration kToldLoadAge = 400ms;
-/** Delay and price of the way, as the time that a caller would accept for it. */
+/** Delay and price of the way, as the time that a caller would accept for it.
+ */
 constexpr double kSameRegionMs = 2;
 constexpr double kOtherRegionMs = 60;
 /** A choice may start this part of its target late before it is refused. */
@@ -46,16 +47,15 @@
     }
     candidate.memoryTokens = aUpstream.memoryTokens + others.memoryTokens;
     candidate.memoryLimit = static_cast<double>(mService->engine->kvTokens);
-    const std::uint32_t cached = std::min(
-      mFacts.promptTokens,
-      mPath.prefixes.cachedTokens(
-        record.name, mFacts.model->text(), mFacts.prompt));
+    const std::uint32_t cached =
+      std::min(mFacts.promptTokens,
+               mPath.prefixes.cachedTokens(
+                 record.name, mFacts.model->text(), mFacts.prompt));
     candidate.ownMs = (mFacts.promptTokens - cached) *
                       mPath.work.msPerToken(mFacts.model->model);
   } else {
-    const double serviceMs =
-      static_cast<double>(base::inMilliseconds(
-        mPath.work.serviceTime(mService->name)));
+    const double serviceMs = static_cast<double>(
+      base::inMilliseconds(mPath.work.serviceTime(mService->name)));
     candidate.queuedMs = candidate.running * serviceMs / record.slots;
     candidate.ownMs = serviceMs;
   }
@@ -199,8 +199,11 @@
   }
   if (!mWaited) {
     mWaited = true;
-    mPath.log.step(
-      mFacts.id, "waits for model", "", mFacts.model->text(), base::monotonicNow());
+    mPath.log.step(mFacts.id,
+                   "waits for model",
+                   "",
+                   mFacts.model->text(),
+                   base::monotonicNow());
   }
   mPath.waiting.enter(*mFacts.model, shared_from_this());
 }
@@ -266,8 +269,9 @@
     };
   };
   wire::CallEvents events;
-  events.head = guarded(
-    [](Exchange& aSelf, const wire::AnswerHead& aHead) { aSelf.onHead(aHead); });
+  events.head = guarded([](Exchange& aSelf, const wire::AnswerHead& aHead) {
+    aSelf.onHead(aHead);
+  });
   events.body = guarded(
     [](Exchange& aSelf, std::string_view aBytes) { aSelf.onBody(aBytes); });
   events.complete = guarded([](Exchange& aSelf) { aSelf.onComplete(); });
@@ -276,11 +280,12 @@
   });
   constexpr std::size_t kLeastConnections = 4;
   const std::size_t limit = std::max(
-    kLeastConnections, mService->maxConnections / std::max<std::size_t>(1, mPath.fleetSize));
+    kLeastConnections,
+    mService->maxConnections / std::max<std::size_t>(1, mPath.fleetSize));
   mCall = mPath.pool.start(aUpstream->peer(), call, std::move(events), limit);
   if (!mCall) {
-    mPath.log.step(mFacts.id, "connection limit", record.name, "",
-                   base::monotonicNow());
+    mPath.log.step(
+      mFacts.id, "connection limit", record.name, "", base::monotonicNow());
     if (++mUnreachable >= kMostUnreachable) {
       refuse(Code::Overloaded, "connection limits reached", kOverloadRetry);
       return;
--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -154,9 +154,9 @@
     if (isSelf(owner)) {
       mOwnedSince = base::monotonicNow();
     }
-    observe::logInfo("order owner",
-                     { { "owner", owner.vm },
-                       { "fence", std::to_string(owner.fence) } });
+    observe::logInfo(
+      "order owner",
+      { { "owner", owner.vm }, { "fence", std::to_string(owner.fence) } });
   }
 }
 
@@ -188,8 +188,7 @@
 platform::Revision
 Fleet::fence() const
 {
-  return mOwner && isSelf(*mOwner) && mOwnerLease == mLease ? mOwner->fence
-                                                            : 0;
+  return mOwner && isSelf(*mOwner) && mOwnerLease == mLease ? mOwner->fence : 0;
 }
 
 void
@@ -250,22 +249,23 @@
   }
   mLeaseCall = true;
   const base::TimePoint sent = base::monotonicNow();
-  mClient.renewLease(
-    mLease, [this, sent](const base::Captured<std::string>& aOut) {
-      mLeaseCall = false;
-      const base::Error* error = base::errorOf(aOut);
-      if (error == nullptr) {
-        mLeaseSent = sent;
-      } else if (error->code == base::Code::LeaseLost) {
-        loseLease("expired");
-      }
-    });
+  mClient.renewLease(mLease,
+                     [this, sent](const base::Captured<std::string>& aOut) {
+                       mLeaseCall = false;
+                       const base::Error* error = base::errorOf(aOut);
+                       if (error == nullptr) {
+                         mLeaseSent = sent;
+                       } else if (error->code == base::Code::LeaseLost) {
+                         loseLease("expired");
+                       }
+                     });
 }
 
 void
 Fleet::loseLease(const char* aReason)
 {
-  observe::logWarn("lease lost", { { "lease", mLease }, { "reason", aReason } });
+  observe::logWarn("lease lost",
+                   { { "lease", mLease }, { "reason", aReason } });
   mLease.clear();
   mRegistration = 0;
 }
@@ -320,9 +320,8 @@
       mClaimCall = false;
       const base::Error* error = base::errorOf(aOut);
       if (error == nullptr) {
-        applyOwner({ kOwnerKey,
-                     content.dump(),
-                     std::get<platform::Revision>(aOut) });
+        applyOwner(
+          { kOwnerKey, content.dump(), std::get<platform::Revision>(aOut) });
         mChanged.emit();
       } else if (error->code == base::Code::NotFound) {
         loseLease("unknown to the store");
--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -3,6 +3,7 @@
 #include "config/config.h"
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 
 namespace marigold::gateway {
@@ -68,34 +69,32 @@
               boundary::storeForm())
   , mPool(mLoop)
   , mRequestLog(mMetrics)
-  , mPath{ mLoop,     mSettings, mCatalog, mUpstreams, mPeers,
-           mQuota,    mPool,     mHealth,  mWork,      mPrefixes,
-           mRetries,  mCrashes,  mDemand,  mWaiting,   mRequestLog,
-           mRandom,   1,         {},       {},
-           {} }
+  , mPath{ mLoop,    mSettings, mCatalog, mUpstreams, mPeers,
+           mQuota,   mPool,     mHealth,  mWork,      mPrefixes,
+           mRetries, mCrashes,  mDemand,  mWaiting,   mRequestLog,
+           mRandom,  1,         {},       {},         {} }
   , mFleet(mLoop, mPlatform, mSettings, mIncarnation)
-  , mCatalogWatch(
-      mLoop,
-      mPlatform,
-      boundary::kOperatorPrefix,
-      kCatalogPause,
-      { [this](const platform::Snapshot& aAll) {
-         for (const platform::Entry& entry : aAll.entries) {
-           if (entry.key == boundary::kCatalogKey && entry.value) {
-             applyCatalog(*entry.value, "store");
-           }
-         }
-       },
-        [this](const platform::Entry& aEntry) {
-          if (aEntry.key == boundary::kCatalogKey && aEntry.value) {
-            applyCatalog(*aEntry.value, "store");
-          }
-        },
-        [] { observe::logInfo("configuration store reached"); },
-        [](const base::Error& aError) {
-          observe::logWarn("configuration store lost",
-                           { { "error", aError.message } });
-        } })
+  , mCatalogWatch(mLoop,
+                  mPlatform,
+                  boundary::kOperatorPrefix,
+                  kCatalogPause,
+                  { [this](const platform::Snapshot& aAll) {
+                     for (const platform::Entry& entry : aAll.entries) {
+                       if (entry.key == boundary::kCatalogKey && entry.value) {
+                         applyCatalog(*entry.value, "store");
+                       }
+                     }
+                   },
+                    [this](const platform::Entry& aEntry) {
+                      if (aEntry.key == boundary::kCatalogKey && aEntry.value) {
+                        applyCatalog(*aEntry.value, "store");
+                      }
+                    },
+                    [] { observe::logInfo("configuration store reached"); },
+                    [](const base::Error& aError) {
+                      observe::logWarn("configuration store lost",
+                                       { { "error", aError.message } });
+                    } })
   , mUpstreamWatch(
       mLoop,
       mPlatform,
@@ -116,7 +115,7 @@
           observe::logWarn("upstream records lost",
                            { { "error", aError.message } });
         } })
-  , mOrders(mLoop, mClient, mSettings, mFleet, mCatalog, mUpstreams, mMetrics)
+  , mOrders(mClient, mSettings, mFleet, mCatalog, mUpstreams, mMetrics)
   , mLink(mLoop,
           mSettings,
           [this](peers::Status aStatus) { onStatus(std::move(aStatus)); })
@@ -137,9 +136,8 @@
   , mOperator(mLoop, mMetrics)
 {
   mQuota.setSlack(mSettings.quotaSlack);
-  mRetries.setLimits({ mSettings.retryRatio,
-                       mSettings.retryLeastExtra,
-                       mSettings.retryWindow });
+  mRetries.setLimits(
+    { mSettings.retryRatio, mSettings.retryLeastExtra, mSettings.retryWindow });
   mFleet.changed().connect([this] { fleetChanged(); });
   mOrders.changed().connect([this] {
     usePlaces();
@@ -286,10 +284,9 @@
   mHealth.forget(aName);
   mPrefixes.forget(aName);
   mUpstreams.remove(aName);
-  observe::logInfo("upstream",
-                   { { "upstream", aName },
-                     { "change", "gone" },
-                     { "reason", aReason } });
+  observe::logInfo(
+    "upstream",
+    { { "upstream", aName }, { "change", "gone" }, { "reason", aReason } });
 }
 
 void
@@ -358,10 +355,10 @@
     mWaiting.wake();
   }
   if (mOrders.active()) {
-    const bool waits = std::any_of(
-      status.demand.begin(), status.demand.end(), [](const auto& aItem) {
-        return aItem.second.waiting > 0;
-      });
+    const bool waits =
+      std::any_of(status.demand.begin(),
+                  status.demand.end(),
+                  [](const auto& aItem) { return aItem.second.waiting > 0; });
     if (waits) {
       mOrders.run(fleetDemand());
     }
@@ -444,7 +441,7 @@
   }
   for (const auto& [ref, rate] : mDemand.rates(base::monotonicNow())) {
     status.demand[ref.text()].workMsPerSecond =
-      static_cast<std::uint32_t>(rate + 0.5);
+      static_cast<std::uint32_t>(std::lround(rate));
   }
   for (const auto& [ref, count] : mWaiting.counts()) {
     status.demand[ref.text()].waiting = count;
@@ -554,8 +551,8 @@
       request->shutdown();
     }
   }
-  const bool done = mStopped && mCallers.openRequests() == 0 &&
-                    mCallers.connections() == 0;
+  const bool done =
+    mStopped && mCallers.openRequests() == 0 && mCallers.connections() == 0;
   if (done || base::monotonicNow() > *mPath.stopsAt + kFlushPeriod) {
     mLoop.stop();
   }
@@ -584,12 +581,11 @@
 {
   mOperator.onReady([this] { return ready(); });
   mOperator.onStatus([this] {
-    return json{ { "vm", mSettings.vm },
-                 { "ready", ready() },
-                 { "draining", mDraining },
-                 { "configuration", mCatalog.version() },
-                 { "fleet", mFleet.size() },
-                 { "owns_orders", mOrders.active() } };
+    return json{
+      { "vm", mSettings.vm },     { "ready", ready() },
+      { "draining", mDraining },  { "configuration", mCatalog.version() },
+      { "fleet", mFleet.size() }, { "owns_orders", mOrders.active() }
+    };
   });
   mOperator.addDump("upstreams", [this] {
     json rows = json::object();
@@ -612,14 +608,14 @@
     }
     return rows;
   });
-  mOperator.add("GET",
-                "/catalog",
-                [this](const http::Request&,
-                       const std::shared_ptr<http::Responder>& aResponder) {
-                  const auto& live = mCatalog.current();
-                  aResponder->reply(
-                    { live ? 200 : 404, {}, live ? live->text : "" });
-                });
+  mOperator.add(
+    "GET",
+    "/catalog",
+    [this](const http::Request&,
+           const std::shared_ptr<http::Responder>& aResponder) {
+      const auto& live = mCatalog.current();
+      aResponder->reply({ live ? 200 : 404, {}, live ? live->text : "" });
+    });
 }
 
 } // namespace marigold::gateway
--- a/apps/gateway/order_book.cpp
+++ b/apps/gateway/order_book.cpp
@@ -9,7 +9,8 @@
 
 using namespace std::chrono_literals;
 
-/** An order is answered within a round trip; later the answer counts as lost. */
+/** An order is answered within a round trip; later the answer counts as lost.
+ */
 constexpr base::Duration kOrderTimeout = 700ms;
 /** Pause after a conflict or a lost answer, in which a report catches up with
  * the engine. */
@@ -29,15 +30,13 @@
 
 } // namespace
 
-OrderBook::OrderBook(http::Loop& aLoop,
-                     http::Client& aClient,
+OrderBook::OrderBook(http::Client& aClient,
                      const Settings& aSettings,
                      Fleet& aFleet,
                      const CatalogHolder& aCatalog,
                      UpstreamTable& aUpstreams,
                      observe::Metrics& aMetrics)
-  : mLoop(aLoop)
-  , mClient(aClient)
+  : mClient(aClient)
   , mSettings(aSettings)
   , mFleet(aFleet)
   , mCatalog(aCatalog)
@@ -54,7 +53,8 @@
   mEngines.clear();
   // Loads of the owner before may fall into the same window.
   mStoreLoads.clear();
-  observe::logInfo("orders taken over", { { "fence", std::to_string(mFence) } });
+  observe::logInfo("orders taken over",
+                   { { "fence", std::to_string(mFence) } });
 }
 
 void
@@ -181,8 +181,7 @@
 void
 OrderBook::onReport(const base::UpstreamName& aName, const std::string& aBody)
 {
-  auto decoded =
-    base::capture([&] { return boundary::decodeReport(aBody); });
+  auto decoded = base::capture([&] { return boundary::decodeReport(aBody); });
   if (const base::Error* error = base::errorOf(decoded)) {
     observe::logWarn("engine report cannot be read",
                      { { "upstream", aName }, { "error", error->message } });
@@ -263,7 +262,8 @@
 }
 
 unsigned
-OrderBook::storeLoadsLeft(const catalog::EngineSpec& aSpec, base::TimePoint aNow)
+OrderBook::storeLoadsLeft(const catalog::EngineSpec& aSpec,
+                          base::TimePoint aNow)
 {
   if (aSpec.storeLoadsPerSecond <= 0) {
     return ~0U;
@@ -276,7 +276,8 @@
     aSpec.storeLoadsPerSecond * base::inSeconds(mSettings.loadWindow) -
     kSpareLoads;
   const auto used = static_cast<double>(mStoreLoads.size());
-  return used >= allowed ? 0 : static_cast<unsigned>(std::max(1.0, allowed - used));
+  return used >= allowed ? 0
+                         : static_cast<unsigned>(std::max(1.0, allowed - used));
 }
 
 void
--- a/apps/gateway/order_book.h
+++ b/apps/gateway/order_book.h
@@ -20,8 +20,7 @@
 class OrderBook
 {
 public:
-  OrderBook(http::Loop& aLoop,
-            http::Client& aClient,
+  OrderBook(http::Client& aClient,
             const Settings& aSettings,
             Fleet& aFleet,
             const CatalogHolder& aCatalog,
@@ -53,9 +52,9 @@
   {
     std::uint64_t startedAt = 0;
     base::Address address;
-    bool reported = false;    ///< a report was read since the takeover
-    bool calling = false;     ///< a report or an order is under way
-    bool unclear = false;     ///< the count may have changed unseen
+    bool reported = false; ///< a report was read since the takeover
+    bool calling = false;  ///< a report or an order is under way
+    bool unclear = false;  ///< the count may have changed unseen
     std::uint64_t orderCount = 0;
     std::map<base::ModelName, std::set<std::string>> adapters;
     /** Models of the last report, which may be newer than the record. */
@@ -83,9 +82,9 @@
   void give(const residency::Step& aStep);
   void onReply(const residency::Step& aStep, http::CallEnd aEnd, int aStatus);
   void applyDone(Engine& aEngine, const residency::Step& aStep);
-  unsigned storeLoadsLeft(const catalog::EngineSpec& aSpec, base::TimePoint aNow);
+  unsigned storeLoadsLeft(const catalog::EngineSpec& aSpec,
+                          base::TimePoint aNow);
 
-  http::Loop& mLoop;
   http::Client& mClient;
   const Settings& mSettings;
   Fleet& mFleet;
--- a/apps/gateway/peer_link.cpp
+++ b/apps/gateway/peer_link.cpp
@@ -48,10 +48,9 @@
 {
   mSocket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const sockaddr_in address = socketAddress(mSettings.peerAddress);
-  if (mSocket < 0 ||
-      bind(mSocket,
-           reinterpret_cast<const sockaddr*>(&address),
-           sizeof(address)) != 0) {
+  if (mSocket < 0 || bind(mSocket,
+                          reinterpret_cast<const sockaddr*>(&address),
+                          sizeof(address)) != 0) {
     return base::fail(base::Code::SettingsInvalid,
                       "cannot receive on " + mSettings.peerAddress.text());
   }
@@ -91,8 +90,9 @@
     if (size < 0) {
       return;
     }
-    auto status = base::capture(
-      [&] { return peers::decode({ buffer.data(), static_cast<std::size_t>(size) }); });
+    auto status = base::capture([&] {
+      return peers::decode({ buffer.data(), static_cast<std::size_t>(size) });
+    });
     if (const base::Error* error = base::errorOf(status)) {
       ++mMalformed;
       observe::logWarn("status of a peer cannot be read",
--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -77,7 +77,8 @@
   mClient.list(mPrefix, [this](const base::Captured<platform::Snapshot>& aOut) {
     if (const base::Error* error = base::errorOf(aOut)) {
       noteFailure(*error);
-      later(std::min(kLongestBackoff, kFirstBackoff * (1U << std::min(mFailures, 4U))),
+      later(std::min(kLongestBackoff,
+                     kFirstBackoff * (1U << std::min(mFailures, 4U))),
             &PrefixWatch::list);
       return;
     }
--- a/apps/gateway/request_log.cpp
+++ b/apps/gateway/request_log.cpp
@@ -97,10 +97,8 @@
   if (!take(0, aNow)) {
     return;
   }
-  observe::logInfo(aWhat,
-                   { { "id", aId },
-                     { "upstream", aUpstream },
-                     { "reason", aReason } });
+  observe::logInfo(
+    aWhat, { { "id", aId }, { "upstream", aUpstream }, { "reason", aReason } });
 }
 
 void
@@ -109,7 +107,8 @@
   if (mLeftOut == 0 || !take(0, aNow)) {
     return;
   }
-  observe::logInfo("log lines left out", { { "count", std::to_string(mLeftOut) } });
+  observe::logInfo("log lines left out",
+                   { { "count", std::to_string(mLeftOut) } });
   mLeftOut = 0;
 }
 
--- a/apps/gateway/settings.cpp
+++ b/apps/gateway/settings.cpp
@@ -42,8 +42,7 @@
   settings.retryLeastExtra =
     aRoot.require("retry_least_extra").number(0, kHighestExtra);
   settings.loadWindow = duration("load_window");
-  settings.quotaSlack =
-    aRoot.require("quota_slack").number(0, kHighestSlack);
+  settings.quotaSlack = aRoot.require("quota_slack").number(0, kHighestSlack);
   if (aRoot.has("log_level")) {
     settings.logLevel =
       aRoot.require("log_level").oneOf({ "debug", "info", "warn", "error" });
--- a/apps/gateway/settings.h
+++ b/apps/gateway/settings.h
@@ -14,21 +14,21 @@
   base::VmName vm;
   base::DataCentre dataCentre;
   std::map<base::DataCentre, std::string> regions; ///< region by data centre
-  base::Address listen;          ///< callers
-  base::Address ready;           ///< readiness probes
+  base::Address listen;                            ///< callers
+  base::Address ready;                             ///< readiness probes
   base::Address peerAddress;     ///< status messages of other VMs, over UDP
   base::Address operatorAddress; ///< metrics and dumps
   base::Address platform;
   std::string logLevel = "info";
-  base::Duration gracePeriod{};   ///< between the stop signal and the kill
-  base::Duration configLimit{};   ///< a configuration is in force after it
-  base::Duration orderPause{};    ///< between the orders of two owners
-  base::Duration returnPeriod{};  ///< records are back this long after an outage
+  base::Duration gracePeriod{};  ///< between the stop signal and the kill
+  base::Duration configLimit{};  ///< a configuration is in force after it
+  base::Duration orderPause{};   ///< between the orders of two owners
+  base::Duration returnPeriod{}; ///< records are back this long after an outage
   double retryRatio = 0;
   base::Duration retryWindow{};
   double retryLeastExtra = 0;
-  base::Duration loadWindow{};   ///< over which loads of weights are limited
-  double quotaSlack = 0; ///< units that the fleet may be late to count
+  base::Duration loadWindow{}; ///< over which loads of weights are limited
+  double quotaSlack = 0;       ///< units that the fleet may be late to count
 };
 
 /** @param aText YAML @param aFile name for messages
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -63,9 +63,9 @@
 
   /** @param aPlaces adapters by upstream, from the owner of orders
    * @param aRetiring models that are about to be unloaded, by upstream */
-  void setPlaces(const std::vector<peers::AdapterPlace>& aPlaces,
-                 const std::map<base::UpstreamName, std::vector<std::string>>&
-                   aRetiring);
+  void setPlaces(
+    const std::vector<peers::AdapterPlace>& aPlaces,
+    const std::map<base::UpstreamName, std::vector<std::string>>& aRetiring);
 
   /** The owner of orders is silent; the upstreams' own records count again. */
   void clearPlaces();
--- a/apps/gateway/waiting_room.h
+++ b/apps/gateway/waiting_room.h
@@ -31,7 +31,8 @@
 {
 public:
   /** @param aRef what is missing @param aWaiter who waits */
-  void enter(const catalog::ModelRef& aRef, const std::shared_ptr<Waiter>& aWaiter)
+  void enter(const catalog::ModelRef& aRef,
+             const std::shared_ptr<Waiter>& aWaiter)
   {
     mWaiters.emplace_back(aRef, aWaiter);
     if (mOnEnter) {
--- a/libs/catalog/route_table.cpp
+++ b/libs/catalog/route_table.cpp
@@ -10,9 +10,10 @@
 normalHost(std::string_view aHost)
 {
   std::string host(aHost.substr(0, aHost.find(':')));
-  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char aByte) {
-    return static_cast<char>(std::tolower(aByte));
-  });
+  std::transform(
+    host.begin(), host.end(), host.begin(), [](unsigned char aByte) {
+      return static_cast<char>(std::tolower(aByte));
+    });
   return host;
 }
 
--- a/libs/catalog/upstream.h
+++ b/libs/catalog/upstream.h
@@ -22,7 +22,7 @@
   unsigned slots = 1;
   bool leaving = false;
   std::optional<base::Duration> remaining; ///< until it is taken away
-  std::uint64_t startedAt = 0;  ///< tells its processes apart; 0: not said
+  std::uint64_t startedAt = 0; ///< tells its processes apart; 0: not said
   /** Resident models with their adapters. */
   std::map<base::ModelName, std::set<std::string>> models;
   std::set<base::ModelName> cachedInMemory;
--- a/libs/dispatch/choice.cpp
+++ b/libs/dispatch/choice.cpp
@@ -50,9 +50,9 @@
        std::uint64_t aTieBreak)
 {
   const bool anyHealthy =
-    std::any_of(aCandidates.begin(), aCandidates.end(), [](const Candidate& aOne) {
-      return !aOne.ejected;
-    });
+    std::any_of(aCandidates.begin(),
+                aCandidates.end(),
+                [](const Candidate& aOne) { return !aOne.ejected; });
   std::vector<std::pair<double, const Candidate*>> ranked;
   for (const Candidate& candidate : aCandidates) {
     if (anyHealthy && candidate.ejected) {
@@ -66,7 +66,8 @@
   }
   const double best =
     std::min_element(ranked.begin(), ranked.end())->first + kTieMs;
-  std::erase_if(ranked, [best](const auto& aItem) { return aItem.first > best; });
+  std::erase_if(ranked,
+                [best](const auto& aItem) { return aItem.first > best; });
   const Candidate* chosen = ranked[aTieBreak % ranked.size()].second;
   constexpr double kMsPerSecond = 1000;
   return Choice{ chosen->index,
--- a/libs/dispatch/choice.h
+++ b/libs/dispatch/choice.h
@@ -12,16 +12,16 @@
 /** What is known of an upstream at the moment of a choice. */
 struct Candidate
 {
-  std::size_t index = 0;      ///< of the caller's own table
+  std::size_t index = 0; ///< of the caller's own table
   unsigned slots = 1;
-  unsigned running = 0;       ///< requests of all VMs there
-  double queuedMs = 0;        ///< work before it that cannot be overtaken
-  double memoryTokens = 0;    ///< tokens of all requests there
-  double memoryLimit = 0;     ///< 0: the upstream has no such memory
-  double ownMs = 0;           ///< work of the request that is not cached there
-  double linkMs = 0;          ///< price and delay of the way there
-  double failureRate = 0;     ///< part of recent requests that failed
-  bool ejected = false;       ///< avoided while another candidate is left
+  unsigned running = 0;    ///< requests of all VMs there
+  double queuedMs = 0;     ///< work before it that cannot be overtaken
+  double memoryTokens = 0; ///< tokens of all requests there
+  double memoryLimit = 0;  ///< 0: the upstream has no such memory
+  double ownMs = 0;        ///< work of the request that is not cached there
+  double linkMs = 0;       ///< price and delay of the way there
+  double failureRate = 0;  ///< part of recent requests that failed
+  bool ejected = false;    ///< avoided while another candidate is left
 };
 
 /** What matters of the request itself. */
--- a/libs/dispatch/health.cpp
+++ b/libs/dispatch/health.cpp
@@ -20,8 +20,8 @@
 void
 Health::eject(State& aState, base::TimePoint aNow)
 {
-  const base::Duration pause =
-    std::min(kLongestEjection, kFirstEjection * (1U << std::min(aState.ejections, 4U)));
+  const base::Duration pause = std::min(
+    kLongestEjection, kFirstEjection * (1U << std::min(aState.ejections, 4U)));
   aState.ejectedUntil = aNow + pause;
   ++aState.ejections;
 }
--- a/libs/dispatch/prefix_memory.h
+++ b/libs/dispatch/prefix_memory.h
@@ -22,12 +22,16 @@
             const std::vector<catalog::PromptPart>& aPrompt);
 
   /** @return leading tokens of the prompt that the upstream probably keeps */
-  std::uint32_t cachedTokens(const base::UpstreamName& aUpstream,
-                             const std::string& aModel,
-                             const std::vector<catalog::PromptPart>& aPrompt) const;
+  std::uint32_t cachedTokens(
+    const base::UpstreamName& aUpstream,
+    const std::string& aModel,
+    const std::vector<catalog::PromptPart>& aPrompt) const;
 
   /** Drops what is known of an upstream that lost its memory. */
-  void forget(const base::UpstreamName& aUpstream) { mUpstreams.erase(aUpstream); }
+  void forget(const base::UpstreamName& aUpstream)
+  {
+    mUpstreams.erase(aUpstream);
+  }
 
 private:
   struct Memory
--- a/libs/dispatch/retry_budget.h
+++ b/libs/dispatch/retry_budget.h
@@ -12,8 +12,8 @@
 /** Limit over a sliding window for the whole fleet. */
 struct RetryLimits
 {
-  double ratio = 0.1;      ///< repeats per request
-  double leastExtra = 10;  ///< repeats that are always allowed, fleet-wide
+  double ratio = 0.1;     ///< repeats per request
+  double leastExtra = 10; ///< repeats that are always allowed, fleet-wide
   base::Duration window = std::chrono::seconds(10);
 };
 
--- a/libs/dispatch/work_model.cpp
+++ b/libs/dispatch/work_model.cpp
@@ -36,8 +36,8 @@
 {
   const double current = msPerToken(aModel);
   const double ownMs = current * std::max(1.0, aTokens);
-  const double takenMs = std::max(
-    1.0, static_cast<double>(base::inMilliseconds(aTaken)) - kFixedMs);
+  const double takenMs =
+    std::max(1.0, static_cast<double>(base::inMilliseconds(aTaken)) - kFixedMs);
   // The whole queue is scaled alike, because it is estimated the same way.
   const double scale = takenMs / (ownMs + aQueuedMs);
   const double observed =
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -26,7 +26,7 @@
 {
   json demand = json::object();
   for (const auto& [name, row] : aStatus.demand) {
-    demand[name] = 
+    demand[name] =
       json::array({ row.workMsPerSecond, row.waiting, row.running });
   }
   return demand;
@@ -101,9 +101,8 @@
     status.usage = content.at("usage").get<std::map<std::string, double>>();
     status.crashes =
       content.at("crashes").get<std::map<std::string, std::uint32_t>>();
-    status.retiring =
-      content.at("retiring")
-        .get<std::map<std::string, std::vector<std::string>>>();
+    status.retiring = content.at("retiring")
+                        .get<std::map<std::string, std::vector<std::string>>>();
     status.leaving =
       content.at("leaving").get<std::map<std::string, std::uint32_t>>();
     decodeTables(content, status);
--- a/libs/peers/peers.h
+++ b/libs/peers/peers.h
@@ -19,9 +19,9 @@
 /** Work that a VM has under way at one upstream. */
 struct UpstreamLoad
 {
-  std::uint32_t running = 0;     ///< requests sent and not ended
-  std::uint32_t queuedMs = 0;    ///< urgent prompt work before its first token
-  std::uint32_t patientMs = 0;   ///< the same for requests that can wait
+  std::uint32_t running = 0;      ///< requests sent and not ended
+  std::uint32_t queuedMs = 0;     ///< urgent prompt work before its first token
+  std::uint32_t patientMs = 0;    ///< the same for requests that can wait
   std::uint32_t memoryTokens = 0; ///< prompt and output tokens of its requests
 
   bool operator==(const UpstreamLoad&) const = default;
@@ -51,12 +51,12 @@
   std::uint64_t sequence = 0;
   std::uint64_t catalogVersion = 0;
   std::uint64_t fence = 0; ///< of the owner of orders; 0: not the owner
-  bool departing = false;   ///< admits nothing more
+  bool departing = false;  ///< admits nothing more
   std::map<base::TeamName, double> usage;
   std::vector<base::VmName> lapsed; ///< VMs whose registration ended
   std::map<base::UpstreamName, UpstreamLoad> loads;
   std::map<std::string, ModelDemand> demand; ///< by MODEL or MODEL/ADAPTER
-  std::vector<AdapterPlace> adapters; ///< from the owner of orders
+  std::vector<AdapterPlace> adapters;        ///< from the owner of orders
   /** Models that the owner of orders is about to unload, by upstream. */
   std::map<base::UpstreamName, std::vector<std::string>> retiring;
   std::map<std::string, std::uint32_t> crashes; ///< by request fingerprint
--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -187,7 +187,7 @@
 
 void
 Client::listFrom(const std::string& aPrefix,
-                 std::shared_ptr<Snapshot> aSoFar,
+                 const std::shared_ptr<Snapshot>& aSoFar,
                  Callback<Snapshot> aDone)
 {
   const std::string after =
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -129,7 +129,7 @@
             Finish aDone);
   void lose(base::Duration aTimeout, bool aIsWrite, Finish aDone);
   void listFrom(const std::string& aPrefix,
-                std::shared_ptr<Snapshot> aSoFar,
+                const std::shared_ptr<Snapshot>& aSoFar,
                 Callback<Snapshot> aDone);
 
   http::Loop& mLoop;
--- a/libs/platform/product_form.cpp
+++ b/libs/platform/product_form.cpp
@@ -25,8 +25,7 @@
 http::Request
 listRequest(const std::string& aPrefix, const std::string& /*aAfterKey*/)
 {
-  return makeRequest(
-    "GET", "/v1/kv", "prefix=" + http::percentEncode(aPrefix));
+  return makeRequest("GET", "/v1/kv", "prefix=" + http::percentEncode(aPrefix));
 }
 
 http::Request
@@ -133,12 +132,11 @@
   }
 }
 
-constexpr WireForm kProductForm{
-  &readRequest,  &listRequest,   &watchRequest, &writeRequest,
-  &removeRequest, &grantRequest, &renewRequest, &revokeRequest,
-  &readEntry,    &readSnapshot,  &readSnapshot, &readRevision,
-  &readLease,    &statusError
-};
+constexpr WireForm kProductForm{ &readRequest,  &listRequest,   &watchRequest,
+                                 &writeRequest, &removeRequest, &grantRequest,
+                                 &renewRequest, &revokeRequest, &readEntry,
+                                 &readSnapshot, &readSnapshot,  &readRevision,
+                                 &readLease,    &statusError };
 
 } // namespace
 
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -144,9 +144,9 @@
   for (auto& [team, bucket] : mBuckets) {
     // Every side of a partition keeps its share of the burst only, or each
     // could spend all of it.
-    bucket.level = std::min(
-      bucket.limit.burst * share,
-      bucket.level + bucket.limit.rate * share * base::inSeconds(passed));
+    bucket.level = std::min(bucket.limit.burst * share,
+                            bucket.level + bucket.limit.rate * share *
+                                             base::inSeconds(passed));
   }
   if (paused) {
     for (auto& [name, peer] : mPeers) {
@@ -188,8 +188,9 @@
   const double reserve =
     std::max(0.0, bucket.peerRate * base::inSeconds(kReportLag) - mSlack);
   const bool wholeBurst = aCost >= bucket.limit.burst;
-  const double needed =
-    wholeBurst ? bucket.limit.burst : std::min(aCost + reserve, bucket.limit.burst);
+  const double needed = wholeBurst
+                          ? bucket.limit.burst
+                          : std::min(aCost + reserve, bucket.limit.burst);
   if (bucket.level < needed) {
     const double missing = needed - bucket.level;
     const auto wait = base::fromSeconds(missing / bucket.limit.rate);
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -72,7 +72,9 @@
    * @param aTeam team @param aCost units @param aNow time
    * @return whether the units were taken
    */
-  Decision admit(const base::TeamName& aTeam, double aCost, base::TimePoint aNow);
+  Decision admit(const base::TeamName& aTeam,
+                 double aCost,
+                 base::TimePoint aNow);
 
   /** Gives units back that were admitted for a request that did not run. */
   void refund(const base::TeamName& aTeam, double aCost);
--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -30,8 +30,7 @@
 holds(const Engine& aEngine, const ModelRef& aRef)
 {
   const auto model = aEngine.models.find(aRef.model);
-  return model != aEngine.models.end() &&
-         model->second.contains(aRef.adapter);
+  return model != aEngine.models.end() && model->second.contains(aRef.adapter);
 }
 
 /** Plans the adapters of one service. */
@@ -51,8 +50,8 @@
       }
       const std::size_t places = placesOf(ref);
       const bool missing = places == 0 && demand.waiting > 0;
-      const bool hot = places == 1 &&
-                       demand.workMsPerSecond > kHotAdapterMsPerSecond;
+      const bool hot =
+        places == 1 && demand.workMsPerSecond > kHotAdapterMsPerSecond;
       if (missing || hot) {
         place(ref, missing ? "requests wait" : "hot");
       }
@@ -106,8 +105,7 @@
   bool inUse(const ModelRef& aRef) const
   {
     const auto found = mView.situation().demand.find(aRef);
-    return found != mView.situation().demand.end() &&
-           found->second.running > 0;
+    return found != mView.situation().demand.end() && found->second.running > 0;
   }
 
   void place(const ModelRef& aRef, const char* aReason)
@@ -140,11 +138,8 @@
       return;
     }
     mUsed.insert(best->name);
-    mSteps.push_back({ best->name,
-                       !bestVictim,
-                       bestVictim.value_or(aRef),
-                       false,
-                       aReason });
+    mSteps.push_back(
+      { best->name, !bestVictim, bestVictim.value_or(aRef), false, aReason });
   }
 
   FleetView mView;
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * Public header of the residency library: which models and adapters the engines
- * of a service should hold under the demand of the moment, as the next orders to
- * give. No sockets, no clocks.
+ * of a service should hold under the demand of the moment, as the next orders
+ * to give. No sockets, no clocks.
  */
 #pragma once
 
--- a/libs/wire/caller.cpp
+++ b/libs/wire/caller.cpp
@@ -38,9 +38,9 @@
             aServer.mLimits.headerBytes,
             { [this] { return acceptHead(); },
               [this](std::string_view aBytes) {
-                mBodyTooLarge = mBodyTooLarge ||
-                                mRequest.body.size() + aBytes.size() >
-                                  mServer.mLimits.bodyBytes;
+                mBodyTooLarge =
+                  mBodyTooLarge || mRequest.body.size() + aBytes.size() >
+                                     mServer.mLimits.bodyBytes;
                 if (!mBodyTooLarge) {
                   mRequest.body.append(aBytes);
                 }
@@ -110,8 +110,8 @@
   }
   if (!hadHead && mParser.headSeen()) {
     armTimer(mServer.mLimits.idleTimeout);
-    if (http::equalIgnoringCase(
-          http::findHeader(mParser.headers(), "Expect"), "100-continue") &&
+    if (http::equalIgnoringCase(http::findHeader(mParser.headers(), "Expect"),
+                                "100-continue") &&
         !mParser.completed()) {
       mTransport.write("HTTP/1.1 100 Continue\r\n\r\n");
     }
@@ -176,7 +176,8 @@
 Caller::writeHead(int aStatus, const http::Headers& aHeaders, bool aFramed)
 {
   mAnswerStarted = true;
-  mCloseAfter = mCloseAfter || !mRequest.keepAlive || mServer.mCloseAfterAnswers;
+  mCloseAfter =
+    mCloseAfter || !mRequest.keepAlive || mServer.mCloseAfterAnswers;
   std::string head = "HTTP/1.1 " + std::to_string(aStatus) + " ";
   head += reasonPhrase(aStatus);
   head += "\r\n";
@@ -196,7 +197,9 @@
 }
 
 void
-Caller::answer(int aStatus, const http::Headers& aHeaders, std::string_view aBody)
+Caller::answer(int aStatus,
+               const http::Headers& aHeaders,
+               std::string_view aBody)
 {
   if (!mBusy || mAnswerStarted) {
     return;
@@ -352,9 +355,11 @@
   inet_pton(AF_INET, aAddress.host.c_str(), &address.sin_addr);
   mListener = evconnlistener_new_bind(
     mLoop.native(),
-    [](evconnlistener*, evutil_socket_t aDescriptor, sockaddr*, int, void* aSelf) {
-      static_cast<CallerServer*>(aSelf)->accept(aDescriptor);
-    },
+    [](evconnlistener*,
+       evutil_socket_t aDescriptor,
+       sockaddr*,
+       int,
+       void* aSelf) { static_cast<CallerServer*>(aSelf)->accept(aDescriptor); },
     this,
     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
     kBacklog,
--- a/libs/wire/caller.h
+++ b/libs/wire/caller.h
@@ -40,7 +40,9 @@
   base::TimePoint received() const { return mReceived; }
 
   /** Sends a complete answer. */
-  void answer(int aStatus, const http::Headers& aHeaders, std::string_view aBody);
+  void answer(int aStatus,
+              const http::Headers& aHeaders,
+              std::string_view aBody);
 
   /** Starts an answer of unknown length. */
   void startStream(int aStatus, const http::Headers& aHeaders);
--- a/libs/wire/event_stream.cpp
+++ b/libs/wire/event_stream.cpp
@@ -40,7 +40,8 @@
       line.remove_prefix(1);
     }
     std::uint64_t id = 0;
-    const auto read = std::from_chars(line.data(), line.data() + line.size(), id);
+    const auto read =
+      std::from_chars(line.data(), line.data() + line.size(), id);
     if (read.ec == std::errc{}) {
       return id;
     }
--- a/libs/wire/message.cpp
+++ b/libs/wire/message.cpp
@@ -8,10 +8,17 @@
 namespace {
 
 constexpr std::array<std::string_view, 11> kConnectionHeaders{
-  "connection",        "keep-alive",          "proxy-connection",
-  "proxy-authenticate", "proxy-authorization", "te",
-  "trailer",           "transfer-encoding",   "upgrade",
-  "content-length",    "expect"
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "content-length",
+  "expect"
 };
 
 /** @return the comma-separated names in all Connection headers */
--- a/libs/wire/pool.cpp
+++ b/libs/wire/pool.cpp
@@ -87,7 +87,8 @@
 }
 
 void
-Pool::keep(const PeerKey& aPeer, std::unique_ptr<UpstreamConnection> aConnection)
+Pool::keep(const PeerKey& aPeer,
+           std::unique_ptr<UpstreamConnection> aConnection)
 {
   const base::Duration limit =
     aConnection->idleLimit().value_or(kDefaultIdle) - kIdleMargin;
@@ -98,8 +99,7 @@
   const UpstreamConnection* raw = aConnection.get();
   const auto end = [this, aPeer, raw] { drop(aPeer, raw); };
   aConnection->idle(end);
-  mIdle[aPeer].push_back(
-    { std::move(aConnection), mLoop.after(limit, end) });
+  mIdle[aPeer].push_back({ std::move(aConnection), mLoop.after(limit, end) });
 }
 
 void
@@ -129,8 +129,8 @@
 {
   // Freed later, because one of its callbacks may be running.
   aConnection->idle({});
-  mLoop.post([held = std::shared_ptr<UpstreamConnection>(
-                std::move(aConnection))] {});
+  mLoop.post(
+    [held = std::shared_ptr<UpstreamConnection>(std::move(aConnection))] {});
 }
 
 } // namespace marigold::wire
--- a/libs/wire/transport.cpp
+++ b/libs/wire/transport.cpp
@@ -46,10 +46,10 @@
 }
 
 Transport::Transport(http::Loop& aLoop, int aDescriptor)
-  : mNative(bufferevent_socket_new(aLoop.native(),
-                                   aDescriptor,
-                                   BEV_OPT_CLOSE_ON_FREE |
-                                     BEV_OPT_DEFER_CALLBACKS))
+  : mNative(
+      bufferevent_socket_new(aLoop.native(),
+                             aDescriptor,
+                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
 {
   setSocketOptions(aDescriptor);
   configure();
@@ -62,10 +62,10 @@
   if (descriptor >= 0) {
     setSocketOptions(descriptor);
   }
-  mNative.reset(bufferevent_socket_new(aLoop.native(),
-                                       descriptor,
-                                       BEV_OPT_CLOSE_ON_FREE |
-                                         BEV_OPT_DEFER_CALLBACKS));
+  mNative.reset(
+    bufferevent_socket_new(aLoop.native(),
+                           descriptor,
+                           BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
   configure();
   sockaddr_in peer{};
   peer.sin_family = AF_INET;
--- a/libs/wire/upstream.h
+++ b/libs/wire/upstream.h
@@ -27,8 +27,8 @@
 struct OutgoingCall
 {
   std::string bytes;
-  std::string idHeader; ///< header in which an upstream echoes the id
-  std::string id;       ///< answers with another id belong to other requests
+  std::string idHeader;  ///< header in which an upstream echoes the id
+  std::string id;        ///< answers with another id belong to other requests
   bool skipBody = false; ///< true for HEAD
 };
 
--- /dev/null
+++ b/tests/e2e/test_gateway.py
@@ -0,0 +1,262 @@
+"""The gateway process against the stand-in of the users' platform."""
+
+import http.client
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import unittest
+
+from users_platform import HOST, ROUTES, Platform, Upstream
+
+BIN = os.environ.get("MARIGOLD_BIN", os.path.join(os.path.dirname(__file__), "../../build/bin"))
+BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
+ORDER_PAUSE = 3.0
+
+
+class Gateway:
+    def __init__(self, number, folder, store_port):
+        self.port = BASE_PORT + 10 * number
+        self.name = f"vm{number}"
+        settings = os.path.join(folder, self.name + ".yaml")
+        with open(settings, "w") as file:
+            file.write(f"""vm: {self.name}
+data_centre: dc-a
+data_centres: [{{name: dc-a, region: r}}]
+listen: {HOST}:{self.port}
+ready: {HOST}:{self.port + 1}
+peer_address: {HOST}:{self.port + 2}
+operator: {HOST}:{self.port + 3}
+platform: {HOST}:{store_port}
+grace_period: 8s
+config_limit: 2500ms
+order_pause: {int(ORDER_PAUSE * 1000)}ms
+record_return: 2500ms
+retry_ratio: 0.2
+retry_window: 10s
+retry_least_extra: 52
+load_window: 5s
+quota_slack: 1000
+""")
+        self.log_path = os.path.join(folder, self.name + ".log")
+        with open(self.log_path, "w") as log:
+            self.child = subprocess.Popen([os.path.join(BIN, "marigold-gateway"), "--settings", settings],
+                                          stdout=log, stderr=log)
+
+    def stop(self):
+        if self.child.poll() is None:
+            self.child.kill()
+        self.child.wait()
+
+    def ready(self):
+        try:
+            connection = http.client.HTTPConnection(HOST, self.port + 1, timeout=2)
+            connection.request("GET", "/-/readyz")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+
+    def call(self, path, method="POST", key="k1", headers=None, body=b"x", timeout=6):
+        connection = http.client.HTTPConnection(HOST, self.port, timeout=timeout)
+        sent = {"Host": "h.example", "X-Request-Id": os.urandom(8).hex(), "X-Deadline-Ms": "3000"}
+        if key:
+            sent["Authorization"] = "Bearer " + key
+        sent.update(headers or {})
+        connection.request(method, path, body, sent)
+        answer = connection.getresponse()
+        return answer.status, answer.read().decode(), answer.headers
+
+
+def wait_for(condition, seconds=10):
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise AssertionError("the condition did not become true in time")
+
+
+class GatewayTest(unittest.TestCase):
+    CHAT = {"X-Model-Name": "m1", "X-Token-Usage": "100,20", "X-Prompt-Prefix": "a:50,b:50"}
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.platform = Platform()
+        self.store_ports = [BASE_PORT + 90, BASE_PORT + 91]
+        for port in self.store_ports:
+            self.platform.serve_store(port)
+        self.desks = [Upstream(f"desk{n}", BASE_PORT + 60 + n, "desk") for n in (0, 1)]
+        self.engines = [Upstream(f"engine{n}", BASE_PORT + 70 + n, "llm", ["m1"]) for n in (0, 1)]
+        self.platform.publish(1, ["k1", "k2"], ROUTES)
+        for upstream in self.desks + self.engines:
+            self.platform.serve_upstream(upstream)
+        self.gateways = []
+        self.start()
+
+    def tearDown(self):
+        for gateway in self.gateways:
+            gateway.stop()
+        self.platform.close()
+        self.folder.cleanup()
+
+    def start(self):
+        number = len(self.gateways)
+        self.gateways.append(Gateway(number, self.folder.name, self.store_ports[number]))
+        wait_for(self.gateways[-1].ready)
+
+    def runs(self):
+        return sum(len(upstream.seen) for upstream in self.desks + self.engines)
+
+    def test_passes_requests_with_the_team_and_without_the_key(self):
+        status, body, headers = self.gateways[0].call("/again/x?q=1", headers={"X-Tenant-Name": "other"})
+        self.assertEqual(200, status)
+        self.assertTrue(body.startswith("done by desk"))
+        self.assertEqual("sig", headers["X-Server-Signature"])
+        seen = [h for desk in self.desks for h in desk.seen][0]
+        self.assertEqual("team", seen["x-tenant-name"])
+        self.assertNotIn("authorization", seen)
+        self.assertLessEqual(int(seen["x-deadline-ms"]), 3000)
+
+    def test_refuses_unknown_keys_and_routes(self):
+        self.assertEqual(401, self.gateways[0].call("/again/x", key="wrong")[0])
+        self.assertEqual(401, self.gateways[0].call("/again/x", key=None)[0])
+        self.assertEqual(404, self.gateways[0].call("/none/x")[0])
+        self.assertEqual(0, self.runs())
+
+    def test_once_runs_at_most_once_when_the_answer_is_lost(self):
+        for desk in self.desks:
+            desk.drop_requests = True
+        status, _, headers = self.gateways[0].call("/once/x")
+        self.assertEqual(502, status)
+        self.assertEqual("unknown", headers["Marigold-Outcome"])
+        self.assertEqual(1, self.runs())
+
+    def test_idempotent_request_is_tried_elsewhere_when_an_answer_is_lost(self):
+        self.desks[0].drop_requests = True
+        for _ in range(6):
+            self.assertEqual(200, self.gateways[0].call("/again/x", method="GET", body=None)[0])
+
+    def test_stream_is_resumed_without_a_gap_or_a_repeat(self):
+        self.engines[0].break_after = 4
+        for number in range(16):
+            prompt = {"X-Prompt-Prefix": f"{number:x}:100"}
+            status, body, _ = self.gateways[0].call("/chat/x", headers={**self.CHAT, **prompt})
+            self.assertEqual(200, status)
+            ids = [int(line[4:]) for line in body.splitlines() if line.startswith("id: ")]
+            self.assertEqual(list(range(1, 11)), ids)
+        self.assertTrue(any("last-event-id" in h for h in self.engines[1].seen))
+
+    def test_broken_stream_that_cannot_be_resumed_looks_incomplete(self):
+        for engine in self.engines:
+            engine.break_after = 4
+        with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
+            self.gateways[0].call("/single/x", headers=self.CHAT)
+        self.assertEqual(1, self.runs())
+
+    def test_withdrawn_key_stops_working(self):
+        self.assertEqual(200, self.gateways[0].call("/again/x")[0])
+        self.platform.publish(3, ["k2"], ROUTES)
+        wait_for(lambda: self.gateways[0].call("/again/x")[0] == 401, 2.5)
+        self.assertEqual(200, self.gateways[0].call("/again/x", key="k2")[0])
+        self.platform.publish(2, ["k1", "k2"], ROUTES)  # an older version must not come back
+        time.sleep(0.3)
+        self.assertEqual(401, self.gateways[0].call("/again/x")[0])
+
+    def test_leaving_upstream_gets_no_new_requests(self):
+        leaving = self.desks[0]
+        self.platform.change(self.platform.store.put, "servers/" + leaving.name, leaving.record("draining"))
+        time.sleep(1)
+        before = len(leaving.seen)
+        for _ in range(8):
+            self.assertEqual(200, self.gateways[0].call("/again/x")[0])
+        self.assertEqual(before, len(leaving.seen))
+
+    def test_malformed_records_change_nothing(self):
+        self.platform.change(self.platform.store.put, "servers/" + self.desks[0].name, b"\xff not json")
+        self.platform.change(self.platform.store.put, "servers/ghost", b'{"service":"desk"}')
+        self.platform.change(self.platform.store.put, "op/config", b"{")
+        time.sleep(0.5)
+        for _ in range(4):
+            self.assertEqual(200, self.gateways[0].call("/again/x")[0])
+
+    def test_missing_adapter_is_loaded_while_its_request_waits(self):
+        wait_for(lambda: any(e.order_log for e in self.engines), 12)  # the owner orders the absent model m2
+        status, body, _ = self.gateways[0].call("/chat/x", headers={**self.CHAT, "X-Model-Name": "m1/a1"})
+        self.assertEqual(200, status)
+        self.assertIn("id: 10", body)
+
+    def test_two_owners_never_order_within_the_pause(self):
+        """An owner that was cut off kept its ownership under a new lease."""
+        self.start()
+        wait_for(lambda: any(e.order_log for e in self.engines), 12)
+        owner = [e.order_log[0][1] for e in self.engines if e.order_log][0]
+        number = int(owner[2:])
+        self.platform.store.cut_ports.add(self.store_ports[number])
+        other = self.gateways[1 - number]
+        until = time.monotonic() + 9
+        adapter = 0
+        while time.monotonic() < until:
+            adapter = adapter % 2 + 1
+            for gateway in self.gateways:
+                try:
+                    gateway.call("/chat/x", headers={**self.CHAT, "X-Model-Name": f"m1/a{adapter}"}, timeout=1)
+                except OSError:
+                    pass  # Waiting for an adapter; only the orders count here.
+            if time.monotonic() > until - 3:
+                self.platform.store.cut_ports.clear()
+        self.assertTrue(other.ready())
+        for engine in self.engines:
+            log = engine.order_log
+            for (at, vm, fence, *_), (later, next_vm, next_fence, *_) in zip(log, log[1:]):
+                self.assertGreaterEqual(next_fence, fence)
+                if vm != next_vm:
+                    self.assertGreater(next_fence, fence)
+                    self.assertGreaterEqual(later - at, ORDER_PAUSE)
+
+    def test_planned_stop_answers_open_requests(self):
+        for desk in self.desks:
+            desk.delay = 1.0
+        gateway = self.gateways[0]
+        caller = socket.create_connection((HOST, gateway.port))
+        caller.sendall(b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+                       b"X-Request-Id: r\r\nX-Deadline-Ms: 3000\r\nContent-Length: 1\r\n\r\nx")
+        time.sleep(0.3)
+        gateway.child.send_signal(signal.SIGTERM)
+        wait_for(lambda: not gateway.ready(), 1)
+        caller.settimeout(5)
+        received = b""
+        while chunk := caller.recv(4096):
+            received += chunk
+        self.assertTrue(received.startswith(b"HTTP/1.1 200"))
+        self.assertEqual(0, gateway.child.wait(timeout=9))
+
+    def test_request_that_waits_for_a_model_is_refused_before_a_planned_stop(self):
+        """Its connection was closed without an answer at the end of the grace period."""
+        gateway = self.gateways[0]
+        self.platform.store.cut_ports.add(self.store_ports[0])  # nobody orders the model
+        caller = socket.create_connection((HOST, gateway.port))
+        caller.sendall(b"POST /single/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+                       b"X-Request-Id: r\r\nX-Model-Name: m2\r\nX-Token-Usage: 10,10\r\n"
+                       b"Content-Length: 1\r\n\r\nx")
+        time.sleep(0.2)
+        gateway.child.send_signal(signal.SIGTERM)
+        caller.settimeout(9)
+        self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 503"))
+
+    def test_clear_answers_to_malformed_requests(self):
+        for raw, status in ((b"POST /again/x HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", b"400"),
+                            (b"GET /again/x HTTP/1.1\r\nX: " + b"y" * 20000 + b"\r\n\r\n", b"431"),
+                            (b"POST /again/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 200000\r\n\r\n"
+                             + b"z" * 150000, b"413"),
+                            (b"GET /again/x HT", b"408")):
+            caller = socket.create_connection((HOST, self.gateways[0].port))
+            caller.sendall(raw)
+            caller.settimeout(4)
+            self.assertEqual(status, caller.recv(4096).split(b" ")[1])
+            caller.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/e2e/users_platform.py
@@ -0,0 +1,294 @@
+"""Stand-in of the users' platform: key-value store, engines and plain services.
+
+It speaks what the boundary in platform/ speaks, on loopback, in one thread of the
+test. Faults are attributes that a test sets while requests run.
+"""
+
+import asyncio
+import base64
+import json
+import threading
+import time
+import urllib.parse
+
+HOST = "127.0.0.1"
+
+
+async def read_request(reader):
+    """Returns (method, path, query, headers, body), or None at the end."""
+    line = await reader.readline()
+    if not line:
+        return None
+    method, target, _ = line.decode().split(" ", 2)
+    headers = {}
+    while True:
+        row = (await reader.readline()).decode().strip()
+        if not row:
+            break
+        name, value = row.split(":", 1)
+        headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    path, _, query = target.partition("?")
+    return method, path, dict(urllib.parse.parse_qsl(query)), headers, body
+
+
+def answer_bytes(status, headers, body):
+    lines = [f"HTTP/1.1 {status} X"] + [f"{k}: {v}" for k, v in headers.items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Store:
+    """Key-value store with revisions, leases and watches; one port for each VM,
+    so that a test can cut off a single one."""
+
+    def __init__(self):
+        self.items = {}
+        self.history = []
+        self.revision = 1
+        self.leases = {}
+        self.next_lease = 100
+        self.cut_ports = set()
+        self.calls = 0
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        made = self.items[key]["created_revision"] if key in self.items else self.revision
+        item = {"key": key, "value": base64.b64encode(value).decode(), "revision": self.revision,
+                "created_revision": made, "lease_id": lease}
+        self.items[key] = item
+        self.history.append(item)
+
+    def remove(self, key):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.history.append({"key": key, "revision": self.revision, "compacted": True})
+
+    def expire(self):
+        now = time.monotonic()
+        for lease, (until, _) in list(self.leases.items()):
+            if now > until:
+                self.end_lease(lease)
+
+    def end_lease(self, lease):
+        del self.leases[lease]
+        for key in [k for k, item in self.items.items() if item["lease_id"] == lease]:
+            self.remove(key)
+
+    async def handle(self, port, method, path, query, body):
+        """Returns (status, JSON)."""
+        self.calls += 1
+        self.expire()
+        if path == "/-/kv-range":
+            rows = [item for key, item in sorted(self.items.items()) if key.startswith(query["prefix"])]
+            return 200, {"items": rows, "has_more": False, "at": self.revision}
+        if path == "/-/kv-watch":
+            return await self.watch(port, query)
+        if path == "/-/kv-txn":
+            return self.transact(json.loads(body))
+        if path == "/-/kv-lease":
+            ttl = json.loads(body)["ttl_ms"]
+            self.next_lease += 1
+            self.leases[self.next_lease] = (time.monotonic() + ttl / 1000, ttl)
+            return 200, {"lease_id": self.next_lease, "ttl_ms": ttl}
+        lease = int(path.rsplit("/", 1)[1]) if path.rsplit("/", 1)[1].isdigit() else 0
+        if lease not in self.leases:
+            return 404, {}
+        if method == "DELETE":
+            self.end_lease(lease)
+            return 200, {}
+        ttl = self.leases[lease][1]
+        self.leases[lease] = (time.monotonic() + ttl / 1000, ttl)
+        return 200, {"ttl_ms": ttl}
+
+    async def watch(self, port, query):
+        until = time.monotonic() + int(query["wait_ms"]) / 1000
+        after = int(query["after"])
+        while True:
+            self.expire()
+            events = [e for e in self.history if e["revision"] > after and e["key"].startswith(query["prefix"])]
+            if events or time.monotonic() > until or port in self.cut_ports:
+                return 200, {"events": events, "at": self.revision}
+            await asyncio.sleep(0.01)
+
+    def transact(self, call):
+        for row in call["expected"]:
+            current = self.items.get(row["key"], {"revision": 0})["revision"]
+            if current != row["revision"]:
+                return 412, {"items": []}
+        for row in call["write"]:
+            lease = row.get("lease_id", 0)
+            if lease and lease not in self.leases:
+                return 404, {}
+        for row in call["write"]:
+            self.put(row["key"], base64.b64decode(row["value"]), row.get("lease_id", 0))
+        for key in call["remove"]:
+            self.remove(key)
+        return 200, {"revision": self.revision}
+
+
+class Upstream:
+    """An engine or a plain service; a test reads what reached it."""
+
+    def __init__(self, name, port, service, models=None):
+        self.name, self.port, self.service = name, port, service
+        self.models = {m: set() for m in models or []}
+        self.orders = 0
+        self.order_log = []  # (time, owner, fence, operation, model, adapter)
+        self.seen = []       # headers of requests that ran
+        self.break_after = None  # breaks a stream off inside an event after that many
+        self.drop_requests = False  # runs a request and closes without an answer
+        self.delay = 0.01
+
+    def record(self, state="ready"):
+        models = [{"name": m, "version": 1, "adapters": sorted(a)} for m, a in self.models.items()]
+        return json.dumps({"service": self.service, "address": f"{HOST}:{self.port}", "zone": "dc-a",
+                           "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
+                           "phase": "unified", "sequence": 1, "born": 1700000000000,
+                           "models": models}).encode()
+
+    async def handle(self, method, path, headers, body, writer):
+        signature = {"X-Request-Id": headers.get("x-request-id", ""), "X-Server-Signature": "sig",
+                     "X-Replica-Id": self.name}
+        if path == "/-/report":
+            report = json.loads(self.record())
+            report.update({"busy": False, "sequence": self.orders})
+            writer.write(answer_bytes(200, {}, json.dumps(report).encode()))
+            return True
+        if path == "/-/order":
+            writer.write(answer_bytes(self.order(json.loads(body)), {}, b""))
+            return True
+        if headers.get("x-expected-replica") not in (None, self.name):
+            writer.write(answer_bytes(421, signature, b""))
+            return True
+        model, _, adapter = headers.get("x-model-name", "").partition("/")
+        if model and (model not in self.models or (adapter and adapter not in self.models[model])):
+            writer.write(answer_bytes(421, signature, b""))
+            return True
+        self.seen.append(headers)
+        await asyncio.sleep(self.delay)
+        if self.drop_requests:
+            return False
+        if model:
+            return await self.stream(headers, signature, writer)
+        writer.write(answer_bytes(200, signature, b"done by " + self.name.encode()))
+        return True
+
+    def order(self, order):
+        self.order_log.append((time.monotonic(), order["holder"], order["fencing_token"],
+                               order["operation"], order["model"], order.get("adapter")))
+        if order.get("expected", self.orders) != self.orders:
+            return 409
+        self.orders += 1
+        if order.get("adapter"):
+            held = self.models.setdefault(order["model"], set())
+            (held.add if order["operation"] == "loading" else held.discard)(order["adapter"])
+        elif order["operation"] == "loading":
+            self.models[order["model"]] = set()
+        else:
+            self.models.pop(order["model"], None)
+        return 202
+
+    async def stream(self, headers, signature, writer):
+        head = {**signature, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in head.items()) + "\r\n").encode())
+        first = int(headers.get("last-event-id", 0)) + 1
+        for number in range(first, 11):
+            event = f"id: {number}\ndata: token{number}\n\n".encode()
+            if self.break_after is not None and number > self.break_after:
+                event = event[:7]
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            if self.break_after is not None and number > self.break_after:
+                return False
+            await asyncio.sleep(0.01)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+class Platform:
+    """Runs the store and the upstreams on a thread with its own event loop."""
+
+    def __init__(self):
+        self.store = Store()
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        self.servers = []
+
+    def close(self):
+        async def end():
+            for server in self.servers:
+                server.close()
+            tasks = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        self.run(end())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+    def run(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
+
+    def change(self, function, *arguments):
+        async def call():
+            return function(*arguments)
+        return self.run(call())
+
+    def serve_store(self, port):
+        async def connection(reader, writer):
+            try:
+                while request := await read_request(reader):
+                    if port in self.store.cut_ports:
+                        break
+                    method, path, query, _, body = request
+                    status, content = await self.store.handle(port, method, path, query, body)
+                    if port in self.store.cut_ports:
+                        break
+                    writer.write(answer_bytes(status, {}, json.dumps(content).encode()))
+            except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                pass  # The peer closed while a request was read, or the test ends.
+            writer.close()
+        self.servers.append(self.run(asyncio.start_server(connection, HOST, port)))
+
+    def serve_upstream(self, upstream):
+        async def connection(reader, writer):
+            try:
+                while request := await read_request(reader):
+                    method, path, _, headers, body = request
+                    if not await upstream.handle(method, path, headers, body, writer):
+                        break
+                    await writer.drain()
+            except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                pass  # The peer closed while a request was read, or the test ends.
+            writer.close()
+        self.servers.append(self.run(asyncio.start_server(connection, HOST, upstream.port)))
+        self.change(self.store.put, "servers/" + upstream.name, upstream.record())
+
+    def publish(self, version, keys, routes):
+        models = [{"name": m, "weights_mb": 100, "load_time_s": 1, "adapters": 2, "adapter_size_mb": 1,
+                   "warmup_s": 1, "disk_load_s": 1} for m in ("m1", "m2")]
+        config = {"version": version, "routes": routes,
+                  "services": [{"name": "llm", "health_path": "/h", "max_connections": 100,
+                                "runtime": {"slots": 8, "kv_capacity": 100000, "weights_mb": 1000,
+                                            "adapter_slots": 4, "loads_per_s": 5, "models": models}},
+                               {"name": "desk", "health_path": "/h", "max_connections": 100}],
+                  "limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
+                             "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
+                  "tenants": [{"name": "team", "api_keys": keys, "priority": 1, "unit": "generation",
+                               "uncached_tokens": 10, "rate_per_s": 100000, "burst": 100000}]}
+        self.change(self.store.put, "op/config", json.dumps(config).encode())
+
+
+def route(name, prefix, kind, service, attempts=2, resumable=False):
+    return {"name": name, "host": "h.example", "prefix": prefix, "type": kind, "timeout_ms": 4000,
+            "target_latency_ms": 1000, "target_gap_ms": 400, "priority": 1, "service": service,
+            "attempts": attempts, "public": False, "sticky": False, "resumable": resumable}
+
+
+ROUTES = [route("once", "/once/", "non_idempotent", "desk", attempts=1),
+          route("again", "/again/", "idempotent", "desk"),
+          route("chat", "/chat/", "streaming", "llm", resumable=True),
+          route("single", "/single/", "streaming", "llm", attempts=1)]
