--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -19,6 +19,8 @@
 constexpr base::Duration kUpstreamPause = 250ms;
 constexpr base::Duration kCatalogPause = 20ms;
 constexpr base::Duration kStatusPeriod = 100ms;
+/** Several adapters are often ordered together; one status tells of all. */
+constexpr base::Duration kAnnouncementDelay = 20ms;
 constexpr base::Duration kTickPeriod = 250ms;
 /** The owner of orders is silent for this long: its view is no longer used. */
 constexpr base::Duration kOwnerSilence = 2s;
@@ -141,7 +143,7 @@
   mFleet.changed().connect([this] { fleetChanged(); });
   mOrders.changed().connect([this] {
     usePlaces();
-    sendStatus();
+    announcePlaces();
   });
   // An owner elsewhere learns of a missing adapter without waiting for the
   // next regular status.
@@ -152,7 +154,7 @@
     mStatusPosted = true;
     mLoop.post([this] {
       mStatusPosted = false;
-      sendStatus();
+      sendStatusToOwner();
       if (mOrders.active()) {
         mOrders.run(fleetDemand());
       }
@@ -420,8 +422,67 @@
   }
 }
 
+bool
+Node::sameRegion(const Member& aMember) const
+{
+  const auto own = mSettings.regions.find(mSettings.dataCentre);
+  const auto other = mSettings.regions.find(aMember.dataCentre);
+  return own != mSettings.regions.end() && other != mSettings.regions.end() &&
+         own->second == other->second;
+}
+
 void
 Node::sendStatus()
+{
+  const base::TimePoint now = base::monotonicNow();
+  const bool nearDue = mSchedule.nearDue(now);
+  const bool farDue = mSchedule.farDue(now);
+  std::vector<base::Address> addresses;
+  for (const auto& [vm, member] : mFleet.others()) {
+    if (sameRegion(member) ? nearDue : farDue) {
+      addresses.push_back(member.peerAddress);
+    }
+  }
+  sendStatusTo(addresses);
+}
+
+void
+Node::sendStatusToOwner()
+{
+  const auto& owner = mFleet.owner();
+  const auto member =
+    owner ? mFleet.others().find(owner->vm) : mFleet.others().end();
+  if (member != mFleet.others().end()) {
+    sendStatusTo({ member->second.peerAddress });
+  }
+}
+
+void
+Node::announcePlaces()
+{
+  if (mAnnouncement) {
+    return;
+  }
+  mAnnouncement = mLoop.after(kAnnouncementDelay, [this] {
+    std::vector<base::Address> addresses;
+    for (const auto& [vm, member] : mFleet.others()) {
+      addresses.push_back(member.peerAddress);
+    }
+    sendStatusTo(addresses);
+    mAnnouncement.reset();
+  });
+}
+
+void
+Node::sendStatusTo(const std::vector<base::Address>& aPeers)
+{
+  if (!aPeers.empty()) {
+    mLink.send(currentStatus(), aPeers);
+  }
+}
+
+peers::Status
+Node::currentStatus()
 {
   peers::Status status;
   status.vm = mSettings.vm;
@@ -458,11 +519,7 @@
     status.adapters = mOrders.places();
     status.retiring = mOrders.retiring();
   }
-  std::vector<base::Address> addresses;
-  for (const auto& [vm, member] : mFleet.others()) {
-    addresses.push_back(member.peerAddress);
-  }
-  mLink.send(status, addresses);
+  return status;
 }
 
 void
@@ -476,10 +533,16 @@
   for (const auto& [vm, member] : mFleet.others()) {
     names.push_back(vm);
   }
+  const auto near = static_cast<std::size_t>(std::count_if(
+    mFleet.others().begin(), mFleet.others().end(), [this](const auto& aItem) {
+      return sameRegion(aItem.second);
+    }));
+  mSchedule.setFleet(near, names.size() - near);
+  mQuota.setReportPeriod(mSchedule.longest());
   mQuota.setPeers(names, now);
   mRetries.setFleetSize(mFleet.size());
   mPath.fleetSize = mFleet.size();
-  sendStatus();
+  announcePlaces();
 }
 
 void
--- a/apps/gateway/node.h
+++ b/apps/gateway/node.h
@@ -30,7 +30,15 @@
 
   // Peers.
   void onStatus(peers::Status aStatus);
+  /** Reports to the peers that are due. */
   void sendStatus();
+  void sendStatusTo(const std::vector<base::Address>& aPeers);
+  /** Reports to the owner of orders at once, because requests wait. */
+  void sendStatusToOwner();
+  /** Reports to all peers soon, once for several changes. */
+  void announcePlaces();
+  bool sameRegion(const Member& aMember) const;
+  peers::Status currentStatus();
   void fleetChanged();
   void usePlaces();
   residency::DemandTable fleetDemand();
@@ -86,6 +94,8 @@
   base::TimePoint mDrainBegan{};
   bool mStopped = false;
   bool mStatusPosted = false;
+  http::Watch mAnnouncement;
+  peers::ReportSchedule mSchedule;
   std::vector<http::Watch> mWatches;
 };
 
--- a/libs/peers/peers.h
+++ b/libs/peers/peers.h
@@ -73,6 +73,37 @@
 base::Result<Status>
 decode(const std::string& aBytes);
 
+/**
+ * When a VM reports to its peers. Links between regions are paid by volume, so
+ * peers there hear less often; in a large fleet everybody hears less often, so
+ * that the messages of a VM do not grow with the fleet.
+ */
+class ReportSchedule
+{
+public:
+  /** @param aNear peers in the same region @param aFar all others */
+  void setFleet(std::size_t aNear, std::size_t aFar);
+
+  /** @return true if peers of the same region are due; notes the report */
+  bool nearDue(base::TimePoint aNow) { return due(mNearSent, mNear, aNow); }
+
+  /** @return true if peers of other regions are due; notes the report */
+  bool farDue(base::TimePoint aNow) { return due(mFarSent, mFar, aNow); }
+
+  /** @return longest time between two reports to a peer */
+  base::Duration longest() const { return mFar; }
+
+private:
+  static bool due(base::TimePoint& aSent,
+                  base::Duration aPeriod,
+                  base::TimePoint aNow);
+
+  base::Duration mNear = std::chrono::milliseconds(100);
+  base::Duration mFar = std::chrono::milliseconds(400);
+  base::TimePoint mNearSent{};
+  base::TimePoint mFarSent{};
+};
+
 /** Keeps the latest status of each peer. */
 class Table
 {
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -82,6 +82,42 @@
   LONGS_EQUAL(0, table.loadOf("u").running);
 }
 
+TEST_GROUP(ReportSchedule)
+{
+  peers::ReportSchedule schedule;
+
+  /** @return reports of one VM in ten seconds, to all of its peers */
+  std::size_t messages(std::size_t aNear, std::size_t aFar)
+  {
+    schedule = {};
+    schedule.setFleet(aNear, aFar);
+    std::size_t sent = 0;
+    for (TimePoint now{ 100s }; now < TimePoint{ 110s }; now += 50ms) {
+      sent += schedule.nearDue(now) ? aNear : 0;
+      sent += schedule.farDue(now) ? aFar : 0;
+    }
+    return sent;
+  }
+};
+
+// Load pattern: links between regions are paid by volume.
+TEST(ReportSchedule, ReportsToOtherRegionsLessOften)
+{
+  LONGS_EQUAL(100, messages(1, 0));
+  LONGS_EQUAL(25 + 100, messages(1, 1));
+}
+
+// Load pattern: a fleet of hundreds of VMs; messages of one VM must not grow
+// with the fleet.
+TEST(ReportSchedule, MessagesOfAVmStayBounded)
+{
+  const std::size_t grown = messages(27, 54);
+  const std::size_t large = messages(95, 285);
+  CHECK(grown < 1300);
+  CHECK(large < 1500);
+  CHECK(schedule.longest() < 8s);
+}
+
 int
 main(int aCount, char** aValues)
 {
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -7,9 +7,10 @@
 
 using namespace std::chrono_literals;
 
-/** A peer that reports every 100 ms and is silent for this long is cut off,
- * stopped or overloaded. */
-constexpr base::Duration kSilence = 700ms;
+/** A peer that missed two reports is cut off, stopped or overloaded; single
+ * datagrams are lost on sound links too. */
+constexpr unsigned kSilentReports = 3;
+constexpr base::Duration kLeastSilence = 1s;
 /** What peers admit stays unknown for about this long: one report and a link
  * between regions. */
 constexpr base::Duration kReportLag = 150ms;
@@ -42,6 +43,12 @@
   }
 }
 
+void
+FleetQuota::setReportPeriod(base::Duration aPeriod)
+{
+  mSilence = std::max(kLeastSilence, aPeriod * kSilentReports);
+}
+
 void
 FleetQuota::setPeers(const std::vector<base::VmName>& aPeers,
                      base::TimePoint aNow)
@@ -114,7 +121,7 @@
 FleetQuota::noteSilence(base::TimePoint aNow)
 {
   for (auto& [name, peer] : mPeers) {
-    if (peer.silent || aNow - peer.heardAt <= kSilence) {
+    if (peer.silent || aNow - peer.heardAt <= mSilence) {
       continue;
     }
     peer.silent = true;
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -48,6 +48,9 @@
   void setLimits(const std::map<base::TeamName, Limit>& aLimits,
                  base::TimePoint aNow);
 
+  /** @param aPeriod longest time between two reports of a peer */
+  void setReportPeriod(base::Duration aPeriod);
+
   /** @param aSlack units by which reports of peers may lag behind before the
    * bucket holds back units for what they have not reported */
   void setSlack(double aSlack) { mSlack = aSlack; }
@@ -122,6 +125,7 @@
   std::map<base::VmName, Peer> mPeers;
   Usage mUsage;
   double mSlack = 0;
+  base::Duration mSilence = std::chrono::seconds(1);
   base::TimePoint mRefilled{};
   base::TimePoint mRatesUpdated{};
 };
