--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -262,7 +262,7 @@
       mFacts.id, "caller left", mLastUpstream, "runs on", base::monotonicNow());
     return;
   }
-  finish(Code::Ok, 0, "caller left");
+  finish(Code::CallerLeft, 0, "caller left");
 }
 
 void
--- a/apps/gateway/order_book.cpp
+++ b/apps/gateway/order_book.cpp
@@ -87,8 +87,11 @@
     residency::Situation current = situation(service, aDemand, now);
     std::set<base::UpstreamName> used;
     auto steps = residency::planAdapters(current);
-    const auto models = residency::planModels(current);
-    steps.insert(steps.end(), models.begin(), models.end());
+    for (const auto plan :
+         { &residency::planModels, &residency::planSpareAdapters }) {
+      const auto further = plan(current);
+      steps.insert(steps.end(), further.begin(), further.end());
+    }
     for (const residency::Step& step : steps) {
       if (used.insert(step.engine).second) {
         give(step);
--- a/libs/base/code.h
+++ b/libs/base/code.h
@@ -40,6 +40,7 @@
   ClaimQuorumMissing = 140,
   ClaimInProgress = 141,
   OutcomeUnknown = 142,
+  CallerLeft = 143,
   RequestPoisonous = 150,
   RequestBlocked = 151,
   Draining = 160,
--- a/libs/catalog/types.h
+++ b/libs/catalog/types.h
@@ -62,7 +62,7 @@
 {
   base::ModelName name;
   double weightsMb = 0;
-  unsigned adapters = 0;
+  std::vector<std::string> adapters; ///< names of its adapters
   double adapterMb = 0;
   base::Duration storeLoad{};  ///< load from the weights store
   base::Duration diskLoad{};   ///< load from the engine's disk
--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -13,6 +13,8 @@
 
 /** Load that an engine without a free slot must have less than others. */
 constexpr double kEvictionCost = 300;
+/** A model with less work is idle; its adapters need no places. */
+constexpr double kLeastWorkMs = 1;
 /** Weight of a waiting request against work in ms per second. */
 constexpr double kWaitingWeight = 100;
 
@@ -59,7 +61,51 @@
     return std::move(mSteps);
   }
 
+  std::vector<Step> planSpare()
+  {
+    for (const auto& [name, model] : mView.situation().spec->models) {
+      if (mView.work(name) < kLeastWorkMs) {
+        continue;
+      }
+      for (const std::string& adapter : model.adapters) {
+        const ModelRef ref{ name, adapter };
+        if (placesOf(ref) == 0) {
+          fill(ref);
+        }
+      }
+    }
+    return std::move(mSteps);
+  }
+
 private:
+  /** Loads an adapter at the engine with the most free slots, if any. */
+  void fill(const ModelRef& aRef)
+  {
+    const Engine* best = nullptr;
+    for (const Engine& engine : mView.situation().engines) {
+      if (!canTake(engine, aRef) ||
+          adaptersAt(engine) >= mView.situation().spec->adapterSlots) {
+        continue;
+      }
+      if (best == nullptr || adaptersAt(engine) < adaptersAt(*best)) {
+        best = &engine;
+      }
+    }
+    if (best != nullptr) {
+      mUsed.insert(best->name);
+      mSteps.push_back({ best->name, true, aRef, false, "free slot" });
+    }
+  }
+
+  /** @return true if the engine has the model and may get an order for it */
+  bool canTake(const Engine& aEngine, const ModelRef& aRef) const
+  {
+    return !aEngine.leaving && aEngine.orderable &&
+           !mUsed.contains(aEngine.name) &&
+           aEngine.models.contains(aRef.model) &&
+           !aEngine.retiring.contains(aRef.model) && !holds(aEngine, aRef);
+  }
+
   bool declared(const ModelRef& aRef) const
   {
     return mView.situation().spec->models.contains(aRef.model);
@@ -114,9 +160,7 @@
     std::optional<ModelRef> bestVictim;
     double bestCost = 0;
     for (const Engine& engine : mView.situation().engines) {
-      if (engine.leaving || !engine.orderable || mUsed.contains(engine.name) ||
-          !engine.models.contains(aRef.model) ||
-          engine.retiring.contains(aRef.model) || holds(engine, aRef)) {
+      if (!canTake(engine, aRef)) {
         continue;
       }
       std::optional<ModelRef> victim;
@@ -155,4 +199,10 @@
   return AdapterPlanner(aSituation).plan();
 }
 
+std::vector<Step>
+planSpareAdapters(const Situation& aSituation)
+{
+  return AdapterPlanner(aSituation).planSpare();
+}
+
 } // namespace marigold::residency
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -82,4 +82,13 @@
 std::vector<Step>
 planAdapters(const Situation& aSituation);
 
+/**
+ * Fills free adapter slots with adapters that no engine holds, so that the
+ * first request for one does not have to wait.
+ * @param aSituation as for planModels
+ * @return loads, at most one an engine
+ */
+std::vector<Step>
+planSpareAdapters(const Situation& aSituation);
+
 } // namespace marigold::residency
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -24,7 +24,7 @@
     catalog::Model model;
     model.name = name;
     model.weightsMb = kWeightsMb;
-    model.adapters = 4;
+    model.adapters = { "a1", "a2", "a3", "a4" };
     model.adapterMb = 60;
     model.storeLoad = 9s;
     model.diskLoad = 2s;
@@ -215,6 +215,33 @@
   CHECK(residency::planAdapters(situation).empty());
 }
 
+// Load pattern: many adapters of a busy model, each asked for now and then; the
+// first request for each waited seconds behind a running order.
+TEST(PlanAdapters, FillsFreeSlotsAhead)
+{
+  Engine half = engine("e1", { "a" });
+  half.models["a"] = { "a1" };
+  situation.engines = { half, engine("e2", { "a", "b" }) };
+  situation.demand[{ "a", "" }] = { 100, 0, 1 };
+  const auto steps = residency::planSpareAdapters(situation);
+  LONGS_EQUAL(2, steps.size());
+  for (const Step& step : steps) {
+    CHECK(step.load);
+    STRCMP_EQUAL("a", step.what.model.c_str());
+    CHECK(step.what.adapter != "a1");
+  }
+}
+
+// Guards against spare adapters that push others out.
+TEST(PlanAdapters, FillsNoFullEngine)
+{
+  Engine full = engine("e1", { "a" });
+  full.models["a"] = { "a1", "a2" };
+  situation.engines = { full };
+  situation.demand[{ "a", "" }] = { 100, 0, 1 };
+  CHECK(residency::planSpareAdapters(situation).empty());
+}
+
 int
 main(int aCount, char** aValues)
 {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,5 +8,6 @@
   exit 0
 fi
 scripts/build.sh release
+scripts/check_boundary.sh
 scripts/lint.sh
 ctest --test-dir build --output-on-failure -j 4
