Do not end a resumed stream with an error's end

An answer in place of the rest of a stream now counts as spoiled, and its body is dropped. test_error_after_a_resumption_does_not_end_the_stream_as_complete fails before.

--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -115,6 +115,9 @@
     deliverEvents(aBytes);
     return;
   }
+  if (mEventCount > 0) {
+    return; // An error in place of the rest of a stream is not a part of it.
+  }
   mBody.append(aBytes);
   if (mBody.size() > kMostHeldBytes && !mCaller->answerStarted()) {
     mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
@@ -209,6 +212,10 @@
     finish(Code::Ok, mHead.status, "");
     return;
   }
+  if (mEventCount > 0) {
+    onSpoiled("resumed stream was answered with another status");
+    return;
+  }
   if (!facts.genuine && isSuccess(mHead.status)) {
     onSpoiled("answer without signature");
     return;
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -148,6 +148,14 @@
             self.assertEqual(list(range(1, 11)), ids)
         self.assertTrue(any("last-event-id" in h for h in self.engines[1].seen))
 
+    def test_error_after_a_resumption_does_not_end_the_stream_as_complete(self):
+        """The error's end was passed on as the end of the stream."""
+        for engine in self.engines:
+            engine.break_after = 4
+            engine.fail_resumed = True
+        with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
+            self.gateways[0].call("/chat/x", headers=self.CHAT)
+
     def test_broken_stream_that_cannot_be_resumed_looks_incomplete(self):
         for engine in self.engines:
             engine.break_after = 4
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -137,6 +137,7 @@
         self.order_log = []  # (time, owner, fence, operation, model, adapter)
         self.seen = []       # headers of requests that ran
         self.break_after = None  # breaks a stream off inside an event after that many
+        self.fail_resumed = False   # answers a resumed stream with a signed error
         self.drop_requests = False  # runs a request and closes without an answer
         self.delay = 0.01
 
@@ -169,6 +170,9 @@
         await asyncio.sleep(self.delay)
         if self.drop_requests:
             return False
+        if self.fail_resumed and "last-event-id" in headers:
+            writer.write(answer_bytes(500, signature, b"error"))
+            return True
         if model:
             return await self.stream(headers, signature, writer)
         writer.write(answer_bytes(200, signature, b"done by " + self.name.encode()))
