--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -17,7 +17,7 @@
   marigold-entry --version
 
 Options:
-  --settings FILE  YAML settings; docs/operations.md lists the keys.
+  --settings FILE  YAML settings; docs/OPERATIONS.md lists the keys.
   --check          Check the settings and exit.
   -h --help        Show this text.
   --version        Show the version.
--- a/apps/placer/main.cpp
+++ b/apps/placer/main.cpp
@@ -19,7 +19,7 @@
   marigold-placer --version
 
 Options:
-  --settings FILE  YAML settings; docs/operations.md lists the keys.
+  --settings FILE  YAML settings; docs/OPERATIONS.md lists the keys.
   --check          Check the settings and exit.
   -h --help        Show this text.
   --version        Show the version.
