--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -102,8 +102,9 @@
     const int on = 1;
     setsockopt(mListener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     const sockaddr_in address = socketAddress();
-    bind(
-      mListener, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    mBound = bind(mListener,
+                  reinterpret_cast<const sockaddr*>(&address),
+                  sizeof(address)) == 0;
     listen(mListener, 8);
     mThread = std::thread([this, answers = std::move(aAnswers)] {
       const int descriptor = accept(mListener, nullptr, nullptr);
@@ -126,8 +127,12 @@
   RawServer(const RawServer&) = delete;
   RawServer& operator=(const RawServer&) = delete;
 
+  /** @return true if the address was free */
+  bool bound() const { return mBound; }
+
 private:
   int mListener;
+  bool mBound = false;
   std::thread mThread;
 };
 
