--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -130,6 +130,7 @@
   member.peerAddress = peer.value();
   member.operatorAddress = operators.value();
   member.dataCentre = content.value("data_centre", "");
+  member.capacity = content.value("capacity", 0.0);
   mOthers[vm] = member;
 }
 
@@ -209,16 +210,26 @@
     writeRegistration();
   }
   if (mKnown && !mOwner && leaseValid(now, kRenewEvery)) {
-    std::size_t rank = 0;
-    for (const auto& [vm, member] : mOthers) {
-      rank += vm < mSettings.vm ? 1U : 0U;
-    }
-    if (now >= mOwnerGoneAt + kClaimStagger * std::min(rank, kMostStaggers)) {
+    if (now >= mOwnerGoneAt + kClaimStagger * claimRank()) {
       claimOwnership();
     }
   }
 }
 
+std::size_t
+Fleet::claimRank() const
+{
+  std::size_t rank = 0;
+  for (const auto& [vm, member] : mOthers) {
+    // The owner plans for the whole fleet, so the largest VM claims first.
+    const bool before = member.capacity != mSettings.capacity
+                          ? member.capacity > mSettings.capacity
+                          : vm < mSettings.vm;
+    rank += before ? 1U : 0U;
+  }
+  return std::min(rank, kMostStaggers);
+}
+
 void
 Fleet::grant()
 {
@@ -280,6 +291,7 @@
   const json content{ { "peer_address", mSettings.peerAddress.text() },
                       { "operator", mSettings.operatorAddress.text() },
                       { "data_centre", mSettings.dataCentre },
+                      { "capacity", mSettings.capacity },
                       { "incarnation", mIncarnation } };
   mClient.write(kMemberPrefix + mSettings.vm,
                 content.dump(),
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -15,6 +15,7 @@
   base::DataCentre dataCentre;
   base::Address peerAddress;
   base::Address operatorAddress;
+  double capacity = 0; ///< cores that it may use
 };
 
 /** Who may give orders. */
@@ -56,6 +57,12 @@
   /** @return true once this VM is registered */
   bool registered() const { return mRegistration != 0; }
 
+  /** @return when the latest renewal that the store answered was sent */
+  base::TimePoint renewedAt() const { return mLeaseSent; }
+
+  /** @return the registrations as the store's watch sees them */
+  PrefixWatch& watch() { return mWatch; }
+
   /** @return who owns the orders, as far as known */
   const std::optional<Ownership>& owner() const { return mOwner; }
 
@@ -79,6 +86,7 @@
   void writeRegistration();
   void claimOwnership();
   bool isSelf(const Ownership& aOwner) const;
+  std::size_t claimRank() const;
   bool leaseValid(base::TimePoint aNow, base::Duration aMargin) const;
   void loseLease(const char* aReason);
 
--- a/apps/gateway/node.h
+++ b/apps/gateway/node.h
@@ -4,7 +4,8 @@
 #include "apps/gateway/exchange.h"
 #include "apps/gateway/fleet.h"
 #include "apps/gateway/order_book.h"
-#include "apps/gateway/peer_link.h"
+#include "apps/gateway/peer_exchange.h"
+#include "apps/gateway/record_relay.h"
 #include "observe/observe.h"
 
 namespace marigold::gateway {
@@ -29,16 +30,6 @@
   void fetchCatalogFrom(const base::VmName& aPeer);
 
   // Peers.
-  void onStatus(peers::Status aStatus);
-  /** Reports to the peers that are due. */
-  void sendStatus();
-  void sendStatusTo(const std::vector<base::Address>& aPeers);
-  /** Reports to the owner of orders at once, because requests wait. */
-  void sendStatusToOwner();
-  /** Reports to all peers soon, once for several changes. */
-  void announcePlaces();
-  bool sameRegion(const Member& aMember) const;
-  peers::Status currentStatus();
   void fleetChanged();
   void usePlaces();
   residency::DemandTable fleetDemand();
@@ -78,24 +69,21 @@
   PrefixWatch mCatalogWatch;
   PrefixWatch mUpstreamWatch;
   OrderBook mOrders;
-  PeerLink mLink;
+  PeerExchange mExchange;
   wire::CallerServer mCallers;
   http::Server mReadyServer;
   observe::OperatorServer mOperator;
+  RecordRelay mRelay;
   std::unique_ptr<http::Call> mCatalogCall;
   /** Records that were absent when the store came back, with the time until
    * which their upstreams may still write them again. */
   std::map<base::UpstreamName, base::TimePoint> mAbsent;
   base::TimePoint mStoreRegained{};
   base::TimePoint mPeersKnownAt{};
-  std::uint64_t mSequence = 0;
   bool mUpstreamsKnown = false;
   bool mDraining = false;
   base::TimePoint mDrainBegan{};
   bool mStopped = false;
-  bool mStatusPosted = false;
-  http::Watch mAnnouncement;
-  peers::ReportSchedule mSchedule;
   std::vector<http::Watch> mWatches;
 };
 
--- a/apps/gateway/order_book.cpp
+++ b/apps/gateway/order_book.cpp
@@ -25,8 +25,6 @@
 constexpr base::Duration kLoadMargin = 6s;
 /** Unloads wait for the running requests of the model. */
 constexpr base::Duration kUnloadLimit = 20s;
-/** Loads kept back for orders that take effect late. */
-constexpr double kSpareLoads = 1;
 
 } // namespace
 
@@ -51,8 +49,7 @@
   mActive = true;
   mFence = mFleet.fence();
   mEngines.clear();
-  // The loads of the owner before are not known; see KNOWN-RED.txt.
-  mStoreLoads.clear();
+  mStoreLoads.takeOver(mSettings.orderPause, base::monotonicNow());
   observe::logInfo("orders taken over",
                    { { "fence", std::to_string(mFence) } });
 }
@@ -222,7 +219,11 @@
   residency::Situation current;
   current.spec = &*aService.engine;
   current.demand = aDemand;
-  current.storeLoadsLeft = storeLoadsLeft(*aService.engine, aNow);
+  mStoreLoads.setLimit({ aService.engine->storeLoadsPerSecond,
+                         mSettings.loadWindow,
+                         mSettings.loadOvershoot,
+                         mSettings.loadExtra });
+  current.storeLoadsLeft = mStoreLoads.left(aNow);
   for (const auto& [name, upstream] : mUpstreams.all()) {
     const catalog::UpstreamRecord& record = upstream->record;
     if (record.service != aService.name) {
@@ -264,25 +265,6 @@
   return current;
 }
 
-unsigned
-OrderBook::storeLoadsLeft(const catalog::EngineSpec& aSpec,
-                          base::TimePoint aNow)
-{
-  if (aSpec.storeLoadsPerSecond <= 0) {
-    return ~0U;
-  }
-  while (!mStoreLoads.empty() &&
-         aNow - mStoreLoads.front() > mSettings.loadWindow) {
-    mStoreLoads.pop_front();
-  }
-  const double allowed =
-    aSpec.storeLoadsPerSecond * base::inSeconds(mSettings.loadWindow) -
-    kSpareLoads;
-  const auto used = static_cast<double>(mStoreLoads.size());
-  return used >= allowed ? 0
-                         : static_cast<unsigned>(std::max(1.0, allowed - used));
-}
-
 void
 OrderBook::give(const residency::Step& aStep)
 {
@@ -293,7 +275,7 @@
   Engine& engine = mEngines.at(aStep.engine);
   engine.calling = true;
   if (aStep.fromStore) {
-    mStoreLoads.push_back(now);
+    mStoreLoads.note(now);
   }
   if (!aStep.load && aStep.what.adapter.empty()) {
     engine.unloading = aStep.what.model;
@@ -393,30 +375,30 @@
   }
 }
 
-std::vector<peers::AdapterPlace>
+void
+OrderBook::noteLoads(const std::vector<base::Duration>& aAges,
+                     base::TimePoint aNow)
+{
+  if (!mActive) {
+    mStoreLoads.replace(aAges, aNow);
+  }
+}
+
+peers::PlaceTable
 OrderBook::places() const
 {
-  std::vector<peers::AdapterPlace> places;
+  peers::PlaceTable places;
   for (const auto& [name, engine] : mEngines) {
     for (const auto& [model, adapters] : engine.adapters) {
       if (!adapters.empty()) {
-        places.push_back({ name, model, { adapters.begin(), adapters.end() } });
+        places[name].adapters[model] = { adapters.begin(), adapters.end() };
       }
     }
-  }
-  return places;
-}
-
-std::map<base::UpstreamName, std::vector<std::string>>
-OrderBook::retiring() const
-{
-  std::map<base::UpstreamName, std::vector<std::string>> models;
-  for (const auto& [name, engine] : mEngines) {
     if (engine.unloading) {
-      models[name].push_back(*engine.unloading);
+      places[name].retiring.push_back(*engine.unloading);
     }
   }
-  return models;
+  return places;
 }
 
 } // namespace marigold::gateway
--- a/apps/gateway/order_book.h
+++ b/apps/gateway/order_book.h
@@ -8,8 +8,6 @@
 #include "observe/metrics.h"
 #include "residency/residency.h"
 
-#include <deque>
-
 namespace marigold::gateway {
 
 /**
@@ -37,13 +35,21 @@
   /** @return true while this VM gives orders */
   bool active() const { return mActive; }
 
-  /** @return adapters that the engines hold */
-  std::vector<peers::AdapterPlace> places() const;
+  /** @return adapters that the engines hold and models that leave them */
+  peers::PlaceTable places() const;
+
+  /** @return ages of the loads from the weights store that still count */
+  std::vector<base::Duration> loadAges(base::TimePoint aNow) const
+  {
+    return mStoreLoads.ages(aNow);
+  }
 
-  /** @return models that are about to be unloaded, by engine */
-  std::map<base::UpstreamName, std::vector<std::string>> retiring() const;
+  /** Another VM is the owner and ordered these loads.
+   * @param aAges time since each load @param aNow time */
+  void noteLoads(const std::vector<base::Duration>& aAges,
+                 base::TimePoint aNow);
 
-  /** Emitted when places() or retiring() changed. */
+  /** Emitted when places() changed. */
   sigc::signal<void()>& changed() { return mChanged; }
 
 private:
@@ -82,8 +88,6 @@
   void give(const residency::Step& aStep);
   void onReply(const residency::Step& aStep, http::CallEnd aEnd, int aStatus);
   void applyDone(Engine& aEngine, const residency::Step& aStep);
-  unsigned storeLoadsLeft(const catalog::EngineSpec& aSpec,
-                          base::TimePoint aNow);
 
   http::Client& mClient;
   const Settings& mSettings;
@@ -92,7 +96,7 @@
   UpstreamTable& mUpstreams;
   observe::Metrics& mMetrics;
   std::map<base::UpstreamName, Engine> mEngines;
-  std::deque<base::TimePoint> mStoreLoads;
+  residency::LoadWindow mStoreLoads;
   std::uint64_t mFence = 0;
   bool mActive = false;
   bool mStopped = false;
--- /dev/null
+++ b/apps/gateway/peer_exchange.cpp
@@ -0,0 +1,398 @@
+#include "apps/gateway/peer_exchange.h"
+
+#include "observe/log.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marigold::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Resolution of the report periods. */
+constexpr base::Duration kTimerPeriod = 50ms;
+/** Several adapters are often ordered together; one message tells of all. */
+constexpr base::Duration kAnnouncementDelay = 20ms;
+/** An owner without news still shows that it is there. */
+constexpr base::Duration kPlacesPeriod = 400ms;
+/** The owner of orders is silent for this long: its view is no longer used. */
+constexpr base::Duration kOwnerSilence = 2s;
+/** A VM that missed this many statuses is taken as gone by the relay choice. */
+constexpr int kMissedStatuses = 5;
+/** A VM counts in the summary of its data centre for this long after its last
+ * status; a longer pause means that it is cut off or stopped. */
+constexpr base::Duration kSummaryFresh = 900ms;
+/** Summaries for which a changed total is repeated. */
+constexpr int kTotalRepeats = 3;
+/** A relay elsewhere that was heard within this gets the next summary. */
+constexpr base::Duration kRelayHeard = 1500ms;
+
+} // namespace
+
+PeerExchange::PeerExchange(http::Loop& aLoop,
+                           RequestPath& aPath,
+                           Fleet& aFleet,
+                           OrderBook& aOrders,
+                           base::Incarnation aIncarnation)
+  : mLoop(aLoop)
+  , mPath(aPath)
+  , mFleet(aFleet)
+  , mOrders(aOrders)
+  , mIncarnation(aIncarnation)
+  , mLink(aLoop,
+          aPath.settings,
+          [this](const std::string& aBytes) { receive(aBytes); })
+  , mPlacesTurn(kPlacesPeriod)
+{
+}
+
+base::Result<void>
+PeerExchange::listen()
+{
+  mTimer = mLoop.every(kTimerPeriod, [this] { send(); });
+  return mLink.listen();
+}
+
+void
+PeerExchange::fleetChanged()
+{
+  std::map<base::DataCentre, std::vector<peers::RelayCandidate>> candidates;
+  candidates[mPath.settings.dataCentre].push_back(
+    { mPath.settings.vm, mPath.settings.capacity });
+  for (const auto& [vm, member] : mFleet.others()) {
+    candidates[member.dataCentre].push_back({ vm, member.capacity });
+  }
+  mRelayOrders.clear();
+  for (const auto& [dataCentre, list] : candidates) {
+    mRelayOrders[dataCentre] = peers::relayOrder(list);
+  }
+  const std::size_t own = candidates.at(mPath.settings.dataCentre).size();
+  mSchedule.setFleet(own - 1, candidates.size());
+  mPath.quota.setReportPeriod(mSchedule.longest());
+  // A new VM learns of the places at once.
+  announcePlaces();
+}
+
+base::VmName
+PeerExchange::relay() const
+{
+  const auto order = mRelayOrders.find(mPath.settings.dataCentre);
+  if (order == mRelayOrders.end()) {
+    return mPath.settings.vm;
+  }
+  const base::TimePoint since =
+    base::monotonicNow() - kMissedStatuses * mSchedule.statusPeriod();
+  return peers::relayOf(
+    order->second, mPath.settings.vm, [&](const base::VmName& aVm) {
+      return mPath.peers.heardSince(aVm, since);
+    });
+}
+
+std::size_t
+PeerExchange::vmsOfDataCentre() const
+{
+  const auto order = mRelayOrders.find(mPath.settings.dataCentre);
+  return order == mRelayOrders.end() ? 1 : order->second.size();
+}
+
+bool
+PeerExchange::sameRegion(const base::DataCentre& aOther) const
+{
+  const auto& regions = mPath.settings.regions;
+  const auto own = regions.find(mPath.settings.dataCentre);
+  const auto other = regions.find(aOther);
+  return own != regions.end() && other != regions.end() &&
+         own->second == other->second;
+}
+
+std::vector<base::Address>
+PeerExchange::neighbours() const
+{
+  std::vector<base::Address> addresses;
+  for (const auto& [vm, member] : mFleet.others()) {
+    if (member.dataCentre == mPath.settings.dataCentre) {
+      addresses.push_back(member.peerAddress);
+    }
+  }
+  return addresses;
+}
+
+std::vector<base::Address>
+PeerExchange::relaysOf(const base::DataCentre& aOther) const
+{
+  std::optional<base::VmName> last;
+  const auto heard = mPath.peers.summaries().find(aOther);
+  if (heard != mPath.peers.summaries().end() &&
+      base::monotonicNow() - heard->second.heardAt < kRelayHeard) {
+    last = heard->second.summary.relay;
+  }
+  std::vector<base::Address> addresses;
+  for (const auto& vm : peers::relayTargets(mRelayOrders.at(aOther), last)) {
+    addresses.push_back(mFleet.others().at(vm).peerAddress);
+  }
+  return addresses;
+}
+
+void
+PeerExchange::send()
+{
+  const base::TimePoint now = base::monotonicNow();
+  if (mSchedule.statusDue(now)) {
+    mLink.send(peers::encode(status()), neighbours());
+  }
+  const bool near = mSchedule.nearDue(now);
+  const bool far = mSchedule.farDue(now);
+  if (isRelay() && (near || far)) {
+    std::vector<base::DataCentre> to;
+    for (const auto& [dataCentre, order] : mRelayOrders) {
+      const bool due = sameRegion(dataCentre) ? near : far;
+      if (due && dataCentre != mPath.settings.dataCentre) {
+        to.push_back(dataCentre);
+      }
+    }
+    sendSummary(to);
+  }
+  if (mOrders.active() && !mAnnouncement && mPlacesTurn.due(now)) {
+    sendPlaces();
+  }
+}
+
+void
+PeerExchange::sendSummary(const std::vector<base::DataCentre>& aTo)
+{
+  if (aTo.empty()) {
+    return;
+  }
+  const std::string bytes =
+    peers::encode(mSummaries.make(status(),
+                                  mPath.peers,
+                                  kSummaryFresh,
+                                  kTotalRepeats * mSchedule.longest(),
+                                  base::monotonicNow()));
+  for (const base::DataCentre& dataCentre : aTo) {
+    mLink.send(bytes, relaysOf(dataCentre));
+  }
+}
+
+void
+PeerExchange::sendPlaces()
+{
+  peers::Places places =
+    mPlaceNews.next(mOrders.places(), base::monotonicNow());
+  places.owner = mPath.settings.vm;
+  places.fence = mFleet.fence();
+  places.loadAges = mOrders.loadAges(base::monotonicNow());
+  const std::string bytes = peers::encode(places);
+  mLink.send(bytes, neighbours());
+  for (const auto& [dataCentre, order] : mRelayOrders) {
+    if (dataCentre != mPath.settings.dataCentre) {
+      mLink.send(bytes, relaysOf(dataCentre));
+    }
+  }
+}
+
+void
+PeerExchange::announcePlaces()
+{
+  if (mAnnouncement || !mOrders.active()) {
+    return;
+  }
+  mAnnouncement = mLoop.after(kAnnouncementDelay, [this] {
+    if (mOrders.active()) {
+      sendPlaces();
+    }
+    mAnnouncement.reset();
+  });
+}
+
+void
+PeerExchange::reportToOwner()
+{
+  if (mReportPosted) {
+    return;
+  }
+  mReportPosted = true;
+  mLoop.post([this] {
+    mReportPosted = false;
+    const auto& owner = mFleet.owner();
+    const auto member =
+      owner ? mFleet.others().find(owner->vm) : mFleet.others().end();
+    if (member != mFleet.others().end()) {
+      mLink.send(peers::encode(status()), { member->second.peerAddress });
+    }
+    if (mOrders.active()) {
+      mDemandHeard.emit();
+    }
+  });
+}
+
+void
+PeerExchange::depart()
+{
+  mDeparting = true;
+  const std::string bytes = peers::encode(status());
+  for (const auto& [vm, member] : mFleet.others()) {
+    mLink.send(bytes, { member.peerAddress });
+  }
+}
+
+void
+PeerExchange::expire()
+{
+  const base::TimePoint now = base::monotonicNow();
+  mPath.peers.expire(now);
+  const auto& owner = mFleet.owner();
+  const bool ownerHeard = owner && owner->fence == mPlacesFence &&
+                          now - mPlacesHeardAt < kOwnerSilence;
+  if (!mOrders.active() && !ownerHeard) {
+    mPath.upstreams.clearPlaces();
+  }
+}
+
+peers::Status
+PeerExchange::status()
+{
+  peers::Status status;
+  status.vm = mPath.settings.vm;
+  status.dataCentre = mPath.settings.dataCentre;
+  status.incarnation = mIncarnation;
+  status.sequence = ++mSequence;
+  status.catalogVersion = mPath.catalog.version();
+  status.departing = mDeparting;
+  status.usage = mPath.quota.usage();
+  status.lapsed = mPath.quota.lapsed();
+  const auto whole = [](double aValue) {
+    return static_cast<std::uint32_t>(std::max(0.0, aValue));
+  };
+  for (const auto& [name, upstream] : mPath.upstreams.all()) {
+    if (upstream->running > 0) {
+      status.loads[name] = { upstream->running,
+                             whole(upstream->queuedMs),
+                             whole(upstream->patientMs),
+                             whole(upstream->memoryTokens) };
+    }
+  }
+  for (const auto& [ref, rate] : mPath.demand.rates(base::monotonicNow())) {
+    status.demand[ref.text()].workMsPerSecond = whole(std::round(rate));
+  }
+  for (const auto& [ref, count] : mPath.waiting.counts()) {
+    status.demand[ref.text()].waiting = count;
+  }
+  for (const auto& [ref, count] : mPath.runningByModel) {
+    status.demand[ref.text()].running = count;
+  }
+  status.crashes = mPath.crashes.own();
+  status.leaving = mPath.upstreams.leaving();
+  return status;
+}
+
+void
+PeerExchange::receive(const std::string& aBytes)
+{
+  auto message = base::capture([&] { return peers::decode(aBytes); });
+  if (const base::Error* error = base::errorOf(message)) {
+    observe::logWarn("message of a peer cannot be read",
+                     { { "error", error->message } });
+    return;
+  }
+  std::visit(
+    [&](auto& aContent) { onMessage(std::move(aContent), aBytes); },
+    std::get<peers::Message>(message));
+}
+
+void
+PeerExchange::passOn(const std::string& aBytes)
+{
+  if (isRelay()) {
+    mLink.send(aBytes, neighbours());
+  }
+}
+
+void
+PeerExchange::learn(const peers::DemandTable& aDemand)
+{
+  const bool waits =
+    std::any_of(aDemand.begin(), aDemand.end(), [](const auto& aItem) {
+      return aItem.second.waiting > 0;
+    });
+  if (waits && mOrders.active()) {
+    mDemandHeard.emit();
+  }
+}
+
+void
+PeerExchange::onMessage(peers::Status aStatus, const std::string&)
+{
+  const base::TimePoint now = base::monotonicNow();
+  const base::VmName vm = aStatus.vm;
+  if (vm == mPath.settings.vm || !mPath.peers.update(std::move(aStatus), now)) {
+    return;
+  }
+  const peers::Status& status = mPath.peers.rows().at(vm).status;
+  if (status.departing) {
+    mPath.quota.onDeparted(vm, now);
+  } else {
+    mPath.quota.addLapsed(status.lapsed, now);
+    mPath.quota.onPeerUsage(vm, status.incarnation, status.usage, now);
+  }
+  if (status.dataCentre == mPath.settings.dataCentre) {
+    mPath.crashes.onPeer(vm, status.crashes, now);
+  }
+  mPath.upstreams.markLeaving(status.leaving);
+  if (status.catalogVersion > mPath.catalog.version()) {
+    mNewerCatalog.emit(vm);
+  }
+  learn(status.demand);
+}
+
+void
+PeerExchange::onMessage(peers::Summary aSummary, const std::string& aBytes)
+{
+  const base::TimePoint now = base::monotonicNow();
+  const base::DataCentre dataCentre = aSummary.dataCentre;
+  if (!mPath.peers.update(std::move(aSummary), now)) {
+    return;
+  }
+  passOn(aBytes);
+  const auto& summary = mPath.peers.summaries().at(dataCentre).summary;
+  mPath.quota.addLapsed(summary.lapsed, now);
+  for (const auto& [vm, member] : summary.members) {
+    if (member.departing) {
+      mPath.quota.onDeparted(vm, now);
+    } else if (vm != mPath.settings.vm) {
+      mPath.quota.onPeerUsage(vm, member.incarnation, member.usage, now);
+    }
+  }
+  mPath.crashes.onPeer(dataCentre, summary.crashes, now);
+  mPath.upstreams.markLeaving(summary.leaving);
+  if (summary.catalogVersion > mPath.catalog.version()) {
+    mNewerCatalog.emit(summary.relay);
+  }
+  learn(summary.demand);
+}
+
+void
+PeerExchange::onMessage(peers::Places aPlaces, const std::string& aBytes)
+{
+  const bool older =
+    aPlaces.fence < mPlacesFence || (aPlaces.fence == mPlacesFence &&
+                                     aPlaces.sequence <= mPlacesSequence);
+  if (older || aPlaces.owner == mPath.settings.vm) {
+    return;
+  }
+  mPlacesFence = aPlaces.fence;
+  mPlacesSequence = aPlaces.sequence;
+  passOn(aBytes);
+  const base::TimePoint now = base::monotonicNow();
+  mOrders.noteLoads(aPlaces.loadAges, now);
+  const auto& owner = mFleet.owner();
+  if (!owner || owner->fence != aPlaces.fence || mOrders.active()) {
+    return;
+  }
+  mPlacesHeardAt = now;
+  mPath.upstreams.usePlaces(aPlaces);
+  mPlacesHeard.emit();
+}
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/peer_exchange.h
@@ -0,0 +1,98 @@
+/** @file What this VM tells its peers and learns from them. */
+#pragma once
+
+#include "apps/gateway/fleet.h"
+#include "apps/gateway/order_book.h"
+#include "apps/gateway/peer_link.h"
+#include "apps/gateway/request_path.h"
+
+namespace marigold::gateway {
+
+/**
+ * VMs of a data centre report to each other. One of them, the relay, sends a
+ * summary to the relays of the other data centres and passes theirs on, so that
+ * links between regions carry each figure once.
+ */
+class PeerExchange
+{
+public:
+  PeerExchange(http::Loop& aLoop,
+               RequestPath& aPath,
+               Fleet& aFleet,
+               OrderBook& aOrders,
+               base::Incarnation aIncarnation);
+
+  /** @return SettingsInvalid if the peer address is taken */
+  base::Result<void> listen();
+
+  /** The registered VMs changed. */
+  void fleetChanged();
+
+  /** Reports to the owner of orders at once, because requests wait. */
+  void reportToOwner();
+
+  /** The engines' places changed; announced soon, once for several changes. */
+  void announcePlaces();
+
+  /** This VM admits nothing more; tells everybody. */
+  void depart();
+
+  /** Forgets silent peers and the places of a silent owner. */
+  void expire();
+
+  /** @return the relay of this data centre as far as known */
+  base::VmName relay() const;
+
+  /** @return VMs of this data centre, this one included */
+  std::size_t vmsOfDataCentre() const;
+
+  /** Emitted with the name of a VM that has a newer configuration. */
+  sigc::signal<void(base::VmName)>& newerCatalog() { return mNewerCatalog; }
+
+  /** Emitted when the owner's view of the engines came. */
+  sigc::signal<void()>& placesHeard() { return mPlacesHeard; }
+
+  /** Emitted when a peer's requests wait for the owner's orders. */
+  sigc::signal<void()>& demandHeard() { return mDemandHeard; }
+
+private:
+  void receive(const std::string& aBytes);
+  void onMessage(peers::Status aStatus, const std::string& aBytes);
+  void onMessage(peers::Summary aSummary, const std::string& aBytes);
+  void onMessage(peers::Places aPlaces, const std::string& aBytes);
+  void passOn(const std::string& aBytes);
+  void send();
+  void sendSummary(const std::vector<base::DataCentre>& aTo);
+  void sendPlaces();
+  peers::Status status();
+  void learn(const peers::DemandTable& aDemand);
+  bool isRelay() const { return relay() == mPath.settings.vm; }
+  bool sameRegion(const base::DataCentre& aOther) const;
+  std::vector<base::Address> neighbours() const;
+  std::vector<base::Address> relaysOf(const base::DataCentre& aOther) const;
+
+  http::Loop& mLoop;
+  RequestPath& mPath;
+  Fleet& mFleet;
+  OrderBook& mOrders;
+  base::Incarnation mIncarnation;
+  PeerLink mLink;
+  peers::SummaryMaker mSummaries;
+  peers::PlaceNews mPlaceNews;
+  peers::ReportSchedule mSchedule;
+  peers::Periodic mPlacesTurn;
+  std::uint64_t mSequence = 0;
+  bool mDeparting = false;
+  std::map<base::DataCentre, std::vector<base::VmName>> mRelayOrders;
+  std::uint64_t mPlacesFence = 0;
+  std::uint64_t mPlacesSequence = 0;
+  base::TimePoint mPlacesHeardAt{};
+  bool mReportPosted = false;
+  http::Watch mAnnouncement;
+  http::Watch mTimer;
+  sigc::signal<void(base::VmName)> mNewerCatalog;
+  sigc::signal<void()> mPlacesHeard;
+  sigc::signal<void()> mDemandHeard;
+};
+
+} // namespace marigold::gateway
--- a/apps/gateway/peer_link.cpp
+++ b/apps/gateway/peer_link.cpp
@@ -59,21 +59,20 @@
 }
 
 void
-PeerLink::send(const peers::Status& aStatus,
+PeerLink::send(const std::string& aBytes,
                const std::vector<base::Address>& aPeers)
 {
-  const std::string bytes = peers::encode(aStatus);
-  if (bytes.size() > kLargestDatagram) {
-    observe::logError("status is too large",
-                      { { "bytes", std::to_string(bytes.size()) } });
+  if (aBytes.size() > kLargestDatagram) {
+    observe::logError("message to peers is too large",
+                      { { "bytes", std::to_string(aBytes.size()) } });
     return;
   }
   for (const base::Address& peer : aPeers) {
     const sockaddr_in address = socketAddress(peer);
-    // A lost status is replaced by the next one.
+    // A lost message is replaced by the next one.
     (void)sendto(mSocket,
-                 bytes.data(),
-                 bytes.size(),
+                 aBytes.data(),
+                 aBytes.size(),
                  MSG_DONTWAIT,
                  reinterpret_cast<const sockaddr*>(&address),
                  sizeof(address));
@@ -90,16 +89,7 @@
     if (size < 0) {
       return;
     }
-    auto status = base::capture([&] {
-      return peers::decode({ buffer.data(), static_cast<std::size_t>(size) });
-    });
-    if (const base::Error* error = base::errorOf(status)) {
-      ++mMalformed;
-      observe::logWarn("status of a peer cannot be read",
-                       { { "error", error->message } });
-      continue;
-    }
-    mHandler(std::move(std::get<peers::Status>(status)));
+    mHandler({ buffer.data(), static_cast<std::size_t>(size) });
   }
 }
 
--- a/apps/gateway/peer_link.h
+++ b/apps/gateway/peer_link.h
@@ -1,23 +1,24 @@
-/** @file Status messages between VMs over UDP. */
+/** @file Messages between VMs over UDP. */
 #pragma once
 
 #include "apps/gateway/settings.h"
 #include "http/loop.h"
-#include "peers/peers.h"
 
 #include <functional>
+#include <string>
+#include <vector>
 
 namespace marigold::gateway {
 
 /**
  * Sends and receives datagrams. UDP fits better than nng's streams here: a
- * status replaces the one before, and a connection that falls silent would have
+ * message replaces the one before, and a connection that falls silent would have
  * to be found and replaced.
  */
 class PeerLink
 {
 public:
-  using Handler = std::function<void(peers::Status)>;
+  using Handler = std::function<void(const std::string&)>;
 
   PeerLink(http::Loop& aLoop, const Settings& aSettings, Handler aHandler);
   ~PeerLink();
@@ -27,13 +28,10 @@
   /** @return SettingsInvalid if the address is taken */
   base::Result<void> listen();
 
-  /** @param aStatus status @param aPeers addresses of other VMs */
-  void send(const peers::Status& aStatus,
+  /** @param aBytes message @param aPeers addresses of other VMs */
+  void send(const std::string& aBytes,
             const std::vector<base::Address>& aPeers);
 
-  /** @return datagrams that could not be read */
-  std::uint64_t malformed() const { return mMalformed; }
-
 private:
   void receive();
 
@@ -42,7 +40,6 @@
   Handler mHandler;
   int mSocket = -1;
   http::Watch mReadable;
-  std::uint64_t mMalformed = 0;
 };
 
 } // namespace marigold::gateway
--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -12,6 +12,11 @@
 /** One wait for changes. A connection can fall silent without an error, and a
  * withdrawn key must not stay in force for long after that. */
 constexpr base::Duration kWait = 4s;
+/** The same at a relay, which costs no call to the store. */
+constexpr base::Duration kRelayWait = 1s;
+constexpr base::Duration kRelayReadPause = 50ms;
+/** A relay that failed is not asked for this long. */
+constexpr base::Duration kRelayPause = 2s;
 /** First pause after a failed call; it doubles up to the longest one. */
 constexpr base::Duration kFirstBackoff = 100ms;
 constexpr base::Duration kLongestBackoff = 800ms;
@@ -52,7 +57,6 @@
 void
 PrefixWatch::noteAnswer()
 {
-  mAnsweredAt = base::monotonicNow();
   mFailures = 0;
   if (!mConnected) {
     mConnected = true;
@@ -84,12 +88,23 @@
     }
     const auto& snapshot = std::get<platform::Snapshot>(aOut);
     mRevision = snapshot.revision;
+    mAtStore = true;
     noteAnswer();
+    mMirror.replace(snapshot);
+    mMirrored.emit();
     mEvents.snapshot(snapshot);
     wait();
   });
 }
 
+platform::Client*
+PrefixWatch::relay() const
+{
+  const bool failed = mRelayFailedAt != base::TimePoint{} &&
+                      base::monotonicNow() - mRelayFailedAt < kRelayPause;
+  return mRelay && !failed ? mRelay() : nullptr;
+}
+
 void
 PrefixWatch::wait()
 {
@@ -97,33 +112,56 @@
     list();
     return;
   }
-  mClient.watch(
-    mPrefix,
-    mRevision,
-    kWait,
-    [this](const base::Captured<platform::Snapshot>& aOut) {
-      if (const base::Error* error = base::errorOf(aOut)) {
-        if (error->code == base::Code::HistoryCompacted) {
-          observe::logInfo("store history compacted",
-                           { { "prefix", mPrefix },
-                             { "revision", std::to_string(mRevision) } });
-          list();
-          return;
-        }
-        noteFailure(*error);
-        later(std::min(kLongestBackoff,
-                       kFirstBackoff * (1U << std::min(mFailures, 4U))),
-              &PrefixWatch::wait);
-        return;
-      }
-      const auto& changes = std::get<platform::Snapshot>(aOut);
-      mRevision = std::max(mRevision, changes.revision);
-      noteAnswer();
-      for (const platform::Entry& entry : changes.entries) {
-        mEvents.changed(entry);
-      }
-      later(changes.entries.empty() ? 0ms : mPause, &PrefixWatch::wait);
-    });
+  platform::Client* other = relay();
+  const bool fromRelay = other != nullptr;
+  (fromRelay ? *other : mClient)
+    .watch(mPrefix,
+           mRevision,
+           fromRelay ? kRelayWait : kWait,
+           [this, fromRelay](const base::Captured<platform::Snapshot>& aOut) {
+             if (const base::Error* error = base::errorOf(aOut)) {
+               onFailure(*error, fromRelay);
+             } else {
+               onChanges(std::get<platform::Snapshot>(aOut), fromRelay);
+             }
+           });
+}
+
+void
+PrefixWatch::onFailure(const base::Error& aError, bool aFromRelay)
+{
+  if (aFromRelay) {
+    // The store knows all that a relay can tell.
+    mRelayFailedAt = base::monotonicNow();
+    later(0ms, &PrefixWatch::wait);
+    return;
+  }
+  if (aError.code == base::Code::HistoryCompacted) {
+    observe::logInfo("store history compacted",
+                     { { "prefix", mPrefix },
+                       { "revision", std::to_string(mRevision) } });
+    list();
+    return;
+  }
+  noteFailure(aError);
+  later(std::min(kLongestBackoff,
+                 kFirstBackoff * (1U << std::min(mFailures, 4U))),
+        &PrefixWatch::wait);
+}
+
+void
+PrefixWatch::onChanges(const platform::Snapshot& aChanges, bool aFromRelay)
+{
+  mRevision = std::max(mRevision, aChanges.revision);
+  mAtStore = !aFromRelay;
+  noteAnswer();
+  mMirror.apply(aChanges);
+  mMirrored.emit();
+  for (const platform::Entry& entry : aChanges.entries) {
+    mEvents.changed(entry);
+  }
+  const base::Duration pause = aFromRelay ? kRelayReadPause : mPause;
+  later(aChanges.entries.empty() ? 0ms : pause, &PrefixWatch::wait);
 }
 
 } // namespace marigold::gateway
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -5,7 +5,7 @@
 #include "platform/platform.h"
 
 #include <functional>
-#include <map>
+#include <sigc++/sigc++.h>
 
 namespace marigold::gateway {
 
@@ -43,15 +43,31 @@
   /** Reads everything again, because records may have come back. */
   void relist();
 
-  /** @return when the store last answered; zero before the first answer */
-  base::TimePoint answeredAt() const { return mAnsweredAt; }
+  /** Lets the watch wait elsewhere than at the store.
+   * @param aRelay who answers in place of the store, or nullptr */
+  void useRelay(std::function<platform::Client*()> aRelay)
+  {
+    mRelay = std::move(aRelay);
+  }
 
-  /** @return true while the store answers */
-  bool connected() const { return mConnected; }
+  /** @return first part of the keys */
+  const std::string& prefix() const { return mPrefix; }
+
+  /** @return all keys under the prefix, as far as seen */
+  const platform::Mirror& mirror() const { return mMirror; }
+
+  /** @return true while the store itself answers this watch */
+  bool followsStore() const { return mConnected && mAtStore; }
+
+  /** Emitted when the mirror may have changed. */
+  sigc::signal<void()>& mirrored() { return mMirrored; }
 
 private:
   void list();
   void wait();
+  void onChanges(const platform::Snapshot& aChanges, bool aFromRelay);
+  void onFailure(const base::Error& aError, bool aFromRelay);
+  platform::Client* relay() const;
   void noteAnswer();
   void noteFailure(const base::Error& aError);
   void later(base::Duration aDelay, void (PrefixWatch::*aNext)());
@@ -62,9 +78,13 @@
   base::Duration mPause;
   PrefixEvents mEvents;
   platform::Revision mRevision = 0;
-  base::TimePoint mAnsweredAt{};
   bool mConnected = false;
   bool mListAgain = false;
+  bool mAtStore = true;
+  std::function<platform::Client*()> mRelay;
+  base::TimePoint mRelayFailedAt{};
+  platform::Mirror mMirror;
+  sigc::signal<void()> mMirrored;
   unsigned mFailures = 0;
   http::Watch mTimer;
 };
--- /dev/null
+++ b/apps/gateway/record_relay.cpp
@@ -0,0 +1,147 @@
+#include "apps/gateway/record_relay.h"
+
+#include <algorithm>
+
+namespace marigold::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** VMs of a data centre from which on the calls saved repay a further hop. */
+constexpr std::size_t kLeastVms = 4;
+/** A relay in the same data centre answers within milliseconds. */
+constexpr base::Duration kRelayTimeout = 500ms;
+/** Longest wait of a reader. */
+constexpr base::Duration kLongestWait = 5s;
+/** A relay that has not renewed its lease for this long may be cut off from
+ * the store; two renewals were missed then. */
+constexpr base::Duration kStoreContact = 1500ms;
+
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
+
+} // namespace
+
+RecordRelay::RecordRelay(http::Loop& aLoop,
+                         const Settings& aSettings,
+                         Fleet& aFleet,
+                         PeerExchange& aExchange,
+                         observe::OperatorServer& aServer)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mFleet(aFleet)
+  , mExchange(aExchange)
+{
+  aServer.add("GET",
+              "/v1/watch",
+              [this](const http::Request& aRequest,
+                     const std::shared_ptr<http::Responder>& aResponder) {
+                serve(aRequest, aResponder);
+              });
+}
+
+void
+RecordRelay::share(PrefixWatch& aWatch)
+{
+  mWatches[aWatch.prefix()] = &aWatch;
+  aWatch.useRelay([this] { return source(); });
+  aWatch.mirrored().connect([this, &aWatch] { changed(aWatch); });
+}
+
+platform::Client*
+RecordRelay::source()
+{
+  const base::VmName relay = mExchange.relay();
+  if (relay == mSettings.vm || mExchange.vmsOfDataCentre() < kLeastVms) {
+    return nullptr;
+  }
+  const auto member = mFleet.others().find(relay);
+  if (member == mFleet.others().end()) {
+    return nullptr;
+  }
+  auto& client = mClients[relay];
+  if (!client) {
+    client = std::make_unique<platform::Client>(
+      mLoop, member->second.operatorAddress, kRelayTimeout);
+  }
+  return client.get();
+}
+
+bool
+RecordRelay::current(const PrefixWatch& aWatch) const
+{
+  return aWatch.followsStore() && aWatch.mirror().revision() > 0 &&
+         base::monotonicNow() - mFleet.renewedAt() < kStoreContact;
+}
+
+void
+RecordRelay::serve(const http::Request& aRequest,
+                   const std::shared_ptr<http::Responder>& aResponder)
+{
+  const auto watch =
+    mWatches.find(http::queryValue(aRequest.query, "prefix"));
+  const auto after =
+    base::parseNumber(http::queryValue(aRequest.query, "after"));
+  const auto wait =
+    base::parseNumber(http::queryValue(aRequest.query, "wait_ms"));
+  if (watch == mWatches.end() || !after || !wait) {
+    aResponder->reply({ kBadRequest, {}, "" });
+    return;
+  }
+  mReaders.push_back({ watch->second, *after, aResponder, {} });
+  const auto reader = std::prev(mReaders.end());
+  if (answer(*reader, false)) {
+    mReaders.erase(reader);
+    return;
+  }
+  const auto longest = std::min<base::Duration>(
+    std::chrono::milliseconds(*wait), kLongestWait);
+  reader->timer = mLoop.after(longest, [this, reader] {
+    answer(*reader, true);
+    mReaders.erase(reader);
+  });
+}
+
+bool
+RecordRelay::answer(Reader& aReader, bool aTimedOut)
+{
+  if (aReader.responder->finished()) {
+    return true;
+  }
+  if (!current(*aReader.watch)) {
+    aReader.responder->reply({ kUnavailable, {}, "" });
+    return true;
+  }
+  const auto changes = aReader.watch->mirror().changesAfter(aReader.after);
+  if (!changes) {
+    aReader.responder->reply({ kGone, {}, "" });
+    return true;
+  }
+  if (changes->entries.empty() && !aTimedOut) {
+    return false;
+  }
+  aReader.responder->reply(
+    observe::jsonAnswer(kOk, platform::encodeSnapshot(*changes)));
+  return true;
+}
+
+void
+RecordRelay::changed(const PrefixWatch& aWatch)
+{
+  std::erase_if(mReaders, [&](Reader& aReader) {
+    return aReader.watch == &aWatch && answer(aReader, false);
+  });
+}
+
+void
+RecordRelay::tick()
+{
+  std::erase_if(mReaders, [this](Reader& aReader) {
+    return (!current(*aReader.watch) || aReader.responder->finished()) &&
+           answer(aReader, false);
+  });
+}
+
+} // namespace marigold::gateway
--- a/apps/gateway/settings.cpp
+++ b/apps/gateway/settings.cpp
@@ -42,6 +42,10 @@
   settings.retryLeastExtra =
     aRoot.require("retry_least_extra").number(0, kHighestExtra);
   settings.loadWindow = duration("load_window");
+  settings.loadOvershoot =
+    aRoot.require("load_overshoot").number(1, kHighestRatio);
+  settings.loadExtra = aRoot.require("load_extra").number(0, kHighestExtra);
+  settings.capacity = aRoot.require("capacity").number(0, kHighestExtra);
   settings.quotaSlack = aRoot.require("quota_slack").number(0, kHighestSlack);
   if (aRoot.has("log_level")) {
     settings.logLevel =
--- a/apps/gateway/settings.h
+++ b/apps/gateway/settings.h
@@ -28,6 +28,9 @@
   base::Duration retryWindow{};
   double retryLeastExtra = 0;
   base::Duration loadWindow{}; ///< over which loads of weights are limited
+  double loadOvershoot = 1;    ///< factor on the store's rate over the window
+  double loadExtra = 0;        ///< loads allowed beside the rate
+  double capacity = 0;         ///< cores that the process may use
   double quotaSlack = 0;       ///< units that the fleet may be late to count
 };
 
--- a/apps/gateway/upstream_table.cpp
+++ b/apps/gateway/upstream_table.cpp
@@ -83,22 +83,35 @@
 }
 
 void
-UpstreamTable::setPlaces(
-  const std::vector<peers::AdapterPlace>& aPlaces,
-  const std::map<base::UpstreamName, std::vector<std::string>>& aRetiring)
+UpstreamTable::usePlaces(const peers::Places& aPlaces)
 {
+  const bool follows = mHasPlaces && mPlacesFence == aPlaces.fence;
+  if (!aPlaces.whole && !follows) {
+    return;
+  }
+  if (aPlaces.whole) {
+    mPlaces.clear();
+    mRetiring.clear();
+  }
   mHasPlaces = true;
-  mPlaces.clear();
-  mRetiring.clear();
-  for (const peers::AdapterPlace& place : aPlaces) {
-    auto& refs = mPlaces[place.upstream];
-    for (const std::string& adapter : place.adapters) {
-      refs.insert({ place.model, adapter });
-    }
+  mPlacesFence = aPlaces.fence;
+  for (const auto& [name, place] : aPlaces.engines) {
+    setPlace(name, place);
   }
-  for (const auto& [name, models] : aRetiring) {
-    mRetiring[name].insert(models.begin(), models.end());
+}
+
+void
+UpstreamTable::setPlace(const base::UpstreamName& aName,
+                        const peers::EnginePlace& aPlace)
+{
+  std::set<catalog::ModelRef> refs;
+  for (const auto& [model, adapters] : aPlace.adapters) {
+    for (const std::string& adapter : adapters) {
+      refs.insert({ model, adapter });
+    }
   }
+  mPlaces[aName] = std::move(refs);
+  mRetiring[aName] = { aPlace.retiring.begin(), aPlace.retiring.end() };
 }
 
 void
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -61,11 +61,8 @@
   /** @return names of upstreams that are leaving, with a tag of the process */
   std::map<base::UpstreamName, std::uint32_t> leaving() const;
 
-  /** @param aPlaces adapters by upstream, from the owner of orders
-   * @param aRetiring models that are about to be unloaded, by upstream */
-  void setPlaces(
-    const std::vector<peers::AdapterPlace>& aPlaces,
-    const std::map<base::UpstreamName, std::vector<std::string>>& aRetiring);
+  /** @param aPlaces what the owner of orders knows of the engines */
+  void usePlaces(const peers::Places& aPlaces);
 
   /** The owner of orders is silent; the upstreams' own records count again. */
   void clearPlaces();
@@ -82,7 +79,11 @@
 
 private:
   Map mUpstreams;
+  void setPlace(const base::UpstreamName& aName,
+                const peers::EnginePlace& aPlace);
+
   bool mHasPlaces = false;
+  std::uint64_t mPlacesFence = 0;
   std::map<base::UpstreamName, std::set<catalog::ModelRef>> mPlaces;
   std::map<base::UpstreamName, std::set<std::string>> mRetiring;
 };
--- a/libs/base/base.h
+++ b/libs/base/base.h
@@ -11,5 +11,6 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/ids.h"
+#include "base/number.h"
 #include "base/random.h"
 #include "base/time.h"
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -1,5 +1,6 @@
-#include "peers/peers.h"
+#include "peers/messages.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace marigold::peers {
@@ -8,13 +9,31 @@
 using nlohmann::json;
 
 /** Raised with every change that an older program cannot read. */
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;
+
+enum class Kind : std::uint8_t
+{
+  Status,
+  Summary,
+  Places,
+};
+
+json
+encodeUsage(const Usage& aUsage)
+{
+  json usage = json::object();
+  for (const auto& [team, total] : aUsage) {
+    // Whole units take half the bytes; rounding up never counts too little.
+    usage[team] = static_cast<std::uint64_t>(std::ceil(total));
+  }
+  return usage;
+}
 
 json
-encodeLoads(const Status& aStatus)
+encodeLoads(const LoadTable& aLoads)
 {
   json loads = json::object();
-  for (const auto& [name, load] : aStatus.loads) {
+  for (const auto& [name, load] : aLoads) {
     loads[name] = json::array(
       { load.running, load.queuedMs, load.patientMs, load.memoryTokens });
   }
@@ -22,91 +41,218 @@
 }
 
 json
-encodeDemand(const Status& aStatus)
+encodeDemand(const DemandTable& aDemand)
 {
   json demand = json::object();
-  for (const auto& [name, row] : aStatus.demand) {
+  for (const auto& [name, row] : aDemand) {
     demand[name] =
       json::array({ row.workMsPerSecond, row.waiting, row.running });
   }
   return demand;
 }
 
+LoadTable
+decodeLoads(const json& aFrom)
+{
+  LoadTable loads;
+  for (const auto& [name, row] : aFrom.items()) {
+    loads[name] = { row.at(0), row.at(1), row.at(2), row.at(3) };
+  }
+  return loads;
+}
+
+DemandTable
+decodeDemand(const json& aFrom)
+{
+  DemandTable demand;
+  for (const auto& [name, row] : aFrom.items()) {
+    demand[name] = { row.at(0), row.at(1), row.at(2) };
+  }
+  return demand;
+}
+
+json
+encodeBody(const Status& aStatus)
+{
+  return json::array({ aStatus.vm,
+                       aStatus.dataCentre,
+                       aStatus.incarnation,
+                       aStatus.sequence,
+                       aStatus.catalogVersion,
+                       aStatus.departing,
+                       encodeUsage(aStatus.usage),
+                       aStatus.lapsed,
+                       encodeLoads(aStatus.loads),
+                       encodeDemand(aStatus.demand),
+                       aStatus.crashes,
+                       aStatus.leaving });
+}
+
+Status
+decodeStatus(const json& aBody)
+{
+  std::size_t field = 0;
+  const auto next = [&]() -> const json& { return aBody.at(field++); };
+  Status status;
+  status.vm = next();
+  status.dataCentre = next();
+  status.incarnation = next();
+  status.sequence = next();
+  status.catalogVersion = next();
+  status.departing = next();
+  status.usage = next().get<Usage>();
+  status.lapsed = next().get<std::vector<std::string>>();
+  status.loads = decodeLoads(next());
+  status.demand = decodeDemand(next());
+  status.crashes = next().get<std::map<std::string, std::uint32_t>>();
+  status.leaving = next().get<std::map<std::string, std::uint32_t>>();
+  return status;
+}
+
 json
-encodeAdapters(const Status& aStatus)
+encodeBody(const Summary& aSummary)
 {
-  json places = json::array();
-  for (const AdapterPlace& place : aStatus.adapters) {
-    places.push_back(
-      json::array({ place.upstream, place.model, place.adapters }));
+  json members = json::object();
+  for (const auto& [vm, member] : aSummary.members) {
+    members[vm] = json::array(
+      { member.incarnation, member.departing, encodeUsage(member.usage) });
   }
-  return places;
+  return json::array({ aSummary.dataCentre,
+                       aSummary.relay,
+                       aSummary.incarnation,
+                       aSummary.sequence,
+                       aSummary.catalogVersion,
+                       members,
+                       aSummary.lapsed,
+                       encodeLoads(aSummary.loads),
+                       encodeDemand(aSummary.demand),
+                       aSummary.crashes,
+                       aSummary.leaving });
+}
+
+Summary
+decodeSummary(const json& aBody)
+{
+  std::size_t field = 0;
+  const auto next = [&]() -> const json& { return aBody.at(field++); };
+  Summary summary;
+  summary.dataCentre = next();
+  summary.relay = next();
+  summary.incarnation = next();
+  summary.sequence = next();
+  summary.catalogVersion = next();
+  for (const auto& [vm, row] : next().items()) {
+    summary.members[vm] = { row.at(0), row.at(1), row.at(2).get<Usage>() };
+  }
+  summary.lapsed = next().get<std::vector<std::string>>();
+  summary.loads = decodeLoads(next());
+  summary.demand = decodeDemand(next());
+  summary.crashes = next().get<std::map<std::string, std::uint32_t>>();
+  summary.leaving = next().get<std::map<std::string, std::uint32_t>>();
+  return summary;
 }
 
-void
-decodeTables(const json& aFrom, Status& aStatus)
+json
+encodeBody(const Places& aPlaces)
 {
-  for (const auto& [name, row] : aFrom.at("load").items()) {
-    aStatus.loads[name] = { row.at(0), row.at(1), row.at(2), row.at(3) };
+  json engines = json::object();
+  for (const auto& [name, place] : aPlaces.engines) {
+    engines[name] = json::array({ place.adapters, place.retiring });
+  }
+  json ages = json::array();
+  for (const base::Duration age : aPlaces.loadAges) {
+    ages.push_back(base::inMilliseconds(age));
   }
-  for (const auto& [name, row] : aFrom.at("demand").items()) {
-    aStatus.demand[name] = { row.at(0), row.at(1), row.at(2) };
+  return json::array({ aPlaces.owner,
+                       aPlaces.fence,
+                       aPlaces.sequence,
+                       aPlaces.whole,
+                       engines,
+                       ages });
+}
+
+Places
+decodePlaces(const json& aBody)
+{
+  std::size_t field = 0;
+  const auto next = [&]() -> const json& { return aBody.at(field++); };
+  Places places;
+  places.owner = next();
+  places.fence = next();
+  places.sequence = next();
+  places.whole = next();
+  for (const auto& [name, row] : next().items()) {
+    places.engines[name] = {
+      row.at(0).get<std::map<std::string, std::vector<std::string>>>(),
+      row.at(1).get<std::vector<std::string>>()
+    };
   }
-  for (const json& row : aFrom.at("adapters")) {
-    aStatus.adapters.push_back({ row.at(0), row.at(1), row.at(2) });
+  for (const json& age : next()) {
+    places.loadAges.emplace_back(
+      std::chrono::milliseconds(age.get<std::int64_t>()));
   }
+  return places;
 }
 
 } // namespace
 
+UpstreamLoad&
+UpstreamLoad::operator+=(const UpstreamLoad& aOther)
+{
+  running += aOther.running;
+  queuedMs += aOther.queuedMs;
+  patientMs += aOther.patientMs;
+  memoryTokens += aOther.memoryTokens;
+  return *this;
+}
+
+UpstreamLoad&
+UpstreamLoad::operator-=(const UpstreamLoad& aOther)
+{
+  running -= aOther.running;
+  queuedMs -= aOther.queuedMs;
+  patientMs -= aOther.patientMs;
+  memoryTokens -= aOther.memoryTokens;
+  return *this;
+}
+
+ModelDemand&
+ModelDemand::operator+=(const ModelDemand& aOther)
+{
+  workMsPerSecond += aOther.workMsPerSecond;
+  waiting += aOther.waiting;
+  running += aOther.running;
+  return *this;
+}
+
 std::string
-encode(const Status& aStatus)
-{
-  const json content{ { "format", kFormat },
-                      { "vm", aStatus.vm },
-                      { "incarnation", aStatus.incarnation },
-                      { "sequence", aStatus.sequence },
-                      { "catalog", aStatus.catalogVersion },
-                      { "fence", aStatus.fence },
-                      { "departing", aStatus.departing },
-                      { "lapsed", aStatus.lapsed },
-                      { "usage", aStatus.usage },
-                      { "load", encodeLoads(aStatus) },
-                      { "demand", encodeDemand(aStatus) },
-                      { "adapters", encodeAdapters(aStatus) },
-                      { "retiring", aStatus.retiring },
-                      { "crashes", aStatus.crashes },
-                      { "leaving", aStatus.leaving } };
-  const auto bytes = json::to_msgpack(content);
+encode(const Message& aMessage)
+{
+  const json body = std::visit(
+    [](const auto& aContent) { return encodeBody(aContent); }, aMessage);
+  const auto bytes =
+    json::to_msgpack(json::array({ kFormat, aMessage.index(), body }));
   return { bytes.begin(), bytes.end() };
 }
 
-base::Result<Status>
+base::Result<Message>
 decode(const std::string& aBytes)
 {
   const json content = json::from_msgpack(aBytes, true, false);
   try {
-    if (content.at("format") != kFormat) {
+    if (content.at(0) != kFormat) {
       return base::fail(base::Code::MessageVersionUnsupported,
-                        "status of another format");
+                        "message of another format");
+    }
+    switch (content.at(1).get<Kind>()) {
+      case Kind::Status:
+        return Message(decodeStatus(content.at(2)));
+      case Kind::Summary:
+        return Message(decodeSummary(content.at(2)));
+      case Kind::Places:
+        return Message(decodePlaces(content.at(2)));
     }
-    Status status;
-    status.vm = content.at("vm");
-    status.incarnation = content.at("incarnation");
-    status.sequence = content.at("sequence");
-    status.catalogVersion = content.at("catalog");
-    status.fence = content.at("fence");
-    status.departing = content.at("departing");
-    status.lapsed = content.at("lapsed").get<std::vector<std::string>>();
-    status.usage = content.at("usage").get<std::map<std::string, double>>();
-    status.crashes =
-      content.at("crashes").get<std::map<std::string, std::uint32_t>>();
-    status.retiring = content.at("retiring")
-                        .get<std::map<std::string, std::vector<std::string>>>();
-    status.leaving =
-      content.at("leaving").get<std::map<std::string, std::uint32_t>>();
-    decodeTables(content, status);
-    return status;
+    return base::fail(base::Code::MessageMalformed, "message of unknown kind");
   } catch (const json::exception& wrong) {
     return base::fail(base::Code::MessageMalformed, wrong.what());
   }
--- /dev/null
+++ b/libs/peers/place_news.cpp
@@ -0,0 +1,56 @@
+#include "peers/place_news.h"
+
+namespace marigold::peers {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Period of announcements with all engines. */
+constexpr base::Duration kWholePeriod = 1200ms;
+
+} // namespace
+
+void
+PlaceNews::restart()
+{
+  mKnown.clear();
+  mChangedAt.clear();
+  mWholeAt = {};
+}
+
+Places
+PlaceNews::next(const PlaceTable& aPlaces, base::TimePoint aNow)
+{
+  Places news;
+  news.sequence = ++mSequence;
+  for (const auto& [name, place] : aPlaces) {
+    const auto known = mKnown.find(name);
+    if (known == mKnown.end() || !(known->second == place)) {
+      mChangedAt[name] = aNow;
+    }
+  }
+  for (const auto& [name, place] : mKnown) {
+    if (!aPlaces.contains(name)) {
+      mChangedAt[name] = aNow;
+    }
+  }
+  mKnown = aPlaces;
+  news.whole = mWholeAt == base::TimePoint{} || aNow - mWholeAt > kWholePeriod;
+  if (news.whole) {
+    mWholeAt = aNow;
+    news.engines = aPlaces;
+    return news;
+  }
+  // A change is repeated until the next whole announcement.
+  std::erase_if(mChangedAt, [aNow](const auto& aItem) {
+    return aNow - aItem.second > kWholePeriod;
+  });
+  for (const auto& [name, changedAt] : mChangedAt) {
+    const auto place = aPlaces.find(name);
+    news.engines[name] =
+      place == aPlaces.end() ? EnginePlace{} : place->second;
+  }
+  return news;
+}
+
+} // namespace marigold::peers
--- /dev/null
+++ b/libs/peers/place_news.h
@@ -0,0 +1,31 @@
+/** @file What the owner of orders announces of the engines. */
+#pragma once
+
+#include "peers/messages.h"
+
+namespace marigold::peers {
+
+using PlaceTable = std::map<base::UpstreamName, EnginePlace>;
+
+/** Announces engines that changed lately, and all of them now and then, so that
+ * a large fleet's announcements stay small and a lost one does no harm. */
+class PlaceNews
+{
+public:
+  /**
+   * @param aPlaces what the engines hold now @param aNow time
+   * @return the next announcement; the caller fills in who it is
+   */
+  Places next(const PlaceTable& aPlaces, base::TimePoint aNow);
+
+  /** The next announcement contains all engines. */
+  void restart();
+
+private:
+  PlaceTable mKnown;
+  std::map<base::UpstreamName, base::TimePoint> mChangedAt;
+  base::TimePoint mWholeAt{};
+  std::uint64_t mSequence = 0;
+};
+
+} // namespace marigold::peers
--- a/libs/peers/schedule.cpp
+++ b/libs/peers/schedule.cpp
@@ -1,4 +1,4 @@
-#include "peers/peers.h"
+#include "peers/schedule.h"
 
 #include <algorithm>
 
@@ -11,39 +11,47 @@
  * would mislead. */
 constexpr base::Duration kNearPeriod = 100ms;
 /** Requests rarely leave their region; quotas and adapters bear this delay. */
-constexpr base::Duration kFarPeriod = 400ms;
-/** Peers up to which the periods hold; they grow in proportion beyond. */
-constexpr double kNearPeers = 8;
-constexpr double kFarPeers = 16;
+constexpr base::Duration kFarPeriod = 200ms;
+/** Peers and data centres up to which the periods hold; they grow in proportion
+ * beyond, which bounds the messages of a VM. */
+constexpr double kPeers = 8;
+constexpr double kDataCentres = 3;
 /** A timer that fires a little early still counts. */
 constexpr base::Duration kTimerSlack = 10ms;
 
 base::Duration
-scaled(base::Duration aPeriod, std::size_t aPeers, double aWithout)
+scaled(base::Duration aPeriod, std::size_t aCount, double aWithout)
 {
-  const double factor = std::max(1.0, static_cast<double>(aPeers) / aWithout);
+  const double factor = std::max(1.0, static_cast<double>(aCount) / aWithout);
   return base::fromSeconds(base::inSeconds(aPeriod) * factor);
 }
 
 } // namespace
 
-void
-ReportSchedule::setFleet(std::size_t aNear, std::size_t aFar)
-{
-  mNear = scaled(kNearPeriod, aNear, kNearPeers);
-  mFar = std::max(mNear, scaled(kFarPeriod, aFar, kFarPeers));
-}
-
 bool
-ReportSchedule::due(base::TimePoint& aSent,
-                    base::Duration aPeriod,
-                    base::TimePoint aNow)
+Periodic::due(base::TimePoint aNow)
 {
-  if (aNow - aSent + kTimerSlack < aPeriod) {
+  if (aNow - mLast + kTimerSlack < mPeriod) {
     return false;
   }
-  aSent = aNow;
+  mLast = aNow;
   return true;
 }
 
+ReportSchedule::ReportSchedule()
+  : mStatus(kNearPeriod)
+  , mNear(kNearPeriod)
+  , mFar(kFarPeriod)
+{
+}
+
+void
+ReportSchedule::setFleet(std::size_t aPeers, std::size_t aDataCentres)
+{
+  mStatus.setPeriod(scaled(kNearPeriod, aPeers, kPeers));
+  mNear.setPeriod(mStatus.period());
+  mFar.setPeriod(std::max(mStatus.period(),
+                          scaled(kFarPeriod, aDataCentres, kDataCentres)));
+}
+
 } // namespace marigold::peers
--- /dev/null
+++ b/libs/peers/schedule.h
@@ -0,0 +1,66 @@
+/** @file When a VM reports to its peers. */
+#pragma once
+
+#include "base/base.h"
+
+namespace marigold::peers {
+
+/** Something that is due again after a period. */
+class Periodic
+{
+public:
+  explicit Periodic(base::Duration aPeriod)
+    : mPeriod(aPeriod)
+  {
+  }
+
+  /** @param aPeriod time between two turns */
+  void setPeriod(base::Duration aPeriod) { mPeriod = aPeriod; }
+
+  /** @return time between two turns */
+  base::Duration period() const { return mPeriod; }
+
+  /** @return true if it is due; notes the turn */
+  bool due(base::TimePoint aNow);
+
+private:
+  base::Duration mPeriod;
+  base::TimePoint mLast{};
+};
+
+/**
+ * Links between regions are paid by volume, so data centres there hear less
+ * often than those of the same region. In a large fleet everybody hears less
+ * often, so that the messages of a VM do not grow with the fleet.
+ */
+class ReportSchedule
+{
+public:
+  ReportSchedule();
+
+  /** @param aPeers other VMs of the data centre
+   * @param aDataCentres data centres of the fleet */
+  void setFleet(std::size_t aPeers, std::size_t aDataCentres);
+
+  /** @return true if the VMs of this data centre are due; notes the report */
+  bool statusDue(base::TimePoint aNow) { return mStatus.due(aNow); }
+
+  /** @return true if data centres of the same region are due */
+  bool nearDue(base::TimePoint aNow) { return mNear.due(aNow); }
+
+  /** @return true if data centres of other regions are due */
+  bool farDue(base::TimePoint aNow) { return mFar.due(aNow); }
+
+  /** @return time between two statuses of a VM */
+  base::Duration statusPeriod() const { return mStatus.period(); }
+
+  /** @return longest time between two reports to a peer */
+  base::Duration longest() const { return mFar.period(); }
+
+private:
+  Periodic mStatus;
+  Periodic mNear;
+  Periodic mFar;
+};
+
+} // namespace marigold::peers
--- /dev/null
+++ b/libs/peers/summary.cpp
@@ -0,0 +1,84 @@
+#include "peers/summary.h"
+
+#include <algorithm>
+
+namespace marigold::peers {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Period of summaries with all totals, for peers that missed some. */
+constexpr base::Duration kWholePeriod = 4s;
+
+} // namespace
+
+void
+SummaryMaker::add(const Status& aStatus,
+                  bool aWhole,
+                  base::Duration aRepeat,
+                  base::TimePoint aNow,
+                  Summary& aSummary)
+{
+  MemberUsage& member = aSummary.members[aStatus.vm];
+  member.incarnation = aStatus.incarnation;
+  member.departing = aStatus.departing;
+  for (const auto& [team, units] : aStatus.usage) {
+    Total& total = mTotals[{ aStatus.vm, team }];
+    if (total.units != units) {
+      total = { units, aNow };
+    }
+    if (aWhole || aNow - total.changedAt < aRepeat) {
+      member.usage[team] = units;
+    }
+  }
+  for (const auto& [name, load] : aStatus.loads) {
+    aSummary.loads[name] += load;
+  }
+  for (const auto& [name, demand] : aStatus.demand) {
+    aSummary.demand[name] += demand;
+  }
+  for (const auto& [fingerprint, count] : aStatus.crashes) {
+    aSummary.crashes[fingerprint] += count;
+  }
+  aSummary.leaving.insert(aStatus.leaving.begin(), aStatus.leaving.end());
+  for (const base::VmName& vm : aStatus.lapsed) {
+    auto& lapsed = aSummary.lapsed;
+    if (std::find(lapsed.begin(), lapsed.end(), vm) == lapsed.end()) {
+      lapsed.push_back(vm);
+    }
+  }
+}
+
+Summary
+SummaryMaker::make(const Status& aOwn,
+                   const Table& aTable,
+                   base::Duration aFresh,
+                   base::Duration aRepeat,
+                   base::TimePoint aNow)
+{
+  const bool whole = aNow - mWholeAt > kWholePeriod;
+  if (whole) {
+    mWholeAt = aNow;
+  }
+  Summary summary;
+  summary.dataCentre = aOwn.dataCentre;
+  summary.relay = aOwn.vm;
+  summary.incarnation = aOwn.incarnation;
+  summary.sequence = ++mSequence;
+  summary.catalogVersion = aOwn.catalogVersion;
+  add(aOwn, whole, aRepeat, aNow, summary);
+  for (const auto& [vm, row] : aTable.rows()) {
+    const bool ownDataCentre = row.status.dataCentre == aOwn.dataCentre;
+    if (ownDataCentre && aNow - row.heardAt < aFresh) {
+      add(row.status, whole, aRepeat, aNow, summary);
+    }
+  }
+  if (whole) {
+    std::erase_if(mTotals, [&summary](const auto& aItem) {
+      return !summary.members.contains(aItem.first.first);
+    });
+  }
+  return summary;
+}
+
+} // namespace marigold::peers
--- a/libs/peers/table.cpp
+++ b/libs/peers/table.cpp
@@ -1,4 +1,6 @@
-#include "peers/peers.h"
+#include "peers/table.h"
+
+#include <algorithm>
 
 namespace marigold::peers {
 namespace {
@@ -19,34 +21,131 @@
       row.status.sequence >= aStatus.sequence) {
     return false;
   }
+  if (sums(row.status)) {
+    subtract(row.status.loads);
+  }
   row.status = std::move(aStatus);
   row.heardAt = aNow;
+  if (sums(row.status)) {
+    add(row.status.loads);
+  }
+  return true;
+}
+
+bool
+Table::update(Summary aSummary, base::TimePoint aNow)
+{
+  Stamp& stamp = mRelays[aSummary.relay];
+  if (aSummary.dataCentre == mOwn ||
+      (stamp.incarnation == aSummary.incarnation &&
+       stamp.sequence >= aSummary.sequence)) {
+    return false;
+  }
+  stamp = { aSummary.incarnation, aSummary.sequence };
+  SummaryRow& row = mSummaries[aSummary.dataCentre];
+  subtract(row.summary.loads);
+  row.summary = std::move(aSummary);
+  row.heardAt = aNow;
+  add(row.summary.loads);
   return true;
 }
 
 void
 Table::expire(base::TimePoint aNow)
 {
-  std::erase_if(mRows, [aNow](const auto& aItem) {
-    return aNow - aItem.second.heardAt > kForgetAfter;
+  std::erase_if(mRows, [&](const auto& aItem) {
+    const Row& row = aItem.second;
+    const bool silent = aNow - row.heardAt > kForgetAfter;
+    if (silent && sums(row.status)) {
+      subtract(row.status.loads);
+    }
+    return silent;
   });
+  std::erase_if(mSummaries, [&](const auto& aItem) {
+    const bool silent = aNow - aItem.second.heardAt > kForgetAfter;
+    if (silent) {
+      subtract(aItem.second.summary.loads);
+    }
+    return silent;
+  });
+}
+
+bool
+Table::heardSince(const base::VmName& aVm, base::TimePoint aSince) const
+{
+  const auto row = mRows.find(aVm);
+  return row != mRows.end() && row->second.heardAt >= aSince;
+}
+
+void
+Table::add(const LoadTable& aLoads)
+{
+  for (const auto& [name, load] : aLoads) {
+    mLoads[name] += load;
+  }
+}
+
+void
+Table::subtract(const LoadTable& aLoads)
+{
+  for (const auto& [name, load] : aLoads) {
+    const auto sum = mLoads.find(name);
+    sum->second -= load;
+    if (sum->second == UpstreamLoad{}) {
+      mLoads.erase(sum);
+    }
+  }
 }
 
 UpstreamLoad
 Table::loadOf(const base::UpstreamName& aUpstream) const
 {
-  UpstreamLoad sum;
-  for (const auto& [name, row] : mRows) {
-    const auto found = row.status.loads.find(aUpstream);
-    if (found == row.status.loads.end()) {
+  const auto found = mLoads.find(aUpstream);
+  return found == mLoads.end() ? UpstreamLoad{} : found->second;
+}
+
+DemandTable
+Table::demand() const
+{
+  DemandTable total;
+  for (const auto& [dataCentre, row] : mSummaries) {
+    for (const auto& [name, demand] : row.summary.demand) {
+      total[name] += demand;
+    }
+  }
+  // A VM elsewhere whose requests wait reports itself ahead of the next summary
+  // of its data centre, which will contain the same requests.
+  std::map<base::DataCentre, std::map<std::string, std::uint32_t>> ahead;
+  for (const auto& [vm, row] : mRows) {
+    const Status& status = row.status;
+    if (sums(status)) {
+      for (const auto& [name, demand] : status.demand) {
+        total[name] += demand;
+      }
       continue;
     }
-    sum.running += found->second.running;
-    sum.queuedMs += found->second.queuedMs;
-    sum.patientMs += found->second.patientMs;
-    sum.memoryTokens += found->second.memoryTokens;
+    const auto summary = mSummaries.find(status.dataCentre);
+    if (summary != mSummaries.end() && summary->second.heardAt > row.heardAt) {
+      continue;
+    }
+    for (const auto& [name, demand] : status.demand) {
+      ahead[status.dataCentre][name] += demand.waiting;
+    }
+  }
+  for (const auto& [dataCentre, waiting] : ahead) {
+    const auto summary = mSummaries.find(dataCentre);
+    for (const auto& [name, count] : waiting) {
+      std::uint32_t known = 0;
+      if (summary != mSummaries.end()) {
+        const auto row = summary->second.summary.demand.find(name);
+        known = row == summary->second.summary.demand.end()
+                  ? 0
+                  : row->second.waiting;
+      }
+      total[name].waiting += count > known ? count - known : 0;
+    }
   }
-  return sum;
+  return total;
 }
 
 } // namespace marigold::peers
--- /dev/null
+++ b/libs/peers/table.h
@@ -0,0 +1,83 @@
+/** @file The latest message of each peer, with sums over all of them. */
+#pragma once
+
+#include "peers/messages.h"
+
+namespace marigold::peers {
+
+/**
+ * Keeps what the VMs of this data centre say of themselves and what the relays
+ * of the others say of theirs. Sums are kept up to date with each message,
+ * because every request looks them up.
+ */
+class Table
+{
+public:
+  /** A status with the time at which it came. */
+  struct Row
+  {
+    Status status;
+    base::TimePoint heardAt{};
+  };
+
+  /** A summary with the time at which it came. */
+  struct SummaryRow
+  {
+    Summary summary;
+    base::TimePoint heardAt{};
+  };
+
+  /** @param aOwn data centre of this VM */
+  explicit Table(base::DataCentre aOwn)
+    : mOwn(std::move(aOwn))
+  {
+  }
+
+  /** @param aStatus status @param aNow time
+   * @return false if it is older than what is known */
+  bool update(Status aStatus, base::TimePoint aNow);
+
+  /** @param aSummary summary of another data centre @param aNow time
+   * @return false if it is older than what is known of the same relay */
+  bool update(Summary aSummary, base::TimePoint aNow);
+
+  /** Drops peers that have been silent. @param aNow time */
+  void expire(base::TimePoint aNow);
+
+  /** @return the latest status of each peer that reported itself */
+  const std::map<base::VmName, Row>& rows() const { return mRows; }
+
+  /** @return the latest summary of each other data centre */
+  const std::map<base::DataCentre, SummaryRow>& summaries() const
+  {
+    return mSummaries;
+  }
+
+  /** @param aVm peer @param aSince time
+   * @return true if it reported itself since then */
+  bool heardSince(const base::VmName& aVm, base::TimePoint aSince) const;
+
+  /** @param aUpstream upstream @return the work of all peers there */
+  UpstreamLoad loadOf(const base::UpstreamName& aUpstream) const;
+
+  /** @return demand that all peers see */
+  DemandTable demand() const;
+
+private:
+  struct Stamp
+  {
+    base::Incarnation incarnation = 0;
+    std::uint64_t sequence = 0;
+  };
+  bool sums(const Status& aStatus) const { return aStatus.dataCentre == mOwn; }
+  void add(const LoadTable& aLoads);
+  void subtract(const LoadTable& aLoads);
+
+  base::DataCentre mOwn;
+  std::map<base::VmName, Row> mRows;
+  std::map<base::DataCentre, SummaryRow> mSummaries;
+  std::map<base::VmName, Stamp> mRelays; ///< newest summary of each relay
+  LoadTable mLoads;                      ///< of all peers
+};
+
+} // namespace marigold::peers
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -9,6 +9,7 @@
 #include "base/base.h"
 #include "http/http.h"
 #include "membership/membership.h"
+#include "platform/mirror.h"
 #include "platform/wire_form.h"
 
 #include <cstdint>
--- a/libs/platform/product_form.cpp
+++ b/libs/platform/product_form.cpp
@@ -120,6 +120,9 @@
       return Error{ Code::NotFound, "no such key or lease" };
     case 409:
       return Error{ Code::RevisionConflict, "the key has another revision" };
+    case 410:
+      return Error{ Code::HistoryCompacted,
+                    "changes after this revision are no longer known" };
     case 413:
       return Error{ Code::ValueTooLarge, "the value is above 1 MB" };
     case 429:
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -100,6 +100,73 @@
   CHECK(writeCode(answering(200, R"({"revision": 4})")) == Code::Ok);
 }
 
+TEST_GROUP(Mirror)
+{
+  platform::Mirror mirror;
+
+  void setup() override
+  {
+    mirror.replace({ 10, { { "a", "1", 7 }, { "b", "2", 9 } } });
+  }
+};
+
+// Guards against a reader that misses a change and keeps an old value.
+TEST(Mirror, TellsWhatChangedAfterARevision)
+{
+  mirror.apply({ 12, { { "a", "3", 11 }, { "b", std::nullopt, 12 } } });
+  const auto changes = mirror.changesAfter(11);
+  CHECK(changes.has_value());
+  LONGS_EQUAL(12, changes->revision);
+  LONGS_EQUAL(1, changes->entries.size());
+  CHECK(!changes->entries.at(0).value);
+  LONGS_EQUAL(1, mirror.all().entries.size());
+}
+
+// Guards against a reader that goes back because its relay knows less.
+TEST(Mirror, ReaderThatKnowsMoreWaits)
+{
+  const auto changes = mirror.changesAfter(15);
+  CHECK(changes.has_value());
+  LONGS_EQUAL(15, changes->revision);
+  CHECK(changes->entries.empty());
+}
+
+// Guards against keys that were removed while nobody watched.
+TEST(Mirror, NewListTellsWhatIsGone)
+{
+  mirror.replace({ 20, { { "a", "1", 7 } } });
+  const auto changes = mirror.changesAfter(10);
+  CHECK(changes.has_value());
+  LONGS_EQUAL(1, changes->entries.size());
+  STRCMP_EQUAL("b", changes->entries.at(0).key.c_str());
+  CHECK(!changes->entries.at(0).value);
+}
+
+// Guards against a reader that is told nothing changed although the changes it
+// needs were forgotten.
+TEST(Mirror, ForgottenChangesAreSaid)
+{
+  CHECK(!mirror.changesAfter(8).has_value());
+  platform::Revision revision = 10;
+  for (int i = 0; i < 3000; ++i) {
+    ++revision;
+    mirror.apply({ revision, { { "a", "x", revision } } });
+  }
+  CHECK(!mirror.changesAfter(11).has_value());
+  CHECK(mirror.changesAfter(revision - 10).has_value());
+}
+
+// Guards against a form that the client of the store cannot read.
+TEST(Mirror, EncodesWhatTheClientReads)
+{
+  mirror.apply({ 12, { { "b", std::nullopt, 12 } } });
+  const auto read = platform::productForm().readChanges(
+    platform::encodeSnapshot(*mirror.changesAfter(10)));
+  LONGS_EQUAL(12, read.revision);
+  STRCMP_EQUAL("b", read.entries.at(0).key.c_str());
+  CHECK(!read.entries.at(0).value);
+}
+
 int
 main(int aCount, char** aValues)
 {
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -7,9 +7,10 @@
 
 using namespace std::chrono_literals;
 
-/** A peer that missed two reports is cut off, stopped or overloaded; single
- * datagrams are lost on sound links too. */
-constexpr unsigned kSilentReports = 3;
+/** A peer that missed three reports is cut off, stopped or overloaded; single
+ * datagrams are lost on sound links too, and a relay that died is replaced
+ * within two. */
+constexpr unsigned kSilentReports = 4;
 constexpr base::Duration kLeastSilence = 1s;
 /** What peers admit stays unknown for about this long: one report and a link
  * between regions. */
@@ -23,6 +24,8 @@
 constexpr base::Duration kLongestGap = 500ms;
 /** A partition of an hour with some minutes to notice its end. */
 constexpr base::Duration kReserveLapsed = 65min;
+/** Processes of a VM whose totals are kept: the latest and the one before. */
+constexpr std::size_t kKnownProcesses = 2;
 /** A retry before this would find about the same level. */
 constexpr base::Duration kLeastRetryAfter = 50ms;
 
@@ -228,18 +231,19 @@
 {
   refill(aNow);
   Peer& peer = mPeers[aPeer];
-  const bool known = peer.heard && peer.incarnation == aIncarnation;
+  const bool first = !peer.heard && peer.totals.empty();
+  const bool known = peer.totals.contains(aIncarnation);
   const base::Duration since = known ? aNow - peer.heardAt : base::Duration{};
   const bool wasSilent = known && peer.silent;
+  Usage& totals = peer.totals[aIncarnation];
   for (const auto& [team, total] : aUsage) {
+    double& last = totals[team];
+    double taken = std::max(0.0, total - last);
+    last = std::max(last, total);
     const auto bucket = mBuckets.find(team);
-    const auto before = peer.usage.find(team);
-    const double last =
-      known && before != peer.usage.end() ? before->second : 0;
-    if (bucket == mBuckets.end() || (!known && peer.incarnation == 0)) {
+    if (bucket == mBuckets.end() || first) {
       continue;
     }
-    double taken = std::max(0.0, total - last);
     if (wasSilent) {
       // Its share was not part of this copy while it was silent.
       const double share =
@@ -251,8 +255,11 @@
     bucket->second.level -= taken;
     bucket->second.peerTaken += taken;
   }
-  peer.usage = aUsage;
-  peer.incarnation = aIncarnation;
+  while (peer.totals.size() > kKnownProcesses) {
+    peer.totals.erase(peer.totals.begin()->first == aIncarnation
+                        ? std::next(peer.totals.begin())
+                        : peer.totals.begin());
+  }
   peer.heard = true;
   peer.silent = false;
   peer.heardAt = aNow;
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -83,7 +83,8 @@
   void refund(const base::TeamName& aTeam, double aCost);
 
   /**
-   * @param aPeer VM @param aIncarnation its process @param aUsage its total
+   * @param aPeer VM @param aIncarnation its process
+   * @param aUsage totals of some or all teams, in any order of reports
    * @param aNow time
    */
   void onPeerUsage(const base::VmName& aPeer,
@@ -107,12 +108,12 @@
   };
   struct Peer
   {
-    base::Incarnation incarnation = 0;
     bool heard = false;
     bool silent = true; ///< its share does not flow into this copy
     base::TimePoint heardAt{};
     std::optional<base::TimePoint> lapsedAt; ///< since it is not registered
-    Usage usage;
+    /** Totals of its processes; reports of the one before may still come. */
+    std::map<base::Incarnation, Usage> totals;
   };
 
   void refill(base::TimePoint aNow);
--- a/libs/quota/tests/quota_tests.cpp
+++ b/libs/quota/tests/quota_tests.cpp
@@ -210,6 +210,39 @@
   CHECK(quota.admit("x", 1e9, TimePoint{ 1s }).admitted);
 }
 
+// Guards against a report of the process before, which arrives late through a
+// relay and makes the same units count twice.
+TEST(Quota, LateReportOfTheProcessBeforeCountsOnce)
+{
+  const base::TimePoint start{ 100s };
+  quota::FleetQuota quota;
+  quota.setLimits({ { "t", { 100, 1000 } } }, start);
+  quota.setPeers({ "vm2" }, start);
+  quota.onPeerUsage("vm2", 1, { { "t", 0 } }, start);
+  quota.onPeerUsage("vm2", 1, { { "t", 300 } }, start);
+  const double before = quota.level("t");
+  quota.onPeerUsage("vm2", 2, { { "t", 50 } }, start);
+  quota.onPeerUsage("vm2", 1, { { "t", 300 } }, start);
+  quota.onPeerUsage("vm2", 2, { { "t", 50 } }, start);
+  DOUBLES_EQUAL(before - 50, quota.level("t"), 0.1);
+}
+
+// Guards against a report that names some teams only and makes the totals of
+// the others count again.
+TEST(Quota, ReportOfSomeTeamsKeepsTheOtherTotals)
+{
+  const base::TimePoint start{ 100s };
+  quota::FleetQuota quota;
+  quota.setLimits({ { "t", { 100, 1000 } }, { "s", { 100, 1000 } } }, start);
+  quota.setPeers({ "vm2" }, start);
+  quota.onPeerUsage("vm2", 1, { { "t", 0 }, { "s", 0 } }, start);
+  quota.onPeerUsage("vm2", 1, { { "t", 300 }, { "s", 200 } }, start);
+  const double before = quota.level("t");
+  quota.onPeerUsage("vm2", 1, { { "s", 250 } }, start);
+  quota.onPeerUsage("vm2", 1, { { "t", 300 }, { "s", 250 } }, start);
+  DOUBLES_EQUAL(before, quota.level("t"), 0.1);
+}
+
 int
 main(int aCount, char** aValues)
 {
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -9,6 +9,7 @@
 #include "base/base.h"
 #include "catalog/model_name.h"
 #include "catalog/types.h"
+#include "residency/load_window.h"
 
 #include <map>
 #include <set>
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -242,6 +242,65 @@
   CHECK(residency::planSpareAdapters(situation).empty());
 }
 
+TEST_GROUP(LoadWindow)
+{
+  residency::LoadWindow window;
+  const base::TimePoint start{ 100s };
+
+  void setup() override { window.setLimit({ 1, 5s, 1.1, 3 }); }
+
+  /** @return loads begun by one owner as long as it may, at one moment */
+  unsigned use(base::TimePoint aNow)
+  {
+    unsigned begun = 0;
+    while (window.left(aNow) > 0) {
+      window.note(aNow);
+      ++begun;
+    }
+    return begun;
+  }
+};
+
+// Load pattern: many models become busy at once; the weights store limits its
+// loads over a sliding window of the whole fleet.
+TEST(LoadWindow, LoadsStayWithinTheLimitOfTheStore)
+{
+  const unsigned first = use(start);
+  CHECK(first >= 6);
+  CHECK(first <= 1 * 5 * 1.1 + 3);
+  LONGS_EQUAL(0, window.left(start + 4s));
+  CHECK(window.left(start + 5100ms) > 0);
+}
+
+// Guards against an owner that begins with a full window although the one
+// before has just used it: twice the loads that the store allows.
+TEST(LoadWindow, NewOwnerCountsTheLoadsOfTheOneBefore)
+{
+  use(start);
+  residency::LoadWindow next;
+  next.setLimit({ 1, 5s, 1.1, 3 });
+  next.replace(window.ages(start + 1s), start + 1s);
+  next.takeOver(3s, start + 3s);
+  LONGS_EQUAL(0, next.left(start + 3s));
+  CHECK(next.left(start + 5100ms) > 0);
+}
+
+// Guards against a VM that never heard the owner before and starts loads that
+// together with that owner's exceed the limit.
+TEST(LoadWindow, UnheardOwnerMayHaveUsedTheWholeWindow)
+{
+  window.takeOver(3s, start);
+  LONGS_EQUAL(0, window.left(start));
+  CHECK(window.left(start + 2100ms) > 0);
+}
+
+TEST(LoadWindow, NoRateMeansNoLimit)
+{
+  window.setLimit({});
+  window.takeOver(3s, start);
+  CHECK(window.left(start) > 1000);
+}
+
 int
 main(int aCount, char** aValues)
 {
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -38,6 +38,9 @@
 retry_window: 10s
 retry_least_extra: 52
 load_window: 5s
+load_overshoot: 1.1
+load_extra: 3
+capacity: 0.25
 quota_slack: 1000
 """)
         self.log_path = os.path.join(folder, self.name + ".log")
