Give back what a silent peer did not use of its quota share

Cause: a peer that falls silent costs every copy its share of burst and rate at once, and the share did not come back when the peer was heard again without having used it.

The reserve of each team is settled by the first report that names the team. Two tests, of which ShortSilenceOfAnIdlePeerCostsNothing fails on the code before.

--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -132,12 +132,29 @@
     // has flowed in since it was last heard, although it may use both itself.
     const double seconds = base::inSeconds(aNow - peer.heardAt);
     for (auto& [team, bucket] : mBuckets) {
-      bucket.level -=
+      const double charge =
         (bucket.limit.burst + bucket.limit.rate * seconds) * shareOfOne();
+      bucket.level -= charge;
+      peer.reserves[team] = { charge, aNow, std::nullopt };
     }
   }
 }
 
+double
+FleetQuota::settle(Peer& aPeer,
+                   const base::TeamName& aTeam,
+                   const Bucket& aBucket) const
+{
+  const auto found = aPeer.reserves.find(aTeam);
+  if (found == aPeer.reserves.end() || !found->second.until) {
+    return 0;
+  }
+  const Reserve reserve = found->second;
+  aPeer.reserves.erase(found);
+  const double seconds = base::inSeconds(*reserve.until - reserve.since);
+  return reserve.charged + aBucket.limit.rate * seconds * shareOfOne();
+}
+
 void
 FleetQuota::refill(base::TimePoint aNow)
 {
@@ -160,6 +177,11 @@
   }
   if (paused) {
     for (auto& [name, peer] : mPeers) {
+      for (const auto& [team, bucket] : mBuckets) {
+        if (!peer.silent) {
+          peer.reserves[team] = { 0, aNow - passed, std::nullopt };
+        }
+      }
       peer.silent = true;
     }
   } else {
@@ -232,28 +254,26 @@
   refill(aNow);
   Peer& peer = mPeers[aPeer];
   const bool first = !peer.heard && peer.totals.empty();
-  const bool known = peer.totals.contains(aIncarnation);
-  const base::Duration since = known ? aNow - peer.heardAt : base::Duration{};
-  const bool wasSilent = known && peer.silent;
+  if (!peer.totals.contains(aIncarnation)) {
+    // What its process before used in the end is not known.
+    peer.reserves.clear();
+  }
+  for (auto& [team, reserve] : peer.reserves) {
+    reserve.until = reserve.until.value_or(aNow);
+  }
   Usage& totals = peer.totals[aIncarnation];
   for (const auto& [team, total] : aUsage) {
     double& last = totals[team];
-    double taken = std::max(0.0, total - last);
+    const double taken = std::max(0.0, total - last);
     last = std::max(last, total);
-    const auto bucket = mBuckets.find(team);
-    if (bucket == mBuckets.end() || first) {
+    const auto found = mBuckets.find(team);
+    if (found == mBuckets.end() || first) {
       continue;
     }
-    if (wasSilent) {
-      // Its share was not part of this copy while it was silent.
-      const double share =
-        (bucket->second.limit.burst +
-         bucket->second.limit.rate * base::inSeconds(since)) *
-        shareOfOne();
-      taken = std::max(0.0, taken - share);
-    }
-    bucket->second.level -= taken;
-    bucket->second.peerTaken += taken;
+    Bucket& bucket = found->second;
+    const double level = bucket.level + settle(peer, team, bucket) - taken;
+    bucket.level = std::min(bucket.limit.burst, level);
+    bucket.peerTaken += taken;
   }
   while (peer.totals.size() > kKnownProcesses) {
     peer.totals.erase(peer.totals.begin()->first == aIncarnation
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -106,6 +106,14 @@
     double peerTaken = 0; ///< units that peers took in the current period
     double peerRate = 0;  ///< units a second that peers take, smoothed
   };
+  /** Units held back for a team of a silent peer, until a report tells what
+   * the peer really used. */
+  struct Reserve
+  {
+    double charged = 0; ///< taken out when it fell silent
+    base::TimePoint since{};
+    std::optional<base::TimePoint> until; ///< when it was heard again
+  };
   struct Peer
   {
     bool heard = false;
@@ -114,11 +122,15 @@
     std::optional<base::TimePoint> lapsedAt; ///< since it is not registered
     /** Totals of its processes; reports of the one before may still come. */
     std::map<base::Incarnation, Usage> totals;
+    std::map<base::TeamName, Reserve> reserves;
   };
 
   void refill(base::TimePoint aNow);
   void updatePeerRates(base::TimePoint aNow);
   void noteSilence(base::TimePoint aNow);
+  double settle(Peer& aPeer,
+                const base::TeamName& aTeam,
+                const Bucket& aBucket) const;
   double shareOfOne() const;
   double reach() const;
 
--- a/libs/quota/tests/quota_tests.cpp
+++ b/libs/quota/tests/quota_tests.cpp
@@ -243,6 +243,54 @@
   DOUBLES_EQUAL(before, quota.level("t"), 0.1);
 }
 
+// Load pattern: a relay dies and its data centre is silent for a moment. What the
+// silent VMs did not use must come back, or teams are refused within their rate.
+TEST(Quota, ShortSilenceOfAnIdlePeerCostsNothing)
+{
+  base::TimePoint now{ 100s };
+  quota::FleetQuota quota;
+  quota.setReportPeriod(100ms);
+  quota.setPeers({ "vm2" }, now);
+  quota.setLimits({ { "t", { 100, 1000 } } }, now);
+  const auto run = [&](base::Duration aFor, bool aHeard) {
+    for (const auto end = now + aFor; now < end; now += 100ms) {
+      if (aHeard) {
+        quota.onPeerUsage("vm2", 1, { { "t", 7 } }, now);
+      }
+      quota.admit("t", 0, now);
+    }
+  };
+  run(20s, true);
+  const double before = quota.level("t");
+  run(2s, false);
+  CHECK(quota.level("t") < before - 400);
+  run(200ms, true);
+  CHECK(quota.level("t") > before - 50);
+}
+
+// Guards against units that come back before a report tells that the silent peer
+// did not use them.
+TEST(Quota, ReserveStaysUntilTheTeamIsReported)
+{
+  base::TimePoint now{ 100s };
+  quota::FleetQuota quota;
+  quota.setReportPeriod(100ms);
+  quota.setPeers({ "vm2" }, now);
+  quota.setLimits({ { "t", { 100, 1000 } } }, now);
+  for (const auto end = now + 20s; now < end; now += 100ms) {
+    quota.onPeerUsage("vm2", 1, { { "t", 7 } }, now);
+    quota.admit("t", 0, now);
+  }
+  for (const auto end = now + 2s; now < end; now += 100ms) {
+    quota.admit("t", 0, now);
+  }
+  const double silent = quota.level("t");
+  quota.onPeerUsage("vm2", 1, {}, now);
+  CHECK(quota.level("t") <= silent + 20);
+  quota.onPeerUsage("vm2", 1, { { "t", 607 } }, now);
+  CHECK(quota.level("t") < 1000 - 400);
+}
+
 int
 main(int aCount, char** aValues)
 {
