Count a broken connection as a crash only when its upstream is gone

Cause: two broken connections blocked a request's fingerprint (path, team, body) for 120 s on all VMs.

A break is held for 5 s and counts if the upstream is then unreachable, replaced or unlisted; an answer to a later request clears it. A peer's count that it withdrew no longer stays.

Also: tests/soak, which runs real gateways under faults from outside and found this.

--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -97,6 +97,7 @@
 {
   mHead = aHead;
   mHeadSeen = true;
+  mPath.crashes.onUpstreamAlive(mLastUpstream, mSentAt);
   const auto facts =
     boundary::decodeAnswer(aHead.status, aHead.headers, mLastUpstream);
   if (facts.load && mHold) {
@@ -279,6 +280,7 @@
     --mUnresolved;
     --mSends;
     mPath.health.onUnreachable(mLastUpstream, now);
+    mPath.crashes.onUpstreamGone(mLastUpstream, now);
     mPath.log.step(mFacts.id, "unreachable upstream", mLastUpstream, "", now);
     endCall();
     ++mUnreachable;
@@ -290,7 +292,7 @@
     }
     return;
   }
-  mPath.crashes.onCrash(mFingerprint, now);
+  mPath.crashes.onBroken(mFingerprint, mLastUpstream, now);
   onSpoiled(aFailure == wire::CallFailure::Broken ? "connection broke"
                                                   : "malformed answer");
 }
--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -252,6 +252,7 @@
   if (change == UpstreamTable::Change::Restarted) {
     mHealth.forget(name);
     mPrefixes.forget(name);
+    mCrashes.onUpstreamGone(name, base::monotonicNow());
   }
   if (change == UpstreamTable::Change::None) {
     return;
@@ -283,6 +284,7 @@
   mPool.forget(upstream->peer());
   mHealth.forget(aName);
   mPrefixes.forget(aName);
+  mCrashes.onUpstreamGone(aName, base::monotonicNow());
   mUpstreams.remove(aName);
   observe::logInfo(
     "upstream",
--- a/libs/dispatch/crash_record.cpp
+++ b/libs/dispatch/crash_record.cpp
@@ -11,13 +11,47 @@
 constexpr std::uint32_t kBlockAt = 2;
 /** Longer than the pauses after which callers send such a request again. */
 constexpr base::Duration kRemember = 120s;
+/** An upstream that crashed is found unreachable within this: the next request
+ * for it, or three missed heartbeats of its record. */
+constexpr base::Duration kConfirmWithin = 5s;
 /** Bounds the status message. */
 constexpr std::size_t kMaxRemembered = 64;
 
 } // namespace
 
 void
-CrashRecord::onCrash(const std::string& aFingerprint, base::TimePoint aNow)
+CrashRecord::onBroken(const std::string& aFingerprint,
+                      const base::UpstreamName& aUpstream,
+                      base::TimePoint aNow)
+{
+  mBroken.push_back({ aFingerprint, aUpstream, aNow });
+}
+
+void
+CrashRecord::onUpstreamGone(const base::UpstreamName& aUpstream,
+                            base::TimePoint aNow)
+{
+  for (const Broken& broken : mBroken) {
+    if (broken.upstream == aUpstream && aNow - broken.at < kConfirmWithin) {
+      count(broken.fingerprint, aNow);
+    }
+  }
+  std::erase_if(mBroken, [&aUpstream](const Broken& aBroken) {
+    return aBroken.upstream == aUpstream;
+  });
+}
+
+void
+CrashRecord::onUpstreamAlive(const base::UpstreamName& aUpstream,
+                             base::TimePoint aSentAt)
+{
+  std::erase_if(mBroken, [&](const Broken& aBroken) {
+    return aBroken.upstream == aUpstream && aBroken.at < aSentAt;
+  });
+}
+
+void
+CrashRecord::count(const std::string& aFingerprint, base::TimePoint aNow)
 {
   Seen& seen = mOwn[aFingerprint];
   ++seen.count;
@@ -42,10 +76,14 @@
                     base::TimePoint aNow)
 {
   ByFingerprint& rows = mPeers[aPeer];
-  for (const auto& [fingerprint, count] : aCrashes) {
+  // A request that ended well there is no longer told.
+  std::erase_if(rows, [&aCrashes](const auto& aItem) {
+    return !aCrashes.contains(aItem.first);
+  });
+  for (const auto& [fingerprint, crashes] : aCrashes) {
     Seen& seen = rows[fingerprint];
-    if (count != seen.count) {
-      seen = { count, aNow };
+    if (crashes != seen.count) {
+      seen = { crashes, aNow };
     }
   }
 }
@@ -82,6 +120,9 @@
     return aNow - aItem.second.latest > kRemember;
   };
   std::erase_if(mOwn, isOld);
+  std::erase_if(mBroken, [aNow](const Broken& aBroken) {
+    return aNow - aBroken.at > kConfirmWithin;
+  });
   for (auto& [peer, rows] : mPeers) {
     std::erase_if(rows, isOld);
   }
--- /dev/null
+++ b/tests/e2e/gateway_process.py
@@ -0,0 +1,73 @@
+"""marigold-gateway as a process of its own, for tests."""
+
+import http.client
+import os
+import subprocess
+
+from users_platform import HOST
+
+BIN = os.environ.get("MARIGOLD_BIN", os.path.join(os.path.dirname(__file__), "../../build/bin"))
+ORDER_PAUSE = 3.0  # seconds, as the users' platform sets it
+READY, PEERS, OPERATOR = 1, 2, 3  # ports after that for callers
+
+
+class Gateway:
+    """One VM; start() after stop() or kill() starts another process of it."""
+
+    def __init__(self, number, folder, first_port, store_port, data_centre="dc-a"):
+        self.port = first_port
+        self.name = f"vm{number}"
+        self.settings = os.path.join(folder, self.name + ".yaml")
+        with open(self.settings, "w") as file:
+            file.write(f"""vm: {self.name}
+data_centre: {data_centre}
+data_centres: [{{name: dc-a, region: r}}, {{name: dc-b, region: s}}]
+listen: {HOST}:{self.port}
+ready: {HOST}:{self.port + READY}
+peer_address: {HOST}:{self.port + PEERS}
+operator: {HOST}:{self.port + OPERATOR}
+platform: {HOST}:{store_port}
+grace_period: 8s
+config_limit: 2500ms
+order_pause: {int(ORDER_PAUSE * 1000)}ms
+record_return: 2500ms
+retry_ratio: 0.2
+retry_window: 10s
+retry_least_extra: 52
+load_window: 5s
+load_overshoot: 1.1
+load_extra: 3
+capacity: 0.25
+quota_slack: 1000
+""")
+        self.log_path = os.path.join(folder, self.name + ".log")
+        self.child = None
+        self.start()
+
+    def start(self):
+        with open(self.log_path, "a") as log:
+            self.child = subprocess.Popen([os.path.join(BIN, "marigold-gateway"), "--settings", self.settings],
+                                          stdout=log, stderr=log)
+
+    def stop(self):
+        if self.child.poll() is None:
+            self.child.kill()
+        self.child.wait()
+
+    def ready(self):
+        try:
+            connection = http.client.HTTPConnection(HOST, self.port + READY, timeout=2)
+            connection.request("GET", "/-/readyz")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+
+    def call(self, path, method="POST", key="k1", headers=None, body=b"x", timeout=6):
+        connection = http.client.HTTPConnection(HOST, self.port, timeout=timeout)
+        sent = {"Host": "h.example", "X-Request-Id": os.urandom(8).hex(), "X-Deadline-Ms": "3000"}
+        if key:
+            sent["Authorization"] = "Bearer " + key
+        sent.update(headers or {})
+        connection.request(method, path, body, sent)
+        answer = connection.getresponse()
+        return answer.status, answer.read().decode(), answer.headers
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,89 @@
+"""What callers and upstreams of a soak saw, and the promises that it must keep."""
+
+import threading
+import time
+
+NOT_RUN = {408, 421, 429, 503}
+CONTACT = 4.0        # seconds without a fault after which bounds in time hold for a VM
+KEY_LIMIT = 2.5      # a withdrawn key stops working within this
+ORDER_PAUSE = 3.0    # between the orders of two owners
+THAW = 0.3           # an order that was under way when its sender was paused
+
+
+class Record:
+    """Filled by callers, read by the checks; all methods may be called from any thread."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.sent = {}        # id: (kind, key, vm, time)
+        self.answers = {}     # id: status, or None if the connection ended
+        self.violations = []
+        self.faults = {}      # vm: [(start, end or None)]
+        self.stops = {}       # vm: [time of SIGTERM]
+        self.withdrawn = {}   # key: time
+        self.thaws = []       # times
+
+    def violation(self, text):
+        with self.lock:
+            self.violations.append((time.monotonic(), text))
+
+    def request(self, request_id, kind, key, vm):
+        with self.lock:
+            self.sent[request_id] = (kind, key, vm, time.monotonic())
+
+    def answer(self, request_id, status):
+        with self.lock:
+            self.answers[request_id] = status
+
+    def fault(self, vm, start, end):
+        with self.lock:
+            self.faults.setdefault(vm, []).append((start, end))
+
+    def in_touch(self, vm, at):
+        """True if no fault held for the VM in the CONTACT seconds before a moment."""
+        with self.lock:
+            return not any(start <= at and end > at - CONTACT for start, end in self.faults.get(vm, []))
+
+
+def check_stream(record, request_id, body, complete):
+    """Events come once each, in order; only a whole stream looks complete."""
+    ids = [int(line[4:]) for line in body.split("\n") if line.startswith("id: ")]
+    if ids != list(range(1, len(ids) + 1)):
+        record.violation(f"ORDER stream {request_id} has events {ids}")
+    if complete and len(ids) != 10:
+        record.violation(f"ORDER stream {request_id} ended as complete after {len(ids)} events")
+
+
+def check_runs(record, upstreams):
+    """At most one run of what may not be repeated, true refusals, teams and keys."""
+    runs = {}
+    for upstream in upstreams:
+        for headers in list(upstream.seen):
+            request_id = headers.get("x-request-id", "")
+            runs[request_id] = runs.get(request_id, 0) + 1
+            if request_id not in record.sent:
+                record.violation(f"UNASKED {upstream.name} ran {request_id!r}, which nobody sent")
+            if "authorization" in headers or headers.get("x-tenant-name") != "team":
+                record.violation(f"UNASKED {upstream.name} ran {request_id} with {headers}")
+    for request_id, (kind, key, vm, at) in record.sent.items():
+        count = runs.get(request_id, 0)
+        if kind in ("once", "single") and count > 1:
+            record.violation(f"TWICE {kind} {request_id} ran {count} times")
+        if record.answers.get(request_id) in NOT_RUN and kind in ("once", "single") and count:
+            record.violation(f"REFUSED {request_id} was answered {record.answers[request_id]} and ran")
+        late = key in record.withdrawn and at > record.withdrawn[key] + KEY_LIMIT
+        if late and count and record.in_touch(vm, at):
+            record.violation(f"CONFIG {request_id} ran at {vm} with the withdrawn key {key}")
+
+
+def check_orders(record, engines):
+    """Orders to an engine come from one owner at a time, with rising fences."""
+    for engine in engines:
+        log = list(engine.order_log)
+        for (at, vm, fence, *_), (later, next_vm, next_fence, *_) in zip(log, log[1:]):
+            if any(0 <= later - thaw < THAW for thaw in record.thaws):
+                continue
+            if next_fence < fence:
+                record.violation(f"ONE {engine.name} got fence {next_fence} of {next_vm} after {fence} of {vm}")
+            if vm != next_vm and (next_fence == fence or later - at < ORDER_PAUSE):
+                record.violation(f"ONE {engine.name} got orders of {vm} and {next_vm} within {later - at:.2f} s")
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,292 @@
+"""Runs gateways as processes under random faults and checks what callers and upstreams see.
+
+Usage: soak.py [--seed N] [--seconds S] [--runs N] [--port P] [--keep DIR]
+
+One line a run; exits 1 if a promise was broken, with the seed and the folder of the logs.
+Seeds that failed once stand in seeds.txt with their cause; --runs 0 plays just these.
+"""
+
+import argparse
+import asyncio
+import http.client
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../e2e"))
+
+from checks import Record, check_orders, check_runs, check_stream
+from gateway_process import Gateway
+from proxy import HOST, Proxy
+from users_platform import ROUTES, Platform, Upstream
+
+VMS = 6            # five in one data centre, so that they report and read through a relay
+CALLERS = 10
+RECOVERY = 12.0    # seconds after the last fault until requests are served again
+START_LIMIT = 15.0
+PATHS = {"once": "/once/x", "again": "/again/x", "chat": "/chat/x", "single": "/single/x"}
+
+
+class Soak:
+    def __init__(self, seed, seconds, port, folder):
+        self.random = random.Random(seed)
+        self.seconds, self.port = seconds, port
+        self.record = Record()
+        self.platform = Platform()
+        self.version = 1
+        self.keys = ["k1", "k2", "k3"]
+        self.stopping = threading.Event()
+        self.counts = {}
+        self.proxies = []  # (vm name or None, proxy)
+        self.desks = [Upstream(f"desk{n}", port + 70 + n, "desk") for n in range(2)]
+        self.engines = [Upstream(f"engine{n}", port + 72 + n, "llm", ["m1"]) for n in range(3)]
+        for number, upstream in enumerate(self.desks + self.engines):
+            upstream.public_port = port + 80 + number
+            self.add_proxy(None, upstream.public_port, upstream.port)
+        self.platform.publish(self.version, self.keys, ROUTES)
+        for upstream in self.desks + self.engines:
+            self.platform.serve_upstream(upstream)
+        self.gateways = []
+        for number in range(VMS):
+            store, behind = port + 90 + number, port + 60 + number
+            self.platform.serve_store(behind)
+            self.add_proxy(f"vm{number}", store, behind)
+            self.gateways.append(Gateway(number, folder, port + 10 * number, store,
+                                         "dc-b" if number == VMS - 1 else "dc-a"))
+
+    def add_proxy(self, vm, port, target):
+        proxy = Proxy(target)
+        self.platform.servers.append(self.platform.run(proxy.listen(port)))
+        self.proxies.append((vm, proxy))
+
+    def call(self, connection, gateway, kind):
+        """Sends one request and notes what came back; False if the connection is used up."""
+        request_id = os.urandom(8).hex()
+        key = self.call_random.choice(["k1", "k2", "k3"])
+        headers = {"Host": "h.example", "X-Request-Id": request_id, "X-Deadline-Ms": "3000",
+                   "Authorization": "Bearer " + key}
+        if kind in ("chat", "single"):
+            model = self.call_random.choice(["m1", "m1", "m1/a1", "m2"])
+            headers.update({"X-Model-Name": model, "X-Token-Usage": "100,20", "X-Prompt-Prefix": "a:50,b:50"})
+        self.record.request(request_id, kind, key, gateway.name)
+        try:
+            connection.request("POST", PATHS[kind], request_id.encode(), headers)
+            answer = connection.getresponse()
+        except (OSError, http.client.HTTPException):
+            self.count("no answer")
+            self.record.answer(request_id, None)
+            return False
+        self.record.answer(request_id, answer.status)
+        self.count(answer.status)
+        body, complete = b"", True
+        try:
+            body = answer.read()
+        except http.client.IncompleteRead as cut:
+            body, complete = cut.partial, False
+        except OSError:
+            return False
+        if answer.status == 200:
+            self.check_answer(request_id, kind, answer, body.decode(), complete)
+        return complete and not answer.will_close
+
+    def check_answer(self, request_id, kind, answer, body, complete):
+        if answer.headers.get("X-Request-Id") != request_id:
+            self.record.violation(f"MIXED {request_id} got the answer to {answer.headers.get('X-Request-Id')}")
+        if kind in ("chat", "single"):
+            check_stream(self.record, request_id, body, complete)
+        elif complete and not body.endswith(request_id):
+            self.record.violation(f"MIXED {request_id} got the body {body!r}")
+
+    def count(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def caller(self):
+        """Keeps its connection as long as the process is there."""
+        while not self.stopping.is_set():
+            gateway = self.call_random.choice(self.gateways)
+            connection = http.client.HTTPConnection(HOST, gateway.port, timeout=6)
+            for _ in range(self.call_random.randrange(1, 30)):
+                if self.stopping.is_set() or not self.call(connection, gateway,
+                                                           self.call_random.choice(list(PATHS))):
+                    break
+                time.sleep(self.call_random.uniform(0, 0.03))
+            connection.close()
+            time.sleep(0.01)
+
+    # Faults. Each runs on a thread of its own, so that they overlap.
+
+    def faulted(self, gateway, seconds):
+        start = time.monotonic()
+        self.record.fault(gateway.name, start, start + seconds)
+
+    def kill(self, gateway, seconds):
+        self.faulted(gateway, seconds + 3)
+        gateway.stop()
+        time.sleep(seconds / 4)
+        gateway.start()
+
+    def planned_stop(self, gateway, seconds):
+        self.faulted(gateway, 14)
+        child = gateway.child
+        child.send_signal(signal.SIGTERM)
+        try:
+            if child.wait(timeout=9) != 0:
+                self.record.violation(f"{gateway.name} ended with {child.returncode} after SIGTERM")
+        except Exception:
+            self.record.violation(f"{gateway.name} did not end within 9 s of SIGTERM")
+            child.kill()
+            child.wait()
+        gateway.start()
+
+    def pause(self, gateway, seconds):
+        self.faulted(gateway, seconds + 1)
+        gateway.child.send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        self.record.thaws.append(time.monotonic())
+        if gateway.child.poll() is None:
+            gateway.child.send_signal(signal.SIGCONT)
+
+    def reload(self, gateway, seconds):
+        gateway.child.send_signal(signal.SIGHUP)
+
+    def cut_store(self, gateway, seconds):
+        self.faulted(gateway, seconds + 2)
+        proxy = [p for vm, p in self.proxies if vm == gateway.name][0]
+        self.break_link(proxy, seconds)
+
+    def break_upstream_link(self, gateway, seconds):
+        self.break_link(self.random.choice([p for vm, p in self.proxies if vm is None]), seconds)
+
+    def break_link(self, proxy, seconds):
+        how = self.random.choice(["silent", "up", "down", "slow", "reset"])
+        if how == "reset":
+            self.platform.change(proxy.reset)
+            return
+        if how == "slow":
+            proxy.delay = 0.2
+        else:
+            proxy.silent = {"up", "down"} if how == "silent" else {how}
+        time.sleep(seconds)
+        proxy.heal()
+
+    def lose_answers(self, gateway, seconds):
+        upstream = self.random.choice(self.desks + self.engines)
+        if upstream in self.engines:
+            upstream.break_after = self.random.randrange(0, 9)
+        else:
+            upstream.drop_requests = True
+        time.sleep(seconds)
+        upstream.break_after, upstream.drop_requests = None, False
+
+    def change_keys(self, gateway, seconds):
+        self.version += 1
+        if "k3" in self.keys and self.random.random() < 0.5:
+            self.keys = ["k1", "k2"]
+            self.record.withdrawn["k3"] = time.monotonic()
+        self.platform.publish(self.version, self.keys, ROUTES)
+
+    def play(self):
+        faults = [self.kill, self.planned_stop, self.pause, self.reload, self.cut_store,
+                  self.break_upstream_link, self.lose_answers, self.change_keys]
+        threads = [threading.Thread(target=self.caller) for _ in range(CALLERS)]
+        self.call_random = random.Random(self.random.random())
+        self.wait_ready(START_LIMIT)
+        for thread in threads:
+            thread.start()
+        until = time.monotonic() + self.seconds
+        running, busy = [], {}
+        while time.monotonic() < until:
+            time.sleep(self.random.uniform(0.1, 1.2))
+            gateway, fault = self.random.choice(self.gateways), self.random.choice(faults)
+            if busy.get(gateway.name) and busy[gateway.name].is_alive():
+                continue
+            thread = threading.Thread(target=fault, args=(gateway, self.random.uniform(0.3, 4)))
+            thread.start()
+            busy[gateway.name] = thread
+            running.append(thread)
+        for thread in running:
+            thread.join()
+        self.check_recovery()
+        self.stopping.set()
+        for thread in threads:
+            thread.join()
+        time.sleep(1)
+        check_runs(self.record, self.desks + self.engines)
+        check_orders(self.record, self.engines)
+        return sorted(self.record.violations)
+
+    def wait_ready(self, limit):
+        until = time.monotonic() + limit
+        while not all(gateway.ready() for gateway in self.gateways):
+            if time.monotonic() > until:
+                raise RuntimeError("the gateways did not become ready")
+            time.sleep(0.05)
+
+    def check_recovery(self):
+        time.sleep(RECOVERY)
+        served = 0
+        for gateway in self.gateways:
+            try:
+                served += gateway.call("/again/x", key="k1", headers=self.note(gateway))[0] == 200
+            except (OSError, http.client.HTTPException):
+                pass  # Counted as not served.
+        if served < VMS:
+            self.record.violation(f"RECOVER {served} of {VMS} VMs serve {RECOVERY} s after the last fault")
+
+    def note(self, gateway):
+        request_id = os.urandom(8).hex()
+        self.record.request(request_id, "again", "k1", gateway.name)
+        return {"X-Request-Id": request_id}
+
+    def close(self):
+        for gateway in self.gateways:
+            gateway.stop()
+        self.platform.close()
+
+
+def run(seed, arguments):
+    folder = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=arguments.keep)
+    soak = Soak(seed, arguments.seconds, arguments.port, folder)
+    try:
+        violations = soak.play()
+    finally:
+        soak.close()
+    print(f"seed {seed}: {sum(soak.counts.values())} requests {soak.counts}, {len(violations)} violations", flush=True)
+    for at, text in violations[:20]:
+        print(f"  {at:.3f} {text}")
+    if violations:
+        print(f"  logs: {folder}")
+    else:
+        shutil.rmtree(folder)
+    return not violations
+
+
+def known_seeds():
+    path = os.path.join(os.path.dirname(__file__), "seeds.txt")
+    with open(path, encoding="utf-8") as file:
+        return [int(line.split()[0]) for line in file if line.strip() and not line.startswith("#")]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--runs", type=int, default=1, help="seeds to play after those of seeds.txt")
+    parser.add_argument("--seconds", type=float, default=20, help="time with faults in each run")
+    parser.add_argument("--port", type=int, default=int(os.environ.get("MARIGOLD_TEST_PORT", 25000)))
+    parser.add_argument("--keep", help="folder for the logs of failed runs")
+    parser.add_argument("--skip-known", action="store_true", help="do not play the seeds of seeds.txt")
+    arguments = parser.parse_args()
+    seeds = [] if arguments.skip_known else known_seeds()
+    seeds += range(arguments.seed, arguments.seed + arguments.runs)
+    failed = [seed for seed in seeds if not run(seed, arguments)]
+    print(f"{len(seeds) - len(failed)} passed, {len(failed)} failed")
+    return int(bool(failed))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
