Let a new VM adopt its peers' quota levels, and release ownership at a stop

The owner of orders that is stopped gave no orders for 5.3 s (1.00 to 6.29), because its ownership ended with its lease 2.8 s later.

A VM that hears all others tells the levels of its buckets; one that has started less than 20 s ago takes them over once. The ownership is removed as soon as the stop begins. Test Quota.NewVmAdoptsTheLevelsOfItsPeers fails on the code before.

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -68,6 +68,24 @@
   mTick = mLoop.every(kTick, [this] { tick(); });
 }
 
+void
+Fleet::releaseOwnership()
+{
+  mClaims = false;
+  if (!mOwner || !isSelf(*mOwner)) {
+    return;
+  }
+  const platform::Revision fence = mOwner->fence;
+  mClient.remove(kOwnerKey, fence, [fence](const auto& aOut) {
+    if (const base::Error* error = base::errorOf(aOut)) {
+      // It ends with the lease then.
+      observe::logWarn(
+        "order ownership not released",
+        { { "fence", std::to_string(fence) }, { "error", error->message } });
+    }
+  });
+}
+
 void
 Fleet::leave()
 {
@@ -209,7 +227,7 @@
   if (mRegistration == 0) {
     writeRegistration();
   }
-  if (mKnown && !mOwner && leaseValid(now, kRenewEvery)) {
+  if (mClaims && mKnown && !mOwner && leaseValid(now, kRenewEvery)) {
     if (now >= mOwnerGoneAt + kClaimStagger * claimRank()) {
       claimOwnership();
     }
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -42,6 +42,9 @@
   /** Starts to register and to follow the others. */
   void start();
 
+  /** Gives the ownership of orders up, because this VM will leave. */
+  void releaseOwnership();
+
   /** Gives the lease back; this VM leaves the fleet. */
   void leave();
 
@@ -109,6 +112,7 @@
   bool mWriteCall = false;
   bool mClaimCall = false;
   bool mLeaving = false;
+  bool mClaims = true; ///< takes a free ownership
   http::Watch mTick;
   sigc::signal<void()> mChanged;
 };
--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -443,6 +443,7 @@
     mDrainBegan +
     base::fromSeconds(base::inSeconds(mSettings.gracePeriod) * kServeUntil);
   mOrders.stop();
+  mFleet.releaseOwnership();
   mCallers.closeAfterAnswers();
   observe::logInfo(
     "drain", { { "open_requests", std::to_string(mCallers.openRequests()) } });
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -298,6 +298,7 @@
   status.departing = mDeparting;
   status.usage = mPath.quota.usage();
   status.lapsed = mPath.quota.lapsed();
+  status.levels = mPath.quota.levels(base::monotonicNow());
   const auto whole = [](double aValue) {
     return static_cast<std::uint32_t>(std::max(0.0, aValue));
   };
@@ -375,6 +376,7 @@
   } else {
     mPath.quota.addLapsed(status.lapsed, now);
     mPath.quota.onPeerUsage(vm, status.incarnation, status.usage, now);
+    mPath.quota.adopt(status.levels, now);
   }
   if (status.dataCentre == mPath.settings.dataCentre) {
     mPath.crashes.onPeer(vm, status.crashes, now);
@@ -403,6 +405,7 @@
   }
   const auto& summary = mPath.peers.summaries().at(dataCentre).summary;
   mPath.quota.addLapsed(summary.lapsed, now);
+  mPath.quota.adopt(summary.levels, now);
   for (const auto& [vm, member] : summary.members) {
     if (member.departing) {
       mPath.quota.onDeparted(vm, now);
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -1,5 +1,6 @@
 #include "peers/messages.h"
 
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -9,7 +10,7 @@
 using nlohmann::json;
 
 /** Raised with every change that an older program cannot read. */
-constexpr int kFormat = 3;
+constexpr int kFormat = 4;
 
 enum class Kind : std::uint8_t
 {
@@ -29,6 +30,16 @@
   return usage;
 }
 
+json
+encodeLevels(const Usage& aLevels)
+{
+  json levels = json::object();
+  for (const auto& [team, level] : aLevels) {
+    levels[team] = static_cast<std::uint64_t>(std::max(0.0, level));
+  }
+  return levels;
+}
+
 json
 encodeLoads(const LoadTable& aLoads)
 {
@@ -81,6 +92,7 @@
                        aStatus.catalogVersion,
                        aStatus.departing,
                        encodeUsage(aStatus.usage),
+                       encodeLevels(aStatus.levels),
                        aStatus.lapsed,
                        encodeLoads(aStatus.loads),
                        encodeDemand(aStatus.demand),
@@ -101,6 +113,7 @@
   status.catalogVersion = next();
   status.departing = next();
   status.usage = next().get<Usage>();
+  status.levels = next().get<Usage>();
   status.lapsed = next().get<std::vector<std::string>>();
   status.loads = decodeLoads(next());
   status.demand = decodeDemand(next());
@@ -126,6 +139,7 @@
                        aSummary.sequence,
                        aSummary.catalogVersion,
                        members,
+                       encodeLevels(aSummary.levels),
                        aSummary.lapsed,
                        encodeLoads(aSummary.loads),
                        encodeDemand(aSummary.demand),
@@ -149,6 +163,7 @@
       row.at(0), row.at(1), row.at(2), row.at(3).get<Usage>()
     };
   }
+  summary.levels = next().get<Usage>();
   summary.lapsed = next().get<std::vector<std::string>>();
   summary.loads = decodeLoads(next());
   summary.demand = decodeDemand(next());
--- a/libs/peers/messages.h
+++ b/libs/peers/messages.h
@@ -50,6 +50,7 @@
   std::uint64_t catalogVersion = 0;
   bool departing = false; ///< admits nothing more
   Usage usage;
+  Usage levels; ///< units left of each team, for VMs that have just started
   std::vector<base::VmName> lapsed; ///< VMs whose registration ended
   LoadTable loads;
   DemandTable demand;
@@ -77,6 +78,7 @@
   std::uint64_t sequence = 0;
   std::uint64_t catalogVersion = 0; ///< of the relay
   std::map<base::VmName, MemberUsage> members;
+  Usage levels; ///< of the relay, as in its status
   std::vector<base::VmName> lapsed;
   LoadTable loads;
   DemandTable demand;
--- a/libs/peers/summary.cpp
+++ b/libs/peers/summary.cpp
@@ -67,6 +67,7 @@
   summary.incarnation = aOwn.incarnation;
   summary.sequence = ++mSequence;
   summary.catalogVersion = aOwn.catalogVersion;
+  summary.levels = aOwn.levels;
   add(aOwn, whole, aRepeat, aNow, summary);
   for (const auto& [vm, row] : aTable.rows()) {
     const bool ownDataCentre = row.status.dataCentre == aOwn.dataCentre;
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -24,6 +24,8 @@
 constexpr base::Duration kLongestGap = 500ms;
 /** A partition of an hour with some minutes to notice its end. */
 constexpr base::Duration kReserveLapsed = 65min;
+/** After this, a bucket that began empty holds what the fleet has left. */
+constexpr base::Duration kSettleAfter = 20s;
 /** Processes of a VM whose totals are kept: the latest and the one before. */
 constexpr std::size_t kKnownProcesses = 2;
 /** A retry before this would find about the same level. */
@@ -160,6 +162,7 @@
 {
   if (mRefilled == base::TimePoint{}) {
     mRefilled = aNow;
+    mStarted = aNow;
   }
   const base::Duration passed = aNow - mRefilled;
   if (passed <= base::Duration::zero()) {
@@ -292,4 +295,43 @@
   return found == mBuckets.end() ? 0 : found->second.level;
 }
 
+Usage
+FleetQuota::levels(base::TimePoint aNow) const
+{
+  const bool settled = mSettled || aNow - mStarted > kSettleAfter;
+  const bool hearsAll =
+    std::none_of(mPeers.begin(), mPeers.end(), [](const auto& aItem) {
+      return aItem.second.silent && !aItem.second.lapsedAt;
+    });
+  Usage levels;
+  if (!settled || !hearsAll) {
+    return levels;
+  }
+  for (const auto& [team, bucket] : mBuckets) {
+    if (bucket.level > 0) {
+      levels[team] = bucket.level;
+    }
+  }
+  return levels;
+}
+
+void
+FleetQuota::adopt(const Usage& aLevels, base::TimePoint aNow)
+{
+  if (aLevels.empty() || mSettled || aNow - mStarted > kSettleAfter) {
+    return;
+  }
+  refill(aNow);
+  mSettled = true;
+  for (auto& [team, bucket] : mBuckets) {
+    const auto known = aLevels.find(team);
+    const auto used = mUsage.find(team);
+    if (known != aLevels.end()) {
+      const double left =
+        known->second - (used == mUsage.end() ? 0 : used->second);
+      bucket.level = std::max(bucket.level, left);
+    }
+  }
+}
+
 } // namespace marigold::quota
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -98,6 +98,17 @@
   /** @param aTeam team @return units that its bucket holds now */
   double level(const base::TeamName& aTeam) const;
 
+  /** @return units in all buckets for VMs that have just started; empty while
+   * this VM does not hear all others or has itself just started */
+  Usage levels(base::TimePoint aNow) const;
+
+  /**
+   * A VM that has just started knows nothing of what the fleet has left, and
+   * begins with empty buckets. The copy of another VM is as good as its own.
+   * @param aLevels levels() of another VM, as old as one report
+   */
+  void adopt(const Usage& aLevels, base::TimePoint aNow);
+
 private:
   struct Bucket
   {
@@ -137,6 +148,8 @@
   std::map<base::TeamName, Bucket> mBuckets;
   std::map<base::VmName, Peer> mPeers;
   Usage mUsage;
+  bool mSettled = false; ///< the levels do not come from an empty start
+  base::TimePoint mStarted{};
   double mSlack = 0;
   base::Duration mSilence = std::chrono::seconds(1);
   base::TimePoint mRefilled{};
--- a/libs/quota/tests/quota_tests.cpp
+++ b/libs/quota/tests/quota_tests.cpp
@@ -291,6 +291,57 @@
   CHECK(quota.level("t") < 1000 - 400);
 }
 
+// Load pattern: VMs are replaced one after the other under load. A new VM began
+// with empty buckets and refused teams far below their rate.
+TEST(Quota, NewVmAdoptsTheLevelsOfItsPeers)
+{
+  base::TimePoint now{ 100s };
+  quota::FleetQuota old;
+  old.setPeers({ "vm2" }, now);
+  old.setLimits({ { "t", { 100, 1000 } } }, now);
+  for (const auto end = now + 30s; now < end; now += 100ms) {
+    old.onPeerUsage("vm2", 1, { { "t", 0 } }, now);
+    old.admit("t", 0, now);
+  }
+  CHECK(old.admit("t", 300, now).admitted);
+  quota::FleetQuota fresh;
+  fresh.setPeers({ "vm1" }, now);
+  fresh.setLimits({ { "t", { 100, 1000 } } }, now);
+  CHECK(!fresh.admit("t", 200, now).admitted);
+  fresh.onPeerUsage("vm1", 1, old.usage(), now);
+  fresh.adopt(old.levels(now), now);
+  CHECK(fresh.admit("t", 200, now + 100ms).admitted);
+  CHECK(!fresh.admit("t", 700, now + 100ms).admitted);
+}
+
+// Guards against units that several new VMs hand to each other.
+TEST(Quota, OnlySettledVmsTellTheirLevels)
+{
+  base::TimePoint now{ 100s };
+  quota::FleetQuota fresh;
+  fresh.setPeers({ "vm2" }, now);
+  fresh.setLimits({ { "t", { 100, 1000 } } }, now);
+  fresh.onPeerUsage("vm2", 1, {}, now);
+  now += 400ms;
+  fresh.admit("t", 0, now);
+  CHECK(fresh.levels(now).empty());
+}
+
+// Guards against one side of a partition that tells a new VM more than the side's
+// own share.
+TEST(Quota, VmThatDoesNotHearAllPeersTellsNoLevels)
+{
+  base::TimePoint now{ 100s };
+  quota::FleetQuota quota;
+  quota.setPeers({ "vm2", "vm3" }, now);
+  quota.setLimits({ { "t", { 100, 1000 } } }, now);
+  for (const auto end = now + 30s; now < end; now += 100ms) {
+    quota.onPeerUsage("vm2", 1, { { "t", 0 } }, now);
+    quota.admit("t", 0, now);
+  }
+  CHECK(quota.levels(now).empty());
+}
+
 int
 main(int aCount, char** aValues)
 {
