--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -519,7 +519,8 @@
     const base::TimePoint now = base::monotonicNow();
     rows["relay"] = mExchange.relay();
     for (const auto& [dataCentre, row] : mPeers.summaries()) {
-      rows[dataCentre] = { { "age_ms", base::inMilliseconds(now - row.heardAt) },
+      rows[dataCentre] = { { "age_ms",
+                             base::inMilliseconds(now - row.heardAt) },
                            { "relay", row.summary.relay },
                            { "vms", row.summary.members.size() } };
     }
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -89,8 +89,8 @@
   }
   // Each waits a little longer than the one before it, so that they do not all
   // take over from a relay at once.
-  const auto self = std::find(
-    order->second.begin(), order->second.end(), mPath.settings.vm);
+  const auto self =
+    std::find(order->second.begin(), order->second.end(), mPath.settings.vm);
   const auto missed = kMissedStatuses + (self - order->second.begin());
   const base::TimePoint since =
     base::monotonicNow() - missed * mSchedule.statusPeriod();
@@ -337,9 +337,8 @@
                      { { "error", error->message } });
     return;
   }
-  std::visit(
-    [&](auto& aContent) { onMessage(std::move(aContent), aBytes); },
-    std::get<peers::Message>(message));
+  std::visit([&](auto& aContent) { take(aContent, aBytes); },
+             std::get<peers::Message>(message));
 }
 
 void
@@ -363,7 +362,7 @@
 }
 
 void
-PeerExchange::onMessage(peers::Status aStatus, const std::string&)
+PeerExchange::take(peers::Status& aStatus, const std::string&)
 {
   const base::TimePoint now = base::monotonicNow();
   const base::VmName vm = aStatus.vm;
@@ -389,7 +388,7 @@
 }
 
 void
-PeerExchange::onMessage(peers::Summary aSummary, const std::string& aBytes)
+PeerExchange::take(peers::Summary& aSummary, const std::string& aBytes)
 {
   const base::TimePoint now = base::monotonicNow();
   const base::DataCentre dataCentre = aSummary.dataCentre;
@@ -441,11 +440,11 @@
 }
 
 void
-PeerExchange::onMessage(peers::Places aPlaces, const std::string& aBytes)
+PeerExchange::take(peers::Places& aPlaces, const std::string& aBytes)
 {
   const bool older =
-    aPlaces.fence < mPlacesFence || (aPlaces.fence == mPlacesFence &&
-                                     aPlaces.sequence <= mPlacesSequence);
+    aPlaces.fence < mPlacesFence ||
+    (aPlaces.fence == mPlacesFence && aPlaces.sequence <= mPlacesSequence);
   if (older || aPlaces.owner == mPath.settings.vm) {
     return;
   }
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -12,9 +12,10 @@
 
 /**
  * The VMs of a data centre report to one of them, the relay, which sends the
- * summary to all of them and to the relays of the other data centres, and passes
- * theirs on. So links between regions carry each figure once, and the messages
- * of a VM do not grow with the fleet. A few VMs report to each other directly.
+ * summary to all of them and to the relays of the other data centres, and
+ * passes theirs on. So links between regions carry each figure once, and the
+ * messages of a VM do not grow with the fleet. A few VMs report to each other
+ * directly.
  */
 class PeerExchange
 {
@@ -60,9 +61,9 @@
 
 private:
   void receive(const std::string& aBytes);
-  void onMessage(peers::Status aStatus, const std::string& aBytes);
-  void onMessage(peers::Summary aSummary, const std::string& aBytes);
-  void onMessage(peers::Places aPlaces, const std::string& aBytes);
+  void take(peers::Status& aStatus, const std::string& aBytes);
+  void take(peers::Summary& aSummary, const std::string& aBytes);
+  void take(peers::Places& aPlaces, const std::string& aBytes);
   void passOn(const std::string& aBytes);
   void send();
   void sendStatus();
--- a/apps/gateway/peer_link.h
+++ b/apps/gateway/peer_link.h
@@ -12,8 +12,8 @@
 
 /**
  * Sends and receives datagrams. UDP fits better than nng's streams here: a
- * message replaces the one before, and a connection that falls silent would have
- * to be found and replaced.
+ * message replaces the one before, and a connection that falls silent would
+ * have to be found and replaced.
  */
 class PeerLink
 {
--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -137,16 +137,16 @@
     return;
   }
   if (aError.code == base::Code::HistoryCompacted) {
-    observe::logInfo("store history compacted",
-                     { { "prefix", mPrefix },
-                       { "revision", std::to_string(mRevision) } });
+    observe::logInfo(
+      "store history compacted",
+      { { "prefix", mPrefix }, { "revision", std::to_string(mRevision) } });
     list();
     return;
   }
   noteFailure(aError);
-  later(std::min(kLongestBackoff,
-                 kFirstBackoff * (1U << std::min(mFailures, 4U))),
-        &PrefixWatch::wait);
+  later(
+    std::min(kLongestBackoff, kFirstBackoff * (1U << std::min(mFailures, 4U))),
+    &PrefixWatch::wait);
 }
 
 void
--- a/apps/gateway/record_relay.cpp
+++ b/apps/gateway/record_relay.cpp
@@ -80,8 +80,7 @@
 RecordRelay::serve(const http::Request& aRequest,
                    const std::shared_ptr<http::Responder>& aResponder)
 {
-  const auto watch =
-    mWatches.find(http::queryValue(aRequest.query, "prefix"));
+  const auto watch = mWatches.find(http::queryValue(aRequest.query, "prefix"));
   const auto after =
     base::parseNumber(http::queryValue(aRequest.query, "after"));
   const auto wait =
@@ -96,8 +95,8 @@
     mReaders.erase(reader);
     return;
   }
-  const auto longest = std::min<base::Duration>(
-    std::chrono::milliseconds(*wait), kLongestWait);
+  const auto longest =
+    std::min<base::Duration>(std::chrono::milliseconds(*wait), kLongestWait);
   reader->timer = mLoop.after(longest, [this, reader] {
     answer(*reader, true);
     mReaders.erase(reader);
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -127,11 +127,10 @@
 {
   json members = json::object();
   for (const auto& [vm, member] : aSummary.members) {
-    members[vm] = json::array(
-      { member.incarnation,
-                                    member.sequence,
-                                    member.departing,
-                                    encodeUsage(member.usage) });
+    members[vm] = json::array({ member.incarnation,
+                                member.sequence,
+                                member.departing,
+                                encodeUsage(member.usage) });
   }
   return json::array({ aSummary.dataCentre,
                        aSummary.relay,
--- a/libs/peers/place_news.cpp
+++ b/libs/peers/place_news.cpp
@@ -47,8 +47,7 @@
   });
   for (const auto& [name, changedAt] : mChangedAt) {
     const auto place = aPlaces.find(name);
-    news.engines[name] =
-      place == aPlaces.end() ? EnginePlace{} : place->second;
+    news.engines[name] = place == aPlaces.end() ? EnginePlace{} : place->second;
   }
   return news;
 }
--- a/libs/peers/relay.cpp
+++ b/libs/peers/relay.cpp
@@ -22,6 +22,7 @@
                        : aLeft.vm < aRight.vm;
             });
   std::vector<base::VmName> order;
+  order.reserve(aCandidates.size());
   for (RelayCandidate& candidate : aCandidates) {
     order.push_back(std::move(candidate.vm));
   }
--- a/libs/peers/schedule.cpp
+++ b/libs/peers/schedule.cpp
@@ -48,8 +48,8 @@
 ReportSchedule::setFleet(std::size_t aPeers, std::size_t aDataCentres)
 {
   mStatusPeriod = scaled(kNearPeriod, aPeers, kPeers);
-  mFar.setPeriod(std::max(mStatusPeriod,
-                          scaled(kFarPeriod, aDataCentres, kDataCentres)));
+  mFar.setPeriod(
+    std::max(mStatusPeriod, scaled(kFarPeriod, aDataCentres, kDataCentres)));
 }
 
 } // namespace marigold::peers
--- a/libs/peers/table.cpp
+++ b/libs/peers/table.cpp
@@ -196,9 +196,8 @@
       std::uint32_t known = 0;
       if (summary != mSummaries.end()) {
         const auto row = summary->second.summary.demand.find(name);
-        known = row == summary->second.summary.demand.end()
-                  ? 0
-                  : row->second.waiting;
+        known =
+          row == summary->second.summary.demand.end() ? 0 : row->second.waiting;
       }
       total[name].waiting += count > known ? count - known : 0;
     }
--- a/libs/peers/table.h
+++ b/libs/peers/table.h
@@ -94,7 +94,7 @@
   std::map<base::DataCentre, SummaryRow> mSummaries;
   std::map<base::VmName, Stamp> mRelays; ///< newest summary of each relay
   std::map<base::VmName, base::TimePoint> mHeardAt;
-  LoadTable mLoads;                      ///< of all peers
+  LoadTable mLoads; ///< of all peers
 };
 
 } // namespace marigold::peers
--- a/libs/quota/tests/quota_tests.cpp
+++ b/libs/quota/tests/quota_tests.cpp
@@ -243,8 +243,9 @@
   DOUBLES_EQUAL(before, quota.level("t"), 0.1);
 }
 
-// Load pattern: a relay dies and its data centre is silent for a moment. What the
-// silent VMs did not use must come back, or teams are refused within their rate.
+// Load pattern: a relay dies and its data centre is silent for a moment. What
+// the silent VMs did not use must come back, or teams are refused within their
+// rate.
 TEST(Quota, ShortSilenceOfAnIdlePeerCostsNothing)
 {
   base::TimePoint now{ 100s };
@@ -268,8 +269,8 @@
   CHECK(quota.level("t") > before - 50);
 }
 
-// Guards against units that come back before a report tells that the silent peer
-// did not use them.
+// Guards against units that come back before a report tells that the silent
+// peer did not use them.
 TEST(Quota, ReserveStaysUntilTheTeamIsReported)
 {
   base::TimePoint now{ 100s };
@@ -327,8 +328,8 @@
   CHECK(fresh.levels(now).empty());
 }
 
-// Guards against one side of a partition that tells a new VM more than the side's
-// own share.
+// Guards against one side of a partition that tells a new VM more than the
+// side's own share.
 TEST(Quota, VmThatDoesNotHearAllPeersTellsNoLevels)
 {
   base::TimePoint now{ 100s };
--- a/libs/residency/load_window.h
+++ b/libs/residency/load_window.h
@@ -13,8 +13,8 @@
 {
   double perSecond = 0; ///< 0: unlimited
   base::Duration window{};
-  double overshoot = 1;  ///< factor on the rate over the window
-  double extra = 0;      ///< loads that are allowed beside
+  double overshoot = 1; ///< factor on the rate over the window
+  double extra = 0;     ///< loads that are allowed beside
 };
 
 /**
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -247,7 +247,10 @@
   residency::LoadWindow window;
   const base::TimePoint start{ 100s };
 
-  void setup() override { window.setLimit({ 1, 5s, 1.1, 3 }); }
+  void setup() override
+  {
+    window.setLimit({ 1, 5s, 1.1, 3 });
+  }
 
   /** @return loads begun by one owner as long as it may, at one moment */
   unsigned use(base::TimePoint aNow)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -32,17 +32,20 @@
         return await asyncio.start_server(self.connection, HOST, port)
 
     async def connection(self, reader, writer):
+        try:
+            await self.join(reader, writer)
+        except asyncio.CancelledError:
+            pass  # The soak ends.
+
+    async def join(self, reader, writer):
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(HOST, self.target_port)
         except OSError:
             writer.close()
             return
         self.writers |= {writer, upstream_writer}
-        try:
-            await asyncio.gather(self.pump(reader, upstream_writer, "up"),
-                                 self.pump(upstream_reader, writer, "down"))
-        except asyncio.CancelledError:
-            pass  # The soak ends.
+        await asyncio.gather(self.pump(reader, upstream_writer, "up"),
+                             self.pump(upstream_reader, writer, "down"))
         self.writers -= {writer, upstream_writer}
 
     async def pump(self, reader, writer, way):
