Probe a lost store with short waits

After a failure a wait lasts 100 ms, so a lost one is noticed within 1.3 s. The end-to-end test test_configuration_is_in_force_soon_after_the_store_is_back fails on the code before.

--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -12,6 +12,9 @@
 /** One wait for changes. A connection can fall silent without an error, and a
  * withdrawn key must not stay in force for long after that. */
 constexpr base::Duration kWait = 4s;
+/** The same after a failure: a call that is lost in an outage must not hide for
+ * long that the store is back. */
+constexpr base::Duration kProbeWait = 100ms;
 /** The same at a relay, which costs no call to the store. */
 constexpr base::Duration kRelayWait = 1s;
 constexpr base::Duration kRelayReadPause = 50ms;
@@ -105,6 +108,15 @@
   return mRelay && !failed ? mRelay() : nullptr;
 }
 
+base::Duration
+PrefixWatch::longestWait(bool aFromRelay) const
+{
+  if (aFromRelay) {
+    return kRelayWait;
+  }
+  return mFailures > 0 ? kProbeWait : kWait;
+}
+
 void
 PrefixWatch::wait()
 {
@@ -117,7 +129,7 @@
   (fromRelay ? *other : mClient)
     .watch(mPrefix,
            mRevision,
-           fromRelay ? kRelayWait : kWait,
+           longestWait(fromRelay),
            [this, fromRelay](const base::Captured<platform::Snapshot>& aOut) {
              if (const base::Error* error = base::errorOf(aOut)) {
                onFailure(*error, fromRelay);
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -68,6 +68,7 @@
   void onChanges(const platform::Snapshot& aChanges, bool aFromRelay);
   void onFailure(const base::Error& aError, bool aFromRelay);
   platform::Client* relay() const;
+  base::Duration longestWait(bool aFromRelay) const;
   void noteAnswer();
   void noteFailure(const base::Error& aError);
   void later(base::Duration aDelay, void (PrefixWatch::*aNext)());
--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -54,6 +54,10 @@
             self.child.kill()
         self.child.wait()
 
+    def log(self):
+        with open(self.log_path, encoding="utf-8", errors="replace") as file:
+            return file.read()
+
     def ready(self):
         try:
             connection = http.client.HTTPConnection(HOST, self.port + READY, timeout=2)
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -117,6 +117,16 @@
         time.sleep(0.3)
         self.assertEqual(401, self.gateways[0].call("/again/x")[0])
 
+    def test_configuration_is_in_force_soon_after_the_store_is_back(self):
+        """A wait that was sent into the outage hid for 5 s that the store was back."""
+        gateway = self.gateways[0]
+        self.platform.store.lost_ports.add(self.store_ports[0])
+        wait_for(lambda: "configuration store lost" in gateway.log(), 12)
+        time.sleep(0.5)
+        self.platform.store.lost_ports.clear()
+        self.platform.publish(2, ["k2"], ROUTES)
+        wait_for(lambda: gateway.call("/again/x")[0] == 401, 2.5)
+
     def test_leaving_upstream_gets_no_new_requests(self):
         leaving = self.desks[0]
         self.platform.change(self.platform.store.put, "servers/" + leaving.name, leaving.record("draining"))
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -49,6 +49,7 @@
         self.leases = {}
         self.next_lease = 100
         self.cut_ports = set()
+        self.lost_ports = set()  # calls that begin there are never answered
         self.calls = 0
 
     def put(self, key, value, lease=0):
@@ -244,11 +245,16 @@
         return self.run(call())
 
     def serve_store(self, port):
+        lost = set()
+
         async def connection(reader, writer):
             try:
                 while request := await read_request(reader):
                     if port in self.store.cut_ports:
                         break
+                    while port in self.store.lost_ports or writer in lost:
+                        lost.add(writer)
+                        await asyncio.sleep(0.05)
                     method, path, query, _, body = request
                     status, content = await self.store.handle(port, method, path, query, body)
                     if port in self.store.cut_ports:
