Decide in one place whether a data centre works through its relay

The threshold of four VMs stood in the reports and again in the reads of the store, and the number of unreachable upstreams that a request tries stood in both files of the exchange. Behaviour is unchanged. Checked: format, linter on the four files, boundary, unit tests of peers, dispatch, quota and platform, e2e_test_gateway, soak.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -51,6 +51,9 @@
   void shutdown() override;
 
 private:
+  /** Most unreachable upstreams that one request tries. */
+  static constexpr unsigned kMostUnreachable = 4;
+
   // Admission.
   bool findRoute();
   bool authenticate();
--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -284,7 +284,6 @@
     mPath.log.step(mFacts.id, "unreachable upstream", mLastUpstream, "", now);
     endCall();
     ++mUnreachable;
-    constexpr unsigned kMostUnreachable = 4;
     if (mUnreachable < kMostUnreachable) {
       dispatch();
     } else {
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -21,8 +21,6 @@
 constexpr base::Duration kShortQueue = 250ms;
 /** An order reaches its engine and the result this VM within this. */
 constexpr base::Duration kOrderDelay = 600ms;
-/** Most unreachable upstreams that one request tries. */
-constexpr unsigned kMostUnreachable = 4;
 constexpr base::Duration kOverloadRetry = 400ms;
 
 } // namespace
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -10,7 +10,8 @@
 
 using namespace std::chrono_literals;
 
-/** VMs of a data centre from which on they report through the relay. */
+/** VMs of a data centre from which on the messages and calls to the store that
+ * a relay saves repay the further hop. */
 constexpr std::size_t kLeastVmsForRelay = 4;
 /** Statuses that a summary may still contain: those of about a second. */
 constexpr std::size_t kSentStatuses = 12;
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -47,8 +47,9 @@
   /** @return the relay of this data centre as far as known */
   base::VmName relay() const;
 
-  /** @return VMs of this data centre, this one included */
-  std::size_t vmsOfDataCentre() const;
+  /** @return true if the VMs of this data centre report to the relay and read
+   * the store through it */
+  bool throughRelay() const;
 
   /** Emitted with the name of a VM that has a newer configuration. */
   sigc::signal<void(base::VmName)>& newerCatalog() { return mNewerCatalog; }
@@ -73,7 +74,7 @@
   peers::Status status();
   void learn(const peers::DemandTable& aDemand);
   bool isRelay() const { return relay() == mPath.settings.vm; }
-  bool throughRelay() const;
+  std::size_t vmsOfDataCentre() const;
   bool takeOwn(peers::Summary aSummary, base::TimePoint aNow);
   bool sameRegion(const base::DataCentre& aOther) const;
   std::vector<base::Address> neighbours() const;
--- a/apps/gateway/record_relay.cpp
+++ b/apps/gateway/record_relay.cpp
@@ -7,8 +7,6 @@
 
 using namespace std::chrono_literals;
 
-/** VMs of a data centre from which on the calls saved repay a further hop. */
-constexpr std::size_t kLeastVms = 4;
 /** A relay in the same data centre answers within milliseconds. */
 constexpr base::Duration kRelayTimeout = 500ms;
 /** Longest wait of a reader. */
@@ -54,7 +52,7 @@
 RecordRelay::source()
 {
   const base::VmName relay = mExchange.relay();
-  if (relay == mSettings.vm || mExchange.vmsOfDataCentre() < kLeastVms) {
+  if (relay == mSettings.vm || !mExchange.throughRelay()) {
     return nullptr;
   }
   const auto member = mFleet.others().find(relay);
