Use one function for what stood twice in the gateway and the store's protocols

- Region of a data centre: sameRegion(Settings, DataCentre), for the link price and for reports.
- Order in which VMs take duties: peers::comesBefore, for relays and for claims of ownership.
- Meaning of HTTP statuses: platform::errorOfStatus, for both protocols of the store; two messages now have the same words in both.
PeerExchange::nextStatus and Table::noteIfNewer say that they change state; the relay is determined once a turn.
Behaviour is unchanged.

--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -57,13 +57,10 @@
     candidate.queuedMs = candidate.running * serviceMs / record.slots;
     candidate.ownMs = serviceMs;
   }
-  const auto& regions = mPath.settings.regions;
-  const auto own = regions.find(mPath.settings.dataCentre);
-  const auto there = regions.find(record.dataCentre);
   if (record.dataCentre != mPath.settings.dataCentre) {
-    const bool sameRegion = own != regions.end() && there != regions.end() &&
-                            own->second == there->second;
-    candidate.linkMs = sameRegion ? kSameRegionMs : kOtherRegionMs;
+    candidate.linkMs = sameRegion(mPath.settings, record.dataCentre)
+                         ? kSameRegionMs
+                         : kOtherRegionMs;
   }
   candidate.failureRate = mPath.health.failureRate(record.name);
   candidate.ejected = mPath.health.ejected(record.name, now);
--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -1,6 +1,7 @@
 #include "apps/gateway/fleet.h"
 
 #include "observe/log.h"
+#include "peers/peers.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -237,13 +238,10 @@
 std::size_t
 Fleet::claimRank() const
 {
+  const peers::RelayCandidate self{ mSettings.vm, mSettings.capacity };
   std::size_t rank = 0;
   for (const auto& [vm, member] : mOthers) {
-    // The owner plans for the whole fleet, so the largest VM claims first.
-    const bool before = member.capacity != mSettings.capacity
-                          ? member.capacity > mSettings.capacity
-                          : vm < mSettings.vm;
-    rank += before ? 1U : 0U;
+    rank += peers::comesBefore({ vm, member.capacity }, self) ? 1U : 0U;
   }
   return std::min(rank, kMostStaggers);
 }
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -108,16 +108,6 @@
   return order == mRelayOrders.end() ? 1 : order->second.size();
 }
 
-bool
-PeerExchange::sameRegion(const base::DataCentre& aOther) const
-{
-  const auto& regions = mPath.settings.regions;
-  const auto own = regions.find(mPath.settings.dataCentre);
-  const auto other = regions.find(aOther);
-  return own != regions.end() && other != regions.end() &&
-         own->second == other->second;
-}
-
 std::vector<base::Address>
 PeerExchange::neighbours() const
 {
@@ -155,11 +145,12 @@
 void
 PeerExchange::send()
 {
-  if (isRelay()) {
+  const bool speaksForOthers = isRelay();
+  if (speaksForOthers) {
     mPath.peers.forgetOwn();
     sendSummaries();
   }
-  if (!isRelay() || !throughRelay()) {
+  if (!speaksForOthers || !throughRelay()) {
     sendStatus();
   }
   const base::TimePoint now = base::monotonicNow();
@@ -171,7 +162,7 @@
 void
 PeerExchange::sendStatus()
 {
-  const std::string bytes = peers::encode(status());
+  const std::string bytes = peers::encode(nextStatus());
   if (!throughRelay()) {
     mLink.send(bytes, neighbours());
     return;
@@ -185,7 +176,7 @@
 std::string
 PeerExchange::summary()
 {
-  return peers::encode(mSummaries.make(status(),
+  return peers::encode(mSummaries.make(nextStatus(),
                                        mPath.peers,
                                        kSummaryFresh,
                                        kTotalRepeats * mSchedule.longest(),
@@ -202,7 +193,7 @@
   }
   for (const auto& [dataCentre, order] : mRelayOrders) {
     if (dataCentre != mPath.settings.dataCentre &&
-        (far || sameRegion(dataCentre))) {
+        (far || sameRegion(mPath.settings, dataCentre))) {
       const auto relays = relaysOf(dataCentre);
       to.insert(to.end(), relays.begin(), relays.end());
     }
@@ -256,7 +247,7 @@
     const auto member =
       owner ? mFleet.others().find(owner->vm) : mFleet.others().end();
     if (member != mFleet.others().end()) {
-      mLink.send(peers::encode(status()), { member->second.peerAddress });
+      mLink.send(peers::encode(nextStatus()), { member->second.peerAddress });
     }
     if (mOrders.active()) {
       mDemandHeard.emit();
@@ -268,7 +259,7 @@
 PeerExchange::depart()
 {
   mDeparting = true;
-  const std::string bytes = peers::encode(status());
+  const std::string bytes = peers::encode(nextStatus());
   for (const auto& [vm, member] : mFleet.others()) {
     mLink.send(bytes, { member.peerAddress });
   }
@@ -288,7 +279,7 @@
 }
 
 peers::Status
-PeerExchange::status()
+PeerExchange::nextStatus()
 {
   peers::Status status;
   status.vm = mPath.settings.vm;
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -71,12 +71,12 @@
   void sendSummaries();
   std::string summary();
   void sendPlaces();
-  peers::Status status();
+  /** Numbers and remembers a status, because a summary may contain it. */
+  peers::Status nextStatus();
   void learn(const peers::DemandTable& aDemand);
   bool isRelay() const { return relay() == mPath.settings.vm; }
   std::size_t vmsOfDataCentre() const;
   bool takeOwn(peers::Summary aSummary, base::TimePoint aNow);
-  bool sameRegion(const base::DataCentre& aOther) const;
   std::vector<base::Address> neighbours() const;
   std::vector<base::Address> relaysOf(const base::DataCentre& aOther) const;
 
--- a/apps/gateway/settings.cpp
+++ b/apps/gateway/settings.cpp
@@ -56,6 +56,15 @@
 
 } // namespace
 
+bool
+sameRegion(const Settings& aSettings, const base::DataCentre& aOther)
+{
+  const auto own = aSettings.regions.find(aSettings.dataCentre);
+  const auto other = aSettings.regions.find(aOther);
+  return own != aSettings.regions.end() && other != aSettings.regions.end() &&
+         own->second == other->second;
+}
+
 base::Result<Settings>
 parseSettings(const std::string& aText, const std::string& aFile)
 {
--- a/apps/gateway/settings.h
+++ b/apps/gateway/settings.h
@@ -34,6 +34,11 @@
   double quotaSlack = 0;       ///< units that the fleet may be late to count
 };
 
+/** @param aSettings settings @param aOther data centre
+ * @return true if it lies in the region of this VM's data centre */
+bool
+sameRegion(const Settings& aSettings, const base::DataCentre& aOther);
+
 /** @param aText YAML @param aFile name for messages
  * @return the settings or SettingsInvalid */
 base::Result<Settings>
--- a/libs/peers/relay.cpp
+++ b/libs/peers/relay.cpp
@@ -11,16 +11,17 @@
 
 } // namespace
 
+bool
+comesBefore(const RelayCandidate& aLeft, const RelayCandidate& aRight)
+{
+  return aLeft.capacity != aRight.capacity ? aLeft.capacity > aRight.capacity
+                                           : aLeft.vm < aRight.vm;
+}
+
 std::vector<base::VmName>
 relayOrder(std::vector<RelayCandidate> aCandidates)
 {
-  std::sort(aCandidates.begin(),
-            aCandidates.end(),
-            [](const RelayCandidate& aLeft, const RelayCandidate& aRight) {
-              return aLeft.capacity != aRight.capacity
-                       ? aLeft.capacity > aRight.capacity
-                       : aLeft.vm < aRight.vm;
-            });
+  std::sort(aCandidates.begin(), aCandidates.end(), &comesBefore);
   std::vector<base::VmName> order;
   order.reserve(aCandidates.size());
   for (RelayCandidate& candidate : aCandidates) {
--- a/libs/peers/relay.h
+++ b/libs/peers/relay.h
@@ -16,9 +16,13 @@
   double capacity = 0; ///< cores that it may use
 };
 
+/** @return true if the left VM takes a duty for others before the right one;
+ * the largest come first, because such a duty costs processor time */
+bool
+comesBefore(const RelayCandidate& aLeft, const RelayCandidate& aRight);
+
 /**
- * All VMs derive the same order from the registrations. The largest come first,
- * because a relay hears and sends more than others.
+ * All VMs derive the same order from the registrations.
  * @param aCandidates registered VMs of one data centre
  * @return their names in the order in which they are the relay
  */
--- a/libs/peers/table.cpp
+++ b/libs/peers/table.cpp
@@ -40,7 +40,7 @@
 }
 
 bool
-Table::ahead(const Summary& aSummary)
+Table::noteIfNewer(const Summary& aSummary)
 {
   Stamp& stamp = mRelays[aSummary.relay];
   if (stamp.incarnation == aSummary.incarnation &&
@@ -54,7 +54,7 @@
 bool
 Table::update(Summary aSummary, base::TimePoint aNow)
 {
-  if (aSummary.dataCentre == mOwn || !ahead(aSummary)) {
+  if (aSummary.dataCentre == mOwn || !noteIfNewer(aSummary)) {
     return false;
   }
   SummaryRow& row = mSummaries[aSummary.dataCentre];
@@ -70,7 +70,7 @@
                  const Status& aIncluded,
                  base::TimePoint aNow)
 {
-  if (aSummary.dataCentre != mOwn || !ahead(aSummary)) {
+  if (aSummary.dataCentre != mOwn || !noteIfNewer(aSummary)) {
     return false;
   }
   for (const auto& [name, load] : aIncluded.loads) {
--- a/libs/peers/table.h
+++ b/libs/peers/table.h
@@ -83,7 +83,7 @@
     base::Incarnation incarnation = 0;
     std::uint64_t sequence = 0;
   };
-  bool ahead(const Summary& aSummary);
+  bool noteIfNewer(const Summary& aSummary);
   bool sums(const Status& aStatus) const;
   void add(const LoadTable& aLoads);
   void subtract(const LoadTable& aLoads);
--- a/libs/platform/product_form.cpp
+++ b/libs/platform/product_form.cpp
@@ -113,26 +113,8 @@
 std::optional<Error>
 statusError(int aStatus)
 {
-  switch (aStatus) {
-    case 200:
-      return std::nullopt;
-    case 404:
-      return Error{ Code::NotFound, "no such key or lease" };
-    case 409:
-      return Error{ Code::RevisionConflict, "the key has another revision" };
-    case 410:
-      return Error{ Code::HistoryCompacted,
-                    "changes after this revision are no longer known" };
-    case 413:
-      return Error{ Code::ValueTooLarge, "the value is above 1 MB" };
-    case 429:
-      return Error{ Code::PlatformRateLimited,
-                    "the platform refuses calls above its rate" };
-    default:
-      return Error{ Code::PlatformUnreachable,
-                    "the platform answered with status " +
-                      std::to_string(aStatus) };
-  }
+  constexpr int kConflict = 409;
+  return errorOfStatus(aStatus, kConflict);
 }
 
 constexpr WireForm kProductForm{ &readRequest,  &listRequest,   &watchRequest,
--- /dev/null
+++ b/libs/platform/wire_form.cpp
@@ -0,0 +1,34 @@
+#include "platform/wire_form.h"
+
+namespace marigold::platform {
+
+using base::Code;
+using base::Error;
+
+std::optional<Error>
+errorOfStatus(int aStatus, int aConflict)
+{
+  if (aStatus == aConflict) {
+    return Error{ Code::RevisionConflict, "the key has another revision" };
+  }
+  switch (aStatus) {
+    case 200:
+      return std::nullopt;
+    case 404:
+      return Error{ Code::NotFound, "no such key or lease" };
+    case 410:
+      return Error{ Code::HistoryCompacted,
+                    "the changes since that revision are no longer known" };
+    case 413:
+      return Error{ Code::ValueTooLarge, "the value is too large" };
+    case 429:
+      return Error{ Code::PlatformRateLimited,
+                    "the platform refuses calls above its rate" };
+    default:
+      return Error{ Code::PlatformUnreachable,
+                    "the platform answered with status " +
+                      std::to_string(aStatus) };
+  }
+}
+
+} // namespace marigold::platform
--- a/libs/platform/wire_form.h
+++ b/libs/platform/wire_form.h
@@ -64,6 +64,14 @@
   std::optional<base::Error> (*statusError)(int aStatus);
 };
 
+/**
+ * @param aStatus HTTP status of an answer
+ * @param aConflict status that says that a key has another revision
+ * @return the error that all protocols of the platform mean by it, if any
+ */
+std::optional<base::Error>
+errorOfStatus(int aStatus, int aConflict);
+
 /** @return the protocol of docs/protocols.md */
 const WireForm&
 productForm();
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -180,12 +180,13 @@
   }
   if (paused) {
     for (auto& [name, peer] : mPeers) {
-      for (const auto& [team, bucket] : mBuckets) {
-        if (!peer.silent) {
-          peer.reserves[team] = { 0, aNow - passed, std::nullopt };
-        }
+      if (peer.silent) {
+        continue;
       }
       peer.silent = true;
+      for (const auto& [team, bucket] : mBuckets) {
+        peer.reserves[team] = { 0, aNow - passed, std::nullopt };
+      }
     }
   } else {
     noteSilence(aNow);
