Begin a new ownership of orders with a whole announcement

Found by reading the change: PlaceNews::restart was never called. A VM that became the owner again began with changes only, which its peers ignore until the next whole announcement, up to 1.2 s later. The fence is now a parameter of the announcement. Test PlaceNews.NewOwnershipBeginsWithAWholeAnnouncement guards it.

--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -207,9 +207,8 @@
 PeerExchange::sendPlaces()
 {
   peers::Places places =
-    mPlaceNews.next(mOrders.places(), base::monotonicNow());
+    mPlaceNews.next(mOrders.places(), mFleet.fence(), base::monotonicNow());
   places.owner = mPath.settings.vm;
-  places.fence = mFleet.fence();
   places.loadAges = mOrders.loadAges(base::monotonicNow());
   const std::string bytes = peers::encode(places);
   mLink.send(bytes, neighbours());
--- a/libs/peers/place_news.cpp
+++ b/libs/peers/place_news.cpp
@@ -10,18 +10,17 @@
 
 } // namespace
 
-void
-PlaceNews::restart()
-{
-  mKnown.clear();
-  mChangedAt.clear();
-  mWholeAt = {};
-}
-
 Places
-PlaceNews::next(const PlaceTable& aPlaces, base::TimePoint aNow)
+PlaceNews::next(const PlaceTable& aPlaces,
+                std::uint64_t aFence,
+                base::TimePoint aNow)
 {
+  if (aFence != mFence) {
+    mFence = aFence;
+    mWholeAt = {};
+  }
   Places news;
+  news.fence = aFence;
   news.sequence = ++mSequence;
   for (const auto& [name, place] : aPlaces) {
     const auto known = mKnown.find(name);
--- a/libs/peers/place_news.h
+++ b/libs/peers/place_news.h
@@ -13,18 +13,21 @@
 {
 public:
   /**
-   * @param aPlaces what the engines hold now @param aNow time
+   * @param aPlaces what the engines hold now
+   * @param aFence fence of the ownership; the first announcement under it
+   * contains all engines, because nobody uses changes without them
+   * @param aNow time
    * @return the next announcement; the caller fills in who it is
    */
-  Places next(const PlaceTable& aPlaces, base::TimePoint aNow);
-
-  /** The next announcement contains all engines. */
-  void restart();
+  Places next(const PlaceTable& aPlaces,
+              std::uint64_t aFence,
+              base::TimePoint aNow);
 
 private:
   PlaceTable mKnown;
   std::map<base::UpstreamName, base::TimePoint> mChangedAt;
   base::TimePoint mWholeAt{};
+  std::uint64_t mFence = 0;
   std::uint64_t mSequence = 0;
 };
 
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -276,10 +276,10 @@
 // Load pattern: hundreds of engines, a few orders a second.
 TEST(PlaceNews, AnnouncesOnlyWhatChanged)
 {
-  CHECK(news.next(table, TimePoint{ 100s }).whole);
+  CHECK(news.next(table, 7, TimePoint{ 100s }).whole);
   table["u"].adapters["m"] = { "a1", "a3" };
   table.erase("v");
-  const auto next = news.next(table, TimePoint{ 100500ms });
+  const auto next = news.next(table, 7, TimePoint{ 100500ms });
   CHECK(!next.whole);
   LONGS_EQUAL(2, next.engines.at("u").adapters.at("m").size());
   CHECK(next.engines.at("v") == peers::EnginePlace{});
@@ -288,11 +288,22 @@
 // Guards against an announcement that is lost and never repeated.
 TEST(PlaceNews, RepeatsAChangeUntilTheNextWholeOne)
 {
-  news.next(table, TimePoint{ 100s });
+  news.next(table, 7, TimePoint{ 100s });
   table["u"].adapters["m"] = { "a3" };
-  news.next(table, TimePoint{ 100400ms });
-  CHECK(news.next(table, TimePoint{ 100800ms }).engines.contains("u"));
-  CHECK(news.next(table, TimePoint{ 101300ms }).whole);
+  news.next(table, 7, TimePoint{ 100400ms });
+  CHECK(news.next(table, 7, TimePoint{ 100800ms }).engines.contains("u"));
+  CHECK(news.next(table, 7, TimePoint{ 101300ms }).whole);
+}
+
+// Guards against a VM that becomes the owner again and whose peers have no view
+// of the engines until the next periodic whole announcement.
+TEST(PlaceNews, NewOwnershipBeginsWithAWholeAnnouncement)
+{
+  news.next(table, 7, TimePoint{ 100s });
+  CHECK(!news.next(table, 7, TimePoint{ 100200ms }).whole);
+  const auto first = news.next(table, 8, TimePoint{ 100400ms });
+  CHECK(first.whole);
+  LONGS_EQUAL(8, first.fence);
 }
 
 TEST_GROUP(OwnSummary)
