--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -57,6 +57,7 @@
   : mSettings(std::move(aSettings))
   , mFile(std::move(aFile))
   , mIncarnation(drawIncarnation())
+  , mLoopMeter(mLoop, mMetrics)
   , mRandom(base::hash64(mSettings.vm, mIncarnation))
   , mClient(mLoop)
   , mPlatform(mLoop,
@@ -166,6 +167,7 @@
   BOOST_LEAF_CHECK(mReadyServer.listen(mSettings.ready));
   BOOST_LEAF_CHECK(mExchange.listen());
   BOOST_LEAF_CHECK(mCallers.listen(mSettings.listen));
+  mLoopMeter.start();
   mCatalogWatch.start();
   mUpstreamWatch.start();
   mFleet.start();
--- a/apps/gateway/node.h
+++ b/apps/gateway/node.h
@@ -3,6 +3,7 @@
 
 #include "apps/gateway/exchange.h"
 #include "apps/gateway/fleet.h"
+#include "apps/gateway/loop_meter.h"
 #include "apps/gateway/order_book.h"
 #include "apps/gateway/peer_exchange.h"
 #include "apps/gateway/record_relay.h"
@@ -48,6 +49,7 @@
   base::Incarnation mIncarnation;
   http::Loop mLoop;
   observe::Metrics mMetrics;
+  LoopMeter mLoopMeter;
   base::Random mRandom;
   http::Client mClient;
   platform::Client mPlatform;
--- a/apps/gateway/order_book.cpp
+++ b/apps/gateway/order_book.cpp
@@ -40,6 +40,7 @@
   , mCatalog(aCatalog)
   , mUpstreams(aUpstreams)
   , mMetrics(aMetrics)
+  , mPlanReport(aMetrics)
 {
 }
 
@@ -80,6 +81,7 @@
     if (!service.engine) {
       continue;
     }
+    const base::TimePoint began = base::monotonicNow();
     syncEngines(service, now);
     residency::Situation current = situation(service, aDemand, now);
     std::set<base::UpstreamName> used;
@@ -89,6 +91,8 @@
       const auto further = plan(current);
       steps.insert(steps.end(), further.begin(), further.end());
     }
+    mPlanReport.planned(
+      current, steps.size(), base::monotonicNow() - began, now);
     for (const residency::Step& step : steps) {
       if (used.insert(step.engine).second) {
         give(step);
--- a/apps/gateway/order_book.h
+++ b/apps/gateway/order_book.h
@@ -3,6 +3,7 @@
 
 #include "apps/gateway/fleet.h"
 #include "apps/gateway/live_catalog.h"
+#include "apps/gateway/plan_report.h"
 #include "apps/gateway/upstream_table.h"
 #include "http/http.h"
 #include "observe/metrics.h"
@@ -97,6 +98,7 @@
   observe::Metrics& mMetrics;
   std::map<base::UpstreamName, Engine> mEngines;
   residency::LoadWindow mStoreLoads;
+  PlanReport mPlanReport;
   std::uint64_t mFence = 0;
   bool mActive = false;
   bool mStopped = false;
--- /dev/null
+++ b/apps/gateway/plan_report.cpp
@@ -0,0 +1,59 @@
+#include "apps/gateway/plan_report.h"
+
+#include "observe/log.h"
+
+#include <algorithm>
+
+namespace marigold::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::Duration kLogPeriod = 1s;
+
+} // namespace
+
+PlanReport::PlanReport(observe::Metrics& aMetrics)
+  : mTimes(aMetrics.seconds("marigold_plan_seconds",
+                            "Time of one plan of the owner of orders"))
+{
+}
+
+void
+PlanReport::planned(const residency::Situation& aSituation,
+                    std::size_t aSteps,
+                    base::Duration aTaken,
+                    base::TimePoint aNow)
+{
+  mTimes.Observe(base::inSeconds(aTaken));
+  ++mPlans;
+  mSteps += aSteps;
+  mTaken += aTaken;
+  if (aNow - mLoggedAt < kLogPeriod) {
+    return;
+  }
+  mLoggedAt = aNow;
+  const auto orderable = std::count_if(
+    aSituation.engines.begin(),
+    aSituation.engines.end(),
+    [](const residency::Engine& aEngine) { return aEngine.orderable; });
+  const auto awaited =
+    std::count_if(aSituation.demand.begin(),
+                  aSituation.demand.end(),
+                  [](const auto& aItem) { return aItem.second.waiting > 0; });
+  observe::logInfo(
+    "plans",
+    { { "count", std::to_string(mPlans) },
+      { "taken_ms", std::to_string(base::inMilliseconds(mTaken)) },
+      { "steps", std::to_string(mSteps) },
+      { "engines", std::to_string(aSituation.engines.size()) },
+      { "orderable", std::to_string(orderable) },
+      { "demanded", std::to_string(aSituation.demand.size()) },
+      { "awaited", std::to_string(awaited) },
+      { "store_loads_left", std::to_string(aSituation.storeLoadsLeft) } });
+  mPlans = 0;
+  mSteps = 0;
+  mTaken = {};
+}
+
+} // namespace marigold::gateway
