Plan orders at a bounded rate, not at each report of waiting requests

Cause: the owner made a whole plan for 140 engines and 500 demanded models and adapters at each message that told of waiting requests, and each VM sent it a whole status for each request that began to wait. The more requests wait, the less the owner does for them. Class: work in proportion to the fleet, started by each message, without a pause. The same elsewhere: every message with places and every record tried all waiting requests again, on every VM; and the owner rebuilt its whole view at each answer to an order. Now a plan is followed by a pause of three times its length, at least 100 ms; a VM reports waiting requests to the owner as often as the size of the fleet allows (the summaries of the data centres tell them too); what follows from records and places is done once for 10 ms of changes, and only requests for a model that an upstream has by then are tried again (all of them at each tick, as before).

--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -18,6 +18,9 @@
 constexpr base::Duration kUpstreamPause = 250ms;
 constexpr base::Duration kCatalogPause = 20ms;
 constexpr base::Duration kTickPeriod = 250ms;
+/** Orders and records often change together; what follows from them is done
+ * once for all that come within this. */
+constexpr base::Duration kChangesTogether = 10ms;
 /** A new VM takes requests once its peers can have reported their usage. */
 constexpr base::Duration kPeersHeardAfter = 400ms;
 /** The balancer takes a VM out after two failed probes, one a second. */
@@ -101,7 +104,7 @@
       { [this](const platform::Snapshot& aAll) { applyUpstreams(aAll); },
         [this](const platform::Entry& aEntry) {
           applyUpstream(aEntry);
-          mWaiting.wake();
+          wakeSoon();
         },
         [this] {
           if (mUpstreamsKnown) {
@@ -133,20 +136,28 @@
                  })
   , mOperator(mLoop, mMetrics)
   , mRelay(mLoop, mSettings, mFleet, mExchange, mOperator)
+  , mPlan(mLoop, [this] { plan(); })
+  , mUsePlaces(mLoop, [this] { usePlaces(); })
+  , mWake(mLoop, [this] {
+    const base::TimePoint now = base::monotonicNow();
+    mWaiting.wakeIf([&](const catalog::ModelRef& aRef) {
+      return mUpstreams.served(aRef, now);
+    });
+  })
 {
   mQuota.setSlack(mSettings.quotaSlack);
   mRetries.setLimits(
     { mSettings.retryRatio, mSettings.retryLeastExtra, mSettings.retryWindow });
   mFleet.changed().connect([this] { fleetChanged(); });
   mOrders.changed().connect([this] {
-    usePlaces();
+    mUsePlaces.trigger(kChangesTogether);
     mExchange.announcePlaces();
   });
   // An owner elsewhere learns of a missing adapter without waiting for the
   // next regular status.
   mWaiting.onEnter([this] { mExchange.reportToOwner(); });
-  mExchange.demandHeard().connect([this] { mOrders.run(fleetDemand()); });
-  mExchange.placesHeard().connect([this] { mWaiting.wake(); });
+  mExchange.demandHeard().connect([this] { planSoon(); });
+  mExchange.placesHeard().connect([this] { wakeSoon(); });
   mExchange.newerCatalog().connect(
     [this](const base::VmName& aPeer) { fetchCatalogFrom(aPeer); });
   for (PrefixWatch* watch :
@@ -315,7 +326,7 @@
     }
   }
   mUpstreamsKnown = true;
-  mWaiting.wake();
+  wakeSoon();
 }
 
 void
@@ -373,6 +384,29 @@
   return table;
 }
 
+void
+Node::planSoon()
+{
+  mPlan.trigger(mPlans.delay(base::monotonicNow()));
+}
+
+void
+Node::plan()
+{
+  if (!mOrders.followOwnership()) {
+    return;
+  }
+  const base::TimePoint began = base::monotonicNow();
+  mOrders.run(fleetDemand());
+  mPlans.planned(began, base::monotonicNow());
+}
+
+void
+Node::wakeSoon()
+{
+  mWake.trigger(kChangesTogether);
+}
+
 void
 Node::usePlaces()
 {
@@ -382,7 +416,7 @@
     places.whole = true;
     places.engines = mOrders.places();
     mUpstreams.usePlaces(places);
-    mWaiting.wake();
+    wakeSoon();
   }
 }
 
@@ -411,7 +445,7 @@
   mRelay.tick();
   mCrashes.expire(now);
   sweepAbsent();
-  mOrders.run(fleetDemand());
+  planSoon();
   mWaiting.wake();
   mRequestLog.flush(now);
   if (mDraining) {
--- a/apps/gateway/node.h
+++ b/apps/gateway/node.h
@@ -1,6 +1,7 @@
 /** @file The gateway process. */
 #pragma once
 
+#include "apps/gateway/coalesced.h"
 #include "apps/gateway/exchange.h"
 #include "apps/gateway/fleet.h"
 #include "apps/gateway/loop_meter.h"
@@ -35,6 +36,11 @@
   void usePlaces();
   residency::DemandTable fleetDemand();
 
+  // Orders and the requests that wait for them.
+  void planSoon();
+  void plan();
+  void wakeSoon();
+
   // Life of the process.
   void tick();
   bool ready() const;
@@ -76,6 +82,10 @@
   http::Server mReadyServer;
   observe::OperatorServer mOperator;
   RecordRelay mRelay;
+  residency::PlanSchedule mPlans;
+  Coalesced mPlan;
+  Coalesced mUsePlaces;
+  Coalesced mWake;
   std::unique_ptr<http::Call> mCatalogCall;
   /** Records that were absent when the store came back, with the time until
    * which their upstreams may still write them again. */
--- a/apps/gateway/order_book.cpp
+++ b/apps/gateway/order_book.cpp
@@ -63,8 +63,8 @@
   observe::logInfo("orders released", { { "fence", std::to_string(mFence) } });
 }
 
-void
-OrderBook::run(const residency::DemandTable& aDemand)
+bool
+OrderBook::followOwnership()
 {
   const base::TimePoint now = base::monotonicNow();
   const bool may = !mStopped && mFleet.mayOrder(now);
@@ -73,10 +73,14 @@
   } else if (!may && mActive && mFleet.fence() != mFence) {
     release();
   }
+  return may && mCatalog.current();
+}
+
+void
+OrderBook::run(const residency::DemandTable& aDemand)
+{
+  const base::TimePoint now = base::monotonicNow();
   const auto& live = mCatalog.current();
-  if (!may || !live) {
-    return;
-  }
   for (const auto& [name, service] : live->content.services) {
     if (!service.engine) {
       continue;
--- a/apps/gateway/order_book.h
+++ b/apps/gateway/order_book.h
@@ -26,7 +26,11 @@
             UpstreamTable& aUpstreams,
             observe::Metrics& aMetrics);
 
-  /** Plans and sends what may be sent now.
+  /** Takes the orders over or gives them up, as the ownership tells.
+   * @return true if this VM may plan now */
+  bool followOwnership();
+
+  /** Plans and sends what may be sent now; only after followOwnership().
    * @param aDemand demand of the whole fleet */
   void run(const residency::DemandTable& aDemand);
 
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -47,6 +47,7 @@
           aPath.settings,
           [this](const std::string& aBytes) { receive(aBytes); })
   , mPlacesTurn(kPlacesPeriod)
+  , mOwnerReport(aLoop, [this] { sendOwnerReport(); })
 {
 }
 
@@ -72,7 +73,7 @@
   }
   const std::size_t own = candidates.at(mPath.settings.dataCentre).size();
   const base::Duration before = mSchedule.statusPeriod();
-  mSchedule.setFleet(own - 1, candidates.size());
+  mSchedule.setFleet(own - 1, candidates.size(), mFleet.size());
   if (mSchedule.statusPeriod() != before) {
     mTimer = mLoop.every(mSchedule.statusPeriod(), [this] { send(); });
   }
@@ -236,22 +237,24 @@
 void
 PeerExchange::reportToOwner()
 {
-  if (mReportPosted) {
+  if (mOrders.active()) {
+    mDemandHeard.emit();
     return;
   }
-  mReportPosted = true;
-  mLoop.post([this] {
-    mReportPosted = false;
-    const auto& owner = mFleet.owner();
-    const auto member =
-      owner ? mFleet.others().find(owner->vm) : mFleet.others().end();
-    if (member != mFleet.others().end()) {
-      mLink.send(peers::encode(nextStatus()), { member->second.peerAddress });
-    }
-    if (mOrders.active()) {
-      mDemandHeard.emit();
-    }
-  });
+  mOwnerReport.trigger(mOwnerReportedAt + mSchedule.ownerPeriod() -
+                       base::monotonicNow());
+}
+
+void
+PeerExchange::sendOwnerReport()
+{
+  mOwnerReportedAt = base::monotonicNow();
+  const auto& owner = mFleet.owner();
+  const auto member =
+    owner ? mFleet.others().find(owner->vm) : mFleet.others().end();
+  if (member != mFleet.others().end()) {
+    mLink.send(peers::encode(nextStatus()), { member->second.peerAddress });
+  }
 }
 
 void
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -1,6 +1,7 @@
 /** @file What this VM tells its peers and learns from them. */
 #pragma once
 
+#include "apps/gateway/coalesced.h"
 #include "apps/gateway/fleet.h"
 #include "apps/gateway/order_book.h"
 #include "apps/gateway/peer_link.h"
@@ -32,7 +33,7 @@
   /** The registered VMs changed. */
   void fleetChanged();
 
-  /** Reports to the owner of orders at once, because requests wait. */
+  /** Reports to the owner of orders soon, because requests wait. */
   void reportToOwner();
 
   /** The engines' places changed; announced soon, once for several changes. */
@@ -71,6 +72,7 @@
   void sendSummaries();
   std::string summary();
   void sendPlaces();
+  void sendOwnerReport();
   /** Numbers and remembers a status, because a summary may contain it. */
   peers::Status nextStatus();
   void learn(const peers::DemandTable& aDemand);
@@ -97,7 +99,8 @@
   std::uint64_t mPlacesFence = 0;
   std::uint64_t mPlacesSequence = 0;
   base::TimePoint mPlacesHeardAt{};
-  bool mReportPosted = false;
+  Coalesced mOwnerReport;
+  base::TimePoint mOwnerReportedAt{};
   http::Watch mAnnouncement;
   http::Watch mTimer;
   sigc::signal<void(base::VmName)> mNewerCatalog;
--- a/apps/gateway/upstream_table.cpp
+++ b/apps/gateway/upstream_table.cpp
@@ -1,5 +1,7 @@
 #include "apps/gateway/upstream_table.h"
 
+#include <algorithm>
+
 namespace marigold::gateway {
 namespace {
 
@@ -149,6 +151,15 @@
   return places != mPlaces.end() && places->second.contains(aRef);
 }
 
+bool
+UpstreamTable::served(const catalog::ModelRef& aRef, base::TimePoint aNow) const
+{
+  return std::any_of(
+    mUpstreams.begin(), mUpstreams.end(), [&](const auto& aItem) {
+      return aItem.second->usable() && holds(*aItem.second, aRef, aNow);
+    });
+}
+
 std::shared_ptr<Upstream>
 UpstreamTable::find(const base::UpstreamName& aName) const
 {
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -72,6 +72,9 @@
              const catalog::ModelRef& aRef,
              base::TimePoint aNow) const;
 
+  /** @return true if some upstream takes requests for the model */
+  bool served(const catalog::ModelRef& aRef, base::TimePoint aNow) const;
+
   const Map& all() const { return mUpstreams; }
 
   /** @param aName upstream @return it, or nullptr */
--- a/apps/gateway/waiting_room.h
+++ b/apps/gateway/waiting_room.h
@@ -34,7 +34,7 @@
   void enter(const catalog::ModelRef& aRef,
              const std::shared_ptr<Waiter>& aWaiter)
   {
-    mWaiters.emplace_back(aRef, aWaiter);
+    mWaiters[aRef].push_back(aWaiter);
     if (mOnEnter) {
       mOnEnter();
     }
@@ -42,13 +42,27 @@
 
   /** Lets everybody try again; who still lacks its model enters again. */
   void wake()
+  {
+    wakeIf([](const catalog::ModelRef&) { return true; });
+  }
+
+  /** Lets those try again whose model can be served now.
+   * @param aServed tells of a model or adapter whether an upstream has it */
+  template<typename Served>
+  void wakeIf(Served aServed)
   {
     auto waiters = std::move(mWaiters);
     mWaiters.clear();
     mWaking = true;
-    for (const auto& [ref, weak] : waiters) {
-      if (const auto waiter = weak.lock()) {
-        waiter->retry();
+    for (auto& [ref, group] : waiters) {
+      if (!aServed(ref)) {
+        stay(ref, std::move(group));
+        continue;
+      }
+      for (const auto& weak : group) {
+        if (const auto waiter = weak.lock()) {
+          waiter->retry();
+        }
       }
     }
     mWaking = false;
@@ -58,8 +72,10 @@
   std::map<catalog::ModelRef, unsigned> counts() const
   {
     std::map<catalog::ModelRef, unsigned> counts;
-    for (const auto& [ref, weak] : mWaiters) {
-      counts[ref] += weak.expired() ? 0U : 1U;
+    for (const auto& [ref, group] : mWaiters) {
+      for (const auto& weak : group) {
+        counts[ref] += weak.expired() ? 0U : 1U;
+      }
     }
     return counts;
   }
@@ -77,7 +93,19 @@
   }
 
 private:
-  std::vector<std::pair<catalog::ModelRef, std::weak_ptr<Waiter>>> mWaiters;
+  using Group = std::vector<std::weak_ptr<Waiter>>;
+
+  void stay(const catalog::ModelRef& aRef, Group aGroup)
+  {
+    // A request that ended while it waited is not counted any more.
+    std::erase_if(aGroup, [](const auto& aWeak) { return aWeak.expired(); });
+    if (!aGroup.empty()) {
+      auto& group = mWaiters[aRef];
+      group.insert(group.end(), aGroup.begin(), aGroup.end());
+    }
+  }
+
+  std::map<catalog::ModelRef, Group> mWaiters;
   std::function<void()> mOnEnter;
   bool mWaking = false;
 };
--- a/libs/peers/schedule.cpp
+++ b/libs/peers/schedule.cpp
@@ -40,14 +40,18 @@
 
 ReportSchedule::ReportSchedule()
   : mStatusPeriod(kNearPeriod)
+  , mOwnerPeriod(kNearPeriod)
   , mFar(kFarPeriod)
 {
 }
 
 void
-ReportSchedule::setFleet(std::size_t aPeers, std::size_t aDataCentres)
+ReportSchedule::setFleet(std::size_t aPeers,
+                         std::size_t aDataCentres,
+                         std::size_t aVms)
 {
   mStatusPeriod = scaled(kNearPeriod, aPeers, kPeers);
+  mOwnerPeriod = scaled(kNearPeriod, aVms, kPeers);
   mFar.setPeriod(
     std::max(mStatusPeriod, scaled(kFarPeriod, aDataCentres, kDataCentres)));
 }
--- a/libs/peers/schedule.h
+++ b/libs/peers/schedule.h
@@ -39,8 +39,9 @@
   ReportSchedule();
 
   /** @param aPeers other VMs of the data centre
-   * @param aDataCentres data centres of the fleet */
-  void setFleet(std::size_t aPeers, std::size_t aDataCentres);
+   * @param aDataCentres data centres of the fleet
+   * @param aVms VMs of the fleet */
+  void setFleet(std::size_t aPeers, std::size_t aDataCentres, std::size_t aVms);
 
   /** @return true if data centres of other regions are due */
   bool farDue(base::TimePoint aNow) { return mFar.due(aNow); }
@@ -49,11 +50,16 @@
    * VMs of the same region */
   base::Duration statusPeriod() const { return mStatusPeriod; }
 
+  /** @return least time between two reports of a VM to the owner of orders,
+   * which all VMs of the fleet may report to */
+  base::Duration ownerPeriod() const { return mOwnerPeriod; }
+
   /** @return longest time between two reports to a peer */
   base::Duration longest() const { return mFar.period(); }
 
 private:
   base::Duration mStatusPeriod;
+  base::Duration mOwnerPeriod;
   Periodic mFar;
 };
 
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -376,7 +376,7 @@
 // Load pattern: links between regions are paid by volume.
 TEST(ReportSchedule, ReportsToOtherRegionsLessOften)
 {
-  schedule.setFleet(1, 3);
+  schedule.setFleet(1, 3, 6);
   CHECK(schedule.statusPeriod() == 100ms);
   LONGS_EQUAL(50, farReports());
 }
@@ -386,7 +386,7 @@
 TEST(ReportSchedule, MessagesOfARelayStayBounded)
 {
   for (const std::size_t peers : { 13U, 26U, 100U }) {
-    schedule.setFleet(peers, 15);
+    schedule.setFleet(peers, 15, 15 * (peers + 1));
     const double perSecond =
       static_cast<double>(peers) / base::inSeconds(schedule.statusPeriod());
     CHECK(perSecond < 100);
@@ -394,6 +394,18 @@
   }
 }
 
+// Guards against an owner of orders that drowns in the reports of a large fleet
+// in which requests wait on all VMs.
+TEST(ReportSchedule, ReportsToTheOwnerStayBounded)
+{
+  for (const std::size_t vms : { 6U, 81U, 380U }) {
+    schedule.setFleet(vms / 6, 6, vms);
+    const double perSecond =
+      static_cast<double>(vms) / base::inSeconds(schedule.ownerPeriod());
+    CHECK(perSecond <= 81);
+  }
+}
+
 int
 main(int aCount, char** aValues)
 {
--- /dev/null
+++ b/libs/residency/plan_schedule.cpp
@@ -0,0 +1,32 @@
+#include "residency/plan_schedule.h"
+
+#include <algorithm>
+
+namespace marigold::residency {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Reports of the VMs of a data centre come this often, so a plan before the
+ * next ones would find the same demand. */
+constexpr base::Duration kLeastPause = 100ms;
+/** Pause after a plan, as a multiple of its time: the owner also serves
+ * callers, who get at least three quarters of its processor time. */
+constexpr int kPausePerPlan = 3;
+
+} // namespace
+
+base::Duration
+PlanSchedule::delay(base::TimePoint aNow) const
+{
+  return std::max(base::Duration::zero(), mNotBefore - aNow);
+}
+
+void
+PlanSchedule::planned(base::TimePoint aBegan, base::TimePoint aEnded)
+{
+  mNotBefore =
+    aEnded + std::max(kLeastPause, (aEnded - aBegan) * kPausePerPlan);
+}
+
+} // namespace marigold::residency
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -10,6 +10,7 @@
 #include "catalog/model_name.h"
 #include "catalog/types.h"
 #include "residency/load_window.h"
+#include "residency/plan_schedule.h"
 
 #include <map>
 #include <set>
--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -75,3 +75,19 @@
         connection.request(method, path, body, sent)
         answer = connection.getresponse()
         return answer.status, answer.read().decode(), answer.headers
+
+    def open_call(self, path, headers, key="k1"):
+        """Sends a request and returns the connection without reading the answer."""
+        connection = http.client.HTTPConnection(HOST, self.port, timeout=6)
+        sent = {"Host": "h.example", "X-Request-Id": os.urandom(8).hex(), "X-Deadline-Ms": "3000"}
+        connection.request("POST", path, b"x", {**sent, "Authorization": "Bearer " + key, **headers})
+        return connection
+
+    def metric(self, name):
+        """The value of a metric without labels, 0 before its first use."""
+        connection = http.client.HTTPConnection(HOST, self.port + OPERATOR, timeout=2)
+        connection.request("GET", "/metrics")
+        for line in connection.getresponse().read().decode().splitlines():
+            if line.startswith(name + " "):
+                return float(line.split()[1])
+        return 0.0
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -150,6 +150,22 @@
         self.assertEqual(200, status)
         self.assertIn("id: 10", body)
 
+    def test_waiting_requests_do_not_make_the_owner_plan_all_the_time(self):
+        """The owner of orders made a plan for each request that began to wait, and fell behind with everything else."""
+        gateway = self.gateways[0]
+        wait_for(lambda: any(e.order_log for e in self.engines), 12)
+        before, began = gateway.metric("marigold_plan_seconds_count"), time.monotonic()
+        callers = []
+        for number in range(150):
+            callers.append(gateway.open_call("/chat/x", {**self.CHAT, "X-Model-Name": f"m1/none{number}"}))
+            time.sleep(0.01)
+        plans = gateway.metric("marigold_plan_seconds_count") - before
+        passed = time.monotonic() - began
+        for caller in callers:
+            caller.close()
+        self.assertGreater(plans, 0)
+        self.assertLessEqual(plans / passed, 12)  # a plan and a pause of at least 100 ms
+
     def test_two_owners_never_order_within_the_pause(self):
         """An owner that was cut off kept its ownership under a new lease."""
         self.start()
