Compute the figures of a plan once instead of for each need and engine

What callers saw: in the grown deployments the owner of orders fell behind its event loop, orders were lost to timeouts, and models and adapters that were asked for came seconds late or never.

Cause: each plan looked names up in maps for every pair of a need and an engine (load, free memory, victim, places of an adapter).

FleetView now looks every name up once and links engines, models and adapters; the planners compare numbers, go through the holders of the base model only, keep the victim of an engine until the model is taken, and stop when no engine is left that can get an order.

--- a/libs/residency/fleet_view.cpp
+++ b/libs/residency/fleet_view.cpp
@@ -4,92 +4,137 @@
 
 namespace marigold::residency {
 
+double
+ModelFigures::workPerReplica() const
+{
+  return workMsPerSecond / std::max(1U, replicas);
+}
+
 FleetView::FleetView(const Situation& aSituation)
   : mSituation(aSituation)
 {
-  for (const Engine& engine : aSituation.engines) {
-    if (engine.leaving) {
-      continue;
-    }
-    for (const auto& [model, adapters] : engine.models) {
-      mReplicas[model] += engine.retiring.contains(model) ? 0U : 1U;
-    }
-    for (const base::ModelName& model : engine.arriving) {
-      mReplicas[model] += engine.models.contains(model) ? 0U : 1U;
-    }
+  mByName.reserve(2 * aSituation.spec->models.size());
+  for (const auto& [name, model] : aSituation.spec->models) {
+    figures(name).spec = &model;
   }
-  for (const auto& [ref, demand] : aSituation.demand) {
-    mWork[ref.model] += demand.workMsPerSecond;
-    if (ref.adapter.empty()) {
-      mWaiting[ref.model] += demand.waiting;
-    }
+  addDemand();
+  mEngines.reserve(aSituation.engines.size());
+  for (std::size_t i = 0; i < aSituation.engines.size(); ++i) {
+    addEngine(aSituation.engines[i], i);
+  }
+  for (EngineFigures& engine : mEngines) {
+    sumUp(engine);
   }
 }
 
-unsigned
-FleetView::replicas(const base::ModelName& aModel) const
+ModelFigures*
+FleetView::find(std::string_view aModel)
 {
-  const auto found = mReplicas.find(aModel);
-  return found == mReplicas.end() ? 0 : found->second;
+  const auto found = mByName.find(aModel);
+  return found == mByName.end() ? nullptr : found->second;
 }
 
-double
-FleetView::work(const base::ModelName& aModel) const
+ModelFigures&
+FleetView::figures(const base::ModelName& aModel)
 {
-  const auto found = mWork.find(aModel);
-  return found == mWork.end() ? 0 : found->second;
+  if (ModelFigures* known = find(aModel)) {
+    return *known;
+  }
+  ModelFigures& added = mModels.emplace_back();
+  added.name = aModel;
+  mByName.emplace(added.name, &added);
+  return added;
 }
 
-unsigned
-FleetView::waiting(const base::ModelName& aModel) const
+Trace&
+FleetView::trace(const base::ModelName& aModel, std::size_t aEngine)
 {
-  const auto found = mWaiting.find(aModel);
-  return found == mWaiting.end() ? 0 : found->second;
+  std::vector<Trace>& traces = figures(aModel).traces;
+  if (traces.empty() || traces.back().engine != aEngine) {
+    traces.emplace_back().engine = aEngine;
+  }
+  return traces.back();
 }
 
-double
-FleetView::workPerReplica(const base::ModelName& aModel) const
+void
+FleetView::addDemand()
 {
-  return work(aModel) / std::max(1U, replicas(aModel));
+  ModelFigures* model = nullptr;
+  for (const auto& [ref, demand] : mSituation.demand) {
+    if (model == nullptr || model->name != ref.model) {
+      model = &figures(ref.model);
+    }
+    model->workMsPerSecond += demand.workMsPerSecond;
+    if (ref.adapter.empty()) {
+      model->waiting += demand.waiting;
+      continue;
+    }
+    model->adapters[ref.adapter] = { ref.adapter, &demand, 0 };
+  }
 }
 
-double
-FleetView::engineLoad(const Engine& aEngine) const
+void
+FleetView::addEngine(const Engine& aEngine, std::size_t aIndex)
 {
-  double load = 0;
-  for (const auto& [model, adapters] : aEngine.models) {
-    load += aEngine.retiring.contains(model) ? 0 : workPerReplica(model);
+  EngineFigures& added = mEngines.emplace_back();
+  added.engine = &aEngine;
+  added.mayOrder = !aEngine.leaving && aEngine.orderable;
+  for (const auto& [name, adapters] : aEngine.models) {
+    ModelFigures& model = figures(name);
+    HeldModel& held = added.held.emplace_back();
+    held.model = &model;
+    held.retiring = aEngine.retiring.contains(name);
+    Trace& seen = trace(name, aIndex);
+    seen.holds = true;
+    seen.retiring = held.retiring;
+    model.replicas += aEngine.leaving || held.retiring ? 0U : 1U;
+    added.adapters += adapters.size();
+    for (const std::string& adapter : adapters) {
+      AdapterFigures& figures = model.adapters[adapter];
+      figures.name = adapter;
+      figures.places += aEngine.leaving ? 0U : 1U;
+      held.adapters.push_back(&figures);
+    }
+  }
+  for (const base::ModelName& name : aEngine.arriving) {
+    trace(name, aIndex).arriving = true;
+    figures(name).replicas +=
+      aEngine.leaving || aEngine.models.contains(name) ? 0U : 1U;
   }
-  for (const base::ModelName& model : aEngine.arriving) {
-    load += aEngine.models.contains(model) ? 0 : workPerReplica(model);
+  for (const base::ModelName& name : aEngine.cachedInMemory) {
+    trace(name, aIndex).inMemory = true;
+  }
+  for (const base::ModelName& name : aEngine.cachedOnDisk) {
+    trace(name, aIndex).onDisk = true;
   }
-  return load;
 }
 
-double
-FleetView::freeMb(const Engine& aEngine) const
+void
+FleetView::sumUp(EngineFigures& aEngine)
 {
   const catalog::EngineSpec& spec = *mSituation.spec;
-  double free = spec.weightsMb;
   double largestAdapterMb = 0;
-  const auto weights = [&](const base::ModelName& aModel) {
-    const auto model = spec.models.find(aModel);
-    if (model == spec.models.end()) {
-      // A model that the configuration no longer names takes unknown room.
-      return spec.weightsMb;
+  aEngine.freeMb = spec.weightsMb;
+  const auto take = [&](const ModelFigures& aModel, bool aRetiring) {
+    aEngine.loadMsPerSecond += aRetiring ? 0 : aModel.workPerReplica();
+    // A model that the configuration no longer names takes unknown room.
+    aEngine.freeMb -=
+      aModel.spec == nullptr ? spec.weightsMb : aModel.spec->weightsMb;
+    if (aModel.spec != nullptr) {
+      largestAdapterMb = std::max(largestAdapterMb, aModel.spec->adapterMb);
     }
-    largestAdapterMb = std::max(largestAdapterMb, model->second.adapterMb);
-    return model->second.weightsMb;
   };
-  for (const auto& [model, adapters] : aEngine.models) {
-    free -= weights(model);
+  for (const HeldModel& held : aEngine.held) {
+    take(*held.model, held.retiring);
   }
-  for (const base::ModelName& model : aEngine.arriving) {
-    free -= aEngine.models.contains(model) ? 0 : weights(model);
+  for (const base::ModelName& model : aEngine.engine->arriving) {
+    if (!aEngine.engine->models.contains(model)) {
+      take(figures(model), false);
+    }
   }
   // All adapter slots are kept free, so that an adapter never has to wait for
   // a model to leave.
-  return free - largestAdapterMb * spec.adapterSlots;
+  aEngine.freeMb -= largestAdapterMb * spec.adapterSlots;
 }
 
 } // namespace marigold::residency
--- a/libs/residency/fleet_view.h
+++ b/libs/residency/fleet_view.h
@@ -1,41 +1,99 @@
-/** @file Derived figures of a situation, shared by the planners. */
+/** @file Derived figures of a situation, computed once for a plan. */
 #pragma once
 
 #include "residency/residency.h"
 
+#include <deque>
+#include <map>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
 namespace marigold::residency {
 
-/** Counts and loads that a plan looks up often. */
-class FleetView
+/** What a plan needs to know of an adapter. */
+struct AdapterFigures
 {
-public:
-  explicit FleetView(const Situation& aSituation);
+  std::string_view name;
+  const Demand* demand = nullptr; ///< none: nobody asks for it
+  unsigned places = 0;            ///< engines that hold it and stay
+};
 
-  /** @return engines that hold or get the model and stay */
-  unsigned replicas(const base::ModelName& aModel) const;
+/** What an engine has of a model. */
+struct Trace
+{
+  std::size_t engine = 0; ///< index in the situation
+  bool holds = false;
+  bool arriving = false;
+  bool retiring = false;
+  bool inMemory = false; ///< a copy that loads without the weights store
+  bool onDisk = false;   ///< likewise
+};
 
-  /** @return work of the model and its adapters in ms per second */
-  double work(const base::ModelName& aModel) const;
+/** What a plan needs to know of a model. */
+struct ModelFigures
+{
+  base::ModelName name;
+  const catalog::Model* spec = nullptr; ///< none: not configured any more
+  unsigned replicas = 0;      ///< engines that hold or get it and stay
+  double workMsPerSecond = 0; ///< with the work of its adapters
+  unsigned waiting = 0;       ///< requests that wait, without its adapters'
+  std::vector<Trace> traces;  ///< in the order of the engines
+  std::map<std::string_view, AdapterFigures> adapters;
 
-  /** @return requests for the model that wait, without its adapters' */
-  unsigned waiting(const base::ModelName& aModel) const;
+  /** @return work that falls to each replica in ms per second */
+  double workPerReplica() const;
+};
 
-  /** @return work that falls to each replica of the model */
-  double workPerReplica(const base::ModelName& aModel) const;
+/** A model that an engine holds, with its adapters there. */
+struct HeldModel
+{
+  ModelFigures* model = nullptr;
+  bool retiring = false;
+  std::vector<AdapterFigures*> adapters;
+};
 
-  /** @return work that falls to an engine from all that it holds */
-  double engineLoad(const Engine& aEngine) const;
+/** What a plan needs to know of an engine. */
+struct EngineFigures
+{
+  const Engine* engine = nullptr;
+  bool mayOrder = false;      ///< it stays and can get an order now
+  double loadMsPerSecond = 0; ///< work that falls to it from all it holds
+  double freeMb = 0;          ///< memory that is left for weights
+  std::size_t adapters = 0;   ///< slots that are taken
+  std::vector<HeldModel> held;
+};
+
+/** The figures of all engines, models and adapters of a situation, each looked
+ * up once, so that a plan compares numbers instead of names. */
+class FleetView
+{
+public:
+  explicit FleetView(const Situation& aSituation);
+
+  /** @return figures in the order of the situation's engines */
+  const std::vector<EngineFigures>& engines() const { return mEngines; }
 
-  /** @return memory for weights that an engine has left in MB */
-  double freeMb(const Engine& aEngine) const;
+  /** @return figures of a model, or nothing if nobody has to do with it */
+  ModelFigures* find(std::string_view aModel);
+
+  /** @return models of the situation, those of the configuration first and in
+   * its order */
+  std::deque<ModelFigures>& models() { return mModels; }
 
   const Situation& situation() const { return mSituation; }
 
 private:
+  ModelFigures& figures(const base::ModelName& aModel);
+  Trace& trace(const base::ModelName& aModel, std::size_t aEngine);
+  void addDemand();
+  void addEngine(const Engine& aEngine, std::size_t aIndex);
+  void sumUp(EngineFigures& aEngine);
+
   const Situation& mSituation;
-  std::map<base::ModelName, unsigned> mReplicas;
-  std::map<base::ModelName, double> mWork;
-  std::map<base::ModelName, unsigned> mWaiting;
+  std::deque<ModelFigures> mModels; ///< keeps addresses
+  std::unordered_map<std::string_view, ModelFigures*> mByName;
+  std::vector<EngineFigures> mEngines;
 };
 
 } // namespace marigold::residency
--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -18,44 +18,62 @@
 /** Weight of a waiting request against work in ms per second. */
 constexpr double kWaitingWeight = 100;
 
-std::size_t
-adaptersAt(const Engine& aEngine)
+double
+valueOf(const Demand* aDemand)
 {
-  std::size_t count = 0;
-  for (const auto& [model, adapters] : aEngine.models) {
-    count += adapters.size();
-  }
-  return count;
+  return aDemand == nullptr
+           ? 0
+           : aDemand->workMsPerSecond + kWaitingWeight * aDemand->waiting;
 }
 
 bool
-holds(const Engine& aEngine, const ModelRef& aRef)
+inUse(const AdapterFigures& aAdapter)
 {
-  const auto model = aEngine.models.find(aRef.model);
-  return model != aEngine.models.end() && model->second.contains(aRef.adapter);
+  return aAdapter.demand != nullptr && aAdapter.demand->running > 0;
 }
 
+/** An adapter that may leave an engine. */
+struct Victim
+{
+  const ModelFigures* model = nullptr;
+  const AdapterFigures* adapter = nullptr; ///< none: no adapter may leave
+  bool known = false;                      ///< false before the first look
+};
+
 /** Plans the adapters of one service. */
 class AdapterPlanner
 {
 public:
   explicit AdapterPlanner(const Situation& aSituation)
     : mView(aSituation)
+    , mUsed(aSituation.engines.size())
+    , mVictims(aSituation.engines.size())
   {
+    for (std::size_t i = 0; i < mUsed.size(); ++i) {
+      mUsed[i] = mView.engines()[i].mayOrder ? 0 : 1;
+      mLeft += mView.engines()[i].mayOrder ? 1U : 0U;
+    }
   }
 
   std::vector<Step> plan()
   {
+    const ModelFigures* model = nullptr;
     for (const auto& [ref, demand] : mView.situation().demand) {
-      if (ref.adapter.empty() || !declared(ref)) {
+      if (mLeft == 0) {
+        break;
+      }
+      if (ref.adapter.empty()) {
         continue;
       }
-      const std::size_t places = placesOf(ref);
-      const bool missing = places == 0 && demand.waiting > 0;
+      if (model == nullptr || model->name != ref.model) {
+        model = mView.find(ref.model);
+      }
+      const AdapterFigures& adapter = model->adapters.at(ref.adapter);
+      const bool missing = adapter.places == 0 && demand.waiting > 0;
       const bool hot =
-        places == 1 && demand.workMsPerSecond > kHotAdapterMsPerSecond;
-      if (missing || hot) {
-        place(ref, missing ? "requests wait" : "hot");
+        adapter.places == 1 && demand.workMsPerSecond > kHotAdapterMsPerSecond;
+      if (model->spec != nullptr && (missing || hot)) {
+        place(*model, adapter, missing ? "requests wait" : "hot");
       }
     }
     return std::move(mSteps);
@@ -63,14 +81,16 @@
 
   std::vector<Step> planSpare()
   {
-    for (const auto& [name, model] : mView.situation().spec->models) {
-      if (mView.work(name) < kLeastWorkMs) {
+    for (const ModelFigures& model : mView.models()) {
+      if (model.spec == nullptr || model.workMsPerSecond < kLeastWorkMs) {
         continue;
       }
-      for (const std::string& adapter : model.adapters) {
-        const ModelRef ref{ name, adapter };
-        if (placesOf(ref) == 0) {
-          fill(ref);
+      for (const std::string& adapter : model.spec->adapters) {
+        const auto known = model.adapters.find(adapter);
+        const bool held =
+          known != model.adapters.end() && known->second.places > 0;
+        if (!held && !fill(model, adapter)) {
+          break;
         }
       }
     }
@@ -78,102 +98,114 @@
   }
 
 private:
-  /** Loads an adapter at the engine with the most free slots, if any. */
-  void fill(const ModelRef& aRef)
+  bool slotFree(const EngineFigures& aEngine) const
   {
-    const Engine* best = nullptr;
-    for (const Engine& engine : mView.situation().engines) {
-      if (!canTake(engine, aRef) ||
-          adaptersAt(engine) >= mView.situation().spec->adapterSlots) {
-        continue;
-      }
-      if (best == nullptr || adaptersAt(engine) < adaptersAt(*best)) {
-        best = &engine;
-      }
-    }
-    if (best != nullptr) {
-      mUsed.insert(best->name);
-      mSteps.push_back({ best->name, true, aRef, false, "free slot" });
-    }
+    return aEngine.adapters < mView.situation().spec->adapterSlots;
   }
 
   /** @return true if the engine has the model and may get an order for it */
-  bool canTake(const Engine& aEngine, const ModelRef& aRef) const
-  {
-    return !aEngine.leaving && aEngine.orderable &&
-           !mUsed.contains(aEngine.name) &&
-           aEngine.models.contains(aRef.model) &&
-           !aEngine.retiring.contains(aRef.model) && !holds(aEngine, aRef);
-  }
-
-  bool declared(const ModelRef& aRef) const
-  {
-    return mView.situation().spec->models.contains(aRef.model);
-  }
-
-  std::size_t placesOf(const ModelRef& aRef) const
+  bool canTake(const Trace& aTrace) const
   {
-    const auto& engines = mView.situation().engines;
-    return static_cast<std::size_t>(
-      std::count_if(engines.begin(), engines.end(), [&](const Engine& aEngine) {
-        return !aEngine.leaving && holds(aEngine, aRef);
-      }));
+    return aTrace.holds && !aTrace.retiring && mUsed[aTrace.engine] == 0;
   }
 
-  double demandOf(const ModelRef& aRef) const
+  /** Loads an adapter at the engine with the most free slots.
+   * @return false if no engine has a slot for an adapter of the model */
+  bool fill(const ModelFigures& aModel, const std::string& aAdapter)
   {
-    const auto found = mView.situation().demand.find(aRef);
-    return found == mView.situation().demand.end()
-             ? 0
-             : found->second.workMsPerSecond +
-                 kWaitingWeight * found->second.waiting;
+    const EngineFigures* best = nullptr;
+    std::size_t bestIndex = 0;
+    for (const Trace& trace : aModel.traces) {
+      const EngineFigures& engine = mView.engines()[trace.engine];
+      if (canTake(trace) && slotFree(engine) &&
+          (best == nullptr || engine.adapters < best->adapters)) {
+        best = &engine;
+        bestIndex = trace.engine;
+      }
+    }
+    if (best == nullptr) {
+      return false;
+    }
+    order(bestIndex, true, { aModel.name, aAdapter }, "free slot");
+    return true;
   }
 
   /** @return the idle adapter at the engine that is asked for least; one with
    * running requests would block the engine's orders until they end */
-  std::optional<ModelRef> coldestAt(const Engine& aEngine) const
+  Victim coldestAt(const EngineFigures& aEngine) const
   {
-    std::optional<ModelRef> coldest;
-    for (const auto& [model, adapters] : aEngine.models) {
-      for (const std::string& adapter : adapters) {
-        const ModelRef ref{ model, adapter };
-        if (aEngine.fresh.contains(ref) || inUse(ref)) {
+    Victim coldest;
+    coldest.known = true;
+    for (const HeldModel& held : aEngine.held) {
+      for (const AdapterFigures* adapter : held.adapters) {
+        if (inUse(*adapter) || fresh(aEngine, *held.model, *adapter)) {
           continue;
         }
-        if (!coldest || demandOf(ref) < demandOf(*coldest)) {
-          coldest = ref;
+        if (coldest.adapter == nullptr ||
+            valueOf(adapter->demand) < valueOf(coldest.adapter->demand)) {
+          coldest.model = held.model;
+          coldest.adapter = adapter;
         }
       }
     }
     return coldest;
   }
 
-  bool inUse(const ModelRef& aRef) const
+  static bool fresh(const EngineFigures& aEngine,
+                    const ModelFigures& aModel,
+                    const AdapterFigures& aAdapter)
+  {
+    const std::set<ModelRef>& fresh = aEngine.engine->fresh;
+    return !fresh.empty() &&
+           fresh.contains({ aModel.name, std::string(aAdapter.name) });
+  }
+
+  const Victim& victimOf(std::size_t aEngine)
+  {
+    Victim& victim = mVictims[aEngine];
+    if (!victim.known) {
+      victim = coldestAt(mView.engines()[aEngine]);
+    }
+    return victim;
+  }
+
+  static bool holds(const EngineFigures& aEngine,
+                    const AdapterFigures& aAdapter)
   {
-    const auto found = mView.situation().demand.find(aRef);
-    return found != mView.situation().demand.end() && found->second.running > 0;
+    return std::any_of(
+      aEngine.held.begin(), aEngine.held.end(), [&](const HeldModel& aHeld) {
+        return std::find(aHeld.adapters.begin(),
+                         aHeld.adapters.end(),
+                         &aAdapter) != aHeld.adapters.end();
+      });
   }
 
-  void place(const ModelRef& aRef, const char* aReason)
+  void place(const ModelFigures& aModel,
+             const AdapterFigures& aAdapter,
+             const char* aReason)
   {
-    const Engine* best = nullptr;
-    std::optional<ModelRef> bestVictim;
+    const Trace* best = nullptr;
+    Victim bestVictim;
     double bestCost = 0;
-    for (const Engine& engine : mView.situation().engines) {
-      if (!canTake(engine, aRef)) {
+    for (const Trace& trace : aModel.traces) {
+      const EngineFigures& engine = mView.engines()[trace.engine];
+      if (!canTake(trace) || holds(engine, aAdapter)) {
         continue;
       }
-      std::optional<ModelRef> victim;
-      double cost = mView.engineLoad(engine);
-      if (adaptersAt(engine) >= mView.situation().spec->adapterSlots) {
-        victim = coldestAt(engine);
-        if (!victim || demandOf(*victim) > demandOf(aRef)) {
+      Victim victim;
+      double cost = engine.loadMsPerSecond;
+      if (!slotFree(engine)) {
+        victim = victimOf(trace.engine);
+        const bool may =
+          victim.adapter != nullptr &&
+          valueOf(victim.adapter->demand) <= valueOf(aAdapter.demand);
+        if (!may) {
           continue;
         }
-        cost += kEvictionCost + demandOf(*victim);
+        cost += kEvictionCost + valueOf(victim.adapter->demand);
       }
       if (best == nullptr || cost < bestCost) {
-        best = &engine;
+        best = &trace;
         bestVictim = victim;
         bestCost = cost;
       }
@@ -181,13 +213,34 @@
     if (best == nullptr) {
       return;
     }
-    mUsed.insert(best->name);
+    if (bestVictim.adapter == nullptr) {
+      order(best->engine,
+            true,
+            { aModel.name, std::string(aAdapter.name) },
+            aReason);
+      return;
+    }
+    order(best->engine,
+          false,
+          { bestVictim.model->name, std::string(bestVictim.adapter->name) },
+          aReason);
+  }
+
+  void order(std::size_t aEngine,
+             bool aLoad,
+             const ModelRef& aWhat,
+             const char* aReason)
+  {
+    mUsed[aEngine] = 1;
+    --mLeft;
     mSteps.push_back(
-      { best->name, !bestVictim, bestVictim.value_or(aRef), false, aReason });
+      { mView.engines()[aEngine].engine->name, aLoad, aWhat, false, aReason });
   }
 
   FleetView mView;
-  std::set<base::UpstreamName> mUsed;
+  std::vector<char> mUsed; ///< by engine: it gets no further order
+  std::size_t mLeft = 0;   ///< engines that may still get one
+  std::vector<Victim> mVictims;
   std::vector<Step> mSteps;
 };
 
--- a/libs/residency/plan_models.cpp
+++ b/libs/residency/plan_models.cpp
@@ -31,27 +31,45 @@
 constexpr double kSecondCost = 10;
 constexpr double kEngineLoadCost = 0.05;
 
-double
-loadSeconds(const catalog::Model& aModel, const Engine& aEngine)
-{
-  if (aEngine.cachedInMemory.contains(aModel.name)) {
-    return base::inSeconds(aModel.memoryLoad);
-  }
-  if (aEngine.cachedOnDisk.contains(aModel.name)) {
-    return base::inSeconds(aModel.diskLoad);
-  }
-  return base::inSeconds(aModel.storeLoad);
-}
-
 /** A place for a further replica. */
 struct Option
 {
-  const Engine* engine = nullptr;
-  std::optional<ModelName> victim;
+  std::size_t engine = 0;
+  ModelFigures* victim = nullptr;
   double gain = 0;
   bool fromStore = true;
 };
 
+/** A model that a further replica would help. */
+struct Need
+{
+  double gain = 0;
+  ModelFigures* model = nullptr;
+};
+
+/** A model that may leave an engine. */
+struct Victim
+{
+  ModelFigures* model = nullptr; ///< none: no model may leave
+  double loss = 0;
+  bool known = false; ///< false before the first look and after a change
+};
+
+/** @return cost of serving the model's demand with a number of replicas */
+double
+costOf(const ModelFigures& aModel, unsigned aReplicas)
+{
+  const double work = aModel.workMsPerSecond;
+  if (aReplicas == 0) {
+    return kAbsentCost + work * work / kFairMsPerSecond + work +
+           aModel.waiting * kWaitingCost;
+  }
+  const double queueing = work * work / (kFairMsPerSecond * aReplicas);
+  const double risk =
+    aReplicas == 1 ? kSingleRisk * std::min(work, kMostRiskedMs) : 0;
+  return queueing + risk;
+}
+
 /**
  * Plans the models of one service by the gain of each further replica against
  * the loss of the one that has to leave for it.
@@ -62,138 +80,182 @@
   explicit ModelPlanner(const Situation& aSituation)
     : mView(aSituation)
     , mStoreLoadsLeft(aSituation.storeLoadsLeft)
+    , mTraces(aSituation.engines.size())
+    , mVictims(aSituation.engines.size())
+    , mIdleVictims(aSituation.engines.size())
   {
+    for (std::size_t i = 0; i < mView.engines().size(); ++i) {
+      if (mView.engines()[i].mayOrder) {
+        mOrderable.push_back(i);
+      }
+    }
   }
 
   std::vector<Step> plan()
   {
-    for (const auto& [gain, name] : needs()) {
-      place(name, gain);
+    for (const Need& need : needs()) {
+      if (mOrderable.empty()) {
+        break;
+      }
+      place(need);
     }
     return std::move(mSteps);
   }
 
 private:
-  /** @return cost of serving the model's demand with a number of replicas */
-  double cost(const ModelName& aModel, unsigned aReplicas) const
-  {
-    const double work = mView.work(aModel);
-    if (aReplicas == 0) {
-      return kAbsentCost + work * work / kFairMsPerSecond + work +
-             mView.waiting(aModel) * kWaitingCost;
-    }
-    const double queueing = work * work / (kFairMsPerSecond * aReplicas);
-    const double risk =
-      aReplicas == 1 ? kSingleRisk * std::min(work, kMostRiskedMs) : 0;
-    return queueing + risk;
-  }
-
   /** @return models by the gain of a further replica, the largest first */
-  std::vector<std::pair<double, ModelName>> needs() const
+  std::vector<Need> needs()
   {
-    std::vector<std::pair<double, ModelName>> needs;
-    for (const auto& [name, model] : mView.situation().spec->models) {
-      const unsigned replicas = mView.replicas(name);
-      const double gain = cost(name, replicas) - cost(name, replicas + 1);
+    std::vector<Need> needs;
+    for (ModelFigures& model : mView.models()) {
+      if (model.spec == nullptr) {
+        continue;
+      }
+      const double gain =
+        costOf(model, model.replicas) - costOf(model, model.replicas + 1);
       if (gain > kLeastGain) {
-        needs.emplace_back(gain, name);
+        needs.push_back({ gain, &model });
       }
     }
     std::stable_sort(
-      needs.begin(), needs.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.first > aRight.first;
+      needs.begin(), needs.end(), [](const Need& aLeft, const Need& aRight) {
+        return aLeft.gain > aRight.gain;
       });
     return needs;
   }
 
-  /** @return the model at the engine whose loss costs least, with that cost */
-  std::optional<std::pair<double, ModelName>> victimOf(const Engine& aEngine,
-                                                       bool aMayTakeLast) const
+  /** @return the model at the engine whose loss costs least */
+  Victim leastLoss(const EngineFigures& aEngine, bool aMayTakeLast) const
   {
-    std::optional<std::pair<double, ModelName>> best;
-    for (const auto& [name, adapters] : aEngine.models) {
-      const unsigned replicas = mView.replicas(name);
-      if (replicas == 0 || mTaken.contains(name) ||
-          aEngine.retiring.contains(name)) {
+    Victim best;
+    best.known = true;
+    for (const HeldModel& held : aEngine.held) {
+      const ModelFigures& model = *held.model;
+      if (model.replicas == 0 || held.retiring || taken(model)) {
         continue;
       }
-      const bool idle = mView.work(name) < kIdleMsPerSecond;
-      if (replicas == 1 && !(aMayTakeLast && idle)) {
+      const bool idle = model.workMsPerSecond < kIdleMsPerSecond;
+      if (model.replicas == 1 && !(aMayTakeLast && idle)) {
         continue;
       }
-      const double loss = cost(name, replicas - 1) - cost(name, replicas);
-      if (!best || loss < best->first) {
-        best = { loss, name };
+      const double loss =
+        costOf(model, model.replicas - 1) - costOf(model, model.replicas);
+      if (best.model == nullptr || loss < best.loss) {
+        best.model = held.model;
+        best.loss = loss;
       }
     }
     return best;
   }
 
-  std::optional<Option> optionAt(const Engine& aEngine,
-                                 const catalog::Model& aModel,
-                                 double aGain) const
+  const Victim& victimOf(std::size_t aEngine, bool aMayTakeLast)
+  {
+    Victim& victim = aMayTakeLast ? mIdleVictims[aEngine] : mVictims[aEngine];
+    if (!victim.known) {
+      victim = leastLoss(mView.engines()[aEngine], aMayTakeLast);
+    }
+    return victim;
+  }
+
+  bool taken(const ModelFigures& aModel) const
+  {
+    return std::find(mTaken.begin(), mTaken.end(), &aModel) != mTaken.end();
+  }
+
+  /** A model leaves an engine in this plan; no other replica of it does. */
+  void take(ModelFigures& aModel)
   {
-    if (aEngine.leaving || !aEngine.orderable || mUsed.contains(aEngine.name) ||
-        aEngine.models.contains(aModel.name) ||
-        aEngine.arriving.contains(aModel.name)) {
-      return std::nullopt;
+    mTaken.push_back(&aModel);
+    for (const Trace& trace : aModel.traces) {
+      mVictims[trace.engine].known = false;
+      mIdleVictims[trace.engine].known = false;
     }
-    Option option;
-    option.engine = &aEngine;
-    option.fromStore = !aEngine.cachedInMemory.contains(aModel.name) &&
-                       !aEngine.cachedOnDisk.contains(aModel.name);
-    option.gain = aGain - loadSeconds(aModel, aEngine) * kSecondCost -
-                  mView.engineLoad(aEngine) * kEngineLoadCost;
-    if (mView.freeMb(aEngine) >= aModel.weightsMb) {
-      return option;
+  }
+
+  /** @return true if the engine can get the model, with what it takes */
+  bool consider(std::size_t aEngine, const Need& aNeed, Option& aOption)
+  {
+    const EngineFigures& engine = mView.engines()[aEngine];
+    const catalog::Model& model = *aNeed.model->spec;
+    const Trace& trace = mTraces[aEngine];
+    if (trace.holds || trace.arriving) {
+      return false;
     }
-    const bool awaited =
-      mView.waiting(aModel.name) > 0 && mView.replicas(aModel.name) == 0;
-    const auto victim = victimOf(aEngine, awaited);
-    if (!victim || aGain < victim->first * kGainOverLoss + kLeastGain) {
-      return std::nullopt;
+    aOption.engine = aEngine;
+    aOption.fromStore = !trace.inMemory && !trace.onDisk;
+    if (aOption.fromStore && mStoreLoadsLeft == 0) {
+      return false;
     }
-    option.victim = victim->second;
-    option.gain -= victim->first;
-    return option;
+    const base::Duration load = trace.inMemory ? model.memoryLoad
+                                : trace.onDisk ? model.diskLoad
+                                               : model.storeLoad;
+    aOption.gain = aNeed.gain - base::inSeconds(load) * kSecondCost -
+                   engine.loadMsPerSecond * kEngineLoadCost;
+    if (engine.freeMb >= model.weightsMb) {
+      return true;
+    }
+    const bool awaited = aNeed.model->waiting > 0 && aNeed.model->replicas == 0;
+    const Victim& victim = victimOf(aEngine, awaited);
+    if (victim.model == nullptr ||
+        aNeed.gain < victim.loss * kGainOverLoss + kLeastGain) {
+      return false;
+    }
+    aOption.victim = victim.model;
+    aOption.gain -= victim.loss;
+    return true;
   }
 
-  void place(const ModelName& aName, double aGain)
+  std::optional<Option> bestOption(const Need& aNeed)
   {
-    const catalog::Model& model = mView.situation().spec->models.at(aName);
+    for (const Trace& trace : aNeed.model->traces) {
+      mTraces[trace.engine] = trace;
+    }
     std::optional<Option> best;
-    for (const Engine& engine : mView.situation().engines) {
-      const auto option = optionAt(engine, model, aGain);
-      const bool allowed =
-        option && (!option->fromStore || mStoreLoadsLeft > 0);
-      if (allowed && (!best || option->gain > best->gain)) {
+    for (const std::size_t engine : mOrderable) {
+      Option option;
+      if (consider(engine, aNeed, option) &&
+          (!best || option.gain > best->gain)) {
         best = option;
       }
     }
+    for (const Trace& trace : aNeed.model->traces) {
+      mTraces[trace.engine] = {};
+    }
+    return best;
+  }
+
+  void place(const Need& aNeed)
+  {
+    const auto best = bestOption(aNeed);
     if (!best) {
       return;
     }
-    mUsed.insert(best->engine->name);
-    const bool absent = mView.replicas(aName) == 0;
+    std::erase(mOrderable, best->engine);
+    const base::UpstreamName& engine =
+      mView.engines()[best->engine].engine->name;
+    const ModelName& name = aNeed.model->name;
+    const bool absent = aNeed.model->replicas == 0;
     const std::string reason =
-      (absent ? "no replica of " : "more replicas of ") + aName + ", gain " +
-      std::to_string(static_cast<int>(aGain));
-    if (best->victim) {
+      (absent ? "no replica of " : "more replicas of ") + name + ", gain " +
+      std::to_string(static_cast<int>(aNeed.gain));
+    if (best->victim != nullptr) {
       // The load follows once the record shows that the memory is free.
-      mTaken.insert(*best->victim);
+      take(*best->victim);
       mSteps.push_back(
-        { best->engine->name, false, { *best->victim, "" }, false, reason });
+        { engine, false, { best->victim->name, "" }, false, reason });
       return;
     }
     mStoreLoadsLeft -= best->fromStore ? 1 : 0;
-    mSteps.push_back(
-      { best->engine->name, true, { aName, "" }, best->fromStore, reason });
+    mSteps.push_back({ engine, true, { name, "" }, best->fromStore, reason });
   }
 
   FleetView mView;
   unsigned mStoreLoadsLeft;
-  std::set<base::UpstreamName> mUsed;
-  std::set<ModelName> mTaken;
+  std::vector<std::size_t> mOrderable; ///< engines without an order, in order
+  std::vector<Trace> mTraces;          ///< of the model in hand, by engine
+  std::vector<Victim> mVictims;        ///< by engine
+  std::vector<Victim> mIdleVictims;    ///< where a last idle replica may leave
+  std::vector<const ModelFigures*> mTaken;
   std::vector<Step> mSteps;
 };
 
