Place adapters by what waits for them and for how long

Cause: planAdapters went through the demand in the order of names, with one order an engine, so the same late names lost every plan; and a hot adapter's second place came before the first place of a later name.

Needs are now ordered: absent adapters first, then second places of hot ones; within both by work, requests that wait and the time without a place. The AbsenceWatch keeps that time over pauses between requests and ends it with a place, so an adapter that loses in one plan gains by it in the next, and ties do not go the same way twice. OrderBook owns one and fills Demand::unserved (two lines; nothing else changes there).

Ruled out: a shuffle of ties by a counter of plans; adapters with few requests would still lose against ones with many for as long as these are short of places.

On the planner before, with the new field, the new tests fail: PlacesAbsentAdaptersBeforeSecondPlacesOfHotOnes: expected <a2> but was <a1> PlacesAnAdapterThatHasWaitedLong: expected <a2> but was <a1> PlacesTheMostAwaitedAdapterFirst: expected <a2> but was <a1> The two tests of AbsenceWatch cover the new class.

--- a/apps/gateway/order_book.cpp
+++ b/apps/gateway/order_book.cpp
@@ -262,6 +262,7 @@
     engine.cachedOnDisk = record.cachedOnDisk;
     current.engines.push_back(std::move(engine));
   }
+  mAbsences.fill(current, aNow);
   return current;
 }
 
--- a/apps/gateway/order_book.h
+++ b/apps/gateway/order_book.h
@@ -97,6 +97,7 @@
   observe::Metrics& mMetrics;
   std::map<base::UpstreamName, Engine> mEngines;
   residency::LoadWindow mStoreLoads;
+  residency::AbsenceWatch mAbsences;
   std::uint64_t mFence = 0;
   bool mActive = false;
   bool mStopped = false;
--- /dev/null
+++ b/libs/residency/absence_watch.h
@@ -0,0 +1,39 @@
+/** @file How long adapters have been asked for without a place. */
+#pragma once
+
+#include "base/base.h"
+#include "catalog/model_name.h"
+
+#include <map>
+
+namespace marigold::residency {
+
+struct Engine;
+struct Situation;
+
+/**
+ * Remembers since when each adapter is asked for while no engine holds it. An
+ * adapter that loses against others in one plan gains by it in the next.
+ */
+class AbsenceWatch
+{
+public:
+  /**
+   * @param aSituation gets Demand::unserved of the adapters of its models
+   * @param aNow time of the plan
+   */
+  void fill(Situation& aSituation, base::TimePoint aNow);
+
+private:
+  struct Absence
+  {
+    base::TimePoint since;
+    base::TimePoint askedAt; ///< requests waited for it last then
+  };
+
+  void eraseHeld(const Engine& aEngine);
+
+  std::map<catalog::ModelRef, Absence> mAbsences;
+};
+
+} // namespace marigold::residency
--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -17,13 +17,18 @@
 constexpr double kLeastWorkMs = 1;
 /** Weight of a waiting request against work in ms per second. */
 constexpr double kWaitingWeight = 100;
+/** Weight of each second without a place: as a further waiting request, so
+ * that a rare adapter overtakes a busy one within the timeouts of its callers,
+ * 10 to 30 s. */
+constexpr double kUnservedWeight = 100;
 
 double
 valueOf(const Demand* aDemand)
 {
   return aDemand == nullptr
            ? 0
-           : aDemand->workMsPerSecond + kWaitingWeight * aDemand->waiting;
+           : aDemand->workMsPerSecond + kWaitingWeight * aDemand->waiting +
+               kUnservedWeight * base::inSeconds(aDemand->unserved);
 }
 
 bool
@@ -32,6 +37,15 @@
   return aAdapter.demand != nullptr && aAdapter.demand->running > 0;
 }
 
+/** An adapter that a further place would help. */
+struct Need
+{
+  bool absent = false; ///< no engine holds it and requests wait
+  double value = 0;    ///< against other needs and against what has to leave
+  const ModelFigures* model = nullptr;
+  const AdapterFigures* adapter = nullptr;
+};
+
 /** An adapter that may leave an engine. */
 struct Victim
 {
@@ -40,6 +54,12 @@
   bool known = false;                      ///< false before the first look
 };
 
+ModelRef
+refOf(const ModelFigures& aModel, const AdapterFigures& aAdapter)
+{
+  return { aModel.name, std::string(aAdapter.name) };
+}
+
 /** Plans the adapters of one service. */
 class AdapterPlanner
 {
@@ -57,24 +77,11 @@
 
   std::vector<Step> plan()
   {
-    const ModelFigures* model = nullptr;
-    for (const auto& [ref, demand] : mView.situation().demand) {
+    for (const Need& need : needs()) {
       if (mLeft == 0) {
         break;
       }
-      if (ref.adapter.empty()) {
-        continue;
-      }
-      if (model == nullptr || model->name != ref.model) {
-        model = mView.find(ref.model);
-      }
-      const AdapterFigures& adapter = model->adapters.at(ref.adapter);
-      const bool missing = adapter.places == 0 && demand.waiting > 0;
-      const bool hot =
-        adapter.places == 1 && demand.workMsPerSecond > kHotAdapterMsPerSecond;
-      if (model->spec != nullptr && (missing || hot)) {
-        place(*model, adapter, missing ? "requests wait" : "hot");
-      }
+      place(need);
     }
     return std::move(mSteps);
   }
@@ -98,6 +105,36 @@
   }
 
 private:
+  /** @return absent adapters that requests wait for, then hot ones, each by
+   * urgency */
+  std::vector<Need> needs()
+  {
+    std::vector<Need> needs;
+    for (const ModelFigures& model : mView.models()) {
+      if (model.spec == nullptr) {
+        continue;
+      }
+      for (const auto& [name, adapter] : model.adapters) {
+        const Demand* demand = adapter.demand;
+        if (demand == nullptr) {
+          continue;
+        }
+        const bool absent = adapter.places == 0 && demand->waiting > 0;
+        const bool hot = adapter.places == 1 &&
+                         demand->workMsPerSecond > kHotAdapterMsPerSecond;
+        if (absent || hot) {
+          needs.push_back({ absent, valueOf(demand), &model, &adapter });
+        }
+      }
+    }
+    std::stable_sort(
+      needs.begin(), needs.end(), [](const Need& aLeft, const Need& aRight) {
+        return aLeft.absent != aRight.absent ? aLeft.absent
+                                             : aLeft.value > aRight.value;
+      });
+    return needs;
+  }
+
   bool slotFree(const EngineFigures& aEngine) const
   {
     return aEngine.adapters < mView.situation().spec->adapterSlots;
@@ -156,8 +193,7 @@
                     const AdapterFigures& aAdapter)
   {
     const std::set<ModelRef>& fresh = aEngine.engine->fresh;
-    return !fresh.empty() &&
-           fresh.contains({ aModel.name, std::string(aAdapter.name) });
+    return !fresh.empty() && fresh.contains(refOf(aModel, aAdapter));
   }
 
   const Victim& victimOf(std::size_t aEngine)
@@ -180,26 +216,21 @@
       });
   }
 
-  void place(const ModelFigures& aModel,
-             const AdapterFigures& aAdapter,
-             const char* aReason)
+  void place(const Need& aNeed)
   {
     const Trace* best = nullptr;
     Victim bestVictim;
     double bestCost = 0;
-    for (const Trace& trace : aModel.traces) {
+    for (const Trace& trace : aNeed.model->traces) {
       const EngineFigures& engine = mView.engines()[trace.engine];
-      if (!canTake(trace) || holds(engine, aAdapter)) {
+      if (!canTake(trace) || holds(engine, *aNeed.adapter)) {
         continue;
       }
       Victim victim;
       double cost = engine.loadMsPerSecond;
       if (!slotFree(engine)) {
         victim = victimOf(trace.engine);
-        const bool may =
-          victim.adapter != nullptr &&
-          valueOf(victim.adapter->demand) <= valueOf(aAdapter.demand);
-        if (!may) {
+        if (!mayLeave(victim, aNeed)) {
           continue;
         }
         cost += kEvictionCost + valueOf(victim.adapter->demand);
@@ -213,17 +244,21 @@
     if (best == nullptr) {
       return;
     }
+    const char* reason = aNeed.absent ? "requests wait" : "hot";
     if (bestVictim.adapter == nullptr) {
-      order(best->engine,
-            true,
-            { aModel.name, std::string(aAdapter.name) },
-            aReason);
+      order(best->engine, true, refOf(*aNeed.model, *aNeed.adapter), reason);
       return;
     }
     order(best->engine,
           false,
-          { bestVictim.model->name, std::string(bestVictim.adapter->name) },
-          aReason);
+          refOf(*bestVictim.model, *bestVictim.adapter),
+          reason);
+  }
+
+  static bool mayLeave(const Victim& aVictim, const Need& aNeed)
+  {
+    return aVictim.adapter != nullptr &&
+           valueOf(aVictim.adapter->demand) <= aNeed.value;
   }
 
   void order(std::size_t aEngine,
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -9,6 +9,7 @@
 #include "base/base.h"
 #include "catalog/model_name.h"
 #include "catalog/types.h"
+#include "residency/absence_watch.h"
 #include "residency/load_window.h"
 
 #include <map>
@@ -40,6 +41,8 @@
   double workMsPerSecond = 0; ///< engine time that its requests need
   unsigned waiting = 0;       ///< requests that no engine can serve now
   unsigned running = 0;       ///< requests that engines work on
+  /** Time for which requests have asked for an adapter that no engine holds. */
+  base::Duration unserved{};
 };
 
 using DemandTable = std::map<catalog::ModelRef, Demand>;
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -6,6 +6,7 @@
 
 using namespace marigold;
 using namespace std::chrono_literals;
+using catalog::ModelRef;
 using residency::Engine;
 using residency::Situation;
 using residency::Step;
@@ -215,6 +216,45 @@
   CHECK(residency::planAdapters(situation).empty());
 }
 
+// Load pattern: more adapters are asked for than an engine has slots. Guards
+// against the places going by the order of names.
+TEST(PlanAdapters, PlacesTheMostAwaitedAdapterFirst)
+{
+  situation.engines = { engine("e1", { "a" }) };
+  situation.demand[{ "a", "a1" }] = { 0, 1, 0 };
+  situation.demand[{ "a", "a2" }] = { 0, 3, 0 };
+  const auto steps = residency::planAdapters(situation);
+  LONGS_EQUAL(1, steps.size());
+  STRCMP_EQUAL("a2", steps[0].what.adapter.c_str());
+}
+
+// Load pattern: a rare adapter competes with ones that always have more
+// requests. Guards against it waiting all day.
+TEST(PlanAdapters, PlacesAnAdapterThatHasWaitedLong)
+{
+  situation.engines = { engine("e1", { "a" }) };
+  situation.demand[{ "a", "a1" }] = { 50, 5, 0, 1s };
+  situation.demand[{ "a", "a2" }] = { 0, 1, 0, 10s };
+  const auto steps = residency::planAdapters(situation);
+  LONGS_EQUAL(1, steps.size());
+  STRCMP_EQUAL("a2", steps[0].what.adapter.c_str());
+}
+
+// Load pattern: a hot adapter and an absent one want the same slot. Guards
+// against a second place before a first one.
+TEST(PlanAdapters, PlacesAbsentAdaptersBeforeSecondPlacesOfHotOnes)
+{
+  Engine other = engine("e2", { "a" });
+  other.models["a"] = { "a1" };
+  other.orderable = false;
+  situation.engines = { engine("e1", { "a" }), other };
+  situation.demand[{ "a", "a1" }] = { 900, 0, 9 };
+  situation.demand[{ "a", "a2" }] = { 0, 1, 0 };
+  const auto steps = residency::planAdapters(situation);
+  LONGS_EQUAL(1, steps.size());
+  STRCMP_EQUAL("a2", steps[0].what.adapter.c_str());
+}
+
 // Load pattern: many adapters of a busy model, each asked for now and then; the
 // first request for each waited seconds behind a running order.
 TEST(PlanAdapters, FillsFreeSlotsAhead)
@@ -242,6 +282,47 @@
   CHECK(residency::planSpareAdapters(situation).empty());
 }
 
+TEST_GROUP(AbsenceWatch)
+{
+  catalog::EngineSpec spec = makeSpec({ "a" });
+  residency::AbsenceWatch watch;
+  const base::TimePoint start{ 100s };
+  const ModelRef rare{ "a", "a1" };
+
+  /** @return time for which the watch counts the adapter as unserved */
+  base::Duration unservedAt(base::TimePoint aNow, unsigned aWaiting, bool aHeld)
+  {
+    Situation situation;
+    situation.spec = &spec;
+    situation.engines = { engine("e1", { "a" }) };
+    if (aHeld) {
+      situation.engines[0].models["a"] = { "a1" };
+    }
+    situation.demand[rare] = { 1, aWaiting, 0 };
+    watch.fill(situation, aNow);
+    return situation.demand[rare].unserved;
+  }
+};
+
+// Load pattern: single requests for a rare adapter, each refused before the
+// next one. Guards against each of them beginning at the end of the queue.
+TEST(AbsenceWatch, CountsOverPausesBetweenRequests)
+{
+  CHECK(unservedAt(start, 1, false) == 0s);
+  CHECK(unservedAt(start + 10s, 0, false) == 10s);
+  CHECK(unservedAt(start + 20s, 1, false) == 20s);
+}
+
+// Guards against an adapter that had a place going before those without one,
+// and against an absence of long ago that still counts.
+TEST(AbsenceWatch, EndsWithAPlaceOrWithoutRequests)
+{
+  unservedAt(start, 1, false);
+  CHECK(unservedAt(start + 10s, 0, true) == 0s);
+  CHECK(unservedAt(start + 11s, 1, false) == 0s);
+  CHECK(unservedAt(start + 80s, 1, false) == 0s);
+}
+
 TEST_GROUP(LoadWindow)
 {
   residency::LoadWindow window;
