Let second places and long-held places go for absent adapters

What callers saw: adapters without a place were refused for as long as all adapters at the engines of their model were in use, although some of these had two places.

Cause: an adapter with a running request anywhere in the fleet could never leave, so under load nothing could; and a hot adapter's second place pushed out the only place of one that was asked for now and then.

Adapters now leave in this order: idle ones that nobody asks for or that have another place; second places in use; idle only places; only places in use. An adapter loses one place a plan. Second places take only slots of the first kind.

Ruled out: dropping the rule about running requests: each absent adapter would block an engine for the length of its runs.

On the planner before, the new tests fail: EvictsAnAdapterInUseForOneThatWaitedLong: expected <1> but was <0> SecondPlacesTakeNoOnlyPlaceThatIsAskedFor: CHECK(...empty()) failed KeepsOnePlaceOfAnAdapterInUse: expected <1> but was <0> EvictsASecondPlaceBeforeTheOnlyOne: expected <a2> but was <a1> EvictsASecondPlaceInUse: expected <1> but was <0>

--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -1,11 +1,12 @@
 #include "residency/fleet_view.h"
 
 #include <algorithm>
-#include <optional>
+#include <tuple>
 
 namespace marigold::residency {
 namespace {
 
+using namespace std::chrono_literals;
 using catalog::ModelRef;
 
 /** An adapter with more work than this gets a second place. */
@@ -21,6 +22,12 @@
  * that a rare adapter overtakes a busy one within the timeouts of its callers,
  * 10 to 30 s. */
 constexpr double kUnservedWeight = 100;
+/** An adapter in use leaves only for one that was without a place for this
+ * long: its unload waits for its requests, a few seconds, and no other order
+ * reaches the engine meanwhile. */
+constexpr base::Duration kLongUnserved = 5s;
+/** An adapter in use must be worth less than the other by this factor. */
+constexpr double kGainOverLoss = 2;
 
 double
 valueOf(const Demand* aDemand)
@@ -46,14 +53,45 @@
   const AdapterFigures* adapter = nullptr;
 };
 
+/** Adapters in the order in which they leave. */
+enum class Loss : std::uint8_t
+{
+  Nothing,     ///< idle, and nobody asks for it or another engine holds it
+  SecondPlace, ///< in use, but another engine holds it too
+  Idle,        ///< asked for now and then, no other engine holds it
+  InUse,       ///< no other engine holds it
+};
+
 /** An adapter that may leave an engine. */
 struct Victim
 {
   const ModelFigures* model = nullptr;
-  const AdapterFigures* adapter = nullptr; ///< none: no adapter may leave
-  bool known = false;                      ///< false before the first look
+  AdapterFigures* adapter = nullptr; ///< none: no adapter may leave
+  Loss loss = Loss::Nothing;
+  double value = 0;
+  bool known = false; ///< false before the first look and after a change
 };
 
+Loss
+lossOf(const AdapterFigures& aAdapter)
+{
+  const bool second = aAdapter.places > 1;
+  if (inUse(aAdapter)) {
+    return second ? Loss::SecondPlace : Loss::InUse;
+  }
+  return second || valueOf(aAdapter.demand) < kLeastWorkMs ? Loss::Nothing
+                                                           : Loss::Idle;
+}
+
+/** @return value with the running requests, which an unload waits for */
+double
+victimValueOf(const AdapterFigures& aAdapter)
+{
+  const Demand* demand = aAdapter.demand;
+  return valueOf(demand) +
+         (demand == nullptr ? 0 : kWaitingWeight * demand->running);
+}
+
 ModelRef
 refOf(const ModelFigures& aModel, const AdapterFigures& aAdapter)
 {
@@ -167,25 +205,25 @@
     return true;
   }
 
-  /** @return the idle adapter at the engine that is asked for least; one with
-   * running requests would block the engine's orders until they end */
-  Victim coldestAt(const EngineFigures& aEngine) const
+  /** @return the adapter at the engine whose place is worth least */
+  Victim leastLoss(const EngineFigures& aEngine) const
   {
-    Victim coldest;
-    coldest.known = true;
+    Victim least;
+    least.known = true;
     for (const HeldModel& held : aEngine.held) {
-      for (const AdapterFigures* adapter : held.adapters) {
-        if (inUse(*adapter) || fresh(aEngine, *held.model, *adapter)) {
+      for (AdapterFigures* adapter : held.adapters) {
+        if (fresh(aEngine, *held.model, *adapter)) {
           continue;
         }
-        if (coldest.adapter == nullptr ||
-            valueOf(adapter->demand) < valueOf(coldest.adapter->demand)) {
-          coldest.model = held.model;
-          coldest.adapter = adapter;
+        const Loss loss = lossOf(*adapter);
+        const double value = victimValueOf(*adapter);
+        if (least.adapter == nullptr ||
+            std::tie(loss, value) < std::tie(least.loss, least.value)) {
+          least = { held.model, adapter, loss, value, true };
         }
       }
     }
-    return coldest;
+    return least;
   }
 
   static bool fresh(const EngineFigures& aEngine,
@@ -200,7 +238,7 @@
   {
     Victim& victim = mVictims[aEngine];
     if (!victim.known) {
-      victim = coldestAt(mView.engines()[aEngine]);
+      victim = leastLoss(mView.engines()[aEngine]);
     }
     return victim;
   }
@@ -233,7 +271,8 @@
         if (!mayLeave(victim, aNeed)) {
           continue;
         }
-        cost += kEvictionCost + valueOf(victim.adapter->demand);
+        cost +=
+          kEvictionCost * (1 + static_cast<double>(victim.loss)) + victim.value;
       }
       if (best == nullptr || cost < bestCost) {
         best = &trace;
@@ -249,6 +288,7 @@
       order(best->engine, true, refOf(*aNeed.model, *aNeed.adapter), reason);
       return;
     }
+    take(bestVictim);
     order(best->engine,
           false,
           refOf(*bestVictim.model, *bestVictim.adapter),
@@ -257,8 +297,32 @@
 
   static bool mayLeave(const Victim& aVictim, const Need& aNeed)
   {
-    return aVictim.adapter != nullptr &&
-           valueOf(aVictim.adapter->demand) <= aNeed.value;
+    if (aVictim.adapter == nullptr) {
+      return false;
+    }
+    if (!aNeed.absent) {
+      return aVictim.loss == Loss::Nothing && aVictim.value <= aNeed.value;
+    }
+    switch (aVictim.loss) {
+      case Loss::Nothing:
+      case Loss::SecondPlace:
+        return true;
+      case Loss::Idle:
+        return aVictim.value <= aNeed.value;
+      case Loss::InUse:
+        return aNeed.adapter->demand->unserved >= kLongUnserved &&
+               aVictim.value * kGainOverLoss <= aNeed.value;
+    }
+    return false;
+  }
+
+  /** An adapter leaves an engine; its last place is no second place. */
+  void take(const Victim& aVictim)
+  {
+    --aVictim.adapter->places;
+    for (const Trace& trace : aVictim.model->traces) {
+      mVictims[trace.engine].known = false;
+    }
   }
 
   void order(std::size_t aEngine,
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -255,6 +255,91 @@
   STRCMP_EQUAL("a2", steps[0].what.adapter.c_str());
 }
 
+// Load pattern: every adapter of a busy engine is in use. Guards against an
+// absent adapter that waits while others have two places.
+TEST(PlanAdapters, EvictsASecondPlaceInUse)
+{
+  Engine full = engine("e1", { "a" });
+  full.models["a"] = { "a1", "a2" };
+  Engine other = engine("e2", { "b" });
+  other.models["a"] = { "a2" };
+  other.orderable = false;
+  situation.engines = { full, other };
+  situation.demand[{ "a", "a1" }] = { 10, 0, 1 };
+  situation.demand[{ "a", "a2" }] = { 500, 0, 5 };
+  situation.demand[{ "a", "a3" }] = { 0, 1, 0 };
+  const auto steps = residency::planAdapters(situation);
+  LONGS_EQUAL(1, steps.size());
+  CHECK(!steps[0].load);
+  STRCMP_EQUAL("a2", steps[0].what.adapter.c_str());
+}
+
+// Guards against the only place of an adapter that is asked for leaving before
+// the second place of another.
+TEST(PlanAdapters, EvictsASecondPlaceBeforeTheOnlyOne)
+{
+  Engine full = engine("e1", { "a" });
+  full.models["a"] = { "a1", "a2" };
+  Engine other = engine("e2", { "a" });
+  other.models["a"] = { "a2" };
+  other.orderable = false;
+  situation.engines = { full, other };
+  situation.demand[{ "a", "a1" }] = { 5, 0, 0 };
+  situation.demand[{ "a", "a2" }] = { 80, 0, 0 };
+  situation.demand[{ "a", "a3" }] = { 0, 1, 0 };
+  const auto steps = residency::planAdapters(situation);
+  LONGS_EQUAL(1, steps.size());
+  STRCMP_EQUAL("a2", steps[0].what.adapter.c_str());
+}
+
+// Guards against an adapter that loses both of its places in one plan.
+TEST(PlanAdapters, KeepsOnePlaceOfAnAdapterInUse)
+{
+  Engine first = engine("e1", { "a" });
+  first.models["a"] = { "a2" };
+  Engine second = engine("e2", { "a" });
+  second.models["a"] = { "a2" };
+  spec.adapterSlots = 1;
+  situation.engines = { first, second };
+  situation.demand[{ "a", "a2" }] = { 10, 0, 1 };
+  situation.demand[{ "a", "a3" }] = { 0, 1, 0 };
+  situation.demand[{ "a", "a4" }] = { 0, 1, 0 };
+  LONGS_EQUAL(1, residency::planAdapters(situation).size());
+}
+
+// Guards against the second place of a hot adapter pushing out the only place
+// of one that is asked for, which then pushes the second place out again.
+TEST(PlanAdapters, SecondPlacesTakeNoOnlyPlaceThatIsAskedFor)
+{
+  spec.adapterSlots = 1;
+  Engine rare = engine("e1", { "a" });
+  rare.models["a"] = { "a1" };
+  Engine hot = engine("e2", { "a" });
+  hot.models["a"] = { "a2" };
+  situation.engines = { rare, hot };
+  situation.demand[{ "a", "a1" }] = { 5, 0, 0 };
+  situation.demand[{ "a", "a2" }] = { 500, 0, 5 };
+  CHECK(residency::planAdapters(situation).empty());
+}
+
+// Load pattern: more adapters are in use all the time than there are slots.
+// Guards against those that came first keeping their places all day.
+TEST(PlanAdapters, EvictsAnAdapterInUseForOneThatWaitedLong)
+{
+  Engine full = engine("e1", { "a" });
+  full.models["a"] = { "a1", "a2" };
+  situation.engines = { full };
+  situation.demand[{ "a", "a1" }] = { 300, 0, 4 };
+  situation.demand[{ "a", "a2" }] = { 50, 0, 1 };
+  situation.demand[{ "a", "a3" }] = { 0, 1, 0, 3s };
+  CHECK(residency::planAdapters(situation).empty());
+  situation.demand[{ "a", "a3" }].unserved = 10s;
+  const auto steps = residency::planAdapters(situation);
+  LONGS_EQUAL(1, steps.size());
+  CHECK(!steps[0].load);
+  STRCMP_EQUAL("a2", steps[0].what.adapter.c_str());
+}
+
 // Load pattern: many adapters of a busy model, each asked for now and then; the
 // first request for each waited seconds behind a running order.
 TEST(PlanAdapters, FillsFreeSlotsAhead)
