Give models replicas for adapters that have no slot

Cause: planModels counted work only.

SlotShare gives each adapter that requests wait for a slot at an engine of its model that is free or idle; adapters left over are what the model lacks. They add to the gain of a further replica, as far as the engine has open slots, and the adapters that depend on a replica add to the loss of it, so that the replica does not leave again once it serves them. An adapter that waits for an absent model now counts as a request for the model: before, idle last replicas made room only for requests without an adapter.

Ruled out: counting slots per replica as a constant; the engines of busy models have none left.

On the planner before, the new tests fail: LoadsTheAbsentModelOfAnAdapterThatIsAskedFor: expected <1> but was <0> KeepsReplicasWhoseSlotsAreInUse: CHECK(...empty()) failed AddsReplicasForAdaptersWhereSlotsAreOpen: CHECK(load != nullptr) failed AddsReplicasForAdaptersWithoutSlots: expected <1> but was <0>

--- a/libs/residency/fleet_view.h
+++ b/libs/residency/fleet_view.h
@@ -11,6 +11,10 @@
 
 namespace marigold::residency {
 
+/** A model or an adapter with less work is idle; it needs no places for
+ * adapters. */
+constexpr double kLeastWorkMs = 1;
+
 /** What a plan needs to know of an adapter. */
 struct AdapterFigures
 {
--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -14,8 +14,6 @@
 
 /** Load that an engine without a free slot must have less than others. */
 constexpr double kEvictionCost = 300;
-/** A model with less work is idle; its adapters need no places. */
-constexpr double kLeastWorkMs = 1;
 /** Weight of a waiting request against work in ms per second. */
 constexpr double kWaitingWeight = 100;
 /** Weight of each second without a place: as a further waiting request, so
--- a/libs/residency/plan_models.cpp
+++ b/libs/residency/plan_models.cpp
@@ -1,4 +1,4 @@
-#include "residency/fleet_view.h"
+#include "residency/slot_share.h"
 
 #include <algorithm>
 #include <optional>
@@ -19,6 +19,11 @@
 constexpr double kAbsentCost = 40;
 /** Cost of each request that waits for the model now. */
 constexpr double kWaitingCost = 200;
+/** Cost of each adapter that is asked for and for which the engines of its
+ * model have no slot: more than that of an absent model, because its callers
+ * wait for as long as this lasts, not for one load; less than a waiting
+ * request, because slots can change hands. */
+constexpr double kAdapterCost = 60;
 /** A change must bring this much more than it costs, because demand is only
  * estimated and every load takes a part of the store's rate. */
 constexpr double kLeastGain = 25;
@@ -43,8 +48,15 @@
 /** A model that a further replica would help. */
 struct Need
 {
-  double gain = 0;
+  double gain = 0;      ///< without the adapters
+  unsigned lacking = 0; ///< adapters that need a slot of a further replica
   ModelFigures* model = nullptr;
+
+  /** @param aSlots slots that adapters can get with the replica */
+  double gainWith(unsigned aSlots) const
+  {
+    return gain + kAdapterCost * std::min(lacking, aSlots);
+  }
 };
 
 /** A model that may leave an engine. */
@@ -79,6 +91,7 @@
 public:
   explicit ModelPlanner(const Situation& aSituation)
     : mView(aSituation)
+    , mSlots(mView)
     , mStoreLoadsLeft(aSituation.storeLoadsLeft)
     , mTraces(aSituation.engines.size())
     , mVictims(aSituation.engines.size())
@@ -106,30 +119,38 @@
   /** @return models by the gain of a further replica, the largest first */
   std::vector<Need> needs()
   {
+    const unsigned slots = mView.situation().spec->adapterSlots;
     std::vector<Need> needs;
     for (ModelFigures& model : mView.models()) {
       if (model.spec == nullptr) {
         continue;
       }
-      const double gain =
+      const unsigned lacking = mSlots.lacking(model);
+      double gain =
         costOf(model, model.replicas) - costOf(model, model.replicas + 1);
-      if (gain > kLeastGain) {
-        needs.push_back({ gain, &model });
+      // Requests for an adapter of an absent model wait for the model too.
+      gain += model.replicas == 0 && lacking > 0 ? kWaitingCost : 0;
+      const Need need{ gain, lacking, &model };
+      if (need.gainWith(slots) > kLeastGain) {
+        needs.push_back(need);
       }
     }
-    std::stable_sort(
-      needs.begin(), needs.end(), [](const Need& aLeft, const Need& aRight) {
-        return aLeft.gain > aRight.gain;
-      });
+    std::stable_sort(needs.begin(),
+                     needs.end(),
+                     [slots](const Need& aLeft, const Need& aRight) {
+                       return aLeft.gainWith(slots) > aRight.gainWith(slots);
+                     });
     return needs;
   }
 
   /** @return the model at the engine whose loss costs least */
-  Victim leastLoss(const EngineFigures& aEngine, bool aMayTakeLast) const
+  Victim leastLoss(std::size_t aEngine, bool aMayTakeLast) const
   {
+    const auto& allHeld = mView.engines()[aEngine].held;
     Victim best;
     best.known = true;
-    for (const HeldModel& held : aEngine.held) {
+    for (std::size_t i = 0; i < allHeld.size(); ++i) {
+      const HeldModel& held = allHeld[i];
       const ModelFigures& model = *held.model;
       if (model.replicas == 0 || held.retiring || taken(model)) {
         continue;
@@ -138,8 +159,9 @@
       if (model.replicas == 1 && !(aMayTakeLast && idle)) {
         continue;
       }
-      const double loss =
-        costOf(model, model.replicas - 1) - costOf(model, model.replicas);
+      const double loss = costOf(model, model.replicas - 1) -
+                          costOf(model, model.replicas) +
+                          kAdapterCost * mSlots.at(aEngine).usedBy[i];
       if (best.model == nullptr || loss < best.loss) {
         best.model = held.model;
         best.loss = loss;
@@ -152,7 +174,7 @@
   {
     Victim& victim = aMayTakeLast ? mIdleVictims[aEngine] : mVictims[aEngine];
     if (!victim.known) {
-      victim = leastLoss(mView.engines()[aEngine], aMayTakeLast);
+      victim = leastLoss(aEngine, aMayTakeLast);
     }
     return victim;
   }
@@ -189,15 +211,20 @@
     const base::Duration load = trace.inMemory ? model.memoryLoad
                                 : trace.onDisk ? model.diskLoad
                                                : model.storeLoad;
-    aOption.gain = aNeed.gain - base::inSeconds(load) * kSecondCost -
+    const double gain = aNeed.gainWith(mSlots.at(aEngine).open);
+    if (gain <= kLeastGain) {
+      return false;
+    }
+    aOption.gain = gain - base::inSeconds(load) * kSecondCost -
                    engine.loadMsPerSecond * kEngineLoadCost;
     if (engine.freeMb >= model.weightsMb) {
       return true;
     }
-    const bool awaited = aNeed.model->waiting > 0 && aNeed.model->replicas == 0;
+    const bool awaited = aNeed.model->replicas == 0 &&
+                         (aNeed.model->waiting > 0 || aNeed.lacking > 0);
     const Victim& victim = victimOf(aEngine, awaited);
     if (victim.model == nullptr ||
-        aNeed.gain < victim.loss * kGainOverLoss + kLeastGain) {
+        gain < victim.loss * kGainOverLoss + kLeastGain) {
       return false;
     }
     aOption.victim = victim.model;
@@ -237,7 +264,8 @@
     const bool absent = aNeed.model->replicas == 0;
     const std::string reason =
       (absent ? "no replica of " : "more replicas of ") + name + ", gain " +
-      std::to_string(static_cast<int>(aNeed.gain));
+      std::to_string(static_cast<int>(aNeed.gain)) +
+      ", adapters without slot " + std::to_string(aNeed.lacking);
     if (best->victim != nullptr) {
       // The load follows once the record shows that the memory is free.
       take(*best->victim);
@@ -250,6 +278,7 @@
   }
 
   FleetView mView;
+  SlotShare mSlots;
   unsigned mStoreLoadsLeft;
   std::vector<std::size_t> mOrderable; ///< engines without an order, in order
   std::vector<Trace> mTraces;          ///< of the model in hand, by engine
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -142,6 +142,77 @@
   CHECK(stepFor(residency::planModels(situation), "a", false) == nullptr);
 }
 
+// Load pattern: many adapters of a model with little work are asked for, more
+// than the slots of its engines. Guards against some that are never served.
+TEST(PlanModels, AddsReplicasForAdaptersWithoutSlots)
+{
+  Engine full = engine("e1", { "a", "b" });
+  full.models["a"] = { "a1", "a2" };
+  situation.engines = { full, engine("e2", { "b", "c", "d" }) };
+  situation.engines.push_back(engine("e3", { "b", "c", "d" }));
+  for (const char* adapter : { "a1", "a2" }) {
+    situation.demand[{ "a", adapter }] = { 2, 0, 1 };
+  }
+  for (const char* adapter : { "a3", "a4" }) {
+    situation.demand[{ "a", adapter }] = { 2, 1, 0 };
+  }
+  const auto steps = residency::planModels(situation);
+  LONGS_EQUAL(1, steps.size());
+  CHECK(!steps[0].load);
+  CHECK(steps[0].engine != "e1");
+}
+
+// Guards against a replica for adapters at an engine whose slots are all in
+// use, which serves none of them.
+TEST(PlanModels, AddsReplicasForAdaptersWhereSlotsAreOpen)
+{
+  Engine full = engine("e1", { "a", "b" });
+  full.models["a"] = { "a1", "a2" };
+  Engine busy = engine("e2", { "b", "d" });
+  busy.models["b"] = { "a1", "a2" };
+  Engine open = engine("e3", { "b", "d" });
+  situation.engines = { full, busy, open };
+  for (const char* model : { "a", "b" }) {
+    situation.demand[{ model, "a1" }] = { 2, 0, 1 };
+    situation.demand[{ model, "a2" }] = { 2, 0, 1 };
+  }
+  situation.demand[{ "a", "a3" }] = { 2, 1, 0 };
+  const auto steps = residency::planModels(situation);
+  const Step* load = stepFor(steps, "a", true);
+  CHECK(load != nullptr);
+  STRCMP_EQUAL("e3", load->engine.c_str());
+}
+
+// Guards against a replica that leaves while adapters in use depend on it, and
+// is loaded again for them.
+TEST(PlanModels, KeepsReplicasWhoseSlotsAreInUse)
+{
+  spec.weightsMb = 2 * kWeightsMb + 1000;
+  Engine first = engine("e1", { "a", "b" });
+  first.models["a"] = { "a1", "a2" };
+  Engine second = engine("e2", { "a", "c" });
+  second.models["a"] = { "a3", "a4" };
+  situation.engines = { first, second };
+  for (const std::string& adapter : spec.models["a"].adapters) {
+    situation.demand[{ "a", adapter }] = { 2, 0, 1 };
+  }
+  situation.demand[{ "b", "" }] = { 230, 0, 2 };
+  CHECK(residency::planModels(situation).empty());
+}
+
+// Load pattern: only an adapter of an absent model is asked for, and every
+// other model has one replica. Guards against it never being served.
+TEST(PlanModels, LoadsTheAbsentModelOfAnAdapterThatIsAskedFor)
+{
+  spec.weightsMb = 2 * kWeightsMb + 1000;
+  situation.engines = { engine("e1", { "a", "b" }), engine("e2", { "c" }) };
+  situation.engines[1].leaving = true;
+  situation.demand[{ "d", "a1" }] = { 2, 1, 0 };
+  const auto steps = residency::planModels(situation);
+  LONGS_EQUAL(1, steps.size());
+  CHECK(!steps[0].load);
+}
+
 // Guards against more loads than the weights store allows.
 TEST(PlanModels, RespectsTheRateOfTheStore)
 {
