--- a/apps/gateway/order_book.h
+++ b/apps/gateway/order_book.h
@@ -103,6 +103,7 @@
   std::map<base::UpstreamName, Engine> mEngines;
   residency::LoadWindow mStoreLoads;
   PlanReport mPlanReport;
+  residency::AbsenceWatch mAbsences;
   std::uint64_t mFence = 0;
   bool mActive = false;
   bool mStopped = false;
--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -1,11 +1,12 @@
 #include "residency/fleet_view.h"
 
 #include <algorithm>
-#include <optional>
+#include <tuple>
 
 namespace marigold::residency {
 namespace {
 
+using namespace std::chrono_literals;
 using catalog::ModelRef;
 
 /** An adapter with more work than this gets a second place. */
@@ -13,26 +14,86 @@
 
 /** Load that an engine without a free slot must have less than others. */
 constexpr double kEvictionCost = 300;
-/** A model with less work is idle; its adapters need no places. */
-constexpr double kLeastWorkMs = 1;
 /** Weight of a waiting request against work in ms per second. */
 constexpr double kWaitingWeight = 100;
+/** Weight of each second without a place: as a further waiting request, so
+ * that a rare adapter overtakes a busy one within the timeouts of its callers,
+ * 10 to 30 s. */
+constexpr double kUnservedWeight = 100;
+/** An adapter in use leaves only for one that was without a place for this
+ * long: its unload waits for its requests, a few seconds, and no other order
+ * reaches the engine meanwhile. */
+constexpr base::Duration kLongUnserved = 5s;
+/** An adapter in use must be worth less than the other by this factor. */
+constexpr double kGainOverLoss = 2;
 
-std::size_t
-adaptersAt(const Engine& aEngine)
+double
+valueOf(const Demand* aDemand)
 {
-  std::size_t count = 0;
-  for (const auto& [model, adapters] : aEngine.models) {
-    count += adapters.size();
-  }
-  return count;
+  return aDemand == nullptr
+           ? 0
+           : aDemand->workMsPerSecond + kWaitingWeight * aDemand->waiting +
+               kUnservedWeight * base::inSeconds(aDemand->unserved);
 }
 
 bool
-holds(const Engine& aEngine, const ModelRef& aRef)
+inUse(const AdapterFigures& aAdapter)
+{
+  return aAdapter.demand != nullptr && aAdapter.demand->running > 0;
+}
+
+/** An adapter that a further place would help. */
+struct Need
+{
+  bool absent = false; ///< no engine holds it and requests wait
+  double value = 0;    ///< against other needs and against what has to leave
+  const ModelFigures* model = nullptr;
+  const AdapterFigures* adapter = nullptr;
+};
+
+/** Adapters in the order in which they leave. */
+enum class Loss : std::uint8_t
+{
+  Nothing,     ///< idle, and nobody asks for it or another engine holds it
+  SecondPlace, ///< in use, but another engine holds it too
+  Idle,        ///< asked for now and then, no other engine holds it
+  InUse,       ///< no other engine holds it
+};
+
+/** An adapter that may leave an engine. */
+struct Victim
+{
+  const ModelFigures* model = nullptr;
+  AdapterFigures* adapter = nullptr; ///< none: no adapter may leave
+  Loss loss = Loss::Nothing;
+  double value = 0;
+  bool known = false; ///< false before the first look and after a change
+};
+
+Loss
+lossOf(const AdapterFigures& aAdapter)
 {
-  const auto model = aEngine.models.find(aRef.model);
-  return model != aEngine.models.end() && model->second.contains(aRef.adapter);
+  const bool second = aAdapter.places > 1;
+  if (inUse(aAdapter)) {
+    return second ? Loss::SecondPlace : Loss::InUse;
+  }
+  return second || valueOf(aAdapter.demand) < kLeastWorkMs ? Loss::Nothing
+                                                           : Loss::Idle;
+}
+
+/** @return value with the running requests, which an unload waits for */
+double
+victimValueOf(const AdapterFigures& aAdapter)
+{
+  const Demand* demand = aAdapter.demand;
+  return valueOf(demand) +
+         (demand == nullptr ? 0 : kWaitingWeight * demand->running);
+}
+
+ModelRef
+refOf(const ModelFigures& aModel, const AdapterFigures& aAdapter)
+{
+  return { aModel.name, std::string(aAdapter.name) };
 }
 
 /** Plans the adapters of one service. */
@@ -41,36 +102,38 @@
 public:
   explicit AdapterPlanner(const Situation& aSituation)
     : mView(aSituation)
+    , mUsed(aSituation.engines.size())
+    , mVictims(aSituation.engines.size())
   {
+    for (std::size_t i = 0; i < mUsed.size(); ++i) {
+      mUsed[i] = mView.engines()[i].mayOrder ? 0 : 1;
+      mLeft += mView.engines()[i].mayOrder ? 1U : 0U;
+    }
   }
 
   std::vector<Step> plan()
   {
-    for (const auto& [ref, demand] : mView.situation().demand) {
-      if (ref.adapter.empty() || !declared(ref)) {
-        continue;
-      }
-      const std::size_t places = placesOf(ref);
-      const bool missing = places == 0 && demand.waiting > 0;
-      const bool hot =
-        places == 1 && demand.workMsPerSecond > kHotAdapterMsPerSecond;
-      if (missing || hot) {
-        place(ref, missing ? "requests wait" : "hot");
+    for (const Need& need : needs()) {
+      if (mLeft == 0) {
+        break;
       }
+      place(need);
     }
     return std::move(mSteps);
   }
 
   std::vector<Step> planSpare()
   {
-    for (const auto& [name, model] : mView.situation().spec->models) {
-      if (mView.work(name) < kLeastWorkMs) {
+    for (const ModelFigures& model : mView.models()) {
+      if (model.spec == nullptr || model.workMsPerSecond < kLeastWorkMs) {
         continue;
       }
-      for (const std::string& adapter : model.adapters) {
-        const ModelRef ref{ name, adapter };
-        if (placesOf(ref) == 0) {
-          fill(ref);
+      for (const std::string& adapter : model.spec->adapters) {
+        const auto known = model.adapters.find(adapter);
+        const bool held =
+          known != model.adapters.end() && known->second.places > 0;
+        if (!held && !fill(model, adapter)) {
+          break;
         }
       }
     }
@@ -78,102 +141,139 @@
   }
 
 private:
-  /** Loads an adapter at the engine with the most free slots, if any. */
-  void fill(const ModelRef& aRef)
+  /** @return absent adapters that requests wait for, then hot ones, each by
+   * urgency */
+  std::vector<Need> needs()
   {
-    const Engine* best = nullptr;
-    for (const Engine& engine : mView.situation().engines) {
-      if (!canTake(engine, aRef) ||
-          adaptersAt(engine) >= mView.situation().spec->adapterSlots) {
+    std::vector<Need> needs;
+    for (const ModelFigures& model : mView.models()) {
+      if (model.spec == nullptr) {
         continue;
       }
-      if (best == nullptr || adaptersAt(engine) < adaptersAt(*best)) {
-        best = &engine;
+      for (const auto& [name, adapter] : model.adapters) {
+        const Demand* demand = adapter.demand;
+        if (demand == nullptr) {
+          continue;
+        }
+        const bool absent = adapter.places == 0 && demand->waiting > 0;
+        const bool hot = adapter.places == 1 &&
+                         demand->workMsPerSecond > kHotAdapterMsPerSecond;
+        if (absent || hot) {
+          needs.push_back({ absent, valueOf(demand), &model, &adapter });
+        }
       }
     }
-    if (best != nullptr) {
-      mUsed.insert(best->name);
-      mSteps.push_back({ best->name, true, aRef, false, "free slot" });
-    }
+    std::stable_sort(
+      needs.begin(), needs.end(), [](const Need& aLeft, const Need& aRight) {
+        return aLeft.absent != aRight.absent ? aLeft.absent
+                                             : aLeft.value > aRight.value;
+      });
+    return needs;
   }
 
-  /** @return true if the engine has the model and may get an order for it */
-  bool canTake(const Engine& aEngine, const ModelRef& aRef) const
+  bool slotFree(const EngineFigures& aEngine) const
   {
-    return !aEngine.leaving && aEngine.orderable &&
-           !mUsed.contains(aEngine.name) &&
-           aEngine.models.contains(aRef.model) &&
-           !aEngine.retiring.contains(aRef.model) && !holds(aEngine, aRef);
+    return aEngine.adapters < mView.situation().spec->adapterSlots;
   }
 
-  bool declared(const ModelRef& aRef) const
-  {
-    return mView.situation().spec->models.contains(aRef.model);
-  }
-
-  std::size_t placesOf(const ModelRef& aRef) const
+  /** @return true if the engine has the model and may get an order for it */
+  bool canTake(const Trace& aTrace) const
   {
-    const auto& engines = mView.situation().engines;
-    return static_cast<std::size_t>(
-      std::count_if(engines.begin(), engines.end(), [&](const Engine& aEngine) {
-        return !aEngine.leaving && holds(aEngine, aRef);
-      }));
+    return aTrace.holds && !aTrace.retiring && mUsed[aTrace.engine] == 0;
   }
 
-  double demandOf(const ModelRef& aRef) const
+  /** Loads an adapter at the engine with the most free slots.
+   * @return false if no engine has a slot for an adapter of the model */
+  bool fill(const ModelFigures& aModel, const std::string& aAdapter)
   {
-    const auto found = mView.situation().demand.find(aRef);
-    return found == mView.situation().demand.end()
-             ? 0
-             : found->second.workMsPerSecond +
-                 kWaitingWeight * found->second.waiting;
+    const EngineFigures* best = nullptr;
+    std::size_t bestIndex = 0;
+    for (const Trace& trace : aModel.traces) {
+      const EngineFigures& engine = mView.engines()[trace.engine];
+      if (canTake(trace) && slotFree(engine) &&
+          (best == nullptr || engine.adapters < best->adapters)) {
+        best = &engine;
+        bestIndex = trace.engine;
+      }
+    }
+    if (best == nullptr) {
+      return false;
+    }
+    order(bestIndex, true, { aModel.name, aAdapter }, "free slot");
+    return true;
   }
 
-  /** @return the idle adapter at the engine that is asked for least; one with
-   * running requests would block the engine's orders until they end */
-  std::optional<ModelRef> coldestAt(const Engine& aEngine) const
+  /** @return the adapter at the engine whose place is worth least */
+  Victim leastLoss(const EngineFigures& aEngine) const
   {
-    std::optional<ModelRef> coldest;
-    for (const auto& [model, adapters] : aEngine.models) {
-      for (const std::string& adapter : adapters) {
-        const ModelRef ref{ model, adapter };
-        if (aEngine.fresh.contains(ref) || inUse(ref)) {
+    Victim least;
+    least.known = true;
+    for (const HeldModel& held : aEngine.held) {
+      for (AdapterFigures* adapter : held.adapters) {
+        if (fresh(aEngine, *held.model, *adapter)) {
           continue;
         }
-        if (!coldest || demandOf(ref) < demandOf(*coldest)) {
-          coldest = ref;
+        const Loss loss = lossOf(*adapter);
+        const double value = victimValueOf(*adapter);
+        if (least.adapter == nullptr ||
+            std::tie(loss, value) < std::tie(least.loss, least.value)) {
+          least = { held.model, adapter, loss, value, true };
         }
       }
     }
-    return coldest;
+    return least;
   }
 
-  bool inUse(const ModelRef& aRef) const
+  static bool fresh(const EngineFigures& aEngine,
+                    const ModelFigures& aModel,
+                    const AdapterFigures& aAdapter)
   {
-    const auto found = mView.situation().demand.find(aRef);
-    return found != mView.situation().demand.end() && found->second.running > 0;
+    const std::set<ModelRef>& fresh = aEngine.engine->fresh;
+    return !fresh.empty() && fresh.contains(refOf(aModel, aAdapter));
   }
 
-  void place(const ModelRef& aRef, const char* aReason)
+  const Victim& victimOf(std::size_t aEngine)
   {
-    const Engine* best = nullptr;
-    std::optional<ModelRef> bestVictim;
+    Victim& victim = mVictims[aEngine];
+    if (!victim.known) {
+      victim = leastLoss(mView.engines()[aEngine]);
+    }
+    return victim;
+  }
+
+  static bool holds(const EngineFigures& aEngine,
+                    const AdapterFigures& aAdapter)
+  {
+    return std::any_of(
+      aEngine.held.begin(), aEngine.held.end(), [&](const HeldModel& aHeld) {
+        return std::find(aHeld.adapters.begin(),
+                         aHeld.adapters.end(),
+                         &aAdapter) != aHeld.adapters.end();
+      });
+  }
+
+  void place(const Need& aNeed)
+  {
+    const Trace* best = nullptr;
+    Victim bestVictim;
     double bestCost = 0;
-    for (const Engine& engine : mView.situation().engines) {
-      if (!canTake(engine, aRef)) {
+    for (const Trace& trace : aNeed.model->traces) {
+      const EngineFigures& engine = mView.engines()[trace.engine];
+      if (!canTake(trace) || holds(engine, *aNeed.adapter)) {
         continue;
       }
-      std::optional<ModelRef> victim;
-      double cost = mView.engineLoad(engine);
-      if (adaptersAt(engine) >= mView.situation().spec->adapterSlots) {
-        victim = coldestAt(engine);
-        if (!victim || demandOf(*victim) > demandOf(aRef)) {
+      Victim victim;
+      double cost = engine.loadMsPerSecond;
+      if (!slotFree(engine)) {
+        victim = victimOf(trace.engine);
+        if (!mayLeave(victim, aNeed)) {
           continue;
         }
-        cost += kEvictionCost + demandOf(*victim);
+        cost +=
+          kEvictionCost * (1 + static_cast<double>(victim.loss)) + victim.value;
       }
       if (best == nullptr || cost < bestCost) {
-        best = &engine;
+        best = &trace;
         bestVictim = victim;
         bestCost = cost;
       }
@@ -181,13 +281,63 @@
     if (best == nullptr) {
       return;
     }
-    mUsed.insert(best->name);
+    const char* reason = aNeed.absent ? "requests wait" : "hot";
+    if (bestVictim.adapter == nullptr) {
+      order(best->engine, true, refOf(*aNeed.model, *aNeed.adapter), reason);
+      return;
+    }
+    take(bestVictim);
+    order(best->engine,
+          false,
+          refOf(*bestVictim.model, *bestVictim.adapter),
+          reason);
+  }
+
+  static bool mayLeave(const Victim& aVictim, const Need& aNeed)
+  {
+    if (aVictim.adapter == nullptr) {
+      return false;
+    }
+    if (!aNeed.absent) {
+      return aVictim.loss == Loss::Nothing && aVictim.value <= aNeed.value;
+    }
+    switch (aVictim.loss) {
+      case Loss::Nothing:
+      case Loss::SecondPlace:
+        return true;
+      case Loss::Idle:
+        return aVictim.value <= aNeed.value;
+      case Loss::InUse:
+        return aNeed.adapter->demand->unserved >= kLongUnserved &&
+               aVictim.value * kGainOverLoss <= aNeed.value;
+    }
+    return false;
+  }
+
+  /** An adapter leaves an engine; its last place is no second place. */
+  void take(const Victim& aVictim)
+  {
+    --aVictim.adapter->places;
+    for (const Trace& trace : aVictim.model->traces) {
+      mVictims[trace.engine].known = false;
+    }
+  }
+
+  void order(std::size_t aEngine,
+             bool aLoad,
+             const ModelRef& aWhat,
+             const char* aReason)
+  {
+    mUsed[aEngine] = 1;
+    --mLeft;
     mSteps.push_back(
-      { best->name, !bestVictim, bestVictim.value_or(aRef), false, aReason });
+      { mView.engines()[aEngine].engine->name, aLoad, aWhat, false, aReason });
   }
 
   FleetView mView;
-  std::set<base::UpstreamName> mUsed;
+  std::vector<char> mUsed; ///< by engine: it gets no further order
+  std::size_t mLeft = 0;   ///< engines that may still get one
+  std::vector<Victim> mVictims;
   std::vector<Step> mSteps;
 };
 
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -6,6 +6,7 @@
 
 using namespace marigold;
 using namespace std::chrono_literals;
+using catalog::ModelRef;
 using residency::Engine;
 using residency::Situation;
 using residency::Step;
@@ -141,6 +142,77 @@
   CHECK(stepFor(residency::planModels(situation), "a", false) == nullptr);
 }
 
+// Load pattern: many adapters of a model with little work are asked for, more
+// than the slots of its engines. Guards against some that are never served.
+TEST(PlanModels, AddsReplicasForAdaptersWithoutSlots)
+{
+  Engine full = engine("e1", { "a", "b" });
+  full.models["a"] = { "a1", "a2" };
+  situation.engines = { full, engine("e2", { "b", "c", "d" }) };
+  situation.engines.push_back(engine("e3", { "b", "c", "d" }));
+  for (const char* adapter : { "a1", "a2" }) {
+    situation.demand[{ "a", adapter }] = { 2, 0, 1 };
+  }
+  for (const char* adapter : { "a3", "a4" }) {
+    situation.demand[{ "a", adapter }] = { 2, 1, 0 };
+  }
+  const auto steps = residency::planModels(situation);
+  LONGS_EQUAL(1, steps.size());
+  CHECK(!steps[0].load);
+  CHECK(steps[0].engine != "e1");
+}
+
+// Guards against a replica for adapters at an engine whose slots are all in
+// use, which serves none of them.
+TEST(PlanModels, AddsReplicasForAdaptersWhereSlotsAreOpen)
+{
+  Engine full = engine("e1", { "a", "b" });
+  full.models["a"] = { "a1", "a2" };
+  Engine busy = engine("e2", { "b", "d" });
+  busy.models["b"] = { "a1", "a2" };
+  Engine open = engine("e3", { "b", "d" });
+  situation.engines = { full, busy, open };
+  for (const char* model : { "a", "b" }) {
+    situation.demand[{ model, "a1" }] = { 2, 0, 1 };
+    situation.demand[{ model, "a2" }] = { 2, 0, 1 };
+  }
+  situation.demand[{ "a", "a3" }] = { 2, 1, 0 };
+  const auto steps = residency::planModels(situation);
+  const Step* load = stepFor(steps, "a", true);
+  CHECK(load != nullptr);
+  STRCMP_EQUAL("e3", load->engine.c_str());
+}
+
+// Guards against a replica that leaves while adapters in use depend on it, and
+// is loaded again for them.
+TEST(PlanModels, KeepsReplicasWhoseSlotsAreInUse)
+{
+  spec.weightsMb = 2 * kWeightsMb + 1000;
+  Engine first = engine("e1", { "a", "b" });
+  first.models["a"] = { "a1", "a2" };
+  Engine second = engine("e2", { "a", "c" });
+  second.models["a"] = { "a3", "a4" };
+  situation.engines = { first, second };
+  for (const std::string& adapter : spec.models["a"].adapters) {
+    situation.demand[{ "a", adapter }] = { 2, 0, 1 };
+  }
+  situation.demand[{ "b", "" }] = { 230, 0, 2 };
+  CHECK(residency::planModels(situation).empty());
+}
+
+// Load pattern: only an adapter of an absent model is asked for, and every
+// other model has one replica. Guards against it never being served.
+TEST(PlanModels, LoadsTheAbsentModelOfAnAdapterThatIsAskedFor)
+{
+  spec.weightsMb = 2 * kWeightsMb + 1000;
+  situation.engines = { engine("e1", { "a", "b" }), engine("e2", { "c" }) };
+  situation.engines[1].leaving = true;
+  situation.demand[{ "d", "a1" }] = { 2, 1, 0 };
+  const auto steps = residency::planModels(situation);
+  LONGS_EQUAL(1, steps.size());
+  CHECK(!steps[0].load);
+}
+
 // Guards against more loads than the weights store allows.
 TEST(PlanModels, RespectsTheRateOfTheStore)
 {
@@ -215,6 +287,130 @@
   CHECK(residency::planAdapters(situation).empty());
 }
 
+// Load pattern: more adapters are asked for than an engine has slots. Guards
+// against the places going by the order of names.
+TEST(PlanAdapters, PlacesTheMostAwaitedAdapterFirst)
+{
+  situation.engines = { engine("e1", { "a" }) };
+  situation.demand[{ "a", "a1" }] = { 0, 1, 0 };
+  situation.demand[{ "a", "a2" }] = { 0, 3, 0 };
+  const auto steps = residency::planAdapters(situation);
+  LONGS_EQUAL(1, steps.size());
+  STRCMP_EQUAL("a2", steps[0].what.adapter.c_str());
+}
+
+// Load pattern: a rare adapter competes with ones that always have more
+// requests. Guards against it waiting all day.
+TEST(PlanAdapters, PlacesAnAdapterThatHasWaitedLong)
+{
+  situation.engines = { engine("e1", { "a" }) };
+  situation.demand[{ "a", "a1" }] = { 50, 5, 0, 1s };
+  situation.demand[{ "a", "a2" }] = { 0, 1, 0, 10s };
+  const auto steps = residency::planAdapters(situation);
+  LONGS_EQUAL(1, steps.size());
+  STRCMP_EQUAL("a2", steps[0].what.adapter.c_str());
+}
+
+// Load pattern: a hot adapter and an absent one want the same slot. Guards
+// against a second place before a first one.
+TEST(PlanAdapters, PlacesAbsentAdaptersBeforeSecondPlacesOfHotOnes)
+{
+  Engine other = engine("e2", { "a" });
+  other.models["a"] = { "a1" };
+  other.orderable = false;
+  situation.engines = { engine("e1", { "a" }), other };
+  situation.demand[{ "a", "a1" }] = { 900, 0, 9 };
+  situation.demand[{ "a", "a2" }] = { 0, 1, 0 };
+  const auto steps = residency::planAdapters(situation);
+  LONGS_EQUAL(1, steps.size());
+  STRCMP_EQUAL("a2", steps[0].what.adapter.c_str());
+}
+
+// Load pattern: every adapter of a busy engine is in use. Guards against an
+// absent adapter that waits while others have two places.
+TEST(PlanAdapters, EvictsASecondPlaceInUse)
+{
+  Engine full = engine("e1", { "a" });
+  full.models["a"] = { "a1", "a2" };
+  Engine other = engine("e2", { "b" });
+  other.models["a"] = { "a2" };
+  other.orderable = false;
+  situation.engines = { full, other };
+  situation.demand[{ "a", "a1" }] = { 10, 0, 1 };
+  situation.demand[{ "a", "a2" }] = { 500, 0, 5 };
+  situation.demand[{ "a", "a3" }] = { 0, 1, 0 };
+  const auto steps = residency::planAdapters(situation);
+  LONGS_EQUAL(1, steps.size());
+  CHECK(!steps[0].load);
+  STRCMP_EQUAL("a2", steps[0].what.adapter.c_str());
+}
+
+// Guards against the only place of an adapter that is asked for leaving before
+// the second place of another.
+TEST(PlanAdapters, EvictsASecondPlaceBeforeTheOnlyOne)
+{
+  Engine full = engine("e1", { "a" });
+  full.models["a"] = { "a1", "a2" };
+  Engine other = engine("e2", { "a" });
+  other.models["a"] = { "a2" };
+  other.orderable = false;
+  situation.engines = { full, other };
+  situation.demand[{ "a", "a1" }] = { 5, 0, 0 };
+  situation.demand[{ "a", "a2" }] = { 80, 0, 0 };
+  situation.demand[{ "a", "a3" }] = { 0, 1, 0 };
+  const auto steps = residency::planAdapters(situation);
+  LONGS_EQUAL(1, steps.size());
+  STRCMP_EQUAL("a2", steps[0].what.adapter.c_str());
+}
+
+// Guards against an adapter that loses both of its places in one plan.
+TEST(PlanAdapters, KeepsOnePlaceOfAnAdapterInUse)
+{
+  Engine first = engine("e1", { "a" });
+  first.models["a"] = { "a2" };
+  Engine second = engine("e2", { "a" });
+  second.models["a"] = { "a2" };
+  spec.adapterSlots = 1;
+  situation.engines = { first, second };
+  situation.demand[{ "a", "a2" }] = { 10, 0, 1 };
+  situation.demand[{ "a", "a3" }] = { 0, 1, 0 };
+  situation.demand[{ "a", "a4" }] = { 0, 1, 0 };
+  LONGS_EQUAL(1, residency::planAdapters(situation).size());
+}
+
+// Guards against the second place of a hot adapter pushing out the only place
+// of one that is asked for, which then pushes the second place out again.
+TEST(PlanAdapters, SecondPlacesTakeNoOnlyPlaceThatIsAskedFor)
+{
+  spec.adapterSlots = 1;
+  Engine rare = engine("e1", { "a" });
+  rare.models["a"] = { "a1" };
+  Engine hot = engine("e2", { "a" });
+  hot.models["a"] = { "a2" };
+  situation.engines = { rare, hot };
+  situation.demand[{ "a", "a1" }] = { 5, 0, 0 };
+  situation.demand[{ "a", "a2" }] = { 500, 0, 5 };
+  CHECK(residency::planAdapters(situation).empty());
+}
+
+// Load pattern: more adapters are in use all the time than there are slots.
+// Guards against those that came first keeping their places all day.
+TEST(PlanAdapters, EvictsAnAdapterInUseForOneThatWaitedLong)
+{
+  Engine full = engine("e1", { "a" });
+  full.models["a"] = { "a1", "a2" };
+  situation.engines = { full };
+  situation.demand[{ "a", "a1" }] = { 300, 0, 4 };
+  situation.demand[{ "a", "a2" }] = { 50, 0, 1 };
+  situation.demand[{ "a", "a3" }] = { 0, 1, 0, 3s };
+  CHECK(residency::planAdapters(situation).empty());
+  situation.demand[{ "a", "a3" }].unserved = 10s;
+  const auto steps = residency::planAdapters(situation);
+  LONGS_EQUAL(1, steps.size());
+  CHECK(!steps[0].load);
+  STRCMP_EQUAL("a2", steps[0].what.adapter.c_str());
+}
+
 // Load pattern: many adapters of a busy model, each asked for now and then; the
 // first request for each waited seconds behind a running order.
 TEST(PlanAdapters, FillsFreeSlotsAhead)
@@ -242,6 +438,47 @@
   CHECK(residency::planSpareAdapters(situation).empty());
 }
 
+TEST_GROUP(AbsenceWatch)
+{
+  catalog::EngineSpec spec = makeSpec({ "a" });
+  residency::AbsenceWatch watch;
+  const base::TimePoint start{ 100s };
+  const ModelRef rare{ "a", "a1" };
+
+  /** @return time for which the watch counts the adapter as unserved */
+  base::Duration unservedAt(base::TimePoint aNow, unsigned aWaiting, bool aHeld)
+  {
+    Situation situation;
+    situation.spec = &spec;
+    situation.engines = { engine("e1", { "a" }) };
+    if (aHeld) {
+      situation.engines[0].models["a"] = { "a1" };
+    }
+    situation.demand[rare] = { 1, aWaiting, 0 };
+    watch.fill(situation, aNow);
+    return situation.demand[rare].unserved;
+  }
+};
+
+// Load pattern: single requests for a rare adapter, each refused before the
+// next one. Guards against each of them beginning at the end of the queue.
+TEST(AbsenceWatch, CountsOverPausesBetweenRequests)
+{
+  CHECK(unservedAt(start, 1, false) == 0s);
+  CHECK(unservedAt(start + 10s, 0, false) == 10s);
+  CHECK(unservedAt(start + 20s, 1, false) == 20s);
+}
+
+// Guards against an adapter that had a place going before those without one,
+// and against an absence of long ago that still counts.
+TEST(AbsenceWatch, EndsWithAPlaceOrWithoutRequests)
+{
+  unservedAt(start, 1, false);
+  CHECK(unservedAt(start + 10s, 0, true) == 0s);
+  CHECK(unservedAt(start + 11s, 1, false) == 0s);
+  CHECK(unservedAt(start + 80s, 1, false) == 0s);
+}
+
 TEST_GROUP(LoadWindow)
 {
   residency::LoadWindow window;
