Leave a silent upstream only for one that can take the request

Callers saw 502, and streams that broke off in the middle, although their upstream was still working: request lines with outcome upstream-failed, detail "no further upstream" and one send.

Cause: when an upstream was silent for longer than its limit, the request spent a retry, dropped the running call and only then looked for another upstream. Where the only holder of the model was the one just left, the request ended with a failure. Under overload every engine is slow, so the work was thrown away where it was scarcest, the slow engine counted as failing, and ejections moved the load to the others.

Now the replacement comes first (dispatch::chooseReplacement): an upstream that holds the model, is not ejected, has a free slot and memory, and is expected to answer before the caller's deadline. Then the retry budget is asked and the new call started; only with that call in hand the old one is dropped and counted as a failure. Without a replacement the call stays, nothing counts as failed, and the request looks again after the same period (at least 400 ms) until its deadline. A connection limit at the replacement no longer costs the running call either.

Weighed and left out: keeping both calls until one answers. A stream must not run at two upstreams, the second send counts against the retry budget either way, and two calls would need two sets of counters. A replacement with a free slot rarely refuses; what happens if it does is a change of its own. Doubling the period between looks was left out too: callers abandon a stream after a few silence limits, so the second look would come too late.

A request that waits in a frozen engine while all other holders are full now waits there for a free slot, instead of joining the end of a full queue.

The e2e tests failed on the code before: test_slow_first_event_of_the_only_holder_is_waited_for: AssertionError: 200 != 502 test_pause_inside_a_stream_of_the_only_holder_is_waited_for and test_silent_upstream_is_left_for_one_that_becomes_able_to_serve: http.client.IncompleteRead: IncompleteRead(80 bytes read) They pass now.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -63,6 +63,7 @@
 
   // Choice of an upstream.
   void dispatch();
+  dispatch::Need need() const;
   std::vector<dispatch::Candidate> candidates(
     std::vector<std::shared_ptr<Upstream>>& aUpstreams) const;
   dispatch::Candidate describe(const Upstream& aUpstream) const;
@@ -72,6 +73,10 @@
 
   // One call.
   void send(const std::shared_ptr<Upstream>& aUpstream);
+  std::unique_ptr<wire::PooledCall> startCall(
+    const std::shared_ptr<Upstream>& aUpstream);
+  void adopt(const std::shared_ptr<Upstream>& aUpstream,
+             std::unique_ptr<wire::PooledCall> aCall);
   void onHead(const wire::AnswerHead& aHead);
   void onBody(std::string_view aBytes);
   void onComplete();
@@ -81,7 +86,9 @@
   void retryElsewhere(const char* aReason);
   bool mayRetry();
   void armSilence();
-  void onSilence();
+  void watchSilence(base::Duration aLimit);
+  void onSilence(base::Duration aLimit);
+  bool moveElsewhere();
   void endCall();
 
   // The answer.
@@ -122,6 +129,7 @@
   unsigned mUnreachable = 0;
   unsigned mUnresolved = 0; ///< sends after which the request may have run
   bool mWaited = false;
+  bool mSilenceNoted = false;
   bool mEnded = false;
 
   std::unique_ptr<wire::PooledCall> mCall;
--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -21,6 +21,9 @@
 constexpr double kFirstByteSilence = 0.75;
 constexpr double kPauseSilence = 3;
 constexpr base::Duration kLeastSilence = 60ms;
+/** Least time between two looks for a replacement; the load that peers report
+ * is renewed about that often. */
+constexpr base::Duration kLeastRecheck = 400ms;
 constexpr int kFirstServerError = 500;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
@@ -54,31 +57,38 @@
   } else {
     limit += base::fromSeconds((mQueuedAhead + mOwnMs) / 1000);
   }
-  mSilence =
-    mPath.loop.after(std::max(limit, kLeastSilence), [weak = weak_from_this()] {
-      if (const auto self = weak.lock()) {
-        std::static_pointer_cast<Exchange>(self)->onSilence();
-      }
-    });
+  watchSilence(std::max(limit, kLeastSilence));
+}
+
+void
+Exchange::watchSilence(base::Duration aLimit)
+{
+  mSilence = mPath.loop.after(aLimit, [weak = weak_from_this(), aLimit] {
+    if (const auto self = weak.lock()) {
+      std::static_pointer_cast<Exchange>(self)->onSilence(aLimit);
+    }
+  });
 }
 
 void
-Exchange::onSilence()
+Exchange::onSilence(base::Duration aLimit)
 {
-  if (mEnded || !mCall) {
+  if (mEnded || !mCall || mSends >= mRoute->attempts) {
     return;
   }
-  const base::TimePoint now = base::monotonicNow();
-  if (mSends >= mRoute->attempts || mCaller->pendingOutput() > 0) {
+  // A caller that reads slowly holds up its upstream itself.
+  if (mCaller->pendingOutput() == 0 && moveElsewhere()) {
     return;
   }
-  if (!mPath.retries.spend(mService->name, now)) {
-    return;
+  if (!mSilenceNoted) {
+    mSilenceNoted = true;
+    mPath.log.step(mFacts.id,
+                   "silent upstream",
+                   mLastUpstream,
+                   "stays there",
+                   base::monotonicNow());
   }
-  mPath.health.onFailure(mLastUpstream, now);
-  mPath.log.step(mFacts.id, "silent upstream", mLastUpstream, "", now);
-  endCall();
-  dispatch();
+  watchSilence(std::max(aLimit, kLeastRecheck));
 }
 
 void
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -67,6 +67,14 @@
   return candidate;
 }
 
+dispatch::Need
+Exchange::need() const
+{
+  dispatch::Need need;
+  need.tokens = isEngineCall() ? mFacts.promptTokens + outputTokens() : 0;
+  return need;
+}
+
 std::vector<dispatch::Candidate>
 Exchange::candidates(std::vector<std::shared_ptr<Upstream>>& aUpstreams) const
 {
@@ -98,9 +106,7 @@
   }
   std::vector<std::shared_ptr<Upstream>> upstreams;
   const auto found = candidates(upstreams);
-  dispatch::Need need;
-  need.tokens = isEngineCall() ? mFacts.promptTokens + outputTokens() : 0;
-  const auto choice = dispatch::choose(found, need, mPath.random.bits());
+  const auto choice = dispatch::choose(found, need(), mPath.random.bits());
   if (choice) {
     if (worthSending(*choice)) {
       mQueuedAhead = found[choice->index].queuedMs;
@@ -230,12 +236,39 @@
   fail(Code::UpstreamFailed, aReason);
 }
 
-void
-Exchange::send(const std::shared_ptr<Upstream>& aUpstream)
+bool
+Exchange::moveElsewhere()
+{
+  std::vector<std::shared_ptr<Upstream>> upstreams;
+  const auto found = candidates(upstreams);
+  const auto choice =
+    dispatch::chooseReplacement(found, need(), timeLeft(), mPath.random.bits());
+  const base::TimePoint now = base::monotonicNow();
+  if (!choice || !mPath.retries.spend(mService->name, now)) {
+    return false;
+  }
+  const auto& upstream = upstreams[choice->index];
+  auto call = startCall(upstream);
+  if (!call) {
+    return false;
+  }
+  mPath.health.onFailure(mLastUpstream, now);
+  mPath.log.step(mFacts.id,
+                 "silent upstream",
+                 mLastUpstream,
+                 "goes on at " + upstream->record.name,
+                 now);
+  endCall();
+  mQueuedAhead = found[choice->index].queuedMs;
+  mOwnMs = found[choice->index].ownMs;
+  adopt(upstream, std::move(call));
+  return true;
+}
+
+std::unique_ptr<wire::PooledCall>
+Exchange::startCall(const std::shared_ptr<Upstream>& aUpstream)
 {
   const catalog::UpstreamRecord& record = aUpstream->record;
-  mTried.insert(record.name);
-  mLastUpstream = record.name;
   boundary::ForwardFacts facts;
   facts.upstream = record.name;
   facts.timeLeft = timeLeft();
@@ -277,10 +310,21 @@
   const std::size_t limit = std::max(
     kLeastConnections,
     mService->maxConnections / std::max<std::size_t>(1, mPath.fleetSize));
-  mCall = mPath.pool.start(aUpstream->peer(), call, std::move(events), limit);
-  if (!mCall) {
+  auto started =
+    mPath.pool.start(aUpstream->peer(), call, std::move(events), limit);
+  if (!started) {
     mPath.log.step(
       mFacts.id, "connection limit", record.name, "", base::monotonicNow());
+  }
+  return started;
+}
+
+void
+Exchange::send(const std::shared_ptr<Upstream>& aUpstream)
+{
+  auto call = startCall(aUpstream);
+  if (!call) {
+    mTried.insert(aUpstream->record.name);
     if (++mUnreachable >= kMostUnreachable) {
       refuse(Code::Overloaded, "connection limits reached", kOverloadRetry);
       return;
@@ -288,6 +332,17 @@
     dispatch();
     return;
   }
+  adopt(aUpstream, std::move(call));
+}
+
+void
+Exchange::adopt(const std::shared_ptr<Upstream>& aUpstream,
+                std::unique_ptr<wire::PooledCall> aCall)
+{
+  const base::UpstreamName& name = aUpstream->record.name;
+  mCall = std::move(aCall);
+  mTried.insert(name);
+  mLastUpstream = name;
   mSentAt = base::monotonicNow();
   ++mSends;
   mHold = std::make_unique<LoadHold>(
@@ -301,7 +356,7 @@
   mEvents.clear();
   if (isEngineCall()) {
     ++mPath.runningByModel[*mFacts.model];
-    mPath.prefixes.note(record.name, mFacts.model->text(), mFacts.prompt);
+    mPath.prefixes.note(name, mFacts.model->text(), mFacts.prompt);
   }
   armSilence();
 }
--- a/libs/dispatch/choice.cpp
+++ b/libs/dispatch/choice.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/choice.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace marigold::dispatch {
 namespace {
@@ -35,6 +36,22 @@
   return milliseconds;
 }
 
+base::Duration
+expectedStart(const Candidate& aCandidate, const Need& aNeed)
+{
+  constexpr double kMsPerSecond = 1000;
+  return base::fromSeconds(startMs(aCandidate, aNeed) / kMsPerSecond);
+}
+
+bool
+hasRoom(const Candidate& aCandidate, const Need& aNeed)
+{
+  return aCandidate.running < aCandidate.slots &&
+         (aCandidate.memoryLimit <= 0 ||
+          aCandidate.memoryTokens + aNeed.tokens <=
+            aCandidate.memoryLimit * kMemoryFull);
+}
+
 double
 penaltyMs(const Candidate& aCandidate)
 {
@@ -69,9 +86,24 @@
   std::erase_if(ranked,
                 [best](const auto& aItem) { return aItem.first > best; });
   const Candidate* chosen = ranked[aTieBreak % ranked.size()].second;
-  constexpr double kMsPerSecond = 1000;
-  return Choice{ chosen->index,
-                 base::fromSeconds(startMs(*chosen, aNeed) / kMsPerSecond) };
+  return Choice{ chosen->index, expectedStart(*chosen, aNeed) };
+}
+
+std::optional<Choice>
+chooseReplacement(const std::vector<Candidate>& aCandidates,
+                  const Need& aNeed,
+                  base::Duration aTimeLeft,
+                  std::uint64_t aTieBreak)
+{
+  std::vector<Candidate> able;
+  std::copy_if(aCandidates.begin(),
+               aCandidates.end(),
+               std::back_inserter(able),
+               [&](const Candidate& aOne) {
+                 return !aOne.ejected && hasRoom(aOne, aNeed) &&
+                        expectedStart(aOne, aNeed) < aTimeLeft;
+               });
+  return choose(able, aNeed, aTieBreak);
 }
 
 } // namespace marigold::dispatch
--- a/libs/dispatch/choice.h
+++ b/libs/dispatch/choice.h
@@ -50,4 +50,21 @@
        const Need& aNeed,
        std::uint64_t aTieBreak);
 
+/**
+ * Chooses where a request may go on whose upstream has been silent for long.
+ * The upstream may only be slow, so it is left only for one that can begin the
+ * request at once: not ejected, with a free slot and enough free memory.
+ * @param aCandidates other upstreams that could run the request
+ * @param aNeed the request
+ * @param aTimeLeft time until the answer is of no use; the first byte must be
+ * expected before its end
+ * @param aTieBreak random bits; equal candidates share the load by it
+ * @return the choice, or nothing if the request had better stay where it is
+ */
+std::optional<Choice>
+chooseReplacement(const std::vector<Candidate>& aCandidates,
+                  const Need& aNeed,
+                  base::Duration aTimeLeft,
+                  std::uint64_t aTieBreak);
+
 } // namespace marigold::dispatch
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -83,6 +83,42 @@
   LONGS_EQUAL(1, dispatch::choose(equal, {}, 3)->index);
 }
 
+TEST_GROUP(Replacement){
+  std::optional<dispatch::Choice> replacement(const Candidate& aOther){
+    return dispatch::chooseReplacement({ aOther }, { 5000 }, 2s, 0);
+}
+}
+;
+
+// Load pattern: one engine is silent and another one is idle.
+TEST(Replacement, GoesToAnUpstreamWithRoom)
+{
+  LONGS_EQUAL(3, replacement(candidate(3, 50))->index);
+}
+
+// Load pattern: overload, in which every engine is slow. A request that left
+// its place would begin again at the end of another queue.
+TEST(Replacement, StaysWhereNobodyElseHasRoom)
+{
+  Candidate busy = candidate(0, 50);
+  busy.running = busy.slots;
+  CHECK(!replacement(busy));
+  Candidate full = candidate(0, 50);
+  full.memoryLimit = 100000;
+  full.memoryTokens = 90000;
+  CHECK(!replacement(full));
+  CHECK(!dispatch::chooseReplacement({}, {}, 2s, 0));
+}
+
+// Load pattern: the only other holder has just failed or begins too late.
+TEST(Replacement, StaysWhereNobodyElseIsExpectedToAnswerInTime)
+{
+  Candidate failing = candidate(0, 50);
+  failing.ejected = true;
+  CHECK(!replacement(failing));
+  CHECK(!replacement(candidate(0, 1950)));
+}
+
 TEST_GROUP(RetryBudget)
 {
   dispatch::RetryBudget budget;
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import tempfile
+import threading
 import time
 import unittest
 
@@ -108,6 +109,42 @@
             self.gateways[0].call("/single/x", headers=self.CHAT)
         self.assertEqual(1, self.runs())
 
+    def leave_one_engine(self):
+        self.platform.change(self.platform.store.remove, "servers/engine1")
+        wait_for(lambda: '"gone"' in self.gateways[0].log())
+
+    def chat(self):
+        status, body, _ = self.gateways[0].call("/chat/x", headers=self.CHAT)
+        self.assertEqual(200, status)
+        return [int(line[4:]) for line in body.splitlines() if line.startswith("id: ")]
+
+    def test_slow_first_event_of_the_only_holder_is_waited_for(self):
+        """The call was given up with no other upstream to go to, and answered with 502."""
+        self.leave_one_engine()
+        self.engines[0].pauses = {1: 1.8}
+        self.assertEqual(list(range(1, 11)), self.chat())
+        self.assertEqual(1, len(self.engines[0].seen))
+
+    def test_pause_inside_a_stream_of_the_only_holder_is_waited_for(self):
+        """The stream was broken off, though nobody else could go on with it."""
+        self.leave_one_engine()
+        self.engines[0].pauses = {5: 2.0}
+        self.assertEqual(list(range(1, 11)), self.chat())
+        self.assertEqual(1, len(self.engines[0].seen))
+
+    def test_silent_upstream_is_left_for_one_that_becomes_able_to_serve(self):
+        """Guards against a silence that is looked at only once, before the other upstream is there."""
+        self.leave_one_engine()
+        self.engines[0].pauses = {5: 2.9}
+        back = threading.Timer(1.5, self.platform.change,
+                               (self.platform.store.put, "servers/engine1", self.engines[1].record()))
+        back.start()
+        began = time.monotonic()
+        self.assertEqual(list(range(1, 11)), self.chat())
+        back.join()
+        self.assertLess(time.monotonic() - began, 2.9)
+        self.assertEqual(["4"], [headers.get("last-event-id") for headers in self.engines[1].seen])
+
     def test_withdrawn_key_stops_working(self):
         self.assertEqual(200, self.gateways[0].call("/again/x")[0])
         self.platform.publish(3, ["k2"], ROUTES)
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -142,6 +142,7 @@
         self.fail_resumed = False   # answers a resumed stream with a signed error
         self.drop_requests = False  # runs a request and closes without an answer
         self.delay = 0.01
+        self.pauses = {}     # seconds before the event of that number, once each
 
     def record(self, state="ready"):
         models = [{"name": m, "version": 1, "adapters": sorted(a)} for m, a in self.models.items()]
@@ -201,6 +202,7 @@
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in head.items()) + "\r\n").encode())
         first = int(headers.get("last-event-id", 0)) + 1
         for number in range(first, 11):
+            await asyncio.sleep(self.pauses.pop(number, 0))
             event = f"id: {number}\ndata: token{number}\n\n".encode()
             if self.break_after is not None and number > self.break_after:
                 event = event[:7]
