Look again when the second upstream turns a request away

The first upstream had been left for its silence, the second one refused. The request may have run at the first, so it could not be refused with 503, and its attempts were used up.

A refusal is no run, so it takes away no attempt once the request may have run; at most three such sends are added, each within the retry budget. If no other upstream is left after a refusal, a failed connect or a connection limit, the request looks again after 400 ms among all upstreams, also the one that it left. It ends with a failure only when it then finds nobody, at the limit, without budget, or at its deadline. A request that cannot have run is refused with 503 and Retry-After as before; that count is exact: a refusal and a failed connect take their send back, a silence, a break or a malformed answer does not.

Same place: the connection limit answered 503 "not run" also to a request that had been sent before. It now fails with 502. No test of its own: the limit needs many connections to four upstreams after a run.

Ruled out: waiting after a broken connection as well. An upstream that broke off may have crashed with the request, and a caller's own retry is as quick.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -84,7 +84,9 @@
   void onRefused(const boundary::AnswerFacts& aFacts);
   void onSpoiled(const char* aReason);
   void retryElsewhere(const char* aReason);
+  bool attemptsLeft() const;
   bool mayRetry();
+  void lookAgain();
   void armSilence();
   void watchSilence(base::Duration aLimit);
   void onSilence(base::Duration aLimit);
@@ -130,6 +132,7 @@
   unsigned mUnresolved = 0; ///< sends after which the request may have run
   bool mWaited = false;
   bool mSilenceNoted = false;
+  bool mTurnedAway = false; ///< since the last look for an upstream
   bool mEnded = false;
 
   std::unique_ptr<wire::PooledCall> mCall;
--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -73,7 +73,7 @@
 void
 Exchange::onSilence(base::Duration aLimit)
 {
-  if (mEnded || !mCall || mSends >= mRoute->attempts) {
+  if (mEnded || !mCall || !attemptsLeft()) {
     return;
   }
   // A caller that reads slowly holds up its upstream itself.
@@ -262,6 +262,7 @@
 {
   const base::TimePoint now = base::monotonicNow();
   --mUnresolved;
+  mTurnedAway = true;
   constexpr int kMisdirected = 421;
   const auto upstream = mHold ? mHold->upstream() : nullptr;
   endCall();
@@ -289,6 +290,7 @@
   if (aFailure == wire::CallFailure::NotConnected) {
     --mUnresolved;
     --mSends;
+    mTurnedAway = true;
     mPath.health.onUnreachable(mLastUpstream, now);
     mPath.crashes.onUpstreamGone(mLastUpstream, now);
     mPath.log.step(mFacts.id, "unreachable upstream", mLastUpstream, "", now);
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -22,6 +22,9 @@
 /** An order reaches its engine and the result this VM within this. */
 constexpr base::Duration kOrderDelay = 600ms;
 constexpr base::Duration kOverloadRetry = 400ms;
+/** A request that was turned away this often beside its attempts met an
+ * overload that outlasts it. */
+constexpr unsigned kMostFruitlessSends = 3;
 
 } // namespace
 
@@ -116,6 +119,10 @@
     return;
   }
   if (mayHaveRun()) {
+    if (mTurnedAway && timeLeft() > kOverloadRetry + kLeastTimeLeft) {
+      lookAgain();
+      return;
+    }
     fail(Code::UpstreamFailed, "no further upstream");
     return;
   }
@@ -209,10 +216,37 @@
   mPath.waiting.enter(*mFacts.model, shared_from_this());
 }
 
+void
+Exchange::lookAgain()
+{
+  mPath.log.step(mFacts.id,
+                 "turned away",
+                 mLastUpstream,
+                 "looks again later",
+                 base::monotonicNow());
+  mTurnedAway = false;
+  mTried.clear();
+  mSilence = mPath.loop.after(kOverloadRetry, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->retry();
+    }
+  });
+}
+
+bool
+Exchange::attemptsLeft() const
+{
+  // Once the request may have run, the caller cannot be told that it has not;
+  // an upstream that refused it then takes away no attempt.
+  return mayHaveRun() ? mUnresolved < mRoute->attempts &&
+                          mSends < mRoute->attempts + kMostFruitlessSends
+                      : mSends < mRoute->attempts;
+}
+
 bool
 Exchange::mayRetry()
 {
-  return mSends < mRoute->attempts && timeLeft() > kLeastTimeLeft &&
+  return attemptsLeft() && timeLeft() > kLeastTimeLeft &&
          mPath.retries.spend(mService->name, base::monotonicNow());
 }
 
@@ -325,11 +359,14 @@
   auto call = startCall(aUpstream);
   if (!call) {
     mTried.insert(aUpstream->record.name);
-    if (++mUnreachable >= kMostUnreachable) {
+    mTurnedAway = true;
+    if (++mUnreachable < kMostUnreachable) {
+      dispatch();
+    } else if (mayHaveRun()) {
+      fail(Code::UpstreamFailed, "connection limits reached");
+    } else {
       refuse(Code::Overloaded, "connection limits reached", kOverloadRetry);
-      return;
     }
-    dispatch();
     return;
   }
   adopt(aUpstream, std::move(call));
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -145,6 +145,18 @@
         self.assertLess(time.monotonic() - began, 2.9)
         self.assertEqual(["4"], [headers.get("last-event-id") for headers in self.engines[1].seen])
 
+    def test_refusal_after_a_silence_does_not_end_the_request(self):
+        """The refusal used up the attempts, and the caller got 502."""
+        self.leave_one_engine()
+        self.engines[0].pauses = {1: 2.9}
+        self.engines[1].refusals = 1
+        back = threading.Timer(0.3, self.platform.change,
+                               (self.platform.store.put, "servers/engine1", self.engines[1].record()))
+        back.start()
+        self.assertEqual(list(range(1, 11)), self.chat())
+        back.join()
+        self.assertEqual(0, self.engines[1].refusals)
+
     def test_withdrawn_key_stops_working(self):
         self.assertEqual(200, self.gateways[0].call("/again/x")[0])
         self.platform.publish(3, ["k2"], ROUTES)
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -143,6 +143,7 @@
         self.drop_requests = False  # runs a request and closes without an answer
         self.delay = 0.01
         self.pauses = {}     # seconds before the event of that number, once each
+        self.refusals = 0    # that many requests are refused as if the queue were full
 
     def record(self, state="ready"):
         models = [{"name": m, "version": 1, "adapters": sorted(a)} for m, a in self.models.items()]
@@ -169,6 +170,10 @@
         if model and (model not in self.models or (adapter and adapter not in self.models[model])):
             writer.write(answer_bytes(421, signature, b""))
             return True
+        if self.refusals > 0:
+            self.refusals -= 1
+            writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "1"}, b""))
+            return True
         self.seen.append(headers)
         await asyncio.sleep(self.delay)
         if self.drop_requests:
