--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -22,6 +22,9 @@
 /** An order reaches its engine and the result this VM within this. */
 constexpr base::Duration kOrderDelay = 600ms;
 constexpr base::Duration kOverloadRetry = 400ms;
+/** A request that was turned away this often beside its attempts met an
+ * overload that outlasts it. */
+constexpr unsigned kMostFruitlessSends = 3;
 
 } // namespace
 
@@ -67,6 +70,14 @@
   return candidate;
 }
 
+dispatch::Need
+Exchange::need() const
+{
+  dispatch::Need need;
+  need.tokens = isEngineCall() ? mFacts.promptTokens + outputTokens() : 0;
+  return need;
+}
+
 std::vector<dispatch::Candidate>
 Exchange::candidates(std::vector<std::shared_ptr<Upstream>>& aUpstreams) const
 {
@@ -98,9 +109,7 @@
   }
   std::vector<std::shared_ptr<Upstream>> upstreams;
   const auto found = candidates(upstreams);
-  dispatch::Need need;
-  need.tokens = isEngineCall() ? mFacts.promptTokens + outputTokens() : 0;
-  const auto choice = dispatch::choose(found, need, mPath.random.bits());
+  const auto choice = dispatch::choose(found, need(), mPath.random.bits());
   if (choice) {
     if (worthSending(*choice)) {
       mQueuedAhead = found[choice->index].queuedMs;
@@ -110,6 +119,10 @@
     return;
   }
   if (mayHaveRun()) {
+    if (mTurnedAway && timeLeft() > kOverloadRetry + kLeastTimeLeft) {
+      lookAgain();
+      return;
+    }
     fail(Code::UpstreamFailed, "no further upstream");
     return;
   }
@@ -203,10 +216,37 @@
   mPath.waiting.enter(*mFacts.model, shared_from_this());
 }
 
+void
+Exchange::lookAgain()
+{
+  mPath.log.step(mFacts.id,
+                 "turned away",
+                 mLastUpstream,
+                 "looks again later",
+                 base::monotonicNow());
+  mTurnedAway = false;
+  mTried.clear();
+  mSilence = mPath.loop.after(kOverloadRetry, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->retry();
+    }
+  });
+}
+
+bool
+Exchange::attemptsLeft() const
+{
+  // Once the request may have run, the caller cannot be told that it has not;
+  // an upstream that refused it then takes away no attempt.
+  return mayHaveRun() ? mUnresolved < mRoute->attempts &&
+                          mSends < mRoute->attempts + kMostFruitlessSends
+                      : mSends < mRoute->attempts;
+}
+
 bool
 Exchange::mayRetry()
 {
-  return mSends < mRoute->attempts && timeLeft() > kLeastTimeLeft &&
+  return attemptsLeft() && timeLeft() > kLeastTimeLeft &&
          mPath.retries.spend(mService->name, base::monotonicNow());
 }
 
@@ -230,12 +270,39 @@
   fail(Code::UpstreamFailed, aReason);
 }
 
-void
-Exchange::send(const std::shared_ptr<Upstream>& aUpstream)
+bool
+Exchange::moveElsewhere()
+{
+  std::vector<std::shared_ptr<Upstream>> upstreams;
+  const auto found = candidates(upstreams);
+  const auto choice =
+    dispatch::chooseReplacement(found, need(), timeLeft(), mPath.random.bits());
+  const base::TimePoint now = base::monotonicNow();
+  if (!choice || !mPath.retries.spend(mService->name, now)) {
+    return false;
+  }
+  const auto& upstream = upstreams[choice->index];
+  auto call = startCall(upstream);
+  if (!call) {
+    return false;
+  }
+  mPath.health.onFailure(mLastUpstream, now);
+  mPath.log.step(mFacts.id,
+                 "silent upstream",
+                 mLastUpstream,
+                 "goes on at " + upstream->record.name,
+                 now);
+  endCall();
+  mQueuedAhead = found[choice->index].queuedMs;
+  mOwnMs = found[choice->index].ownMs;
+  adopt(upstream, std::move(call));
+  return true;
+}
+
+std::unique_ptr<wire::PooledCall>
+Exchange::startCall(const std::shared_ptr<Upstream>& aUpstream)
 {
   const catalog::UpstreamRecord& record = aUpstream->record;
-  mTried.insert(record.name);
-  mLastUpstream = record.name;
   boundary::ForwardFacts facts;
   facts.upstream = record.name;
   facts.timeLeft = timeLeft();
@@ -277,17 +344,42 @@
   const std::size_t limit = std::max(
     kLeastConnections,
     mService->maxConnections / std::max<std::size_t>(1, mPath.fleetSize));
-  mCall = mPath.pool.start(aUpstream->peer(), call, std::move(events), limit);
-  if (!mCall) {
+  auto started =
+    mPath.pool.start(aUpstream->peer(), call, std::move(events), limit);
+  if (!started) {
     mPath.log.step(
       mFacts.id, "connection limit", record.name, "", base::monotonicNow());
-    if (++mUnreachable >= kMostUnreachable) {
+  }
+  return started;
+}
+
+void
+Exchange::send(const std::shared_ptr<Upstream>& aUpstream)
+{
+  auto call = startCall(aUpstream);
+  if (!call) {
+    mTried.insert(aUpstream->record.name);
+    mTurnedAway = true;
+    if (++mUnreachable < kMostUnreachable) {
+      dispatch();
+    } else if (mayHaveRun()) {
+      fail(Code::UpstreamFailed, "connection limits reached");
+    } else {
       refuse(Code::Overloaded, "connection limits reached", kOverloadRetry);
-      return;
     }
-    dispatch();
     return;
   }
+  adopt(aUpstream, std::move(call));
+}
+
+void
+Exchange::adopt(const std::shared_ptr<Upstream>& aUpstream,
+                std::unique_ptr<wire::PooledCall> aCall)
+{
+  const base::UpstreamName& name = aUpstream->record.name;
+  mCall = std::move(aCall);
+  mTried.insert(name);
+  mLastUpstream = name;
   mSentAt = base::monotonicNow();
   ++mSends;
   mHold = std::make_unique<LoadHold>(
@@ -301,7 +393,7 @@
   mEvents.clear();
   if (isEngineCall()) {
     ++mPath.runningByModel[*mFacts.model];
-    mPath.prefixes.note(record.name, mFacts.model->text(), mFacts.prompt);
+    mPath.prefixes.note(name, mFacts.model->text(), mFacts.prompt);
   }
   armSilence();
 }
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -142,6 +142,8 @@
         self.fail_resumed = False   # answers a resumed stream with a signed error
         self.drop_requests = False  # runs a request and closes without an answer
         self.delay = 0.01
+        self.pauses = {}     # seconds before the event of that number, once each
+        self.refusals = 0    # that many requests are refused as if the queue were full
 
     def record(self, state="ready"):
         models = [{"name": m, "version": 1, "adapters": sorted(a)} for m, a in self.models.items()]
@@ -168,6 +170,10 @@
         if model and (model not in self.models or (adapter and adapter not in self.models[model])):
             writer.write(answer_bytes(421, signature, b""))
             return True
+        if self.refusals > 0:
+            self.refusals -= 1
+            writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "1"}, b""))
+            return True
         self.seen.append(headers)
         await asyncio.sleep(self.delay)
         if self.drop_requests:
@@ -201,6 +207,7 @@
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in head.items()) + "\r\n").encode())
         first = int(headers.get("last-event-id", 0)) + 1
         for number in range(first, 11):
+            await asyncio.sleep(self.pauses.pop(number, 0))
             event = f"id: {number}\ndata: token{number}\n\n".encode()
             if self.break_after is not None and number > self.break_after:
                 event = event[:7]
