Keep a closing connection while its caller reads the answer

Callers on a slow link could lose the end of a whole answer. After the last answer of a connection its timer (1 s, or the idle timeout without a close) removed it, even with output still waiting: at 10 Mbit/s one second carries little more than 1 MB, and a slow reader much less.

The timer now leaves a connection alone while output waits and the caller has read some of it within the idle timeout. The linger second begins when the last byte was handed to the socket. A peer that is gone is still found by TCP_USER_TIMEOUT, and a stopping process still ends at its own limit.

--- a/libs/wire/caller.cpp
+++ b/libs/wire/caller.cpp
@@ -59,6 +59,7 @@
                            // flushed and the last one still waits.
                            if (mClosing && mTransport.pendingOutput() == 0) {
                              mTransport.shutdownOutput();
+                             armTimer(kLinger);
                            }
                          },
                          [this](TransportEnd) { ended(); } });
@@ -81,9 +82,25 @@
     refuse(408);
     return;
   }
+  if (outputIsRead()) {
+    armTimer(kLinger);
+    return;
+  }
   remove();
 }
 
+bool
+Caller::outputIsRead()
+{
+  const std::size_t waiting = mTransport.pendingOutput();
+  const base::TimePoint now = base::monotonicNow();
+  if (waiting < mOutputSeen) {
+    mOutputReadAt = now;
+  }
+  mOutputSeen = waiting;
+  return waiting > 0 && now - mOutputReadAt < mServer.mLimits.idleTimeout;
+}
+
 void
 Caller::readInput()
 {
@@ -277,6 +294,8 @@
   --mServer.mOpenRequests;
   mGone = nullptr;
   mRequest = Request{};
+  mOutputSeen = mTransport.pendingOutput();
+  mOutputReadAt = base::monotonicNow();
   if (mCloseAfter) {
     beginClose();
     return;
--- a/libs/wire/caller.h
+++ b/libs/wire/caller.h
@@ -83,6 +83,7 @@
   void ended();
   void armTimer(base::Duration aDelay);
   void timerExpired();
+  bool outputIsRead();
 
   CallerServer& mServer;
   Transport mTransport;
@@ -91,6 +92,8 @@
   base::TimePoint mReceived{};
   std::function<void()> mGone;
   http::Watch mTimer;
+  std::size_t mOutputSeen = 0; ///< bytes that waited at the last look
+  base::TimePoint mOutputReadAt{};
   bool mBusy = false;
   bool mAnswerStarted = false;
   bool mChunked = false;
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -364,6 +364,37 @@
   CHECK(received.ends_with("done"));
 }
 
+// Guards against an answer that is cut because its caller reads for longer than
+// a connection lingers.
+TEST(CallerServer, SlowReaderGetsItsWholeAnswer)
+{
+  constexpr std::size_t kSize = 32UL * 1024 * 1024;
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    aCaller->answer(200, {}, std::string(kSize, 'x'));
+  });
+  server.closeAfterAnswers();
+  CHECK(bool(server.listen(kAddress)));
+  std::atomic<bool> ended = false;
+  std::size_t received = 0;
+  std::thread caller([&] {
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    const int descriptor = connectToServer();
+    (void)!write(descriptor, request.data(), request.size());
+    std::this_thread::sleep_for(1500ms);
+    std::vector<char> buffer(kSize);
+    for (ssize_t size = 1; size > 0;) {
+      size = read(descriptor, buffer.data(), buffer.size());
+      received += size > 0 ? static_cast<std::size_t>(size) : 0;
+    }
+    close(descriptor);
+    ended = true;
+  });
+  runUntil(loop, ended, 5s);
+  caller.join();
+  runPosted(loop);
+  CHECK(received > kSize);
+}
+
 // Guards against a malformed request that is left without any answer.
 TEST(CallerServer, AnswersMalformedRequests)
 {
