Install the signal handlers before the first listener

A SIGHUP or SIGTERM that arrived while the process started ended it by its default action, with listeners up and connections accepted, and restarted it uselessly. Node::run installed the handlers after four listeners and the first calls to the store. They now come first; a signal is handled once the loop runs, a SIGTERM by the usual drain. Before run() nothing has begun, and the default action is right.

Looked at: a settings file that is half written. All keys are required, so a text that was cut short is rejected with a log line, and the settings in force stay; only a cut inside the very last number goes unnoticed, and that key (quota_slack) is not taken over by a reload.

--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -162,6 +162,9 @@
                    { { "version", MARIGOLD_VERSION },
                      { "data_centre", mSettings.dataCentre },
                      { "incarnation", std::to_string(mIncarnation) } });
+  // Their default action would end the process beside what it has begun.
+  mWatches.push_back(mLoop.onSignal(SIGTERM, [this] { beginDrain(); }));
+  mWatches.push_back(mLoop.onSignal(SIGHUP, [this] { reloadSettings(); }));
   BOOST_LEAF_CHECK(mOperator.listen(mSettings.operatorAddress));
   BOOST_LEAF_CHECK(mReadyServer.listen(mSettings.ready));
   BOOST_LEAF_CHECK(mExchange.listen());
@@ -169,8 +172,6 @@
   mCatalogWatch.start();
   mUpstreamWatch.start();
   mFleet.start();
-  mWatches.push_back(mLoop.onSignal(SIGTERM, [this] { beginDrain(); }));
-  mWatches.push_back(mLoop.onSignal(SIGHUP, [this] { reloadSettings(); }));
   mWatches.push_back(mLoop.every(kTickPeriod, [this] { tick(); }));
   mLoop.run();
   observe::logInfo("stop");
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -9,7 +9,7 @@
 import time
 import unittest
 
-from gateway_process import ORDER_PAUSE, Gateway
+from gateway_process import OPERATOR, ORDER_PAUSE, Gateway
 from users_platform import HOST, ROUTES, Platform, Upstream
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
@@ -244,6 +244,24 @@
         self.assertTrue(received.startswith(b"HTTP/1.1 200"))
         self.assertEqual(0, gateway.child.wait(timeout=9))
 
+    def test_signal_right_after_the_start_ends_the_process_in_order(self):
+        """Its default action ended the process while its listeners stood and handlers did not."""
+        for _ in range(10):
+            gateway = Gateway(1, self.folder.name, BASE_PORT + 10, self.store_ports[1])
+            self.gateways.append(gateway)
+            until = time.monotonic() + 5
+            while time.monotonic() < until:
+                try:
+                    socket.create_connection((HOST, gateway.port + OPERATOR)).close()
+                    break
+                except ConnectionRefusedError:
+                    pass
+            gateway.child.send_signal(signal.SIGHUP)
+            gateway.child.send_signal(signal.SIGTERM)
+            time.sleep(0.3)
+            self.assertIsNone(gateway.child.poll())
+            gateway.stop()
+
     def test_request_that_waits_for_a_model_is_refused_before_a_planned_stop(self):
         """Its connection was closed without an answer at the end of the grace period."""
         gateway = self.gateways[0]
