Time a planned stop by timers and begin nothing late in it

Callers whose request was read late in a planned stop lost it when the process ended: the request was sent on as long as an answer was thinkable at all, and cut 0.85 of the grace period after the signal. It can be served elsewhere at once, so a request read after the end of listening (2.6 s after the signal) is now refused with 503, not run, Retry-After 50 ms. This goes by the clock: a loop that runs late refuses it, too.

The end of listening, the end of open requests and the end of the process were looked at in a tick of 250 ms and so came up to that much late. Each has a timer of its own now. The process used to end 400 ms after open requests, even while callers read their last bytes; it now stays until they have left, at most until 0.95 of the grace period, still before the kill.

Looked at: streams that are cut at 0.85 of the grace period while their upstream works. With 8 s of grace that is in the last sixth; requests that came within 3 s of the signal are lost there by the platform's own limit, and later ones are now refused instead of begun.

The moments of the timers have no test of their own.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -76,6 +76,10 @@
 Exchange::begin()
 {
   mPath.open.insert(shared_from_this());
+  if (mPath.refusesFrom && base::monotonicNow() > *mPath.refusesFrom) {
+    refuse(Code::Draining, "the process stops", kDrainingRetry);
+    return;
+  }
   if (!mCatalog) {
     refuse(Code::NotReady, "no configuration yet", kNotReadyRetry);
     return;
--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -25,8 +25,9 @@
 /** Part of the grace period after which open requests are ended, so that their
  * callers still get an answer. */
 constexpr double kServeUntil = 0.85;
-/** Time for the last bytes before the process ends by itself. */
-constexpr base::Duration kFlushPeriod = 400ms;
+/** Part of the grace period after which the process ends by itself, even if
+ * callers have not read all of their answers. */
+constexpr double kRunUntil = 0.95;
 
 base::Incarnation
 drawIncarnation()
@@ -66,10 +67,10 @@
   , mPeers(mSettings.dataCentre)
   , mPool(mLoop)
   , mRequestLog(mMetrics)
-  , mPath{ mLoop,    mSettings, mCatalog, mUpstreams, mPeers,
-           mQuota,   mPool,     mHealth,  mWork,      mPrefixes,
-           mRetries, mCrashes,  mDemand,  mWaiting,   mRequestLog,
-           mRandom,  1,         {},       {},         {} }
+  , mPath{ mLoop,   mSettings, mCatalog,    mUpstreams, mPeers,   mQuota,
+           mPool,   mHealth,   mWork,       mPrefixes,  mRetries, mCrashes,
+           mDemand, mWaiting,  mRequestLog, mRandom,    1,        {},
+           {},      {},        {} }
   , mFleet(mLoop, mPlatform, mSettings, mIncarnation)
   , mCatalogWatch(mLoop,
                   mPlatform,
@@ -440,9 +441,16 @@
   }
   mDraining = true;
   mDrainBegan = base::monotonicNow();
-  mPath.stopsAt =
-    mDrainBegan +
-    base::fromSeconds(base::inSeconds(mSettings.gracePeriod) * kServeUntil);
+  const double grace = base::inSeconds(mSettings.gracePeriod);
+  const auto serve = base::fromSeconds(grace * kServeUntil);
+  mPath.stopsAt = mDrainBegan + serve;
+  const auto notice = std::min(kDrainNotice, serve);
+  mPath.refusesFrom = mDrainBegan + notice;
+  // Timers of their own, because the tick may be a whole period late.
+  mWatches.push_back(mLoop.after(notice, [this] { stopListening(); }));
+  mWatches.push_back(mLoop.after(serve, [this] { endOpenRequests(); }));
+  mWatches.push_back(mLoop.after(base::fromSeconds(grace * kRunUntil),
+                                 [this] { mLoop.stop(); }));
   mOrders.stop();
   mFleet.releaseOwnership();
   mCallers.closeAfterAnswers();
@@ -453,27 +461,31 @@
 void
 Node::continueDrain()
 {
-  const base::Duration passed = base::monotonicNow() - mDrainBegan;
-  if (passed > kDrainNotice && !mStopped) {
-    mStopped = true;
-    mCallers.stop();
-    mFleet.leave();
-  }
-  if (base::monotonicNow() > *mPath.stopsAt) {
-    for (const auto& request : std::set(mPath.open)) {
-      request->shutdown();
-    }
-  }
-  if (mStopped && mCallers.openRequests() == 0) {
-    mExchange.depart();
+  if (!mStopped || mCallers.openRequests() > 0) {
+    return;
   }
-  const bool done =
-    mStopped && mCallers.openRequests() == 0 && mCallers.connections() == 0;
-  if (done || base::monotonicNow() > *mPath.stopsAt + kFlushPeriod) {
+  mExchange.depart();
+  if (mCallers.connections() == 0) {
     mLoop.stop();
   }
 }
 
+void
+Node::stopListening()
+{
+  mStopped = true;
+  mCallers.stop();
+  mFleet.leave();
+}
+
+void
+Node::endOpenRequests()
+{
+  for (const auto& request : std::set(mPath.open)) {
+    request->shutdown();
+  }
+}
+
 void
 Node::reloadSettings()
 {
--- a/apps/gateway/node.h
+++ b/apps/gateway/node.h
@@ -39,6 +39,8 @@
   bool ready() const;
   void beginDrain();
   void continueDrain();
+  void stopListening();
+  void endOpenRequests();
   void reloadSettings();
   void serveReady(const std::shared_ptr<http::Responder>& aResponder);
   void addDumps();
--- a/apps/gateway/request_path.h
+++ b/apps/gateway/request_path.h
@@ -41,6 +41,8 @@
   std::set<std::shared_ptr<Waiter>> open;
   /** Set while the process is being stopped: requests end before it. */
   std::optional<base::TimePoint> stopsAt;
+  /** Set with it: a request that is read later goes to another process. */
+  std::optional<base::TimePoint> refusesFrom;
 };
 
 } // namespace marigold::gateway
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -262,6 +262,22 @@
             self.assertIsNone(gateway.child.poll())
             gateway.stop()
 
+    def test_request_read_late_in_a_planned_stop_is_not_begun(self):
+        """It was sent on, and broken off when the process ended."""
+        for desk in self.desks:
+            desk.delay = 9
+        gateway = self.gateways[0]
+        caller = socket.create_connection((HOST, gateway.port))
+        caller.sendall(b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+                       b"X-Request-Id: r\r\nContent-Length: 2\r\n\r\nx")
+        time.sleep(0.2)
+        gateway.child.send_signal(signal.SIGTERM)
+        time.sleep(3.1)
+        caller.sendall(b"y")
+        caller.settimeout(9)
+        self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 503"))
+        self.assertEqual(0, self.runs())
+
     def test_request_that_waits_for_a_model_is_refused_before_a_planned_stop(self):
         """Its connection was closed without an answer at the end of the grace period."""
         gateway = self.gateways[0]
