Divide a bucket as it was when a peer was last heard

Cause: for each peer that fell silent, noteSilence took (burst + rate * silent seconds) / VMs out of the bucket. A full bucket is capped, so the inflow of those seconds had never come in. With 80 silent peers that is a debt of about one second of the whole rate, paid back at 1/81 of the rate. Besides, a second silence overwrote a reserve that no report had settled yet, and settle() credited a peer's inflow beyond the cap of the peer's own bucket.

Now each bucket keeps a short history in spans of 1/16 of the silence (level, what this VM took, what peers took; the share heard and the inflow are common to all buckets), at most a few dozen spans. When a peer falls silent, the pool of the span in which it was last heard is divided by shares, also if it is negative, and the spans after it are replayed with the smaller share, so this side's use since then counts against its own part. The work is done once a peer falls silent; refill() and admit() only add to the newest span. A peer that falls silent again before a report has settled a team keeps its part of before and gets only what is missing to a share. A report returns at most what the peer's capped bucket can have left, so the estimate errs to the low side. Debts of a peer that starts again or departs return to this side. A pause of this process is a split from all peers at its last step, except that debts stay whole.

Ruled out: charging (level + use since) by shares without a replay. It is as safe, but it takes back most of the share that an isolated VM rightly used before it noticed the cut.

The new tests on the code before: IsolatedVmWithAFullBucketKeepsExactlyItsShare expected <12345.68>, but was <-983209.9> IsolatedVmPaysBackOnlyWhatItTookBeyondItsShare CHECK(level >= least) failed DebtIsDividedBetweenTheSides CHECK(-quota.level("t") < 1.1 * debt * kShare) failed FlappingPeerCostsNothingForGood CHECK(quota.level("t") > 950) failed PeerThatTookItsWholePartLeavesNothing CHECK(quota.level("t") <= 501) failed RandomPartitionsStayWithinRateAndBurst passes before and after: it guards conservation.

--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -24,6 +24,9 @@
 constexpr base::Duration kLongestGap = 500ms;
 /** A partition of an hour with some minutes to notice its end. */
 constexpr base::Duration kReserveLapsed = 65min;
+/** Spans of the history over the silence after which a peer is cut off: what is
+ * known of the moment of a cut is exact to about 60 ms, under one report. */
+constexpr unsigned kSpansOfSilence = 16;
 /** After this, a bucket that began empty holds what the fleet has left. */
 constexpr base::Duration kSettleAfter = 20s;
 /** Processes of a VM whose totals are kept: the latest and the one before. */
@@ -41,11 +44,22 @@
   std::erase_if(mBuckets, [&aLimits](const auto& aItem) {
     return !aLimits.contains(aItem.first);
   });
+  bool changed = false;
   for (const auto& [team, limit] : aLimits) {
     Bucket& bucket = mBuckets[team];
+    changed = changed || bucket.flows.empty() || bucket.limit != limit;
     bucket.limit = limit;
     bucket.level = std::min(bucket.level, limit.burst);
   }
+  if (!changed) {
+    return;
+  }
+  // The history cannot be replayed with other limits.
+  mSpans.clear();
+  for (auto& [team, bucket] : mBuckets) {
+    bucket.flows.clear();
+  }
+  beginSpan(aNow);
 }
 
 void
@@ -91,7 +105,12 @@
 FleetQuota::onDeparted(const base::VmName& aPeer, base::TimePoint aNow)
 {
   refill(aNow);
-  mPeers.erase(aPeer);
+  const auto found = mPeers.find(aPeer);
+  if (found == mPeers.end()) {
+    return;
+  }
+  forfeit(found->second, aNow);
+  mPeers.erase(found);
 }
 
 std::vector<base::VmName>
@@ -122,39 +141,153 @@
   return 1 - static_cast<double>(silent) * shareOfOne();
 }
 
+void
+FleetQuota::beginSpan(base::TimePoint aNow)
+{
+  mSpans.push_back({ aNow, reach(), 0 });
+  for (auto& [team, bucket] : mBuckets) {
+    bucket.flows.push_back({ bucket.level, 0, 0 });
+  }
+  while (aNow - mSpans.front().from > mSilence + kLongestGap) {
+    mSpans.pop_front();
+    for (auto& [team, bucket] : mBuckets) {
+      bucket.flows.pop_front();
+    }
+  }
+}
+
 void
 FleetQuota::noteSilence(base::TimePoint aNow)
 {
+  std::vector<Peer*> silent;
   for (auto& [name, peer] : mPeers) {
-    if (peer.silent || aNow - peer.heardAt <= mSilence) {
-      continue;
+    if (!peer.silent && aNow - peer.heardAt > mSilence) {
+      silent.push_back(&peer);
     }
-    peer.silent = true;
-    // Its share of the burst was part of this copy, and its share of the rate
-    // has flowed in since it was last heard, although it may use both itself.
-    const double seconds = base::inSeconds(aNow - peer.heardAt);
-    for (auto& [team, bucket] : mBuckets) {
-      const double charge =
-        (bucket.limit.burst + bucket.limit.rate * seconds) * shareOfOne();
-      bucket.level -= charge;
-      peer.reserves[team] = { charge, aNow, std::nullopt };
+  }
+  // A later split starts from what the earlier ones have left.
+  std::sort(
+    silent.begin(), silent.end(), [](const Peer* aOne, const Peer* aTwo) {
+      return aOne->heardAt < aTwo->heardAt;
+    });
+  for (Peer* peer : silent) {
+    splitOff(*peer, peer->heardAt, true);
+  }
+}
+
+/** Units that the common bucket held when a peer was heard last in a span. */
+double
+FleetQuota::poolOf(const Bucket& aBucket, std::size_t aSpan) const
+{
+  const Flow& flow = aBucket.flows[aSpan];
+  const Span& span = mSpans[aSpan];
+  const double filled = flow.level + aBucket.limit.rate * span.inflow;
+  return std::min(aBucket.limit.burst * span.reach, filled) - flow.peers;
+}
+
+/** Divides every bucket as it was when the peer was heard last, and takes what
+ * this side used since then out of the part that stays. */
+void
+FleetQuota::splitOff(Peer& aPeer, base::TimePoint aAt, bool aDividesDebts)
+{
+  aPeer.silent = true;
+  std::size_t first = mSpans.size() - 1;
+  while (first > 0 && mSpans[first].from > aAt) {
+    --first;
+  }
+  const double share = shareOfOne();
+  const double part = share / std::max(mSpans[first].reach, share + share);
+  for (auto& [team, bucket] : mBuckets) {
+    const double pool = poolOf(bucket, first);
+    Reserve& reserve = aPeer.reserves[team];
+    // A peer that falls silent again before it has reported the team still has
+    // its part of the time before, so it needs only what is missing to a share.
+    const double before = partOf(reserve, bucket.limit);
+    const double held = std::min(bucket.limit.burst * share, before);
+    const double least = aDividesDebts ? std::min(0.0, pool * part) : 0;
+    const double charge = std::max(least, pool * part - held * (1 - part));
+    reserve.level = before + charge;
+    reserve.since = aAt;
+    reserve.until.reset();
+    bucket.flows[first].level = pool - charge;
+    bucket.flows[first].peers = 0;
+  }
+  mSpans[first].inflow = 0;
+  for (std::size_t index = first; index < mSpans.size(); ++index) {
+    Span& span = mSpans[index];
+    const base::TimePoint end =
+      index + 1 < mSpans.size() ? mSpans[index + 1].from : mRefilled;
+    const double seconds = base::inSeconds(end - span.from);
+    span.reach = std::max(span.reach - share, share);
+    if (index > first) {
+      span.inflow = std::max(span.inflow - seconds * share, seconds * share);
+    }
+  }
+  for (auto& [team, bucket] : mBuckets) {
+    replay(bucket, first);
+  }
+}
+
+void
+FleetQuota::replay(Bucket& aBucket, std::size_t aFirst) const
+{
+  for (std::size_t index = aFirst; index < mSpans.size(); ++index) {
+    const double left = poolOf(aBucket, index) - aBucket.flows[index].own;
+    const double after =
+      std::min(left, aBucket.limit.burst * mSpans[index].reach);
+    if (index + 1 < mSpans.size()) {
+      aBucket.flows[index + 1].level = after;
+    } else {
+      aBucket.level = after;
     }
   }
 }
 
+/** @return units of the peer's part when it was heard again, if it took none */
+double
+FleetQuota::partOf(const Reserve& aReserve, const Limit& aLimit) const
+{
+  if (aReserve.since == base::TimePoint{}) {
+    return 0;
+  }
+  const base::TimePoint until = aReserve.until.value_or(aReserve.since);
+  return aReserve.level +
+         aLimit.rate * shareOfOne() * base::inSeconds(until - aReserve.since);
+}
+
+/** @return what a report adds to the bucket */
 double
 FleetQuota::settle(Peer& aPeer,
                    const base::TeamName& aTeam,
-                   const Bucket& aBucket) const
+                   const Bucket& aBucket,
+                   double aTaken) const
 {
   const auto found = aPeer.reserves.find(aTeam);
-  if (found == aPeer.reserves.end() || !found->second.until) {
-    return 0;
+  if (found == aPeer.reserves.end()) {
+    return -aTaken;
   }
-  const Reserve reserve = found->second;
+  const double part = partOf(found->second, aBucket.limit);
   aPeer.reserves.erase(found);
-  const double seconds = base::inSeconds(*reserve.until - reserve.since);
-  return reserve.charged + aBucket.limit.rate * seconds * shareOfOne();
+  // The peer's own bucket was capped, perhaps before it took the units.
+  const double capped = std::min(part, aBucket.limit.burst * shareOfOne());
+  return std::min(part - aTaken, std::max(0.0, capped - aTaken));
+}
+
+/** Gives up what a peer had for itself; its debts stay with this side. */
+void
+FleetQuota::forfeit(Peer& aPeer, base::TimePoint aNow)
+{
+  for (auto& [team, reserve] : aPeer.reserves) {
+    const auto found = mBuckets.find(team);
+    if (found == mBuckets.end()) {
+      continue;
+    }
+    reserve.until = reserve.until.value_or(aNow);
+    const double debt = std::max(0.0, -partOf(reserve, found->second.limit));
+    found->second.level -= debt;
+    found->second.flows.back().peers += debt;
+  }
+  aPeer.reserves.clear();
 }
 
 void
@@ -163,33 +296,36 @@
   if (mRefilled == base::TimePoint{}) {
     mRefilled = aNow;
     mStarted = aNow;
+    beginSpan(aNow);
   }
   const base::Duration passed = aNow - mRefilled;
   if (passed <= base::Duration::zero()) {
     return;
   }
+  if (passed > kLongestGap) {
+    // What the peers took meanwhile is not known; they do not lack this VM, so
+    // its debts stay its own.
+    beginSpan(mRefilled);
+    for (auto& [name, peer] : mPeers) {
+      if (!peer.silent) {
+        splitOff(peer, mRefilled, false);
+      }
+    }
+  }
   mRefilled = aNow;
-  const bool paused = passed > kLongestGap;
-  const double share = paused ? shareOfOne() : reach();
+  const double share = reach();
+  const double seconds = base::inSeconds(passed);
+  mSpans.back().reach = share;
+  mSpans.back().inflow += share * seconds;
   for (auto& [team, bucket] : mBuckets) {
     // Every side of a partition keeps its share of the burst only, or each
     // could spend all of it.
     bucket.level = std::min(bucket.limit.burst * share,
-                            bucket.level + bucket.limit.rate * share *
-                                             base::inSeconds(passed));
+                            bucket.level + bucket.limit.rate * share * seconds);
   }
-  if (paused) {
-    for (auto& [name, peer] : mPeers) {
-      if (peer.silent) {
-        continue;
-      }
-      peer.silent = true;
-      for (const auto& [team, bucket] : mBuckets) {
-        peer.reserves[team] = { 0, aNow - passed, std::nullopt };
-      }
-    }
-  } else {
-    noteSilence(aNow);
+  noteSilence(aNow);
+  if (aNow - mSpans.back().from >= mSilence / kSpansOfSilence) {
+    beginSpan(aNow);
   }
   updatePeerRates(aNow);
 }
@@ -233,6 +369,7 @@
     return { false, std::max(wait, kLeastRetryAfter) };
   }
   bucket.level -= aCost;
+  bucket.flows.back().own += aCost;
   mUsage[aTeam] += aCost;
   return {};
 }
@@ -243,10 +380,13 @@
   // Usage that peers already saw cannot be taken back, so the refund stays in
   // this VM's copy only.
   const auto found = mBuckets.find(aTeam);
-  if (found != mBuckets.end()) {
-    found->second.level =
-      std::min(found->second.limit.burst, found->second.level + aCost);
+  if (found == mBuckets.end()) {
+    return;
   }
+  Bucket& bucket = found->second;
+  const double level = std::min(bucket.limit.burst, bucket.level + aCost);
+  bucket.flows.back().own -= level - bucket.level;
+  bucket.level = level;
 }
 
 void
@@ -257,10 +397,11 @@
 {
   refill(aNow);
   Peer& peer = mPeers[aPeer];
+  const bool returns = peer.silent;
   const bool first = !peer.heard && peer.totals.empty();
   if (!peer.totals.contains(aIncarnation)) {
     // What its process before used in the end is not known.
-    peer.reserves.clear();
+    forfeit(peer, aNow);
   }
   for (auto& [team, reserve] : peer.reserves) {
     reserve.until = reserve.until.value_or(aNow);
@@ -275,8 +416,10 @@
       continue;
     }
     Bucket& bucket = found->second;
-    const double level = bucket.level + settle(peer, team, bucket) - taken;
-    bucket.level = std::min(bucket.limit.burst, level);
+    const double gain = settle(peer, team, bucket, taken);
+    const double level = std::min(bucket.limit.burst, bucket.level + gain);
+    bucket.flows.back().peers -= level - bucket.level;
+    bucket.level = level;
     bucket.peerTaken += taken;
   }
   while (peer.totals.size() > kKnownProcesses) {
@@ -287,6 +430,9 @@
   peer.heard = true;
   peer.silent = false;
   peer.heardAt = aNow;
+  if (returns) {
+    mSpans.back().reach = reach();
+  }
 }
 
 double
@@ -330,7 +476,9 @@
     if (known != aLevels.end()) {
       const double left =
         known->second - (used == mUsage.end() ? 0 : used->second);
-      bucket.level = std::max(bucket.level, left);
+      const double level = std::max(bucket.level, left);
+      bucket.flows.back().peers -= level - bucket.level;
+      bucket.level = level;
     }
   }
 }
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -8,6 +8,7 @@
 #include "base/base.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -36,10 +37,12 @@
 
 /**
  * Every VM keeps a copy of each bucket. It takes out its own admissions at once
- * and those of its peers when it hears of them. A peer that is silent may admit
- * its share of the rate, so that share does not flow into this VM's copy until
- * the peer is heard again. A partition of the fleet therefore admits at most
- * the shares of its members.
+ * and those of its peers when it hears of them. When a peer falls silent, what
+ * the bucket held when the peer was last heard is divided by shares, also if it
+ * is negative; from then on the peer's share of the rate does not flow into
+ * this copy, and what this side took since then counts against its own part
+ * alone. A partition of the fleet therefore admits at most the shares of its
+ * members. The peer's part returns when a report tells what the peer used.
  */
 class FleetQuota
 {
@@ -110,18 +113,33 @@
   void adopt(const Usage& aLevels, base::TimePoint aNow);
 
 private:
+  /** What a bucket did in one span of the history. */
+  struct Flow
+  {
+    double level = 0; ///< units at the start of the span
+    double own = 0;   ///< units that this VM took, less those given back
+    double peers = 0; ///< units that peers took, less those they left
+  };
+  /** A span of the history, common to all buckets. */
+  struct Span
+  {
+    base::TimePoint from{};
+    double reach = 0;  ///< share of the VMs heard, at its end
+    double inflow = 0; ///< seconds of the whole rate that flowed in, uncapped
+  };
   struct Bucket
   {
     Limit limit;
     double level = 0;
-    double peerTaken = 0; ///< units that peers took in the current period
-    double peerRate = 0;  ///< units a second that peers take, smoothed
+    std::deque<Flow> flows; ///< one for each span
+    double peerTaken = 0;   ///< units that peers took in the current period
+    double peerRate = 0;    ///< units a second that peers take, smoothed
   };
-  /** Units held back for a team of a silent peer, until a report tells what
-   * the peer really used. */
+  /** The part of a bucket that a silent peer has for itself, until a report
+   * tells what the peer used of it. */
   struct Reserve
   {
-    double charged = 0; ///< taken out when it fell silent
+    double level = 0; ///< its part when it was last heard; may be negative
     base::TimePoint since{};
     std::optional<base::TimePoint> until; ///< when it was heard again
   };
@@ -139,9 +157,16 @@
   void refill(base::TimePoint aNow);
   void updatePeerRates(base::TimePoint aNow);
   void noteSilence(base::TimePoint aNow);
+  void beginSpan(base::TimePoint aNow);
+  void splitOff(Peer& aPeer, base::TimePoint aAt, bool aDividesDebts);
+  void replay(Bucket& aBucket, std::size_t aFirst) const;
+  double poolOf(const Bucket& aBucket, std::size_t aSpan) const;
+  double partOf(const Reserve& aReserve, const Limit& aLimit) const;
   double settle(Peer& aPeer,
                 const base::TeamName& aTeam,
-                const Bucket& aBucket) const;
+                const Bucket& aBucket,
+                double aTaken) const;
+  void forfeit(Peer& aPeer, base::TimePoint aNow);
   double shareOfOne() const;
   double reach() const;
 
@@ -152,6 +177,7 @@
   base::TimePoint mStarted{};
   double mSlack = 0;
   base::Duration mSilence = std::chrono::seconds(1);
+  std::deque<Span> mSpans; ///< reaches back over the longest silence unnoticed
   base::TimePoint mRefilled{};
   base::TimePoint mRatesUpdated{};
 };
