Hold back units only for what heard peers take

Callers saw 429 at a cut-off VM for a team that took 0.8 of this VM's share: from the moment at which the VM noticed the cut for some seconds, and again after the cut had ended.

Cause: admit() asks for the cost and for what peers may have taken since their last report, peerRate * 150 ms. After a cut that rate still held the silent peers, whose units no longer come out of this copy: 0.12 of the whole rate against a share of the burst of 1/81. After the cut, the first reports brought the units of the whole silence at once, and they counted as taken within one period of 200 ms.

Now a split removes the silent peer's part of that rate, and units that are settled against a peer's own part do not count as its rate. A pause of this process does not change the rate, because the peers still take from the common part.

The new test on the code before, and with only one of the two changes: IsolatedVmsServeTheirShareThroughTheWholeCut expected <0>, but was <23000> without the change to settled units: but was <10000> without the change to the split: but was <13000>

--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -186,25 +186,31 @@
 }
 
 /** Divides every bucket as it was when the peer was heard last, and takes what
- * this side used since then out of the part that stays. */
+ * this side used since then out of the part that stays.
+ * @param aCutOff whether the peer does not hear this VM either; otherwise it
+ * shares in no debt, and may still take units of the common part */
 void
-FleetQuota::splitOff(Peer& aPeer, base::TimePoint aAt, bool aDividesDebts)
+FleetQuota::splitOff(Peer& aPeer, base::TimePoint aAt, bool aCutOff)
 {
+  const double share = shareOfOne();
+  const double heard = reach() - share;
   aPeer.silent = true;
   std::size_t first = mSpans.size() - 1;
   while (first > 0 && mSpans[first].from > aAt) {
     --first;
   }
-  const double share = shareOfOne();
   const double part = share / std::max(mSpans[first].reach, share + share);
+  const double stillHeard = std::max(0.0, heard - share) / heard;
   for (auto& [team, bucket] : mBuckets) {
+    // What a cut-off peer takes comes from its own part.
+    bucket.peerRate *= aCutOff ? stillHeard : 1;
     const double pool = poolOf(bucket, first);
     Reserve& reserve = aPeer.reserves[team];
     // A peer that falls silent again before it has reported the team still has
     // its part of the time before, so it needs only what is missing to a share.
     const double before = partOf(reserve, bucket.limit);
     const double held = std::min(bucket.limit.burst * share, before);
-    const double least = aDividesDebts ? std::min(0.0, pool * part) : 0;
+    const double least = aCutOff ? std::min(0.0, pool * part) : 0;
     const double charge = std::max(least, pool * part - held * (1 - part));
     reserve.level = before + charge;
     reserve.since = aAt;
@@ -416,11 +422,12 @@
       continue;
     }
     Bucket& bucket = found->second;
+    // What a peer took while it was silent says nothing about its rate now.
+    bucket.peerTaken += peer.reserves.contains(team) ? 0 : taken;
     const double gain = settle(peer, team, bucket, taken);
     const double level = std::min(bucket.limit.burst, bucket.level + gain);
     bucket.flows.back().peers -= level - bucket.level;
     bucket.level = level;
-    bucket.peerTaken += taken;
   }
   while (peer.totals.size() > kKnownProcesses) {
     peer.totals.erase(peer.totals.begin()->first == aIncarnation
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -158,7 +158,7 @@
   void updatePeerRates(base::TimePoint aNow);
   void noteSilence(base::TimePoint aNow);
   void beginSpan(base::TimePoint aNow);
-  void splitOff(Peer& aPeer, base::TimePoint aAt, bool aDividesDebts);
+  void splitOff(Peer& aPeer, base::TimePoint aAt, bool aCutOff);
   void replay(Bucket& aBucket, std::size_t aFirst) const;
   double poolOf(const Bucket& aBucket, std::size_t aSpan) const;
   double partOf(const Reserve& aReserve, const Limit& aLimit) const;
--- a/libs/quota/tests/partition_tests.cpp
+++ b/libs/quota/tests/partition_tests.cpp
@@ -183,6 +183,14 @@
   aFleet.vms[aVm].side = static_cast<unsigned>(aVm) + 1;
 }
 
+void
+heal(PartitionedFleet& aFleet)
+{
+  for (PartitionedFleet::Vm& vm : aFleet.vms) {
+    vm.side = kSide;
+  }
+}
+
 } // namespace
 
 TEST_GROUP(Partition){};
@@ -199,6 +207,28 @@
   DOUBLES_EQUAL(kBurst * (1 - kShare), fleet.vms[1].quota.level("t"), 1);
 }
 
+// Guards against a cut-off VM that refuses a team which takes less there than
+// this VM's share, from the cut's beginning to its end and after it.
+TEST(Partition, IsolatedVmsServeTheirShareThroughTheWholeCut)
+{
+  PartitionedFleet fleet(2);
+  const std::vector<double> within(kVms, 0.8 * kRate * kShare);
+  fleet.run(6s, within);
+  constexpr std::size_t kCutOff = 29;
+  for (std::size_t vm = 0; vm < kCutOff; ++vm) {
+    isolate(fleet, vm);
+  }
+  for (PartitionedFleet::Vm& vm : fleet.vms) {
+    vm.refused = 0;
+  }
+  fleet.run(12s, within);
+  heal(fleet);
+  fleet.run(10s, within);
+  for (const PartitionedFleet::Vm& vm : fleet.vms) {
+    DOUBLES_EQUAL(0, vm.refused, 0);
+  }
+}
+
 // Guards against a debt beyond what the VM itself took in the time in which it
 // had not noticed the cut yet.
 TEST(Partition, IsolatedVmPaysBackOnlyWhatItTookBeyondItsShare)
