Replay the history once for all peers that fall silent together

A split of 80 peers replayed 16 teams over the whole history 80 times on the request path. Now each part of the history is replayed once, between the moments at which the peers were last heard.

--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -165,14 +165,42 @@
       silent.push_back(&peer);
     }
   }
+  split(std::move(silent), true);
+}
+
+/**
+ * Divides the buckets with peers that fall silent.
+ * @param aPeers the peers
+ * @param aCutOff whether they do not hear this VM either; otherwise they share
+ * in no debt, and may still take units of the common part
+ */
+void
+FleetQuota::split(std::vector<Peer*> aPeers, bool aCutOff)
+{
   // A later split starts from what the earlier ones have left.
   std::sort(
-    silent.begin(), silent.end(), [](const Peer* aOne, const Peer* aTwo) {
+    aPeers.begin(), aPeers.end(), [](const Peer* aOne, const Peer* aTwo) {
       return aOne->heardAt < aTwo->heardAt;
     });
-  for (Peer* peer : silent) {
-    splitOff(*peer, peer->heardAt, true);
+  std::size_t replayed = mSpans.size();
+  for (Peer* peer : aPeers) {
+    const base::TimePoint at = aCutOff ? peer->heardAt : mRefilled;
+    const std::size_t span = spanOf(at);
+    replay(replayed, span);
+    replayed = span;
+    splitOff(*peer, at, span, aCutOff);
+  }
+  replay(replayed, mSpans.size());
+}
+
+std::size_t
+FleetQuota::spanOf(base::TimePoint aAt) const
+{
+  std::size_t span = mSpans.size() - 1;
+  while (span > 0 && mSpans[span].from > aAt) {
+    --span;
   }
+  return span;
 }
 
 /** Units that the common bucket held when a peer was heard last in a span. */
@@ -185,26 +213,23 @@
   return std::min(aBucket.limit.burst * span.reach, filled) - flow.peers;
 }
 
-/** Divides every bucket as it was when the peer was heard last, and takes what
- * this side used since then out of the part that stays.
- * @param aCutOff whether the peer does not hear this VM either; otherwise it
- * shares in no debt, and may still take units of the common part */
+/** Gives a peer its part of every bucket as it was in a span, and takes what
+ * this side used since then out of the part that stays. */
 void
-FleetQuota::splitOff(Peer& aPeer, base::TimePoint aAt, bool aCutOff)
+FleetQuota::splitOff(Peer& aPeer,
+                     base::TimePoint aAt,
+                     std::size_t aSpan,
+                     bool aCutOff)
 {
   const double share = shareOfOne();
   const double heard = reach() - share;
   aPeer.silent = true;
-  std::size_t first = mSpans.size() - 1;
-  while (first > 0 && mSpans[first].from > aAt) {
-    --first;
-  }
-  const double part = share / std::max(mSpans[first].reach, share + share);
+  const double part = share / std::max(mSpans[aSpan].reach, share + share);
   const double stillHeard = std::max(0.0, heard - share) / heard;
   for (auto& [team, bucket] : mBuckets) {
     // What a cut-off peer takes comes from its own part.
     bucket.peerRate *= aCutOff ? stillHeard : 1;
-    const double pool = poolOf(bucket, first);
+    const double pool = poolOf(bucket, aSpan);
     Reserve& reserve = aPeer.reserves[team];
     // A peer that falls silent again before it has reported the team still has
     // its part of the time before, so it needs only what is missing to a share.
@@ -215,36 +240,33 @@
     reserve.level = before + charge;
     reserve.since = aAt;
     reserve.until.reset();
-    bucket.flows[first].level = pool - charge;
-    bucket.flows[first].peers = 0;
+    bucket.flows[aSpan].level = pool - charge;
+    bucket.flows[aSpan].peers = 0;
   }
-  mSpans[first].inflow = 0;
-  for (std::size_t index = first; index < mSpans.size(); ++index) {
+  mSpans[aSpan].inflow = 0;
+  for (std::size_t index = aSpan; index < mSpans.size(); ++index) {
     Span& span = mSpans[index];
     const base::TimePoint end =
       index + 1 < mSpans.size() ? mSpans[index + 1].from : mRefilled;
     const double seconds = base::inSeconds(end - span.from);
     span.reach = std::max(span.reach - share, share);
-    if (index > first) {
+    if (index > aSpan) {
       span.inflow = std::max(span.inflow - seconds * share, seconds * share);
     }
   }
-  for (auto& [team, bucket] : mBuckets) {
-    replay(bucket, first);
-  }
 }
 
+/** Derives the levels after some spans from the level before them. */
 void
-FleetQuota::replay(Bucket& aBucket, std::size_t aFirst) const
+FleetQuota::replay(std::size_t aFirst, std::size_t aEnd)
 {
-  for (std::size_t index = aFirst; index < mSpans.size(); ++index) {
-    const double left = poolOf(aBucket, index) - aBucket.flows[index].own;
-    const double after =
-      std::min(left, aBucket.limit.burst * mSpans[index].reach);
-    if (index + 1 < mSpans.size()) {
-      aBucket.flows[index + 1].level = after;
-    } else {
-      aBucket.level = after;
+  for (auto& [team, bucket] : mBuckets) {
+    for (std::size_t index = aFirst; index < aEnd; ++index) {
+      const double left = poolOf(bucket, index) - bucket.flows[index].own;
+      const double after =
+        std::min(left, bucket.limit.burst * mSpans[index].reach);
+      const bool last = index + 1 == mSpans.size();
+      (last ? bucket.level : bucket.flows[index + 1].level) = after;
     }
   }
 }
@@ -312,11 +334,13 @@
     // What the peers took meanwhile is not known; they do not lack this VM, so
     // its debts stay its own.
     beginSpan(mRefilled);
+    std::vector<Peer*> heard;
     for (auto& [name, peer] : mPeers) {
       if (!peer.silent) {
-        splitOff(peer, mRefilled, false);
+        heard.push_back(&peer);
       }
     }
+    split(std::move(heard), false);
   }
   mRefilled = aNow;
   const double share = reach();
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -158,8 +158,13 @@
   void updatePeerRates(base::TimePoint aNow);
   void noteSilence(base::TimePoint aNow);
   void beginSpan(base::TimePoint aNow);
-  void splitOff(Peer& aPeer, base::TimePoint aAt, bool aCutOff);
-  void replay(Bucket& aBucket, std::size_t aFirst) const;
+  void split(std::vector<Peer*> aPeers, bool aCutOff);
+  void splitOff(Peer& aPeer,
+                base::TimePoint aAt,
+                std::size_t aSpan,
+                bool aCutOff);
+  std::size_t spanOf(base::TimePoint aAt) const;
+  void replay(std::size_t aFirst, std::size_t aEnd);
   double poolOf(const Bucket& aBucket, std::size_t aSpan) const;
   double partOf(const Reserve& aReserve, const Limit& aLimit) const;
   double settle(Peer& aPeer,
