--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -77,6 +77,8 @@
     const std::shared_ptr<Upstream>& aUpstream);
   void adopt(const std::shared_ptr<Upstream>& aUpstream,
              std::unique_ptr<wire::PooledCall> aCall);
+  std::optional<std::string> outgoing(const base::UpstreamName& aUpstream);
+  void onWithheld();
   void onHead(const wire::AnswerHead& aHead);
   void onBody(std::string_view aBytes);
   void onComplete();
@@ -103,6 +105,7 @@
               base::Duration aRetryAfter);
   void finish(base::Code aCode, int aStatus, const std::string& aDetail);
   void onCallerGone();
+  bool endIfCallerLeft();
   void onDeadline();
 
   bool isEngineCall() const { return mFacts.model.has_value(); }
--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -76,6 +76,9 @@
   if (mEnded || !mCall || !attemptsLeft()) {
     return;
   }
+  if (endIfCallerLeft()) {
+    return;
+  }
   // A caller that reads slowly holds up its upstream itself.
   if (mCaller->pendingOutput() == 0 && moveElsewhere()) {
     return;
@@ -287,8 +290,11 @@
 Exchange::onFailed(wire::CallFailure aFailure)
 {
   const base::TimePoint now = base::monotonicNow();
+  if (aFailure == wire::CallFailure::Withheld) {
+    onWithheld();
+    return;
+  }
   if (aFailure == wire::CallFailure::NotConnected) {
-    --mUnresolved;
     --mSends;
     mTurnedAway = true;
     mPath.health.onUnreachable(mLastUpstream, now);
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -103,6 +103,9 @@
 void
 Exchange::dispatch()
 {
+  if (endIfCallerLeft()) {
+    return;
+  }
   if (timeLeft() < kLeastTimeLeft) {
     onDeadline();
     return;
@@ -299,12 +302,17 @@
   return true;
 }
 
-std::unique_ptr<wire::PooledCall>
-Exchange::startCall(const std::shared_ptr<Upstream>& aUpstream)
+/** Runs at the moment of the write, which may be long after the decision.
+ * @return the bytes of the request, or nothing if it must not be sent now */
+std::optional<std::string>
+Exchange::outgoing(const base::UpstreamName& aUpstream)
 {
-  const catalog::UpstreamRecord& record = aUpstream->record;
+  if (mEnded || timeLeft() < kLeastTimeLeft || mCaller->left()) {
+    return std::nullopt;
+  }
+  ++mUnresolved;
   boundary::ForwardFacts facts;
-  facts.upstream = record.name;
+  facts.upstream = aUpstream;
   facts.timeLeft = timeLeft();
   if (mTeam != nullptr) {
     facts.team = mTeam->name;
@@ -318,11 +326,33 @@
   request.target = mRequest.target;
   request.headers = boundary::forwardHeaders(mHeaders, facts);
   request.body = mRequest.body;
-  const wire::OutgoingCall call{ wire::serialize(request),
-                                 boundary::kRequestIdHeader,
-                                 mFacts.id,
-                                 mRequest.method == "HEAD" };
+  return wire::serialize(request);
+}
+
+void
+Exchange::onWithheld()
+{
+  --mSends;
+  endCall();
+  if (!endIfCallerLeft()) {
+    onDeadline();
+  }
+}
+
+std::unique_ptr<wire::PooledCall>
+Exchange::startCall(const std::shared_ptr<Upstream>& aUpstream)
+{
+  const base::UpstreamName& name = aUpstream->record.name;
   const auto weak = weak_from_this();
+  wire::OutgoingCall call;
+  call.bytes = [weak, name]() -> std::optional<std::string> {
+    const auto self = weak.lock();
+    return self ? std::static_pointer_cast<Exchange>(self)->outgoing(name)
+                : std::nullopt;
+  };
+  call.idHeader = boundary::kRequestIdHeader;
+  call.id = mFacts.id;
+  call.skipBody = mRequest.method == "HEAD";
   const auto guarded = [weak](auto aAction) {
     return [weak, aAction](const auto&... aArguments) {
       if (const auto self = weak.lock()) {
@@ -344,11 +374,11 @@
   const std::size_t limit = std::max(
     kLeastConnections,
     mService->maxConnections / std::max<std::size_t>(1, mPath.fleetSize));
-  auto started =
-    mPath.pool.start(aUpstream->peer(), call, std::move(events), limit);
+  auto started = mPath.pool.start(
+    aUpstream->peer(), std::move(call), std::move(events), limit);
   if (!started) {
     mPath.log.step(
-      mFacts.id, "connection limit", record.name, "", base::monotonicNow());
+      mFacts.id, "connection limit", name, "", base::monotonicNow());
   }
   return started;
 }
@@ -387,7 +417,6 @@
     isEngineCall() ? mOwnMs : 0,
     isEngineCall() && isPatient(),
     isEngineCall() ? mFacts.promptTokens + outputTokens() : 0);
-  ++mUnresolved;
   mHeadSeen = false;
   mBody.clear();
   mEvents.clear();
