Bound the answers to our own calls in every part

The client for the platform's store, for reports and orders of engines and for relays relied on evhttp's limits for headers and bodies. Three forms passed them and were read until the timeout of the call: 100 Continue answers, the size of a chunk and its extension; evhttp looks for the end of a chunk's line from its start at each read, so the work grew with the square of the bytes. A body of one-byte chunks took six times the limit of a body. 100 Continue was also reported as the head of the answer.

The client now counts what arrives for a call: heads together up to 128 KiB, the line of a chunk up to 64 KiB, the whole answer up to the limit of a body plus heads. Past that the call ends as Broken, and the connection is closed.

Ruled out: a high watermark on the input, because evhttp keeps a whole chunk there; bytes after an answer, which close the connection (SurplusBytesEndTheConnection).

--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -8,14 +8,27 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <utility>
 
 namespace marigold::http {
 namespace {
 
 /** evhttp gives up by itself after this; the calls have their own timeout. */
 constexpr int kLibraryTimeoutSeconds = 7200;
+/** Headers of one answer in bytes, as for answers of upstreams. */
 constexpr ev_ssize_t kMaxHeaderBytes = 64L * 1024;
+/** Body of one answer in bytes; eight pages of the platform's store, which are
+ * about 1 MB each. */
 constexpr ev_ssize_t kMaxBodyBytes = 8L * 1024 * 1024;
+/** Heads of the final and of all provisional answers to a call, in bytes; twice
+ * the limit of one, because a read may hold a part of the body as well. */
+constexpr std::size_t kMaxHeadsBytes = 2 * kMaxHeaderBytes;
+/** Line of a chunk in bytes; evhttp waits for its end without a limit. */
+constexpr std::size_t kMaxChunkLineBytes = kMaxHeaderBytes;
+/** Whole answer in bytes, with the lines of its chunks. */
+constexpr std::size_t kMaxAnswerBytes = kMaxHeadsBytes + kMaxBodyBytes;
+
+constexpr int kContinue = 100;
 
 void
 readHead(evhttp_request* aRequest, Answer& aAnswer)
@@ -40,7 +53,7 @@
 
 } // namespace
 
-/** A connection and whether bytes of the current request have left it. */
+/** A connection, what has left it for the current request and what came. */
 struct Client::Connection
 {
   Connection(Loop& aLoop, Address aAddress)
@@ -50,6 +63,8 @@
       bufferevent_socket_new(aLoop.native(), -1, BEV_OPT_CLOSE_ON_FREE);
     output = bufferevent_get_output(transport);
     evbuffer_add_cb(output, &Connection::onOutput, this);
+    input = bufferevent_get_input(transport);
+    evbuffer_add_cb(input, &Connection::onInput, this);
     native = evhttp_connection_base_bufferevent_new(
       aLoop.native(), nullptr, transport, address.host.c_str(), address.port);
     evhttp_connection_set_timeout(native, kLibraryTimeoutSeconds);
@@ -60,6 +75,7 @@
 
   ~Connection()
   {
+    evbuffer_remove_cb(input, &Connection::onInput, this);
     evbuffer_remove_cb(output, &Connection::onOutput, this);
     evhttp_connection_set_closecb(native, nullptr, nullptr);
     evhttp_connection_free(native);
@@ -77,6 +93,10 @@
     }
   }
 
+  static void onInput(evbuffer* aBuffer,
+                      const evbuffer_cb_info* aInfo,
+                      void* aSelf);
+
   static void onClose(evhttp_connection* /*aConnection*/, void* aSelf)
   {
     static_cast<Connection*>(aSelf)->closed = true;
@@ -84,15 +104,14 @@
 
   /** @return true if bytes follow the end of the answer; they would be read as
    * the start of the next one */
-  bool hasSurplus() const
-  {
-    return evbuffer_get_length(bufferevent_get_input(
-             evhttp_connection_get_bufferevent(native))) > 0;
-  }
+  bool hasSurplus() const { return evbuffer_get_length(input) > 0; }
 
   Address address;
   evhttp_connection* native = nullptr;
   evbuffer* output = nullptr;
+  evbuffer* input = nullptr;
+  Call::State* call = nullptr; ///< the call that reads from it, if any
+  std::size_t received = 0;    ///< bytes of the answer to this call
   bool sent = false;
   bool closed = false;
 };
@@ -111,11 +130,49 @@
   bool headSeen = false;
 
   void end(CallEnd aEnd, bool aReusable);
+  /** @param aUnread received bytes that evhttp has not used
+   * @return true if the answer is larger than its limits */
+  bool oversized(std::size_t aUnread) const;
   static int onHead(evhttp_request* aRequest, void* aState);
   static void onChunk(evhttp_request* aRequest, void* aState);
   static void onDone(evhttp_request* aRequest, void* aState);
 };
 
+void
+Client::Connection::onInput(evbuffer* aBuffer,
+                            const evbuffer_cb_info* aInfo,
+                            void* aSelf)
+{
+  auto* self = static_cast<Connection*>(aSelf);
+  if (aInfo->n_added == 0 || self->call == nullptr) {
+    return;
+  }
+  self->received += aInfo->n_added;
+  if (!self->call->oversized(evbuffer_get_length(aBuffer))) {
+    return;
+  }
+  // evhttp is reading, so the call ends after that.
+  Call::State* call = std::exchange(self->call, nullptr);
+  call->timer = call->loop->after(base::Duration::zero(), [call] {
+    evhttp_cancel_request(call->request);
+    call->end(CallEnd::Broken, false);
+  });
+}
+
+bool
+Call::State::oversized(std::size_t aUnread) const
+{
+  if (request == nullptr) {
+    return false;
+  }
+  if (!headSeen) {
+    return connection->received > kMaxHeadsBytes;
+  }
+  const bool betweenChunks = request->chunked != 0 && request->ntoread < 0;
+  return (betweenChunks && aUnread > kMaxChunkLineBytes) ||
+         connection->received > kMaxAnswerBytes;
+}
+
 void
 Call::State::end(CallEnd aEnd, bool aReusable)
 {
@@ -123,6 +180,7 @@
   pause.reset();
   request = nullptr;
   if (connection) {
+    connection->call = nullptr;
     if (clientAlive.lock()) {
       client->release(std::move(connection), aReusable);
     } else {
@@ -142,6 +200,9 @@
 Call::State::onHead(evhttp_request* aRequest, void* aState)
 {
   auto* state = static_cast<State*>(aState);
+  if (evhttp_request_get_response_code(aRequest) == kContinue) {
+    return 0; // evhttp reads on for the final answer.
+  }
   readHead(aRequest, state->answer);
   state->headSeen = true;
   if (state->events.head) {
@@ -202,6 +263,7 @@
   if (!mState->connection) {
     return;
   }
+  mState->connection->call = nullptr;
   if (mState->clientAlive.lock()) {
     mState->client->discard(std::move(mState->connection));
   }
@@ -292,6 +354,8 @@
   raw->loop = &mLoop;
   raw->events = std::move(aEvents);
   raw->connection = connect(aAddress, aReuse);
+  raw->connection->call = raw;
+  raw->connection->received = 0;
   raw->request = evhttp_request_new(&Call::State::onDone, raw);
   evhttp_request_set_header_cb(raw->request, &Call::State::onHead);
   evhttp_request_set_chunked_cb(raw->request, &Call::State::onChunk);
--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -1,8 +1,10 @@
 /** @file Tests of the http library over loopback sockets. */
 #include "http/http.h"
+#include "http/tests/endless_server.h"
 
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/TestHarness.h>
+#include <chrono>
 #include <cstdlib>
 #include <optional>
 
@@ -223,6 +225,63 @@
   }
 }
 
+// Guards against bytes without end in the answers to our own calls: each form
+// must end the call by its size, before its timeout, and close the connection.
+TEST(Http, AnswersWithoutEndAreBroken)
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const struct
+  {
+    const char* name;
+    std::string head;
+    std::string repeated;
+  } kForms[] = {
+    { "reason phrase", "HTTP/1.1 200 ", "x" },
+    { "field name", ok, "x" },
+    { "field value", ok + "X: ", "x" },
+    { "fields", ok, "X: y\r\n" },
+    { "provisional answers",
+      "HTTP/1.1 100 Continue\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\nX: y\r\n\r\n" },
+    { "body without a length", ok + "\r\n", "x" },
+    { "body with a length", ok + "Content-Length: 99000000\r\n\r\n", "x" },
+    { "chunks", chunked, "1\r\nx\r\n" },
+    { "chunk size", chunked, "0" },
+    { "chunk extension", chunked + "1;", "x" },
+    { "trailers", chunked + "0\r\n", "X: y\r\n" },
+  };
+  for (const auto& form : kForms) {
+    test::EndlessServer server(kAddress, form.head, form.repeated);
+    CHECK_TEXT(server.bound(), form.name);
+    const auto began = std::chrono::steady_clock::now();
+    const Ended ended = call(kAddress, {}, 2s);
+    CHECK_TEXT(ended.end == http::CallEnd::Broken, form.name);
+    CHECK_TEXT(std::chrono::steady_clock::now() - began < 1900ms, form.name);
+    CHECK_TEXT(ended.chunks.size() <= 8UL * 1024 * 1024, form.name);
+    const http::Watch freed = loop.after(10ms, [&] { loop.stop(); });
+    loop.run();
+    CHECK_TEXT(server.closedByPeer(), form.name);
+  }
+}
+
+// Guards against a bound on what lies between chunks that also ends a call
+// whose answer has large chunks.
+TEST(Http, LargeChunksArriveWhole)
+{
+  constexpr std::size_t kBytes = 3UL * 1024 * 1024;
+  http::Server server(loop, {}, [&](const http::Request&, const auto& aOut) {
+    aOut->startStream(200, {});
+    aOut->sendChunk(std::string(kBytes, 'x'));
+    aOut->sendChunk(std::string(kBytes, 'y'));
+    aOut->endStream();
+  });
+  CHECK(bool(server.listen(kAddress)));
+  const Ended ended = call(kAddress, {});
+  CHECK(ended.end == http::CallEnd::Complete);
+  LONGS_EQUAL(2 * kBytes, ended.chunks.size());
+}
+
 int
 main(int aCount, char** aValues)
 {
