Bound the event of a stream that is not whole yet

Callers saw: a stream whose upstream sends an event without end got nothing until its deadline, while the gateway kept all bytes of it; at the rate of a link that is more than the memory of a VM within seconds, for all its callers.

Cause: EventSplitter keeps an incomplete event without limit. An event may now take 256 KiB (kMostEventBytes), which is what may wait for a slow caller; past that the answer counts as spoiled. Events that were whole before are delivered, the connection is closed, and the stream is resumed elsewhere or ends as unknown. The log says "event exceeds its limit".

Evidence: test_stream_event_without_end_is_no_event on the code before: self.check_bounded(before) ... AssertionError: the condition did not become true in time (the gateway took all 128 MiB that the upstream sends before it stops by itself). After: passes; wire_tests 19 of 19.

Ruled out: the search for the end of an event goes on where it stopped, also in single bytes (TellsAnEventWithoutEnd feeds 256 Ki of them within its bound of 2 s).

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -85,7 +85,8 @@
   void endCall();
 
   // The answer.
-  void deliverEvents(std::string_view aBytes);
+  void onEvents(std::string_view aBytes);
+  void deliverEvents(const std::vector<wire::StreamEvent>& aEvents);
   void deliverWhole();
   void throttle();
   void fail(base::Code aCode, const std::string& aDetail);
--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -126,7 +126,7 @@
 Exchange::onBody(std::string_view aBytes)
 {
   if (mStreaming) {
-    deliverEvents(aBytes);
+    onEvents(aBytes);
     return;
   }
   if (mEventCount > 0) {
@@ -144,13 +144,21 @@
 }
 
 void
-Exchange::deliverEvents(std::string_view aBytes)
+Exchange::onEvents(std::string_view aBytes)
 {
-  const base::TimePoint now = base::monotonicNow();
   const auto events = mEvents.feed(aBytes);
-  if (events.empty()) {
-    return;
+  if (!events.empty()) {
+    deliverEvents(events);
   }
+  if (mEvents.oversized()) {
+    onSpoiled("event exceeds its limit");
+  }
+}
+
+void
+Exchange::deliverEvents(const std::vector<wire::StreamEvent>& aEvents)
+{
+  const base::TimePoint now = base::monotonicNow();
   if (mEventCount == 0) {
     mFirstByteAt = now;
     if (isEngineCall() && mSends == 1) {
@@ -166,7 +174,7 @@
   }
   mPath.health.onSuccess(mLastUpstream, now);
   std::string bytes;
-  for (const wire::StreamEvent& event : events) {
+  for (const wire::StreamEvent& event : aEvents) {
     const bool repeated =
       event.id && mLastEventId && *event.id <= *mLastEventId;
     if (repeated) {
--- a/libs/wire/event_stream.h
+++ b/libs/wire/event_stream.h
@@ -1,6 +1,7 @@
 /** @file Server-sent events, cut into whole events. */
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,6 +10,10 @@
 
 namespace marigold::wire {
 
+/** Largest event in bytes. An event is passed on whole, so it may not take more
+ * memory than what waits for a caller that reads slowly. */
+constexpr std::size_t kMostEventBytes = 256UL * 1024;
+
 /** One whole event with the bytes as they were received. */
 struct StreamEvent
 {
@@ -29,6 +34,9 @@
   /** @return bytes of an event that is not whole yet */
   const std::string& rest() const { return mRest; }
 
+  /** @return true if the event that is not whole is too large already */
+  bool oversized() const { return mRest.size() > kMostEventBytes; }
+
   /** Forgets an incomplete event. */
   void clear() { mRest.clear(); }
 
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -260,6 +260,35 @@
   LONGS_EQUAL(7, *events[0].id);
 }
 
+// Guards against an event without end that is kept without limit, and against
+// work that grows with its square where it comes in single bytes.
+TEST(EventSplitter, TellsAnEventWithoutEnd)
+{
+  const auto began = std::chrono::steady_clock::now();
+  splitter.feed("id: 1\ndata: a\n\ndata: ");
+  std::size_t bytes = splitter.rest().size();
+  for (; bytes < wire::kMostEventBytes; ++bytes) {
+    CHECK(splitter.feed("x").empty());
+    CHECK(!splitter.oversized());
+  }
+  splitter.feed("x");
+  CHECK(splitter.oversized());
+  CHECK(std::chrono::steady_clock::now() - began < 2s);
+  splitter.clear();
+  CHECK(!splitter.oversized());
+}
+
+// Guards against a limit on events that also bounds the stream or one read.
+TEST(EventSplitter, ManyEventsAreNoLargeEvent)
+{
+  std::string stream;
+  while (stream.size() < 2 * wire::kMostEventBytes) {
+    stream += "data: " + std::string(1000, 'x') + "\n\n";
+  }
+  CHECK(splitter.feed(stream).size() > 1);
+  CHECK(!splitter.oversized());
+}
+
 TEST_GROUP(CallerServer)
 {
   http::Loop loop;
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -269,6 +269,16 @@
             self.assertLess(time.monotonic() - began, 1.5)
             self.check_bounded(before)
 
+    def test_stream_event_without_end_is_no_event(self):
+        """The bytes of an incomplete event were kept without limit until the deadline."""
+        head = "HTTP/1.1 200 OK\r\nSIGNATURE\r\nContent-Type: text/event-stream\r\n\r\ndata: "
+        self.fail_all((head, b"x" * 65536, 0))
+        before = self.gateways[0].memory()
+        status, _, headers = self.gateways[0].call("/single/x", headers=self.CHAT)
+        self.assertEqual((502, "unknown"), (status, headers["Marigold-Outcome"]))
+        self.check_bounded(before)
+        self.assertTrue("event exceeds its limit" in self.gateways[0].log())
+
 
 if __name__ == "__main__":
     unittest.main()
