Check an answer before a part of it is passed on

Callers saw: a success that the upstream had not signed reached them once it was larger than 1 MiB, as a 200 in chunks that ended with the upstream's connection; without an end it went on until the deadline. The same answer below 1 MiB is replaced by an error.

Cause: onBody starts to pass on an answer at 1 MiB (kMostHeldBytes) and did not apply the checks of onComplete. Both now use rejectAnswer(): refused, unsigned, or another status in place of the rest of a stream. The last was dropped byte by byte until the deadline and is now bounded by the same size.

A signed answer still passes at any length until the deadline, where it is broken off and does not look complete (test_signed_body_without_end_breaks_off_at_the_deadline, which passes before and after).

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -78,6 +78,7 @@
   void onFailed(wire::CallFailure aFailure);
   void onRefused(const boundary::AnswerFacts& aFacts);
   void onSpoiled(const char* aReason);
+  bool rejectAnswer();
   void retryElsewhere(const char* aReason);
   bool mayRetry();
   void armSilence();
--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -129,18 +129,18 @@
     onEvents(aBytes);
     return;
   }
-  if (mEventCount > 0) {
-    return; // An error in place of the rest of a stream is not a part of it.
-  }
   mBody.append(aBytes);
-  if (mBody.size() > kMostHeldBytes && !mCaller->answerStarted()) {
+  // An error in place of the rest of a stream is not a part of it.
+  const bool passing = mCaller->answerStarted() && mEventCount == 0;
+  if (!passing) {
+    if (mBody.size() <= kMostHeldBytes || rejectAnswer()) {
+      return;
+    }
     mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
   }
-  if (mCaller->answerStarted()) {
-    mCaller->sendPart(mBody);
-    mBody.clear();
-    throttle();
-  }
+  mCaller->sendPart(mBody);
+  mBody.clear();
+  throttle();
 }
 
 void
@@ -214,41 +214,55 @@
   });
 }
 
-void
-Exchange::onComplete()
+/** Turns to another upstream, or ends the request, if the answer may not be
+ * passed on. @return true if so */
+bool
+Exchange::rejectAnswer()
 {
-  const base::TimePoint now = base::monotonicNow();
   const auto facts =
     boundary::decodeAnswer(mHead.status, mHead.headers, mLastUpstream);
   if (facts.notRun) {
     onRefused(facts);
-    return;
+    return true;
   }
   if (mStreaming) {
-    if (!mEvents.rest().empty() || mEventCount == 0) {
-      onSpoiled("stream ended inside an event");
-      return;
-    }
-    mPath.crashes.onSuccess(mFingerprint);
-    mCaller->endStream();
-    finish(Code::Ok, mHead.status, "");
-    return;
+    return false;
   }
   if (mEventCount > 0) {
     onSpoiled("resumed stream was answered with another status");
-    return;
+    return true;
   }
   if (!facts.genuine && isSuccess(mHead.status)) {
     onSpoiled("answer without signature");
-    return;
+    return true;
   }
   // An error that the upstream signed is its answer to the request, which
   // another upstream would give as well.
   if (mHead.status >= kFirstServerError && !facts.genuine) {
     onSpoiled("error without signature");
+    return true;
+  }
+  return false;
+}
+
+void
+Exchange::onComplete()
+{
+  if (rejectAnswer()) {
+    return;
+  }
+  if (mStreaming) {
+    if (!mEvents.rest().empty() || mEventCount == 0) {
+      onSpoiled("stream ended inside an event");
+      return;
+    }
+    mPath.crashes.onSuccess(mFingerprint);
+    mCaller->endStream();
+    finish(Code::Ok, mHead.status, "");
     return;
   }
   if (mHead.status < kFirstServerError) {
+    const base::TimePoint now = base::monotonicNow();
     mPath.health.onSuccess(mLastUpstream, now);
     mPath.work.onAnswer(mService->name, now - mSentAt);
     mPath.crashes.onSuccess(mFingerprint);
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -279,6 +279,24 @@
         self.check_bounded(before)
         self.assertTrue("event exceeds its limit" in self.gateways[0].log())
 
+    def test_unsigned_body_without_end_is_not_passed_on(self):
+        """From 1 MiB on, a success without a signature reached the caller."""
+        self.fail_all(("HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536, 0))
+        before = self.gateways[0].memory()
+        status, _, headers = self.gateways[0].call("/once/x")
+        self.assertEqual((502, "unknown"), (status, headers["Marigold-Outcome"]))
+        self.check_bounded(before)
+
+    def test_signed_body_without_end_breaks_off_at_the_deadline(self):
+        """A long answer passes as it comes; without an end it must not look complete."""
+        self.fail_all((self.OK + "\r\n", b"x" * 65536, 0.01))
+        before = self.gateways[0].memory()
+        began = time.monotonic()
+        with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
+            self.gateways[0].call("/once/x", headers={"X-Deadline-Ms": "1500"})
+        self.assertLess(time.monotonic() - began, 2)
+        self.check_bounded(before)
+
 
 if __name__ == "__main__":
     unittest.main()
