Keep the deadline of a request whose caller left

Seen: a request that may run once only, whose caller had left, ran on without any bound. Its answer was kept in memory without limit, too: beyond 1 MiB it is passed on, but a caller that is gone takes nothing.

Cause: onCallerGone removed the deadline, and startStream() does nothing for a closed connection, so answerStarted() stayed false. The deadline now stays; it is the one that the upstream was told, after which it stops by itself. The body is dropped as it comes, and reading goes on if a slow caller had stopped it. At the deadline the connection is closed, and the log has "caller-left, no complete answer before the deadline".

Ruled out: breaking the call off as soon as the caller leaves, because a booking that has begun may be done by then.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -255,8 +255,12 @@
   const bool finishesAlone =
     mRoute->kind == catalog::RequestKind::Once && mCall;
   if (finishesAlone) {
-    // A booking that has begun is not broken off; its answer goes nowhere.
-    mDeadline.reset();
+    // A booking that has begun is not broken off before its deadline; its
+    // answer goes nowhere.
+    mCallerLeft = true;
+    mBody.clear();
+    mThrottle.reset();
+    mCall->pauseReading(false);
     mCaller->onGone(nullptr);
     mPath.log.step(
       mFacts.id, "caller left", mLastUpstream, "runs on", base::monotonicNow());
@@ -271,6 +275,10 @@
   if (mEnded) {
     return;
   }
+  if (mCallerLeft) {
+    finish(Code::CallerLeft, 0, "no complete answer before the deadline");
+    return;
+  }
   if (!mayHaveRun()) {
     refuse(Code::DeadlineUnreachable, "not sent before the deadline", {});
     return;
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -125,6 +125,7 @@
   unsigned mUnresolved = 0; ///< sends after which the request may have run
   bool mWaited = false;
   bool mEnded = false;
+  bool mCallerLeft = false; ///< the call runs on without a caller
 
   std::unique_ptr<wire::PooledCall> mCall;
   std::unique_ptr<LoadHold> mHold;
--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -129,6 +129,9 @@
     onEvents(aBytes);
     return;
   }
+  if (mCallerLeft) {
+    return;
+  }
   mBody.append(aBytes);
   // An error in place of the rest of a stream is not a part of it.
   const bool passing = mCaller->answerStarted() && mEventCount == 0;
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -297,6 +297,21 @@
         self.assertLess(time.monotonic() - began, 2)
         self.check_bounded(before)
 
+    def test_answer_without_end_whose_caller_left_ends_at_the_deadline(self):
+        """Once its caller had left, nothing bounded a request that may run once only."""
+        self.fail_all((self.OK + "\r\n", b"x" * 65536, 0.001))
+        gateway = self.gateways[0]
+        before = gateway.memory()
+        caller = socket.create_connection((HOST, gateway.port))
+        caller.sendall(b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+                       b"X-Request-Id: left\r\nX-Deadline-Ms: 1500\r\nContent-Length: 1\r\n\r\nx")
+        wait_for(self.runs, 2)
+        caller.close()
+        wait_for(lambda: any(u.endless_sent > (8 << 20) for u in self.desks), 1.4)
+        self.assertLess(gateway.memory() - before, self.SMALL_GROWTH)
+        time.sleep(1.5)
+        self.check_bounded(before)
+
 
 if __name__ == "__main__":
     unittest.main()
