Never continue an answer in part with another upstream's

Callers saw: an answer of more than 1 MiB that is no stream, on a route that may be repeated, could be the first upstream's beginning followed by the second upstream's whole answer, under one status 200 that looked complete.

Cause: from 1 MiB on such an answer is passed on as it comes. When it then broke off, or had not ended within 0.75 times the target of the route, the request was sent to another upstream, as for answers of which the caller has nothing.

An answer of which a part was passed on now ends with its own upstream: the silence timer stops, and retryElsewhere() breaks the caller's connection instead of retrying. Streams go on as before, by the ids of their events.

Evidence: test_answer_that_was_passed_on_in_part_is_not_tried_elsewhere on the code before: Tuples differ: (200, 'done by') != (200, 'xxxxxxx') and the same again with the change in retryElsewhere() alone taken back, where the upstream breaks off after 4 MiB. After: passes.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -225,6 +225,12 @@
            : mFacts.maxOutputTokens;
 }
 
+bool
+Exchange::partPassedOn() const
+{
+  return mCaller->answerStarted() && mEventCount == 0;
+}
+
 void
 Exchange::retry()
 {
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -100,6 +100,9 @@
 
   bool isEngineCall() const { return mFacts.model.has_value(); }
   bool mayHaveRun() const { return mUnresolved > 0; }
+  /** @return true if the caller has a part of an answer that is no stream,
+   * which no other answer can continue */
+  bool partPassedOn() const;
   bool isPatient() const;
   int urgency() const;
   base::Duration timeLeft() const;
--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -134,11 +134,11 @@
   }
   mBody.append(aBytes);
   // An error in place of the rest of a stream is not a part of it.
-  const bool passing = mCaller->answerStarted() && mEventCount == 0;
-  if (!passing) {
+  if (!partPassedOn()) {
     if (mBody.size() <= kMostHeldBytes || rejectAnswer()) {
       return;
     }
+    mSilence.reset(); // No other upstream can go on with this answer.
     mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
   }
   mCaller->sendPart(mBody);
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -213,7 +213,8 @@
 void
 Exchange::retryElsewhere(const char* aReason)
 {
-  const bool allowed = !mayHaveRun() || mRoute->repeatable();
+  const bool allowed =
+    !partPassedOn() && (!mayHaveRun() || mRoute->repeatable());
   if (allowed && mayRetry()) {
     mPath.log.step(mFacts.id,
                    mCaller->answerStarted() ? "resume" : "retry",
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -312,6 +312,21 @@
         time.sleep(1.5)
         self.check_bounded(before)
 
+    def test_answer_that_was_passed_on_in_part_is_not_tried_elsewhere(self):
+        """The answer of a second upstream followed the part of the first one."""
+        slow = self.desks[0]
+        slow.endless = (self.OK + "Content-Length: 99000000\r\n\r\n", b"x" * 65536, 0.01)
+        for limit in (slow.endless_limit, 4 << 20):  # silent for too long as a whole, or broken
+            slow.endless_limit, slow.endless_sent = limit, 0
+            until = time.monotonic() + 20
+            while not slow.endless_sent:
+                self.assertLess(time.monotonic(), until)
+                try:
+                    status, body, _ = self.gateways[0].call("/again/x", method="GET", body=None)
+                except (http.client.IncompleteRead, ConnectionError):
+                    continue
+                self.assertEqual((200, "done by"), (status, body[:7]))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -145,6 +145,7 @@
         self.drop_requests = False  # runs a request and closes without an answer
         self.delay = 0.01
         self.endless = None  # (head, bytes that follow without end, pause after each)
+        self.endless_limit = ENDLESS_BYTES
         self.endless_sent = 0       # bytes of them that left
         self.endless_closed = False  # the gateway closed that connection
 
@@ -196,7 +197,7 @@
         writer.write(head.replace("SIGNATURE\r\n", lines).encode())
         until = time.monotonic() + ENDLESS_SECONDS
         try:
-            while time.monotonic() < until and self.endless_sent < ENDLESS_BYTES:
+            while time.monotonic() < until and self.endless_sent < self.endless_limit:
                 writer.write(part)
                 self.endless_sent += len(part)
                 await writer.drain()
