Send a request whose caller left to no further upstream

Seen: a request that may run once only, whose caller had left while an upstream held it, was sent to another upstream when the first one refused it or could not be reached. That one ran it, though nobody waited for it.

Evidence: test_refused_request_whose_caller_left_is_not_sent_elsewhere on the code before: self.assertEqual(before + 1, self.runs()) ... AssertionError: 3 != 4 After: passes.

--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -92,6 +92,10 @@
 void
 Exchange::dispatch()
 {
+  if (mCallerLeft) {
+    refuse(Code::CallerLeft, "caller left; no upstream ran the request", {});
+    return;
+  }
   if (timeLeft() < kLeastTimeLeft) {
     onDeadline();
     return;
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -312,6 +312,23 @@
         time.sleep(1.5)
         self.check_bounded(before)
 
+    def test_refused_request_whose_caller_left_is_not_sent_elsewhere(self):
+        """The upstream that was tried next ran a request that nobody waited for."""
+        for desk in self.desks:
+            desk.refuse, desk.delay = True, 0.5
+        twice = {**ROUTES[0], "name": "twice", "prefix": "/twice/", "attempts": 2}
+        self.platform.publish(2, ["k1"], ROUTES + [twice])
+        wait_for(lambda: self.gateways[0].call("/twice/x", headers={"X-Deadline-Ms": "900"})[0] != 404, 2.5)
+        time.sleep(1)
+        before = self.runs()
+        caller = socket.create_connection((HOST, self.gateways[0].port))
+        caller.sendall(b"POST /twice/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+                       b"X-Request-Id: left\r\nX-Deadline-Ms: 2500\r\nContent-Length: 1\r\n\r\nx")
+        wait_for(lambda: self.runs() > before, 2)
+        caller.close()
+        time.sleep(1.5)
+        self.assertEqual(before + 1, self.runs())
+
     def test_answer_that_was_passed_on_in_part_is_not_tried_elsewhere(self):
         """The answer of a second upstream followed the part of the first one."""
         slow = self.desks[0]
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -143,6 +143,7 @@
         self.break_after = None  # breaks a stream off inside an event after that many
         self.fail_resumed = False   # answers a resumed stream with a signed error
         self.drop_requests = False  # runs a request and closes without an answer
+        self.refuse = False  # answers that it did not run a request
         self.delay = 0.01
         self.endless = None  # (head, bytes that follow without end, pause after each)
         self.endless_limit = ENDLESS_BYTES
@@ -178,6 +179,9 @@
         await asyncio.sleep(self.delay)
         if self.drop_requests:
             return False
+        if self.refuse:
+            writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "full"}, b""))
+            return True
         if self.endless:
             await self.send_endless(signature, writer)
             return False
