--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -187,6 +187,15 @@
   return true;
 }
 
+void
+Exchange::returnQuota()
+{
+  if (mCost > 0) {
+    mPath.quota.refund(mTeam->name, mCost);
+    mCost = 0;
+  }
+}
+
 void
 Exchange::noteDemand()
 {
@@ -232,6 +241,12 @@
            : mFacts.maxOutputTokens;
 }
 
+bool
+Exchange::partPassedOn() const
+{
+  return mCaller->answerStarted() && mEventCount == 0;
+}
+
 void
 Exchange::retry()
 {
@@ -262,8 +277,12 @@
   const bool finishesAlone =
     mRoute->kind == catalog::RequestKind::Once && mCall && mCall->sent();
   if (finishesAlone) {
-    // A booking that has begun is not broken off; its answer goes nowhere.
-    mDeadline.reset();
+    // A booking that has begun is not broken off before its deadline; its
+    // answer goes nowhere.
+    mCallerLeft = true;
+    mBody.clear();
+    mThrottle.reset();
+    mCall->pauseReading(false);
     mCaller->onGone(nullptr);
     mPath.log.step(
       mFacts.id, "caller left", mLastUpstream, "runs on", base::monotonicNow());
@@ -279,6 +298,9 @@
   if (!mCaller->left()) {
     return false;
   }
+  if (!mayHaveRun()) {
+    returnQuota();
+  }
   // Its reading may be paused, so that its end would never be read.
   mCaller->abort();
   finish(Code::CallerLeft, 0, "caller left before a send");
@@ -291,6 +313,10 @@
   if (mEnded) {
     return;
   }
+  if (mCallerLeft) {
+    finish(Code::CallerLeft, 0, "no complete answer before the deadline");
+    return;
+  }
   if (!mayHaveRun()) {
     refuse(Code::DeadlineUnreachable, "not sent before the deadline", {});
     return;
@@ -303,10 +329,7 @@
                  const std::string& aDetail,
                  base::Duration aRetryAfter)
 {
-  if (mCost > 0) {
-    mPath.quota.refund(mTeam->name, mCost);
-    mCost = 0;
-  }
+  returnQuota();
   if (mCaller->answerStarted()) {
     mCaller->abort();
     finish(aCode, 0, aDetail);
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -58,6 +58,7 @@
   bool findRoute();
   bool authenticate();
   bool takeQuota();
+  void returnQuota();
   void startClock();
   void noteDemand();
 
@@ -85,6 +86,7 @@
   void onFailed(wire::CallFailure aFailure);
   void onRefused(const boundary::AnswerFacts& aFacts);
   void onSpoiled(const char* aReason);
+  bool rejectAnswer();
   void retryElsewhere(const char* aReason);
   bool attemptsLeft() const;
   bool mayRetry();
@@ -96,7 +98,8 @@
   void endCall();
 
   // The answer.
-  void deliverEvents(std::string_view aBytes);
+  void onEvents(std::string_view aBytes);
+  void deliverEvents(const std::vector<wire::StreamEvent>& aEvents);
   void deliverWhole();
   void throttle();
   void fail(base::Code aCode, const std::string& aDetail);
@@ -110,6 +113,9 @@
 
   bool isEngineCall() const { return mFacts.model.has_value(); }
   bool mayHaveRun() const { return mUnresolved > 0; }
+  /** @return true if the caller has a part of an answer that is no stream,
+   * which no other answer can continue */
+  bool partPassedOn() const;
   bool isPatient() const;
   int urgency() const;
   base::Duration timeLeft() const;
@@ -137,6 +143,7 @@
   bool mSilenceNoted = false;
   bool mTurnedAway = false; ///< since the last look for an upstream
   bool mEnded = false;
+  bool mCallerLeft = false; ///< the call runs on without a caller
 
   std::unique_ptr<wire::PooledCall> mCall;
   std::unique_ptr<LoadHold> mHold;
--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -34,6 +34,19 @@
   return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
 }
 
+const char*
+failureText(wire::CallFailure aFailure)
+{
+  switch (aFailure) {
+    case wire::CallFailure::Oversized:
+      return "answer exceeds its limits";
+    case wire::CallFailure::Malformed:
+      return "malformed answer";
+    default:
+      return "connection broke";
+  }
+}
+
 bool
 isEventStream(const http::Headers& aHeaders)
 {
@@ -126,31 +139,42 @@
 Exchange::onBody(std::string_view aBytes)
 {
   if (mStreaming) {
-    deliverEvents(aBytes);
+    onEvents(aBytes);
     return;
   }
-  if (mEventCount > 0) {
-    return; // An error in place of the rest of a stream is not a part of it.
+  if (mCallerLeft) {
+    return;
   }
   mBody.append(aBytes);
-  if (mBody.size() > kMostHeldBytes && !mCaller->answerStarted()) {
+  // An error in place of the rest of a stream is not a part of it.
+  if (!partPassedOn()) {
+    if (mBody.size() <= kMostHeldBytes || rejectAnswer()) {
+      return;
+    }
+    mSilence.reset(); // No other upstream can go on with this answer.
     mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
   }
-  if (mCaller->answerStarted()) {
-    mCaller->sendPart(mBody);
-    mBody.clear();
-    throttle();
-  }
+  mCaller->sendPart(mBody);
+  mBody.clear();
+  throttle();
 }
 
 void
-Exchange::deliverEvents(std::string_view aBytes)
+Exchange::onEvents(std::string_view aBytes)
 {
-  const base::TimePoint now = base::monotonicNow();
   const auto events = mEvents.feed(aBytes);
-  if (events.empty()) {
-    return;
+  if (!events.empty()) {
+    deliverEvents(events);
   }
+  if (mEvents.oversized()) {
+    onSpoiled("event exceeds its limit");
+  }
+}
+
+void
+Exchange::deliverEvents(const std::vector<wire::StreamEvent>& aEvents)
+{
+  const base::TimePoint now = base::monotonicNow();
   if (mEventCount == 0) {
     mFirstByteAt = now;
     if (isEngineCall() && mSends == 1) {
@@ -166,7 +190,7 @@
   }
   mPath.health.onSuccess(mLastUpstream, now);
   std::string bytes;
-  for (const wire::StreamEvent& event : events) {
+  for (const wire::StreamEvent& event : aEvents) {
     const bool repeated =
       event.id && mLastEventId && *event.id <= *mLastEventId;
     if (repeated) {
@@ -206,41 +230,55 @@
   });
 }
 
-void
-Exchange::onComplete()
+/** Turns to another upstream, or ends the request, if the answer may not be
+ * passed on. @return true if so */
+bool
+Exchange::rejectAnswer()
 {
-  const base::TimePoint now = base::monotonicNow();
   const auto facts =
     boundary::decodeAnswer(mHead.status, mHead.headers, mLastUpstream);
   if (facts.notRun) {
     onRefused(facts);
-    return;
+    return true;
   }
   if (mStreaming) {
-    if (!mEvents.rest().empty() || mEventCount == 0) {
-      onSpoiled("stream ended inside an event");
-      return;
-    }
-    mPath.crashes.onSuccess(mFingerprint);
-    mCaller->endStream();
-    finish(Code::Ok, mHead.status, "");
-    return;
+    return false;
   }
   if (mEventCount > 0) {
     onSpoiled("resumed stream was answered with another status");
-    return;
+    return true;
   }
   if (!facts.genuine && isSuccess(mHead.status)) {
     onSpoiled("answer without signature");
-    return;
+    return true;
   }
   // An error that the upstream signed is its answer to the request, which
   // another upstream would give as well.
   if (mHead.status >= kFirstServerError && !facts.genuine) {
     onSpoiled("error without signature");
+    return true;
+  }
+  return false;
+}
+
+void
+Exchange::onComplete()
+{
+  if (rejectAnswer()) {
+    return;
+  }
+  if (mStreaming) {
+    if (!mEvents.rest().empty() || mEventCount == 0) {
+      onSpoiled("stream ended inside an event");
+      return;
+    }
+    mPath.crashes.onSuccess(mFingerprint);
+    mCaller->endStream();
+    finish(Code::Ok, mHead.status, "");
     return;
   }
   if (mHead.status < kFirstServerError) {
+    const base::TimePoint now = base::monotonicNow();
     mPath.health.onSuccess(mLastUpstream, now);
     mPath.work.onAnswer(mService->name, now - mSentAt);
     mPath.crashes.onSuccess(mFingerprint);
@@ -310,8 +348,7 @@
     return;
   }
   mPath.crashes.onBroken(mFingerprint, mLastUpstream, now);
-  onSpoiled(aFailure == wire::CallFailure::Broken ? "connection broke"
-                                                  : "malformed answer");
+  onSpoiled(failureText(aFailure));
 }
 
 } // namespace marigold::gateway
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -392,6 +392,130 @@
             self.assertEqual(status, caller.recv(4096).split(b" ")[1])
             caller.close()
 
+    # Bytes that are no answer, or no whole one: head, then what follows without end.
+    OK = "HTTP/1.1 200 OK\r\nSIGNATURE\r\n"
+    ENDLESS_HEADS = {"reason": ("HTTP/1.1 200 ", b"x" * 65536), "field": (OK + "X-Y: ", b"x" * 65536),
+                     "provisional": ("", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2000)}
+    SMALL_GROWTH = 24 << 20  # bytes; an answer is held up to 1 MiB, the rest is buffers of the process
+
+    def fail_all(self, endless):
+        """Makes every upstream send these bytes, as if none had sent any before."""
+        for upstream in self.desks + self.engines:
+            upstream.endless = endless
+            upstream.endless_sent, upstream.endless_closed = 0, False
+
+    def check_bounded(self, before):
+        """The connections are closed at once, and the memory has not grown."""
+        ran = [u for u in self.desks + self.engines if u.endless_sent]
+        wait_for(lambda: all(u.endless_closed for u in ran), 1)
+        self.assertTrue(ran)
+        self.assertLess(self.gateways[0].memory() - before, self.SMALL_GROWTH)
+
+    def test_head_without_end_ends_as_unknown_once_and_is_tried_elsewhere_if_repeatable(self):
+        """Provisional answers without end were skipped until the deadline."""
+        gateway = self.gateways[0]
+        for name, (head, part) in self.ENDLESS_HEADS.items():
+            with self.subTest(name):
+                self.fail_all((head, part, 0))
+                before = gateway.memory()
+                began = time.monotonic()
+                status, _, headers = gateway.call("/once/x", headers={"X-Request-Id": "once-" + name})
+                self.assertEqual((502, "unknown"), (status, headers["Marigold-Outcome"]))
+                self.assertLess(time.monotonic() - began, 2)
+                self.check_bounded(before)
+                wait_for(lambda: any("once-" + name in line and "answer exceeds its limits" in line
+                                     for line in gateway.log().splitlines()), 1)
+                self.fail_all(None)
+                self.desks[0].endless = (head, part, 0)
+                for _ in range(4):
+                    self.assertEqual(200, gateway.call("/again/x", method="GET", body=None)[0])
+
+    def test_dripping_answer_does_not_outlast_the_deadline(self):
+        """An upstream that sends a byte now and then must not hold a request or a connection."""
+        for head, part in (("HTTP/1.1 200 OK\r\nX: ", b"x"), (self.OK + "\r\n", b"x")):
+            self.fail_all((head, part, 0.05))
+            before = self.gateways[0].memory()
+            began = time.monotonic()
+            status, _, headers = self.gateways[0].call("/once/x", headers={"X-Deadline-Ms": "1000"})
+            self.assertEqual((504, "unknown"), (status, headers["Marigold-Outcome"]))
+            self.assertLess(time.monotonic() - began, 1.5)
+            self.check_bounded(before)
+
+    def test_stream_event_without_end_is_no_event(self):
+        """The bytes of an incomplete event were kept without limit until the deadline."""
+        head = "HTTP/1.1 200 OK\r\nSIGNATURE\r\nContent-Type: text/event-stream\r\n\r\ndata: "
+        self.fail_all((head, b"x" * 65536, 0))
+        before = self.gateways[0].memory()
+        status, _, headers = self.gateways[0].call("/single/x", headers=self.CHAT)
+        self.assertEqual((502, "unknown"), (status, headers["Marigold-Outcome"]))
+        self.check_bounded(before)
+        self.assertTrue("event exceeds its limit" in self.gateways[0].log())
+
+    def test_unsigned_body_without_end_is_not_passed_on(self):
+        """From 1 MiB on, a success without a signature reached the caller."""
+        self.fail_all(("HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536, 0))
+        before = self.gateways[0].memory()
+        status, _, headers = self.gateways[0].call("/once/x")
+        self.assertEqual((502, "unknown"), (status, headers["Marigold-Outcome"]))
+        self.check_bounded(before)
+
+    def test_signed_body_without_end_breaks_off_at_the_deadline(self):
+        """A long answer passes as it comes; without an end it must not look complete."""
+        self.fail_all((self.OK + "\r\n", b"x" * 65536, 0.01))
+        before = self.gateways[0].memory()
+        began = time.monotonic()
+        with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
+            self.gateways[0].call("/once/x", headers={"X-Deadline-Ms": "1500"})
+        self.assertLess(time.monotonic() - began, 2)
+        self.check_bounded(before)
+
+    def test_answer_without_end_whose_caller_left_ends_at_the_deadline(self):
+        """Once its caller had left, nothing bounded a request that may run once only."""
+        self.fail_all((self.OK + "\r\n", b"x" * 65536, 0.001))
+        gateway = self.gateways[0]
+        before = gateway.memory()
+        caller = socket.create_connection((HOST, gateway.port))
+        caller.sendall(b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+                       b"X-Request-Id: left\r\nX-Deadline-Ms: 1500\r\nContent-Length: 1\r\n\r\nx")
+        wait_for(self.runs, 2)
+        caller.close()
+        wait_for(lambda: any(u.endless_sent > (8 << 20) for u in self.desks), 1.4)
+        self.assertLess(gateway.memory() - before, self.SMALL_GROWTH)
+        time.sleep(1.5)
+        self.check_bounded(before)
+
+    def test_refused_request_whose_caller_left_is_not_sent_elsewhere(self):
+        """The upstream that was tried next ran a request that nobody waited for."""
+        for desk in self.desks:
+            desk.refuse, desk.delay = True, 0.5
+        twice = {**ROUTES[0], "name": "twice", "prefix": "/twice/", "attempts": 2}
+        self.platform.publish(2, ["k1"], ROUTES + [twice])
+        wait_for(lambda: self.gateways[0].call("/twice/x", headers={"X-Deadline-Ms": "900"})[0] != 404, 2.5)
+        time.sleep(1)
+        before = self.runs()
+        caller = socket.create_connection((HOST, self.gateways[0].port))
+        caller.sendall(b"POST /twice/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+                       b"X-Request-Id: left\r\nX-Deadline-Ms: 2500\r\nContent-Length: 1\r\n\r\nx")
+        wait_for(lambda: self.runs() > before, 2)
+        caller.close()
+        time.sleep(1.5)
+        self.assertEqual(before + 1, self.runs())
+
+    def test_answer_that_was_passed_on_in_part_is_not_tried_elsewhere(self):
+        """The answer of a second upstream followed the part of the first one."""
+        slow = self.desks[0]
+        slow.endless = (self.OK + "Content-Length: 99000000\r\n\r\n", b"x" * 65536, 0.01)
+        for limit in (slow.endless_limit, 4 << 20):  # silent for too long as a whole, or broken
+            slow.endless_limit, slow.endless_sent = limit, 0
+            until = time.monotonic() + 20
+            while not slow.endless_sent:
+                self.assertLess(time.monotonic(), until)
+                try:
+                    status, body, _ = self.gateways[0].call("/again/x", method="GET", body=None)
+                except (http.client.IncompleteRead, ConnectionError):
+                    continue
+                self.assertEqual((200, "done by"), (status, body[:7]))
+
 
 if __name__ == "__main__":
     unittest.main()
