Let an adapter wait for the slot that was freed for it

Cause: after an unload the engine gets no orders until its report (400 ms, or the length of the runs), and the next plans, which come more often, found the adapter still absent and unloaded another one at the next engine.

A free slot at an engine of the model that settles is now promised to one adapter, which then evicts nothing elsewhere; until it was without a place for 10 s, so that an engine that does not report holds nobody up.

--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -26,6 +26,10 @@
 constexpr base::Duration kLongUnserved = 5s;
 /** An adapter in use must be worth less than the other by this factor. */
 constexpr double kGainOverLoss = 2;
+/** An adapter waits for a slot that an engine just freed until it was without a
+ * place for this long; unloads in use, which begin after kLongUnserved, mostly
+ * end within a few seconds. */
+constexpr base::Duration kSlotComes = 10s;
 
 double
 valueOf(const Demand* aDemand)
@@ -104,6 +108,7 @@
     : mView(aSituation)
     , mUsed(aSituation.engines.size())
     , mVictims(aSituation.engines.size())
+    , mPromised(aSituation.engines.size())
   {
     for (std::size_t i = 0; i < mUsed.size(); ++i) {
       mUsed[i] = mView.engines()[i].mayOrder ? 0 : 1;
@@ -278,7 +283,8 @@
         bestCost = cost;
       }
     }
-    if (best == nullptr) {
+    const bool loads = best != nullptr && bestVictim.adapter == nullptr;
+    if (best == nullptr || (!loads && slotComes(aNeed))) {
       return;
     }
     const char* reason = aNeed.absent ? "requests wait" : "hot";
@@ -293,6 +299,28 @@
           reason);
   }
 
+  /** @return true if an engine of the model has a slot but gets no orders now,
+   * as after an unload until its report; the slot then counts as promised */
+  bool slotComes(const Need& aNeed)
+  {
+    if (aNeed.adapter->demand->unserved > kSlotComes) {
+      return false;
+    }
+    for (const Trace& trace : aNeed.model->traces) {
+      const EngineFigures& figures = mView.engines()[trace.engine];
+      const Engine& engine = *figures.engine;
+      const bool settles = !engine.leaving && !engine.orderable &&
+                           engine.arriving.empty() && engine.retiring.empty();
+      if (trace.holds && settles &&
+          figures.adapters + mPromised[trace.engine] <
+            mView.situation().spec->adapterSlots) {
+        ++mPromised[trace.engine];
+        return true;
+      }
+    }
+    return false;
+  }
+
   static bool mayLeave(const Victim& aVictim, const Need& aNeed)
   {
     if (aVictim.adapter == nullptr) {
@@ -338,6 +366,7 @@
   std::vector<char> mUsed; ///< by engine: it gets no further order
   std::size_t mLeft = 0;   ///< engines that may still get one
   std::vector<Victim> mVictims;
+  std::vector<unsigned> mPromised; ///< by engine: slots that come
   std::vector<Step> mSteps;
 };
 
