Let CppUTest check memory safely where tests run threads

wire_tests failed in 1 of 12 runs beside other work (SendsTheLastChunkBeforeItCloses: Deallocating non-allocated memory) and ended early in one run before. Cause: CppUTest's check of allocations is not thread-safe by default, and these tests run the peer on a thread of its own.

--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -3,6 +3,7 @@
 #include "http/tests/endless_server.h"
 
 #include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <CppUTest/TestHarness.h>
 #include <chrono>
 #include <cstdlib>
@@ -285,5 +286,7 @@
 int
 main(int aCount, char** aValues)
 {
+  // Tests here run peers on threads of their own.
+  MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
   return CommandLineTestRunner::RunAllTests(aCount, aValues);
 }
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -3,6 +3,7 @@
 #include "wire/wire.h"
 
 #include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <CppUTest/TestHarness.h>
 #include <arpa/inet.h>
 #include <atomic>
@@ -836,5 +837,7 @@
 int
 main(int aCount, char** aValues)
 {
+  // Tests here run peers on threads of their own.
+  MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
   return CommandLineTestRunner::RunAllTests(aCount, aValues);
 }
