Place models that requests wait for before further replicas of hot ones

Cause: needs went by their gain alone, so a hot model's further replica took each place that was freed for an absent model; and a last replica left only if it had no work at all, which never holds for a model that is asked for now and then. Same class as for adapters: no order by time without a place. Now models that requests wait for in vain come first; the time without an engine counts for them as for adapters; after 5 s a last replica in use may leave if the gain is twice its loss.

--- a/libs/residency/absence_watch.cpp
+++ b/libs/residency/absence_watch.cpp
@@ -20,8 +20,7 @@
     return aNow - aItem.second.askedAt > kForgotten;
   });
   for (const auto& [ref, demand] : aSituation.demand) {
-    if (!ref.adapter.empty() && demand.waiting > 0 &&
-        aSituation.spec->models.contains(ref.model)) {
+    if (demand.waiting > 0 && aSituation.spec->models.contains(ref.model)) {
       const auto entry = mAbsences.try_emplace(ref, Absence{ aNow, aNow });
       entry.first->second.askedAt = aNow;
     }
@@ -43,6 +42,7 @@
 AbsenceWatch::eraseHeld(const Engine& aEngine)
 {
   for (const auto& [model, adapters] : aEngine.models) {
+    mAbsences.erase({ model, "" });
     for (const std::string& adapter : adapters) {
       mAbsences.erase({ model, adapter });
     }
--- a/libs/residency/absence_watch.h
+++ b/libs/residency/absence_watch.h
@@ -1,4 +1,4 @@
-/** @file How long adapters have been asked for without a place. */
+/** @file How long models and adapters have been asked for without a place. */
 #pragma once
 
 #include "base/base.h"
@@ -12,14 +12,14 @@
 struct Situation;
 
 /**
- * Remembers since when each adapter is asked for while no engine holds it. An
- * adapter that loses against others in one plan gains by it in the next.
+ * Remembers since when each model or adapter is asked for while no engine holds
+ * it. One that loses against others in one plan gains by it in the next.
  */
 class AbsenceWatch
 {
 public:
   /**
-   * @param aSituation gets Demand::unserved of the adapters of its models
+   * @param aSituation gets Demand::unserved of its models and adapters
    * @param aNow time of the plan
    */
   void fill(Situation& aSituation, base::TimePoint aNow);
--- a/libs/residency/fleet_view.cpp
+++ b/libs/residency/fleet_view.cpp
@@ -65,6 +65,7 @@
       model = &figures(ref.model);
     }
     model->workMsPerSecond += demand.workMsPerSecond;
+    model->unserved = std::max(model->unserved, demand.unserved);
     if (ref.adapter.empty()) {
       model->waiting += demand.waiting;
       continue;
--- a/libs/residency/fleet_view.h
+++ b/libs/residency/fleet_view.h
@@ -42,7 +42,10 @@
   unsigned replicas = 0;      ///< engines that hold or get it and stay
   double workMsPerSecond = 0; ///< with the work of its adapters
   unsigned waiting = 0;       ///< requests that wait, without its adapters'
-  std::vector<Trace> traces;  ///< in the order of the engines
+  /** Longest time for which the model or one of its adapters has been asked for
+   * without an engine. */
+  base::Duration unserved{};
+  std::vector<Trace> traces; ///< in the order of the engines
   std::map<std::string_view, AdapterFigures> adapters;
 
   /** @return work that falls to each replica in ms per second */
--- a/libs/residency/plan_models.cpp
+++ b/libs/residency/plan_models.cpp
@@ -6,6 +6,7 @@
 namespace marigold::residency {
 namespace {
 
+using namespace std::chrono_literals;
 using base::ModelName;
 
 /** Work per replica at which one more millisecond of work costs twice as much:
@@ -19,6 +20,13 @@
 constexpr double kAbsentCost = 40;
 /** Cost of each request that waits for the model now. */
 constexpr double kWaitingCost = 200;
+/** Cost of each second for which an absent model has been asked for; with it a
+ * rare model overtakes busier ones within the timeouts of its callers, 5 to
+ * 15 s. */
+constexpr double kUnservedCost = 40;
+/** The last replica of a model in use leaves only for one that was asked for
+ * without an engine for this long, about the shortest timeout of a caller. */
+constexpr base::Duration kLongUnserved = 5s;
 /** Cost of each adapter that is asked for and for which the engines of its
  * model have no slot: more than that of an absent model, because its callers
  * wait for as long as this lasts, not for one load; less than a waiting
@@ -48,6 +56,7 @@
 /** A model that a further replica would help. */
 struct Need
 {
+  bool awaited = false; ///< no engine holds the model and requests wait for it
   double gain = 0;      ///< without the adapters
   unsigned lacking = 0; ///< adapters that need a slot of a further replica
   ModelFigures* model = nullptr;
@@ -59,6 +68,14 @@
   }
 };
 
+/** Which last replicas may leave an engine. */
+enum class LastReplica : std::uint8_t
+{
+  Stays,
+  LeavesIdle,
+  LeavesInUse,
+};
+
 /** A model that may leave an engine. */
 struct Victim
 {
@@ -74,7 +91,8 @@
   const double work = aModel.workMsPerSecond;
   if (aReplicas == 0) {
     return kAbsentCost + work * work / kFairMsPerSecond + work +
-           aModel.waiting * kWaitingCost;
+           aModel.waiting * kWaitingCost +
+           base::inSeconds(aModel.unserved) * kUnservedCost;
   }
   const double queueing = work * work / (kFairMsPerSecond * aReplicas);
   const double risk =
@@ -96,6 +114,7 @@
     , mTraces(aSituation.engines.size())
     , mVictims(aSituation.engines.size())
     , mIdleVictims(aSituation.engines.size())
+    , mUsedVictims(aSituation.engines.size())
   {
     for (std::size_t i = 0; i < mView.engines().size(); ++i) {
       if (mView.engines()[i].mayOrder) {
@@ -116,7 +135,8 @@
   }
 
 private:
-  /** @return models by the gain of a further replica, the largest first */
+  /** @return models that requests wait for in vain, then the others, each by
+   * the gain of a further replica, the largest first */
   std::vector<Need> needs()
   {
     const unsigned slots = mView.situation().spec->adapterSlots;
@@ -130,7 +150,9 @@
         costOf(model, model.replicas) - costOf(model, model.replicas + 1);
       // Requests for an adapter of an absent model wait for the model too.
       gain += model.replicas == 0 && lacking > 0 ? kWaitingCost : 0;
-      const Need need{ gain, lacking, &model };
+      const bool awaited =
+        model.replicas == 0 && (model.waiting > 0 || lacking > 0);
+      const Need need{ awaited, gain, lacking, &model };
       if (need.gainWith(slots) > kLeastGain) {
         needs.push_back(need);
       }
@@ -138,13 +160,16 @@
     std::stable_sort(needs.begin(),
                      needs.end(),
                      [slots](const Need& aLeft, const Need& aRight) {
-                       return aLeft.gainWith(slots) > aRight.gainWith(slots);
+                       return aLeft.awaited != aRight.awaited
+                                ? aLeft.awaited
+                                : aLeft.gainWith(slots) >
+                                    aRight.gainWith(slots);
                      });
     return needs;
   }
 
   /** @return the model at the engine whose loss costs least */
-  Victim leastLoss(std::size_t aEngine, bool aMayTakeLast) const
+  Victim leastLoss(std::size_t aEngine, LastReplica aLast) const
   {
     const auto& allHeld = mView.engines()[aEngine].held;
     Victim best;
@@ -156,7 +181,9 @@
         continue;
       }
       const bool idle = model.workMsPerSecond < kIdleMsPerSecond;
-      if (model.replicas == 1 && !(aMayTakeLast && idle)) {
+      const bool lastMayLeave = aLast == LastReplica::LeavesInUse ||
+                                (aLast == LastReplica::LeavesIdle && idle);
+      if (model.replicas == 1 && !lastMayLeave) {
         continue;
       }
       const double loss = costOf(model, model.replicas - 1) -
@@ -170,15 +197,26 @@
     return best;
   }
 
-  const Victim& victimOf(std::size_t aEngine, bool aMayTakeLast)
+  const Victim& victimOf(std::size_t aEngine, LastReplica aLast)
   {
-    Victim& victim = aMayTakeLast ? mIdleVictims[aEngine] : mVictims[aEngine];
+    Victim& victim = aLast == LastReplica::Stays        ? mVictims[aEngine]
+                     : aLast == LastReplica::LeavesIdle ? mIdleVictims[aEngine]
+                                                        : mUsedVictims[aEngine];
     if (!victim.known) {
-      victim = leastLoss(aEngine, aMayTakeLast);
+      victim = leastLoss(aEngine, aLast);
     }
     return victim;
   }
 
+  static LastReplica lastReplicaFor(const Need& aNeed)
+  {
+    if (!aNeed.awaited) {
+      return LastReplica::Stays;
+    }
+    return aNeed.model->unserved < kLongUnserved ? LastReplica::LeavesIdle
+                                                 : LastReplica::LeavesInUse;
+  }
+
   bool taken(const ModelFigures& aModel) const
   {
     return std::find(mTaken.begin(), mTaken.end(), &aModel) != mTaken.end();
@@ -191,6 +229,7 @@
     for (const Trace& trace : aModel.traces) {
       mVictims[trace.engine].known = false;
       mIdleVictims[trace.engine].known = false;
+      mUsedVictims[trace.engine].known = false;
     }
   }
 
@@ -220,9 +259,7 @@
     if (engine.freeMb >= model.weightsMb) {
       return true;
     }
-    const bool awaited = aNeed.model->replicas == 0 &&
-                         (aNeed.model->waiting > 0 || aNeed.lacking > 0);
-    const Victim& victim = victimOf(aEngine, awaited);
+    const Victim& victim = victimOf(aEngine, lastReplicaFor(aNeed));
     if (victim.model == nullptr ||
         gain < victim.loss * kGainOverLoss + kLeastGain) {
       return false;
@@ -284,6 +321,7 @@
   std::vector<Trace> mTraces;          ///< of the model in hand, by engine
   std::vector<Victim> mVictims;        ///< by engine
   std::vector<Victim> mIdleVictims;    ///< where a last idle replica may leave
+  std::vector<Victim> mUsedVictims;    ///< where any last replica may leave
   std::vector<const ModelFigures*> mTaken;
   std::vector<Step> mSteps;
 };
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -42,7 +42,7 @@
   double workMsPerSecond = 0; ///< engine time that its requests need
   unsigned waiting = 0;       ///< requests that no engine can serve now
   unsigned running = 0;       ///< requests that engines work on
-  /** Time for which requests have asked for an adapter that no engine holds. */
+  /** Time for which requests have asked for what no engine holds. */
   base::Duration unserved{};
 };
 
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -118,6 +118,52 @@
   CHECK(unload->engine != "e1");
 }
 
+// Load pattern: more models are asked for than engines have room for. Guards
+// against a hot model taking each place that is freed for an absent one.
+TEST(PlanModels, PlacesAnAwaitedModelBeforeMoreReplicasOfAHotOne)
+{
+  spec.weightsMb = 2 * kWeightsMb + 1000;
+  situation.engines = { engine("e1", { "a" }), engine("e2", { "b", "c" }) };
+  situation.demand[{ "b", "" }] = { 2000, 0, 9 };
+  situation.demand[{ "d", "" }] = { 0, 1, 0 };
+  const auto steps = residency::planModels(situation);
+  const Step* load = stepFor(steps, "d", true);
+  CHECK(load != nullptr);
+  STRCMP_EQUAL("e1", load->engine.c_str());
+}
+
+// Load pattern: as many rare models as places, each asked for now and then.
+// Guards against a model that is asked for all day and never served.
+TEST(PlanModels, ModelThatWaitedLongTakesTheLastReplicaOfARareOne)
+{
+  spec.weightsMb = 2 * kWeightsMb + 1000;
+  situation.engines = { engine("e1", { "a", "b" }) };
+  situation.demand[{ "a", "" }] = { 900, 0, 9 };
+  situation.demand[{ "b", "" }] = { 20, 0, 1 };
+  situation.demand[{ "c", "" }] = { 10, 1, 0, 2s };
+  CHECK(residency::planModels(situation).empty());
+  situation.demand[{ "c", "" }].unserved = 6s;
+  const auto steps = residency::planModels(situation);
+  CHECK(stepFor(steps, "b", false) != nullptr);
+  CHECK(stepFor(steps, "a", false) == nullptr);
+}
+
+// Guards against the time without an engine being kept for adapters only.
+TEST(PlanModels, AbsenceOfAModelIsRemembered)
+{
+  residency::AbsenceWatch absences;
+  situation.engines = { engine("e1", { "a", "b" }) };
+  situation.demand[{ "c", "" }] = { 10, 1, 0 };
+  absences.fill(situation, base::TimePoint{ 100s });
+  situation.demand[{ "c", "" }] = { 10, 0, 0 };
+  absences.fill(situation, base::TimePoint{ 107s });
+  CHECK(situation.demand.at({ "c", "" }).unserved == 7s);
+  situation.engines.push_back(engine("e2", { "c" }));
+  situation.demand[{ "c", "" }] = { 10, 1, 0 };
+  absences.fill(situation, base::TimePoint{ 108s });
+  CHECK(situation.demand.at({ "c", "" }).unserved == 0s);
+}
+
 // Guards against thrash: sole replicas of rare models left for a small gain
 // and had to be loaded again seconds later.
 TEST(PlanModels, KeepsTheLastReplicaOfAModel)
