Keep a freed slot for the adapter that waited for it

Cause: an adapter counted only while requests waited for it. When these ended before the engine reported its free slot, the spare adapters took the slot, in the order of names, and the next request had to evict again.

An adapter that was asked for within the absence that AbsenceWatch keeps now gets a free slot also while no request waits; it evicts nothing then.

On the planner before, the new test fails: residency_tests.cpp:421: GivesTheFreedSlotToTheAdapterThatWaited: expected <1 (0x1)> but was <0 (0x0)>

--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -49,7 +49,7 @@
 /** An adapter that a further place would help. */
 struct Need
 {
-  bool absent = false; ///< no engine holds it and requests wait
+  bool absent = false; ///< no engine holds it and it is asked for
   double value = 0;    ///< against other needs and against what has to leave
   const ModelFigures* model = nullptr;
   const AdapterFigures* adapter = nullptr;
@@ -146,7 +146,7 @@
   }
 
 private:
-  /** @return absent adapters that requests wait for, then hot ones, each by
+  /** @return absent adapters that are asked for, then hot ones, each by
    * urgency */
   std::vector<Need> needs()
   {
@@ -160,7 +160,9 @@
         if (demand == nullptr) {
           continue;
         }
-        const bool absent = adapter.places == 0 && demand->waiting > 0;
+        const bool absent =
+          adapter.places == 0 &&
+          (demand->waiting > 0 || demand->unserved > base::Duration{});
         const bool hot = adapter.places == 1 &&
                          demand->workMsPerSecond > kHotAdapterMsPerSecond;
         if (absent || hot) {
@@ -326,6 +328,9 @@
     if (aVictim.adapter == nullptr) {
       return false;
     }
+    if (aNeed.absent && aNeed.adapter->demand->waiting == 0) {
+      return false; // It was asked for a moment ago; a free slot will do.
+    }
     if (!aNeed.absent) {
       return aVictim.loss == Loss::Nothing && aVictim.value <= aNeed.value;
     }
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -409,6 +409,22 @@
   LONGS_EQUAL(1, residency::planAdapters(situation).size());
 }
 
+// Load pattern: single requests for a rare adapter, which end before a slot is
+// free. Guards against the slot going to an adapter that nobody asked for.
+TEST(PlanAdapters, GivesTheFreedSlotToTheAdapterThatWaited)
+{
+  Engine freed = engine("e1", { "a" });
+  freed.models["a"] = { "a1" };
+  situation.engines = { freed };
+  situation.demand[{ "a", "a3" }] = { 5, 0, 0, 5s };
+  const auto steps = residency::planAdapters(situation);
+  LONGS_EQUAL(1, steps.size());
+  CHECK(steps[0].load);
+  STRCMP_EQUAL("a3", steps[0].what.adapter.c_str());
+  situation.engines[0].models["a"].insert("a2");
+  CHECK(residency::planAdapters(situation).empty());
+}
+
 // Guards against waiting for an engine that never reports again.
 TEST(PlanAdapters, WaitsNotForeverForASlotThatComes)
 {
