Lock the leak check of the wire tests, whose callers are threads

wire_tests hung: once in 60 runs, once in 49 at a load average above 20, each time in SendsTheLastChunkBeforeItCloses. With gdb on the second one: a single thread is left, looping in MemoryLeakDetectorTable::getTotalLeaks. CppUTest keeps all allocations in linked lists without a lock, and these tests run their callers on threads; two allocations at once damage a list.

The program now uses CppUTest's own overloads with a lock. The leak check stays as strict: a small program with the same call and a leaked array still failed with "Total number of leaks: 1".

--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -2,6 +2,7 @@
 #include "wire/wire.h"
 
 #include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <CppUTest/TestHarness.h>
 #include <arpa/inet.h>
 #include <atomic>
@@ -462,5 +463,8 @@
 int
 main(int aCount, char** aValues)
 {
+  // Callers run on threads of their own; without its lock the table of the
+  // leak check is damaged by two allocations at once.
+  MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
   return CommandLineTestRunner::RunAllTests(aCount, aValues);
 }
