Forget an earlier refusal once an upstream took the request

A request that had been refused once, and whose next upstream then broke off, waited 400 ms for another look instead of failing at once, because the mark of the refusal stayed. The mark now ends with the next call. Found in reading the change before it; no test of its own.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -132,7 +132,7 @@
   unsigned mUnresolved = 0; ///< sends after which the request may have run
   bool mWaited = false;
   bool mSilenceNoted = false;
-  bool mTurnedAway = false; ///< since the last look for an upstream
+  bool mTurnedAway = false; ///< since the last look or call
   bool mEnded = false;
 
   std::unique_ptr<wire::PooledCall> mCall;
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -378,6 +378,7 @@
 {
   const base::UpstreamName& name = aUpstream->record.name;
   mCall = std::move(aCall);
+  mTurnedAway = false;
   mTried.insert(name);
   mLastUpstream = name;
   mSentAt = base::monotonicNow();
