Leave room for the lines of small chunks in an answer

A body below that limit in chunks of a few bytes, as a long stream of small events has them, was ended as broken. The bound is now twice the body, so that chunks of 6 bytes and more leave the limit to the body itself.

--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -25,8 +25,9 @@
 constexpr std::size_t kMaxHeadsBytes = 2 * kMaxHeaderBytes;
 /** Line of a chunk in bytes; evhttp waits for its end without a limit. */
 constexpr std::size_t kMaxChunkLineBytes = kMaxHeaderBytes;
-/** Whole answer in bytes, with the lines of its chunks. */
-constexpr std::size_t kMaxAnswerBytes = kMaxHeadsBytes + kMaxBodyBytes;
+/** Whole answer in bytes. The line of a chunk takes 6 bytes, so that a body of
+ * the largest size passes in chunks of that size, as small events come. */
+constexpr std::size_t kMaxAnswerBytes = kMaxHeadsBytes + 2 * kMaxBodyBytes;
 
 constexpr int kContinue = 100;
 
