Record allocations of test threads safely in wire_tests and http_tests

Cause: CppUTest's records of allocations are not safe for threads by default, and these tests allocate on the thread that plays the caller (talk() collects the answer) while the loop allocates on its own. The "leaked" block held two pointers of the heap's free list, so it had been freed, and only its record remained. Both programs now use CppUTest's records for threads; all leak checks stay.

--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -3,6 +3,7 @@
 #include "http/tests/endless_server.h"
 
 #include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <CppUTest/TestHarness.h>
 #include <cstdlib>
 #include <optional>
@@ -316,5 +317,7 @@
 int
 main(int aCount, char** aValues)
 {
+  // Threads of the tests allocate too, which corrupts the default records.
+  MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
   return CommandLineTestRunner::RunAllTests(aCount, aValues);
 }
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -3,6 +3,7 @@
 #include "wire/wire.h"
 
 #include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <CppUTest/TestHarness.h>
 #include <arpa/inet.h>
 #include <atomic>
@@ -496,5 +497,7 @@
 int
 main(int aCount, char** aValues)
 {
+  // Threads of the tests allocate too, which corrupts the default records.
+  MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
   return CommandLineTestRunner::RunAllTests(aCount, aValues);
 }
