Let an isolated VM save up for a request beyond its share of the burst

Callers saw 429 at a VM that hears no peer for every request of a small team, however long the cut lasted: its capped bucket holds burst / VMs, which is less than one request costs.

Now such a VM counts the inflow that its full bucket cannot keep since it last admitted a request of the team, up to its share of the rate of 8 s. It admits a request that the level and this sum cover, and the level goes negative, so the debt is paid back by later inflow before the next request. Thus a VM admits, in any window of 8 s or more, at most its share of rate * window + burst: a debt is never larger than what was lost in that window before it, and no other admission lies between. Peers assume that the part of a silent peer kept all its inflow, so the VM adds what it lost to its usage when it goes into debt; after the cut they find exactly the debt missing. A process that has not heard any peer yet, and one that was paused, save nothing.

A request that costs more than share * (burst + 8 s of the rate) is still refused while the VM is alone: with N isolated VMs, one such request at each is more than the limit. A side of several VMs does not save up either.

Weighed and not done: - a cap of max(share of the burst, cost) without a debt: 81 VMs that saved up spend 81 requests and their burst, which no window bounds; - shares by recent use as known before the cut: VMs know them at different times, so the parts do not add up to one; - shares on few VMs by a hash of team and VM: safe, but needs an agreed size of a request for each team, which the limits do not have, and refuses the team at all other isolated VMs.

The wait of a refusal stays that of the whole fleet, missing / rate, and is documented so: the caller's next try usually reaches another VM.

--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -24,6 +24,9 @@
 constexpr base::Duration kLongestGap = 500ms;
 /** A partition of an hour with some minutes to notice its end. */
 constexpr base::Duration kReserveLapsed = 65min;
+/** Limits are promised over windows of eight seconds; an isolated VM borrows at
+ * most its share of the rate of one, so no window gets more. */
+constexpr base::Duration kMostSaved = 8s;
 /** Spans of the history over the silence after which a peer is cut off: what is
  * known of the moment of a cut is exact to about 60 ms, under one report. */
 constexpr unsigned kSpansOfSilence = 16;
@@ -156,6 +159,20 @@
   }
 }
 
+bool
+FleetQuota::alone() const
+{
+  // Peers that never heard this VM would not see its debts.
+  bool heard = false;
+  for (const auto& [name, peer] : mPeers) {
+    if (!peer.silent) {
+      return false;
+    }
+    heard = heard || peer.heard;
+  }
+  return heard;
+}
+
 void
 FleetQuota::noteSilence(base::TimePoint aNow)
 {
@@ -165,7 +182,19 @@
       silent.push_back(&peer);
     }
   }
+  if (silent.empty()) {
+    return;
+  }
+  base::TimePoint latest;
+  for (const Peer* peer : silent) {
+    latest = std::max(latest, peer->heardAt);
+  }
   split(std::move(silent), true);
+  for (auto& [team, bucket] : mBuckets) {
+    // Its part began then; what of this inflow was kept is not worth knowing.
+    bucket.lost =
+      bucket.limit.rate * shareOfOne() * base::inSeconds(aNow - latest);
+  }
 }
 
 /**
@@ -330,7 +359,8 @@
   if (passed <= base::Duration::zero()) {
     return;
   }
-  if (passed > kLongestGap) {
+  const bool paused = passed > kLongestGap;
+  if (paused) {
     // What the peers took meanwhile is not known; they do not lack this VM, so
     // its debts stay its own.
     beginSpan(mRefilled);
@@ -347,11 +377,18 @@
   const double seconds = base::inSeconds(passed);
   mSpans.back().reach = share;
   mSpans.back().inflow += share * seconds;
+  const bool isolated = alone();
   for (auto& [team, bucket] : mBuckets) {
     // Every side of a partition keeps its share of the burst only, or each
     // could spend all of it.
-    bucket.level = std::min(bucket.limit.burst * share,
-                            bucket.level + bucket.limit.rate * share * seconds);
+    const double inflow = bucket.limit.rate * share * seconds;
+    const double filled = bucket.level + inflow;
+    bucket.level = std::min(bucket.limit.burst * share, filled);
+    const double lost = std::min(inflow, filled - bucket.level);
+    const double most = bucket.limit.rate * share * base::inSeconds(kMostSaved);
+    bucket.spare =
+      isolated && !paused ? std::min(most, bucket.spare + lost) : 0;
+    bucket.lost = isolated ? bucket.lost + lost : 0;
   }
   noteSilence(aNow);
   if (aNow - mSpans.back().from >= mSilence / kSpansOfSilence) {
@@ -393,17 +430,31 @@
   const double needed = wholeBurst
                           ? bucket.limit.burst
                           : std::min(aCost + reserve, bucket.limit.burst);
-  if (bucket.level < needed) {
+  if (bucket.level < needed && !borrow(aTeam, bucket, aCost)) {
     const double missing = needed - bucket.level;
     const auto wait = base::fromSeconds(missing / bucket.limit.rate);
     return { false, std::max(wait, kLeastRetryAfter) };
   }
   bucket.level -= aCost;
   bucket.flows.back().own += aCost;
+  bucket.spare = aCost > 0 ? 0 : bucket.spare;
   mUsage[aTeam] += aCost;
   return {};
 }
 
+/** Peers assume that this VM's part kept all its inflow. What it lost counts as
+ * taken, so that the debt is what they find missing. */
+bool
+FleetQuota::borrow(const base::TeamName& aTeam, Bucket& aBucket, double aCost)
+{
+  if (aBucket.spare <= 0 || aCost > aBucket.level + aBucket.spare) {
+    return false;
+  }
+  mUsage[aTeam] += aBucket.lost;
+  aBucket.lost = 0;
+  return true;
+}
+
 void
 FleetQuota::refund(const base::TeamName& aTeam, double aCost)
 {
@@ -463,6 +514,10 @@
   peer.heardAt = aNow;
   if (returns) {
     mSpans.back().reach = reach();
+    for (auto& [team, bucket] : mBuckets) {
+      bucket.spare = 0;
+      bucket.lost = 0;
+    }
   }
 }
 
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -32,7 +32,8 @@
   base::Duration retryAfter{}; ///< when the units will be there
 };
 
-/** Units that a VM has admitted since its start, by team; only increases. */
+/** Units that a VM has admitted since its start, and those that it gave up to
+ * admit a request on debt, by team; only increases. */
 using Usage = std::map<base::TeamName, double>;
 
 /**
@@ -75,8 +76,12 @@
   std::vector<base::VmName> lapsed() const;
 
   /**
+   * A VM that hears no peer may keep less than one request costs. It then
+   * admits the request on debt, up to the units that its capped bucket has lost
+   * since it last admitted one.
    * @param aTeam team @param aCost units @param aNow time
-   * @return whether the units were taken
+   * @return whether the units were taken; the wait is that of the whole fleet,
+   * since the caller's next try usually reaches another VM
    */
   Decision admit(const base::TeamName& aTeam,
                  double aCost,
@@ -95,7 +100,7 @@
                    const Usage& aUsage,
                    base::TimePoint aNow);
 
-  /** @return units admitted by this VM since its start */
+  /** @return units taken by this VM since its start */
   const Usage& usage() const { return mUsage; }
 
   /** @param aTeam team @return units that its bucket holds now */
@@ -132,8 +137,12 @@
     Limit limit;
     double level = 0;
     std::deque<Flow> flows; ///< one for each span
-    double peerTaken = 0;   ///< units that peers took in the current period
-    double peerRate = 0;    ///< units a second that peers take, smoothed
+    /** Units that this VM could not keep while it was alone: since it last
+     * took some, and since it is alone or last reported them as taken. */
+    double spare = 0;
+    double lost = 0;
+    double peerTaken = 0; ///< units that peers took in the current period
+    double peerRate = 0;  ///< units a second that peers take, smoothed
   };
   /** The part of a bucket that a silent peer has for itself, until a report
    * tells what the peer used of it. */
@@ -156,6 +165,8 @@
 
   void refill(base::TimePoint aNow);
   void updatePeerRates(base::TimePoint aNow);
+  bool alone() const;
+  bool borrow(const base::TeamName& aTeam, Bucket& aBucket, double aCost);
   void noteSilence(base::TimePoint aNow);
   void beginSpan(base::TimePoint aNow);
   void split(std::vector<Peer*> aPeers, bool aCutOff);
--- a/libs/quota/tests/partition_tests.cpp
+++ b/libs/quota/tests/partition_tests.cpp
@@ -265,6 +265,48 @@
   CHECK(-quota.level("t") < 1.1 * debt * kShare);
 }
 
+// Guards against a cut-off VM that never admits a request which costs more than
+// its share of the burst, however long the cut lasts and however little the
+// team uses.
+TEST(Partition, IsolatedVmSavesUpForARequestBeyondItsShareOfTheBurst)
+{
+  PartitionedFleet fleet(5);
+  fleet.cost = 4 * kBurst * kShare;
+  fleet.run(6s, kNoDemand);
+  isolate(fleet, 0);
+  fleet.run(5s, kNoDemand);
+  std::vector<double> alone = kNoDemand;
+  alone[0] = 2 * fleet.cost;
+  fleet.run(500ms, alone);
+  LONGS_EQUAL(1, fleet.admitted.size());
+  fleet.run(1s, alone);
+  LONGS_EQUAL(1, fleet.admitted.size());
+  fleet.run(6s, alone);
+  LONGS_EQUAL(2, fleet.admitted.size());
+}
+
+// Guards against debts of isolated VMs that are forgotten when the cut ends, so
+// that a window holds what they saved up and the whole rate and burst.
+TEST(Partition, DebtsOfIsolatedVmsCountAfterTheCut)
+{
+  PartitionedFleet fleet(6);
+  fleet.leastDelay = 100ms;
+  fleet.mostDelay = 400ms;
+  fleet.run(6s, kNoDemand);
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    isolate(fleet, vm);
+  }
+  fleet.run(12s, kNoDemand);
+  fleet.cost = 8 * kBurst * kShare;
+  const std::vector<double> one(kVms, fleet.cost / 0.2);
+  fleet.run(200ms, one);
+  LONGS_EQUAL(kVms, fleet.admitted.size());
+  heal(fleet);
+  fleet.cost = 2000;
+  fleet.run(10s, std::vector<double>(kVms, 1.5 * kRate * kShare));
+  CHECK(fleet.mostInWindow() <= (kRate * 8 + kBurst) * 1.1);
+}
+
 // Guards against units that are lost for good when a peer falls silent again
 // before it has reported a team.
 TEST(Partition, FlappingPeerCostsNothingForGood)
