Leave a silent upstream at the moment its replacement is sent

The retry budget was spent before it was known that anything would be sent. Now the running call goes on until the bytes of the second send are written; if it brings an event meanwhile, or the second connection fails, the second send is dropped. Same class elsewhere: a request turned away by the only holder of its model before it ran waited for that model until its deadline; it now looks again after 400 ms while it has attempts. A caller that left while its request waited kept the units of its quota; they are returned.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -288,6 +288,9 @@
       mFacts.id, "caller left", mLastUpstream, "runs on", base::monotonicNow());
     return;
   }
+  if (!mayHaveRun()) {
+    returnQuota();
+  }
   finish(Code::CallerLeft, 0, "caller left");
 }
 
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -74,8 +74,13 @@
 
   // One call.
   void send(const std::shared_ptr<Upstream>& aUpstream);
+  using MakeBytes =
+    std::optional<std::string> (Exchange::*)(const base::UpstreamName&);
+  using OnFailed = void (Exchange::*)(wire::CallFailure);
   std::unique_ptr<wire::PooledCall> startCall(
-    const std::shared_ptr<Upstream>& aUpstream);
+    const std::shared_ptr<Upstream>& aUpstream,
+    MakeBytes aMakeBytes,
+    OnFailed aOnFailed);
   void adopt(const std::shared_ptr<Upstream>& aUpstream,
              std::unique_ptr<wire::PooledCall> aCall);
   std::optional<std::string> outgoing(const base::UpstreamName& aUpstream);
@@ -95,6 +100,8 @@
   void watchSilence(base::Duration aLimit);
   void onSilence(base::Duration aLimit);
   bool moveElsewhere();
+  std::optional<std::string> takeOver(const base::UpstreamName& aUpstream);
+  void onReplacementFailed(wire::CallFailure aFailure);
   void endCall();
 
   // The answer.
@@ -145,7 +152,18 @@
   bool mEnded = false;
   bool mCallerLeft = false; ///< the call runs on without a caller
 
+  /** A call that takes over from a silent one at the moment of its write. */
+  struct Replacement
+  {
+    std::shared_ptr<Upstream> upstream;
+    std::unique_ptr<wire::PooledCall> call;
+    double queuedAhead = 0;
+    double ownMs = 0;
+    std::uint64_t events = 0; ///< of the silent call so far
+  };
+
   std::unique_ptr<wire::PooledCall> mCall;
+  std::optional<Replacement> mNext;
   std::unique_ptr<LoadHold> mHold;
   base::TimePoint mSentAt{};
   double mQueuedAhead = 0;
--- a/apps/gateway/exchange_answer.cpp
+++ b/apps/gateway/exchange_answer.cpp
@@ -92,6 +92,10 @@
   if (endIfCallerLeft()) {
     return;
   }
+  if (mNext) {
+    watchSilence(std::max(aLimit, kLeastRecheck));
+    return;
+  }
   // A caller that reads slowly holds up its upstream itself.
   if (mCaller->pendingOutput() == 0 && moveElsewhere()) {
     return;
@@ -107,10 +111,31 @@
   watchSilence(std::max(aLimit, kLeastRecheck));
 }
 
+/** The replacement could not be sent, so the silent call goes on. */
+void
+Exchange::onReplacementFailed(wire::CallFailure aFailure)
+{
+  if (!mNext) {
+    onFailed(aFailure); // It has taken over.
+    return;
+  }
+  const base::TimePoint now = base::monotonicNow();
+  const base::UpstreamName name = mNext->upstream->record.name;
+  mNext.reset();
+  mTried.insert(name);
+  if (aFailure == wire::CallFailure::NotConnected) {
+    mPath.health.onUnreachable(name, now);
+    mPath.crashes.onUpstreamGone(name, now);
+    mPath.log.step(mFacts.id, "unreachable upstream", name, "", now);
+  }
+  watchSilence(kLeastRecheck);
+}
+
 void
 Exchange::endCall()
 {
   mSilence.reset();
+  mNext.reset();
   if (mHold && isEngineCall() && --mPath.runningByModel[*mFacts.model] == 0) {
     mPath.runningByModel.erase(*mFacts.model);
   }
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -129,6 +129,12 @@
     fail(Code::UpstreamFailed, "no further upstream");
     return;
   }
+  if (mTurnedAway && attemptsLeft() &&
+      timeLeft() > kOverloadRetry + kLeastTimeLeft) {
+    // Who turned it away may still be the only one that has the model.
+    lookAgain();
+    return;
+  }
   if (isEngineCall() && mService->engine) {
     waitForModel();
     return;
@@ -281,26 +287,50 @@
   const auto found = candidates(upstreams);
   const auto choice =
     dispatch::chooseReplacement(found, need(), timeLeft(), mPath.random.bits());
-  const base::TimePoint now = base::monotonicNow();
-  if (!choice || !mPath.retries.spend(mService->name, now)) {
+  if (!choice) {
     return false;
   }
   const auto& upstream = upstreams[choice->index];
-  auto call = startCall(upstream);
+  const auto& chosen = found[choice->index];
+  mNext = Replacement{
+    upstream, nullptr, chosen.queuedMs, chosen.ownMs, mEventCount
+  };
+  auto call =
+    startCall(upstream, &Exchange::takeOver, &Exchange::onReplacementFailed);
   if (!call) {
+    mNext.reset();
+    mTried.insert(upstream->record.name);
     return false;
   }
+  // On a connection that stands it has taken over already.
+  (mNext ? mNext->call : mCall) = std::move(call);
+  return true;
+}
+
+/** The replacement can be sent now, so the silent call is given up.
+ * @return the bytes of the request, or nothing if the silent call goes on */
+std::optional<std::string>
+Exchange::takeOver(const base::UpstreamName& aUpstream)
+{
+  const base::TimePoint now = base::monotonicNow();
+  const bool wanted = !mEnded && mNext && mEventCount == mNext->events &&
+                      timeLeft() >= kLeastTimeLeft && !mCaller->left();
+  if (!wanted || !mPath.retries.spend(mService->name, now)) {
+    return std::nullopt;
+  }
   mPath.health.onFailure(mLastUpstream, now);
   mPath.log.step(mFacts.id,
                  "silent upstream",
                  mLastUpstream,
-                 "goes on at " + upstream->record.name,
+                 "goes on at " + aUpstream,
                  now);
+  Replacement next = std::move(*mNext);
+  mNext.reset();
   endCall();
-  mQueuedAhead = found[choice->index].queuedMs;
-  mOwnMs = found[choice->index].ownMs;
-  adopt(upstream, std::move(call));
-  return true;
+  mQueuedAhead = next.queuedAhead;
+  mOwnMs = next.ownMs;
+  adopt(next.upstream, std::move(next.call));
+  return outgoing(aUpstream);
 }
 
 /** Runs at the moment of the write, which may be long after the decision.
@@ -341,15 +371,16 @@
 }
 
 std::unique_ptr<wire::PooledCall>
-Exchange::startCall(const std::shared_ptr<Upstream>& aUpstream)
+Exchange::startCall(const std::shared_ptr<Upstream>& aUpstream,
+                    MakeBytes aMakeBytes,
+                    OnFailed aOnFailed)
 {
   const base::UpstreamName& name = aUpstream->record.name;
   const auto weak = weak_from_this();
   wire::OutgoingCall call;
-  call.bytes = [weak, name]() -> std::optional<std::string> {
-    const auto self = weak.lock();
-    return self ? std::static_pointer_cast<Exchange>(self)->outgoing(name)
-                : std::nullopt;
+  call.bytes = [weak, name, aMakeBytes]() -> std::optional<std::string> {
+    const auto self = std::static_pointer_cast<Exchange>(weak.lock());
+    return self ? ((*self).*aMakeBytes)(name) : std::nullopt;
   };
   call.idHeader = boundary::kRequestIdHeader;
   call.id = mFacts.id;
@@ -368,9 +399,10 @@
   events.body = guarded(
     [](Exchange& aSelf, std::string_view aBytes) { aSelf.onBody(aBytes); });
   events.complete = guarded([](Exchange& aSelf) { aSelf.onComplete(); });
-  events.failed = guarded([](Exchange& aSelf, wire::CallFailure aFailure) {
-    aSelf.onFailed(aFailure);
-  });
+  events.failed =
+    guarded([aOnFailed](Exchange& aSelf, wire::CallFailure aFailure) {
+      (aSelf.*aOnFailed)(aFailure);
+    });
   constexpr std::size_t kLeastConnections = 4;
   const std::size_t limit = std::max(
     kLeastConnections,
@@ -387,7 +419,7 @@
 void
 Exchange::send(const std::shared_ptr<Upstream>& aUpstream)
 {
-  auto call = startCall(aUpstream);
+  auto call = startCall(aUpstream, &Exchange::outgoing, &Exchange::onFailed);
   if (!call) {
     mTried.insert(aUpstream->record.name);
     mTurnedAway = true;
