--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -145,6 +145,27 @@
         self.assertLess(time.monotonic() - began, 2.9)
         self.assertEqual(["4"], [headers.get("last-event-id") for headers in self.engines[1].seen])
 
+    def test_silent_upstream_is_kept_where_its_replacement_cannot_be_reached(self):
+        """The running call was dropped before a connection to the other upstream, which had crashed, stood."""
+        self.leave_one_engine()
+        self.engines[0].pauses = {5: 2.5}
+        crashed = Upstream("crashed", BASE_PORT + 79, "llm", ["m1"])  # nobody listens there
+        appear = threading.Timer(0.3, self.platform.change,
+                                 (self.platform.store.put, "servers/crashed", crashed.record()))
+        appear.start()
+        self.assertEqual(list(range(1, 11)), self.chat())
+        appear.join()
+        self.assertIn("unreachable upstream", self.gateways[0].log())
+        self.assertEqual(1, len(self.engines[0].seen))
+
+    def test_refusal_by_the_only_holder_before_a_run_is_followed_by_a_second_try(self):
+        """The request waited for the model until its deadline, although the engine had it."""
+        self.leave_one_engine()
+        self.engines[0].refusals = 1
+        began = time.monotonic()
+        self.assertEqual(list(range(1, 11)), self.chat())
+        self.assertLess(time.monotonic() - began, 2)
+
     def test_refusal_after_a_silence_does_not_end_the_request(self):
         """The refusal used up the attempts, and the caller got 502."""
         self.leave_one_engine()
