Bound the pause after a plan that a stop of the process interrupted

Found by the review: a process that is stopped for 3 s in the middle of a plan gave no orders for 9 s more, because the pause is a multiple of the plan's length. It is now at most 1 s. PauseOfTheProcessInAPlanIsNotMultiplied fails without that limit (12 s).

--- a/libs/residency/plan_schedule.cpp
+++ b/libs/residency/plan_schedule.cpp
@@ -13,6 +13,9 @@
 /** Pause after a plan, as a multiple of its time: the owner also serves
  * callers, who get at least three quarters of its processor time. */
 constexpr int kPausePerPlan = 3;
+/** A plan that seems to take longer was interrupted by a pause of the process;
+ * requests that wait for a model must not wait for several times that. */
+constexpr base::Duration kLongestPause = 1s;
 
 } // namespace
 
@@ -26,7 +29,8 @@
 PlanSchedule::planned(base::TimePoint aBegan, base::TimePoint aEnded)
 {
   mNotBefore =
-    aEnded + std::max(kLeastPause, (aEnded - aBegan) * kPausePerPlan);
+    aEnded +
+    std::clamp((aEnded - aBegan) * kPausePerPlan, kLeastPause, kLongestPause);
 }
 
 } // namespace marigold::residency
--- a/libs/residency/tests/plan_schedule_tests.cpp
+++ b/libs/residency/tests/plan_schedule_tests.cpp
@@ -38,6 +38,15 @@
   CHECK(plans >= 10);
 }
 
+// Guards against an owner that gives no orders for many seconds because it was
+// stopped for some in the middle of a plan.
+TEST(PlanSchedule, PauseOfTheProcessInAPlanIsNotMultiplied)
+{
+  residency::PlanSchedule schedule;
+  schedule.planned(TimePoint{ 100s }, TimePoint{ 104s });
+  CHECK(schedule.delay(TimePoint{ 104s }) <= 1s);
+}
+
 // Guards against plans that repeat themselves before anything new is known.
 TEST(PlanSchedule, QuickPlansFollowTheReports)
 {
