Follow the ownership of orders at each tick

Found by the review: since plans have a pause between them, a VM whose ownership had ended noticed it only at its next plan, and ignored the places of the new owner until then. Orders were never sent in that time (give() asks). No test of its own.

--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -447,6 +447,7 @@
   mRelay.tick();
   mCrashes.expire(now);
   sweepAbsent();
+  mOrders.followOwnership();
   planSoon();
   mWaiting.wake();
   mRequestLog.flush(now);
