Serve what was read before an idle connection or the process ends

Found by the review: at the idle limit a connection was removed without a look at input that had just come, and a stopping process could end while a request that may run once only went on without its caller. No tests of their own.

--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -498,7 +498,8 @@
 void
 Node::continueDrain()
 {
-  if (!mStopped || mCallers.openRequests() > 0) {
+  // Requests run on without their callers where they must not be broken off.
+  if (!mStopped || mCallers.openRequests() > 0 || !mPath.open.empty()) {
     return;
   }
   mExchange.depart();
--- a/libs/wire/caller.cpp
+++ b/libs/wire/caller.cpp
@@ -82,7 +82,8 @@
     refuse(408);
     return;
   }
-  if (outputIsRead()) {
+  const bool unread = !mClosing && mTransport.hasInput();
+  if (unread || outputIsRead()) {
     armTimer(kLinger);
     return;
   }
