Take the window of the limits from the settings

Where limits are promised over a shorter window, isolated VMs together could admit more than it allows. The platform states the window; it is now a setting, quota_window. IsolatedVmBorrowsNoMoreThanTheWindowAllows with 8 s in place of the setting: expected <0>, but was <1>.

--- a/apps/gateway/node.cpp
+++ b/apps/gateway/node.cpp
@@ -147,6 +147,7 @@
   })
 {
   mQuota.setSlack(mSettings.quotaSlack);
+  mQuota.setWindow(mSettings.quotaWindow);
   mRetries.setLimits(
     { mSettings.retryRatio, mSettings.retryLeastExtra, mSettings.retryWindow });
   mFleet.changed().connect([this] { fleetChanged(); });
--- a/apps/gateway/settings.cpp
+++ b/apps/gateway/settings.cpp
@@ -42,6 +42,7 @@
   settings.retryLeastExtra =
     aRoot.require("retry_least_extra").number(0, kHighestExtra);
   settings.loadWindow = duration("load_window");
+  settings.quotaWindow = duration("quota_window");
   settings.loadOvershoot =
     aRoot.require("load_overshoot").number(1, kHighestRatio);
   settings.loadExtra = aRoot.require("load_extra").number(0, kHighestExtra);
--- a/apps/gateway/settings.h
+++ b/apps/gateway/settings.h
@@ -27,11 +27,12 @@
   double retryRatio = 0;
   base::Duration retryWindow{};
   double retryLeastExtra = 0;
-  base::Duration loadWindow{}; ///< over which loads of weights are limited
-  double loadOvershoot = 1;    ///< factor on the store's rate over the window
-  double loadExtra = 0;        ///< loads allowed beside the rate
-  double capacity = 0;         ///< cores that the process may use
-  double quotaSlack = 0;       ///< units that the fleet may be late to count
+  base::Duration loadWindow{};  ///< over which loads of weights are limited
+  double loadOvershoot = 1;     ///< factor on the store's rate over the window
+  double loadExtra = 0;         ///< loads allowed beside the rate
+  double capacity = 0;          ///< cores that the process may use
+  double quotaSlack = 0;        ///< units that the fleet may be late to count
+  base::Duration quotaWindow{}; ///< over which the limits are promised
 };
 
 /** @param aSettings settings @param aOther data centre
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -24,9 +24,6 @@
 constexpr base::Duration kLongestGap = 500ms;
 /** A partition of an hour with some minutes to notice its end. */
 constexpr base::Duration kReserveLapsed = 65min;
-/** Limits are promised over windows of eight seconds; an isolated VM borrows at
- * most its share of the rate of one, so no window gets more. */
-constexpr base::Duration kMostSaved = 8s;
 /** Spans of the history over the silence after which a peer is cut off: what is
  * known of the moment of a cut is exact to about 60 ms, under one report. */
 constexpr unsigned kSpansOfSilence = 16;
@@ -385,7 +382,7 @@
     const double filled = bucket.level + inflow;
     bucket.level = std::min(bucket.limit.burst * share, filled);
     const double lost = std::min(inflow, filled - bucket.level);
-    const double most = bucket.limit.rate * share * base::inSeconds(kMostSaved);
+    const double most = bucket.limit.rate * share * base::inSeconds(mWindow);
     bucket.spare =
       isolated && !paused ? std::min(most, bucket.spare + lost) : 0;
     bucket.lost = isolated ? bucket.lost + lost : 0;
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -59,6 +59,10 @@
    * bucket holds back units for what they have not reported */
   void setSlack(double aSlack) { mSlack = aSlack; }
 
+  /** @param aWindow time over which the limits are promised; an isolated VM
+   * borrows at most its share of the rate of it, so no window gets more */
+  void setWindow(base::Duration aWindow) { mWindow = aWindow; }
+
   /**
    * A VM that is no longer registered may be cut off and still serve callers,
    * so its share stays reserved for a long time.
@@ -192,6 +196,7 @@
   bool mSettled = false; ///< the levels do not come from an empty start
   base::TimePoint mStarted{};
   double mSlack = 0;
+  base::Duration mWindow{};
   base::Duration mSilence = std::chrono::seconds(1);
   std::deque<Span> mSpans; ///< reaches back over the longest silence unnoticed
   base::TimePoint mRefilled{};
--- a/libs/quota/tests/partition_tests.cpp
+++ b/libs/quota/tests/partition_tests.cpp
@@ -20,6 +20,7 @@
 constexpr base::Duration kReportPeriod = 200ms;
 constexpr base::Duration kLately = 1s;
 constexpr base::Duration kWholeReport = 4s;
+constexpr base::Duration kWindow = 8s;
 constexpr unsigned kSide = 0; ///< side of all VMs while none is cut off
 
 /** A fleet whose VMs hear those on their own side only. Reports name the teams
@@ -49,6 +50,7 @@
     ++vm.incarnation;
     vm.changed.clear();
     vm.quota.setReportPeriod(kReportPeriod);
+    vm.quota.setWindow(window);
     vm.quota.setLimits(
       { { "t", { kRate, kBurst } }, { "idle", { kRate, kBurst } } }, now);
     std::vector<std::string> peers;
@@ -78,7 +80,6 @@
   /** @return most units admitted in any window of eight seconds */
   double mostInWindow() const
   {
-    constexpr base::Duration kWindow = 8s;
     double most = 0;
     double sum = 0;
     std::size_t first = 0;
@@ -106,6 +107,7 @@
   base::Duration leastDelay{};
   base::Duration mostDelay{};
   double cost = 1000;
+  base::Duration window = kWindow;
   std::deque<std::pair<TimePoint, double>> admitted;
 
 private:
@@ -285,6 +287,25 @@
   LONGS_EQUAL(2, fleet.admitted.size());
 }
 
+// Guards against a deployment whose limits hold over a shorter window, in which
+// isolated VMs would borrow more than the rate of that window.
+TEST(Partition, IsolatedVmBorrowsNoMoreThanTheWindowAllows)
+{
+  PartitionedFleet fleet(5);
+  fleet.window = 2s;
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    fleet.start(vm);
+  }
+  fleet.cost = 4 * kBurst * kShare;
+  fleet.run(6s, kNoDemand);
+  isolate(fleet, 0);
+  fleet.run(8s, kNoDemand);
+  std::vector<double> alone = kNoDemand;
+  alone[0] = 2 * fleet.cost;
+  fleet.run(2s, alone);
+  LONGS_EQUAL(0, fleet.admitted.size());
+}
+
 // Guards against debts of isolated VMs that are forgotten when the cut ends, so
 // that a window holds what they saved up and the whole rate and burst.
 TEST(Partition, DebtsOfIsolatedVmsCountAfterTheCut)
--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -39,6 +39,7 @@
 load_extra: 3
 capacity: 0.25
 quota_slack: 1000
+quota_window: 8s
 """)
         self.log_path = os.path.join(folder, self.name + ".log")
         self.child = None
