--- a/libs/quota/tests/partition_tests.cpp
+++ b/libs/quota/tests/partition_tests.cpp
@@ -1,205 +1,11 @@
 /** @file Tests of quotas under network partitions in a fleet of the largest
  * supported size. */
-#include "quota/quota.h"
+#include "partitioned_fleet.h"
 
 #include <CppUTest/TestHarness.h>
-#include <algorithm>
-#include <deque>
-#include <random>
 
 using namespace marigold;
-using namespace std::chrono_literals;
-using base::TimePoint;
-
-namespace {
-
-constexpr double kRate = 1e6;
-constexpr double kBurst = 1e6;
-constexpr std::size_t kVms = 81;
-constexpr double kShare = 1.0 / kVms;
-constexpr base::Duration kStep = 20ms;
-constexpr base::Duration kReportPeriod = 200ms;
-/** Time for which a changed total is repeated in reports. */
-constexpr base::Duration kChangeRepeat = 1s;
-/** Period of the reports that contain all totals. */
-constexpr base::Duration kFullReportPeriod = 4s;
-constexpr base::Duration kWindow = 8s;
-constexpr unsigned kMainSide = 0; ///< side of all VMs without a partition
-
-/** A simulated fleet whose VMs receive reports only from VMs on their own side.
- * Reports contain recently changed totals, and all totals every 4 s. */
-class PartitionedFleet
-{
-public:
-  explicit PartitionedFleet(std::uint32_t aSeed)
-    : mRandom(aSeed)
-  {
-    for (std::size_t vm = 0; vm < kVms; ++vm) {
-      vms.emplace_back();
-      start(vm);
-    }
-  }
-
-  static std::string name(std::size_t aVm)
-  {
-    return "vm" + std::to_string(aVm);
-  }
-
-  /** Starts a new process of a VM, without any state. */
-  void start(std::size_t aVm)
-  {
-    Vm& vm = vms[aVm];
-    vm.quota = {};
-    ++vm.incarnation;
-    vm.changedAt.clear();
-    vm.quota.setReportPeriod(kReportPeriod);
-    vm.quota.setWindow(window);
-    vm.quota.setLimits(
-      { { "t", { kRate, kBurst } }, { "idle", { kRate, kBurst } } }, now);
-    std::vector<std::string> peers;
-    for (std::size_t other = 0; other < kVms; ++other) {
-      if (other != aVm) {
-        peers.push_back(name(other));
-      }
-    }
-    vm.quota.setPeers(peers, now);
-  }
-
-  /** Advances the simulated time.
-   * @param aTime time to advance
-   * @param aDemand units per second requested from each VM */
-  void run(base::Duration aTime, const std::vector<double>& aDemand)
-  {
-    for (const TimePoint end = now + aTime; now < end;) {
-      now += kStep;
-      deliver();
-      for (std::size_t vm = 0; vm < kVms; ++vm) {
-        submitRequests(vm, aDemand[vm]);
-      }
-      if ((now - TimePoint{}) % kReportPeriod == base::Duration::zero()) {
-        report();
-      }
-    }
-  }
-
-  /** @return maximum number of units admitted in any window of 8 s */
-  double maxInWindow() const
-  {
-    double max = 0;
-    double sum = 0;
-    std::size_t first = 0;
-    for (const auto& [at, units] : admitted) {
-      sum += units;
-      while (admitted[first].first < at - kWindow) {
-        sum -= admitted[first++].second;
-      }
-      max = std::max(max, sum);
-    }
-    return max;
-  }
-
-  struct Vm
-  {
-    quota::FleetQuota quota;
-    base::Incarnation incarnation = 0;
-    unsigned side = kMainSide;
-    double requested = 0; ///< units requested and not yet processed
-    std::map<std::string, TimePoint> changedAt; ///< by team
-    double refused = 0;                         ///< units
-  };
-  std::vector<Vm> vms;
-  TimePoint now{ 1000s };
-  base::Duration minDelay{};
-  base::Duration maxDelay{};
-  double cost = 1000;
-  base::Duration window = kWindow;
-  std::deque<std::pair<TimePoint, double>> admitted;
-
-private:
-  struct Report
-  {
-    std::size_t from = 0;
-    base::Incarnation incarnation = 0;
-    quota::Usage usage;
-    std::vector<bool> reachable; ///< by receiver, when the report was sent
-  };
-
-  void submitRequests(std::size_t aVm, double aDemand)
-  {
-    Vm& vm = vms[aVm];
-    vm.requested += aDemand * base::inSeconds(kStep);
-    for (; vm.requested >= cost; vm.requested -= cost) {
-      if (vm.quota.admit("t", cost, now).admitted) {
-        admitted.emplace_back(now, cost);
-        vm.changedAt["t"] = now;
-      } else {
-        vm.refused += cost;
-      }
-    }
-    vm.quota.admit("t", 0, now);
-  }
-
-  void report()
-  {
-    const bool full =
-      (now - TimePoint{}) % kFullReportPeriod == base::Duration::zero();
-    for (std::size_t from = 0; from < kVms; ++from) {
-      Report report{ from, vms[from].incarnation, {}, {} };
-      for (const auto& [team, total] : vms[from].quota.usage()) {
-        if (full || now - vms[from].changedAt[team] < kChangeRepeat) {
-          report.usage[team] = total;
-        }
-      }
-      if (full) {
-        report.usage.try_emplace("idle", 0);
-        report.usage.try_emplace("t", 0);
-      }
-      for (const Vm& to : vms) {
-        report.reachable.push_back(to.side == vms[from].side);
-      }
-      std::uniform_int_distribution<base::Duration::rep> delay(
-        minDelay.count(), maxDelay.count());
-      mInFlight.emplace(now + base::Duration(delay(mRandom)), report);
-    }
-  }
-
-  void deliver()
-  {
-    while (!mInFlight.empty() && mInFlight.begin()->first <= now) {
-      const Report report = mInFlight.begin()->second;
-      mInFlight.erase(mInFlight.begin());
-      for (std::size_t to = 0; to < kVms; ++to) {
-        if (to != report.from && report.reachable[to]) {
-          vms[to].quota.onPeerUsage(
-            name(report.from), report.incarnation, report.usage, now);
-        }
-      }
-    }
-  }
-
-  std::mt19937 mRandom;
-  std::multimap<TimePoint, Report> mInFlight;
-};
-
-const std::vector<double> kNoDemand(kVms, 0);
-
-/** Partitions the VM from all others. */
-void
-isolate(PartitionedFleet& aFleet, std::size_t aVm)
-{
-  aFleet.vms[aVm].side = static_cast<unsigned>(aVm) + 1;
-}
-
-/** Ends all partitions. */
-void
-heal(PartitionedFleet& aFleet)
-{
-  for (PartitionedFleet::Vm& vm : aFleet.vms) {
-    vm.side = kMainSide;
-  }
-}
-
-} // namespace
+using namespace marigold::quota;
 
 TEST_GROUP(Partition){};
 
@@ -264,7 +70,7 @@
   PartitionedFleet fleet(4);
   fleet.maxDelay = 100ms;
   fleet.run(6s, std::vector<double>(kVms, 4 * kRate * kShare));
-  quota::FleetQuota& quota = fleet.vms[0].quota;
+  FleetQuota& quota = fleet.vms[0].quota;
   quota.onPeerUsage("vm1", 1, { { "t", 1e9 } }, fleet.now);
   const double debt = -quota.level("t");
   CHECK(debt > 10 * kBurst);
@@ -338,11 +144,11 @@
 TEST(Partition, FlappingPeerLosesNoUnits)
 {
   TimePoint now{ 100s };
-  quota::FleetQuota quota;
+  FleetQuota quota;
   quota.setReportPeriod(100ms);
   quota.setPeers({ "vm2" }, now);
   quota.setLimits({ { "t", { 100, 1000 } } }, now);
-  const auto run = [&](base::Duration aTime, const quota::Usage* aReport) {
+  const auto run = [&](base::Duration aTime, const Usage* aReport) {
     for (const auto end = now + aTime; now < end; now += 100ms) {
       if (aReport != nullptr) {
         quota.onPeerUsage("vm2", 1, *aReport, now);
@@ -350,8 +156,8 @@
       quota.admit("t", 0, now);
     }
   };
-  const quota::Usage fullReport{ { "t", 7 } };
-  const quota::Usage emptyReport;
+  const Usage fullReport{ { "t", 7 } };
+  const Usage emptyReport;
   run(20s, &fullReport);
   DOUBLES_EQUAL(1000, quota.level("t"), 1);
   for (int flap = 0; flap < 3; ++flap) {
@@ -368,7 +174,7 @@
 TEST(Partition, PeerThatConsumedItsReserveReturnsNothing)
 {
   TimePoint now{ 100s };
-  quota::FleetQuota quota;
+  FleetQuota quota;
   quota.setReportPeriod(100ms);
   quota.setPeers({ "vm2" }, now);
   quota.setLimits({ { "t", { 1000, 1000 } } }, now);
