Charge a side's consumption to all of its reserves after a partition

Cause: reserves were merged peer by peer. VMs of one side share a bucket, so a busy VM consumes more than its own part and an idle one less; the busy one's excess was charged at once as a debt, the idle one's unused refill was lost at its cap, and its report came up to 4 s later. After 12 s of a cut the levels of the minority stood at -340,000 for teams that had stayed below their limit.

Now a debt is charged first to the surplus of reserves merged within 5 s, then to reserves of peers that were unreachable at the same time and have not reported yet.

Ruled out: usage booked twice (the unit tests count every unit once); the refill of the minority (exact before the merge).

--- a/libs/quota/partition.cpp
+++ b/libs/quota/partition.cpp
@@ -3,6 +3,15 @@
 #include <algorithm>
 
 namespace marigold::quota {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Time within which all VMs of a side report after a partition: the period of
+ * complete reports plus a margin. */
+constexpr base::Duration kSettlementTime = 5s;
+
+} // namespace
 
 double
 FleetQuota::shareOfOneVm() const
@@ -191,23 +200,84 @@
  * @param aPeer peer @param aTeam team @param aBucket bucket of the team
  * @param aConsumed units that the peer consumed since its previous report
  * @return change of the bucket's level; negative if the peer consumed more than
- * its reserve held */
+ * the reserves of its side held */
 double
 FleetQuota::mergeReserve(Peer& aPeer,
                          const base::TeamName& aTeam,
-                         const Bucket& aBucket,
-                         double aConsumed) const
+                         Bucket& aBucket,
+                         double aConsumed)
 {
   const auto found = aPeer.reserves.find(aTeam);
   if (found == aPeer.reserves.end()) {
     return -aConsumed;
   }
-  const double reserved = reservedUnits(found->second, aBucket.limit);
+  const Reserve reserve = found->second;
   aPeer.reserves.erase(found);
+  const double reserved = reservedUnits(reserve, aBucket.limit);
   // The peer's own bucket was capped, possibly before it consumed the units.
   const double capped =
     std::min(reserved, aBucket.limit.burst * shareOfOneVm());
-  return std::min(reserved - aConsumed, std::max(0.0, capped - aConsumed));
+  const double gain =
+    std::min(reserved - aConsumed, std::max(0.0, capped - aConsumed));
+  if (gain < 0) {
+    const double debt = chargeSurplus(aBucket, -gain);
+    return -chargeReserves(aTeam, aBucket.limit, reserve, debt);
+  }
+  const bool expired = mRefilledAt > aBucket.surplusUntil;
+  aBucket.surplus =
+    (expired ? 0 : aBucket.surplus) + reserved - aConsumed - gain;
+  aBucket.surplusUntil = mRefilledAt + kSettlementTime;
+  return gain;
+}
+
+/** @return what remains of a debt after the surplus of merged reserves */
+double
+FleetQuota::chargeSurplus(Bucket& aBucket, double aDebt) const
+{
+  if (mRefilledAt > aBucket.surplusUntil) {
+    return aDebt;
+  }
+  const double paid = std::min(aDebt, aBucket.surplus);
+  aBucket.surplus -= paid;
+  return aDebt - paid;
+}
+
+/** Charges a debt to the reserves of peers that were unreachable at the same
+ * time and have not reported the team yet.
+ * @param aTeam team @param aLimit its limit
+ * @param aMerged reserve of the peer that consumed the units
+ * @param aDebt units beyond that reserve
+ * @return what remains of the debt */
+double
+FleetQuota::chargeReserves(const base::TeamName& aTeam,
+                           const Limit& aLimit,
+                           const Reserve& aMerged,
+                           double aDebt)
+{
+  const double share = shareOfOneVm();
+  const base::TimePoint mergedUntil = aMerged.until.value_or(mRefilledAt);
+  for (auto& [name, peer] : mPeers) {
+    const auto found = peer.reserves.find(aTeam);
+    if (found == peer.reserves.end()) {
+      continue;
+    }
+    Reserve& reserve = found->second;
+    const auto since = std::max(reserve.since, aMerged.since);
+    const auto until =
+      std::min(reserve.until.value_or(mRefilledAt), mergedUntil);
+    if (until <= since) {
+      continue;
+    }
+    const double available =
+      std::min(aLimit.burst * share,
+               std::max(0.0, reserve.level + reserve.charged)) +
+      aLimit.rate * share * base::inSeconds(until - since) - reserve.charged;
+    const double paid = std::clamp(available, 0.0, aDebt);
+    reserve.level -= paid;
+    reserve.charged += paid;
+    aDebt -= paid;
+  }
+  return aDebt;
 }
 
 /** Discards a peer's reserves; a reserve in debt is charged to this side. */
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -48,7 +48,8 @@
  * replica, and admissions on this side since then are charged to this side
  * alone. Each side of a partition therefore admits at most the shares of its
  * members. The reserve is merged back when a report tells how much of it the
- * peer consumed.
+ * peer consumed. Peers of one side share their units, so a peer that consumed
+ * more than its reserve is charged against the reserves of the others first.
  */
 class FleetQuota
 {
@@ -164,12 +165,17 @@
     double overflow = 0;
     double peerUsage = 0; ///< units peers consumed in the current rate period
     double peerRate = 0;  ///< smoothed consumption of the peers, units/s
+    /** Refill of merged reserves that their own VMs had no room for. VMs of the
+     * same side may have consumed it. */
+    double surplus = 0;
+    base::TimePoint surplusUntil{};
   };
   /** The part of a bucket set aside for an unreachable peer until a report
    * tells how much of it the peer consumed. */
   struct Reserve
   {
-    double level = 0; ///< units at the peer's last report; may be negative
+    double level = 0;   ///< units at the peer's last report; may be negative
+    double charged = 0; ///< part already charged for peers of the same side
     base::TimePoint since{};
     std::optional<base::TimePoint> until; ///< when the peer reported again
   };
@@ -202,8 +208,13 @@
   double reservedUnits(const Reserve& aReserve, const Limit& aLimit) const;
   double mergeReserve(Peer& aPeer,
                       const base::TeamName& aTeam,
-                      const Bucket& aBucket,
-                      double aConsumed) const;
+                      Bucket& aBucket,
+                      double aConsumed);
+  double chargeSurplus(Bucket& aBucket, double aDebt) const;
+  double chargeReserves(const base::TeamName& aTeam,
+                        const Limit& aLimit,
+                        const Reserve& aMerged,
+                        double aDebt);
   void dropReserves(Peer& aPeer, base::TimePoint aNow);
   double shareOfOneVm() const;
   double reachableShare() const;
