Admit requests of all sizes at the same level

Cause: a request needed as many units as it costs. While a team floods, the level of its bucket hovers around zero, so small requests take each unit as soon as it is there and prompts of 8,000 units and more never find enough.

All requests now need the mean cost of the team's requests; larger ones overdraw the bucket, by at most the slack times the reachable share, so that the overdrafts of all sides of a partition stay within the slack. An isolated VM takes no overdraft.

Ruled out: the report lag (a fleet of one VM starves large requests as well).

Tests: size_fairness_tests.cpp.

--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -33,6 +33,8 @@
 /** Processes of a VM whose totals are kept: the current and the previous one.
  */
 constexpr std::size_t kMaxIncarnations = 2;
+/** Weight of the latest request in the mean cost: some tens of requests. */
+constexpr double kCostWeight = 0.03;
 /** An earlier retry would find about the same level. */
 constexpr base::Duration kMinRetryAfter = 50ms;
 
@@ -209,6 +211,38 @@
   }
 }
 
+void
+FleetQuota::recordCost(Bucket& aBucket, double aCost)
+{
+  if (aCost <= 0) {
+    return;
+  }
+  const double weight = aBucket.meanCost > 0 ? kCostWeight : 1;
+  aBucket.meanCost += weight * (aCost - aBucket.meanCost);
+}
+
+/** A bucket of a team over its limit is nearly empty most of the time. If a
+ * request needed as many units as it costs, small requests would take them all
+ * and large ones would starve. So all need the mean cost, and larger ones
+ * overdraw the bucket.
+ * @return level at which a request is admitted */
+double
+FleetQuota::neededLevel(const Bucket& aBucket, double aCost) const
+{
+  // Withholds units that peers have probably consumed but not reported yet.
+  const double withheld =
+    std::max(0.0, aBucket.peerRate * base::inSeconds(kReportLag) - mSlack);
+  const double burst = aBucket.limit.burst;
+  // The overdrafts of all sides of a partition together stay within the slack.
+  const double share = reachableShare();
+  const double maxOverdraft = isIsolated() ? 0 : mSlack * share;
+  const double level = maxOverdraft > 0
+                         ? std::max(std::min(aBucket.meanCost, burst * share),
+                                    aCost - maxOverdraft)
+                         : aCost;
+  return aCost >= burst ? burst : std::min(level + withheld, burst);
+}
+
 Decision
 FleetQuota::admit(const base::TeamName& aTeam,
                   double aCost,
@@ -220,13 +254,8 @@
     return {};
   }
   Bucket& bucket = found->second;
-  // Withholds units that peers have probably consumed but not reported yet.
-  const double withheld =
-    std::max(0.0, bucket.peerRate * base::inSeconds(kReportLag) - mSlack);
-  const bool needsFullBurst = aCost >= bucket.limit.burst;
-  const double needed = needsFullBurst
-                          ? bucket.limit.burst
-                          : std::min(aCost + withheld, bucket.limit.burst);
+  recordCost(bucket, aCost);
+  const double needed = neededLevel(bucket, aCost);
   if (bucket.level < needed && !borrow(aTeam, bucket, aCost)) {
     const double missing = needed - bucket.level;
     const auto wait = base::fromSeconds(missing / bucket.limit.rate);
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -62,8 +62,9 @@
   /** @param aPeriod longest time between two reports of a peer */
   void setReportPeriod(base::Duration aPeriod);
 
-  /** @param aSlack estimated unreported usage of peers, in units, up to which
-   * no units are withheld */
+  /** @param aSlack tolerated overdraft of the fleet in units: unreported usage
+   * of peers up to it is not withheld, and large requests may overdraw their
+   * bucket by it */
   void setSlack(double aSlack) { mSlack = aSlack; }
 
   /** @param aWindow time window over which the limits are enforced. An isolated
@@ -165,6 +166,7 @@
     double overflow = 0;
     double peerUsage = 0; ///< units peers consumed in the current rate period
     double peerRate = 0;  ///< smoothed consumption of the peers, units/s
+    double meanCost = 0;  ///< smoothed cost of all requests, in units
     /** Refill of merged reserves that their own VMs had no room for. VMs of the
      * same side may have consumed it. */
     double surplus = 0;
@@ -192,6 +194,8 @@
   };
 
   void refill(base::TimePoint aNow);
+  static void recordCost(Bucket& aBucket, double aCost);
+  double neededLevel(const Bucket& aBucket, double aCost) const;
   void updatePeerRates(base::TimePoint aNow);
   bool isIsolated() const;
   bool borrow(const base::TeamName& aTeam, Bucket& aBucket, double aCost);
--- /dev/null
+++ b/libs/quota/tests/size_fairness_tests.cpp
@@ -0,0 +1,199 @@
+/** @file Tests of a team over its limit whose requests differ in size. */
+#include "quota/quota.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <random>
+
+using namespace marigold;
+using namespace marigold::quota;
+using namespace std::chrono_literals;
+using base::TimePoint;
+
+namespace {
+
+constexpr double kRate = 100'000;
+constexpr double kBurst = 100'000;
+constexpr double kTolerance = 72'000;
+constexpr double kLargest = 20'000;
+constexpr base::Duration kStep = 10ms;
+constexpr base::Duration kReportPeriod = 100ms;
+constexpr std::size_t kTenths = 10;
+constexpr base::Duration kFloodTime = 200s;
+
+struct Tally
+{
+  double offered = 0;
+  double admitted = 0;
+
+  double share() const { return admitted / offered; }
+};
+
+/** A team sends a multiple of its rate to all VMs; reports reach the peers one
+ * period later. */
+class Flood
+{
+public:
+  Flood(std::size_t aVms, std::uint32_t aSeed)
+    : mQuotas(aVms)
+    , mRandom(aSeed)
+  {
+    std::vector<std::string> names;
+    for (std::size_t vm = 0; vm < aVms; ++vm) {
+      names.push_back("vm" + std::to_string(vm));
+    }
+    for (std::size_t vm = 0; vm < aVms; ++vm) {
+      std::vector<std::string> peers = names;
+      peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(vm));
+      mQuotas[vm].setReportPeriod(kReportPeriod);
+      mQuotas[vm].setWindow(8s);
+      mQuotas[vm].setSlack(kTolerance);
+      mQuotas[vm].setLimits({ { "t", { kRate, kBurst } } }, mNow);
+      mQuotas[vm].setPeers(peers, mNow);
+    }
+  }
+
+  void run(base::Duration aTime, double aTimesRate)
+  {
+    std::uniform_real_distribution<double> cost(200, kLargest);
+    std::uniform_int_distribution<std::size_t> vm(0, mQuotas.size() - 1);
+    for (const auto end = mNow + aTime; mNow < end; mNow += kStep) {
+      mWanted += aTimesRate * kRate * base::inSeconds(kStep);
+      while (mWanted > 0) {
+        const double units = cost(mRandom);
+        mWanted -= units;
+        auto& tally =
+          tenths[static_cast<std::size_t>(units / (kLargest + 1) * kTenths)];
+        tally.offered += 1;
+        if (mQuotas[vm(mRandom)].admit("t", units, mNow).admitted) {
+          tally.admitted += 1;
+          mAdmitted.emplace_back(mNow, units);
+        }
+      }
+      if ((mNow - TimePoint{}) % kReportPeriod == base::Duration::zero()) {
+        report();
+      }
+    }
+  }
+
+  double maxInWindow() const
+  {
+    double max = 0;
+    double sum = 0;
+    std::size_t first = 0;
+    for (const auto& [at, units] : mAdmitted) {
+      sum += units;
+      while (mAdmitted[first].first < at - 8s) {
+        sum -= mAdmitted[first++].second;
+      }
+      max = std::max(max, sum);
+    }
+    return max;
+  }
+
+  double totalAdmitted() const
+  {
+    double sum = 0;
+    for (const auto& [at, units] : mAdmitted) {
+      sum += units;
+    }
+    return sum;
+  }
+
+  std::array<Tally, kTenths> tenths{};
+
+private:
+  void report()
+  {
+    std::vector<Usage> usages;
+    for (const FleetQuota& quota : mQuotas) {
+      usages.push_back(quota.usage());
+    }
+    for (std::size_t to = 0; to < mQuotas.size(); ++to) {
+      for (std::size_t from = 0; from < mReports.size(); ++from) {
+        if (from != to) {
+          mQuotas[to].onPeerUsage(
+            "vm" + std::to_string(from), 1, mReports[from], mNow);
+        }
+      }
+    }
+    mReports = std::move(usages);
+  }
+
+  std::vector<FleetQuota> mQuotas;
+  std::vector<Usage> mReports; ///< on their way
+  std::mt19937 mRandom;
+  TimePoint mNow{ 1000s };
+  double mWanted = 0;
+  std::deque<std::pair<TimePoint, double>> mAdmitted;
+};
+
+void
+checkServedAlike(std::size_t aVms, std::uint32_t aSeed)
+{
+  Flood flood(aVms, aSeed);
+  flood.run(3s, 0);
+  // About 1,000 requests of each tenth, so that the shares differ by chance by
+  // some hundredths only.
+  flood.run(kFloodTime, 5);
+  const auto [least, most] =
+    std::minmax_element(flood.tenths.begin(),
+                        flood.tenths.end(),
+                        [](const Tally& aLeft, const Tally& aRight) {
+                          return aLeft.share() < aRight.share();
+                        });
+  CHECK(most->share() - least->share() <= 0.1);
+  CHECK(flood.maxInWindow() <= (kRate * 8 + kBurst) * 1.1 + kTolerance);
+  CHECK(flood.totalAdmitted() >=
+        0.97 * (kRate * base::inSeconds(kFloodTime) + kBurst));
+}
+
+} // namespace
+
+TEST_GROUP(SizeFairness){};
+
+// Large requests must not starve because small ones take every unit as soon as
+// it is there.
+TEST(SizeFairness, FloodIsServedAlikeInAllSizes)
+{
+  checkServedAlike(6, 1);
+  checkServedAlike(6, 2);
+  checkServedAlike(40, 3);
+}
+
+// A team below its limit is served whatever the size of its requests.
+TEST(SizeFairness, TeamBelowItsLimitIsNotRefused)
+{
+  Flood flood(6, 4);
+  flood.run(3s, 0);
+  flood.run(30s, 0.8);
+  for (const Tally& tally : flood.tenths) {
+    CHECK(tally.share() >= 0.999);
+  }
+}
+
+// An isolated VM takes no overdraft: every VM may be isolated, and the
+// overdrafts of all would add up.
+TEST(SizeFairness, IsolatedVmTakesNoOverdraft)
+{
+  TimePoint now{ 100s };
+  FleetQuota quota;
+  quota.setReportPeriod(100ms);
+  quota.setSlack(kTolerance);
+  quota.setPeers({ "vm2" }, now);
+  quota.setLimits({ { "t", { 1000, 10'000 } } }, now);
+  const auto run = [&](base::Duration aTime, bool aReports) {
+    for (const auto end = now + aTime; now < end; now += 100ms) {
+      if (aReports) {
+        quota.onPeerUsage("vm2", 1, { { "t", 0 } }, now);
+      }
+      quota.admit("t", 0, now);
+    }
+  };
+  run(12s, true);
+  run(2s, false);
+  CHECK(quota.admit("t", 1000, now).admitted);
+  CHECK(!quota.admit("t", 8000, now).admitted);
+}
