Take totals that a new VM sees first as a baseline

Cause: summaries contain only the totals that changed lately. A VM that had just started charged the first total of each team that its first summary had omitted as units consumed just now: everything that the peer had admitted since its own start.

Summaries now tell whether they contain all totals; until the first complete one, the first total of a team is a baseline. Relays send a complete summary when the fleet changes. A complete report also settles reserves of teams that a peer never admitted, which were held for ever before. Older VMs ignore the new field and send none.

Tests: NewVmIsNotChargedForEarlierUsage, ReserveOfATeamThatThePeerNeverAdmittedIsMergedBack, SendsAllTotalsOnRequest; all fail on the code before.

--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -82,8 +82,9 @@
     mStatusTimer = mLoop.every(mSchedule.statusPeriod(), [this] { send(); });
   }
   mContext.quota.setReportPeriod(mSchedule.maxPeriod());
-  // New VMs receive the placements at once.
+  // New VMs receive the placements and the usage totals at once.
   announcePlacements();
+  mSummaries.requestComplete();
 }
 
 base::VmName
@@ -377,7 +378,8 @@
     mContext.quota.onPeerDraining(vm, now);
   } else {
     mContext.quota.addUnregistered(status.unregistered, now);
-    mContext.quota.onPeerUsage(vm, status.incarnation, status.usage, now);
+    mContext.quota.onPeerUsage(
+      vm, status.incarnation, status.usage, quota::Totals::All, now);
     mContext.quota.adoptLevels(status.levels, now);
   }
   if (status.dataCentre == mContext.settings.dataCentre) {
@@ -408,11 +410,14 @@
   const auto& summary = mContext.peers.summaries().at(dataCentre).summary;
   mContext.quota.addUnregistered(summary.unregistered, now);
   mContext.quota.adoptLevels(summary.levels, now);
+  const auto totals =
+    summary.complete ? quota::Totals::All : quota::Totals::Changed;
   for (const auto& [vm, member] : summary.members) {
     if (member.draining) {
       mContext.quota.onPeerDraining(vm, now);
     } else if (vm != mContext.settings.vm) {
-      mContext.quota.onPeerUsage(vm, member.incarnation, member.usage, now);
+      mContext.quota.onPeerUsage(
+        vm, member.incarnation, member.usage, totals, now);
     }
   }
   mContext.crashes.onPeerCounts(dataCentre, summary.crashes, now);
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -144,7 +144,8 @@
                        encodeLoads(aSummary.loads),
                        encodeDemand(aSummary.demand),
                        aSummary.crashes,
-                       aSummary.drainingUpstreams });
+                       aSummary.drainingUpstreams,
+                       aSummary.complete });
 }
 
 Summary
@@ -170,6 +171,8 @@
   summary.crashes = next().get<std::map<std::string, std::uint32_t>>();
   summary.drainingUpstreams =
     next().get<std::map<std::string, std::uint32_t>>();
+  // VMs of earlier versions do not send it.
+  summary.complete = field < aBody.size() && next().get<bool>();
   return summary;
 }
 
--- a/libs/peers/messages.h
+++ b/libs/peers/messages.h
@@ -84,6 +84,7 @@
   DemandTable demand;
   std::map<std::string, std::uint32_t> crashes;
   std::map<base::UpstreamName, std::uint32_t> drainingUpstreams;
+  bool complete = false; ///< members have their totals of all teams
 };
 
 /** Placement on one engine that its upstream record does not show. */
--- a/libs/peers/summary_builder.cpp
+++ b/libs/peers/summary_builder.cpp
@@ -59,7 +59,8 @@
                       base::Duration aRepeatTime,
                       base::TimePoint aNow)
 {
-  const bool full = aNow - mLastFullAt > kFullPeriod;
+  const bool full = mCompleteRequested || aNow - mLastFullAt > kFullPeriod;
+  mCompleteRequested = false;
   if (full) {
     mLastFullAt = aNow;
   }
@@ -70,6 +71,7 @@
   summary.sequence = ++mSequence;
   summary.catalogVersion = aOwn.catalogVersion;
   summary.levels = aOwn.levels;
+  summary.complete = full;
   add(aOwn, full, aRepeatTime, aNow, summary);
   for (const auto& [vm, entry] : aTable.statuses()) {
     const bool ownDataCentre = entry.status.dataCentre == aOwn.dataCentre;
--- a/libs/peers/summary_builder.h
+++ b/libs/peers/summary_builder.h
@@ -24,6 +24,9 @@
                 base::Duration aRepeatTime,
                 base::TimePoint aNow);
 
+  /** Makes the next summary contain all totals, because a new VM knows none. */
+  void requestComplete() { mCompleteRequested = true; }
+
 private:
   struct Total
   {
@@ -38,6 +41,7 @@
 
   std::uint64_t mSequence = 0;
   base::TimePoint mLastFullAt{};
+  bool mCompleteRequested = false;
   std::map<std::pair<base::VmName, base::TeamName>, Total> mTotals;
 };
 
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -44,6 +44,7 @@
   summary.crashes["f"] = 1;
   summary.drainingUpstreams["u3"] = 2;
   summary.unregistered = { "vm8" };
+  summary.complete = true;
   return summary;
 }
 
@@ -93,6 +94,7 @@
   LONGS_EQUAL(1, summary.crashes.at("f"));
   LONGS_EQUAL(2, summary.drainingUpstreams.at("u3"));
   STRCMP_EQUAL("vm8", summary.unregistered.at(0).c_str());
+  CHECK(summary.complete);
 }
 
 // Encoder and decoder must agree on all fields of a placement update.
@@ -232,6 +234,21 @@
   CHECK(full >= 5);
 }
 
+// A VM that has just started knows no totals; until it does, it cannot tell
+// earlier usage from new usage.
+TEST(SummaryMaker, SendsAllTotalsOnRequest)
+{
+  table.update(otherStatus(5, 1), TimePoint{ 100s });
+  CHECK(buildAt(TimePoint{ 100s }).complete);
+  table.update(otherStatus(5, 2), TimePoint{ 102s });
+  CHECK(!buildAt(TimePoint{ 102s }).complete);
+  builder.requestComplete();
+  const auto summary = buildAt(TimePoint{ 102200ms });
+  CHECK(summary.complete);
+  LONGS_EQUAL(1, summary.members.at("vm2").usage.size());
+  CHECK(!buildAt(TimePoint{ 102400ms }).complete);
+}
+
 // A partitioned VM must not appear alive through the summaries of its relay.
 TEST(SummaryMaker, OmitsVmsThatStoppedReporting)
 {
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -302,12 +302,15 @@
 FleetQuota::onPeerUsage(const base::VmName& aPeer,
                         base::Incarnation aIncarnation,
                         const Usage& aUsage,
+                        Totals aTotals,
                         base::TimePoint aNow)
 {
   refill(aNow);
   Peer& peer = mPeers[aPeer];
   const bool reconnected = peer.unreachable;
-  const bool firstReport = !peer.hasReported && peer.totals.empty();
+  if (peer.totals.empty()) {
+    peer.baselinePending = aIncarnation;
+  }
   if (!peer.totals.contains(aIncarnation)) {
     // What the previous process consumed at the end is unknown.
     dropReserves(peer, aNow);
@@ -317,21 +320,23 @@
   }
   Usage& totals = peer.totals[aIncarnation];
   for (const auto& [team, total] : aUsage) {
-    double& last = totals[team];
-    const double consumed = std::max(0.0, total - last);
-    last = std::max(last, total);
-    const auto found = mBuckets.find(team);
-    if (found == mBuckets.end() || firstReport) {
-      continue;
+    const auto [known, added] = totals.try_emplace(team, 0);
+    const double consumed = std::max(0.0, total - known->second);
+    known->second = std::max(known->second, total);
+    if (!added || peer.baselinePending != aIncarnation) {
+      applyUsage(peer, team, consumed);
+    }
+  }
+  if (aTotals == Totals::All) {
+    if (peer.baselinePending == aIncarnation) {
+      peer.baselinePending.reset();
+    }
+    // Teams that are not listed have consumed nothing.
+    for (const auto& [team, reserve] : std::map(peer.reserves)) {
+      if (!aUsage.contains(team)) {
+        applyUsage(peer, team, 0);
+      }
     }
-    Bucket& bucket = found->second;
-    // Consumption while the peer was unreachable does not reflect its current
-    // rate.
-    bucket.peerUsage += peer.reserves.contains(team) ? 0 : consumed;
-    const double gain = mergeReserve(peer, team, bucket, consumed);
-    const double level = std::min(bucket.limit.burst, bucket.level + gain);
-    bucket.deltas.back().peerUsage -= level - bucket.level;
-    bucket.level = level;
   }
   while (peer.totals.size() > kMaxIncarnations) {
     peer.totals.erase(peer.totals.begin()->first == aIncarnation
@@ -350,6 +355,28 @@
   }
 }
 
+/** Subtracts units that a peer consumed from the bucket of a team, and merges
+ * the peer's reserve. */
+void
+FleetQuota::applyUsage(Peer& aPeer,
+                       const base::TeamName& aTeam,
+                       double aConsumed)
+{
+  const auto found = mBuckets.find(aTeam);
+  if (found == mBuckets.end()) {
+    aPeer.reserves.erase(aTeam);
+    return;
+  }
+  Bucket& bucket = found->second;
+  // Consumption while the peer was unreachable does not reflect its current
+  // rate.
+  bucket.peerUsage += aPeer.reserves.contains(aTeam) ? 0 : aConsumed;
+  const double gain = mergeReserve(aPeer, aTeam, bucket, aConsumed);
+  const double level = std::min(bucket.limit.burst, bucket.level + gain);
+  bucket.deltas.back().peerUsage -= level - bucket.level;
+  bucket.level = level;
+}
+
 double
 FleetQuota::level(const base::TeamName& aTeam) const
 {
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -37,6 +37,13 @@
  * overflow that it wrote off in order to borrow. Monotonically increasing. */
 using Usage = std::map<base::TeamName, double>;
 
+/** Which totals a usage report contains. */
+enum class Totals
+{
+  Changed, ///< the recently changed ones
+  All      ///< those of all teams that the peer has admitted since its start
+};
+
 /**
  * A distributed token bucket per team. Every VM keeps a replica of each bucket
  * and subtracts its own admissions at once and those of its peers when their
@@ -110,13 +117,14 @@
 
   /**
    * @param aPeer VM @param aIncarnation its process
-   * @param aUsage cumulative usage of some or all teams; reports may arrive out
-   * of order
+   * @param aUsage cumulative usage; reports may arrive out of order
+   * @param aTotals which teams it contains
    * @param aNow time
    */
   void onPeerUsage(const base::VmName& aPeer,
                    base::Incarnation aIncarnation,
                    const Usage& aUsage,
+                   Totals aTotals,
                    base::TimePoint aNow);
 
   /** @return cumulative usage of this VM since it started */
@@ -190,10 +198,15 @@
     /** Cumulative usage by process; late reports of the previous process may
      * still arrive. */
     std::map<base::Incarnation, Usage> totals;
+    /** The process that was running when this VM heard the peer first, until a
+     * report with all of its totals arrives. What it consumed before is not
+     * this VM's concern. */
+    std::optional<base::Incarnation> baselinePending;
     std::map<base::TeamName, Reserve> reserves;
   };
 
   void refill(base::TimePoint aNow);
+  void applyUsage(Peer& aPeer, const base::TeamName& aTeam, double aConsumed);
   static void recordCost(Bucket& aBucket, double aCost);
   double neededLevel(const Bucket& aBucket, double aCost) const;
   void updatePeerRates(base::TimePoint aNow);
--- a/libs/quota/tests/partition_tests.cpp
+++ b/libs/quota/tests/partition_tests.cpp
@@ -71,7 +71,7 @@
   fleet.maxDelay = 100ms;
   fleet.run(6s, std::vector<double>(kVms, 4 * kRate * kShare));
   FleetQuota& quota = fleet.vms[0].quota;
-  quota.onPeerUsage("vm1", 1, { { "t", 1e9 } }, fleet.now);
+  quota.onPeerUsage("vm1", 1, { { "t", 1e9 } }, Totals::All, fleet.now);
   const double debt = -quota.level("t");
   CHECK(debt > 10 * kBurst);
   isolate(fleet, 0);
@@ -151,7 +151,7 @@
   const auto run = [&](base::Duration aTime, const Usage* aReport) {
     for (const auto end = now + aTime; now < end; now += 100ms) {
       if (aReport != nullptr) {
-        quota.onPeerUsage("vm2", 1, *aReport, now);
+        quota.onPeerUsage("vm2", 1, *aReport, Totals::Changed, now);
       }
       quota.admit("t", 0, now);
     }
@@ -179,14 +179,14 @@
   quota.setPeers({ "vm2" }, now);
   quota.setLimits({ { "t", { 1000, 1000 } } }, now);
   for (const auto end = now + 10s; now < end; now += 100ms) {
-    quota.onPeerUsage("vm2", 1, { { "t", 0 } }, now);
+    quota.onPeerUsage("vm2", 1, { { "t", 0 } }, Totals::All, now);
     quota.admit("t", 0, now);
   }
   for (const auto end = now + 10s; now < end; now += 100ms) {
     quota.admit("t", 0, now);
   }
   DOUBLES_EQUAL(500, quota.level("t"), 1);
-  quota.onPeerUsage("vm2", 1, { { "t", 500 } }, now);
+  quota.onPeerUsage("vm2", 1, { { "t", 500 } }, Totals::All, now);
   CHECK(quota.level("t") <= 501);
 }
 
--- a/libs/quota/tests/partitioned_fleet.h
+++ b/libs/quota/tests/partitioned_fleet.h
@@ -125,6 +125,7 @@
     std::size_t from = 0;
     base::Incarnation incarnation = 0;
     Usage usage;
+    Totals totals = Totals::Changed;
     std::vector<bool> reachable; ///< by receiver, when the report was sent
   };
 
@@ -148,16 +149,13 @@
     const bool full =
       (now - TimePoint{}) % kFullReportPeriod == base::Duration::zero();
     for (std::size_t from = 0; from < kVms; ++from) {
-      Report report{ from, vms[from].incarnation, {}, {} };
+      Report report{ from, vms[from].incarnation, {}, {}, {} };
+      report.totals = full ? Totals::All : Totals::Changed;
       for (const auto& [team, total] : vms[from].quota.usage()) {
         if (full || now - vms[from].changedAt[team] < kChangeRepeat) {
           report.usage[team] = total;
         }
       }
-      if (full) {
-        report.usage.try_emplace("idle", 0);
-        report.usage.try_emplace("t", 0);
-      }
       for (const Vm& to : vms) {
         report.reachable.push_back(to.side == vms[from].side);
       }
@@ -174,8 +172,11 @@
       mInFlight.erase(mInFlight.begin());
       for (std::size_t to = 0; to < kVms; ++to) {
         if (to != report.from && report.reachable[to]) {
-          vms[to].quota.onPeerUsage(
-            name(report.from), report.incarnation, report.usage, now);
+          vms[to].quota.onPeerUsage(name(report.from),
+                                    report.incarnation,
+                                    report.usage,
+                                    report.totals,
+                                    now);
         }
       }
     }
--- a/libs/quota/tests/quota_tests.cpp
+++ b/libs/quota/tests/quota_tests.cpp
@@ -114,7 +114,8 @@
     for (std::size_t from = 0; from < quotas.size(); ++from) {
       for (std::size_t to = 0; to < quotas.size(); ++to) {
         if (from != to && !partitioned[from] && !partitioned[to]) {
-          quotas[to].onPeerUsage(name(from), 1, quotas[from].usage(), now);
+          quotas[to].onPeerUsage(
+            name(from), 1, quotas[from].usage(), quota::Totals::All, now);
         }
       }
     }
@@ -226,12 +227,12 @@
   quota::FleetQuota quota;
   quota.setLimits({ { "t", { 100, 1000 } } }, start);
   quota.setPeers({ "vm2" }, start);
-  quota.onPeerUsage("vm2", 1, { { "t", 0 } }, start);
-  quota.onPeerUsage("vm2", 1, { { "t", 300 } }, start);
+  quota.onPeerUsage("vm2", 1, { { "t", 0 } }, quota::Totals::All, start);
+  quota.onPeerUsage("vm2", 1, { { "t", 300 } }, quota::Totals::All, start);
   const double before = quota.level("t");
-  quota.onPeerUsage("vm2", 2, { { "t", 50 } }, start);
-  quota.onPeerUsage("vm2", 1, { { "t", 300 } }, start);
-  quota.onPeerUsage("vm2", 2, { { "t", 50 } }, start);
+  quota.onPeerUsage("vm2", 2, { { "t", 50 } }, quota::Totals::All, start);
+  quota.onPeerUsage("vm2", 1, { { "t", 300 } }, quota::Totals::All, start);
+  quota.onPeerUsage("vm2", 2, { { "t", 50 } }, quota::Totals::All, start);
   DOUBLES_EQUAL(before - 50, quota.level("t"), 0.1);
 }
 
@@ -243,11 +244,14 @@
   quota::FleetQuota quota;
   quota.setLimits({ { "t", { 100, 1000 } }, { "s", { 100, 1000 } } }, start);
   quota.setPeers({ "vm2" }, start);
-  quota.onPeerUsage("vm2", 1, { { "t", 0 }, { "s", 0 } }, start);
-  quota.onPeerUsage("vm2", 1, { { "t", 300 }, { "s", 200 } }, start);
+  quota.onPeerUsage(
+    "vm2", 1, { { "t", 0 }, { "s", 0 } }, quota::Totals::All, start);
+  quota.onPeerUsage(
+    "vm2", 1, { { "t", 300 }, { "s", 200 } }, quota::Totals::All, start);
   const double before = quota.level("t");
-  quota.onPeerUsage("vm2", 1, { { "s", 250 } }, start);
-  quota.onPeerUsage("vm2", 1, { { "t", 300 }, { "s", 250 } }, start);
+  quota.onPeerUsage("vm2", 1, { { "s", 250 } }, quota::Totals::Changed, start);
+  quota.onPeerUsage(
+    "vm2", 1, { { "t", 300 }, { "s", 250 } }, quota::Totals::All, start);
   DOUBLES_EQUAL(before, quota.level("t"), 0.1);
 }
 
@@ -264,7 +268,7 @@
   const auto run = [&](base::Duration aTime, bool aReports) {
     for (const auto end = now + aTime; now < end; now += 100ms) {
       if (aReports) {
-        quota.onPeerUsage("vm2", 1, { { "t", 7 } }, now);
+        quota.onPeerUsage("vm2", 1, { { "t", 7 } }, quota::Totals::All, now);
       }
       quota.admit("t", 0, now);
     }
@@ -287,16 +291,16 @@
   quota.setPeers({ "vm2" }, now);
   quota.setLimits({ { "t", { 100, 1000 } } }, now);
   for (const auto end = now + 20s; now < end; now += 100ms) {
-    quota.onPeerUsage("vm2", 1, { { "t", 7 } }, now);
+    quota.onPeerUsage("vm2", 1, { { "t", 7 } }, quota::Totals::All, now);
     quota.admit("t", 0, now);
   }
   for (const auto end = now + 2s; now < end; now += 100ms) {
     quota.admit("t", 0, now);
   }
   const double whileUnreachable = quota.level("t");
-  quota.onPeerUsage("vm2", 1, {}, now);
+  quota.onPeerUsage("vm2", 1, {}, quota::Totals::Changed, now);
   CHECK(quota.level("t") <= whileUnreachable + 20);
-  quota.onPeerUsage("vm2", 1, { { "t", 607 } }, now);
+  quota.onPeerUsage("vm2", 1, { { "t", 607 } }, quota::Totals::All, now);
   CHECK(quota.level("t") < 1000 - 400);
 }
 
@@ -309,7 +313,7 @@
   old.setPeers({ "vm2" }, now);
   old.setLimits({ { "t", { 100, 1000 } } }, now);
   for (const auto end = now + 30s; now < end; now += 100ms) {
-    old.onPeerUsage("vm2", 1, { { "t", 0 } }, now);
+    old.onPeerUsage("vm2", 1, { { "t", 0 } }, quota::Totals::All, now);
     old.admit("t", 0, now);
   }
   CHECK(old.admit("t", 300, now).admitted);
@@ -317,7 +321,7 @@
   fresh.setPeers({ "vm1" }, now);
   fresh.setLimits({ { "t", { 100, 1000 } } }, now);
   CHECK(!fresh.admit("t", 200, now).admitted);
-  fresh.onPeerUsage("vm1", 1, old.usage(), now);
+  fresh.onPeerUsage("vm1", 1, old.usage(), quota::Totals::All, now);
   fresh.adoptLevels(old.levels(now), now);
   CHECK(fresh.admit("t", 200, now + 100ms).admitted);
   CHECK(!fresh.admit("t", 700, now + 100ms).admitted);
@@ -330,7 +334,7 @@
   quota::FleetQuota fresh;
   fresh.setPeers({ "vm2" }, now);
   fresh.setLimits({ { "t", { 100, 1000 } } }, now);
-  fresh.onPeerUsage("vm2", 1, {}, now);
+  fresh.onPeerUsage("vm2", 1, {}, quota::Totals::All, now);
   now += 400ms;
   fresh.admit("t", 0, now);
   CHECK(fresh.levels(now).empty());
@@ -345,12 +349,63 @@
   quota.setPeers({ "vm2", "vm3" }, now);
   quota.setLimits({ { "t", { 100, 1000 } } }, now);
   for (const auto end = now + 30s; now < end; now += 100ms) {
-    quota.onPeerUsage("vm2", 1, { { "t", 0 } }, now);
+    quota.onPeerUsage("vm2", 1, { { "t", 0 } }, quota::Totals::All, now);
     quota.admit("t", 0, now);
   }
   CHECK(quota.levels(now).empty());
 }
 
+// Summaries contain only the totals that changed lately. A new VM must not take
+// the first total that it sees of a team as units consumed just now.
+TEST(Quota, NewVmIsNotChargedForEarlierUsage)
+{
+  TimePoint now{ 100s };
+  quota::FleetQuota quota;
+  quota.setReportPeriod(100ms);
+  quota.setPeers({ "vm2" }, now);
+  quota.setLimits({ { "t", { 100, 1000 } }, { "s", { 100, 1000 } } }, now);
+  const auto run = [&](const quota::Usage& aUsage, quota::Totals aTotals) {
+    now += 100ms;
+    quota.onPeerUsage("vm2", 1, aUsage, aTotals, now);
+  };
+  run({ { "t", 70000 } }, quota::Totals::Changed);
+  const double before = quota.level("s");
+  run({ { "t", 70000 }, { "s", 80000 } }, quota::Totals::Changed);
+  CHECK(quota.level("s") >= before);
+  // Once all totals are known, those of further teams count from zero.
+  run({ { "t", 70000 }, { "s", 80000 } }, quota::Totals::All);
+  quota.setLimits(
+    { { "t", { 100, 1000 } }, { "s", { 100, 1000 } }, { "u", { 100, 1000 } } },
+    now);
+  run({ { "u", 300 } }, quota::Totals::Changed);
+  CHECK(quota.level("u") <= -250);
+}
+
+// A team that a peer never admitted is missing in all of its reports; its
+// reserve must be merged back nevertheless.
+TEST(Quota, ReserveOfATeamThatThePeerNeverAdmittedIsMergedBack)
+{
+  TimePoint now{ 100s };
+  quota::FleetQuota quota;
+  quota.setReportPeriod(100ms);
+  quota.setPeers({ "vm2" }, now);
+  quota.setLimits({ { "t", { 10, 1000 } } }, now);
+  const auto run = [&](base::Duration aTime, bool aReports) {
+    for (const auto end = now + aTime; now < end; now += 100ms) {
+      if (aReports) {
+        quota.onPeerUsage("vm2", 1, {}, quota::Totals::All, now);
+      }
+      quota.admit("t", 0, now);
+    }
+  };
+  run(120s, true);
+  DOUBLES_EQUAL(1000, quota.level("t"), 1);
+  run(2s, false);
+  DOUBLES_EQUAL(500, quota.level("t"), 1);
+  run(200ms, true);
+  CHECK(quota.level("t") > 950);
+}
+
 int
 main(int aCount, char** aValues)
 {
--- a/libs/quota/tests/settlement_tests.cpp
+++ b/libs/quota/tests/settlement_tests.cpp
@@ -91,7 +91,7 @@
     for (const auto end = now + aTime; now < end; now += 100ms) {
       for (const char* peer : { "vm2", "vm3" }) {
         if (aReports) {
-          quota.onPeerUsage(peer, 1, { { "t", 0 } }, now);
+          quota.onPeerUsage(peer, 1, { { "t", 0 } }, Totals::All, now);
         }
       }
       quota.admit("t", 0, now);
@@ -101,8 +101,8 @@
   run(10s, false);
   DOUBLES_EQUAL(300, quota.level("t"), 1);
   // Each reserve holds 300 units and earned 300 a second for 10 s.
-  quota.onPeerUsage("vm2", 1, { { "t", 10000 } }, now);
-  quota.onPeerUsage("vm3", 1, { { "t", 0 } }, now);
+  quota.onPeerUsage("vm2", 1, { { "t", 10000 } }, Totals::All, now);
+  quota.onPeerUsage("vm3", 1, { { "t", 0 } }, Totals::All, now);
   CHECK(quota.level("t") < -2000);
   CHECK(quota.level("t") > -3500);
 }
--- a/libs/quota/tests/size_fairness_tests.cpp
+++ b/libs/quota/tests/size_fairness_tests.cpp
@@ -115,7 +115,7 @@
       for (std::size_t from = 0; from < mReports.size(); ++from) {
         if (from != to) {
           mQuotas[to].onPeerUsage(
-            "vm" + std::to_string(from), 1, mReports[from], mNow);
+            "vm" + std::to_string(from), 1, mReports[from], Totals::All, mNow);
         }
       }
     }
@@ -187,7 +187,7 @@
   const auto run = [&](base::Duration aTime, bool aReports) {
     for (const auto end = now + aTime; now < end; now += 100ms) {
       if (aReports) {
-        quota.onPeerUsage("vm2", 1, { { "t", 0 } }, now);
+        quota.onPeerUsage("vm2", 1, { { "t", 0 } }, Totals::All, now);
       }
       quota.admit("t", 0, now);
     }
