Read the store through two VMs of a data centre and renew leases less often

Cause: calls to the store were the dearest price on the large sites. Data centres of two or three VMs had no reader in common at all.

The ownership of orders has a lease of its own (2 s, as before), so registrations can last 6 s and are renewed every 1.5 s. Every data centre reads through its relay; if that refuses, through the VM ranked next, and only if both fail does a VM read the store itself, after a random delay that grows with the data centre. Calls that fail back off with jitter. The pause between two reads of the upstream records follows from the drain limit (new setting drain_limit): a tenth of it. The timeout of a wait follows from the client's timeout, so that a frozen relay is left after 1.5 s.

Ruled out: the watches of the relays themselves (20 a second at rest).

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -16,19 +16,23 @@
 constexpr const char* kOwnerKey = "marigold/order-owner";
 constexpr const char* kMemberPrefix = "marigold/vm/";
 
-/** The keys of a failed VM are removed after this. A slow store takes a few
- * hundred milliseconds to respond, so shorter leases would expire while the VM
- * is healthy. */
-constexpr base::Duration kLeaseTerm = 2s;
-/** Allows three renewals in a lease term, so that one may be lost. */
-constexpr base::Duration kRenewInterval = 450ms;
+/** Terms of the leases. The registration of a failed VM may last a while,
+ * because peers notice by its silence that it failed. The ownership must be
+ * free soon; a slow store takes a few hundred milliseconds to respond, so a
+ * term below this would expire while the owner is healthy. */
+constexpr base::Duration kRegistrationTerm = 6s;
+constexpr base::Duration kOwnershipTerm = 2s;
+/** Allow three renewals in a term, so that one may be lost. */
+constexpr base::Duration kRegistrationRenewal = 1500ms;
+constexpr base::Duration kOwnershipRenewal = 450ms;
 /** The owner sends no orders when less than this is left of its lease. It
  * covers an order in flight and most of the pause before the next owner's
  * first order. */
 constexpr base::Duration kOrderLeaseMargin = 1100ms;
 constexpr base::Duration kTickInterval = 150ms;
+constexpr base::Duration kMaxRegistrationBackoff = 1200ms;
 /** Minimum delay between a change and the next watch call. */
-constexpr base::Duration kWatchPause = 50ms;
+constexpr base::Duration kWatchPause = 150ms;
 /** Added to the pause between two owners because timers may fire late. */
 constexpr base::Duration kOrderPauseMargin = 400ms;
 /** Delay between the claims of two VMs for a free ownership, so that usually
@@ -60,14 +64,31 @@
                observe::logWarn("fleet registry lost",
                                 { { "error", aError.message } });
              } })
+  , mRegistrationBackoff(kTickInterval,
+                         kMaxRegistrationBackoff,
+                         base::hash64(aSettings.vm, aIncarnation + 2))
+  , mLease(aClient,
+           "registration",
+           kRegistrationTerm,
+           base::hash64(aSettings.vm, aIncarnation))
+  , mOwnerLease(aClient,
+                "ownership",
+                kOwnershipTerm,
+                base::hash64(aSettings.vm, aIncarnation + 1))
 {
+  mLease.granted().connect([this] {
+    mRegistrationRevision = 0;
+    writeRegistration();
+  });
+  mLease.lost().connect([this] { mRegistrationRevision = 0; });
+  mOwnerLease.granted().connect([this] { claimOwnership(); });
 }
 
 void
 Fleet::start()
 {
   mWatch.start();
-  requestLease();
+  mLease.request();
   mTickTimer = mLoop.every(kTickInterval, [this] { tick(); });
 }
 
@@ -93,10 +114,8 @@
 Fleet::leave()
 {
   mLeaving = true;
-  if (!mLease.empty()) {
-    mClient.revokeLease(mLease, [](const auto&) {});
-  }
-  onLeaseLost("leaving");
+  mOwnerLease.revoke();
+  mLease.revoke();
 }
 
 void
@@ -109,7 +128,7 @@
   for (const platform::Entry& entry : aSnapshot.entries) {
     apply(entry);
   }
-  if (!mOwner && previous) {
+  if (!mOwner && (previous || !mSynced)) {
     mOwnershipFreeAt = base::monotonicNow();
   }
   mSynced = true;
@@ -172,6 +191,9 @@
   owner.fencingToken = aEntry.revision;
   const bool isNew = !mOwner || mOwner->fencingToken != owner.fencingToken;
   mOwner = owner;
+  if (!isSelf(owner) && !mClaimCallPending) {
+    mOwnerLease.drop("another VM owns the orders");
+  }
   if (isNew) {
     if (isSelf(owner)) {
       mOwnedSince = base::monotonicNow();
@@ -188,10 +210,13 @@
   return aOwner.vm == mSettings.vm && aOwner.incarnation == mIncarnation;
 }
 
+/** An ownership ends with the lease under which it was written, even if this VM
+ * has a newer lease and has not seen the removal of the key yet. */
 bool
-Fleet::leaseValid(base::TimePoint aNow, base::Duration aMargin) const
+Fleet::ownsOrders() const
 {
-  return !mLease.empty() && aNow + aMargin < mLeaseSentAt + kLeaseTerm;
+  return mOwner && isSelf(*mOwner) && mOwnerLease.held() &&
+         mOwnershipLease == mOwnerLease.id();
 }
 
 bool
@@ -199,10 +224,7 @@
 {
   // The previous owner sent no orders during kOrderLeaseMargin, so that time
   // counts towards the pause between two owners.
-  // An ownership ends with the lease under which it was written, even if this
-  // VM has a newer lease and has not seen the removal of the key yet.
-  return mOwner && isSelf(*mOwner) && mOwnershipLease == mLease &&
-         leaseValid(aNow, kOrderLeaseMargin) &&
+  return ownsOrders() && mOwnerLease.validFor(aNow, kOrderLeaseMargin) &&
          aNow > mOwnedSince + mSettings.orderPause - kOrderLeaseMargin +
                   kOrderPauseMargin;
 }
@@ -210,9 +232,7 @@
 platform::Revision
 Fleet::fencingToken() const
 {
-  return mOwner && isSelf(*mOwner) && mOwnershipLease == mLease
-           ? mOwner->fencingToken
-           : 0;
+  return ownsOrders() ? mOwner->fencingToken : 0;
 }
 
 void
@@ -222,20 +242,17 @@
   if (mLeaving) {
     return;
   }
-  if (mLease.empty()) {
-    requestLease();
+  if (!mLease.held()) {
+    mLease.request();
     return;
   }
-  if (now - mLeaseSentAt > kRenewInterval) {
-    renewLease();
-  }
+  mLease.renewIfDue(mReadsStore ? kOwnershipRenewal : kRegistrationRenewal);
+  mOwnerLease.renewIfDue(kOwnershipRenewal);
   if (mRegistrationRevision == 0) {
     writeRegistration();
   }
-  if (mClaimsEnabled && mSynced && !mOwner && leaseValid(now, kRenewInterval)) {
-    if (now >= mOwnershipFreeAt + kClaimStagger * claimRank()) {
-      claimOwnership();
-    }
+  if (now >= mOwnershipFreeAt + kClaimStagger * claimRank()) {
+    claimOwnership();
   }
 }
 
@@ -250,61 +267,11 @@
   return std::min(rank, kMaxStaggers);
 }
 
-void
-Fleet::requestLease()
-{
-  if (mLeaseCallPending || mLeaving) {
-    return;
-  }
-  mLeaseCallPending = true;
-  const base::TimePoint sent = base::monotonicNow();
-  mClient.grantLease(
-    kLeaseTerm, [this, sent](const base::Captured<std::string>& aResult) {
-      mLeaseCallPending = false;
-      if (base::errorOf(aResult) != nullptr) {
-        return; // The next tick retries; the watch logs the lost connection.
-      }
-      mLease = std::get<std::string>(aResult);
-      mLeaseSentAt = sent;
-      mRegistrationRevision = 0;
-      observe::logInfo("lease granted", { { "lease", mLease } });
-      writeRegistration();
-    });
-}
-
-void
-Fleet::renewLease()
-{
-  if (mLeaseCallPending) {
-    return;
-  }
-  mLeaseCallPending = true;
-  const base::TimePoint sent = base::monotonicNow();
-  mClient.renewLease(mLease,
-                     [this, sent](const base::Captured<std::string>& aResult) {
-                       mLeaseCallPending = false;
-                       const base::Error* error = base::errorOf(aResult);
-                       if (error == nullptr) {
-                         mLeaseSentAt = sent;
-                       } else if (error->code == base::Code::LeaseLost) {
-                         onLeaseLost("expired");
-                       }
-                     });
-}
-
-void
-Fleet::onLeaseLost(const char* aReason)
-{
-  observe::logWarn("lease lost",
-                   { { "lease", mLease }, { "reason", aReason } });
-  mLease.clear();
-  mRegistrationRevision = 0;
-}
-
 void
 Fleet::writeRegistration()
 {
-  if (mRegistrationCallPending || !mSynced) {
+  if (mRegistrationCallPending || !mSynced || !mLease.held() ||
+      base::monotonicNow() < mRegistrationAt) {
     return;
   }
   mRegistrationCallPending = true;
@@ -316,11 +283,15 @@
   mClient.write(kMemberPrefix + mSettings.vm,
                 content.dump(),
                 mOwnKeyRevision,
-                mLease,
+                mLease.id(),
                 [this](const base::Captured<platform::Revision>& aResult) {
                   mRegistrationCallPending = false;
+                  mRegistrationAt =
+                    base::monotonicNow() + mRegistrationBackoff.next();
                   const base::Error* error = base::errorOf(aResult);
                   if (error == nullptr) {
+                    mRegistrationAt = {};
+                    mRegistrationBackoff.reset();
                     mRegistrationRevision =
                       std::get<platform::Revision>(aResult);
                     mOwnKeyRevision = mRegistrationRevision;
@@ -330,7 +301,7 @@
                     // Listing yields the revision for the next attempt.
                     mWatch.relist();
                   } else if (error->code == base::Code::NotFound) {
-                    onLeaseLost("lease not found in the store");
+                    mLease.drop("not found in the store");
                   }
                 });
 }
@@ -338,17 +309,23 @@
 void
 Fleet::claimOwnership()
 {
-  if (mClaimCallPending) {
+  if (mClaimCallPending || !mClaimsEnabled || !mSynced || mOwner ||
+      mRegistrationRevision == 0) {
+    return;
+  }
+  if (!mOwnerLease.validFor(base::monotonicNow(), kOwnershipRenewal)) {
+    mOwnerLease.drop("too old to claim with");
+    mOwnerLease.request(); // Calls again when the lease was granted.
     return;
   }
   mClaimCallPending = true;
-  mOwnershipLease = mLease;
+  mOwnershipLease = mOwnerLease.id();
   const json content{ { "vm", mSettings.vm }, { "incarnation", mIncarnation } };
   mClient.write(
     kOwnerKey,
     content.dump(),
     0,
-    mLease,
+    mOwnershipLease,
     [this, content](const base::Captured<platform::Revision>& aResult) {
       mClaimCallPending = false;
       const base::Error* error = base::errorOf(aResult);
@@ -357,8 +334,12 @@
           { kOwnerKey, content.dump(), std::get<platform::Revision>(aResult) });
         mChanged.emit();
       } else if (error->code == base::Code::NotFound) {
-        onLeaseLost("lease not found in the store");
-      } else if (error->code != base::Code::RevisionConflict) {
+        mOwnerLease.drop("not found in the store");
+      } else if (error->code == base::Code::RevisionConflict) {
+        if (mOwner && !isSelf(*mOwner)) {
+          mOwnerLease.drop("another VM owns the orders");
+        }
+      } else {
         // The write may have succeeded; then the watch will report the key.
         observe::logWarn("ownership claim failed",
                          { { "error", error->message } });
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -1,6 +1,7 @@
 /** @file Fleet membership: lease, registration, other VMs, order ownership. */
 #pragma once
 
+#include "apps/gateway/lease.h"
 #include "apps/gateway/prefix_watch.h"
 #include "apps/gateway/settings.h"
 
@@ -27,9 +28,11 @@
 };
 
 /**
- * Keeps a lease at the platform, registers this VM under it, watches the
- * registrations of the other VMs, and claims the order ownership when it is
- * free. The store removes all keys of a VM when its lease expires.
+ * Registers this VM at the platform under a lease, watches the registrations of
+ * the other VMs, and claims the order ownership when it is free. The ownership
+ * has a shorter lease of its own, so that another VM soon takes over from an
+ * owner that failed, while the fleet need not renew all registrations as often.
+ * The store removes a key when its lease ends.
  */
 class Fleet
 {
@@ -46,6 +49,11 @@
    * is about to leave. */
   void releaseOwnership();
 
+  /** A VM that serves the store's data to others, or reads it there itself,
+   * renews its lease more often, which shows that the data are current.
+   * @param aReads whether this VM reads the store directly */
+  void setReadsStore(bool aReads) { mReadsStore = aReads; }
+
   /** Revokes the lease, which removes this VM from the fleet. */
   void leave();
 
@@ -62,7 +70,7 @@
   bool registered() const { return mRegistrationRevision != 0; }
 
   /** @return when the latest successful lease renewal was sent */
-  base::TimePoint renewedAt() const { return mLeaseSentAt; }
+  base::TimePoint renewedAt() const { return mLease.renewedAt(); }
 
   /** @return the watch of the registrations */
   PrefixWatch& watch() { return mWatch; }
@@ -85,14 +93,11 @@
   void applySnapshot(const platform::Snapshot& aSnapshot);
   void applyOwner(const platform::Entry& aEntry);
   void tick();
-  void requestLease();
-  void renewLease();
   void writeRegistration();
   void claimOwnership();
   bool isSelf(const Ownership& aOwner) const;
   std::size_t claimRank() const;
-  bool leaseValid(base::TimePoint aNow, base::Duration aMargin) const;
-  void onLeaseLost(const char* aReason);
+  bool ownsOrders() const;
 
   http::Loop& mLoop;
   platform::Client& mClient;
@@ -103,13 +108,15 @@
   std::optional<Ownership> mOwner;
   platform::Revision mOwnKeyRevision = 0; ///< of this VM's key in the store
   platform::Revision mRegistrationRevision = 0;
-  std::string mLease;
+  platform::Backoff mRegistrationBackoff;
+  base::TimePoint mRegistrationAt{}; ///< not written before, after a failure
+  Lease mLease;                      ///< of the registration
+  Lease mOwnerLease; ///< of the order ownership, held while claiming or owning
   std::string mOwnershipLease; ///< lease under which the ownership was claimed
-  base::TimePoint mLeaseSentAt{};
   base::TimePoint mOwnedSince{};
   base::TimePoint mOwnershipFreeAt{};
   bool mSynced = false;
-  bool mLeaseCallPending = false;
+  bool mReadsStore = true;
   bool mRegistrationCallPending = false;
   bool mClaimCallPending = false;
   bool mLeaving = false;
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -13,10 +13,10 @@
 
 /** Timeout of calls to the store. */
 constexpr base::Duration kPlatformTimeout = 1200ms;
-/** Minimum delay between two reads of the upstream records, which bounds the
- * store calls of a large fleet. Short enough that a draining upstream gets no
- * new requests well before its drain deadline. */
-constexpr base::Duration kUpstreamWatchPause = 250ms;
+/** Minimum delay between two reads of the upstream records, as a part of the
+ * time until a draining upstream gets no new requests. The pause bounds the
+ * store calls: records change several times a second in all but tiny fleets. */
+constexpr int kUpstreamWatchPauses = 10;
 constexpr base::Duration kCatalogWatchPause = 20ms;
 constexpr base::Duration kTickPeriod = 250ms;
 /** Debounce delay: orders and records often change together. */
@@ -105,7 +105,7 @@
       mLoop,
       mPlatform,
       boundary::kUpstreamPrefix,
-      kUpstreamWatchPause,
+      mSettings.drainLimit / kUpstreamWatchPauses,
       { [this](const platform::Snapshot& aAll) { applyUpstreams(aAll); },
         [this](const platform::Entry& aEntry) {
           applyUpstream(aEntry);
@@ -452,6 +452,7 @@
   const base::TimePoint now = base::monotonicNow();
   mPeerExchange.expire();
   mRelay.tick();
+  mFleet.setReadsStore(mUpstreamWatch.isReadingStore());
   mCrashes.expire(now);
   removeMissingUpstreams();
   mOrders.updateOwnership();
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -10,8 +10,8 @@
 
 using namespace std::chrono_literals;
 
-/** Minimum size of a data centre at which the messages and store calls that a
- * relay saves are worth the additional hop. */
+/** Minimum size of a data centre at which the messages that a relay saves are
+ * worth the additional hop. */
 constexpr std::size_t kMinVmsForRelay = 4;
 /** Number of sent statuses kept because a summary may still include them: about
  * one second's worth. */
@@ -107,6 +107,15 @@
     });
 }
 
+std::vector<base::VmName>
+PeerExchange::storeReaders() const
+{
+  const auto order = mRelayRanking.find(mContext.settings.dataCentre);
+  return order == mRelayRanking.end()
+           ? std::vector<base::VmName>{ mContext.settings.vm }
+           : peers::storeReaders(order->second, relay());
+}
+
 std::size_t
 PeerExchange::dataCentreSize() const
 {
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -53,8 +53,15 @@
   /** @return the VM that this VM considers the relay of its data centre */
   base::VmName relay() const;
 
+  /** @return VMs of the data centre through which it reads the store, by
+   * preference */
+  std::vector<base::VmName> storeReaders() const;
+
+  /** @return number of VMs in this data centre */
+  std::size_t dataCentreSize() const;
+
   /** @return true if the data centre is large enough for its VMs to send their
-   * status to the relay and to read the store through it */
+   * status to the relay only */
   bool usesRelay() const;
 
   /** Emitted with the name of a VM that has a newer configuration version. */
@@ -86,7 +93,6 @@
   peers::Status nextStatus();
   void signalWaitingDemand(const peers::DemandTable& aDemand);
   bool isRelay() const { return relay() == mContext.settings.vm; }
-  std::size_t dataCentreSize() const;
   bool handleOwnSummary(peers::Summary aSummary, base::TimePoint aNow);
   std::vector<base::Address> dataCentreAddresses() const;
   std::vector<base::Address> relayAddresses(
--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -3,6 +3,7 @@
 #include "observe/log.h"
 
 #include <algorithm>
+#include <unistd.h>
 
 namespace marigold::gateway {
 namespace {
@@ -18,12 +19,13 @@
 /** The same at a relay. Shorter, because it costs no call to the store. */
 constexpr base::Duration kRelayWait = 1s;
 constexpr base::Duration kRelayWatchPause = 50ms;
-/** After a failed call, a relay is not used for this long. */
-constexpr base::Duration kRelayRetryDelay = 2s;
 /** Delay after a failed call; it doubles with each failure up to the maximum.
  */
 constexpr base::Duration kInitialBackoff = 100ms;
 constexpr base::Duration kMaxBackoff = 800ms;
+/** Interval at which a watch that may not call the store yet tries the relays.
+ */
+constexpr base::Duration kRelayPollInterval = 100ms;
 
 } // namespace
 
@@ -37,6 +39,7 @@
   , mPrefix(std::move(aPrefix))
   , mPause(aPause)
   , mCallbacks(std::move(aCallbacks))
+  , mBackoff(kInitialBackoff, kMaxBackoff, base::hash64(mPrefix, ::getpid()))
 {
 }
 
@@ -55,13 +58,16 @@
 void
 PrefixWatch::schedule(base::Duration aDelay, void (PrefixWatch::*aNext)())
 {
-  mTimer = mLoop.after(aDelay, [this, aNext] { (this->*aNext)(); });
+  mTimer = mLoop.after(std::max(aDelay, base::Duration::zero()),
+                       [this, aNext] { (this->*aNext)(); });
 }
 
 void
 PrefixWatch::recordSuccess()
 {
-  mFailures = 0;
+  mBackoff.reset();
+  mStoreCallAt = {};
+  mRelayFailed = false;
   if (!mConnected) {
     mConnected = true;
     mCallbacks.reached();
@@ -71,7 +77,9 @@
 void
 PrefixWatch::recordFailure(const base::Error& aError)
 {
-  ++mFailures;
+  const base::Duration delay = mRelays.storeDelay ? mRelays.storeDelay() : 0ms;
+  mBackoff.setMax(std::max(kMaxBackoff, delay));
+  mStoreCallAt = base::monotonicNow() + mBackoff.next();
   if (mConnected) {
     mConnected = false;
     mCallbacks.lost(aError);
@@ -86,9 +94,7 @@
     mPrefix, [this](const base::Captured<platform::Snapshot>& aResult) {
       if (const base::Error* error = base::errorOf(aResult)) {
         recordFailure(*error);
-        schedule(std::min(kMaxBackoff,
-                          kInitialBackoff * (1U << std::min(mFailures, 4U))),
-                 &PrefixWatch::list);
+        schedule(mStoreCallAt - base::monotonicNow(), &PrefixWatch::list);
         return;
       }
       const auto& snapshot = std::get<platform::Snapshot>(aResult);
@@ -102,21 +108,13 @@
     });
 }
 
-platform::Client*
-PrefixWatch::relay() const
-{
-  const bool failed = mRelayFailedAt != base::TimePoint{} &&
-                      base::monotonicNow() - mRelayFailedAt < kRelayRetryDelay;
-  return mRelay && !failed ? mRelay() : nullptr;
-}
-
 base::Duration
 PrefixWatch::waitTimeout(bool aFromRelay) const
 {
   if (aFromRelay) {
     return kRelayWait;
   }
-  return mFailures > 0 ? kProbeWait : kStoreWait;
+  return mBackoff.failures() > 0 ? kProbeWait : kStoreWait;
 }
 
 void
@@ -126,31 +124,48 @@
     list();
     return;
   }
-  platform::Client* relayClient = relay();
-  const bool fromRelay = relayClient != nullptr;
-  (fromRelay ? *relayClient : mClient)
-    .watch(
-      mPrefix,
-      mRevision,
-      waitTimeout(fromRelay),
-      [this, fromRelay](const base::Captured<platform::Snapshot>& aResult) {
-        if (const base::Error* error = base::errorOf(aResult)) {
-          onFailure(*error, fromRelay);
-        } else {
-          onChanges(std::get<platform::Snapshot>(aResult), fromRelay);
-        }
-      });
+  if (platform::Client* relay = mRelays.relay ? mRelays.relay() : nullptr) {
+    waitAt(*relay, true);
+    return;
+  }
+  if (mRelayFailed && mStoreCallAt == base::TimePoint{}) {
+    postponeStoreCalls();
+  }
+  if (base::monotonicNow() < mStoreCallAt) {
+    schedule(kRelayPollInterval, &PrefixWatch::wait);
+    return;
+  }
+  waitAt(mClient, false);
+}
+
+/** When a relay fails, all of its readers notice at once. They read the store
+ * at random moments, so that most find the next relay working before. */
+void
+PrefixWatch::postponeStoreCalls()
+{
+  mBackoff.setMax(std::max(kMaxBackoff, mRelays.storeDelay()));
+  mStoreCallAt = base::monotonicNow() + mBackoff.jittered(mRelays.storeDelay());
+}
+
+void
+PrefixWatch::waitAt(platform::Client& aClient, bool aFromRelay)
+{
+  aClient.watch(
+    mPrefix,
+    mRevision,
+    waitTimeout(aFromRelay),
+    [this, aFromRelay](const base::Captured<platform::Snapshot>& aResult) {
+      if (const base::Error* error = base::errorOf(aResult)) {
+        onFailure(*error, aFromRelay);
+      } else {
+        onChanges(std::get<platform::Snapshot>(aResult), aFromRelay);
+      }
+    });
 }
 
 void
 PrefixWatch::onFailure(const base::Error& aError, bool aFromRelay)
 {
-  if (aFromRelay) {
-    // The store has everything that a relay has, so ask it instead.
-    mRelayFailedAt = base::monotonicNow();
-    schedule(0ms, &PrefixWatch::wait);
-    return;
-  }
   if (aError.code == base::Code::HistoryCompacted) {
     observe::logInfo(
       "store history compacted",
@@ -158,10 +173,16 @@
     list();
     return;
   }
+  if (aFromRelay) {
+    // The store has everything that a relay has.
+    mRelayFailed = true;
+    mRelays.failed();
+    schedule(0ms, &PrefixWatch::wait);
+    return;
+  }
   recordFailure(aError);
-  schedule(
-    std::min(kMaxBackoff, kInitialBackoff * (1U << std::min(mFailures, 4U))),
-    &PrefixWatch::wait);
+  schedule(std::min(kRelayPollInterval, mStoreCallAt - base::monotonicNow()),
+           &PrefixWatch::wait);
 }
 
 void
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -22,6 +22,19 @@
   std::function<void(const base::Error&)> lost;
 };
 
+/** Chooses where a watch waits for changes. */
+struct RelaySource
+{
+  /** @return client of the relay to use, nullptr to use the store */
+  std::function<platform::Client*()> relay;
+  /** The relay failed or refused; another call chooses the next one. */
+  std::function<void()> failed;
+  /** @return longest pause before this VM reads the store in place of failed
+   * relays, and between its calls while the store fails; zero if this VM is the
+   * one to read it */
+  std::function<base::Duration()> storeDelay;
+};
+
 /** Lists all keys, then waits for changes by long polling. Lists again if the
  * store's history was compacted. */
 class PrefixWatch
@@ -48,12 +61,8 @@
   void relist();
 
   /** Makes the watch wait for changes at a relay where possible.
-   * @param aRelay returns the client of the relay, or nullptr to use the store
-   */
-  void setRelay(std::function<platform::Client*()> aRelay)
-  {
-    mRelay = std::move(aRelay);
-  }
+   * @param aRelays chooses the relay */
+  void setRelays(RelaySource aRelays) { mRelays = std::move(aRelays); }
 
   /** @return prefix of the keys */
   const std::string& prefix() const { return mPrefix; }
@@ -72,7 +81,8 @@
   void wait();
   void onChanges(const platform::Snapshot& aChanges, bool aFromRelay);
   void onFailure(const base::Error& aError, bool aFromRelay);
-  platform::Client* relay() const;
+  void waitAt(platform::Client& aClient, bool aFromRelay);
+  void postponeStoreCalls();
   base::Duration waitTimeout(bool aFromRelay) const;
   void recordSuccess();
   void recordFailure(const base::Error& aError);
@@ -87,11 +97,13 @@
   bool mConnected = false;
   bool mRelistPending = false;
   bool mLastFromStore = true;
-  std::function<platform::Client*()> mRelay;
-  base::TimePoint mRelayFailedAt{};
+  RelaySource mRelays;
+  /** The store is not called before, because the relays or the store failed. */
+  base::TimePoint mStoreCallAt{};
+  bool mRelayFailed = false; ///< since the latest answer
   platform::Mirror mMirror;
   sigc::signal<void()> mMirrorChanged;
-  unsigned mFailures = 0;
+  platform::Backoff mBackoff;
   http::EventHandle mTimer;
 };
 
--- a/apps/gateway/settings.cpp
+++ b/apps/gateway/settings.cpp
@@ -37,6 +37,7 @@
   settings.configLimit = duration("config_limit");
   settings.orderPause = duration("order_pause");
   settings.recordReturnPeriod = duration("record_return");
+  settings.drainLimit = duration("drain_limit");
   settings.retryRatio = aRoot.require("retry_ratio").number(0, kMaxRatio);
   settings.retryWindow = duration("retry_window");
   settings.retryMinExtra =
--- a/apps/gateway/settings.h
+++ b/apps/gateway/settings.h
@@ -25,6 +25,8 @@
   base::Duration orderPause{};  ///< between the orders of two owners
   /** Time for records to be written again after an outage of the store. */
   base::Duration recordReturnPeriod{};
+  /** Time until a draining upstream gets no new requests. */
+  base::Duration drainLimit{};
   double retryRatio = 0;
   base::Duration retryWindow{};
   double retryMinExtra = 0;
--- a/apps/gateway/watch_relay.cpp
+++ b/apps/gateway/watch_relay.cpp
@@ -15,6 +15,15 @@
  * missed renewals, may be partitioned from the store. */
 constexpr base::Duration kMaxRenewalAge = 1500ms;
 
+/** A relay that failed or refused is not used for this long. */
+constexpr base::Duration kFailedPeriod = 1s;
+/** A VM that begins to read the store, because its own relay failed, has its
+ * data within this time. Its readers wait for that. */
+constexpr base::Duration kStaleGrace = 400ms;
+/** The readers of a data centre share one call to a failing store in this time.
+ */
+constexpr base::Duration kStoreDelayPerVm = 150ms;
+
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 constexpr int kBadRequest = 400;
@@ -45,27 +54,57 @@
 WatchRelay::addWatch(PrefixWatch& aWatch)
 {
   mWatches[aWatch.prefix()] = &aWatch;
-  aWatch.setRelay([this] { return relayClient(); });
+  aWatch.setRelays({ [this] { return chooseRelay(); },
+                     [this] { recordFailure(); },
+                     [this] { return storeDelay(); } });
   aWatch.mirrorChanged().connect([this, &aWatch] { onChanged(aWatch); });
 }
 
 platform::Client*
-WatchRelay::relayClient()
+WatchRelay::chooseRelay()
 {
-  const base::VmName relay = mPeerExchange.relay();
-  if (relay == mSettings.vm || !mPeerExchange.usesRelay()) {
-    return nullptr;
-  }
-  const auto member = mFleet.others().find(relay);
-  if (member == mFleet.others().end()) {
-    return nullptr;
+  const base::TimePoint now = base::monotonicNow();
+  for (const base::VmName& vm : mPeerExchange.storeReaders()) {
+    if (vm == mSettings.vm) {
+      return nullptr;
+    }
+    const auto member = mFleet.others().find(vm);
+    const auto failed = mFailedUntil.find(vm);
+    const bool usable = failed == mFailedUntil.end() || now >= failed->second;
+    if (member != mFleet.others().end() && usable) {
+      mChosen = vm;
+      return &client(member->second);
+    }
   }
-  auto& client = mClients[relay];
+  return nullptr;
+}
+
+platform::Client&
+WatchRelay::client(const Member& aRelay)
+{
+  auto& client = mClients[aRelay.vm];
   if (!client) {
     client = std::make_unique<platform::Client>(
-      mLoop, member->second.operatorAddress, kRelayTimeout);
+      mLoop, aRelay.operatorAddress, kRelayTimeout);
+  }
+  return *client;
+}
+
+void
+WatchRelay::recordFailure()
+{
+  mFailedUntil[mChosen] = base::monotonicNow() + kFailedPeriod;
+}
+
+base::Duration
+WatchRelay::storeDelay() const
+{
+  const auto readers = mPeerExchange.storeReaders();
+  if (std::find(readers.begin(), readers.end(), mSettings.vm) !=
+      readers.end()) {
+    return {};
   }
-  return client.get();
+  return kStoreDelayPerVm * mPeerExchange.dataCentreSize();
 }
 
 bool
@@ -88,7 +127,11 @@
     aResponder->reply({ kBadRequest, {}, "" });
     return;
   }
-  mReaders.push_back({ watch->second, *after, aResponder, {} });
+  mReaders.push_back({ watch->second,
+                       *after,
+                       base::monotonicNow() + kStaleGrace,
+                       aResponder,
+                       {} });
   const auto reader = std::prev(mReaders.end());
   if (tryReply(*reader, false)) {
     mReaders.erase(reader);
@@ -109,6 +152,9 @@
     return true;
   }
   if (!isCurrent(*aReader.watch)) {
+    if (!aTimedOut && base::monotonicNow() < aReader.refuseAfter) {
+      return false;
+    }
     aReader.responder->reply({ kUnavailable, {}, "" });
     return true;
   }
--- a/apps/gateway/watch_relay.h
+++ b/apps/gateway/watch_relay.h
@@ -11,10 +11,11 @@
 namespace marigold::gateway {
 
 /**
- * In a large data centre only the relay watches the store; the other VMs watch
- * the relay, because calls to the store are rate limited and charged for. A
- * relay whose data may be stale refuses, and its readers fall back to the
- * store.
+ * In each data centre only the relay watches the store; the other VMs watch the
+ * relay, because calls to the store are rate limited and charged for. A relay
+ * whose data may be stale refuses. Its deputy then reads the store, and the
+ * other readers follow the deputy; only if that fails too do they read the
+ * store themselves.
  */
 class WatchRelay
 {
@@ -38,10 +39,14 @@
   {
     const PrefixWatch* watch = nullptr;
     platform::Revision after = 0;
+    base::TimePoint refuseAfter{}; ///< if the data may still be stale then
     std::shared_ptr<http::Responder> responder;
     http::EventHandle timer;
   };
-  platform::Client* relayClient();
+  platform::Client* chooseRelay();
+  platform::Client& client(const Member& aRelay);
+  void recordFailure();
+  base::Duration storeDelay() const;
   bool isCurrent(const PrefixWatch& aWatch) const;
   void serve(const http::Request& aRequest,
              const std::shared_ptr<http::Responder>& aResponder);
@@ -56,6 +61,9 @@
   std::list<Reader> mReaders;
   /** Clients of the current and former relays; open calls keep using theirs. */
   std::map<base::VmName, std::unique_ptr<platform::Client>> mClients;
+  /** Relays that failed or refused lately, and until when they are not used. */
+  std::map<base::VmName, base::TimePoint> mFailedUntil;
+  base::VmName mChosen; ///< relay of the latest choice
 };
 
 } // namespace marigold::gateway
--- a/libs/peers/relay.cpp
+++ b/libs/peers/relay.cpp
@@ -9,6 +9,9 @@
  * have failed. */
 constexpr std::size_t kRecipientsWithoutRelay = 2;
 
+/** Readers of the store in a data centre: the relay and its deputy. */
+constexpr std::size_t kStoreReaders = 2;
+
 } // namespace
 
 bool
@@ -43,6 +46,16 @@
   return aSelf;
 }
 
+std::vector<base::VmName>
+storeReaders(const std::vector<base::VmName>& aRanking,
+             const base::VmName& aRelay)
+{
+  auto first = std::find(aRanking.begin(), aRanking.end(), aRelay);
+  const auto left = static_cast<std::size_t>(aRanking.end() - first);
+  return { first,
+           first + static_cast<std::ptrdiff_t>(std::min(left, kStoreReaders)) };
+}
+
 std::vector<base::VmName>
 summaryRecipients(const std::vector<base::VmName>& aRanking,
                   const std::optional<base::VmName>& aLastRelay)
--- a/libs/peers/relay.h
+++ b/libs/peers/relay.h
@@ -43,6 +43,17 @@
            const base::VmName& aSelf,
            const std::function<bool(const base::VmName&)>& aIsAlive);
 
+/**
+ * If the relay cannot read the store, the VM ranked after it does. Only these
+ * few call a store that fails; the others follow them.
+ * @param aRanking ranking of the data centre
+ * @param aRelay elected relay
+ * @return VMs through which the data centre reads the store, by preference
+ */
+std::vector<base::VmName>
+storeReaders(const std::vector<base::VmName>& aRanking,
+             const base::VmName& aRelay);
+
 /**
  * @param aRanking ranking of another data centre
  * @param aLastRelay VM from which a summary arrived recently, if any
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -329,6 +329,20 @@
   LONGS_EQUAL(8, first.fencingToken);
 }
 
+TEST_GROUP(StoreReaders){};
+
+// If the relay cannot read the store, one VM takes its place, not all.
+TEST(StoreReaders, AreTheRelayAndTheVmRankedAfterIt)
+{
+  const std::vector<base::VmName> ranking{ "a", "b", "c", "d" };
+  CHECK(peers::storeReaders(ranking, "a") ==
+        (std::vector<base::VmName>{ "a", "b" }));
+  CHECK(peers::storeReaders(ranking, "b") ==
+        (std::vector<base::VmName>{ "b", "c" }));
+  CHECK(peers::storeReaders(ranking, "d") == std::vector<base::VmName>{ "d" });
+  CHECK(peers::storeReaders(ranking, "x").empty());
+}
+
 TEST_GROUP(OwnSummary)
 {
   peers::PeerTable table{ "dc1" };
--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -10,9 +10,6 @@
 using base::Error;
 using nlohmann::json;
 
-/** Added to the wait time of a watch to get the timeout of its call. */
-constexpr base::Duration kWatchMargin = std::chrono::seconds(2);
-
 Error
 transportError(http::CallEnd aEnd, bool aIsWrite)
 {
@@ -266,7 +263,7 @@
               Callback<Snapshot> aDone)
 {
   send(mProtocol.watch(aPrefix, aAfter, aWait),
-       aWait + kWatchMargin,
+       aWait + mTimeout,
        false,
        [this,
         aDone = std::move(aDone)](const Captured<http::Response>& aResponse) {
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -10,6 +10,7 @@
 #include "base/base.h"
 #include "http/http.h"
 #include "membership/membership.h"
+#include "platform/backoff.h"
 #include "platform/mirror.h"
 #include "platform/wire_protocol.h"
 
--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -31,6 +31,7 @@
 config_limit: 2500ms
 order_pause: {int(ORDER_PAUSE * 1000)}ms
 record_return: 2500ms
+drain_limit: 2500ms
 retry_ratio: 0.2
 retry_window: 10s
 retry_least_extra: 52
