Do not send a request again on a connection that it has used

A request that was refused as not run is sent again with the same id, after 400 ms also to the same upstream, and took the connection that was used last. The copy of the refusal would then be read as the new answer: the caller hears that a request did not run that is running, and may send it once more.

A connection remembers the ids of its last 16 requests and is not used for them again.

--- a/libs/wire/connection_pool.cpp
+++ b/libs/wire/connection_pool.cpp
@@ -51,7 +51,7 @@
                       CallEvents aEvents,
                       std::size_t aLimit)
 {
-  auto connection = takeIdle(aUpstream);
+  auto connection = takeIdle(aUpstream, aCall.id);
   if (!connection) {
     if (connections(aUpstream) >= aLimit) {
       return nullptr;
@@ -73,7 +73,7 @@
 }
 
 std::unique_ptr<UpstreamConnection>
-ConnectionPool::takeIdle(const UpstreamKey& aUpstream)
+ConnectionPool::takeIdle(const UpstreamKey& aUpstream, const std::string& aId)
 {
   const auto found = mIdle.find(aUpstream);
   if (found == mIdle.end()) {
@@ -81,15 +81,16 @@
   }
   std::unique_ptr<UpstreamConnection> taken;
   auto& idle = found->second;
-  while (!taken && !idle.empty()) {
-    // The most recently used one is the least likely to be closed by the
-    // upstream.
-    auto connection = std::move(idle.back().connection);
-    idle.pop_back();
-    if (connection->stale()) {
-      destroyLater(std::move(connection));
-    } else {
-      taken = std::move(connection);
+  // The most recently used one is the least likely to be closed by the
+  // upstream.
+  for (auto next = idle.end(); !taken && next != idle.begin();) {
+    --next;
+    if (next->connection->stale()) {
+      destroyLater(std::move(next->connection));
+      next = idle.erase(next);
+    } else if (!next->connection->hasCarried(aId)) {
+      taken = std::move(next->connection);
+      next = idle.erase(next);
     }
   }
   if (idle.empty()) {
--- a/libs/wire/connection_pool.h
+++ b/libs/wire/connection_pool.h
@@ -87,7 +87,8 @@
     std::unique_ptr<UpstreamConnection> connection;
     http::EventHandle expiry;
   };
-  std::unique_ptr<UpstreamConnection> takeIdle(const UpstreamKey& aUpstream);
+  std::unique_ptr<UpstreamConnection> takeIdle(const UpstreamKey& aUpstream,
+                                               const std::string& aId);
   void keepIdle(const UpstreamKey& aUpstream,
                 std::unique_ptr<UpstreamConnection> aConnection);
   void removeIdle(const UpstreamKey& aUpstream,
--- a/libs/wire/upstream.cpp
+++ b/libs/wire/upstream.cpp
@@ -1,5 +1,6 @@
 #include "wire/upstream.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace marigold::wire {
@@ -17,6 +18,8 @@
 /** A healthy connection is established within two round trips between regions.
  * After this timeout the upstream counts as unreachable; nothing was sent. */
 constexpr base::Duration kConnectTimeout = 400ms;
+/** Requests whose late answers may still arrive on a connection. */
+constexpr std::size_t kMaxCarriedIds = 16;
 
 } // namespace
 
@@ -62,6 +65,10 @@
 {
   mCall = std::move(aCall);
   mEvents = std::move(aEvents);
+  mCarriedIds.push_back(mCall.id);
+  if (mCarriedIds.size() > kMaxCarriedIds) {
+    mCarriedIds.pop_front();
+  }
   mIdleCallback = nullptr;
   mActive = true;
   mSent = false;
@@ -105,6 +112,14 @@
   mIdleCallback = std::move(aCallback);
 }
 
+bool
+UpstreamConnection::hasCarried(const std::string& aId) const
+{
+  return !aId.empty() &&
+         std::find(mCarriedIds.begin(), mCarriedIds.end(), aId) !=
+           mCarriedIds.end();
+}
+
 bool
 UpstreamConnection::reusable() const
 {
--- a/libs/wire/upstream.h
+++ b/libs/wire/upstream.h
@@ -4,6 +4,8 @@
 #include "wire/parser.h"
 #include "wire/transport.h"
 
+#include <deque>
+
 namespace marigold::wire {
 
 /** Why a call ended without a complete response. */
@@ -67,6 +69,11 @@
    * it */
   bool stale() const { return mTransport.hasInputOrEnd(); }
 
+  /** A late second copy of an answer bears the id of its request, so it can
+   * only be told from the answer to another request.
+   * @param aId id of a request @return true if the connection has carried it */
+  bool hasCarried(const std::string& aId) const;
+
   /** @return idle timeout announced by the upstream in Keep-Alive, if any */
   std::optional<base::Duration> idleTimeout() const { return mIdleTimeout; }
 
@@ -97,6 +104,7 @@
   std::optional<base::Duration> mIdleTimeout;
   ResponseHead mHead;
   std::string mPendingBody;
+  std::deque<std::string> mCarriedIds; ///< of the latest requests
   std::size_t mSkippedBytes = 0; ///< of responses that belong to other requests
   http::EventHandle mConnectTimer;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
