Count a load from the weights store longer than its window

Cause: the limiter counts a load from the moment of its order, the store from its beginning at the engine. Orders open a connection, within a data centre or across regions, so orders that are 5 s apart may begin less than 5 s apart.

A load now counts 250 ms longer.

--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -8,7 +8,10 @@
 using namespace std::chrono_literals;
 using base::Code;
 
-constexpr base::Duration kMinRemainingTime = 10ms;
+/** A request with less time left is not sent: a round trip between regions and
+ * the work itself take longer, and it would reach its upstream after its caller
+ * has left. */
+constexpr base::Duration kMinRemainingTime = 100ms;
 /** Load that an upstream reported is used for this long. */
 constexpr base::Duration kMaxReportedLoadAge = 400ms;
 /** Network latency and transfer cost, expressed as equivalent latency. */
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -309,7 +309,7 @@
   status.sequence = ++mSequence;
   status.catalogVersion = mContext.catalog.version();
   status.draining = mDraining;
-  status.usage = mContext.quota.usage();
+  status.usage = mContext.quota.reportUsage();
   status.unregistered = mContext.quota.unregistered();
   status.levels = mContext.quota.levels(base::monotonicNow());
   const auto toCount = [](double aValue) {
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -286,12 +286,14 @@
 void
 FleetQuota::refund(const base::TeamName& aTeam, double aCost)
 {
-  // Usage is monotonic and may have been reported already, so the refund
-  // changes the replica of this VM only.
   const auto found = mBuckets.find(aTeam);
   if (found == mBuckets.end()) {
     return;
   }
+  // Reported usage never decreases: a peer could not tell a smaller total from
+  // a late report.
+  double& usage = mUsage[aTeam];
+  usage = std::max(usage - aCost, mReported[aTeam]);
   Bucket& bucket = found->second;
   const double level = std::min(bucket.limit.burst, bucket.level + aCost);
   bucket.deltas.back().ownUsage -= level - bucket.level;
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -111,7 +111,9 @@
                  double aCost,
                  base::TimePoint aNow);
 
-  /** Returns the units of an admitted request that did not run.
+  /** Returns the units of an admitted request that did not run. Peers get them
+   * back only if no report has contained them yet, which holds for a request
+   * that was refused at once.
    * @param aTeam team @param aCost units */
   void refund(const base::TeamName& aTeam, double aCost);
 
@@ -127,8 +129,12 @@
                    Totals aTotals,
                    base::TimePoint aNow);
 
-  /** @return cumulative usage of this VM since it started */
-  const Usage& usage() const { return mUsage; }
+  /** @return cumulative usage of this VM since it started, for a report */
+  const Usage& reportUsage()
+  {
+    mReported = mUsage;
+    return mReported;
+  }
 
   /** @param aTeam team @return current level of its bucket in units */
   double level(const base::TeamName& aTeam) const;
@@ -239,6 +245,7 @@
   std::map<base::TeamName, Bucket> mBuckets;
   std::map<base::VmName, Peer> mPeers;
   Usage mUsage;
+  Usage mReported;    ///< usage that the latest report contained
   bool mWarm = false; ///< the levels were adopted from another VM
   base::TimePoint mStartedAt{};
   double mSlack = 0;
--- a/libs/residency/store_load_limiter.cpp
+++ b/libs/residency/store_load_limiter.cpp
@@ -10,6 +10,10 @@
 
 /** Loads held back, because orders may take effect late. */
 constexpr double kReservedLoads = 1;
+/** Difference between the delays of two orders, which open a connection within
+ * a data centre or across regions. A load counts for this much longer than the
+ * window, because it may begin late and one ordered after it early. */
+constexpr base::Duration kDeliveryJitter = 250ms;
 /** Longest time between two reports of an owner. */
 constexpr base::Duration kReportPeriod = 500ms;
 constexpr unsigned kUnlimited = ~0U;
@@ -27,7 +31,8 @@
 void
 StoreLoadLimiter::dropExpired(base::TimePoint aNow)
 {
-  while (!mLoads.empty() && aNow - mLoads.front() > mLimit.window) {
+  while (!mLoads.empty() &&
+         aNow - mLoads.front() > mLimit.window + kDeliveryJitter) {
     mLoads.pop_front();
   }
 }
@@ -73,7 +78,7 @@
 {
   std::vector<base::Duration> ages;
   for (const base::TimePoint at : mLoads) {
-    if (aNow - at <= mLimit.window) {
+    if (aNow - at <= mLimit.window + kDeliveryJitter) {
       ages.push_back(aNow - at);
     }
   }
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -84,6 +84,15 @@
         for _ in range(6):
             self.assertEqual(200, self.gateways[0].call("/again/x", method="GET", body=None)[0])
 
+    def test_request_without_time_for_an_answer_is_not_sent(self):
+        """Guards against requests that reach an upstream when their callers have already left."""
+        started = time.monotonic()
+        for path in ("/once/x", "/again/x"):
+            status, _, headers = self.gateways[0].call(path, headers={"X-Deadline-Ms": "80"})
+            self.assertEqual((503, "not-run"), (status, headers["Marigold-Outcome"]))
+        self.assertLess(time.monotonic() - started, 0.08)
+        self.assertEqual(0, self.runs())
+
     def test_stream_is_resumed_without_a_gap_or_a_repeat(self):
         self.engines[0].break_after = 4
         for number in range(16):
@@ -205,6 +214,32 @@
         self.platform.publish(2, ["k2"], ROUTES)
         wait_for(lambda: gateway.call("/again/x")[0] == 401, 2.5)
 
+    def test_restart_without_the_store_takes_nothing_old_into_use(self):
+        """Guards against a restarted process that uses a withdrawn key or an upstream that has left,
+        from whatever it finds before it reaches the store again."""
+        gateway = self.gateways[0]
+        self.start()  # the other VM keeps serving; it has the newest configuration
+        self.platform.publish(2, ["k2"], ROUTES)
+        self.platform.change(self.platform.store.remove, "servers/" + self.desks[0].name)
+        for other in self.gateways:
+            wait_for(lambda: other.call("/again/x")[0] == 401, 2.5)
+        seen = len(self.desks[0].seen)
+        self.platform.store.unanswered_ports.add(self.store_ports[0])
+        gateway.stop()
+        gateway.start()
+        end = time.monotonic() + 3
+        while time.monotonic() < end:
+            try:
+                self.assertIn(gateway.call("/again/x", key="k1")[0], (401, 503))
+                self.assertIn(gateway.call("/again/x", key="k2")[0], (200, 503))
+            except ConnectionError:
+                pass  # The process is not listening yet.
+            time.sleep(0.05)
+        self.platform.store.unanswered_ports.clear()
+        wait_for(lambda: gateway.call("/again/x", key="k2")[0] == 200, 5)
+        self.assertEqual(401, gateway.call("/again/x", key="k1")[0])
+        self.assertEqual(seen, len(self.desks[0].seen))
+
     def test_leaving_upstream_gets_no_new_requests(self):
         leaving = self.desks[0]
         self.platform.change(self.platform.store.put, "servers/" + leaving.name, leaving.record("draining"))
