--- a/apps/gateway/order_controller.cpp
+++ b/apps/gateway/order_controller.cpp
@@ -24,9 +24,6 @@
 constexpr base::Duration kLoadTimeoutMargin = 6s;
 /** Long, because an unload waits for the running requests of the model. */
 constexpr base::Duration kUnloadTimeout = 20s;
-/** Memory that an unload has freed is kept for its purpose for this long, which
- * covers the next plans. */
-constexpr base::Duration kReservationPeriod = 3s;
 
 } // namespace
 
@@ -148,7 +145,6 @@
     aEngine.adapters.erase(*aEngine.unloading);
     aEngine.reportedModels.erase(*aEngine.unloading);
     aEngine.unloading.reset();
-    aEngine.reservedUntil = aNow + kReservationPeriod;
   }
   const auto& snapshot = mCatalog.current();
   if (aEngine.loading) {
@@ -275,9 +271,6 @@
     if (known.unloading) {
       engine.unloading.insert(*known.unloading);
     }
-    if (known.unloading || aNow < known.reservedUntil) {
-      engine.reservedFor = known.reservedFor;
-    }
     engine.cachedInMemory = record.cachedInMemory;
     engine.cachedOnDisk = record.cachedOnDisk;
     input.engines.push_back(std::move(engine));
@@ -301,8 +294,6 @@
   if (!aOrder.load && aOrder.target.adapter.empty()) {
     engine.unloading = aOrder.target.model;
     engine.unloadStarted = now;
-    engine.reservedFor = aOrder.freedFor;
-    engine.reservedUntil = now + kReservationPeriod;
     mChanged.emit();
   }
   if (aOrder.load && aOrder.target.adapter.empty()) {
--- a/apps/gateway/order_controller.h
+++ b/apps/gateway/order_controller.h
@@ -77,8 +77,6 @@
     base::TimePoint loadStarted{};
     std::optional<base::ModelName> unloading;
     base::TimePoint unloadStarted{};
-    std::optional<base::ModelName> reservedFor; ///< memory was freed for it
-    base::TimePoint reservedUntil{};
     base::TimePoint retryAt{};
     std::unique_ptr<http::Call> call;
   };
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -14,7 +14,6 @@
 #include "residency/unserved_tracker.h"
 
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -36,9 +35,6 @@
   std::set<catalog::ModelRef> recentlyLoaded; ///< adapters exempt from eviction
   std::set<base::ModelName> cachedInMemory;   ///< weights cached in host memory
   std::set<base::ModelName> cachedOnDisk;     ///< weights cached on local disk
-  /** Models were unloaded to make room for this one; others must not take it.
-   */
-  std::optional<base::ModelName> reservedFor;
 };
 
 /** Demand for a model or an adapter across the whole fleet. */
@@ -57,11 +53,10 @@
 struct PlannedOrder
 {
   base::UpstreamName engine;
-  bool load = true;           ///< false: unload
-  catalog::ModelRef target;   ///< a model, or an adapter of a model
-  bool fromStore = false;     ///< consumes a load of the weights store's limit
-  std::string reason;         ///< for the log
-  base::ModelName freedFor{}; ///< unload of a model: the model to load instead
+  bool load = true;         ///< false: unload
+  catalog::ModelRef target; ///< a model, or an adapter of a model
+  bool fromStore = false;   ///< consumes a load of the weights store's limit
+  std::string reason;       ///< for the log
 
   bool operator==(const PlannedOrder& aOther) const
   {
