Log what was on a connection that broke

A crash of an upstream can only be explained afterwards if the log shows which requests were on it, how far they were and which parts of prompts they had. Until now the line of a retried request named the upstream and nothing else.

--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -1,6 +1,9 @@
 #include "apps/gateway/exchange.h"
 
 #include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 
 namespace marigold::gateway {
 namespace {
@@ -49,6 +52,20 @@
   }
 }
 
+/** @return the ids of the parts, as in the caller's header, for the log */
+std::string
+listParts(const std::vector<catalog::PromptPart>& aPrompt)
+{
+  constexpr std::size_t kMaxDigits = 17;
+  std::string list;
+  for (const catalog::PromptPart& part : aPrompt) {
+    std::array<char, kMaxDigits> id{};
+    std::snprintf(id.data(), id.size(), "%" PRIx64, part.id);
+    list += (list.empty() ? "" : ",") + std::string(id.data());
+  }
+  return list;
+}
+
 bool
 isEventStream(const http::Headers& aHeaders)
 {
@@ -382,8 +399,15 @@
     }
     return;
   }
-  mContext.crashes.onConnectionBroken(
-    mFingerprint, mLastUpstream, base::monotonicNow());
+  const base::TimePoint now = base::monotonicNow();
+  mContext.crashes.onConnectionBroken(mFingerprint, mLastUpstream, now);
+  mContext.log.logStep(mMetadata.id,
+                       "broken connection",
+                       mLastUpstream,
+                       std::to_string(base::inMilliseconds(now - mSentAt)) +
+                         " ms after the send, " + std::to_string(mEventCount) +
+                         " events, prompt " + listParts(mMetadata.prompt),
+                       now);
   onInvalidResponse(failureText(aFailure));
 }
 
