Add a failing test of requests that share a part which crashes engines

Two gateways, six engines that crash before the first event of any request with one part and are back 0.4 s later, requests that are never alike, sound requests that share the first part.

--- /dev/null
+++ b/tests/e2e/test_deadly_part.py
@@ -0,0 +1,87 @@
+"""Tests that requests which share a part that crashes upstreams are recognised, through real gateways."""
+
+import os
+import tempfile
+import threading
+import time
+import unittest
+
+from gateway_process import Gateway
+from users_platform import ROUTES, Platform, Upstream
+
+BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
+ENGINES = 6
+RESTART_SECONDS = 0.4
+SPREAD_SECONDS = 4.0    # after the fifth crash all VMs know the part
+MOST_AFTERWARDS = 3     # requests with the part that may reach engines from then on
+FIFTH = 5
+
+
+class DeadlyPart(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.platform = Platform()
+        self.platform.publish(1, ["k1"], ROUTES)
+        self.engines = [Upstream(f"engine{n}", BASE_PORT + 70 + n, "llm", ["m1"]) for n in range(ENGINES)]
+        for engine in self.engines:
+            engine.deadly_part = "dead"
+            self.platform.serve_upstream(engine, restart_after=RESTART_SECONDS)
+        self.gateways = []
+        for number, data_centre in enumerate(("dc-a", "dc-b")):
+            self.platform.serve_store(BASE_PORT + 90 + number)
+            self.gateways.append(Gateway(number, self.folder.name, BASE_PORT + 10 * number, BASE_PORT + 90 + number,
+                                         data_centre))
+        deadline = time.monotonic() + 10
+        while not all(gateway.ready() for gateway in self.gateways):
+            self.assertLess(time.monotonic(), deadline)
+            time.sleep(0.02)
+        self.calls = []
+
+    def tearDown(self):
+        for call in self.calls:
+            call.join()
+        for gateway in self.gateways:
+            gateway.stop()
+        self.platform.close()
+        self.folder.cleanup()
+
+    def chat(self, number, prompt, results=None):
+        def call():
+            try:
+                status = self.gateways[number % 2].call(
+                    "/chat/x", headers={"X-Model-Name": "m1", "X-Token-Usage": "100,20", "X-Prompt-Prefix": prompt},
+                    body=prompt.encode())[0]
+            except OSError:
+                status = 0
+            if results is not None:
+                results.append(status)
+        self.calls.append(threading.Thread(target=call))
+        self.calls[-1].start()
+
+    def crashes(self):
+        return sorted(at for engine in self.engines for at in engine.crashes)
+
+    def test_requests_that_share_only_the_part_stop_reaching_engines(self):
+        """Guards against requests that crash one engine after another because no two of them are alike."""
+        sound = []
+        started = time.monotonic()
+        number = 0
+        while time.monotonic() - started < SPREAD_SECONDS + 4:
+            number += 1
+            self.chat(number, f"f0:20,dead:30,{number:x}:50")
+            if time.monotonic() - started > SPREAD_SECONDS:
+                self.chat(number, f"f0:20,5afe:30,{number:x}:50", sound)
+            time.sleep(0.1)
+        for call in self.calls:
+            call.join()
+        crashes = self.crashes()
+        arrivals = [at for engine in self.engines for at in engine.deadly_arrivals]
+        if len(crashes) >= FIFTH:
+            late = [at for at in arrivals if at > crashes[FIFTH - 1] + SPREAD_SECONDS]
+            self.assertLessEqual(len(late), MOST_AFTERWARDS, f"{len(crashes)} crashes")
+        served = sum(status == 200 for status in sound)
+        self.assertGreater(served, 0.9 * len(sound), f"{len(crashes)} crashes; sound requests: {sound}")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -151,12 +151,18 @@
         self.endless_limit = ENDLESS_BYTES
         self.endless_sent = 0       # bytes of chunks sent
         self.endless_closed = False  # whether the gateway closed that connection
+        self.deadly_part = None  # part of a prompt that crashes the process before its first event
+        self.deadly_arrivals = []  # times at which requests with that part arrived
+        self.crashes = []    # times
+        self.born = 1700000000000
+        self.listener = None
+        self.writers = set()  # open connections
 
     def record(self, state="ready"):
         models = [{"name": m, "version": 1, "adapters": sorted(a)} for m, a in self.models.items()]
         return json.dumps({"service": self.service, "address": f"{HOST}:{self.public_port}", "zone": "dc-a",
                            "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
-                           "phase": "unified", "sequence": 1, "born": 1700000000000,
+                           "phase": "unified", "sequence": 1, "born": self.born,
                            "models": models}).encode()
 
     async def handle(self, method, path, headers, body, writer):
@@ -182,7 +188,13 @@
             writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "1"}, b""))
             return True
         self.seen.append(headers)
+        deadly = self.deadly_part in [part.split(":")[0] for part in headers.get("x-prompt-prefix", "").split(",")]
+        if deadly:
+            self.deadly_arrivals.append(time.monotonic())
         await asyncio.sleep(self.delay)
+        if deadly:
+            self.crash()
+            return False
         if self.drop_requests:
             return False
         if self.refuse:
@@ -216,6 +228,13 @@
         except ConnectionError:
             self.endless_closed = True
 
+    def crash(self):
+        """Ends all connections and the listener, as the end of the process does."""
+        self.crashes.append(time.monotonic())
+        self.listener.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     def order(self, order):
         self.order_log.append((time.monotonic(), order["holder"], order["fencing_token"],
                                order["operation"], order["model"], order.get("adapter")))
@@ -301,8 +320,10 @@
             writer.close()
         self.servers.append(self.run(asyncio.start_server(connection, HOST, port)))
 
-    def serve_upstream(self, upstream):
+    def serve_upstream(self, upstream, restart_after=None):
+        """Serves an upstream; with restart_after, a crashed one is back after that many seconds."""
         async def connection(reader, writer):
+            upstream.writers.add(writer)
             try:
                 while request := await read_request(reader):
                     method, path, _, headers, body = request
@@ -311,9 +332,23 @@
                     await writer.drain()
             except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
                 pass  # The peer closed the connection during a request, or the test ended.
+            upstream.writers.discard(writer)
             writer.close()
-        self.servers.append(self.run(asyncio.start_server(connection, HOST, upstream.port)))
+
+        async def restart_crashed():
+            while True:
+                await asyncio.sleep(0.02)
+                if not upstream.listener.is_serving():
+                    await asyncio.sleep(restart_after)
+                    upstream.born += 1
+                    upstream.listener = await asyncio.start_server(connection, HOST, upstream.port)
+                    self.servers.append(upstream.listener)
+                    self.store.put("servers/" + upstream.name, upstream.record())
+        upstream.listener = self.run(asyncio.start_server(connection, HOST, upstream.port))
+        self.servers.append(upstream.listener)
         self.change(self.store.put, "servers/" + upstream.name, upstream.record())
+        if restart_after is not None:
+            asyncio.run_coroutine_threadsafe(restart_crashed(), self.loop)
 
     def publish(self, version, keys, routes):
         models = [{"name": m, "weights_mb": 100, "load_time_s": 1, "adapters": 2, "adapter_size_mb": 1,
