Do not send a request that may have crashed its upstream to the next one at once

Cause: a request whose connection broke was sent to another engine within a millisecond, before the crash was confirmed, so the first request with a deadly part always took two engines, and those of other VMs further ones.

A request with a part that no request has finished with waits 400 ms. If the crash is confirmed by then and the part not cleared by this VM or a peer, its caller gets 502. All others, the victims, are retried at once as before.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -113,6 +113,8 @@
   void onReplacementFailed(wire::CallFailure aFailure);
   void recordUnreachable(const base::UpstreamName& aUpstream);
   void recordBrokenConnection();
+  void awaitCrashEvidence(wire::CallFailure aFailure);
+  void retryUnlessSuspect(wire::CallFailure aFailure);
   void endCall();
 
   // Response.
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -32,6 +32,9 @@
 /** An upstream that breaks off later than this after the first event was not
  * crashed by the request. */
 constexpr base::Duration kBeginOfAnswer = 150ms;
+/** Time in which a crash is confirmed, and requests with the same sound parts
+ * finish on this VM or a peer reports some. */
+constexpr base::Duration kCrashEvidenceDelay = 400ms;
 constexpr int kFirstServerError = 500;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
@@ -433,7 +436,39 @@
     return;
   }
   recordBrokenConnection();
-  onInvalidResponse(failureText(aFailure));
+  mContext.health.onFailure(mLastUpstream, base::monotonicNow());
+  endCall();
+  if (mEventCount == 0 && mContext.crashes.hasNewPart(mTraits)) {
+    awaitCrashEvidence(aFailure);
+  } else {
+    retryOnOtherUpstream(failureText(aFailure));
+  }
+}
+
+/** Waits before a retry, because an immediate one of a request that crashes
+ * upstreams costs a second upstream and all requests on it. */
+void
+Exchange::awaitCrashEvidence(wire::CallFailure aFailure)
+{
+  mStallTimer = mContext.loop.after(
+    kCrashEvidenceDelay, [weak = weak_from_this(), aFailure] {
+      if (const auto self = weak.lock()) {
+        std::static_pointer_cast<Exchange>(self)->retryUnlessSuspect(aFailure);
+      }
+    });
+}
+
+void
+Exchange::retryUnlessSuspect(wire::CallFailure aFailure)
+{
+  if (mEnded) {
+    return;
+  }
+  if (mContext.crashes.maySpreadCrash(mTraits)) {
+    fail(Code::UpstreamFailed, "may have crashed its upstream");
+    return;
+  }
+  retryOnOtherUpstream(failureText(aFailure));
 }
 
 } // namespace marigold::gateway
--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/crash_tracker.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace marigold::dispatch {
 namespace {
@@ -255,6 +256,24 @@
   return found == mVerdicts.end() ? nullptr : &*found;
 }
 
+bool
+CrashTracker::maySpreadCrash(const peers::TraitSet& aTraits) const
+{
+  return std::any_of(mCrashes.begin(), mCrashes.end(), [&](const auto& aItem) {
+    const auto& suspects = aItem.second.suspects;
+    return std::any_of(
+      suspects.begin(), suspects.end(), [&](const peers::TraitSet& aSuspect) {
+        peers::TraitSet common;
+        std::set_intersection(aTraits.begin(),
+                              aTraits.end(),
+                              aSuspect.begin(),
+                              aSuspect.end(),
+                              std::inserter(common, common.end()));
+        return hasNewPart(common);
+      });
+  });
+}
+
 bool
 CrashTracker::supportsVerdict(peers::ProcessTag aCrash) const
 {
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -79,6 +79,11 @@
    * have finished with one of its parts */
   bool hasNewPart(const peers::TraitSet& aTraits) const;
 
+  /** @param aTraits traits of a request that was at a crash
+   * @return true if the request may be its cause: it has a part with which no
+   * request is known to have finished */
+  bool maySpreadCrash(const peers::TraitSet& aTraits) const;
+
   /** @return verdicts in force */
   const std::vector<CrashVerdict>& verdicts() const { return mVerdicts; }
 
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -392,6 +392,25 @@
   CHECK(blocked(request({ 77 })));
 }
 
+// An upstream crashes under one request while others wait at it. Guards against
+// sending the cause to a second upstream at once, and against giving up others.
+TEST(CrashRecord, OnlyRequestsWithNewPartsMaySpreadACrash)
+{
+  finish(request({ 1 }));
+  now += 5s;
+  const peers::TraitSet cause = request({ 1, 66 });
+  const peers::TraitSet victim = request({ 1 });
+  const peers::TraitSet elsewhere = request({ 2 });
+  crash({ cause, victim });
+  CHECK(tracker.maySpreadCrash(cause));
+  CHECK(!tracker.maySpreadCrash(victim));
+  CHECK(!tracker.maySpreadCrash(elsewhere));
+  peer.merge(tracker.report(now + 100ms), now + 100ms);
+  peer.onSuccess(request({ 66 }), now + 200ms, now + 300ms);
+  tracker.merge(peer.report(now + 300ms), now + 300ms);
+  CHECK(!tracker.maySpreadCrash(cause));
+}
+
 // Guards against a sound part that stays blocked because it was at two crashes
 // by chance, and against trials of a part that is known to be deadly.
 TEST(CrashRecord, VerdictAfterTwoCrashesLapsesSooner)
