Count a stream without framing that ends before its first event as broken

Cause: such an answer whose engine crashes is closed in order, so the connection layer reports a complete answer. The request was retried as for an invalid answer, without evidence of a crash and without a connect that shows it. Class: two ways to end a call that mean the same are handled apart. Both now take one path.

Evidence: DeadlyPart.test_answers_that_end_in_order_before_the_first_event_count_as_broken failed before (requests half a second apart, more than three arrivals later than 4 s after the fifth crash) and passes.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -113,8 +113,9 @@
   void onReplacementFailed(wire::CallFailure aFailure);
   void recordUnreachable(const base::UpstreamName& aUpstream);
   void recordBrokenConnection();
-  void awaitCrashEvidence(wire::CallFailure aFailure);
-  void retryUnlessSuspect(wire::CallFailure aFailure);
+  void onBroken(const char* aReason);
+  void awaitCrashEvidence(const char* aReason);
+  void retryUnlessSuspect(const char* aReason);
   void endCall();
 
   // Response.
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -358,7 +358,8 @@
   }
   if (mStreaming) {
     if (!mEvents.partialEvent().empty() || mEventCount == 0) {
-      onInvalidResponse("stream ended inside an event");
+      // An answer without length or chunks ends like this if it breaks off.
+      onBroken("stream ended inside an event");
       return;
     }
     mContext.crashes.onSuccess(mTraits, mFirstByteAt, base::monotonicNow());
@@ -435,31 +436,37 @@
     }
     return;
   }
+  onBroken(failureText(aFailure));
+}
+
+void
+Exchange::onBroken(const char* aReason)
+{
   recordBrokenConnection();
   mContext.health.onFailure(mLastUpstream, base::monotonicNow());
   endCall();
   if (mEventCount == 0 && mContext.crashes.hasNewPart(mTraits)) {
-    awaitCrashEvidence(aFailure);
+    awaitCrashEvidence(aReason);
   } else {
-    retryOnOtherUpstream(failureText(aFailure));
+    retryOnOtherUpstream(aReason);
   }
 }
 
 /** Waits before a retry, because an immediate one of a request that crashes
  * upstreams costs a second upstream and all requests on it. */
 void
-Exchange::awaitCrashEvidence(wire::CallFailure aFailure)
+Exchange::awaitCrashEvidence(const char* aReason)
 {
   mStallTimer = mContext.loop.after(
-    kCrashEvidenceDelay, [weak = weak_from_this(), aFailure] {
+    kCrashEvidenceDelay, [weak = weak_from_this(), aReason] {
       if (const auto self = weak.lock()) {
-        std::static_pointer_cast<Exchange>(self)->retryUnlessSuspect(aFailure);
+        std::static_pointer_cast<Exchange>(self)->retryUnlessSuspect(aReason);
       }
     });
 }
 
 void
-Exchange::retryUnlessSuspect(wire::CallFailure aFailure)
+Exchange::retryUnlessSuspect(const char* aReason)
 {
   if (mEnded) {
     return;
@@ -468,7 +475,7 @@
     fail(Code::UpstreamFailed, "may have crashed its upstream");
     return;
   }
-  retryOnOtherUpstream(failureText(aFailure));
+  retryOnOtherUpstream(aReason);
 }
 
 } // namespace marigold::gateway
--- a/tests/e2e/test_deadly_part.py
+++ b/tests/e2e/test_deadly_part.py
@@ -63,15 +63,26 @@
 
     def test_requests_that_share_only_the_part_stop_reaching_engines(self):
         """Guards against requests that crash one engine after another because no two of them are alike."""
+        self.check_that_crashes_end()
+
+    def test_answers_that_end_in_order_before_the_first_event_count_as_broken(self):
+        """Guards against crashes that stay unseen because the engine's answer had neither length nor chunks
+        and its connection was closed in order."""
+        for engine in self.engines:
+            engine.deadly_head = True
+        # Requests far apart, so that a crash has no other requests that show it.
+        self.check_that_crashes_end(pause=0.5, seconds=SPREAD_SECONDS + 8)
+
+    def check_that_crashes_end(self, pause=0.1, seconds=SPREAD_SECONDS + 4):
         sound = []
         started = time.monotonic()
         number = 0
-        while time.monotonic() - started < SPREAD_SECONDS + 4:
+        while time.monotonic() - started < seconds:
             number += 1
             self.chat(number, f"f0:20,dead:30,{number:x}:50")
             if time.monotonic() - started > SPREAD_SECONDS:
                 self.chat(number, f"f0:20,5afe:30,{number:x}:50", sound)
-            time.sleep(0.1)
+            time.sleep(pause)
         for call in self.calls:
             call.join()
         crashes = self.crashes()
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -152,6 +152,7 @@
         self.endless_sent = 0       # bytes of chunks sent
         self.endless_closed = False  # whether the gateway closed that connection
         self.deadly_part = None  # part of a prompt that crashes the process before its first event
+        self.deadly_head = False  # a crash lets the head of a stream without length or chunks out first
         self.deadly_arrivals = []  # times at which requests with that part arrived
         self.crashes = []    # times
         self.born = 1700000000000
@@ -193,6 +194,11 @@
             self.deadly_arrivals.append(time.monotonic())
         await asyncio.sleep(self.delay)
         if deadly:
+            if self.deadly_head:
+                head = {**signature, "Content-Type": "text/event-stream"}
+                writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in head.items())
+                              + "\r\n").encode())
+                self.writers.discard(writer)  # closed in order by the caller
             self.crash()
             return False
         if self.drop_requests:
