--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -151,6 +151,8 @@
         self.endless_limit = ENDLESS_BYTES
         self.endless_sent = 0       # bytes of chunks sent
         self.endless_closed = False  # whether the gateway closed that connection
+        self.limit = None    # requests a second that it says it takes from all VMs together
+        self.arrivals = []   # times of all requests
         self.deadly_part = None  # part of a prompt that crashes the process before its first event
         self.deadly_head = False  # a crash lets the head of a stream without length or chunks out first
         self.deadly_arrivals = []  # times at which requests with that part arrived
@@ -169,6 +171,8 @@
     async def handle(self, method, path, headers, body, writer):
         signature = {"X-Request-Id": headers.get("x-request-id", ""), "X-Server-Signature": "sig",
                      "X-Replica-Id": self.name}
+        if self.limit is not None:
+            signature["Server-Limit"] = str(self.limit)
         if path == "/-/report":
             report = json.loads(self.record())
             report.update({"busy": False, "sequence": self.orders})
@@ -184,6 +188,7 @@
         if model and (model not in self.models or (adapter and adapter not in self.models[model])):
             writer.write(answer_bytes(421, signature, b""))
             return True
+        self.arrivals.append(time.monotonic())
         if self.refusals > 0:
             self.refusals -= 1
             writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "1"}, b""))
