Keep to the limits on requests that upstreams name

Cause: the header was decoded nowhere, so each VM sent as the load admitted; the arrivals a second are the same before and after the naming. Class: a statement of an upstream that has no owner. Ruled out: one VM that exceeds the limit alone (at second 16, 9 arrivals came from three VMs), retries beside a limit (none in that window).

UpstreamNotices keeps it by run of the upstream's process. The VMs report how many requests they sent to a limited upstream and how many wanted it in the window; each admits with a probability at which all of them together fill a part of what is left during the report delay. Upstreams without a limit are preferred; where all are at their limits, the caller is refused at once with a Retry-After. A limit below one in ten seconds is raised to that, because only an answer shows that it has ended.

Shares of the limit by VM were considered and not built: with 82 VMs and one request a second each VM would have one in 82 s, used or not.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -77,7 +77,17 @@
   dispatch::Candidate makeCandidate(const Upstream& aUpstream) const;
   void waitForModel();
   std::optional<base::Duration> estimateLoadTime() const;
+  std::optional<dispatch::Choice> choose(
+    const std::vector<dispatch::Candidate>& aCandidates,
+    const std::vector<std::shared_ptr<Upstream>>& aUpstreams);
+  std::optional<dispatch::Choice> chooseLimited(
+    std::vector<dispatch::Candidate> aCandidates,
+    const std::vector<std::shared_ptr<Upstream>>& aUpstreams);
+  bool startsInTime(const dispatch::Choice& aChoice) const;
   bool admitByExpectedStart(const dispatch::Choice& aChoice);
+  base::Duration latestStart() const;
+  void refuseByLimit(const std::vector<dispatch::Candidate>& aCandidates,
+                     const std::vector<std::shared_ptr<Upstream>>& aUpstreams);
 
   // Calls to upstreams.
   void send(const std::shared_ptr<Upstream>& aUpstream);
@@ -94,6 +104,7 @@
     const base::UpstreamName& aUpstream);
   void onSendCancelled();
   void onHead(const wire::ResponseHead& aHead);
+  void recordNotice(const catalog::UpstreamNotice& aNotice);
   void onBody(std::string_view aBytes);
   void onComplete();
   void onFailed(wire::CallFailure aFailure);
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -1,6 +1,8 @@
 #include "apps/gateway/exchange.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 
 namespace marigold::gateway {
 namespace {
@@ -26,6 +28,9 @@
  * reach this VM. */
 constexpr base::Duration kOrderDelay = 600ms;
 constexpr base::Duration kOverloadRetryDelay = 400ms;
+/** Longest advice to callers of upstreams that name a limit; another upstream
+ * may get the model meanwhile. */
+constexpr base::Duration kMaxLimitRetryDelay = 2s;
 /** Sends beyond the route's attempts that upstreams may refuse. After more,
  * the overload is expected to outlast the request. */
 constexpr unsigned kMaxRefusedSends = 3;
@@ -73,6 +78,8 @@
   }
   candidate.failureRate = mContext.health.failureRate(record.name);
   candidate.ejected = mContext.health.ejected(record.name, now);
+  candidate.limited =
+    mContext.notices.limit(aUpstream.process().tag()).has_value();
   return candidate;
 }
 
@@ -118,8 +125,7 @@
   }
   std::vector<std::shared_ptr<Upstream>> upstreams;
   const auto found = candidates(upstreams);
-  const auto choice =
-    dispatch::chooseUpstream(found, requestSize(), mContext.random.bits());
+  const auto choice = choose(found, upstreams);
   if (choice) {
     if (admitByExpectedStart(*choice)) {
       mQueuedAheadMs = found[choice->index].queuedMs;
@@ -128,6 +134,10 @@
     }
     return;
   }
+  if (!found.empty() && !mayHaveRun()) {
+    refuseByLimit(found, upstreams);
+    return;
+  }
   if (mayHaveRun()) {
     if (mNotAccepted &&
         remainingTime() > kOverloadRetryDelay + kMinRemainingTime) {
@@ -151,28 +161,107 @@
     Code::NoUpstream, "no upstream of " + mService->name, kOverloadRetryDelay);
 }
 
-bool
-Exchange::admitByExpectedStart(const dispatch::Choice& aChoice)
+/** Prefers upstreams without a limit, because one that names a limit is in need
+ * and its requests are counted in the whole fleet. */
+std::optional<dispatch::Choice>
+Exchange::choose(const std::vector<dispatch::Candidate>& aCandidates,
+                 const std::vector<std::shared_ptr<Upstream>>& aUpstreams)
 {
-  if (mSends > 0) {
-    return true;
+  const auto isLimited = [](const dispatch::Candidate& aCandidate) {
+    return aCandidate.limited;
+  };
+  std::vector<dispatch::Candidate> others;
+  std::remove_copy_if(aCandidates.begin(),
+                      aCandidates.end(),
+                      std::back_inserter(others),
+                      isLimited);
+  auto choice =
+    dispatch::chooseUpstream(others, requestSize(), mContext.random.bits());
+  const bool limitedHelps =
+    others.size() < aCandidates.size() && (!choice || !startsInTime(*choice));
+  if (limitedHelps) {
+    auto limited = aCandidates;
+    std::erase_if(limited, std::not_fn(isLimited));
+    const auto found = chooseLimited(std::move(limited), aUpstreams);
+    choice = found ? found : choice;
+  }
+  return choice;
+}
+
+/** @return the best limited upstream that takes another request */
+std::optional<dispatch::Choice>
+Exchange::chooseLimited(
+  std::vector<dispatch::Candidate> aCandidates,
+  const std::vector<std::shared_ptr<Upstream>>& aUpstreams)
+{
+  while (const auto choice = dispatch::chooseUpstream(
+           aCandidates, requestSize(), mContext.random.bits())) {
+    const Upstream& upstream = *aUpstreams[choice->index];
+    if (startsInTime(*choice) &&
+        mContext.notices.tryAdmit(
+          upstream.process().tag(),
+          mContext.peers.peerLoad(upstream.record.name).limitUse,
+          mContext.random.unit(),
+          base::monotonicNow())) {
+      return choice;
+    }
+    std::erase_if(aCandidates, [&](const dispatch::Candidate& aCandidate) {
+      return aCandidate.index == choice->index;
+    });
+  }
+  return std::nullopt;
+}
+
+/** Refuses a request all of whose upstreams have reached the limits that they
+ * name. */
+void
+Exchange::refuseByLimit(
+  const std::vector<dispatch::Candidate>& aCandidates,
+  const std::vector<std::shared_ptr<Upstream>>& aUpstreams)
+{
+  double perSecond = 0;
+  for (const dispatch::Candidate& candidate : aCandidates) {
+    perSecond +=
+      mContext.notices.limit(aUpstreams[candidate.index]->process().tag())
+        .value_or(0);
   }
-  const base::Duration target = mRoute->targetLatency;
+  const base::Duration wait =
+    perSecond > 0 ? base::fromSeconds(1 / perSecond) : kMaxLimitRetryDelay;
+  refuse(Code::Overloaded,
+         "limit of " + std::to_string(perSecond) +
+           " requests/s named by the upstreams",
+         std::clamp(wait, kOverloadRetryDelay, kMaxLimitRetryDelay));
+}
+
+/** @return the latest expected start at which a first send is worth its while
+ */
+base::Duration
+Exchange::latestStart() const
+{
   const base::Duration passed = base::monotonicNow() - mReceivedAt;
-  const auto own = base::fromSeconds(mProcessingMs / 1000);
-  const base::Duration queue = aChoice.expectedStart - own;
-  const auto allowed = std::max<base::Duration>(
-    base::fromSeconds(base::inSeconds(target) * kMaxTargetFraction) - own -
+  return std::max<base::Duration>(
+    base::fromSeconds(base::inSeconds(mRoute->targetLatency) *
+                      kMaxTargetFraction) -
       passed,
     kAlwaysAllowedQueue);
-  if (queue <= allowed) {
+}
+
+bool
+Exchange::startsInTime(const dispatch::Choice& aChoice) const
+{
+  return mSends > 0 || aChoice.expectedStart <= latestStart();
+}
+
+bool
+Exchange::admitByExpectedStart(const dispatch::Choice& aChoice)
+{
+  if (startsInTime(aChoice)) {
     return true;
   }
-  const base::Duration wait = std::max(kOverloadRetryDelay, queue - allowed);
   refuse(Code::Overloaded,
          "expected start in " +
            std::to_string(base::inMilliseconds(aChoice.expectedStart)) + " ms",
-         wait);
+         std::max(kOverloadRetryDelay, aChoice.expectedStart - latestStart()));
   return false;
 }
 
@@ -296,7 +385,10 @@
 Exchange::startReplacement()
 {
   std::vector<std::shared_ptr<Upstream>> upstreams;
-  const auto found = candidates(upstreams);
+  auto found = candidates(upstreams);
+  std::erase_if(found, [](const dispatch::Candidate& aCandidate) {
+    return aCandidate.limited;
+  });
   const auto choice = dispatch::chooseReplacement(
     found, requestSize(), remainingTime(), mContext.random.bits());
   if (!choice) {
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -1,5 +1,7 @@
 #include "apps/gateway/exchange.h"
 
+#include "observe/log.h"
+
 #include <algorithm>
 #include <array>
 #include <cinttypes>
@@ -170,8 +172,7 @@
   }
   const Upstream& upstream = *mLoadReservation->upstream();
   if (!hasBegunToAnswer(now)) {
-    mContext.crashes.onConnectionBroken(
-      mTraits, { mLastUpstream, upstream.record.startedAt }, now);
+    mContext.crashes.onConnectionBroken(mTraits, upstream.process(), now);
   }
   mContext.probe.start(upstream.peer());
 }
@@ -218,11 +219,32 @@
     mLoadReservation->upstream()->reportedLoad = *metadata.load;
     mLoadReservation->upstream()->reportedAt = base::monotonicNow();
   }
+  if (mLoadReservation && !metadata.wrongUpstream) {
+    recordNotice(metadata.notice);
+  }
   mStreaming = mRoute->kind == catalog::RequestKind::Stream &&
                isSuccess(aHead.status) && isEventStream(aHead.headers) &&
                metadata.signedByUpstream;
 }
 
+void
+Exchange::recordNotice(const catalog::UpstreamNotice& aNotice)
+{
+  const bool changed =
+    mContext.notices.onAnswer(mLoadReservation->upstream()->process().tag(),
+                              aNotice,
+                              base::monotonicNow());
+  if (changed) {
+    observe::logInfo(
+      "upstream limit",
+      { { "upstream", mLastUpstream },
+        { "requests_per_second",
+          aNotice.requestsPerSecond ? std::to_string(*aNotice.requestsPerSecond)
+                                    : "none" },
+        { "id", mMetadata.id } });
+  }
+}
+
 void
 Exchange::onBody(std::string_view aBytes)
 {
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -92,6 +92,7 @@
               mPrefixIndex,
               mRetries,
               mCrashes,
+              mNotices,
               mProbe,
               mDemand,
               mWaitQueue,
@@ -503,6 +504,7 @@
   mRelay.tick();
   mFleet.setReadsStore(mUpstreamWatch.isReadingStore());
   mCrashes.expire(now);
+  mNotices.expire(now);
   removeMissingUpstreams();
   mOrders.updateOwnership();
   schedulePlan();
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -73,6 +73,7 @@
   dispatch::PrefixIndex mPrefixIndex;
   dispatch::RetryBudget mRetries;
   dispatch::CrashTracker mCrashes;
+  dispatch::UpstreamNotices mNotices;
   ReachabilityProbe mProbe;
   DemandMeter mDemand;
   ModelWaitQueue mWaitQueue;
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -82,6 +82,9 @@
     mStatusTimer = mLoop.every(mSchedule.statusPeriod(), [this] { send(); });
   }
   mContext.quota.setReportPeriod(mSchedule.maxPeriod());
+  // A status travels through the relay of its data centre.
+  mContext.notices.setReportDelay(mSchedule.statusPeriod() +
+                                  mSchedule.maxPeriod());
   // New VMs receive the placements and the usage totals at once.
   announcePlacements();
   mSummaries.requestComplete();
@@ -316,11 +319,14 @@
     return static_cast<std::uint32_t>(std::max(0.0, aValue));
   };
   for (const auto& [name, upstream] : mContext.upstreams.all()) {
-    if (upstream->running > 0) {
+    const peers::LimitUse limitUse =
+      mContext.notices.use(upstream->process().tag(), base::monotonicNow());
+    if (upstream->running > 0 || limitUse != peers::LimitUse{}) {
       status.loads[name] = { upstream->running,
                              toCount(upstream->queuedMs),
                              toCount(upstream->lowPriorityMs),
-                             toCount(upstream->memoryTokens) };
+                             toCount(upstream->memoryTokens),
+                             limitUse };
     }
   }
   for (const auto& [ref, rate] : mContext.demand.rates(base::monotonicNow())) {
--- a/apps/gateway/request_context.h
+++ b/apps/gateway/request_context.h
@@ -31,6 +31,7 @@
   dispatch::PrefixIndex& prefixes;
   dispatch::RetryBudget& retries;
   dispatch::CrashTracker& crashes;
+  dispatch::UpstreamNotices& notices;
   ReachabilityProbe& probe;
   DemandMeter& demand;
   ModelWaitQueue& waitQueue;
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -30,6 +30,11 @@
   /** @return true if it accepts new requests */
   bool usable() const { return !removed && !record.draining; }
 
+  dispatch::UpstreamProcess process() const
+  {
+    return { record.name, record.startedAt };
+  }
+
   wire::UpstreamKey peer() const { return { record.name, record.address }; }
 };
 
--- a/libs/catalog/upstream.h
+++ b/libs/catalog/upstream.h
@@ -29,4 +29,12 @@
   std::set<base::ModelName> cachedOnDisk;
 };
 
+/** What an upstream says of itself in an answer. */
+struct UpstreamNotice
+{
+  /** Requests a second that it takes from all VMs together, if it limits them.
+   */
+  std::optional<double> requestsPerSecond;
+};
+
 } // namespace marigold::catalog
--- a/libs/dispatch/choice.h
+++ b/libs/dispatch/choice.h
@@ -22,6 +22,7 @@
   double networkCostMs = 0; ///< network latency and transfer price as latency
   double failureRate = 0;   ///< fraction of recent requests that failed
   bool ejected = false;     ///< avoided while another candidate is available
+  bool limited = false;     ///< names a limit on its requests
 };
 
 /** Resources that a request needs at an upstream. */
--- a/libs/dispatch/dispatch.h
+++ b/libs/dispatch/dispatch.h
@@ -13,3 +13,4 @@
 #include "dispatch/prefix_index.h"
 #include "dispatch/request_traits.h"
 #include "dispatch/retry_budget.h"
+#include "dispatch/upstream_notices.h"
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -3,6 +3,8 @@
 
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <deque>
 
 using namespace marigold;
 using namespace std::chrono_literals;
@@ -482,6 +484,125 @@
   }
 }
 
+/** A fleet whose VMs know the use of a limited upstream by the others with a
+ * delay. */
+TEST_GROUP(NamedLimit)
+{
+  static constexpr base::Duration kDelay = 600ms;
+  static constexpr base::Duration kStep = 10ms;
+  static constexpr base::Duration kPlayed = 60s;
+  static constexpr peers::ProcessTag kUpstream = 7;
+  TimePoint start{ 100s };
+  std::vector<base::TimePoint> arrivals;
+
+  /** Plays requests to an upstream that names a limit.
+   * @param aVms VMs of the fleet @param aLimit requests a second
+   * @param aDemand requests a second that want the upstream
+   * @param aOnOneVm whether one VM gets all of them */
+  void play(std::size_t aVms, double aLimit, double aDemand, bool aOnOneVm)
+  {
+    std::vector<dispatch::UpstreamNotices> vms(aVms);
+    std::deque<std::vector<peers::LimitUse>> reports;
+    base::Random random(aVms);
+    catalog::UpstreamNotice notice;
+    notice.requestsPerSecond = aLimit;
+    for (auto& vm : vms) {
+      vm.setReportDelay(kDelay);
+      vm.onAnswer(kUpstream, notice, start);
+    }
+    arrivals.clear();
+    for (TimePoint now = start; now < start + kPlayed; now += kStep) {
+      std::vector<peers::LimitUse> uses;
+      for (auto& vm : vms) {
+        uses.push_back(vm.use(kUpstream, now));
+      }
+      reports.push_back(uses);
+      if (reports.size() > static_cast<std::size_t>(kDelay / kStep)) {
+        reports.pop_front();
+      }
+      while (random.chance(aDemand * base::inSeconds(kStep) / 2) ||
+             random.chance(aDemand * base::inSeconds(kStep) / 2)) {
+        const std::size_t vm = aOnOneVm ? 0 : random.below(aVms);
+        peers::LimitUse others;
+        for (std::size_t other = 0; other < aVms; ++other) {
+          if (other != vm) {
+            others.sends += reports.front()[other].sends;
+            others.wants += reports.front()[other].wants;
+          }
+        }
+        if (vms[vm].tryAdmit(kUpstream, others, random.unit(), now)) {
+          arrivals.push_back(now);
+        }
+      }
+    }
+  }
+
+  /** @return the most arrivals in 4 s, later than 4 s after the start */
+  std::size_t mostInAWindow() const
+  {
+    std::size_t most = 0;
+    for (const TimePoint first : arrivals) {
+      const auto inWindow =
+        std::count_if(arrivals.begin(), arrivals.end(), [&](TimePoint aAt) {
+          return aAt >= first && aAt < first + 4s;
+        });
+      if (first >= start + 4s) {
+        most = std::max<std::size_t>(most, inWindow);
+      }
+    }
+    return most;
+  }
+};
+
+// An engine in need takes a few requests a second from hundreds of VMs, all of
+// which have requests for it. Guards against a sum over the fleet that exceeds
+// what it takes, and against a model that is hardly served any more.
+TEST(NamedLimit, FleetKeepsAndUsesTheLimit)
+{
+  for (const std::size_t vms : { 6, 82, 380 }) {
+    for (const double limit : { 1.0, 3.0, 20.0 }) {
+      for (const double demand : { 10.0, 30.0, 100.0 }) {
+        play(vms, limit, demand, false);
+        CHECK(static_cast<double>(mostInAWindow()) <= 1.5 * limit * 4 + 5);
+        CHECK(static_cast<double>(arrivals.size()) >=
+              0.6 * std::min(limit, demand) * base::inSeconds(kPlayed));
+      }
+    }
+  }
+}
+
+// Guards against equal shares of VMs that have no use for them.
+TEST(NamedLimit, OneVmMayUseTheWholeLimit)
+{
+  play(82, 2, 10, true);
+  CHECK(mostInAWindow() <= 17);
+  CHECK(static_cast<double>(arrivals.size()) >=
+        0.95 * 2 * base::inSeconds(kPlayed));
+}
+
+// Guards against an upstream that is never asked again, so that nobody learns
+// that its limit has ended.
+TEST(NamedLimit, UpstreamThatTakesNothingIsAskedNowAndThen)
+{
+  play(6, 0, 10, false);
+  CHECK(arrivals.size() >= 4);
+  CHECK(mostInAWindow() <= 5);
+}
+
+TEST(NamedLimit, AnswerWithoutALimitEndsIt)
+{
+  dispatch::UpstreamNotices notices;
+  catalog::UpstreamNotice notice;
+  notice.requestsPerSecond = 0.1;
+  CHECK(notices.onAnswer(kUpstream, notice, start));
+  CHECK(!notices.onAnswer(kUpstream, notice, start));
+  CHECK(notices.tryAdmit(kUpstream, {}, 0, start));
+  CHECK(!notices.tryAdmit(kUpstream, {}, 0, start + 1s));
+  CHECK(notices.onAnswer(kUpstream, {}, start + 1s));
+  CHECK(notices.tryAdmit(kUpstream, {}, 0, start + 1s));
+  CHECK(!notices.limit(kUpstream));
+}
+
 int
 main(int aCount, char** aValues)
 {
--- /dev/null
+++ b/libs/dispatch/upstream_notices.h
@@ -0,0 +1,68 @@
+/** @file What upstreams say of themselves in their answers. */
+#pragma once
+
+#include "catalog/upstream.h"
+#include "peers/crash_evidence.h"
+#include "peers/messages.h"
+
+#include <deque>
+#include <map>
+
+namespace marigold::dispatch {
+
+/**
+ * Keeps what each upstream said last, by run of its process, and how the VMs
+ * use the requests that a limited upstream takes. Each VM counts its own
+ * requests exactly and knows those of its peers with a delay. It therefore
+ * admits requests with a probability at which those that all VMs admit during
+ * that delay fit into what is left.
+ */
+class UpstreamNotices
+{
+public:
+  /** @param aDelay longest time until a request of a peer is known here */
+  void setReportDelay(base::Duration aDelay) { mReportDelay = aDelay; }
+
+  /** Records what an answer says.
+   * @param aProcess upstream @param aNotice its statements @param aNow time
+   * @return true if the upstream began or ceased to name a limit */
+  bool onAnswer(peers::ProcessTag aProcess,
+                const catalog::UpstreamNotice& aNotice,
+                base::TimePoint aNow);
+
+  /** @param aProcess upstream @return requests a second that it takes from all
+   * VMs together, if it names a limit */
+  std::optional<double> limit(peers::ProcessTag aProcess) const;
+
+  /** Counts a request to a limited upstream if it may be sent.
+   * @param aProcess upstream @param aPeers use by the peers
+   * @param aChance random number in [0, 1) @param aNow time
+   * @return true if the request may be sent */
+  bool tryAdmit(peers::ProcessTag aProcess,
+                const peers::LimitUse& aPeers,
+                double aChance,
+                base::TimePoint aNow);
+
+  /** @param aProcess upstream @param aNow time
+   * @return use by this VM, for its peers; zero without a limit */
+  peers::LimitUse use(peers::ProcessTag aProcess, base::TimePoint aNow);
+
+  /** Forgets upstreams that have not answered for long. @param aNow time */
+  void expire(base::TimePoint aNow);
+
+private:
+  struct State
+  {
+    std::optional<double> requestsPerSecond;
+    base::TimePoint heardAt{};
+    std::deque<base::TimePoint> sends; ///< within the window
+    std::deque<base::TimePoint> wants; ///< requests that were to be sent
+  };
+  static base::Duration window(const State& aState);
+  static void dropExpired(State& aState, base::TimePoint aNow);
+
+  base::Duration mReportDelay{};
+  std::map<peers::ProcessTag, State> mStates;
+};
+
+} // namespace marigold::dispatch
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -46,8 +46,13 @@
 {
   json loads = json::object();
   for (const auto& [name, load] : aLoads) {
-    loads[name] = json::array(
+    json row = json::array(
       { load.running, load.queuedMs, load.lowPriorityMs, load.memoryTokens });
+    if (load.limitUse != LimitUse{}) {
+      row.push_back(load.limitUse.sends);
+      row.push_back(load.limitUse.wants);
+    }
+    loads[name] = std::move(row);
   }
   return loads;
 }
@@ -94,7 +99,11 @@
 {
   LoadTable loads;
   for (const auto& [name, row] : aJson.items()) {
-    loads[name] = { row.at(0), row.at(1), row.at(2), row.at(3) };
+    UpstreamLoad& load = loads[name];
+    load = { row.at(0), row.at(1), row.at(2), row.at(3), {} };
+    if (row.size() > 4) {
+      load.limitUse = { row.at(4), row.at(5) };
+    }
   }
   return loads;
 }
@@ -253,6 +262,8 @@
   queuedMs += aOther.queuedMs;
   lowPriorityMs += aOther.lowPriorityMs;
   memoryTokens += aOther.memoryTokens;
+  limitUse.sends += aOther.limitUse.sends;
+  limitUse.wants += aOther.limitUse.wants;
   return *this;
 }
 
@@ -263,6 +274,8 @@
   queuedMs -= aOther.queuedMs;
   lowPriorityMs -= aOther.lowPriorityMs;
   memoryTokens -= aOther.memoryTokens;
+  limitUse.sends -= aOther.limitUse.sends;
+  limitUse.wants -= aOther.limitUse.wants;
   return *this;
 }
 
--- a/libs/peers/messages.h
+++ b/libs/peers/messages.h
@@ -12,6 +12,15 @@
 
 namespace marigold::peers {
 
+/** Use of an upstream that limits its requests, over its window. */
+struct LimitUse
+{
+  std::uint32_t sends = 0; ///< requests that were sent to it
+  std::uint32_t wants = 0; ///< requests that were to be sent to it
+
+  bool operator==(const LimitUse&) const = default;
+};
+
 /** Load of one upstream. */
 struct UpstreamLoad
 {
@@ -19,6 +28,7 @@
   std::uint32_t queuedMs = 0;      ///< queued prompt work of urgent requests
   std::uint32_t lowPriorityMs = 0; ///< the same of low-priority requests
   std::uint32_t memoryTokens = 0;  ///< prompt and output tokens in progress
+  LimitUse limitUse;               ///< zero if it names no limit
 
   bool operator==(const UpstreamLoad&) const = default;
 
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -21,7 +21,7 @@
   status.catalogVersion = 12;
   status.draining = true;
   status.usage = { { "t", 100.5 } };
-  status.loads["u"] = { 2, 30, 4, 5000 };
+  status.loads["u"] = { 2, 30, 4, 5000, { 3, 9 } };
   status.demand["m/a1"] = { 12, 3, 1 };
   status.crashes[31] = { 250ms, { { 4, 7 }, { 6 } }, { 8 } };
   status.drainingUpstreams["u2"] = 9;
@@ -39,7 +39,7 @@
   summary.sequence = aSequence;
   summary.catalogVersion = 3;
   summary.members["vm7"] = { 4, 9, true, { { "t", 20 } } };
-  summary.loads["u"] = { aRunning, 0, 0, 100 };
+  summary.loads["u"] = { aRunning, 0, 0, 100, {} };
   summary.demand["m"] = { 50, 2, 1 };
   summary.crashes[32] = { 1s, { { 2 } }, {} };
   summary.drainingUpstreams["u3"] = 2;
@@ -67,7 +67,7 @@
   LONGS_EQUAL(12, status.catalogVersion);
   CHECK(status.draining);
   DOUBLES_EQUAL(101, status.usage.at("t"), 0.001);
-  CHECK(status.loads.at("u") == (peers::UpstreamLoad{ 2, 30, 4, 5000 }));
+  CHECK(status.loads.at("u") == (peers::UpstreamLoad{ 2, 30, 4, 5000, { 3, 9 } }));
   LONGS_EQUAL(3, status.demand.at("m/a1").waiting);
   LONGS_EQUAL(1, status.demand.at("m/a1").running);
   CHECK(status.crashes == sampleStatus(3).crashes);
