Act on upstreams that say they leave or want no requests for a time

A leaving upstream whose record still said ready got 6 and 2 more requests from three gateways in 3 s, one that turned all away for 2.5 s got 35 beside two others (6 allowed), as the only holder 48 in 1.5 s.

Cause: neither header was read; as with limits, a statement without an owner.

UpstreamNotices keeps both by run of the process. Leaving lasts until the process ends, also if its record is removed and comes back; peers and the placement learn it as draining. Who turns requests away gets none from this VM until the time has passed: checked when an upstream is chosen and again when the request is written.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -73,7 +73,7 @@
   void dispatch();
   dispatch::RequestSize requestSize() const;
   std::vector<dispatch::Candidate> candidates(
-    std::vector<std::shared_ptr<Upstream>>& aUpstreams) const;
+    std::vector<std::shared_ptr<Upstream>>& aUpstreams);
   dispatch::Candidate makeCandidate(const Upstream& aUpstream) const;
   void waitForModel();
   std::optional<base::Duration> estimateLoadTime() const;
@@ -115,6 +115,9 @@
   bool attemptsLeft() const;
   bool tryConsumeRetry();
   void scheduleRetry();
+  void retryAfter(base::Duration aDelay);
+  void waitUntilAccepted();
+  bool isAccepted(const base::UpstreamName& aUpstream) const;
   void armStallTimer();
   void startStallTimer(base::Duration aLimit);
   void onStall(base::Duration aLimit);
@@ -169,6 +172,9 @@
   peers::TraitSet mTraits;
 
   std::set<base::UpstreamName> mTriedUpstreams;
+  /** Earliest time at which a suitable upstream wants requests again; the end
+   * of time if none has turned requests away. */
+  base::TimePoint mAcceptedFrom = base::TimePoint::max();
   unsigned mSends = 0;
   unsigned mUnreachableCount = 0;
   unsigned mUnresolvedSends = 0; ///< sends that may have run at an upstream
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -92,19 +92,28 @@
 }
 
 std::vector<dispatch::Candidate>
-Exchange::candidates(std::vector<std::shared_ptr<Upstream>>& aUpstreams) const
+Exchange::candidates(std::vector<std::shared_ptr<Upstream>>& aUpstreams)
 {
+  mAcceptedFrom = base::TimePoint::max();
   std::vector<dispatch::Candidate> found;
   const base::TimePoint now = base::monotonicNow();
   for (const auto& [name, upstream] : mContext.upstreams.all()) {
-    if (upstream->record.service != mService->name || !upstream->usable() ||
-        mTriedUpstreams.contains(name)) {
+    if (upstream->record.service != mService->name || !upstream->usable()) {
       continue;
     }
     if (isEngineCall() && mService->engine &&
         !mContext.upstreams.canServe(*upstream, *mMetadata.model, now)) {
       continue;
     }
+    const base::TimePoint acceptsFrom =
+      mContext.notices.acceptsFrom(upstream->process().tag());
+    if (acceptsFrom > now) {
+      mAcceptedFrom = std::min(mAcceptedFrom, acceptsFrom);
+      continue;
+    }
+    if (mTriedUpstreams.contains(name)) {
+      continue;
+    }
     dispatch::Candidate candidate = makeCandidate(*upstream);
     candidate.index = aUpstreams.size();
     aUpstreams.push_back(upstream);
@@ -138,6 +147,10 @@
     refuseByLimit(found, upstreams);
     return;
   }
+  if (mAcceptedFrom != base::TimePoint::max()) {
+    waitUntilAccepted();
+    return;
+  }
   if (mayHaveRun()) {
     if (mNotAccepted &&
         remainingTime() > kOverloadRetryDelay + kMinRemainingTime) {
@@ -325,6 +338,34 @@
   mContext.waitQueue.add(*mMetadata.model, shared_from_this());
 }
 
+/** All upstreams that could serve the request have said for how long they want
+ * none from this VM. */
+void
+Exchange::waitUntilAccepted()
+{
+  const base::Duration wait = mAcceptedFrom - base::monotonicNow();
+  const bool inTime = wait + kMinRemainingTime < remainingTime() &&
+                      (mayHaveRun() || wait <= kOverloadRetryDelay);
+  if (inTime) {
+    mTriedUpstreams.clear();
+    retryAfter(wait);
+  } else if (mayHaveRun()) {
+    fail(Code::UpstreamFailed, "no further upstream takes requests");
+  } else {
+    refuse(Code::Overloaded, "the upstreams turn requests away", wait);
+  }
+}
+
+void
+Exchange::retryAfter(base::Duration aDelay)
+{
+  mStallTimer = mContext.loop.after(aDelay, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->retry();
+    }
+  });
+}
+
 void
 Exchange::scheduleRetry()
 {
@@ -335,12 +376,7 @@
                        base::monotonicNow());
   mNotAccepted = false;
   mTriedUpstreams.clear();
-  mStallTimer =
-    mContext.loop.after(kOverloadRetryDelay, [weak = weak_from_this()] {
-      if (const auto self = weak.lock()) {
-        self->retry();
-      }
-    });
+  retryAfter(kOverloadRetryDelay);
 }
 
 bool
@@ -421,7 +457,7 @@
   const bool wanted =
     !mEnded && mReplacement && mEventCount == mReplacement->events &&
     remainingTime() >= kMinRemainingTime && !mCaller->abandoned() &&
-    mContext.crashes.verdictOn(mTraits) == nullptr;
+    mContext.crashes.verdictOn(mTraits) == nullptr && isAccepted(aUpstream);
   if (!wanted || !mContext.retries.tryConsume(mService->name, now)) {
     return std::nullopt;
   }
@@ -440,13 +476,24 @@
   return serializeRequest(aUpstream);
 }
 
+/** @return false if the upstream has said meanwhile that it wants no requests
+ */
+bool
+Exchange::isAccepted(const base::UpstreamName& aUpstream) const
+{
+  const auto upstream = mContext.upstreams.find(aUpstream);
+  return !upstream || mContext.notices.acceptsFrom(upstream->process().tag()) <=
+                        base::monotonicNow();
+}
+
 /** Runs when the request is written, which may be long after the upstream was
  * selected. @return serialized request, or nothing if it must not be sent */
 std::optional<std::string>
 Exchange::serializeRequest(const base::UpstreamName& aUpstream)
 {
   if (mEnded || remainingTime() < kMinRemainingTime || mCaller->abandoned() ||
-      mContext.crashes.verdictOn(mTraits) != nullptr) {
+      mContext.crashes.verdictOn(mTraits) != nullptr ||
+      !isAccepted(aUpstream)) {
     return std::nullopt;
   }
   ++mUnresolvedSends;
@@ -473,9 +520,14 @@
 {
   --mSends;
   endCall();
-  if (!endIfCallerDisconnected() && !refuseIfBlocked()) {
-    onDeadline();
+  if (endIfCallerDisconnected() || refuseIfBlocked()) {
+    return;
+  }
+  if (!isAccepted(mLastUpstream)) {
+    dispatch();
+    return;
   }
+  onDeadline();
 }
 
 std::unique_ptr<wire::PooledCall>
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -230,11 +230,11 @@
 void
 Exchange::recordNotice(const catalog::UpstreamNotice& aNotice)
 {
-  const bool changed =
-    mContext.notices.onAnswer(mLoadReservation->upstream()->process().tag(),
-                              aNotice,
-                              base::monotonicNow());
-  if (changed) {
+  const base::TimePoint now = base::monotonicNow();
+  const auto& upstream = mLoadReservation->upstream();
+  const auto change =
+    mContext.notices.onAnswer(upstream->process().tag(), aNotice, now);
+  if (change.limit) {
     observe::logInfo(
       "upstream limit",
       { { "upstream", mLastUpstream },
@@ -243,6 +243,19 @@
                                     : "none" },
         { "id", mMetadata.id } });
   }
+  if (change.leaving) {
+    upstream->record.draining = true; // Peers and the placement learn it too.
+    observe::logInfo("upstream says it leaves",
+                     { { "upstream", mLastUpstream }, { "id", mMetadata.id } });
+  }
+  if (aNotice.turnsAwayFor) {
+    mContext.log.logStep(
+      mMetadata.id,
+      "upstream wants no requests",
+      mLastUpstream,
+      std::to_string(base::inMilliseconds(*aNotice.turnsAwayFor)) + " ms",
+      now);
+  }
 }
 
 void
--- a/libs/catalog/upstream.h
+++ b/libs/catalog/upstream.h
@@ -35,6 +35,9 @@
   /** Requests a second that it takes from all VMs together, if it limits them.
    */
   std::optional<double> requestsPerSecond;
+  bool leaving = false; ///< its process will end and wants no new requests
+  /** Time for which it wants no requests from this VM. */
+  std::optional<base::Duration> turnsAwayFor;
 };
 
 } // namespace marigold::catalog
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -594,15 +594,59 @@
   dispatch::UpstreamNotices notices;
   catalog::UpstreamNotice notice;
   notice.requestsPerSecond = 0.1;
-  CHECK(notices.onAnswer(kUpstream, notice, start));
-  CHECK(!notices.onAnswer(kUpstream, notice, start));
+  CHECK(notices.onAnswer(kUpstream, notice, start).limit);
+  CHECK(!notices.onAnswer(kUpstream, notice, start).limit);
   CHECK(notices.tryAdmit(kUpstream, {}, 0, start));
   CHECK(!notices.tryAdmit(kUpstream, {}, 0, start + 1s));
-  CHECK(notices.onAnswer(kUpstream, {}, start + 1s));
+  CHECK(notices.onAnswer(kUpstream, {}, start + 1s).limit);
   CHECK(notices.tryAdmit(kUpstream, {}, 0, start + 1s));
   CHECK(!notices.limit(kUpstream));
 }
 
+TEST_GROUP(Notices)
+{
+  static constexpr peers::ProcessTag kUpstream = 7;
+  dispatch::UpstreamNotices notices;
+  TimePoint now{ 100s };
+};
+
+// A replica that leaves keeps running for seconds and answers some requests
+// that were sent before it said so. Guards against new ones.
+TEST(Notices, LeavingLastsAsLongAsTheProcess)
+{
+  catalog::UpstreamNotice notice;
+  notice.leaving = true;
+  CHECK(notices.onAnswer(kUpstream, notice, now).leaving);
+  CHECK(!notices.onAnswer(kUpstream, notice, now).leaving);
+  notices.onAnswer(kUpstream, {}, now + 1s);
+  CHECK(notices.acceptsFrom(kUpstream) > now + 1h);
+  CHECK(notices.acceptsFrom(kUpstream + 1) < now);
+}
+
+// Guards against a shorter time in a later answer that arrives first.
+TEST(Notices, TheLongestTimeOfTurningAwayCounts)
+{
+  catalog::UpstreamNotice notice;
+  notice.turnsAwayFor = 3s;
+  notices.onAnswer(kUpstream, notice, now);
+  notice.turnsAwayFor = 1s;
+  notices.onAnswer(kUpstream, notice, now + 500ms);
+  notices.onAnswer(kUpstream, {}, now + 1s);
+  CHECK(notices.acceptsFrom(kUpstream) == now + 3s);
+}
+
+// Guards against memory for upstreams that have long ended.
+TEST(Notices, ExpireAfterTheTimeThatWasAskedFor)
+{
+  catalog::UpstreamNotice notice;
+  notice.turnsAwayFor = 20min;
+  notices.onAnswer(kUpstream, notice, now);
+  notices.expire(now + 15min);
+  CHECK(notices.acceptsFrom(kUpstream) > now + 15min);
+  notices.expire(now + 21min);
+  CHECK(notices.acceptsFrom(kUpstream) < now);
+}
+
 int
 main(int aCount, char** aValues)
 {
--- a/libs/dispatch/upstream_notices.cpp
+++ b/libs/dispatch/upstream_notices.cpp
@@ -48,19 +48,44 @@
   }
 }
 
-bool
+NoticeChange
 UpstreamNotices::onAnswer(peers::ProcessTag aProcess,
                           const catalog::UpstreamNotice& aNotice,
                           base::TimePoint aNow)
 {
-  const auto found = mStates.find(aProcess);
-  if (!aNotice.requestsPerSecond) {
-    return mStates.erase(aProcess) > 0;
+  const bool says =
+    aNotice.requestsPerSecond || aNotice.leaving || aNotice.turnsAwayFor;
+  if (!says && !mStates.contains(aProcess)) {
+    return {};
   }
   State& state = mStates[aProcess];
+  NoticeChange change;
+  change.limit = state.requestsPerSecond.has_value() !=
+                 aNotice.requestsPerSecond.has_value();
+  change.leaving = aNotice.leaving && !state.leaving;
   state.requestsPerSecond = aNotice.requestsPerSecond;
+  if (!aNotice.requestsPerSecond) {
+    state.sends.clear();
+    state.wants.clear();
+  }
+  state.leaving = state.leaving || aNotice.leaving;
+  if (aNotice.turnsAwayFor) {
+    state.turnsAwayUntil =
+      std::max(state.turnsAwayUntil, aNow + *aNotice.turnsAwayFor);
+  }
   state.heardAt = aNow;
-  return found == mStates.end();
+  return change;
+}
+
+base::TimePoint
+UpstreamNotices::acceptsFrom(peers::ProcessTag aProcess) const
+{
+  const auto found = mStates.find(aProcess);
+  if (found == mStates.end()) {
+    return {};
+  }
+  return found->second.leaving ? base::TimePoint::max()
+                               : found->second.turnsAwayUntil;
 }
 
 std::optional<double>
@@ -78,7 +103,7 @@
                           base::TimePoint aNow)
 {
   const auto found = mStates.find(aProcess);
-  if (found == mStates.end()) {
+  if (found == mStates.end() || !found->second.requestsPerSecond) {
     return true;
   }
   State& state = found->second;
@@ -108,7 +133,7 @@
 UpstreamNotices::use(peers::ProcessTag aProcess, base::TimePoint aNow)
 {
   const auto found = mStates.find(aProcess);
-  if (found == mStates.end()) {
+  if (found == mStates.end() || !found->second.requestsPerSecond) {
     return {};
   }
   dropExpired(found->second, aNow);
@@ -120,7 +145,8 @@
 UpstreamNotices::expire(base::TimePoint aNow)
 {
   std::erase_if(mStates, [aNow](const auto& aItem) {
-    return aNow - aItem.second.heardAt > kNoticeLifetime;
+    return aNow - aItem.second.heardAt > kNoticeLifetime &&
+           aNow > aItem.second.turnsAwayUntil;
   });
 }
 
--- a/libs/dispatch/upstream_notices.h
+++ b/libs/dispatch/upstream_notices.h
@@ -10,10 +10,18 @@
 
 namespace marigold::dispatch {
 
+/** What has changed with an answer. */
+struct NoticeChange
+{
+  bool limit = false;   ///< the upstream began or ceased to name a limit
+  bool leaving = false; ///< it began to say that it leaves
+};
+
 /**
  * Keeps what each upstream said last, by run of its process, and how the VMs
- * use the requests that a limited upstream takes. Each VM counts its own
- * requests exactly and knows those of its peers with a delay. It therefore
+ * use the requests that a limited upstream takes. An upstream that leaves stays
+ * so until its process ends, whatever becomes of its record. Each VM counts its
+ * own requests exactly and knows those of its peers with a delay. It therefore
  * admits requests with a probability at which those that all VMs admit during
  * that delay fit into what is left.
  */
@@ -25,10 +33,15 @@
 
   /** Records what an answer says.
    * @param aProcess upstream @param aNotice its statements @param aNow time
-   * @return true if the upstream began or ceased to name a limit */
-  bool onAnswer(peers::ProcessTag aProcess,
-                const catalog::UpstreamNotice& aNotice,
-                base::TimePoint aNow);
+   * @return what it changed */
+  NoticeChange onAnswer(peers::ProcessTag aProcess,
+                        const catalog::UpstreamNotice& aNotice,
+                        base::TimePoint aNow);
+
+  /** @param aProcess upstream
+   * @return the time from which it wants requests from this VM; the past unless
+   * it has turned one away, the end of time if it leaves */
+  base::TimePoint acceptsFrom(peers::ProcessTag aProcess) const;
 
   /** @param aProcess upstream @return requests a second that it takes from all
    * VMs together, if it names a limit */
@@ -54,6 +67,8 @@
   struct State
   {
     std::optional<double> requestsPerSecond;
+    bool leaving = false;
+    base::TimePoint turnsAwayUntil{};
     base::TimePoint heardAt{};
     std::deque<base::TimePoint> sends; ///< within the window
     std::deque<base::TimePoint> wants; ///< requests that were to be sent
--- a/tests/e2e/test_named_limit.py
+++ b/tests/e2e/test_upstream_notices.py
@@ -1,4 +1,4 @@
-"""Tests that upstreams get no more requests than the limit that they name, through real gateways."""
+"""Tests that gateways act on what upstreams say of themselves in their answers."""
 
 import os
 import tempfile
@@ -16,7 +16,7 @@
 FACTOR, EXTRA = 1.5, 5  # of the limit in a window, as the users allow
 
 
-class NamedLimit(unittest.TestCase):
+class NoticeTest(unittest.TestCase):
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform()
@@ -58,6 +58,13 @@
         for thread in calls:
             thread.join()
 
+    def keep_one_engine(self):
+        for number in range(1, ENGINES):
+            self.platform.change(self.platform.store.remove, f"servers/engine{number}")
+        time.sleep(0.5)
+
+
+class NamedLimit(NoticeTest):
     def most_in_a_window(self, engine, since):
         times = [at for at in engine.arrivals if at >= since]
         return max((sum(at <= other < at + WINDOW_SECONDS for other in times) for at in times), default=0)
@@ -76,9 +83,7 @@
 
     def test_only_holder_is_used_up_to_its_limit(self):
         """Guards against a model that is not served any more because its only holder names a limit."""
-        for number in (1, 2):
-            self.platform.change(self.platform.store.remove, f"servers/engine{number}")
-        time.sleep(0.5)
+        self.keep_one_engine()
         self.engines[0].limit = 2
         started = time.monotonic()
         seconds = CONTACT_SECONDS + 2 * WINDOW_SECONDS
@@ -92,9 +97,7 @@
 
     def test_limit_ends_when_answers_name_none(self):
         """Guards against an upstream that stays limited after it has recovered."""
-        for number in (1, 2):
-            self.platform.change(self.platform.store.remove, f"servers/engine{number}")
-        time.sleep(0.5)
+        self.keep_one_engine()
         self.engines[0].limit = 0.5
         self.drive(2, pause=0.1)
         self.engines[0].limit = None
@@ -104,5 +107,79 @@
         self.assertTrue(all(status == 200 for status, _ in self.statuses), self.statuses)
 
 
+class Leaving(NoticeTest):
+    def test_upstream_that_says_it_leaves_gets_no_new_requests(self):
+        """Guards against requests to an upstream whose record still says that it is ready, also when that record
+        has been away."""
+        self.engines[0].leaving = True
+        self.drive(2, pause=0.03)
+        self.assertTrue(self.engines[0].arrivals)
+        told = time.monotonic()
+        record = self.engines[0].record()
+        self.platform.change(self.platform.store.remove, "servers/engine0")
+        self.drive(1, pause=0.05)
+        self.platform.change(self.platform.store.put, "servers/engine0", record)
+        self.drive(2, pause=0.05)
+        self.assertEqual([], [at for at in self.engines[0].arrivals if at > told])
+        self.assertTrue(all(status == 200 for status, _ in self.statuses), self.statuses)
+
+    def test_next_process_of_the_upstream_is_used(self):
+        """Guards against an upstream that stays shut out after a restart under its old name and address."""
+        self.engines[0].leaving = True
+        self.drive(1, pause=0.03)
+        self.engines[0].leaving = False
+        self.engines[0].born += 1
+        self.platform.change(self.platform.store.put, "servers/engine0", self.engines[0].record())
+        self.engines[0].arrivals.clear()
+        self.drive(2, pause=0.03)
+        self.assertTrue(self.engines[0].arrivals)
+
+
+class TurnedAway(NoticeTest):
+    MOST = 2          # requests from one VM in the time that an upstream asks for
+    IN_FLIGHT = 0.5   # seconds in which requests may still arrive
+
+    def check_quiet_time(self, seconds):
+        """No gateway sends more than the allowed requests from half a second after the first 503 on."""
+        first = self.engines[0].arrivals[0]
+        late = [at for at in self.engines[0].arrivals if first + self.IN_FLIGHT < at < first + seconds]
+        self.assertLessEqual(len(late), self.MOST * len(self.gateways))
+
+    def test_upstream_is_left_alone_for_the_time_that_it_asks_for(self):
+        """Guards against an upstream that is asked again and again while it turns requests away."""
+        self.engines[0].turn_away = "2.5"
+        self.drive(2.5, pause=0.03)
+        self.check_quiet_time(2.5)
+        self.assertTrue(all(status == 200 for status, _ in self.statuses), self.statuses)
+        self.engines[0].turn_away = None
+        self.engines[0].arrivals.clear()
+        self.drive(3, pause=0.03)
+        self.assertTrue(self.engines[0].arrivals, "it is used again afterwards")
+
+    def test_only_holder_is_not_asked_meanwhile_and_callers_are_told_when(self):
+        """Guards against requests that wait for their deadlines at an upstream that wants none."""
+        self.keep_one_engine()
+        self.engines[0].turn_away = "6"
+        started = time.monotonic()
+        self.drive(1.5, pause=0.05)
+        self.assertLess(time.monotonic() - started, 3)
+        self.check_quiet_time(6)
+        for status, retry_after in self.statuses[len(self.gateways):]:
+            self.assertEqual(503, status)
+            self.assertGreater(float(retry_after), 1)
+
+    def test_unreadable_times_are_ignored(self):
+        """Guards against an upstream that is shut out by a time that means nothing."""
+        self.keep_one_engine()
+        for text in ("-3", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "1e9", "nan"):
+            self.engines[0].turn_away = text
+            self.drive(0.2, pause=0.1)
+        self.engines[0].turn_away = None
+        time.sleep(0.5)
+        self.statuses.clear()
+        self.drive(0.5, pause=0.1)
+        self.assertTrue(all(status == 200 for status, _ in self.statuses), self.statuses)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -155,6 +155,8 @@
         self.endless_closed = False  # whether the gateway closed that connection
         self.limit = None    # requests a second that it says it takes from all VMs together
         self.arrivals = []   # times of all requests
+        self.leaving = False   # says in its answers that it leaves
+        self.turn_away = None  # text of Retry-After with which it turns every request away
         self.deadly_part = None  # part of a prompt that crashes the process before its first event
         self.deadly_head = False  # a crash lets the head of a stream without length or chunks out first
         self.deadly_arrivals = []  # times at which requests with that part arrived
@@ -175,6 +177,8 @@
                      "X-Replica-Id": self.name}
         if self.limit is not None:
             signature["Server-Limit"] = str(self.limit)
+        if self.leaving:
+            signature["Server-Leaving"] = "1"
         if path == "/-/report":
             report = json.loads(self.record())
             report.update({"busy": False, "sequence": self.orders})
@@ -191,6 +195,9 @@
             writer.write(answer_bytes(421, signature, b""))
             return True
         self.arrivals.append(time.monotonic())
+        if self.turn_away is not None:
+            writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "1", "Retry-After": self.turn_away}, b""))
+            return True
         if self.refusals > 0:
             self.refusals -= 1
             writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "1"}, b""))
