--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -97,6 +97,18 @@
         self.assertLess(time.monotonic() - started, 0.08)
         self.assertEqual(0, self.runs())
 
+    def test_head_that_stops_in_its_middle_is_no_answer(self):
+        """Guards against a 200 with an empty body, framed as whole, when an upstream closes in its head."""
+        for desk in self.desks:
+            desk.endless = ("HTTP/1.1 200 OK\r\nSIGNATURE\r\nContent-Le", b"", 0)
+            desk.endless_limit = 0
+        status, _, headers = self.gateways[0].call("/once/x")
+        self.assertEqual((502, "unknown"), (status, headers["Marigold-Outcome"]))
+        self.assertEqual(1, self.runs())
+        self.desks[1].endless = None
+        for _ in range(4):
+            self.assertEqual(200, self.gateways[0].call("/again/x", method="GET", body=None)[0])
+
     def test_stream_is_resumed_without_a_gap_or_a_repeat(self):
         self.engines[0].break_after = 4
         for number in range(16):
