--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -162,6 +162,8 @@
         self.deadly_arrivals = []  # times at which requests with that part arrived
         self.crashes = []    # times
         self.born = 1700000000000
+        self.after_order = lambda: None  # runs on the platform's thread after each order that took effect
+        self.misdirected = 0  # requests for another upstream
         self.listener = None
         self.writers = set()  # open connections
 
@@ -188,6 +190,7 @@
             writer.write(answer_bytes(self.order(json.loads(body)), {}, b""))
             return True
         if headers.get("x-expected-replica") not in (None, self.name):
+            self.misdirected += 1
             writer.write(answer_bytes(421, signature, b""))
             return True
         model, _, adapter = headers.get("x-model-name", "").partition("/")
@@ -268,6 +271,7 @@
             self.models[order["model"]] = set()
         else:
             self.models.pop(order["model"], None)
+        self.after_order()
         return 202
 
     async def stream(self, headers, signature, writer):
@@ -364,12 +368,16 @@
                     upstream.listener = await asyncio.start_server(connection, HOST, upstream.port)
                     self.servers.append(upstream.listener)
                     self.store.put("servers/" + upstream.name, upstream.record())
-        upstream.listener = self.run(asyncio.start_server(connection, HOST, upstream.port))
-        self.servers.append(upstream.listener)
+        upstream.connection = connection
+        self.listen_again(upstream)
         self.change(self.store.put, "servers/" + upstream.name, upstream.record())
         if restart_after is not None:
             asyncio.run_coroutine_threadsafe(restart_crashed(), self.loop)
 
+    def listen_again(self, upstream):
+        upstream.listener = self.run(asyncio.start_server(upstream.connection, HOST, upstream.port))
+        self.servers.append(upstream.listener)
+
     def publish(self, version, keys, routes):
         models = [{"name": m, "weights_mb": 100, "load_time_s": 1, "adapters": 2, "adapter_size_mb": 1,
                    "warmup_s": 1, "disk_load_s": 1} for m in ("m1", "m2")]
