--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -67,7 +67,8 @@
   LONGS_EQUAL(12, status.catalogVersion);
   CHECK(status.draining);
   DOUBLES_EQUAL(101, status.usage.at("t"), 0.001);
-  CHECK(status.loads.at("u") == (peers::UpstreamLoad{ 2, 30, 4, 5000, { 3, 9 } }));
+  CHECK(status.loads.at("u") ==
+        (peers::UpstreamLoad{ 2, 30, 4, 5000, { 3, 9 } }));
   LONGS_EQUAL(3, status.demand.at("m/a1").waiting);
   LONGS_EQUAL(1, status.demand.at("m/a1").running);
   CHECK(status.crashes == sampleStatus(3).crashes);
@@ -371,8 +372,7 @@
   CHECK(table.updateOwnSummary(summaryOfBothVms(1), own, TimePoint{ 100s }));
   LONGS_EQUAL(2, table.peerLoad("u").running);
   LONGS_EQUAL(3, table.demand().at("m/a1").waiting);
-  CHECK(table.summaries().at("dc1").summary.crashes ==
-        sampleStatus(1).crashes);
+  CHECK(table.summaries().at("dc1").summary.crashes == sampleStatus(1).crashes);
 }
 
 // Load must not count in the status of its VM and again in the summary of its
