Do not count engines that refuse connections as holders of their models

Cause: that nobody listens at an upstream's address was kept as a short ejection, which gives way if there is no other candidate, and only by the VMs that had tried it. The record, which says "ready" for three heartbeats more, decided everything else. Class: a stale statement is believed although it is known to be refuted.

A refused connect now makes the upstream unusable until it accepts a connection; it is probed once a second. If it then misdirects a request, another process has its address. The owner also probes upstreams whose crash a peer has reported. The placement counts its models as lost, but loads them elsewhere only into free memory and within 3 s, because the next process is back by then with the disk of the last.

--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -37,6 +37,7 @@
 /** Time in which a crash is confirmed, and requests with the same sound parts
  * finish on this VM or a peer reports some. */
 constexpr base::Duration kCrashEvidenceDelay = 400ms;
+constexpr int kMisdirected = 421;
 constexpr int kFirstServerError = 500;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
@@ -144,6 +145,9 @@
   const base::TimePoint now = base::monotonicNow();
   mContext.health.onUnreachable(aUpstream, now);
   mContext.crashes.onUpstreamGone(aUpstream, now);
+  if (const auto upstream = mContext.upstreams.find(aUpstream)) {
+    mContext.probe.start(upstream->peer());
+  }
   mContext.log.logStep(
     mMetadata.id, "unreachable upstream", aUpstream, "", now);
 }
@@ -219,8 +223,12 @@
     mLoadReservation->upstream()->reportedLoad = *metadata.load;
     mLoadReservation->upstream()->reportedAt = base::monotonicNow();
   }
-  if (mLoadReservation && !metadata.wrongUpstream) {
-    recordNotice(metadata.notice);
+  if (mLoadReservation) {
+    mLoadReservation->upstream()->onAnswer(aHead.status == kMisdirected,
+                                           metadata.wrongUpstream);
+    if (!metadata.wrongUpstream) {
+      recordNotice(metadata.notice);
+    }
   }
   mStreaming = mRoute->kind == catalog::RequestKind::Stream &&
                isSuccess(aHead.status) && isEventStream(aHead.headers) &&
@@ -429,7 +437,6 @@
   const base::TimePoint now = base::monotonicNow();
   --mUnresolvedSends;
   mNotAccepted = true;
-  constexpr int kMisdirected = 421;
   const auto upstream =
     mLoadReservation ? mLoadReservation->upstream() : nullptr;
   endCall();
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -21,6 +21,8 @@
 constexpr base::Duration kTickPeriod = 250ms;
 /** Debounce delay: orders and records often change together. */
 constexpr base::Duration kChangeDebounce = 10ms;
+/** Time between two probes of an upstream that refuses connections. */
+constexpr base::Duration kProbeInterval = 1s;
 /** A new VM becomes ready only after its peers had time to report their quota
  * usage. */
 constexpr base::Duration kPeerReportDelay = 400ms;
@@ -72,12 +74,8 @@
   , mPeers(mSettings.dataCentre)
   , mPool(mLoop)
   , mProbe(mLoop,
-           [this](const base::UpstreamName& aName) {
-             const base::TimePoint now = base::monotonicNow();
-             mOutliers.onUnreachable(aName, now);
-             mCrashes.onUpstreamGone(aName, now);
-             observe::logInfo("upstream refuses connections",
-                              { { "upstream", aName } });
+           [this](const wire::UpstreamKey& aUpstream, ProbeResult aResult) {
+             onProbe(aUpstream, aResult);
            })
   , mRequestLog(mMetrics)
   , mContext{ mLoop,
@@ -444,6 +442,28 @@
   mRetryWaiting.trigger(kChangeDebounce);
 }
 
+void
+Gateway::onProbe(const wire::UpstreamKey& aUpstream, ProbeResult aResult)
+{
+  if (aResult != ProbeResult::Accepted) {
+    const base::TimePoint now = base::monotonicNow();
+    mOutliers.onUnreachable(aUpstream.name, now);
+    mCrashes.onUpstreamGone(aUpstream.name, now);
+  }
+  if (const auto changed = mUpstreams.applyProbe(aUpstream, aResult)) {
+    observe::logInfo(changed->usable() ? "upstream accepts connections again"
+                                       : "upstream refuses connections",
+                     { { "upstream", aUpstream.name } });
+    schedulePlan();
+    scheduleRetries();
+  }
+  const auto upstream = mUpstreams.find(aUpstream.name);
+  if (upstream && upstream->peer() == aUpstream &&
+      upstream->presence == Presence::Refusing) {
+    mProbe.start(aUpstream, kProbeInterval);
+  }
+}
+
 void
 Gateway::endBlockedRequests()
 {
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -42,6 +42,7 @@
   void plan();
   void scheduleRetries();
   void endBlockedRequests();
+  void onProbe(const wire::UpstreamKey& aUpstream, ProbeResult aResult);
 
   // Process lifecycle.
   void tick();
--- a/apps/gateway/order_controller.cpp
+++ b/apps/gateway/order_controller.cpp
@@ -247,6 +247,7 @@
     engine.name = name;
     engine.dataCentre = record.dataCentre;
     engine.draining = !upstream->usable();
+    engine.restarting = upstream->processEnded();
     engine.orderable = known.reportReceived && !known.needsReport &&
                        !known.callInProgress && !known.loading &&
                        !known.unloading && aNow >= known.retryAt;
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -397,7 +397,7 @@
       vm, status.incarnation, status.usage, quota::Totals::All, now);
     mContext.quota.adoptLevels(status.levels, now);
   }
-  mContext.crashes.merge(status.crashes, now);
+  mergeCrashes(status.crashes, now);
   mContext.upstreams.markDraining(status.drainingUpstreams);
   if (status.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(vm);
@@ -405,6 +405,23 @@
   signalWaitingDemand(status.demand);
 }
 
+void
+PeerExchange::mergeCrashes(const peers::CrashTable& aCrashes,
+                           base::TimePoint aNow)
+{
+  // The owner of orders replaces lost models. In a large fleet hardly any of
+  // its own requests would show it the crash.
+  for (const auto& [process, evidence] : aCrashes) {
+    const auto upstream = mOrders.active() && !mContext.crashes.knows(process)
+                            ? mContext.upstreams.findProcess(process)
+                            : nullptr;
+    if (upstream) {
+      mContext.probe.start(upstream->peer());
+    }
+  }
+  mContext.crashes.merge(aCrashes, aNow);
+}
+
 void
 PeerExchange::handle(peers::Summary& aSummary, const std::string& aBytes)
 {
@@ -433,7 +450,7 @@
         vm, member.incarnation, member.usage, totals, now);
     }
   }
-  mContext.crashes.merge(summary.crashes, now);
+  mergeCrashes(summary.crashes, now);
   mContext.upstreams.markDraining(summary.drainingUpstreams);
   if (summary.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(summary.relay);
--- a/apps/gateway/reachability_probe.cpp
+++ b/apps/gateway/reachability_probe.cpp
@@ -12,32 +12,47 @@
 } // namespace
 
 void
-ReachabilityProbe::start(const wire::UpstreamKey& aUpstream)
+ReachabilityProbe::start(const wire::UpstreamKey& aUpstream,
+                         base::Duration aDelay)
 {
   const auto [found, isNew] = mProbes.try_emplace(aUpstream);
   if (!isNew) {
     return;
   }
-  Probe& probe = found->second;
-  probe.transport = std::make_unique<wire::Transport>(mLoop, aUpstream.address);
+  if (aDelay <= base::Duration::zero()) {
+    connect(aUpstream);
+    return;
+  }
+  found->second.timer =
+    mLoop.after(aDelay, [this, aUpstream] { connect(aUpstream); });
+}
+
+void
+ReachabilityProbe::connect(const wire::UpstreamKey& aUpstream)
+{
+  // The assignment of the timer may destroy the callback that runs.
+  const wire::UpstreamKey upstream = aUpstream;
+  Probe& probe = mProbes.at(upstream);
+  probe.transport = std::make_unique<wire::Transport>(mLoop, upstream.address);
   probe.transport->setEvents(
-    { [this, aUpstream] { end(aUpstream, true); },
+    { [this, upstream] { end(upstream, ProbeResult::Accepted); },
       {},
       {},
-      [this, aUpstream](wire::TransportEnd) { end(aUpstream, false); } });
-  probe.timeout =
-    mLoop.after(kProbeTimeout, [this, aUpstream] { end(aUpstream, false); });
+      [this, upstream](wire::TransportEnd aEnd) {
+        end(upstream,
+            aEnd == wire::TransportEnd::Refused ? ProbeResult::Refused
+                                                : ProbeResult::NoAnswer);
+      } });
+  probe.timer = mLoop.after(
+    kProbeTimeout, [this, upstream] { end(upstream, ProbeResult::NoAnswer); });
 }
 
 void
-ReachabilityProbe::end(const wire::UpstreamKey& aUpstream, bool aReachable)
+ReachabilityProbe::end(const wire::UpstreamKey& aUpstream, ProbeResult aResult)
 {
-  // Destroys the callback that runs, so its captures must not be used later.
-  const base::UpstreamName name = aUpstream.name;
-  mProbes.erase(aUpstream);
-  if (!aReachable) {
-    mOnUnreachable(name);
-  }
+  // The callback that runs, which owns aUpstream, must live until the end.
+  const auto ended = mProbes.extract(aUpstream);
+  mOnResult(aUpstream, aResult);
 }
 
 } // namespace marigold::gateway
--- a/apps/gateway/reachability_probe.h
+++ b/apps/gateway/reachability_probe.h
@@ -1,4 +1,4 @@
-/** @file Finds out whether an upstream is gone whose connection broke. */
+/** @file Finds out whether a process listens at the address of an upstream. */
 #pragma once
 
 #include "base/base.h"
@@ -9,6 +9,14 @@
 
 namespace marigold::gateway {
 
+/** Result of connecting to an upstream. */
+enum class ProbeResult : std::uint8_t
+{
+  Accepted,
+  Refused, ///< no process listens at the address
+  NoAnswer,
+};
+
 /**
  * Connects to upstreams without sending a request. A connection that broke may
  * be the only one of this VM for seconds, while requests that crash upstreams
@@ -17,30 +25,30 @@
 class ReachabilityProbe
 {
 public:
-  /** @param aLoop event loop
-   * @param aOnUnreachable runs if an upstream accepts no connection */
-  ReachabilityProbe(
-    http::Loop& aLoop,
-    std::function<void(const base::UpstreamName&)> aOnUnreachable)
+  using Callback = std::function<void(const wire::UpstreamKey&, ProbeResult)>;
+
+  /** @param aLoop event loop @param aOnResult runs at the end of each probe */
+  ReachabilityProbe(http::Loop& aLoop, Callback aOnResult)
     : mLoop(aLoop)
-    , mOnUnreachable(std::move(aOnUnreachable))
+    , mOnResult(std::move(aOnResult))
   {
   }
 
-  /** Connects to an upstream unless a probe of it is running.
-   * @param aUpstream upstream */
-  void start(const wire::UpstreamKey& aUpstream);
+  /** Connects to an upstream unless a probe of it is running or due.
+   * @param aUpstream upstream @param aDelay time until the probe starts */
+  void start(const wire::UpstreamKey& aUpstream, base::Duration aDelay = {});
 
 private:
   struct Probe
   {
     std::unique_ptr<wire::Transport> transport;
-    http::EventHandle timeout;
+    http::EventHandle timer;
   };
-  void end(const wire::UpstreamKey& aUpstream, bool aReachable);
+  void connect(const wire::UpstreamKey& aUpstream);
+  void end(const wire::UpstreamKey& aUpstream, ProbeResult aResult);
 
   http::Loop& mLoop;
-  std::function<void(const base::UpstreamName&)> mOnUnreachable;
+  Callback mOnResult;
   std::map<wire::UpstreamKey, Probe> mProbes;
 };
 
--- a/apps/gateway/upstream_table.cpp
+++ b/apps/gateway/upstream_table.cpp
@@ -13,6 +13,16 @@
 
 } // namespace
 
+void
+Upstream::onAnswer(bool aMisdirected, bool aByOther)
+{
+  if (!aMisdirected) {
+    presence = Presence::Present;
+  } else if (aByOther || presence == Presence::Doubtful) {
+    presence = Presence::Replaced;
+  }
+}
+
 UpstreamTable::Change
 UpstreamTable::apply(const catalog::UpstreamRecord& aRecord)
 {
@@ -32,7 +42,7 @@
     mUnloadingModels.erase(aRecord.name);
     return Change::Restarted;
   }
-  const bool startedDraining = upstream->usable() && aRecord.draining;
+  const bool startedDraining = !upstream->record.draining && aRecord.draining;
   const bool modelsChanged = upstream->record.models != aRecord.models;
   if (modelsChanged) {
     upstream->refusedModels.clear();
@@ -42,12 +52,34 @@
   upstream->record = aRecord;
   upstream->record.draining = aRecord.draining || wasDraining;
   upstream->removed = false;
+  if (startedDraining || modelsChanged) {
+    upstream->presence = Presence::Present; // Its process has written that.
+  }
   if (startedDraining) {
     return Change::Draining;
   }
   return modelsChanged ? Change::ModelsChanged : Change::None;
 }
 
+std::shared_ptr<Upstream>
+UpstreamTable::applyProbe(const wire::UpstreamKey& aUpstream,
+                          ProbeResult aResult)
+{
+  const auto upstream = find(aUpstream.name);
+  if (!upstream || upstream->peer() != aUpstream) {
+    return nullptr;
+  }
+  const bool wasUsable = upstream->usable();
+  if (aResult == ProbeResult::Refused &&
+      upstream->presence != Presence::Replaced) {
+    upstream->presence = Presence::Refusing;
+  } else if (aResult == ProbeResult::Accepted &&
+             upstream->presence == Presence::Refusing) {
+    upstream->presence = Presence::Doubtful;
+  }
+  return upstream->usable() != wasUsable ? upstream : nullptr;
+}
+
 bool
 UpstreamTable::remove(const base::UpstreamName& aName)
 {
@@ -164,6 +196,16 @@
     });
 }
 
+std::shared_ptr<Upstream>
+UpstreamTable::findProcess(peers::ProcessTag aTag) const
+{
+  const auto found = std::find_if(
+    mUpstreams.begin(), mUpstreams.end(), [aTag](const auto& aItem) {
+      return aItem.second->usable() && aItem.second->process().tag() == aTag;
+    });
+  return found == mUpstreams.end() ? nullptr : found->second;
+}
+
 std::shared_ptr<Upstream>
 UpstreamTable::find(const base::UpstreamName& aName) const
 {
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -1,6 +1,7 @@
 /** @file Known upstreams and the load that this VM causes on each. */
 #pragma once
 
+#include "apps/gateway/reachability_probe.h"
 #include "catalog/catalog.h"
 #include "dispatch/dispatch.h"
 #include "peers/peers.h"
@@ -12,11 +13,22 @@
 
 namespace marigold::gateway {
 
+/** Whether the process of a record still runs, as far as this VM has seen. The
+ * record of a crashed one stays for several heartbeats. */
+enum class Presence : std::uint8_t
+{
+  Present,
+  Refusing, ///< nothing listens at its address
+  Doubtful, ///< something listens there again; an answer shows whether it is it
+  Replaced, ///< another process answers there
+};
+
 /** An upstream and the load that this VM causes on it. */
 struct Upstream
 {
   catalog::UpstreamRecord record;
   bool removed = false; ///< its record was removed
+  Presence presence = Presence::Present;
   std::uint32_t running = 0;
   double queuedMs = 0;
   double lowPriorityMs = 0;
@@ -27,8 +39,23 @@
    * which it gets no requests for them. */
   std::map<catalog::ModelRef, base::TimePoint> refusedModels;
 
+  /** @return true if its process seems to have ended */
+  bool processEnded() const
+  {
+    return presence == Presence::Refusing || presence == Presence::Replaced;
+  }
+
   /** @return true if it accepts new requests */
-  bool usable() const { return !removed && !record.draining; }
+  bool usable() const
+  {
+    return !removed && !record.draining && !processEnded();
+  }
+
+  /** Takes note of an answer from its address.
+   * @param aMisdirected true if the answer says that the request, which named
+   * this upstream, its model and its adapter, is for another one
+   * @param aByOther true if the answer names another upstream */
+  void onAnswer(bool aMisdirected, bool aByOther);
 
   dispatch::UpstreamProcess process() const
   {
@@ -58,6 +85,12 @@
   /** @param aRecord latest record of an upstream @return effect on the table */
   Change apply(const catalog::UpstreamRecord& aRecord);
 
+  /** Takes note of whether a process listens at an address.
+   * @param aUpstream name and address @param aResult result of connecting
+   * @return the upstream if it became usable or unusable, or nullptr */
+  std::shared_ptr<Upstream> applyProbe(const wire::UpstreamKey& aUpstream,
+                                       ProbeResult aResult);
+
   /** Removes an upstream whose record was removed. @return true if it was known
    */
   bool remove(const base::UpstreamName& aName);
@@ -89,6 +122,10 @@
 
   const Map& all() const { return mUpstreams; }
 
+  /** @param aTag tag of a process
+   * @return the usable upstream with this process, or nullptr */
+  std::shared_ptr<Upstream> findProcess(peers::ProcessTag aTag) const;
+
   /** @param aName upstream name @return the upstream, or nullptr if unknown */
   std::shared_ptr<Upstream> find(const base::UpstreamName& aName) const;
 
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -62,6 +62,13 @@
                  base::TimePoint aBegunAt,
                  base::TimePoint aNow);
 
+  /** @param aProcess process of an upstream
+   * @return true if it is known to have crashed */
+  bool knows(peers::ProcessTag aProcess) const
+  {
+    return mCrashes.contains(aProcess);
+  }
+
   /** Adds evidence from a peer. @param aTable evidence @param aNow time */
   void merge(const peers::CrashTable& aTable, base::TimePoint aNow);
 
--- a/libs/residency/fleet_stats.cpp
+++ b/libs/residency/fleet_stats.cpp
@@ -89,6 +89,7 @@
     presence.holds = true;
     presence.unloading = held.unloading;
     model.replicas += aEngine.draining || held.unloading ? 0U : 1U;
+    model.onRestartingEngine |= aEngine.restarting;
     added.usedSlots += adapters.size();
     for (const std::string& adapter : adapters) {
       AdapterStats& stats = model.adapters[adapter];
@@ -99,6 +100,7 @@
   }
   for (const base::ModelName& name : aEngine.loading) {
     presenceOn(name, aIndex).loading = true;
+    modelStats(name).onRestartingEngine |= aEngine.restarting;
     modelStats(name).replicas +=
       aEngine.draining || aEngine.models.contains(name) ? 0U : 1U;
   }
--- a/libs/residency/fleet_stats.h
+++ b/libs/residency/fleet_stats.h
@@ -41,8 +41,9 @@
   const catalog::Model* spec = nullptr; ///< null: no longer configured
   /** Engines that hold or load it and neither drain nor unload it. */
   unsigned replicas = 0;
-  double workMsPerSecond = 0; ///< including its adapters' work
-  unsigned waiting = 0;       ///< waiting requests, without its adapters'
+  bool onRestartingEngine = false; ///< a restarting engine held or loaded it
+  double workMsPerSecond = 0;      ///< including its adapters' work
+  unsigned waiting = 0;            ///< waiting requests, without its adapters'
   /** Longest Demand::unservedTime of the model and its adapters. */
   base::Duration unservedTime{};
   std::vector<ModelPresence> presences; ///< in the order of the engines
--- a/libs/residency/plan_models.cpp
+++ b/libs/residency/plan_models.cpp
@@ -43,6 +43,9 @@
 /** Work below which the last replica of a model may be evicted for a model that
  * requests wait for. */
 constexpr double kIdleLastReplicaMsPerSecond = 1;
+/** Time in which an engine restarts and loads its models from disk again. A
+ * load elsewhere that takes longer does not help their callers. */
+constexpr base::Duration kRestartTime = 3s;
 /** Costs of the load time and of the engine's other work when an engine is
  * chosen for a replica. */
 constexpr double kCostPerLoadSecond = 10;
@@ -267,13 +270,18 @@
     const base::Duration load = presence.inMemory ? model.memoryLoadTime
                                 : presence.onDisk ? model.diskLoadTime
                                                   : model.storeLoadTime;
+    const bool memoryIsFree = engine.freeMb >= model.weightsMb;
+    if (aNeed.model->onRestartingEngine &&
+        (!memoryIsFree || load > kRestartTime)) {
+      return false;
+    }
     const double gain = aNeed.gainWithSlots(mSlots.at(aEngine).available);
     if (gain <= kMinGain) {
       return false;
     }
     aPlacement.gain = gain - base::inSeconds(load) * kCostPerLoadSecond -
                       engine.workMsPerSecond * kCostPerEngineWorkMs;
-    if (engine.freeMb >= model.weightsMb) {
+    if (memoryIsFree) {
       return true;
     }
     const Victim& victim = cachedVictim(aEngine, policyFor(aNeed));
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -26,6 +26,9 @@
   base::UpstreamName name;
   base::DataCentre dataCentre;
   bool draining = false; ///< gets no orders; its replicas do not count
+  /** Its process has ended, so it counts as draining too. The next one is soon
+   * there, empty but with the same disk. */
+  bool restarting = false;
   bool orderable = true; ///< false while an order runs or its state is unknown
   /** Models in the engine's record, each with its resident adapters. */
   std::map<base::ModelName, std::set<std::string>> models;
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -285,6 +285,38 @@
   CHECK(residency::planModels(input).empty());
 }
 
+// The only holder of a model has crashed and will be back within seconds, with
+// its disk. Guards against long loads and evictions that end after that.
+TEST(PlanModels, ModelOfARestartingEngineIsLoadedElsewhereOnlyIfThatIsQuick)
+{
+  spec = makeSpec({ "a", "b", "c" });
+  const auto loadsHotModel = [this] {
+    return orderFor(residency::planModels(input), "a", true) != nullptr;
+  };
+  const auto evicts = [this] {
+    const auto orders = residency::planModels(input);
+    return std::any_of(orders.begin(),
+                       orders.end(),
+                       [](const PlannedOrder& aOrder) { return !aOrder.load; });
+  };
+  input.demand = { { { "a", "" }, { 500, 5, 0 } },
+                   { { "b", "" }, { 1, 0, 0 } } };
+  input.engines = { engine("e1", { "a" }), engine("e2", { "b" }) };
+  input.engines[0].draining = true;
+  input.engines[0].restarting = true;
+  CHECK(!loadsHotModel());
+  input.engines[1].cachedOnDisk = { "a" };
+  CHECK(loadsHotModel());
+
+  spec.weightsMb = 2 * kWeightsMb + 1000;
+  input.engines[1].models["c"] = {};
+  input.engines.push_back(engine("e3", { "b", "c" }));
+  CHECK(!evicts());
+  // Once its record is removed, nobody knows whether it will be back.
+  input.engines.erase(input.engines.begin());
+  CHECK(evicts());
+}
+
 TEST_GROUP(PlanAdapters)
 {
   catalog::EngineSpec spec = makeSpec({ "a", "b" });
--- a/libs/wire/transport.cpp
+++ b/libs/wire/transport.cpp
@@ -1,6 +1,7 @@
 #include "wire/transport.h"
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -28,6 +29,17 @@
   setsockopt(aDescriptor, aLevel, aName, &aValue, sizeof(aValue));
 }
 
+/** Runs in the callback of an event, which has set the error of the socket. */
+TransportEnd
+endOf(short aFlags)
+{
+  if ((aFlags & BEV_EVENT_EOF) != 0) {
+    return TransportEnd::Orderly;
+  }
+  return EVUTIL_SOCKET_ERROR() == ECONNREFUSED ? TransportEnd::Refused
+                                               : TransportEnd::Failed;
+}
+
 void
 setSocketOptions(int aDescriptor)
 {
@@ -228,10 +240,10 @@
     }
     return;
   }
+  const TransportEnd end = endOf(aFlags);
   const auto callback = self->mEvents.ended;
   if (callback) {
-    callback((aFlags & BEV_EVENT_EOF) != 0 ? TransportEnd::Orderly
-                                           : TransportEnd::Failed);
+    callback(end);
   }
 }
 
--- a/libs/wire/transport.h
+++ b/libs/wire/transport.h
@@ -23,7 +23,8 @@
 enum class TransportEnd : std::uint8_t
 {
   Orderly, ///< the peer closed after sending all its bytes
-  Failed,  ///< reset, timed out or refused
+  Refused, ///< no process listens at the address
+  Failed,  ///< reset or timed out
 };
 
 /** Callbacks of a connection. */
