Count the time that an order travels towards the pause between two owners

Cause: an owner sends no orders in the last 1.1 s of its ownership, and the next one may order 2.3 s after its claim, together 3.4 s after the last send. But an order that is slow to connect, or whose bytes are sent again, arrives up to 0.9 s after the decision (timeout 0.7 s, one retransmission), so 2.5 s may lie between two arrivals where 3 s are demanded. The margin was meant for late timers, although the decision is taken at the time of sending. Class: a bound on arrivals is kept for the moments of sending.

The rule moves from Fleet to residency/order_ownership, where both sides are tested with a controlled clock: an ownership that ends with its lease, and one that is given up by a planned stop.

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "observe/log.h"
 #include "peers/peers.h"
+#include "residency/residency.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -25,16 +26,10 @@
 /** Allow three renewals in a term, so that one may be lost. */
 constexpr base::Duration kRegistrationRenewal = 1500ms;
 constexpr base::Duration kOwnershipRenewal = 450ms;
-/** The owner sends no orders when less than this is left of its lease. It
- * covers an order in flight and most of the pause before the next owner's
- * first order. */
-constexpr base::Duration kOrderLeaseMargin = 1100ms;
 constexpr base::Duration kTickInterval = 150ms;
 constexpr base::Duration kMaxRegistrationBackoff = 1200ms;
 /** Minimum delay between a change and the next watch call. */
 constexpr base::Duration kWatchPause = 150ms;
-/** Added to the pause between two owners because timers may fire late. */
-constexpr base::Duration kOrderPauseMargin = 400ms;
 /** Delay between the claims of two VMs for a free ownership, so that usually
  * only one of them writes to the store. */
 constexpr base::Duration kClaimStagger = 150ms;
@@ -97,7 +92,7 @@
 {
   mClaimsEnabled = false;
   const base::Duration wait =
-    aLastOrderAt + kOrderLeaseMargin - base::monotonicNow();
+    residency::releasableFrom(aLastOrderAt) - base::monotonicNow();
   if (wait <= base::Duration::zero()) {
     removeOwnership();
     return;
@@ -239,12 +234,10 @@
 bool
 Fleet::canSendOrders(base::TimePoint aNow) const
 {
-  // The previous owner sent no orders during kOrderLeaseMargin, so that time
-  // counts towards the pause between two owners.
   return ownsOrders() && mClaimsEnabled &&
-         mOwnerLease.validFor(aNow, kOrderLeaseMargin) &&
-         aNow > mOwnedSince + mSettings.orderPause - kOrderLeaseMargin +
-                  kOrderPauseMargin;
+         residency::mayOrder({ mStartedAt, mOwnedSince, mOwnerLease.endsAt() },
+                             mSettings.orderPause,
+                             aNow);
 }
 
 platform::Revision
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -116,6 +116,7 @@
   Lease mLease;                      ///< of the registration
   Lease mOwnerLease; ///< of the order ownership, held while claiming or owning
   std::string mOwnershipLease; ///< lease under which the ownership was claimed
+  base::TimePoint mStartedAt = base::monotonicNow();
   base::TimePoint mOwnedSince{};
   base::TimePoint mOwnershipFreeAt{};
   bool mSynced = false;
--- a/apps/gateway/lease.cpp
+++ b/apps/gateway/lease.cpp
@@ -124,7 +124,7 @@
 bool
 Lease::validFor(base::TimePoint aNow, base::Duration aMargin) const
 {
-  return held() && aNow + aMargin < mRenewedAt + mTerm;
+  return aNow + aMargin < endsAt();
 }
 
 } // namespace marigold::gateway
--- a/apps/gateway/lease.h
+++ b/apps/gateway/lease.h
@@ -41,6 +41,13 @@
   /** @return when the latest successful call was sent */
   base::TimePoint renewedAt() const { return mRenewedAt; }
 
+  /** @return earliest time at which the store may end the lease; the past
+   * without a lease */
+  base::TimePoint endsAt() const
+  {
+    return held() ? mRenewedAt + mTerm : base::TimePoint{};
+  }
+
   /** @param aNow time @param aMargin time that must be left
    * @return true if the lease cannot end within the margin */
   bool validFor(base::TimePoint aNow, base::Duration aMargin) const;
--- a/apps/gateway/order_controller.cpp
+++ b/apps/gateway/order_controller.cpp
@@ -9,8 +9,6 @@
 
 using namespace std::chrono_literals;
 
-/** Engines respond within a round trip; a later response counts as lost. */
-constexpr base::Duration kOrderTimeout = 700ms;
 /** Delay before the state of an engine is read again after a conflict, a lost
  * response or a report. */
 constexpr base::Duration kReportDelay = 400ms;
@@ -184,8 +182,8 @@
       onReport(aName, aAnswer.body);
     }
   };
-  aEngine.call =
-    mClient.start(aEngine.address, request, kOrderTimeout, std::move(events));
+  aEngine.call = mClient.start(
+    aEngine.address, request, residency::kOrderTimeout, std::move(events));
 }
 
 void
@@ -323,7 +321,7 @@
   // A new connection, because a pooled one may be closing.
   engine.call = mClient.start(engine.address,
                               boundary::encodeOrder(order, aOrder.engine),
-                              kOrderTimeout,
+                              residency::kOrderTimeout,
                               std::move(events),
                               false);
 }
--- /dev/null
+++ b/libs/residency/order_ownership.h
@@ -0,0 +1,36 @@
+/** @file When the owner of orders may send them and give up the ownership. */
+#pragma once
+
+#include "base/base.h"
+
+namespace marigold::residency {
+
+/** Engines respond within a round trip; a later answer to an order counts as
+ * lost. */
+constexpr base::Duration kOrderTimeout = std::chrono::milliseconds(700);
+
+/** Times that decide whether an owner may send orders. */
+struct OrderOwnership
+{
+  base::TimePoint startedAt{};   ///< start of this VM's process
+  base::TimePoint ownedSince{};  ///< when this VM learnt that it is the owner
+  base::TimePoint leaseEndsAt{}; ///< earliest end of its lease
+};
+
+/**
+ * @param aOwnership ownership of this VM
+ * @param aPause time between the orders of two VMs that the platform demands
+ * @param aNow time
+ * @return true if orders may be sent
+ */
+bool
+mayOrder(const OrderOwnership& aOwnership,
+         base::Duration aPause,
+         base::TimePoint aNow);
+
+/** @param aLastOrderAt when the latest order was sent
+ * @return when the ownership may be given up before its lease ends */
+base::TimePoint
+releasableFrom(base::TimePoint aLastOrderAt);
+
+} // namespace marigold::residency
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -9,6 +9,7 @@
 #include "base/base.h"
 #include "catalog/model_name.h"
 #include "catalog/types.h"
+#include "residency/order_ownership.h"
 #include "residency/plan_schedule.h"
 #include "residency/store_load_limiter.h"
 #include "residency/unserved_tracker.h"
--- /dev/null
+++ b/libs/residency/tests/order_ownership_tests.cpp
@@ -0,0 +1,70 @@
+/** @file Tests of the time between the orders of two owners. */
+#include "residency/order_ownership.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace marigold;
+using namespace std::chrono_literals;
+using base::TimePoint;
+using residency::OrderOwnership;
+
+/** An order may take until its timeout to arrive, the next owner's first one no
+ * time at all. */
+TEST_GROUP(OrderOwnership)
+{
+  static constexpr base::Duration kPause = 3s;
+  static constexpr base::Duration kTerm = 2s;
+  static constexpr base::Duration kStep = 1ms;
+  /** Bytes that the kernel has taken are sent again after a loss. */
+  static constexpr base::Duration kRetransmission = 200ms;
+  static constexpr base::Duration kFlight =
+    residency::kOrderTimeout + kRetransmission;
+  const TimePoint start{ 100s };
+
+  /** @return the latest order that the owner may send if its lease ends */
+  TimePoint lastOrder(TimePoint aLeaseEnd) const
+  {
+    TimePoint last{};
+    const OrderOwnership owner{ start, start, aLeaseEnd };
+    for (TimePoint now = start; now < aLeaseEnd; now += kStep) {
+      last = residency::mayOrder(owner, kPause, now) ? now : last;
+    }
+    return last;
+  }
+
+  /** @return the first order that a VM may send after its claim */
+  TimePoint firstOrder(TimePoint aClaim) const
+  {
+    const OrderOwnership owner{ start, aClaim, aClaim + 1h };
+    TimePoint now = aClaim;
+    while (!residency::mayOrder(owner, kPause, now)) {
+      now += kStep;
+    }
+    return now;
+  }
+};
+
+// The owner fails or is cut off; its lease ends and another VM claims at once.
+// Guards against an order of each within the pause.
+TEST(OrderOwnership, PausePassesAfterALeaseThatEnds)
+{
+  const TimePoint end = start + 60s;
+  CHECK(firstOrder(end) - (lastOrder(end) + kFlight) >= kPause);
+}
+
+// Guards against the same after an owner that stops and gives up its ownership.
+TEST(OrderOwnership, PausePassesAfterAPlannedStop)
+{
+  const TimePoint order = start + 60s;
+  const TimePoint claim = residency::releasableFrom(order);
+  CHECK(firstOrder(claim) - (order + kFlight) >= kPause);
+}
+
+// Guards against an owner that never orders, because its lease counts as ending
+// all the time although it is renewed every half second.
+TEST(OrderOwnership, OwnerOrdersWhileItsLeaseIsRenewed)
+{
+  const TimePoint renewed = start + 60s;
+  const OrderOwnership owner{ start, start, renewed + kTerm };
+  CHECK(residency::mayOrder(owner, kPause, renewed + 600ms));
+}
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -12,8 +12,8 @@
 from gateway_process import OPERATOR, ORDER_PAUSE, Gateway
 from users_platform import HOST, ROUTES, Platform, Upstream
 
-# Seconds of the pause that an owner grants before its ownership ends (fleet.cpp: the
-# margin of its lease without that for late timers).
+# Seconds of the pause that an owner at least grants before its ownership ends. What it grants is
+# in residency/order_ownership.cpp, with the tests of both sides together.
 OWNER_HEAD_START = 0.7
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
