Let the next process of a killed owner of orders take its ownership over

What callers saw: after a kill of the owner nobody ordered models for 4 s and more: its next process, back after half a second, waited for the end of the former lease (2 s) and then for the pause between the orders of two owners, though both are the same VM.

Cause: an ownership belonged to a process, but the platform's pause is between VMs.

The record of the ownership now names the VM's address and whether the pause after the previous owner's orders is over ("settled", written before the first order). A process that finds the settled ownership of its VM's former process replaces it with a write that expects its revision, and may order 0.9 s after its start, when orders in flight have arrived. The loads of the former process are unknown to it, so the window of the weights store counts as full from its start on. An entry that the watch delivers after a newer one is ignored.

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -2,7 +2,6 @@
 
 #include "observe/log.h"
 #include "peers/peers.h"
-#include "residency/residency.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -189,6 +188,9 @@
 void
 Fleet::applyOwner(const platform::Entry& aEntry)
 {
+  if (mOwner && aEntry.revision < mOwner->fencingToken) {
+    return; // The answer to a write has arrived before the watch.
+  }
   if (!aEntry.value) {
     observe::logInfo("order ownership is free",
                      { { "revision", std::to_string(aEntry.revision) } });
@@ -199,21 +201,25 @@
   const json content = json::parse(*aEntry.value, nullptr, false);
   Ownership owner;
   owner.vm = content.value("vm", "");
+  owner.address = content.value("address", "");
   owner.incarnation = content.value("incarnation", base::Incarnation{ 0 });
   owner.fencingToken = aEntry.revision;
-  const bool isNew = !mOwner || mOwner->fencingToken != owner.fencingToken;
-  mOwner = owner;
-  if (!isSelf(owner) && !mClaimCallPending) {
+  owner.settled = content.value("settled", false);
+  const auto previous = std::exchange(mOwner, owner);
+  if (!isSelf(owner) && !isFormerProcess(owner) && !mClaimCallPending) {
     mOwnerLease.drop("another VM owns the orders");
   }
-  if (isNew) {
-    if (isSelf(owner)) {
-      mOwnedSince = base::monotonicNow();
-    }
-    observe::logInfo("order owner",
-                     { { "owner", owner.vm },
-                       { "fence", std::to_string(owner.fencingToken) } });
+  if (previous && previous->fencingToken == owner.fencingToken) {
+    return;
+  }
+  if (isSelf(owner) && !(previous && isSelf(*previous))) {
+    mOwnedSince = base::monotonicNow();
+    mSucceededItself = owner.settled;
   }
+  observe::logInfo("order owner",
+                   { { "owner", owner.vm },
+                     { "fence", std::to_string(owner.fencingToken) },
+                     { "settled", owner.settled ? "yes" : "no" } });
 }
 
 bool
@@ -222,6 +228,23 @@
   return aOwner.vm == mSettings.vm && aOwner.incarnation == mIncarnation;
 }
 
+bool
+Fleet::isFormerProcess(const Ownership& aOwner) const
+{
+  return aOwner.vm == mSettings.vm &&
+         aOwner.address == mSettings.operatorAddress.text() &&
+         aOwner.incarnation != mIncarnation;
+}
+
+residency::OrderOwnership
+Fleet::orderOwnership() const
+{
+  return { mStartedAt,
+           mOwnedSince,
+           mOwnerLease.endsAt(),
+           mOwner && isSelf(*mOwner) && mOwner->settled };
+}
+
 /** An ownership ends with the lease under which it was written, even if this VM
  * has a newer lease and has not seen the removal of the key yet. */
 bool
@@ -235,9 +258,14 @@
 Fleet::canSendOrders(base::TimePoint aNow) const
 {
   return ownsOrders() && mClaimsEnabled &&
-         residency::mayOrder({ mStartedAt, mOwnedSince, mOwnerLease.endsAt() },
-                             mSettings.orderPause,
-                             aNow);
+         residency::mayOrder(orderOwnership(), aNow);
+}
+
+base::Duration
+Fleet::timeWithoutOrders(base::TimePoint aNow) const
+{
+  return mSucceededItself ? std::min(mSettings.orderPause, aNow - mStartedAt)
+                          : mSettings.orderPause;
 }
 
 platform::Revision
@@ -262,9 +290,15 @@
   if (mRegistrationRevision == 0) {
     writeRegistration();
   }
-  if (now >= mOwnershipFreeAt + kClaimStagger * claimRank()) {
+  const bool mustWait =
+    !mOwner && now < mOwnershipFreeAt + kClaimStagger * claimRank();
+  if (!mustWait) {
     claimOwnership();
   }
+  if (ownsOrders() && mClaimsEnabled && !mOwner->settled &&
+      residency::maySettle(orderOwnership(), mSettings.orderPause, now)) {
+    settleOwnership();
+  }
 }
 
 std::size_t
@@ -320,7 +354,8 @@
 void
 Fleet::claimOwnership()
 {
-  if (mClaimCallPending || !mClaimsEnabled || !mSynced || mOwner ||
+  const bool claimable = !mOwner || isFormerProcess(*mOwner);
+  if (mClaimCallPending || !mClaimsEnabled || !mSynced || !claimable ||
       mRegistrationRevision == 0) {
     return;
   }
@@ -329,13 +364,35 @@
     mOwnerLease.request(); // Calls again when the lease was granted.
     return;
   }
-  mClaimCallPending = true;
   mOwnershipLease = mOwnerLease.id();
-  const json content{ { "vm", mSettings.vm }, { "incarnation", mIncarnation } };
+  writeOwnership(mOwner ? mOwner->fencingToken : 0, mOwner && mOwner->settled);
+}
+
+/** Records that the pause is over. The first order is sent afterwards, so a
+ * later process of this VM never finds an ownership without it after orders. */
+void
+Fleet::settleOwnership()
+{
+  if (!mClaimCallPending) {
+    writeOwnership(mOwner->fencingToken, true);
+  }
+}
+
+/** @param aExpected revision of the key that is replaced, 0 if there is none
+ * @param aSettled whether the pause after the previous owner's orders is over
+ */
+void
+Fleet::writeOwnership(platform::Revision aExpected, bool aSettled)
+{
+  mClaimCallPending = true;
+  const json content{ { "vm", mSettings.vm },
+                      { "address", mSettings.operatorAddress.text() },
+                      { "incarnation", mIncarnation },
+                      { "settled", aSettled } };
   mClient.write(
     kOwnerKey,
     content.dump(),
-    0,
+    aExpected,
     mOwnershipLease,
     [this, content](const base::Captured<platform::Revision>& aResult) {
       mClaimCallPending = false;
@@ -347,7 +404,7 @@
       } else if (error->code == base::Code::NotFound) {
         mOwnerLease.drop("not found in the store");
       } else if (error->code == base::Code::RevisionConflict) {
-        if (mOwner && !isSelf(*mOwner)) {
+        if (mOwner && !isSelf(*mOwner) && !isFormerProcess(*mOwner)) {
           mOwnerLease.drop("another VM owns the orders");
         }
       } else {
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -4,6 +4,7 @@
 #include "apps/gateway/lease.h"
 #include "apps/gateway/prefix_watch.h"
 #include "apps/gateway/settings.h"
+#include "residency/residency.h"
 
 #include <sigc++/sigc++.h>
 
@@ -23,8 +24,10 @@
 struct Ownership
 {
   base::VmName vm;
+  std::string address; ///< operator address, which the VM keeps while it exists
   base::Incarnation incarnation = 0;
   platform::Revision fencingToken = 0; ///< store revision of the ownership key
+  bool settled = false; ///< the pause after the previous owner's orders is over
 };
 
 /**
@@ -32,6 +35,8 @@
  * the other VMs, and claims the order ownership when it is free. The ownership
  * has a shorter lease of its own, so that another VM soon takes over from an
  * owner that failed, while the fleet need not renew all registrations as often.
+ * If the process of the owner is killed, the VM's next one takes the ownership
+ * over without waiting for the end of the lease.
  * The store removes a key when its lease ends.
  */
 class Fleet
@@ -84,6 +89,10 @@
    * valid long enough to send one */
   bool canSendOrders(base::TimePoint aNow) const;
 
+  /** @return time for which neither another VM nor this VM's former process can
+   * have sent an order; valid once orders can be sent. @param aNow time */
+  base::Duration timeWithoutOrders(base::TimePoint aNow) const;
+
   /** @return fencing token of this VM's ownership, 0 if it is not the owner */
   platform::Revision fencingToken() const;
 
@@ -97,8 +106,12 @@
   void tick();
   void writeRegistration();
   void claimOwnership();
+  void settleOwnership();
+  void writeOwnership(platform::Revision aExpected, bool aSettled);
   void removeOwnership();
   bool isSelf(const Ownership& aOwner) const;
+  bool isFormerProcess(const Ownership& aOwner) const;
+  residency::OrderOwnership orderOwnership() const;
   std::size_t claimRank() const;
   bool ownsOrders() const;
 
@@ -118,6 +131,7 @@
   std::string mOwnershipLease; ///< lease under which the ownership was claimed
   base::TimePoint mStartedAt = base::monotonicNow();
   base::TimePoint mOwnedSince{};
+  bool mSucceededItself = false; ///< took over from this VM's former process
   base::TimePoint mOwnershipFreeAt{};
   bool mSynced = false;
   bool mReadsStore = true;
--- a/apps/gateway/order_controller.cpp
+++ b/apps/gateway/order_controller.cpp
@@ -47,7 +47,8 @@
   mActive = true;
   mFencingToken = mFleet.fencingToken();
   mEngines.clear();
-  mStoreLoads.startOwnership(mSettings.orderPause, base::monotonicNow());
+  const base::TimePoint now = base::monotonicNow();
+  mStoreLoads.startOwnership(mFleet.timeWithoutOrders(now), now);
   observe::logInfo("orders taken over",
                    { { "fence", std::to_string(mFencingToken) } });
 }
--- a/libs/residency/order_ownership.cpp
+++ b/libs/residency/order_ownership.cpp
@@ -16,14 +16,23 @@
 } // namespace
 
 bool
-mayOrder(const OrderOwnership& aOwnership,
-         base::Duration aPause,
-         base::TimePoint aNow)
+maySettle(const OrderOwnership& aOwnership,
+          base::Duration aPause,
+          base::TimePoint aNow)
 {
   return aNow + kQuietTime < aOwnership.leaseEndsAt &&
          aNow > aOwnership.ownedSince + aPause - kQuietTime + kOrderFlight;
 }
 
+bool
+mayOrder(const OrderOwnership& aOwnership, base::TimePoint aNow)
+{
+  // The latest order of this VM's former process, which has a lower fencing
+  // token, must not arrive after one of this process.
+  return aOwnership.settled && aNow + kQuietTime < aOwnership.leaseEndsAt &&
+         aNow > aOwnership.startedAt + kOrderFlight;
+}
+
 base::TimePoint
 releasableFrom(base::TimePoint aLastOrderAt)
 {
--- a/libs/residency/order_ownership.h
+++ b/libs/residency/order_ownership.h
@@ -9,24 +9,32 @@
  * lost. */
 constexpr base::Duration kOrderTimeout = std::chrono::milliseconds(700);
 
-/** Times that decide whether an owner may send orders. */
+/** What decides whether an owner may send orders. */
 struct OrderOwnership
 {
   base::TimePoint startedAt{};   ///< start of this VM's process
   base::TimePoint ownedSince{};  ///< when this VM learnt that it is the owner
   base::TimePoint leaseEndsAt{}; ///< earliest end of its lease
+  /** The pause after the orders of another VM is over. The store knows it, so
+   * that the VM's next process need not wait for it again. */
+  bool settled = false;
 };
 
 /**
  * @param aOwnership ownership of this VM
  * @param aPause time between the orders of two VMs that the platform demands
  * @param aNow time
- * @return true if orders may be sent
+ * @return true if the pause after the orders of another VM is over
  */
 bool
-mayOrder(const OrderOwnership& aOwnership,
-         base::Duration aPause,
-         base::TimePoint aNow);
+maySettle(const OrderOwnership& aOwnership,
+          base::Duration aPause,
+          base::TimePoint aNow);
+
+/** @param aOwnership ownership of this VM @param aNow time
+ * @return true if orders may be sent */
+bool
+mayOrder(const OrderOwnership& aOwnership, base::TimePoint aNow);
 
 /** @param aLastOrderAt when the latest order was sent
  * @return when the ownership may be given up before its lease ends */
--- a/libs/residency/tests/order_ownership_tests.cpp
+++ b/libs/residency/tests/order_ownership_tests.cpp
@@ -25,9 +25,9 @@
   TimePoint lastOrder(TimePoint aLeaseEnd) const
   {
     TimePoint last{};
-    const OrderOwnership owner{ start, start, aLeaseEnd };
+    const OrderOwnership owner{ start, start, aLeaseEnd, true };
     for (TimePoint now = start; now < aLeaseEnd; now += kStep) {
-      last = residency::mayOrder(owner, kPause, now) ? now : last;
+      last = residency::mayOrder(owner, now) ? now : last;
     }
     return last;
   }
@@ -35,9 +35,10 @@
   /** @return the first order that a VM may send after its claim */
   TimePoint firstOrder(TimePoint aClaim) const
   {
-    const OrderOwnership owner{ start, aClaim, aClaim + 1h };
+    OrderOwnership owner{ start, aClaim, aClaim + 1h, false };
     TimePoint now = aClaim;
-    while (!residency::mayOrder(owner, kPause, now)) {
+    while (!residency::mayOrder(owner, now)) {
+      owner.settled = residency::maySettle(owner, kPause, now);
       now += kStep;
     }
     return now;
@@ -65,6 +66,29 @@
 TEST(OrderOwnership, OwnerOrdersWhileItsLeaseIsRenewed)
 {
   const TimePoint renewed = start + 60s;
-  const OrderOwnership owner{ start, start, renewed + kTerm };
-  CHECK(residency::mayOrder(owner, kPause, renewed + 600ms));
+  const OrderOwnership owner{ start, start, renewed + kTerm, true };
+  CHECK(residency::mayOrder(owner, renewed + 600ms));
+}
+
+// A VM's process is killed right after an order and started again at once.
+// Guards against a lower fencing token after a higher one, and against waiting
+// for a pause between two owners that are the same VM.
+TEST(OrderOwnership, NextProcessOfTheOwnerWaitsForOrdersInFlightOnly)
+{
+  const TimePoint lastOrderBefore = start + 60s;
+  const TimePoint restart = lastOrderBefore;
+  const OrderOwnership owner{ restart, restart + 50ms, restart + 1h, true };
+  TimePoint now = restart;
+  while (!residency::mayOrder(owner, now)) {
+    now += kStep;
+  }
+  CHECK(now > lastOrderBefore + kFlight);
+  CHECK(now < restart + 1500ms);
+}
+
+// The VM was killed while it waited for the pause.
+TEST(OrderOwnership, NextProcessWaitsForThePauseIfTheFormerOneHadNot)
+{
+  const TimePoint claim = start + 60s;
+  CHECK(firstOrder(claim) - claim > 2s);
 }
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -325,6 +325,39 @@
                     self.assertGreater(next_fence, fence)
                     self.assertGreaterEqual(later - at, ORDER_PAUSE)
 
+    def test_restarted_owner_orders_again_before_its_former_lease_has_ended(self):
+        """Guards against seconds without orders after the crash of the owner, while its next process waits for
+        the end of the former one's lease and then for a pause between two owners that are the same VM."""
+        engine, gateway = self.engines[0], self.gateways[0]
+        self.remove_second_engine()
+        wait_for(lambda: engine.order_log, 12)  # the model that nobody holds
+
+        def want():
+            try:
+                gateway.call("/chat/x", timeout=1, headers={**self.CHAT, "X-Model-Name": "m1/a1",
+                                                            "X-Deadline-Ms": "900"})
+            except OSError:
+                pass  # The test checks only the orders.
+        engine.models["m1"].clear()
+        before = len(engine.order_log)
+        gateway.child.kill()
+        gateway.child.wait()
+        time.sleep(0.3)
+        gateway.start()
+        started = time.monotonic()
+        wait_for(gateway.ready)
+        calls = []
+        while len(engine.order_log) == before and time.monotonic() - started < 8:
+            calls.append(threading.Thread(target=want))
+            calls[-1].start()
+            time.sleep(0.1)
+        for call in calls:
+            call.join()
+        first, second = engine.order_log[before - 1], engine.order_log[before]
+        self.assertGreater(second[2], first[2])
+        self.assertEqual(second[1], first[1])
+        self.assertLess(second[0] - started, 2.5)
+
     def test_next_owner_waits_the_pause_after_a_planned_stop(self):
         """Guards against two owners that order an engine within the pause: an owner that stops releases its
         ownership right after an order, while one that fails sends none for a while before its lease ends."""
