Let VMs hear of each other's requests before they use a limit that nobody used

What callers and operators would see: an upstream that has named a limit and was not wanted for four seconds gets far more than it takes when demand begins at several VMs at once (LIMIT). Looked for after the incident; the users' rule counts any four seconds.

Cause: a VM whose peers report no use takes the whole limit. That is right for a lone caller, but all VMs see the same at the beginning of a burst, and the reports that would tell them come 0.3 to 0.6 s later. Class: absence of news is taken for news of absence.

A VM of whose wants its peers do not know yet now asks again after one report delay, apart from one request in the fleet on average. Reports carry the wants of the last delay, so a burst is not spread over the window of four seconds, and each VM has a cap by its share of the known demand.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -86,6 +86,7 @@
   bool startsInTime(const dispatch::Choice& aChoice) const;
   bool admitByExpectedStart(const dispatch::Choice& aChoice);
   base::Duration latestStart() const;
+  bool waitForReports();
   void refuseByLimit(const std::vector<dispatch::Candidate>& aCandidates,
                      const std::vector<std::shared_ptr<Upstream>>& aUpstreams);
 
@@ -175,6 +176,10 @@
   /** Earliest time at which a suitable upstream wants requests again; the end
    * of time if none has turned requests away. */
   base::TimePoint mAcceptedFrom = base::TimePoint::max();
+  /** Upstreams that name a limit and were asked for a place. */
+  std::set<peers::ProcessTag> mAskedLimited;
+  bool mMustAskAgain = false;
+  bool mWaitedForReports = false;
   unsigned mSends = 0;
   unsigned mUnreachableCount = 0;
   unsigned mUnresolvedSends = 0; ///< sends that may have run at an upstream
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -143,6 +143,9 @@
     }
     return;
   }
+  if (mMustAskAgain && waitForReports()) {
+    return;
+  }
   if (!found.empty() && !mayHaveRun()) {
     refuseByLimit(found, upstreams);
     return;
@@ -180,6 +183,7 @@
 Exchange::choose(const std::vector<dispatch::Candidate>& aCandidates,
                  const std::vector<std::shared_ptr<Upstream>>& aUpstreams)
 {
+  mMustAskAgain = false;
   const auto isLimited = [](const dispatch::Candidate& aCandidate) {
     return aCandidate.limited;
   };
@@ -201,7 +205,8 @@
   return choice;
 }
 
-/** @return the best limited upstream that takes another request */
+/** @return the best limited upstream that takes another request; sets
+ * mMustAskAgain if one may take it later */
 std::optional<dispatch::Choice>
 Exchange::chooseLimited(
   std::vector<dispatch::Candidate> aCandidates,
@@ -210,13 +215,18 @@
   while (const auto choice = dispatch::chooseUpstream(
            aCandidates, requestSize(), mContext.random.bits())) {
     const Upstream& upstream = *aUpstreams[choice->index];
-    if (startsInTime(*choice) &&
-        mContext.notices.tryAdmit(
-          upstream.process().tag(),
-          mContext.peers.peerLoad(upstream.record.name).limitUse,
-          mContext.random.unit(),
-          base::monotonicNow())) {
-      return choice;
+    if (startsInTime(*choice)) {
+      const peers::ProcessTag process = upstream.process().tag();
+      const auto admission = mContext.notices.tryAdmit(
+        process,
+        mContext.peers.peerLoad(upstream.record.name).limitUse,
+        mContext.random.unit(),
+        base::monotonicNow(),
+        !mAskedLimited.insert(process).second);
+      if (admission == dispatch::Admission::Admitted) {
+        return choice;
+      }
+      mMustAskAgain |= admission == dispatch::Admission::AskAgain;
     }
     std::erase_if(aCandidates, [&](const dispatch::Candidate& aCandidate) {
       return aCandidate.index == choice->index;
@@ -225,6 +235,20 @@
   return std::nullopt;
 }
 
+/** Waits until the peers' requests to a limited upstream are known.
+ * @return false if the request has waited already or has no time to */
+bool
+Exchange::waitForReports()
+{
+  const base::Duration delay = mContext.notices.reportDelay();
+  if (mWaitedForReports || remainingTime() < delay + kMinRemainingTime) {
+    return false;
+  }
+  mWaitedForReports = true;
+  retryAfter(delay);
+  return true;
+}
+
 /** Refuses a request all of whose upstreams have reached the limits that they
  * name. */
 void
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -83,6 +83,7 @@
   }
   mContext.quota.setReportPeriod(mSchedule.maxPeriod());
   // A status travels through the relay of its data centre.
+  mContext.notices.setFleetSize(mFleet.size());
   mContext.notices.setReportDelay(mSchedule.statusPeriod() +
                                   mSchedule.maxPeriod());
   // New VMs receive the placements and the usage totals at once.
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <deque>
+#include <functional>
 
 using namespace marigold;
 using namespace std::chrono_literals;
@@ -249,6 +250,7 @@
   peers::TraitSet request(const std::vector<std::uint64_t>& aParts)
   {
     std::vector<catalog::PromptPart> prompt;
+    prompt.reserve(aParts.size() + 1);
     for (const std::uint64_t part : aParts) {
       prompt.push_back({ part, 100 });
     }
@@ -492,46 +494,97 @@
   static constexpr base::Duration kStep = 10ms;
   static constexpr base::Duration kPlayed = 60s;
   static constexpr peers::ProcessTag kUpstream = 7;
+  /** Requests a second that want the upstream, some time after the start. */
+  using Demand = std::function<double(base::Duration)>;
+  struct Want
+  {
+    TimePoint at;
+    std::size_t vm = 0;
+    bool repeated = false;
+  };
   TimePoint start{ 100s };
   std::vector<base::TimePoint> arrivals;
+  std::vector<dispatch::UpstreamNotices> vms;
+  /** What the VMs reported, the oldest first. */
+  std::deque<std::vector<peers::LimitUse>> reports;
 
-  /** Plays requests to an upstream that names a limit.
-   * @param aVms VMs of the fleet @param aLimit requests a second
-   * @param aDemand requests a second that want the upstream
-   * @param aOnOneVm whether one VM gets all of them */
-  void play(std::size_t aVms, double aLimit, double aDemand, bool aOnOneVm)
+  /** @return a demand that does not change */
+  static Demand steady(double aPerSecond)
+  {
+    return [aPerSecond](base::Duration) { return aPerSecond; };
+  }
+
+  void setLimit(double aLimit)
   {
-    std::vector<dispatch::UpstreamNotices> vms(aVms);
-    std::deque<std::vector<peers::LimitUse>> reports;
-    base::Random random(aVms);
     catalog::UpstreamNotice notice;
     notice.requestsPerSecond = aLimit;
     for (auto& vm : vms) {
       vm.setReportDelay(kDelay);
+      vm.setFleetSize(vms.size());
       vm.onAnswer(kUpstream, notice, start);
     }
+  }
+
+  void exchangeReports(TimePoint aNow)
+  {
+    std::vector<peers::LimitUse> uses;
+    for (auto& vm : vms) {
+      uses.push_back(vm.use(kUpstream, aNow));
+    }
+    reports.push_back(uses);
+    if (reports.size() > static_cast<std::size_t>(kDelay / kStep)) {
+      reports.pop_front();
+    }
+  }
+
+  peers::LimitUse usedByOthers(std::size_t aVm) const
+  {
+    peers::LimitUse others;
+    for (std::size_t other = 0; other < vms.size(); ++other) {
+      if (other != aVm) {
+        others.sends += reports.front()[other].sends;
+        others.wants += reports.front()[other].wants;
+        others.recentWants += reports.front()[other].recentWants;
+      }
+    }
+    return others;
+  }
+
+  /** Plays requests to an upstream that names a limit.
+   * @param aVms VMs of the fleet @param aLimit requests a second
+   * @param aDemand demand @param aOnOneVm whether one VM gets all of it */
+  void play(
+    std::size_t aVms, double aLimit, const Demand& aDemand, bool aOnOneVm)
+  {
+    vms.assign(aVms, {});
+    setLimit(aLimit);
+    base::Random random(aVms);
+    std::deque<Want> repeats;
+    reports.clear();
     arrivals.clear();
     for (TimePoint now = start; now < start + kPlayed; now += kStep) {
-      std::vector<peers::LimitUse> uses;
-      for (auto& vm : vms) {
-        uses.push_back(vm.use(kUpstream, now));
+      exchangeReports(now);
+      std::vector<Want> wants;
+      while (!repeats.empty() && repeats.front().at <= now) {
+        wants.push_back(repeats.front());
+        repeats.pop_front();
       }
-      reports.push_back(uses);
-      if (reports.size() > static_cast<std::size_t>(kDelay / kStep)) {
-        reports.pop_front();
+      const double perStep = aDemand(now - start) * base::inSeconds(kStep);
+      for (int request = 0; request < static_cast<int>(perStep); ++request) {
+        wants.push_back({ now, aOnOneVm ? 0 : random.below(aVms) });
       }
-      while (random.chance(aDemand * base::inSeconds(kStep) / 2) ||
-             random.chance(aDemand * base::inSeconds(kStep) / 2)) {
-        const std::size_t vm = aOnOneVm ? 0 : random.below(aVms);
-        peers::LimitUse others;
-        for (std::size_t other = 0; other < aVms; ++other) {
-          if (other != vm) {
-            others.sends += reports.front()[other].sends;
-            others.wants += reports.front()[other].wants;
-          }
-        }
-        if (vms[vm].tryAdmit(kUpstream, others, random.unit(), now)) {
+      while (random.chance((perStep - static_cast<int>(perStep)) / 2) ||
+             random.chance((perStep - static_cast<int>(perStep)) / 2)) {
+        wants.push_back({ now, aOnOneVm ? 0 : random.below(aVms) });
+      }
+      for (const Want& want : wants) {
+        const auto admission = vms[want.vm].tryAdmit(
+          kUpstream, usedByOthers(want.vm), random.unit(), now, want.repeated);
+        if (admission == dispatch::Admission::Admitted) {
           arrivals.push_back(now);
+        } else if (admission == dispatch::Admission::AskAgain) {
+          CHECK(!want.repeated);
+          repeats.push_back({ now + kDelay, want.vm, true });
         }
       }
     }
@@ -559,10 +612,10 @@
 // what it takes, and against a model that is hardly served any more.
 TEST(NamedLimit, FleetKeepsAndUsesTheLimit)
 {
-  for (const std::size_t vms : { 6, 82, 380 }) {
+  for (const std::size_t fleet : { 6, 82, 380 }) {
     for (const double limit : { 1.0, 3.0, 20.0 }) {
       for (const double demand : { 10.0, 30.0, 100.0 }) {
-        play(vms, limit, demand, false);
+        play(fleet, limit, steady(demand), false);
         CHECK(static_cast<double>(mostInAWindow()) <= 1.5 * limit * 4 + 5);
         CHECK(static_cast<double>(arrivals.size()) >=
               0.6 * std::min(limit, demand) * base::inSeconds(kPlayed));
@@ -571,10 +624,49 @@
   }
 }
 
+// Nobody has wanted the upstream for a while, then all VMs do at the same
+// moment. Guards against VMs that each use the whole limit, because none has
+// heard of the others yet.
+TEST(NamedLimit, FleetKeepsTheLimitWhenDemandBeginsEverywhereAtOnce)
+{
+  for (const std::size_t fleet : { 6, 82, 380 }) {
+    for (const double limit : { 1.0, 3.0, 20.0 }) {
+      play(
+        fleet,
+        limit,
+        [](base::Duration aPassed) {
+          return aPassed % base::Duration(12s) < 4s ? 100 : 0;
+        },
+        false);
+      CHECK(static_cast<double>(mostInAWindow()) <= 1.5 * limit * 4 + 5);
+      // Four of twelve seconds have demand.
+      CHECK(static_cast<double>(arrivals.size()) >=
+            0.4 * limit * base::inSeconds(kPlayed) / 3);
+    }
+  }
+}
+
+// The same beside a few requests that go on all the time.
+TEST(NamedLimit, FleetKeepsTheLimitWhenDemandJumps)
+{
+  for (const std::size_t fleet : { 6, 82, 380 }) {
+    for (const double limit : { 1.0, 3.0, 20.0 }) {
+      play(
+        fleet,
+        limit,
+        [limit](base::Duration aPassed) {
+          return (aPassed % base::Duration(12s) < 4s ? 5 : 0.5) * limit;
+        },
+        false);
+      CHECK(static_cast<double>(mostInAWindow()) <= 1.5 * limit * 4 + 5);
+    }
+  }
+}
+
 // Guards against equal shares of VMs that have no use for them.
 TEST(NamedLimit, OneVmMayUseTheWholeLimit)
 {
-  play(82, 2, 10, true);
+  play(82, 2, steady(10), true);
   CHECK(mostInAWindow() <= 17);
   CHECK(static_cast<double>(arrivals.size()) >=
         0.95 * 2 * base::inSeconds(kPlayed));
@@ -584,7 +676,7 @@
 // that its limit has ended.
 TEST(NamedLimit, UpstreamThatTakesNothingIsAskedNowAndThen)
 {
-  play(6, 0, 10, false);
+  play(6, 0, steady(10), false);
   CHECK(arrivals.size() >= 4);
   CHECK(mostInAWindow() <= 5);
 }
@@ -596,10 +688,14 @@
   notice.requestsPerSecond = 0.1;
   CHECK(notices.onAnswer(kUpstream, notice, start).limit);
   CHECK(!notices.onAnswer(kUpstream, notice, start).limit);
-  CHECK(notices.tryAdmit(kUpstream, {}, 0, start));
-  CHECK(!notices.tryAdmit(kUpstream, {}, 0, start + 1s));
+  const auto admitted = [&](TimePoint aNow) {
+    return notices.tryAdmit(kUpstream, {}, 0, aNow, false) ==
+           dispatch::Admission::Admitted;
+  };
+  CHECK(admitted(start));
+  CHECK(!admitted(start + 1s));
   CHECK(notices.onAnswer(kUpstream, {}, start + 1s).limit);
-  CHECK(notices.tryAdmit(kUpstream, {}, 0, start + 1s));
+  CHECK(admitted(start + 1s));
   CHECK(!notices.limit(kUpstream));
 }
 
--- a/libs/dispatch/upstream_notices.cpp
+++ b/libs/dispatch/upstream_notices.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/upstream_notices.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marigold::dispatch {
 namespace {
@@ -14,7 +15,9 @@
 constexpr double kMinRequestsPerSecond = 0.1;
 /** Part of what is left that the VMs admit during the report delay. With more,
  * they would exceed the limit before they know of each other's requests. */
-constexpr double kAdmittedPart = 0.4;
+constexpr double kAdmittedPart = 0.35;
+/** Requests that the VMs together may send before they know of each other's. */
+constexpr double kUnreported = 1;
 /** Bounds the memory for an upstream that many requests ask for. */
 constexpr std::size_t kMaxWants = 1000;
 /** Lifetime of what an upstream said without another answer. */
@@ -26,6 +29,13 @@
   return std::max(aRequestsPerSecond, kMinRequestsPerSecond);
 }
 
+double
+countSince(const std::deque<base::TimePoint>& aTimes, base::TimePoint aSince)
+{
+  return static_cast<double>(
+    aTimes.end() - std::upper_bound(aTimes.begin(), aTimes.end(), aSince));
+}
+
 } // namespace
 
 /** @return the time over which requests are counted; at least one is allowed */
@@ -96,37 +106,65 @@
                                 : found->second.requestsPerSecond;
 }
 
-bool
+Admission
 UpstreamNotices::tryAdmit(peers::ProcessTag aProcess,
                           const peers::LimitUse& aPeers,
                           double aChance,
-                          base::TimePoint aNow)
+                          base::TimePoint aNow,
+                          bool aRepeated)
 {
   const auto found = mStates.find(aProcess);
   if (found == mStates.end() || !found->second.requestsPerSecond) {
-    return true;
+    return Admission::Admitted;
   }
   State& state = found->second;
   dropExpired(state, aNow);
-  if (state.wants.size() < kMaxWants) {
+  if (!aRepeated && state.wants.size() < kMaxWants) {
     state.wants.push_back(aNow);
   }
-  const double seconds = base::inSeconds(window(state));
-  const double left = effectiveLimit(*state.requestsPerSecond) * seconds -
-                      static_cast<double>(state.sends.size()) - aPeers.sends;
+  const double left =
+    effectiveLimit(*state.requestsPerSecond) * base::inSeconds(window(state)) -
+    static_cast<double>(state.sends.size()) - aPeers.sends;
   // Rounding of the window must not cost the one request that it allows.
   constexpr double kTolerance = 1e-6;
   if (left < 1 - kTolerance) {
-    return false;
+    return Admission::LimitReached;
+  }
+  const auto admission = admit(state, aPeers, left, aChance, aNow);
+  if (admission == Admission::Admitted) {
+    state.sends.push_back(aNow);
+  }
+  return admission;
+}
+
+/** Divides what is left between the VMs by their wants that all know. A VM with
+ * none can't tell whether the others have some that it does not know yet.
+ * @param aPeers use by the peers @param aLeft requests that are left */
+Admission
+UpstreamNotices::admit(const State& aState,
+                       const peers::LimitUse& aPeers,
+                       double aLeft,
+                       double aChance,
+                       base::TimePoint aNow) const
+{
+  const double newWants = countSince(aState.wants, aNow - mReportDelay);
+  const double newSends = countSince(aState.sends, aNow - mReportDelay);
+  const double reportedWants =
+    static_cast<double>(aState.wants.size()) - newWants;
+  if (reportedWants == 0) {
+    const double share = kUnreported / static_cast<double>(mVms);
+    const bool admitted = newSends == 0 && aChance * newWants < share;
+    return admitted ? Admission::Admitted : Admission::AskAgain;
   }
-  const double wantedMeanwhile =
-    (static_cast<double>(state.wants.size()) + aPeers.wants) / seconds *
-    base::inSeconds(mReportDelay);
-  if (aPeers.wants > 0 && aChance * wantedMeanwhile >= left * kAdmittedPart) {
-    return false;
+  if (aPeers.wants == 0) {
+    return Admission::Admitted;
   }
-  state.sends.push_back(aNow);
-  return true;
+  const double part = aLeft * kAdmittedPart;
+  const double competing = std::max(newWants, 1.0) + aPeers.recentWants;
+  const double share = part * reportedWants / (reportedWants + aPeers.wants);
+  const bool admitted =
+    newSends < std::ceil(share) && aChance * competing < part;
+  return admitted ? Admission::Admitted : Admission::LimitReached;
 }
 
 peers::LimitUse
@@ -137,8 +175,11 @@
     return {};
   }
   dropExpired(found->second, aNow);
-  return { static_cast<std::uint32_t>(found->second.sends.size()),
-           static_cast<std::uint32_t>(found->second.wants.size()) };
+  const State& state = found->second;
+  return { static_cast<std::uint32_t>(state.sends.size()),
+           static_cast<std::uint32_t>(state.wants.size()),
+           static_cast<std::uint32_t>(
+             countSince(state.wants, aNow - mReportDelay)) };
 }
 
 void
--- a/libs/dispatch/upstream_notices.h
+++ b/libs/dispatch/upstream_notices.h
@@ -17,13 +17,22 @@
   bool leaving = false; ///< it began to say that it leaves
 };
 
+/** Whether a request may be sent to an upstream that names a limit. */
+enum class Admission : std::uint8_t
+{
+  Admitted,
+  LimitReached,
+  AskAgain, ///< after the report delay; the peers' requests are known then
+};
+
 /**
  * Keeps what each upstream said last, by run of its process, and how the VMs
  * use the requests that a limited upstream takes. An upstream that leaves stays
  * so until its process ends, whatever becomes of its record. Each VM counts its
  * own requests exactly and knows those of its peers with a delay. It therefore
  * admits requests with a probability at which those that all VMs admit during
- * that delay fit into what is left.
+ * that delay fit into what is left, also if demand begins at all of them at the
+ * same moment.
  */
 class UpstreamNotices
 {
@@ -31,6 +40,12 @@
   /** @param aDelay longest time until a request of a peer is known here */
   void setReportDelay(base::Duration aDelay) { mReportDelay = aDelay; }
 
+  /** @return time after which to ask again */
+  base::Duration reportDelay() const { return mReportDelay; }
+
+  /** @param aVms VMs of the fleet */
+  void setFleetSize(std::size_t aVms) { mVms = aVms; }
+
   /** Records what an answer says.
    * @param aProcess upstream @param aNotice its statements @param aNow time
    * @return what it changed */
@@ -50,11 +65,13 @@
   /** Counts a request to a limited upstream if it may be sent.
    * @param aProcess upstream @param aPeers use by the peers
    * @param aChance random number in [0, 1) @param aNow time
-   * @return true if the request may be sent */
-  bool tryAdmit(peers::ProcessTag aProcess,
-                const peers::LimitUse& aPeers,
-                double aChance,
-                base::TimePoint aNow);
+   * @param aRepeated whether the request asks again
+   * @return whether it may be sent */
+  Admission tryAdmit(peers::ProcessTag aProcess,
+                     const peers::LimitUse& aPeers,
+                     double aChance,
+                     base::TimePoint aNow,
+                     bool aRepeated);
 
   /** @param aProcess upstream @param aNow time
    * @return use by this VM, for its peers; zero without a limit */
@@ -73,10 +90,16 @@
     std::deque<base::TimePoint> sends; ///< within the window
     std::deque<base::TimePoint> wants; ///< requests that were to be sent
   };
+  Admission admit(const State& aState,
+                  const peers::LimitUse& aPeers,
+                  double aLeft,
+                  double aChance,
+                  base::TimePoint aNow) const;
   static base::Duration window(const State& aState);
   static void dropExpired(State& aState, base::TimePoint aNow);
 
   base::Duration mReportDelay{};
+  std::size_t mVms = 1;
   std::map<peers::ProcessTag, State> mStates;
 };
 
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -51,6 +51,7 @@
     if (load.limitUse != LimitUse{}) {
       row.push_back(load.limitUse.sends);
       row.push_back(load.limitUse.wants);
+      row.push_back(load.limitUse.recentWants);
     }
     loads[name] = std::move(row);
   }
@@ -102,7 +103,7 @@
     UpstreamLoad& load = loads[name];
     load = { row.at(0), row.at(1), row.at(2), row.at(3), {} };
     if (row.size() > 4) {
-      load.limitUse = { row.at(4), row.at(5) };
+      load.limitUse = { row.at(4), row.at(5), row.at(6) };
     }
   }
   return loads;
@@ -264,6 +265,7 @@
   memoryTokens += aOther.memoryTokens;
   limitUse.sends += aOther.limitUse.sends;
   limitUse.wants += aOther.limitUse.wants;
+  limitUse.recentWants += aOther.limitUse.recentWants;
   return *this;
 }
 
@@ -276,6 +278,7 @@
   memoryTokens -= aOther.memoryTokens;
   limitUse.sends -= aOther.limitUse.sends;
   limitUse.wants -= aOther.limitUse.wants;
+  limitUse.recentWants -= aOther.limitUse.recentWants;
   return *this;
 }
 
--- a/libs/peers/messages.h
+++ b/libs/peers/messages.h
@@ -15,8 +15,9 @@
 /** Use of an upstream that limits its requests, over its window. */
 struct LimitUse
 {
-  std::uint32_t sends = 0; ///< requests that were sent to it
-  std::uint32_t wants = 0; ///< requests that were to be sent to it
+  std::uint32_t sends = 0;       ///< requests that were sent to it
+  std::uint32_t wants = 0;       ///< requests that were to be sent to it
+  std::uint32_t recentWants = 0; ///< those within the report delay
 
   bool operator==(const LimitUse&) const = default;
 };
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -21,7 +21,7 @@
   status.catalogVersion = 12;
   status.draining = true;
   status.usage = { { "t", 100.5 } };
-  status.loads["u"] = { 2, 30, 4, 5000, { 3, 9 } };
+  status.loads["u"] = { 2, 30, 4, 5000, { 3, 9, 1 } };
   status.demand["m/a1"] = { 12, 3, 1 };
   status.crashes[31] = { 250ms, { { 4, 7 }, { 6 } }, { 8 } };
   status.drainingUpstreams["u2"] = 9;
@@ -68,7 +68,7 @@
   CHECK(status.draining);
   DOUBLES_EQUAL(101, status.usage.at("t"), 0.001);
   CHECK(status.loads.at("u") ==
-        (peers::UpstreamLoad{ 2, 30, 4, 5000, { 3, 9 } }));
+        (peers::UpstreamLoad{ 2, 30, 4, 5000, { 3, 9, 1 } }));
   LONGS_EQUAL(3, status.demand.at("m/a1").waiting);
   LONGS_EQUAL(1, status.demand.at("m/a1").running);
   CHECK(status.crashes == sampleStatus(3).crashes);
