Refuse a request that is known to be poisonous before its team is charged

The caller was told to come back for nothing.

The crash guard is asked for a verdict before the charge; a suspect whose trial another VM grants is still charged first, because it may run.

--- a/apps/entry/crash_watch.h
+++ b/apps/entry/crash_watch.h
@@ -49,6 +49,12 @@
   /** Starts to exchange suspects with peers. */
   void start();
 
+  /** @param aFingerprint request @return true if it must never run again */
+  bool isPoisonous(const std::string& aFingerprint) const
+  {
+    return mGuard.verdict(aFingerprint) == request::GuardVerdict::Poisonous;
+  }
+
   /** Asks whether a request may be forwarded. @param aFingerprint request
    * @param aDone called at once unless another VM has to be asked */
   void check(const std::string& aFingerprint, const Checked& aDone);
--- a/apps/entry/exchange.cpp
+++ b/apps/entry/exchange.cpp
@@ -41,6 +41,11 @@
     mContext.path.waiting.demand().onArrival(
       { mCaller.model, mCaller.adapter });
   }
+  if (mContext.path.crashes.isPoisonous(mCaller.fingerprint)) {
+    // Not charged first: tokens would not help it.
+    stop(Code::RequestPoisonous, messageOf(Code::RequestPoisonous));
+    return;
+  }
   if (mCaller.team.empty()) {
     askGuard();
     return;
--- a/tests/e2e/test_request_path.py
+++ b/tests/e2e/test_request_path.py
@@ -261,6 +261,20 @@
                   if answer.status != 200 or "[DONE]" not in answer.body]
         self.assertEqual([answer.body for answer in broken], [])
 
+    def test_poison_is_refused_whatever_its_team_has_left(self):
+        """Guards against a poison request that is told to come back when its team has tokens."""
+        self.restart_crashed_engines()
+        for number in range(3):
+            chat(self.port(number), self.key, 5, False, "[[crash]] tokens")
+        self.fleet.publish(self.fleet.manifest(rate=1, burst=1))
+        try:
+            wait_until(lambda: chat(self.port(), self.key, 5).code() == "cost-above-burst", 6)
+            answer = chat(self.port(), self.key, 5, False, "[[crash]] tokens")
+            self.assertEqual(answer.code(), "request-poisonous")
+        finally:
+            self.fleet.publish(self.fleet.manifest())
+            wait_until(lambda: chat(self.port(), self.key, 5).status == 200, 6)
+
     def test_restarted_vm_knows_the_poison(self):
         """Guards against a restarted entry process that runs a request that its peers know to
         be poison."""
