Play upstreams that leave or want no requests in the soak

The soak injects both statements and checks from what the upstreams saw that each VM acts on them: DRAIN (no request of a caller later than 2.5 s after the statement, while the record still says ready) and BUDGET (at most two requests of a VM from half a second after a 503 with Retry-After to the end of the time). Faults of the VM and of the upstream's link excuse.

--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -155,6 +155,8 @@
         self.endless_closed = False  # whether the gateway closed that connection
         self.limit = None    # requests a second that it says it takes from all VMs together
         self.arrivals = []   # times of all requests
+        self.arrival_log = []  # (time, request id, process) of the same
+        self.statements = []  # (time, request id, process, seconds) of answers: wants none for so long; None: leaves
         self.leaving = False   # says in its answers that it leaves
         self.turn_away = None  # text of Retry-After with which it turns every request away
         self.deadly_part = None  # part of a prompt that crashes the process before its first event
@@ -198,7 +200,12 @@
             writer.write(answer_bytes(421, signature, b""))
             return True
         self.arrivals.append(time.monotonic())
+        request_id = headers.get("x-request-id", "")
+        self.arrival_log.append((time.monotonic(), request_id, self.born))
+        if self.leaving:
+            self.statements.append((time.monotonic(), request_id, self.born, None))
         if self.turn_away is not None:
+            self.statements.append((time.monotonic(), request_id, self.born, self.turn_away))
             writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "1", "Retry-After": self.turn_away}, b""))
             return True
         if self.refusals > 0:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,6 +7,10 @@
 FAULT_FREE = 4.0     # seconds without a fault after which time limits apply to a VM
 KEY_LIMIT = 2.5      # seconds until a withdrawn key must be refused
 ORDER_PAUSE = 3.0    # seconds between the orders of two owners
+LEAVING_LIMIT = 2.5  # seconds until an upstream that leaves gets no new requests
+LEAVING_CHECKED = 6.0  # seconds after its statement for which that is checked
+IN_FLIGHT = 0.5      # seconds in which requests may reach an upstream that has turned one away
+MOST_WHILE_TURNED_AWAY = 2  # requests of a VM afterwards, until the time that the upstream named
 RESUME_GRACE = 0.3   # seconds; an order in flight when its sender was paused arrives after it resumes
 
 
@@ -77,6 +81,30 @@
             record.violation(f"CONFIG {request_id} ran at {vm} with the withdrawn key {key}")
 
 
+def check_statements(record, upstreams):
+    """Checks that a VM leaves an upstream alone that has said that it leaves, or wants no requests for a time."""
+    for upstream in upstreams:
+        statements = [(at, record.sent[request][2], process, seconds)
+                      for at, request, process, seconds in list(upstream.statements) if request in record.sent]
+        arrivals = [(at, *record.sent[request][2:], process)
+                    for at, request, process in list(upstream.arrival_log) if request in record.sent]
+        for told, vm, process, seconds in statements:
+            leaves = seconds is None
+            end = told + (LEAVING_CHECKED if leaves else float(seconds))
+            if not (record.fault_free(vm, end) and record.fault_free(upstream.name, end)):
+                continue
+            if leaves:
+                late = [at for at, other, sent, of in arrivals
+                        if (other, of) == (vm, process) and sent > told + LEAVING_LIMIT and at < end]
+                if late:
+                    record.violation(f"DRAIN {vm} sent {len(late)} requests to {upstream.name}, which leaves")
+            else:
+                late = [at for at, other, _, of in arrivals
+                        if (other, of) == (vm, process) and told + IN_FLIGHT < at < end]
+                if len(late) > MOST_WHILE_TURNED_AWAY:
+                    record.violation(f"BUDGET {vm} sent {len(late)} requests to {upstream.name}, which wants none")
+
+
 def check_orders(record, engines):
     """Checks that an engine gets orders from one owner at a time, with non-decreasing fencing tokens."""
     for engine in engines:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,7 +21,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../e2e"))
 
-from checks import Record, check_orders, check_runs, check_stream
+from checks import Record, check_orders, check_runs, check_statements, check_stream
 from gateway_process import Gateway
 from proxy import HOST, Proxy
 from users_platform import ROUTES, Platform, Upstream
@@ -161,7 +161,10 @@
         self.break_link(proxy, seconds)
 
     def break_upstream_link(self, gateway, seconds):
-        self.break_link(self.random.choice([p for vm, p in self.proxies if vm is None]), seconds)
+        number = self.random.randrange(len(self.desks + self.engines))
+        start = time.monotonic()
+        self.record.fault((self.desks + self.engines)[number].name, start, start + seconds)
+        self.break_link([p for vm, p in self.proxies if vm is None][number], seconds)
 
     def break_link(self, proxy, seconds):
         kind = self.random.choice(["silent", "up", "down", "slow", "reset"])
@@ -177,6 +180,8 @@
 
     def lose_answers(self, gateway, seconds):
         upstream = self.random.choice(self.desks + self.engines)
+        start = time.monotonic()
+        self.record.fault(upstream.name, start, start + seconds)
         if upstream in self.engines:
             upstream.break_after = self.random.randrange(0, 9)
         else:
@@ -184,6 +189,22 @@
         time.sleep(seconds)
         upstream.break_after, upstream.drop_requests = None, False
 
+    def turn_away(self, gateway, seconds):
+        """An upstream turns all requests away for as long as it says."""
+        upstream = self.random.choice(self.desks + self.engines)
+        upstream.turn_away = f"{seconds:.2f}"
+        time.sleep(seconds)
+        upstream.turn_away = None
+
+    def leave(self, gateway, seconds):
+        """An upstream says in its answers that it leaves, while its record lists it as ready, and is replaced."""
+        upstream = self.random.choice(self.desks + self.engines)
+        upstream.leaving = True
+        time.sleep(seconds + 3)
+        upstream.born += 1
+        upstream.leaving = False
+        self.platform.change(self.platform.store.put, "servers/" + upstream.name, upstream.record())
+
     def change_keys(self, gateway, seconds):
         self.version += 1
         if "k3" in self.keys and self.random.random() < 0.5:
@@ -193,7 +214,7 @@
 
     def execute(self):
         faults = [self.kill, self.planned_stop, self.pause, self.reload, self.cut_store,
-                  self.break_upstream_link, self.lose_answers, self.change_keys]
+                  self.break_upstream_link, self.lose_answers, self.turn_away, self.leave, self.change_keys]
         threads = [threading.Thread(target=self.caller) for _ in range(CALLERS)]
         self.call_random = random.Random(self.random.random())
         self.wait_ready(START_LIMIT)
@@ -218,6 +239,7 @@
             thread.join()
         time.sleep(1)
         check_runs(self.record, self.desks + self.engines)
+        check_statements(self.record, self.desks + self.engines)
         check_orders(self.record, self.engines)
         return sorted(self.record.violations)
 
