Count what upstreams say of themselves as steps of requests

The lines "upstream limit" and "upstream says it leaves" were written past the limit of the request log and counted nowhere. They are steps now, like "upstream wants no requests", bounded and counted by cause in marigold_request_steps_total; a request that waits for the reports of its peers has a line too. Only logs and counters change.

--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -245,6 +245,11 @@
     return false;
   }
   mWaitedForReports = true;
+  mContext.log.logStep(mMetadata.id,
+                       "limited upstream",
+                       "",
+                       "waits for reports of peers",
+                       base::monotonicNow());
   retryAfter(delay);
   return true;
 }
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -1,7 +1,5 @@
 #include "apps/gateway/exchange.h"
 
-#include "observe/log.h"
-
 #include <algorithm>
 #include <array>
 #include <cinttypes>
@@ -243,18 +241,19 @@
   const auto change =
     mContext.notices.onAnswer(upstream->process().tag(), aNotice, now);
   if (change.limit) {
-    observe::logInfo(
-      "upstream limit",
-      { { "upstream", mLastUpstream },
-        { "requests_per_second",
-          aNotice.requestsPerSecond ? std::to_string(*aNotice.requestsPerSecond)
-                                    : "none" },
-        { "id", mMetadata.id } });
+    mContext.log.logStep(mMetadata.id,
+                         "upstream limit",
+                         mLastUpstream,
+                         aNotice.requestsPerSecond
+                           ? std::to_string(*aNotice.requestsPerSecond) +
+                               " requests/s"
+                           : "none",
+                         now);
   }
   if (change.leaving) {
     upstream->record.draining = true; // Peers and the placement learn it too.
-    observe::logInfo("upstream says it leaves",
-                     { { "upstream", mLastUpstream }, { "id", mMetadata.id } });
+    mContext.log.logStep(
+      mMetadata.id, "upstream says it leaves", mLastUpstream, "", now);
   }
   if (aNotice.turnsAwayFor) {
     mContext.log.logStep(
