Try engines again that seemed to be replaced while their records stay

What callers would see: an engine at its limit of connections refuses one, accepts the next and answers 421 because it lacks the model.

The record of a process that has ended is removed within six seconds, so after that time the engine gets another try. The dump names engines whose process seems to have ended.

Evidence: test_engine_that_misdirects_a_request_afterwards_is_tried_again failed before (not used for 10 s) and passes.

--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -223,7 +223,8 @@
   }
   if (mLoadReservation) {
     mLoadReservation->upstream()->onAnswer(aHead.status == kMisdirected,
-                                           metadata.wrongUpstream);
+                                           metadata.wrongUpstream,
+                                           base::monotonicNow());
     if (!metadata.wrongUpstream) {
       recordNotice(metadata.notice);
     }
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -526,6 +526,7 @@
   mCrashes.expire(now);
   mNotices.expire(now);
   removeMissingUpstreams();
+  mUpstreams.reconsiderReplaced(now);
   mOrders.updateOwnership();
   schedulePlan();
   mWaitQueue.retryAll();
@@ -637,6 +638,7 @@
     for (const auto& [name, upstream] : mUpstreams.all()) {
       rows[name] = { { "service", upstream->record.service },
                      { "leaving", upstream->record.draining },
+                     { "process_ended", upstream->processEnded() },
                      { "running", upstream->running },
                      { "queued_ms", upstream->queuedMs },
                      { "failure_rate", mOutliers.failureRate(name) },
--- a/apps/gateway/upstream_table.cpp
+++ b/apps/gateway/upstream_table.cpp
@@ -5,6 +5,12 @@
 namespace marigold::gateway {
 namespace {
 
+using namespace std::chrono_literals;
+
+/** The record of an upstream whose process has ended is removed within this
+ * time, after three missed heartbeats, unless the store is down. */
+constexpr base::Duration kRecordLifetime = 6s;
+
 std::uint32_t
 processTag(const catalog::UpstreamRecord& aRecord)
 {
@@ -14,12 +20,13 @@
 } // namespace
 
 void
-Upstream::onAnswer(bool aMisdirected, bool aByOther)
+Upstream::onAnswer(bool aMisdirected, bool aByOther, base::TimePoint aNow)
 {
   if (!aMisdirected) {
     presence = Presence::Present;
   } else if (aByOther || presence == Presence::Doubtful) {
     presence = Presence::Replaced;
+    replacedAt = aNow;
   }
 }
 
@@ -80,6 +87,17 @@
   return upstream->usable() != wasUsable ? upstream : nullptr;
 }
 
+void
+UpstreamTable::reconsiderReplaced(base::TimePoint aNow)
+{
+  for (const auto& [name, upstream] : mUpstreams) {
+    if (upstream->presence == Presence::Replaced &&
+        aNow - upstream->replacedAt > kRecordLifetime) {
+      upstream->presence = Presence::Doubtful;
+    }
+  }
+}
+
 bool
 UpstreamTable::remove(const base::UpstreamName& aName)
 {
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -29,6 +29,7 @@
   catalog::UpstreamRecord record;
   bool removed = false; ///< its record was removed
   Presence presence = Presence::Present;
+  base::TimePoint replacedAt{}; ///< when another process answered
   std::uint32_t running = 0;
   double queuedMs = 0;
   double lowPriorityMs = 0;
@@ -54,8 +55,9 @@
   /** Takes note of an answer from its address.
    * @param aMisdirected true if the answer says that the request, which named
    * this upstream, its model and its adapter, is for another one
-   * @param aByOther true if the answer names another upstream */
-  void onAnswer(bool aMisdirected, bool aByOther);
+   * @param aByOther true if the answer names another upstream
+   * @param aNow time */
+  void onAnswer(bool aMisdirected, bool aByOther, base::TimePoint aNow);
 
   dispatch::UpstreamProcess process() const
   {
@@ -91,6 +93,10 @@
   std::shared_ptr<Upstream> applyProbe(const wire::UpstreamKey& aUpstream,
                                        ProbeResult aResult);
 
+  /** Gives upstreams another try at whose addresses others seemed to answer and
+   * whose records are still there. @param aNow time */
+  void reconsiderReplaced(base::TimePoint aNow);
+
   /** Removes an upstream whose record was removed. @return true if it was known
    */
   bool remove(const base::UpstreamName& aName);
--- a/tests/e2e/test_upstream_crash.py
+++ b/tests/e2e/test_upstream_crash.py
@@ -93,6 +93,19 @@
         time.sleep(1.5)
         self.assertEqual([200] * 4, self.call_all(4))
 
+    def test_engine_that_misdirects_a_request_afterwards_is_tried_again(self):
+        """Guards against an engine that stays shut out for ever because it lacked the model just after it had refused
+        connections, which looks like another process at its address."""
+        self.platform.change(self.platform.store.remove, "servers/engine1")
+        self.platform.change(self.engines[0].crash)
+        self.call_all(2)
+        del self.engines[0].models["m1"]
+        self.platform.listen_again(self.engines[0])
+        time.sleep(1.5)
+        self.assertNotIn(200, self.call_all(2))
+        self.engines[0].models["m1"] = set()
+        wait_for(lambda: self.call_all(2) == [200, 200], 10)
+
 
 if __name__ == "__main__":
     unittest.main()
