Ask an idle upstream however slow it seems

Cause: the VM had been paused for two seconds with requests open, so it learnt that the service takes 900 ms. That alone is more than the route's target allows, so it refused all requests to the idle service; without an answer the estimate never changes. The queue that is always allowed was meant to exclude the request's own time, but that time was read before it was set. Class: an estimate that keeps away the only evidence against it.

The own processing time comes with the choice now, and a request that would queue for 250 ms or less is never refused for its expected start. For engines this matters only if the prompt takes almost the whole target.

--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -22,8 +22,6 @@
 /** A request is refused as overloaded if queueing and its own work would take
  * more than this fraction of the route's target latency. */
 constexpr double kMaxTargetFraction = 0.9;
-/** Estimates are too coarse to refuse a request for a shorter queue. */
-constexpr base::Duration kAlwaysAllowedQueue = 250ms;
 /** Time for a load order to reach its engine and for the updated record to
  * reach this VM. */
 constexpr base::Duration kOrderDelay = 600ms;
@@ -281,17 +279,15 @@
 Exchange::latestStart() const
 {
   const base::Duration passed = base::monotonicNow() - mReceivedAt;
-  return std::max<base::Duration>(
-    base::fromSeconds(base::inSeconds(mRoute->targetLatency) *
-                      kMaxTargetFraction) -
-      passed,
-    kAlwaysAllowedQueue);
+  return base::fromSeconds(base::inSeconds(mRoute->targetLatency) *
+                           kMaxTargetFraction) -
+         passed;
 }
 
 bool
 Exchange::startsInTime(const dispatch::Choice& aChoice) const
 {
-  return mSends > 0 || aChoice.expectedStart <= latestStart();
+  return mSends > 0 || dispatch::startsInTime(aChoice, latestStart());
 }
 
 bool
--- a/libs/dispatch/choice.cpp
+++ b/libs/dispatch/choice.cpp
@@ -19,6 +19,10 @@
  * are older than that. */
 constexpr double kTieToleranceMs = 4;
 
+/** Estimates are too coarse to refuse a request for a shorter queue. */
+constexpr base::Duration kAlwaysAllowedQueue = std::chrono::milliseconds(250);
+constexpr double kMsPerSecond = 1000;
+
 double
 expectedStartMs(const Candidate& aCandidate, const RequestSize& aRequest)
 {
@@ -40,7 +44,6 @@
 base::Duration
 expectedStart(const Candidate& aCandidate, const RequestSize& aRequest)
 {
-  constexpr double kMsPerSecond = 1000;
   return base::fromSeconds(expectedStartMs(aCandidate, aRequest) /
                            kMsPerSecond);
 }
@@ -88,7 +91,16 @@
   std::erase_if(ranked,
                 [best](const auto& aItem) { return aItem.first > best; });
   const Candidate* chosen = ranked[aTieBreak % ranked.size()].second;
-  return Choice{ chosen->index, expectedStart(*chosen, aRequest) };
+  return Choice{ chosen->index,
+                 expectedStart(*chosen, aRequest),
+                 base::fromSeconds(chosen->processingMs / kMsPerSecond) };
+}
+
+bool
+startsInTime(const Choice& aChoice, base::Duration aLimit)
+{
+  return aChoice.expectedStart <=
+         std::max(aLimit, kAlwaysAllowedQueue + aChoice.processing);
 }
 
 std::optional<Choice>
--- a/libs/dispatch/choice.h
+++ b/libs/dispatch/choice.h
@@ -36,8 +36,20 @@
 {
   std::size_t index = 0;          ///< Candidate::index
   base::Duration expectedStart{}; ///< time to the first byte of the answer
+  base::Duration processing{};    ///< the part of it that is the request's own
 };
 
+/**
+ * Decides whether a request is worth sending. One that hardly has to queue
+ * always is: its own processing time may be an old estimate, and only an answer
+ * shows a better one.
+ * @param aChoice chosen upstream
+ * @param aLimit latest expected start that its caller has a use for
+ * @return true if it starts in time
+ */
+bool
+startsInTime(const Choice& aChoice, base::Duration aLimit);
+
 /**
  * Chooses the candidate with the earliest expected start. Network cost, running
  * requests and the failure rate count as additional latency.
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -222,6 +222,25 @@
   LONGS_EQUAL(0, index.cachedTokens("u", "m", prompt));
 }
 
+// A VM was paused while a service worked, so its answers seemed to take
+// seconds. Guards against refusing all requests to an idle service from then
+// on: without requests, no answer shows that the service is fast.
+TEST(Choice, IdleUpstreamIsAskedHoweverSlowItSeems)
+{
+  dispatch::Candidate idle;
+  idle.slots = 6;
+  idle.processingMs = 900;
+  const auto toIdle = dispatch::chooseUpstream({ idle }, {}, 0);
+  CHECK(dispatch::startsInTime(*toIdle, 180ms));
+  CHECK(dispatch::startsInTime(*toIdle, -1s));
+
+  dispatch::Candidate busy = idle;
+  busy.queuedMs = 300;
+  const auto toBusy = dispatch::chooseUpstream({ busy }, {}, 0);
+  CHECK(!dispatch::startsInTime(*toBusy, 180ms));
+  CHECK(dispatch::startsInTime(*toBusy, 1200ms));
+}
+
 TEST_GROUP(CrashRecord)
 {
   dispatch::CrashTracker tracker;
