Share the wait for a condition between the tests of the gateway

test_upstream_crash.py had written again what test_gateway.py had; one copy now stands beside the Gateway that both start.

--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -3,6 +3,7 @@
 import http.client
 import os
 import subprocess
+import time
 
 from users_platform import HOST
 
@@ -11,6 +12,16 @@
 READY, PEERS, OPERATOR = 1, 2, 3  # port offsets from the callers' port
 
 
+def wait_for(condition, seconds=10):
+    """Waits until the condition holds; fails if it does not in time."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise AssertionError("the condition did not become true in time")
+
+
 class Gateway:
     """The gateway of one VM; start() after stop() starts a new process with the same settings."""
 
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -9,7 +9,7 @@
 import time
 import unittest
 
-from gateway_process import OPERATOR, ORDER_PAUSE, Gateway
+from gateway_process import OPERATOR, ORDER_PAUSE, Gateway, wait_for
 from users_platform import HOST, ROUTES, Platform, Upstream
 
 # Seconds of the pause that an owner at least grants before its ownership ends. What it grants is
@@ -19,15 +19,6 @@
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
 
 
-def wait_for(condition, seconds=10):
-    deadline = time.monotonic() + seconds
-    while time.monotonic() < deadline:
-        if condition():
-            return
-        time.sleep(0.02)
-    raise AssertionError("the condition did not become true in time")
-
-
 class GatewayTest(unittest.TestCase):
     CHAT = {"X-Model-Name": "m1", "X-Token-Usage": "100,20", "X-Prompt-Prefix": "a:50,b:50"}
 
--- a/tests/e2e/test_upstream_crash.py
+++ b/tests/e2e/test_upstream_crash.py
@@ -6,21 +6,13 @@
 import time
 import unittest
 
-from gateway_process import Gateway
+from gateway_process import Gateway, wait_for
 from users_platform import ROUTES, Platform, Upstream
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
 TAKE_OVER_SECONDS = 12
 
 
-def wait_for(condition, seconds):
-    deadline = time.monotonic() + seconds
-    while not condition():
-        if time.monotonic() > deadline:
-            raise AssertionError("the condition did not become true in time")
-        time.sleep(0.02)
-
-
 class CrashedEngine(unittest.TestCase):
     """Two gateways; the first engine alone holds the model that callers want."""
 
@@ -38,7 +30,7 @@
         for number in (0, 1):
             self.platform.serve_store(BASE_PORT + 90 + number)
             self.gateways.append(Gateway(number, self.folder.name, BASE_PORT + 10 * number, BASE_PORT + 90 + number))
-        wait_for(lambda: all(gateway.ready() for gateway in self.gateways), 10)
+        wait_for(lambda: all(gateway.ready() for gateway in self.gateways))
 
     def tearDown(self):
         for gateway in self.gateways:
