Log how a caller's connection ends while a request has no response

The users saw a connection that ended without an answer to the request in it. The log had no line for the end of a connection, so the hypotheses of the incident could not be told apart. Now each end is counted by its reason, and one line tells of an end with unanswered bytes: the reason, what was read, how long ago.

The test ReadsNothingAfterTheDecisionToCloseAnIdleConnection was written to show hypothesis 1 and passes on the code as it was: libevent runs a callback posted for now in the same pass of the loop, so nothing is read between the decision and the close. The hypothesis is ruled out; the test stays as a guard.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -178,6 +178,9 @@
   mQuota.setWindow(mSettings.quotaWindow);
   mRetries.setLimits(
     { mSettings.retryRatio, mSettings.retryMinExtra, mSettings.retryWindow });
+  mCallers.onClosed([this](const wire::ClosedCaller& aClosed) {
+    mRequestLog.logCallerClose(aClosed, base::monotonicNow());
+  });
   // Deferred, because the verdict may change inside a callback of a request.
   mCrashes.onVerdicts([this] { mEndBlocked.trigger({}); });
   mFleet.changed().connect([this] { onFleetChanged(); });
--- a/apps/gateway/request_log.cpp
+++ b/apps/gateway/request_log.cpp
@@ -104,6 +104,33 @@
     aStep, { { "id", aId }, { "upstream", aUpstream }, { "reason", aReason } });
 }
 
+void
+RequestLog::logCallerClose(const wire::ClosedCaller& aClosed,
+                           base::TimePoint aNow)
+{
+  const char* reason = wire::callerEndName(aClosed.end);
+  mMetrics
+    .counter("marigold_caller_connections_closed_total",
+             "Connections of callers that have ended, by reason",
+             { { "reason", reason } })
+    .Increment();
+  // A caller that leaves during its request is in the line of the request.
+  const bool logged =
+    aClosed.unansweredBytes == 0 ||
+    (aClosed.requestOpen && aClosed.end == wire::CallerEnd::ClosedByCaller);
+  if (logged || !takeToken(0, aNow)) {
+    return;
+  }
+  observe::logWarn(
+    "caller connection ended without a response",
+    { { "reason", reason },
+      { "request_open", aClosed.requestOpen ? "yes" : "no" },
+      { "unanswered_bytes", std::to_string(aClosed.unansweredBytes) },
+      { "unsent_bytes", std::to_string(aClosed.unsentBytes) },
+      { "since_input_ms", formatMilliseconds(aClosed.sinceInput) },
+      { "open_for_ms", formatMilliseconds(aClosed.sinceOpened) } });
+}
+
 void
 RequestLog::logDroppedLines(base::TimePoint aNow)
 {
--- a/apps/gateway/request_log.h
+++ b/apps/gateway/request_log.h
@@ -3,6 +3,7 @@
 
 #include "base/base.h"
 #include "observe/metrics.h"
+#include "wire/caller_connection.h"
 
 #include <cstdint>
 #include <string>
@@ -52,6 +53,11 @@
                const std::string& aReason,
                base::TimePoint aNow);
 
+  /** Counts a caller's connection that has ended, and logs it if it ended with
+   * a request that got no response. @param aClosed how it ended
+   * @param aNow time */
+  void logCallerClose(const wire::ClosedCaller& aClosed, base::TimePoint aNow);
+
   /** Logs the number of dropped lines, if any. @param aNow time */
   void logDroppedLines(base::TimePoint aNow);
 
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -32,6 +32,24 @@
 
 } // namespace
 
+const char*
+callerEndName(CallerEnd aEnd)
+{
+  switch (aEnd) {
+    case CallerEnd::ClosedByCaller:
+      return "closed by the caller";
+    case CallerEnd::Failed:
+      return "failed";
+    case CallerEnd::Idle:
+      return "idle";
+    case CallerEnd::Completed:
+      return "after its last response";
+    case CallerEnd::Aborted:
+      return "aborted";
+  }
+  return "unknown";
+}
+
 CallerConnection::CallerConnection(CallerServer& aServer, int aDescriptor)
   : mServer(aServer)
   , mTransport(aServer.mLoop, aDescriptor)
@@ -47,6 +65,8 @@
                 }
               },
               [] {} })
+  , mOpenedAt(base::monotonicNow())
+  , mLastInputAt(mOpenedAt)
 {
 }
 
@@ -63,7 +83,7 @@
                              armTimer(kLingerTime);
                            }
                          },
-                         [this](TransportEnd) { ended(); } });
+                         [this](TransportEnd aEnd) { ended(aEnd); } });
   armTimer(mServer.mLimits.idleTimeout);
 }
 
@@ -88,7 +108,7 @@
     armTimer(kLingerTime);
     return;
   }
-  remove();
+  remove(mClosing ? CallerEnd::Completed : CallerEnd::Idle);
 }
 
 bool
@@ -106,7 +126,9 @@
 void
 CallerConnection::readInput()
 {
+  mLastInputAt = base::monotonicNow();
   if (mClosing) {
+    mUnansweredBytes += mTransport.pendingInput();
     mTransport.consume(mTransport.pendingInput());
     return;
   }
@@ -119,11 +141,13 @@
     return;
   }
   if (!mParser.started()) {
-    mReceivedAt = base::monotonicNow();
+    mReceivedAt = mLastInputAt;
     armTimer(mServer.mLimits.headerTimeout);
   }
   const bool hadHeaders = mParser.headersComplete();
-  mTransport.consume(mParser.feed(input));
+  const std::size_t parsed = mParser.feed(input);
+  mUnansweredBytes += parsed;
+  mTransport.consume(parsed);
   if (rejectInvalid()) {
     return;
   }
@@ -283,9 +307,11 @@
   if (!mChunked) {
     // Without chunked encoding an orderly close would complete the response.
     mTransport.resetOnClose();
+    reportClose(mTransport.peerClosed() ? CallerEnd::ClosedByCaller
+                                        : CallerEnd::Aborted);
     mRequestOpen = false;
     --mServer.mOpenRequests;
-    remove();
+    release();
     return;
   }
   finishRequest();
@@ -297,6 +323,7 @@
   mRequestOpen = false;
   --mServer.mOpenRequests;
   mDisconnectCallback = nullptr;
+  mUnansweredBytes = 0;
   mRequest = Request{};
   mLastPendingOutput = mTransport.pendingOutput();
   mLastOutputProgress = base::monotonicNow();
@@ -331,9 +358,11 @@
 }
 
 void
-CallerConnection::ended()
+CallerConnection::ended(TransportEnd aEnd)
 {
   const auto self = shared_from_this();
+  reportClose(aEnd == TransportEnd::Orderly ? CallerEnd::ClosedByCaller
+                                            : CallerEnd::Failed);
   if (mRequestOpen) {
     mRequestOpen = false;
     --mServer.mOpenRequests;
@@ -343,11 +372,33 @@
       callback();
     }
   }
-  remove();
+  release();
+}
+
+void
+CallerConnection::reportClose(CallerEnd aEnd)
+{
+  if (!mServer.mCloseHandler) {
+    return;
+  }
+  const base::TimePoint now = base::monotonicNow();
+  mServer.mCloseHandler({ aEnd,
+                          mRequestOpen,
+                          mUnansweredBytes + mTransport.pendingInput(),
+                          mTransport.pendingOutput(),
+                          now - mLastInputAt,
+                          now - mOpenedAt });
+}
+
+void
+CallerConnection::remove(CallerEnd aEnd)
+{
+  reportClose(aEnd);
+  release();
 }
 
 void
-CallerConnection::remove()
+CallerConnection::release()
 {
   // Freed from the event loop, because the object may be in use further up the
   // call stack.
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -25,6 +25,32 @@
   base::Duration idleTimeout = std::chrono::seconds(15);
 };
 
+/** Why the connection of a caller ended. */
+enum class CallerEnd : std::uint8_t
+{
+  ClosedByCaller,
+  Failed,    ///< reset, or the network lost it
+  Idle,      ///< no further request within the idle timeout
+  Completed, ///< closed after its last response, or by a stop
+  Aborted    ///< closed to show the caller an incomplete response
+};
+
+/** @param aEnd reason @return its name for logs and metrics */
+const char*
+callerEndName(CallerEnd aEnd);
+
+/** How the connection of a caller ended. */
+struct ClosedCaller
+{
+  CallerEnd end = CallerEnd::ClosedByCaller;
+  bool requestOpen = false; ///< a request was waiting for its response
+  /** Received bytes of requests that got no response. */
+  std::size_t unansweredBytes = 0;
+  std::size_t unsentBytes = 0;  ///< of responses
+  base::Duration sinceInput{};  ///< time since the latest bytes arrived
+  base::Duration sinceOpened{}; ///< age of the connection
+};
+
 class CallerServer;
 
 /**
@@ -93,8 +119,10 @@
   void writeHead(int aStatus, const http::Headers& aHeaders, bool aHasLength);
   void finishRequest();
   void beginClose();
-  void remove();
-  void ended();
+  void remove(CallerEnd aEnd);
+  void reportClose(CallerEnd aEnd);
+  void release();
+  void ended(TransportEnd aEnd);
   void armTimer(base::Duration aDelay);
   void timerExpired();
   bool peerIsReading();
@@ -106,6 +134,9 @@
   base::TimePoint mReceivedAt{};
   std::function<void()> mDisconnectCallback;
   http::EventHandle mTimer;
+  base::TimePoint mOpenedAt{};
+  base::TimePoint mLastInputAt{};
+  std::size_t mUnansweredBytes = 0;   ///< consumed bytes without a response
   std::size_t mLastPendingOutput = 0; ///< bytes at the last check
   base::TimePoint mLastOutputProgress{};
   bool mRequestOpen = false;
@@ -121,6 +152,7 @@
 {
 public:
   using Handler = std::function<void(const std::shared_ptr<CallerConnection>&)>;
+  using CloseHandler = std::function<void(const ClosedCaller&)>;
 
   /** @param aLoop event loop @param aHandler called with each complete request
    */
@@ -136,6 +168,9 @@
    * other limits also to open ones */
   void setLimits(const CallerLimits& aLimits) { mLimits = aLimits; }
 
+  /** @param aHandler called when a connection has ended */
+  void onClosed(CloseHandler aHandler) { mCloseHandler = std::move(aHandler); }
+
   /** From now on, closes each connection after its response. */
   void closeAfterResponses() { mCloseAfterResponses = true; }
 
@@ -155,6 +190,7 @@
 
   http::Loop& mLoop;
   Handler mHandler;
+  CloseHandler mCloseHandler;
   CallerLimits mLimits;
   evconnlistener* mListener = nullptr;
   std::set<std::shared_ptr<CallerConnection>> mCallers;
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -255,9 +255,29 @@
     mDescriptor = -1;
   }
 
+  /** @return bytes that have arrived; notes how the connection ended */
+  std::string receive()
+  {
+    std::string received;
+    char buffer[4096];
+    for (;;) {
+      const ssize_t size =
+        recv(mDescriptor, buffer, sizeof(buffer), MSG_DONTWAIT);
+      if (size <= 0) {
+        mReset = size < 0 && errno == ECONNRESET;
+        return received;
+      }
+      received.append(buffer, static_cast<std::size_t>(size));
+    }
+  }
+
+  /** @return true if the last receive() found the connection reset */
+  bool wasReset() const { return mReset; }
+
 private:
   int mDescriptor;
   bool mConnected = false;
+  bool mReset = false;
 };
 
 /** What a call reported. */
@@ -600,6 +620,52 @@
   CHECK(after);
 }
 
+// Guards against connections that end without a trace while a request waits.
+TEST(CallerServer, ReportsHowConnectionsEnd)
+{
+  std::vector<wire::ClosedCaller> closed;
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    aCaller->startStream(200, {});
+    aCaller->abort();
+  });
+  server.onClosed(
+    [&](const wire::ClosedCaller& aClosed) { closed.push_back(aClosed); });
+  server.setLimits({ 1024, 1024, 1s, 20ms });
+  CHECK(bool(server.listen(kAddress)));
+  const std::string request = "GET / HTTP/1.0\r\nHost: h\r\n\r\n";
+  ManualCaller idle;
+  ManualCaller waiting;
+  waiting.send(request);
+  const auto end = loop.after(150ms, [&] { loop.stop(); });
+  loop.run();
+  CHECK_EQUAL(2, closed.size());
+  CHECK(closed[0].end == wire::CallerEnd::Aborted);
+  CHECK(closed[0].requestOpen);
+  CHECK_EQUAL(request.size(), closed[0].unansweredBytes);
+  CHECK(closed[1].end == wire::CallerEnd::Idle);
+  CHECK_EQUAL(0, closed[1].unansweredBytes);
+}
+
+// Guards against a whole request that is read and dropped, because it arrives
+// between the decision to close its idle connection and the close.
+TEST(CallerServer, ReadsNothingAfterTheDecisionToCloseAnIdleConnection)
+{
+  wire::CallerServer server(
+    loop, [](const auto& aCaller) { aCaller->reply(200, {}, "done"); });
+  server.setLimits({ 1024, 1024, 1s, 20ms });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  // Makes the idle timer and the next one expire in the same pass of the loop.
+  const auto delay =
+    loop.after(10ms, [] { std::this_thread::sleep_for(40ms); });
+  const auto send =
+    loop.after(30ms, [&] { caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n"); });
+  const auto end = loop.after(150ms, [&] { loop.stop(); });
+  loop.run();
+  CHECK(caller.receive().empty());
+  CHECK(caller.wasReset()); // An unread request may be sent again.
+}
+
 TEST_GROUP(Pool)
 {
   http::Loop loop;
