Let a longer idle timeout count for connections that are idle already

Callers saw their kept connections closed at the end of the former idle timeout, after a change had raised it: the timer was set once, when the connection became idle. A request sent in that time met a reset. The timer now looks at the timeout in force when it expires.

LongerIdleTimeoutCountsForConnectionsThatAreIdle failed before (no answer) and passes.

--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -84,6 +84,13 @@
                            }
                          },
                          [this](TransportEnd aEnd) { ended(aEnd); } });
+  awaitNextRequest();
+}
+
+void
+CallerConnection::awaitNextRequest()
+{
+  mIdleSince = base::monotonicNow();
   armTimer(mServer.mLimits.idleTimeout);
 }
 
@@ -103,6 +110,13 @@
     rejectWith(408);
     return;
   }
+  // The idle timeout may have become longer meanwhile.
+  const base::Duration left =
+    mIdleSince + mServer.mLimits.idleTimeout - base::monotonicNow();
+  if (!mClosing && left > base::Duration::zero()) {
+    armTimer(left);
+    return;
+  }
   const bool unread = !mClosing && mTransport.hasInput();
   if (unread || peerIsReading()) {
     armTimer(kLingerTime);
@@ -333,7 +347,7 @@
   }
   mParser.reset();
   mTransport.pauseReading(false);
-  armTimer(mServer.mLimits.idleTimeout);
+  awaitNextRequest();
   if (mTransport.pendingInput() > 0) {
     // Deferred, because the function that called reply() may not expect the
     // handler to run for the next request.
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -124,6 +124,7 @@
   void release();
   void ended(TransportEnd aEnd);
   void armTimer(base::Duration aDelay);
+  void awaitNextRequest();
   void timerExpired();
   bool peerIsReading();
 
@@ -136,6 +137,7 @@
   http::EventHandle mTimer;
   base::TimePoint mOpenedAt{};
   base::TimePoint mLastInputAt{};
+  base::TimePoint mIdleSince{};       ///< if no request has begun
   std::size_t mUnansweredBytes = 0;   ///< consumed bytes without a response
   std::size_t mLastPendingOutput = 0; ///< bytes at the last check
   base::TimePoint mLastOutputProgress{};
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -666,6 +666,25 @@
   CHECK(caller.wasReset()); // An unread request may be sent again.
 }
 
+// Guards against a connection that is closed while its caller, who knows the
+// longer idle timeout of a new configuration, still relies on it.
+TEST(CallerServer, LongerIdleTimeoutCountsForConnectionsThatAreIdle)
+{
+  wire::CallerServer server(
+    loop, [](const auto& aCaller) { aCaller->reply(200, {}, "done"); });
+  server.setLimits({ 1024, 1024, 1s, 50ms });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  const auto change = loop.after(20ms, [&] {
+    server.setLimits({ 1024, 1024, 1s, 500ms });
+  });
+  const auto send = loop.after(
+    200ms, [&] { caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n"); });
+  const auto end = loop.after(300ms, [&] { loop.stop(); });
+  loop.run();
+  CHECK(caller.receive().ends_with("done"));
+}
+
 TEST_GROUP(Pool)
 {
   http::Loop loop;
