Follow the store's history into a new era

Callers met a configuration that was not in force, and requests reached upstreams that had left: after the store came back from an older copy, watches went on after a revision of the lost history and missed what was written under revisions given out again, and relays passed that on. Each answer of the store names its era; a client drops answers of an earlier one, a watch lists anew, a mirror begins a new history, and a relay answers readers of its own era only.

test_change_under_a_revision_given_out_again_is_in_force failed before (a withdrawn key worked after 2.5 s); the unit tests of the client and the mirror need the new interface.

--- a/apps/entry/platform_sync.cpp
+++ b/apps/entry/platform_sync.cpp
@@ -103,7 +103,7 @@
     wait = mConfiguration.complete() ? kWatchWait : kFirstWatchWait;
   }
   mPlatform.watch(kPrefix,
-                  mRevision,
+                  { mRevision },
                   wait,
                   [this](const base::Captured<platform::Snapshot>& aSnapshot) {
                     mWatching = false;
--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -46,6 +46,20 @@
 void
 PrefixWatch::start()
 {
+  mClient.restored().connect([this] { onRestored(); });
+  list();
+}
+
+/** Revisions of the mirror may be given out again, and a watch after one of
+ * them would miss changes. */
+void
+PrefixWatch::onRestored()
+{
+  observe::logWarn("store restored from an older copy",
+                   { { "prefix", mPrefix },
+                     { "revision", std::to_string(mRevision) },
+                     { "era", std::to_string(mClient.era()) } });
+  ++mGeneration;
   list();
 }
 
@@ -90,22 +104,28 @@
 PrefixWatch::list()
 {
   mRelistPending = false;
-  mClient.list(
-    mPrefix, [this](const base::Captured<platform::Snapshot>& aResult) {
-      if (const base::Error* error = base::errorOf(aResult)) {
-        recordFailure(*error);
-        schedule(mStoreCallAt - base::monotonicNow(), &PrefixWatch::list);
-        return;
-      }
-      const auto& snapshot = std::get<platform::Snapshot>(aResult);
-      mRevision = snapshot.revision;
-      mLastFromStore = true;
-      recordSuccess();
-      mMirror.replace(snapshot);
-      mMirrorChanged.emit();
-      mCallbacks.snapshot(snapshot);
-      wait();
-    });
+  mTimer.reset();
+  mClient.list(mPrefix,
+               [this, generation = mGeneration](
+                 const base::Captured<platform::Snapshot>& aResult) {
+                 if (generation != mGeneration) {
+                   return;
+                 }
+                 if (const base::Error* error = base::errorOf(aResult)) {
+                   recordFailure(*error);
+                   schedule(mStoreCallAt - base::monotonicNow(),
+                            &PrefixWatch::list);
+                   return;
+                 }
+                 const auto& snapshot = std::get<platform::Snapshot>(aResult);
+                 mRevision = snapshot.revision;
+                 mLastFromStore = true;
+                 recordSuccess();
+                 mMirror.replace(snapshot);
+                 mMirrorChanged.emit();
+                 mCallbacks.snapshot(snapshot);
+                 wait();
+               });
 }
 
 base::Duration
@@ -150,17 +170,21 @@
 void
 PrefixWatch::waitAt(platform::Client& aClient, bool aFromRelay)
 {
-  aClient.watch(
-    mPrefix,
-    mRevision,
-    waitTimeout(aFromRelay),
-    [this, aFromRelay](const base::Captured<platform::Snapshot>& aResult) {
-      if (const base::Error* error = base::errorOf(aResult)) {
-        onFailure(*error, aFromRelay);
-      } else {
-        onChanges(std::get<platform::Snapshot>(aResult), aFromRelay);
-      }
-    });
+  aClient.watch(mPrefix,
+                { mRevision, mMirror.era() },
+                waitTimeout(aFromRelay),
+                [this, aFromRelay, generation = mGeneration](
+                  const base::Captured<platform::Snapshot>& aResult) {
+                  if (generation != mGeneration) {
+                    return;
+                  }
+                  if (const base::Error* error = base::errorOf(aResult)) {
+                    onFailure(*error, aFromRelay);
+                  } else {
+                    onChanges(std::get<platform::Snapshot>(aResult),
+                              aFromRelay);
+                  }
+                });
 }
 
 void
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -36,7 +36,7 @@
 };
 
 /** Lists all keys, then waits for changes by long polling. Lists again if the
- * store's history was compacted. */
+ * store's history was compacted, or was replaced by that of an older copy. */
 class PrefixWatch
 {
 public:
@@ -73,12 +73,16 @@
   /** @return true if the latest response came from the store, not a relay */
   bool isReadingStore() const { return mConnected && mLastFromStore; }
 
+  /** @return true if the mirror is of the store's current era */
+  bool isOfCurrentEra() const { return mMirror.era() == mClient.era(); }
+
   /** Emitted when the mirror may have changed. */
   sigc::signal<void()>& mirrorChanged() { return mMirrorChanged; }
 
 private:
   void list();
   void wait();
+  void onRestored();
   void onChanges(const platform::Snapshot& aChanges, bool aFromRelay);
   void onFailure(const base::Error& aError, bool aFromRelay);
   void waitAt(platform::Client& aClient, bool aFromRelay);
@@ -94,6 +98,8 @@
   base::Duration mPause;
   PrefixWatchCallbacks mCallbacks;
   platform::Revision mRevision = 0;
+  /** Raised when the answers to earlier calls have lost their meaning. */
+  unsigned mGeneration = 0;
   bool mConnected = false;
   bool mRelistPending = false;
   bool mLastFromStore = true;
--- a/apps/gateway/watch_relay.cpp
+++ b/apps/gateway/watch_relay.cpp
@@ -111,6 +111,7 @@
 WatchRelay::isCurrent(const PrefixWatch& aWatch) const
 {
   return aWatch.isReadingStore() && aWatch.mirror().revision() > 0 &&
+         aWatch.isOfCurrentEra() &&
          base::monotonicNow() - mFleet.renewedAt() < kMaxRenewalAge;
 }
 
@@ -121,6 +122,7 @@
   const auto watch = mWatches.find(http::queryValue(aRequest.query, "prefix"));
   const auto after =
     base::parseNumber(http::queryValue(aRequest.query, "after"));
+  const auto era = base::parseNumber(http::queryValue(aRequest.query, "era"));
   const auto wait =
     base::parseNumber(http::queryValue(aRequest.query, "wait_ms"));
   if (watch == mWatches.end() || !after || !wait) {
@@ -128,7 +130,7 @@
     return;
   }
   mReaders.push_back({ watch->second,
-                       *after,
+                       { *after, era.value_or(0) },
                        base::monotonicNow() + kStaleGrace,
                        aResponder,
                        {} });
@@ -151,14 +153,16 @@
   if (aReader.responder->finished()) {
     return true;
   }
-  if (!isCurrent(*aReader.watch)) {
+  const platform::Mirror& mirror = aReader.watch->mirror();
+  // A reader of a later era knows of a restored store before this VM does.
+  if (!isCurrent(*aReader.watch) || aReader.after.era > mirror.era()) {
     if (!aTimedOut && base::monotonicNow() < aReader.refuseAfter) {
       return false;
     }
     aReader.responder->reply({ kUnavailable, {}, "" });
     return true;
   }
-  const auto changes = aReader.watch->mirror().changesAfter(aReader.after);
+  const auto changes = mirror.changesAfter(aReader.after);
   if (!changes) {
     aReader.responder->reply({ kGone, {}, "" });
     return true;
@@ -166,8 +170,11 @@
   if (changes->entries.empty() && !aTimedOut) {
     return false;
   }
-  aReader.responder->reply(
-    observe::jsonAnswer(kOk, platform::encodeSnapshot(*changes)));
+  http::Response response =
+    observe::jsonAnswer(kOk, platform::encodeSnapshot(*changes));
+  response.headers.emplace_back(platform::kEraHeader,
+                                std::to_string(changes->era));
+  aReader.responder->reply(response);
   return true;
 }
 
--- a/apps/gateway/watch_relay.h
+++ b/apps/gateway/watch_relay.h
@@ -38,7 +38,7 @@
   struct Reader
   {
     const PrefixWatch* watch = nullptr;
-    platform::Revision after = 0;
+    platform::Position after;
     base::TimePoint refuseAfter{}; ///< if the data may still be stale then
     std::shared_ptr<http::Responder> responder;
     http::EventHandle timer;
--- a/libs/platform/mirror.cpp
+++ b/libs/platform/mirror.cpp
@@ -33,8 +33,16 @@
 void
 Mirror::replace(const Snapshot& aSnapshot)
 {
-  if (mRevision == 0) {
+  if (mRevision == 0 || aSnapshot.era != mEra) {
+    mEra = aSnapshot.era;
+    mRevision = aSnapshot.revision;
     mCompactedRevision = aSnapshot.revision;
+    mChanges.clear();
+    mEntries.clear();
+    for (const Entry& entry : aSnapshot.entries) {
+      mEntries[entry.key] = entry;
+    }
+    return;
   }
   std::set<std::string> listedKeys;
   for (const Entry& entry : aSnapshot.entries) {
@@ -69,6 +77,7 @@
 Mirror::all() const
 {
   Snapshot all;
+  all.era = mEra;
   all.revision = mRevision;
   for (const auto& [key, entry] : mEntries) {
     all.entries.push_back(entry);
@@ -77,15 +86,16 @@
 }
 
 std::optional<Snapshot>
-Mirror::changesAfter(Revision aAfter) const
+Mirror::changesAfter(Position aAfter) const
 {
-  if (aAfter < mCompactedRevision) {
+  if (aAfter.era != mEra || aAfter.revision < mCompactedRevision) {
     return std::nullopt;
   }
   Snapshot changes;
-  changes.revision = std::max(aAfter, mRevision);
+  changes.era = mEra;
+  changes.revision = std::max(aAfter.revision, mRevision);
   for (const Entry& entry : mChanges) {
-    if (entry.revision > aAfter) {
+    if (entry.revision > aAfter.revision) {
       changes.entries.push_back(entry);
     }
   }
--- a/libs/platform/mirror.h
+++ b/libs/platform/mirror.h
@@ -14,7 +14,8 @@
 class Mirror
 {
 public:
-  /** Replaces the content and records the differences as changes.
+  /** Replaces the content and records the differences as changes, but not
+   * those to an earlier era.
    * @param aSnapshot all keys that exist; absent keys were deleted */
   void replace(const Snapshot& aSnapshot);
 
@@ -25,18 +26,23 @@
    */
   Revision revision() const { return mRevision; }
 
+  /** @return the era of the content */
+  Era era() const { return mEra; }
+
   /** @return all keys that exist */
   Snapshot all() const;
 
   /**
-   * @param aAfter last revision that the reader has seen
-   * @return later changes, or nothing if some of them were dropped
+   * @param aAfter last point of the history that the reader has seen
+   * @return later changes, or nothing if some of them were dropped or the
+   * reader's point is from another era
    */
-  std::optional<Snapshot> changesAfter(Revision aAfter) const;
+  std::optional<Snapshot> changesAfter(Position aAfter) const;
 
 private:
   void applyEntry(const Entry& aEntry);
 
+  Era mEra = 0;
   Revision mRevision = 0;
   Revision mCompactedRevision = 0; ///< changes up to it may be dropped
   std::map<std::string, Entry> mEntries;
--- a/libs/platform/native_protocol.cpp
+++ b/libs/platform/native_protocol.cpp
@@ -29,13 +29,14 @@
 }
 
 http::Request
-watchRequest(const std::string& aPrefix, Revision aAfter, base::Duration aWait)
+watchRequest(const std::string& aPrefix, Position aAfter, base::Duration aWait)
 {
-  return makeRequest("GET",
-                     "/v1/watch",
-                     "prefix=" + http::percentEncode(aPrefix) +
-                       "&after=" + std::to_string(aAfter) + "&wait_ms=" +
-                       std::to_string(base::inMilliseconds(aWait)));
+  return makeRequest(
+    "GET",
+    "/v1/watch",
+    "prefix=" + http::percentEncode(aPrefix) + "&era=" +
+      std::to_string(aAfter.era) + "&after=" + std::to_string(aAfter.revision) +
+      "&wait_ms=" + std::to_string(base::inMilliseconds(aWait)));
 }
 
 http::Request
@@ -117,10 +118,16 @@
   return errorFromStatus(aStatus, kConflict);
 }
 
+std::optional<Era>
+readEra(const http::Headers& aHeaders)
+{
+  return readEraHeader(aHeaders, kEraHeader);
+}
+
 constexpr WireProtocol kNativeProtocol{
   &readRequest,  &listRequest,  &watchRequest,  &writeRequest, &removeRequest,
   &grantRequest, &renewRequest, &revokeRequest, &readEntry,    &readSnapshot,
-  &readSnapshot, &readRevision, &readLease,     &statusError
+  &readSnapshot, &readRevision, &readLease,     &statusError,  &readEra
 };
 
 } // namespace
--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -1,5 +1,6 @@
 #include "platform/platform.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace marigold::platform {
@@ -146,6 +147,11 @@
       aDone(transportError(aEnd, aIsWrite));
       return;
     }
+    if (!recordEra(aResponse.headers)) {
+      ++mCounts.failures;
+      aDone(transportError(http::CallEnd::TimedOut, aIsWrite));
+      return;
+    }
     if (const auto error = mProtocol.statusError(aResponse.status)) {
       aDone(*error);
       return;
@@ -159,6 +165,22 @@
     mClient.start(mAddress, aRequest, aTimeout, std::move(events), !aIsWrite);
 }
 
+/** @return false if the answer is from before the store was restored */
+bool
+Client::recordEra(const http::Headers& aHeaders)
+{
+  const auto era = mProtocol.readEra(aHeaders);
+  if (!era) {
+    return true;
+  }
+  const auto previous = mEra;
+  mEra = std::max(*era, previous.value_or(0));
+  if (previous && *era > *previous) {
+    mRestored.emit();
+  }
+  return *era == mEra;
+}
+
 void
 Client::failAfterTimeout(base::Duration aTimeout,
                          bool aIsWrite,
@@ -211,8 +233,14 @@
          }
          auto& read = std::get<Snapshot>(page);
          if (aPartial->revision == 0) {
+           aPartial->era = era();
            aPartial->revision = read.revision;
          }
+         if (aPartial->era != era()) {
+           // The earlier pages are from before the store was restored.
+           list(aPrefix, aDone);
+           return;
+         }
          const bool more = read.more && !read.entries.empty();
          std::move(read.entries.begin(),
                    read.entries.end(),
@@ -258,7 +286,7 @@
 
 void
 Client::watch(const std::string& aPrefix,
-              Revision aAfter,
+              Position aAfter,
               base::Duration aWait,
               Callback<Snapshot> aDone)
 {
@@ -267,7 +295,12 @@
        false,
        [this,
         aDone = std::move(aDone)](const Captured<http::Response>& aResponse) {
-         aDone(readResponse<Snapshot>(aResponse, mProtocol.readChanges));
+         auto changes =
+           readResponse<Snapshot>(aResponse, mProtocol.readChanges);
+         if (base::errorOf(changes) == nullptr) {
+           std::get<Snapshot>(changes).era = era();
+         }
+         aDone(changes);
        });
 }
 
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -19,6 +19,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <sigc++/sigc++.h>
 #include <string>
 #include <vector>
 
@@ -48,8 +49,9 @@
  * value or one of these errors: PlatformUnreachable (not executed),
  * PlatformTimeout, PlatformRateLimited, RevisionConflict, NotFound,
  * ValueTooLarge, LeaseLost or WriteOutcomeUnknown (a write whose answer was
- * lost, so that it may have taken effect). Destroying the client cancels all
- * pending calls without a callback.
+ * lost, so that it may have taken effect). An answer of an era before that of
+ * an earlier answer counts as lost, because the store has forgotten what it
+ * says. Destroying the client cancels all pending calls without a callback.
  */
 class Client
 {
@@ -104,13 +106,13 @@
   /**
    * Waits for changes (long polling). The platform counts it as one read.
    * @param aPrefix prefix of the keys
-   * @param aAfter last revision that the caller has seen
+   * @param aAfter last point of the history that the caller has seen
    * @param aWait maximum time to wait for a change
    * @param aDone gets the changed entries (none if aWait has passed), or
    * HistoryCompacted if the platform no longer has the changes after aAfter
    */
   void watch(const std::string& aPrefix,
-             Revision aAfter,
+             Position aAfter,
              base::Duration aWait,
              Callback<Snapshot> aDone);
 
@@ -135,6 +137,13 @@
    * @param aActive true to start the outage, false to end it */
   void simulateOutage(bool aActive) { mOutageSimulated = aActive; }
 
+  /** @return the latest era that an answer named, 0 if none did */
+  Era era() const { return mEra.value_or(0); }
+
+  /** Emitted when an answer shows that the store was restored from an older
+   * copy, before the callback of that answer. */
+  sigc::signal<void()>& restored() { return mRestored; }
+
   /** @return calls since the client was created */
   const CallCounts& counts() const { return mCounts; }
 
@@ -146,6 +155,7 @@
             base::Duration aTimeout,
             bool aIsWrite,
             ResponseCallback aDone);
+  bool recordEra(const http::Headers& aHeaders);
   void failAfterTimeout(base::Duration aTimeout,
                         bool aIsWrite,
                         ResponseCallback aDone);
@@ -159,6 +169,8 @@
   const WireProtocol& mProtocol;
   http::Client mClient;
   CallCounts mCounts;
+  std::optional<Era> mEra;
+  sigc::signal<void()> mRestored;
   std::list<std::unique_ptr<http::Call>> mCalls;
   std::list<http::EventHandle> mDroppedCalls; ///< calls made during an outage
   bool mOutageSimulated = false;
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -100,6 +100,82 @@
   CHECK(writeCode(answering(200, R"({"revision": 4})")) == Code::Ok);
 }
 
+// Revisions and leases of a store that came back from an older copy mean
+// nothing in what it says from then on.
+TEST(Platform, NoticesARestoredStoreAndDropsAnswersFromBefore)
+{
+  std::string era = "4";
+  http::Server server(loop, {}, [&](const http::Request&, const auto& aOut) {
+    aOut->reply(
+      { 200, { { platform::kEraHeader, era } }, R"({"revision":4})" });
+  });
+  CHECK(bool(server.listen(address)));
+  unsigned restored = 0;
+  client.restored().connect([&] { ++restored; });
+  CHECK(writeCodeWithoutServer() == Code::Ok);
+  LONGS_EQUAL(0, restored);
+  LONGS_EQUAL(4, client.era());
+  era = "5";
+  CHECK(writeCodeWithoutServer() == Code::Ok);
+  LONGS_EQUAL(1, restored);
+  LONGS_EQUAL(5, client.era());
+  era = "4";
+  CHECK(writeCodeWithoutServer() == Code::WriteOutcomeUnknown);
+  era = "no number";
+  CHECK(writeCodeWithoutServer() == Code::Ok);
+  LONGS_EQUAL(1, restored);
+  LONGS_EQUAL(5, client.era());
+}
+
+// The pages of a list are read one after the other. Those from before the store
+// was restored must not be mixed with later ones.
+TEST(Platform, ListBeginsAgainWhenTheStoreIsRestoredBetweenPages)
+{
+  unsigned pages = 0;
+  http::Server server(
+    loop, {}, [&](const http::Request& aRequest, const auto& aOut) {
+      ++pages;
+      const bool first = aRequest.query.find("&after=") == std::string::npos;
+      aOut->reply({ 200,
+                    { { "Store-Era", pages == 1 ? "1" : "2" } },
+                    first ? R"({"at":9,"has_more":true,"items":[
+                              {"key":"a","value":"eA==","revision":1}]})"
+                          : R"({"at":9,"has_more":false,"items":[
+                              {"key":"b","value":"eA==","revision":2}]})" });
+    });
+  CHECK(bool(server.listen(address)));
+  std::optional<platform::Snapshot> listed;
+  platform::WireProtocol protocol = platform::nativeProtocol();
+  protocol.list = [](const std::string&, const std::string& aAfter) {
+    return http::Request{
+      "GET", "/", aAfter.empty() ? "p" : "p&after=" + aAfter, {}, ""
+    };
+  };
+  protocol.readPage = [](const nlohmann::json& aContent) {
+    platform::Snapshot page;
+    page.revision = aContent.at("at");
+    page.more = aContent.at("has_more");
+    for (const auto& item : aContent.at("items")) {
+      page.entries.push_back(
+        { item.at("key"), item.at("value"), item.at("revision") });
+    }
+    return page;
+  };
+  protocol.readEra = [](const http::Headers& aHeaders) {
+    return platform::readEraHeader(aHeaders, "Store-Era");
+  };
+  platform::Client paging{ loop, address, 300ms, protocol };
+  paging.list("", [&](const auto& aResult) {
+    CHECK(base::errorOf(aResult) == nullptr);
+    listed = std::get<platform::Snapshot>(aResult);
+    loop.stop();
+  });
+  loop.run();
+  LONGS_EQUAL(4, pages);
+  LONGS_EQUAL(2, listed->entries.size());
+  LONGS_EQUAL(2, listed->era);
+}
+
 TEST_GROUP(Mirror)
 {
   platform::Mirror mirror;
@@ -114,7 +190,7 @@
 TEST(Mirror, ReturnsAllChangesAfterARevision)
 {
   mirror.apply({ 12, { { "a", "3", 11 }, { "b", std::nullopt, 12 } } });
-  const auto changes = mirror.changesAfter(11);
+  const auto changes = mirror.changesAfter({ 11 });
   CHECK(changes.has_value());
   LONGS_EQUAL(12, changes->revision);
   LONGS_EQUAL(1, changes->entries.size());
@@ -126,7 +202,7 @@
 // revision.
 TEST(Mirror, ReaderWithALaterRevisionGetsNoOlderChanges)
 {
-  const auto changes = mirror.changesAfter(15);
+  const auto changes = mirror.changesAfter({ 15 });
   CHECK(changes.has_value());
   LONGS_EQUAL(15, changes->revision);
   CHECK(changes->entries.empty());
@@ -136,7 +212,7 @@
 TEST(Mirror, ReplaceReportsDeletedKeys)
 {
   mirror.replace({ 20, { { "a", "1", 7 } } });
-  const auto changes = mirror.changesAfter(10);
+  const auto changes = mirror.changesAfter({ 10 });
   CHECK(changes.has_value());
   LONGS_EQUAL(1, changes->entries.size());
   STRCMP_EQUAL("b", changes->entries.at(0).key.c_str());
@@ -147,14 +223,31 @@
 // it would keep stale values.
 TEST(Mirror, DroppedChangesAreReported)
 {
-  CHECK(!mirror.changesAfter(8).has_value());
+  CHECK(!mirror.changesAfter({ 8 }).has_value());
   platform::Revision revision = 10;
   for (int i = 0; i < 3000; ++i) {
     ++revision;
     mirror.apply({ revision, { { "a", "x", revision } } });
   }
-  CHECK(!mirror.changesAfter(11).has_value());
-  CHECK(mirror.changesAfter(revision - 10).has_value());
+  CHECK(!mirror.changesAfter({ 11 }).has_value());
+  CHECK(mirror.changesAfter({ revision - 10 }).has_value());
+}
+
+// Revisions of a lost history are given out again. A reader that knows them
+// must read everything anew, and must not be told that nothing has changed.
+TEST(Mirror, ReaderOfAnEarlierEraGetsNoChanges)
+{
+  platform::Snapshot restored{ 5, { { "a", "0", 4 } } };
+  restored.era = 1;
+  mirror.replace(restored);
+  LONGS_EQUAL(5, mirror.revision());
+  LONGS_EQUAL(1, mirror.all().entries.size());
+  CHECK(!mirror.changesAfter({ 10, 0 }).has_value());
+  mirror.apply({ 6, { { "a", "1", 6 } } });
+  const auto changes = mirror.changesAfter({ 5, 1 });
+  CHECK(changes.has_value());
+  LONGS_EQUAL(1, changes->entries.size());
+  LONGS_EQUAL(1, changes->era);
 }
 
 // An encoding that the platform client cannot decode would break every relay.
@@ -162,7 +255,7 @@
 {
   mirror.apply({ 12, { { "b", std::nullopt, 12 } } });
   const auto read = platform::nativeProtocol().readChanges(
-    platform::encodeSnapshot(*mirror.changesAfter(10)));
+    platform::encodeSnapshot(*mirror.changesAfter({ 10 })));
   LONGS_EQUAL(12, read.revision);
   STRCMP_EQUAL("b", read.entries.at(0).key.c_str());
   CHECK(!read.entries.at(0).value);
--- a/libs/platform/wire_protocol.cpp
+++ b/libs/platform/wire_protocol.cpp
@@ -34,4 +34,11 @@
   }
 }
 
+std::optional<Era>
+readEraHeader(const http::Headers& aHeaders, const char* aName)
+{
+  const auto era = base::parseNumber(http::findHeader(aHeaders, aName));
+  return era ? std::optional<Era>(*era) : std::nullopt;
+}
+
 } // namespace marigold::platform
--- a/libs/platform/wire_protocol.h
+++ b/libs/platform/wire_protocol.h
@@ -16,6 +16,18 @@
 /** Revision of a key or of the store, which rises with each change. */
 using Revision = std::uint64_t;
 
+/** Number of times that the store was restored from an older copy. What it had
+ * acknowledged since the copy is gone then, and revisions and leases of that
+ * time are given out again, so those of two eras cannot be compared. */
+using Era = std::uint64_t;
+
+/** A point in the history of the store. */
+struct Position
+{
+  Revision revision = 0;
+  Era era = 0;
+};
+
 /** A key with its value and the revision at which it was last changed. */
 struct Entry
 {
@@ -30,6 +42,7 @@
   Revision revision = 0;
   std::vector<Entry> entries;
   bool more = false; ///< another page follows
+  Era era = 0;
 };
 
 /** A write that is applied only if the key still has the expected revision. */
@@ -51,7 +64,7 @@
   http::Request (*list)(const std::string& aPrefix,
                         const std::string& aAfterKey);
   http::Request (*watch)(const std::string& aPrefix,
-                         Revision aAfter,
+                         Position aAfter,
                          base::Duration aWait);
   http::Request (*write)(const ConditionalWrite& aWrite);
   http::Request (*remove)(const std::string& aKey, Revision aExpected);
@@ -64,8 +77,18 @@
   Revision (*readRevision)(const nlohmann::json& aContent);
   std::string (*readLease)(const nlohmann::json& aContent);
   std::optional<base::Error> (*statusError)(int aStatus);
+  /** @return the era that an answer names, if it does */
+  std::optional<Era> (*readEra)(const http::Headers& aHeaders);
 };
 
+/** Header of the native protocol with the era of the data in an answer. */
+constexpr const char* kEraHeader = "Marigold-Store-Era";
+
+/** @param aHeaders headers of an answer @param aName header with an era
+ * @return the era, or nothing if the header is missing or malformed */
+std::optional<Era>
+readEraHeader(const http::Headers& aHeaders, const char* aName);
+
 /**
  * Maps the statuses that have the same meaning in all protocols.
  * @param aStatus HTTP status of an answer
--- /dev/null
+++ b/tests/e2e/test_restored_store.py
@@ -0,0 +1,88 @@
+"""Tests gateways whose store comes back from an older copy: what it had acknowledged since the copy is
+gone, leases too, and its revisions are given out again."""
+
+import os
+import tempfile
+import time
+import unittest
+
+from gateway_process import ORDER_PAUSE, Gateway, wait_for
+from users_platform import ROUTES, Platform, Upstream
+
+BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27100))
+CHAT = {"X-Model-Name": "m1", "X-Token-Usage": "100,20", "X-Prompt-Prefix": "a:50,b:50"}
+WATCH_SECONDS = 4.5  # a watch has returned, and goes on from the present revision
+APPLY_SECONDS = 2.5  # the users' bound for a change of the configuration, and for an upstream that leaves
+
+
+class RestoredStoreTest(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.platform = Platform()
+        self.store = self.platform.store
+        self.platform.serve_store(BASE_PORT + 90)
+        self.desks = [Upstream(f"desk{n}", BASE_PORT + 60 + n, "desk") for n in (0, 1)]
+        self.engines = [Upstream(f"engine{n}", BASE_PORT + 70 + n, "llm", ["m1"]) for n in (0, 1)]
+        self.platform.publish(1, ["k1", "k2"], ROUTES)
+        for upstream in self.desks + self.engines:
+            self.platform.serve_upstream(upstream)
+        # Three VMs of one data centre: at least one of them follows the store through another one.
+        self.gateways = [Gateway(n, self.folder.name, BASE_PORT + 10 * n, BASE_PORT + 90) for n in range(3)]
+        for gateway in self.gateways:
+            wait_for(gateway.ready)
+        wait_for(lambda: all(gateway.log().count("registered") for gateway in self.gateways))
+
+    def tearDown(self):
+        for gateway in self.gateways:
+            gateway.stop()
+        self.platform.close()
+        self.folder.cleanup()
+
+    def write_much(self):
+        """Raises the revision, so that the watches are ahead of what the copy will have."""
+        self.platform.change(self.fill, self.store.revision + 40)
+        time.sleep(WATCH_SECONDS)
+
+    def fill(self, revision):
+        while self.store.revision < revision:
+            self.store.put("other/key", b"")
+
+    def restore(self, **options):
+        self.platform.change(lambda: self.store.restore(**options))
+
+    def restore_and_write(self, key, value):
+        """Restores the store and writes a key under a revision that was given out before the restoration."""
+        def change():
+            lost = self.store.revision
+            self.store.restore()
+            self.store.put(key, value)
+            self.assertLess(self.store.revision, lost)
+            self.fill(lost + 5)
+        self.platform.change(change)
+
+    def test_change_under_a_revision_given_out_again_is_in_force(self):
+        """Guards against a watch that goes on after a revision of the lost history and misses changes."""
+        self.platform.change(self.store.take_copy)
+        self.write_much()
+        self.restore_and_write("op/config", self.platform.configuration(2, ["k2"], ROUTES))
+        time.sleep(APPLY_SECONDS)
+        for gateway in self.gateways:
+            self.assertEqual(401, gateway.call("/again/x", key="k1")[0])
+            self.assertEqual(200, gateway.call("/again/x", key="k2")[0])
+
+    def test_upstream_that_leaves_after_the_restoration_gets_no_new_requests(self):
+        """Guards against readers of a relay that wait for revisions which the relay has left behind."""
+        self.platform.change(self.store.take_copy)
+        self.write_much()
+        leaving = self.desks[0]
+        self.restore_and_write("servers/" + leaving.name, leaving.record("draining"))
+        time.sleep(APPLY_SECONDS)
+        before = len(leaving.seen)
+        for gateway in self.gateways:
+            for _ in range(8):
+                self.assertEqual(200, gateway.call("/again/x")[0])
+        self.assertEqual(before, len(leaving.seen))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -54,6 +54,8 @@
         self.unanswered_ports = set()  # calls sent to these are never answered
         self.calls = 0
         self.removed_at = {}  # key: time of its last removal
+        self.era = 1         # rises each time the store is restored from a copy
+        self.copy = None     # what restore() goes back to
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -69,6 +71,23 @@
             self.removed_at[key] = time.monotonic()
             self.history.append({"key": key, "revision": self.revision, "compacted": True})
 
+    def take_copy(self):
+        self.copy = (dict(self.items), dict(self.leases), self.next_lease, self.revision)
+
+    def restore(self, rewritten=("op/", "servers/")):
+        """Goes back to the copy. The operator and the upstreams write again what they had written since;
+        a test may leave that out to write it later."""
+        newer = {key: item for key, item in self.items.items() if key.startswith(tuple(rewritten))}
+        items, leases, self.next_lease, self.revision = self.copy
+        self.items, self.leases = dict(items), dict(leases)
+        self.history = []
+        self.era += 1
+        for key, item in newer.items():
+            if self.items.get(key, {}).get("value") != item["value"]:
+                self.put(key, base64.b64decode(item["value"]))
+        for key in [key for key in self.items if key.startswith(tuple(rewritten)) and key not in newer]:
+            self.remove(key)
+
     def expire(self):
         now = time.monotonic()
         for lease, (until, _) in list(self.leases.items()):
@@ -109,8 +128,13 @@
     async def watch(self, port, query):
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         after = int(query["after"])
+        era = self.era
         while True:
             self.expire()
+            if era != self.era:
+                raise ConnectionError("the store was restored")
+            if after > self.revision:
+                return 410, {}
             events = [e for e in self.history if e["revision"] > after and e["key"].startswith(query["prefix"])]
             if events or time.monotonic() > until or port in self.severed_ports:
                 return 200, {"events": events, "at": self.revision}
@@ -164,6 +188,7 @@
         self.deadly_arrivals = []  # times at which requests with that part arrived
         self.crashes = []    # times
         self.born = 1700000000000
+        self.heartbeats = 1  # counted in its record
         self.after_order = lambda: None  # runs on the platform's thread after each order that took effect
         self.misdirected = 0  # requests for another upstream
         self.listener = None
@@ -173,7 +198,7 @@
         models = [{"name": m, "version": 1, "adapters": sorted(a)} for m, a in self.models.items()]
         return json.dumps({"service": self.service, "address": f"{HOST}:{self.public_port}", "zone": "dc-a",
                            "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
-                           "phase": "unified", "sequence": 1, "born": self.born,
+                           "phase": "unified", "sequence": self.heartbeats, "born": self.born,
                            "models": models}).encode()
 
     async def handle(self, method, path, headers, body, writer):
@@ -345,7 +370,8 @@
                     status, content = await self.store.handle(port, method, path, query, body)
                     if port in self.store.severed_ports:
                         break
-                    writer.write(answer_bytes(status, {}, json.dumps(content).encode()))
+                    era = {"Store-Era": str(self.store.era)}
+                    writer.write(answer_bytes(status, era, json.dumps(content).encode()))
             except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
                 pass  # The peer closed the connection during a request, or the test ended.
             writer.close()
@@ -386,6 +412,10 @@
         self.servers.append(upstream.listener)
 
     def publish(self, version, keys, routes):
+        self.change(self.store.put, "op/config", self.configuration(version, keys, routes))
+
+    @staticmethod
+    def configuration(version, keys, routes):
         models = [{"name": m, "weights_mb": 100, "load_time_s": 1, "adapters": 2, "adapter_size_mb": 1,
                    "warmup_s": 1, "disk_load_s": 1} for m in ("m1", "m2")]
         config = {"version": version, "routes": routes,
@@ -397,7 +427,7 @@
                              "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
                   "tenants": [{"name": "team", "api_keys": keys, "priority": 1, "unit": "generation",
                                "uncached_tokens": 10, "rate_per_s": 100000, "burst": 100000}]}
-        self.change(self.store.put, "op/config", json.dumps(config).encode())
+        return json.dumps(config).encode()
 
 
 def route(name, prefix, kind, service, attempts=2, resumable=False):
