Own nothing of an earlier era of the store

A VM now gives up its leases, registers again, and takes an ownership of an earlier era for nobody's: it is claimed after one term of a lease, by which its owner knows, and the pause follows as always. A fence consists of the era and the revision.

The era is also in the record, because a write that was under way may take effect in the next era.

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -33,6 +33,9 @@
  * only one of them writes to the store. */
 constexpr base::Duration kClaimStagger = 150ms;
 constexpr std::size_t kMaxStaggers = 8;
+/** Bits of a fencing token below the era. Engines and logs handle tokens as
+ * JSON numbers, which are exact up to 53 bits. */
+constexpr unsigned kRevisionBits = 40;
 
 } // namespace
 
@@ -76,6 +79,7 @@
   });
   mLease.lost().connect([this] { mRegistrationRevision = 0; });
   mOwnerLease.granted().connect([this] { claimOwnership(); });
+  aClient.restored().connect([this] { onStoreRestored(); });
 }
 
 void
@@ -86,6 +90,20 @@
   mTickTimer = mLoop.every(kTickInterval, [this] { tick(); });
 }
 
+/** Leases may have ended with the copy, and their ids may now be those of other
+ * VMs. So this VM starts with new ones, and owns nothing until then. */
+void
+Fleet::onStoreRestored()
+{
+  mClaimsFrom = base::monotonicNow() + kOwnershipTerm;
+  mOwnershipFreeAt = mClaimsFrom;
+  mOwnershipLease.clear();
+  mOwner.reset();
+  mRegistrationAt = {};
+  mOwnerLease.drop("the store was restored");
+  mLease.drop("the store was restored");
+}
+
 void
 Fleet::releaseOwnership(base::TimePoint aLastOrderAt)
 {
@@ -108,15 +126,16 @@
   if (!mOwner || !isSelf(*mOwner)) {
     return;
   }
-  const platform::Revision fencingToken = mOwner->fencingToken;
-  mClient.remove(kOwnerKey, fencingToken, [fencingToken](const auto& aResult) {
-    if (const base::Error* error = base::errorOf(aResult)) {
-      // The store removes the key when the lease ends.
-      observe::logWarn("order ownership not released",
-                       { { "fence", std::to_string(fencingToken) },
-                         { "error", error->message } });
-    }
-  });
+  const std::uint64_t fencingToken = mOwner->fencingToken;
+  mClient.remove(
+    kOwnerKey, mOwner->revision, [fencingToken](const auto& aResult) {
+      if (const base::Error* error = base::errorOf(aResult)) {
+        // The store removes the key when the lease ends.
+        observe::logWarn("order ownership not released",
+                         { { "fence", std::to_string(fencingToken) },
+                           { "error", error->message } });
+      }
+    });
 }
 
 void
@@ -188,7 +207,7 @@
 void
 Fleet::applyOwner(const platform::Entry& aEntry)
 {
-  if (mOwner && aEntry.revision < mOwner->fencingToken) {
+  if (mOwner && aEntry.revision < mOwner->revision) {
     return; // The answer to a write has arrived before the watch.
   }
   if (!aEntry.value) {
@@ -203,16 +222,18 @@
   owner.vm = content.value("vm", "");
   owner.address = content.value("address", "");
   owner.incarnation = content.value("incarnation", base::Incarnation{ 0 });
-  owner.fencingToken = aEntry.revision;
+  owner.era = content.value("store_era", platform::Era{ 0 });
+  owner.revision = aEntry.revision;
+  owner.fencingToken = fenceAt(aEntry.revision);
   owner.settled = content.value("settled", false);
   const auto previous = std::exchange(mOwner, owner);
-  if (!isSelf(owner) && !isFormerProcess(owner) && !mClaimCallPending) {
+  if (isOwnedByOther(owner) && !mClaimCallPending) {
     mOwnerLease.drop("another VM owns the orders");
   }
   if (previous && previous->fencingToken == owner.fencingToken) {
     return;
   }
-  if (isSelf(owner) && !(previous && isSelf(*previous))) {
+  if (isOwnRecord(owner) && !(previous && isOwnRecord(*previous))) {
     mOwnedSince = base::monotonicNow();
     mSucceededItself = owner.settled;
   }
@@ -236,6 +257,35 @@
          aOwner.incarnation != mIncarnation;
 }
 
+/** @return true if the ownership was written before the store was restored, so
+ * that others may have owned the orders since */
+bool
+Fleet::isFromEarlierEra(const Ownership& aOwner) const
+{
+  return aOwner.era < mClient.era();
+}
+
+bool
+Fleet::isOwnRecord(const Ownership& aOwner) const
+{
+  return isSelf(aOwner) && !isFromEarlierEra(aOwner);
+}
+
+bool
+Fleet::isOwnedByOther(const Ownership& aOwner) const
+{
+  return !isSelf(aOwner) && !isFormerProcess(aOwner) &&
+         !isFromEarlierEra(aOwner);
+}
+
+/** @return a number that rises with the revisions and, because these go back
+ * when the store is restored, with its eras */
+std::uint64_t
+Fleet::fenceAt(platform::Revision aRevision) const
+{
+  return (mClient.era() << kRevisionBits) + aRevision;
+}
+
 residency::OrderOwnership
 Fleet::orderOwnership() const
 {
@@ -268,7 +318,7 @@
                           : mSettings.orderPause;
 }
 
-platform::Revision
+std::uint64_t
 Fleet::fencingToken() const
 {
   return ownsOrders() ? mOwner->fencingToken : 0;
@@ -290,8 +340,9 @@
   if (mRegistrationRevision == 0) {
     writeRegistration();
   }
+  const bool isFree = !mOwner || isFromEarlierEra(*mOwner);
   const bool mustWait =
-    !mOwner && now < mOwnershipFreeAt + kClaimStagger * claimRank();
+    isFree && now < mOwnershipFreeAt + kClaimStagger * claimRank();
   if (!mustWait) {
     claimOwnership();
   }
@@ -325,38 +376,43 @@
                       { "data_centre", mSettings.dataCentre },
                       { "capacity", mSettings.capacity },
                       { "incarnation", mIncarnation } };
-  mClient.write(kMemberPrefix + mSettings.vm,
-                content.dump(),
-                mOwnKeyRevision,
-                mLease.id(),
-                [this](const base::Captured<platform::Revision>& aResult) {
-                  mRegistrationCallPending = false;
-                  mRegistrationAt =
-                    base::monotonicNow() + mRegistrationBackoff.next();
-                  const base::Error* error = base::errorOf(aResult);
-                  if (error == nullptr) {
-                    mRegistrationAt = {};
-                    mRegistrationBackoff.reset();
-                    mRegistrationRevision =
-                      std::get<platform::Revision>(aResult);
-                    mOwnKeyRevision = mRegistrationRevision;
-                    observe::logInfo("registered");
-                  } else if (error->code == base::Code::RevisionConflict ||
-                             error->code == base::Code::WriteOutcomeUnknown) {
-                    // Listing yields the revision for the next attempt.
-                    mWatch.relist();
-                  } else if (error->code == base::Code::NotFound) {
-                    mLease.drop("not found in the store");
-                  }
-                });
+  mClient.write(
+    kMemberPrefix + mSettings.vm,
+    content.dump(),
+    mOwnKeyRevision,
+    mLease.id(),
+    [this,
+     lease = mLease.id()](const base::Captured<platform::Revision>& aResult) {
+      mRegistrationCallPending = false;
+      if (lease != mLease.id()) {
+        mWatch.relist(); // The key ends with the former lease.
+        return;
+      }
+      mRegistrationAt = base::monotonicNow() + mRegistrationBackoff.next();
+      const base::Error* error = base::errorOf(aResult);
+      if (error == nullptr) {
+        mRegistrationAt = {};
+        mRegistrationBackoff.reset();
+        mRegistrationRevision = std::get<platform::Revision>(aResult);
+        mOwnKeyRevision = mRegistrationRevision;
+        observe::logInfo("registered");
+      } else if (error->code == base::Code::RevisionConflict ||
+                 error->code == base::Code::WriteOutcomeUnknown) {
+        // Listing yields the revision for the next attempt.
+        mWatch.relist();
+      } else if (error->code == base::Code::NotFound) {
+        mLease.drop("not found in the store");
+      }
+    });
 }
 
 void
 Fleet::claimOwnership()
 {
-  const bool claimable = !mOwner || isFormerProcess(*mOwner);
+  const bool outdated = mOwner && isFromEarlierEra(*mOwner);
+  const bool claimable = !mOwner || isFormerProcess(*mOwner) || outdated;
   if (mClaimCallPending || !mClaimsEnabled || !mSynced || !claimable ||
-      mRegistrationRevision == 0) {
+      mRegistrationRevision == 0 || base::monotonicNow() < mClaimsFrom) {
     return;
   }
   if (!mOwnerLease.validFor(base::monotonicNow(), kOwnershipRenewal)) {
@@ -365,7 +421,8 @@
     return;
   }
   mOwnershipLease = mOwnerLease.id();
-  writeOwnership(mOwner ? mOwner->fencingToken : 0, mOwner && mOwner->settled);
+  writeOwnership(mOwner ? mOwner->revision : 0,
+                 mOwner && mOwner->settled && !outdated);
 }
 
 /** Records that the pause is over. The first order is sent afterwards, so a
@@ -374,7 +431,7 @@
 Fleet::settleOwnership()
 {
   if (!mClaimCallPending) {
-    writeOwnership(mOwner->fencingToken, true);
+    writeOwnership(mOwner->revision, true);
   }
 }
 
@@ -388,6 +445,7 @@
   const json content{ { "vm", mSettings.vm },
                       { "address", mSettings.operatorAddress.text() },
                       { "incarnation", mIncarnation },
+                      { "store_era", mClient.era() },
                       { "settled", aSettled } };
   mClient.write(
     kOwnerKey,
@@ -404,7 +462,7 @@
       } else if (error->code == base::Code::NotFound) {
         mOwnerLease.drop("not found in the store");
       } else if (error->code == base::Code::RevisionConflict) {
-        if (mOwner && !isSelf(*mOwner) && !isFormerProcess(*mOwner)) {
+        if (mOwner && isOwnedByOther(*mOwner)) {
           mOwnerLease.drop("another VM owns the orders");
         }
       } else {
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -26,7 +26,9 @@
   base::VmName vm;
   std::string address; ///< operator address, which the VM keeps while it exists
   base::Incarnation incarnation = 0;
-  platform::Revision fencingToken = 0; ///< store revision of the ownership key
+  platform::Era era = 0; ///< of the store when the ownership was written
+  platform::Revision revision = 0; ///< of the ownership key
+  std::uint64_t fencingToken = 0;  ///< rises with each ownership
   bool settled = false; ///< the pause after the previous owner's orders is over
 };
 
@@ -94,7 +96,7 @@
   base::Duration timeWithoutOrders(base::TimePoint aNow) const;
 
   /** @return fencing token of this VM's ownership, 0 if it is not the owner */
-  platform::Revision fencingToken() const;
+  std::uint64_t fencingToken() const;
 
   /** Emitted when the set of other VMs or the owner has changed. */
   sigc::signal<void()>& changed() { return mChanged; }
@@ -103,6 +105,7 @@
   void apply(const platform::Entry& aEntry);
   void applySnapshot(const platform::Snapshot& aSnapshot);
   void applyOwner(const platform::Entry& aEntry);
+  void onStoreRestored();
   void tick();
   void writeRegistration();
   void claimOwnership();
@@ -111,6 +114,10 @@
   void removeOwnership();
   bool isSelf(const Ownership& aOwner) const;
   bool isFormerProcess(const Ownership& aOwner) const;
+  bool isFromEarlierEra(const Ownership& aOwner) const;
+  bool isOwnRecord(const Ownership& aOwner) const;
+  bool isOwnedByOther(const Ownership& aOwner) const;
+  std::uint64_t fenceAt(platform::Revision aRevision) const;
   residency::OrderOwnership orderOwnership() const;
   std::size_t claimRank() const;
   bool ownsOrders() const;
@@ -133,6 +140,9 @@
   base::TimePoint mOwnedSince{};
   bool mSucceededItself = false; ///< took over from this VM's former process
   base::TimePoint mOwnershipFreeAt{};
+  /** No claims before, because the owner may not know yet that the store has
+   * forgotten it. */
+  base::TimePoint mClaimsFrom{};
   bool mSynced = false;
   bool mReadsStore = true;
   bool mRegistrationCallPending = false;
--- a/tests/e2e/test_restored_store.py
+++ b/tests/e2e/test_restored_store.py
@@ -83,6 +83,51 @@
                 self.assertEqual(200, gateway.call("/again/x")[0])
         self.assertEqual(before, len(leaving.seen))
 
+    def test_orders_keep_the_pause_and_rising_fences(self):
+        """Guards against an owner of the copy that orders beside the present one, and against fences that
+        go back with the revisions."""
+        self.want_adapters_until(self.orders, 15)
+        self.platform.change(self.store.take_copy)
+        self.write_much()
+        first = self.orders()[0][1]
+        self.gateways[int(first[2:])].stop()
+        self.want_adapters_until(lambda: {row[1] for row in self.orders()} - {first}, 20)
+        self.restore()
+        restored = time.monotonic()
+        for engine in self.engines:
+            self.platform.change(self.restart_empty, engine)
+        self.want_adapters_until(lambda: time.monotonic() > restored + 9, 20)
+        self.assertTrue(any(row[0] > restored + ORDER_PAUSE for row in self.orders()))
+        for engine in self.engines:
+            log = engine.order_log
+            for (at, vm, fence, *_), (later, next_vm, next_fence, *_) in zip(log, log[1:]):
+                self.assertGreaterEqual(next_fence, fence)
+                if vm != next_vm:
+                    self.assertGreater(next_fence, fence)
+                    self.assertGreaterEqual(later - at, ORDER_PAUSE)
+
+    def restart_empty(self, engine):
+        """Gives the owner something to order."""
+        engine.born += 1
+        engine.orders = 0
+        engine.models = {"m1": set()}
+        self.store.put("servers/" + engine.name, engine.record())
+
+    def orders(self):
+        return [row for engine in self.engines for row in engine.order_log]
+
+    def want_adapters_until(self, condition, seconds):
+        """Asks for adapters in turn, so that the owner has something to order."""
+        deadline = time.monotonic() + seconds
+        while not condition():
+            self.assertLess(time.monotonic(), deadline)
+            for gateway in self.gateways:
+                for adapter in ("a1", "a2"):
+                    try:
+                        gateway.call("/chat/x", headers={**CHAT, "X-Model-Name": f"m1/{adapter}"}, timeout=0.3)
+                    except OSError:
+                        pass  # The VM is down, or the request waits for an adapter; only the orders count.
+
 
 if __name__ == "__main__":
     unittest.main()
