Keep later records of upstreams when the store lists those of a copy

While upstreams write theirs again, a listed record does not replace a later one of the same process, nor bring back an upstream that was removed after it. Heartbeats order the records of a process.

test_upstream_that_has_left_does_not_come_back_with_the_copy failed before.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -130,7 +130,7 @@
       mSettings.drainLimit / kUpstreamWatchPauses,
       { [this](const platform::Snapshot& aAll) { applyUpstreams(aAll); },
         [this](const platform::Entry& aEntry) {
-          applyUpstream(aEntry);
+          applyUpstream(aEntry, RecordSource::Written);
           scheduleRetries();
         },
         [this] {
@@ -183,6 +183,7 @@
   });
   // Deferred, because the verdict may change inside a callback of a request.
   mCrashes.onVerdicts([this] { mEndBlocked.trigger({}); });
+  mPlatform.restored().connect([this] { onStoreRestored(); });
   mFleet.changed().connect([this] { onFleetChanged(); });
   mOrders.changed().connect([this] {
     mApplyPlacements.trigger(kChangeDebounce);
@@ -265,7 +266,7 @@
 }
 
 void
-Gateway::applyUpstream(const platform::Entry& aEntry)
+Gateway::applyUpstream(const platform::Entry& aEntry, RecordSource aSource)
 {
   const std::string prefix = boundary::kUpstreamPrefix;
   if (!aEntry.key.starts_with(prefix)) {
@@ -296,8 +297,11 @@
                      { { "upstream", name }, { "error", error->message } });
     return;
   }
-  mMissingRecords.erase(name);
   const auto& record = std::get<catalog::UpstreamRecord>(decoded);
+  if (aSource == RecordSource::Listed && isFromCopy(record)) {
+    return;
+  }
+  mMissingRecords.erase(name);
   const auto change = mUpstreams.apply(record);
   if (change == UpstreamTable::Change::Restarted) {
     mOutliers.erase(name);
@@ -323,6 +327,24 @@
                      { "revision", std::to_string(aEntry.revision) } });
 }
 
+/** The records of a restored store are those of its copy, until the upstreams
+ * have written theirs again. */
+bool
+Gateway::isFromCopy(const catalog::UpstreamRecord& aRecord) const
+{
+  const bool justRestored =
+    mStoreRestoredAt &&
+    base::monotonicNow() - *mStoreRestoredAt < mSettings.recordReturnPeriod;
+  return justRestored && mUpstreams.isOutdated(aRecord);
+}
+
+void
+Gateway::onStoreRestored()
+{
+  mStoreRestoredAt = base::monotonicNow();
+  mStoreReachedAt = *mStoreRestoredAt;
+}
+
 void
 Gateway::removeUpstream(const base::UpstreamName& aName, const char* aReason)
 {
@@ -335,7 +357,7 @@
   mOutliers.erase(aName);
   mPrefixIndex.erase(aName);
   mCrashes.onUpstreamGone(aName, base::monotonicNow());
-  mUpstreams.remove(aName);
+  mUpstreams.remove(aName, base::monotonicNow());
   observe::logInfo(
     "upstream",
     { { "upstream", aName }, { "change", "gone" }, { "reason", aReason } });
@@ -347,7 +369,7 @@
   std::set<base::UpstreamName> listed;
   const std::size_t prefix = std::string(boundary::kUpstreamPrefix).size();
   for (const platform::Entry& entry : aSnapshot.entries) {
-    applyUpstream(entry);
+    applyUpstream(entry, RecordSource::Listed);
     listed.insert(entry.key.substr(prefix));
   }
   const base::TimePoint now = base::monotonicNow();
@@ -529,6 +551,7 @@
   mCrashes.expire(now);
   mNotices.expire(now);
   removeMissingUpstreams();
+  mUpstreams.expireRemoved(now);
   mUpstreams.reconsiderReplaced(now);
   mOrders.updateOwnership();
   schedulePlan();
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -26,7 +26,14 @@
 private:
   // Configuration and records.
   void applyCatalog(const std::string& aText, const char* aSource);
-  void applyUpstream(const platform::Entry& aEntry);
+  enum class RecordSource : std::uint8_t
+  {
+    Written, ///< just written to the store
+    Listed
+  };
+  void applyUpstream(const platform::Entry& aEntry, RecordSource aSource);
+  bool isFromCopy(const catalog::UpstreamRecord& aRecord) const;
+  void onStoreRestored();
   void applyUpstreams(const platform::Snapshot& aSnapshot);
   void removeUpstream(const base::UpstreamName& aName, const char* aReason);
   void removeMissingUpstreams();
@@ -99,6 +106,7 @@
    * again, with the time until which they may write them again. */
   std::map<base::UpstreamName, base::TimePoint> mMissingRecords;
   base::TimePoint mStoreReachedAt{};
+  std::optional<base::TimePoint> mStoreRestoredAt;
   base::TimePoint mFleetKnownAt{};
   bool mUpstreamsKnown = false;
   bool mDraining = false;
--- a/apps/gateway/upstream_table.cpp
+++ b/apps/gateway/upstream_table.cpp
@@ -11,6 +11,9 @@
  * time, after three missed heartbeats, unless the store is down. */
 constexpr base::Duration kRecordLifetime = 6s;
 
+/** Copies from which the store is restored are seconds old. */
+constexpr base::Duration kRemovedRetention = 60s;
+
 std::uint32_t
 processTag(const catalog::UpstreamRecord& aRecord)
 {
@@ -99,17 +102,45 @@
 }
 
 bool
-UpstreamTable::remove(const base::UpstreamName& aName)
+UpstreamTable::remove(const base::UpstreamName& aName, base::TimePoint aNow)
 {
   const auto found = mUpstreams.find(aName);
   if (found == mUpstreams.end()) {
     return false;
   }
+  const catalog::UpstreamRecord& record = found->second->record;
+  mRemoved[aName] = { record.startedAt, record.heartbeats, aNow };
   found->second->removed = true;
   mUpstreams.erase(found);
   return true;
 }
 
+bool
+UpstreamTable::isOutdated(const catalog::UpstreamRecord& aRecord) const
+{
+  const auto isBefore = [&](std::uint64_t aStartedAt,
+                            std::uint64_t aHeartbeats) {
+    return aRecord.startedAt < aStartedAt || (aRecord.startedAt == aStartedAt &&
+                                              aRecord.heartbeats < aHeartbeats);
+  };
+  const auto known = mUpstreams.find(aRecord.name);
+  if (known != mUpstreams.end()) {
+    const catalog::UpstreamRecord& latest = known->second->record;
+    return isBefore(latest.startedAt, latest.heartbeats);
+  }
+  const auto removed = mRemoved.find(aRecord.name);
+  return removed != mRemoved.end() &&
+         isBefore(removed->second.startedAt, removed->second.heartbeats + 1);
+}
+
+void
+UpstreamTable::expireRemoved(base::TimePoint aNow)
+{
+  std::erase_if(mRemoved, [aNow](const auto& aItem) {
+    return aNow - aItem.second.removedAt > kRemovedRetention;
+  });
+}
+
 void
 UpstreamTable::markDraining(
   const std::map<base::UpstreamName, std::uint32_t>& aDraining)
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -97,9 +97,18 @@
    * whose records are still there. @param aNow time */
   void reconsiderReplaced(base::TimePoint aNow);
 
-  /** Removes an upstream whose record was removed. @return true if it was known
-   */
-  bool remove(const base::UpstreamName& aName);
+  /** Removes an upstream whose record was removed. @param aName its name
+   * @param aNow time @return true if it was known */
+  bool remove(const base::UpstreamName& aName, base::TimePoint aNow);
+
+  /** @param aRecord record from an older copy of the store
+   * @return true if a later record of that process was known, also if it was
+   * removed since */
+  bool isOutdated(const catalog::UpstreamRecord& aRecord) const;
+
+  /** Forgets upstreams that were removed so long ago that no copy of the store
+   * lists them. @param aNow time */
+  void expireRemoved(base::TimePoint aNow);
 
   /** Marks upstreams as draining that a peer saw draining.
    * @param aDraining names, each with the tag of its process */
@@ -136,7 +145,16 @@
   std::shared_ptr<Upstream> find(const base::UpstreamName& aName) const;
 
 private:
+  /** The last record of an upstream that was removed. */
+  struct Removed
+  {
+    std::uint64_t startedAt = 0;
+    std::uint64_t heartbeats = 0;
+    base::TimePoint removedAt{};
+  };
+
   Map mUpstreams;
+  std::map<base::UpstreamName, Removed> mRemoved;
   void setPlacement(const base::UpstreamName& aName,
                     const peers::EnginePlacement& aPlacement);
 
--- a/libs/catalog/upstream.h
+++ b/libs/catalog/upstream.h
@@ -22,7 +22,8 @@
   unsigned slots = 1;
   bool draining = false;                       ///< accepts no new requests
   std::optional<base::Duration> timeToRemoval; ///< if announced
-  std::uint64_t startedAt = 0; ///< identifies its process; 0: unknown
+  std::uint64_t startedAt = 0;  ///< identifies its process; 0: unknown
+  std::uint64_t heartbeats = 0; ///< sent by its process, orders its records
   /** Resident models with their loaded adapters. */
   std::map<base::ModelName, std::set<std::string>> models;
   std::set<base::ModelName> cachedInMemory;
--- a/tests/e2e/test_restored_store.py
+++ b/tests/e2e/test_restored_store.py
@@ -83,6 +83,23 @@
                 self.assertEqual(200, gateway.call("/again/x")[0])
         self.assertEqual(before, len(leaving.seen))
 
+    def test_upstream_that_has_left_does_not_come_back_with_the_copy(self):
+        """Guards against requests to an address of the copy that nobody or somebody else has now."""
+        left = self.desks[0]
+        left.heartbeats = 7
+        self.platform.change(self.store.put, "servers/" + left.name, left.record())
+        time.sleep(0.3)
+        self.platform.change(self.store.take_copy)
+        self.platform.change(self.store.remove, "servers/" + left.name)
+        time.sleep(1)
+        before = len(left.seen)
+        self.restore(rewritten=("op/",))
+        until = time.monotonic() + 1.5
+        while time.monotonic() < until:
+            for gateway in self.gateways:
+                self.assertEqual(200, gateway.call("/again/x")[0])
+        self.assertEqual(before, len(left.seen))
+
     def test_orders_keep_the_pause_and_rising_fences(self):
         """Guards against an owner of the copy that orders beside the present one, and against fences that
         go back with the revisions."""
