Follow a request through the logs of several VMs with marigoldctl explain

Cause: the way from a request's id to its cause was a series of greps over the logs of all VMs, and what a VM believed at a decision, and how old that was, had to be put together by hand.

Lines may have a time and a VM name before the JSON; others are skipped and counted.

--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -1,8 +1,11 @@
 /** @file Entry point of marigoldctl, the operators' command line tool. */
 #include "apps/ctl/commands.h"
+#include "apps/ctl/explain.h"
+#include "base/number.h"
 #include "observe/observe.h"
 
 #include <docopt/docopt.h>
+#include <iostream>
 
 using namespace marigold;
 
@@ -20,11 +23,16 @@
   marigoldctl --settings FILE keys list
   marigoldctl --settings FILE status
   marigoldctl --settings FILE dump VM
+  marigoldctl explain REQUEST LOG...
+  marigoldctl explain [--slowest N] [--refused] [--team T] LOG...
   marigoldctl (-h | --help)
   marigoldctl --version
 
 Options:
   --settings FILE  YAML settings: platform, operator_key, vms.
+  --slowest N      List the N requests that took longest.
+  --refused        List the requests that were refused or failed.
+  --team T         List the requests of a team.
   -h --help        Show this text.
   --version        Show the version.
 )";
@@ -61,9 +69,49 @@
   return ctl::dumpVm(session, aArguments["VM"].asString());
 }
 
+base::Result<ctl::RequestFilter>
+readFilter(Arguments& aArguments)
+{
+  ctl::RequestFilter filter;
+  filter.refused = aArguments["--refused"].asBool();
+  if (aArguments["--team"]) {
+    filter.team = aArguments["--team"].asString();
+  }
+  if (aArguments["--slowest"]) {
+    const std::string& count = aArguments["--slowest"].asString();
+    filter.slowest = base::parseNumber<std::size_t>(count);
+    if (!filter.slowest) {
+      return base::fail(base::Code::BadRequest,
+                        "--slowest needs a number, not \"" + count + "\"");
+    }
+  }
+  return filter;
+}
+
+base::Result<void>
+explain(Arguments& aArguments)
+{
+  BOOST_LEAF_AUTO(filter, readFilter(aArguments));
+  BOOST_LEAF_AUTO(logs, ctl::readLogFiles(aArguments["LOG"].asStringList()));
+  if (aArguments["REQUEST"]) {
+    BOOST_LEAF_AUTO(
+      text, ctl::explainRequest(logs, aArguments["REQUEST"].asString()));
+    std::cout << text;
+  } else {
+    std::cout << ctl::listRequests(logs, filter);
+  }
+  if (logs.skipped > 0) {
+    std::cerr << logs.skipped << " lines skipped that are no log lines\n";
+  }
+  return {};
+}
+
 base::Result<void>
 run(Arguments& aArguments)
 {
+  if (aArguments["explain"].asBool()) {
+    return explain(aArguments);
+  }
   if (aArguments["check"].asBool()) {
     return ctl::checkManifest(aArguments["FILE"].asString());
   }
