Log which part of a bucket or of the time was missing at a refusal

Cause: a refusal by quota logged level and cost only. An empty bucket, units reserved for VMs that are not heard, a debt and units withheld for unreported usage looked alike; a level above the cost with a refusal could not be explained. "expected start in 914 ms" and "a load takes 0 ms" did not name what they were compared with (seen in a log of 81 VMs).

The lines now have the missing units, level or debt, capacity, refill, reserve and up to three unreachable peers; the latest useful start; the load with its order and the time that remains. Decisions are unchanged.

What a debt stems from is not logged.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 
 namespace marigold::gateway {
@@ -182,8 +183,9 @@
     mContext.quota.admit(mTeam->name, cost, base::monotonicNow());
   if (!decision.admitted) {
     refuse(Code::RateExceeded,
-           "level " + std::to_string(mContext.quota.level(mTeam->name)) +
-             " cost " + std::to_string(cost),
+           "cost " + std::to_string(std::llround(cost)) + ", missing " +
+             std::to_string(std::llround(decision.missing)) + ", " +
+             quota::describe(mContext.quota.account(mTeam->name)),
            decision.retryAfter);
     return false;
   }
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -296,10 +296,13 @@
   if (startsInTime(aChoice)) {
     return true;
   }
+  const base::Duration latest = latestStart();
   refuse(Code::Overloaded,
          "expected start in " +
-           std::to_string(base::inMilliseconds(aChoice.expectedStart)) + " ms",
-         std::max(kOverloadRetryDelay, aChoice.expectedStart - latestStart()));
+           std::to_string(base::inMilliseconds(aChoice.expectedStart)) +
+           " ms, latest in " + std::to_string(base::inMilliseconds(latest)) +
+           " ms",
+         std::max(kOverloadRetryDelay, aChoice.expectedStart - latest));
   return false;
 }
 
@@ -345,11 +348,13 @@
     return;
   }
   if (*load + kOrderDelay > remainingTime()) {
-    refuse(Code::DeadlineUnreachable,
-           "model " + mMetadata.model->text() +
-             " is not loaded; a load takes " +
-             std::to_string(base::inMilliseconds(*load)) + " ms",
-           *load);
+    refuse(
+      Code::DeadlineUnreachable,
+      "model " + mMetadata.model->text() + " is not loaded; a load takes " +
+        std::to_string(base::inMilliseconds(*load + kOrderDelay)) +
+        " ms with its order, " +
+        std::to_string(base::inMilliseconds(remainingTime())) + " ms remain",
+      *load);
     return;
   }
   if (!mWaitLogged) {
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -259,7 +259,7 @@
   if (bucket.level < needed && !borrow(aTeam, bucket, aCost)) {
     const double missing = needed - bucket.level;
     const auto wait = base::fromSeconds(missing / bucket.limit.rate);
-    return { false, std::max(wait, kMinRetryAfter) };
+    return { false, std::max(wait, kMinRetryAfter), missing };
   }
   bucket.level -= aCost;
   bucket.deltas.back().ownUsage += aCost;
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -31,8 +31,25 @@
 {
   bool admitted = true;
   base::Duration retryAfter{}; ///< time until the bucket holds enough units
+  double missing = 0;          ///< units that it lacks, also for peers' usage
+                               ///< that they have not reported yet
 };
 
+/** What determines the level of a bucket on a VM, for the log. */
+struct Account
+{
+  double level = 0;    ///< units; a negative level is a debt
+  double capacity = 0; ///< units that this replica may hold
+  double share = 1;    ///< part of the rate that refills this replica
+  /** Units set aside for unreachable peers; negative if they hold a debt. */
+  double reserved = 0;
+  std::vector<base::VmName> unreachable; ///< peers that hold the other shares
+};
+
+/** @param aAccount account @return one phrase for the log line of a refusal */
+std::string
+describe(const Account& aAccount);
+
 /** Units by team that a VM has consumed since it started, including the
  * overflow that it wrote off in order to borrow. Monotonically increasing. */
 using Usage = std::map<base::TeamName, double>;
@@ -139,6 +156,10 @@
   /** @param aTeam team @return current level of its bucket in units */
   double level(const base::TeamName& aTeam) const;
 
+  /** @param aTeam team
+   * @return what its level consists of, as of the last admission check */
+  Account account(const base::TeamName& aTeam) const;
+
   /** @param aNow time
    * @return levels of all buckets, for VMs that have just started; empty while
    * a registered peer is unreachable or this VM is itself warming up */
--- a/libs/quota/tests/quota_tests.cpp
+++ b/libs/quota/tests/quota_tests.cpp
@@ -304,6 +304,52 @@
   CHECK(quota.level("t") < 1000 - 400);
 }
 
+// The log line of a refusal must tell an empty bucket from one whose units are
+// reserved for VMs that cannot be reached, and from a debt.
+TEST(Quota, AccountTellsWhichPartIsMissing)
+{
+  base::TimePoint now{ 100s };
+  quota::FleetQuota quota;
+  quota.setReportPeriod(100ms);
+  quota.setPeers({ "vm2" }, now);
+  quota.setLimits({ { "t", { 100, 1000 } } }, now);
+  for (const auto end = now + 20s; now < end; now += 100ms) {
+    quota.onPeerUsage("vm2", 1, { { "t", 7 } }, quota::Totals::All, now);
+    quota.admit("t", 0, now);
+  }
+  const quota::Account whole = quota.account("t");
+  CHECK(whole.unreachable.empty());
+  DOUBLES_EQUAL(1000, whole.level, 1);
+  DOUBLES_EQUAL(1000, whole.capacity, 1);
+  DOUBLES_EQUAL(0, whole.reserved, 0.1);
+  for (const auto end = now + 2s; now < end; now += 100ms) {
+    quota.admit("t", 0, now);
+  }
+  const quota::Account cut = quota.account("t");
+  LONGS_EQUAL(1, cut.unreachable.size());
+  STRCMP_EQUAL("vm2", cut.unreachable.front().c_str());
+  DOUBLES_EQUAL(0.5, cut.share, 0.001);
+  DOUBLES_EQUAL(500, cut.capacity, 1);
+  DOUBLES_EQUAL(500, cut.reserved, 1);
+  STRCMP_EQUAL("level 500 of 500, refilled at 50% of the rate, 500 reserved, "
+               "unreachable: vm2",
+               quota::describe(cut).c_str());
+  quota.onPeerUsage("vm2", 1, { { "t", 1507 } }, quota::Totals::All, now);
+  CHECK(!quota.admit("t", 100, now).admitted);
+  const quota::Account debt = quota.account("t");
+  DOUBLES_EQUAL(100 - debt.level, quota.admit("t", 100, now).missing, 0.1);
+  CHECK(debt.level < 0);
+  STRCMP_CONTAINS("debt ", quota::describe(debt).c_str());
+}
+
+// The line must stay short when a whole data centre cannot be reached.
+TEST(Quota, AccountNamesFewPeers)
+{
+  const quota::Account account{ 0, 100, 0.2, 80, { "a", "b", "c", "d", "e" } };
+  STRCMP_CONTAINS("unreachable: a, b, c and 2 more",
+                  quota::describe(account).c_str());
+}
+
 // In a rolling replacement under load, a new VM with empty buckets would refuse
 // teams that are far below their rate.
 TEST(Quota, NewVmAdoptsTheLevelsOfItsPeers)
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -88,6 +88,18 @@
         self.assertLess(time.monotonic() - started, 0.08)
         self.assertEqual(0, self.runs())
 
+    def test_refusals_log_the_figures_that_decided(self):
+        """Guards against refusals whose reason cannot be told from their line: the missing part of
+        a team's bucket, and the time that a load needs against the time that is left."""
+        gateway = self.gateways[0]
+        status, _, _ = gateway.call("/chat/x", headers={**self.CHAT, "X-Model-Name": "m1/a9", "X-Deadline-Ms": "500"})
+        self.assertEqual(503, status)
+        status, _, _ = gateway.call("/chat/x", headers={**self.CHAT, "X-Token-Usage": "1000000,20"})
+        self.assertEqual(429, status)
+        wait_for(lambda: "cost 1000020" in gateway.log(), 2)
+        self.assertRegex(gateway.log(), r"cost 1000020, missing \d+, (level|debt) \d+ of \d+, refilled at \d+% of the rate")
+        self.assertRegex(gateway.log(), r"a load takes \d+ ms with its order, \d+ ms remain")
+
     def test_head_that_stops_in_its_middle_is_no_answer(self):
         """Guards against a 200 with an empty body, framed as whole, when an upstream closes in its head."""
         for desk in self.desks:
