Drop no request that crosses the end of an idle connection in a stop

Operators reported requests that were taken late in the grace of a planned stop and ended without an answer. CallerServer::stop() half-closed idle connections and read on for the linger time; a request that crossed the close was read whole and dropped. The same held behind a stream whose head was sent before the stop, which had not announced the close of its connection.

Now an idle connection is served until it has been idle for the linger time, so what still comes gets a response with "Connection: close". One that has been idle for longer is closed at once, and nothing is read from it after that decision.

Ruled out: a request in the socket at the moment of the stop is served (StopServesRequestAlreadyInSocket).

--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -67,6 +67,7 @@
               [] {} })
   , mOpenedAt(base::monotonicNow())
   , mLastInputAt(mOpenedAt)
+  , mIdleSince(mOpenedAt)
 {
 }
 
@@ -93,6 +94,25 @@
   mTimer = mServer.mLoop.after(aDelay, [this] { timerExpired(); });
 }
 
+void
+CallerConnection::armIdleTimer()
+{
+  armTimer(mServer.mStopped ? kLingerTime : mServer.mLimits.idleTimeout);
+}
+
+/** Half-closing it would take in a request that crosses the close, and no
+ * response could be sent. */
+void
+CallerConnection::endIdle()
+{
+  const base::Duration idle = base::monotonicNow() - mIdleSince;
+  if (idle < kLingerTime || mTransport.pendingOutput() > 0) {
+    armIdleTimer();
+    return;
+  }
+  remove(CallerEnd::Completed);
+}
+
 void
 CallerConnection::timerExpired()
 {
@@ -327,13 +347,14 @@
   mRequest = Request{};
   mLastPendingOutput = mTransport.pendingOutput();
   mLastOutputProgress = base::monotonicNow();
+  mIdleSince = mLastOutputProgress;
   if (mCloseAfterResponse) {
     beginClose();
     return;
   }
   mParser.reset();
   mTransport.pauseReading(false);
-  armTimer(mServer.mLimits.idleTimeout);
+  armIdleTimer();
   if (mTransport.pendingInput() > 0) {
     // Deferred, because the function that called reply() may not expect the
     // handler to run for the next request.
@@ -342,8 +363,6 @@
         self->readInput();
       }
     });
-  } else if (mServer.mStopped) {
-    beginClose();
   }
 }
 
@@ -468,7 +487,7 @@
   for (const auto& caller : std::set(mCallers)) {
     if (!caller->mRequestOpen && !caller->mClosing &&
         !caller->mParser.started() && !caller->mTransport.hasInput()) {
-      caller->beginClose();
+      caller->endIdle();
     }
   }
 }
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -123,6 +123,8 @@
   void reportClose(CallerEnd aEnd);
   void release();
   void ended(TransportEnd aEnd);
+  void endIdle();
+  void armIdleTimer();
   void armTimer(base::Duration aDelay);
   void timerExpired();
   bool peerIsReading();
@@ -136,6 +138,7 @@
   http::EventHandle mTimer;
   base::TimePoint mOpenedAt{};
   base::TimePoint mLastInputAt{};
+  base::TimePoint mIdleSince{};
   std::size_t mUnansweredBytes = 0;   ///< consumed bytes without a response
   std::size_t mLastPendingOutput = 0; ///< bytes at the last check
   base::TimePoint mLastOutputProgress{};
@@ -174,8 +177,8 @@
   /** From now on, closes each connection after its response. */
   void closeAfterResponses() { mCloseAfterResponses = true; }
 
-  /** Stops accepting and closes idle connections. Requests in progress, and
-   * those already in the input buffer or the socket, are still served. */
+  /** Stops accepting and closes idle connections, recently used ones after a
+   * short time. What is read until a connection is closed is still served. */
   void stop();
 
   /** @return number of requests in progress */
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -666,6 +666,90 @@
   CHECK(caller.wasReset()); // An unread request may be sent again.
 }
 
+// Guards against a whole request that is read and dropped, because it crosses
+// the close of its idle connection in a planned stop.
+TEST(CallerServer, StopReadsNothingFromTheIdleConnectionsThatItCloses)
+{
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::size_t served = 0;
+  std::vector<wire::ClosedCaller> closed;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    ++served;
+    aCaller->reply(200, {}, "done");
+  });
+  server.onClosed(
+    [&](const wire::ClosedCaller& aClosed) { closed.push_back(aClosed); });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller fresh;
+  ManualCaller kept;
+  kept.send(request);
+  const auto stop = loop.after(50ms, [&] {
+    CHECK(kept.receive().ends_with("done"));
+    server.stop();
+  });
+  const auto cross = loop.after(150ms, [&] {
+    fresh.send(request);
+    kept.send(request);
+  });
+  const auto end = loop.after(300ms, [&] { loop.stop(); });
+  loop.run();
+  for (ManualCaller* caller : { &fresh, &kept }) {
+    const std::string received = caller->receive();
+    // An unread request may be sent again; a read one has a response.
+    CHECK(caller->wasReset() || received.starts_with("HTTP/1.1 "));
+  }
+  for (const wire::ClosedCaller& caller : closed) {
+    CHECK_EQUAL(0, caller.unansweredBytes);
+  }
+}
+
+// Guards against a stop that waits for callers that have long been idle.
+TEST(CallerServer, StopClosesConnectionsThatHaveLongBeenIdleAtOnce)
+{
+  wire::CallerServer server(loop, [](const auto&) {});
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  const auto stop = loop.after(1100ms, [&] {
+    CHECK_EQUAL(1, server.connections());
+    server.stop();
+    CHECK_EQUAL(0, server.connections());
+    loop.stop();
+  });
+  loop.run();
+  runPending(loop);
+}
+
+// Guards against a pipelined or crossing request that is read and dropped
+// behind a stream whose head was sent before the stop and promised no close.
+TEST(CallerServer, RequestBehindAStreamThatOutlastsTheStopIsAnswered)
+{
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::shared_ptr<wire::CallerConnection> stream;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    if (stream) {
+      aCaller->reply(503, {}, "");
+      return;
+    }
+    stream = aCaller;
+    aCaller->startStream(200, {});
+    aCaller->sendChunk("part");
+  });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send(request);
+  const auto stop = loop.after(50ms, [&] { server.stop(); });
+  const auto finish = loop.after(100ms, [&] { stream->endStream(); });
+  const auto cross = loop.after(150ms, [&] { caller.send(request); });
+  const auto end = loop.after(300ms, [&] { loop.stop(); });
+  loop.run();
+  const std::string received = caller.receive();
+  CHECK(received.starts_with("HTTP/1.1 200"));
+  CHECK(caller.wasReset() ||
+        received.find("HTTP/1.1 503") != std::string::npos);
+  stream.reset();
+  runPending(loop);
+}
+
 TEST_GROUP(Pool)
 {
   http::Loop loop;
