--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -12,6 +12,7 @@
 #include "membership/membership.h"
 #include "platform/backoff.h"
 #include "platform/mirror.h"
+#include "platform/untrusted_json.h"
 #include "platform/wire_protocol.h"
 
 #include <cstdint>
--- /dev/null
+++ b/libs/platform/untrusted_json.h
@@ -0,0 +1,20 @@
+/** @file Parser of JSON texts that any writer may have written. */
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace marigold::platform {
+
+/**
+ * Parses a JSON text of limited depth, because each level takes many times the
+ * memory of its text.
+ * @param aText untrusted text
+ * @return its content
+ * @throws json::exception if the text is malformed, std::invalid_argument if it
+ * is nested too deeply
+ */
+nlohmann::json
+parseUntrusted(const std::string& aText);
+
+} // namespace marigold::platform
