Keep the process alive on odd records of the fleet

Operators reported processes that ended again and again because of one odd entry in the store. Fleet read the registrations of other VMs and the order ownership with json value(), which throws if a record is no object or a field has another type; the exception left the event loop and ended the process ("unclassified error"), and each restart read the same record again.

The decoding is now in fleet_records and returns an error. An odd registration is logged and ignored; an odd ownership counts as one of an unknown VM, as before for an object without fields, so no VM orders until the key is removed.

Ruled out: odd records of upstreams end no process and hide no later record, also at a VM behind relays (test_odd_records_of_upstreams_end_no_process_and_hide_no_later_record passes on the code as it was); requests at 0.1 s steps of the whole grace end with a whole answer (test_requests_throughout_the_grace_of_a_planned_stop_end_with_a_whole_answer passes on the code as it was).

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -1,5 +1,6 @@
 #include "apps/gateway/fleet.h"
 
+#include "apps/gateway/fleet_records.h"
 #include "observe/log.h"
 #include "peers/peers.h"
 
@@ -169,20 +170,14 @@
     observe::logInfo("vm left the fleet", { { "peer", vm } });
     return;
   }
-  const json content = json::parse(*aEntry.value, nullptr, false);
-  Member member;
-  member.vm = vm;
-  const auto peer = base::parseAddress(content.value("peer_address", ""));
-  const auto operators = base::parseAddress(content.value("operator", ""));
-  if (!peer || !operators) {
-    observe::logWarn("invalid VM registration", { { "peer", vm } });
+  const auto decoded =
+    base::capture([&] { return decodeRegistration(vm, *aEntry.value); });
+  if (const base::Error* error = base::errorOf(decoded)) {
+    observe::logWarn("invalid VM registration",
+                     { { "peer", vm }, { "error", error->message } });
     return;
   }
-  member.peerAddress = peer.value();
-  member.operatorAddress = operators.value();
-  member.dataCentre = content.value("data_centre", "");
-  member.capacity = content.value("capacity", 0.0);
-  mOthers[vm] = member;
+  mOthers[vm] = std::get<Member>(decoded);
 }
 
 void
@@ -198,13 +193,17 @@
     mOwnershipFreeAt = base::monotonicNow();
     return;
   }
-  const json content = json::parse(*aEntry.value, nullptr, false);
+  const auto decoded = base::capture(
+    [&] { return decodeOwnership(*aEntry.value, aEntry.revision); });
   Ownership owner;
-  owner.vm = content.value("vm", "");
-  owner.address = content.value("address", "");
-  owner.incarnation = content.value("incarnation", base::Incarnation{ 0 });
-  owner.fencingToken = aEntry.revision;
-  owner.settled = content.value("settled", false);
+  if (const base::Error* error = base::errorOf(decoded)) {
+    // The key is taken, so no VM may order until it is removed.
+    observe::logWarn("invalid order ownership",
+                     { { "error", error->message } });
+    owner.fencingToken = aEntry.revision;
+  } else {
+    owner = std::get<Ownership>(decoded);
+  }
   const auto previous = std::exchange(mOwner, owner);
   if (!isSelf(owner) && !isFormerProcess(owner) && !mClaimCallPending) {
     mOwnerLease.drop("another VM owns the orders");
--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -71,10 +71,10 @@
         with open(self.log_path, encoding="utf-8", errors="replace") as file:
             return file.read()
 
-    def memory(self):
-        """Returns the resident memory of the process in bytes."""
+    def memory(self, field="VmRSS"):
+        """Returns the resident memory of the process in bytes; with VmHWM, its peak."""
         with open(f"/proc/{self.child.pid}/status", encoding="utf-8") as file:
-            row = next(line for line in file if line.startswith("VmRSS:"))
+            row = next(line for line in file if line.startswith(field + ":"))
         return int(row.split()[1]) * 1024
 
     def ready(self):
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -1,6 +1,7 @@
 """Tests the gateway process against a stand-in for the users' platform."""
 
 import http.client
+import json
 import os
 import signal
 import socket
@@ -264,6 +265,79 @@
         for _ in range(4):
             self.assertEqual(200, self.gateways[0].call("/again/x")[0])
 
+    def odd_records(self):
+        """Returns odd values of a record of an upstream, by name."""
+        address = f"{HOST}:{self.desks[0].port}"
+        good = {"service": "desk", "address": address, "zone": "dc-a", "slots": 6, "state": "ready", "sequence": 1}
+
+        def with_field(name, text):
+            return (json.dumps(good)[:-1] + f', "{name}": {text}}}').encode()
+
+        deep = "[" * 100_000 + "]" * 100_000
+        records = {"deep": deep.encode(), "open": b"[" * 500_000, "deep-field": with_field("other", deep),
+                   "objects": b'{"a":' * 100_000 + b"1" + b"}" * 100_000, "array": b"[]", "text": b'"x"',
+                   "number": b"7", "null": b"null", "empty": b"", "bytes": b"\xff\xfe\x00"}
+        for field in ("slots", "sequence", "born", "remaining_ms"):
+            for number in ("1e400", "18446744073709551615", "18446744073709551616", "4294967297", "-1"):
+                records[f"{field}{number}"] = with_field(field, number)
+        for port in ("0", "65536", "99999", "4294967376"):
+            records["port" + port] = with_field("address", f'"{HOST}:{port}"')
+        return records
+
+    def check_odd_records(self, prefix):
+        """Checks that odd entries end no process and that a record written after them is followed."""
+        self.store_ports.append(BASE_PORT + 92)
+        self.platform.serve_store(self.store_ports[2])
+        self.start()
+        self.start()
+        # Two VMs of a data centre read the store, the third one reads from them.
+        watches = self.platform.store.open_watches
+        wait_for(lambda: 0 in [watches.get(port) for port in self.store_ports])
+        children = [gateway.child.pid for gateway in self.gateways]
+        memory = [gateway.memory() for gateway in self.gateways]
+        put, store = self.platform.change, self.platform.store.put
+        for name, value in self.odd_records().items():
+            put(store, prefix + name, value)
+        time.sleep(1)
+        late = Upstream("late", BASE_PORT + 62, "desk")
+        self.platform.serve_upstream(late)
+
+        def reaches_late(gateway):
+            before = len(late.seen)
+            return gateway.child.poll() is not None or (gateway.call("/again/x")[0] and len(late.seen) > before)
+
+        for gateway, child, before in zip(self.gateways, children, memory):
+            wait_for(lambda g=gateway: reaches_late(g), 6)
+            self.assertIsNone(gateway.child.poll(), gateway.log()[-2000:])
+            self.assertEqual(child, gateway.child.pid)
+            self.assertLess(gateway.memory() - before, 48 << 20)
+
+    def test_odd_records_of_upstreams_end_no_process_and_hide_no_later_record(self):
+        """Guards against processes that end or stop following the list because of one odd entry."""
+        self.check_odd_records("servers/odd-")
+
+    def test_odd_record_of_an_upstream_takes_little_memory(self):
+        """Guards against a deeply nested record of one megabyte that takes most of a VM's memory."""
+        gateway = self.gateways[0]
+        before = gateway.memory("VmHWM")
+        self.platform.change(self.platform.store.put, "servers/odd", b"[" * 1_000_000)
+        wait_for(lambda: '"upstream": "odd"' in gateway.log())
+        self.assertLess(gateway.memory("VmHWM") - before, 32 << 20)
+
+    def test_odd_registrations_of_vms_end_no_process(self):
+        """Guards against processes that end because of one odd entry among the registrations."""
+        self.check_odd_records("marigold/vm/odd-")
+
+    def test_odd_owner_of_orders_ends_no_process(self):
+        """Guards against processes that end because of an odd record of the owner of orders."""
+        gateway = self.gateways[0]
+        for value in (b"[]", b'"x"', b"{", b'{"vm": 7}', b'{"vm": "v", "settled": "no"}', b"[" * 100_000,
+                      b'{"vm": "v", "incarnation": 1e400}'):
+            self.platform.change(self.platform.store.put, "marigold/order-owner", value)
+            time.sleep(0.3)
+        self.assertIsNone(gateway.child.poll(), gateway.log()[-2000:])
+        self.assertEqual(200, gateway.call("/again/x")[0])
+
     def test_missing_adapter_is_loaded_while_its_request_waits(self):
         wait_for(lambda: any(e.order_log for e in self.engines), 12)  # the order owner loads the absent model m2
         status, body, _ = self.gateways[0].call("/chat/x", headers={**self.CHAT, "X-Model-Name": "m1/a1"})
@@ -443,6 +517,69 @@
         self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 503"))
         self.assertEqual(0, self.runs())
 
+    def send_raw(self, caller, path, request_id, headers=b""):
+        caller.sendall(b"POST " + path + b" HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+                       b"X-Request-Id: " + request_id.encode() + b"\r\n" + headers
+                       + b"Content-Length: 1\r\n\r\nx")
+
+    def read_whole(self, caller):
+        """Returns the status of a whole answer; "reset", "closed" or "cut" without one."""
+        answer = http.client.HTTPResponse(caller)
+        try:
+            answer.begin()
+            answer.read()
+            return answer.status
+        except (ConnectionResetError, BrokenPipeError):
+            return "reset"
+        except http.client.RemoteDisconnected:
+            return "closed"
+        except http.client.IncompleteRead:
+            return "cut"
+
+    def test_requests_throughout_the_grace_of_a_planned_stop_end_with_a_whole_answer(self):
+        """Guards against requests that are read in a planned stop and cut at its end without an
+        answer, and against requests that begin after the notice."""
+        for service, delay in ((self.desks, 3.0), (self.engines, 3.0)):
+            for upstream in service:
+                upstream.delay = delay
+        gateway = self.gateways[0]
+        kinds = {"once": (b"/once/x", b""), "again": (b"/again/x", b""),
+                 "chat": (b"/chat/x", b"X-Model-Name: m1\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: a:50\r\n")}
+        kept = [(k, step, socket.create_connection((HOST, gateway.port))) for step in range(80) for k in kinds]
+        stopped = time.monotonic()
+        gateway.child.send_signal(signal.SIGTERM)
+        ends, threads = {}, []
+
+        def ask(label, caller, kind):
+            caller.settimeout(9)
+            try:
+                self.send_raw(caller, kinds[kind][0], label, kinds[kind][1])
+                ends[label] = self.read_whole(caller)
+            except OSError:
+                ends[label] = "reset"  # nothing was read
+            caller.close()
+
+        def run(label, caller, kind):
+            threads.append(threading.Thread(target=ask, args=(label, caller, kind)))
+            threads[-1].start()
+
+        for kind, step, caller in kept:
+            time.sleep(max(0.0, stopped + step / 10 - time.monotonic()))
+            run(f"kept-{kind}-{step}", caller, kind)
+            try:
+                run(f"new-{kind}-{step}", socket.create_connection((HOST, gateway.port)), kind)
+            except ConnectionRefusedError:
+                pass
+        for thread in threads:
+            thread.join(10)
+        arrivals = {h["x-request-id"] for u in self.desks + self.engines for h in u.seen}
+        lost = {label: end for label, end in ends.items() if end in ("closed", "cut")}
+        self.assertEqual({}, lost)
+        self.assertEqual(set(), {label for label, end in ends.items() if label in arrivals and end == "reset"})
+        late = {u_time for u in self.desks + self.engines for u_time in u.arrivals if u_time > stopped + 3.2}
+        self.assertEqual(set(), late)
+        self.assertEqual(0, gateway.child.wait(timeout=9))
+
     def test_request_that_waits_for_a_model_is_refused_before_a_planned_stop(self):
         """Guards against a connection that is closed without an answer at the end of the grace
         period because its request still waits for a model."""
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -53,6 +53,7 @@
         self.severed_ports = set()  # connections to these are closed, before or after a call takes effect
         self.unanswered_ports = set()  # calls sent to these are never answered
         self.calls = 0
+        self.open_watches = {}  # port: watches that wait now
         self.removed_at = {}  # key: time of its last removal
 
     def put(self, key, value, lease=0):
@@ -88,7 +89,11 @@
             rows = [item for key, item in sorted(self.items.items()) if key.startswith(query["prefix"])]
             return 200, {"items": rows, "has_more": False, "at": self.revision}
         if path == "/-/kv-watch":
-            return await self.watch(port, query)
+            self.open_watches[port] = self.open_watches.get(port, 0) + 1
+            try:
+                return await self.watch(port, query)
+            finally:
+                self.open_watches[port] -= 1
         if path == "/-/kv-txn":
             return self.transact(json.loads(body))
         if path == "/-/kv-lease":
