Begin no send that a planned stop would cut

Operators reported requests that were passed on late in the grace of a planned stop and cut at its end, also ones that may run only once. A request that was read before the end of the notice may be sent again much later: an upstream turns it away for a while, a retry waits. Only the caller's deadline was asked before each send, not the end of the stop. Seen here: sent 6.75 s after the signal, ended 50 ms later as unknown (504).

Now a send needs the same least time before the end of the stop as before the deadline, checked again when the request is written, and the expected time to its answer must fit as well. Otherwise the request is refused at once as not run, with Retry-After.

Before: test_send_at_the_very_end_of_a_planned_stop_is_not_begun and test_send_too_late_for_its_usual_answer_in_a_planned_stop_is_not_begun failed (504 instead of 503). After: both pass. What remains: a request that takes longer than its service usually does is still ended as unknown at 0.85 of the grace, with an answer.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -156,6 +156,9 @@
   bool isLowPriority() const;
   int enginePriority() const;
   base::Duration remainingTime() const;
+  bool hasTimeForSend() const;
+  bool mayBegin(const dispatch::Choice& aChoice) const;
+  void endWithoutSend();
   std::uint32_t outputTokens() const;
 
   RequestContext& mContext;
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -35,6 +35,36 @@
 
 } // namespace
 
+bool
+Exchange::hasTimeForSend() const
+{
+  const base::TimePoint needed = base::monotonicNow() + kMinRemainingTime;
+  return needed <= mDeadlineAt &&
+         (!mContext.endRequestsAt || needed <= *mContext.endRequestsAt);
+}
+
+/** @return false if a planned stop would end the request before its answer
+ * begins */
+bool
+Exchange::mayBegin(const dispatch::Choice& aChoice) const
+{
+  return !mContext.endRequestsAt ||
+         base::monotonicNow() + aChoice.expectedStart <=
+           *mContext.endRequestsAt;
+}
+
+/** Ends a request that has no time for a send: its deadline is near, or the
+ * process stops. */
+void
+Exchange::endWithoutSend()
+{
+  if (!mContext.endRequestsAt || remainingTime() < kMinRemainingTime) {
+    onDeadline();
+    return;
+  }
+  shutdown();
+}
+
 dispatch::Candidate
 Exchange::makeCandidate(const Upstream& aUpstream) const
 {
@@ -126,13 +156,17 @@
   if (endIfCallerDisconnected() || refuseIfBlocked()) {
     return;
   }
-  if (remainingTime() < kMinRemainingTime) {
-    onDeadline();
+  if (!hasTimeForSend()) {
+    endWithoutSend();
     return;
   }
   std::vector<std::shared_ptr<Upstream>> upstreams;
   const auto found = candidates(upstreams);
   const auto choice = choose(found, upstreams);
+  if (choice && !mayBegin(*choice)) {
+    shutdown();
+    return;
+  }
   if (choice) {
     if (admitByExpectedStart(*choice)) {
       mQueuedAheadMs = found[choice->index].queuedMs;
@@ -481,7 +515,7 @@
   const base::TimePoint now = base::monotonicNow();
   const bool wanted =
     !mEnded && mReplacement && mEventCount == mReplacement->events &&
-    remainingTime() >= kMinRemainingTime && !mCaller->abandoned() &&
+    hasTimeForSend() && !mCaller->abandoned() &&
     mContext.crashes.verdictOn(mTraits) == nullptr && isAccepted(aUpstream);
   if (!wanted || !mContext.retries.tryConsume(mService->name, now)) {
     return std::nullopt;
@@ -516,7 +550,7 @@
 std::optional<std::string>
 Exchange::serializeRequest(const base::UpstreamName& aUpstream)
 {
-  if (mEnded || remainingTime() < kMinRemainingTime || mCaller->abandoned() ||
+  if (mEnded || !hasTimeForSend() || mCaller->abandoned() ||
       mContext.crashes.verdictOn(mTraits) != nullptr ||
       !isAccepted(aUpstream)) {
     return std::nullopt;
@@ -552,7 +586,7 @@
     dispatch();
     return;
   }
-  onDeadline();
+  endWithoutSend();
 }
 
 std::unique_ptr<wire::PooledCall>
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -11,7 +11,7 @@
 import unittest
 
 from gateway_process import OPERATOR, ORDER_PAUSE, Gateway, wait_for
-from users_platform import HOST, ROUTES, Platform, Upstream
+from users_platform import HOST, ROUTES, Platform, Upstream, route
 
 # Seconds of the pause that an owner at least grants before its ownership ends. What it grants is
 # in residency/order_ownership.cpp, with the tests of both sides together.
@@ -580,6 +580,53 @@
         self.assertEqual(set(), late)
         self.assertEqual(0, gateway.child.wait(timeout=9))
 
+    def publish_slow_route(self):
+        """Publishes a route with a long timeout."""
+        slow = {**route("slow", "/slow/", "non_idempotent", "desk", attempts=60), "timeout_ms": 30000,
+                "target_latency_ms": 20000}
+        self.platform.publish(2, ["k1", "k2"], [*ROUTES, slow])
+        wait_for(lambda: '"version": "2"' in self.gateways[0].log())
+
+    def end_of_late_send(self, seconds):
+        """Sends a request before the notice of a planned stop ends; the upstreams turn it away until
+        so many seconds after the signal, when they take it. Returns its end."""
+        gateway = self.gateways[0]
+        for desk in self.desks:
+            desk.delay, desk.turn_away = 1.0, "0.4"
+        stopped = time.monotonic()
+        gateway.child.send_signal(signal.SIGTERM)
+        caller = socket.create_connection((HOST, gateway.port))
+        self.send_raw(caller, b"/slow/x", "slow")
+        caller.settimeout(9)
+        time.sleep(stopped + seconds - 0.45 - time.monotonic())
+        while (now := time.monotonic()) < stopped + seconds - 0.03:
+            for desk in self.desks:
+                desk.turn_away = f"{min(0.4, stopped + seconds - now):.3f}"
+            time.sleep(0.004)
+        for desk in self.desks:
+            desk.turn_away = None
+        return self.read_whole(caller)
+
+    # Requests are ended 6.8 s after the signal, and the upstreams take a second.
+    def test_send_at_the_very_end_of_a_planned_stop_is_not_begun(self):
+        """Guards against a request that was read in time but is sent so late in a planned stop
+        that its end cuts the answer: a request that may run only once then ends as unknown."""
+        self.publish_slow_route()
+        self.assertEqual(503, self.end_of_late_send(6.75))
+        self.assertEqual(0, self.runs())
+
+    def test_send_too_late_for_its_usual_answer_in_a_planned_stop_is_not_begun(self):
+        """Guards against a request that is sent later than its service usually takes before the end."""
+        self.publish_slow_route()
+        for desk in self.desks:
+            desk.delay = 1.0
+        for _ in range(2):  # the time that the service takes is learned
+            callers = [self.gateways[0].open_call("/slow/x", {"X-Deadline-Ms": "9000"}) for _ in range(20)]
+            self.assertEqual({200}, {caller.getresponse().status for caller in callers})
+        ran = self.runs()
+        self.assertEqual(503, self.end_of_late_send(6.3))
+        self.assertEqual(ran, self.runs())
+
     def test_request_that_waits_for_a_model_is_refused_before_a_planned_stop(self):
         """Guards against a connection that is closed without an answer at the end of the grace
         period because its request still waits for a model."""
