Ask of a planned stop when a request began, not when it arrived

test_requests_throughout_the_grace_of_a_planned_stop_end_with_a_whole_answer failed once in a run of the whole file, with one arrival later than 3.2 s after the signal. The check was wrong: it took each arrival for a begin.

It is replaced by stricter ones: no request that was sent after the notice arrives at all, the first arrival of each is at most 3.2 s after the signal, and one that may run only once arrives once.

--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -548,10 +548,11 @@
         kept = [(k, step, socket.create_connection((HOST, gateway.port))) for step in range(80) for k in kinds]
         stopped = time.monotonic()
         gateway.child.send_signal(signal.SIGTERM)
-        ends, threads = {}, []
+        ends, threads, asked = {}, [], {}
 
         def ask(label, caller, kind):
             caller.settimeout(9)
+            asked[label] = time.monotonic() - stopped
             try:
                 self.send_raw(caller, kinds[kind][0], label, kinds[kind][1])
                 ends[label] = self.read_whole(caller)
@@ -572,12 +573,15 @@
                 pass
         for thread in threads:
             thread.join(10)
-        arrivals = {h["x-request-id"] for u in self.desks + self.engines for h in u.seen}
-        lost = {label: end for label, end in ends.items() if end in ("closed", "cut")}
-        self.assertEqual({}, lost)
-        self.assertEqual(set(), {label for label, end in ends.items() if label in arrivals and end == "reset"})
-        late = {u_time for u in self.desks + self.engines for u_time in u.arrivals if u_time > stopped + 3.2}
-        self.assertEqual(set(), late)
+        self.assertEqual({}, {label: end for label, end in ends.items() if end in ("closed", "cut")})
+        arrivals = sorted((at - stopped, label) for u in self.desks + self.engines for at, label, _ in u.arrival_log)
+        begun = {label: at for at, label in reversed(arrivals)}  # the first arrival of each request
+        self.assertEqual({}, {label: end for label, end in ends.items() if end == "reset" and label in begun})
+        # The notice is 2.6 s. A stream that was begun before its end may be sent to another upstream later.
+        self.assertEqual({}, {label: at for label, at in asked.items() if at > 2.7 and label in begun})
+        self.assertEqual({}, {label: at for label, at in begun.items() if at > 3.2})
+        once = [label for _, label in arrivals if "-once-" in label]
+        self.assertEqual(len(set(once)), len(once))
         self.assertEqual(0, gateway.child.wait(timeout=9))
 
     def publish_slow_route(self):
