Test that an upstream learns of a caller's leaving behind an unread request

An end-to-end test for the reset of cancelled calls: an upstream that does not read is told at once when the caller has left.

--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -2,6 +2,7 @@
 
 import http.client
 import os
+import select
 import signal
 import socket
 import tempfile
@@ -533,6 +534,30 @@
             for waiting in queue:
                 waiting.close()
 
+    def test_call_of_a_caller_that_left_is_reset_behind_an_unread_request(self):
+        """Guards against a request that an upstream reads after its caller has left: the upstream
+        does not read, and the close of the call waits behind the request."""
+        silent = self.desks[0]
+        silent.public_port = BASE_PORT + 80
+        self.platform.change(self.platform.store.remove, "servers/" + self.desks[1].name)
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((HOST, silent.public_port))
+            listener.listen(8)
+            self.platform.change(self.platform.store.put, "servers/" + silent.name, silent.record())
+            time.sleep(0.5)
+            caller = socket.create_connection((HOST, self.gateways[0].port))
+            caller.sendall(b"POST /again/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+                           b"X-Request-Id: left\r\nX-Deadline-Ms: 3000\r\nContent-Length: 1\r\n\r\nx")
+            listener.settimeout(2)
+            connection = listener.accept()[0]
+            poll = select.poll()
+            poll.register(connection, select.POLLIN)
+            self.assertEqual([(connection.fileno(), select.POLLIN)], poll.poll(2000))  # the request, not read
+            caller.close()
+            wait_for(lambda: poll.poll(0)[0][1] & select.POLLERR, 1)
+            connection.close()
+
     def test_clear_answers_to_malformed_requests(self):
         for raw, status in ((b"POST /again/x HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", b"400"),
                             (b"GET /again/x HTTP/1.1\r\nX: " + b"y" * 20000 + b"\r\n\r\n", b"431"),
