Take no order ownership from the copy of a restored store

After a restoration the process that owned the orders in the copy sent orders again as soon as it sent its claim, before the store had confirmed it, without the pause and with the fence of the copy's record: ownsOrders() compared the lease of the claim under way with itself and accepted the record of the earlier era, which says that the pause is over. Another VM may have owned the orders since the copy. While the claim is refused or its answer is lost, this goes on at each attempt.

Ruled out: a lease of the earlier era (dropped on the restoration) and a late claim of another VM (the test has none).

Only a record of the present era counts now.

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -300,7 +300,7 @@
 bool
 Fleet::ownsOrders() const
 {
-  return mOwner && isSelf(*mOwner) && mOwnerLease.held() &&
+  return mOwner && isOwnRecord(*mOwner) && mOwnerLease.held() &&
          mOwnershipLease == mOwnerLease.id();
 }
 
--- a/tests/e2e/test_restored_store.py
+++ b/tests/e2e/test_restored_store.py
@@ -12,6 +12,8 @@
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27100))
 CHAT = {"X-Model-Name": "m1", "X-Token-Usage": "100,20", "X-Prompt-Prefix": "a:50,b:50"}
 WATCH_SECONDS = 4.5  # a watch has returned, and goes on from the present revision
+OWNER_KEY = "marigold/order-owner"
+LEASE_SECONDS = 2.0  # term of an ownership
 APPLY_SECONDS = 2.5  # the users' bound for a change of the configuration, and for an upstream that leaves
 
 
@@ -123,6 +125,25 @@
                     self.assertGreater(next_fence, fence)
                     self.assertGreaterEqual(later - at, ORDER_PAUSE)
 
+    def test_owner_of_the_copy_sends_no_orders_before_its_new_claim(self):
+        """Guards against an owner that takes its record in the copy for the one that it has yet to write."""
+        self.want_adapters_until(self.orders, 15)
+        self.platform.change(self.copy_with_lasting_leases)
+        self.store.refused_key = OWNER_KEY
+        self.restore()
+        restored = time.monotonic()
+        for engine in self.engines:
+            self.platform.change(self.restart_empty, engine)
+        self.want_adapters_until(lambda: time.monotonic() > restored + 6, 10)
+        self.assertEqual([], [row for row in self.orders() if row[0] > restored + LEASE_SECONDS])
+
+    def copy_with_lasting_leases(self):
+        """Takes a copy whose keys outlast the owner's claim, as they may if leases pause."""
+        self.store.take_copy()
+        leases = self.store.copy[1]
+        for lease, (until, ttl) in leases.items():
+            leases[lease] = (until + 60, ttl)
+
     def restart_empty(self, engine):
         """Gives the owner something to order."""
         engine.born += 1
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -56,6 +56,7 @@
         self.removed_at = {}  # key: time of its last removal
         self.era = 1         # rises each time the store is restored from a copy
         self.copy = None     # what restore() goes back to
+        self.refused_key = None  # writes of it are answered with 503 and not done
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -145,6 +146,8 @@
             current = self.items.get(row["key"], {"revision": 0})["revision"]
             if current != row["revision"]:
                 return 412, {"items": []}
+        if any(row["key"] == self.refused_key for row in call["write"]):
+            return 503, {}
         for row in call["write"]:
             lease = row.get("lease_id", 0)
             if lease and lease not in self.leases:
