Stagger the claims after a restored store also when the copy's ownership ends

The VMs wait for one term of a lease before they claim the ownership of an earlier era, and then in turn by rank. If the lease of the copy ended within that term, the removal of its key set the beginning of the turns to an earlier time, so that most VMs claimed at once, each with a lease and a write. The turns begin when claims are allowed now.

Found by reading; no test, because only the number of calls in a large fleet shows it.

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -159,7 +159,7 @@
     apply(entry);
   }
   if (!mOwner && (previous || !mSynced)) {
-    mOwnershipFreeAt = base::monotonicNow();
+    mOwnershipFreeAt = std::max(base::monotonicNow(), mClaimsFrom);
   }
   mSynced = true;
   mChanged.emit();
@@ -214,7 +214,7 @@
     observe::logInfo("order ownership is free",
                      { { "revision", std::to_string(aEntry.revision) } });
     mOwner.reset();
-    mOwnershipFreeAt = base::monotonicNow();
+    mOwnershipFreeAt = std::max(base::monotonicNow(), mClaimsFrom);
     return;
   }
   const json content = json::parse(*aEntry.value, nullptr, false);
