Let a process that has just started wait before it claims a free ownership

A process that starts just after a restoration learns no earlier era, so it claimed the ownership of the copy, or its absence, at once, while the owner may not know yet and may order until its lease ends. If the store was away for less than about a second, the two could order within the pause. Such a process waits for one term of a lease after its first list now. The ownership of its own former process in this era is taken over at once as before, because that process has ended.

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -158,6 +158,10 @@
   for (const platform::Entry& entry : aSnapshot.entries) {
     apply(entry);
   }
+  if (!mSynced) {
+    // The store may have been restored just before this process read it.
+    mClaimsFrom = base::monotonicNow() + kOwnershipTerm;
+  }
   if (!mOwner && (previous || !mSynced)) {
     mOwnershipFreeAt = std::max(base::monotonicNow(), mClaimsFrom);
   }
@@ -410,9 +414,11 @@
 Fleet::claimOwnership()
 {
   const bool outdated = mOwner && isFromEarlierEra(*mOwner);
-  const bool claimable = !mOwner || isFormerProcess(*mOwner) || outdated;
+  const bool isFree = !mOwner || outdated;
+  const bool claimable =
+    isFree ? base::monotonicNow() >= mClaimsFrom : isFormerProcess(*mOwner);
   if (mClaimCallPending || !mClaimsEnabled || !mSynced || !claimable ||
-      mRegistrationRevision == 0 || base::monotonicNow() < mClaimsFrom) {
+      mRegistrationRevision == 0) {
     return;
   }
   if (!mOwnerLease.validFor(base::monotonicNow(), kOwnershipRenewal)) {
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -140,8 +140,8 @@
   base::TimePoint mOwnedSince{};
   bool mSucceededItself = false; ///< took over from this VM's former process
   base::TimePoint mOwnershipFreeAt{};
-  /** No claims before, because the owner may not know yet that the store has
-   * forgotten it. */
+  /** No claims of a free ownership before, because its owner may not know yet
+   * that the store has forgotten it. */
   base::TimePoint mClaimsFrom{};
   bool mSynced = false;
   bool mReadsStore = true;
--- a/tests/e2e/test_restored_store.py
+++ b/tests/e2e/test_restored_store.py
@@ -1,6 +1,8 @@
 """Tests gateways whose store comes back from an older copy: what it had acknowledged since the copy is
 gone, leases too, and its revisions are given out again."""
 
+import base64
+import json
 import os
 import tempfile
 import time
@@ -137,6 +139,22 @@
         self.want_adapters_until(lambda: time.monotonic() > restored + 6, 10)
         self.assertEqual([], [row for row in self.orders() if row[0] > restored + LEASE_SECONDS])
 
+    def test_process_that_starts_after_the_restoration_waits_before_it_claims(self):
+        """Guards against a claim beside an owner that does not know yet that the store was restored."""
+        wait_for(self.owner)
+        self.platform.change(self.copy_with_lasting_leases)
+        for gateway in self.gateways:
+            gateway.stop()
+        self.restore()
+        started = time.monotonic()
+        self.gateways.append(Gateway(3, self.folder.name, BASE_PORT + 30, BASE_PORT + 90))
+        wait_for(lambda: self.owner() == self.gateways[-1].name)
+        self.assertGreater(time.monotonic() - started, LEASE_SECONDS)
+
+    def owner(self):
+        item = self.store.items.get(OWNER_KEY)
+        return json.loads(base64.b64decode(item["value"]))["vm"] if item else None
+
     def copy_with_lasting_leases(self):
         """Takes a copy whose keys outlast the owner's claim, as they may if leases pause."""
         self.store.take_copy()
