Keep upstreams of a restored copy gone until their records expire

The records of the copy count as such for the time in which upstreams write theirs again. An upstream that has ended writes none; the store keeps its record of the copy until three heartbeats are missed. A list between the two, after a failed watch or a compacted history, brought the upstream back, and requests were sent to it. The records count as those of a copy until they expire now; only records older than a known one are dropped.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -328,13 +328,13 @@
 }
 
 /** The records of a restored store are those of its copy, until the upstreams
- * have written theirs again. */
+ * have written theirs again or, if they have ended, the records expire. */
 bool
 Gateway::isFromCopy(const catalog::UpstreamRecord& aRecord) const
 {
   const bool justRestored =
     mStoreRestoredAt &&
-    base::monotonicNow() - *mStoreRestoredAt < mSettings.recordReturnPeriod;
+    base::monotonicNow() - *mStoreRestoredAt < kRecordLifetime;
   return justRestored && mUpstreams.isOutdated(aRecord);
 }
 
--- a/apps/gateway/upstream_table.cpp
+++ b/apps/gateway/upstream_table.cpp
@@ -7,10 +7,6 @@
 
 using namespace std::chrono_literals;
 
-/** The record of an upstream whose process has ended is removed within this
- * time, after three missed heartbeats, unless the store is down. */
-constexpr base::Duration kRecordLifetime = 6s;
-
 /** Copies from which the store is restored are seconds old. */
 constexpr base::Duration kRemovedRetention = 60s;
 
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -13,6 +13,10 @@
 
 namespace marigold::gateway {
 
+/** The record of an upstream whose process has ended is removed within this
+ * time, after three missed heartbeats, unless the store is down. */
+inline constexpr base::Duration kRecordLifetime = std::chrono::seconds(6);
+
 /** Whether the process of a record still runs, as far as this VM has seen. The
  * record of a crashed one stays for several heartbeats. */
 enum class Presence : std::uint8_t
--- a/tests/e2e/test_restored_store.py
+++ b/tests/e2e/test_restored_store.py
@@ -15,6 +15,7 @@
 CHAT = {"X-Model-Name": "m1", "X-Token-Usage": "100,20", "X-Prompt-Prefix": "a:50,b:50"}
 WATCH_SECONDS = 4.5  # a watch has returned, and goes on from the present revision
 OWNER_KEY = "marigold/order-owner"
+RECORD_RETURN_SECONDS = 2.5  # upstreams have written their records again by then
 LEASE_SECONDS = 2.0  # term of an ownership
 APPLY_SECONDS = 2.5  # the users' bound for a change of the configuration, and for an upstream that leaves
 
@@ -89,6 +90,20 @@
 
     def test_upstream_that_has_left_does_not_come_back_with_the_copy(self):
         """Guards against requests to an address of the copy that nobody or somebody else has now."""
+        left = self.lose_the_end_of_an_upstream()
+        self.assert_no_requests(left, 1.5)
+
+    def test_upstream_of_the_copy_stays_gone_when_it_is_listed_again(self):
+        """Guards against a list that brings back an upstream of the copy whose record has not expired yet."""
+        left = self.lose_the_end_of_an_upstream()
+        time.sleep(RECORD_RETURN_SECONDS + 0.5)
+        self.store.severed_ports.add(BASE_PORT + 90)
+        time.sleep(0.3)
+        self.store.severed_ports.clear()
+        self.assert_no_requests(left, 1.5)
+
+    def lose_the_end_of_an_upstream(self):
+        """Restores the store from a copy that lists an upstream which has left since, and returns it."""
         left = self.desks[0]
         left.heartbeats = 7
         self.platform.change(self.store.put, "servers/" + left.name, left.record())
@@ -96,13 +111,16 @@
         self.platform.change(self.store.take_copy)
         self.platform.change(self.store.remove, "servers/" + left.name)
         time.sleep(1)
-        before = len(left.seen)
         self.restore(rewritten=("op/",))
-        until = time.monotonic() + 1.5
+        return left
+
+    def assert_no_requests(self, upstream, seconds):
+        before = len(upstream.seen)
+        until = time.monotonic() + seconds
         while time.monotonic() < until:
             for gateway in self.gateways:
                 self.assertEqual(200, gateway.call("/again/x")[0])
-        self.assertEqual(before, len(left.seen))
+        self.assertEqual(before, len(upstream.seen))
 
     def test_orders_keep_the_pause_and_rising_fences(self):
         """Guards against an owner of the copy that orders beside the present one, and against fences that
