--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -159,8 +159,12 @@
   for (const platform::Entry& entry : aSnapshot.entries) {
     apply(entry);
   }
+  if (!mSynced) {
+    // The store may have been restored just before this process read it.
+    mClaimsFrom = base::monotonicNow() + kOwnershipTerm;
+  }
   if (!mOwner && (previous || !mSynced)) {
-    mOwnershipFreeAt = base::monotonicNow();
+    mOwnershipFreeAt = std::max(base::monotonicNow(), mClaimsFrom);
   }
   mSynced = true;
   mChanged.emit();
@@ -209,7 +213,7 @@
     observe::logInfo("order ownership is free",
                      { { "revision", std::to_string(aEntry.revision) } });
     mOwner.reset();
-    mOwnershipFreeAt = base::monotonicNow();
+    mOwnershipFreeAt = std::max(base::monotonicNow(), mClaimsFrom);
     return;
   }
   const auto decoded = base::capture(
@@ -299,7 +303,7 @@
 bool
 Fleet::ownsOrders() const
 {
-  return mOwner && isSelf(*mOwner) && mOwnerLease.held() &&
+  return mOwner && isOwnRecord(*mOwner) && mOwnerLease.held() &&
          mOwnershipLease == mOwnerLease.id();
 }
 
@@ -409,9 +413,11 @@
 Fleet::claimOwnership()
 {
   const bool outdated = mOwner && isFromEarlierEra(*mOwner);
-  const bool claimable = !mOwner || isFormerProcess(*mOwner) || outdated;
+  const bool isFree = !mOwner || outdated;
+  const bool claimable =
+    isFree ? base::monotonicNow() >= mClaimsFrom : isFormerProcess(*mOwner);
   if (mClaimCallPending || !mClaimsEnabled || !mSynced || !claimable ||
-      mRegistrationRevision == 0 || base::monotonicNow() < mClaimsFrom) {
+      mRegistrationRevision == 0) {
     return;
   }
   if (!mOwnerLease.validFor(base::monotonicNow(), kOwnershipRenewal)) {
--- a/tests/e2e/test_restored_store.py
+++ b/tests/e2e/test_restored_store.py
@@ -1,6 +1,8 @@
 """Tests gateways whose store comes back from an older copy: what it had acknowledged since the copy is
 gone, leases too, and its revisions are given out again."""
 
+import base64
+import json
 import os
 import tempfile
 import time
@@ -12,6 +14,9 @@
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27100))
 CHAT = {"X-Model-Name": "m1", "X-Token-Usage": "100,20", "X-Prompt-Prefix": "a:50,b:50"}
 WATCH_SECONDS = 4.5  # a watch has returned, and goes on from the present revision
+OWNER_KEY = "marigold/order-owner"
+RECORD_RETURN_SECONDS = 2.5  # upstreams have written their records again by then
+LEASE_SECONDS = 2.0  # term of an ownership
 APPLY_SECONDS = 2.5  # the users' bound for a change of the configuration, and for an upstream that leaves
 
 
@@ -85,6 +90,20 @@
 
     def test_upstream_that_has_left_does_not_come_back_with_the_copy(self):
         """Guards against requests to an address of the copy that nobody or somebody else has now."""
+        left = self.lose_the_end_of_an_upstream()
+        self.assert_no_requests(left, 1.5)
+
+    def test_upstream_of_the_copy_stays_gone_when_it_is_listed_again(self):
+        """Guards against a list that brings back an upstream of the copy whose record has not expired yet."""
+        left = self.lose_the_end_of_an_upstream()
+        time.sleep(RECORD_RETURN_SECONDS + 0.5)
+        self.store.severed_ports.add(BASE_PORT + 90)
+        time.sleep(0.3)
+        self.store.severed_ports.clear()
+        self.assert_no_requests(left, 1.5)
+
+    def lose_the_end_of_an_upstream(self):
+        """Restores the store from a copy that lists an upstream which has left since, and returns it."""
         left = self.desks[0]
         left.heartbeats = 7
         self.platform.change(self.store.put, "servers/" + left.name, left.record())
@@ -92,13 +111,16 @@
         self.platform.change(self.store.take_copy)
         self.platform.change(self.store.remove, "servers/" + left.name)
         time.sleep(1)
-        before = len(left.seen)
         self.restore(rewritten=("op/",))
-        until = time.monotonic() + 1.5
+        return left
+
+    def assert_no_requests(self, upstream, seconds):
+        before = len(upstream.seen)
+        until = time.monotonic() + seconds
         while time.monotonic() < until:
             for gateway in self.gateways:
                 self.assertEqual(200, gateway.call("/again/x")[0])
-        self.assertEqual(before, len(left.seen))
+        self.assertEqual(before, len(upstream.seen))
 
     def test_orders_keep_the_pause_and_rising_fences(self):
         """Guards against an owner of the copy that orders beside the present one, and against fences that
@@ -123,6 +145,41 @@
                     self.assertGreater(next_fence, fence)
                     self.assertGreaterEqual(later - at, ORDER_PAUSE)
 
+    def test_owner_of_the_copy_sends_no_orders_before_its_new_claim(self):
+        """Guards against an owner that takes its record in the copy for the one that it has yet to write."""
+        self.want_adapters_until(self.orders, 15)
+        self.platform.change(self.copy_with_lasting_leases)
+        self.store.refused_key = OWNER_KEY
+        self.restore()
+        restored = time.monotonic()
+        for engine in self.engines:
+            self.platform.change(self.restart_empty, engine)
+        self.want_adapters_until(lambda: time.monotonic() > restored + 6, 10)
+        self.assertEqual([], [row for row in self.orders() if row[0] > restored + LEASE_SECONDS])
+
+    def test_process_that_starts_after_the_restoration_waits_before_it_claims(self):
+        """Guards against a claim beside an owner that does not know yet that the store was restored."""
+        wait_for(self.owner)
+        self.platform.change(self.copy_with_lasting_leases)
+        for gateway in self.gateways:
+            gateway.stop()
+        self.restore()
+        started = time.monotonic()
+        self.gateways.append(Gateway(3, self.folder.name, BASE_PORT + 30, BASE_PORT + 90))
+        wait_for(lambda: self.owner() == self.gateways[-1].name)
+        self.assertGreater(time.monotonic() - started, LEASE_SECONDS)
+
+    def owner(self):
+        item = self.store.items.get(OWNER_KEY)
+        return json.loads(base64.b64decode(item["value"]))["vm"] if item else None
+
+    def copy_with_lasting_leases(self):
+        """Takes a copy whose keys outlast the owner's claim, as they may if leases pause."""
+        self.store.take_copy()
+        leases = self.store.copy[1]
+        for lease, (until, ttl) in leases.items():
+            leases[lease] = (until + 60, ttl)
+
     def restart_empty(self, engine):
         """Gives the owner something to order."""
         engine.born += 1
