--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -106,7 +106,7 @@
   bool remove(const base::UpstreamName& aName, base::TimePoint aNow);
 
   /** @param aRecord record from an older copy of the store
-   * @return true if a later record of that process was known, also if it was
+   * @return true if a later record of that name was known, also if it was
    * removed since */
   bool isOutdated(const catalog::UpstreamRecord& aRecord) const;
 
