Let the store of the soak come back from an older copy

Up to twice a run, from a random generator of its own, so that the other faults of a seed stay as they are.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,6 +36,7 @@
 class Soak:
     def __init__(self, seed, seconds, port, folder):
         self.random = random.Random(seed)
+        self.restore_random = random.Random(-1 - seed)  # of its own, so that the other faults of a seed stay
         self.seconds, self.port = seconds, port
         self.record = Record()
         self.platform = Platform()
@@ -212,10 +213,22 @@
             self.record.withdrawn["k3"] = time.monotonic()
         self.platform.publish(self.version, self.keys, ROUTES)
 
+    def restore_store(self):
+        """Lets the store come back from a copy that is some seconds old, up to twice a run."""
+        for _ in range(2):
+            age = self.restore_random.uniform(0.5, 5)
+            if self.stopping.wait(self.restore_random.uniform(2, 8)):
+                return
+            self.platform.change(self.platform.store.take_copy)
+            if self.stopping.wait(age):
+                return
+            self.platform.change(self.platform.store.restore)
+
     def execute(self):
         faults = [self.kill, self.planned_stop, self.pause, self.reload, self.cut_store,
                   self.break_upstream_link, self.lose_answers, self.turn_away, self.leave, self.change_keys]
         threads = [threading.Thread(target=self.caller) for _ in range(CALLERS)]
+        threads.append(threading.Thread(target=self.restore_store))
         self.call_random = random.Random(self.random.random())
         self.wait_ready(START_LIMIT)
         for thread in threads:
