--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -176,9 +176,9 @@
             platform = users_platform.Platform()
             held = case(record, temporary, platform, gateways)
             code = 0 if held else 1
-        except (CannotRun, AssertionError, OSError) as error:
-            record.write(f"could not run: {error}")
-            print("could not run:", error)
+        except Exception as error:  # no verdict without a whole run  # pylint: disable=broad-except
+            record.write(f"could not run: {error!r}")
+            print("could not run:", repr(error))
         finally:
             for gateway in gateways:
                 gateway.end()
