Begin the state of a caller's request anew with its first byte

Cause: rejectWith() opened the request and called reply(), which does nothing once a response has started; that flag was cleared only by dispatch(), so it still stood from the earlier response. The connection then had an open request, no handler and no timer. The same held for 400, 413 and 431 on every connection that had had an answer. After a suspension the header timer ran before the waiting input was read, which led there.

- What belongs to one request is one value, replaced at its first byte.
- A timeout of a head or a body counts once the bytes are parsed that had arrived when the timer expired.
The number is noted once, so a caller can't extend it.
- A connection has a timer in every state.
While a request is open, it is the end that its handler expects (expectEndBy(), set by the gateway from the deadline) or CallerLimits::responseTimeout; 1 s past the former the connection is reset and the close is reported as "overdue".
- Parser::reset() and UpstreamConnection::start() clear all state of the message; what they kept could not be reached.

Ruled out: the idle timer, which looked for input before.

Evidence: on the code before, KeptConnectionGetsRefusalAndClose (400 not sent) and ReadsInputThatWaitsBeforeItRejectsALateRequest (head: 408) fail; RequestWithoutAnswerEndsInAReportedClose, ExpectedEndOfARequestDoesNotOutlastIt and ResetForgetsAFailure are new (the first two use what is new here; the last was not run on the code before).

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -167,6 +167,7 @@
         std::static_pointer_cast<Exchange>(self)->onDeadline();
       }
     });
+  mCaller->expectEndBy(mDeadlineAt + kDeadlineGrace);
 }
 
 bool
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "wire/caller_connection.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
@@ -13,6 +14,9 @@
  * input resets the connection, which can discard a response that the caller has
  * not read yet. */
 constexpr base::Duration kLingerTime = 1s;
+/** A request whose handler has not ended it this long after it should have is
+ * closed. */
+constexpr base::Duration kOverdueGrace = 1s;
 /** Reading pauses above this much pipelined input during a request. */
 constexpr std::size_t kMaxPipelinedBytes = 64UL * 1024;
 /** Length of the listen queue. */
@@ -46,6 +50,8 @@
       return "after its last response";
     case CallerEnd::Aborted:
       return "aborted";
+    case CallerEnd::Overdue:
+      return "overdue";
   }
   return "unknown";
 }
@@ -57,11 +63,12 @@
             aServer.mLimits.headerBytes,
             { [this] { return acceptHeaders(); },
               [this](std::string_view aBytes) {
-                mBodyTooLarge =
-                  mBodyTooLarge || mRequest.body.size() + aBytes.size() >
-                                     mServer.mLimits.bodyBytes;
-                if (!mBodyTooLarge) {
-                  mRequest.body.append(aBytes);
+                mCurrent.bodyTooLarge =
+                  mCurrent.bodyTooLarge ||
+                  mCurrent.request.body.size() + aBytes.size() >
+                    mServer.mLimits.bodyBytes;
+                if (!mCurrent.bodyTooLarge) {
+                  mCurrent.request.body.append(aBytes);
                 }
               },
               [] {} })
@@ -84,7 +91,11 @@
                              armTimer(kLingerTime);
                            }
                          },
-                         [this](TransportEnd aEnd) { ended(aEnd); } });
+                         [this](TransportEnd aEnd) {
+                           end(aEnd == TransportEnd::Orderly
+                                 ? CallerEnd::ClosedByCaller
+                                 : CallerEnd::Failed);
+                         } });
   awaitNextRequest();
 }
 
@@ -121,28 +132,71 @@
   remove(CallerEnd::Completed);
 }
 
+void
+CallerConnection::expectEndBy(base::TimePoint aTime)
+{
+  if (mCurrent.open) {
+    armTimer(std::max(aTime - base::monotonicNow(), base::Duration::zero()) +
+             kOverdueGrace);
+  }
+}
+
 void
 CallerConnection::timerExpired()
 {
-  if (mRequestOpen && !mClosing) {
-    return;
+  if (mClosing) {
+    closeTimeoutExpired();
+  } else if (mCurrent.open) {
+    end(CallerEnd::Overdue);
+    // The handler may hold this object for ever.
+    mTransport.closeWithReset();
+  } else if (mParser.started()) {
+    requestTimeoutExpired();
+  } else {
+    idleTimeoutExpired();
   }
-  if (!mClosing && mParser.started()) {
-    rejectWith(408);
+}
+
+/** The loop may be late, so what had arrived when the timer expired is read
+ * first. */
+void
+CallerConnection::requestTimeoutExpired()
+{
+  if (!mCurrent.bytesBeforeTimeout) {
+    mCurrent.bytesBeforeTimeout =
+      mCurrent.parsedBytes + mTransport.waitingInput();
+  }
+  if (mCurrent.parsedBytes < *mCurrent.bytesBeforeTimeout) {
+    armTimer(base::Duration::zero());
     return;
   }
+  rejectWith(408);
+}
+
+void
+CallerConnection::idleTimeoutExpired()
+{
   // The idle timeout may have become longer meanwhile.
   const base::Duration left = mIdleSince + idleLimit() - base::monotonicNow();
-  if (!mClosing && left > base::Duration::zero()) {
+  if (left > base::Duration::zero()) {
     armTimer(left);
     return;
   }
-  const bool unread = !mClosing && mTransport.hasInput();
-  if (unread || peerIsReading()) {
+  if (mTransport.hasInput() || peerIsReading()) {
     armTimer(kLingerTime);
     return;
   }
-  remove(mClosing ? CallerEnd::Completed : CallerEnd::Idle);
+  remove(CallerEnd::Idle);
+}
+
+void
+CallerConnection::closeTimeoutExpired()
+{
+  if (peerIsReading()) {
+    armTimer(kLingerTime);
+    return;
+  }
+  remove(CallerEnd::Completed);
 }
 
 bool
@@ -157,6 +211,22 @@
   return pending > 0 && now - mLastOutputProgress < mServer.mLimits.idleTimeout;
 }
 
+void
+CallerConnection::beginRequest()
+{
+  mCurrent = {};
+  mCurrent.receivedAt = mLastInputAt;
+  armTimer(mServer.mLimits.headerTimeout);
+}
+
+void
+CallerConnection::openRequest()
+{
+  mCurrent.open = true;
+  ++mServer.mOpenRequests;
+  armTimer(mServer.mLimits.responseTimeout);
+}
+
 void
 CallerConnection::readInput()
 {
@@ -166,7 +236,7 @@
     mTransport.consume(mTransport.pendingInput());
     return;
   }
-  if (mRequestOpen) {
+  if (mCurrent.open) {
     mTransport.pauseReading(mTransport.pendingInput() > kMaxPipelinedBytes);
     return;
   }
@@ -175,17 +245,18 @@
     return;
   }
   if (!mParser.started()) {
-    mReceivedAt = mLastInputAt;
-    armTimer(mServer.mLimits.headerTimeout);
+    beginRequest();
   }
   const bool hadHeaders = mParser.headersComplete();
   const std::size_t parsed = mParser.feed(input);
   mUnansweredBytes += parsed;
+  mCurrent.parsedBytes += parsed;
   mTransport.consume(parsed);
   if (rejectInvalid()) {
     return;
   }
   if (!hadHeaders && mParser.headersComplete()) {
+    mCurrent.bytesBeforeTimeout.reset();
     armTimer(mServer.mLimits.idleTimeout);
     if (http::equalIgnoringCase(http::findHeader(mParser.headers(), "Expect"),
                                 "100-continue") &&
@@ -209,7 +280,7 @@
     rejectWith(400);
     return true;
   }
-  if (mBodyTooLarge) {
+  if (mCurrent.bodyTooLarge) {
     rejectWith(413);
     return true;
   }
@@ -219,10 +290,9 @@
 void
 CallerConnection::rejectWith(int aStatus)
 {
-  mRequestOpen = true;
-  ++mServer.mOpenRequests;
-  mCloseAfterResponse = true;
-  mRequest.acceptsChunked = false;
+  openRequest();
+  mCurrent.closeAfterResponse = true;
+  mCurrent.request.acceptsChunked = false;
   reply(aStatus, {}, {});
 }
 
@@ -235,16 +305,12 @@
 void
 CallerConnection::dispatch()
 {
-  mRequest.method = mParser.method();
-  mRequest.target = mParser.target();
-  mRequest.headers = std::move(mParser.headers());
-  mRequest.keepAlive = mParser.keepAlive();
-  mRequest.acceptsChunked = mParser.isHttp11();
-  mRequestOpen = true;
-  mResponseStarted = false;
-  mChunked = false;
-  mTimer.reset();
-  ++mServer.mOpenRequests;
+  mCurrent.request.method = mParser.method();
+  mCurrent.request.target = mParser.target();
+  mCurrent.request.headers = std::move(mParser.headers());
+  mCurrent.request.keepAlive = mParser.keepAlive();
+  mCurrent.request.acceptsChunked = mParser.isHttp11();
+  openRequest();
   const auto self = shared_from_this();
   mServer.mHandler(self);
 }
@@ -254,22 +320,23 @@
                             const http::Headers& aHeaders,
                             bool aHasLength)
 {
-  mResponseStarted = true;
-  mCloseAfterResponse =
-    mCloseAfterResponse || !mRequest.keepAlive || mServer.mCloseAfterResponses;
+  mCurrent.responseStarted = true;
+  mCurrent.closeAfterResponse = mCurrent.closeAfterResponse ||
+                                !mCurrent.request.keepAlive ||
+                                mServer.mCloseAfterResponses;
   std::string head = "HTTP/1.1 " + std::to_string(aStatus) + " ";
   head += reasonPhrase(aStatus);
   head += "\r\n";
   for (const auto& [name, value] : aHeaders) {
     head += name + ": " + value + "\r\n";
   }
-  if (!aHasLength && mRequest.acceptsChunked) {
-    mChunked = true;
+  if (!aHasLength && mCurrent.request.acceptsChunked) {
+    mCurrent.chunked = true;
     head += "Transfer-Encoding: chunked\r\n";
   } else if (!aHasLength) {
-    mCloseAfterResponse = true;
+    mCurrent.closeAfterResponse = true;
   }
-  if (mCloseAfterResponse) {
+  if (mCurrent.closeAfterResponse) {
     head += "Connection: close\r\n";
   }
   mTransport.write(head);
@@ -280,13 +347,13 @@
                         const http::Headers& aHeaders,
                         std::string_view aBody)
 {
-  if (!mRequestOpen || mResponseStarted) {
+  if (!mCurrent.open || mCurrent.responseStarted) {
     return;
   }
   writeHead(aStatus, aHeaders, true);
   std::string remainder =
     "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n";
-  if (mRequest.method != "HEAD") {
+  if (mCurrent.request.method != "HEAD") {
     remainder += aBody;
   }
   mTransport.write(remainder);
@@ -296,7 +363,7 @@
 void
 CallerConnection::startStream(int aStatus, const http::Headers& aHeaders)
 {
-  if (!mRequestOpen || mResponseStarted) {
+  if (!mCurrent.open || mCurrent.responseStarted) {
     return;
   }
   writeHead(aStatus, aHeaders, false);
@@ -306,10 +373,10 @@
 void
 CallerConnection::sendChunk(std::string_view aBytes)
 {
-  if (!mRequestOpen || aBytes.empty()) {
+  if (!mCurrent.open || aBytes.empty()) {
     return;
   }
-  if (!mChunked) {
+  if (!mCurrent.chunked) {
     mTransport.write(aBytes);
     return;
   }
@@ -322,10 +389,10 @@
 void
 CallerConnection::endStream()
 {
-  if (!mRequestOpen) {
+  if (!mCurrent.open) {
     return;
   }
-  if (mChunked) {
+  if (mCurrent.chunked) {
     mTransport.write("0\r\n\r\n");
   }
   finishRequest();
@@ -334,16 +401,16 @@
 void
 CallerConnection::abort()
 {
-  if (!mRequestOpen) {
+  if (!mCurrent.open) {
     return;
   }
-  mCloseAfterResponse = true;
-  if (!mChunked) {
+  mCurrent.closeAfterResponse = true;
+  if (!mCurrent.chunked) {
     // Without chunked encoding an orderly close would complete the response.
     mTransport.resetOnClose();
     reportClose(mTransport.peerClosed() ? CallerEnd::ClosedByCaller
                                         : CallerEnd::Aborted);
-    mRequestOpen = false;
+    mCurrent.open = false;
     --mServer.mOpenRequests;
     release();
     return;
@@ -354,14 +421,14 @@
 void
 CallerConnection::finishRequest()
 {
-  mRequestOpen = false;
+  mCurrent.open = false;
   --mServer.mOpenRequests;
-  mDisconnectCallback = nullptr;
+  mCurrent.disconnectCallback = nullptr;
   mUnansweredBytes = 0;
-  mRequest = Request{};
+  mCurrent.request = {};
   mLastPendingOutput = mTransport.pendingOutput();
   mLastOutputProgress = base::monotonicNow();
-  if (mCloseAfterResponse) {
+  if (mCurrent.closeAfterResponse) {
     beginClose();
     return;
   }
@@ -390,16 +457,15 @@
 }
 
 void
-CallerConnection::ended(TransportEnd aEnd)
+CallerConnection::end(CallerEnd aEnd)
 {
   const auto self = shared_from_this();
-  reportClose(aEnd == TransportEnd::Orderly ? CallerEnd::ClosedByCaller
-                                            : CallerEnd::Failed);
-  if (mRequestOpen) {
-    mRequestOpen = false;
+  reportClose(aEnd);
+  if (mCurrent.open) {
+    mCurrent.open = false;
     --mServer.mOpenRequests;
-    const auto callback = std::move(mDisconnectCallback);
-    mDisconnectCallback = nullptr;
+    const auto callback = std::move(mCurrent.disconnectCallback);
+    mCurrent.disconnectCallback = nullptr;
     if (callback) {
       callback();
     }
@@ -415,7 +481,7 @@
   }
   const base::TimePoint now = base::monotonicNow();
   mServer.mCloseHandler({ aEnd,
-                          mRequestOpen,
+                          mCurrent.open,
                           mUnansweredBytes + mTransport.pendingInput(),
                           mTransport.pendingOutput(),
                           now - mLastInputAt,
@@ -498,7 +564,7 @@
     mListener = nullptr;
   }
   for (const auto& caller : std::set(mCallers)) {
-    if (!caller->mRequestOpen && !caller->mClosing &&
+    if (!caller->mCurrent.open && !caller->mClosing &&
         !caller->mParser.started() && !caller->mTransport.hasInput()) {
       caller->endIdle();
     }
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -6,6 +6,7 @@
 #include "wire/transport.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 
 struct evconnlistener;
@@ -23,6 +24,9 @@
   /** For the first byte of the next request, for the body of a request, and
    * for progress of a caller that reads its response. */
   base::Duration idleTimeout = std::chrono::seconds(15);
+  /** For the response, from the end of the request, unless the handler calls
+   * expectEndBy(). */
+  base::Duration responseTimeout = std::chrono::minutes(1);
 };
 
 /** Why the connection of a caller ended. */
@@ -32,7 +36,8 @@
   Failed,    ///< reset, or the network lost it
   Idle,      ///< no further request within the idle timeout
   Completed, ///< closed after its last response, or by a stop
-  Aborted    ///< closed to show the caller an incomplete response
+  Aborted,   ///< closed to show the caller an incomplete response
+  Overdue    ///< the handler did not end the request in time
 };
 
 /** @param aEnd reason @return its name for logs and metrics */
@@ -64,10 +69,15 @@
   CallerConnection(CallerServer& aServer, int aDescriptor);
 
   /** @return the request in progress */
-  Request& request() { return mRequest; }
+  Request& request() { return mCurrent.request; }
 
   /** @return time at which the first byte of the request was read */
-  base::TimePoint receivedAt() const { return mReceivedAt; }
+  base::TimePoint receivedAt() const { return mCurrent.receivedAt; }
+
+  /** Closes the connection if the handler has not ended the request shortly
+   * after this time, in place of CallerLimits::responseTimeout.
+   * @param aTime time by which the handler ends the request */
+  void expectEndBy(base::TimePoint aTime);
 
   /** Sends a complete response with Content-Length. */
   void reply(int aStatus,
@@ -91,26 +101,46 @@
    * ends */
   void onDisconnect(std::function<void()> aCallback)
   {
-    mDisconnectCallback = std::move(aCallback);
+    mCurrent.disconnectCallback = std::move(aCallback);
   }
 
   /** @return true once the request ended or the caller disconnected */
-  bool finished() const { return !mRequestOpen; }
+  bool finished() const { return !mCurrent.open; }
 
   /** Polls the socket, because the event loop may be late.
    * @return true if no caller waits for a response: the request ended or the
    * caller closed the connection */
-  bool abandoned() const { return !mRequestOpen || mTransport.peerClosed(); }
+  bool abandoned() const { return !mCurrent.open || mTransport.peerClosed(); }
 
   /** @return true once the status line of the response was sent */
-  bool responseStarted() const { return mResponseStarted; }
+  bool responseStarted() const { return mCurrent.responseStarted; }
 
   /** @return number of buffered bytes not yet sent */
   std::size_t pendingOutput() const { return mTransport.pendingOutput(); }
 
 private:
   friend class CallerServer;
+
+  /** State of one request; a new one begins with its first byte. */
+  struct Current
+  {
+    Request request;
+    base::TimePoint receivedAt{};
+    std::function<void()> disconnectCallback;
+    /** Number of bytes of the request to parse before a timeout counts: those
+     * that had arrived when it expired. */
+    std::optional<std::size_t> bytesBeforeTimeout;
+    std::size_t parsedBytes = 0;
+    bool open = false; ///< from the end of the request to that of the response
+    bool responseStarted = false;
+    bool chunked = false;
+    bool closeAfterResponse = false;
+    bool bodyTooLarge = false;
+  };
+
   void start();
+  void beginRequest();
+  void openRequest();
   void readInput();
   bool rejectInvalid();
   void rejectWith(int aStatus);
@@ -122,20 +152,22 @@
   void remove(CallerEnd aEnd);
   void reportClose(CallerEnd aEnd);
   void release();
-  void ended(TransportEnd aEnd);
+  void end(CallerEnd aEnd);
   void endIdle();
   base::Duration idleLimit() const;
   void armTimer(base::Duration aDelay);
   void awaitNextRequest();
   void timerExpired();
+  void requestTimeoutExpired();
+  void idleTimeoutExpired();
+  void closeTimeoutExpired();
   bool peerIsReading();
 
   CallerServer& mServer;
   Transport mTransport;
   Parser mParser;
-  Request mRequest;
-  base::TimePoint mReceivedAt{};
-  std::function<void()> mDisconnectCallback;
+  Current mCurrent;
+  /** Armed in every state, so that no connection can be forgotten. */
   http::EventHandle mTimer;
   base::TimePoint mOpenedAt{};
   base::TimePoint mLastInputAt{};
@@ -143,12 +175,7 @@
   std::size_t mUnansweredBytes = 0;   ///< consumed bytes without a response
   std::size_t mLastPendingOutput = 0; ///< bytes at the last check
   base::TimePoint mLastOutputProgress{};
-  bool mRequestOpen = false;
-  bool mResponseStarted = false;
-  bool mChunked = false;
-  bool mCloseAfterResponse = false;
   bool mClosing = false;
-  bool mBodyTooLarge = false;
 };
 
 /** Accepts connections from callers and passes their requests to a handler. */
--- a/libs/wire/parser.cpp
+++ b/libs/wire/parser.cpp
@@ -46,7 +46,11 @@
   mStarted = false;
   mHeadersComplete = false;
   mComplete = false;
+  mKeepAlive = false;
   mCloseDelimited = false;
+  mFailed = false;
+  mHeaderTooLarge = false;
+  mOverflow = false;
 }
 
 std::size_t
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -283,6 +283,7 @@
         recv(mDescriptor, buffer, sizeof(buffer), MSG_DONTWAIT);
       if (size <= 0) {
         mReset = size < 0 && errno == ECONNRESET;
+        mClosed = size == 0;
         return received;
       }
       received.append(buffer, static_cast<std::size_t>(size));
@@ -292,10 +293,14 @@
   /** @return true if the last receive() found the connection reset */
   bool wasReset() const { return mReset; }
 
+  /** @return true if the last receive() found the connection closed in order */
+  bool wasClosed() const { return mClosed; }
+
 private:
   int mDescriptor;
   bool mConnected = false;
   bool mReset = false;
+  bool mClosed = false;
 };
 
 /** What a call reported. */
@@ -787,6 +792,169 @@
   runPending(loop);
 }
 
+// Guards against a refusal that is not sent because of the response to an
+// earlier request, which left the connection open and unanswered for ever.
+TEST(CallerServer, KeptConnectionGetsRefusalAndClose)
+{
+  const struct
+  {
+    const char* status;
+    std::string request;
+  } kForms[] = {
+    { "400",
+      "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\na" },
+    { "408", "GET / HTTP/1.1\r\nHost:" },
+    { "408", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nab" },
+    { "413",
+      "POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n" +
+        std::string(2000, 'x') },
+    { "431", "GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n" },
+  };
+  for (const auto& form : kForms) {
+    wire::CallerServer server(loop, [](const auto& aCaller) {
+      aCaller->startStream(200, {});
+      aCaller->endStream();
+    });
+    server.setLimits({ 1024, 1024, 50ms, 100ms });
+    CHECK(bool(server.listen(kAddress)));
+    ManualCaller caller;
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::string first;
+    const auto next = loop.after(30ms, [&] {
+      first = caller.receive();
+      caller.send(form.request);
+    });
+    const auto end = loop.after(300ms, [&] { loop.stop(); });
+    loop.run();
+    CHECK_TEXT(first.ends_with("0\r\n\r\n"), form.status);
+    const std::string second = caller.receive();
+    CHECK_TEXT(second.starts_with(std::string("HTTP/1.1 ") + form.status),
+               form.status);
+    CHECK_TEXT(second.find("Connection: close") != std::string::npos,
+               form.status);
+    CHECK_TEXT(caller.wasClosed(), form.status);
+    LONGS_EQUAL_TEXT(0, server.openRequests(), form.status);
+    server.stop();
+    runPending(loop);
+  }
+}
+
+// Guards against a 408 for a request whose remainder arrived in time but waits
+// in the socket, because the process was suspended past the timeout.
+TEST(CallerServer, ReadsInputThatWaitsBeforeItRejectsALateRequest)
+{
+  const std::string kBody(50000, 'x');
+  const struct
+  {
+    const char* name;
+    std::string begin;
+    std::string remainder;
+  } kForms[] = {
+    { "head", "GET / HTTP/1.1\r\nHos", "t: h\r\n\r\n" },
+    { "body", "POST / HTTP/1.1\r\nContent-Length: 50000\r\n\r\n", kBody },
+  };
+  for (const auto& form : kForms) {
+    std::size_t bodyBytes = 0;
+    wire::CallerServer server(loop, [&](const auto& aCaller) {
+      bodyBytes = aCaller->request().body.size();
+      aCaller->reply(200, {}, "done");
+    });
+    server.setLimits({ 1024, 1024UL * 1024, 60ms, 60ms });
+    CHECK(bool(server.listen(kAddress)));
+    ManualCaller caller;
+    caller.send(form.begin);
+    const auto suspend = loop.after(30ms, [&] {
+      caller.send(form.remainder);
+      std::this_thread::sleep_for(100ms);
+    });
+    const auto end = loop.after(150ms, [&] { loop.stop(); });
+    loop.run();
+    CHECK_TEXT(caller.receive().starts_with("HTTP/1.1 200"), form.name);
+    CHECK_TEXT(bodyBytes == 0 || bodyBytes == kBody.size(), form.name);
+    server.stop();
+    runPending(loop);
+  }
+}
+
+// Guards against a request that nobody answers and no timer ends.
+TEST(CallerServer, RequestWithoutAnswerEndsInAReportedClose)
+{
+  std::vector<std::shared_ptr<wire::CallerConnection>> held;
+  std::size_t left = 0;
+  std::vector<wire::ClosedCaller> closed;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    held.push_back(aCaller);
+    aCaller->onDisconnect([&] { ++left; });
+    if (aCaller->request().target == "/deadline") {
+      aCaller->expectEndBy(base::monotonicNow() + 50ms);
+    }
+  });
+  server.onClosed(
+    [&](const wire::ClosedCaller& aClosed) { closed.push_back(aClosed); });
+  server.setLimits({ 1024, 1024, 1s, 1s, 200ms });
+  CHECK(bool(server.listen(kAddress)));
+  const std::string byLimit = "GET /limit HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::string byDeadline = "GET /deadline HTTP/1.1\r\nHost: h\r\n\r\n";
+  ManualCaller first;
+  ManualCaller second;
+  first.send(byLimit);
+  second.send(byDeadline);
+  const auto end = loop.after(1300ms, [&] { loop.stop(); });
+  loop.run();
+  LONGS_EQUAL(2, closed.size());
+  LONGS_EQUAL(2, left);
+  for (const wire::ClosedCaller& caller : closed) {
+    CHECK(caller.end == wire::CallerEnd::Overdue);
+    CHECK(caller.requestOpen);
+  }
+  LONGS_EQUAL(byLimit.size(), closed[0].unansweredBytes);
+  LONGS_EQUAL(byDeadline.size(), closed[1].unansweredBytes);
+  for (ManualCaller* caller : { &first, &second }) {
+    (void)caller->receive();
+    CHECK(caller->wasReset());
+  }
+  LONGS_EQUAL(0, server.openRequests());
+  held.clear();
+  runPending(loop);
+}
+
+// Guards against an end that cuts the response to a later request.
+TEST(CallerServer, ExpectedEndOfARequestDoesNotOutlastIt)
+{
+  std::vector<std::shared_ptr<wire::CallerConnection>> held;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    if (held.empty()) {
+      aCaller->expectEndBy(base::monotonicNow());
+      aCaller->reply(200, {}, "one");
+    }
+    held.push_back(aCaller);
+  });
+  CHECK(bool(server.listen(kAddress)));
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  ManualCaller caller;
+  caller.send(request + request);
+  const auto reply =
+    loop.after(1200ms, [&] { held.back()->reply(200, {}, "two"); });
+  const auto end = loop.after(1250ms, [&] { loop.stop(); });
+  loop.run();
+  LONGS_EQUAL(2, held.size());
+  CHECK(caller.receive().ends_with("two"));
+  held.clear();
+  runPending(loop);
+}
+
+// A parser that is reset after an invalid message must not fail the next one.
+TEST(Parser, ResetForgetsAFailure)
+{
+  (void)parser.feed("GET / HTTP/9.9\r\nHost\r\n\r\n");
+  CHECK(parser.failed());
+  parser.reset();
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  LONGS_EQUAL(request.size(), parser.feed(request));
+  CHECK(parser.completed());
+  CHECK(!parser.failed());
+}
+
 TEST_GROUP(Pool)
 {
   http::Loop loop;
--- a/libs/wire/transport.cpp
+++ b/libs/wire/transport.cpp
@@ -8,7 +8,9 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace marigold::wire {
 namespace {
@@ -164,6 +166,16 @@
                                     MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+std::size_t
+Transport::waitingInput() const
+{
+  int unread = 0;
+  if (ioctl(bufferevent_getfd(mNative.get()), FIONREAD, &unread) != 0) {
+    unread = 0;
+  }
+  return pendingInput() + static_cast<std::size_t>(unread);
+}
+
 void
 Transport::pauseReading(bool aPaused)
 {
@@ -211,6 +223,15 @@
              sizeof(option));
 }
 
+void
+Transport::closeWithReset()
+{
+  resetOnClose();
+  const int descriptor = bufferevent_getfd(mNative.get());
+  bufferevent_setfd(mNative.get(), -1);
+  close(descriptor);
+}
+
 void
 Transport::onRead(bufferevent* /*aEvent*/, void* aSelf)
 {
--- a/libs/wire/transport.h
+++ b/libs/wire/transport.h
@@ -81,6 +81,10 @@
   /** @return true if unread bytes are in the input buffer or the socket */
   bool hasInput() const;
 
+  /** @return number of bytes received and not yet consumed, including those in
+   * the socket */
+  std::size_t waitingInput() const;
+
   /** @param aPaused true to stop reading, which applies backpressure to the
    * peer */
   void pauseReading(bool aPaused);
@@ -100,6 +104,9 @@
   /** Makes the close send a TCP reset, so that the peer sees a failure. */
   void resetOnClose();
 
+  /** Closes the socket at once with a TCP reset; no callback runs. */
+  void closeWithReset();
+
 private:
   void configure();
   /** @param aEvents poll() events @return true if one of them, or an error, is
--- a/libs/wire/upstream.cpp
+++ b/libs/wire/upstream.cpp
@@ -74,6 +74,9 @@
   mSent = false;
   mReusable = false;
   mSkippedBytes = 0;
+  mHeadPending = false;
+  mSkipping = false;
+  mPendingBody.clear();
   mParser.reset();
   if (!mConnected) {
     mConnectTimer =
--- /dev/null
+++ b/tests/e2e/test_caller_connections.py
@@ -0,0 +1,114 @@
+"""Tests of callers' connections around a suspension of the gateway."""
+
+import os
+import signal
+import socket
+import tempfile
+import threading
+import time
+import unittest
+
+from gateway_process import Gateway, wait_for
+from users_platform import HOST, ROUTES, Platform, Upstream
+
+BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
+STORE, DESK = 90, 80  # port offsets
+CALLERS = 4
+DEADLINE_MS = 4000  # time-out of the routes
+HEADER_TIMEOUT_S = 1.0  # of the platform's configuration
+SUSPENDED_S = 2.0
+
+
+def read_answer(connection, limit):
+    """Returns the bytes up to the end of a chunked or known answer, a close, a reset or the limit in seconds."""
+    data = b""
+    until = time.monotonic() + limit
+    try:
+        while time.monotonic() < until:
+            connection.settimeout(max(0.01, until - time.monotonic()))
+            part = connection.recv(65536)
+            if not part:
+                break
+            data += part
+            head, found, body = data.partition(b"\r\n\r\n")
+            if found and (body.endswith(b"0\r\n\r\n") or f"Content-Length: {len(body)}\r".encode() in head + b"\r"):
+                break
+    except OSError:
+        pass
+    return data
+
+
+class CallerConnections(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.platform = Platform()
+        self.platform.publish(1, ["k1"], ROUTES)
+        self.platform.serve_upstream(Upstream("desk", BASE_PORT + DESK, "desk"))
+        self.platform.serve_store(BASE_PORT + STORE)
+        self.gateway = Gateway(0, self.folder.name, BASE_PORT, BASE_PORT + STORE)
+        wait_for(self.gateway.ready)
+
+    def tearDown(self):
+        if self.gateway.child.poll() is None:
+            self.gateway.child.send_signal(signal.SIGCONT)
+        self.gateway.stop()
+        self.platform.close()
+        self.folder.cleanup()
+
+    def connect(self):
+        connection = socket.socket()
+        self.addCleanup(connection.close)
+        connection.connect((HOST, self.gateway.port))
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return connection
+
+    @staticmethod
+    def request(path):
+        return (f"POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {os.urandom(8).hex()}\r\n"
+                f"X-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Bearer k1\r\n"
+                "Content-Length: 1\r\n\r\nx").encode()
+
+    def in_parallel(self, run):
+        """Runs a function with each number of a caller; returns the results."""
+        results = [None] * CALLERS
+
+        def call(number):
+            results[number] = run(number)
+        threads = [threading.Thread(target=call, args=(number,)) for number in range(CALLERS)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return results
+
+    def test_request_on_a_kept_connection_is_answered_after_a_suspension(self):
+        """Guards against a request that is never answered, because the gateway was suspended while its head arrived
+        on a connection that had already had an answer."""
+        connections = [self.connect() for _ in range(CALLERS)]
+        for connection in connections:
+            connection.sendall(self.request("/again/x"))
+            self.assertIn(b"200 OK", read_answer(connection, 3))
+        requests = [self.request("/again/x") for _ in connections]
+        for connection, data in zip(connections, requests):
+            connection.sendall(data[:40])
+        time.sleep(0.1)
+        self.gateway.child.send_signal(signal.SIGSTOP)
+        for connection, data in zip(connections, requests):
+            connection.sendall(data[40:])
+        time.sleep(HEADER_TIMEOUT_S + SUSPENDED_S)
+        self.gateway.child.send_signal(signal.SIGCONT)
+        answers = self.in_parallel(lambda number: read_answer(connections[number], 3))
+        for answer in answers:
+            self.assertIn(b"HTTP/1.1 200", answer)
+
+    def test_incomplete_request_on_a_kept_connection_is_refused(self):
+        """Guards against a kept connection that stays open without an answer after the timeout of a head."""
+        connection = self.connect()
+        connection.sendall(self.request("/again/x"))
+        self.assertIn(b"200 OK", read_answer(connection, 3))
+        connection.sendall(self.request("/again/x")[:40])
+        self.assertIn(b"HTTP/1.1 408", read_answer(connection, HEADER_TIMEOUT_S + 2))
+
+
+if __name__ == "__main__":
+    unittest.main()
