Let callers pause for the idle timeout of the configuration

Cause: TCP_USER_TIMEOUT of 2.5 s, meant for links that are cut, was set on the connections of callers too. Linux also counts it for a closed window, although the peer acknowledges each probe, so peerIsReading(), which allows the idle timeout, never decided.

Now a caller's connection has the idle timeout as TCP_USER_TIMEOUT, at least 2.5 s. The kernel counts from the last progress and goes on after the process has ended, which a check of ours couldn't. Upstreams keep 2.5 s.

Callers that are gone behind a cut link were not tested.

--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -96,6 +96,7 @@
                                  ? CallerEnd::ClosedByCaller
                                  : CallerEnd::Failed);
                          } });
+  mTransport.allowPauses(mServer.mLimits.idleTimeout);
   awaitNextRequest();
 }
 
@@ -546,6 +547,15 @@
   return {};
 }
 
+void
+CallerServer::setLimits(const CallerLimits& aLimits)
+{
+  mLimits = aLimits;
+  for (const auto& caller : mCallers) {
+    caller->mTransport.allowPauses(aLimits.idleTimeout);
+  }
+}
+
 void
 CallerServer::accept(int aDescriptor)
 {
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -197,7 +197,7 @@
 
   /** @param aLimits size limits of the headers apply to new connections, the
    * other limits also to open ones */
-  void setLimits(const CallerLimits& aLimits) { mLimits = aLimits; }
+  void setLimits(const CallerLimits& aLimits);
 
   /** @param aHandler called when a connection has ended */
   void onClosed(CloseHandler aHandler) { mCloseHandler = std::move(aHandler); }
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -876,6 +876,53 @@
   }
 }
 
+// Guards against a response that is reset because its caller acknowledges but
+// does not read for some seconds, as TCP_USER_TIMEOUT counts closed windows.
+TEST(CallerServer, CallerThatPausesForSecondsGetsCompleteResponse)
+{
+  constexpr std::size_t kSize = 32UL * 1024 * 1024;
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    aCaller->reply(200, {}, std::string(kSize, 'x'));
+  });
+  std::vector<wire::ClosedCaller> closed;
+  server.onClosed(
+    [&](const wire::ClosedCaller& aClosed) { closed.push_back(aClosed); });
+  server.setLimits({ 1024, 1024, 1s, 15s });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  const auto pause = loop.after(5s, [&] { loop.stop(); });
+  loop.run();
+  LONGS_EQUAL(0, closed.size());
+  std::size_t received = 0;
+  const auto read =
+    loop.every(1ms, [&] { received += caller.receive().size(); });
+  const auto end = loop.after(2s, [&] { loop.stop(); });
+  loop.run();
+  CHECK(received > kSize);
+}
+
+// Guards against memory that callers hold without end by not reading.
+TEST(CallerServer, CallerThatReadsNothingIsClosedAfterTheIdleTimeout)
+{
+  constexpr std::size_t kSize = 32UL * 1024 * 1024;
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    aCaller->reply(200, {}, std::string(kSize, 'x'));
+  });
+  std::vector<wire::ClosedCaller> closed;
+  server.onClosed(
+    [&](const wire::ClosedCaller& aClosed) { closed.push_back(aClosed); });
+  server.setLimits({ 1024, 1024, 1s, 500ms });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  const auto end = loop.after(2s, [&] { loop.stop(); });
+  loop.run();
+  LONGS_EQUAL(1, closed.size());
+  CHECK(closed[0].unsentBytes > 0);
+  LONGS_EQUAL(0, server.connections());
+}
+
 // Guards against a request that nobody answers and no timer ends.
 TEST(CallerServer, RequestWithoutAnswerEndsInAReportedClose)
 {
--- a/libs/wire/transport.cpp
+++ b/libs/wire/transport.cpp
@@ -1,10 +1,12 @@
 #include "wire/transport.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <limits>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -18,8 +20,9 @@
 /** TCP_USER_TIMEOUT: a connection fails if sent bytes stay unacknowledged for
  * this long. A broken link drops bytes without a reset. The value is well below
  * every deadline of an assistant and above the retransmission delays of a
- * healthy link. */
-constexpr int kUserTimeoutMs = 2500;
+ * healthy link. It also counts for a peer that acknowledges but keeps its
+ * window closed, and replaces kKeepAliveProbes. */
+constexpr std::chrono::milliseconds kUserTimeout{ 2500 };
 /** TCP keep-alive detects a silent peer within three seconds. */
 constexpr int kKeepAliveIdleS = 1;
 constexpr int kKeepAliveIntervalS = 1;
@@ -46,7 +49,7 @@
 setSocketOptions(int aDescriptor)
 {
   setOption(aDescriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-  setOption(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  setOption(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeout.count());
   setOption(aDescriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
   setOption(aDescriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
   setOption(aDescriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
@@ -105,6 +108,19 @@
   bufferevent_enable(mNative.get(), EV_READ | EV_WRITE);
 }
 
+void
+Transport::allowPauses(base::Duration aLimit)
+{
+  const auto limit =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aLimit);
+  setOption(
+    bufferevent_getfd(mNative.get()),
+    IPPROTO_TCP,
+    TCP_USER_TIMEOUT,
+    static_cast<int>(std::clamp<std::chrono::milliseconds::rep>(
+      limit.count(), kUserTimeout.count(), std::numeric_limits<int>::max())));
+}
+
 void
 Transport::write(std::string_view aBytes)
 {
--- a/libs/wire/transport.h
+++ b/libs/wire/transport.h
@@ -58,6 +58,10 @@
   /** @param aEvents callbacks; each may destroy the transport */
   void setEvents(TransportEvents aEvents) { mEvents = std::move(aEvents); }
 
+  /** By default a peer that neither acknowledges nor reads for 2.5 s counts as
+   * gone. @param aLimit longer time for which this peer may do so */
+  void allowPauses(base::Duration aLimit);
+
   /** @param aBytes bytes to send in the next iteration of the event loop */
   void write(std::string_view aBytes);
 
--- a/tests/e2e/test_caller_connections.py
+++ b/tests/e2e/test_caller_connections.py
@@ -1,4 +1,4 @@
-"""Tests of callers' connections around a suspension of the gateway."""
+"""Tests of callers' connections around a suspension of the gateway and pauses of callers."""
 
 import os
 import signal
@@ -12,11 +12,14 @@
 from users_platform import HOST, ROUTES, Platform, Upstream
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
-STORE, DESK = 90, 80  # port offsets
+STORE, DESK, ENGINE = 90, 80, 81  # port offsets
 CALLERS = 4
 DEADLINE_MS = 4000  # time-out of the routes
 HEADER_TIMEOUT_S = 1.0  # of the platform's configuration
 SUSPENDED_S = 2.0
+PAUSE_S = 3.5  # within the deadline and the idle timeout
+EVENTS, EVENT_BYTES = 400, 240
+SMALL_WINDOW = 4096
 
 
 def read_answer(connection, limit):
@@ -38,12 +41,32 @@
     return data
 
 
+class LongAnswers(Upstream):
+    """Streams answers that exceed the buffers of a caller that doesn't read."""
+
+    finished = 0
+
+    async def stream(self, headers, signature, writer):
+        head = {**signature, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in head.items()) + "\r\n").encode())
+        for number in range(1, EVENTS + 1):
+            event = f"id: {number}\ndata: ".encode()
+            event += b"t" * (EVENT_BYTES - len(event) - 2) + b"\n\n"
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        self.finished += 1
+        return True
+
+
 class CallerConnections(unittest.TestCase):
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform()
         self.platform.publish(1, ["k1"], ROUTES)
+        self.engine = LongAnswers("engine", BASE_PORT + ENGINE, "llm", ["m1"])
         self.platform.serve_upstream(Upstream("desk", BASE_PORT + DESK, "desk"))
+        self.platform.serve_upstream(self.engine)
         self.platform.serve_store(BASE_PORT + STORE)
         self.gateway = Gateway(0, self.folder.name, BASE_PORT, BASE_PORT + STORE)
         wait_for(self.gateway.ready)
@@ -55,17 +78,19 @@
         self.platform.close()
         self.folder.cleanup()
 
-    def connect(self):
+    def connect(self, window=None):
         connection = socket.socket()
         self.addCleanup(connection.close)
+        if window:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
         connection.connect((HOST, self.gateway.port))
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
 
     @staticmethod
-    def request(path):
+    def request(path, extra=""):
         return (f"POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {os.urandom(8).hex()}\r\n"
-                f"X-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Bearer k1\r\n"
+                f"X-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Bearer k1\r\n{extra}"
                 "Content-Length: 1\r\n\r\nx").encode()
 
     def in_parallel(self, run):
@@ -109,6 +134,18 @@
         connection.sendall(self.request("/again/x")[:40])
         self.assertIn(b"HTTP/1.1 408", read_answer(connection, HEADER_TIMEOUT_S + 2))
 
+    def test_pausing_callers_get_their_whole_answers_in_a_planned_stop(self):
+        """Guards against answers that are reset because their callers stop reading for a few seconds."""
+        connections = [self.connect(SMALL_WINDOW) for _ in range(CALLERS)]
+        for connection in connections:
+            connection.sendall(self.request("/chat/x", "X-Model-Name: m1\r\nX-Token-Usage: 100,20\r\n"))
+        wait_for(lambda: self.engine.finished == CALLERS, 3)
+        self.gateway.child.send_signal(signal.SIGTERM)
+        time.sleep(PAUSE_S)
+        for answer in self.in_parallel(lambda number: read_answer(connections[number], 5)):
+            self.assertEqual(answer.count(b"id: "), EVENTS)
+            self.assertTrue(answer.endswith(b"0\r\n\r\n"))
+
 
 if __name__ == "__main__":
     unittest.main()
