Bound the memory that unfinished answers take together

Another operator reported a VM that ran out of memory on endless answers, which ended the requests of all its callers. Here each answer was bounded (1 MiB held back), but not their sum, and a body was held back although its head showed that it would be rejected.

The head decides whether a body is discarded, and answers held back count towards one total, beyond which they are forwarded as they arrive.

--- /dev/null
+++ b/apps/gateway/counted_buffer.h
@@ -0,0 +1,47 @@
+/** @file Bytes held in memory that count towards a total of the process. */
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace marigold::gateway {
+
+/** A byte string whose size is a part of a shared total for its lifetime. */
+class CountedBuffer
+{
+public:
+  /** @param aTotal bytes of all buffers that share it */
+  explicit CountedBuffer(std::size_t& aTotal)
+    : mTotal(aTotal)
+  {
+  }
+  ~CountedBuffer() { clear(); }
+  CountedBuffer(const CountedBuffer&) = delete;
+  CountedBuffer& operator=(const CountedBuffer&) = delete;
+
+  /** @param aBytes bytes to add at the end */
+  void append(std::string_view aBytes)
+  {
+    mBytes.append(aBytes);
+    mTotal += aBytes.size();
+  }
+
+  /** Discards all bytes and frees their memory. */
+  void clear()
+  {
+    mTotal -= mBytes.size();
+    mBytes = {};
+  }
+
+  /** @return the bytes */
+  std::string_view view() const { return mBytes; }
+
+  /** @return number of bytes */
+  std::size_t size() const { return mBytes.size(); }
+
+private:
+  std::size_t& mTotal;
+  std::string mBytes;
+};
+
+} // namespace marigold::gateway
--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -72,6 +72,7 @@
   , mHeaders(wire::endToEndHeaders(mRequest.headers))
   , mMetadata(boundary::decodeRequest(mHeaders))
   , mReceivedAt(mCaller->receivedAt())
+  , mBody(aContext.bufferedAnswerBytes)
 {
 }
 
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -1,6 +1,7 @@
 /** @file Handles one request: admission, upstream selection, response. */
 #pragma once
 
+#include "apps/gateway/counted_buffer.h"
 #include "apps/gateway/request_context.h"
 #include "wire/wire.h"
 
@@ -112,6 +113,7 @@
   void onRefused(const boundary::AnswerMetadata& aMetadata);
   void onInvalidResponse(const char* aReason);
   bool rejectResponse();
+  const char* invalidHead(const boundary::AnswerMetadata& aMetadata) const;
   void retryOnOtherUpstream(const char* aReason);
   bool attemptsLeft() const;
   bool tryConsumeRetry();
@@ -212,7 +214,10 @@
   wire::ResponseHead mHead;
   bool mHeadReceived = false;
   bool mStreaming = false;
-  std::string mBody;
+  CountedBuffer mBody;
+  /** The head shows that the body will not be forwarded. */
+  bool mDiscardBody = false;
+  std::size_t mDiscardedBytes = 0;
   wire::EventSplitter mEvents;
   std::optional<std::uint64_t> mLastEventId;
   std::uint64_t mEventCount = 0;
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -679,6 +679,8 @@
     isEngineCall() ? mMetadata.promptTokens + outputTokens() : 0);
   mHeadReceived = false;
   mBody.clear();
+  mDiscardBody = false;
+  mDiscardedBytes = 0;
   mEvents.clear();
   if (isEngineCall()) {
     ++mContext.runningByModel[*mMetadata.model];
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -18,6 +18,12 @@
 /** Non-streaming responses up to this size are buffered until they are
  * complete, so that the request can be retried if one breaks. */
 constexpr std::size_t kMaxBufferedBytes = 1024UL * 1024;
+/** Beyond this in all answers together, they are forwarded as they arrive. A
+ * tenth of the memory of the smallest VM. */
+constexpr std::size_t kMaxBufferedInTotal = 16UL * 1024 * 1024;
+/** Size up to which the body of a refusal or an invalid response is read, so
+ * that its connection can be used again. */
+constexpr std::size_t kMaxDiscardedBytes = 64UL * 1024;
 /** An upstream that lacked a model gets no requests for it for this long; its
  * record is updated meanwhile. */
 constexpr base::Duration kModelRefusalPeriod = 1500ms;
@@ -232,6 +238,7 @@
   mStreaming = mRoute->kind == catalog::RequestKind::Stream &&
                isSuccess(aHead.status) && isEventStream(aHead.headers) &&
                metadata.signedByUpstream;
+  mDiscardBody = metadata.notExecuted || invalidHead(metadata) != nullptr;
 }
 
 void
@@ -276,16 +283,24 @@
   if (mCallerDisconnected) {
     return;
   }
+  if (mDiscardBody) {
+    mDiscardedBytes += aBytes.size();
+    if (mDiscardedBytes > kMaxDiscardedBytes) {
+      rejectResponse();
+    }
+    return;
+  }
   mBody.append(aBytes);
   // After events of a stream, an error response is not forwarded.
   if (!isPartiallyForwarded()) {
-    if (mBody.size() <= kMaxBufferedBytes || rejectResponse()) {
+    if (mBody.size() <= kMaxBufferedBytes &&
+        mContext.bufferedAnswerBytes <= kMaxBufferedInTotal) {
       return;
     }
     mStallTimer.reset(); // No other upstream can continue this response.
     mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
   }
-  mCaller->sendChunk(mBody);
+  mCaller->sendChunk(mBody.view());
   mBody.clear();
   applyBackpressure();
 }
@@ -373,24 +388,33 @@
     onRefused(metadata);
     return true;
   }
+  if (const char* reason = invalidHead(metadata)) {
+    onInvalidResponse(reason);
+    return true;
+  }
+  return false;
+}
+
+/** @return why the response must not be forwarded, nullptr if it may be */
+const char*
+Exchange::invalidHead(const boundary::AnswerMetadata& aMetadata) const
+{
   if (mStreaming) {
-    return false;
+    return nullptr;
   }
   if (mEventCount > 0) {
-    onInvalidResponse("response to the resumed stream is not a stream");
-    return true;
+    return "response to the resumed stream is not a stream";
   }
-  if (!metadata.signedByUpstream && isSuccess(mHead.status)) {
-    onInvalidResponse("response is not signed");
-    return true;
+  if (aMetadata.signedByUpstream) {
+    // A signed error is the upstream's result for this request; another
+    // upstream would return the same.
+    return nullptr;
   }
-  // A signed error is the upstream's result for this request; another upstream
-  // would return the same.
-  if (mHead.status >= kFirstServerError && !metadata.signedByUpstream) {
-    onInvalidResponse("error response is not signed");
-    return true;
+  if (isSuccess(mHead.status)) {
+    return "response is not signed";
   }
-  return false;
+  return mHead.status >= kFirstServerError ? "error response is not signed"
+                                           : nullptr;
 }
 
 void
@@ -426,7 +450,8 @@
   if (mCaller->responseStarted()) {
     mCaller->endStream();
   } else {
-    mCaller->reply(mHead.status, wire::endToEndHeaders(mHead.headers), mBody);
+    mCaller->reply(
+      mHead.status, wire::endToEndHeaders(mHead.headers), mBody.view());
   }
   finish(Code::Ok, mHead.status, "");
 }
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -99,6 +99,7 @@
               1,
               {},
               {},
+              0,
               {},
               {} }
   , mFleet(mLoop, mPlatform, mSettings, mIncarnation)
--- a/apps/gateway/request_context.h
+++ b/apps/gateway/request_context.h
@@ -42,6 +42,8 @@
   std::map<catalog::ModelRef, unsigned> runningByModel;
   /** Requests that have not ended; this set keeps them alive. */
   std::set<std::shared_ptr<PendingRequest>> openRequests;
+  /** Bytes of unfinished answers that are held back until they are complete. */
+  std::size_t bufferedAnswerBytes = 0;
   /** Set while the process drains: open requests are ended at this time. */
   std::optional<base::TimePoint> endRequestsAt;
   /** Set while the process drains: requests read after this time are refused,
