--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs gateway processes under random faults and checks guarantees; keeps the logs of failed runs in build/soak.
-# Usage: scripts/soak.sh [--seed N] [--runs N] [--seconds S] [--port P] [--skip-known]
+# Usage: scripts/soak.sh [--seed N] [--runs N] [--seconds S] [--port P] [--jobs N] [--skip-known]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ "${1:-}" = --help ]; then
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -21,6 +21,7 @@
 PAUSE = (3.0, 4.5)      # seconds; below the idle time-out of the configuration (5 s)
 DEADLY_PART = "dead"
 BURST = 12              # requests with that part
+MOST_CALM = 3           # VMs in touch for which bursts and silent connections wait, some seconds at most
 KIND_SHARE = 0.65       # of the kinds of fault below that a seed plays; each excuses what it overlaps with
 ADAPTERS = 40           # of the model that is asked for with another adapter each time
 FRAIL_DELAY = 0.8       # seconds until the first event, so that a burst arrives before the first crash
@@ -268,7 +269,7 @@
 
     def deadly_caller(self, numbers):
         """Prompts with a part that crashes upstreams come in bursts."""
-        self.wait_for(lambda: len(self.calm()) >= 3, 8)
+        self.wait_for(lambda: len(self.calm()) >= MOST_CALM, 8)
         for _ in range(BURST):
             calm = self.calm()
             self.prompt(numbers.choice(calm or self.soak.gateways), "deadly",
@@ -317,7 +318,8 @@
 
     def silence(self, numbers):
         """Open connections go silent; some keys are withdrawn around it."""
-        self.ending.wait(numbers.uniform(2, 5))
+        self.ending.wait(numbers.uniform(1, 3))
+        self.wait_for(lambda: len(self.calm()) >= MOST_CALM, 8)
         if self.ending.is_set():
             return
         which = numbers.choice(["store", "store", "upstreams", "all"])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,6 @@
 """Runs gateway processes under random faults and checks what callers and upstreams observe.
 
-Usage: soak.py [--seed N] [--seconds S] [--runs N] [--port P] [--keep DIR]
+Usage: soak.py [--seed N] [--seconds S] [--runs N] [--port P] [--jobs N] [--keep DIR]
 
 Prints one line for each run. Exits with 1 if a guarantee was violated, and prints the
 violations and the folder of the logs. seeds.txt lists seeds that failed before, with
@@ -379,6 +379,28 @@
         return [int(line.split()[0]) for line in file if line.strip() and not line.startswith("#")]
 
 
+def run_in_parallel(seeds, arguments):
+    """Runs each seed in a process of its own. Returns the seeds that failed."""
+    waiting, failed = list(seeds), []
+
+    def work(port):
+        while waiting:
+            seed = waiting.pop(0)
+            command = [sys.executable, __file__, "--skip-known", "--seed", str(seed), "--port", str(port),
+                       "--seconds", str(arguments.seconds)]
+            command += ["--keep", arguments.keep] if arguments.keep else []
+            done = subprocess.run(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, check=False)
+            print(done.stdout[:done.stdout.rfind("\n", 0, -1) + 1], end="", flush=True)
+            if done.returncode:
+                failed.append(seed)
+    workers = [threading.Thread(target=work, args=(arguments.port + 100 * number,)) for number in range(arguments.jobs)]
+    for worker in workers:
+        worker.start()
+    for worker in workers:
+        worker.join()
+    return failed
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--seed", type=int, default=1, help="first seed")
@@ -387,10 +409,14 @@
     parser.add_argument("--port", type=int, default=int(os.environ.get("MARIGOLD_TEST_PORT", 25000)))
     parser.add_argument("--keep", help="folder that keeps the logs of failed runs")
     parser.add_argument("--skip-known", action="store_true", help="do not run the seeds of seeds.txt")
+    parser.add_argument("--jobs", type=int, default=1, help="runs at once; each takes 100 ports of its own")
     arguments = parser.parse_args()
     seeds = [] if arguments.skip_known else known_seeds()
     seeds += range(arguments.seed, arguments.seed + arguments.runs)
-    failed = [seed for seed in seeds if not run(seed, arguments)]
+    if arguments.jobs > 1:
+        failed = run_in_parallel(seeds, arguments)
+    else:
+        failed = [seed for seed in seeds if not run(seed, arguments)]
     print(f"{len(seeds) - len(failed)} passed, {len(failed)} failed")
     return int(bool(failed))
 
