--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,11 +1,15 @@
 """Tests that the checks of the soak detect violations and accept valid records."""
 
+import asyncio
+import socket
+import struct
 import time
 import unittest
 
 from checks import (ANSWER_SLACK, FAULT_FREE, GRACE_CHECKED, IN_FLIGHT, KEY_LIMIT, LEAVING_LIMIT, MOST_DEADLY,
                     MOST_WHILE_TURNED_AWAY, PROVEN_CRASHES, RESUME_GRACE, Record, check_deadly, check_orders,
                     check_pauses, check_runs, check_statements, check_stream, check_waits)
+from proxy import HOST, Proxy
 
 
 class UpstreamRecord:
@@ -168,5 +172,85 @@
         self.assertEqual([], self.found())
 
 
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.arrived, self.accepted = b"", 0
+        self.target = await asyncio.start_server(self.accept, HOST, 0)
+        self.proxy = Proxy(self.target.sockets[0].getsockname()[1])
+        self.server = await self.proxy.listen(0)
+
+    async def asyncTearDown(self):
+        self.proxy.close()
+        self.server.close()
+        self.target.close()
+        await asyncio.sleep(0.05)
+
+    async def accept(self, reader, writer):
+        self.accepted += 1
+        try:
+            while data := await reader.read(100):
+                self.arrived += data
+                writer.write(b"answer")
+        except ConnectionError:
+            pass  # The proxy ended the connection.
+        writer.close()
+
+    async def connect(self):
+        return await asyncio.open_connection(HOST, self.server.sockets[0].getsockname()[1])
+
+    async def send_in_a_cut(self, linger):
+        """Sends bytes during a cut, closes the connection and lets the link heal."""
+        self.proxy.stalled = {"up"}
+        _, writer = await self.connect()
+        writer.write(b"held")
+        await asyncio.sleep(0.1)
+        if linger is not None:
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+        await asyncio.sleep(0.15)
+        self.assertEqual(b"", self.arrived)
+        self.proxy.heal()
+        await asyncio.sleep(0.6)
+
+    # Guards against a cut that loses what its sender's kernel still resends.
+    async def test_held_bytes_arrive_although_their_sender_has_closed(self):
+        await self.send_in_a_cut(None)
+        self.assertEqual(b"held", self.arrived)
+
+    # Guards against the delivery of bytes that a reset has taken back.
+    async def test_held_bytes_of_a_reset_connection_are_lost(self):
+        await self.send_in_a_cut(struct.pack("ii", 1, 0))
+        self.assertEqual(b"", self.arrived)
+
+    # Guards against a cut that begins with another call than an order.
+    async def test_cut_begins_with_an_order_and_tells_its_holder(self):
+        self.proxy.cut_at_order = True
+        reader, writer = await self.connect()
+        writer.write(b"GET /-/report")
+        self.assertEqual(b"answer", await reader.read(100))
+        writer.write(b'POST /-/order {"holder": "vm3"}')
+        await asyncio.sleep(0.1)
+        self.assertEqual((b"GET /-/report", "vm3", {"up"}), (self.arrived, self.proxy.holder, self.proxy.stalled))
+        self.proxy.heal()
+        writer.close()
+        await asyncio.sleep(0.4)
+
+    # Guards against silent connections that still answer, and against new ones that do not.
+    async def test_open_connections_go_silent_and_new_ones_work(self):
+        reader, writer = await self.connect()
+        writer.write(b"a")
+        self.assertEqual(b"answer", await reader.read(100))
+        self.assertEqual(1, self.proxy.silence(["up", "down"]))
+        writer.write(b"b")
+        with self.assertRaises(asyncio.TimeoutError):
+            await asyncio.wait_for(reader.read(100), 0.3)
+        other_reader, other = await self.connect()
+        other.write(b"c")
+        self.assertEqual(b"answer", await other_reader.read(100))
+        self.assertEqual((b"ac", 2), (self.arrived, self.accepted))
+        writer.transport.abort()
+        other.close()
+
+
 if __name__ == "__main__":
     unittest.main()
