Let no byte of a given-up call arrive later

Cause: http::Client closed given-up calls in order, so the kernel went on sending their bytes, past the end of the process. client.*: SO_LINGER 0 is set before the first byte of a request and cleared after a complete answer, so that timeouts, cancelled calls and the end or kill of the process reset the connection. TCP_USER_TIMEOUT bounds retransmission by what is left of the call's timeout, also while the process is frozen. A connection that is established after the timeout gets no byte. This concerns all calls of the client: store, watches, relays, reports. order_ownership: same figures, the terms are named as what they are now (kTransit for kRetransmission, in the test too; its bound is unchanged). Ruled out: a longer wait of the next owner, docs/decisions/0013-order-flight.md.

--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -2,12 +2,17 @@
 
 #include "http/method.h"
 
+#include <algorithm>
+#include <climits>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace marigold::http {
@@ -36,6 +41,32 @@
 
 constexpr int kContinueStatus = 100;
 
+/** The kernel resets the connection when the socket is closed, also at the end
+ * of the process, instead of sending unacknowledged bytes again. */
+void
+setResetOnClose(int aDescriptor, bool aReset)
+{
+  const linger option{ aReset ? 1 : 0, 0 };
+  setsockopt(aDescriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
+/** The kernel resets the connection if sent bytes stay unacknowledged for this
+ * long, also while the process does not run. It measures TCP_USER_TIMEOUT from
+ * the first timeout of retransmission, which follows a loss probe. */
+void
+setRetransmissionLimit(int aDescriptor, base::Duration aLimit)
+{
+  constexpr int kTimeoutsBefore = 2;
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  getsockopt(aDescriptor, IPPROTO_TCP, TCP_INFO, &info, &size);
+  const base::Duration before =
+    kTimeoutsBefore * std::chrono::microseconds(info.tcpi_rto);
+  const auto limit = static_cast<unsigned>(std::clamp<std::int64_t>(
+    base::inMilliseconds(aLimit - before), 1, INT_MAX));
+  setsockopt(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+}
+
 void
 readHead(evhttp_request* aRequest, Response& aResponse)
 {
@@ -94,11 +125,45 @@
                        const evbuffer_cb_info* aInfo,
                        void* aSelf)
   {
-    if (aInfo->n_deleted > 0) {
-      static_cast<Connection*>(aSelf)->sent = true;
+    auto* self = static_cast<Connection*>(aSelf);
+    if (aInfo->n_added > 0 && !self->begun) {
+      self->begun = true;
+      self->prepareSending();
+    }
+    if (aInfo->n_deleted > 0 && !self->withheld) {
+      self->sent = true;
     }
   }
 
+  int descriptor() const
+  {
+    return bufferevent_getfd(evhttp_connection_get_bufferevent(native));
+  }
+
+  /** Runs when the connection is established, before the first byte of the
+   * request is written. After a freeze that may be later than the deadline. */
+  void prepareSending()
+  {
+    const base::Duration left = deadline - base::monotonicNow();
+    if (left <= base::Duration::zero()) {
+      withheld = true;
+      shutdown(descriptor(), SHUT_WR);
+      return;
+    }
+    setResetOnClose(descriptor(), true);
+    setRetransmissionLimit(descriptor(), left);
+  }
+
+  void startCall(Call::State* aCall, base::Duration aTimeout)
+  {
+    call = aCall;
+    received = 0;
+    sent = false;
+    begun = false;
+    withheld = false;
+    deadline = base::monotonicNow() + aTimeout;
+  }
+
   static void onInput(evbuffer* aBuffer,
                       const evbuffer_cb_info* aInfo,
                       void* aSelf);
@@ -118,6 +183,9 @@
   evbuffer* input = nullptr;
   Call::State* call = nullptr; ///< current call, if any
   std::size_t received = 0;    ///< bytes of the current response
+  base::TimePoint deadline{};  ///< no byte of the request is sent later
+  bool begun = false;          ///< the request was passed to the socket buffer
+  bool withheld = false;       ///< the deadline passed before the first byte
   bool sent = false;
   bool closed = false;
 };
@@ -187,6 +255,9 @@
   request = nullptr;
   if (connection) {
     connection->call = nullptr;
+    if (aEnd == CallEnd::Complete) {
+      setResetOnClose(connection->descriptor(), false);
+    }
     if (clientAlive.lock()) {
       client->release(std::move(connection), aReusable);
     } else {
@@ -319,7 +390,6 @@
     std::unique_ptr<Connection> connection = std::move(idle.back());
     idle.pop_back();
     if (!connection->closed && !connection->hasSurplus()) {
-      connection->sent = false;
       return connection;
     }
   }
@@ -361,8 +431,7 @@
   raw->loop = &mLoop;
   raw->events = std::move(aEvents);
   raw->connection = connect(aAddress, aReuse);
-  raw->connection->call = raw;
-  raw->connection->received = 0;
+  raw->connection->startCall(raw, aTimeout);
   raw->request = evhttp_request_new(&Call::State::onDone, raw);
   evhttp_request_set_header_cb(raw->request, &Call::State::onHead);
   evhttp_request_set_chunked_cb(raw->request, &Call::State::onChunk);
--- a/libs/http/client.h
+++ b/libs/http/client.h
@@ -70,8 +70,10 @@
 
 /**
  * HTTP client with connection reuse. A connection is reused only after a
- * complete response and closed otherwise, because bytes of the old response
- * could be read as the next one.
+ * complete response and reset otherwise, because bytes of the old response
+ * could be read as the next one and the kernel could send the request again.
+ * No byte of a request is sent over a new connection that was established after
+ * the call's timeout, and the kernel sends none again after it.
  */
 class Client
 {
--- a/libs/residency/order_ownership.cpp
+++ b/libs/residency/order_ownership.cpp
@@ -8,10 +8,13 @@
 /** An owner sends no orders for this long before its ownership ends. It counts
  * towards the pause before the next owner's first order. */
 constexpr base::Duration kQuietTime = 1100ms;
-/** Longest time from sending an order to its arrival. Bytes that the kernel has
- * taken before the timeout are sent again once if they are lost. */
-constexpr base::Duration kRetransmission = 200ms;
-constexpr base::Duration kOrderFlight = kOrderTimeout + kRetransmission;
+/** Longest time from the last byte's departure to its arrival: the network and
+ * the resolution of the kernel's timers. */
+constexpr base::Duration kTransit = 200ms;
+/** Longest time from the decision to send an order to its arrival. Neither the
+ * client nor the kernel sends a byte of it after the timeout
+ * (docs/decisions/0013-order-flight.md). */
+constexpr base::Duration kOrderFlight = kOrderTimeout + kTransit;
 
 } // namespace
 
--- a/libs/residency/order_ownership.h
+++ b/libs/residency/order_ownership.h
@@ -6,7 +6,7 @@
 namespace marigold::residency {
 
 /** Engines respond within a round trip; a later answer to an order counts as
- * lost. */
+ * lost, and no byte of the order leaves this VM later. */
 constexpr base::Duration kOrderTimeout = std::chrono::milliseconds(700);
 
 /** What decides whether an owner may send orders. */
--- a/libs/residency/tests/order_ownership_tests.cpp
+++ b/libs/residency/tests/order_ownership_tests.cpp
@@ -15,10 +15,9 @@
   static constexpr base::Duration kPause = 3s;
   static constexpr base::Duration kTerm = 2s;
   static constexpr base::Duration kStep = 1ms;
-  /** Bytes that the kernel has taken are sent again after a loss. */
-  static constexpr base::Duration kRetransmission = 200ms;
-  static constexpr base::Duration kFlight =
-    residency::kOrderTimeout + kRetransmission;
+  /** Time in the network of bytes that left at the timeout. */
+  static constexpr base::Duration kTransit = 200ms;
+  static constexpr base::Duration kFlight = residency::kOrderTimeout + kTransit;
   const TimePoint start{ 100s };
 
   /** @return the latest order that the owner may send if its lease ends */
