Keep small answers buffered when memory is tight

Beyond 16 MiB of unfinished answers every answer was forwarded from its first byte, so one upstream that holds back large answers would have taken the second try from all requests (found by the review of the fix). Now only answers of more than 16 KiB are.

--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -18,9 +18,10 @@
 /** Non-streaming responses up to this size are buffered until they are
  * complete, so that the request can be retried if one breaks. */
 constexpr std::size_t kMaxBufferedBytes = 1024UL * 1024;
-/** Beyond this in all answers together, they are forwarded as they arrive. A
- * tenth of the memory of the smallest VM. */
+/** Beyond this in all answers together, only small ones are buffered. A tenth
+ * of the memory of the smallest VM. */
 constexpr std::size_t kMaxBufferedInTotal = 16UL * 1024 * 1024;
+constexpr std::size_t kMaxBufferedIfTight = 16UL * 1024;
 /** Size up to which the body of a refusal or an invalid response is read, so
  * that its connection can be used again. */
 constexpr std::size_t kMaxDiscardedBytes = 64UL * 1024;
@@ -293,8 +294,8 @@
   mBody.append(aBytes);
   // After events of a stream, an error response is not forwarded.
   if (!isPartiallyForwarded()) {
-    if (mBody.size() <= kMaxBufferedBytes &&
-        mContext.bufferedAnswerBytes <= kMaxBufferedInTotal) {
+    const bool tight = mContext.bufferedAnswerBytes > kMaxBufferedInTotal;
+    if (mBody.size() <= (tight ? kMaxBufferedIfTight : kMaxBufferedBytes)) {
       return;
     }
     mStallTimer.reset(); // No other upstream can continue this response.
