Keep the evidence behind verdicts on crashes in the store

Cause: CrashTracker keeps crashes and verdicts in the memory of the processes and tells peers. A fleet that starts as a whole has nobody to ask.

Fix: one key in the store, under the prefix that each VM lists and watches for the registrations anyway. It holds the crashes behind verdicts with their ages. Nothing on the request path waits for it.

Ruled out: upstreams' records tell that they restarted, not with which requests; fewer tries in a VM's first seconds slow all sound requests.

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -156,8 +156,13 @@
   mOwnKeyRevision = 0;
   const auto previous = mOwner;
   mOwner.reset();
+  bool crashesRecorded = false;
   for (const platform::Entry& entry : aSnapshot.entries) {
     apply(entry);
+    crashesRecorded = crashesRecorded || entry.key == kCrashRecordKey;
+  }
+  if (!crashesRecorded) {
+    mCrashRecord.emit({ kCrashRecordKey, {}, aSnapshot.revision });
   }
   if (!mSynced) {
     // The store may have been restored just before this process read it.
@@ -177,6 +182,10 @@
     applyOwner(aEntry);
     return;
   }
+  if (aEntry.key == kCrashRecordKey) {
+    mCrashRecord.emit(aEntry);
+    return;
+  }
   if (!aEntry.key.starts_with(kMemberPrefix)) {
     return;
   }
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -44,6 +44,9 @@
 class Fleet
 {
 public:
+  /** Key of the record of crashes, which is watched with the registrations. */
+  static constexpr const char* kCrashRecordKey = "marigold/crashes";
+
   Fleet(http::Loop& aLoop,
         platform::Client& aClient,
         const Settings& aSettings,
@@ -101,6 +104,13 @@
   /** Emitted when the set of other VMs or the owner has changed. */
   sigc::signal<void()>& changed() { return mChanged; }
 
+  /** Emitted when the record of crashes was read; without a value if there is
+   * none. */
+  sigc::signal<void(const platform::Entry&)>& crashRecord()
+  {
+    return mCrashRecord;
+  }
+
 private:
   void apply(const platform::Entry& aEntry);
   void applySnapshot(const platform::Snapshot& aSnapshot);
@@ -152,6 +162,7 @@
   http::EventHandle mTickTimer;
   http::EventHandle mReleaseTimer; ///< set while the release is due
   sigc::signal<void()> mChanged;
+  sigc::signal<void(const platform::Entry&)> mCrashRecord;
 };
 
 } // namespace marigold::gateway
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -102,6 +102,10 @@
               {},
               {} }
   , mFleet(mLoop, mPlatform, mSettings, mIncarnation)
+  , mCrashRecords(mPlatform,
+                  mFleet,
+                  mCrashes,
+                  base::hash64(mSettings.vm, mIncarnation + 3))
   , mCatalogWatch(mLoop,
                   mPlatform,
                   boundary::kOperatorPrefix,
@@ -549,6 +553,7 @@
   mRelay.tick();
   mFleet.setReadsStore(mUpstreamWatch.isReadingStore());
   mCrashes.expire(now);
+  mCrashRecords.tick(now);
   mNotices.expire(now);
   removeMissingUpstreams();
   mUpstreams.expireRemoved(now);
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "apps/gateway/coalesced_callback.h"
+#include "apps/gateway/crash_records.h"
 #include "apps/gateway/exchange.h"
 #include "apps/gateway/fleet.h"
 #include "apps/gateway/loop_delay_monitor.h"
@@ -88,6 +89,7 @@
   RequestLog mRequestLog;
   RequestContext mContext;
   Fleet mFleet;
+  CrashRecords mCrashRecords;
   PrefixWatch mCatalogWatch;
   PrefixWatch mUpstreamWatch;
   OrderController mOrders;
--- /dev/null
+++ b/libs/dispatch/crash_limits.h
@@ -0,0 +1,26 @@
+/** @file Lifetimes and bounds of evidence on crashes. */
+#pragma once
+
+#include "base/base.h"
+
+namespace marigold::dispatch {
+
+/** Lifetime of a crash without a verdict; longer than the intervals at which
+ * callers retry. */
+constexpr base::Duration kCrashLifetime = std::chrono::seconds(120);
+/** Lifetime of a certain verdict after its latest crash. */
+constexpr base::Duration kCertainLifetime = std::chrono::minutes(10);
+/** Lifetime of any other verdict, after which requests show whether it was
+ * right. A sound part that was convicted by chance is back soon. */
+constexpr base::Duration kUncertainLifetime = std::chrono::seconds(20);
+/** Bounds of memory and messages. */
+constexpr std::size_t kMaxCrashes = 64;
+constexpr std::size_t kMaxSuspects = 16;
+constexpr std::size_t kMaxTraits = 16;
+constexpr std::size_t kMaxCleared = 32;
+/** Bounds of a record in the store. */
+constexpr std::size_t kMaxRecordedCrashes = 16;
+constexpr std::size_t kMaxRecordedFinished =
+  kMaxRecordedCrashes * kMaxSuspects * kMaxTraits;
+
+} // namespace marigold::dispatch
--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/crash_tracker.h"
 
+#include "dispatch/crash_limits.h"
+
 #include <algorithm>
 #include <iterator>
 
@@ -8,22 +10,9 @@
 
 using namespace std::chrono_literals;
 
-/** Lifetime of a crash without a verdict; longer than the intervals at which
- * callers retry. */
-constexpr base::Duration kCrashLifetime = 120s;
-/** Lifetime of a certain verdict after its latest crash. */
-constexpr base::Duration kCertainLifetime = 10min;
-/** Lifetime of any other verdict, after which requests show whether it was
- * right. A sound part that was convicted by chance is back soon. */
-constexpr base::Duration kUncertainLifetime = 20s;
 /** Time within which a crashed upstream is found unreachable, by the next
  * request to it or by three missed heartbeats of its record. */
 constexpr base::Duration kConfirmTimeout = 5s;
-/** Bounds of memory and messages. */
-constexpr std::size_t kMaxCrashes = 64;
-constexpr std::size_t kMaxSuspects = 16;
-constexpr std::size_t kMaxTraits = 16;
-constexpr std::size_t kMaxCleared = 32;
 constexpr std::size_t kMaxBrokenConnections = 512;
 constexpr std::size_t kMaxReported = 8;
 /** A change is reported for this long, because UDP may lose messages. */
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -1,6 +1,7 @@
 /** @file Detects requests that crash upstreams ("poison" requests). */
 #pragma once
 
+#include "dispatch/crash_record.h"
 #include "dispatch/crash_verdict.h"
 #include "dispatch/recent_traits.h"
 #include "dispatch/request_traits.h"
@@ -77,6 +78,19 @@
    * turn, the rest, for peers that do not have it yet */
   peers::CrashTable report(base::TimePoint aNow) const;
 
+  /** Adds evidence that a process left in the store. @param aRecord evidence
+   * @param aNow time */
+  void merge(const CrashRecord& aRecord, base::TimePoint aNow);
+
+  /** @param aStored record in the store @param aNow time
+   * @return the record that should replace it: the latest crashes behind
+   * verdicts, and those of the stored one that are known here */
+  CrashRecord record(const CrashRecord& aStored, base::TimePoint aNow) const;
+
+  /** @param aStored record in the store @param aNow time
+   * @return true if a VM that knows nothing else blocks the same requests */
+  bool isRecorded(const CrashRecord& aStored, base::TimePoint aNow) const;
+
   /** @param aTraits traits of a request
    * @return the verdict because of which it must not be sent, or nullptr; valid
    * until the next change */
@@ -120,6 +134,8 @@
   static bool clear(Crash& aCrash, peers::RequestTrait aTrait);
   void limitCrashes();
   bool supportsVerdict(peers::ProcessTag aCrash) const;
+  peers::ProcessTag latestCrash(const CrashVerdict& aVerdict) const;
+  bool isRefuted(const CrashVerdict& aVerdict) const;
   bool lapsed(const CrashVerdict& aVerdict, base::TimePoint aNow) const;
   void updateVerdicts(base::TimePoint aNow);
 
--- /dev/null
+++ b/libs/dispatch/crash_tracker_record.cpp
@@ -0,0 +1,148 @@
+#include "dispatch/crash_limits.h"
+#include "dispatch/crash_tracker.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace marigold::dispatch {
+namespace {
+
+std::vector<CrashVerdict>
+verdictsOf(const CrashRecord& aRecord)
+{
+  SuspectsByCrash suspects;
+  for (const auto& [tag, evidence] : aRecord.crashes) {
+    suspects[tag] = evidence.suspects;
+  }
+  return explainCrashes(suspects, [&aRecord](peers::RequestTrait aTrait) {
+    return aRecord.finished.contains(aTrait);
+  });
+}
+
+/** @return true if the other verdict blocks all that the verdict blocks */
+bool
+isContained(const CrashVerdict& aVerdict, const CrashVerdict& aOther)
+{
+  return (aOther.certain() || !aVerdict.certain()) &&
+         std::all_of(aVerdict.alternatives.begin(),
+                     aVerdict.alternatives.end(),
+                     [&aOther](const peers::TraitSet& aAlternative) {
+                       return aOther.covers(aAlternative);
+                     });
+}
+
+} // namespace
+
+/** @return true if the verdict blames a trait that is cleared here */
+bool
+CrashTracker::isRefuted(const CrashVerdict& aVerdict) const
+{
+  return std::any_of(
+    aVerdict.crashes.begin(),
+    aVerdict.crashes.end(),
+    [&](peers::ProcessTag aTag) {
+      const auto crash = mCrashes.find(aTag);
+      return crash != mCrashes.end() &&
+             std::any_of(aVerdict.alternatives.begin(),
+                         aVerdict.alternatives.end(),
+                         [&crash](const peers::TraitSet& aTraits) {
+                           return std::any_of(
+                             aTraits.begin(),
+                             aTraits.end(),
+                             [&crash](peers::RequestTrait aTrait) {
+                               return crash->second.cleared.contains(aTrait);
+                             });
+                         });
+    });
+}
+
+CrashRecord
+CrashTracker::record(const CrashRecord& aStored, base::TimePoint aNow) const
+{
+  std::vector<std::pair<base::TimePoint, peers::ProcessTag>> latest;
+  for (const auto& [tag, crash] : mCrashes) {
+    if ((supportsVerdict(tag) || aStored.crashes.contains(tag)) &&
+        aNow - crash.at < kCertainLifetime) {
+      latest.emplace_back(crash.at, tag);
+    }
+  }
+  std::sort(latest.rbegin(), latest.rend());
+  latest.resize(std::min(latest.size(), kMaxRecordedCrashes));
+  CrashRecord record;
+  for (const auto& [at, tag] : latest) {
+    const Crash& crash = mCrashes.at(tag);
+    record.crashes[tag] = { std::max(aNow - at, base::Duration::zero()),
+                            crash.suspects,
+                            crash.cleared };
+    for (const peers::TraitSet& traits : crash.suspects) {
+      std::copy_if(traits.begin(),
+                   traits.end(),
+                   std::inserter(record.finished, record.finished.end()),
+                   [this](peers::RequestTrait aTrait) {
+                     return !peers::isWholeRequest(aTrait) &&
+                            mFinished.contains(aTrait);
+                   });
+    }
+  }
+  return record;
+}
+
+bool
+CrashTracker::isRecorded(const CrashRecord& aStored, base::TimePoint aNow) const
+{
+  if (mVerdicts.empty() && aStored.crashes.empty()) {
+    return true;
+  }
+  if (record(aStored, aNow).tellsTheSame(aStored)) {
+    return true;
+  }
+  const std::vector<CrashVerdict> stored = verdictsOf(aStored);
+  const bool allContained = std::all_of(
+    mVerdicts.begin(), mVerdicts.end(), [&](const CrashVerdict& aVerdict) {
+      return std::any_of(
+        stored.begin(), stored.end(), [&](const CrashVerdict& aOther) {
+          return isContained(aVerdict, aOther) &&
+                 aOther.crashes.contains(latestCrash(aVerdict));
+        });
+    });
+  return allContained && std::none_of(stored.begin(),
+                                      stored.end(),
+                                      [this](const CrashVerdict& aVerdict) {
+                                        return isRefuted(aVerdict);
+                                      });
+}
+
+/** @return the latest crash behind a verdict, 0 if none is known any more */
+peers::ProcessTag
+CrashTracker::latestCrash(const CrashVerdict& aVerdict) const
+{
+  peers::ProcessTag latest = 0;
+  base::TimePoint at{};
+  for (const peers::ProcessTag tag : aVerdict.crashes) {
+    const auto crash = mCrashes.find(tag);
+    if (crash != mCrashes.end() && crash->second.at > at) {
+      latest = tag;
+      at = crash->second.at;
+    }
+  }
+  return latest;
+}
+
+void
+CrashTracker::merge(const CrashRecord& aRecord, base::TimePoint aNow)
+{
+  peers::CrashTable crashes = aRecord.crashes;
+  for (auto& [tag, evidence] : crashes) {
+    const auto known = mCrashes.find(tag);
+    if (known != mCrashes.end()) {
+      // The clocks of two VMs may differ, so a time seen here is better.
+      evidence.age = aNow - known->second.at;
+    }
+  }
+  for (const peers::RequestTrait trait : aRecord.finished) {
+    mFinished.insert(trait);
+  }
+  merge(crashes, aNow);
+}
+
+} // namespace marigold::dispatch
--- a/libs/dispatch/dispatch.h
+++ b/libs/dispatch/dispatch.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "dispatch/choice.h"
+#include "dispatch/crash_record.h"
 #include "dispatch/crash_tracker.h"
 #include "dispatch/crash_verdict.h"
 #include "dispatch/latency_estimator.h"
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -1,6 +1,9 @@
 /** @file Tests of the dispatch library. */
 #include "dispatch/dispatch.h"
 
+// Before CppUTest, whose macros replace operator new.
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -505,6 +508,201 @@
   }
 }
 
+/** Evidence that is kept in the store while VMs come and go. */
+TEST_GROUP_BASE(KeptEvidence, TEST_GROUP_CppUTestGroupCrashRecord)
+{
+  dispatch::CrashRecord stored;
+
+  /** Writes the evidence as a VM does, with all that JSON loses. */
+  void write(const dispatch::CrashTracker& aTracker, TimePoint aNow)
+  {
+    stored = read(dispatch::encodeCrashRecord(aTracker.record(stored, aNow)));
+  }
+  static dispatch::CrashRecord read(const nlohmann::json& aContent,
+                                    base::Duration aElapsed = 0s)
+  {
+    const auto decoded = base::capture([&] {
+      return dispatch::decodeCrashRecord(nlohmann::json::parse(aContent.dump()),
+                                         aElapsed);
+    });
+    CHECK(base::errorOf(decoded) == nullptr);
+    return std::get<dispatch::CrashRecord>(decoded);
+  }
+  static bool isRejected(const std::string& aText)
+  {
+    const auto decoded = base::capture([&] {
+      return dispatch::decodeCrashRecord(nlohmann::json::parse(aText), 0s);
+    });
+    return base::errorOf(decoded) != nullptr;
+  }
+  void crashTimes(int aCount, const std::vector<std::uint64_t>& aParts)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      crash({ request(aParts) });
+    }
+  }
+};
+
+// Guards against a part that crashes as many upstreams again after all VMs were
+// killed, and against a sound one that is blocked with it then.
+TEST(KeptEvidence, VmsThatStartAloneBlockTheSameRequests)
+{
+  finish(request({ 1 }));
+  now += 5s;
+  crashTimes(6, { 1, 66 });
+  CHECK(!tracker.isRecorded(stored, now));
+  write(tracker, now + 1s);
+  CHECK(tracker.isRecorded(stored, now + 1s));
+  peer.merge(stored, now + 3s);
+  CHECK(peer.verdictOn(request({ 1, 66 })) != nullptr);
+  CHECK(peer.verdictOn(request({ 66 })) != nullptr);
+  CHECK(peer.verdictOn(request({ 1 })) == nullptr);
+  CHECK(peer.isRecorded(stored, now + 3s));
+}
+
+// Guards against verdicts that last longer because they were written and read.
+TEST(KeptEvidence, VerdictLapsesWhenItWouldHaveWithoutTheRecord)
+{
+  crashTimes(3, { 66 });
+  write(tracker, now + 1min);
+  const auto content = dispatch::encodeCrashRecord(stored);
+  peer.merge(read(content, 5min), now + 6min);
+  CHECK(peer.verdictOn(request({ 66 })) != nullptr);
+  peer.expire(now + 9min);
+  CHECK(peer.verdictOn(request({ 66 })) != nullptr);
+  peer.expire(now + 11min);
+  CHECK(peer.verdictOn(request({ 66 })) == nullptr);
+  CHECK(peer.isRecorded(stored, now + 11min));
+}
+
+// Guards against a clock that is ahead and shortens the evidence of a VM that
+// saw the crashes itself.
+TEST(KeptEvidence, TimesSeenHereAreNotReplaced)
+{
+  crashTimes(3, { 66 });
+  write(tracker, now + 1s);
+  tracker.merge(read(dispatch::encodeCrashRecord(stored), 10min), now + 2s);
+  tracker.expire(now + 9min);
+  CHECK(blocked(request({ 66 })));
+}
+
+// Guards against a write for each crash of a storm, and for evidence without a
+// verdict.
+TEST(KeptEvidence, OnlyEvidenceThatChangesAVerdictIsDue)
+{
+  crash({ request({ 5 }) });
+  crash({ request({ 6 }) });
+  CHECK(tracker.isRecorded(stored, now));
+  crashTimes(3, { 66 });
+  CHECK(!tracker.isRecorded(stored, now));
+  write(tracker, now);
+  for (std::uint64_t part = 100; part < 120; ++part) {
+    crash({ request({ part }) });
+    CHECK(tracker.isRecorded(stored, now));
+  }
+}
+
+// Guards against a sound part that is blocked again after a restart, although a
+// request has shown that it is sound.
+TEST(KeptEvidence, ClearedPartIsDueAndStaysCleared)
+{
+  crashTimes(2, { 1, 66 });
+  write(tracker, now);
+  finish(request({ 1 }));
+  CHECK(!tracker.isRecorded(stored, now + 2s));
+  write(tracker, now + 2s);
+  CHECK(tracker.isRecorded(stored, now + 2s));
+  peer.merge(stored, now + 3s);
+  CHECK(peer.verdictOn(request({ 66 })) != nullptr);
+  CHECK(peer.verdictOn(request({ 1 })) == nullptr);
+}
+
+// Guards against a VM that overwrites what another one, cut off from it, wrote.
+TEST(KeptEvidence, RecordsOfTwoVmsAreUnited)
+{
+  crashTimes(3, { 66 });
+  for (int i = 0; i < 3; ++i) {
+    crash(peer, { request({ 77 }) });
+  }
+  write(tracker, now);
+  CHECK(!peer.isRecorded(stored, now));
+  peer.merge(stored, now);
+  write(peer, now);
+  dispatch::CrashTracker third;
+  third.merge(stored, now + 1s);
+  CHECK(third.verdictOn(request({ 66 })) != nullptr);
+  CHECK(third.verdictOn(request({ 77 })) != nullptr);
+  tracker.merge(stored, now);
+  CHECK(tracker.isRecorded(stored, now));
+}
+
+// Guards against two VMs that write in turn for ever, and against records
+// without bound.
+TEST(KeptEvidence, RecordIsBoundedAndSettles)
+{
+  for (int i = 0; i < 60; ++i) {
+    std::vector<peers::TraitSet> victims;
+    for (std::uint64_t victim = 0; victim < 40; ++victim) {
+      victims.push_back(
+        request({ 66, 1000 + static_cast<std::uint64_t>(started) }));
+    }
+    crash(i % 2 == 0 ? tracker : peer, victims);
+    now += 10ms;
+  }
+  int writes = 0;
+  for (int turn = 0; turn < 20; ++turn) {
+    for (dispatch::CrashTracker* vm : { &tracker, &peer }) {
+      vm->merge(stored, now);
+      if (!vm->isRecorded(stored, now)) {
+        write(*vm, now);
+        ++writes;
+      }
+    }
+  }
+  CHECK(writes <= 4);
+  CHECK(dispatch::encodeCrashRecord(stored).dump().size() < 256UL * 1024);
+  dispatch::CrashTracker third;
+  third.merge(stored, now + 1s);
+  CHECK(third.verdictOn(request({ 66 })) != nullptr);
+}
+
+// Guards against a record of another writer that ends the process or is read
+// with truncated numbers.
+TEST(KeptEvidence, OddRecordsAreRejected)
+{
+  CHECK(!isRejected(R"({"crashes": [], "finished": []})"));
+  CHECK(!isRejected(R"({"crashes": [[1, 2, [[2]], [4]]], "finished": [2]})"));
+  for (
+    const char* text :
+    { "null",
+      "[]",
+      "7",
+      "{}",
+      R"({"crashes": 1, "finished": []})",
+      R"({"crashes": {"a": 1}, "finished": []})",
+      R"({"crashes": [], "finished": {}})",
+      R"({"crashes": [7], "finished": []})",
+      R"({"crashes": [[1, 2]], "finished": []})",
+      R"({"crashes": [[-1, 2, [[2]], []]], "finished": []})",
+      R"({"crashes": [[4294967296, 2, [[2]], []]], "finished": []})",
+      R"({"crashes": [[1, -2, [[2]], []]], "finished": []})",
+      R"({"crashes": [[1, 1e300, [[2]], []]], "finished": []})",
+      R"({"crashes": [[1, 18446744073709551615, [[2]], []]], "finished": []})",
+      R"({"crashes": [[1, 2, [[]], []]], "finished": []})",
+      R"({"crashes": [[1, 2, [["2"]], []]], "finished": []})",
+      R"({"crashes": [[1, 2, [[2.5]], []]], "finished": []})",
+      R"({"crashes": [[1, 2, [[2]], [true]]], "finished": []})",
+      R"({"crashes": [[1, 2, [[4294967296]], []]], "finished": []})" }) {
+    CHECK_TEXT(isRejected(text), text);
+  }
+  nlohmann::json many = { { "crashes", nlohmann::json::array() },
+                          { "finished", nlohmann::json::array() } };
+  for (int tag = 0; tag < 17; ++tag) {
+    many["crashes"].push_back({ tag, 2, { { 2 } }, { 4 } });
+  }
+  CHECK(isRejected(many.dump()));
+}
+
 /** A fleet whose VMs know the use of a limited upstream by the others with a
  * delay. */
 TEST_GROUP(NamedLimit)
