Let one VM try whether a part that was convicted is sound

Cause: one crash without a deadly request among its suspects is enough that the shared part explains most. Only a request that finishes can clear it, and the verdict refuses all that could.

If it breaks, there is no further trial of the part.

Also corrects test_crash_records: its requests had one target and body, so the whole request was convicted and not the part.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -230,6 +230,11 @@
   if (verdict == nullptr) {
     return false;
   }
+  if (mContext.crashes.beginTrial(mTraits, base::monotonicNow())) {
+    mContext.log.logStep(
+      mMetadata.id, "trial of a blocked part", "", "", base::monotonicNow());
+    return false;
+  }
   const std::string detail =
     "blocked after it crashed " + std::to_string(verdict->crashes.size()) +
     " upstreams" + (verdict->certain() ? "" : ", uncertain");
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -553,6 +553,7 @@
   mRelay.tick();
   mFleet.setReadsStore(mUpstreamWatch.isReadingStore());
   mCrashes.expire(now);
+  mCrashes.setTrialsEnabled(mFleet.fencingToken() != 0);
   mCrashRecords.tick(now);
   mNotices.expire(now);
   removeMissingUpstreams();
--- a/libs/dispatch/crash_limits.h
+++ b/libs/dispatch/crash_limits.h
@@ -13,6 +13,9 @@
 /** Lifetime of any other verdict, after which requests show whether it was
  * right. A sound part that was convicted by chance is back soon. */
 constexpr base::Duration kUncertainLifetime = std::chrono::seconds(20);
+/** Time within which a crashed upstream is found unreachable, by the next
+ * request to it or by three missed heartbeats of its record. */
+constexpr base::Duration kConfirmTimeout = std::chrono::seconds(5);
 /** Bounds of memory and messages. */
 constexpr std::size_t kMaxCrashes = 64;
 constexpr std::size_t kMaxSuspects = 16;
--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -10,9 +10,6 @@
 
 using namespace std::chrono_literals;
 
-/** Time within which a crashed upstream is found unreachable, by the next
- * request to it or by three missed heartbeats of its record. */
-constexpr base::Duration kConfirmTimeout = 5s;
 constexpr std::size_t kMaxBrokenConnections = 512;
 constexpr std::size_t kMaxReported = 8;
 /** A change is reported for this long, because UDP may lose messages. */
@@ -38,6 +35,7 @@
     mBrokenConnections.erase(mBrokenConnections.begin());
   }
   mBrokenConnections.push_back({ aTraits, aProcess, aNow });
+  mTrials.onBroken(aTraits);
   // A peer may already have confirmed the crash.
   confirmIf(
     [this](const BrokenConnection& aConnection) {
@@ -242,7 +240,8 @@
                                   [&aTraits](const CrashVerdict& aVerdict) {
                                     return aVerdict.covers(aTraits);
                                   });
-  return found == mVerdicts.end() ? nullptr : &*found;
+  return found == mVerdicts.end() || mTrials.contains(aTraits) ? nullptr
+                                                               : &*found;
 }
 
 bool
@@ -327,6 +326,7 @@
 void
 CrashTracker::expire(base::TimePoint aNow)
 {
+  mTrials.expire(aNow);
   const std::size_t expired =
     std::erase_if(mCrashes, [this, aNow](const auto& aItem) {
       return aNow - aItem.second.at >
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dispatch/crash_record.h"
+#include "dispatch/crash_trials.h"
 #include "dispatch/crash_verdict.h"
 #include "dispatch/recent_traits.h"
 #include "dispatch/request_traits.h"
@@ -96,6 +97,19 @@
    * until the next change */
   const CrashVerdict* verdictOn(const peers::TraitSet& aTraits) const;
 
+  /** Only one VM of the fleet should begin trials. @param aEnabled whether this
+   * one does */
+  void setTrialsEnabled(bool aEnabled) { mTrialsEnabled = aEnabled; }
+
+  /**
+   * Lets a blocked request through if it can show that the part for which it is
+   * blocked is sound, and has nothing else that may have caused the crashes.
+   * @param aTraits traits of a request that a verdict covers
+   * @param aNow time
+   * @return true if verdicts do not apply to the request for a while
+   */
+  bool beginTrial(const peers::TraitSet& aTraits, base::TimePoint aNow);
+
   /** @param aTraits traits of a request @return true if no request is known to
    * have finished with one of its parts */
   bool hasNewPart(const peers::TraitSet& aTraits) const;
@@ -133,6 +147,8 @@
   bool addSuspect(Crash& aCrash, peers::TraitSet aTraits) const;
   static bool clear(Crash& aCrash, peers::RequestTrait aTrait);
   void limitCrashes();
+  peers::TraitSet trialSuspects(const peers::TraitSet& aTraits,
+                                base::TimePoint aNow) const;
   bool supportsVerdict(peers::ProcessTag aCrash) const;
   peers::ProcessTag latestCrash(const CrashVerdict& aVerdict) const;
   bool isRefuted(const CrashVerdict& aVerdict) const;
@@ -143,6 +159,8 @@
   std::map<peers::ProcessTag, Crash> mCrashes;
   RecentTraits mFinished;
   std::vector<CrashVerdict> mVerdicts;
+  CrashTrials mTrials;
+  bool mTrialsEnabled = false;
   std::function<void()> mOnVerdicts;
 };
 
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -703,6 +703,152 @@
   CHECK(isRejected(many.dump()));
 }
 
+/** Requests that show whether a part was convicted by chance. */
+TEST_GROUP_BASE(CrashTrial, TEST_GROUP_CppUTestGroupCrashRecord)
+{
+  bool trialsEnabled = true;
+
+  /** Six crashes, each with sound requests that wait, five with a deadly one:
+   * the parts 1 and 2 of the sound ones explain more than 66 does. */
+  void convictSoundParts()
+  {
+    for (int i = 0; i < 5; ++i) {
+      crash({ request({ 1, 2 }), request({ 1, 66 }) });
+    }
+    crash({ request({ 1, 2 }) });
+    now += 6s;
+  }
+  bool passes(const peers::TraitSet& aTraits, TimePoint aNow)
+  {
+    tracker.setTrialsEnabled(trialsEnabled);
+    return !blocked(aTraits) || tracker.beginTrial(aTraits, aNow);
+  }
+  /** A request crashes its upstream. */
+  void die(const peers::TraitSet& aTraits, TimePoint aNow)
+  {
+    const auto process = static_cast<std::uint64_t>(++started);
+    tracker.onConnectionBroken(aTraits, { "v", process }, aNow);
+    tracker.onUpstreamGone("v", aNow + 10ms);
+  }
+};
+
+// Guards against a sound part that is refused for as long as a verdict lasts,
+// because none is let through that could clear it.
+TEST(CrashTrial, SoundPartOfCrashesAtOneMomentIsClearedByOneRequest)
+{
+  finish(request({ 1, 2 }));
+  now += 5s;
+  convictSoundParts();
+  CHECK(blocked(request({ 1, 2 })));
+  const peers::TraitSet sound = request({ 1, 2 });
+  CHECK(passes(sound, now));
+  CHECK(!blocked(sound));
+  CHECK(!passes(request({ 1, 2 }), now + 100ms));
+  CHECK(!passes(request({ 1, 66 }), now + 6s));
+  finish(sound);
+  CHECK(!blocked(request({ 1, 2 })));
+  CHECK(blocked(request({ 1, 66 })));
+  CHECK(blocked(request({ 66 })));
+}
+
+// Guards against a trial of requests that have another suspected part.
+TEST(CrashTrial, DeadlyRequestsAreNeverTried)
+{
+  finish(request({ 1, 2 }));
+  now += 5s;
+  convictSoundParts();
+  for (base::Duration passed = 0s; passed < 20s; passed += 100ms) {
+    CHECK(!passes(request({ 1, 66 }), now + passed));
+    CHECK(!passes(request({ 1, 2, 66 }), now + passed));
+  }
+}
+
+// A part that all requests share is new: one trial tells it from the other.
+TEST(CrashTrial, NewPartIsTriedOnlyWithoutTheOtherSuspect)
+{
+  for (int i = 0; i < 6; ++i) {
+    crash({ request({ 1 }), request({ 1, 66 }) });
+  }
+  now += 6s;
+  CHECK(!passes(request({ 1, 66 }), now));
+  const peers::TraitSet sound = request({ 1 });
+  CHECK(passes(sound, now));
+  finish(sound);
+  CHECK(!blocked(request({ 1 })));
+  CHECK(blocked(request({ 66 })));
+}
+
+// Guards against trials that cost one upstream after another when the part is
+// deadly indeed.
+TEST(CrashTrial, PartThatCrashesAtItsTrialIsTriedOnce)
+{
+  finish(request({ 1 }));
+  now += 5s;
+  for (int i = 0; i < 6; ++i) {
+    crash({ request({ 1 }) });
+  }
+  int passed = 0;
+  for (base::Duration after = 1s; after < 9min; after += 100ms) {
+    tracker.expire(now + after);
+    const peers::TraitSet deadly = request({ 1 });
+    if (passes(deadly, now + after)) {
+      ++passed;
+      die(deadly, now + after + 50ms);
+    }
+  }
+  LONGS_EQUAL(1, passed);
+}
+
+// Guards against trials without bound while none gives a result.
+TEST(CrashTrial, TrialsWithoutAResultAreFewAndFarApart)
+{
+  finish(request({ 1 }));
+  now += 5s;
+  for (int i = 0; i < 6; ++i) {
+    crash({ request({ 1 }) });
+  }
+  int passed = 0;
+  for (base::Duration after = 1s; after < 9min; after += 100ms) {
+    tracker.expire(now + after);
+    passed += passes(request({ 1 }), now + after) ? 1 : 0;
+  }
+  CHECK(passed <= 2);
+}
+
+// Guards against trials of a request that is repeated, and of a single deadly
+// part, which would only cost upstreams.
+TEST(CrashTrial, CertainCausesAreNotTried)
+{
+  crash({ repeated });
+  crash({ repeated });
+  CHECK(!passes(repeated, now + 6s));
+  for (int i = 0; i < 3; ++i) {
+    crash({ request({ 66 }) });
+  }
+  CHECK(!passes(request({ 66 }), now + 6s));
+}
+
+// Guards against a trial that is lost with an upstream of the same series of
+// crashes, so that the part counts as deadly.
+TEST(CrashTrial, NoTrialDuringASeriesOfCrashes)
+{
+  finish(request({ 1, 2 }));
+  now += 5s;
+  convictSoundParts();
+  CHECK(!passes(request({ 1, 2 }), now - 5s));
+  CHECK(passes(request({ 1, 2 }), now));
+}
+
+// Guards against a trial at each VM of the fleet.
+TEST(CrashTrial, OnlyTheVmThatIsToldToTries)
+{
+  trialsEnabled = false;
+  finish(request({ 1, 2 }));
+  now += 5s;
+  convictSoundParts();
+  CHECK(!passes(request({ 1, 2 }), now));
+}
+
 /** A fleet whose VMs know the use of a limited upstream by the others with a
  * delay. */
 TEST_GROUP(NamedLimit)
--- a/tests/e2e/test_crash_records.py
+++ b/tests/e2e/test_crash_records.py
@@ -78,7 +78,7 @@
         def call():
             try:
                 results.append(self.gateways[number % 2].call(
-                    "/single/x", headers={"X-Model-Name": "m1", "X-Token-Usage": "100,20",
+                    f"/single/{number}", headers={"X-Model-Name": "m1", "X-Token-Usage": "100,20",
                                           "X-Prompt-Prefix": f"{prompt},{number:x}:50"})[0])
             except (OSError, ValueError, http.client.HTTPException):  # broken off with its engine
                 results.append(0)
