--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -103,6 +103,10 @@
               {},
               {} }
   , mFleet(mLoop, mPlatform, mSettings, mIncarnation)
+  , mCrashRecords(mPlatform,
+                  mFleet,
+                  mCrashes,
+                  base::hash64(mSettings.vm, mIncarnation + 3))
   , mCatalogWatch(mLoop,
                   mPlatform,
                   boundary::kOperatorPrefix,
@@ -550,6 +554,8 @@
   mRelay.tick();
   mFleet.setReadsStore(mUpstreamWatch.isReadingStore());
   mCrashes.expire(now);
+  mCrashes.setTrialsEnabled(mFleet.fencingToken() != 0);
+  mCrashRecords.tick(now);
   mNotices.expire(now);
   removeMissingUpstreams();
   mUpstreams.expireRemoved(now);
--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/crash_tracker.h"
 
+#include "dispatch/crash_limits.h"
+
 #include <algorithm>
 #include <iterator>
 
@@ -8,22 +10,6 @@
 
 using namespace std::chrono_literals;
 
-/** Lifetime of a crash without a verdict; longer than the intervals at which
- * callers retry. */
-constexpr base::Duration kCrashLifetime = 120s;
-/** Lifetime of a certain verdict after its latest crash. */
-constexpr base::Duration kCertainLifetime = 10min;
-/** Lifetime of any other verdict, after which requests show whether it was
- * right. A sound part that was convicted by chance is back soon. */
-constexpr base::Duration kUncertainLifetime = 20s;
-/** Time within which a crashed upstream is found unreachable, by the next
- * request to it or by three missed heartbeats of its record. */
-constexpr base::Duration kConfirmTimeout = 5s;
-/** Bounds of memory and messages. */
-constexpr std::size_t kMaxCrashes = 64;
-constexpr std::size_t kMaxSuspects = 16;
-constexpr std::size_t kMaxTraits = 16;
-constexpr std::size_t kMaxCleared = 32;
 constexpr std::size_t kMaxBrokenConnections = 512;
 constexpr std::size_t kMaxReported = 8;
 /** A change is reported for this long, because UDP may lose messages. */
@@ -49,6 +35,7 @@
     mBrokenConnections.erase(mBrokenConnections.begin());
   }
   mBrokenConnections.push_back({ aTraits, aProcess, aNow });
+  mTrials.onBroken(aTraits);
   // A peer may already have confirmed the crash.
   confirmIf(
     [this](const BrokenConnection& aConnection) {
@@ -253,7 +240,8 @@
                                   [&aTraits](const CrashVerdict& aVerdict) {
                                     return aVerdict.covers(aTraits);
                                   });
-  return found == mVerdicts.end() ? nullptr : &*found;
+  return found == mVerdicts.end() || mTrials.contains(aTraits) ? nullptr
+                                                               : &*found;
 }
 
 bool
@@ -338,6 +326,7 @@
 void
 CrashTracker::expire(base::TimePoint aNow)
 {
+  mTrials.expire(aNow);
   const std::size_t expired =
     std::erase_if(mCrashes, [this, aNow](const auto& aItem) {
       return aNow - aItem.second.at >
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -1,6 +1,8 @@
 /** @file Detects requests that crash upstreams ("poison" requests). */
 #pragma once
 
+#include "dispatch/crash_record.h"
+#include "dispatch/crash_trials.h"
 #include "dispatch/crash_verdict.h"
 #include "dispatch/recent_traits.h"
 #include "dispatch/request_traits.h"
@@ -77,11 +79,37 @@
    * turn, the rest, for peers that do not have it yet */
   peers::CrashTable report(base::TimePoint aNow) const;
 
+  /** Adds evidence that a process left in the store. @param aRecord evidence
+   * @param aNow time */
+  void merge(const CrashRecord& aRecord, base::TimePoint aNow);
+
+  /** @param aStored record in the store @param aNow time
+   * @return the record that should replace it: the latest crashes behind
+   * verdicts, and those of the stored one that are known here */
+  CrashRecord record(const CrashRecord& aStored, base::TimePoint aNow) const;
+
+  /** @param aStored record in the store @param aNow time
+   * @return true if a VM that knows nothing else blocks the same requests */
+  bool isRecorded(const CrashRecord& aStored, base::TimePoint aNow) const;
+
   /** @param aTraits traits of a request
    * @return the verdict because of which it must not be sent, or nullptr; valid
    * until the next change */
   const CrashVerdict* verdictOn(const peers::TraitSet& aTraits) const;
 
+  /** Only one VM of the fleet should begin trials. @param aEnabled whether this
+   * one does */
+  void setTrialsEnabled(bool aEnabled) { mTrialsEnabled = aEnabled; }
+
+  /**
+   * Lets a blocked request through if it can show that the part for which it is
+   * blocked is sound, and has nothing else that may have caused the crashes.
+   * @param aTraits traits of a request that a verdict covers
+   * @param aNow time
+   * @return true if verdicts do not apply to the request for a while
+   */
+  bool beginTrial(const peers::TraitSet& aTraits, base::TimePoint aNow);
+
   /** @param aTraits traits of a request @return true if no request is known to
    * have finished with one of its parts */
   bool hasNewPart(const peers::TraitSet& aTraits) const;
@@ -119,7 +147,11 @@
   bool addSuspect(Crash& aCrash, peers::TraitSet aTraits) const;
   static bool clear(Crash& aCrash, peers::RequestTrait aTrait);
   void limitCrashes();
+  peers::TraitSet trialSuspects(const peers::TraitSet& aTraits,
+                                base::TimePoint aNow) const;
   bool supportsVerdict(peers::ProcessTag aCrash) const;
+  peers::ProcessTag latestCrash(const CrashVerdict& aVerdict) const;
+  bool isRefuted(const CrashVerdict& aVerdict) const;
   bool lapsed(const CrashVerdict& aVerdict, base::TimePoint aNow) const;
   void updateVerdicts(base::TimePoint aNow);
 
@@ -127,6 +159,8 @@
   std::map<peers::ProcessTag, Crash> mCrashes;
   RecentTraits mFinished;
   std::vector<CrashVerdict> mVerdicts;
+  CrashTrials mTrials;
+  bool mTrialsEnabled = false;
   std::function<void()> mOnVerdicts;
 };
 
