Ask again on a new connection when a watch's answer is overdue

Cause: a wait without an answer was taken for one without changes. It lasted 4 s whatever the deployment's limits, the call 1.2 s more, and renewals went over a new connection each time, so they said nothing about open ones. After a time-out an idle connection from before the silence could be taken.

Now a watch or renewal whose answer is overdue is sent again on a new connection. If that answers and the old one doesn't, idle connections are closed and the VM's other watches ask again, with jitter. Renewals use a kept connection, so they show a silence of all connections within about a second. Waits follow from config_limit and drain_limit; the wait for registrations is longer, to pay for it. A store that is down or slow shows no difference between the connections and gets one more call for each that is overdue.

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -30,6 +30,9 @@
 constexpr base::Duration kMaxRegistrationBackoff = 1200ms;
 /** Minimum delay between a change and the next watch call. */
 constexpr base::Duration kWatchPause = 150ms;
+/** Longest wait for changes. Longer than those for data that limits hold for,
+ * because the statuses of peers and the leases tell sooner. */
+constexpr base::Duration kWatchWait = 8s;
 /** Delay between the claims of two VMs for a free ownership, so that usually
  * only one of them writes to the store. */
 constexpr base::Duration kClaimStagger = 150ms;
@@ -52,6 +55,7 @@
            aClient,
            kPrefix,
            kWatchPause,
+           kWatchWait,
            { [this](const platform::Snapshot& aAll) { applySnapshot(aAll); },
              [this](const platform::Entry& aEntry) {
                apply(aEntry);
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -102,32 +102,35 @@
               {},
               {} }
   , mFleet(mLoop, mPlatform, mSettings, mIncarnation)
-  , mCatalogWatch(mLoop,
-                  mPlatform,
-                  boundary::kOperatorPrefix,
-                  kCatalogWatchPause,
-                  { [this](const platform::Snapshot& aAll) {
-                     for (const platform::Entry& entry : aAll.entries) {
-                       if (entry.key == boundary::kCatalogKey && entry.value) {
-                         applyCatalog(*entry.value, "store");
-                       }
-                     }
-                   },
-                    [this](const platform::Entry& aEntry) {
-                      if (aEntry.key == boundary::kCatalogKey && aEntry.value) {
-                        applyCatalog(*aEntry.value, "store");
-                      }
-                    },
-                    [] { observe::logInfo("configuration store reached"); },
-                    [](const base::Error& aError) {
-                      observe::logWarn("configuration store lost",
-                                       { { "error", aError.message } });
-                    } })
+  , mCatalogWatch(
+      mLoop,
+      mPlatform,
+      boundary::kOperatorPrefix,
+      kCatalogWatchPause,
+      platform::maxWatchWait(mSettings.configLimit, kPlatformTimeout),
+      { [this](const platform::Snapshot& aAll) {
+         for (const platform::Entry& entry : aAll.entries) {
+           if (entry.key == boundary::kCatalogKey && entry.value) {
+             applyCatalog(*entry.value, "store");
+           }
+         }
+       },
+        [this](const platform::Entry& aEntry) {
+          if (aEntry.key == boundary::kCatalogKey && aEntry.value) {
+            applyCatalog(*aEntry.value, "store");
+          }
+        },
+        [] { observe::logInfo("configuration store reached"); },
+        [](const base::Error& aError) {
+          observe::logWarn("configuration store lost",
+                           { { "error", aError.message } });
+        } })
   , mUpstreamWatch(
       mLoop,
       mPlatform,
       boundary::kUpstreamPrefix,
       mSettings.drainLimit / kUpstreamWatchPauses,
+      platform::maxWatchWait(mSettings.drainLimit, kPlatformTimeout),
       { [this](const platform::Snapshot& aAll) { applyUpstreams(aAll); },
         [this](const platform::Entry& aEntry) {
           applyUpstream(aEntry, RecordSource::Written);
@@ -418,7 +421,8 @@
   mCatalogCall = mClient.start(member->second.operatorAddress,
                                { "GET", "/catalog", "", {}, "" },
                                kPlatformTimeout,
-                               std::move(events));
+                               std::move(events),
+                               false); // An idle connection may be silent.
 }
 
 residency::DemandTable
@@ -532,9 +536,15 @@
     mFleetKnownAt = now;
   }
   std::vector<base::VmName> names;
+  std::set<base::DataCentre> dataCentres{ mSettings.dataCentre };
   for (const auto& [vm, member] : mFleet.others()) {
     names.push_back(vm);
+    dataCentres.insert(member.dataCentre);
   }
+  // At least one VM of each data centre reads the store, and peers tell each
+  // other of a newer configuration.
+  mCatalogWatch.spreadWaits(platform::sharedWatchWait(
+    mSettings.configLimit, kPlatformTimeout, dataCentres.size()));
   mPeerExchange.onFleetChanged();
   mQuota.setPeers(names, now);
   mRetries.setFleetSize(mFleet.size());
@@ -688,6 +698,18 @@
     }
     return rows;
   });
+  mOperator.addDumpSection("views", [this] {
+    json rows = json::object();
+    const base::TimePoint now = base::monotonicNow();
+    for (PrefixWatch* watch :
+         { &mCatalogWatch, &mUpstreamWatch, &mFleet.watch() }) {
+      rows[watch->prefix()] = {
+        { "age_ms", base::inMilliseconds(now - watch->confirmedAt()) },
+        { "from_store", watch->isReadingStore() }
+      };
+    }
+    return rows;
+  });
   mOperator.addHandler(
     "GET",
     "/catalog",
--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -4,17 +4,15 @@
 
 #include <algorithm>
 #include <unistd.h>
+#include <utility>
 
 namespace marigold::gateway {
 namespace {
 
 using namespace std::chrono_literals;
 
-/** Maximum duration of one wait for changes. A connection can stall without an
- * error, and a withdrawn key must not stay valid for long after that. */
-constexpr base::Duration kStoreWait = 4s;
-/** The same after a failure: a call that is lost in an outage must not delay
- * the detection of the store's recovery. */
+/** Longest wait for changes at the store after a failure: a call that is lost
+ * in an outage must not delay the detection of the store's recovery. */
 constexpr base::Duration kProbeWait = 100ms;
 /** The same at a relay. Shorter, because it costs no call to the store. */
 constexpr base::Duration kRelayWait = 1s;
@@ -26,6 +24,19 @@
 /** Interval at which a watch that may not call the store yet tries the relays.
  */
 constexpr base::Duration kRelayPollInterval = 100ms;
+/** Time over which the watches of a VM ask again when connections to the store
+ * went silent, so that the calls of a fleet don't arrive at the same moment. */
+constexpr base::Duration kSilenceJitter = 100ms;
+
+/** VMs may give the same id to their processes. */
+std::uint64_t
+makeSeed(const std::string& aPrefix)
+{
+  const auto sinceBoot = base::monotonicNow().time_since_epoch().count();
+  return base::hash64(aPrefix,
+                      static_cast<std::uint64_t>(::getpid()) +
+                        static_cast<std::uint64_t>(sinceBoot));
+}
 
 } // namespace
 
@@ -33,13 +44,15 @@
                          platform::Client& aClient,
                          std::string aPrefix,
                          base::Duration aPause,
+                         base::Duration aMaxWait,
                          PrefixWatchCallbacks aCallbacks)
   : mLoop(aLoop)
   , mClient(aClient)
   , mPrefix(std::move(aPrefix))
   , mPause(aPause)
+  , mMaxWait(aMaxWait)
   , mCallbacks(std::move(aCallbacks))
-  , mBackoff(kInitialBackoff, kMaxBackoff, base::hash64(mPrefix, ::getpid()))
+  , mBackoff(kInitialBackoff, kMaxBackoff, makeSeed(mPrefix))
 {
 }
 
@@ -47,6 +60,8 @@
 PrefixWatch::start()
 {
   mClient.restored().connect([this] { onRestored(); });
+  mClient.silenceFound().connect(
+    [this](base::TimePoint aSince) { onSilence(aSince); });
   list();
 }
 
@@ -60,9 +75,35 @@
                      { "revision", std::to_string(mRevision) },
                      { "era", std::to_string(mClient.era()) } });
   ++mGeneration;
+  mStoreWaitSince.reset();
   list();
 }
 
+/** A wait on a connection from before the silence may get no answer any more.
+ * @param aSince connections opened since then work */
+void
+PrefixWatch::onSilence(base::TimePoint aSince)
+{
+  if (!mStoreWaitSince || *mStoreWaitSince > aSince) {
+    return;
+  }
+  observe::logWarn("connection to the store may be silent, asking on a new one",
+                   { { "prefix", mPrefix },
+                     { "view_age_ms",
+                       std::to_string(base::inMilliseconds(
+                         base::monotonicNow() - mConfirmedAt)) } });
+  ++mGeneration;
+  mStoreWaitSince.reset();
+  schedule(mBackoff.jittered(kSilenceJitter), &PrefixWatch::wait);
+}
+
+void
+PrefixWatch::spreadWaits(base::Duration aMaxWait)
+{
+  mMaxWait = aMaxWait;
+  mSpreadsWaits = true;
+}
+
 void
 PrefixWatch::relist()
 {
@@ -82,6 +123,7 @@
   mBackoff.reset();
   mStoreCallAt = {};
   mRelayFailed = false;
+  mConfirmedAt = base::monotonicNow();
   if (!mConnected) {
     mConnected = true;
     mCallbacks.reached();
@@ -124,17 +166,24 @@
                  mMirror.replace(snapshot);
                  mMirrorChanged.emit();
                  mCallbacks.snapshot(snapshot);
+                 mSpreadPending = mSpreadsWaits;
                  wait();
                });
 }
 
 base::Duration
-PrefixWatch::waitTimeout(bool aFromRelay) const
+PrefixWatch::waitLimit(bool aFromRelay)
 {
   if (aFromRelay) {
-    return kRelayWait;
+    return std::min(kRelayWait, mMaxWait);
+  }
+  if (mBackoff.failures() > 0) {
+    return kProbeWait;
   }
-  return mBackoff.failures() > 0 ? kProbeWait : kStoreWait;
+  if (std::exchange(mSpreadPending, false)) {
+    return std::max(kProbeWait, mBackoff.jittered(mMaxWait));
+  }
+  return mMaxWait;
 }
 
 void
@@ -170,14 +219,18 @@
 void
 PrefixWatch::waitAt(platform::Client& aClient, bool aFromRelay)
 {
+  if (!aFromRelay) {
+    mStoreWaitSince = base::monotonicNow();
+  }
   aClient.watch(mPrefix,
                 { mRevision, mMirror.era() },
-                waitTimeout(aFromRelay),
+                waitLimit(aFromRelay),
                 [this, aFromRelay, generation = mGeneration](
                   const base::Captured<platform::Snapshot>& aResult) {
                   if (generation != mGeneration) {
                     return;
                   }
+                  mStoreWaitSince.reset();
                   if (const base::Error* error = base::errorOf(aResult)) {
                     onFailure(*error, aFromRelay);
                   } else {
@@ -220,6 +273,7 @@
   for (const platform::Entry& entry : aChanges.entries) {
     mCallbacks.changed(entry);
   }
+  mSpreadPending = mSpreadsWaits && !aChanges.entries.empty();
   const base::Duration pause = aFromRelay ? kRelayWatchPause : mPause;
   schedule(aChanges.entries.empty() ? 0ms : pause, &PrefixWatch::wait);
 }
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -5,6 +5,7 @@
 #include "platform/platform.h"
 
 #include <functional>
+#include <optional>
 #include <sigc++/sigc++.h>
 
 namespace marigold::gateway {
@@ -46,12 +47,14 @@
    * @param aPrefix prefix of the keys
    * @param aPause delay after a change before the next call, which bounds the
    * rate of calls
+   * @param aMaxWait longest wait for changes at the store
    * @param aCallbacks callbacks
    */
   PrefixWatch(http::Loop& aLoop,
               platform::Client& aClient,
               std::string aPrefix,
               base::Duration aPause,
+              base::Duration aMaxWait,
               PrefixWatchCallbacks aCallbacks);
 
   /** Starts the watch. */
@@ -64,6 +67,11 @@
    * @param aRelays chooses the relay */
   void setRelays(RelaySource aRelays) { mRelays = std::move(aRelays); }
 
+  /** Makes the VMs that watch this prefix ask at different moments, because
+   * they tell each other of changes.
+   * @param aMaxWait longest wait for changes at the store */
+  void spreadWaits(base::Duration aMaxWait);
+
   /** @return prefix of the keys */
   const std::string& prefix() const { return mPrefix; }
 
@@ -76,6 +84,10 @@
   /** @return true if the mirror is of the store's current era */
   bool isOfCurrentEra() const { return mMirror.era() == mClient.era(); }
 
+  /** @return when the store or a relay has answered last; after that, changes
+   * may be missing */
+  base::TimePoint confirmedAt() const { return mConfirmedAt; }
+
   /** Emitted when the mirror may have changed. */
   sigc::signal<void()>& mirrorChanged() { return mMirrorChanged; }
 
@@ -83,11 +95,12 @@
   void list();
   void wait();
   void onRestored();
+  void onSilence(base::TimePoint aSince);
   void onChanges(const platform::Snapshot& aChanges, bool aFromRelay);
   void onFailure(const base::Error& aError, bool aFromRelay);
   void waitAt(platform::Client& aClient, bool aFromRelay);
   void postponeStoreCalls();
-  base::Duration waitTimeout(bool aFromRelay) const;
+  base::Duration waitLimit(bool aFromRelay);
   void recordSuccess();
   void recordFailure(const base::Error& aError);
   void schedule(base::Duration aDelay, void (PrefixWatch::*aNext)());
@@ -96,10 +109,18 @@
   platform::Client& mClient;
   std::string mPrefix;
   base::Duration mPause;
+  base::Duration mMaxWait;
+  bool mSpreadsWaits = false;
+  /** The next wait ends at a random moment: a change has ended those of all VMs
+   * at the same one. */
+  bool mSpreadPending = false;
   PrefixWatchCallbacks mCallbacks;
   platform::Revision mRevision = 0;
   /** Raised when the answers to earlier calls have lost their meaning. */
   unsigned mGeneration = 0;
+  /** When the pending wait at the store began, if there is one. */
+  std::optional<base::TimePoint> mStoreWaitSince;
+  base::TimePoint mConfirmedAt{};
   bool mConnected = false;
   bool mRelistPending = false;
   bool mLastFromStore = true;
--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -338,6 +338,16 @@
   discard(std::move(aConnection));
 }
 
+void
+Client::closeIdle()
+{
+  for (auto& [address, connections] : std::exchange(mIdle, {})) {
+    for (std::unique_ptr<Connection>& connection : connections) {
+      discard(std::move(connection));
+    }
+  }
+}
+
 void
 Client::discard(std::unique_ptr<Connection> aConnection)
 {
--- a/libs/http/client.h
+++ b/libs/http/client.h
@@ -100,6 +100,9 @@
                                             CallEvents aEvents,
                                             bool aReuse = true);
 
+  /** Closes all idle connections, so that the next calls open new ones. */
+  void closeIdle();
+
 private:
   friend class Call;
   struct Connection;
--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -10,6 +10,11 @@
 using base::Code;
 using base::Error;
 using nlohmann::json;
+using namespace std::chrono_literals;
+
+/** Wait of a watch that is sent again: its answer shows at once whether the
+ * store responds. */
+constexpr base::Duration kRepeatedWait = 100ms;
 
 Error
 transportError(http::CallEnd aEnd, bool aIsWrite)
@@ -45,6 +50,24 @@
   }
 }
 
+/** @return true if the answer to a call was lost */
+bool
+isLost(const Error* aError)
+{
+  return aError != nullptr && (aError->code == Code::PlatformTimeout ||
+                               aError->code == Code::WriteOutcomeUnknown);
+}
+
+/** @return true if the server did nothing about the call, or its answer was
+ * lost */
+bool
+isRefusedOrLost(const Error* aError)
+{
+  return isLost(aError) ||
+         (aError != nullptr && (aError->code == Code::PlatformUnreachable ||
+                                aError->code == Code::PlatformRateLimited));
+}
+
 membership::Vm
 readVm(const json& aJson)
 {
@@ -118,6 +141,7 @@
   , mTimeout(aTimeout)
   , mProtocol(aProtocol)
   , mClient(aLoop)
+  , mRenewalClient(aLoop, 1)
 {
 }
 
@@ -127,14 +151,28 @@
              bool aIsWrite,
              ResponseCallback aDone)
 {
-  ++(aIsWrite ? mCounts.writes : mCounts.reads);
+  // Writes don't reuse idle connections: the server may be closing one, which
+  // would look like a lost answer. Writes are rare enough to open a connection
+  // for each.
+  sendWith(
+    aRequest, { aTimeout, aIsWrite, &mClient, !aIsWrite }, std::move(aDone));
+}
+
+/** @return the pending call; the end of the list in a simulated outage */
+Client::Calls::iterator
+Client::sendWith(const http::Request& aRequest,
+                 const Options& aOptions,
+                 ResponseCallback aDone)
+{
+  const bool isWrite = aOptions.isWrite;
+  ++(isWrite ? mCounts.writes : mCounts.reads);
   if (mOutageSimulated) {
-    failAfterTimeout(aTimeout, aIsWrite, std::move(aDone));
-    return;
+    failAfterTimeout(aOptions.timeout, isWrite, std::move(aDone));
+    return mCalls.end();
   }
   const auto position = mCalls.emplace(mCalls.end());
   http::CallEvents events;
-  events.done = [this, position, aIsWrite, aDone = std::move(aDone)](
+  events.done = [this, position, isWrite, aDone = std::move(aDone)](
                   http::CallEnd aEnd, const http::Response& aResponse) {
     // Remove the call first: the callback may destroy this client.
     const std::unique_ptr<http::Call> ended = std::move(*position);
@@ -144,12 +182,12 @@
     }
     if (aEnd != http::CallEnd::Complete) {
       ++mCounts.failures;
-      aDone(transportError(aEnd, aIsWrite));
+      aDone(transportError(aEnd, isWrite));
       return;
     }
     if (!recordEra(aResponse.headers)) {
       ++mCounts.failures;
-      aDone(transportError(http::CallEnd::TimedOut, aIsWrite));
+      aDone(transportError(http::CallEnd::TimedOut, isWrite));
       return;
     }
     if (const auto error = mProtocol.statusError(aResponse.status)) {
@@ -158,11 +196,9 @@
     }
     aDone(aResponse);
   };
-  // Writes don't reuse idle connections: the server may be closing one, which
-  // would look like a lost answer. Writes are rare enough to open a connection
-  // for each.
-  *position =
-    mClient.start(mAddress, aRequest, aTimeout, std::move(events), !aIsWrite);
+  *position = aOptions.connections->start(
+    mAddress, aRequest, aOptions.timeout, std::move(events), aOptions.reuse);
+  return position;
 }
 
 /** @return false if the answer is from before the store was restored */
@@ -196,6 +232,98 @@
     });
 }
 
+/** @param aExpectedWithin time that the store may take for the answer in
+ * addition to that for any call */
+void
+Client::sendHedged(HedgedCall aCall, base::Duration aExpectedWithin)
+{
+  const HedgedId id = mNextHedgedId++;
+  HedgedCall& call = mHedgedCalls[id] = std::move(aCall);
+  call.timer = mLoop.after(aExpectedWithin + overdueAfter(mTimeout),
+                           [this, id] { repeat(id); });
+  call.original =
+    sendWith(call.request, call.options, [this, id](const auto& aResponse) {
+      onOriginal(id, aResponse);
+    });
+}
+
+void
+Client::repeat(HedgedId aId)
+{
+  HedgedCall& call = mHedgedCalls.at(aId);
+  call.timer.reset();
+  call.repeatedAt = base::monotonicNow();
+  Options options = call.options;
+  options.timeout = call.repeatedTimeout;
+  options.reuse = false;
+  call.repetition =
+    sendWith(call.repeated, options, [this, aId](const auto& aResponse) {
+      onRepetition(aId, aResponse);
+    });
+}
+
+void
+Client::onOriginal(HedgedId aId, const Captured<http::Response>& aResponse)
+{
+  const auto call = mHedgedCalls.find(aId);
+  if (call == mHedgedCalls.end()) {
+    return; // Dropped in a simulated outage; the repetition was answered.
+  }
+  call->second.original.reset();
+  const Error* error = base::errorOf(aResponse);
+  if (isRefusedOrLost(error) && call->second.repetition) {
+    return;
+  }
+  if (isLost(error) && call->second.repeatAfterLoss &&
+      call->second.repeatedAt == base::TimePoint{}) {
+    repeat(aId);
+    return;
+  }
+  finish(aId, aResponse);
+}
+
+void
+Client::onRepetition(HedgedId aId, const Captured<http::Response>& aResponse)
+{
+  const auto call = mHedgedCalls.find(aId);
+  if (call == mHedgedCalls.end()) {
+    return; // As for the original.
+  }
+  call->second.repetition.reset();
+  if (call->second.original) {
+    if (isRefusedOrLost(base::errorOf(aResponse))) {
+      return;
+    }
+    reportSilence(call->second.repeatedAt);
+  }
+  finish(aId, aResponse);
+}
+
+void
+Client::finish(HedgedId aId, const Captured<http::Response>& aResponse)
+{
+  // The callback may destroy this client.
+  const HedgedCall ended = std::move(mHedgedCalls.at(aId));
+  mHedgedCalls.erase(aId);
+  for (const auto& pending : { ended.original, ended.repetition }) {
+    if (pending && *pending != mCalls.end()) {
+      mCalls.erase(*pending);
+    }
+  }
+  ended.done(aResponse);
+}
+
+/** @param aSince when the connection that works was opened */
+void
+Client::reportSilence(base::TimePoint aSince)
+{
+  mClient.closeIdle();
+  mRenewalClient.closeIdle();
+  // Deferred, so that the callback of the answered call runs before.
+  mSilenceTimer = mLoop.after(base::Duration::zero(),
+                              [this, aSince] { mSilenceFound.emit(aSince); });
+}
+
 void
 Client::read(const std::string& aKey, Callback<Entry> aDone)
 {
@@ -290,18 +418,22 @@
               base::Duration aWait,
               Callback<Snapshot> aDone)
 {
-  send(mProtocol.watch(aPrefix, aAfter, aWait),
-       aWait + mTimeout,
-       false,
-       [this,
-        aDone = std::move(aDone)](const Captured<http::Response>& aResponse) {
-         auto changes =
-           readResponse<Snapshot>(aResponse, mProtocol.readChanges);
-         if (base::errorOf(changes) == nullptr) {
-           std::get<Snapshot>(changes).era = era();
-         }
-         aDone(changes);
-       });
+  const base::Duration repeatedWait = std::min(aWait, kRepeatedWait);
+  sendHedged({ .request = mProtocol.watch(aPrefix, aAfter, aWait),
+               .repeated = mProtocol.watch(aPrefix, aAfter, repeatedWait),
+               .options = { aWait + mTimeout, false, &mClient, true },
+               .repeatedTimeout = repeatedWait + mTimeout,
+               .done =
+                 [this, aDone = std::move(aDone)](
+                   const Captured<http::Response>& aResponse) {
+                   auto changes =
+                     readResponse<Snapshot>(aResponse, mProtocol.readChanges);
+                   if (base::errorOf(changes) == nullptr) {
+                     std::get<Snapshot>(changes).era = era();
+                   }
+                   aDone(changes);
+                 } },
+             aWait);
 }
 
 void
@@ -319,13 +451,19 @@
 void
 Client::renewLease(const std::string& aLease, Callback<std::string> aDone)
 {
-  send(mProtocol.renewLease(aLease),
-       mTimeout,
-       true,
-       [aLease,
-        aDone = std::move(aDone)](const Captured<http::Response>& aResponse) {
-         aDone(leaseResult(aResponse, aLease));
-       });
+  const http::Request request = mProtocol.renewLease(aLease);
+  sendHedged({ .request = request,
+               .repeated = request,
+               .options = { mTimeout, true, &mRenewalClient, true },
+               .repeatedTimeout = mTimeout,
+               .repeatAfterLoss = mRenewalKept,
+               .done =
+                 [this, aLease, aDone = std::move(aDone)](
+                   const Captured<http::Response>& aResponse) {
+                   mRenewalKept = base::errorOf(aResponse) == nullptr;
+                   aDone(leaseResult(aResponse, aLease));
+                 } },
+             base::Duration::zero());
 }
 
 void
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -13,11 +13,13 @@
 #include "platform/backoff.h"
 #include "platform/mirror.h"
 #include "platform/untrusted_json.h"
+#include "platform/view_age.h"
 #include "platform/wire_protocol.h"
 
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <sigc++/sigc++.h>
@@ -105,7 +107,8 @@
               Callback<Revision> aDone);
 
   /**
-   * Waits for changes (long polling). The platform counts it as one read.
+   * Waits for changes (long polling). The platform counts it as one read. If
+   * the answer is overdue, the store is asked again on a new connection.
    * @param aPrefix prefix of the keys
    * @param aAfter last point of the history that the caller has seen
    * @param aWait maximum time to wait for a change
@@ -121,8 +124,10 @@
    * @param aDone gets its id */
   void grantLease(base::Duration aTerm, Callback<std::string> aDone);
 
-  /** Renews a lease. @param aLease id of the lease
-   * @param aDone gets the id or LeaseLost */
+  /** Renews a lease on a connection kept for renewals, so that these also show
+   * whether open connections still work. If the answer is overdue, the renewal
+   * is sent again on a new connection.
+   * @param aLease id of the lease @param aDone gets the id or LeaseLost */
   void renewLease(const std::string& aLease, Callback<std::string> aDone);
 
   /** Ends a lease. @param aLease id of the lease
@@ -145,6 +150,11 @@
    * copy, before the callback of that answer. */
   sigc::signal<void()>& restored() { return mRestored; }
 
+  /** Emitted when a call was answered on a new connection, but not on an older
+   * one: open connections have gone silent. The argument is when the new
+   * connection was opened. Idle connections are closed before. */
+  sigc::signal<void(base::TimePoint)>& silenceFound() { return mSilenceFound; }
+
   /** @return calls since the client was created */
   const CallCounts& counts() const { return mCounts; }
 
@@ -152,10 +162,48 @@
   struct Pending;
   using ResponseCallback =
     std::function<void(const base::Captured<http::Response>&)>;
+  using Calls = std::list<std::unique_ptr<http::Call>>;
+
+  /** How a call is sent. */
+  struct Options
+  {
+    base::Duration timeout{};
+    bool isWrite = false;
+    http::Client* connections = nullptr;
+    bool reuse = true; ///< an idle connection
+  };
+
+  /** A call that is sent again on a new connection if its answer is overdue. */
+  struct HedgedCall
+  {
+    http::Request request;
+    http::Request repeated;
+    Options options;
+    base::Duration repeatedTimeout{};
+    bool repeatAfterLoss = false; ///< if the kept connection was closed
+    ResponseCallback done;
+    std::optional<Calls::iterator> original{}; ///< while it is pending
+    std::optional<Calls::iterator> repetition{};
+    base::TimePoint repeatedAt{};
+    http::EventHandle timer{};
+  };
+  using HedgedId = std::uint64_t;
+
   void send(const http::Request& aRequest,
             base::Duration aTimeout,
             bool aIsWrite,
             ResponseCallback aDone);
+  Calls::iterator sendWith(const http::Request& aRequest,
+                           const Options& aOptions,
+                           ResponseCallback aDone);
+  void sendHedged(HedgedCall aCall, base::Duration aExpectedWithin);
+  void repeat(HedgedId aId);
+  void onOriginal(HedgedId aId,
+                  const base::Captured<http::Response>& aResponse);
+  void onRepetition(HedgedId aId,
+                    const base::Captured<http::Response>& aResponse);
+  void finish(HedgedId aId, const base::Captured<http::Response>& aResponse);
+  void reportSilence(base::TimePoint aSince);
   bool recordEra(const http::Headers& aHeaders);
   void failAfterTimeout(base::Duration aTimeout,
                         bool aIsWrite,
@@ -172,7 +220,13 @@
   CallCounts mCounts;
   std::optional<Era> mEra;
   sigc::signal<void()> mRestored;
-  std::list<std::unique_ptr<http::Call>> mCalls;
+  http::Client mRenewalClient; ///< keeps the connection of renewals
+  bool mRenewalKept = false;   ///< the latest renewal left a connection
+  Calls mCalls;
+  std::map<HedgedId, HedgedCall> mHedgedCalls; ///< pending
+  HedgedId mNextHedgedId = 0;
+  sigc::signal<void(base::TimePoint)> mSilenceFound;
+  http::EventHandle mSilenceTimer;
   std::list<http::EventHandle> mDroppedCalls; ///< calls made during an outage
   bool mOutageSimulated = false;
 };
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -261,6 +261,163 @@
   CHECK(!read.entries.at(0).value);
 }
 
+namespace {
+
+constexpr base::Duration kTimeout = 300ms; ///< of the clients below
+
+/** A server that leaves the requests of some numbers without an answer. */
+struct PartlySilentServer
+{
+  PartlySilentServer(http::Loop& aLoop, const http::Address& aAddress)
+    : server(
+        aLoop,
+        {},
+        [this](const http::Request& aRequest, const auto& aOut) {
+          requests.push_back(aRequest);
+          if (silent && silent(requests.size())) {
+            held.push_back(aOut);
+            return;
+          }
+          aOut->reply({ 200, {}, R"({"revision":7,"items":[],"lease":"l1"})" });
+        })
+  {
+    CHECK(bool(server.listen(aAddress)));
+  }
+
+  std::function<bool(std::size_t)> silent; ///< gets the number, from 1
+  std::vector<http::Request> requests;
+  std::vector<std::shared_ptr<http::Responder>> held;
+  http::Server server;
+};
+
+} // namespace
+
+TEST_GROUP(SilentConnections)
+{
+  http::Loop loop;
+  const http::Address address{ "127.0.0.1", testPort() };
+  platform::Client client{ loop, address, kTimeout };
+  PartlySilentServer server{ loop, address };
+  std::optional<base::Captured<platform::Snapshot>> changes;
+  unsigned watchEnds = 0;
+  unsigned renewalEnds = 0;
+  unsigned silences = 0;
+  bool renewed = false;
+
+  void setup() override
+  {
+    client.silenceFound().connect([this](base::TimePoint) { ++silences; });
+  }
+
+  void watch(base::Duration aWait)
+  {
+    client.watch("op/", { 3, 0 }, aWait, [this](const auto& aResult) {
+      changes = aResult;
+      ++watchEnds;
+    });
+  }
+
+  void renew()
+  {
+    client.renewLease("l1", [this](const auto& aResult) {
+      renewed = base::errorOf(aResult) == nullptr;
+      ++renewalEnds;
+    });
+  }
+
+  void runFor(base::Duration aDuration)
+  {
+    const auto timer = loop.after(aDuration, [this] { loop.stop(); });
+    loop.run();
+  }
+};
+
+// A watch whose connection goes silent is asked again on a new one, before the
+// timeout of the call shows the silence.
+TEST(SilentConnections, OverdueWatchIsAskedAgain)
+{
+  server.silent = [](std::size_t aNumber) { return aNumber == 1; };
+  watch(200ms);
+  runFor(200ms + kTimeout - 50ms);
+  CHECK(changes && base::errorOf(*changes) == nullptr);
+  LONGS_EQUAL(1, watchEnds);
+  LONGS_EQUAL(1, silences);
+  runFor(2 * kTimeout);
+  LONGS_EQUAL(1, watchEnds);
+  LONGS_EQUAL(2, server.requests.size());
+}
+
+// A renewal without an answer must not let the lease end while the store
+// responds on new connections, and tells that open connections are silent.
+TEST(SilentConnections, OverdueRenewalIsSentAgainAndTellsOfTheSilence)
+{
+  renew();
+  runFor(50ms);
+  LONGS_EQUAL(1, renewalEnds);
+  server.silent = [](std::size_t aNumber) { return aNumber == 2; };
+  renew();
+  runFor(kTimeout - 50ms);
+  LONGS_EQUAL(2, renewalEnds);
+  CHECK(renewed);
+  LONGS_EQUAL(1, silences);
+}
+
+// A store that is down must not be called more often, nor be taken for one that
+// is only silent on old connections.
+TEST(SilentConnections, StoreThatIsDownGetsOneMoreCallAndEndsTheWatchOnce)
+{
+  server.silent = [](std::size_t) { return true; };
+  watch(100ms);
+  runFor(6 * kTimeout);
+  LONGS_EQUAL(1, watchEnds);
+  CHECK(base::errorOf(*changes)->code == Code::PlatformTimeout);
+  LONGS_EQUAL(2, server.requests.size());
+  LONGS_EQUAL(0, silences);
+}
+
+// An answer that is only late must not make all watches ask again.
+TEST(SilentConnections, SlowAnswerIsNotTakenForSilence)
+{
+  server.silent = [](std::size_t) { return true; };
+  watch(100ms);
+  runFor(100ms + platform::overdueAfter(kTimeout) + 50ms);
+  LONGS_EQUAL(2, server.requests.size());
+  server.held.front()->reply({ 200, {}, R"({"revision":7,"items":[]})" });
+  runFor(50ms);
+  LONGS_EQUAL(1, watchEnds);
+  CHECK(base::errorOf(*changes) == nullptr);
+  LONGS_EQUAL(0, silences);
+}
+
+// A refusal on the new connection says nothing about the older one, whose
+// answer may still come.
+TEST(SilentConnections, RefusedRepetitionLeavesTheOriginalWaiting)
+{
+  server.silent = [](std::size_t) { return true; };
+  watch(100ms);
+  runFor(100ms + platform::overdueAfter(kTimeout) + 50ms);
+  server.held.back()->reply({ 503, {}, "" });
+  runFor(20ms);
+  LONGS_EQUAL(0, watchEnds);
+  server.held.front()->reply({ 200, {}, R"({"revision":7,"items":[]})" });
+  runFor(50ms);
+  LONGS_EQUAL(1, watchEnds);
+  CHECK(base::errorOf(*changes) == nullptr);
+  LONGS_EQUAL(0, silences);
+}
+
+// A simulated outage that ends between a call and its repetition must not leave
+// the first one with a callback that no longer exists.
+TEST(SilentConnections, OutageThatEndsBeforeTheRepetition)
+{
+  client.simulateOutage(true);
+  watch(100ms);
+  client.simulateOutage(false);
+  runFor(6 * kTimeout);
+  LONGS_EQUAL(1, watchEnds);
+  CHECK(base::errorOf(*changes) == nullptr);
+}
+
 int
 main(int aCount, char** aValues)
 {
