Charge the failure of a relay to the relay that failed

The three watches of a VM shared the name of the relay chosen last, so a failure of one could put another, sound relay aside for a second. The failed call now names its relay by its client. Found by reading; no test of its own: WatchRelay has no test program, and the end-to-end tests can't make one relay fail for one watch only. Covered only by the existing end-to-end tests.

--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -225,14 +225,14 @@
   aClient.watch(mPrefix,
                 { mRevision, mMirror.era() },
                 waitLimit(aFromRelay),
-                [this, aFromRelay, generation = mGeneration](
+                [this, &aClient, aFromRelay, generation = mGeneration](
                   const base::Captured<platform::Snapshot>& aResult) {
                   if (generation != mGeneration) {
                     return;
                   }
                   mStoreWaitSince.reset();
                   if (const base::Error* error = base::errorOf(aResult)) {
-                    onFailure(*error, aFromRelay);
+                    onFailure(*error, aClient);
                   } else {
                     onChanges(std::get<platform::Snapshot>(aResult),
                               aFromRelay);
@@ -241,7 +241,8 @@
 }
 
 void
-PrefixWatch::onFailure(const base::Error& aError, bool aFromRelay)
+PrefixWatch::onFailure(const base::Error& aError,
+                       const platform::Client& aClient)
 {
   if (aError.code == base::Code::HistoryCompacted) {
     observe::logInfo(
@@ -250,10 +251,10 @@
     list();
     return;
   }
-  if (aFromRelay) {
+  if (&aClient != &mClient) {
     // The store has everything that a relay has.
     mRelayFailed = true;
-    mRelays.failed();
+    mRelays.failed(aClient);
     schedule(0ms, &PrefixWatch::wait);
     return;
   }
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -28,8 +28,8 @@
 {
   /** @return client of the relay to use, nullptr to use the store */
   std::function<platform::Client*()> relay;
-  /** The relay failed or refused; another call chooses the next one. */
-  std::function<void()> failed;
+  /** A relay failed or refused; another call chooses the next one. */
+  std::function<void(const platform::Client& aRelay)> failed;
   /** @return longest pause before this VM reads the store in place of failed
    * relays, and between its calls while the store fails; zero if this VM is the
    * one to read it */
@@ -97,7 +97,7 @@
   void onRestored();
   void onSilence(base::TimePoint aSince);
   void onChanges(const platform::Snapshot& aChanges, bool aFromRelay);
-  void onFailure(const base::Error& aError, bool aFromRelay);
+  void onFailure(const base::Error& aError, const platform::Client& aClient);
   void waitAt(platform::Client& aClient, bool aFromRelay);
   void postponeStoreCalls();
   base::Duration waitLimit(bool aFromRelay);
--- a/apps/gateway/watch_relay.cpp
+++ b/apps/gateway/watch_relay.cpp
@@ -54,9 +54,10 @@
 WatchRelay::addWatch(PrefixWatch& aWatch)
 {
   mWatches[aWatch.prefix()] = &aWatch;
-  aWatch.setRelays({ [this] { return chooseRelay(); },
-                     [this] { recordFailure(); },
-                     [this] { return storeDelay(); } });
+  aWatch.setRelays(
+    { [this] { return chooseRelay(); },
+      [this](const platform::Client& aRelay) { recordFailure(aRelay); },
+      [this] { return storeDelay(); } });
   aWatch.mirrorChanged().connect([this, &aWatch] { onChanged(aWatch); });
 }
 
@@ -72,7 +73,6 @@
     const auto failed = mFailedUntil.find(vm);
     const bool usable = failed == mFailedUntil.end() || now >= failed->second;
     if (member != mFleet.others().end() && usable) {
-      mChosen = vm;
       return &client(member->second);
     }
   }
@@ -91,9 +91,13 @@
 }
 
 void
-WatchRelay::recordFailure()
+WatchRelay::recordFailure(const platform::Client& aRelay)
 {
-  mFailedUntil[mChosen] = base::monotonicNow() + kFailedPeriod;
+  for (const auto& [vm, client] : mClients) {
+    if (client.get() == &aRelay) {
+      mFailedUntil[vm] = base::monotonicNow() + kFailedPeriod;
+    }
+  }
 }
 
 base::Duration
--- a/apps/gateway/watch_relay.h
+++ b/apps/gateway/watch_relay.h
@@ -45,7 +45,7 @@
   };
   platform::Client* chooseRelay();
   platform::Client& client(const Member& aRelay);
-  void recordFailure();
+  void recordFailure(const platform::Client& aRelay);
   base::Duration storeDelay() const;
   bool isCurrent(const PrefixWatch& aWatch) const;
   void serve(const http::Request& aRequest,
@@ -63,7 +63,6 @@
   std::map<base::VmName, std::unique_ptr<platform::Client>> mClients;
   /** Relays that failed or refused lately, and until when they are not used. */
   std::map<base::VmName, base::TimePoint> mFailedUntil;
-  base::VmName mChosen; ///< relay of the latest choice
 };
 
 } // namespace marigold::gateway
