Mend what the review of the fixes found

Calls that hang since a silence that was reported already reported it again, so that watches on sound connections asked anew; a store that is slow for all got each renewal and each empty wait twice; a list could take a silent idle connection. A verdict whose crashes lie before the start of the VM's clock counted as new (age taken from time zero). A trial of a blocked part was used up before the request was admitted and by requests that had been sent already; it begins with the send now. Tests: OneSilenceIsReportedOnce, SlowStoreIsNotAskedTwiceAgain, VerdictHasLapsedAlsoForAVmThatStartsAfterItsCrashes.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -232,9 +232,10 @@
   if (verdict == nullptr) {
     return false;
   }
-  if (mContext.crashes.beginTrial(mTraits, base::monotonicNow())) {
-    mContext.log.logStep(
-      mMetadata.id, "trial of a blocked part", "", "", base::monotonicNow());
+  const bool mayBeTried =
+    !mayHaveRun() && !mCall &&
+    mContext.crashes.mayTry(mTraits, base::monotonicNow());
+  if (mayBeTried) {
     return false;
   }
   const std::string detail =
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -643,6 +643,12 @@
 void
 Exchange::send(const std::shared_ptr<Upstream>& aUpstream)
 {
+  const base::TimePoint now = base::monotonicNow();
+  if (mContext.crashes.verdictOn(mTraits) != nullptr &&
+      mContext.crashes.beginTrial(mTraits, now)) {
+    mContext.log.logStep(
+      mMetadata.id, "trial of a blocked part", aUpstream->record.name, "", now);
+  }
   auto call =
     startCall(aUpstream, &Exchange::serializeRequest, &Exchange::onFailed);
   if (!call) {
--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -290,14 +290,10 @@
 bool
 CrashTracker::lapsed(const CrashVerdict& aVerdict, base::TimePoint aNow) const
 {
-  base::TimePoint latest{};
-  for (const peers::ProcessTag crash : aVerdict.crashes) {
-    const auto found = mCrashes.find(crash);
-    latest =
-      found == mCrashes.end() ? latest : std::max(latest, found->second.at);
-  }
-  return aNow - latest >
-         (aVerdict.certain() ? kCertainLifetime : kUncertainLifetime);
+  const auto latest = mCrashes.find(latestCrash(aVerdict));
+  return latest == mCrashes.end() ||
+         aNow - latest->second.at >
+           (aVerdict.certain() ? kCertainLifetime : kUncertainLifetime);
 }
 
 void
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -110,6 +110,10 @@
    */
   bool beginTrial(const peers::TraitSet& aTraits, base::TimePoint aNow);
 
+  /** @param aTraits traits of a request that a verdict covers @param aNow time
+   * @return true if beginTrial() would let it through */
+  bool mayTry(const peers::TraitSet& aTraits, base::TimePoint aNow) const;
+
   /** @param aTraits traits of a request @return true if no request is known to
    * have finished with one of its parts */
   bool hasNewPart(const peers::TraitSet& aTraits) const;
--- a/libs/dispatch/crash_tracker_record.cpp
+++ b/libs/dispatch/crash_tracker_record.cpp
@@ -117,7 +117,8 @@
 CrashTracker::latestCrash(const CrashVerdict& aVerdict) const
 {
   peers::ProcessTag latest = 0;
-  base::TimePoint at{};
+  // A VM that has just started knows crashes from before its clock began.
+  base::TimePoint at = base::TimePoint::min();
   for (const peers::ProcessTag tag : aVerdict.crashes) {
     const auto crash = mCrashes.find(tag);
     if (crash != mCrashes.end() && crash->second.at > at) {
--- a/libs/dispatch/crash_tracker_trial.cpp
+++ b/libs/dispatch/crash_tracker_trial.cpp
@@ -78,16 +78,22 @@
 }
 
 bool
-CrashTracker::beginTrial(const peers::TraitSet& aTraits, base::TimePoint aNow)
+CrashTracker::mayTry(const peers::TraitSet& aTraits, base::TimePoint aNow) const
 {
   if (!mTrialsEnabled) {
     return false;
   }
   const peers::TraitSet suspects = trialSuspects(aTraits, aNow);
-  if (suspects.empty() || !mTrials.allows(suspects, aNow)) {
+  return !suspects.empty() && mTrials.allows(suspects, aNow);
+}
+
+bool
+CrashTracker::beginTrial(const peers::TraitSet& aTraits, base::TimePoint aNow)
+{
+  if (!mayTry(aTraits, aNow)) {
     return false;
   }
-  mTrials.begin(aTraits, suspects, aNow);
+  mTrials.begin(aTraits, trialSuspects(aTraits, aNow), aNow);
   return true;
 }
 
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -575,6 +575,20 @@
   CHECK(peer.isRecorded(stored, now + 11min));
 }
 
+// Guards against an uncertain verdict that is taken for new by a VM whose clock
+// began after its crashes, as after a loss of power.
+TEST(KeptEvidence, VerdictHasLapsedAlsoForAVmThatStartsAfterItsCrashes)
+{
+  crashTimes(2, { 1, 66 });
+  CHECK(blocked(request({ 1, 66 })));
+  write(tracker, now);
+  tracker.expire(now + 1min);
+  CHECK(!blocked(request({ 1, 66 })));
+  const auto old = read(dispatch::encodeCrashRecord(stored), 1min);
+  peer.merge(old, TimePoint{} + 15s);
+  CHECK(peer.verdictOn(request({ 1, 66 })) == nullptr);
+}
+
 // Guards against a clock that is ahead and shortens the evidence of a VM that
 // saw the crashes itself.
 TEST(KeptEvidence, TimesSeenHereAreNotReplaced)
--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -239,14 +239,24 @@
 {
   const HedgedId id = mNextHedgedId++;
   HedgedCall& call = mHedgedCalls[id] = std::move(aCall);
+  call.startedAt = base::monotonicNow();
   call.timer = mLoop.after(aExpectedWithin + overdueAfter(mTimeout),
-                           [this, id] { repeat(id); });
+                           [this, id] { onOverdue(id); });
   call.original =
     sendWith(call.request, call.options, [this, id](const auto& aResponse) {
       onOriginal(id, aResponse);
     });
 }
 
+/** A store that is slow for all is not asked twice as often. */
+void
+Client::onOverdue(HedgedId aId)
+{
+  if (!mAnswersLate) {
+    repeat(aId);
+  }
+}
+
 void
 Client::repeat(HedgedId aId)
 {
@@ -271,6 +281,7 @@
   }
   call->second.original.reset();
   const Error* error = base::errorOf(aResponse);
+  mAnswersLate = !isLost(error) && call->second.repetition;
   if (isRefusedOrLost(error) && call->second.repetition) {
     return;
   }
@@ -294,7 +305,11 @@
     if (isRefusedOrLost(base::errorOf(aResponse))) {
       return;
     }
-    reportSilence(call->second.repeatedAt);
+    // Calls from before a silence that was found already tell nothing new.
+    if (call->second.startedAt > mSilenceFoundAt) {
+      mSilenceFoundAt = call->second.repeatedAt;
+      reportSilence(mSilenceFoundAt);
+    }
   }
   finish(aId, aResponse);
 }
@@ -349,36 +364,37 @@
 {
   const std::string after =
     aPartial->entries.empty() ? std::string() : aPartial->entries.back().key;
-  send(mProtocol.list(aPrefix, after),
-       mTimeout,
-       false,
-       [this, aPrefix, aPartial, aDone = std::move(aDone)](
-         const Captured<http::Response>& aResponse) {
-         auto page = readResponse<Snapshot>(aResponse, mProtocol.readPage);
-         if (base::errorOf(page) != nullptr) {
-           aDone(page);
-           return;
-         }
-         auto& read = std::get<Snapshot>(page);
-         if (aPartial->revision == 0) {
-           aPartial->era = era();
-           aPartial->revision = read.revision;
-         }
-         if (aPartial->era != era()) {
-           // The earlier pages are from before the store was restored.
-           list(aPrefix, aDone);
-           return;
-         }
-         const bool more = read.more && !read.entries.empty();
-         std::move(read.entries.begin(),
-                   read.entries.end(),
-                   std::back_inserter(aPartial->entries));
-         if (more) {
-           listFrom(aPrefix, aPartial, aDone);
-           return;
-         }
-         aDone(std::move(*aPartial));
-       });
+  // A list is not sent again if its answer is overdue, so it does not rely on
+  // an idle connection, which may be silent.
+  sendWith(mProtocol.list(aPrefix, after),
+           { mTimeout, false, &mClient, false },
+           [this, aPrefix, aPartial, aDone = std::move(aDone)](
+             const Captured<http::Response>& aResponse) {
+             auto page = readResponse<Snapshot>(aResponse, mProtocol.readPage);
+             if (base::errorOf(page) != nullptr) {
+               aDone(page);
+               return;
+             }
+             auto& read = std::get<Snapshot>(page);
+             if (aPartial->revision == 0) {
+               aPartial->era = era();
+               aPartial->revision = read.revision;
+             }
+             if (aPartial->era != era()) {
+               // The earlier pages are from before the store was restored.
+               list(aPrefix, aDone);
+               return;
+             }
+             const bool more = read.more && !read.entries.empty();
+             std::move(read.entries.begin(),
+                       read.entries.end(),
+                       std::back_inserter(aPartial->entries));
+             if (more) {
+               listFrom(aPrefix, aPartial, aDone);
+               return;
+             }
+             aDone(std::move(*aPartial));
+           });
 }
 
 void
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -184,6 +184,7 @@
     ResponseCallback done;
     std::optional<Calls::iterator> original{}; ///< while it is pending
     std::optional<Calls::iterator> repetition{};
+    base::TimePoint startedAt{};
     base::TimePoint repeatedAt{};
     http::EventHandle timer{};
   };
@@ -197,6 +198,7 @@
                            const Options& aOptions,
                            ResponseCallback aDone);
   void sendHedged(HedgedCall aCall, base::Duration aExpectedWithin);
+  void onOverdue(HedgedId aId);
   void repeat(HedgedId aId);
   void onOriginal(HedgedId aId,
                   const base::Captured<http::Response>& aResponse);
@@ -225,6 +227,10 @@
   Calls mCalls;
   std::map<HedgedId, HedgedCall> mHedgedCalls; ///< pending
   HedgedId mNextHedgedId = 0;
+  /** The latest answer came, but only after its call was sent again. */
+  bool mAnswersLate = false;
+  /** When the connection was opened that showed the latest silence. */
+  base::TimePoint mSilenceFoundAt = base::TimePoint::min();
   sigc::signal<void(base::TimePoint)> mSilenceFound;
   http::EventHandle mSilenceTimer;
   std::list<http::EventHandle> mDroppedCalls; ///< calls made during an outage
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -389,6 +389,38 @@
   LONGS_EQUAL(0, silences);
 }
 
+// A store that is slow for all must not get twice the calls as long as it is.
+TEST(SilentConnections, SlowStoreIsNotAskedTwiceAgain)
+{
+  server.silent = [](std::size_t) { return true; };
+  watch(100ms);
+  runFor(100ms + platform::overdueAfter(kTimeout) + 50ms);
+  server.held.front()->reply({ 200, {}, R"({"revision":7,"items":[]})" });
+  runFor(20ms);
+  LONGS_EQUAL(2, server.requests.size());
+  watch(100ms);
+  runFor(100ms + platform::overdueAfter(kTimeout) + 50ms);
+  LONGS_EQUAL(3, server.requests.size());
+  server.held.back()->reply({ 200, {}, R"({"revision":8,"items":[]})" });
+  runFor(20ms);
+  LONGS_EQUAL(2, watchEnds);
+  watch(100ms);
+  runFor(100ms + platform::overdueAfter(kTimeout) + 50ms);
+  LONGS_EQUAL(5, server.requests.size());
+}
+
+// Calls that hang since a silence that was found already must not make watches
+// on sound connections ask again.
+TEST(SilentConnections, OneSilenceIsReportedOnce)
+{
+  server.silent = [](std::size_t aNumber) { return aNumber <= 2; };
+  watch(100ms);
+  watch(300ms);
+  runFor(300ms + kTimeout);
+  LONGS_EQUAL(2, watchEnds);
+  LONGS_EQUAL(1, silences);
+}
+
 // A refusal on the new connection says nothing about the older one, whose
 // answer may still come.
 TEST(SilentConnections, RefusedRepetitionLeavesTheOriginalWaiting)
