--- a/libs/residency/store_load_limiter.cpp
+++ b/libs/residency/store_load_limiter.cpp
@@ -20,13 +20,6 @@
 
 } // namespace
 
-void
-StoreLoadLimiter::setLimit(const StoreLoadLimit& aLimit)
-{
-  mLimit = aLimit;
-  fillWindow();
-}
-
 double
 StoreLoadLimiter::windowCapacity() const
 {
@@ -49,7 +42,6 @@
                                base::TimePoint aNow)
 {
   mReportedAt = aNow;
-  mFullSince.reset();
   mLoads.clear();
   for (const base::Duration age : aAges) {
     mLoads.push_back(aNow - age);
@@ -62,23 +54,11 @@
                                  base::TimePoint aNow)
 {
   const base::TimePoint pauseStart = aNow - aOrderPause;
-  if (mReportedAt + kReportPeriod >= pauseStart) {
-    mFullSince.reset();
-    return;
-  }
-  mFullSince = pauseStart;
-  fillWindow();
-}
-
-/** The previous owner may have used the whole window since its last report. */
-void
-StoreLoadLimiter::fillWindow()
-{
-  if (!mFullSince || mLimit.perSecond <= 0) {
+  if (mReportedAt + kReportPeriod >= pauseStart || mLimit.perSecond <= 0) {
     return;
   }
-  mLoads.assign(static_cast<std::size_t>(windowCapacity()), *mFullSince);
-  mFullSince.reset();
+  // The previous owner may have used the whole window since its last report.
+  mLoads.assign(static_cast<std::size_t>(windowCapacity()), pauseStart);
 }
 
 unsigned
--- a/libs/residency/store_load_limiter.h
+++ b/libs/residency/store_load_limiter.h
@@ -4,7 +4,6 @@
 #include "base/base.h"
 
 #include <deque>
-#include <optional>
 #include <vector>
 
 namespace marigold::residency {
@@ -27,7 +26,7 @@
 {
 public:
   /** @param aLimit limit of the weights store */
-  void setLimit(const StoreLoadLimit& aLimit);
+  void setLimit(const StoreLoadLimit& aLimit) { mLimit = aLimit; }
 
   /** Records that this VM ordered a load. */
   void recordLoad(base::TimePoint aNow) { mLoads.push_back(aNow); }
@@ -55,11 +54,7 @@
   double windowCapacity() const;
   void dropExpired(base::TimePoint aNow);
 
-  void fillWindow();
-
   StoreLoadLimit mLimit;
-  /** Set while a full window waits for the limit, which tells its size. */
-  std::optional<base::TimePoint> mFullSince;
   std::deque<base::TimePoint> mLoads; ///< oldest first
   base::TimePoint mReportedAt{};      ///< time of the owner's last report
 };
