Write the record of crashes soon, also without an owner of orders

VMs without the ownership now wait 0.1 s and their spread, and a record that is gone is written at once.

--- a/apps/gateway/crash_records.cpp
+++ b/apps/gateway/crash_records.cpp
@@ -18,8 +18,9 @@
 /** Without a write for this long, the interval starts over. */
 constexpr base::Duration kCalmPeriod = 2min;
 /** Delay of VMs that do not own the orders, and its spread for each VM of the
- * fleet, so that usually one of them writes to the store. */
-constexpr base::Duration kFallbackDelay = 1s;
+ * fleet, so that usually one of them writes to the store. Short, because a kill
+ * of all VMs loses what is not written. */
+constexpr base::Duration kFallbackDelay = 100ms;
 constexpr base::Duration kFallbackSpread = 50ms;
 /** Longer records are not parsed. */
 constexpr std::size_t kMaxRecordSize = 256UL * 1024;
@@ -85,6 +86,9 @@
   mRevision = aEntry.value ? aEntry.revision : 0;
   mStored = {};
   if (!aEntry.value) {
+    // A store restored from an older copy may have lost the record.
+    mNotBefore = {};
+    mDueAt.reset();
     return;
   }
   const auto decoded = base::capture([&] { return decode(*aEntry.value); });
