Share the calls of the two tests of crash evidence

test_crash_records.py and test_crash_trials.py had the same tearDown() and send(). Both are in prompt_calls.py now; the tests and their assertions are as they were.

--- a/tests/e2e/test_crash_records.py
+++ b/tests/e2e/test_crash_records.py
@@ -1,15 +1,14 @@
 """Tests that evidence of crashes outlives a kill of all gateways, through the record in the store."""
 
-import http.client
 import json
 import os
 import signal
 import tempfile
-import threading
 import time
 import unittest
 
 from gateway_process import Gateway, wait_for
+from prompt_calls import PromptCalls
 from users_platform import ROUTES, Platform, Upstream
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27200))
@@ -40,7 +39,7 @@
 ]
 
 
-class CrashRecordsTest(unittest.TestCase):
+class CrashRecordsTest(PromptCalls):
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform()
@@ -60,39 +59,16 @@
         self.number = 0
         self.wait_ready()
 
-    def tearDown(self):
-        for call in self.calls:
-            call.join()
-        for gateway in self.gateways:
-            gateway.stop()
-        self.platform.close()
-        self.folder.cleanup()
-
     def wait_ready(self):
         wait_for(lambda: all(gateway.ready() for gateway in self.gateways), 15)
 
-    def send(self, prompt, results):
-        self.number += 1
-        number = self.number
-
-        def call():
-            try:
-                results.append(self.gateways[number % 2].call(
-                    f"/single/{number}", headers={"X-Model-Name": "m1", "X-Token-Usage": "100,20",
-                                          "X-Prompt-Prefix": f"{prompt},{number:x}:50"})[0])
-            except (OSError, ValueError, http.client.HTTPException):  # broken off with its engine
-                results.append(0)
-        self.calls.append(threading.Thread(target=call))
-        self.calls[-1].start()
-
     def send_batch(self, prompt="f0:20,dead:30"):
         """Sends requests that share the parts of the prompt, and returns their statuses."""
         results = []
         for _ in range(BATCH):
             self.send(prompt, results)
             time.sleep(0.05)
-        for call in self.calls:
-            call.join()
+        self.join_calls()
         return results
 
     def crash_engines(self):
--- a/tests/e2e/test_crash_trials.py
+++ b/tests/e2e/test_crash_trials.py
@@ -1,13 +1,12 @@
 """Tests that a sound part of prompts that was convicted by chance is cleared soon, through real gateways."""
 
-import http.client
 import os
 import tempfile
-import threading
 import time
 import unittest
 
 from gateway_process import Gateway, wait_for
+from prompt_calls import PromptCalls
 from users_platform import ROUTES, Platform, Upstream
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27300))
@@ -20,7 +19,7 @@
 DEADLY = "f0:20,dead:30"
 
 
-class CrashTrialsTest(unittest.TestCase):
+class CrashTrialsTest(PromptCalls):
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform()
@@ -36,35 +35,12 @@
         self.number = 0
         wait_for(lambda: all(gateway.ready() for gateway in self.gateways))
 
-    def tearDown(self):
-        for call in self.calls:
-            call.join()
-        for gateway in self.gateways:
-            gateway.stop()
-        self.platform.close()
-        self.folder.cleanup()
-
-    def send(self, prompt, results):
-        self.number += 1
-        number = self.number
-
-        def call():
-            try:
-                results.append(self.gateways[number % 2].call(
-                    f"/single/{number}", headers={"X-Model-Name": "m1", "X-Token-Usage": "100,20",
-                                          "X-Prompt-Prefix": f"{prompt},{number:x}:50"})[0])
-            except (OSError, ValueError, http.client.HTTPException):  # broken off with its engine
-                results.append(0)
-        self.calls.append(threading.Thread(target=call))
-        self.calls[-1].start()
-
     def test_sound_part_of_six_crashes_at_one_moment_is_served_again(self):
         """Guards against a part that is refused although only requests with it were running when engines crashed."""
         first = []
         for _ in range(4):
             self.send(SOUND, first)
-        for call in self.calls:
-            call.join()
+        self.join_calls()
         self.assertEqual([200] * 4, first)
         for engine in self.engines:
             engine.delay = RUN_SECONDS
@@ -92,8 +68,7 @@
             self.send(SOUND, late_sound if now > crashed + 2 * CONTACT_SECONDS else [])
             self.send(DEADLY, [])
             time.sleep(0.1)
-        for call in self.calls:
-            call.join()
+        self.join_calls()
         self.assertGreater(late_sound.count(200), len(late_sound) / 2, late_sound)
         deadly_after = sum(len(engine.deadly_arrivals) for engine in self.engines)
         self.assertLessEqual(deadly_after - deadly_before, MOST_AFTERWARDS)
