--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -411,6 +411,8 @@
     parser.add_argument("--skip-known", action="store_true", help="do not run the seeds of seeds.txt")
     parser.add_argument("--jobs", type=int, default=1, help="runs at once; each takes 100 ports of its own")
     arguments = parser.parse_args()
+    if arguments.keep:
+        os.makedirs(arguments.keep, exist_ok=True)
     seeds = [] if arguments.skip_known else known_seeds()
     seeds += range(arguments.seed, arguments.seed + arguments.runs)
     if arguments.jobs > 1:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,8 +1,12 @@
 """Tests that the checks of the soak detect violations and accept valid records."""
 
 import asyncio
+import os
 import socket
 import struct
+import subprocess
+import sys
+import tempfile
 import time
 import unittest
 
@@ -260,5 +264,16 @@
         other.close()
 
 
+class CommandLineTest(unittest.TestCase):
+    # Guards against a traceback for each seed whose logs cannot be kept.
+    def test_folder_of_logs_is_made(self):
+        with tempfile.TemporaryDirectory() as folder:
+            kept = os.path.join(folder, "new", "logs")
+            program = os.path.join(os.path.dirname(os.path.abspath(__file__)), "soak.py")
+            subprocess.run([sys.executable, program, "--skip-known", "--runs", "0", "--keep", kept], check=True,
+                           capture_output=True)
+            self.assertTrue(os.path.isdir(kept))
+
+
 if __name__ == "__main__":
     unittest.main()
