--- a/apps/ctl/commands.cpp
+++ b/apps/ctl/commands.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <iomanip>
 #include <iostream>
+#include <nlohmann/json.hpp>
 #include <set>
 
 namespace marigold::ctl {
--- a/apps/ctl/session.cpp
+++ b/apps/ctl/session.cpp
@@ -1,5 +1,6 @@
 #include "apps/ctl/session.h"
 
+#include <nlohmann/json.hpp>
 #include <optional>
 
 namespace marigold::ctl {
--- a/apps/ctl/session.h
+++ b/apps/ctl/session.h
@@ -6,7 +6,7 @@
 #include "http/http.h"
 #include "platform/platform.h"
 
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
--- a/apps/entry/claim_service.cpp
+++ b/apps/entry/claim_service.cpp
@@ -3,6 +3,7 @@
 #include "apps/entry/claim_wire.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace marigold::entry {
 namespace {
--- a/apps/entry/claim_service.h
+++ b/apps/entry/claim_service.h
@@ -13,6 +13,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 
--- a/apps/entry/claim_voting.h
+++ b/apps/entry/claim_voting.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
--- a/apps/entry/claim_wire.cpp
+++ b/apps/entry/claim_wire.cpp
@@ -1,6 +1,7 @@
 #include "apps/entry/claim_wire.h"
 
 #include <array>
+#include <nlohmann/json.hpp>
 
 namespace marigold::entry {
 namespace {
--- a/apps/entry/claim_wire.h
+++ b/apps/entry/claim_wire.h
@@ -3,7 +3,7 @@
 
 #include "claims/claims.h"
 
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 namespace marigold::entry {
--- a/apps/entry/crash_watch.h
+++ b/apps/entry/crash_watch.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <set>
 #include <string>
 
--- a/apps/entry/front.cpp
+++ b/apps/entry/front.cpp
@@ -1,5 +1,6 @@
 #include "apps/entry/front.h"
 
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace marigold::entry {
--- a/apps/entry/loan_codec.cpp
+++ b/apps/entry/loan_codec.cpp
@@ -1,6 +1,7 @@
 #include "apps/entry/loan_codec.h"
 
 #include <cmath>
+#include <nlohmann/json.hpp>
 
 namespace marigold::entry {
 namespace {
--- a/apps/entry/loan_codec.h
+++ b/apps/entry/loan_codec.h
@@ -3,7 +3,7 @@
 
 #include "limits/limits.h"
 
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 namespace marigold::entry {
--- a/apps/entry/node.cpp
+++ b/apps/entry/node.cpp
@@ -1,6 +1,7 @@
 #include "apps/entry/node.h"
 
 #include <csignal>
+#include <nlohmann/json.hpp>
 
 namespace marigold::entry {
 namespace {
--- a/apps/entry/node.h
+++ b/apps/entry/node.h
@@ -7,6 +7,8 @@
 #include "apps/entry/platform_sync.h"
 #include "apps/entry/settings.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace marigold::entry {
 
 /** An entry process. */
--- a/apps/entry/peer_link.cpp
+++ b/apps/entry/peer_link.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <nlohmann/json.hpp>
 
 namespace marigold::entry {
 namespace {
--- a/apps/entry/slot_sync.cpp
+++ b/apps/entry/slot_sync.cpp
@@ -3,6 +3,7 @@
 #include "observe/observe.h"
 
 #include <charconv>
+#include <nlohmann/json.hpp>
 
 namespace marigold::entry {
 namespace {
--- a/apps/entry/slot_sync.h
+++ b/apps/entry/slot_sync.h
@@ -7,7 +7,7 @@
 #include "platform/platform.h"
 
 #include <functional>
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 namespace marigold::entry {
 
--- a/apps/entry/team_limits.cpp
+++ b/apps/entry/team_limits.cpp
@@ -3,6 +3,7 @@
 #include "apps/entry/loan_codec.h"
 
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace marigold::entry {
--- a/apps/entry/upstream_table.cpp
+++ b/apps/entry/upstream_table.cpp
@@ -3,6 +3,7 @@
 #include "observe/observe.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace marigold::entry {
--- a/apps/entry/upstream_table.h
+++ b/apps/entry/upstream_table.h
@@ -10,7 +10,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 #include <sigc++/sigc++.h>
 #include <string>
 #include <vector>
--- a/apps/gateway/fleet_records.cpp
+++ b/apps/gateway/fleet_records.cpp
@@ -1,5 +1,7 @@
 #include "apps/gateway/fleet_records.h"
 
+#include <nlohmann/json.hpp>
+
 namespace marigold::gateway {
 namespace {
 
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <nlohmann/json.hpp>
 
 namespace marigold::gateway {
 namespace {
--- a/apps/load/answer_check.cpp
+++ b/apps/load/answer_check.cpp
@@ -1,5 +1,6 @@
 #include "apps/load/answer_check.h"
 
+#include <nlohmann/json.hpp>
 #include <sstream>
 
 namespace marigold::load {
--- a/apps/load/answer_check.h
+++ b/apps/load/answer_check.h
@@ -3,7 +3,7 @@
 
 #include "apps/load/scenario.h"
 
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
 
--- a/apps/load/main.cpp
+++ b/apps/load/main.cpp
@@ -6,6 +6,7 @@
 #include <docopt/docopt.h>
 #include <fstream>
 #include <iostream>
+#include <nlohmann/json.hpp>
 
 using namespace marigold;
 
--- a/apps/load/measures.cpp
+++ b/apps/load/measures.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <nlohmann/json.hpp>
 
 namespace marigold::load {
 namespace {
--- a/apps/load/runner.cpp
+++ b/apps/load/runner.cpp
@@ -1,6 +1,7 @@
 #include "apps/load/runner.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace marigold::load {
 namespace {
--- a/apps/load/safety.cpp
+++ b/apps/load/safety.cpp
@@ -1,6 +1,7 @@
 #include "apps/load/measures.h"
 
 #include <map>
+#include <nlohmann/json.hpp>
 #include <set>
 
 namespace marigold::load {
--- a/apps/placer/demand_poll.cpp
+++ b/apps/placer/demand_poll.cpp
@@ -2,6 +2,8 @@
 
 #include "observe/observe.h"
 
+#include <nlohmann/json.hpp>
+
 namespace marigold::placer {
 namespace {
 
--- a/apps/placer/demand_poll.h
+++ b/apps/placer/demand_poll.h
@@ -6,7 +6,7 @@
 
 #include <map>
 #include <memory>
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 namespace marigold::placer {
--- a/apps/placer/node.cpp
+++ b/apps/placer/node.cpp
@@ -3,6 +3,7 @@
 #include "config/config.h"
 
 #include <csignal>
+#include <nlohmann/json.hpp>
 
 namespace marigold::placer {
 namespace {
--- a/apps/placer/node.h
+++ b/apps/placer/node.h
@@ -10,6 +10,8 @@
 #include "placement/placement.h"
 #include "platform/platform.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace marigold::placer {
 
 /** A placer process. */
--- a/cmake/Marigold.cmake
+++ b/cmake/Marigold.cmake
@@ -7,6 +7,12 @@
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
   add_library(marigold_${name} STATIC ${sources})
   target_include_directories(marigold_${name} PUBLIC ${CMAKE_SOURCE_DIR}/libs)
+  # all_verify_interface_header_sets compiles the public header alone.
+  set(header ${CMAKE_SOURCE_DIR}/libs/${name}/${name}.h)
+  if(MARIGOLD_TESTS AND EXISTS ${header})
+    target_sources(marigold_${name}
+      PUBLIC FILE_SET HEADERS BASE_DIRS ${CMAKE_SOURCE_DIR}/libs FILES ${header})
+  endif()
   foreach(dependency IN LISTS ARG_DEPENDS)
     if(NOT TARGET marigold_${dependency})
       message(FATAL_ERROR
--- a/libs/mesh/envelope.cpp
+++ b/libs/mesh/envelope.cpp
@@ -1,5 +1,7 @@
 #include "mesh/envelope.h"
 
+#include <nlohmann/json.hpp>
+
 namespace marigold::mesh {
 namespace {
 
--- a/libs/mesh/transport.cpp
+++ b/libs/mesh/transport.cpp
@@ -1,5 +1,6 @@
 #include "mesh/transport.h"
 
+#include <nlohmann/json.hpp>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
--- a/libs/mesh/transport.h
+++ b/libs/mesh/transport.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <set>
 #include <sigc++/sigc++.h>
 #include <string>
--- a/libs/observe/operator_server.cpp
+++ b/libs/observe/operator_server.cpp
@@ -1,5 +1,7 @@
 #include "observe/operator_server.h"
 
+#include <nlohmann/json.hpp>
+
 namespace marigold::observe {
 namespace {
 
--- a/libs/observe/operator_server.h
+++ b/libs/observe/operator_server.h
@@ -6,7 +6,7 @@
 
 #include <functional>
 #include <map>
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 namespace marigold::observe {
--- a/libs/platform/mirror.cpp
+++ b/libs/platform/mirror.cpp
@@ -1,6 +1,7 @@
 #include "platform/mirror.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <set>
 
 namespace marigold::platform {
--- a/libs/platform/mirror.h
+++ b/libs/platform/mirror.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 
 namespace marigold::platform {
--- a/libs/platform/native_protocol.cpp
+++ b/libs/platform/native_protocol.cpp
@@ -1,5 +1,7 @@
 #include "platform/wire_protocol.h"
 
+#include <nlohmann/json.hpp>
+
 namespace marigold::platform {
 namespace {
 
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -4,6 +4,7 @@
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/TestHarness.h>
 #include <cstdlib>
+#include <nlohmann/json.hpp>
 #include <optional>
 
 using namespace marigold;
--- a/libs/platform/untrusted_json.cpp
+++ b/libs/platform/untrusted_json.cpp
@@ -1,5 +1,6 @@
 #include "platform/untrusted_json.h"
 
+#include <nlohmann/json.hpp>
 #include <stdexcept>
 
 namespace marigold::platform {
--- a/libs/platform/untrusted_json.h
+++ b/libs/platform/untrusted_json.h
@@ -1,7 +1,7 @@
 /** @file Parser of JSON texts that any writer may have written. */
 #pragma once
 
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 namespace marigold::platform {
--- a/libs/platform/wire_protocol.h
+++ b/libs/platform/wire_protocol.h
@@ -6,7 +6,7 @@
 #include "http/message.h"
 
 #include <cstdint>
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <vector>
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs clang-format and clang-tidy on every source file of the project.
+# Runs clang-format and clang-tidy on every source file of the project; scripts/tidy.py skips unchanged ones.
 # Usage: scripts/lint.sh [FILE...]  (default: all files; needs a configured build/)
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -18,7 +18,5 @@
 for file in "${files[@]}"; do
   case "$file" in *.cpp) sources+=("$file") ;; esac
 done
-echo "clang-tidy on ${#sources[@]} files"
-printf '%s\0' "${sources[@]}" |
-  xargs -0 -n 1 -P "$(nproc)" clang-tidy --quiet -p build --extra-arg=-Wno-unknown-warning-option 2>/dev/null
+python3 scripts/tidy.py "${sources[@]}"
 echo "lint: clean"
--- a/standins/common/run_record.cpp
+++ b/standins/common/run_record.cpp
@@ -3,6 +3,7 @@
 #include "base/time.h"
 
 #include <fstream>
+#include <nlohmann/json.hpp>
 
 namespace marigold::standin {
 
--- a/standins/engine/chat_service.cpp
+++ b/standins/engine/chat_service.cpp
@@ -3,6 +3,7 @@
 #include "observe/observe.h"
 
 #include <cstdlib>
+#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 namespace marigold::standin {
--- a/standins/engine/engine_service.cpp
+++ b/standins/engine/engine_service.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <nlohmann/json.hpp>
 
 namespace marigold::standin {
 namespace {
--- a/standins/service/recording_service.cpp
+++ b/standins/service/recording_service.cpp
@@ -2,6 +2,7 @@
 
 #include "observe/observe.h"
 
+#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 namespace marigold::standin {
--- a/standins/weights/main.cpp
+++ b/standins/weights/main.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <nlohmann/json.hpp>
 
 using namespace marigold;
 using nlohmann::json;
