--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -447,6 +447,12 @@
 void
 Exchange::deliverResponse()
 {
+  if (mCallerDisconnected) {
+    finish(Code::CallerLeft,
+           0,
+           "answer " + std::to_string(mHead.status) + " has no caller");
+    return;
+  }
   mFirstByteAt = base::monotonicNow();
   if (mCaller->responseStarted()) {
     mCaller->endStream();
--- a/apps/gateway/watch_relay.cpp
+++ b/apps/gateway/watch_relay.cpp
@@ -1,6 +1,7 @@
 #include "apps/gateway/watch_relay.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace marigold::gateway {
 namespace {
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -689,6 +689,29 @@
   CHECK(caller.wasReset()); // An unread request may be sent again.
 }
 
+// Guards against a whole request that is read and dropped, because the idle
+// timer of its kept connection expires in the same pass of a late loop.
+TEST(CallerServer, RequestThatMeetsTheIdleTimerInALateLoopIsAnswered)
+{
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  wire::CallerServer server(
+    loop, [](const auto& aCaller) { aCaller->reply(200, {}, "done"); });
+  server.setLimits({ 1024, 1024, 1s, 60ms });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send(request);
+  std::string first;
+  const auto late = loop.after(40ms, [&] {
+    first = caller.receive();
+    caller.send(request);
+    std::this_thread::sleep_for(100ms);
+  });
+  const auto end = loop.after(250ms, [&] { loop.stop(); });
+  loop.run();
+  CHECK(first.ends_with("done"));
+  CHECK(caller.receive().ends_with("done"));
+}
+
 // Guards against a connection that is closed while its caller, who knows the
 // longer idle timeout of a new configuration, still relies on it.
 TEST(CallerServer, LongerIdleTimeoutCountsForConnectionsThatAreIdle)
