Read an answer that waits before a call of http::Client times out

Cause: after a suspension the timer of a call is due before the loop has read the socket, so a call whose whole answer had arrived ended as TimedOut. A signal such as SIGCONT ends the wait of the loop without any socket's event, and one read takes a few kilobytes only.

http::InputTimer, for this and the other timers of the class: when it expires it notes how many bytes have arrived, lets the loop go on until these are handled and judges then. Later bytes don't count, so a server that drips extends nothing. Eight rounds of the loop without progress end the wait: libevent asks for 32 sockets in a round, for twice as many after a full one, up to 4096. Ruled out: a second look after a fixed time (a guess), counters of its own in each of the five places.

decisions/0013 (nothing is written late) holds: the call waits only if no byte of the request is unsent or unacknowledged, otherwise it ends at once as before.

--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include "http/input_timer.h"
 #include "http/method.h"
 
 #include <algorithm>
@@ -10,8 +11,10 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -67,6 +70,17 @@
   setsockopt(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
 }
 
+/** @param aRequest FIONREAD or SIOCOUTQ @return number of bytes in the socket
+ */
+std::size_t
+bytesInSocket(int aDescriptor, unsigned long aRequest)
+{
+  int bytes = 0;
+  return ioctl(aDescriptor, aRequest, &bytes) == 0
+           ? static_cast<std::size_t>(bytes)
+           : 0;
+}
+
 void
 readHead(evhttp_request* aRequest, Response& aResponse)
 {
@@ -173,6 +187,14 @@
     static_cast<Connection*>(aSelf)->closed = true;
   }
 
+  /** @return true if a byte of the request may still be sent, so that no answer
+   * is complete and a later end of the call would let it be sent late */
+  bool maySend() const
+  {
+    return !begun || evbuffer_get_length(output) > 0 ||
+           bytesInSocket(descriptor(), SIOCOUTQ) > 0;
+  }
+
   /** @return true if bytes follow the end of the response, which would be read
    * as the start of the next one */
   bool hasSurplus() const { return evbuffer_get_length(input) > 0; }
@@ -199,11 +221,15 @@
   evhttp_request* request = nullptr;
   CallEvents events;
   Response response;
-  EventHandle timer;
+  InputTimer timer;
   EventHandle pause;
   bool headersComplete = false;
+  bool expired = false; ///< the timeout has passed; what arrived is read
 
   void end(CallEnd aEnd, bool aReusable);
+  void timedOut();
+  /** @return the response so far, nothing if none can be complete */
+  std::optional<InputCount> countInputOnExpiry();
   /** @param aUnread number of received bytes that evhttp has not consumed
    * @return true if the response exceeds a size limit */
   bool oversized(std::size_t aUnread) const;
@@ -227,7 +253,7 @@
   }
   // Deferred, because evhttp is reading from the connection.
   Call::State* call = std::exchange(self->call, nullptr);
-  call->timer = call->loop->after(base::Duration::zero(), [call] {
+  call->timer.start(*call->loop, base::Duration::zero(), nullptr, [call] {
     evhttp_cancel_request(call->request);
     call->end(CallEnd::Broken, false);
   });
@@ -273,6 +299,28 @@
   }
 }
 
+void
+Call::State::timedOut()
+{
+  if (request != nullptr) {
+    evhttp_cancel_request(request);
+  }
+  end(CallEnd::TimedOut, false);
+}
+
+std::optional<InputCount>
+Call::State::countInputOnExpiry()
+{
+  expired = true;
+  if (!connection || connection->maySend()) {
+    return std::nullopt;
+  }
+  const std::uint64_t handled = connection->received;
+  return InputCount{
+    handled + bytesInSocket(connection->descriptor(), FIONREAD), handled
+  };
+}
+
 int
 Call::State::onHead(evhttp_request* aRequest, void* aState)
 {
@@ -310,7 +358,8 @@
     aRequest == nullptr || evhttp_request_get_response_code(aRequest) == 0;
   if (failed) {
     const bool sent = state->connection && state->connection->sent;
-    state->end(sent ? CallEnd::Broken : CallEnd::NotSent, false);
+    const CallEnd end = state->expired ? CallEnd::TimedOut : CallEnd::Broken;
+    state->end(sent ? end : CallEnd::NotSent, false);
     return;
   }
   readHead(aRequest, state->response);
@@ -464,20 +513,20 @@
   }
 
   auto call = std::unique_ptr<Call>(new Call(std::move(state)));
-  raw->timer = mLoop.after(aTimeout, [raw] {
-    if (raw->request != nullptr) {
-      evhttp_cancel_request(raw->request);
-    }
-    raw->end(CallEnd::TimedOut, false);
-  });
+  raw->timer.start(
+    mLoop,
+    aTimeout,
+    [raw] { return raw->countInputOnExpiry(); },
+    [raw] { raw->timedOut(); });
   if (evhttp_make_request(raw->connection->native,
                           raw->request,
                           methodCode(aRequest.method),
                           target.c_str()) != 0) {
     // evhttp has already freed the request.
     raw->request = nullptr;
-    raw->timer = mLoop.after(base::Duration::zero(),
-                             [raw] { raw->end(CallEnd::NotSent, false); });
+    raw->timer.start(mLoop, base::Duration::zero(), nullptr, [raw] {
+      raw->end(CallEnd::NotSent, false);
+    });
   }
   return call;
 }
--- a/libs/http/client.h
+++ b/libs/http/client.h
@@ -91,7 +91,8 @@
    * Starts a call.
    * @param aAddress server address
    * @param aRequest request; Content-Length and Host are added
-   * @param aTimeout time after which the call ends as TimedOut
+   * @param aTimeout time after which the call ends as TimedOut, unless the rest
+   * of the response had arrived by then
    * @param aEvents callbacks, never invoked before this function returns
    * @param aReuse false to open a new connection
    * @return the call
--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -1,6 +1,7 @@
 /** @file Tests of the http library over loopback connections. */
 #include "http/http.h"
 #include "http/tests/endless_server.h"
+#include "http/tests/lossy_listener.h"
 
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
@@ -10,6 +11,7 @@
 #include <netinet/in.h>
 #include <optional>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace marigold;
@@ -207,6 +209,59 @@
   }
 }
 
+// Guards against a timeout of a call whose whole answer waits in the socket,
+// because the process was suspended past the timeout.
+TEST(Http, AnswerThatWaitsInTheSocketIsReadBeforeACallTimesOut)
+{
+  test::LossyListener listener; // No link is broken here.
+  std::optional<CallResult> result;
+  const auto running =
+    client.start(listener.address(),
+                 { "POST", "/", "", {}, "body" },
+                 100ms,
+                 { nullptr,
+                   nullptr,
+                   [&](http::CallEnd aEnd, const http::Response& aResponse) {
+                     result = CallResult{ aEnd, aResponse, "" };
+                     loop.stop();
+                   } });
+  const std::string body(30000, 'x');
+  const auto suspend = loop.after(50ms, [&] {
+    CHECK(listener.acceptConnection());
+    CHECK(listener.reply("HTTP/1.1 200 OK\r\nContent-Length: 30000\r\n\r\n" +
+                         body));
+    std::this_thread::sleep_for(100ms);
+  });
+  loop.run();
+  CHECK(result->end == http::CallEnd::Complete);
+  LONGS_EQUAL(body.size(), result->response.body.size());
+}
+
+// A server that sends on and on must not extend the timeout of a call.
+TEST(Http, DrippingAnswerDoesNotExtendTheTimeout)
+{
+  test::LossyListener listener; // No link is broken here.
+  std::optional<http::CallEnd> end;
+  const base::TimePoint began = base::monotonicNow();
+  const auto running =
+    client.start(listener.address(),
+                 {},
+                 100ms,
+                 { nullptr, nullptr, [&](http::CallEnd aEnd, const auto&) {
+                    end = aEnd;
+                    loop.stop();
+                  } });
+  http::EventHandle drip;
+  const auto answer = loop.after(20ms, [&] {
+    CHECK(listener.acceptConnection());
+    CHECK(listener.reply("HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n"));
+    drip = loop.every(1ms, [&] { (void)listener.reply("x"); });
+  });
+  loop.run();
+  CHECK(end == http::CallEnd::TimedOut);
+  CHECK(base::monotonicNow() - began < 500ms);
+}
+
 // A slow consumer must not make the client buffer the whole response.
 TEST(Http, PausedCallStopsReading)
 {
