Use a connection that was established before its timeout is judged

Cause: the connect timer of UpstreamConnection ran before the event of the connection, whose callback is deferred, so after a suspension an upstream that had accepted counted as unreachable. The timer is an http::InputTimer now: the loop handles the event first, which cancels the timer. Whether the request is still wanted is decided when it is written, as before.

--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -1096,6 +1096,19 @@
   CHECK(!call->sent());
 }
 
+// Guards against an upstream that counts as unreachable although its connection
+// was established while the process was suspended past the timeout.
+TEST(Pool, ConnectionThatIsEstablishedIsUsedAfterALateTimeout)
+{
+  ManualServer server;
+  CHECK(server.bound());
+  startCall([] { return std::optional<std::string>("request"); });
+  std::this_thread::sleep_for(500ms);
+  runPending(loop);
+  CHECK(!failure);
+  STRCMP_EQUAL("request", server.received().c_str());
+}
+
 // A request must not be sent if its call was destroyed during the connect.
 TEST(Pool, DoesNotSendRequestOfDestroyedCall)
 {
--- a/libs/wire/transport.cpp
+++ b/libs/wire/transport.cpp
@@ -158,6 +158,7 @@
 Transport::consume(std::size_t aSize)
 {
   evbuffer_drain(bufferevent_get_input(mNative.get()), aSize);
+  mConsumed += aSize;
 }
 
 std::size_t
--- a/libs/wire/transport.h
+++ b/libs/wire/transport.h
@@ -3,6 +3,7 @@
 
 #include "base/address.h"
 #include "base/time.h"
+#include "http/input_timer.h"
 #include "http/loop.h"
 
 #include <functional>
@@ -89,6 +90,12 @@
    * the socket */
   std::size_t waitingInput() const;
 
+  /** @return the input since the connection was made */
+  http::InputCount inputCount() const
+  {
+    return { mConsumed + waitingInput(), mConsumed };
+  }
+
   /** @param aPaused true to stop reading, which applies backpressure to the
    * peer */
   void pauseReading(bool aPaused);
@@ -122,6 +129,7 @@
 
   std::unique_ptr<bufferevent, BuffereventDeleter> mNative;
   TransportEvents mEvents;
+  std::uint64_t mConsumed = 0; ///< bytes of input
 };
 
 } // namespace marigold::wire
--- a/libs/wire/upstream.cpp
+++ b/libs/wire/upstream.cpp
@@ -79,8 +79,11 @@
   mPendingBody.clear();
   mParser.reset();
   if (!mConnected) {
-    mConnectTimer =
-      mLoop.after(kConnectTimeout, [this] { fail(CallFailure::NotConnected); });
+    mConnectTimer.start(
+      mLoop,
+      kConnectTimeout,
+      [this] { return mTransport.inputCount(); },
+      [this] { fail(CallFailure::NotConnected); });
     return;
   }
   if (!send()) {
--- a/libs/wire/upstream.h
+++ b/libs/wire/upstream.h
@@ -85,6 +85,9 @@
   /** @return true once the request was written to the connection */
   bool sent() const { return mSent; }
 
+  /** @return the input since the connection was made */
+  http::InputCount inputCount() const { return mTransport.inputCount(); }
+
   /** @param aPaused true to stop reading the response */
   void pauseReading(bool aPaused) { mTransport.pauseReading(aPaused); }
 
@@ -111,7 +114,7 @@
   std::string mPendingBody;
   std::deque<std::string> mCarriedIds; ///< of the latest requests
   std::size_t mSkippedBytes = 0; ///< of responses that belong to other requests
-  http::EventHandle mConnectTimer;
+  http::InputTimer mConnectTimer;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
   bool mConnected = false;
   bool mActive = false;
