Deliver an answer that arrived before the deadline is judged

Cause: after a suspension past the deadline the timer of Exchange answered 504 although the whole answer was in the upstream's socket. It is an http::InputTimer now, bounded by what had arrived when it expired; without a call it judges at once. The reset of an overdue caller was a timer of its own, 1 s after the expected end, so after a longer suspension it would have come before the answer. Its second begins now when the loop sees the expected end; without a suspension the sum is the same.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -162,8 +162,11 @@
   mDeadlineAt = mReceivedAt + limit;
   const base::Duration untilTimeout =
     mDeadlineAt + kDeadlineGrace - base::monotonicNow();
-  mDeadlineTimer = mContext.loop.after(
-    std::max(untilTimeout, base::Duration::zero()), [weak = weak_from_this()] {
+  mDeadlineTimer.start(
+    mContext.loop,
+    std::max(untilTimeout, base::Duration::zero()),
+    [this] { return inputCount(); },
+    [weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
         std::static_pointer_cast<Exchange>(self)->onDeadline();
       }
@@ -263,6 +266,12 @@
   return mDeadlineAt - base::monotonicNow();
 }
 
+std::optional<http::InputCount>
+Exchange::inputCount() const
+{
+  return mCall ? std::optional(mCall->inputCount()) : std::nullopt;
+}
+
 bool
 Exchange::isLowPriority() const
 {
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -149,6 +149,8 @@
   bool endIfCallerDisconnected();
   void onDeadline();
 
+  /** @return the input of the current call, if any */
+  std::optional<http::InputCount> inputCount() const;
   bool isEngineCall() const { return mMetadata.model.has_value(); }
   bool mayHaveRun() const { return mUnresolvedSends > 0; }
   bool hasBegunToAnswer(base::TimePoint aNow) const;
@@ -223,7 +225,7 @@
   std::uint64_t mEventCount = 0;
   base::TimePoint mFirstByteAt{};
   std::string mLastUpstream;
-  http::EventHandle mDeadlineTimer;
+  http::InputTimer mDeadlineTimer;
   http::EventHandle mStallTimer; ///< detects a stall or delays a retry
   http::EventHandle mBackpressureTimer;
 };
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <utility>
 
 namespace marigold::wire {
 namespace {
@@ -137,8 +138,8 @@
 CallerConnection::expectEndBy(base::TimePoint aTime)
 {
   if (mCurrent.open) {
-    armTimer(std::max(aTime - base::monotonicNow(), base::Duration::zero()) +
-             kOverdueGrace);
+    mCurrent.graceIsLeft = true;
+    armTimer(std::max(aTime - base::monotonicNow(), base::Duration::zero()));
   }
 }
 
@@ -148,9 +149,7 @@
   if (mClosing) {
     closeTimeoutExpired();
   } else if (mCurrent.open) {
-    end(CallerEnd::Overdue);
-    // The handler may hold this object for ever.
-    mTransport.closeWithReset();
+    overdueTimeoutExpired();
   } else if (mParser.started()) {
     requestTimeoutExpired();
   } else {
@@ -158,6 +157,19 @@
   }
 }
 
+void
+CallerConnection::overdueTimeoutExpired()
+{
+  // Begins only now, because the handler may be as late as this timer.
+  if (std::exchange(mCurrent.graceIsLeft, false)) {
+    armTimer(kOverdueGrace);
+    return;
+  }
+  end(CallerEnd::Overdue);
+  // The handler may hold this object for ever.
+  mTransport.closeWithReset();
+}
+
 /** The loop may be late, so what had arrived when the timer expired is read
  * first. */
 void
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -132,6 +132,7 @@
     std::optional<std::size_t> bytesBeforeTimeout;
     std::size_t parsedBytes = 0;
     bool open = false; ///< from the end of the request to that of the response
+    bool graceIsLeft = false; ///< after the expected end
     bool responseStarted = false;
     bool chunked = false;
     bool closeAfterResponse = false;
@@ -158,6 +159,7 @@
   void armTimer(base::Duration aDelay);
   void awaitNextRequest();
   void timerExpired();
+  void overdueTimeoutExpired();
   void requestTimeoutExpired();
   void idleTimeoutExpired();
   void closeTimeoutExpired();
--- a/libs/wire/connection_pool.h
+++ b/libs/wire/connection_pool.h
@@ -36,6 +36,9 @@
   /** @param aPaused true to stop reading the response */
   void pauseReading(bool aPaused) { mConnection->pauseReading(aPaused); }
 
+  /** @return the input since the connection was made */
+  http::InputCount inputCount() const { return mConnection->inputCount(); }
+
   /** @return true once the request was written to the connection */
   bool sent() const { return mConnection->sent(); }
 
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -965,6 +965,29 @@
   runPending(loop);
 }
 
+// Guards against a reset in place of a response that the handler sends soon
+// after the process was suspended past the expected end.
+TEST(CallerServer, HandlerHasTimeToRespondAfterASuspension)
+{
+  http::EventHandle reply;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    aCaller->expectEndBy(base::monotonicNow() + 50ms);
+    reply = loop.after(50ms, [&, aCaller] {
+      reply = loop.after(20ms, [aCaller] { aCaller->reply(200, {}, "late"); });
+    });
+  });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  const auto suspend =
+    loop.after(30ms, [] { std::this_thread::sleep_for(1200ms); });
+  const auto end = loop.after(1300ms, [&] { loop.stop(); });
+  loop.run();
+  CHECK(caller.receive().ends_with("late"));
+  reply.reset();
+  runPending(loop);
+}
+
 // Guards against an end that cuts the response to a later request.
 TEST(CallerServer, ExpectedEndOfARequestDoesNotOutlastIt)
 {
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -706,6 +706,38 @@
         time.sleep(0.7)
         self.assertEqual(before + 1, self.runs())
 
+    def send_and_suspend(self, path, deadline_ms, run_s, suspended_s):
+        """Sends a request, lets the gateway run for run_s, then suspends it for suspended_s; returns the caller."""
+        gateway = self.gateways[0]
+        caller = socket.create_connection((HOST, gateway.port))
+        caller.settimeout(3)
+        caller.sendall(f"POST {path} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\nX-Request-Id: r\r\n"
+                       f"X-Deadline-Ms: {deadline_ms}\r\nContent-Length: 1\r\n\r\nx".encode())
+        time.sleep(run_s)
+        gateway.child.send_signal(signal.SIGSTOP)
+        time.sleep(suspended_s)
+        gateway.child.send_signal(signal.SIGCONT)
+        return caller
+
+    def test_answer_that_arrived_during_a_suspension_is_delivered_after_the_deadline(self):
+        """Guards against a 504, or a reset, for a request whose whole answer waits in the socket of its upstream when
+        the gateway goes on after the deadline."""
+        for desk in self.desks:
+            desk.delay = 0.4
+        caller = self.send_and_suspend("/once/x", 1000, run_s=0.2, suspended_s=2.5)
+        self.assertIn(b"HTTP/1.1 200", caller.recv(4096))
+        caller.close()
+
+    def test_request_without_an_answer_ends_soon_after_a_suspension(self):
+        """Guards against a deadline that a suspension of the gateway extends."""
+        for desk in self.desks:
+            desk.delay = 9
+        caller = self.send_and_suspend("/once/x", 1000, run_s=0.2, suspended_s=2.5)
+        began = time.monotonic()
+        self.assertIn(b"HTTP/1.1 504", caller.recv(4096))
+        self.assertLess(time.monotonic() - began, 0.5)
+        caller.close()
+
     def test_once_is_not_sent_when_its_caller_left_during_a_connect(self):
         """Guards against a request that counts as started while its connection to the upstream is
         still being established, and is then sent to another upstream."""
