Take an answer that has arrived before a stalled call is replaced

Cause: after a suspension the stall timer of Exchange ran before the answer was read, so the request was sent to a second upstream, which costs a retry and a run. The timer is an http::InputTimer now. Where it only delays a retry it waits for no input.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -226,7 +226,7 @@
   base::TimePoint mFirstByteAt{};
   std::string mLastUpstream;
   http::InputTimer mDeadlineTimer;
-  http::EventHandle mStallTimer; ///< detects a stall or delays a retry
+  http::InputTimer mStallTimer; ///< detects a stall or delays a retry
   http::EventHandle mBackpressureTimer;
 };
 
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -423,7 +423,7 @@
 void
 Exchange::retryAfter(base::Duration aDelay)
 {
-  mStallTimer = mContext.loop.after(aDelay, [weak = weak_from_this()] {
+  mStallTimer.start(mContext.loop, aDelay, nullptr, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->retry();
     }
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -109,11 +109,15 @@
 void
 Exchange::startStallTimer(base::Duration aLimit)
 {
-  mStallTimer = mContext.loop.after(aLimit, [weak = weak_from_this(), aLimit] {
-    if (const auto self = weak.lock()) {
-      std::static_pointer_cast<Exchange>(self)->onStall(aLimit);
-    }
-  });
+  mStallTimer.start(
+    mContext.loop,
+    aLimit,
+    [this] { return inputCount(); },
+    [weak = weak_from_this(), aLimit] {
+      if (const auto self = weak.lock()) {
+        std::static_pointer_cast<Exchange>(self)->onStall(aLimit);
+      }
+    });
 }
 
 void
@@ -525,8 +529,11 @@
 void
 Exchange::awaitCrashEvidence(const char* aReason)
 {
-  mStallTimer = mContext.loop.after(
-    kCrashEvidenceDelay, [weak = weak_from_this(), aReason] {
+  mStallTimer.start(
+    mContext.loop,
+    kCrashEvidenceDelay,
+    nullptr,
+    [weak = weak_from_this(), aReason] {
       if (const auto self = weak.lock()) {
         std::static_pointer_cast<Exchange>(self)->retryUnlessSuspect(aReason);
       }
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -738,6 +738,21 @@
         self.assertLess(time.monotonic() - began, 0.5)
         caller.close()
 
+    def test_answer_that_arrived_during_a_suspension_is_taken_before_a_replacement(self):
+        """Guards against a second run of a request whose answer waits in the socket of its upstream when the gateway
+        goes on after the time in which an answer is expected."""
+        gateway = self.gateways[0]
+        for _ in range(8):  # opens connections to the upstreams
+            self.assertEqual(200, gateway.call("/again/x")[0])
+        before = self.runs()
+        for desk in self.desks:
+            desk.delay = 0.4
+        caller = self.send_and_suspend("/again/x", 3500, run_s=0.2, suspended_s=1.2)
+        self.assertIn(b"HTTP/1.1 200", caller.recv(4096))
+        caller.close()
+        time.sleep(0.6)
+        self.assertEqual(before + 1, self.runs())
+
     def test_once_is_not_sent_when_its_caller_left_during_a_connect(self):
         """Guards against a request that counts as started while its connection to the upstream is
         still being established, and is then sent to another upstream."""
