Accept a probe whose connection is established before it times out

Cause: the timer of ReachabilityProbe ran before the event of the connection, so after a suspension an upstream that had accepted counted as gone, which is evidence of a crash. It is an http::InputTimer now. A probe without an answer changes what the process believes and gets a line in the log.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -484,6 +484,10 @@
     mOutliers.onUnreachable(aUpstream.name, now);
     mCrashes.onUpstreamGone(aUpstream.name, now);
   }
+  if (aResult == ProbeResult::NoAnswer) {
+    observe::logInfo("probe without an answer",
+                     { { "upstream", aUpstream.name } });
+  }
   if (const auto changed = mUpstreams.applyProbe(aUpstream, aResult)) {
     observe::logInfo(changed->usable() ? "upstream accepts connections again"
                                        : "upstream refuses connections",
--- a/apps/gateway/reachability_probe.cpp
+++ b/apps/gateway/reachability_probe.cpp
@@ -23,14 +23,14 @@
     connect(aUpstream);
     return;
   }
-  found->second.timer =
-    mLoop.after(aDelay, [this, aUpstream] { connect(aUpstream); });
+  found->second.timer.start(
+    mLoop, aDelay, nullptr, [this, aUpstream] { connect(aUpstream); });
 }
 
 void
 ReachabilityProbe::connect(const wire::UpstreamKey& aUpstream)
 {
-  // The assignment of the timer may destroy the callback that runs.
+  // A new start of the timer may destroy the callback that runs.
   const wire::UpstreamKey upstream = aUpstream;
   Probe& probe = mProbes.at(upstream);
   probe.transport = std::make_unique<wire::Transport>(mLoop, upstream.address);
@@ -43,8 +43,11 @@
             aEnd == wire::TransportEnd::Refused ? ProbeResult::Refused
                                                 : ProbeResult::NoAnswer);
       } });
-  probe.timer = mLoop.after(
-    kProbeTimeout, [this, upstream] { end(upstream, ProbeResult::NoAnswer); });
+  probe.timer.start(
+    mLoop,
+    kProbeTimeout,
+    [transport = probe.transport.get()] { return transport->inputCount(); },
+    [this, upstream] { end(upstream, ProbeResult::NoAnswer); });
 }
 
 void
--- a/apps/gateway/reachability_probe.h
+++ b/apps/gateway/reachability_probe.h
@@ -42,7 +42,7 @@
   struct Probe
   {
     std::unique_ptr<wire::Transport> transport;
-    http::EventHandle timer;
+    http::InputTimer timer; ///< of the start, then of the connection
   };
   void connect(const wire::UpstreamKey& aUpstream);
   void end(const wire::UpstreamKey& aUpstream, ProbeResult aResult);
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -753,6 +753,36 @@
         time.sleep(0.6)
         self.assertEqual(before + 1, self.runs())
 
+    def test_probe_whose_connection_is_established_during_a_suspension_is_accepted(self):
+        """Guards against an upstream that counts as gone because the gateway was suspended while it probed it."""
+        gateway, slow = self.gateways[0], self.desks[0]
+        slow.public_port = BASE_PORT + 80
+        with socket.socket() as listener:
+            listener.bind((HOST, slow.public_port))
+            listener.listen(0)
+            queue = [socket.socket() for _ in range(3)]
+            for waiting in queue:  # fills the accept queue, so that further connections hang
+                waiting.setblocking(False)
+                waiting.connect_ex((HOST, slow.public_port))
+            self.platform.change(self.platform.store.put, "servers/" + slow.name, slow.record())
+            self.platform.change(self.platform.store.remove, "servers/" + self.desks[1].name)
+            time.sleep(0.5)
+            caller = socket.create_connection((HOST, gateway.port))
+            caller.sendall(b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+                           b"X-Request-Id: r\r\nX-Deadline-Ms: 3000\r\nContent-Length: 1\r\n\r\nx")
+            wait_for(lambda: "unreachable upstream" in gateway.log(), 2)  # the probe follows
+            time.sleep(0.1)
+            gateway.child.send_signal(signal.SIGSTOP)
+            self.assertNotIn("probe without an answer", gateway.log())
+            listener.listen(64)
+            time.sleep(1.6)  # the kernel tries to connect again after 1 s
+            gateway.child.send_signal(signal.SIGCONT)
+            time.sleep(0.3)
+            self.assertNotIn("probe without an answer", gateway.log())
+            caller.close()
+            for waiting in queue:
+                waiting.close()
+
     def test_once_is_not_sent_when_its_caller_left_during_a_connect(self):
         """Guards against a request that counts as started while its connection to the upstream is
         still being established, and is then sent to another upstream."""
