Hold SIGTERM and SIGHUP from the first line of main()

Cause: until Gateway::run() had installed the handlers, SIGTERM ended the process by its default action, with -15. main() blocks both signals first, and Loop::onSignal() delivers each once its handler is installed, so a planned stop that comes earlier is carried out then. Threads that are started in between inherit the block and leave the signals to the loop.

Ruled out: handlers that only set a flag (a second way to begin a planned stop), blocking in a constructor (libraries are loaded before it all the same).

Not mended: a signal before main().

--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -1,7 +1,9 @@
 /** @file Gateway process: forwards requests of callers to upstreams. */
 #include "apps/gateway/gateway.h"
 #include "config/config.h"
+#include "http/http.h"
 
+#include <csignal>
 #include <docopt/docopt.h>
 #include <iostream>
 
@@ -43,6 +45,7 @@
 int
 main(int aCount, char** aValues)
 {
+  http::holdSignals({ SIGTERM, SIGHUP });
   auto arguments = docopt::docopt(kUsage,
                                   { aValues + 1, aValues + aCount },
                                   true,
--- a/libs/http/http.h
+++ b/libs/http/http.h
@@ -7,6 +7,7 @@
 
 #include "http/address.h"
 #include "http/client.h"
+#include "http/held_signals.h"
 #include "http/input_timer.h"
 #include "http/loop.h"
 #include "http/message.h"
--- a/libs/http/loop.cpp
+++ b/libs/http/loop.cpp
@@ -1,5 +1,7 @@
 #include "http/loop.h"
 
+#include "http/held_signals.h"
+
 #include <csignal>
 #include <event2/event.h>
 #include <poll.h>
@@ -110,6 +112,7 @@
   auto state =
     makeState(mBase, aSignal, EV_SIGNAL | EV_PERSIST, std::move(aCallback));
   event_add(state->handle.get(), nullptr);
+  releaseSignal(aSignal);
   return EventHandle(std::move(state));
 }
 
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -513,6 +513,42 @@
             self.assertIsNone(gateway.child.poll())
             gateway.stop()
 
+    def start_with_settings_that_wait(self):
+        """Starts a gateway that waits in main() for its settings; returns it and the file to write them to."""
+        gateway = Gateway(1, self.folder.name, BASE_PORT + 10, self.store_ports[1])
+        self.gateways.append(gateway)
+        gateway.stop()
+        with open(gateway.settings, encoding="utf-8") as file:
+            settings = file.read()
+        os.remove(gateway.settings)
+        os.mkfifo(gateway.settings)
+        gateway.start()
+        file = open(gateway.settings, "w", encoding="utf-8")  # waits until the process reads
+        file.write(settings)
+        os.remove(gateway.settings)
+        with open(gateway.settings, "w", encoding="utf-8") as regular:  # for SIGHUP
+            regular.write(settings)
+        return gateway, file
+
+    def test_signals_while_the_settings_are_read_end_the_process_in_order(self):
+        """Guards against a signal that kills the process by its default action in its first milliseconds, before its
+        signal handlers are installed."""
+        gateway, file = self.start_with_settings_that_wait()
+        gateway.child.send_signal(signal.SIGHUP)
+        gateway.child.send_signal(signal.SIGTERM)
+        time.sleep(0.05)
+        file.close()
+        self.assertEqual(0, gateway.child.wait(timeout=9))
+
+    def test_signal_in_the_first_milliseconds_ends_the_process_in_order(self):
+        """Sends the signal at many moments between main() and the open listeners."""
+        for delay_ms in range(0, 40, 4):
+            gateway, file = self.start_with_settings_that_wait()
+            file.close()
+            time.sleep(delay_ms / 1000)
+            gateway.child.send_signal(signal.SIGTERM)
+            self.assertEqual(0, gateway.child.wait(timeout=9), f"{delay_ms} ms")
+
     def test_request_read_late_in_a_planned_stop_is_not_begun(self):
         """Guards against a request whose body arrives late in a planned stop and that is still
         sent upstream: the end of the process would cut its answer."""
