Test that later input doesn't extend an InputTimer

The timer judges once the input is handled that had arrived when it expired, although the peer goes on sending, and also if nothing is handled.

--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -262,6 +262,35 @@
   CHECK(base::monotonicNow() - began < 500ms);
 }
 
+// What had arrived when the timer expired is waited for. What arrives later, or
+// is not read, must not keep it from judging.
+TEST(Http, InputTimerWaitsForTheInputThatHadArrived)
+{
+  constexpr std::uint64_t kArrived = 100;
+  constexpr int kMaxChecks = 40;
+  for (const std::uint64_t handledPerCheck : { 10U, 0U }) {
+    http::InputCount input{ kArrived, 0 };
+    int checks = 0;
+    http::InputTimer timer;
+    timer.start(
+      loop,
+      10ms,
+      [&] {
+        const http::InputCount now = input;
+        input.arrived += 10; // The peer goes on sending.
+        input.handled += handledPerCheck;
+        ++checks;
+        return std::optional(now);
+      },
+      [&] { loop.stop(); });
+    const auto limit = loop.after(1s, [&] { loop.stop(); });
+    loop.run();
+    CHECK(handledPerCheck == 0 || input.handled >= kArrived);
+    CHECK(checks > 1);
+    CHECK(checks < kMaxChecks);
+  }
+}
+
 // A slow consumer must not make the client buffer the whole response.
 TEST(Http, PausedCallStopsReading)
 {
