--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -513,6 +513,42 @@
             self.assertIsNone(gateway.child.poll())
             gateway.stop()
 
+    def start_with_settings_that_wait(self):
+        """Starts a gateway that waits in main() for its settings; returns it and the file to write them to."""
+        gateway = Gateway(1, self.folder.name, BASE_PORT + 10, self.store_ports[1])
+        self.gateways.append(gateway)
+        gateway.stop()
+        with open(gateway.settings, encoding="utf-8") as file:
+            settings = file.read()
+        os.remove(gateway.settings)
+        os.mkfifo(gateway.settings)
+        gateway.start()
+        file = open(gateway.settings, "w", encoding="utf-8")  # waits until the process reads
+        file.write(settings)
+        os.remove(gateway.settings)
+        with open(gateway.settings, "w", encoding="utf-8") as regular:  # for SIGHUP
+            regular.write(settings)
+        return gateway, file
+
+    def test_signals_while_the_settings_are_read_end_the_process_in_order(self):
+        """Guards against a signal that kills the process by its default action in its first milliseconds, before its
+        signal handlers are installed."""
+        gateway, file = self.start_with_settings_that_wait()
+        gateway.child.send_signal(signal.SIGHUP)
+        gateway.child.send_signal(signal.SIGTERM)
+        time.sleep(0.05)
+        file.close()
+        self.assertEqual(0, gateway.child.wait(timeout=9))
+
+    def test_signal_in_the_first_milliseconds_ends_the_process_in_order(self):
+        """Sends the signal at many moments between main() and the open listeners."""
+        for delay_ms in range(0, 40, 4):
+            gateway, file = self.start_with_settings_that_wait()
+            file.close()
+            time.sleep(delay_ms / 1000)
+            gateway.child.send_signal(signal.SIGTERM)
+            self.assertEqual(0, gateway.child.wait(timeout=9), f"{delay_ms} ms")
+
     def test_request_read_late_in_a_planned_stop_is_not_begun(self):
         """Guards against a request whose body arrives late in a planned stop and that is still
         sent upstream: the end of the process would cut its answer."""
@@ -706,6 +742,83 @@
         time.sleep(0.7)
         self.assertEqual(before + 1, self.runs())
 
+    def send_and_suspend(self, path, deadline_ms, run_s, suspended_s):
+        """Sends a request, lets the gateway run for run_s, then suspends it for suspended_s; returns the caller."""
+        gateway = self.gateways[0]
+        caller = socket.create_connection((HOST, gateway.port))
+        caller.settimeout(3)
+        caller.sendall(f"POST {path} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\nX-Request-Id: r\r\n"
+                       f"X-Deadline-Ms: {deadline_ms}\r\nContent-Length: 1\r\n\r\nx".encode())
+        time.sleep(run_s)
+        gateway.child.send_signal(signal.SIGSTOP)
+        time.sleep(suspended_s)
+        gateway.child.send_signal(signal.SIGCONT)
+        return caller
+
+    def test_answer_that_arrived_during_a_suspension_is_delivered_after_the_deadline(self):
+        """Guards against a 504, or a reset, for a request whose whole answer waits in the socket of its upstream when
+        the gateway goes on after the deadline."""
+        for desk in self.desks:
+            desk.delay = 0.4
+        caller = self.send_and_suspend("/once/x", 1000, run_s=0.2, suspended_s=2.5)
+        self.assertIn(b"HTTP/1.1 200", caller.recv(4096))
+        caller.close()
+
+    def test_request_without_an_answer_ends_soon_after_a_suspension(self):
+        """Guards against a deadline that a suspension of the gateway extends."""
+        for desk in self.desks:
+            desk.delay = 9
+        caller = self.send_and_suspend("/once/x", 1000, run_s=0.2, suspended_s=2.5)
+        began = time.monotonic()
+        self.assertIn(b"HTTP/1.1 504", caller.recv(4096))
+        self.assertLess(time.monotonic() - began, 0.5)
+        caller.close()
+
+    def test_answer_that_arrived_during_a_suspension_is_taken_before_a_replacement(self):
+        """Guards against a second run of a request whose answer waits in the socket of its upstream when the gateway
+        goes on after the time in which an answer is expected."""
+        gateway = self.gateways[0]
+        for _ in range(8):  # opens connections to the upstreams
+            self.assertEqual(200, gateway.call("/again/x")[0])
+        before = self.runs()
+        for desk in self.desks:
+            desk.delay = 0.4
+        caller = self.send_and_suspend("/again/x", 3500, run_s=0.2, suspended_s=1.2)
+        self.assertIn(b"HTTP/1.1 200", caller.recv(4096))
+        caller.close()
+        time.sleep(0.6)
+        self.assertEqual(before + 1, self.runs())
+
+    def test_probe_whose_connection_is_established_during_a_suspension_is_accepted(self):
+        """Guards against an upstream that counts as gone because the gateway was suspended while it probed it."""
+        gateway, slow = self.gateways[0], self.desks[0]
+        slow.public_port = BASE_PORT + 80
+        with socket.socket() as listener:
+            listener.bind((HOST, slow.public_port))
+            listener.listen(0)
+            queue = [socket.socket() for _ in range(3)]
+            for waiting in queue:  # fills the accept queue, so that further connections hang
+                waiting.setblocking(False)
+                waiting.connect_ex((HOST, slow.public_port))
+            self.platform.change(self.platform.store.put, "servers/" + slow.name, slow.record())
+            self.platform.change(self.platform.store.remove, "servers/" + self.desks[1].name)
+            time.sleep(0.5)
+            caller = socket.create_connection((HOST, gateway.port))
+            caller.sendall(b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+                           b"X-Request-Id: r\r\nX-Deadline-Ms: 3000\r\nContent-Length: 1\r\n\r\nx")
+            wait_for(lambda: "unreachable upstream" in gateway.log(), 2)  # the probe follows
+            time.sleep(0.1)
+            gateway.child.send_signal(signal.SIGSTOP)
+            self.assertNotIn("probe without an answer", gateway.log())
+            listener.listen(64)
+            time.sleep(1.6)  # the kernel tries to connect again after 1 s
+            gateway.child.send_signal(signal.SIGCONT)
+            time.sleep(0.3)
+            self.assertNotIn("probe without an answer", gateway.log())
+            caller.close()
+            for waiting in queue:
+                waiting.close()
+
     def test_once_is_not_sent_when_its_caller_left_during_a_connect(self):
         """Guards against a request that counts as started while its connection to the upstream is
         still being established, and is then sent to another upstream."""
