Explore orders of events on the request path

The explorer links the real CallerServer, Exchange, ConnectionPool and what they share against a scripted loop, transport and clock, plays all orders after four beginnings up to a depth, then random ones, and shrinks what it finds to a script that replays.

A pass of the loop follows libevent: the kernel is asked once, then input, due timers, and what these defer or post run in order.

--- /dev/null
+++ b/tests/explore/search.cpp
@@ -0,0 +1,164 @@
+#include "search.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace marigold::explore {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using Script = std::vector<Action>;
+
+/** Plays a script to its end. @return its violation; sets the state reached
+ * before the end, and what was possible there */
+std::string
+playTo(const Script& aScript,
+       std::uint64_t* aFingerprint,
+       std::vector<Action>* aEnabled)
+{
+  Scenario scenario;
+  for (const Action& action : aScript) {
+    scenario.apply(action);
+    if (auto found = scenario.violation(); !found.empty()) {
+      return found;
+    }
+  }
+  if (aFingerprint != nullptr) {
+    *aFingerprint = scenario.fingerprint();
+    *aEnabled = scenario.enabled();
+  }
+  scenario.settle();
+  return scenario.violationAtEnd();
+}
+
+class Search
+{
+public:
+  Search(const SearchLimits& aLimits, Progress& aProgress)
+    : mLimits(aLimits)
+    , mProgress(aProgress)
+    , mStarted(Clock::now())
+  {
+  }
+
+  /** Breadth first, so that the first finding is a short one. */
+  std::optional<Finding> playAll(const std::vector<Script>& aBeginnings)
+  {
+    std::vector<Script> level = aBeginnings;
+    for (std::size_t depth = 0; depth <= mLimits.depth; ++depth) {
+      std::vector<Script> next;
+      for (const Script& script : level) {
+        if (timeIsUp(2)) {
+          return std::nullopt;
+        }
+        std::uint64_t state = 0;
+        std::vector<Action> enabled;
+        ++mProgress.scripts;
+        auto found = playTo(script, &state, &enabled);
+        if (!found.empty()) {
+          return Finding{ script, std::move(found) };
+        }
+        if (!mSeen.insert(state).second) {
+          continue;
+        }
+        ++mProgress.states;
+        for (const Action& action : enabled) {
+          next.push_back(script);
+          next.back().push_back(action);
+        }
+      }
+      mProgress.depth = depth;
+      level = std::move(next);
+    }
+    return std::nullopt;
+  }
+
+  std::optional<Finding> walk(const std::vector<Script>& aBeginnings)
+  {
+    base::Random random(mLimits.seed);
+    while (!timeIsUp(1)) {
+      Script script = aBeginnings[random.below(aBeginnings.size())];
+      Scenario scenario;
+      for (const Action& action : script) {
+        scenario.apply(action);
+      }
+      ++mProgress.scripts;
+      for (std::size_t step = 0; step < mLimits.walkLength; ++step) {
+        const auto enabled = scenario.enabled();
+        if (enabled.empty()) {
+          break;
+        }
+        script.push_back(enabled[random.below(enabled.size())]);
+        scenario.apply(script.back());
+        if (auto found = scenario.violation(); !found.empty()) {
+          return Finding{ script, std::move(found) };
+        }
+      }
+      scenario.settle();
+      if (auto found = scenario.violationAtEnd(); !found.empty()) {
+        return Finding{ script, std::move(found) };
+      }
+    }
+    return std::nullopt;
+  }
+
+private:
+  bool timeIsUp(int aParts) const
+  {
+    return Clock::now() - mStarted > mLimits.time / aParts;
+  }
+
+  const SearchLimits& mLimits;
+  Progress& mProgress;
+  Clock::time_point mStarted;
+  std::unordered_set<std::uint64_t> mSeen;
+};
+
+/** @return a violation without its details, which shrinking changes */
+std::string
+kindOf(const std::string& aViolation)
+{
+  return aViolation.substr(0, aViolation.find(" ("));
+}
+
+} // namespace
+
+std::string
+play(const std::vector<Action>& aScript)
+{
+  return playTo(aScript, nullptr, nullptr);
+}
+
+Finding
+shrink(Finding aFinding)
+{
+  const std::string kind = kindOf(aFinding.violation);
+  for (bool shorter = true; shorter;) {
+    shorter = false;
+    for (std::size_t index = aFinding.script.size(); index-- > 0;) {
+      Script candidate = aFinding.script;
+      candidate.erase(candidate.begin() + static_cast<std::ptrdiff_t>(index));
+      auto found = play(candidate);
+      if (kindOf(found) == kind) {
+        aFinding = { std::move(candidate), std::move(found) };
+        shorter = true;
+      }
+    }
+  }
+  return aFinding;
+}
+
+std::optional<Finding>
+search(const std::vector<std::vector<Action>>& aBeginnings,
+       const SearchLimits& aLimits,
+       Progress& aProgress)
+{
+  Search run(aLimits, aProgress);
+  auto found = run.playAll(aBeginnings);
+  if (!found) {
+    found = run.walk(aBeginnings);
+  }
+  return found ? std::optional(shrink(*found)) : std::nullopt;
+}
+
+} // namespace marigold::explore
