--- a/tests/explore/scenario.cpp
+++ b/tests/explore/scenario.cpp
@@ -16,8 +16,8 @@
 constexpr std::size_t kMaxDisturbances = 3;
 /** Everything in the request path ends well within this time. */
 constexpr base::Duration kSettleTime = 5min;
-/** By how much a late loop overruns its next timer: longer than the timeouts
- * of heads and stalls, shorter than a route's timeout. */
+/** For how long a late loop runs nothing: longer than the timeouts of heads and
+ * stalls, shorter than a route's timeout. */
 constexpr base::Duration kLateness = 4s;
 /** A longer one in a planned stop would outlast the stop itself. */
 constexpr base::Duration kLatenessInStop = 300ms;
@@ -328,6 +328,7 @@
   static constexpr std::string_view kLetters = "oae";
   const std::size_t kind = mRequests % kPaths.size();
   CallerRequest request;
+  request.begunAt = mWorld.now();
   request.id = kLetters[kind] + std::to_string(mRequests);
   request.text = "POST " + kPaths[kind] +
                  " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + request.id +
@@ -358,6 +359,7 @@
     request.text.substr(request.sent, end - request.sent);
   request.sent = end;
   request.sentAt = mWorld.now();
+  aCaller.activeAt = mWorld.now();
 }
 
 void
@@ -382,6 +384,24 @@
   }
 }
 
+void
+Scenario::noteActivity()
+{
+  for (Caller& caller : mCallers) {
+    const std::size_t received =
+      mWorld.connections()[caller.connection]->received.size();
+    if (received != caller.seen) {
+      caller.seen = received;
+      caller.activeAt = mWorld.now();
+    }
+    if (mWorld.connections()[caller.connection]->closed && !caller.closeSeen) {
+      caller.closeSeen = true;
+      caller.closedEarly =
+        mWorld.now() - caller.activeAt < mCatalog.callerLimits.idleTimeout;
+    }
+  }
+}
+
 /** @return true if the upstream has a request without an answer */
 bool
 Scenario::mayAnswer(std::size_t aConnection) const
@@ -465,7 +485,7 @@
            !world.ready(Step::Next) && !world.ready(Step::Poll);
   }
   if (name == "late") {
-    return mLate < kMaxLate && world.untilNextTimer();
+    return mLate < kMaxLate;
   }
   if (name == "stop") {
     return !mDraining;
@@ -566,6 +586,7 @@
   }
   act(aAction);
   readArrivals();
+  noteActivity();
   return true;
 }
 
@@ -594,19 +615,19 @@
     mWorld.run(*step);
   } else if (name == "connect") {
     if (const auto connection = mWorld.connectCaller()) {
-      mCallers.push_back({ *connection, {}, false, {}, false });
+      mCallers.push_back({ *connection, {}, false, {}, false, mWorld.now() });
     }
   } else if (name == "wait") {
     ++mWaits;
     advance(*mWorld.untilNextTimer());
   } else if (name == "late") {
     ++mLate;
-    advance(*mWorld.untilNextTimer() +
-            (mDraining ? kLatenessInStop : kLateness));
+    advance(mDraining ? kLatenessInStop : kLateness);
   } else if (name == "stop") {
     beginDrain();
   } else if (name.ends_with("-idle") || name.ends_with("-gone")) {
     ++mChanges;
+    mChangedAt = mWorld.now();
     ++mCatalog.version;
     if (name == "shorter-idle") {
       mCatalog.callerLimits.idleTimeout = kShortIdle;
@@ -630,6 +651,7 @@
     connections[mCallers[target].connection]->peerReset = true;
   } else if (name == "pause") {
     ++mDisturbances;
+    mCallers[target].hasPaused = true;
     connections[mCallers[target].connection]->peerPaused = true;
   } else if (name == "resume") {
     mWorld.resume(*connections[mCallers[target].connection]);
@@ -663,6 +685,7 @@
   }
   mWorld.runAllReady();
   readArrivals();
+  noteActivity();
   base::Duration passed{};
   while (!mWorld.exited() && passed < kSettleTime) {
     const auto next = mWorld.untilNextTimer();
@@ -673,6 +696,7 @@
     mWorld.advance(*next);
     mWorld.runAllReady();
     readArrivals();
+    noteActivity();
   }
 }
 
@@ -748,6 +772,9 @@
     if (success && request.sent < request.text.size()) {
       return "success before the request was whole (" + request.id + ")";
     }
+    if (auto found = checkRefusal(request, answer); !found.empty()) {
+      return found;
+    }
     const std::string expected = bodyFor(request.id);
     if (success && answer.complete && answer.body != expected) {
       return "complete answer with a wrong body (" + request.id + ", " +
@@ -760,6 +787,61 @@
   return {};
 }
 
+/** @return what is wrong with a refusal for being late or malformed */
+std::string
+Scenario::checkRefusal(const CallerRequest& aRequest,
+                       const Answer& aAnswer) const
+{
+  const bool whole = aRequest.sent == aRequest.text.size();
+  const bool inTime = whole && aRequest.sentAt - aRequest.begunAt < kShortIdle;
+  if (aAnswer.status == 408 && inTime) {
+    return "a request that came in time is refused as late (" + aRequest.id +
+           ")";
+  }
+  return aAnswer.status == 400
+           ? "a sound request is refused as malformed (" + aRequest.id + ")"
+           : "";
+}
+
+/** Callers rely on the idle timeout of the configuration. */
+std::string
+Scenario::checkIdle(const Caller& aCaller) const
+{
+  const Connection& connection =
+    *World::current().connections()[aCaller.connection];
+  const auto all = answers(aCaller);
+  const bool isIdle =
+    all.size() == aCaller.requests.size() &&
+    (all.empty() || (all.back().complete && !all.back().last));
+  // What a caller that pauses has received says little of when it was sent.
+  // A late loop counts the time until it sends an answer as idle.
+  const bool mayClose =
+    mDraining || aCaller.left || aCaller.hasPaused || mLate > 0;
+  return isIdle && !mayClose && connection.closed && aCaller.closedEarly
+           ? "idle connection closed before its idle timeout"
+           : "";
+}
+
+/** Bytes of a call that was given up may still reach the upstream unless the
+ * connection is reset. */
+std::string
+Scenario::checkGivenUpCalls() const
+{
+  for (const auto& [id, upstream] : mUpstreams) {
+    const Connection& connection = *World::current().connections()[id];
+    const bool unanswered = !upstream.arrivals.empty() && !upstream.ended &&
+                            (upstream.arrivals.back().answer.empty() ||
+                             upstream.arrivals.back().answered <
+                               upstream.arrivals.back().answer.size());
+    if (unanswered && connection.closed && !connection.resetSent &&
+        !World::current().exited()) {
+      return "a call that was given up is not reset (" +
+             upstream.arrivals.back().id + ")";
+    }
+  }
+  return {};
+}
+
 std::string
 Scenario::checkArrivals() const
 {
@@ -791,11 +873,14 @@
 Scenario::violation() const
 {
   for (const Caller& caller : mCallers) {
-    if (auto found = checkAnswers(caller); !found.empty()) {
-      return found;
+    for (const auto check : { &Scenario::checkAnswers, &Scenario::checkIdle }) {
+      if (auto found = (this->*check)(caller); !found.empty()) {
+        return found;
+      }
     }
   }
-  return checkArrivals();
+  auto found = checkArrivals();
+  return found.empty() ? checkGivenUpCalls() : found;
 }
 
 std::string
@@ -803,7 +888,7 @@
 {
   const Connection& connection =
     *World::current().connections()[aCaller.connection];
-  if (aCaller.left || aCaller.pausedTooLong || connection.peerReset) {
+  if (aCaller.left || aCaller.pausedTooLong) {
     return {};
   }
   const auto all = answers(aCaller);
@@ -816,6 +901,15 @@
       continue;
     }
     const bool whole = request.sent == request.text.size();
+    const std::size_t begin = request.end - request.text.size();
+    if (!whole && connection.read > begin && !World::current().exited()) {
+      return connection.closed
+               ? "connection closed without an answer to a part of a request "
+                 "(" +
+                   request.id + ")"
+               : "connection with a part of a request stays open (" +
+                   request.id + ")";
+    }
     if (!whole) {
       break;
     }
--- a/tests/explore/scenario.h
+++ b/tests/explore/scenario.h
@@ -72,9 +72,10 @@
   {
     std::string id;
     std::string text;
-    std::size_t sent = 0;     ///< bytes of the text
-    std::size_t end = 0;      ///< bytes sent on the connection up to its end
-    base::TimePoint sentAt{}; ///< when its last byte was sent
+    std::size_t sent = 0;      ///< bytes of the text
+    std::size_t end = 0;       ///< bytes sent on the connection up to its end
+    base::TimePoint begunAt{}; ///< when its first byte was sent
+    base::TimePoint sentAt{};  ///< when its last byte was sent
   };
   struct Caller
   {
@@ -83,6 +84,11 @@
     bool left = false;          ///< it closed or reset the connection
     base::Duration paused{};    ///< for which it has not read
     bool pausedTooLong = false; ///< its connection may be closed
+    base::TimePoint activeAt{}; ///< when it last sent or received bytes
+    std::size_t seen = 0;       ///< bytes that it had received then
+    bool hasPaused = false;
+    bool closedEarly = false; ///< before the idle timeout in force
+    bool closeSeen = false;
   };
   /** A request that an upstream has received whole. */
   struct Arrival
@@ -116,12 +122,17 @@
   void beginRequest(Caller& aCaller);
   void sendPiece(Caller& aCaller, bool aAll);
   void readArrivals();
+  void noteActivity();
   void answer(std::size_t aConnection, const std::string& aName);
   void applyConfiguration();
   void beginDrain();
   std::vector<Answer> answers(const Caller& aCaller) const;
   std::string checkAnswers(const Caller& aCaller) const;
+  std::string checkRefusal(const CallerRequest& aRequest,
+                           const Answer& aAnswer) const;
+  std::string checkIdle(const Caller& aCaller) const;
   std::string checkArrivals() const;
+  std::string checkGivenUpCalls() const;
   std::string checkEnd(const Caller& aCaller) const;
 
   World mWorld;
@@ -131,6 +142,7 @@
   std::size_t mRequests = 0;
   catalog::Catalog mCatalog;
   std::size_t mChanges = 0;
+  base::TimePoint mChangedAt{};
   std::size_t mWaits = 0;
   std::size_t mLate = 0;
   std::size_t mDisturbances = 0;
--- a/tests/explore/world.cpp
+++ b/tests/explore/world.cpp
@@ -77,6 +77,15 @@
 
 } // namespace marigold::base
 
+namespace marigold::explore {
+namespace {
+
+/** The user timeout that transport.cpp sets at first. */
+constexpr Duration kUserTimeout = std::chrono::milliseconds(2500);
+
+} // namespace
+} // namespace marigold::explore
+
 namespace marigold::http {
 
 void
@@ -196,6 +205,7 @@
 void
 Transport::configure()
 {
+  mNative->connection->userTimeout = explore::kUserTimeout;
   mNative->owner = this;
   mNative->onRead = &Transport::onRead;
   mNative->onWrite = &Transport::onWrite;
@@ -203,8 +213,9 @@
 }
 
 void
-Transport::allowPauses(base::Duration /*aLimit*/)
+Transport::allowPauses(base::Duration aLimit)
 {
+  mNative->connection->userTimeout = std::max(explore::kUserTimeout, aLimit);
 }
 
 void
@@ -378,6 +389,22 @@
   return *instance;
 }
 
+void
+World::advance(base::Duration aTime)
+{
+  mNow += aTime;
+  for (const auto& connection : mConnections) {
+    const bool waits = connection->peerPaused && !connection->inFlight.empty();
+    connection->pausedWithBytes =
+      waits ? connection->pausedWithBytes + aTime : base::Duration::zero();
+    if (waits && connection->pausedWithBytes > connection->userTimeout) {
+      connection->peerReset = true;
+      connection->resetSent = true;
+      connection->inFlight.clear();
+    }
+  }
+}
+
 Connection&
 World::addConnection(bool aAccepted, bufferevent* aBuffered)
 {
--- a/tests/explore/world.h
+++ b/tests/explore/world.h
@@ -29,14 +29,16 @@
   std::size_t read = 0;   ///< bytes that the process has read
   bool peerFin = false;
   bool peerReset = false;
-  bool peerPaused = false;  ///< the peer's window is closed
-  std::string inFlight;     ///< accepted by the kernel, not yet by the peer
-  std::string received;     ///< by the peer
-  bool finSent = false;     ///< the process closed its sending side
-  bool closed = false;      ///< the process closed the socket
-  bool resetSent = false;   ///< the peer sees a reset
-  bool wantsReset = false;  ///< a close becomes a reset
-  bool endReported = false; ///< end of input or error, to the process
+  bool peerPaused = false;      ///< the peer's window is closed
+  std::string inFlight;         ///< accepted by the kernel, not yet by the peer
+  std::string received;         ///< by the peer
+  bool finSent = false;         ///< the process closed its sending side
+  bool closed = false;          ///< the process closed the socket
+  bool resetSent = false;       ///< the peer sees a reset
+  bool wantsReset = false;      ///< a close becomes a reset
+  base::Duration userTimeout{}; ///< for which the kernel bears a pause
+  base::Duration pausedWithBytes{};
+  bool endReported = false;        ///< end of input or error, to the process
   bufferevent* buffered = nullptr; ///< until the process closes the socket
 
   /** @return true if the peer can still send */
@@ -81,8 +83,9 @@
   /** @return time until the next timer, or nothing if there is none */
   std::optional<base::Duration> untilNextTimer() const;
 
-  /** Lets time pass without running the loop. */
-  void advance(base::Duration aTime) { mNow += aTime; }
+  /** Lets time pass without running the loop. The kernel fails connections
+   * whose peers don't take its bytes for longer than their user timeout. */
+  void advance(base::Duration aTime);
 
   /** Opens a connection from a caller. @return its index, or nothing if no
    * process listens */
