End a lease that is granted while its VM leaves

Cause: Lease::revoke() did nothing while a call for a lease was pending. Its answer, after Fleet::leave(), began a lease and wrote the registration again, so a VM in a planned stop came back into the fleet until that lease ended, 6 s later. It takes a registration that lapses within the notice of the stop. Now revoke() is for good: no lease is requested after it, and one that is granted after it is revoked at once and registers nothing.

--- a/apps/gateway/lease.cpp
+++ b/apps/gateway/lease.cpp
@@ -48,7 +48,7 @@
 void
 Lease::request()
 {
-  if (held() || !mayCall()) {
+  if (held() || mRevoked || !mayCall()) {
     return;
   }
   mCallPending = true;
@@ -60,6 +60,10 @@
         recordFailure(); // The watch logs the lost connection.
         return;
       }
+      if (mRevoked) {
+        revokeAtStore(std::get<std::string>(aResult));
+        return;
+      }
       mId = std::get<std::string>(aResult);
       recordSuccess(sentAt);
       observe::logInfo("lease granted", { { "lease", mName }, { "id", mId } });
@@ -96,17 +100,24 @@
 void
 Lease::revoke()
 {
+  mRevoked = true;
   if (!held()) {
     return;
   }
-  mClient.revokeLease(mId, [name = mName](const auto& aResult) {
+  revokeAtStore(mId);
+  drop("revoked");
+}
+
+void
+Lease::revokeAtStore(const std::string& aId)
+{
+  mClient.revokeLease(aId, [name = mName](const auto& aResult) {
     if (const base::Error* error = base::errorOf(aResult)) {
       // The store ends it after its term.
       observe::logWarn("lease not revoked",
                        { { "lease", name }, { "error", error->message } });
     }
   });
-  drop("revoked");
 }
 
 void
--- a/apps/gateway/lease.h
+++ b/apps/gateway/lease.h
@@ -26,7 +26,8 @@
    * @param aInterval time between two renewals */
   void renewIfDue(base::Duration aInterval);
 
-  /** Ends the lease at the store. */
+  /** Ends the lease at the store for good: requests none any more, and ends one
+   * that is being granted as soon as it is known. */
   void revoke();
 
   /** Forgets the lease. @param aReason reason for the log */
@@ -62,6 +63,7 @@
   bool mayCall() const;
   void recordFailure();
   void recordSuccess(base::TimePoint aSentAt);
+  void revokeAtStore(const std::string& aId);
 
   platform::Client& mClient;
   std::string mName;
@@ -71,6 +73,7 @@
   base::TimePoint mRenewedAt{};
   base::TimePoint mNextCallAt{};
   bool mCallPending = false;
+  bool mRevoked = false;
   sigc::signal<void()> mGranted;
   sigc::signal<void()> mLost;
 };
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -58,6 +58,7 @@
         self.era = 1         # rises each time the store is restored from a copy
         self.copy = None     # what restore() goes back to
         self.refused_key = None  # writes of it are answered with 503 and not done
+        self.hold_grants = False  # leases are granted at once, but the answers wait
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -119,8 +120,11 @@
         if path == "/-/kv-lease":
             ttl = json.loads(body)["ttl_ms"]
             self.next_lease += 1
-            self.leases[self.next_lease] = (time.monotonic() + ttl / 1000, ttl)
-            return 200, {"lease_id": self.next_lease, "ttl_ms": ttl}
+            granted = self.next_lease
+            self.leases[granted] = (time.monotonic() + ttl / 1000, ttl)
+            while self.hold_grants:
+                await asyncio.sleep(0.01)
+            return 200, {"lease_id": granted, "ttl_ms": ttl}
         lease = int(path.rsplit("/", 1)[1]) if path.rsplit("/", 1)[1].isdigit() else 0
         if lease not in self.leases:
             return 404, {}
