Let a planned stop wait until its leases are revoked

Cause: a stop ended the process as soon as its callers were gone, at most 250 ms after the revocation of the registration was sent. Calls of http::Client are reset when the process ends before their answer, so a revocation that was still on its way was lost, and the VM stayed in the fleet for 6 s. Now the stop waits for the answers to the calls that end its two leases, a lease that is being granted included. Bound: each call has its timeout of 1.2 s (two in a row if a grant is pending), and the process still ends at 0.95 of the grace. With a store that answers at once nothing is later than before.

Evidence: tests/e2e/test_leave.py: a revocation arrives after 0.6 s, unless its connection was reset before.

--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -69,6 +69,13 @@
   /** Revokes the lease, which removes this VM from the fleet. */
   void leave();
 
+  /** @return true after leave() until the store has answered or the calls to it
+   * have timed out */
+  bool leavePending() const
+  {
+    return mLease.revocationPending() || mOwnerLease.revocationPending();
+  }
+
   /** @return the other VMs by name */
   const std::map<base::VmName, Member>& others() const { return mOthers; }
 
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -627,7 +627,8 @@
     return;
   }
   mPeerExchange.announceDraining();
-  if (mCallers.connections() == 0) {
+  // The end of the process resets calls that are on their way.
+  if (mCallers.connections() == 0 && !mFleet.leavePending()) {
     mLoop.stop();
   }
 }
--- a/apps/gateway/lease.cpp
+++ b/apps/gateway/lease.cpp
@@ -52,10 +52,12 @@
     return;
   }
   mCallPending = true;
+  mGrantPending = true;
   const base::TimePoint sentAt = base::monotonicNow();
   mClient.grantLease(
     mTerm, [this, sentAt](const base::Captured<std::string>& aResult) {
       mCallPending = false;
+      mGrantPending = false;
       if (base::errorOf(aResult) != nullptr) {
         recordFailure(); // The watch logs the lost connection.
         return;
@@ -111,11 +113,13 @@
 void
 Lease::revokeAtStore(const std::string& aId)
 {
-  mClient.revokeLease(aId, [name = mName](const auto& aResult) {
+  mRevocationPending = true;
+  mClient.revokeLease(aId, [this](const auto& aResult) {
+    mRevocationPending = false;
     if (const base::Error* error = base::errorOf(aResult)) {
       // The store ends it after its term.
       observe::logWarn("lease not revoked",
-                       { { "lease", name }, { "error", error->message } });
+                       { { "lease", mName }, { "error", error->message } });
     }
   });
 }
--- a/apps/gateway/lease.h
+++ b/apps/gateway/lease.h
@@ -30,6 +30,13 @@
    * that is being granted as soon as it is known. */
   void revoke();
 
+  /** @return true after revoke() while the store may hold the lease and a call
+   * is pending that ends it */
+  bool revocationPending() const
+  {
+    return mRevoked && (mGrantPending || mRevocationPending);
+  }
+
   /** Forgets the lease. @param aReason reason for the log */
   void drop(const char* aReason);
 
@@ -73,6 +80,8 @@
   base::TimePoint mRenewedAt{};
   base::TimePoint mNextCallAt{};
   bool mCallPending = false;
+  bool mGrantPending = false;
+  bool mRevocationPending = false;
   bool mRevoked = false;
   sigc::signal<void()> mGranted;
   sigc::signal<void()> mLost;
--- a/tests/e2e/test_leave.py
+++ b/tests/e2e/test_leave.py
@@ -66,6 +66,23 @@
                               and row["revision"] > revision])
         self.assertEqual([], [term for _, term in self.store.leases.values() if term == 6000])
 
+    def test_stop_lasts_until_the_registration_has_been_revoked(self):
+        """Guards against a VM that stays in the fleet until its lease ends, because the end of the
+        process resets the revocation on its way."""
+        self.store.revocation_delay = 0.6
+        self.gateway.child.send_signal(signal.SIGTERM)
+        self.assertEqual(0, self.gateway.child.wait(timeout=9))
+        self.assertNotIn(self.key, list(self.store.items))
+
+    def test_silent_store_delays_a_stop_by_the_timeout_of_a_call_only(self):
+        """Guards against a stop that waits for a store without answers until the end of its grace."""
+        stopped = time.monotonic()
+        self.gateway.child.send_signal(signal.SIGTERM)
+        time.sleep(2)
+        self.store.unanswered_ports.add(BASE_PORT + 90)
+        self.assertEqual(0, self.gateway.child.wait(timeout=9))
+        self.assertLess(time.monotonic() - stopped, NOTICE_SECONDS + 2)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -59,6 +59,7 @@
         self.copy = None     # what restore() goes back to
         self.refused_key = None  # writes of it are answered with 503 and not done
         self.hold_grants = False  # leases are granted at once, but the answers wait
+        self.revocation_delay = 0  # seconds until a revocation arrives, unless its connection is reset before
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -380,6 +381,10 @@
                         stalled.add(writer)
                         await asyncio.sleep(0.05)
                     method, path, query, _, body = request
+                    if method == "DELETE" and self.store.revocation_delay:
+                        await asyncio.sleep(self.store.revocation_delay)
+                        if writer.is_closing():
+                            break
                     status, content = await self.store.handle(port, method, path, query, body)
                     if port in self.store.severed_ports:
                         break
