Send no orders to an engine that has asked for quiet

Cause: the owner of orders did not look at what an engine had said in a 503 with Retry-After: it sent reports and orders within that time, and a report that was itself turned away so was asked for again every 0.4 s. Retry-After says that the engine wants nothing from this VM. Now neither goes before the time is over; a 503 with Retry-After to an order or a call for a report counts as one to a request does. docs/decisions/0013 weighs a load that nobody else can take against the quiet: the engine would hardly begin it, and this VM could not use it. Loads go to other engines meanwhile, and no adapter waits for a slot of a quiet engine. Engines that say they leave get no orders either, as acceptsFrom() covers both.

Evidence: test_upstream_notices.TurnedAway. That a load goes to another engine meanwhile passed before and after. PlanAdapters.DoesNotWaitForASlotOfAQuietEngine in residency_tests failed before, passes now (51 of 51).

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -153,7 +153,13 @@
           observe::logWarn("upstream records lost",
                            { { "error", aError.message } });
         } })
-  , mOrders(mClient, mSettings, mFleet, mCatalog, mUpstreams, mMetrics)
+  , mOrders(mClient,
+            mSettings,
+            mFleet,
+            mCatalog,
+            mUpstreams,
+            mNotices,
+            mMetrics)
   , mPeerExchange(mLoop, mContext, mFleet, mOrders, mIncarnation)
   , mCallers(mLoop,
              [this](const std::shared_ptr<wire::CallerConnection>& aCaller) {
--- a/apps/gateway/order_controller.cpp
+++ b/apps/gateway/order_controller.cpp
@@ -30,12 +30,14 @@
                                  Fleet& aFleet,
                                  const CatalogHolder& aCatalog,
                                  UpstreamTable& aUpstreams,
+                                 dispatch::UpstreamNotices& aNotices,
                                  observe::Metrics& aMetrics)
   : mClient(aClient)
   , mSettings(aSettings)
   , mFleet(aFleet)
   , mCatalog(aCatalog)
   , mUpstreams(aUpstreams)
+  , mNotices(aNotices)
   , mMetrics(aMetrics)
   , mPlanStatistics(aMetrics)
 {
@@ -126,7 +128,7 @@
     detectFinishedOrders(engine, record, aNow);
     if ((!engine.reportReceived || engine.needsReport) &&
         !engine.callInProgress && aNow >= engine.retryAt &&
-        upstream->usable()) {
+        upstream->usable() && !isQuiet(*upstream, aNow)) {
       fetchReport(name, engine);
     }
   }
@@ -164,6 +166,29 @@
   }
 }
 
+/** @return true if the upstream wants nothing from this VM now */
+bool
+OrderController::isQuiet(const Upstream& aUpstream, base::TimePoint aNow) const
+{
+  return mNotices.acceptsFrom(aUpstream.process().tag()) > aNow;
+}
+
+/** Records for how long an engine wants nothing that has turned an order or a
+ * call for its report away. */
+void
+OrderController::recordRefusal(const base::UpstreamName& aName,
+                               const Engine& aEngine,
+                               const http::Response& aAnswer)
+{
+  const auto answer =
+    boundary::decodeAnswer(aAnswer.status, aAnswer.headers, aName);
+  if (answer.notice.turnsAwayFor) {
+    const dispatch::UpstreamProcess process{ aName, aEngine.startedAt };
+    mNotices.onTurnedAway(
+      process.tag(), *answer.notice.turnsAwayFor, base::monotonicNow());
+  }
+}
+
 void
 OrderController::fetchReport(const base::UpstreamName& aName, Engine& aEngine)
 {
@@ -179,8 +204,13 @@
     found->second.callInProgress = false;
     found->second.retryAt = base::monotonicNow() + kReportDelay;
     constexpr int kOk = 200;
-    if (aEnd == http::CallEnd::Complete && aAnswer.status == kOk) {
+    if (aEnd != http::CallEnd::Complete) {
+      return;
+    }
+    if (aAnswer.status == kOk) {
       onReport(aName, aAnswer.body);
+    } else {
+      recordRefusal(aName, found->second, aAnswer);
     }
   };
   aEngine.call = mClient.start(
@@ -247,6 +277,7 @@
     engine.dataCentre = record.dataCentre;
     engine.draining = !upstream->usable();
     engine.restarting = upstream->processEnded();
+    engine.quiet = isQuiet(*upstream, aNow);
     engine.orderable = known.reportReceived && !known.needsReport &&
                        !known.callInProgress && !known.loading &&
                        !known.unloading && aNow >= known.retryAt;
@@ -309,7 +340,7 @@
                   http::CallEnd aEnd, const http::Response& aAnswer) {
     const auto found = mEngines.find(aOrder.engine);
     if (found != mEngines.end() && found->second.startedAt == startedAt) {
-      onReply(aOrder, aEnd, aAnswer.status);
+      onReply(aOrder, aEnd, aAnswer);
     }
   };
   mMetrics
@@ -330,12 +361,15 @@
 void
 OrderController::onReply(const residency::PlannedOrder& aOrder,
                          http::CallEnd aEnd,
-                         int aStatus)
+                         const http::Response& aAnswer)
 {
   Engine& engine = mEngines.at(aOrder.engine);
   engine.callInProgress = false;
   const bool answered = aEnd == http::CallEnd::Complete;
-  const auto reply = answered ? boundary::decodeOrderReply(aStatus)
+  if (answered) {
+    recordRefusal(aOrder.engine, engine, aAnswer);
+  }
+  const auto reply = answered ? boundary::decodeOrderReply(aAnswer.status)
                               : boundary::OrderReply::Unknown;
   observe::logInfo(
     "order",
@@ -345,7 +379,7 @@
       { "reason", aOrder.reason },
       { "fence", std::to_string(mFencingToken) },
       { "order_count", std::to_string(engine.orderCount) },
-      { "status", answered ? std::to_string(aStatus) : "no answer" } });
+      { "status", answered ? std::to_string(aAnswer.status) : "no answer" } });
   switch (reply) {
     case boundary::OrderReply::Started:
       ++engine.orderCount;
--- a/apps/gateway/order_controller.h
+++ b/apps/gateway/order_controller.h
@@ -5,6 +5,7 @@
 #include "apps/gateway/fleet.h"
 #include "apps/gateway/plan_statistics.h"
 #include "apps/gateway/upstream_table.h"
+#include "dispatch/dispatch.h"
 #include "http/http.h"
 #include "observe/metrics.h"
 #include "residency/residency.h"
@@ -24,6 +25,7 @@
                   Fleet& aFleet,
                   const CatalogHolder& aCatalog,
                   UpstreamTable& aUpstreams,
+                  dispatch::UpstreamNotices& aNotices,
                   observe::Metrics& aMetrics);
 
   /** Starts or stops sending orders when the ownership has changed.
@@ -90,6 +92,10 @@
   void detectFinishedOrders(Engine& aEngine,
                             const catalog::UpstreamRecord& aRecord,
                             base::TimePoint aNow);
+  bool isQuiet(const Upstream& aUpstream, base::TimePoint aNow) const;
+  void recordRefusal(const base::UpstreamName& aName,
+                     const Engine& aEngine,
+                     const http::Response& aAnswer);
   void fetchReport(const base::UpstreamName& aName, Engine& aEngine);
   void onReport(const base::UpstreamName& aName, const std::string& aBody);
   residency::PlanInput planInput(const catalog::Service& aService,
@@ -98,7 +104,7 @@
   void sendOrder(const residency::PlannedOrder& aOrder);
   void onReply(const residency::PlannedOrder& aOrder,
                http::CallEnd aEnd,
-               int aStatus);
+               const http::Response& aAnswer);
   void applyCompletedOrder(Engine& aEngine,
                            const residency::PlannedOrder& aOrder);
 
@@ -107,6 +113,7 @@
   Fleet& mFleet;
   const CatalogHolder& mCatalog;
   UpstreamTable& mUpstreams;
+  dispatch::UpstreamNotices& mNotices;
   observe::Metrics& mMetrics;
   std::map<base::UpstreamName, Engine> mEngines;
   residency::StoreLoadLimiter mStoreLoads;
--- a/libs/dispatch/upstream_notices.cpp
+++ b/libs/dispatch/upstream_notices.cpp
@@ -80,13 +80,22 @@
   }
   state.leaving = state.leaving || aNotice.leaving;
   if (aNotice.turnsAwayFor) {
-    state.turnsAwayUntil =
-      std::max(state.turnsAwayUntil, aNow + *aNotice.turnsAwayFor);
+    onTurnedAway(aProcess, *aNotice.turnsAwayFor, aNow);
   }
   state.heardAt = aNow;
   return change;
 }
 
+void
+UpstreamNotices::onTurnedAway(peers::ProcessTag aProcess,
+                              base::Duration aTime,
+                              base::TimePoint aNow)
+{
+  State& state = mStates[aProcess];
+  state.turnsAwayUntil = std::max(state.turnsAwayUntil, aNow + aTime);
+  state.heardAt = aNow;
+}
+
 base::TimePoint
 UpstreamNotices::acceptsFrom(peers::ProcessTag aProcess) const
 {
--- a/libs/dispatch/upstream_notices.h
+++ b/libs/dispatch/upstream_notices.h
@@ -53,9 +53,16 @@
                         const catalog::UpstreamNotice& aNotice,
                         base::TimePoint aNow);
 
+  /** Records that it has turned away something else than a request, whose
+   * answer names no limit. @param aProcess upstream
+   * @param aTime time for which it wants nothing @param aNow time */
+  void onTurnedAway(peers::ProcessTag aProcess,
+                    base::Duration aTime,
+                    base::TimePoint aNow);
+
   /** @param aProcess upstream
-   * @return the time from which it wants requests from this VM; the past unless
-   * it has turned one away, the end of time if it leaves */
+   * @return the time from which it wants requests and orders from this VM; the
+   * past unless it has turned one away, the end of time if it leaves */
   base::TimePoint acceptsFrom(peers::ProcessTag aProcess) const;
 
   /** @param aProcess upstream @return requests a second that it takes from all
--- a/libs/residency/fleet_stats.cpp
+++ b/libs/residency/fleet_stats.cpp
@@ -79,7 +79,8 @@
 {
   EngineStats& added = mEngines.emplace_back();
   added.engine = &aEngine;
-  added.acceptsOrders = !aEngine.draining && aEngine.orderable;
+  added.acceptsOrders =
+    !aEngine.draining && !aEngine.quiet && aEngine.orderable;
   for (const auto& [name, adapters] : aEngine.models) {
     ModelStats& model = modelStats(name);
     HeldModel& held = added.held.emplace_back();
--- a/libs/residency/fleet_stats.h
+++ b/libs/residency/fleet_stats.h
@@ -65,7 +65,7 @@
 struct EngineStats
 {
   const Engine* engine = nullptr;
-  bool acceptsOrders = false; ///< neither draining nor busy with an order
+  bool acceptsOrders = false; ///< not draining, quiet or busy with an order
   double workMsPerSecond = 0; ///< its share of the work of all its models
   double freeMb = 0;          ///< memory available for weights
   std::size_t usedSlots = 0;  ///< occupied adapter slots
--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -320,8 +320,8 @@
     for (const ModelPresence& presence : aNeed.model->presences) {
       const EngineStats& stats = mFleet.engines()[presence.engine];
       const Engine& engine = *stats.engine;
-      const bool awaitsReport = !engine.draining && !engine.orderable &&
-                                engine.loading.empty() &&
+      const bool awaitsReport = !engine.draining && !engine.quiet &&
+                                !engine.orderable && engine.loading.empty() &&
                                 engine.unloading.empty();
       if (presence.holds && awaitsReport &&
           stats.usedSlots + mReservedSlots[presence.engine] <
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -31,6 +31,7 @@
    * there, empty but with the same disk. */
   bool restarting = false;
   bool orderable = true; ///< false while an order runs or its state is unknown
+  bool quiet = false;    ///< has asked for a time without orders, and gets none
   /** Models in the engine's record, each with its resident adapters. */
   std::map<base::ModelName, std::set<std::string>> models;
   std::set<base::ModelName> loading; ///< loads in progress; they use memory too
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -504,6 +504,22 @@
   CHECK(residency::planAdapters(input).empty());
 }
 
+// Guards against waiting for a slot of an engine that takes no orders for as
+// long as it has asked for quiet.
+TEST(PlanAdapters, DoesNotWaitForASlotOfAQuietEngine)
+{
+  Engine full = engine("e1", { "a" });
+  full.models["a"] = { "a1", "a2" };
+  Engine quiet = engine("e2", { "a" });
+  quiet.models["a"] = { "a1" };
+  quiet.quiet = true;
+  input.engines = { full, quiet };
+  input.demand[{ "a", "a3" }] = { 0, 1, 0, 1s };
+  const auto orders = residency::planAdapters(input);
+  LONGS_EQUAL(1, orders.size());
+  STRCMP_EQUAL("e1", orders[0].engine.c_str());
+}
+
 // Guards against waiting forever for an engine that does not report again.
 TEST(PlanAdapters, LimitsTheWaitForASlotBeingFreed)
 {
--- a/tests/e2e/test_upstream_notices.py
+++ b/tests/e2e/test_upstream_notices.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 
-from gateway_process import Gateway
+from gateway_process import Gateway, wait_for
 from users_platform import ROUTES, Platform, Upstream
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
@@ -168,6 +168,37 @@
             self.assertEqual(503, status)
             self.assertGreater(float(retry_after), 1)
 
+    def test_orders_and_reports_wait_for_the_end_of_the_quiet_time(self):
+        """Guards against a quiet time that the owner of orders keeps for requests only."""
+        self.keep_one_engine()
+        engine = self.engines[0]
+        engine.turn_away = "6"
+        self.drive(0.4, pause=0.05)
+        engine.turn_away = None
+        first, last = engine.statements[0][0], engine.statements[-1][0]
+        wait_for(lambda: engine.order_log, 16)  # the owner loads the absent model m2
+        self.assertEqual([], [(at - first, path) for at, path in engine.control_arrivals
+                              if last + self.IN_FLIGHT < at < first + 6])
+
+    def test_orders_go_to_another_engine_meanwhile(self):
+        """Guards against a model that stays absent because one of several engines wants quiet."""
+        self.platform.change(self.platform.store.remove, "servers/engine2")
+        self.engines[0].turn_away = "20"
+        self.drive(0.9, pause=0.03)
+        self.assertTrue(self.engines[0].statements)
+        wait_for(lambda: self.engines[1].order_log, 12)
+
+    def test_report_that_is_turned_away_is_not_asked_for_meanwhile(self):
+        """Guards against a quiet time that is heeded only when a request was turned away."""
+        engine = self.engines[0]
+        engine.turn_control_away = "3"
+        wait_for(lambda: engine.control_arrivals, 12)
+        time.sleep(3)
+        engine.turn_control_away = None
+        first = engine.control_arrivals[0][0]
+        early = [at - first for at, _ in engine.control_arrivals if first + self.IN_FLIGHT < at < first + 2.9]
+        self.assertLessEqual(len(early), self.MOST)
+
     def test_unreadable_times_are_ignored(self):
         """Guards against an upstream that is shut out by a time that means nothing."""
         self.keep_one_engine()
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -178,6 +178,8 @@
         self.models = {m: set() for m in models or []}
         self.orders = 0
         self.order_log = []  # (time, owner, fence, operation, model, adapter)
+        self.control_arrivals = []  # (time, path) of orders and calls for a report
+        self.turn_control_away = None  # text of Retry-After with which it turns these away
         self.seen = []       # headers of requests that ran
         self.break_after = None  # cuts a stream inside the event after this many
         self.fail_resumed = False   # answers the resumption of a stream with a signed error
@@ -222,6 +224,11 @@
             signature["Server-Limit"] = str(self.limit)
         if self.leaving:
             signature["Server-Leaving"] = "1"
+        if path in ("/-/report", "/-/order"):
+            self.control_arrivals.append((time.monotonic(), path))
+            if self.turn_control_away is not None:
+                writer.write(answer_bytes(503, {"Retry-After": self.turn_control_away}, b""))
+                return True
         if path == "/-/report":
             report = json.loads(self.record())
             report.update({"busy": False, "sequence": self.orders})
