Leave no request to the kernel when the process ends

Cause: libs/wire set the reset on close when a call was given up only. The end or a kill of the process closed the connection in order, so the kernel went on sending an unacknowledged request for up to 2.5 s, also one that may run only once and whose caller had lost its connection. As http::Client does, the reset is now set before the first byte and taken back after the complete response.

--- a/libs/wire/connection_pool.cpp
+++ b/libs/wire/connection_pool.cpp
@@ -41,7 +41,6 @@
   if (mConnection->reusable()) {
     mPool.keepIdle(mUpstream, std::move(mConnection));
   } else {
-    mConnection->resetUnlessAnswered();
     mPool.destroyLater(std::move(mConnection));
   }
 }
--- a/libs/wire/transport.cpp
+++ b/libs/wire/transport.cpp
@@ -229,9 +229,9 @@
 }
 
 void
-Transport::resetOnClose()
+Transport::resetOnClose(bool aReset)
 {
-  const linger option{ 1, 0 };
+  const linger option{ aReset ? 1 : 0, 0 };
   setsockopt(bufferevent_getfd(mNative.get()),
              SOL_SOCKET,
              SO_LINGER,
--- a/libs/wire/transport.h
+++ b/libs/wire/transport.h
@@ -105,8 +105,10 @@
    * @return true if there are unread bytes or the peer closed */
   bool hasInputOrEnd() const;
 
-  /** Makes the close send a TCP reset, so that the peer sees a failure. */
-  void resetOnClose();
+  /** Makes the close send a TCP reset, so that the peer sees a failure and the
+   * kernel sends no bytes again, also at the end of the process.
+   * @param aReset false for an orderly close */
+  void resetOnClose(bool aReset = true);
 
   /** Closes the socket at once with a TCP reset; no callback runs. */
   void closeWithReset();
--- a/libs/wire/upstream.cpp
+++ b/libs/wire/upstream.cpp
@@ -100,6 +100,7 @@
     return false;
   }
   mSent = true;
+  mTransport.resetOnClose();
   mTransport.writeNow(*bytes);
   return true;
 }
@@ -123,14 +124,6 @@
            mCarriedIds.end();
 }
 
-void
-UpstreamConnection::resetUnlessAnswered()
-{
-  if (mSent && !mParser.completed()) {
-    mTransport.resetOnClose();
-  }
-}
-
 bool
 UpstreamConnection::reusable() const
 {
@@ -217,6 +210,7 @@
   if (!mParser.completed()) {
     return true;
   }
+  mTransport.resetOnClose(false);
   mReusable = mParser.keepAlive() && !mParser.closeDelimited();
   mActive = false;
   const auto callback = std::move(mEvents.complete);
--- a/libs/wire/upstream.h
+++ b/libs/wire/upstream.h
@@ -39,7 +39,10 @@
   bool skipBody = false; ///< true for HEAD
 };
 
-/** A connection to an upstream. It runs one call at a time. */
+/** A connection to an upstream. It runs one call at a time. Until the response
+ * is complete, the connection is reset when it is closed or the process ends:
+ * the kernel then sends no bytes of the request again, and the upstream learns
+ * of the close at once, also behind bytes that it has not read. */
 class UpstreamConnection
 {
 public:
@@ -60,11 +63,6 @@
    * or sends bytes while it is idle */
   void setIdle(std::function<void()> aCallback);
 
-  /** Makes the close a reset if the upstream may still be working on a request,
-   * so that it learns of the close at once, also behind bytes that it has not
-   * read. */
-  void resetUnlessAnswered();
-
   /** @return true if another request may be sent: the request was sent and the
    * response read completely, and no bytes follow it */
   bool reusable() const;
