Hold one copy less of a request's body

Cause: the body of an open request was held by the connection of its caller and by the exchange, and copied once more to be serialized. The exchange now takes the body from the connection, which needs only the method and flags afterwards, and serialize() gets the body as a view. What is left: the exchange's copy, needed for a second try, and the serialized bytes that the upstream has not read.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -68,7 +68,7 @@
   : mContext(aContext)
   , mCaller(std::move(aCaller))
   , mCatalog(aContext.catalog.current())
-  , mRequest(mCaller->request())
+  , mRequest(mCaller->takeRequest())
   , mHeaders(wire::endToEndHeaders(mRequest.headers))
   , mMetadata(boundary::decodeRequest(mHeaders))
   , mReceivedAt(mCaller->receivedAt())
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -575,8 +575,7 @@
   request.method = mRequest.method;
   request.target = mRequest.target;
   request.headers = boundary::forwardHeaders(mHeaders, metadata);
-  request.body = mRequest.body;
-  return wire::serialize(request);
+  return wire::serialize(request, mRequest.body);
 }
 
 void
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -316,6 +316,15 @@
   mServer.mHandler(self);
 }
 
+Request
+CallerConnection::takeRequest()
+{
+  std::string body = std::exchange(mCurrent.request.body, {});
+  Request taken = mCurrent.request;
+  taken.body = std::move(body);
+  return taken;
+}
+
 void
 CallerConnection::writeHead(int aStatus,
                             const http::Headers& aHeaders,
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -68,8 +68,11 @@
 public:
   CallerConnection(CallerServer& aServer, int aDescriptor);
 
-  /** @return the request in progress */
-  Request& request() { return mCurrent.request; }
+  /** @return the request in progress, without its body once that was taken */
+  const Request& request() const { return mCurrent.request; }
+
+  /** @return the request with its body, which this object then holds no more */
+  Request takeRequest();
 
   /** @return time at which the first byte of the request was read */
   base::TimePoint receivedAt() const { return mCurrent.receivedAt; }
--- a/libs/wire/message.cpp
+++ b/libs/wire/message.cpp
@@ -74,20 +74,19 @@
 }
 
 std::string
-serialize(const Request& aRequest)
+serialize(const Request& aHead, std::string_view aBody)
 {
-  std::string bytes = aRequest.method + " " + aRequest.target + " HTTP/1.1\r\n";
-  for (const auto& [name, value] : aRequest.headers) {
+  std::string bytes = aHead.method + " " + aHead.target + " HTTP/1.1\r\n";
+  for (const auto& [name, value] : aHead.headers) {
     bytes += name + ": " + value + "\r\n";
   }
-  const bool bodyExpected = aRequest.method != "GET" &&
-                            aRequest.method != "HEAD" &&
-                            aRequest.method != "DELETE";
-  if (bodyExpected || !aRequest.body.empty()) {
-    bytes += "Content-Length: " + std::to_string(aRequest.body.size()) + "\r\n";
+  const bool bodyExpected =
+    aHead.method != "GET" && aHead.method != "HEAD" && aHead.method != "DELETE";
+  if (bodyExpected || !aBody.empty()) {
+    bytes += "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
   }
   bytes += "\r\n";
-  bytes += aRequest.body;
+  bytes += aBody;
   return bytes;
 }
 
--- a/libs/wire/message.h
+++ b/libs/wire/message.h
@@ -42,11 +42,13 @@
 removeHeader(http::Headers& aHeaders, std::string_view aName);
 
 /**
- * @param aRequest request to send, with end-to-end headers only
+ * @param aHead request to send, with end-to-end headers only; its own body is
+ * not used
+ * @param aBody its body
  * @return its bytes, framed by Content-Length
  */
 std::string
-serialize(const Request& aRequest);
+serialize(const Request& aHead, std::string_view aBody);
 
 /**
  * @param aStatus HTTP status code
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -343,13 +343,14 @@
   request.method = "GET";
   request.target = "/x";
   request.headers = { { "X-Request-Id", aId } };
-  call = aPool.start({ "u", kAddress },
-                     { [bytes = wire::serialize(request)] { return bytes; },
-                       "X-Request-Id",
-                       aId,
-                       false },
-                     std::move(events),
-                     4);
+  call = aPool.start(
+    { "u", kAddress },
+    { [bytes = wire::serialize(request, request.body)] { return bytes; },
+      "X-Request-Id",
+      aId,
+      false },
+    std::move(events),
+    4);
   const auto limit = aLoop.after(3s, [&] { aLoop.stop(); });
   aLoop.run();
   call.reset();
