--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -154,7 +154,13 @@
           observe::logWarn("upstream records lost",
                            { { "error", aError.message } });
         } })
-  , mOrders(mClient, mSettings, mFleet, mCatalog, mUpstreams, mMetrics)
+  , mOrders(mClient,
+            mSettings,
+            mFleet,
+            mCatalog,
+            mUpstreams,
+            mNotices,
+            mMetrics)
   , mPeerExchange(mLoop, mContext, mFleet, mOrders, mIncarnation)
   , mCallers(mLoop,
              [this](const std::shared_ptr<wire::CallerConnection>& aCaller) {
@@ -632,7 +638,8 @@
     return;
   }
   mPeerExchange.announceDraining();
-  if (mCallers.connections() == 0) {
+  // The end of the process resets calls that are on their way.
+  if (mCallers.connections() == 0 && !mFleet.leavePending()) {
     mLoop.stop();
   }
 }
--- a/apps/gateway/lease.cpp
+++ b/apps/gateway/lease.cpp
@@ -48,18 +48,24 @@
 void
 Lease::request()
 {
-  if (held() || !mayCall()) {
+  if (held() || mRevoked || !mayCall()) {
     return;
   }
   mCallPending = true;
+  mGrantPending = true;
   const base::TimePoint sentAt = base::monotonicNow();
   mClient.grantLease(
     mTerm, [this, sentAt](const base::Captured<std::string>& aResult) {
       mCallPending = false;
+      mGrantPending = false;
       if (base::errorOf(aResult) != nullptr) {
         recordFailure(); // The watch logs the lost connection.
         return;
       }
+      if (mRevoked) {
+        revokeAtStore(std::get<std::string>(aResult));
+        return;
+      }
       mId = std::get<std::string>(aResult);
       recordSuccess(sentAt);
       observe::logInfo("lease granted", { { "lease", mName }, { "id", mId } });
@@ -96,17 +102,26 @@
 void
 Lease::revoke()
 {
+  mRevoked = true;
   if (!held()) {
     return;
   }
-  mClient.revokeLease(mId, [name = mName](const auto& aResult) {
+  revokeAtStore(mId);
+  drop("revoked");
+}
+
+void
+Lease::revokeAtStore(const std::string& aId)
+{
+  mRevocationPending = true;
+  mClient.revokeLease(aId, [this](const auto& aResult) {
+    mRevocationPending = false;
     if (const base::Error* error = base::errorOf(aResult)) {
       // The store ends it after its term.
       observe::logWarn("lease not revoked",
-                       { { "lease", name }, { "error", error->message } });
+                       { { "lease", mName }, { "error", error->message } });
     }
   });
-  drop("revoked");
 }
 
 void
--- a/apps/gateway/lease.h
+++ b/apps/gateway/lease.h
@@ -26,9 +26,17 @@
    * @param aInterval time between two renewals */
   void renewIfDue(base::Duration aInterval);
 
-  /** Ends the lease at the store. */
+  /** Ends the lease at the store for good: requests none any more, and ends one
+   * that is being granted as soon as it is known. */
   void revoke();
 
+  /** @return true after revoke() while the store may hold the lease and a call
+   * is pending that ends it */
+  bool revocationPending() const
+  {
+    return mRevoked && (mGrantPending || mRevocationPending);
+  }
+
   /** Forgets the lease. @param aReason reason for the log */
   void drop(const char* aReason);
 
@@ -62,6 +70,7 @@
   bool mayCall() const;
   void recordFailure();
   void recordSuccess(base::TimePoint aSentAt);
+  void revokeAtStore(const std::string& aId);
 
   platform::Client& mClient;
   std::string mName;
@@ -71,6 +80,9 @@
   base::TimePoint mRenewedAt{};
   base::TimePoint mNextCallAt{};
   bool mCallPending = false;
+  bool mGrantPending = false;
+  bool mRevocationPending = false;
+  bool mRevoked = false;
   sigc::signal<void()> mGranted;
   sigc::signal<void()> mLost;
 };
--- a/apps/load/tests/load_tests.cpp
+++ b/apps/load/tests/load_tests.cpp
@@ -2,9 +2,11 @@
 #include "apps/load/answer_check.h"
 #include "apps/load/measures.h"
 
+// Before CppUTest, whose macros replace operator new.
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/TestHarness.h>
-#include <nlohmann/json.hpp>
 
 using namespace marigold;
 using namespace marigold::load;
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -1,10 +1,12 @@
 /** @file Tests of the platform client against a scripted server. */
 #include "platform/platform.h"
 
+// Before CppUTest, whose macros replace operator new.
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/TestHarness.h>
 #include <cstdlib>
-#include <nlohmann/json.hpp>
 #include <optional>
 
 using namespace marigold;
--- a/libs/wire/upstream.cpp
+++ b/libs/wire/upstream.cpp
@@ -103,6 +103,7 @@
     return false;
   }
   mSent = true;
+  mTransport.resetOnClose();
   mTransport.writeNow(*bytes);
   return true;
 }
@@ -126,14 +127,6 @@
            mCarriedIds.end();
 }
 
-void
-UpstreamConnection::resetUnlessAnswered()
-{
-  if (mSent && !mParser.completed()) {
-    mTransport.resetOnClose();
-  }
-}
-
 bool
 UpstreamConnection::reusable() const
 {
@@ -220,6 +213,7 @@
   if (!mParser.completed()) {
     return true;
   }
+  mTransport.resetOnClose(false);
   mReusable = mParser.keepAlive() && !mParser.closeDelimited();
   mActive = false;
   const auto callback = std::move(mEvents.complete);
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -58,6 +58,8 @@
         self.era = 1         # rises each time the store is restored from a copy
         self.copy = None     # what restore() goes back to
         self.refused_key = None  # writes of it are answered with 503 and not done
+        self.hold_grants = False  # leases are granted at once, but the answers wait
+        self.revocation_delay = 0  # seconds until a revocation arrives, unless its connection is reset before
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -119,8 +121,11 @@
         if path == "/-/kv-lease":
             ttl = json.loads(body)["ttl_ms"]
             self.next_lease += 1
-            self.leases[self.next_lease] = (time.monotonic() + ttl / 1000, ttl)
-            return 200, {"lease_id": self.next_lease, "ttl_ms": ttl}
+            granted = self.next_lease
+            self.leases[granted] = (time.monotonic() + ttl / 1000, ttl)
+            while self.hold_grants:
+                await asyncio.sleep(0.01)
+            return 200, {"lease_id": granted, "ttl_ms": ttl}
         lease = int(path.rsplit("/", 1)[1]) if path.rsplit("/", 1)[1].isdigit() else 0
         if lease not in self.leases:
             return 404, {}
@@ -173,6 +178,8 @@
         self.models = {m: set() for m in models or []}
         self.orders = 0
         self.order_log = []  # (time, owner, fence, operation, model, adapter)
+        self.control_arrivals = []  # (time, path) of orders and calls for a report
+        self.turn_control_away = None  # text of Retry-After with which it turns these away
         self.seen = []       # headers of requests that ran
         self.break_after = None  # cuts a stream inside the event after this many
         self.fail_resumed = False   # answers the resumption of a stream with a signed error
@@ -217,6 +224,11 @@
             signature["Server-Limit"] = str(self.limit)
         if self.leaving:
             signature["Server-Leaving"] = "1"
+        if path in ("/-/report", "/-/order"):
+            self.control_arrivals.append((time.monotonic(), path))
+            if self.turn_control_away is not None:
+                writer.write(answer_bytes(503, {"Retry-After": self.turn_control_away}, b""))
+                return True
         if path == "/-/report":
             report = json.loads(self.record())
             report.update({"busy": False, "sequence": self.orders})
@@ -376,6 +388,10 @@
                         stalled.add(writer)
                         await asyncio.sleep(0.05)
                     method, path, query, _, body = request
+                    if method == "DELETE" and self.store.revocation_delay:
+                        await asyncio.sleep(self.store.revocation_delay)
+                        if writer.is_closing():
+                            break
                     status, content = await self.store.handle(port, method, path, query, body)
                     if port in self.store.severed_ports:
                         break
