Let VMs tell each other of the end of an upstream's limit

Change: reports carry when an upstream last spoke of its limit and whether the limit has ended, for 5 s, never the limit itself. A VM ignores an end that may be older, by the report delay, than what it knows.

Test, which fails first: NamedLimit.EndIsKnownToAllVmsSoon; with the reports and the asking switched off, it and ReportOfAnEndDoesNotEndALaterLimit fail. The three tests of the fleet's limit hold unchanged, with answers and reports now played too.

--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -341,6 +341,7 @@
   }
   status.crashes = mContext.crashes.report(base::monotonicNow());
   status.drainingUpstreams = mContext.upstreams.draining();
+  status.limitStatements = mContext.notices.statements(base::monotonicNow());
   mSentStatuses.push_back(status);
   if (mSentStatuses.size() > kMaxSentStatuses) {
     mSentStatuses.pop_front();
@@ -400,6 +401,7 @@
   }
   mergeCrashes(status.crashes, now);
   mContext.upstreams.markDraining(status.drainingUpstreams);
+  mergeStatements(status.limitStatements, now);
   if (status.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(vm);
   }
@@ -423,6 +425,18 @@
   mContext.crashes.merge(aCrashes, aNow);
 }
 
+void
+PeerExchange::mergeStatements(const peers::LimitStatements& aStatements,
+                              base::TimePoint aNow)
+{
+  for (const peers::ProcessTag process :
+       mContext.notices.merge(aStatements, aNow)) {
+    const auto upstream = mContext.upstreams.findProcess(process);
+    observe::logInfo("limit of an upstream ended, as peers report",
+                     { { "upstream", upstream ? upstream->record.name : "" } });
+  }
+}
+
 void
 PeerExchange::handle(peers::Summary& aSummary, const std::string& aBytes)
 {
@@ -453,6 +467,7 @@
   }
   mergeCrashes(summary.crashes, now);
   mContext.upstreams.markDraining(summary.drainingUpstreams);
+  mergeStatements(summary.limitStatements, now);
   if (summary.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(summary.relay);
   }
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -79,6 +79,8 @@
 private:
   void receive(const std::string& aBytes);
   void mergeCrashes(const peers::CrashTable& aCrashes, base::TimePoint aNow);
+  void mergeStatements(const peers::LimitStatements& aStatements,
+                       base::TimePoint aNow);
   void handle(peers::Status& aStatus, const std::string& aBytes);
   void handle(peers::Summary& aSummary, const std::string& aBytes);
   void handle(peers::PlacementUpdate& aUpdate, const std::string& aBytes);
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -7,6 +7,7 @@
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <functional>
 
@@ -869,6 +870,7 @@
 {
   static constexpr base::Duration kDelay = 600ms;
   static constexpr base::Duration kStep = 10ms;
+  static constexpr base::Duration kStatusPeriod = 300ms;
   static constexpr base::Duration kPlayed = 60s;
   static constexpr peers::ProcessTag kUpstream = 7;
   /** Requests a second that want the upstream, some time after the start. */
@@ -884,6 +886,10 @@
   std::vector<dispatch::UpstreamNotices> vms;
   /** What the VMs reported, the oldest first. */
   std::deque<std::vector<peers::LimitUse>> reports;
+  std::deque<peers::LimitStatements> statements;
+  base::Duration limitEnds = 1h; ///< after the start
+  base::Duration played = kPlayed;
+  std::uint64_t seed = 0;
 
   /** @return a demand that does not change */
   static Demand steady(double aPerSecond)
@@ -891,17 +897,58 @@
     return [aPerSecond](base::Duration) { return aPerSecond; };
   }
 
-  void setLimit(double aLimit)
+  void answer(std::size_t aVm, double aLimit, TimePoint aNow)
   {
     catalog::UpstreamNotice notice;
-    notice.requestsPerSecond = aLimit;
+    if (aNow - start < limitEnds) {
+      notice.requestsPerSecond = aLimit;
+    }
+    vms[aVm].onAnswer(kUpstream, notice, aNow);
+  }
+
+  void setLimit(double aLimit)
+  {
+    for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+      vms[vm].setReportDelay(kDelay);
+      vms[vm].setFleetSize(vms.size());
+      answer(vm, aLimit, start);
+    }
+  }
+
+  /** Every VM gets the latest statements of all, through the relays. */
+  void exchangeStatements(TimePoint aNow)
+  {
+    peers::LimitStatements latest;
+    for (const auto& vm : vms) {
+      for (const auto& [process, statement] : vm.statements(aNow)) {
+        const auto [found, isNew] = latest.try_emplace(process, statement);
+        if (!isNew && statement.age < found->second.age) {
+          found->second = statement;
+        }
+      }
+    }
+    statements.push_back(latest);
+    if (statements.size() <= static_cast<std::size_t>(kDelay / kStep)) {
+      return;
+    }
+    statements.pop_front();
+    if ((aNow - start) % kStatusPeriod != 0s) {
+      return;
+    }
     for (auto& vm : vms) {
-      vm.setReportDelay(kDelay);
-      vm.setFleetSize(vms.size());
-      vm.onAnswer(kUpstream, notice, start);
+      vm.merge(statements.front(), aNow);
     }
   }
 
+  /** @return VMs that know of a limit */
+  std::size_t limitedVms() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(vms.begin(), vms.end(), [](const auto& aVm) {
+        return aVm.limit(kUpstream).has_value();
+      }));
+  }
+
   void exchangeReports(TimePoint aNow)
   {
     std::vector<peers::LimitUse> uses;
@@ -935,12 +982,14 @@
   {
     vms.assign(aVms, {});
     setLimit(aLimit);
-    base::Random random(aVms);
+    base::Random random(aVms + seed);
     std::deque<Want> repeats;
     reports.clear();
+    statements.clear();
     arrivals.clear();
-    for (TimePoint now = start; now < start + kPlayed; now += kStep) {
+    for (TimePoint now = start; now < start + played; now += kStep) {
       exchangeReports(now);
+      exchangeStatements(now);
       std::vector<Want> wants;
       while (!repeats.empty() && repeats.front().at <= now) {
         wants.push_back(repeats.front());
@@ -959,6 +1008,7 @@
           kUpstream, usedByOthers(want.vm), random.unit(), now, want.repeated);
         if (admission == dispatch::Admission::Admitted) {
           arrivals.push_back(now);
+          answer(want.vm, aLimit, now);
         } else if (admission == dispatch::Admission::AskAgain) {
           CHECK(!want.repeated);
           repeats.push_back({ now + kDelay, want.vm, true });
@@ -1058,6 +1108,55 @@
   CHECK(mostInAWindow() <= 5);
 }
 
+// An upstream recovers; each VM sends it a request now and then only. Guards
+// against VMs that go on refusing until one of their own requests is admitted.
+TEST(NamedLimit, EndIsKnownToAllVmsSoon)
+{
+  int plays = 0;
+  int late = 0;
+  for (const std::size_t fleet : { 3, 82 }) {
+    for (const double limit : { 0.5, 1.0, 3.0 }) {
+      for (const double demand : { 10.0, 30.0 }) {
+        for (seed = 0; seed < 8; ++seed) {
+          limitEnds = 8s + std::chrono::milliseconds(300) * seed;
+          played = limitEnds + 8s;
+          play(fleet, limit, steady(demand), false);
+          ++plays;
+          late += limitedVms() > 0 ? 1 : 0;
+        }
+      }
+    }
+  }
+  // Requests are admitted at random.
+  CHECK(late * 20 <= plays);
+}
+
+// Guards against an old end of a limit that a report makes look newer than the
+// limit that the upstream has named since, and that peers keep alive.
+TEST(NamedLimit, ReportOfAnEndDoesNotEndALaterLimit)
+{
+  std::array<dispatch::UpstreamNotices, 3> fleet;
+  catalog::UpstreamNotice limited;
+  limited.requestsPerSecond = 1;
+  for (auto& vm : fleet) {
+    vm.setReportDelay(kDelay);
+    vm.onAnswer(kUpstream, limited, start);
+  }
+  fleet[0].onAnswer(kUpstream, {}, start + 5s);
+  fleet[1].onAnswer(kUpstream, limited, start + 5100ms);
+  const auto report = fleet[0].statements(start + 5s);
+  CHECK(fleet[1].merge(report, start + 5500ms).empty());
+  CHECK(fleet[1].limit(kUpstream).has_value());
+  LONGS_EQUAL(1, fleet[2].merge(report, start + 5500ms).size());
+  CHECK(!fleet[2].limit(kUpstream));
+  for (TimePoint now = start + 5500ms; now < start + 60s; now += 100ms) {
+    fleet[0].merge(fleet[2].statements(now), now + 100ms);
+    fleet[2].merge(fleet[0].statements(now), now + 100ms);
+  }
+  CHECK(fleet[0].statements(start + 60s).empty());
+  CHECK(fleet[2].statements(start + 60s).empty());
+}
+
 TEST(NamedLimit, AnswerWithoutALimitEndsIt)
 {
   dispatch::UpstreamNotices notices;
--- a/libs/dispatch/upstream_notices.h
+++ b/libs/dispatch/upstream_notices.h
@@ -7,6 +7,8 @@
 
 #include <deque>
 #include <map>
+#include <optional>
+#include <vector>
 
 namespace marigold::dispatch {
 
@@ -32,7 +34,10 @@
  * own requests exactly and knows those of its peers with a delay. It therefore
  * admits requests with a probability at which those that all VMs admit during
  * that delay fit into what is left, also if demand begins at all of them at the
- * same moment.
+ * same moment. VMs tell each other when an upstream last spoke of its limit,
+ * and whether the limit has ended. While nobody has asked it for some time, one
+ * more request is let through, because only an answer shows that a limit has
+ * ended.
  */
 class UpstreamNotices
 {
@@ -77,6 +82,15 @@
    * @return use by this VM, for its peers; zero without a limit */
   peers::LimitUse use(peers::ProcessTag aProcess, base::TimePoint aNow);
 
+  /** @param aNow time @return recent statements on limits, for the peers */
+  peers::LimitStatements statements(base::TimePoint aNow) const;
+
+  /** Adds what peers heard of limits. @param aStatements from a peer
+   * @param aNow time @return upstreams whose limit has thereby ended here */
+  std::vector<peers::ProcessTag> merge(
+    const peers::LimitStatements& aStatements,
+    base::TimePoint aNow);
+
   /** Forgets upstreams that have not answered for long. @param aNow time */
   void expire(base::TimePoint aNow);
 
@@ -87,20 +101,32 @@
     bool leaving = false;
     base::TimePoint turnsAwayUntil{};
     base::TimePoint heardAt{};
+    std::optional<base::TimePoint> limitEndedAt;
     std::deque<base::TimePoint> sends; ///< within the window
     std::deque<base::TimePoint> wants; ///< requests that were to be sent
   };
+  /** A statement on a limit, by any VM. */
+  struct Statement
+  {
+    base::TimePoint at{};
+    bool ended = false;
+  };
   Admission admit(const State& aState,
                   const peers::LimitUse& aPeers,
-                  double aLeft,
+                  double aPart,
                   double aChance,
                   base::TimePoint aNow) const;
+  bool asksAgain(peers::ProcessTag aProcess,
+                 const State& aState,
+                 base::TimePoint aNow) const;
+  static void endLimit(State& aState, base::TimePoint aNow);
   static base::Duration window(const State& aState);
   static void dropExpired(State& aState, base::TimePoint aNow);
 
   base::Duration mReportDelay{};
   std::size_t mVms = 1;
   std::map<peers::ProcessTag, State> mStates;
+  std::map<peers::ProcessTag, Statement> mStatements; ///< the latest known
 };
 
 } // namespace marigold::dispatch
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -95,6 +95,29 @@
   return crashes;
 }
 
+json
+encodeStatements(const LimitStatements& aStatements)
+{
+  json statements = json::array();
+  for (const auto& [tag, statement] : aStatements) {
+    statements.push_back(json::array(
+      { tag, base::inMilliseconds(statement.age), statement.ended }));
+  }
+  return statements;
+}
+
+LimitStatements
+decodeStatements(const json& aJson)
+{
+  LimitStatements statements;
+  for (const json& row : aJson) {
+    statements[row.at(0)] = { std::chrono::milliseconds(std::max<std::int64_t>(
+                                0, row.at(1).get<std::int64_t>())),
+                              row.at(2).get<bool>() };
+  }
+  return statements;
+}
+
 LoadTable
 decodeLoads(const json& aJson)
 {
@@ -134,7 +157,8 @@
                        encodeLoads(aStatus.loads),
                        encodeDemand(aStatus.demand),
                        encodeCrashes(aStatus.crashes),
-                       aStatus.drainingUpstreams });
+                       aStatus.drainingUpstreams,
+                       encodeStatements(aStatus.limitStatements) });
 }
 
 Status
@@ -156,6 +180,10 @@
   status.demand = decodeDemand(next());
   status.crashes = decodeCrashes(next());
   status.drainingUpstreams = next().get<std::map<std::string, std::uint32_t>>();
+  // VMs of earlier versions do not send it.
+  if (field < aBody.size()) {
+    status.limitStatements = decodeStatements(next());
+  }
   return status;
 }
 
@@ -181,7 +209,8 @@
                        encodeDemand(aSummary.demand),
                        encodeCrashes(aSummary.crashes),
                        aSummary.drainingUpstreams,
-                       aSummary.complete });
+                       aSummary.complete,
+                       encodeStatements(aSummary.limitStatements) });
 }
 
 Summary
@@ -207,8 +236,11 @@
   summary.crashes = decodeCrashes(next());
   summary.drainingUpstreams =
     next().get<std::map<std::string, std::uint32_t>>();
-  // VMs of earlier versions do not send it.
+  // VMs of earlier versions do not send these.
   summary.complete = field < aBody.size() && next().get<bool>();
+  if (field < aBody.size()) {
+    summary.limitStatements = decodeStatements(next());
+  }
   return summary;
 }
 
--- a/libs/peers/messages.h
+++ b/libs/peers/messages.h
@@ -22,6 +22,18 @@
   bool operator==(const LimitUse&) const = default;
 };
 
+/** Latest statement of an upstream on its limit that a VM has heard of. It
+ * tells peers of the end of a limit, never of a limit. */
+struct LimitStatement
+{
+  base::Duration age{};
+  bool ended = false; ///< the upstream named a limit before, and none now
+
+  bool operator==(const LimitStatement&) const = default;
+};
+
+using LimitStatements = std::map<ProcessTag, LimitStatement>;
+
 /** Load of one upstream. */
 struct UpstreamLoad
 {
@@ -69,6 +81,7 @@
   CrashTable crashes;
   /** Upstreams that accept no new requests, with a tag of their process. */
   std::map<base::UpstreamName, std::uint32_t> drainingUpstreams;
+  LimitStatements limitStatements;
 };
 
 /** A VM in the summary of its data centre. */
@@ -97,6 +110,8 @@
   CrashTable crashes; ///< of the relay, which merges that of its peers
   std::map<base::UpstreamName, std::uint32_t> drainingUpstreams;
   bool complete = false; ///< members have their totals of all teams
+  /** Of the relay, which merges those of its peers. */
+  LimitStatements limitStatements;
 };
 
 /** Placement on one engine that its upstream record does not show. */
--- a/libs/peers/summary_builder.cpp
+++ b/libs/peers/summary_builder.cpp
@@ -69,6 +69,7 @@
   summary.catalogVersion = aOwn.catalogVersion;
   summary.levels = aOwn.levels;
   summary.crashes = aOwn.crashes;
+  summary.limitStatements = aOwn.limitStatements;
   summary.complete = full;
   add(aOwn, full, aRepeatTime, aNow, summary);
   for (const auto& [vm, entry] : aTable.statuses()) {
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -25,6 +25,7 @@
   status.demand["m/a1"] = { 12, 3, 1 };
   status.crashes[31] = { 250ms, { { 4, 7 }, { 6 } }, { 8 } };
   status.drainingUpstreams["u2"] = 9;
+  status.limitStatements[33] = { 700ms, true };
   status.unregistered = { "vm9" };
   return status;
 }
@@ -43,6 +44,7 @@
   summary.demand["m"] = { 50, 2, 1 };
   summary.crashes[32] = { 1s, { { 2 } }, {} };
   summary.drainingUpstreams["u3"] = 2;
+  summary.limitStatements[34] = { 1200ms, false };
   summary.unregistered = { "vm8" };
   summary.complete = true;
   return summary;
@@ -73,6 +75,7 @@
   LONGS_EQUAL(1, status.demand.at("m/a1").running);
   CHECK(status.crashes == sampleStatus(3).crashes);
   LONGS_EQUAL(9, status.drainingUpstreams.at("u2"));
+  CHECK(status.limitStatements == sampleStatus(3).limitStatements);
   STRCMP_EQUAL("vm9", status.unregistered.at(0).c_str());
 }
 
@@ -94,6 +97,7 @@
   LONGS_EQUAL(50, summary.demand.at("m").workMsPerSecond);
   CHECK(summary.crashes == sampleSummary("r", 8, 6).crashes);
   LONGS_EQUAL(2, summary.drainingUpstreams.at("u3"));
+  CHECK(summary.limitStatements == sampleSummary("r", 8, 6).limitStatements);
   STRCMP_EQUAL("vm8", summary.unregistered.at(0).c_str());
   CHECK(summary.complete);
 }
@@ -209,6 +213,7 @@
   LONGS_EQUAL(4, summary.loads.at("u").running);
   LONGS_EQUAL(6, summary.demand.at("m/a1").waiting);
   CHECK(summary.crashes == sampleStatus(3).crashes);
+  CHECK(summary.limitStatements == sampleStatus(3).limitStatements);
   LONGS_EQUAL(1, summary.unregistered.size());
 }
 
