--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -186,6 +186,7 @@
   mQuota.setWindow(mSettings.quotaWindow);
   mRetries.setLimits(
     { mSettings.retryRatio, mSettings.retryMinExtra, mSettings.retryWindow });
+  mRetries.setStart(base::monotonicNow());
   mCallers.onClosed([this](const wire::ClosedCaller& aClosed) {
     mRequestLog.logCallerClose(aClosed, base::monotonicNow());
   });
--- a/libs/dispatch/retry_budget.h
+++ b/libs/dispatch/retry_budget.h
@@ -20,7 +20,10 @@
 /**
  * Limits retries on each VM to its share of the fleet's budget: the ratio of
  * the VM's own requests plus an equal part of minRetries. The sum over all VMs
- * keeps the limit without coordination.
+ * keeps the limit without coordination. A process does not know what one that
+ * ran on its VM before has used, so in its first window it has a small part of
+ * minRetries only, beside the ratio of the requests that it has received
+ * itself.
  */
 class RetryBudget
 {
@@ -31,6 +34,9 @@
   /** @param aVms VMs that share minRetries */
   void setFleetSize(std::size_t aVms) { mVms = aVms; }
 
+  /** @param aAt when this process began to take requests */
+  void setStart(base::TimePoint aAt) { mStartedAt = aAt; }
+
   /** Records a caller's request to a service. */
   void onRequest(const std::string& aService, base::TimePoint aNow);
 
@@ -48,6 +54,7 @@
 
   RetryLimits mLimits;
   std::size_t mVms = 1;
+  base::TimePoint mStartedAt = base::TimePoint::min();
   std::map<std::string, Window> mWindows;
 };
 
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -164,6 +164,85 @@
   CHECK(budget.tryConsume("s", now + 11s));
 }
 
+// A service fails all the time and all VMs are killed together. Guards against
+// processes that each use the share of their VM again.
+TEST(RetryBudget, KillOfAllVmsDoesNotRenewTheBudget)
+{
+  constexpr std::size_t kVms = 6;
+  constexpr base::Duration kDown = 1s;
+  for (const base::Duration killAt : { 2s, 5s, 9s, 14s }) {
+    std::vector<TimePoint> requests;
+    std::vector<TimePoint> retries;
+    std::vector<dispatch::RetryBudget> vms;
+    const auto startAll = [&](TimePoint aAt) {
+      vms.assign(kVms, {});
+      for (auto& vm : vms) {
+        vm.setLimits({ 0.2, 52, 10s });
+        vm.setFleetSize(kVms);
+        vm.setStart(aAt);
+      }
+    };
+    startAll(now - 1h);
+    for (base::Duration passed = 0s; passed < 40s; passed += 50ms) {
+      if (passed == killAt) {
+        startAll(now + killAt + kDown);
+      }
+      if (passed >= killAt && passed < killAt + kDown) {
+        continue;
+      }
+      for (auto& vm : vms) {
+        if (passed % base::Duration(500ms) == 0s) {
+          vm.onRequest("s", now + passed);
+          requests.push_back(now + passed);
+        }
+        while (vm.tryConsume("s", now + passed)) {
+          retries.push_back(now + passed);
+        }
+      }
+    }
+    const auto countFrom = [](const std::vector<TimePoint>& aTimes,
+                              TimePoint aFrom) {
+      return static_cast<double>(
+        std::count_if(aTimes.begin(), aTimes.end(), [&](TimePoint aAt) {
+          return aAt >= aFrom && aAt < aFrom + 10s;
+        }));
+    };
+    for (base::Duration from = 0s; from < 30s; from += 50ms) {
+      CHECK(countFrom(retries, now + from) <=
+            0.2 * countFrom(requests, now + from) + 52);
+    }
+  }
+}
+
+// Guards against a start at which a few failures among many requests are passed
+// on to callers.
+TEST(RetryBudget, CalmStartRetriesWhatFailsNowAndThen)
+{
+  budget.setLimits({ 0.2, 52, 10s });
+  budget.setFleetSize(6);
+  budget.setStart(now);
+  for (int request = 1; request <= 200; ++request) {
+    const TimePoint at = now + request * 50ms;
+    budget.onRequest("s", at);
+    CHECK(request % 10 != 0 || budget.tryConsume("s", at));
+  }
+}
+
+// Guards against a share that stays small after the first window.
+TEST(RetryBudget, ShareIsWholeAfterTheFirstWindow)
+{
+  budget.setLimits({ 0, 12, 10s });
+  budget.setStart(now);
+  CHECK(budget.tryConsume("s", now));
+  CHECK(budget.tryConsume("s", now));
+  CHECK(!budget.tryConsume("s", now));
+  int allowed = 0;
+  while (budget.tryConsume("s", now + 11s)) {
+    ++allowed;
+  }
+  LONGS_EQUAL(9, allowed);
+}
+
 TEST_GROUP(Health)
 {
   dispatch::OutlierDetector detector;
