Keep trials of blocked parts with the evidence of crashes

Change: the evidence on a crash carries, for the traits of its suspects, the number of trials in the whole fleet and the age of the latest, in reports and in the record in the store. A trial that broke counts for all that are allowed. Of two notes the one with more trials holds, so reports keep no note alive. Messages and records without the new field are still read.

Tests: CrashTrial.NextOwnerKnowsOfTrials, TrialsAreKeptInTheRecord and NextOwnerTriesOnceMoreAfterATrialWithoutAResult fail with the check of earlier trials switched off.

--- a/libs/dispatch/crash_limits.h
+++ b/libs/dispatch/crash_limits.h
@@ -16,6 +16,11 @@
 /** Time within which a crashed upstream is found unreachable, by the next
  * request to it or by three missed heartbeats of its record. */
 constexpr base::Duration kConfirmTimeout = std::chrono::seconds(5);
+/** Within this time a trial that crashes its upstream is known to have. */
+constexpr base::Duration kTrialInterval = kConfirmTimeout;
+/** Trials of a trait within the lifetime of a verdict, if none gives a result.
+ */
+constexpr std::uint32_t kMaxTrials = 2;
 /** Bounds of memory and messages. */
 constexpr std::size_t kMaxCrashes = 64;
 constexpr std::size_t kMaxSuspects = 16;
--- a/libs/dispatch/crash_record.cpp
+++ b/libs/dispatch/crash_record.cpp
@@ -32,26 +32,36 @@
   return aValue.get<std::uint64_t>();
 }
 
+peers::RequestTrait
+requireTrait(const json& aValue)
+{
+  return static_cast<peers::RequestTrait>(
+    requireNumber(aValue, std::numeric_limits<peers::RequestTrait>::max()));
+}
+
 peers::TraitSet
 requireTraits(const json& aValue, std::size_t aMaxSize)
 {
   peers::TraitSet traits;
   for (const json& trait : requireArray(aValue, aMaxSize)) {
-    traits.insert(static_cast<peers::RequestTrait>(
-      requireNumber(trait, std::numeric_limits<peers::RequestTrait>::max())));
+    traits.insert(requireTrait(trait));
   }
   return traits;
 }
 
+base::Duration
+requireAge(const json& aValue, base::Duration aElapsed)
+{
+  const auto longest =
+    static_cast<std::uint64_t>(base::inMilliseconds(kCertainLifetime));
+  return std::chrono::milliseconds(requireNumber(aValue, longest)) + aElapsed;
+}
+
 peers::CrashEvidence
 requireEvidence(const json& aRow, base::Duration aElapsed)
 {
   peers::CrashEvidence evidence;
-  evidence.age =
-    std::chrono::milliseconds(requireNumber(
-      aRow.at(1),
-      static_cast<std::uint64_t>(base::inMilliseconds(kCertainLifetime)))) +
-    aElapsed;
+  evidence.age = requireAge(aRow.at(1), aElapsed);
   for (const json& traits : requireArray(aRow.at(2), kMaxSuspects)) {
     if (!evidence.suspects.insert(requireTraits(traits, kMaxTraits)).second ||
         traits.empty()) {
@@ -59,9 +69,34 @@
     }
   }
   evidence.cleared = requireTraits(aRow.at(3), kMaxCleared);
+  // VMs of earlier versions do not write it.
+  if (aRow.size() > 4) {
+    for (const json& tried :
+         requireArray(aRow.at(4), kMaxSuspects * kMaxTraits)) {
+      evidence.trials[requireTrait(tried.at(0))] = {
+        static_cast<std::uint32_t>(requireNumber(tried.at(1), kMaxTrials)),
+        requireAge(tried.at(2), aElapsed)
+      };
+    }
+  }
   return evidence;
 }
 
+using TrialTable = std::map<peers::RequestTrait, peers::TraitTrials>;
+
+bool
+haveSameCounts(const TrialTable& aLeft, const TrialTable& aRight)
+{
+  return std::equal(aLeft.begin(),
+                    aLeft.end(),
+                    aRight.begin(),
+                    aRight.end(),
+                    [](const auto& aOne, const auto& aOther) {
+                      return aOne.first == aOther.first &&
+                             aOne.second.count == aOther.second.count;
+                    });
+}
+
 } // namespace
 
 bool
@@ -75,7 +110,9 @@
                     [](const auto& aLeft, const auto& aRight) {
                       return aLeft.first == aRight.first &&
                              aLeft.second.suspects == aRight.second.suspects &&
-                             aLeft.second.cleared == aRight.second.cleared;
+                             aLeft.second.cleared == aRight.second.cleared &&
+                             haveSameCounts(aLeft.second.trials,
+                                            aRight.second.trials);
                     });
 }
 
@@ -84,10 +121,16 @@
 {
   json crashes = json::array();
   for (const auto& [tag, evidence] : aRecord.crashes) {
+    json trials = json::array();
+    for (const auto& [trait, tried] : evidence.trials) {
+      trials.push_back(
+        json::array({ trait, tried.count, base::inMilliseconds(tried.age) }));
+    }
     crashes.push_back(json::array({ tag,
                                     base::inMilliseconds(evidence.age),
                                     evidence.suspects,
-                                    evidence.cleared }));
+                                    evidence.cleared,
+                                    trials }));
   }
   return { { "crashes", crashes }, { "finished", aRecord.finished } };
 }
--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -35,7 +35,7 @@
     mBrokenConnections.erase(mBrokenConnections.begin());
   }
   mBrokenConnections.push_back({ aTraits, aProcess, aNow });
-  mTrials.onBroken(aTraits);
+  countTrial(mTrials.onBroken(aTraits), kMaxTrials, aNow);
   // A peer may already have confirmed the crash.
   confirmIf(
     [this](const BrokenConnection& aConnection) {
@@ -194,6 +194,7 @@
     for (const peers::TraitSet& traits : evidence.suspects) {
       crashChanged = addSuspect(crash, traits) || crashChanged;
     }
+    crashChanged = mergeTrials(evidence, aNow) || crashChanged;
     if (crashChanged) {
       crash.changedAt = aNow;
       changed = true;
@@ -226,8 +227,7 @@
   due.resize(std::min(due.size(), kMaxReported));
   peers::CrashTable table;
   for (const auto& [changedAt, tag] : due) {
-    const Crash& crash = mCrashes.at(tag);
-    table[tag] = { aNow - crash.at, crash.suspects, crash.cleared };
+    table[tag] = evidence(mCrashes.at(tag), aNow);
   }
   return table;
 }
@@ -323,6 +323,9 @@
 CrashTracker::expire(base::TimePoint aNow)
 {
   mTrials.expire(aNow);
+  std::erase_if(mTried, [aNow](const auto& aItem) {
+    return aNow - aItem.second.at > kCertainLifetime;
+  });
   const std::size_t expired =
     std::erase_if(mCrashes, [this, aNow](const auto& aItem) {
       return aNow - aItem.second.at >
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -138,6 +138,12 @@
     std::set<peers::TraitSet> suspects;
     peers::TraitSet cleared;
   };
+  /** Trials of a trait in the whole fleet. */
+  struct Tried
+  {
+    std::uint32_t count = 0; ///< kMaxTrials once one has broken
+    base::TimePoint at{};    ///< of the latest
+  };
   /** A broken connection whose cause is not known yet. */
   struct BrokenConnection
   {
@@ -153,6 +159,14 @@
   void limitCrashes();
   peers::TraitSet trialSuspects(const peers::TraitSet& aTraits,
                                 base::TimePoint aNow) const;
+  bool triedElsewhere(const peers::TraitSet& aTraits,
+                      base::TimePoint aNow) const;
+  void countTrial(const peers::TraitSet& aTraits,
+                  std::uint32_t aTrials,
+                  base::TimePoint aNow);
+  bool mergeTrials(const peers::CrashEvidence& aEvidence, base::TimePoint aNow);
+  peers::CrashEvidence evidence(const Crash& aCrash,
+                                base::TimePoint aNow) const;
   bool supportsVerdict(peers::ProcessTag aCrash) const;
   peers::ProcessTag latestCrash(const CrashVerdict& aVerdict) const;
   bool isRefuted(const CrashVerdict& aVerdict) const;
@@ -163,7 +177,8 @@
   std::map<peers::ProcessTag, Crash> mCrashes;
   RecentTraits mFinished;
   std::vector<CrashVerdict> mVerdicts;
-  CrashTrials mTrials;
+  CrashTrials mTrials; ///< of this VM
+  std::map<peers::RequestTrait, Tried> mTried;
   bool mTrialsEnabled = false;
   std::function<void()> mOnVerdicts;
 };
--- a/libs/dispatch/crash_tracker_record.cpp
+++ b/libs/dispatch/crash_tracker_record.cpp
@@ -31,6 +31,19 @@
                      });
 }
 
+bool
+tellsOfMoreTrials(const peers::CrashEvidence& aEvidence,
+                  const peers::CrashEvidence& aOther)
+{
+  return std::any_of(aEvidence.trials.begin(),
+                     aEvidence.trials.end(),
+                     [&aOther](const auto& aItem) {
+                       const auto other = aOther.trials.find(aItem.first);
+                       return other == aOther.trials.end() ||
+                              other->second.count < aItem.second.count;
+                     });
+}
+
 } // namespace
 
 /** @return true if the verdict blames a trait that is cleared here */
@@ -71,9 +84,7 @@
   CrashRecord record;
   for (const auto& [at, tag] : latest) {
     const Crash& crash = mCrashes.at(tag);
-    record.crashes[tag] = { std::max(aNow - at, base::Duration::zero()),
-                            crash.suspects,
-                            crash.cleared };
+    record.crashes[tag] = evidence(crash, aNow);
     for (const peers::TraitSet& traits : crash.suspects) {
       std::copy_if(traits.begin(),
                    traits.end(),
@@ -96,6 +107,15 @@
   if (record(aStored, aNow).tellsTheSame(aStored)) {
     return true;
   }
+  const bool trialsMissing =
+    std::any_of(mCrashes.begin(), mCrashes.end(), [&](const auto& aItem) {
+      const auto other = aStored.crashes.find(aItem.first);
+      return other != aStored.crashes.end() &&
+             tellsOfMoreTrials(evidence(aItem.second, aNow), other->second);
+    });
+  if (trialsMissing) {
+    return false;
+  }
   const std::vector<CrashVerdict> stored = verdictsOf(aStored);
   const bool allContained = std::all_of(
     mVerdicts.begin(), mVerdicts.end(), [&](const CrashVerdict& aVerdict) {
--- a/libs/dispatch/crash_trials.cpp
+++ b/libs/dispatch/crash_trials.cpp
@@ -7,13 +7,6 @@
 namespace marigold::dispatch {
 namespace {
 
-using namespace std::chrono_literals;
-
-/** Within this time a trial that crashes its upstream is known to have. */
-constexpr base::Duration kTrialInterval = kConfirmTimeout;
-/** Trials of a trait within the lifetime of a verdict, if none gives a result.
- */
-constexpr std::size_t kMaxTrials = 2;
 /** Bound of memory. */
 constexpr std::size_t kMaxKept = 64;
 
@@ -62,15 +55,18 @@
     });
 }
 
-void
+peers::TraitSet
 CrashTrials::onBroken(const peers::TraitSet& aRequest)
 {
+  peers::TraitSet suspects;
   for (Trial& trial : mTrials) {
     if (trial.request == aRequest) {
       trial.open = false;
       trial.broken = true;
+      suspects.insert(trial.suspects.begin(), trial.suspects.end());
     }
   }
+  return suspects;
 }
 
 void
--- a/libs/dispatch/crash_trials.h
+++ b/libs/dispatch/crash_trials.h
@@ -26,8 +26,9 @@
   bool contains(const peers::TraitSet& aRequest) const;
 
   /** The connection broke before the upstream began to answer the request.
-   * @param aRequest its traits */
-  void onBroken(const peers::TraitSet& aRequest);
+   * @param aRequest its traits
+   * @return traits that its trial would have cleared, if it was on trial */
+  peers::TraitSet onBroken(const peers::TraitSet& aRequest);
 
   /** Ends trials after the time that they have, and forgets those that are
    * longer ago than verdicts last. @param aNow time */
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -943,6 +943,77 @@
   CHECK(!passes(request({ 1, 2 }), now));
 }
 
+// The owner of orders changes while a part is blocked. Guards against a trial
+// by each next owner, which costs one upstream after another.
+TEST(CrashTrial, NextOwnerKnowsOfTrials)
+{
+  finish(request({ 1 }));
+  peer.onSuccess(request({ 1 }), now + 1s, now + 2s);
+  now += 5s;
+  for (int i = 0; i < 6; ++i) {
+    crash({ request({ 1 }) });
+  }
+  const peers::TraitSet deadly = request({ 1 });
+  CHECK(passes(deadly, now + 6s));
+  peer.setTrialsEnabled(true);
+  peer.merge(tracker.report(now + 6100ms), now + 6200ms);
+  CHECK(peer.verdictOn(request({ 1 })) != nullptr);
+  CHECK(!peer.mayTry(request({ 1 }), now + 7s));
+  die(deadly, now + 7s);
+  peer.merge(tracker.report(now + 7100ms), now + 7200ms);
+  for (base::Duration after = 8s; after < 9min; after += 1s) {
+    CHECK(!peer.mayTry(request({ 1 }), now + after));
+  }
+}
+
+// Guards against the same after a kill of all VMs.
+TEST(CrashTrial, TrialsAreKeptInTheRecord)
+{
+  finish(request({ 1 }));
+  now += 5s;
+  for (int i = 0; i < 6; ++i) {
+    crash({ request({ 1 }) });
+  }
+  dispatch::CrashRecord stored = tracker.record({}, now + 1s);
+  const peers::TraitSet deadly = request({ 1 });
+  CHECK(passes(deadly, now + 6s));
+  CHECK(!tracker.isRecorded(stored, now + 6s));
+  die(deadly, now + 7s);
+  stored = tracker.record(stored, now + 8s);
+  const auto read = base::capture([&] {
+    return dispatch::decodeCrashRecord(
+      nlohmann::json::parse(dispatch::encodeCrashRecord(stored).dump()), 2s);
+  });
+  CHECK(base::errorOf(read) == nullptr);
+  peer.merge(std::get<dispatch::CrashRecord>(read), now + 10s);
+  peer.setTrialsEnabled(true);
+  CHECK(peer.verdictOn(request({ 1 })) != nullptr);
+  for (base::Duration after = 13s; after < 9min; after += 1s) {
+    CHECK(!peer.mayTry(request({ 1 }), now + after));
+  }
+}
+
+// Guards against a sound part that stays blocked because the VM that tried it
+// ended before the result.
+TEST(CrashTrial, NextOwnerTriesOnceMoreAfterATrialWithoutAResult)
+{
+  finish(request({ 1 }));
+  peer.onSuccess(request({ 1 }), now + 1s, now + 2s);
+  now += 5s;
+  for (int i = 0; i < 6; ++i) {
+    crash({ request({ 1 }) });
+  }
+  CHECK(passes(request({ 1 }), now + 6s));
+  peer.merge(tracker.report(now + 6100ms), now + 6200ms);
+  peer.setTrialsEnabled(true);
+  CHECK(!peer.mayTry(request({ 1 }), now + 8s));
+  const peers::TraitSet sound = request({ 1 });
+  CHECK(peer.beginTrial(sound, now + 12s));
+  CHECK(!peer.mayTry(request({ 1 }), now + 30s));
+  tracker.merge(peer.report(now + 12100ms), now + 12200ms);
+  CHECK(!passes(request({ 1 }), now + 30s));
+}
+
 /** A fleet whose VMs know the use of a limited upstream by the others with a
  * delay. */
 TEST_GROUP(NamedLimit)
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -69,6 +69,17 @@
   return demand;
 }
 
+json
+encodeTrials(const std::map<RequestTrait, TraitTrials>& aTrials)
+{
+  json trials = json::array();
+  for (const auto& [trait, tried] : aTrials) {
+    trials.push_back(
+      json::array({ trait, tried.count, base::inMilliseconds(tried.age) }));
+  }
+  return trials;
+}
+
 json
 encodeCrashes(const CrashTable& aCrashes)
 {
@@ -77,7 +88,8 @@
     crashes.push_back(json::array({ tag,
                                     base::inMilliseconds(evidence.age),
                                     evidence.suspects,
-                                    evidence.cleared }));
+                                    evidence.cleared,
+                                    encodeTrials(evidence.trials) }));
   }
   return crashes;
 }
@@ -86,11 +98,21 @@
 decodeCrashes(const json& aJson)
 {
   CrashTable crashes;
+  const auto age = [](const json& aValue) {
+    return std::chrono::milliseconds(
+      std::max<std::int64_t>(0, aValue.get<std::int64_t>()));
+  };
   for (const json& row : aJson) {
-    crashes[row.at(0)] = { std::chrono::milliseconds(std::max<std::int64_t>(
-                             0, row.at(1).get<std::int64_t>())),
-                           row.at(2).get<std::set<TraitSet>>(),
-                           row.at(3).get<TraitSet>() };
+    CrashEvidence& evidence = crashes[row.at(0)];
+    evidence.age = age(row.at(1));
+    evidence.suspects = row.at(2).get<std::set<TraitSet>>();
+    evidence.cleared = row.at(3).get<TraitSet>();
+    // VMs of earlier versions do not send it.
+    if (row.size() > 4) {
+      for (const json& tried : row.at(4)) {
+        evidence.trials[tried.at(0)] = { tried.at(1), age(tried.at(2)) };
+      }
+    }
   }
   return crashes;
 }
--- a/libs/peers/crash_evidence.h
+++ b/libs/peers/crash_evidence.h
@@ -26,6 +26,16 @@
 /** Traits of one request. */
 using TraitSet = std::set<RequestTrait>;
 
+/** Requests of the whole fleet that were let through to show whether a blocked
+ * trait is sound. */
+struct TraitTrials
+{
+  std::uint32_t count = 0; ///< as many as are allowed once one has crashed
+  base::Duration age{};    ///< of the latest
+
+  bool operator==(const TraitTrials&) const = default;
+};
+
 /** Evidence on one crash. That of several VMs is merged by union. */
 struct CrashEvidence
 {
@@ -35,6 +45,8 @@
   std::set<TraitSet> suspects;
   /** Traits with which a request has finished since the crash. */
   TraitSet cleared;
+  /** Those of the suspects' traits that were on trial. */
+  std::map<RequestTrait, TraitTrials> trials;
 
   bool operator==(const CrashEvidence&) const = default;
 };
