Write the record of crashes as soon as a VM that saw them has a verdict

Cause: the record waited for the next tick of the owner (up to 250 ms), for the delay of other VMs, and for the interval since the last write, so a kill of all VMs right after the crashes lost the evidence. After a restored store that gave an older record, an interval from before the restoration still held.

Change: a VM that saw a crash, with a request that may be its cause, behind a verdict that the record does not give writes at once, eight times until it has been calm for 2 min; other VMs as before. A restored store ends the intervals.

Pure test: KeptEvidence.NewVerdictIsRecordedAtOnceByAVmThatSawTheCrash (needs the new function).

The restart of the intervals after a restoration has no test of its own.

--- a/apps/gateway/crash_records.cpp
+++ b/apps/gateway/crash_records.cpp
@@ -22,6 +22,8 @@
  * of all VMs loses what is not written. */
 constexpr base::Duration kFallbackDelay = 100ms;
 constexpr base::Duration kFallbackSpread = 50ms;
+/** Writes of a VM without a delay, until a calm period. */
+constexpr unsigned kMaxUrgentWrites = 8;
 /** Longer records are not parsed. */
 constexpr std::size_t kMaxRecordSize = 256UL * 1024;
 
@@ -112,9 +114,15 @@
     mDueAt.reset();
     if (aNow - mWrittenAt > kCalmPeriod) {
       mBackoff.reset();
+      mUrgentWrites = 0;
     }
     return;
   }
+  if (mayWriteAtOnce()) {
+    ++mUrgentWrites;
+    write(aNow);
+    return;
+  }
   if (!mDueAt) {
     mDueAt = std::max(aNow + delay(), mNotBefore);
   }
@@ -123,6 +131,21 @@
   }
 }
 
+bool
+CrashRecords::mayWriteAtOnce() const
+{
+  return mUrgentWrites < kMaxUrgentWrites && mCrashes.mustRecordAtOnce(mStored);
+}
+
+void
+CrashRecords::onStoreRestored()
+{
+  mBackoff.reset();
+  mUrgentWrites = 0;
+  mNotBefore = {};
+  mDueAt.reset();
+}
+
 base::Duration
 CrashRecords::delay()
 {
--- a/apps/gateway/crash_records.h
+++ b/apps/gateway/crash_records.h
@@ -11,8 +11,9 @@
  * evidence outlives a kill of all VMs. The record is listed and watched with
  * the registrations of the VMs, so a VM has read it before it is ready. A VM
  * writes it when the verdicts derived from it would differ from its own; the
- * owner of orders does so at once, the others only if it does not. No request
- * waits for the store.
+ * owner of orders does so at once, and so does a VM that has seen a crash
+ * behind a new verdict, because a kill of all VMs loses what is not written.
+ * The others write only if these do not. No request waits for the store.
  */
 class CrashRecords
 {
@@ -26,13 +27,18 @@
                dispatch::CrashTracker& aCrashes,
                std::uint64_t aSeed);
 
-  /** Writes the record if it is due. Call several times a second.
-   * @param aNow time */
+  /** Writes the record if it is due. Call several times a second and after each
+   * change of the verdicts. @param aNow time */
   void tick(base::TimePoint aNow);
 
+  /** The store came back from a copy, so the record in it may be an older one
+   * or gone: no interval since an earlier write holds any more. */
+  void onStoreRestored();
+
 private:
   void apply(const platform::Entry& aEntry);
   base::Duration delay();
+  bool mayWriteAtOnce() const;
   void write(base::TimePoint aNow);
   void onWritten(const dispatch::CrashRecord& aRecord,
                  const base::Captured<platform::Revision>& aResult);
@@ -46,6 +52,7 @@
   std::optional<base::TimePoint> mDueAt;
   base::TimePoint mNotBefore{}; ///< no write before, to bound their rate
   base::TimePoint mWrittenAt{};
+  unsigned mUrgentWrites = 0; ///< since the last calm period
   bool mListed = false;
   bool mCallPending = false;
 };
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -352,6 +352,7 @@
 {
   mStoreRestoredAt = base::monotonicNow();
   mStoreReachedAt = *mStoreRestoredAt;
+  mCrashRecords.onStoreRestored();
 }
 
 void
@@ -516,6 +517,7 @@
                        { "crashes", std::to_string(verdict.crashes.size()) },
                        { "certain", verdict.certain() ? "yes" : "no" } });
   }
+  mCrashRecords.tick(base::monotonicNow());
   for (const auto& request : std::set(mContext.openRequests)) {
     request->endIfBlocked();
   }
--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -82,6 +82,7 @@
                    : std::min(crash.at, aConnection.at);
       crash.changedAt = aNow;
       addSuspect(crash, aConnection.traits);
+      crash.seenHere = crash.seenHere || hasNewPart(aConnection.traits);
       changed = true;
     }
     return true;
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -92,6 +92,11 @@
    * @return true if a VM that knows nothing else blocks the same requests */
   bool isRecorded(const CrashRecord& aStored, base::TimePoint aNow) const;
 
+  /** @param aStored record in the store
+   * @return true if this VM has seen a crash with a new part and blocks
+   * requests for it that a VM which knows nothing else would send */
+  bool mustRecordAtOnce(const CrashRecord& aStored) const;
+
   /** @param aTraits traits of a request
    * @return the verdict because of which it must not be sent, or nullptr; valid
    * until the next change */
@@ -137,6 +142,7 @@
     base::TimePoint changedAt{};
     std::set<peers::TraitSet> suspects;
     peers::TraitSet cleared;
+    bool seenHere = false; ///< with a request that may be its cause
   };
   /** Trials of a trait in the whole fleet. */
   struct Tried
--- a/libs/dispatch/crash_tracker_record.cpp
+++ b/libs/dispatch/crash_tracker_record.cpp
@@ -132,6 +132,26 @@
                                       });
 }
 
+bool
+CrashTracker::mustRecordAtOnce(const CrashRecord& aStored) const
+{
+  const std::vector<CrashVerdict> stored = verdictsOf(aStored);
+  return std::any_of(
+    mVerdicts.begin(), mVerdicts.end(), [&](const CrashVerdict& aVerdict) {
+      const bool isStored = std::any_of(
+        stored.begin(), stored.end(), [&aVerdict](const CrashVerdict& aOther) {
+          return isContained(aVerdict, aOther);
+        });
+      return !isStored && std::any_of(aVerdict.crashes.begin(),
+                                      aVerdict.crashes.end(),
+                                      [this](peers::ProcessTag aTag) {
+                                        const auto crash = mCrashes.find(aTag);
+                                        return crash != mCrashes.end() &&
+                                               crash->second.seenHere;
+                                      });
+    });
+}
+
 /** @return the latest crash behind a verdict, 0 if none is known any more */
 peers::ProcessTag
 CrashTracker::latestCrash(const CrashVerdict& aVerdict) const
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -623,6 +623,27 @@
   }
 };
 
+// All VMs are killed right after the crashes. Guards against a record that
+// waits for its turn, and against one write for each crash or by each VM.
+TEST(KeptEvidence, NewVerdictIsRecordedAtOnceByAVmThatSawTheCrash)
+{
+  finish(request({ 1 }));
+  now += 5s;
+  crash({ request({ 1, 66 }) });
+  CHECK(!tracker.mustRecordAtOnce(stored));
+  crash({ request({ 1, 66 }) });
+  CHECK(tracker.mustRecordAtOnce(stored));
+  peer.merge(tracker.report(now + 100ms), now + 200ms);
+  CHECK(peer.verdictOn(request({ 1, 66 })) != nullptr);
+  CHECK(!peer.mustRecordAtOnce(stored));
+  write(tracker, now + 100ms);
+  CHECK(!tracker.mustRecordAtOnce(stored));
+  now += 1s;
+  crash({ request({ 1, 77 }) });
+  crash({ request({ 1, 77 }) });
+  CHECK(tracker.mustRecordAtOnce(stored));
+}
+
 // Guards against a part that crashes as many upstreams again after all VMs were
 // killed, and against a sound one that is blocked with it then.
 TEST(KeptEvidence, VmsThatStartAloneBlockTheSameRequests)
--- a/tests/e2e/test_crash_records.py
+++ b/tests/e2e/test_crash_records.py
@@ -18,6 +18,7 @@
 RUN_SECONDS = 0.8  # until an engine crashes, so that a whole batch has reached engines by then
 BATCH = 6
 CONTACT_SECONDS = 4.0
+WRITE_SECONDS = 0.15  # on average, from the second crash with a part to the record in the store
 MOST_AFTERWARDS = 3  # requests with the part that may reach engines, sent by VMs in touch
 MAX_AGE_MS = 600000  # longest lifetime of a verdict
 ODD_RECORDS = [
@@ -144,6 +145,29 @@
         self.start_all()
         self.check_part_is_known()
 
+    def test_new_verdict_is_recorded_at_once(self):
+        """Guards against evidence that is lost with all VMs right after the crashes, because its write waits."""
+        self.assertEqual([200] * BATCH, self.send_batch("f0:20,5afe:30"))
+        delays = []
+        for part in ("dead1", "dead2", "dead3", "dead4"):
+            for engine in self.engines:
+                engine.deadly_part = part
+            before, written = self.crashes(), self.versions()
+            for _ in range(BATCH):
+                self.send(f"{part}:30", [])
+                time.sleep(0.05)
+            wait_for(lambda: self.crashes() >= before + 2)
+            crashed = time.monotonic()
+            wait_for(lambda: self.versions() > written)
+            delays.append(time.monotonic() - crashed)
+            self.join_calls()
+            time.sleep(2)
+        # Two VMs may see the crashes, and one of them has to write again then.
+        self.assertLess(sum(delays) / len(delays), WRITE_SECONDS, delays)
+
+    def versions(self):
+        return sum(item["key"] == RECORD_KEY for item in self.store.history)
+
     def test_requests_are_refused_while_the_store_is_away(self):
         """Guards against requests or verdicts that wait for the store."""
         self.store.severed_ports.update(self.store_ports)
