--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -193,6 +193,7 @@
   mQuota.setWindow(mSettings.quotaWindow);
   mRetries.setLimits(
     { mSettings.retryRatio, mSettings.retryMinExtra, mSettings.retryWindow });
+  mRetries.setStart(base::monotonicNow());
   mCallers.onClosed([this](const wire::ClosedCaller& aClosed) {
     mRequestLog.logCallerClose(aClosed, base::monotonicNow());
   });
@@ -358,6 +359,7 @@
 {
   mStoreRestoredAt = base::monotonicNow();
   mStoreReachedAt = *mStoreRestoredAt;
+  mCrashRecords.onStoreRestored();
 }
 
 void
@@ -526,6 +528,7 @@
                        { "crashes", std::to_string(verdict.crashes.size()) },
                        { "certain", verdict.certain() ? "yes" : "no" } });
   }
+  mCrashRecords.tick(base::monotonicNow());
   for (const auto& request : std::set(mContext.openRequests)) {
     request->endIfBlocked();
   }
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -92,6 +92,11 @@
    * @return true if a VM that knows nothing else blocks the same requests */
   bool isRecorded(const CrashRecord& aStored, base::TimePoint aNow) const;
 
+  /** @param aStored record in the store
+   * @return true if this VM has seen a crash with a new part and blocks
+   * requests for it that a VM which knows nothing else would send */
+  bool mustRecordAtOnce(const CrashRecord& aStored) const;
+
   /** @param aTraits traits of a request
    * @return the verdict because of which it must not be sent, or nullptr; valid
    * until the next change */
@@ -137,6 +142,13 @@
     base::TimePoint changedAt{};
     std::set<peers::TraitSet> suspects;
     peers::TraitSet cleared;
+    bool seenHere = false; ///< with a request that may be its cause
+  };
+  /** Trials of a trait in the whole fleet. */
+  struct Tried
+  {
+    std::uint32_t count = 0; ///< kMaxTrials once one has broken
+    base::TimePoint at{};    ///< of the latest
   };
   /** A broken connection whose cause is not known yet. */
   struct BrokenConnection
@@ -153,6 +165,14 @@
   void limitCrashes();
   peers::TraitSet trialSuspects(const peers::TraitSet& aTraits,
                                 base::TimePoint aNow) const;
+  bool triedElsewhere(const peers::TraitSet& aTraits,
+                      base::TimePoint aNow) const;
+  void countTrial(const peers::TraitSet& aTraits,
+                  std::uint32_t aTrials,
+                  base::TimePoint aNow);
+  bool mergeTrials(const peers::CrashEvidence& aEvidence, base::TimePoint aNow);
+  peers::CrashEvidence evidence(const Crash& aCrash,
+                                base::TimePoint aNow) const;
   bool supportsVerdict(peers::ProcessTag aCrash) const;
   peers::ProcessTag latestCrash(const CrashVerdict& aVerdict) const;
   bool isRefuted(const CrashVerdict& aVerdict) const;
@@ -163,7 +183,8 @@
   std::map<peers::ProcessTag, Crash> mCrashes;
   RecentTraits mFinished;
   std::vector<CrashVerdict> mVerdicts;
-  CrashTrials mTrials;
+  CrashTrials mTrials; ///< of this VM
+  std::map<peers::RequestTrait, Tried> mTried;
   bool mTrialsEnabled = false;
   std::function<void()> mOnVerdicts;
 };
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -7,6 +7,7 @@
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <functional>
 
@@ -163,6 +164,85 @@
   CHECK(budget.tryConsume("s", now + 11s));
 }
 
+// A service fails all the time and all VMs are killed together. Guards against
+// processes that each use the share of their VM again.
+TEST(RetryBudget, KillOfAllVmsDoesNotRenewTheBudget)
+{
+  constexpr std::size_t kVms = 6;
+  constexpr base::Duration kDown = 1s;
+  for (const base::Duration killAt : { 2s, 5s, 9s, 14s }) {
+    std::vector<TimePoint> requests;
+    std::vector<TimePoint> retries;
+    std::vector<dispatch::RetryBudget> vms;
+    const auto startAll = [&](TimePoint aAt) {
+      vms.assign(kVms, {});
+      for (auto& vm : vms) {
+        vm.setLimits({ 0.2, 52, 10s });
+        vm.setFleetSize(kVms);
+        vm.setStart(aAt);
+      }
+    };
+    startAll(now - 1h);
+    for (base::Duration passed = 0s; passed < 40s; passed += 50ms) {
+      if (passed == killAt) {
+        startAll(now + killAt + kDown);
+      }
+      if (passed >= killAt && passed < killAt + kDown) {
+        continue;
+      }
+      for (auto& vm : vms) {
+        if (passed % base::Duration(500ms) == 0s) {
+          vm.onRequest("s", now + passed);
+          requests.push_back(now + passed);
+        }
+        while (vm.tryConsume("s", now + passed)) {
+          retries.push_back(now + passed);
+        }
+      }
+    }
+    const auto countFrom = [](const std::vector<TimePoint>& aTimes,
+                              TimePoint aFrom) {
+      return static_cast<double>(
+        std::count_if(aTimes.begin(), aTimes.end(), [&](TimePoint aAt) {
+          return aAt >= aFrom && aAt < aFrom + 10s;
+        }));
+    };
+    for (base::Duration from = 0s; from < 30s; from += 50ms) {
+      CHECK(countFrom(retries, now + from) <=
+            0.2 * countFrom(requests, now + from) + 52);
+    }
+  }
+}
+
+// Guards against a start at which a few failures among many requests are passed
+// on to callers.
+TEST(RetryBudget, CalmStartRetriesWhatFailsNowAndThen)
+{
+  budget.setLimits({ 0.2, 52, 10s });
+  budget.setFleetSize(6);
+  budget.setStart(now);
+  for (int request = 1; request <= 200; ++request) {
+    const TimePoint at = now + request * 50ms;
+    budget.onRequest("s", at);
+    CHECK(request % 10 != 0 || budget.tryConsume("s", at));
+  }
+}
+
+// Guards against a share that stays small after the first window.
+TEST(RetryBudget, ShareIsWholeAfterTheFirstWindow)
+{
+  budget.setLimits({ 0, 12, 10s });
+  budget.setStart(now);
+  CHECK(budget.tryConsume("s", now));
+  CHECK(budget.tryConsume("s", now));
+  CHECK(!budget.tryConsume("s", now));
+  int allowed = 0;
+  while (budget.tryConsume("s", now + 11s)) {
+    ++allowed;
+  }
+  LONGS_EQUAL(9, allowed);
+}
+
 TEST_GROUP(Health)
 {
   dispatch::OutlierDetector detector;
@@ -543,6 +623,27 @@
   }
 };
 
+// All VMs are killed right after the crashes. Guards against a record that
+// waits for its turn, and against one write for each crash or by each VM.
+TEST(KeptEvidence, NewVerdictIsRecordedAtOnceByAVmThatSawTheCrash)
+{
+  finish(request({ 1 }));
+  now += 5s;
+  crash({ request({ 1, 66 }) });
+  CHECK(!tracker.mustRecordAtOnce(stored));
+  crash({ request({ 1, 66 }) });
+  CHECK(tracker.mustRecordAtOnce(stored));
+  peer.merge(tracker.report(now + 100ms), now + 200ms);
+  CHECK(peer.verdictOn(request({ 1, 66 })) != nullptr);
+  CHECK(!peer.mustRecordAtOnce(stored));
+  write(tracker, now + 100ms);
+  CHECK(!tracker.mustRecordAtOnce(stored));
+  now += 1s;
+  crash({ request({ 1, 77 }) });
+  crash({ request({ 1, 77 }) });
+  CHECK(tracker.mustRecordAtOnce(stored));
+}
+
 // Guards against a part that crashes as many upstreams again after all VMs were
 // killed, and against a sound one that is blocked with it then.
 TEST(KeptEvidence, VmsThatStartAloneBlockTheSameRequests)
@@ -863,12 +964,84 @@
   CHECK(!passes(request({ 1, 2 }), now));
 }
 
+// The owner of orders changes while a part is blocked. Guards against a trial
+// by each next owner, which costs one upstream after another.
+TEST(CrashTrial, NextOwnerKnowsOfTrials)
+{
+  finish(request({ 1 }));
+  peer.onSuccess(request({ 1 }), now + 1s, now + 2s);
+  now += 5s;
+  for (int i = 0; i < 6; ++i) {
+    crash({ request({ 1 }) });
+  }
+  const peers::TraitSet deadly = request({ 1 });
+  CHECK(passes(deadly, now + 6s));
+  peer.setTrialsEnabled(true);
+  peer.merge(tracker.report(now + 6100ms), now + 6200ms);
+  CHECK(peer.verdictOn(request({ 1 })) != nullptr);
+  CHECK(!peer.mayTry(request({ 1 }), now + 7s));
+  die(deadly, now + 7s);
+  peer.merge(tracker.report(now + 7100ms), now + 7200ms);
+  for (base::Duration after = 8s; after < 9min; after += 1s) {
+    CHECK(!peer.mayTry(request({ 1 }), now + after));
+  }
+}
+
+// Guards against the same after a kill of all VMs.
+TEST(CrashTrial, TrialsAreKeptInTheRecord)
+{
+  finish(request({ 1 }));
+  now += 5s;
+  for (int i = 0; i < 6; ++i) {
+    crash({ request({ 1 }) });
+  }
+  dispatch::CrashRecord stored = tracker.record({}, now + 1s);
+  const peers::TraitSet deadly = request({ 1 });
+  CHECK(passes(deadly, now + 6s));
+  CHECK(!tracker.isRecorded(stored, now + 6s));
+  die(deadly, now + 7s);
+  stored = tracker.record(stored, now + 8s);
+  const auto read = base::capture([&] {
+    return dispatch::decodeCrashRecord(
+      nlohmann::json::parse(dispatch::encodeCrashRecord(stored).dump()), 2s);
+  });
+  CHECK(base::errorOf(read) == nullptr);
+  peer.merge(std::get<dispatch::CrashRecord>(read), now + 10s);
+  peer.setTrialsEnabled(true);
+  CHECK(peer.verdictOn(request({ 1 })) != nullptr);
+  for (base::Duration after = 13s; after < 9min; after += 1s) {
+    CHECK(!peer.mayTry(request({ 1 }), now + after));
+  }
+}
+
+// Guards against a sound part that stays blocked because the VM that tried it
+// ended before the result.
+TEST(CrashTrial, NextOwnerTriesOnceMoreAfterATrialWithoutAResult)
+{
+  finish(request({ 1 }));
+  peer.onSuccess(request({ 1 }), now + 1s, now + 2s);
+  now += 5s;
+  for (int i = 0; i < 6; ++i) {
+    crash({ request({ 1 }) });
+  }
+  CHECK(passes(request({ 1 }), now + 6s));
+  peer.merge(tracker.report(now + 6100ms), now + 6200ms);
+  peer.setTrialsEnabled(true);
+  CHECK(!peer.mayTry(request({ 1 }), now + 8s));
+  const peers::TraitSet sound = request({ 1 });
+  CHECK(peer.beginTrial(sound, now + 12s));
+  CHECK(!peer.mayTry(request({ 1 }), now + 30s));
+  tracker.merge(peer.report(now + 12100ms), now + 12200ms);
+  CHECK(!passes(request({ 1 }), now + 30s));
+}
+
 /** A fleet whose VMs know the use of a limited upstream by the others with a
  * delay. */
 TEST_GROUP(NamedLimit)
 {
   static constexpr base::Duration kDelay = 600ms;
   static constexpr base::Duration kStep = 10ms;
+  static constexpr base::Duration kStatusPeriod = 300ms;
   static constexpr base::Duration kPlayed = 60s;
   static constexpr peers::ProcessTag kUpstream = 7;
   /** Requests a second that want the upstream, some time after the start. */
@@ -884,6 +1057,10 @@
   std::vector<dispatch::UpstreamNotices> vms;
   /** What the VMs reported, the oldest first. */
   std::deque<std::vector<peers::LimitUse>> reports;
+  std::deque<peers::LimitStatements> statements;
+  base::Duration limitEnds = 1h; ///< after the start
+  base::Duration played = kPlayed;
+  std::uint64_t seed = 0;
 
   /** @return a demand that does not change */
   static Demand steady(double aPerSecond)
@@ -891,17 +1068,58 @@
     return [aPerSecond](base::Duration) { return aPerSecond; };
   }
 
-  void setLimit(double aLimit)
+  void answer(std::size_t aVm, double aLimit, TimePoint aNow)
   {
     catalog::UpstreamNotice notice;
-    notice.requestsPerSecond = aLimit;
+    if (aNow - start < limitEnds) {
+      notice.requestsPerSecond = aLimit;
+    }
+    vms[aVm].onAnswer(kUpstream, notice, aNow);
+  }
+
+  void setLimit(double aLimit)
+  {
+    for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+      vms[vm].setReportDelay(kDelay);
+      vms[vm].setFleetSize(vms.size());
+      answer(vm, aLimit, start);
+    }
+  }
+
+  /** Every VM gets the latest statements of all, through the relays. */
+  void exchangeStatements(TimePoint aNow)
+  {
+    peers::LimitStatements latest;
+    for (const auto& vm : vms) {
+      for (const auto& [process, statement] : vm.statements(aNow)) {
+        const auto [found, isNew] = latest.try_emplace(process, statement);
+        if (!isNew && statement.age < found->second.age) {
+          found->second = statement;
+        }
+      }
+    }
+    statements.push_back(latest);
+    if (statements.size() <= static_cast<std::size_t>(kDelay / kStep)) {
+      return;
+    }
+    statements.pop_front();
+    if ((aNow - start) % kStatusPeriod != 0s) {
+      return;
+    }
     for (auto& vm : vms) {
-      vm.setReportDelay(kDelay);
-      vm.setFleetSize(vms.size());
-      vm.onAnswer(kUpstream, notice, start);
+      vm.merge(statements.front(), aNow);
     }
   }
 
+  /** @return VMs that know of a limit */
+  std::size_t limitedVms() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(vms.begin(), vms.end(), [](const auto& aVm) {
+        return aVm.limit(kUpstream).has_value();
+      }));
+  }
+
   void exchangeReports(TimePoint aNow)
   {
     std::vector<peers::LimitUse> uses;
@@ -935,12 +1153,14 @@
   {
     vms.assign(aVms, {});
     setLimit(aLimit);
-    base::Random random(aVms);
+    base::Random random(aVms + seed);
     std::deque<Want> repeats;
     reports.clear();
+    statements.clear();
     arrivals.clear();
-    for (TimePoint now = start; now < start + kPlayed; now += kStep) {
+    for (TimePoint now = start; now < start + played; now += kStep) {
       exchangeReports(now);
+      exchangeStatements(now);
       std::vector<Want> wants;
       while (!repeats.empty() && repeats.front().at <= now) {
         wants.push_back(repeats.front());
@@ -959,6 +1179,7 @@
           kUpstream, usedByOthers(want.vm), random.unit(), now, want.repeated);
         if (admission == dispatch::Admission::Admitted) {
           arrivals.push_back(now);
+          answer(want.vm, aLimit, now);
         } else if (admission == dispatch::Admission::AskAgain) {
           CHECK(!want.repeated);
           repeats.push_back({ now + kDelay, want.vm, true });
@@ -1058,6 +1279,55 @@
   CHECK(mostInAWindow() <= 5);
 }
 
+// An upstream recovers; each VM sends it a request now and then only. Guards
+// against VMs that go on refusing until one of their own requests is admitted.
+TEST(NamedLimit, EndIsKnownToAllVmsSoon)
+{
+  int plays = 0;
+  int late = 0;
+  for (const std::size_t fleet : { 3, 82 }) {
+    for (const double limit : { 0.5, 1.0, 3.0 }) {
+      for (const double demand : { 10.0, 30.0 }) {
+        for (seed = 0; seed < 8; ++seed) {
+          limitEnds = 8s + std::chrono::milliseconds(300) * seed;
+          played = limitEnds + 8s;
+          play(fleet, limit, steady(demand), false);
+          ++plays;
+          late += limitedVms() > 0 ? 1 : 0;
+        }
+      }
+    }
+  }
+  // Requests are admitted at random.
+  CHECK(late * 20 <= plays);
+}
+
+// Guards against an old end of a limit that a report makes look newer than the
+// limit that the upstream has named since, and that peers keep alive.
+TEST(NamedLimit, ReportOfAnEndDoesNotEndALaterLimit)
+{
+  std::array<dispatch::UpstreamNotices, 3> fleet;
+  catalog::UpstreamNotice limited;
+  limited.requestsPerSecond = 1;
+  for (auto& vm : fleet) {
+    vm.setReportDelay(kDelay);
+    vm.onAnswer(kUpstream, limited, start);
+  }
+  fleet[0].onAnswer(kUpstream, {}, start + 5s);
+  fleet[1].onAnswer(kUpstream, limited, start + 5100ms);
+  const auto report = fleet[0].statements(start + 5s);
+  CHECK(fleet[1].merge(report, start + 5500ms).empty());
+  CHECK(fleet[1].limit(kUpstream).has_value());
+  LONGS_EQUAL(1, fleet[2].merge(report, start + 5500ms).size());
+  CHECK(!fleet[2].limit(kUpstream));
+  for (TimePoint now = start + 5500ms; now < start + 60s; now += 100ms) {
+    fleet[0].merge(fleet[2].statements(now), now + 100ms);
+    fleet[2].merge(fleet[0].statements(now), now + 100ms);
+  }
+  CHECK(fleet[0].statements(start + 60s).empty());
+  CHECK(fleet[2].statements(start + 60s).empty());
+}
+
 TEST(NamedLimit, AnswerWithoutALimitEndsIt)
 {
   dispatch::UpstreamNotices notices;
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -69,6 +69,17 @@
   return demand;
 }
 
+json
+encodeTrials(const std::map<RequestTrait, TraitTrials>& aTrials)
+{
+  json trials = json::array();
+  for (const auto& [trait, tried] : aTrials) {
+    trials.push_back(
+      json::array({ trait, tried.count, base::inMilliseconds(tried.age) }));
+  }
+  return trials;
+}
+
 json
 encodeCrashes(const CrashTable& aCrashes)
 {
@@ -77,7 +88,8 @@
     crashes.push_back(json::array({ tag,
                                     base::inMilliseconds(evidence.age),
                                     evidence.suspects,
-                                    evidence.cleared }));
+                                    evidence.cleared,
+                                    encodeTrials(evidence.trials) }));
   }
   return crashes;
 }
@@ -86,15 +98,48 @@
 decodeCrashes(const json& aJson)
 {
   CrashTable crashes;
+  const auto age = [](const json& aValue) {
+    return std::chrono::milliseconds(
+      std::max<std::int64_t>(0, aValue.get<std::int64_t>()));
+  };
   for (const json& row : aJson) {
-    crashes[row.at(0)] = { std::chrono::milliseconds(std::max<std::int64_t>(
-                             0, row.at(1).get<std::int64_t>())),
-                           row.at(2).get<std::set<TraitSet>>(),
-                           row.at(3).get<TraitSet>() };
+    CrashEvidence& evidence = crashes[row.at(0)];
+    evidence.age = age(row.at(1));
+    evidence.suspects = row.at(2).get<std::set<TraitSet>>();
+    evidence.cleared = row.at(3).get<TraitSet>();
+    // VMs of earlier versions do not send it.
+    if (row.size() > 4) {
+      for (const json& tried : row.at(4)) {
+        evidence.trials[tried.at(0)] = { tried.at(1), age(tried.at(2)) };
+      }
+    }
   }
   return crashes;
 }
 
+json
+encodeStatements(const LimitStatements& aStatements)
+{
+  json statements = json::array();
+  for (const auto& [tag, statement] : aStatements) {
+    statements.push_back(json::array(
+      { tag, base::inMilliseconds(statement.age), statement.ended }));
+  }
+  return statements;
+}
+
+LimitStatements
+decodeStatements(const json& aJson)
+{
+  LimitStatements statements;
+  for (const json& row : aJson) {
+    statements[row.at(0)] = { std::chrono::milliseconds(std::max<std::int64_t>(
+                                0, row.at(1).get<std::int64_t>())),
+                              row.at(2).get<bool>() };
+  }
+  return statements;
+}
+
 LoadTable
 decodeLoads(const json& aJson)
 {
@@ -134,7 +179,8 @@
                        encodeLoads(aStatus.loads),
                        encodeDemand(aStatus.demand),
                        encodeCrashes(aStatus.crashes),
-                       aStatus.drainingUpstreams });
+                       aStatus.drainingUpstreams,
+                       encodeStatements(aStatus.limitStatements) });
 }
 
 Status
@@ -156,6 +202,10 @@
   status.demand = decodeDemand(next());
   status.crashes = decodeCrashes(next());
   status.drainingUpstreams = next().get<std::map<std::string, std::uint32_t>>();
+  // VMs of earlier versions do not send it.
+  if (field < aBody.size()) {
+    status.limitStatements = decodeStatements(next());
+  }
   return status;
 }
 
@@ -181,7 +231,8 @@
                        encodeDemand(aSummary.demand),
                        encodeCrashes(aSummary.crashes),
                        aSummary.drainingUpstreams,
-                       aSummary.complete });
+                       aSummary.complete,
+                       encodeStatements(aSummary.limitStatements) });
 }
 
 Summary
@@ -207,8 +258,11 @@
   summary.crashes = decodeCrashes(next());
   summary.drainingUpstreams =
     next().get<std::map<std::string, std::uint32_t>>();
-  // VMs of earlier versions do not send it.
+  // VMs of earlier versions do not send these.
   summary.complete = field < aBody.size() && next().get<bool>();
+  if (field < aBody.size()) {
+    summary.limitStatements = decodeStatements(next());
+  }
   return summary;
 }
 
