--- a/tests/explore/main.cpp
+++ b/tests/explore/main.cpp
@@ -28,13 +28,17 @@
 )";
 
 /** Orders that lead to where most faults were: an idle connection that has had
- * an answer, a request at an upstream, a stream that has begun. */
+ * an answer, a request at an upstream, a stream that has begun, and planned
+ * stops of these. */
 const std::vector<std::string> kBeginnings{
   "",
   "connect send:0 run accept:1 run answer:1 run",
   "connect send:0 run accept:1 run",
   "connect send:0 run accept:1 run answer:1 run send:0 run answer:1 run send:0 "
   "run part:1 run",
+  "connect send:0 run accept:1 run answer:1 run stop:0",
+  "connect send:0 run accept:1 run answer:1 run send:0 run answer:1 run send:0 "
+  "run part:1 run stop:0",
 };
 
 std::vector<std::pair<std::string, std::string>>
--- a/tests/explore/world.cpp
+++ b/tests/explore/world.cpp
@@ -279,6 +279,7 @@
 Transport::shutdownOutput()
 {
   mNative->connection->finSent = true;
+  mNative->connection->finAt = World::current().now();
 }
 
 bool
@@ -438,6 +439,7 @@
     aConnection.inFlight.clear();
   }
   aConnection.closed = true;
+  aConnection.finAt = aConnection.finSent ? aConnection.finAt : mNow;
   aConnection.finSent = true;
 }
 
--- a/tests/explore/world.h
+++ b/tests/explore/world.h
@@ -29,10 +29,11 @@
   std::size_t read = 0;   ///< bytes that the process has read
   bool peerFin = false;
   bool peerReset = false;
-  bool peerPaused = false;      ///< the peer's window is closed
-  std::string inFlight;         ///< accepted by the kernel, not yet by the peer
-  std::string received;         ///< by the peer
-  bool finSent = false;         ///< the process closed its sending side
+  bool peerPaused = false; ///< the peer's window is closed
+  std::string inFlight;    ///< accepted by the kernel, not yet by the peer
+  std::string received;    ///< by the peer
+  bool finSent = false;    ///< the process closed its sending side
+  base::TimePoint finAt{};
   bool closed = false;          ///< the process closed the socket
   bool resetSent = false;       ///< the peer sees a reset
   bool wantsReset = false;      ///< a close becomes a reset
