--- a/tests/explore/main.cpp
+++ b/tests/explore/main.cpp
@@ -38,7 +38,7 @@
   "run part:1 run",
   "connect send:0 run accept:1 run answer:1 run stop:0",
   "connect send:0 run accept:1 run answer:1 run send:0 run answer:1 run send:0 "
-  "run part:1 run stop:0",
+  "run part:1 run stop:0 wait run wait run wait run",
 };
 
 std::vector<std::pair<std::string, std::string>>
--- a/tests/explore/scenario.cpp
+++ b/tests/explore/scenario.cpp
@@ -10,7 +10,7 @@
 using Step = World::Step;
 
 constexpr std::size_t kMaxCallers = 2;
-constexpr std::size_t kMaxRequests = 3;
+constexpr std::size_t kMaxRequests = 4;
 constexpr std::size_t kMaxChanges = 2;
 constexpr std::size_t kMaxWaits = 6;
 constexpr std::size_t kMaxDisturbances = 3;
--- a/tests/explore/world.cpp
+++ b/tests/explore/world.cpp
@@ -242,6 +242,7 @@
 void
 Transport::consume(std::size_t aSize)
 {
+  mConsumed += aSize;
   mNative->input.erase(0, aSize);
 }
 
@@ -301,9 +302,9 @@
 }
 
 void
-Transport::resetOnClose()
+Transport::resetOnClose(bool aReset)
 {
-  mNative->connection->wantsReset = true;
+  mNative->connection->wantsReset = aReset;
 }
 
 void
