Preprocess without the comments of expanded macros

With -CC two thirds of the files failed to preprocess (comments in pasted tokens of nlohmann/json), so nothing was kept for them and they were checked in each run. The files of the tree count whole now; a file that can't be preprocessed is named. test_pasted_tokens_with_comments_are_preprocessed fails with -CC.

--- a/scripts/tidy.py
+++ b/scripts/tidy.py
@@ -11,6 +11,7 @@
 import hashlib
 import json
 import os
+import re
 import shlex
 import subprocess
 import sys
@@ -39,17 +40,22 @@
     def key(self, path):
         """Returns the digest of all that decides about the findings in a file, or None if it can't be preprocessed.
 
-        Comments count because of NOLINT, and macros because checks look at their definitions."""
+        Comments count because of NOLINT, and macros because checks look at their definitions; the files of this tree
+        count whole, because the preprocessor drops comments in directives."""
         row = self.commands[path]
         words = shlex.split(row["command"])
         if "-o" in words:
             at = words.index("-o")
             del words[at:at + 2]
         words = [word for word in words if word != "-c"]
-        ran = subprocess.run(words + ["-E", "-CC", "-dD"], cwd=row["directory"], capture_output=True)
+        ran = subprocess.run(words + ["-E", "-C", "-dD"], cwd=row["directory"], capture_output=True)
         if ran.returncode != 0:
+            sys.stderr.write(f"{path}: can't be preprocessed, so it is checked each time\n")
             return None
         content = ran.stdout + "\0".join(words).encode()
+        for included in sorted(set(re.findall(rb'^# \d+ "([^"<>]+)"', ran.stdout, re.MULTILINE))):
+            if included.startswith(self.root.encode() + b"/"):
+                content += b"\0" + read(included)
         # The same tree in another folder has the same findings.
         content = content.replace(self.root.encode(), b".")
         return hashlib.sha256(self.base.encode() + content).hexdigest()
--- a/tests/scripts/test_tidy.py
+++ b/tests/scripts/test_tidy.py
@@ -70,12 +70,25 @@
         self.assertEqual(self.run_tidy()[:3], (1, 1, 2))
         self.write("shared.h", CLEAN_HEADER)
         self.assertEqual(self.run_tidy()[:3], (0, 1, 0))
+        for comment in ("", " // NOLINT"):
+            self.write("shared.h", CLEAN_HEADER + f"#define SHARED_LIMIT 3{comment}\n")
+            self.assertEqual(self.run_tidy()[:3], (0, 1, 0))
+        self.write("shared.h", CLEAN_HEADER)
         self.set_flags("-DOTHER")
         self.assertEqual(self.run_tidy()[:3], (0, 0, 0))
         with open(os.path.join(self.folder, ".clang-tidy"), "a", encoding="utf-8") as file:
             file.write("  - { key: readability-identifier-naming.GlobalVariableCase, value: camelBack }\n")
         self.assertEqual(self.run_tidy()[:3], (0, 0, 0))
 
+    def test_pasted_tokens_with_comments_are_preprocessed(self):
+        os.makedirs(os.path.join(self.folder, "other"))
+        self.write("../other/joined.h", "#define FIRST first /* c */\n#define PASTE(a, b) a##b\n"
+                   "#define JOINED(a, b) PASTE(a, b)\nint JOINED(FIRST, Of)();\n")
+        self.write("shared.h", CLEAN_HEADER.replace("once\n", f'once\n#include "{self.folder}/other/joined.h"\n'))
+        first = self.run_tidy()
+        self.assertEqual((0, 0, 0), first[:3], first[3])
+        self.assertEqual(self.run_tidy()[:3], (0, 3, 0))
+
     def test_file_without_a_compile_command_fails(self):
         os.remove(os.path.join(self.folder, "build", "compile_commands.json"))
         with open(os.path.join(self.folder, "build", "compile_commands.json"), "w", encoding="utf-8") as file:
