--- a/scripts/tidy.py
+++ b/scripts/tidy.py
@@ -54,7 +54,8 @@
             return None
         content = ran.stdout + "\0".join(words).encode()
         for included in sorted(set(re.findall(rb'^# \d+ "([^"<>]+)"', ran.stdout, re.MULTILINE))):
-            if included.startswith(self.root.encode() + b"/"):
+            # With -g the compiler names the folder in which it runs, too.
+            if included.startswith(self.root.encode() + b"/") and os.path.isfile(included):
                 content += b"\0" + read(included)
         # The same tree in another folder has the same findings.
         content = content.replace(self.root.encode(), b".")
--- a/tests/scripts/test_tidy.py
+++ b/tests/scripts/test_tidy.py
@@ -34,7 +34,7 @@
 
     def set_flags(self, flags):
         rows = [{"directory": self.folder, "file": f"{self.folder}/libs/{name}",
-                 "command": f"g++ -std=gnu++20 {flags} -o {name}.o -c {self.folder}/libs/{name}"}
+                 "command": f"g++ -g -std=gnu++20 {flags} -o {name}.o -c {self.folder}/libs/{name}"}
                 for name in ("first.cpp", "second.cpp", "other.cpp")]
         with open(os.path.join(self.folder, "build", "compile_commands.json"), "w", encoding="utf-8") as file:
             json.dump(rows, file)
