--- a/tests/explore/main.cpp
+++ b/tests/explore/main.cpp
@@ -34,11 +34,13 @@
   "",
   "connect send:0 run accept:1 run answer:1 run",
   "connect send:0 run accept:1 run",
-  "connect send:0 run accept:1 run answer:1 run send:0 run answer:1 run send:0 "
-  "run part:1 run",
+  ("connect send:0 run accept:1 run answer:1 run send:0 run answer:1 run "
+   "send:0 "
+   "run part:1 run"),
   "connect send:0 run accept:1 run answer:1 run stop:0",
-  "connect send:0 run accept:1 run answer:1 run send:0 run answer:1 run send:0 "
-  "run part:1 run stop:0 wait run wait run wait run",
+  ("connect send:0 run accept:1 run answer:1 run send:0 run answer:1 run "
+   "send:0 "
+   "run part:1 run stop:0 wait run wait run wait run"),
 };
 
 std::vector<std::pair<std::string, std::string>>
@@ -98,6 +100,7 @@
   limits.time = std::chrono::seconds(aArguments["--seconds"].asLong());
   limits.seed = static_cast<std::uint64_t>(aArguments["--seed"].asLong());
   std::vector<std::vector<Action>> beginnings;
+  beginnings.reserve(kBeginnings.size());
   for (const std::string& text : kBeginnings) {
     beginnings.push_back(parseScript(text));
   }
--- a/tests/explore/world.cpp
+++ b/tests/explore/world.cpp
@@ -128,6 +128,15 @@
   return state;
 }
 
+/** @return an event that never happens here */
+EventHandle
+makeSilent(std::function<void()> aCallback)
+{
+  auto state = std::make_unique<EventHandle::State>();
+  state->callback = std::move(aCallback);
+  return EventHandle(std::move(state));
+}
+
 } // namespace
 
 EventHandle
@@ -143,21 +152,21 @@
 }
 
 EventHandle
-Loop::onSignal(int /*aSignal*/, std::function<void()> /*aCallback*/)
+Loop::onSignal(int /*aSignal*/, std::function<void()> aCallback)
 {
-  return {};
+  return makeSilent(std::move(aCallback));
 }
 
 EventHandle
-Loop::onReadable(int /*aDescriptor*/, std::function<void()> /*aCallback*/)
+Loop::onReadable(int /*aDescriptor*/, std::function<void()> aCallback)
 {
-  return {};
+  return makeSilent(std::move(aCallback));
 }
 
 EventHandle
-Loop::onPeerClosed(int /*aDescriptor*/, std::function<void()> /*aCallback*/)
+Loop::onPeerClosed(int /*aDescriptor*/, std::function<void()> aCallback)
 {
-  return {};
+  return makeSilent(std::move(aCallback));
 }
 
 void
