--- a/apps/gateway/request_log.cpp
+++ b/apps/gateway/request_log.cpp
@@ -116,17 +116,20 @@
     .Increment();
   // A caller that leaves during its request is in the line of the request.
   const bool logged =
-    aClosed.unansweredBytes == 0 ||
-    (aClosed.requestOpen && aClosed.end == wire::CallerEnd::ClosedByCaller);
-  if (logged || !takeToken(0, aNow)) {
+    aClosed.requestOpen && aClosed.end == wire::CallerEnd::ClosedByCaller;
+  const bool complete =
+    aClosed.unansweredBytes == 0 && aClosed.unacknowledgedBytes == 0;
+  if (logged || complete || !takeToken(0, aNow)) {
     return;
   }
   observe::logWarn(
-    "caller connection ended without a response",
+    aClosed.unansweredBytes > 0 ? "caller connection ended without a response"
+                                : "caller may not have its whole response",
     { { "reason", reason },
       { "request_open", aClosed.requestOpen ? "yes" : "no" },
       { "unanswered_bytes", std::to_string(aClosed.unansweredBytes) },
       { "unsent_bytes", std::to_string(aClosed.unsentBytes) },
+      { "unacknowledged_bytes", std::to_string(aClosed.unacknowledgedBytes) },
       { "since_input_ms", formatMilliseconds(aClosed.sinceInput) },
       { "open_for_ms", formatMilliseconds(aClosed.sinceOpened) } });
 }
--- a/libs/observe/tests/observe_tests.cpp
+++ b/libs/observe/tests/observe_tests.cpp
@@ -3,6 +3,9 @@
 
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/TestHarness.h>
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
 
 using namespace marigold;
 
@@ -25,6 +28,18 @@
   CHECK_FALSE(observe::startLog("test", "loud"));
 }
 
+// Guards against a process that ends by an exception without saying which.
+TEST(Observe, ExceptionThatEndsAProgramIsNamed)
+{
+  std::ostringstream printed;
+  std::streambuf* const standardError = std::cerr.rdbuf(printed.rdbuf());
+  const int code = observe::runMain(
+    []() -> base::Result<int> { throw std::out_of_range("no such team"); });
+  std::cerr.rdbuf(standardError);
+  LONGS_EQUAL(1, code);
+  STRCMP_CONTAINS("exception: no such team", printed.str().c_str());
+}
+
 int
 main(int aCount, char** aValues)
 {
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -506,6 +506,7 @@
                           mCurrent.open,
                           mUnansweredBytes + mTransport.pendingInput(),
                           mTransport.pendingOutput(),
+                          mTransport.unacknowledgedOutput(),
                           now - mLastInputAt,
                           now - mOpenedAt });
 }
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -51,7 +51,10 @@
   bool requestOpen = false; ///< a request was waiting for its response
   /** Received bytes of requests that got no response. */
   std::size_t unansweredBytes = 0;
-  std::size_t unsentBytes = 0;  ///< of responses
+  std::size_t unsentBytes = 0; ///< of responses
+  /** Bytes of responses that the caller may not have, the unsent ones included.
+   */
+  std::size_t unacknowledgedBytes = 0;
   base::Duration sinceInput{};  ///< time since the latest bytes arrived
   base::Duration sinceOpened{}; ///< age of the connection
 };
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -944,6 +944,7 @@
   loop.run();
   LONGS_EQUAL(1, closed.size());
   CHECK(closed[0].unsentBytes > 0);
+  CHECK(closed[0].unacknowledgedBytes > closed[0].unsentBytes);
   LONGS_EQUAL(0, server.connections());
 }
 
--- a/libs/wire/transport.cpp
+++ b/libs/wire/transport.cpp
@@ -167,6 +167,16 @@
   return evbuffer_get_length(bufferevent_get_output(mNative.get()));
 }
 
+std::size_t
+Transport::unacknowledgedOutput() const
+{
+  int sent = 0;
+  if (ioctl(bufferevent_getfd(mNative.get()), TIOCOUTQ, &sent) != 0) {
+    sent = 0;
+  }
+  return pendingOutput() + static_cast<std::size_t>(sent);
+}
+
 std::size_t
 Transport::pendingInput() const
 {
--- a/libs/wire/transport.h
+++ b/libs/wire/transport.h
@@ -80,6 +80,10 @@
   /** @return number of buffered bytes not yet sent */
   std::size_t pendingOutput() const;
 
+  /** @return number of bytes that the peer has not acknowledged, including
+   * those that the kernel holds */
+  std::size_t unacknowledgedOutput() const;
+
   /** @return number of bytes received and not yet consumed */
   std::size_t pendingInput() const;
 
