--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -972,6 +972,20 @@
         self.check_bounded(before)
         self.assertTrue("event exceeds its limit" in self.gateways[0].log())
 
+    EVENT_STREAM = OK + "Content-Type: text/event-stream\r\n\r\n"
+
+    def test_stream_without_length_that_ends_inside_an_event_looks_incomplete(self):
+        """Guards against a stream without length or chunks that breaks off inside an event and reaches the caller
+        as complete. One that ends between events is complete."""
+        whole = b"id: 1\ndata: a\n\n"
+        self.set_endless_answers((self.EVENT_STREAM, whole, 0))
+        for engine in self.engines:
+            engine.endless_limit = len(whole)
+        self.assertEqual((200, whole.decode()), self.gateways[0].call("/single/x", headers=self.CHAT)[:2])
+        self.set_endless_answers((self.EVENT_STREAM, whole + b"id: 2\nda", 0))
+        with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
+            self.gateways[0].call("/single/x", headers=self.CHAT)
+
     def test_unsigned_body_without_end_is_not_passed_on(self):
         """Guards against an unsigned success that is passed to the caller once its body exceeds
         the buffer of 1 MiB."""
