Test that a large answer goes on when its caller reads again

Reading from an upstream pauses while a slow caller has 256 KiB unsent and resumes when it reads on.

It reads only after the upstream could send nothing for 0.1 s, and asserts that the pause kept a part back.

--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -986,6 +986,37 @@
         with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
             self.gateways[0].call("/single/x", headers=self.CHAT)
 
+    # More than the sockets' buffers and what a gateway holds for a slow caller.
+    LARGE_ANSWER = 24 << 20  # bytes
+
+    def read_after_a_pause(self, path, headers):
+        """Sends a request, reads nothing until the gateway has stopped reading the answer, then reads all of it."""
+        upstreams = self.desks + self.engines
+        caller = self.gateways[0].open_call(path, headers)
+        try:
+            wait_for(lambda: any(upstream.endless_sent for upstream in upstreams), 2)
+            sent = -1
+            while sent != (sent := sum(upstream.endless_sent for upstream in upstreams)):
+                time.sleep(0.1)
+            self.assertLess(sent, self.LARGE_ANSWER)
+            return caller.getresponse().read()
+        finally:
+            caller.close()
+
+    def test_large_answer_goes_on_when_its_caller_reads_again(self):
+        """Guards against reading from an upstream that never resumes after a caller was slow: the answer then
+        breaks off at the deadline."""
+        event = b"data: " + b"x" * 65528 + b"\n\n"
+        for name, path, headers, head, part in (
+                ("body", "/once/x", {}, self.OK + f"Content-Length: {self.LARGE_ANSWER}\r\n\r\n", b"x" * 65536),
+                ("stream", "/single/x", self.CHAT, self.EVENT_STREAM, event)):
+            with self.subTest(name):
+                self.set_endless_answers((head, part, 0))
+                for upstream in self.desks + self.engines:
+                    upstream.endless_limit = self.LARGE_ANSWER
+                body = self.read_after_a_pause(path, {"X-Deadline-Ms": "3900", **headers})
+                self.assertEqual(self.LARGE_ANSWER, len(body))
+
     def test_unsigned_body_without_end_is_not_passed_on(self):
         """Guards against an unsigned success that is passed to the caller once its body exceeds
         the buffer of 1 MiB."""
