Explore slow readers, large answers, unframed ends, unsigned answers and callers that left

New events: an answer of 0.6 MB (stream) or 1.4 MB (body), a caller that pauses and takes a part now and then (TCP shows the process nothing of single bytes), a stream without length or chunks that ends inside or between events, a success without the upstream's signature, a team that changes, 200 more routes, a second during which the loop runs. A pass of the loop reads 256 KiB of a socket, so that back-pressure can begin inside an answer.

New questions: is a call whose caller has left given up within half a second, and nothing sent for it later; is an answer that was read, or that waits while its caller reads and time is left, delivered whole; does a refusal everywhere end as not run and not as unknown; is nothing written on a kept connection that its upstream has ended; does a complete stream end with its last event.

scenario.cpp had 1,000 lines and two subjects: the actions are a table of member pointers in actions.cpp, the checks are in checks.cpp, the texts of requests and answers in messages.cpp, the site in site.cpp. Scripts whose beginning has been checked are not checked again, and answers are parsed only when they have changed.

--- a/tests/explore/main.cpp
+++ b/tests/explore/main.cpp
@@ -5,6 +5,7 @@
 #include <docopt/docopt.h>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 
 namespace marigold::explore {
 namespace {
@@ -27,9 +28,12 @@
   -h --help        Show this text.
 )";
 
+/** Bytes of free memory that are not given back. */
+constexpr int kKeptMemory = 256 * 1024 * 1024;
+
 /** Orders that lead to where most faults were: an idle connection that has had
- * an answer, a request at an upstream, a stream that has begun, and planned
- * stops of these. */
+ * an answer, a request at an upstream, a stream that has begun, planned stops
+ * of these, and a large answer to a caller that does not read. */
 const std::vector<std::string> kBeginnings{
   "",
   "connect send:0 run accept:1 run answer:1 run",
@@ -41,6 +45,9 @@
   ("connect send:0 run accept:1 run answer:1 run send:0 run answer:1 run "
    "send:0 "
    "run part:1 run stop:0 wait run wait run wait run"),
+  "connect large:0 run accept:1 run stop:0 pause:0 answer:1 run",
+  ("connect send:0 run accept:1 run answer:1 run send:0 run answer:1 run "
+   "large:0 run pause:0 part:1 run"),
 };
 
 std::vector<std::pair<std::string, std::string>>
@@ -127,6 +134,9 @@
 main(int aCount, char** aValues)
 {
   using namespace marigold;
+  // Large answers come and go all the time; the kernel need not clear them.
+  mallopt(M_MMAP_THRESHOLD, explore::kKeptMemory);
+  mallopt(M_TRIM_THRESHOLD, explore::kKeptMemory);
   auto arguments =
     docopt::docopt(explore::kUsage, { aValues + 1, aValues + aCount }, true);
   observe::startLog("explore", "error", observe::LogOutput::StandardError);
--- a/tests/explore/search.cpp
+++ b/tests/explore/search.cpp
@@ -9,16 +9,21 @@
 using Clock = std::chrono::steady_clock;
 using Script = std::vector<Action>;
 
-/** Plays a script to its end. @return its violation; sets the state reached
- * before the end, and what was possible there */
+/** Plays a script to its end, of which the first aChecked actions are known to
+ * violate nothing. @return its violation; sets the state reached before the
+ * end, and what was possible there */
 std::string
 playTo(const Script& aScript,
+       std::size_t aChecked,
        std::uint64_t* aFingerprint,
        std::vector<Action>* aEnabled)
 {
   Scenario scenario;
-  for (const Action& action : aScript) {
-    scenario.apply(action);
+  for (std::size_t index = 0; index < aScript.size(); ++index) {
+    scenario.apply(aScript[index]);
+    if (index < aChecked) {
+      continue;
+    }
     if (auto found = scenario.violation(); !found.empty()) {
       return found;
     }
@@ -54,7 +59,8 @@
         std::uint64_t state = 0;
         std::vector<Action> enabled;
         ++mProgress.scripts;
-        auto found = playTo(script, &state, &enabled);
+        const std::size_t checked = depth == 0 ? 0 : script.size() - 1;
+        auto found = playTo(script, checked, &state, &enabled);
         if (!found.empty()) {
           return Finding{ script, std::move(found) };
         }
@@ -126,7 +132,7 @@
 std::string
 play(const std::vector<Action>& aScript)
 {
-  return playTo(aScript, nullptr, nullptr);
+  return playTo(aScript, 0, nullptr, nullptr);
 }
 
 Finding
--- /dev/null
+++ b/tests/explore/site.cpp
@@ -0,0 +1,136 @@
+#include "site.h"
+
+namespace marigold::explore {
+namespace {
+
+using namespace std::chrono_literals;
+
+observe::Metrics&
+metrics()
+{
+  static observe::Metrics instance;
+  return instance;
+}
+
+} // namespace
+
+catalog::Route
+makeRoute(const std::string& aPrefix, catalog::RequestKind aKind)
+{
+  catalog::Route route;
+  route.name = aPrefix;
+  route.host = "h";
+  route.prefix = aPrefix;
+  route.kind = aKind;
+  route.targets = { { "desk", 1 } };
+  route.timeout = 8s;
+  route.targetLatency = 200ms;
+  route.targetEventGap = 400ms;
+  route.maxAttempts = 2;
+  route.resumable = aKind == catalog::RequestKind::Stream;
+  return route;
+}
+
+catalog::Team
+makeTeam(const std::string& aName)
+{
+  catalog::Team team;
+  team.name = aName;
+  team.rate = 100;
+  team.burst = 100;
+  return team;
+}
+
+catalog::Catalog
+makeCatalog()
+{
+  catalog::Catalog catalog;
+  catalog.version = 1;
+  catalog.routes = { makeRoute("/once/", catalog::RequestKind::AtMostOnce),
+                     makeRoute("/again/", catalog::RequestKind::Idempotent),
+                     makeRoute("/events/", catalog::RequestKind::Stream) };
+  catalog::Service service;
+  service.name = "desk";
+  service.maxConnections = 8;
+  catalog.services[service.name] = service;
+  catalog.teams = { makeTeam("team") };
+  catalog.teams.front().keyDigests = { base::sha256Hex("key") };
+  catalog.requiresApiKeys = true;
+  return catalog;
+}
+
+catalog::UpstreamRecord
+makeRecord(const char* aName, std::uint16_t aPort)
+{
+  catalog::UpstreamRecord record;
+  record.name = aName;
+  record.service = "desk";
+  record.address = { "10.0.0.1", aPort };
+  record.dataCentre = "dc";
+  record.slots = 4;
+  record.startedAt = 1;
+  return record;
+}
+
+Site::Site()
+  : peers("dc")
+  , pool(loop)
+  , probe(loop, [](const wire::UpstreamKey&, gateway::ProbeResult) {})
+  , log(metrics())
+  , random(1)
+  , context{ loop,    settings, catalog, upstreams, peers,   quota,
+             pool,    health,   latency, prefixes,  retries, crashes,
+             notices, probe,    demand,  waitQueue, log,     random,
+             1,       {},       {},      0,         {},      {} }
+  , callers(loop, [this](const auto& aCaller) {
+    std::make_shared<gateway::Exchange>(context, aCaller)->start();
+  })
+{
+  settings.dataCentre = "dc";
+  settings.gracePeriod = 8s;
+  retries.setLimits({ 1, 100, 10s });
+}
+
+Site::~Site()
+{
+  // Requests, their calls and connections refer to the other members.
+  drainTimers.clear();
+  context.openRequests.clear();
+}
+
+void
+Site::apply(const catalog::Catalog& aCatalog)
+{
+  catalog.replaceIfNewer(
+    std::make_shared<const gateway::CatalogSnapshot>(aCatalog, ""));
+  std::map<base::TeamName, quota::Limit> limits;
+  for (const catalog::Team& team : aCatalog.teams) {
+    limits[team.name] = { team.rate, team.burst };
+  }
+  quota.setLimits(limits, base::monotonicNow());
+  callers.setLimits({ aCatalog.callerLimits.headerBytes,
+                      aCatalog.callerLimits.bodyBytes,
+                      aCatalog.callerLimits.headerTimeout,
+                      aCatalog.callerLimits.idleTimeout });
+}
+
+void
+Site::beginDrain()
+{
+  constexpr base::Duration kNotice = 2600ms;
+  constexpr base::Duration kServe = 6800ms;
+  constexpr base::Duration kRun = 7600ms;
+  const base::TimePoint now = base::monotonicNow();
+  context.endRequestsAt = now + kServe;
+  context.refuseAfter = now + kNotice;
+  callers.closeAfterResponses();
+  drainTimers.push_back(loop.after(kNotice, [this] { callers.stop(); }));
+  drainTimers.push_back(loop.after(kServe, [this] {
+    for (const auto& request : std::set(context.openRequests)) {
+      request->shutdown();
+    }
+  }));
+  drainTimers.push_back(loop.after(kRun, [this] { loop.stop(); }));
+}
+
+} // namespace marigold::explore
--- a/tests/explore/world.cpp
+++ b/tests/explore/world.cpp
@@ -373,6 +373,8 @@
 /** Bytes that the kernel takes for a peer that does not read: a small answer,
  * but not two. */
 constexpr std::size_t kSendBuffer = 400;
+/** Bytes that a pass of the loop reads from a socket. */
+constexpr std::size_t kMaxRead = 256UL * 1024;
 
 } // namespace
 
@@ -460,6 +462,7 @@
   for (const auto& connection : mConnections) {
     if (!connection->closed) {
       close(*connection);
+      connection->closedByExit = true;
     }
   }
 }
@@ -467,7 +470,11 @@
 std::size_t
 World::send(Connection& aConnection, std::string_view aBytes)
 {
+  const bool ended = aConnection.peerReset || aConnection.peerFin;
+  const bool kept = !aConnection.accepted && aConnection.read > 0;
+  aConnection.writtenAfterEnd = aConnection.writtenAfterEnd || (ended && kept);
   if (aConnection.peerReset || aConnection.closed) {
+    aConnection.lostBytes = true;
     return aBytes.size(); // The process learns of the reset by an event.
   }
   if (!aConnection.peerPaused) {
@@ -490,6 +497,16 @@
   }
 }
 
+void
+World::sip(Connection& aConnection)
+{
+  const std::size_t size =
+    std::min(aConnection.inFlight.size(), kSendBuffer / 2);
+  aConnection.received.append(aConnection.inFlight, 0, size);
+  aConnection.inFlight.erase(0, size);
+  aConnection.pausedWithBytes = base::Duration::zero();
+}
+
 void
 World::establish(Connection& aConnection)
 {
@@ -655,8 +672,10 @@
 {
   bufferevent& buffered = *aConnection.buffered;
   if (!aConnection.unread.empty()) {
-    aConnection.read += aConnection.unread.size();
-    buffered.input += std::exchange(aConnection.unread, {});
+    const std::size_t size = std::min(aConnection.unread.size(), kMaxRead);
+    aConnection.read += size;
+    buffered.input.append(aConnection.unread, 0, size);
+    aConnection.unread.erase(0, size);
     buffered.readPending = true;
   } else {
     aConnection.endReported = true;
--- a/tests/explore/world.h
+++ b/tests/explore/world.h
@@ -34,7 +34,11 @@
   std::string received;    ///< by the peer
   bool finSent = false;    ///< the process closed its sending side
   base::TimePoint finAt{};
-  bool closed = false;          ///< the process closed the socket
+  bool closed = false;       ///< the process closed the socket
+  bool closedByExit = false; ///< because it ended
+  bool lostBytes = false;    ///< the process wrote after a reset
+  /** The process wrote on a kept connection that its peer had ended. */
+  bool writtenAfterEnd = false;
   bool resetSent = false;       ///< the peer sees a reset
   bool wantsReset = false;      ///< a close becomes a reset
   base::Duration userTimeout{}; ///< for which the kernel bears a pause
@@ -106,6 +110,9 @@
   void refuse(Connection& aConnection);
   /** The peer reads on after a pause. */
   void resume(Connection& aConnection);
+  /** A peer that pauses reads as much as opens its window for a moment. The
+   * process learns nothing of fewer bytes. */
+  void sip(Connection& aConnection);
 
   /** @return digest of what can be seen of the loop and the sockets */
   std::uint64_t fingerprint() const;
