Drop a replacement once a part of an answer was passed on

A body of more than 1 MiB is passed on before it is complete. If its upstream had been silent before, a replacement may still be connecting then: only the stall timer was stopped, and the replacement took over when its connection was ready, because it compares events and a body has none.

--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -302,7 +302,9 @@
     if (mBody.size() <= (tight ? kMaxBufferedIfTight : kMaxBufferedBytes)) {
       return;
     }
-    mStallTimer.reset(); // No other upstream can continue this response.
+    // No other upstream can continue this response.
+    mStallTimer.reset();
+    mReplacement.reset();
     mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
   }
   mCaller->sendChunk(mBody.view());
