Serve callers by a class that the explorer runs too

The explorer had its own copy of what Gateway does for the request path when a configuration comes and in a planned stop; the copies differed (teams without a rate, the end of a stop that has no request left). RequestServer holds the connections of callers, puts a configuration in force for them and ends both in a planned stop; Gateway and the explorer use it. What stays in Gateway decodes the configuration, logs it and ends its ownership of orders.

New event: a planned stop that has no request and no connection left ends the process early.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -27,14 +27,6 @@
 /** A new VM becomes ready only after its peers had time to report their quota
  * usage. */
 constexpr base::Duration kPeerReportDelay = 400ms;
-/** The load balancer removes a VM after two failed probes, one per second. */
-constexpr base::Duration kDrainNotice = 2600ms;
-/** Fraction of the grace period after which open requests are ended, so that
- * their callers still receive a response. */
-constexpr double kServeFraction = 0.85;
-/** Fraction of the grace period after which the process exits, even if callers
- * have not read all of their responses. */
-constexpr double kRunFraction = 0.95;
 
 base::Incarnation
 makeIncarnation()
@@ -162,10 +154,7 @@
             mNotices,
             mMetrics)
   , mPeerExchange(mLoop, mContext, mFleet, mOrders, mIncarnation)
-  , mCallers(mLoop,
-             [this](const std::shared_ptr<wire::CallerConnection>& aCaller) {
-               std::make_shared<Exchange>(mContext, aCaller)->start();
-             })
+  , mRequests(mContext)
   , mReadyServer(mLoop,
                  {},
                  [this](const http::Request& aRequest,
@@ -194,7 +183,7 @@
   mRetries.setLimits(
     { mSettings.retryRatio, mSettings.retryMinExtra, mSettings.retryWindow });
   mRetries.setStart(base::monotonicNow());
-  mCallers.onClosed([this](const wire::ClosedCaller& aClosed) {
+  mRequests.onClosed([this](const wire::ClosedCaller& aClosed) {
     mRequestLog.logCallerClose(aClosed, base::monotonicNow());
   });
   // Deferred, because the verdict may change inside a callback of a request.
@@ -232,7 +221,7 @@
   BOOST_LEAF_CHECK(mOperator.listen(mSettings.operatorAddress));
   BOOST_LEAF_CHECK(mReadyServer.listen(mSettings.ready));
   BOOST_LEAF_CHECK(mPeerExchange.listen());
-  BOOST_LEAF_CHECK(mCallers.listen(mSettings.listen));
+  BOOST_LEAF_CHECK(mRequests.listen(mSettings.listen));
   mLoopDelayMonitor.start();
   mCatalogWatch.start();
   mUpstreamWatch.start();
@@ -259,21 +248,10 @@
   }
   const auto snapshot = std::make_shared<const CatalogSnapshot>(
     std::move(std::get<catalog::Catalog>(decoded)), aText);
-  if (!mCatalog.replaceIfNewer(snapshot)) {
+  if (!mRequests.applyCatalog(snapshot)) {
     return;
   }
   const catalog::Catalog& content = snapshot->content;
-  std::map<base::TeamName, quota::Limit> limits;
-  for (const catalog::Team& team : content.teams) {
-    if (team.rate > 0) {
-      limits[team.name] = { team.rate, team.burst };
-    }
-  }
-  mQuota.setLimits(limits, base::monotonicNow());
-  mCallers.setLimits({ content.callerLimits.headerBytes,
-                       content.callerLimits.bodyBytes,
-                       content.callerLimits.headerTimeout,
-                       content.callerLimits.idleTimeout });
   observe::logInfo("configuration in force",
                    { { "version", std::to_string(content.version) },
                      { "source", aSource },
@@ -588,7 +566,7 @@
   schedulePlan();
   mWaitQueue.retryAll();
   mRequestLog.logDroppedLines(now);
-  if (mDraining) {
+  if (mRequests.draining()) {
     continueDrain();
   }
 }
@@ -596,7 +574,7 @@
 bool
 Gateway::ready() const
 {
-  return !mDraining && mCatalog.current() && mUpstreamsKnown &&
+  return !mRequests.draining() && mCatalog.current() && mUpstreamsKnown &&
          mFleetKnownAt != base::TimePoint{} &&
          base::monotonicNow() - mFleetKnownAt > kPeerReportDelay;
 }
@@ -610,59 +588,29 @@
 void
 Gateway::beginDrain()
 {
-  if (mDraining) {
+  if (mRequests.draining()) {
     return;
   }
-  mDraining = true;
-  const base::TimePoint startedAt = base::monotonicNow();
-  const double grace = base::inSeconds(mSettings.gracePeriod);
-  const auto serve = base::fromSeconds(grace * kServeFraction);
-  mContext.endRequestsAt = startedAt + serve;
-  const auto notice = std::min(kDrainNotice, serve);
-  mContext.refuseAfter = startedAt + notice;
-  // Separate timers, because tick() may run up to a whole period later.
-  mWatches.push_back(mLoop.after(notice, [this] { stopListening(); }));
-  mWatches.push_back(mLoop.after(serve, [this] { endOpenRequests(); }));
-  mWatches.push_back(mLoop.after(base::fromSeconds(grace * kRunFraction),
-                                 [this] { mLoop.stop(); }));
+  mRequests.beginDrain([this] { mFleet.leave(); });
   mOrders.stop();
   mFleet.releaseOwnership(mOrders.lastOrderAt());
-  mCallers.closeAfterResponses();
   observe::logInfo(
-    "drain", { { "open_requests", std::to_string(mCallers.openRequests()) } });
+    "drain", { { "open_requests", std::to_string(mRequests.openRequests()) } });
 }
 
 void
 Gateway::continueDrain()
 {
-  // A request without a caller may still be open if it must not be cancelled.
-  if (!mListeningStopped || mCallers.openRequests() > 0 ||
-      !mContext.openRequests.empty()) {
+  if (!mRequests.drained()) {
     return;
   }
   mPeerExchange.announceDraining();
   // The end of the process resets calls that are on their way.
-  if (mCallers.connections() == 0 && !mFleet.leavePending()) {
+  if (mRequests.connections() == 0 && !mFleet.leavePending()) {
     mLoop.stop();
   }
 }
 
-void
-Gateway::stopListening()
-{
-  mListeningStopped = true;
-  mCallers.stop();
-  mFleet.leave();
-}
-
-void
-Gateway::endOpenRequests()
-{
-  for (const auto& request : std::set(mContext.openRequests)) {
-    request->shutdown();
-  }
-}
-
 void
 Gateway::reloadSettings()
 {
@@ -685,11 +633,12 @@
 {
   mOperator.setReadinessCheck([this] { return ready(); });
   mOperator.setStatusReport([this] {
-    return json{
-      { "vm", mSettings.vm },     { "ready", ready() },
-      { "draining", mDraining },  { "configuration", mCatalog.version() },
-      { "fleet", mFleet.size() }, { "owns_orders", mOrders.active() }
-    };
+    return json{ { "vm", mSettings.vm },
+                 { "ready", ready() },
+                 { "draining", mRequests.draining() },
+                 { "configuration", mCatalog.version() },
+                 { "fleet", mFleet.size() },
+                 { "owns_orders", mOrders.active() } };
   });
   mOperator.addDumpSection("upstreams", [this] {
     json rows = json::object();
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -3,11 +3,11 @@
 
 #include "apps/gateway/coalesced_callback.h"
 #include "apps/gateway/crash_records.h"
-#include "apps/gateway/exchange.h"
 #include "apps/gateway/fleet.h"
 #include "apps/gateway/loop_delay_monitor.h"
 #include "apps/gateway/order_controller.h"
 #include "apps/gateway/peer_exchange.h"
+#include "apps/gateway/request_server.h"
 #include "apps/gateway/watch_relay.h"
 #include "observe/observe.h"
 
@@ -57,8 +57,6 @@
   bool ready() const;
   void beginDrain();
   void continueDrain();
-  void stopListening();
-  void endOpenRequests();
   void reloadSettings();
   void serveReady(const std::shared_ptr<http::Responder>& aResponder);
   void registerDumps();
@@ -94,7 +92,7 @@
   PrefixWatch mUpstreamWatch;
   OrderController mOrders;
   PeerExchange mPeerExchange;
-  wire::CallerServer mCallers;
+  RequestServer mRequests;
   http::Server mReadyServer;
   observe::OperatorServer mOperator;
   WatchRelay mRelay;
@@ -111,8 +109,6 @@
   std::optional<base::TimePoint> mStoreRestoredAt;
   base::TimePoint mFleetKnownAt{};
   bool mUpstreamsKnown = false;
-  bool mDraining = false;
-  bool mListeningStopped = false;
   std::vector<http::EventHandle> mWatches;
 };
 
--- a/tests/explore/actions.cpp
+++ b/tests/explore/actions.cpp
@@ -77,7 +77,8 @@
     { "team-changes", '-', &S::canChange, &S::changeTeam },
     { "route-gone", '-', &S::canChange, &S::removeRoute },
     { "more-routes", '-', &S::canChange, &S::addRoutes },
-    { "stop", '-', &S::canStop, &S::stop }
+    { "stop", '-', &S::canStop, &S::stop },
+    { "exit", '-', &S::canExit, &S::exit }
   };
   return kKinds;
 }
@@ -631,11 +632,26 @@
   return !mDraining;
 }
 
+/** A planned stop ends early if nothing is left, as in
+ * Gateway::continueDrain(). */
+bool
+Scenario::canExit(std::size_t /*aTarget*/) const
+{
+  return mSite->requests.drained() && mSite->requests.connections() == 0 &&
+         !mWorld.ready(Step::Next);
+}
+
+void
+Scenario::exit(std::size_t /*aTarget*/)
+{
+  mSite->loop.stop();
+}
+
 void
 Scenario::stop(std::size_t /*aTarget*/)
 {
   mDraining = true;
-  mSite->beginDrain();
+  mSite->requests.beginDrain([] {});
 }
 
 } // namespace marigold::explore
--- a/tests/explore/checks.cpp
+++ b/tests/explore/checks.cpp
@@ -303,10 +303,10 @@
 Scenario::checkCounters() const
 {
   const gateway::RequestContext& context = mSite->context;
-  if (mSite->callers.openRequests() != 0 || !context.openRequests.empty()) {
+  if (mSite->requests.openRequests() != 0 || !context.openRequests.empty()) {
     return "requests are still open";
   }
-  if (mSite->callers.connections() != 0) {
+  if (mSite->requests.connections() != 0) {
     return "connections of callers are still open";
   }
   for (const auto& [name, upstream] : mSite->upstreams.all()) {
--- a/tests/explore/scenario.cpp
+++ b/tests/explore/scenario.cpp
@@ -28,7 +28,7 @@
   mWorld.advance(kWarmUp); // The buckets of the quota start empty.
   mSite->upstreams.apply(makeRecord("u1", 1));
   mSite->upstreams.apply(makeRecord("u2", 2));
-  if (!mSite->callers.listen({ "10.0.0.9", 80 })) {
+  if (!mSite->requests.listen({ "10.0.0.9", 80 })) {
     std::abort();
   }
 }
@@ -306,8 +306,8 @@
   add(mLarge);
   add(mDisturbances);
   add(mDraining);
-  add(mSite->callers.openRequests());
-  add(mSite->callers.connections());
+  add(mSite->requests.openRequests());
+  add(mSite->requests.connections());
   add(mSite->context.openRequests.size());
   return base::hash64(text);
 }
--- a/tests/explore/scenario.h
+++ b/tests/explore/scenario.h
@@ -124,6 +124,7 @@
   void waitASecond(std::size_t aTarget);
   void beLate(std::size_t aTarget);
   void stop(std::size_t aTarget);
+  void exit(std::size_t aTarget);
   void shortenIdle(std::size_t aTarget);
   void lengthenIdle(std::size_t aTarget);
   void removeTeam(std::size_t aTarget);
@@ -156,6 +157,7 @@
   bool canWaitASecond(std::size_t aTarget) const;
   bool canBeLate(std::size_t aTarget) const;
   bool canStop(std::size_t aTarget) const;
+  bool canExit(std::size_t aTarget) const;
   bool canChange(std::size_t aTarget) const;
 
   // Parts of these.
--- a/tests/explore/site.cpp
+++ b/tests/explore/site.cpp
@@ -82,55 +82,18 @@
              pool,    health,   latency, prefixes,  retries, crashes,
              notices, probe,    demand,  waitQueue, log,     random,
              1,       {},       {},      0,         {},      {} }
-  , callers(loop, [this](const auto& aCaller) {
-    std::make_shared<gateway::Exchange>(context, aCaller)->start();
-  })
+  , requests(context)
 {
   settings.dataCentre = "dc";
   settings.gracePeriod = 8s;
   retries.setLimits({ 1, 100, 10s });
 }
 
-Site::~Site()
-{
-  // Requests, their calls and connections refer to the other members.
-  drainTimers.clear();
-  context.openRequests.clear();
-}
-
 void
 Site::apply(const catalog::Catalog& aCatalog)
 {
-  catalog.replaceIfNewer(
+  requests.applyCatalog(
     std::make_shared<const gateway::CatalogSnapshot>(aCatalog, ""));
-  std::map<base::TeamName, quota::Limit> limits;
-  for (const catalog::Team& team : aCatalog.teams) {
-    limits[team.name] = { team.rate, team.burst };
-  }
-  quota.setLimits(limits, base::monotonicNow());
-  callers.setLimits({ aCatalog.callerLimits.headerBytes,
-                      aCatalog.callerLimits.bodyBytes,
-                      aCatalog.callerLimits.headerTimeout,
-                      aCatalog.callerLimits.idleTimeout });
-}
-
-void
-Site::beginDrain()
-{
-  constexpr base::Duration kNotice = 2600ms;
-  constexpr base::Duration kServe = 6800ms;
-  constexpr base::Duration kRun = 7600ms;
-  const base::TimePoint now = base::monotonicNow();
-  context.endRequestsAt = now + kServe;
-  context.refuseAfter = now + kNotice;
-  callers.closeAfterResponses();
-  drainTimers.push_back(loop.after(kNotice, [this] { callers.stop(); }));
-  drainTimers.push_back(loop.after(kServe, [this] {
-    for (const auto& request : std::set(context.openRequests)) {
-      request->shutdown();
-    }
-  }));
-  drainTimers.push_back(loop.after(kRun, [this] { loop.stop(); }));
 }
 
 } // namespace marigold::explore
--- a/tests/explore/site.h
+++ b/tests/explore/site.h
@@ -2,7 +2,7 @@
  */
 #pragma once
 
-#include "apps/gateway/exchange.h"
+#include "apps/gateway/request_server.h"
 
 namespace marigold::explore {
 
@@ -31,16 +31,12 @@
 struct Site
 {
   Site();
-  ~Site();
   Site(const Site&) = delete;
   Site& operator=(const Site&) = delete;
 
-  /** Does what Gateway::applyCatalog() does for the request path. */
+  /** @param aCatalog configuration to put in force */
   void apply(const catalog::Catalog& aCatalog);
 
-  /** Does what Gateway::beginDrain() does for the request path. */
-  void beginDrain();
-
   http::Loop loop;
   gateway::Settings settings;
   gateway::CatalogHolder catalog;
@@ -60,8 +56,7 @@
   gateway::RequestLog log;
   base::Random random;
   gateway::RequestContext context;
-  wire::CallerServer callers;
-  std::vector<http::EventHandle> drainTimers;
+  gateway::RequestServer requests;
 };
 
 } // namespace marigold::explore
