Keep one copy of the callbacks of a transport

The explorer defines Transport anew for its scripted sockets and had its own onRead, onWrite and onEvent.

--- a/libs/wire/transport.cpp
+++ b/libs/wire/transport.cpp
@@ -34,17 +34,6 @@
   setsockopt(aDescriptor, aLevel, aName, &aValue, sizeof(aValue));
 }
 
-/** Runs in the callback of an event, which has set the error of the socket. */
-TransportEnd
-endOf(short aFlags)
-{
-  if ((aFlags & BEV_EVENT_EOF) != 0) {
-    return TransportEnd::Orderly;
-  }
-  return EVUTIL_SOCKET_ERROR() == ECONNREFUSED ? TransportEnd::Refused
-                                               : TransportEnd::Failed;
-}
-
 void
 setSocketOptions(int aDescriptor)
 {
@@ -249,40 +238,15 @@
   close(descriptor);
 }
 
-void
-Transport::onRead(bufferevent* /*aEvent*/, void* aSelf)
-{
-  const auto callback = static_cast<Transport*>(aSelf)->mEvents.readable;
-  if (callback) {
-    callback();
-  }
-}
-
-void
-Transport::onWrite(bufferevent* /*aEvent*/, void* aSelf)
-{
-  const auto callback = static_cast<Transport*>(aSelf)->mEvents.drained;
-  if (callback) {
-    callback();
-  }
-}
-
-void
-Transport::onEvent(bufferevent* /*aEvent*/, short aFlags, void* aSelf)
+/** Runs in the callback of an event, which has set the error of the socket. */
+TransportEnd
+Transport::endOf(const bufferevent* /*aEvent*/, short aFlags)
 {
-  auto* self = static_cast<Transport*>(aSelf);
-  if ((aFlags & BEV_EVENT_CONNECTED) != 0) {
-    const auto callback = self->mEvents.connected;
-    if (callback) {
-      callback();
-    }
-    return;
-  }
-  const TransportEnd end = endOf(aFlags);
-  const auto callback = self->mEvents.ended;
-  if (callback) {
-    callback(end);
+  if ((aFlags & BEV_EVENT_EOF) != 0) {
+    return TransportEnd::Orderly;
   }
+  return EVUTIL_SOCKET_ERROR() == ECONNREFUSED ? TransportEnd::Refused
+                                               : TransportEnd::Failed;
 }
 
 } // namespace marigold::wire
--- a/libs/wire/transport.h
+++ b/libs/wire/transport.h
@@ -125,6 +125,8 @@
   /** @param aEvents poll() events @return true if one of them, or an error, is
    * pending on the socket */
   bool socketHasEvents(short aEvents) const;
+  /** @param aFlags of an event that ended the connection */
+  static TransportEnd endOf(const bufferevent* aEvent, short aFlags);
   static void onRead(bufferevent* aEvent, void* aSelf);
   static void onWrite(bufferevent* aEvent, void* aSelf);
   static void onEvent(bufferevent* aEvent, short aFlags, void* aSelf);
--- a/tests/explore/world.cpp
+++ b/tests/explore/world.cpp
@@ -323,44 +323,13 @@
   World::current().close(*mNative->connection);
 }
 
-void
-Transport::onRead(bufferevent* /*aEvent*/, void* aSelf)
+TransportEnd
+Transport::endOf(const bufferevent* aEvent, short aFlags)
 {
-  const auto callback = static_cast<Transport*>(aSelf)->mEvents.readable;
-  if (callback) {
-    callback();
-  }
-}
-
-void
-Transport::onWrite(bufferevent* /*aEvent*/, void* aSelf)
-{
-  const auto callback = static_cast<Transport*>(aSelf)->mEvents.drained;
-  if (callback) {
-    callback();
-  }
-}
-
-void
-Transport::onEvent(bufferevent* aEvent, short aFlags, void* aSelf)
-{
-  auto* self = static_cast<Transport*>(aSelf);
-  if ((aFlags & BEV_EVENT_CONNECTED) != 0) {
-    const auto callback = self->mEvents.connected;
-    if (callback) {
-      callback();
-    }
-    return;
-  }
-  const auto callback = self->mEvents.ended;
-  if (!callback) {
-    return;
-  }
   if ((aFlags & BEV_EVENT_EOF) != 0) {
-    callback(TransportEnd::Orderly);
-  } else {
-    callback(aEvent->refused ? TransportEnd::Refused : TransportEnd::Failed);
+    return TransportEnd::Orderly;
   }
+  return aEvent->refused ? TransportEnd::Refused : TransportEnd::Failed;
 }
 
 } // namespace marigold::wire
