Keep a silent call whose answer has arrived meanwhile

A silent upstream is left for a replacement when the connection to that one is ready. The switch asked whether events of a stream had come since, but not whether bytes wait to be read: in one pass of the loop the ready connection may come before the rest of an answer that is already in the socket. The answer was thrown away with a reset and the request ran again; with a silent second upstream the caller got 504.

A close without bytes (the end of an unframed answer) isn't looked for: a broken connection should be left, and its retry skips upstreams that were tried.

--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -518,9 +518,11 @@
 Exchange::switchToReplacement(const base::UpstreamName& aUpstream)
 {
   const base::TimePoint now = base::monotonicNow();
+  const auto input = inputCount();
+  const bool answerWaits = input && input->arrived > input->handled;
   const bool wanted =
     !mEnded && mReplacement && mEventCount == mReplacement->events &&
-    hasTimeForSend() && !mCaller->abandoned() &&
+    !answerWaits && hasTimeForSend() && !mCaller->abandoned() &&
     mContext.crashes.verdictOn(mTraits) == nullptr && isAccepted(aUpstream);
   if (!wanted || !mContext.retries.tryConsume(mService->name, now)) {
     return std::nullopt;
