--- a/tests/explore/world.cpp
+++ b/tests/explore/world.cpp
@@ -339,9 +339,9 @@
 
 World* instance = nullptr;
 
-/** Bytes that the kernel takes for a peer that does not read: a small answer,
- * but not two. */
-constexpr std::size_t kSendBuffer = 400;
+/** Bytes that the kernel takes for a peer that does not read: less than any
+ * answer. */
+constexpr std::size_t kSendBuffer = 100;
 /** Bytes that a pass of the loop reads from a socket. */
 constexpr std::size_t kMaxRead = 256UL * 1024;
 
