--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -972,6 +972,51 @@
         self.check_bounded(before)
         self.assertTrue("event exceeds its limit" in self.gateways[0].log())
 
+    EVENT_STREAM = OK + "Content-Type: text/event-stream\r\n\r\n"
+
+    def test_stream_without_length_that_ends_inside_an_event_looks_incomplete(self):
+        """Guards against a stream without length or chunks that breaks off inside an event and reaches the caller
+        as complete. One that ends between events is complete."""
+        whole = b"id: 1\ndata: a\n\n"
+        self.set_endless_answers((self.EVENT_STREAM, whole, 0))
+        for engine in self.engines:
+            engine.endless_limit = len(whole)
+        self.assertEqual((200, whole.decode()), self.gateways[0].call("/single/x", headers=self.CHAT)[:2])
+        self.set_endless_answers((self.EVENT_STREAM, whole + b"id: 2\nda", 0))
+        with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
+            self.gateways[0].call("/single/x", headers=self.CHAT)
+
+    # More than the sockets' buffers and what a gateway holds for a slow caller.
+    LARGE_ANSWER = 24 << 20  # bytes
+
+    def read_after_a_pause(self, path, headers):
+        """Sends a request, reads nothing until the gateway has stopped reading the answer, then reads all of it."""
+        upstreams = self.desks + self.engines
+        caller = self.gateways[0].open_call(path, headers)
+        try:
+            wait_for(lambda: any(upstream.endless_sent for upstream in upstreams), 2)
+            sent = -1
+            while sent != (sent := sum(upstream.endless_sent for upstream in upstreams)):
+                time.sleep(0.1)
+            self.assertLess(sent, self.LARGE_ANSWER)
+            return caller.getresponse().read()
+        finally:
+            caller.close()
+
+    def test_large_answer_goes_on_when_its_caller_reads_again(self):
+        """Guards against reading from an upstream that never resumes after a caller was slow: the answer then
+        breaks off at the deadline."""
+        event = b"data: " + b"x" * 65528 + b"\n\n"
+        for name, path, headers, head, part in (
+                ("body", "/once/x", {}, self.OK + f"Content-Length: {self.LARGE_ANSWER}\r\n\r\n", b"x" * 65536),
+                ("stream", "/single/x", self.CHAT, self.EVENT_STREAM, event)):
+            with self.subTest(name):
+                self.set_endless_answers((head, part, 0))
+                for upstream in self.desks + self.engines:
+                    upstream.endless_limit = self.LARGE_ANSWER
+                body = self.read_after_a_pause(path, {"X-Deadline-Ms": "3900", **headers})
+                self.assertEqual(self.LARGE_ANSWER, len(body))
+
     def test_unsigned_body_without_end_is_not_passed_on(self):
         """Guards against an unsigned success that is passed to the caller once its body exceeds
         the buffer of 1 MiB."""
--- a/tests/explore/world.cpp
+++ b/tests/explore/world.cpp
@@ -323,44 +323,13 @@
   World::current().close(*mNative->connection);
 }
 
-void
-Transport::onRead(bufferevent* /*aEvent*/, void* aSelf)
-{
-  const auto callback = static_cast<Transport*>(aSelf)->mEvents.readable;
-  if (callback) {
-    callback();
-  }
-}
-
-void
-Transport::onWrite(bufferevent* /*aEvent*/, void* aSelf)
-{
-  const auto callback = static_cast<Transport*>(aSelf)->mEvents.drained;
-  if (callback) {
-    callback();
-  }
-}
-
-void
-Transport::onEvent(bufferevent* aEvent, short aFlags, void* aSelf)
+TransportEnd
+Transport::endOf(const bufferevent* aEvent, short aFlags)
 {
-  auto* self = static_cast<Transport*>(aSelf);
-  if ((aFlags & BEV_EVENT_CONNECTED) != 0) {
-    const auto callback = self->mEvents.connected;
-    if (callback) {
-      callback();
-    }
-    return;
-  }
-  const auto callback = self->mEvents.ended;
-  if (!callback) {
-    return;
-  }
   if ((aFlags & BEV_EVENT_EOF) != 0) {
-    callback(TransportEnd::Orderly);
-  } else {
-    callback(aEvent->refused ? TransportEnd::Refused : TransportEnd::Failed);
+    return TransportEnd::Orderly;
   }
+  return aEvent->refused ? TransportEnd::Refused : TransportEnd::Failed;
 }
 
 } // namespace marigold::wire
@@ -370,9 +339,11 @@
 
 World* instance = nullptr;
 
-/** Bytes that the kernel takes for a peer that does not read: a small answer,
- * but not two. */
-constexpr std::size_t kSendBuffer = 400;
+/** Bytes that the kernel takes for a peer that does not read: less than any
+ * answer. */
+constexpr std::size_t kSendBuffer = 100;
+/** Bytes that a pass of the loop reads from a socket. */
+constexpr std::size_t kMaxRead = 256UL * 1024;
 
 } // namespace
 
@@ -460,6 +431,7 @@
   for (const auto& connection : mConnections) {
     if (!connection->closed) {
       close(*connection);
+      connection->closedByExit = true;
     }
   }
 }
@@ -467,7 +439,11 @@
 std::size_t
 World::send(Connection& aConnection, std::string_view aBytes)
 {
+  const bool ended = aConnection.peerReset || aConnection.peerFin;
+  const bool kept = !aConnection.accepted && aConnection.read > 0;
+  aConnection.writtenAfterEnd = aConnection.writtenAfterEnd || (ended && kept);
   if (aConnection.peerReset || aConnection.closed) {
+    aConnection.lostBytes = true;
     return aBytes.size(); // The process learns of the reset by an event.
   }
   if (!aConnection.peerPaused) {
@@ -490,6 +466,16 @@
   }
 }
 
+void
+World::sip(Connection& aConnection)
+{
+  const std::size_t size =
+    std::min(aConnection.inFlight.size(), kSendBuffer / 2);
+  aConnection.received.append(aConnection.inFlight, 0, size);
+  aConnection.inFlight.erase(0, size);
+  aConnection.pausedWithBytes = base::Duration::zero();
+}
+
 void
 World::establish(Connection& aConnection)
 {
@@ -655,8 +641,10 @@
 {
   bufferevent& buffered = *aConnection.buffered;
   if (!aConnection.unread.empty()) {
-    aConnection.read += aConnection.unread.size();
-    buffered.input += std::exchange(aConnection.unread, {});
+    const std::size_t size = std::min(aConnection.unread.size(), kMaxRead);
+    aConnection.read += size;
+    buffered.input.append(aConnection.unread, 0, size);
+    aConnection.unread.erase(0, size);
     buffered.readPending = true;
   } else {
     aConnection.endReported = true;
