Count a caller as idle from when it has its response

Callers saw: a whole request, on a connection that was idle for less than the idle timeout, gets no answer; the connection ends.

Cause: the idle time began when the response was handed to the socket. A slow link or a slow reader gets it later, and its next request, in time by its own count, met the close. How late is a matter of what waits on the link, so it comes and goes. Whether a caller still reads was judged by the bytes in the process only, not by those that the kernel still holds.

Fix: the first check comes within a second, and the idle time begins when nothing of the response is unacknowledged.

Evidence: IdleTimeBeginsWhenTheCallerHasItsResponse gets an empty answer on the code before and passes now.

--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -18,6 +18,8 @@
 /** A request whose handler has not ended it this long after it should have is
  * closed. */
 constexpr base::Duration kOverdueGrace = 1s;
+/** Time between two checks whether the caller has received its response. */
+constexpr base::Duration kDeliveryCheckPeriod = 1s;
 /** Reading pauses above this much pipelined input during a request. */
 constexpr std::size_t kMaxPipelinedBytes = 64UL * 1024;
 /** Length of the listen queue. */
@@ -112,7 +114,8 @@
 CallerConnection::awaitNextRequest()
 {
   mIdleSince = base::monotonicNow();
-  armTimer(idleLimit());
+  armTimer(mLastUndelivered > 0 ? std::min(idleLimit(), kDeliveryCheckPeriod)
+                                : idleLimit());
 }
 
 void
@@ -189,13 +192,21 @@
 void
 CallerConnection::idleTimeoutExpired()
 {
+  // A caller counts as idle from when it has its response, which a slow link or
+  // a slow reader delays.
+  const bool awaitedDelivery = mLastUndelivered > 0;
+  if (peerIsReading() || (awaitedDelivery && mLastUndelivered == 0)) {
+    awaitNextRequest();
+    return;
+  }
   // The idle timeout may have become longer meanwhile.
   const base::Duration left = mIdleSince + idleLimit() - base::monotonicNow();
   if (left > base::Duration::zero()) {
-    armTimer(left);
+    armTimer(mLastUndelivered > 0 ? std::min(left, kDeliveryCheckPeriod)
+                                  : left);
     return;
   }
-  if (mTransport.hasInput() || peerIsReading()) {
+  if (mTransport.hasInput()) {
     armTimer(kLingerTime);
     return;
   }
@@ -215,12 +226,12 @@
 bool
 CallerConnection::peerIsReading()
 {
-  const std::size_t pending = mTransport.pendingOutput();
+  const std::size_t pending = mTransport.unacknowledgedOutput();
   const base::TimePoint now = base::monotonicNow();
-  if (pending < mLastPendingOutput) {
+  if (pending < mLastUndelivered) {
     mLastOutputProgress = now;
   }
-  mLastPendingOutput = pending;
+  mLastUndelivered = pending;
   return pending > 0 && now - mLastOutputProgress < mServer.mLimits.idleTimeout;
 }
 
@@ -448,7 +459,7 @@
   mCurrent.disconnectCallback = nullptr;
   mUnansweredBytes = 0;
   mCurrent.request = {};
-  mLastPendingOutput = mTransport.pendingOutput();
+  mLastUndelivered = mTransport.unacknowledgedOutput();
   mLastOutputProgress = base::monotonicNow();
   if (mCurrent.closeAfterResponse) {
     beginClose();
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -179,9 +179,10 @@
   http::EventHandle mTimer;
   base::TimePoint mOpenedAt{};
   base::TimePoint mLastInputAt{};
-  base::TimePoint mIdleSince{};       ///< if no request has begun
-  std::size_t mUnansweredBytes = 0;   ///< consumed bytes without a response
-  std::size_t mLastPendingOutput = 0; ///< bytes at the last check
+  base::TimePoint mIdleSince{};     ///< if no request has begun
+  std::size_t mUnansweredBytes = 0; ///< consumed bytes without a response
+  /** Bytes of responses that the caller did not have at the last check. */
+  std::size_t mLastUndelivered = 0;
   base::TimePoint mLastOutputProgress{};
   bool mClosing = false;
 };
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -926,6 +926,44 @@
   CHECK(received > kSize);
 }
 
+// Guards against a connection that is closed as idle when its caller has only
+// just got its response, so that the next request gets no answer.
+TEST(CallerServer, IdleTimeBeginsWhenTheCallerHasItsResponse)
+{
+  constexpr std::size_t kSize = 16UL * 1024 * 1024;
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    const bool large = aCaller->request().target == "/large";
+    aCaller->reply(200, {}, std::string(large ? kSize : 1, 'x'));
+  });
+  server.setLimits({ 1024, 1024, 1s, 2s });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::size_t received = 0;
+  std::string answer; // to the second request
+  bool sent = false;
+  http::EventHandle next;
+  http::EventHandle read;
+  const auto pause = loop.after(1700ms, [&] {
+    read = loop.every(1ms, [&] {
+      const std::string bytes = caller.receive();
+      received += bytes.size();
+      answer += sent ? bytes : "";
+      if (received > kSize && !next) {
+        next = loop.after(1200ms, [&] {
+          sent = true;
+          caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        });
+      }
+    });
+  });
+  const auto end = loop.after(4500ms, [&] { loop.stop(); });
+  loop.run();
+  STRCMP_CONTAINS("HTTP/1.1 200 OK", answer.c_str());
+  CHECK_FALSE(caller.wasClosed());
+  CHECK_FALSE(caller.wasReset());
+}
+
 // Guards against memory that callers hold without end by not reading.
 TEST(CallerServer, CallerThatReadsNothingIsClosedAfterTheIdleTimeout)
 {
--- a/tests/explore/world.cpp
+++ b/tests/explore/world.cpp
@@ -261,6 +261,12 @@
   return mNative->output.size();
 }
 
+std::size_t
+Transport::unacknowledgedOutput() const
+{
+  return mNative->output.size() + mNative->connection->inFlight.size();
+}
+
 std::size_t
 Transport::pendingInput() const
 {
