Resume no stream whose events have no ids

Such a stream now ends as incomplete.

Ruled out: skipping as many events as were delivered, since two runs need not cut a text into the same events.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -153,6 +153,8 @@
   std::optional<http::InputCount> inputCount() const;
   bool isEngineCall() const { return mMetadata.model.has_value(); }
   bool mayHaveRun() const { return mUnresolvedSends > 0; }
+  /** @return true if another upstream could continue the stream */
+  bool canContinue() const { return mEventCount == 0 || mLastEventId; }
   bool hasBegunToAnswer(base::TimePoint aNow) const;
   /** @return true if the caller received a part of a non-streaming response,
    * which no other response can continue */
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -464,7 +464,8 @@
 Exchange::retryOnOtherUpstream(const char* aReason)
 {
   const bool allowed =
-    !isPartiallyForwarded() && (!mayHaveRun() || mRoute->retryable());
+    !isPartiallyForwarded() && canContinue() &&
+    (!mayHaveRun() || mRoute->retryable());
   if (allowed && tryConsumeRetry()) {
     mContext.log.logStep(mMetadata.id,
                          mCaller->responseStarted() ? "resume" : "retry",
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -123,7 +123,7 @@
 void
 Exchange::onStall(base::Duration aLimit)
 {
-  if (mEnded || !mCall || !attemptsLeft()) {
+  if (mEnded || !mCall || !attemptsLeft() || !canContinue()) {
     return;
   }
   if (endIfCallerDisconnected()) {
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -149,6 +149,17 @@
         self.assertEqual(200, status)
         return [int(line[4:]) for line in body.splitlines() if line.startswith("id: ")]
 
+    def test_broken_stream_without_event_ids_is_not_joined_with_another_run(self):
+        """Guards against events of two runs in one answer: without ids nothing says where the second goes on."""
+        for engine in self.engines:
+            engine.event_ids = False
+            engine.break_after = 4
+        with self.assertRaises(http.client.IncompleteRead) as broken:
+            self.gateways[0].call("/chat/x", headers=self.CHAT)
+        events = broken.exception.partial.decode().split("\n\n")
+        self.assertEqual([f"data: token{n}" for n in range(1, 5)] + [""], events)
+        self.assertEqual(1, self.runs())
+
     def test_slow_first_event_of_the_only_holder_is_waited_for(self):
         """Guards against a 502 for a slow first event when no other upstream can serve the
         request: the first-event timeout must not abandon the only holder."""
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -181,6 +181,7 @@
         self.control_arrivals = []  # (time, path) of orders and calls for a report
         self.turn_control_away = None  # text of Retry-After with which it turns these away
         self.seen = []       # headers of requests that ran
+        self.event_ids = True   # numbers the events of its streams
         self.break_after = None  # cuts a stream inside the event after this many
         self.fail_resumed = False   # answers the resumption of a stream with a signed error
         self.drop_requests = False  # runs a request and closes the connection without an answer
@@ -333,7 +334,8 @@
         first = int(headers.get("last-event-id", 0)) + 1
         for number in range(first, 11):
             await asyncio.sleep(self.pauses.pop(number, 0))
-            event = f"id: {number}\ndata: token{number}\n\n".encode()
+            line = f"id: {number}\n" if self.event_ids else ""
+            event = f"{line}data: token{number}\n\n".encode()
             if self.break_after is not None and number > self.break_after:
                 event = event[:7]
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
