Serve the chat API in the gateway

Callers of the OpenAI chat API could be served by marigold-entry only, which users don't run. On a streaming route to a service with engines, POST /v1/chat/completions (streamed and whole) and GET /v1/models now go through the same exchange as every request: quota, wait for a model, choice by cached parts, resumption, crash evidence.

Errors have that API's form, with fixed sentences: the details are figures of the fleet. A stream that breaks off ends with an error event and without the end of its body; a chat without [DONE] has broken off. A whole answer is joined from the engine's events, so it is resumed and watched like a stream.

Ruled out: passing a request for a whole answer on as it is. Without events the exchange learns neither the time to the first token nor when the prompt has been read, so it would take a sound engine for silent and its queue for full.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cinttypes>
 #include <cmath>
 #include <cstdio>
 
@@ -33,6 +34,15 @@
   return text.data();
 }
 
+std::string
+makeRequestId(base::Random& aRandom)
+{
+  constexpr std::size_t kBufferSize = 17;
+  std::array<char, kBufferSize> text{};
+  std::snprintf(text.data(), text.size(), "%016" PRIx64, aRandom.bits());
+  return text.data();
+}
+
 } // namespace
 
 LoadReservation::LoadReservation(std::shared_ptr<Upstream> aUpstream,
@@ -71,9 +81,14 @@
   , mRequest(mCaller->takeRequest())
   , mHeaders(wire::endToEndHeaders(mRequest.headers))
   , mMetadata(boundary::decodeRequest(mHeaders))
+  , mChatCall(mMetadata.model ? chat::Call::None
+                              : chat::callOf(mRequest.target))
   , mReceivedAt(mCaller->receivedAt())
   , mBody(aContext.bufferedAnswerBytes)
 {
+  if (mChatCall != chat::Call::None && mMetadata.id.empty()) {
+    mMetadata.id = makeRequestId(mContext.random);
+  }
 }
 
 void
@@ -88,7 +103,7 @@
     refuse(Code::NotReady, "no configuration yet", kNotReadyRetryDelay);
     return;
   }
-  if (!findRoute() || !authenticate()) {
+  if (!findRoute() || !authenticate() || !acceptChat()) {
     return;
   }
   if (endIfCallerDisconnected()) {
@@ -390,40 +405,48 @@
                  base::Duration aRetryAfter)
 {
   refundQuota();
-  if (mCaller->responseStarted()) {
-    mCaller->abort();
-    finish(aCode, 0, aDetail);
-    return;
-  }
-  const base::CodeInfo& info = base::codeInfo(aCode);
-  http::Headers headers{ { "Marigold-Outcome", "not-run" },
-                         { "Marigold-Code", std::string(info.name) } };
-  if (!mMetadata.id.empty()) {
-    headers.emplace_back(boundary::kRequestIdHeader, mMetadata.id);
-  }
-  if (aRetryAfter > base::Duration::zero()) {
-    headers.emplace_back("Retry-After", formatSeconds(aRetryAfter));
-  }
-  mCaller->reply(info.httpStatus, headers, {});
-  finish(aCode, info.httpStatus, aDetail);
+  endWithError(aCode, base::Outcome::NotRun, aDetail, aRetryAfter);
 }
 
 void
 Exchange::fail(Code aCode, const std::string& aDetail)
+{
+  endWithError(aCode, base::codeInfo(aCode).outcome, aDetail, {});
+}
+
+void
+Exchange::endWithError(Code aCode,
+                       base::Outcome aOutcome,
+                       const std::string& aDetail,
+                       base::Duration aRetryAfter)
 {
   if (mCaller->responseStarted()) {
+    if (mChatCall != chat::Call::None) {
+      mCaller->sendChunk(chat::errorEvent(aCode));
+    }
     mCaller->abort();
     finish(aCode, 0, aDetail);
     return;
   }
   const base::CodeInfo& info = base::codeInfo(aCode);
   http::Headers headers{ { "Marigold-Outcome",
-                           std::string(base::outcomeName(info.outcome)) },
+                           std::string(base::outcomeName(aOutcome)) },
                          { "Marigold-Code", std::string(info.name) } };
   if (!mMetadata.id.empty()) {
     headers.emplace_back(boundary::kRequestIdHeader, mMetadata.id);
   }
-  mCaller->reply(info.httpStatus, headers, {});
+  if (aRetryAfter > base::Duration::zero()) {
+    headers.emplace_back("Retry-After", formatSeconds(aRetryAfter));
+  }
+  std::string body;
+  if (mChatCall != chat::Call::None) {
+    headers.emplace_back("Content-Type", chat::kJsonType);
+    // Other details are figures of this fleet, for its operators.
+    const bool callersFault =
+      aCode == Code::BadRequest || aCode == Code::ModelUnknown;
+    body = chat::errorBody(aCode, callersFault ? aDetail : "");
+  }
+  mCaller->reply(info.httpStatus, headers, body);
   finish(aCode, info.httpStatus, aDetail);
 }
 
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -3,6 +3,7 @@
 
 #include "apps/gateway/counted_buffer.h"
 #include "apps/gateway/request_context.h"
+#include "chat/chat.h"
 #include "wire/wire.h"
 
 namespace marigold::gateway {
@@ -64,6 +65,9 @@
   // Admission.
   bool findRoute();
   bool authenticate();
+  bool acceptChat();
+  bool acceptCompletion();
+  void listModels();
   bool chargeQuota();
   void refundQuota();
   void startDeadlineTimer();
@@ -137,13 +141,18 @@
 
   // Response.
   void onEvents(std::string_view aBytes);
-  void deliverEvents(const std::vector<wire::StreamEvent>& aEvents);
+  bool deliverEvents(const std::vector<wire::StreamEvent>& aEvents);
+  void deliverStreamEnd();
   void deliverResponse();
   void applyBackpressure();
   void fail(base::Code aCode, const std::string& aDetail);
   void refuse(base::Code aCode,
               const std::string& aDetail,
               base::Duration aRetryAfter);
+  void endWithError(base::Code aCode,
+                    base::Outcome aOutcome,
+                    const std::string& aDetail,
+                    base::Duration aRetryAfter);
   void finish(base::Code aCode, int aStatus, const std::string& aDetail);
   void onCallerDisconnected();
   bool endIfCallerDisconnected();
@@ -173,6 +182,8 @@
   wire::Request mRequest;
   http::Headers mHeaders; ///< end-to-end headers of the caller
   catalog::RequestMetadata mMetadata;
+  chat::Call mChatCall = chat::Call::None;
+  std::unique_ptr<chat::AnswerReader> mChatAnswer; ///< of a completion
   const catalog::Route* mRoute = nullptr;
   const catalog::Team* mTeam = nullptr;
   const catalog::Service* mService = nullptr;
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -463,12 +463,11 @@
 void
 Exchange::retryOnOtherUpstream(const char* aReason)
 {
-  const bool allowed =
-    !isPartiallyForwarded() && canContinue() &&
-    (!mayHaveRun() || mRoute->retryable());
+  const bool allowed = !isPartiallyForwarded() && canContinue() &&
+                       (!mayHaveRun() || mRoute->retryable());
   if (allowed && tryConsumeRetry()) {
     mContext.log.logStep(mMetadata.id,
-                         mCaller->responseStarted() ? "resume" : "retry",
+                         mEventCount > 0 ? "resume" : "retry",
                          mLastUpstream,
                          aReason,
                          base::monotonicNow());
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -314,15 +314,16 @@
 Exchange::onEvents(std::string_view aBytes)
 {
   const auto events = mEvents.feed(aBytes);
-  if (!events.empty()) {
-    deliverEvents(events);
+  if (!events.empty() && !deliverEvents(events)) {
+    return;
   }
   if (mEvents.oversized()) {
     onInvalidResponse("event exceeds its limit");
   }
 }
 
-void
+/** @return false if the request has ended */
+bool
 Exchange::deliverEvents(const std::vector<wire::StreamEvent>& aEvents)
 {
   const base::TimePoint now = base::monotonicNow();
@@ -347,16 +348,23 @@
     if (repeated) {
       continue; // A resumed stream may repeat events already delivered.
     }
+    if (mChatAnswer && !mChatAnswer->add(event.bytes)) {
+      fail(Code::UpstreamFailed, "event of a chat cannot be joined");
+      return false;
+    }
     bytes += event.bytes;
     mLastEventId = event.id ? event.id : mLastEventId;
     ++mEventCount;
   }
-  if (!mCaller->responseStarted()) {
-    mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
+  if (!mChatAnswer || !mChatAnswer->joins()) {
+    if (!mCaller->responseStarted()) {
+      mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
+    }
+    mCaller->sendChunk(bytes);
+    applyBackpressure();
   }
-  mCaller->sendChunk(bytes);
-  applyBackpressure();
   armStallTimer();
+  return true;
 }
 
 void
@@ -434,9 +442,12 @@
       onBroken("stream ended inside an event");
       return;
     }
+    if (mChatAnswer && !mChatAnswer->complete()) {
+      onBroken("chat ended before its final event");
+      return;
+    }
     mContext.crashes.onSuccess(mTraits, mFirstByteAt, base::monotonicNow());
-    mCaller->endStream();
-    finish(Code::Ok, mHead.status, "");
+    deliverStreamEnd();
     return;
   }
   if (mHead.status < kFirstServerError) {
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -176,12 +176,15 @@
         self.name, self.port, self.service = name, port, service
         self.public_port = port  # the port in its record; a test may set that of a proxy
         self.models = {m: set() for m in models or []}
+        self.data_centre = "dc-a"
         self.orders = 0
         self.order_log = []  # (time, owner, fence, operation, model, adapter)
         self.control_arrivals = []  # (time, path) of orders and calls for a report
         self.turn_control_away = None  # text of Retry-After with which it turns these away
         self.seen = []       # headers of requests that ran
         self.event_ids = True   # numbers the events of its streams
+        self.final_event = True  # ends the events of a chat with the final one
+        self.chats = []         # bodies of requests of the chat API
         self.break_after = None  # cuts a stream inside the event after this many
         self.fail_resumed = False   # answers the resumption of a stream with a signed error
         self.drop_requests = False  # runs a request and closes the connection without an answer
@@ -213,7 +216,7 @@
 
     def record(self, state="ready"):
         models = [{"name": m, "version": 1, "adapters": sorted(a)} for m, a in self.models.items()]
-        return json.dumps({"service": self.service, "address": f"{HOST}:{self.public_port}", "zone": "dc-a",
+        return json.dumps({"service": self.service, "address": f"{HOST}:{self.public_port}", "zone": self.data_centre,
                            "version": "v1", "slots": self.slots, "state": state, "cold_remaining_ms": 0,
                            "phase": "unified", "sequence": self.heartbeats, "born": self.born,
                            "models": models}).encode()
@@ -283,8 +286,11 @@
         if self.fail_resumed and "last-event-id" in headers:
             writer.write(answer_bytes(500, signature, b"error"))
             return True
+        if path == "/v1/chat/completions":
+            self.chats.append(json.loads(body))
+            return await self.stream(headers, signature, writer, self.chat_events())
         if model:
-            return await self.stream(headers, signature, writer)
+            return await self.stream(headers, signature, writer, [f"token{n}" for n in range(1, 11)])
         body = f"done by {self.name} for {signature['X-Request-Id']}"
         writer.write(answer_bytes(200, signature, body.encode()))
         return True
@@ -328,14 +334,22 @@
         self.after_order()
         return 202
 
-    async def stream(self, headers, signature, writer):
+    def chat_events(self):
+        """Returns the data of the events that answer a chat."""
+        head = {"id": "chat-1", "object": "chat.completion.chunk", "created": 1, "model": "m1"}
+        deltas = [{"role": "assistant", "content": ""}] + [{"content": f"token{n} "} for n in range(1, 10)]
+        chunks = [{**head, "choices": [{"index": 0, "delta": delta, "finish_reason": None}]} for delta in deltas]
+        chunks[-1]["choices"][0]["finish_reason"] = "stop"
+        return [json.dumps(chunk) for chunk in chunks] + (["[DONE]"] if self.final_event else [])
+
+    async def stream(self, headers, signature, writer, events):
         head = {**signature, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in head.items()) + "\r\n").encode())
         first = int(headers.get("last-event-id", 0)) + 1
-        for number in range(first, 11):
+        for number in range(first, len(events) + 1):
             await asyncio.sleep(self.pauses.pop(number, 0))
             line = f"id: {number}\n" if self.event_ids else ""
-            event = f"{line}data: token{number}\n\n".encode()
+            event = f"{line}data: {events[number - 1]}\n\n".encode()
             if self.break_after is not None and number > self.break_after:
                 event = event[:7]
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
