--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -9,6 +9,7 @@
 
 BIN = os.environ.get("MARIGOLD_BIN", os.path.join(os.path.dirname(__file__), "../../build/bin"))
 ORDER_PAUSE = 3.0  # seconds; the value of the users' platform
+DATA_CENTRES = {"dc-a": "r", "dc-b": "s"}  # with their regions
 READY, PEERS, OPERATOR = 1, 2, 3  # port offsets from the callers' port
 
 
@@ -25,14 +26,15 @@
 class Gateway:
     """The gateway of one VM; start() after stop() starts a new process with the same settings."""
 
-    def __init__(self, number, folder, first_port, store_port, data_centre="dc-a"):
+    def __init__(self, number, folder, first_port, store_port, data_centre="dc-a", data_centres=DATA_CENTRES):
+        places = ", ".join(f"{{name: {name}, region: {region}}}" for name, region in data_centres.items())
         self.port = first_port
         self.name = f"vm{number}"
         self.settings = os.path.join(folder, self.name + ".yaml")
         with open(self.settings, "w") as file:
             file.write(f"""vm: {self.name}
 data_centre: {data_centre}
-data_centres: [{{name: dc-a, region: r}}, {{name: dc-b, region: s}}]
+data_centres: [{places}]
 listen: {HOST}:{self.port}
 ready: {HOST}:{self.port + READY}
 peer_address: {HOST}:{self.port + PEERS}
--- a/tests/e2e/test_thin_path.py
+++ b/tests/e2e/test_thin_path.py
@@ -47,6 +47,17 @@
         self.assertIn("a=b; c=d", records)
         self.assertNotIn(key, records)
 
+    def test_open_route_needs_no_key(self):
+        """Guards against an open route that asks for a key."""
+        self.assertEqual(call(self.fleet.port("entry-nordur-a-2"), "GET", "/open").status, 200)
+
+    def test_operators_see_the_status_of_every_vm(self):
+        """Guards against a status command that fails or leaves out a VM."""
+        code, output, errors = self.fleet.ctl("status")
+        self.assertEqual(code, 0, output + errors)
+        for name in self.fleet.entries:
+            self.assertIn(name, output)
+
     def test_refusals_say_not_run(self):
         """Guards against refusals without a result code or with a wrong outcome."""
         port = self.fleet.port("entry-austur-a-2")
