--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -12,6 +12,7 @@
 import urllib.parse
 
 HOST = "127.0.0.1"
+TOKENS = tuple(f"token{n}" for n in range(1, 11))  # data of the events of a stream
 ENDLESS_SECONDS = 8          # longer than every deadline in the tests
 ENDLESS_BYTES = 128 << 20    # more than a gateway may buffer for one request
 
@@ -290,7 +291,7 @@
             self.chats.append(json.loads(body))
             return await self.stream(headers, signature, writer, self.chat_events())
         if model:
-            return await self.stream(headers, signature, writer, [f"token{n}" for n in range(1, 11)])
+            return await self.stream(headers, signature, writer)
         body = f"done by {self.name} for {signature['X-Request-Id']}"
         writer.write(answer_bytes(200, signature, body.encode()))
         return True
@@ -342,7 +343,7 @@
         chunks[-1]["choices"][0]["finish_reason"] = "stop"
         return [json.dumps(chunk) for chunk in chunks] + (["[DONE]"] if self.final_event else [])
 
-    async def stream(self, headers, signature, writer, events):
+    async def stream(self, headers, signature, writer, events=TOKENS):
         head = {**signature, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in head.items()) + "\r\n").encode())
         first = int(headers.get("last-event-id", 0)) + 1
