Answer calls of the chat API with another method as such

A POST to /v1/models was answered with the list, as if it had asked for it. test_errors_have_the_form_of_the_api failed before (200 in place of 400); test_chat_api.py 13 of 13 pass now.

--- a/apps/gateway/exchange_chat.cpp
+++ b/apps/gateway/exchange_chat.cpp
@@ -20,7 +20,13 @@
     mChatCall = chat::Call::None; // A path of a plain service.
     return true;
   }
-  if (mChatCall == chat::Call::ModelList) {
+  const bool isCompletion = mChatCall == chat::Call::Completion;
+  const char* const method = isCompletion ? "POST" : "GET";
+  if (mRequest.method != method) {
+    fail(Code::BadRequest, std::string("the method of this call is ") + method);
+    return false;
+  }
+  if (!isCompletion) {
     listModels();
     return false;
   }
@@ -30,10 +36,6 @@
 bool
 Exchange::acceptCompletion()
 {
-  if (mRequest.method != "POST") {
-    fail(Code::BadRequest, "a chat is a POST");
-    return false;
-  }
   auto result =
     base::capture([this] { return chat::readRequest(mRequest.body); });
   if (const base::Error* error = base::errorOf(result)) {
--- a/tests/e2e/test_chat_api.py
+++ b/tests/e2e/test_chat_api.py
@@ -173,7 +173,9 @@
         self.assertEqual("route-unknown", self.error(self.call(chat(), host="other.example"), 404)["code"])
         for wrong in ("", "{", chat(stream="yes"), chat(messages=[]), chat(max_tokens=0), {"model": "m1"}):
             self.assertEqual("invalid_request_error", self.error(self.call(wrong), 400)["type"])
-        self.assertEqual("invalid_request_error", self.error(self.call(chat(), method="PUT"), 400)["type"])
+        for path, method in (("/v1/chat/completions", "PUT"), ("/v1/models", "POST")):
+            answer = self.call(chat(), path=path, method=method)
+            self.assertEqual("invalid_request_error", self.error(answer, 400)["type"])
         self.assertEqual([], self.seen())
 
     def test_team_above_its_burst_is_told_when_to_come_back(self):
