Let one engine break off in the demo

Cause, from the log of a failed run and RetryBudget::tryConsume: in its first window a process may repeat (52 / 6 x 0.25 + 0.2 x requests) x 0.8 = 1.9 times, so the second resumption of a VM's first chat is not allowed and the chat ends with an error event, as it should. The demo asked for more than the gateway promises.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -16,7 +16,7 @@
 VMS_PER_DATA_CENTRE = 2
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", "21000"))
 STORE_PORT, DESK_PORTS, ENGINE_PORTS = (BASE_PORT + offset for offset in (90, 70, 80))
-ROUTES = [route("chat-api", "/v1/", "streaming", "llm", attempts=3, resumable=True),
+ROUTES = [route("chat-api", "/v1/", "streaming", "llm", resumable=True),
           route("draft", "/draft/", "streaming", "llm", resumable=True),
           route("status", "/pods/", "idempotent", "desk"),
           {**route("open", "/open/", "idempotent", "desk"), "public": True},
@@ -105,13 +105,14 @@
             desk.drop_requests = False
 
     def show_broken_engine(self):
-        """A stream goes on at another engine when its own breaks off, as two of the three do."""
-        for engine in self.engines[1:]:
-            engine.break_after = 4
+        """A stream goes on at another engine when its own breaks off. Only one does: a new process may send
+        one request in its first seconds again, which bounds repeats over the whole fleet."""
+        self.engines[1].break_after = 4
         for vm in range(len(self.gateways)):
-            self.chat("chat at %s, engines break off" % self.gateways[vm].name, vm, 200, "[DONE]", stream=True)
-        for engine in self.engines[1:]:
-            engine.break_after = None
+            self.chat("chat at %s, an engine breaks off" % self.gateways[vm].name, vm, 200, "[DONE]", stream=True)
+        resumed = [headers for engine in self.engines for headers in engine.seen if "last-event-id" in headers]
+        self.check("  went on at another engine", len(resumed) > 0, "%d chats" % len(resumed))
+        self.engines[1].break_after = None
 
     def show_withdrawal(self):
         self.platform.publish(2, ["key-1"], ROUTES)
