--- a/tests/explore/main.cpp
+++ b/tests/explore/main.cpp
@@ -45,8 +45,8 @@
   ("connect send:0 run accept:1 run answer:1 run send:0 run answer:1 run "
    "send:0 "
    "run part:1 run stop:0 wait run wait run wait run"),
-  "connect send:0 run accept:1 run answer:1 run send:0 run answer:1 run send:0 "
-  "run",
+  ("connect send:0 run accept:1 run answer:1 run send:0 run answer:1 run "
+   "send:0 run"),
   "connect send:0 run accept:1 run stop:0 pause:0 answer:1 run",
   ("connect send:0 run accept:1 run answer:1 run send:0 run answer:1 run "
    "large:0 run pause:0 part:1 run"),
