Give the last answer time to be read when its flush meets the close timer

A connection that closes after its answer waits until the answer is flushed and a second more, so that its caller can read it. In a late loop the close timer and the flush of the last bytes fall into one pass: the report of the flush waits behind the timer, which saw no output any more and closed the connection at once. A request that is unread at that moment makes the close a reset, and the kernel drops the answer: the caller, which had read slowly, gets a part of it or nothing. It needs an answer with Connection: close (planned stop, refusal of a head or body), so a changed team alone doesn't lead there.

--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -82,21 +82,20 @@
 void
 CallerConnection::start()
 {
-  mTransport.setEvents({ {},
-                         [this] { readInput(); },
-                         [this] {
-                           // The callback may be late and report the flush of
-                           // an earlier part while the last one is pending.
-                           if (mClosing && mTransport.pendingOutput() == 0) {
-                             mTransport.shutdownOutput();
-                             armTimer(kLingerTime);
-                           }
-                         },
-                         [this](TransportEnd aEnd) {
-                           end(aEnd == TransportEnd::Orderly
-                                 ? CallerEnd::ClosedByCaller
-                                 : CallerEnd::Failed);
-                         } });
+  mTransport.setEvents(
+    { {},
+      [this] { readInput(); },
+      [this] {
+        // The callback may be late and report the flush of
+        // an earlier part while the last one is pending.
+        if (mClosing && !mLingering && mTransport.pendingOutput() == 0) {
+          linger();
+        }
+      },
+      [this](TransportEnd aEnd) {
+        end(aEnd == TransportEnd::Orderly ? CallerEnd::ClosedByCaller
+                                          : CallerEnd::Failed);
+      } });
   mTransport.allowPauses(mServer.mLimits.idleTimeout);
   awaitNextRequest();
 }
@@ -209,6 +208,11 @@
     armTimer(kLingerTime);
     return;
   }
+  // The report of the flush may wait behind this timer in a late loop.
+  if (!mLingering && mTransport.pendingOutput() == 0) {
+    linger();
+    return;
+  }
   remove(CallerEnd::Completed);
 }
 
@@ -473,11 +477,21 @@
 {
   mClosing = true;
   if (mTransport.pendingOutput() == 0) {
-    mTransport.shutdownOutput();
+    linger();
+    return;
   }
   armTimer(kLingerTime);
 }
 
+/** All output is flushed: gives the caller time to read it. */
+void
+CallerConnection::linger()
+{
+  mLingering = true;
+  mTransport.shutdownOutput();
+  armTimer(kLingerTime);
+}
+
 void
 CallerConnection::end(CallerEnd aEnd)
 {
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -153,6 +153,7 @@
   void writeHead(int aStatus, const http::Headers& aHeaders, bool aHasLength);
   void finishRequest();
   void beginClose();
+  void linger();
   void remove(CallerEnd aEnd);
   void reportClose(CallerEnd aEnd);
   void release();
@@ -181,6 +182,7 @@
   std::size_t mLastPendingOutput = 0; ///< bytes at the last check
   base::TimePoint mLastOutputProgress{};
   bool mClosing = false;
+  bool mLingering = false; ///< from the flush of the last response on
 };
 
 /** Accepts connections from callers and passes their requests to a handler. */
