Let an upstream that was not needed as a replacement be tried later

If a silent call goes on before its replacement is ready, the replacement is cancelled; nothing was sent to its upstream, yet it counted as tried. When the first upstream broke after that, a request that may be repeated ended as 502 with an upstream free that had never got it.

New question: what may be repeated doesn't fail after one attempt while time is left and the other upstreams accept connections.

One check is narrowed: a caller that pauses in a planned stop until the process ends may get only a part of its answer's head. An answer of which the head was whole was passed over there before.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -125,6 +125,7 @@
   void startStallTimer(base::Duration aLimit);
   void onStall(base::Duration aLimit);
   bool startReplacement();
+  bool wentOnMeanwhile() const;
   std::optional<std::string> switchToReplacement(
     const base::UpstreamName& aUpstream);
   void onReplacementFailed(wire::CallFailure aFailure);
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -512,18 +512,26 @@
   return true;
 }
 
+/** @return true if the call that is to be replaced has had events, or has
+ * unread bytes */
+bool
+Exchange::wentOnMeanwhile() const
+{
+  const auto input = inputCount();
+  return mEventCount != mReplacement->events ||
+         (input && input->arrived > input->handled);
+}
+
 /** The connection of the replacement is ready: cancels the stalled call.
  * @return serialized request, or nothing if the stalled call continues */
 std::optional<std::string>
 Exchange::switchToReplacement(const base::UpstreamName& aUpstream)
 {
   const base::TimePoint now = base::monotonicNow();
-  const auto input = inputCount();
-  const bool answerWaits = input && input->arrived > input->handled;
-  const bool wanted =
-    !mEnded && mReplacement && mEventCount == mReplacement->events &&
-    !answerWaits && hasTimeForSend() && !mCaller->abandoned() &&
-    mContext.crashes.verdictOn(mTraits) == nullptr && isAccepted(aUpstream);
+  const bool wanted = !mEnded && mReplacement && !wentOnMeanwhile() &&
+                      hasTimeForSend() && !mCaller->abandoned() &&
+                      mContext.crashes.verdictOn(mTraits) == nullptr &&
+                      isAccepted(aUpstream);
   if (!wanted || !mContext.retries.tryConsume(mService->name, now)) {
     return std::nullopt;
   }
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -199,8 +199,12 @@
     return;
   }
   const base::UpstreamName name = mReplacement->upstream->record.name;
+  const bool notNeeded =
+    aFailure == wire::CallFailure::Cancelled && wentOnMeanwhile();
   mReplacement.reset();
-  mTriedUpstreams.insert(name);
+  if (!notNeeded) {
+    mTriedUpstreams.insert(name);
+  }
   if (aFailure == wire::CallFailure::NotConnected) {
     recordUnreachable(name);
   }
--- a/tests/explore/checks.cpp
+++ b/tests/explore/checks.cpp
@@ -13,6 +13,9 @@
 constexpr base::Duration kCrossingSlack = 200ms;
 /** Work goes on at most this long after its caller has left (RULES, GONE). */
 constexpr base::Duration kGoneSlack = 500ms;
+/** A request is tried once more if so much time is left: it may wait for
+ * evidence of a crash before. */
+constexpr base::Duration kTimeForAttempt = 600ms;
 
 bool
 isSuccess(int aStatus)
@@ -204,6 +207,53 @@
   return {};
 }
 
+/** @return true if all connections to other upstreams were accepted */
+bool
+Scenario::othersAccept(const base::Address& aTried) const
+{
+  const auto& connections = World::current().connections();
+  return std::all_of(
+    connections.begin(), connections.end(), [&](const auto& aItem) {
+      return aItem->accepted || aItem->peer == aTried ||
+             (aItem->connected && aItem->open() && !aItem->lostBytes);
+    });
+}
+
+/** What may run more than once is tried at an upstream that accepts
+ * connections and has not had it. */
+std::string
+Scenario::checkAttempts() const
+{
+  constexpr int kBadGateway = 502;
+  if (mDraining) {
+    return {};
+  }
+  for (const Caller& caller : mCallers) {
+    for (const Answer& answer : caller.answers) {
+      const bool late =
+        callerOf(answer.id) == nullptr || !isInTime(answer.id, kTimeForAttempt);
+      if (answer.status != kBadGateway || mayRunOnce(answer.id) || late) {
+        continue;
+      }
+      std::size_t arrivals = 0;
+      base::Address tried;
+      for (const auto& [connection, upstream] : mUpstreams) {
+        for (const Arrival& arrival : upstream.arrivals) {
+          if (arrival.id == answer.id) {
+            ++arrivals;
+            tried = World::current().connections()[connection]->peer;
+          }
+        }
+      }
+      if (arrivals == 1 && othersAccept(tried)) {
+        return "a request that may be repeated fails after one attempt (" +
+               answer.id + ")";
+      }
+    }
+  }
+  return {};
+}
+
 std::string
 Scenario::violation() const
 {
@@ -217,6 +267,7 @@
   for (const auto check : { &Scenario::checkArrivals,
                             &Scenario::checkGivenUpCalls,
                             &Scenario::checkCallsWithoutCaller,
+                            &Scenario::checkAttempts,
                             &Scenario::checkKeptConnections }) {
     if (auto found = (this->*check)(); !found.empty()) {
       return found;
@@ -262,6 +313,10 @@
     if (index < answers.size() && answers[index].status != 0) {
       break; // An answer that breaks off ends its connection.
     }
+    if (index < answers.size() && connection.closedByExit &&
+        aCaller.hasPaused) {
+      break; // It had not read its answer when the grace of the stop ended.
+    }
     const bool crossedTheEnd =
       World::current().exited() &&
       World::current().now() - request.sentAt < kCrossingSlack;
