--- a/tests/explore/actions.cpp
+++ b/tests/explore/actions.cpp
@@ -415,7 +415,8 @@
 bool
 Scenario::canAccept(std::size_t aTarget) const
 {
-  return !World::current().connections()[aTarget]->connected;
+  const Connection& connection = *World::current().connections()[aTarget];
+  return !connection.connected && !connection.closed;
 }
 
 void
