--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -156,6 +156,7 @@
   void writeHead(int aStatus, const http::Headers& aHeaders, bool aHasLength);
   void finishRequest();
   void beginClose();
+  void linger();
   void remove(CallerEnd aEnd);
   void reportClose(CallerEnd aEnd);
   void release();
@@ -185,6 +186,7 @@
   std::size_t mLastUndelivered = 0;
   base::TimePoint mLastOutputProgress{};
   bool mClosing = false;
+  bool mLingering = false; ///< from the flush of the last response on
 };
 
 /** Accepts connections from callers and passes their requests to a handler. */
--- a/tests/explore/actions.cpp
+++ b/tests/explore/actions.cpp
@@ -415,7 +415,8 @@
 bool
 Scenario::canAccept(std::size_t aTarget) const
 {
-  return !World::current().connections()[aTarget]->connected;
+  const Connection& connection = *World::current().connections()[aTarget];
+  return !connection.connected && !connection.closed;
 }
 
 void
@@ -488,7 +489,7 @@
     return;
   }
   arrival.end = connection.read + connection.unread.size();
-  arrival.inTime = isInTime(arrival.id);
+  arrival.inTime = isInTime(arrival.id, base::Duration::zero());
   if (endsWithConnection(arrival.kind)) {
     connection.peerFin = true;
     upstream.ended = true;
