Tell the VM that collects crashes of each one at once

Cause: a verdict needs two crashes with a part, and each VM of a fleet may have seen one. No VM knew both before the next periodic reports, 0.1 to 0.4 s in six VMs, more than a second where data centres are many, and no VM may write the record of crashes before it has a verdict. A kill of all VMs in that time lost the evidence.

Traced with logs (two VMs registered beside 24 more data centres, one crash seen by each): the second VM logs "requests crash upstreams" and "crashes recorded" within 3 ms of each other, but up to 1.4 s after the crash; so neither the probe nor the store takes the time, the reports do.

Now a VM that sees a crash which a new part may have caused sends it to the owner of orders in a datagram of its own (to the VM ranked first while there is no owner), which writes the record as if it had seen the crashes. No further call to the store. A lost datagram, or an owner that has ended, leaves what there was before.

Not mended: evidence that a restored store has lost, if all VMs are killed before one has noticed; crashes of the last round trips before the kill.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -199,6 +199,7 @@
   });
   // Deferred, because the verdict may change inside a callback of a request.
   mCrashes.onVerdicts([this] { mEndBlocked.trigger({}); });
+  mCrashes.onCrashSeen([this] { mPeerExchange.reportCrashes(); });
   mPlatform.restored().connect([this] { onStoreRestored(); });
   mFleet.changed().connect([this] { onFleetChanged(); });
   mOrders.changed().connect([this] {
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -34,6 +34,8 @@
 /** The relay of another data centre is known if its latest summary is younger
  * than this. */
 constexpr base::Duration kMaxRelaySummaryAge = 1500ms;
+/** Minimum time between two crash reports. */
+constexpr base::Duration kCrashReportInterval = 20ms;
 
 } // namespace
 
@@ -52,6 +54,7 @@
             [this](const std::string& aBytes) { receive(aBytes); })
   , mPlacementTimer(kPlacementPeriod)
   , mOwnerReport(aLoop, [this] { sendOwnerReport(); })
+  , mCrashReport(aLoop, [this] { sendCrashReport(); })
 {
 }
 
@@ -279,6 +282,49 @@
   }
 }
 
+void
+PeerExchange::reportCrashes()
+{
+  mCrashReport.trigger(mCrashReportedAt + kCrashReportInterval -
+                       base::monotonicNow());
+}
+
+void
+PeerExchange::sendCrashReport()
+{
+  mCrashReportedAt = base::monotonicNow();
+  const peers::CrashReport report{ mContext.crashes.seenCrashes(
+    mCrashReportedAt) };
+  const auto collector = crashCollector();
+  if (collector && !report.crashes.empty()) {
+    mSocket.send(peers::encode(report), { *collector });
+  }
+}
+
+/** @return the address of the owner of orders, or of the VM ranked first if no
+ * VM owns them; nothing if it is this VM */
+std::optional<base::Address>
+PeerExchange::crashCollector() const
+{
+  const auto& others = mFleet.others();
+  if (const auto& owner = mFleet.owner()) {
+    const auto member = others.find(owner->vm);
+    return member == others.end() ? std::nullopt
+                                  : std::optional(member->second.peerAddress);
+  }
+  peers::RelayCandidate first{ mContext.settings.vm,
+                               mContext.settings.capacity };
+  std::optional<base::Address> address;
+  for (const auto& [vm, member] : others) {
+    const peers::RelayCandidate candidate{ vm, member.capacity };
+    if (peers::hasElectionPriority(candidate, first)) {
+      first = candidate;
+      address = member.peerAddress;
+    }
+  }
+  return address;
+}
+
 void
 PeerExchange::announceDraining()
 {
@@ -409,8 +455,7 @@
 }
 
 void
-PeerExchange::mergeCrashes(const peers::CrashTable& aCrashes,
-                           base::TimePoint aNow)
+PeerExchange::probeCrashed(const peers::CrashTable& aCrashes)
 {
   // The owner of orders replaces lost models. In a large fleet hardly any of
   // its own requests would show it the crash.
@@ -422,9 +467,23 @@
       mContext.probe.start(upstream->peer());
     }
   }
+}
+
+void
+PeerExchange::mergeCrashes(const peers::CrashTable& aCrashes,
+                           base::TimePoint aNow)
+{
+  probeCrashed(aCrashes);
   mContext.crashes.merge(aCrashes, aNow);
 }
 
+void
+PeerExchange::handle(peers::CrashReport& aReport, const std::string&)
+{
+  probeCrashed(aReport.crashes);
+  mContext.crashes.adopt(aReport.crashes, base::monotonicNow());
+}
+
 void
 PeerExchange::mergeStatements(const peers::LimitStatements& aStatements,
                               base::TimePoint aNow)
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -39,6 +39,11 @@
    * model. */
   void reportToOwner();
 
+  /** Sends the crashes that this VM has seen to the VM that collects them,
+   * which knows the parts that crash upstreams before the periodic reports
+   * tell. */
+  void reportCrashes();
+
   /** Announces changed placements after a short delay, which coalesces several
    * changes. */
   void announcePlacements();
@@ -79,11 +84,13 @@
 private:
   void receive(const std::string& aBytes);
   void mergeCrashes(const peers::CrashTable& aCrashes, base::TimePoint aNow);
+  void probeCrashed(const peers::CrashTable& aCrashes);
   void mergeStatements(const peers::LimitStatements& aStatements,
                        base::TimePoint aNow);
   void handle(peers::Status& aStatus, const std::string& aBytes);
   void handle(peers::Summary& aSummary, const std::string& aBytes);
   void handle(peers::PlacementUpdate& aUpdate, const std::string& aBytes);
+  void handle(peers::CrashReport& aReport, const std::string& aBytes);
   void forwardToDataCentre(const std::string& aBytes);
   void send();
   void sendStatus();
@@ -91,6 +98,8 @@
   std::string summary();
   void sendPlacements();
   void sendOwnerReport();
+  void sendCrashReport();
+  std::optional<base::Address> crashCollector() const;
   /** Creates a status with the next sequence number and keeps a copy, because
    * a later summary may include it. */
   peers::Status nextStatus();
@@ -120,6 +129,8 @@
   base::TimePoint mPlacementsReceivedAt{};
   CoalescedCallback mOwnerReport;
   base::TimePoint mOwnerReportedAt{};
+  CoalescedCallback mCrashReport;
+  base::TimePoint mCrashReportedAt{};
   http::EventHandle mAnnouncementTimer;
   http::EventHandle mStatusTimer;
   sigc::signal<void(base::VmName)> mNewerCatalog;
--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -71,6 +71,7 @@
   base::TimePoint aNow)
 {
   bool changed = false;
+  bool seen = false;
   std::erase_if(mBrokenConnections, [&](const BrokenConnection& aConnection) {
     if (!aIsConfirmed(aConnection)) {
       return false;
@@ -82,7 +83,9 @@
                    : std::min(crash.at, aConnection.at);
       crash.changedAt = aNow;
       addSuspect(crash, aConnection.traits);
-      crash.seenHere = crash.seenHere || hasNewPart(aConnection.traits);
+      const bool mayBeCause = hasNewPart(aConnection.traits);
+      crash.seenHere = crash.seenHere || mayBeCause;
+      seen = seen || mayBeCause;
       changed = true;
     }
     return true;
@@ -91,6 +94,9 @@
     limitCrashes();
     updateVerdicts(aNow);
   }
+  if (seen && mOnCrashSeen) {
+    mOnCrashSeen();
+  }
 }
 
 /** @return true if a part of the prompt may be the cause although no request
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -39,6 +39,13 @@
     mOnVerdicts = std::move(aCallback);
   }
 
+  /** @param aCallback runs after a crash that a new part may have caused was
+   * seen on this VM; must not call the tracker */
+  void onCrashSeen(std::function<void()> aCallback)
+  {
+    mOnCrashSeen = std::move(aCallback);
+  }
+
   /** Records that the connection to an upstream broke before the upstream began
    * to answer the request. @param aTraits traits of the request
    * @param aProcess upstream @param aNow time */
@@ -79,6 +86,14 @@
    * turn, the rest, for peers that do not have it yet */
   peers::CrashTable report(base::TimePoint aNow) const;
 
+  /** @param aNow time @return crashes that were seen on this VM lately and that
+   * a new part may have caused */
+  peers::CrashTable seenCrashes(base::TimePoint aNow) const;
+
+  /** Adds evidence that a peer asks this VM to record, as if the crashes had
+   * been seen here. @param aTable evidence @param aNow time */
+  void adopt(const peers::CrashTable& aTable, base::TimePoint aNow);
+
   /** Adds evidence that a process left in the store. @param aRecord evidence
    * @param aNow time */
   void merge(const CrashRecord& aRecord, base::TimePoint aNow);
@@ -93,8 +108,8 @@
   bool isRecorded(const CrashRecord& aStored, base::TimePoint aNow) const;
 
   /** @param aStored record in the store
-   * @return true if this VM has seen a crash with a new part and blocks
-   * requests for it that a VM which knows nothing else would send */
+   * @return true if this VM has seen or adopted a crash with a new part and
+   * blocks requests for it that a VM which knows nothing else would send */
   bool mustRecordAtOnce(const CrashRecord& aStored) const;
 
   /** @param aTraits traits of a request
@@ -143,6 +158,7 @@
     std::set<peers::TraitSet> suspects;
     peers::TraitSet cleared;
     bool seenHere = false; ///< with a request that may be its cause
+    bool adopted = false;  ///< a peer asked this VM to record it
   };
   /** Trials of a trait in the whole fleet. */
   struct Tried
@@ -187,6 +203,7 @@
   std::map<peers::RequestTrait, Tried> mTried;
   bool mTrialsEnabled = false;
   std::function<void()> mOnVerdicts;
+  std::function<void()> mOnCrashSeen;
 };
 
 } // namespace marigold::dispatch
--- a/libs/dispatch/crash_tracker_record.cpp
+++ b/libs/dispatch/crash_tracker_record.cpp
@@ -147,11 +147,37 @@
                                       [this](peers::ProcessTag aTag) {
                                         const auto crash = mCrashes.find(aTag);
                                         return crash != mCrashes.end() &&
-                                               crash->second.seenHere;
+                                               (crash->second.seenHere ||
+                                                crash->second.adopted);
                                       });
     });
 }
 
+peers::CrashTable
+CrashTracker::seenCrashes(base::TimePoint aNow) const
+{
+  peers::CrashTable table;
+  for (const auto& [tag, crash] : mCrashes) {
+    if (crash.seenHere && aNow - crash.changedAt < kConfirmTimeout &&
+        table.size() < kMaxRecordedCrashes) {
+      table[tag] = evidence(crash, aNow);
+    }
+  }
+  return table;
+}
+
+void
+CrashTracker::adopt(const peers::CrashTable& aTable, base::TimePoint aNow)
+{
+  merge(aTable, aNow);
+  for (const auto& [tag, evidence] : aTable) {
+    const auto crash = mCrashes.find(tag);
+    if (crash != mCrashes.end()) {
+      crash->second.adopted = true;
+    }
+  }
+}
+
 /** @return the latest crash behind a verdict, 0 if none is known any more */
 peers::ProcessTag
 CrashTracker::latestCrash(const CrashVerdict& aVerdict) const
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -644,6 +644,40 @@
   CHECK(tracker.mustRecordAtOnce(stored));
 }
 
+// Each VM sees one crash of a burst. Guards against evidence that no VM may
+// write at once, because none has seen a crash behind the verdict and knows it.
+TEST(KeptEvidence, CrashesOfOtherVmsAreRecordedAtOnceByTheVmThatCollectsThem)
+{
+  dispatch::CrashTracker collector;
+  int seen = 0;
+  tracker.onCrashSeen([&seen] { ++seen; });
+  crash({ request({ 1, 66 }) });
+  crash(peer, { request({ 1, 66 }) });
+  LONGS_EQUAL(1, seen);
+  collector.adopt(tracker.seenCrashes(now), now);
+  CHECK(!collector.mustRecordAtOnce(stored));
+  collector.adopt(peer.seenCrashes(now), now);
+  CHECK(collector.mustRecordAtOnce(stored));
+  CHECK(collector.seenCrashes(now).empty());
+  write(collector, now);
+  dispatch::CrashTracker next;
+  next.merge(stored, now + 1s);
+  CHECK(next.verdictOn(request({ 1, 66 })) != nullptr);
+}
+
+// Guards against a message for each broken connection of upstreams that crash
+// for other reasons: what all parts of a request finish with tells nothing.
+TEST(KeptEvidence, CrashOfSoundRequestsIsNotReportedAtOnce)
+{
+  int seen = 0;
+  tracker.onCrashSeen([&seen] { ++seen; });
+  finish(request({ 1 }));
+  now += 5s;
+  crash({ request({ 1 }) });
+  LONGS_EQUAL(0, seen);
+  CHECK(tracker.seenCrashes(now).empty());
+}
+
 // Guards against a part that crashes as many upstreams again after all VMs were
 // killed, and against a sound one that is blocked with it then.
 TEST(KeptEvidence, VmsThatStartAloneBlockTheSameRequests)
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -17,6 +17,7 @@
   Status,
   Summary,
   PlacementUpdate,
+  CrashReport,
 };
 
 json
@@ -308,6 +309,12 @@
   return update;
 }
 
+json
+encodeBody(const CrashReport& aReport)
+{
+  return encodeCrashes(aReport.crashes);
+}
+
 } // namespace
 
 UpstreamLoad&
@@ -381,6 +388,8 @@
         return Message(decodeSummary(content.at(2)));
       case MessageKind::PlacementUpdate:
         return Message(decodePlacementUpdate(content.at(2)));
+      case MessageKind::CrashReport:
+        return Message(CrashReport{ decodeCrashes(content.at(2)) });
     }
     return base::fail(base::Code::MessageMalformed, "message of unknown kind");
   } catch (const json::exception& error) {
--- a/libs/peers/messages.h
+++ b/libs/peers/messages.h
@@ -137,7 +137,14 @@
   std::vector<base::Duration> loadAges;
 };
 
-using Message = std::variant<Status, Summary, PlacementUpdate>;
+/** Crashes that a VM has seen, for the VM that keeps the evidence of the fleet.
+ */
+struct CrashReport
+{
+  CrashTable crashes;
+};
+
+using Message = std::variant<Status, Summary, PlacementUpdate, CrashReport>;
 
 /** @param aMessage message @return its MessagePack encoding */
 std::string
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -125,6 +125,18 @@
   CHECK(decodedUpdate.loadAges.at(0) == 1500ms);
 }
 
+// Encoder and decoder must agree on all fields of a crash report.
+TEST(Peers, DecodesTheCrashReportThatItEncodes)
+{
+  const peers::CrashReport report{ sampleStatus(1).crashes };
+  const auto decoded =
+    base::capture([&] { return peers::decode(peers::encode(report)); });
+  CHECK(base::errorOf(decoded) == nullptr);
+  CHECK(
+    std::get<peers::CrashReport>(std::get<peers::Message>(decoded)).crashes ==
+    report.crashes);
+}
+
 // A foreign or truncated datagram must not terminate the process.
 TEST(Peers, RejectsMalformedDatagrams)
 {
--- a/tests/e2e/test_crash_records.py
+++ b/tests/e2e/test_crash_records.py
@@ -9,7 +9,7 @@
 
 from gateway_process import Gateway, wait_for
 from prompt_calls import PromptCalls
-from users_platform import ROUTES, Platform, Upstream
+from users_platform import HOST, ROUTES, Platform, Upstream
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27200))
 RECORD_KEY = "marigold/crashes"
@@ -20,6 +20,8 @@
 CONTACT_SECONDS = 4.0
 WRITE_SECONDS = 0.15  # on average, from the second crash with a part to the record in the store
 MOST_AFTERWARDS = 3  # requests with the part that may reach engines, sent by VMs in touch
+FAR_CENTRES = 24     # data centres of a large fleet, whose relays report to each other seldom
+ROUNDS = 5
 MAX_AGE_MS = 600000  # longest lifetime of a verdict
 ODD_RECORDS = [
     b"", b"no json", b"\xff\xfe", b"null", b"[]", b"7", b"{}", b"[" * 100000,
@@ -165,6 +167,32 @@
         # Two VMs may see the crashes, and one of them has to write again then.
         self.assertLess(sum(delays) / len(delays), WRITE_SECONDS, delays)
 
+    def test_crashes_that_different_vms_saw_are_recorded_at_once(self):
+        """Guards against evidence that is lost with all VMs, because no VM knows two crashes until the next reports."""
+        for number in range(FAR_CENTRES):
+            member = {"peer_address": f"{HOST}:{BASE_PORT + 95}", "operator": f"{HOST}:{BASE_PORT + 96}",
+                      "data_centre": f"far-{number}", "capacity": 0.01, "incarnation": number}
+            self.platform.change(self.store.put, f"marigold/vm/far{number}", json.dumps(member).encode())
+        for engine in self.engines:
+            engine.delay = 0.1
+        time.sleep(2)
+        delays = []
+        for number in range(ROUNDS):
+            for engine in self.engines:
+                engine.deadly_part = f"dead{number}"
+            written = self.versions()
+            for gateway in range(2):
+                before = self.crashes()
+                self.number += (self.number + 1) % 2 != gateway  # so that this VM gets the request
+                self.send(f"dead{number}:30", [])
+                wait_for(lambda expected=before + 1: self.crashes() >= expected)
+            crashed = time.monotonic()
+            wait_for(lambda expected=written: self.versions() > expected)
+            delays.append(time.monotonic() - crashed)
+            self.join_calls()
+            time.sleep(2)
+        self.assertLess(sum(delays) / len(delays), WRITE_SECONDS, delays)
+
     def versions(self):
         return sum(item["key"] == RECORD_KEY for item in self.store.history)
 
