Excuse SIGTERM before main() in the soak, and nothing else

Cause: a process that gets SIGTERM while its libraries are loaded ends with -15, and the soak took that for a planned stop that failed.

"To stop a process, the platform sends SIGTERM, and then sends SIGKILL" (PROTOCOL.md); LOST and DRAIN are about requests that were read and about readiness, and such a process has neither read nor said anything.

Ends of processes that hold it are not excused (EndTest).

Ruled out: shortening what runs before main().

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,5 +1,6 @@
 """Records what callers and upstreams observe during a soak, and checks the guarantees."""
 
+import signal
 import threading
 import time
 
@@ -78,6 +79,23 @@
             return not any(start <= at and end > at - FAULT_FREE for start, end in self.faults.get(vm, []))
 
 
+def holds_signal(process, number):
+    """True if a process blocks or handles a signal. A gateway does from the first line of main() on, before it has any
+    socket; until then, while its libraries are loaded, the signal ends it and nothing is lost."""
+    try:
+        with open(f"/proc/{process}/status", encoding="utf-8") as file:
+            fields = dict(line.split(":", 1) for line in file)
+    except OSError:
+        return False  # It has ended.
+    return bool((int(fields["SigBlk"], 16) | int(fields["SigCgt"], 16)) >> (number - 1) & 1)
+
+
+def check_exit(record, vm, status, began):
+    """Checks that a process ends in order after SIGTERM, unless it had not begun to run main()."""
+    if status != 0 and not (status == -signal.SIGTERM and not began):
+        record.violation(f"{vm} ended with {status} after SIGTERM")
+
+
 def check_stream(record, request_id, body, complete):
     """Checks that events arrive once each, in order, and that a truncated stream does not look complete."""
     ids = [int(line[4:]) for line in body.split("\n") if line.startswith("id: ")]
