Count the loads of the former owner in a new process

Now the limiter remembers until when another process may have ordered, and counts the window as full from then on, whenever the limit is set. So that this costs nothing where it isn't needed: - The first owner of a fleet has seen since its first listing that there is no owner, 5 s by its first order, not just the pause of 3 s. It waits no more than the rest of a window. - Statuses and summaries tell what their sender has heard from the owner, and how long ago. A process that succeeds its VM's former one takes the loads from there. Only what was heard from the owner itself is told, because each message makes a report look later than it was. 4 bytes a message, some 40 while models are loaded.

Weighed: the last loads in the store beside the ownership (a write for each load, since the ownership is written before them); a full window for each new process (4.3 s without loads after each restart of the owner); a first owner that begins empty and a successor that begins full (the store doesn't tell them apart, the key is removed at each release).

Evidence: with the early return of before put into startOwnership, WindowOfANewProcessIsFullBeforeItsFirstPlan and NewProcessLearnsTheLoadsOfTheFormerOneFromPeers fail (7 loads available, 0 allowed).

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -101,7 +101,7 @@
 Fleet::onStoreRestored()
 {
   mClaimsFrom = base::monotonicNow() + kOwnershipTerm;
-  mOwnershipFreeAt = mClaimsFrom;
+  noteFreeOwnership();
   mOwnershipLease.clear();
   mOwner.reset();
   mRegistrationAt = {};
@@ -143,6 +143,13 @@
     });
 }
 
+void
+Fleet::noteFreeOwnership()
+{
+  mFreeSince = base::monotonicNow();
+  mOwnershipFreeAt = std::max(mFreeSince, mClaimsFrom);
+}
+
 void
 Fleet::leave()
 {
@@ -173,7 +180,7 @@
     mClaimsFrom = base::monotonicNow() + kOwnershipTerm;
   }
   if (!mOwner && (previous || !mSynced)) {
-    mOwnershipFreeAt = std::max(base::monotonicNow(), mClaimsFrom);
+    noteFreeOwnership();
   }
   mSynced = true;
   mChanged.emit();
@@ -226,7 +233,7 @@
     observe::logInfo("order ownership is free",
                      { { "revision", std::to_string(aEntry.revision) } });
     mOwner.reset();
-    mOwnershipFreeAt = std::max(base::monotonicNow(), mClaimsFrom);
+    noteFreeOwnership();
     return;
   }
   const auto decoded = base::capture(
@@ -330,8 +337,9 @@
 base::Duration
 Fleet::timeWithoutOrders(base::TimePoint aNow) const
 {
+  // A VM that has seen no owner since it started knows more than the pause.
   return mSucceededItself ? std::min(mSettings.orderPause, aNow - mStartedAt)
-                          : mSettings.orderPause;
+                          : std::max(mSettings.orderPause, aNow - mFreeSince);
 }
 
 std::uint64_t
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -105,6 +105,14 @@
    * have sent an order; valid once orders can be sent. @param aNow time */
   base::Duration timeWithoutOrders(base::TimePoint aNow) const;
 
+  /** @return who may have sent orders before this process; valid once orders
+   * can be sent */
+  residency::FormerOwner formerOwner() const
+  {
+    return mSucceededItself ? residency::FormerOwner::OwnVm
+                            : residency::FormerOwner::OtherVm;
+  }
+
   /** @return fencing token of this VM's ownership, 0 if it is not the owner */
   std::uint64_t fencingToken() const;
 
@@ -129,6 +137,7 @@
   void settleOwnership();
   void writeOwnership(platform::Revision aExpected, bool aSettled);
   void removeOwnership();
+  void noteFreeOwnership();
   bool isSelf(const Ownership& aOwner) const;
   bool isFormerProcess(const Ownership& aOwner) const;
   bool isFromEarlierEra(const Ownership& aOwner) const;
@@ -156,7 +165,9 @@
   base::TimePoint mStartedAt = base::monotonicNow();
   base::TimePoint mOwnedSince{};
   bool mSucceededItself = false; ///< took over from this VM's former process
-  base::TimePoint mOwnershipFreeAt{};
+  /** When this VM learnt that no VM owns the orders, before its ownership. */
+  base::TimePoint mFreeSince{};
+  base::TimePoint mOwnershipFreeAt{}; ///< may be claimed
   /** No claims of a free ownership before, because its owner may not know yet
    * that the store has forgotten it. */
   base::TimePoint mClaimsFrom{};
--- a/apps/gateway/order_controller.cpp
+++ b/apps/gateway/order_controller.cpp
@@ -50,7 +50,8 @@
   mFencingToken = mFleet.fencingToken();
   mEngines.clear();
   const base::TimePoint now = base::monotonicNow();
-  mStoreLoads.startOwnership(mFleet.timeWithoutOrders(now), now);
+  mStoreLoads.startOwnership(
+    mFleet.timeWithoutOrders(now), mFleet.formerOwner(), now);
   observe::logInfo("orders taken over",
                    { { "fence", std::to_string(mFencingToken) } });
 }
@@ -435,6 +436,25 @@
   }
 }
 
+void
+OrderController::mergeOwnerLoads(const peers::StoreLoadReport& aReport,
+                                 base::TimePoint aNow)
+{
+  if (!mActive || mStoreLoads.isUnknown(aNow)) {
+    mStoreLoads.mergeReport(aReport.loadAges, aReport.age, aNow);
+  }
+}
+
+std::optional<peers::StoreLoadReport>
+OrderController::ownerLoads(base::TimePoint aNow) const
+{
+  const auto age = mStoreLoads.reportAge(aNow);
+  if (mActive || !age) {
+    return {};
+  }
+  return peers::StoreLoadReport{ *age, mStoreLoads.loadAges(aNow) };
+}
+
 peers::PlacementTable
 OrderController::placements() const
 {
--- a/apps/gateway/order_controller.h
+++ b/apps/gateway/order_controller.h
@@ -61,6 +61,14 @@
   void recordOwnerLoads(const std::vector<base::Duration>& aAges,
                         base::TimePoint aNow);
 
+  /** Adds what a peer has heard from the owner, which matters only if this VM
+   * does not know it. @param aReport report @param aNow time */
+  void mergeOwnerLoads(const peers::StoreLoadReport& aReport,
+                       base::TimePoint aNow);
+
+  /** @param aNow time @return what this VM has heard from the owner lately */
+  std::optional<peers::StoreLoadReport> ownerLoads(base::TimePoint aNow) const;
+
   /** Emitted when placements() may have changed. */
   sigc::signal<void()>& changed() { return mChanged; }
 
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -388,6 +388,7 @@
   status.crashes = mContext.crashes.report(base::monotonicNow());
   status.drainingUpstreams = mContext.upstreams.draining();
   status.limitStatements = mContext.notices.statements(base::monotonicNow());
+  status.storeLoads = mOrders.ownerLoads(base::monotonicNow());
   mSentStatuses.push_back(status);
   if (mSentStatuses.size() > kMaxSentStatuses) {
     mSentStatuses.pop_front();
@@ -448,6 +449,9 @@
   mergeCrashes(status.crashes, now);
   mContext.upstreams.markDraining(status.drainingUpstreams);
   mergeStatements(status.limitStatements, now);
+  if (status.storeLoads) {
+    mOrders.mergeOwnerLoads(*status.storeLoads, now);
+  }
   if (status.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(vm);
   }
@@ -527,6 +531,9 @@
   mergeCrashes(summary.crashes, now);
   mContext.upstreams.markDraining(summary.drainingUpstreams);
   mergeStatements(summary.limitStatements, now);
+  if (summary.storeLoads) {
+    mOrders.mergeOwnerLoads(*summary.storeLoads, now);
+  }
   if (summary.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(summary.relay);
   }
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -95,23 +95,26 @@
   return crashes;
 }
 
+base::Duration
+decodeAge(const json& aValue)
+{
+  return std::chrono::milliseconds(
+    std::max<std::int64_t>(0, aValue.get<std::int64_t>()));
+}
+
 CrashTable
 decodeCrashes(const json& aJson)
 {
   CrashTable crashes;
-  const auto age = [](const json& aValue) {
-    return std::chrono::milliseconds(
-      std::max<std::int64_t>(0, aValue.get<std::int64_t>()));
-  };
   for (const json& row : aJson) {
     CrashEvidence& evidence = crashes[row.at(0)];
-    evidence.age = age(row.at(1));
+    evidence.age = decodeAge(row.at(1));
     evidence.suspects = row.at(2).get<std::set<TraitSet>>();
     evidence.cleared = row.at(3).get<TraitSet>();
     // VMs of earlier versions do not send it.
     if (row.size() > 4) {
       for (const json& tried : row.at(4)) {
-        evidence.trials[tried.at(0)] = { tried.at(1), age(tried.at(2)) };
+        evidence.trials[tried.at(0)] = { tried.at(1), decodeAge(tried.at(2)) };
       }
     }
   }
@@ -134,13 +137,50 @@
 {
   LimitStatements statements;
   for (const json& row : aJson) {
-    statements[row.at(0)] = { std::chrono::milliseconds(std::max<std::int64_t>(
-                                0, row.at(1).get<std::int64_t>())),
-                              row.at(2).get<bool>() };
+    statements[row.at(0)] = { decodeAge(row.at(1)), row.at(2).get<bool>() };
   }
   return statements;
 }
 
+json
+encodeAges(const std::vector<base::Duration>& aAges)
+{
+  json ages = json::array();
+  for (const base::Duration age : aAges) {
+    ages.push_back(base::inMilliseconds(age));
+  }
+  return ages;
+}
+
+std::vector<base::Duration>
+decodeAges(const json& aJson)
+{
+  std::vector<base::Duration> ages;
+  for (const json& age : aJson) {
+    ages.push_back(decodeAge(age));
+  }
+  return ages;
+}
+
+json
+encodeStoreLoads(const std::optional<StoreLoadReport>& aReport)
+{
+  if (!aReport) {
+    return nullptr;
+  }
+  return json::array(
+    { base::inMilliseconds(aReport->age), encodeAges(aReport->loadAges) });
+}
+
+std::optional<StoreLoadReport>
+decodeStoreLoads(const json& aJson)
+{
+  if (aJson.is_null()) {
+    return {};
+  }
+  return StoreLoadReport{ decodeAge(aJson.at(0)), decodeAges(aJson.at(1)) };
+}
+
 LoadTable
 decodeLoads(const json& aJson)
 {
@@ -181,7 +221,8 @@
                        encodeDemand(aStatus.demand),
                        encodeCrashes(aStatus.crashes),
                        aStatus.drainingUpstreams,
-                       encodeStatements(aStatus.limitStatements) });
+                       encodeStatements(aStatus.limitStatements),
+                       encodeStoreLoads(aStatus.storeLoads) });
 }
 
 Status
@@ -203,10 +244,13 @@
   status.demand = decodeDemand(next());
   status.crashes = decodeCrashes(next());
   status.drainingUpstreams = next().get<std::map<std::string, std::uint32_t>>();
-  // VMs of earlier versions do not send it.
+  // VMs of earlier versions do not send these.
   if (field < aBody.size()) {
     status.limitStatements = decodeStatements(next());
   }
+  if (field < aBody.size()) {
+    status.storeLoads = decodeStoreLoads(next());
+  }
   return status;
 }
 
@@ -233,7 +277,8 @@
                        encodeCrashes(aSummary.crashes),
                        aSummary.drainingUpstreams,
                        aSummary.complete,
-                       encodeStatements(aSummary.limitStatements) });
+                       encodeStatements(aSummary.limitStatements),
+                       encodeStoreLoads(aSummary.storeLoads) });
 }
 
 Summary
@@ -264,6 +309,9 @@
   if (field < aBody.size()) {
     summary.limitStatements = decodeStatements(next());
   }
+  if (field < aBody.size()) {
+    summary.storeLoads = decodeStoreLoads(next());
+  }
   return summary;
 }
 
@@ -274,16 +322,12 @@
   for (const auto& [name, placement] : aUpdate.engines) {
     engines[name] = json::array({ placement.adapters, placement.unloading });
   }
-  json ages = json::array();
-  for (const base::Duration age : aUpdate.loadAges) {
-    ages.push_back(base::inMilliseconds(age));
-  }
   return json::array({ aUpdate.owner,
                        aUpdate.fencingToken,
                        aUpdate.sequence,
                        aUpdate.complete,
                        engines,
-                       ages });
+                       encodeAges(aUpdate.loadAges) });
 }
 
 PlacementUpdate
@@ -302,10 +346,7 @@
       row.at(1).get<std::vector<std::string>>()
     };
   }
-  for (const json& age : next()) {
-    update.loadAges.emplace_back(
-      std::chrono::milliseconds(age.get<std::int64_t>()));
-  }
+  update.loadAges = decodeAges(next());
   return update;
 }
 
--- a/libs/peers/messages.h
+++ b/libs/peers/messages.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -64,6 +65,16 @@
 using DemandTable = std::map<std::string, ModelDemand>; ///< MODEL[/ADAPTER]
 using Usage = std::map<base::TeamName, double>;
 
+/** What a VM has heard from the owner of orders on its loads from the weights
+ * store, for the next owner, which may have just started. */
+struct StoreLoadReport
+{
+  base::Duration age{};                 ///< since it was heard
+  std::vector<base::Duration> loadAges; ///< since each load
+
+  bool operator==(const StoreLoadReport&) const = default;
+};
+
 /** State of one VM, sent to the VMs of its data centre. */
 struct Status
 {
@@ -82,6 +93,7 @@
   /** Upstreams that accept no new requests, with a tag of their process. */
   std::map<base::UpstreamName, std::uint32_t> drainingUpstreams;
   LimitStatements limitStatements;
+  std::optional<StoreLoadReport> storeLoads;
 };
 
 /** A VM in the summary of its data centre. */
@@ -112,6 +124,7 @@
   bool complete = false; ///< members have their totals of all teams
   /** Of the relay, which merges those of its peers. */
   LimitStatements limitStatements;
+  std::optional<StoreLoadReport> storeLoads; ///< of the relay
 };
 
 /** Placement on one engine that its upstream record does not show. */
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -28,6 +28,7 @@
   };
   status.drainingUpstreams["u2"] = 9;
   status.limitStatements[33] = { 700ms, true };
+  status.storeLoads = peers::StoreLoadReport{ 300ms, { 400ms, 2s } };
   status.unregistered = { "vm9" };
   return status;
 }
@@ -47,6 +48,7 @@
   summary.crashes[32] = { 1s, { { 2 } }, {}, {} };
   summary.drainingUpstreams["u3"] = 2;
   summary.limitStatements[34] = { 1200ms, false };
+  summary.storeLoads = peers::StoreLoadReport{ 100ms, {} };
   summary.unregistered = { "vm8" };
   summary.complete = true;
   return summary;
@@ -78,6 +80,7 @@
   CHECK(status.crashes == sampleStatus(3).crashes);
   LONGS_EQUAL(9, status.drainingUpstreams.at("u2"));
   CHECK(status.limitStatements == sampleStatus(3).limitStatements);
+  CHECK(status.storeLoads == sampleStatus(3).storeLoads);
   STRCMP_EQUAL("vm9", status.unregistered.at(0).c_str());
 }
 
@@ -100,6 +103,7 @@
   CHECK(summary.crashes == sampleSummary("r", 8, 6).crashes);
   LONGS_EQUAL(2, summary.drainingUpstreams.at("u3"));
   CHECK(summary.limitStatements == sampleSummary("r", 8, 6).limitStatements);
+  CHECK(summary.storeLoads == sampleSummary("r", 8, 6).storeLoads);
   STRCMP_EQUAL("vm8", summary.unregistered.at(0).c_str());
   CHECK(summary.complete);
 }
--- a/libs/residency/store_load_limiter.cpp
+++ b/libs/residency/store_load_limiter.cpp
@@ -16,6 +16,12 @@
 constexpr base::Duration kDeliveryJitter = 250ms;
 /** Longest time between two reports of an owner. */
 constexpr base::Duration kReportPeriod = 500ms;
+/** Longest time from the last report of a process to the start of the VM's next
+ * one that succeeds it: the term of the ownership and a report period. */
+constexpr base::Duration kRestartGap = 2500ms;
+/** No report that is older matters: longer than the pause between two owners
+ * and the time that a process takes to start. */
+constexpr base::Duration kReportLifetime = 10s;
 constexpr unsigned kUnlimited = ~0U;
 
 } // namespace
@@ -41,7 +47,15 @@
 StoreLoadLimiter::replaceLoads(const std::vector<base::Duration>& aAges,
                                base::TimePoint aNow)
 {
+  setLoads(aAges, aNow);
+  mHeardAt = aNow;
   mReportedAt = aNow;
+}
+
+void
+StoreLoadLimiter::setLoads(const std::vector<base::Duration>& aAges,
+                           base::TimePoint aNow)
+{
   mLoads.clear();
   for (const base::Duration age : aAges) {
     mLoads.push_back(aNow - age);
@@ -49,16 +63,58 @@
   std::sort(mLoads.begin(), mLoads.end());
 }
 
+void
+StoreLoadLimiter::mergeReport(const std::vector<base::Duration>& aAges,
+                              base::Duration aReportAge,
+                              base::TimePoint aNow)
+{
+  const base::TimePoint reportedAt = aNow - aReportAge;
+  if (reportedAt <= mReportedAt) {
+    return;
+  }
+  setLoads(aAges, aNow);
+  mReportedAt = reportedAt;
+  if (mUnknownUntil && isComplete(reportedAt)) {
+    mUnknownUntil.reset();
+  }
+}
+
 void
 StoreLoadLimiter::startOwnership(base::Duration aOrderPause,
+                                 FormerOwner aFormer,
                                  base::TimePoint aNow)
 {
-  const base::TimePoint pauseStart = aNow - aOrderPause;
-  if (mReportedAt + kReportPeriod >= pauseStart || mLimit.perSecond <= 0) {
-    return;
+  mFormerOwner = aFormer;
+  mUnknownUntil = aNow - aOrderPause;
+  if (isComplete(mReportedAt)) {
+    mUnknownUntil.reset();
   }
-  // The previous owner may have used the whole window since its last report.
-  mLoads.assign(static_cast<std::size_t>(windowCapacity()), pauseStart);
+}
+
+/** @return true if a report tells of all loads that others may have ordered */
+bool
+StoreLoadLimiter::isComplete(base::TimePoint aReportedAt) const
+{
+  const base::Duration gap =
+    mFormerOwner == FormerOwner::OwnVm ? kRestartGap : kReportPeriod;
+  return aReportedAt != base::TimePoint{} &&
+         aReportedAt + gap >= *mUnknownUntil;
+}
+
+bool
+StoreLoadLimiter::isUnknown(base::TimePoint aNow) const
+{
+  return mUnknownUntil &&
+         aNow - *mUnknownUntil <= mLimit.window + kDeliveryJitter;
+}
+
+std::optional<base::Duration>
+StoreLoadLimiter::reportAge(base::TimePoint aNow) const
+{
+  if (mHeardAt == base::TimePoint{} || aNow - mHeardAt > kReportLifetime) {
+    return {};
+  }
+  return aNow - mHeardAt;
 }
 
 unsigned
@@ -68,6 +124,9 @@
     return kUnlimited;
   }
   dropExpired(aNow);
+  if (isUnknown(aNow)) {
+    return 0;
+  }
   const double remaining =
     windowCapacity() - static_cast<double>(mLoads.size());
   return remaining <= 0 ? 0 : static_cast<unsigned>(remaining);
@@ -77,6 +136,10 @@
 StoreLoadLimiter::loadAges(base::TimePoint aNow) const
 {
   std::vector<base::Duration> ages;
+  if (mLimit.perSecond > 0 && isUnknown(aNow)) {
+    ages.assign(static_cast<std::size_t>(windowCapacity()),
+                aNow - *mUnknownUntil);
+  }
   for (const base::TimePoint at : mLoads) {
     if (aNow - at <= mLimit.window + kDeliveryJitter) {
       ages.push_back(aNow - at);
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -9,6 +9,7 @@
 using namespace std::chrono_literals;
 using catalog::ModelRef;
 using residency::Engine;
+using residency::FormerOwner;
 using residency::PlanInput;
 using residency::PlannedOrder;
 
@@ -683,7 +684,7 @@
   residency::StoreLoadLimiter nextOwner;
   nextOwner.setLimit({ 1, 5s, 1.1, 3 });
   nextOwner.replaceLoads(limiter.loadAges(start + 1s), start + 1s);
-  nextOwner.startOwnership(3s, start + 3s);
+  nextOwner.startOwnership(3s, FormerOwner::OtherVm, start + 3s);
   LONGS_EQUAL(0, nextOwner.available(start + 3s));
   CHECK(nextOwner.available(start + 5300ms) > 0);
 }
@@ -692,15 +693,68 @@
 // recent report of the previous owner's loads.
 TEST(LoadWindow, WindowIsFullWithoutARecentReport)
 {
-  limiter.startOwnership(3s, start);
+  limiter.startOwnership(3s, FormerOwner::OtherVm, start);
   LONGS_EQUAL(0, limiter.available(start));
   CHECK(limiter.available(start + 2300ms) > 0);
 }
 
+// Guards against twice the loads that the store allows, when the next process
+// of the owner's VM begins with an empty window: no plan has set its limit yet.
+TEST(LoadWindow, WindowOfANewProcessIsFullBeforeItsFirstPlan)
+{
+  residency::StoreLoadLimiter next;
+  next.startOwnership(900ms, FormerOwner::OwnVm, start);
+  next.setLimit({}); // another service, without a limit
+  next.setLimit({ 1, 5s, 1.1, 3 });
+  LONGS_EQUAL(0, next.available(start));
+  CHECK(!next.loadAges(start).empty());
+  next.setLimit({ 1, 5s, 1.1, 3 }); // each plan sets it
+  CHECK(next.available(start + 4400ms) > 0);
+}
+
+// Guards against a fleet that loads nothing in its first seconds: a VM that has
+// seen no owner for a window need not wait for it again.
+TEST(LoadWindow, FirstOwnerOfAFleetHasAnEmptyWindow)
+{
+  limiter.startOwnership(5300ms, FormerOwner::OtherVm, start);
+  CHECK(limiter.available(start) >= 6);
+}
+
+// The owner is killed and starts again within a second. Guards against a wait
+// for loads that its peers know did not happen, and against more than the limit
+// if they did.
+TEST(LoadWindow, NewProcessLearnsTheLoadsOfTheFormerOneFromPeers)
+{
+  limiter.recordLoad(start);
+  limiter.recordLoad(start);
+  residency::StoreLoadLimiter peer;
+  peer.setLimit({ 1, 5s, 1.1, 3 });
+  peer.replaceLoads(limiter.loadAges(start + 100ms), start + 100ms);
+  const base::TimePoint heard = start + 2s;
+  residency::StoreLoadLimiter next;
+  next.startOwnership(900ms, FormerOwner::OwnVm, heard);
+  next.setLimit({ 1, 5s, 1.1, 3 });
+  LONGS_EQUAL(0, next.available(heard));
+  next.mergeReport(peer.loadAges(heard), *peer.reportAge(heard), heard);
+  LONGS_EQUAL(limiter.available(heard), next.available(heard));
+  CHECK(!next.reportAge(heard)); // it has not heard the owner itself
+}
+
+// Guards against a report from before the latest loads of another VM, as one of
+// a peer that was cut off from that VM.
+TEST(LoadWindow, OldReportOfAPeerDoesNotEmptyTheWindow)
+{
+  limiter.startOwnership(3s, FormerOwner::OtherVm, start);
+  limiter.mergeReport({}, 4s, start);
+  LONGS_EQUAL(0, limiter.available(start));
+  limiter.mergeReport({}, 3400ms, start);
+  CHECK(limiter.available(start) >= 6);
+}
+
 TEST(LoadWindow, ZeroRateMeansNoLimit)
 {
   limiter.setLimit({});
-  limiter.startOwnership(3s, start);
+  limiter.startOwnership(3s, FormerOwner::OtherVm, start);
   CHECK(limiter.available(start) > 1000);
 }
 
