--- a/apps/gateway/crash_records.h
+++ b/apps/gateway/crash_records.h
@@ -12,7 +12,8 @@
  * the registrations of the VMs, so a VM has read it before it is ready. A VM
  * writes it when the verdicts derived from it would differ from its own; the
  * owner of orders does so at once, and so does a VM that has seen a crash
- * behind a new verdict, because a kill of all VMs loses what is not written.
+ * behind a new verdict, or was told of it by one that has, because a kill of
+ * all VMs loses what is not written.
  * The others write only if these do not. No request waits for the store.
  */
 class CrashRecords
