Keep claims until their removal has been checked whole

Removing libs/claims and two result codes changes base/code.h, so everything is built and linted again, and load_tests and most unit tests had not run after it.

--- a/libs/base/code.h
+++ b/libs/base/code.h
@@ -37,6 +37,8 @@
   UpstreamTimeout = 133,
   AnswerTruncated = 134,
   AnswerCrossed = 135,
+  ClaimQuorumMissing = 140,
+  ClaimInProgress = 141,
   OutcomeUnknown = 142,
   CallerLeft = 143,
   RequestPoisonous = 150,
