End a named limit in time: number statements, elect who asks

What callers saw: an engine that had recovered stayed limited at some VMs for seconds, so requests for its models were refused.

A statement ("the upstream named its limit at ...") looks newer each time it is reported, by the way of the report. What came back from a peer later than the report delay was taken for a newer one, so VMs kept an old statement alive and nobody asked the upstream again. Who asks was drawn at random. Now VMs with a request offer to ask, hold the request for the report delay, and the VM that offered first since the latest statement sends it. A request that no other upstream can start in time waits for this too, where it was refused. Requests that ask may exceed the limit by four in a window (two before), as the first offer must not be blocked by what was sent before the end.

Evidence: build/bin/dispatch_tests -sg NamedLimit.

The model exchanges offers with the use of the upstream, which the same messages carry; its relays compare statements by number instead of age. VMs of earlier versions send no number; their statements are not merged. Limits below 0.33 requests/s are asked for less often than the bound, as before.

--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -167,6 +167,10 @@
     shutdown();
     return;
   }
+  const bool canStart = choice && startsInTime(*choice);
+  if (mMustAskAgain && !canStart && waitForReports()) {
+    return;
+  }
   if (choice) {
     if (admitByExpectedStart(*choice)) {
       mQueuedAheadMs = found[choice->index].queuedMs;
@@ -175,9 +179,6 @@
     }
     return;
   }
-  if (mMustAskAgain && waitForReports()) {
-    return;
-  }
   if (!found.empty() && !mayHaveRun()) {
     refuseByLimit(found, upstreams);
     return;
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -342,6 +342,7 @@
   status.crashes = mContext.crashes.report(base::monotonicNow());
   status.drainingUpstreams = mContext.upstreams.draining();
   status.limitStatements = mContext.notices.statements(base::monotonicNow());
+  status.limitAsks = mContext.notices.asks(base::monotonicNow());
   mSentStatuses.push_back(status);
   if (mSentStatuses.size() > kMaxSentStatuses) {
     mSentStatuses.pop_front();
@@ -402,6 +403,7 @@
   mergeCrashes(status.crashes, now);
   mContext.upstreams.markDraining(status.drainingUpstreams);
   mergeStatements(status.limitStatements, now);
+  mContext.notices.merge(status.limitAsks, now);
   if (status.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(vm);
   }
@@ -468,6 +470,7 @@
   mergeCrashes(summary.crashes, now);
   mContext.upstreams.markDraining(summary.drainingUpstreams);
   mergeStatements(summary.limitStatements, now);
+  mContext.notices.merge(summary.limitAsks, now);
   if (summary.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(summary.relay);
   }
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -1058,6 +1058,7 @@
   /** What the VMs reported, the oldest first. */
   std::deque<std::vector<peers::LimitUse>> reports;
   std::deque<peers::LimitStatements> statements;
+  std::deque<peers::LimitAsks> asks;
   base::Duration limitEnds = 1h; ///< after the start
   base::Duration played = kPlayed;
   std::uint64_t seed = 0;
@@ -1086,6 +1087,24 @@
     }
   }
 
+  /** @return the first offers of all VMs, as the relays merge them */
+  peers::LimitAsks firstAsks(TimePoint aNow) const
+  {
+    peers::LimitAsks first;
+    for (const auto& vm : vms) {
+      for (const auto& [process, ask] : vm.asks(aNow)) {
+        const auto [found, isNew] = first.try_emplace(process, ask);
+        const auto order = [](const peers::LimitAsk& aAsk) {
+          return std::make_pair(~aAsk.statement, aAsk.silence);
+        };
+        if (!isNew && order(ask) < order(found->second)) {
+          found->second = ask;
+        }
+      }
+    }
+    return first;
+  }
+
   /** Every VM gets the latest statements of all, through the relays. */
   void exchangeStatements(TimePoint aNow)
   {
@@ -1093,7 +1112,7 @@
     for (const auto& vm : vms) {
       for (const auto& [process, statement] : vm.statements(aNow)) {
         const auto [found, isNew] = latest.try_emplace(process, statement);
-        if (!isNew && statement.age < found->second.age) {
+        if (!isNew && statement.number > found->second.number) {
           found->second = statement;
         }
       }
@@ -1127,8 +1146,10 @@
       uses.push_back(vm.use(kUpstream, aNow));
     }
     reports.push_back(uses);
+    asks.push_back(firstAsks(aNow));
     if (reports.size() > static_cast<std::size_t>(kDelay / kStep)) {
       reports.pop_front();
+      asks.pop_front();
     }
   }
 
@@ -1157,6 +1178,7 @@
     std::deque<Want> repeats;
     reports.clear();
     statements.clear();
+    asks.clear();
     arrivals.clear();
     for (TimePoint now = start; now < start + played; now += kStep) {
       exchangeReports(now);
@@ -1175,6 +1197,7 @@
         wants.push_back({ now, aOnOneVm ? 0 : random.below(aVms) });
       }
       for (const Want& want : wants) {
+        vms[want.vm].merge(asks.front(), now);
         const auto admission = vms[want.vm].tryAdmit(
           kUpstream, usedByOthers(want.vm), random.unit(), now, want.repeated);
         if (admission == dispatch::Admission::Admitted) {
@@ -1300,6 +1323,30 @@
   LONGS_EQUAL(0, late);
 }
 
+// Two VMs report what they heard last to each other, a bit later than usual.
+// Guards against a statement that looks newer each time it comes back, so that
+// nobody asks the upstream again.
+TEST(NamedLimit, StatementThatComesBackIsNotNewer)
+{
+  std::array<dispatch::UpstreamNotices, 2> fleet;
+  catalog::UpstreamNotice limited;
+  limited.requestsPerSecond = 1;
+  for (auto& vm : fleet) {
+    vm.setReportDelay(kDelay);
+    vm.onAnswer(kUpstream, limited, start);
+  }
+  fleet[0].onAnswer(kUpstream, limited, start + 1s);
+  constexpr base::Duration kLate = kDelay + kStatusPeriod;
+  for (TimePoint now = start + 1s; now < start + 9s; now += kLate) {
+    const auto first = fleet[0].statements(now);
+    const auto second = fleet[1].statements(now);
+    fleet[0].merge(second, now + kLate);
+    fleet[1].merge(first, now + kLate);
+  }
+  CHECK(fleet[0].statements(start + 9s).empty());
+  CHECK(fleet[1].statements(start + 9s).empty());
+}
+
 // Guards against an old end of a limit that a report makes look newer than the
 // limit that the upstream has named since, and that peers keep alive.
 TEST(NamedLimit, ReportOfAnEndDoesNotEndALaterLimit)
--- a/libs/dispatch/upstream_notices.cpp
+++ b/libs/dispatch/upstream_notices.cpp
@@ -24,7 +24,13 @@
 /** The same for low limits, in the time that the upstream takes one request. */
 constexpr double kAskPart = 0.5;
 /** Requests to ask that may exceed the limit in a window. */
-constexpr double kMaxAsks = 2;
+constexpr double kMaxAsks = 4;
+/** Offers to ask that the VMs together make in the report delay. More would
+ * hold requests in vain. */
+constexpr double kOffers = 6;
+/** An offer stands for this many report delays, in which its request waits and
+ * is answered. Then others may offer to ask. */
+constexpr int kOfferLifetime = 4;
 /** Rounding of the window must not cost the one request that it allows. */
 constexpr double kTolerance = 1e-6;
 /** A statement is reported for this long, because UDP may lose messages, and
@@ -41,6 +47,14 @@
   return std::max(aRequestsPerSecond, kMinRequestsPerSecond);
 }
 
+/** @return true if the first of two offers has precedence */
+bool
+isBefore(const peers::LimitAsk& aOne, const peers::LimitAsk& aOther)
+{
+  return aOne.statement != aOther.statement ? aOne.statement > aOther.statement
+                                            : aOne.silence < aOther.silence;
+}
+
 double
 countSince(const std::deque<base::TimePoint>& aTimes, base::TimePoint aSince)
 {
@@ -93,7 +107,8 @@
   const bool hasJustEnded =
     state.limitEndedAt && aNow - *state.limitEndedAt < kStatementReportTime;
   if (aNotice.requestsPerSecond || hasJustEnded) {
-    mStatements[aProcess] = { aNow, !aNotice.requestsPerSecond };
+    Statement& latest = mStatements[aProcess];
+    latest = { latest.number + 1, aNow, !aNotice.requestsPerSecond };
   }
   state.leaving = state.leaving || aNotice.leaving;
   if (aNotice.turnsAwayFor) {
@@ -151,35 +166,88 @@
   const double left =
     effectiveLimit(*state.requestsPerSecond) * base::inSeconds(window(state)) -
     static_cast<double>(state.sends.size()) - aPeers.sends;
-  // Nothing is added to what the VMs have already sent beyond the limit.
-  const bool asks =
-    left > 1 - kMaxAsks - kTolerance && asksAgain(aProcess, state, aNow);
-  if (left < 1 - kTolerance && !asks) {
-    return Admission::LimitReached;
+  auto admission =
+    left < 1 - kTolerance
+      ? Admission::LimitReached
+      : admit(state, aPeers, left * kAdmittedPart, aChance, aNow);
+  if (admission != Admission::Admitted && left > 1 - kMaxAsks - kTolerance) {
+    if (aRepeated && mayAsk(aProcess, state, aNow)) {
+      admission = Admission::Admitted;
+    } else if (!aRepeated &&
+               offerToAsk(aProcess, state, aPeers, aChance, aNow)) {
+      admission = Admission::AskAgain;
+    }
   }
-  const double part = std::max(left * kAdmittedPart, asks ? kUnreported : 0);
-  const auto admission = admit(state, aPeers, part, aChance, aNow);
   if (admission == Admission::Admitted) {
     state.sends.push_back(aNow);
   }
   return admission;
 }
 
-/** @return true if nobody is known to have asked the upstream for some time */
+/** @return true if the request of an offer may still be sent or answered */
 bool
-UpstreamNotices::asksAgain(peers::ProcessTag aProcess,
-                           const State& aState,
-                           base::TimePoint aNow) const
+UpstreamNotices::isOpen(peers::ProcessTag aProcess,
+                        const peers::LimitAsk& aAsk,
+                        base::TimePoint aNow) const
 {
-  const base::Duration interval = std::max(
-    kAskInterval,
-    base::fromSeconds(kAskPart / effectiveLimit(*aState.requestsPerSecond)));
   const auto latest = mStatements.find(aProcess);
-  const base::TimePoint heardAt =
-    latest == mStatements.end() ? aState.heardAt : latest->second.at;
-  const bool sent =
-    !aState.sends.empty() && aNow - aState.sends.back() < interval;
-  return !sent && aNow - heardAt >= interval;
+  return latest != mStatements.end() &&
+         aAsk.statement >= latest->second.number &&
+         aNow - latest->second.at - aAsk.silence <
+           kOfferLifetime * mReportDelay;
+}
+
+/** Offers to ask with a request that is held until the peers' offers are known.
+ * @return true if the request is to be held */
+bool
+UpstreamNotices::offerToAsk(peers::ProcessTag aProcess,
+                            State& aState,
+                            const peers::LimitUse& aPeers,
+                            double aChance,
+                            base::TimePoint aNow)
+{
+  const auto latest = mStatements.find(aProcess);
+  const auto known = mFirstAsks.find(aProcess);
+  if (latest == mStatements.end() ||
+      (known != mFirstAsks.end() && isOpen(aProcess, known->second, aNow))) {
+    return false;
+  }
+  // Reports make the latest answer look later than it was.
+  const base::Duration interval =
+    std::max({ kAskInterval,
+               2 * mReportDelay,
+               base::fromSeconds(kAskPart /
+                                 effectiveLimit(*aState.requestsPerSecond)) });
+  base::TimePoint askedAt = latest->second.at;
+  if (!aState.sends.empty()) {
+    askedAt = std::max(askedAt, aState.sends.back());
+  }
+  const double newWants = countSince(aState.wants, aNow - mReportDelay);
+  const bool demandIsKnown =
+    aPeers.wants > 0 || static_cast<double>(aState.wants.size()) > newWants;
+  const double competing = std::max(newWants, 1.0) + aPeers.recentWants;
+  if (aNow + mReportDelay < askedAt + interval || !demandIsKnown ||
+      aChance * competing >= kOffers) {
+    return false;
+  }
+  aState.offer = { { latest->second.number, aNow - latest->second.at }, aNow };
+  mFirstAsks[aProcess] = aState.offer->ask;
+  return true;
+}
+
+/** @return true if this VM has made the first of the known offers, and the
+ * others can have heard of it */
+bool
+UpstreamNotices::mayAsk(peers::ProcessTag aProcess,
+                        const State& aState,
+                        base::TimePoint aNow) const
+{
+  const auto first = mFirstAsks.find(aProcess);
+  return aState.offer && first != mFirstAsks.end() &&
+         first->second == aState.offer->ask &&
+         aNow - aState.offer->at >= mReportDelay &&
+         isOpen(aProcess, aState.offer->ask, aNow) &&
+         (aState.sends.empty() || aState.sends.back() < aState.offer->at);
 }
 
 /** Divides requests between the VMs by their wants that all know. A VM with
@@ -234,6 +302,7 @@
   aState.limitEndedAt = aNow;
   aState.sends.clear();
   aState.wants.clear();
+  aState.offer.reset();
 }
 
 peers::LimitStatements
@@ -242,15 +311,17 @@
   peers::LimitStatements statements;
   for (const auto& [process, statement] : mStatements) {
     if (aNow - statement.at < kStatementReportTime) {
-      statements[process] = { aNow - statement.at, statement.ended };
+      statements[process] = { statement.number,
+                              aNow - statement.at,
+                              statement.ended };
     }
   }
   return statements;
 }
 
 /** A report makes a statement look later than it was, by the report delay at
- * most. One that may be older than what is known here is therefore ignored, and
- * VMs do not keep each other's statements alive. */
+ * most. An end that may be older than what is known here is therefore ignored.
+ */
 std::vector<peers::ProcessTag>
 UpstreamNotices::merge(const peers::LimitStatements& aStatements,
                        base::TimePoint aNow)
@@ -259,11 +330,14 @@
   for (const auto& [process, reported] : aStatements) {
     const base::TimePoint at = aNow - reported.age;
     const auto known = mStatements.find(process);
-    if (reported.age >= kStatementReportTime ||
-        (known != mStatements.end() && at <= known->second.at + mReportDelay)) {
+    const bool isNew =
+      known == mStatements.end() ||
+      (reported.number > known->second.number &&
+       (!reported.ended || at > known->second.at + mReportDelay));
+    if (reported.age >= kStatementReportTime || !isNew) {
       continue;
     }
-    mStatements[process] = { at, reported.ended };
+    mStatements[process] = { reported.number, at, reported.ended };
     const auto state = mStates.find(process);
     if (reported.ended && state != mStates.end() &&
         state->second.requestsPerSecond) {
@@ -274,9 +348,36 @@
   return ended;
 }
 
+peers::LimitAsks
+UpstreamNotices::asks(base::TimePoint aNow) const
+{
+  peers::LimitAsks asks = mFirstAsks;
+  std::erase_if(asks, [this, aNow](const auto& aItem) {
+    return !isOpen(aItem.first, aItem.second, aNow);
+  });
+  return asks;
+}
+
+void
+UpstreamNotices::merge(const peers::LimitAsks& aAsks, base::TimePoint aNow)
+{
+  for (const auto& [process, ask] : aAsks) {
+    const auto known = mFirstAsks.find(process);
+    const bool isFirst = known == mFirstAsks.end() ||
+                         !isOpen(process, known->second, aNow) ||
+                         isBefore(ask, known->second);
+    if (isFirst && isOpen(process, ask, aNow)) {
+      mFirstAsks[process] = ask;
+    }
+  }
+}
+
 void
 UpstreamNotices::expire(base::TimePoint aNow)
 {
+  std::erase_if(mFirstAsks, [this, aNow](const auto& aItem) {
+    return !isOpen(aItem.first, aItem.second, aNow);
+  });
   std::erase_if(mStatements, [aNow](const auto& aItem) {
     return aNow - aItem.second.at > kNoticeLifetime;
   });
--- a/libs/dispatch/upstream_notices.h
+++ b/libs/dispatch/upstream_notices.h
@@ -35,9 +35,10 @@
  * admits requests with a probability at which those that all VMs admit during
  * that delay fit into what is left, also if demand begins at all of them at the
  * same moment. VMs tell each other when an upstream last spoke of its limit,
- * and whether the limit has ended. While nobody has asked it for some time, one
- * more request is let through, because only an answer shows that a limit has
- * ended.
+ * and whether the limit has ended. Only an answer shows that it has. So when
+ * nobody has asked the upstream for some time, VMs with a request offer to ask
+ * it, hold the request until they know each other's offers, and the first one
+ * sends it beyond the limit.
  */
 class UpstreamNotices
 {
@@ -92,6 +93,13 @@
   /** @param aNow time @return recent statements on limits, for the peers */
   peers::LimitStatements statements(base::TimePoint aNow) const;
 
+  /** @param aNow time @return known offers to ask, for the peers */
+  peers::LimitAsks asks(base::TimePoint aNow) const;
+
+  /** Adds the peers' offers to ask. @param aAsks from a peer
+   * @param aNow time */
+  void merge(const peers::LimitAsks& aAsks, base::TimePoint aNow);
+
   /** Adds what peers heard of limits. @param aStatements from a peer
    * @param aNow time @return upstreams whose limit has thereby ended here */
   std::vector<peers::ProcessTag> merge(
@@ -102,6 +110,12 @@
   void expire(base::TimePoint aNow);
 
 private:
+  /** An offer of this VM to ask for the limit. */
+  struct Offer
+  {
+    peers::LimitAsk ask;
+    base::TimePoint at{};
+  };
   struct State
   {
     std::optional<double> requestsPerSecond;
@@ -111,10 +125,12 @@
     std::optional<base::TimePoint> limitEndedAt;
     std::deque<base::TimePoint> sends; ///< within the window
     std::deque<base::TimePoint> wants; ///< requests that were to be sent
+    std::optional<Offer> offer;        ///< of this VM
   };
   /** A statement on a limit, by any VM. */
   struct Statement
   {
+    std::uint64_t number = 0;
     base::TimePoint at{};
     bool ended = false;
   };
@@ -123,9 +139,17 @@
                   double aPart,
                   double aChance,
                   base::TimePoint aNow) const;
-  bool asksAgain(peers::ProcessTag aProcess,
-                 const State& aState,
-                 base::TimePoint aNow) const;
+  bool offerToAsk(peers::ProcessTag aProcess,
+                  State& aState,
+                  const peers::LimitUse& aPeers,
+                  double aChance,
+                  base::TimePoint aNow);
+  bool mayAsk(peers::ProcessTag aProcess,
+              const State& aState,
+              base::TimePoint aNow) const;
+  bool isOpen(peers::ProcessTag aProcess,
+              const peers::LimitAsk& aAsk,
+              base::TimePoint aNow) const;
   static void endLimit(State& aState, base::TimePoint aNow);
   static base::Duration window(const State& aState);
   static void dropExpired(State& aState, base::TimePoint aNow);
@@ -134,6 +158,7 @@
   std::size_t mVms = 1;
   std::map<peers::ProcessTag, State> mStates;
   std::map<peers::ProcessTag, Statement> mStatements; ///< the latest known
+  peers::LimitAsks mFirstAsks;                        ///< the first known
 };
 
 } // namespace marigold::dispatch
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -94,23 +94,26 @@
   return crashes;
 }
 
+base::Duration
+decodeAge(const json& aJson)
+{
+  return std::chrono::milliseconds(
+    std::max<std::int64_t>(0, aJson.get<std::int64_t>()));
+}
+
 CrashTable
 decodeCrashes(const json& aJson)
 {
   CrashTable crashes;
-  const auto age = [](const json& aValue) {
-    return std::chrono::milliseconds(
-      std::max<std::int64_t>(0, aValue.get<std::int64_t>()));
-  };
   for (const json& row : aJson) {
     CrashEvidence& evidence = crashes[row.at(0)];
-    evidence.age = age(row.at(1));
+    evidence.age = decodeAge(row.at(1));
     evidence.suspects = row.at(2).get<std::set<TraitSet>>();
     evidence.cleared = row.at(3).get<TraitSet>();
     // VMs of earlier versions do not send it.
     if (row.size() > 4) {
       for (const json& tried : row.at(4)) {
-        evidence.trials[tried.at(0)] = { tried.at(1), age(tried.at(2)) };
+        evidence.trials[tried.at(0)] = { tried.at(1), decodeAge(tried.at(2)) };
       }
     }
   }
@@ -122,8 +125,10 @@
 {
   json statements = json::array();
   for (const auto& [tag, statement] : aStatements) {
-    statements.push_back(json::array(
-      { tag, base::inMilliseconds(statement.age), statement.ended }));
+    statements.push_back(json::array({ tag,
+                                       base::inMilliseconds(statement.age),
+                                       statement.ended,
+                                       statement.number }));
   }
   return statements;
 }
@@ -133,13 +138,35 @@
 {
   LimitStatements statements;
   for (const json& row : aJson) {
-    statements[row.at(0)] = { std::chrono::milliseconds(std::max<std::int64_t>(
-                                0, row.at(1).get<std::int64_t>())),
-                              row.at(2).get<bool>() };
+    LimitStatement& statement = statements[row.at(0)];
+    statement.age = decodeAge(row.at(1));
+    statement.ended = row.at(2).get<bool>();
+    // VMs of earlier versions do not send it.
+    statement.number = row.size() > 3 ? row.at(3).get<std::uint64_t>() : 0;
   }
   return statements;
 }
 
+json
+encodeAsks(const LimitAsks& aAsks)
+{
+  json asks = json::array();
+  for (const auto& [tag, ask] : aAsks) {
+    asks.push_back(json::array({ tag, ask.statement, ask.silence.count() }));
+  }
+  return asks;
+}
+
+LimitAsks
+decodeAsks(const json& aJson)
+{
+  LimitAsks asks;
+  for (const json& row : aJson) {
+    asks[row.at(0)] = { row.at(1), base::Duration(row.at(2)) };
+  }
+  return asks;
+}
+
 LoadTable
 decodeLoads(const json& aJson)
 {
@@ -180,7 +207,8 @@
                        encodeDemand(aStatus.demand),
                        encodeCrashes(aStatus.crashes),
                        aStatus.drainingUpstreams,
-                       encodeStatements(aStatus.limitStatements) });
+                       encodeStatements(aStatus.limitStatements),
+                       encodeAsks(aStatus.limitAsks) });
 }
 
 Status
@@ -202,10 +230,13 @@
   status.demand = decodeDemand(next());
   status.crashes = decodeCrashes(next());
   status.drainingUpstreams = next().get<std::map<std::string, std::uint32_t>>();
-  // VMs of earlier versions do not send it.
+  // VMs of earlier versions do not send these.
   if (field < aBody.size()) {
     status.limitStatements = decodeStatements(next());
   }
+  if (field < aBody.size()) {
+    status.limitAsks = decodeAsks(next());
+  }
   return status;
 }
 
@@ -232,7 +263,8 @@
                        encodeCrashes(aSummary.crashes),
                        aSummary.drainingUpstreams,
                        aSummary.complete,
-                       encodeStatements(aSummary.limitStatements) });
+                       encodeStatements(aSummary.limitStatements),
+                       encodeAsks(aSummary.limitAsks) });
 }
 
 Summary
@@ -263,6 +295,9 @@
   if (field < aBody.size()) {
     summary.limitStatements = decodeStatements(next());
   }
+  if (field < aBody.size()) {
+    summary.limitAsks = decodeAsks(next());
+  }
   return summary;
 }
 
--- a/libs/peers/messages.h
+++ b/libs/peers/messages.h
@@ -26,6 +26,9 @@
  * tells peers of the end of a limit, never of a limit. */
 struct LimitStatement
 {
+  /** Higher than those of all statements that its VM knew before, so that none
+   * is taken for a later one when it comes back from a peer. */
+  std::uint64_t number = 0;
   base::Duration age{};
   bool ended = false; ///< the upstream named a limit before, and none now
 
@@ -34,6 +37,17 @@
 
 using LimitStatements = std::map<ProcessTag, LimitStatement>;
 
+/** A VM's offer to ask a limited upstream whether its limit has ended. */
+struct LimitAsk
+{
+  std::uint64_t statement = 0; ///< number of the latest known statement
+  base::Duration silence{};    ///< since then; the VM that offers first asks
+
+  bool operator==(const LimitAsk&) const = default;
+};
+
+using LimitAsks = std::map<ProcessTag, LimitAsk>;
+
 /** Load of one upstream. */
 struct UpstreamLoad
 {
@@ -82,6 +96,7 @@
   /** Upstreams that accept no new requests, with a tag of their process. */
   std::map<base::UpstreamName, std::uint32_t> drainingUpstreams;
   LimitStatements limitStatements;
+  LimitAsks limitAsks;
 };
 
 /** A VM in the summary of its data centre. */
@@ -112,6 +127,7 @@
   bool complete = false; ///< members have their totals of all teams
   /** Of the relay, which merges those of its peers. */
   LimitStatements limitStatements;
+  LimitAsks limitAsks; ///< likewise
 };
 
 /** Placement on one engine that its upstream record does not show. */
--- a/libs/peers/summary_builder.cpp
+++ b/libs/peers/summary_builder.cpp
@@ -70,6 +70,7 @@
   summary.levels = aOwn.levels;
   summary.crashes = aOwn.crashes;
   summary.limitStatements = aOwn.limitStatements;
+  summary.limitAsks = aOwn.limitAsks;
   summary.complete = full;
   add(aOwn, full, aRepeatTime, aNow, summary);
   for (const auto& [vm, entry] : aTable.statuses()) {
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -27,7 +27,8 @@
     250ms, { { 4, 7 }, { 6 } }, { 8 }, { { 4, { 1, 3s } } }
   };
   status.drainingUpstreams["u2"] = 9;
-  status.limitStatements[33] = { 700ms, true };
+  status.limitStatements[33] = { 3, 700ms, true };
+  status.limitAsks[35] = { 5, 1300ms };
   status.unregistered = { "vm9" };
   return status;
 }
@@ -46,7 +47,8 @@
   summary.demand["m"] = { 50, 2, 1 };
   summary.crashes[32] = { 1s, { { 2 } }, {}, {} };
   summary.drainingUpstreams["u3"] = 2;
-  summary.limitStatements[34] = { 1200ms, false };
+  summary.limitStatements[34] = { 8, 1200ms, false };
+  summary.limitAsks[36] = { 6, 1400ms };
   summary.unregistered = { "vm8" };
   summary.complete = true;
   return summary;
@@ -78,6 +80,7 @@
   CHECK(status.crashes == sampleStatus(3).crashes);
   LONGS_EQUAL(9, status.drainingUpstreams.at("u2"));
   CHECK(status.limitStatements == sampleStatus(3).limitStatements);
+  CHECK(status.limitAsks == sampleStatus(3).limitAsks);
   STRCMP_EQUAL("vm9", status.unregistered.at(0).c_str());
 }
 
@@ -100,6 +103,7 @@
   CHECK(summary.crashes == sampleSummary("r", 8, 6).crashes);
   LONGS_EQUAL(2, summary.drainingUpstreams.at("u3"));
   CHECK(summary.limitStatements == sampleSummary("r", 8, 6).limitStatements);
+  CHECK(summary.limitAsks == sampleSummary("r", 8, 6).limitAsks);
   STRCMP_EQUAL("vm8", summary.unregistered.at(0).c_str());
   CHECK(summary.complete);
 }
@@ -216,6 +220,7 @@
   LONGS_EQUAL(6, summary.demand.at("m/a1").waiting);
   CHECK(summary.crashes == sampleStatus(3).crashes);
   CHECK(summary.limitStatements == sampleStatus(3).limitStatements);
+  CHECK(summary.limitAsks == sampleStatus(3).limitAsks);
   LONGS_EQUAL(1, summary.unregistered.size());
 }
 
