Admit the first requests of a new demand in their order

Cause: a request that was held for the report delay knows only of those before it. The k-th one was admitted with a chance of about 1/k, so the sum grows with the logarithm of the demand and has a long tail.

Now such a request is admitted if not more came before it than the limit allows in its window, without chance; one that is already known to come later is refused at once.

--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -1267,6 +1267,24 @@
   }
 }
 
+// The same with other random numbers. Guards against requests that are each
+// admitted by chance because they know only of those before them.
+TEST(NamedLimit, FleetKeepsTheLimitWhenDemandBeginsOnAllSeeds)
+{
+  for (const double limit : { 1.0, 3.0 }) {
+    for (seed = 0; seed < 24; ++seed) {
+      play(
+        82,
+        limit,
+        [](base::Duration aPassed) {
+          return aPassed % base::Duration(12s) < 4s ? 100 : 0;
+        },
+        false);
+      CHECK(static_cast<double>(mostInAWindow()) <= 1.5 * limit * 4 + 5);
+    }
+  }
+}
+
 // The same beside a few requests that go on all the time.
 TEST(NamedLimit, FleetKeepsTheLimitWhenDemandJumps)
 {
--- a/libs/dispatch/upstream_notices.cpp
+++ b/libs/dispatch/upstream_notices.cpp
@@ -169,7 +169,7 @@
   auto admission =
     left < 1 - kTolerance
       ? Admission::LimitReached
-      : admit(state, aPeers, left * kAdmittedPart, aChance, aNow);
+      : admit(state, aPeers, left * kAdmittedPart, aChance, aNow, aRepeated);
   if (admission != Admission::Admitted && left > 1 - kMaxAsks - kTolerance) {
     if (aRepeated && mayAsk(aProcess, state, aNow)) {
       admission = Admission::Admitted;
@@ -259,7 +259,8 @@
                        const peers::LimitUse& aPeers,
                        double aPart,
                        double aChance,
-                       base::TimePoint aNow) const
+                       base::TimePoint aNow,
+                       bool aRepeated) const
 {
   const double newWants = countSince(aState.wants, aNow - mReportDelay);
   const double newSends = countSince(aState.sends, aNow - mReportDelay);
@@ -273,6 +274,10 @@
   if (aPeers.wants == 0) {
     return Admission::Admitted;
   }
+  if (const auto admission =
+        admitInOrder(aState, aPeers, reportedWants, aNow, aRepeated)) {
+    return *admission;
+  }
   const double competing = std::max(newWants, 1.0) + aPeers.recentWants;
   const double share = aPart * reportedWants / (reportedWants + aPeers.wants);
   const bool admitted =
@@ -280,6 +285,34 @@
   return admitted ? Admission::Admitted : Admission::LimitReached;
 }
 
+/** Admits the first requests of a demand that has just begun everywhere. The
+ * number of those that compete is not known yet, but a request that was held
+ * for the report delay knows how many came before it.
+ * @return nothing if the demand has lasted longer */
+std::optional<Admission>
+UpstreamNotices::admitInOrder(const State& aState,
+                              const peers::LimitUse& aPeers,
+                              double aReportedWants,
+                              base::TimePoint aNow,
+                              bool aRepeated) const
+{
+  const double wants = static_cast<double>(aState.wants.size());
+  const bool hasJustBegun =
+    aPeers.wants <= aPeers.recentWants &&
+    countSince(aState.wants, aNow - 2 * mReportDelay) == wants;
+  if (!hasJustBegun) {
+    return std::nullopt;
+  }
+  const double allowed = effectiveLimit(*aState.requestsPerSecond) *
+                           base::inSeconds(window(aState)) +
+                         kTolerance;
+  const double position = aPeers.wants + (aRepeated ? aReportedWants : wants);
+  if (position > allowed) {
+    return Admission::LimitReached;
+  }
+  return aRepeated ? Admission::Admitted : Admission::AskAgain;
+}
+
 peers::LimitUse
 UpstreamNotices::use(peers::ProcessTag aProcess, base::TimePoint aNow)
 {
--- a/libs/dispatch/upstream_notices.h
+++ b/libs/dispatch/upstream_notices.h
@@ -138,7 +138,13 @@
                   const peers::LimitUse& aPeers,
                   double aPart,
                   double aChance,
-                  base::TimePoint aNow) const;
+                  base::TimePoint aNow,
+                  bool aRepeated) const;
+  std::optional<Admission> admitInOrder(const State& aState,
+                                        const peers::LimitUse& aPeers,
+                                        double aReportedWants,
+                                        base::TimePoint aNow,
+                                        bool aRepeated) const;
   bool offerToAsk(peers::ProcessTag aProcess,
                   State& aState,
                   const peers::LimitUse& aPeers,
