Replace an ownership of orders that cannot be read

What happened: a record of another writer in place of the ownership counted as one of another VM until somebody removed it, so no VM ordered. Found by reading.

Whoever wrote it may be a holder. Another record that cannot be read begins the pause anew. A record that can be read, but names a VM that does not exist, still holds the ownership; it is bound to its lease if one of ours wrote it.

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -102,6 +102,7 @@
 {
   mClaimsFrom = base::monotonicNow() + kOwnershipTerm;
   mOwnershipFreeAt = mClaimsFrom;
+  mUnreadableRevision = 0;
   mOwnershipLease.clear();
   mOwner.reset();
   mRegistrationAt = {};
@@ -233,11 +234,17 @@
     [&] { return decodeOwnership(*aEntry.value, aEntry.revision); });
   Ownership owner;
   if (const base::Error* error = base::errorOf(decoded)) {
-    // The key is taken, so no VM may order until it is removed.
+    // Whoever wrote it may order until the pause between two owners is over.
     observe::logWarn("invalid order ownership",
-                     { { "error", error->message } });
+                     { { "error", error->message },
+                       { "revision", std::to_string(aEntry.revision) } });
     owner.era = mClient.era();
     owner.revision = aEntry.revision;
+    owner.readable = false;
+    if (aEntry.revision != mUnreadableRevision) {
+      mUnreadableRevision = aEntry.revision;
+      mOwnershipFreeAt = base::monotonicNow() + mSettings.orderPause;
+    }
   } else {
     owner = std::get<Ownership>(decoded);
   }
@@ -302,6 +309,17 @@
   return (mClient.era() << kRevisionBits) + aRevision;
 }
 
+/** @return true if the ownership is free, or its record may be replaced */
+bool
+Fleet::mayClaim(base::TimePoint aNow) const
+{
+  if (!mOwner || isFromEarlierEra(*mOwner)) {
+    return aNow >= mClaimsFrom;
+  }
+  return mOwner->readable ? isFormerProcess(*mOwner)
+                          : aNow >= std::max(mClaimsFrom, mOwnershipFreeAt);
+}
+
 residency::OrderOwnership
 Fleet::orderOwnership() const
 {
@@ -356,7 +374,7 @@
   if (mRegistrationRevision == 0) {
     writeRegistration();
   }
-  const bool isFree = !mOwner || isFromEarlierEra(*mOwner);
+  const bool isFree = !mOwner || isFromEarlierEra(*mOwner) || !mOwner->readable;
   const bool mustWait =
     isFree && now < mOwnershipFreeAt + kClaimStagger * claimRank();
   if (!mustWait) {
@@ -426,11 +444,8 @@
 Fleet::claimOwnership()
 {
   const bool outdated = mOwner && isFromEarlierEra(*mOwner);
-  const bool isFree = !mOwner || outdated;
-  const bool claimable =
-    isFree ? base::monotonicNow() >= mClaimsFrom : isFormerProcess(*mOwner);
-  if (mClaimCallPending || !mClaimsEnabled || !mSynced || !claimable ||
-      mRegistrationRevision == 0) {
+  if (mClaimCallPending || !mClaimsEnabled || !mSynced ||
+      !mayClaim(base::monotonicNow()) || mRegistrationRevision == 0) {
     return;
   }
   if (!mOwnerLease.validFor(base::monotonicNow(), kOwnershipRenewal)) {
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -30,6 +30,7 @@
   platform::Revision revision = 0; ///< of the ownership key
   std::uint64_t fencingToken = 0;  ///< rises with each ownership
   bool settled = false; ///< the pause after the previous owner's orders is over
+  bool readable = true; ///< false for a record that another writer left
 };
 
 /**
@@ -38,7 +39,8 @@
  * has a shorter lease of its own, so that another VM soon takes over from an
  * owner that failed, while the fleet need not renew all registrations as often.
  * If the process of the owner is killed, the VM's next one takes the ownership
- * over without waiting for the end of the lease.
+ * over without waiting for the end of the lease. A record of the ownership that
+ * can't be read is replaced after the pause between two owners.
  * The store removes a key when its lease ends.
  */
 class Fleet
@@ -134,6 +136,7 @@
   bool isFromEarlierEra(const Ownership& aOwner) const;
   bool isOwnRecord(const Ownership& aOwner) const;
   bool isOwnedByOther(const Ownership& aOwner) const;
+  bool mayClaim(base::TimePoint aNow) const;
   std::uint64_t fenceAt(platform::Revision aRevision) const;
   residency::OrderOwnership orderOwnership() const;
   std::size_t claimRank() const;
@@ -157,6 +160,7 @@
   base::TimePoint mOwnedSince{};
   bool mSucceededItself = false; ///< took over from this VM's former process
   base::TimePoint mOwnershipFreeAt{};
+  platform::Revision mUnreadableRevision = 0; ///< of the latest such ownership
   /** No claims of a free ownership before, because its owner may not know yet
    * that the store has forgotten it. */
   base::TimePoint mClaimsFrom{};
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -351,6 +351,25 @@
         self.assertIsNone(gateway.child.poll(), gateway.log()[-2000:])
         self.assertEqual(200, gateway.call("/again/x")[0])
 
+    def test_unreadable_ownership_of_orders_is_replaced_after_the_pause(self):
+        """Guards against a fleet without orders for as long as a record that another writer left in place of the
+        ownership exists."""
+        self.start()
+        wait_for(lambda: any(engine.order_log for engine in self.engines), 12)  # the model that nobody holds
+        last_fence = max(row[2] for engine in self.engines for row in engine.order_log)
+        self.platform.change(self.platform.store.put, "marigold/order-owner", b"[]")
+        written = time.monotonic()
+        time.sleep(0.5)  # the former owner has heard of it
+        before = [len(engine.order_log) for engine in self.engines]
+        for engine in self.engines:
+            self.platform.change(engine.restart_empty, self.platform.store)
+
+        def later_orders():
+            return [row for engine, count in zip(self.engines, before) for row in engine.order_log[count:]]
+        wait_for(later_orders, 3 * ORDER_PAUSE + 2)
+        self.assertGreaterEqual(min(row[0] for row in later_orders()) - written, ORDER_PAUSE)
+        self.assertGreater(min(row[2] for row in later_orders()), last_fence)
+
     def test_missing_adapter_is_loaded_while_its_request_waits(self):
         wait_for(lambda: any(e.order_log for e in self.engines), 12)  # the order owner loads the absent model m2
         status, body, _ = self.gateways[0].call("/chat/x", headers={**self.CHAT, "X-Model-Name": "m1/a1"})
--- a/tests/e2e/test_restored_store.py
+++ b/tests/e2e/test_restored_store.py
@@ -134,7 +134,7 @@
         self.restore()
         restored = time.monotonic()
         for engine in self.engines:
-            self.platform.change(self.restart_empty, engine)
+            self.platform.change(engine.restart_empty, self.store)
         self.want_adapters_until(lambda: time.monotonic() > restored + 9, 20)
         self.assertTrue(any(row[0] > restored + ORDER_PAUSE for row in self.orders()))
         for engine in self.engines:
@@ -153,7 +153,7 @@
         self.restore()
         restored = time.monotonic()
         for engine in self.engines:
-            self.platform.change(self.restart_empty, engine)
+            self.platform.change(engine.restart_empty, self.store)
         self.want_adapters_until(lambda: time.monotonic() > restored + 6, 10)
         self.assertEqual([], [row for row in self.orders() if row[0] > restored + LEASE_SECONDS])
 
@@ -180,13 +180,6 @@
         for lease, (until, ttl) in leases.items():
             leases[lease] = (until + 60, ttl)
 
-    def restart_empty(self, engine):
-        """Gives the owner something to order."""
-        engine.born += 1
-        engine.orders = 0
-        engine.models = {"m1": set()}
-        self.store.put("servers/" + engine.name, engine.record())
-
     def orders(self):
         return [row for engine in self.engines for row in engine.order_log]
 
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -311,6 +311,13 @@
         for writer in self.writers:
             writer.transport.abort()
 
+    def restart_empty(self, store):
+        """Restarts with a single model, which gives the owner of orders something to order."""
+        self.born += 1
+        self.orders = 0
+        self.models = {"m1": set()}
+        store.put("servers/" + self.name, self.record())
+
     def order(self, order):
         self.order_log.append((time.monotonic(), order["holder"], order["fencing_token"],
                                order["operation"], order["model"], order.get("adapter")))
