List the keys at a relay when the store turns this VM away

What happened: after the store had been restored from a copy, a VM that the store did not serve got "gone" from its relay, which is of the new era, and then listed at the store only. It learned of no upstream until the store served it again. Found by reading.

A list that fails at the store is now read from the relay, which serves its mirror (GET /v1/kv) under the same conditions as changes. An era that a relay names and the store has not named yet counts as named by the store: the VM gives up its leases and all its watches list again, as after its own answer.

Not covered: a VM whose copy does not list its relay (the relay registered after the copy) finds no relay until it reaches the store.

Its VMs have a port of the store each now, so that one can be cut off; a test that cut the port of all cuts all ports.

--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -155,22 +155,66 @@
                  }
                  if (const base::Error* error = base::errorOf(aResult)) {
                    recordFailure(*error);
-                   schedule(mStoreCallAt - base::monotonicNow(),
-                            &PrefixWatch::list);
+                   retryList();
                    return;
                  }
-                 const auto& snapshot = std::get<platform::Snapshot>(aResult);
-                 mRevision = snapshot.revision;
-                 mLastFromStore = true;
-                 recordSuccess();
-                 mMirror.replace(snapshot);
-                 mMirrorChanged.emit();
-                 mCallbacks.snapshot(snapshot);
-                 mSpreadPending = mSpreadsWaits;
-                 wait();
+                 onList(std::get<platform::Snapshot>(aResult), false);
                });
 }
 
+/** Lists at a relay, if there is one, because the store may turn away this VM
+ * only; else at the store after a delay. */
+void
+PrefixWatch::retryList()
+{
+  if (platform::Client* relay = mRelays.relay ? mRelays.relay() : nullptr) {
+    listAt(*relay);
+    return;
+  }
+  schedule(mStoreCallAt - base::monotonicNow(), &PrefixWatch::list);
+}
+
+void
+PrefixWatch::listAt(platform::Client& aRelay)
+{
+  aRelay.list(
+    mPrefix,
+    [this, &aRelay, generation = mGeneration](
+      const base::Captured<platform::Snapshot>& aResult) {
+      if (generation != mGeneration) {
+        return;
+      }
+      const auto* snapshot = std::get_if<platform::Snapshot>(&aResult);
+      if (snapshot == nullptr || snapshot->era < mClient.era()) {
+        mRelays.failed(aRelay);
+        retryList();
+        return;
+      }
+      if (snapshot->era > mClient.era()) {
+        mClient.learnEra(snapshot->era); // Makes all watches list again.
+        return;
+      }
+      observe::logInfo("store's keys listed at a relay",
+                       { { "prefix", mPrefix },
+                         { "era", std::to_string(snapshot->era) },
+                         { "revision", std::to_string(snapshot->revision) } });
+      onList(*snapshot, true);
+    });
+}
+
+void
+PrefixWatch::onList(const platform::Snapshot& aSnapshot, bool aFromRelay)
+{
+  mRevision = aSnapshot.revision;
+  mLastFromStore = !aFromRelay;
+  recordSuccess();
+  mMirror.replace(aSnapshot);
+  mMirrorChanged.emit();
+  mCallbacks.snapshot(aSnapshot);
+  mSpreadPending = mSpreadsWaits;
+  wait();
+}
+
 base::Duration
 PrefixWatch::waitLimit(bool aFromRelay)
 {
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -37,7 +37,8 @@
 };
 
 /** Lists all keys, then waits for changes by long polling. Lists again if the
- * store's history was compacted, or was replaced by that of an older copy. */
+ * store's history was compacted, or was replaced by that of an older copy; at a
+ * relay if the store turns this VM away. */
 class PrefixWatch
 {
 public:
@@ -93,6 +94,9 @@
 
 private:
   void list();
+  void listAt(platform::Client& aRelay);
+  void retryList();
+  void onList(const platform::Snapshot& aSnapshot, bool aFromRelay);
   void wait();
   void onRestored();
   void onSilence(base::TimePoint aSince);
--- a/apps/gateway/watch_relay.cpp
+++ b/apps/gateway/watch_relay.cpp
@@ -30,6 +30,16 @@
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
 
+http::Response
+snapshotAnswer(const platform::Snapshot& aSnapshot)
+{
+  http::Response response =
+    observe::jsonAnswer(kOk, platform::encodeSnapshot(aSnapshot));
+  response.headers.emplace_back(platform::kEraHeader,
+                                std::to_string(aSnapshot.era));
+  return response;
+}
+
 } // namespace
 
 WatchRelay::WatchRelay(http::Loop& aLoop,
@@ -49,6 +59,13 @@
            const std::shared_ptr<http::Responder>& aResponder) {
       serve(aRequest, aResponder);
     });
+  aServer.addHandler(
+    "GET",
+    "/v1/kv",
+    [this](const http::Request& aRequest,
+           const std::shared_ptr<http::Responder>& aResponder) {
+      serveList(aRequest, *aResponder);
+    });
 }
 
 void
@@ -152,6 +169,23 @@
   });
 }
 
+/** Lists all keys, for readers that have lost the history. */
+void
+WatchRelay::serveList(const http::Request& aRequest,
+                      http::Responder& aResponder)
+{
+  const auto watch = mWatches.find(http::queryValue(aRequest.query, "prefix"));
+  if (watch == mWatches.end()) {
+    aResponder.reply({ kBadRequest, {}, "" });
+    return;
+  }
+  if (!isCurrent(*watch->second)) {
+    aResponder.reply({ kUnavailable, {}, "" });
+    return;
+  }
+  aResponder.reply(snapshotAnswer(watch->second->mirror().all()));
+}
+
 bool
 WatchRelay::tryReply(Reader& aReader, bool aTimedOut)
 {
@@ -175,11 +209,7 @@
   if (changes->entries.empty() && !aTimedOut) {
     return false;
   }
-  http::Response response =
-    observe::jsonAnswer(kOk, platform::encodeSnapshot(*changes));
-  response.headers.emplace_back(platform::kEraHeader,
-                                std::to_string(changes->era));
-  aReader.responder->reply(response);
+  aReader.responder->reply(snapshotAnswer(*changes));
   return true;
 }
 
--- a/apps/gateway/watch_relay.h
+++ b/apps/gateway/watch_relay.h
@@ -50,6 +50,7 @@
   bool isCurrent(const PrefixWatch& aWatch) const;
   void serve(const http::Request& aRequest,
              const std::shared_ptr<http::Responder>& aResponder);
+  void serveList(const http::Request& aRequest, http::Responder& aResponder);
   bool tryReply(Reader& aReader, bool aTimedOut);
   void onChanged(const PrefixWatch& aWatch);
 
--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -209,12 +209,18 @@
   if (!era) {
     return true;
   }
+  learnEra(*era);
+  return *era == mEra;
+}
+
+void
+Client::learnEra(Era aEra)
+{
   const auto previous = mEra;
-  mEra = std::max(*era, previous.value_or(0));
-  if (previous && *era > *previous) {
+  mEra = std::max(aEra, previous.value_or(0));
+  if (previous && aEra > *previous) {
     mRestored.emit();
   }
-  return *era == mEra;
 }
 
 void
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -143,6 +143,10 @@
    * @param aActive true to start the outage, false to end it */
   void simulateOutage(bool aActive) { mOutageSimulated = aActive; }
 
+  /** Records an era that another VM has learned from the store, as an answer
+   * would. @param aEra era */
+  void learnEra(Era aEra);
+
   /** @return the latest era that an answer named, 0 if none did */
   Era era() const { return mEra.value_or(0); }
 
--- a/tests/e2e/test_restored_store.py
+++ b/tests/e2e/test_restored_store.py
@@ -25,14 +25,17 @@
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform()
         self.store = self.platform.store
-        self.platform.serve_store(BASE_PORT + 90)
+        self.store_ports = [BASE_PORT + 90 + n for n in range(3)]
+        for port in self.store_ports:
+            self.platform.serve_store(port)
         self.desks = [Upstream(f"desk{n}", BASE_PORT + 60 + n, "desk") for n in (0, 1)]
         self.engines = [Upstream(f"engine{n}", BASE_PORT + 70 + n, "llm", ["m1"]) for n in (0, 1)]
         self.platform.publish(1, ["k1", "k2"], ROUTES)
         for upstream in self.desks + self.engines:
             self.platform.serve_upstream(upstream)
         # Three VMs of one data centre: at least one of them follows the store through another one.
-        self.gateways = [Gateway(n, self.folder.name, BASE_PORT + 10 * n, BASE_PORT + 90) for n in range(3)]
+        self.gateways = [Gateway(n, self.folder.name, BASE_PORT + 10 * n, port)
+                         for n, port in enumerate(self.store_ports)]
         for gateway in self.gateways:
             wait_for(gateway.ready)
         wait_for(lambda: all(gateway.log().count("registered") for gateway in self.gateways))
@@ -88,6 +91,21 @@
                 self.assertEqual(200, gateway.call("/again/x")[0])
         self.assertEqual(before, len(leaving.seen))
 
+    def test_vm_that_the_store_turns_away_after_the_restoration_learns_of_upstreams(self):
+        """Guards against a VM without changes of upstreams, because its relay has not the history that it knows and
+        the store does not serve it."""
+        self.platform.change(self.store.take_copy)
+        self.write_much()
+        number = next(n for n, port in enumerate(self.store_ports) if not self.store.open_watches.get(port))
+        self.store.severed_ports.add(self.store_ports[number])
+        self.restore()
+        added = Upstream("desk2", BASE_PORT + 62, "desk")
+        self.platform.serve_upstream(added)
+        time.sleep(APPLY_SECONDS)
+        for _ in range(30):
+            self.assertEqual(200, self.gateways[number].call("/again/x")[0])
+        self.assertTrue(added.seen)
+
     def test_upstream_that_has_left_does_not_come_back_with_the_copy(self):
         """Guards against requests to an address of the copy that nobody or somebody else has now."""
         left = self.lose_the_end_of_an_upstream()
@@ -97,7 +115,7 @@
         """Guards against a list that brings back an upstream of the copy whose record has not expired yet."""
         left = self.lose_the_end_of_an_upstream()
         time.sleep(RECORD_RETURN_SECONDS + 0.5)
-        self.store.severed_ports.add(BASE_PORT + 90)
+        self.store.severed_ports.update(self.store_ports)
         time.sleep(0.3)
         self.store.severed_ports.clear()
         self.assert_no_requests(left, 1.5)
