Return units to peers that were refunded after a report

What callers saw: units of a request that was refused some time after it was charged came back at its VM only, because reported usage never decreases. The peers counted them as used and refused requests of the team within its limit.

The VM now does not report its next admissions up to what was refunded, which gives peers the units back. Peers whose bucket has filled up meanwhile have them already, so what does not fit into the own bucket is taken off; likewise all of it while a peer is unreachable, as the level on the other side cannot be told then. New VMs get the level that peers have.

A comment in RefundBeforeAReportIsNeverReported is corrected, its checks are as before.

--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -184,6 +184,10 @@
     const double overflow = std::min(added, filled - bucket.level);
     const double maxBorrow =
       bucket.limit.rate * share * base::inSeconds(mWindow);
+    // Peers that hold less had room for what did not fit here. If some are
+    // unreachable, the others' levels cannot be told.
+    bucket.unreportedRefund =
+      share < 1 ? 0 : std::max(0.0, bucket.unreportedRefund - overflow);
     bucket.borrowable = isolated && !suspended
                           ? std::min(maxBorrow, bucket.borrowable + overflow)
                           : 0;
@@ -264,7 +268,9 @@
   bucket.level -= aCost;
   bucket.deltas.back().ownUsage += aCost;
   bucket.borrowable = aCost > 0 ? 0 : bucket.borrowable;
-  mUsage[aTeam] += aCost;
+  const double refunded = std::min(bucket.unreportedRefund, aCost);
+  bucket.unreportedRefund -= refunded;
+  mUsage[aTeam] += aCost - refunded;
   return {};
 }
 
@@ -293,10 +299,14 @@
   // Reported usage never decreases: a peer could not tell a smaller total from
   // a late report.
   double& usage = mUsage[aTeam];
-  usage = std::max(usage - aCost, mReported[aTeam]);
+  const double unreported = std::min(aCost, usage - mReported[aTeam]);
+  usage -= unreported;
   Bucket& bucket = found->second;
   const double level = std::min(bucket.limit.burst, bucket.level + aCost);
-  bucket.deltas.back().ownUsage -= level - bucket.level;
+  const double gain = level - bucket.level;
+  bucket.unreportedRefund =
+    std::max(0.0, bucket.unreportedRefund + gain - unreported);
+  bucket.deltas.back().ownUsage -= gain;
   bucket.level = level;
 }
 
@@ -399,8 +409,9 @@
     return levels;
   }
   for (const auto& [team, bucket] : mBuckets) {
-    if (bucket.level > 0) {
-      levels[team] = bucket.level;
+    const double level = bucket.level - bucket.unreportedRefund;
+    if (level > 0) {
+      levels[team] = level;
     }
   }
   return levels;
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -128,9 +128,9 @@
                  double aCost,
                  base::TimePoint aNow);
 
-  /** Returns the units of an admitted request that did not run. Peers get them
-   * back only if no report has contained them yet, which holds for a request
-   * that was refused at once.
+  /** Returns the units of an admitted request that did not run. If a report has
+   * contained them, peers get them back with the next admissions of this VM,
+   * which are not reported then.
    * @param aTeam team @param aCost units */
   void refund(const base::TeamName& aTeam, double aCost);
 
@@ -161,8 +161,9 @@
   Account account(const base::TeamName& aTeam) const;
 
   /** @param aNow time
-   * @return levels of all buckets, for VMs that have just started; empty while
-   * a registered peer is unreachable or this VM is itself warming up */
+   * @return levels of all buckets as peers know them, for VMs that have just
+   * started; empty while a registered peer is unreachable or this VM is itself
+   * warming up */
   Usage levels(base::TimePoint aNow) const;
 
   /**
@@ -202,6 +203,9 @@
     double peerUsage = 0; ///< units peers consumed in the current rate period
     double peerRate = 0;  ///< smoothed consumption of the peers, units/s
     double meanCost = 0;  ///< smoothed cost of all requests, in units
+    /** Refunded units that peers have heard of: their level is lower by them,
+     * until they are admitted again or their buckets are full. */
+    double unreportedRefund = 0;
     /** Refill of merged reserves that their own VMs had no room for. VMs of the
      * same side may have consumed it. */
     double surplus = 0;
--- a/libs/quota/tests/quota_tests.cpp
+++ b/libs/quota/tests/quota_tests.cpp
@@ -93,6 +93,13 @@
     return max;
   }
 
+  /** @param aVm VM @return level of its bucket now */
+  double level(std::size_t aVm)
+  {
+    quotas[aVm].admit("t", 0, now);
+    return quotas[aVm].level("t");
+  }
+
   /** @return all units admitted so far */
   double totalAdmitted() const
   {
@@ -465,12 +472,70 @@
   DOUBLES_EQUAL(0, quota.reportUsage().at("t"), 0.001);
   CHECK(quota.admit("t", 200, now + 20s).admitted);
   DOUBLES_EQUAL(200, quota.reportUsage().at("t"), 0.001);
-  // A later refund does not lower what peers have heard.
+  // Usage that peers have heard of is never lowered.
   quota.refund("t", 200);
   DOUBLES_EQUAL(200, quota.reportUsage().at("t"), 0.001);
   DOUBLES_EQUAL(1000, quota.level("t"), 0.001);
 }
 
+// A request is refused some time after it was charged, when a report has told
+// peers of its units. Guards against peers that never get them back and refuse
+// requests within the limit.
+TEST(Quota, UnitsRefundedAfterAReportComeBackToPeers)
+{
+  FleetModel fleet(2);
+  const std::vector<bool> none(2, false);
+  fleet.run(3s, none);
+  auto& own = fleet.quotas[0];
+  auto& peer = fleet.quotas[1];
+  CHECK(own.admit("t", 600, fleet.now).admitted);
+  fleet.run(50ms, none);
+  own.refund("t", 600);
+  DOUBLES_EQUAL(450, fleet.level(1), 30);
+  CHECK(own.admit("t", 400, fleet.now).admitted);
+  fleet.run(50ms, none);
+  DOUBLES_EQUAL(500, fleet.level(1), 30);
+  CHECK(own.admit("t", 400, fleet.now).admitted);
+  fleet.run(50ms, none);
+  DOUBLES_EQUAL(fleet.level(0), fleet.level(1), 30);
+  CHECK(!peer.admit("t", 400, fleet.now).admitted);
+}
+
+// Guards against units that come back twice: by the refund, and because the
+// peers' buckets are full again.
+TEST(Quota, RefundedUnitsThatPeersHaveRefilledAreReportedAgain)
+{
+  FleetModel fleet(2);
+  const std::vector<bool> none(2, false);
+  fleet.run(3s, none);
+  CHECK(fleet.quotas[0].admit("t", 600, fleet.now).admitted);
+  fleet.run(50ms, none);
+  fleet.quotas[0].refund("t", 600);
+  fleet.run(1s, none);
+  CHECK(fleet.quotas[0].admit("t", 600, fleet.now).admitted);
+  fleet.run(50ms, none);
+  DOUBLES_EQUAL(450, fleet.level(1), 30);
+}
+
+// Requests are charged, reported and refunded while the team floods all VMs.
+// Guards against refunds that let a team exceed its limit.
+TEST(Quota, FloodWithLateRefundsStaysWithinRateAndBurst)
+{
+  FleetModel fleet(6);
+  const std::vector<bool> none(6, false);
+  fleet.run(3s, none);
+  for (std::size_t round = 0; round < 60; ++round) {
+    auto& quota = fleet.quotas[round % 6];
+    const bool admitted = quota.admit("t", 300, fleet.now).admitted;
+    fleet.run(200ms, none);
+    if (admitted) {
+      quota.refund("t", 300);
+    }
+    fleet.run(300ms, std::vector<bool>(6, true));
+  }
+  CHECK(fleet.maxInWindow() <= kAllowedIn8s);
+}
+
 int
 main(int aCount, char** aValues)
 {
