Notice callers that leave while reading from them is paused

Before each write to an upstream the caller's socket is asked (first send, retry, resume, replacement, wait for a model, for reports of peers, for evidence of a crash, for a connection), and an end that the loop reports ends the call. One way is left: a caller with more than 64 KiB of further input behind its request. Reading from it is paused then, which hides the close, and its call runs on until it ends or the deadline.

Such a connection is now asked every 200 ms. Passing the close on through the loop would need the input to be read, which the pause is to bound.

--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -20,6 +20,8 @@
 constexpr base::Duration kOverdueGrace = 1s;
 /** Reading pauses above this much pipelined input during a request. */
 constexpr std::size_t kMaxPipelinedBytes = 64UL * 1024;
+/** Interval at which a connection is asked for its end while reading pauses. */
+constexpr base::Duration kPausedCheckPeriod = 200ms;
 /** Length of the listen queue. */
 constexpr int kBacklog = 512;
 
@@ -250,7 +252,9 @@
     return;
   }
   if (mCurrent.open) {
-    mTransport.pauseReading(mTransport.pendingInput() > kMaxPipelinedBytes);
+    if (mTransport.pendingInput() > kMaxPipelinedBytes) {
+      pauseInput();
+    }
     return;
   }
   const std::string_view input = mTransport.input();
@@ -282,6 +286,17 @@
   }
 }
 
+void
+CallerConnection::pauseInput()
+{
+  mTransport.pauseReading(true);
+  mPauseTimer = mServer.mLoop.every(kPausedCheckPeriod, [this] {
+    if (mTransport.peerClosed()) {
+      end(CallerEnd::ClosedByCaller);
+    }
+  });
+}
+
 bool
 CallerConnection::rejectInvalid()
 {
@@ -455,6 +470,7 @@
     return;
   }
   mParser.reset();
+  mPauseTimer.reset();
   mTransport.pauseReading(false);
   awaitNextRequest();
   if (mTransport.pendingInput() > 0) {
@@ -524,6 +540,7 @@
   // call stack.
   mTransport.setEvents({});
   mTimer.reset();
+  mPauseTimer.reset();
   const auto self = shared_from_this();
   mServer.mCallers.erase(self);
   mServer.mLoop.post([self] {});
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -146,6 +146,7 @@
   void beginRequest();
   void openRequest();
   void readInput();
+  void pauseInput();
   bool rejectInvalid();
   void rejectWith(int aStatus);
   bool acceptHeaders();
@@ -180,6 +181,8 @@
   std::size_t mUnansweredBytes = 0;   ///< consumed bytes without a response
   std::size_t mLastPendingOutput = 0; ///< bytes at the last check
   base::TimePoint mLastOutputProgress{};
+  /** Armed while reading is paused, because an end is not reported then. */
+  http::EventHandle mPauseTimer;
   bool mClosing = false;
 };
 
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -890,6 +890,33 @@
             wait_for(lambda: poll.poll(0)[0][1] & select.POLLERR, 1)
             connection.close()
 
+    def test_call_of_a_caller_that_left_behind_a_pipelined_request_is_reset(self):
+        """Guards against work for a caller that has left: the gateway has paused reading from it, because its next
+        request waits, and so does not see the close."""
+        self.platform.change(self.platform.store.remove, "servers/" + self.desks[1].name)
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((HOST, BASE_PORT + 80))
+            listener.listen(8)
+            self.desks[0].public_port = BASE_PORT + 80
+            self.platform.change(self.platform.store.put, "servers/desk0", self.desks[0].record())
+            time.sleep(0.5)
+            caller = socket.create_connection((HOST, self.gateways[0].port))
+            head = (b"POST /again/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+                    b"X-Request-Id: left%d\r\nX-Deadline-Ms: 3500\r\nContent-Length: %d\r\n\r\n")
+            caller.sendall(head % (1, 1) + b"x")
+            listener.settimeout(2)
+            connection = listener.accept()[0]
+            connection.settimeout(1)
+            self.assertTrue(connection.recv(4096))
+            caller.sendall(head % (2, 95_000) + b"x" * 95_000)
+            time.sleep(0.2)
+            caller.close()
+            poll = select.poll()
+            poll.register(connection, select.POLLIN)
+            wait_for(lambda: any(events & select.POLLERR for _, events in poll.poll(0)), 0.5)
+            connection.close()
+
     def test_clear_answers_to_malformed_requests(self):
         for raw, status in ((b"POST /again/x HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", b"400"),
                             (b"GET /again/x HTTP/1.1\r\nX: " + b"y" * 20000 + b"\r\n\r\n", b"431"),
