Bound the memory of all requests together

What could happen: each body, answer and unsent answer had its own bound, and nothing added them up. A process that exceeds the memory of its VM is killed, and all its requests end without an answer.

Now one budget per process (base::MemoryBudget, setting memory_mb: three quarters of the VM's memory) counts bodies of requests, from their head on, copies that an upstream has not read, answers that are held back and what callers have not read. What is under way is not cut: - a new body of more than 16 KiB that would fill two thirds of the budget is refused at once, 503 with Retry-After, before it is asked for or read: not run, as it was never passed on; - a request whose copy for the upstream does not fit waits before its send; - from half of the budget on, answers of more than 16 KiB are passed on as they arrive, and reading from an upstream pauses at 16 KiB of unsent answer instead of 256 KiB. Freed blocks of 128 KiB and more go back to the VM at once (mallopt): by default the allocator raises that size with the blocks it has seen.

--- a/apps/gateway/counted_buffer.h
+++ b/apps/gateway/counted_buffer.h
@@ -1,6 +1,8 @@
 /** @file Bytes held in memory that count towards a total of the process. */
 #pragma once
 
+#include "base/memory_budget.h"
+
 #include <string>
 #include <string_view>
 
@@ -10,9 +12,11 @@
 class CountedBuffer
 {
 public:
-  /** @param aTotal bytes of all buffers that share it */
-  explicit CountedBuffer(std::size_t& aTotal)
+  /** @param aTotal bytes of all buffers that share it
+   * @param aMemory budget of the process */
+  CountedBuffer(std::size_t& aTotal, base::MemoryBudget& aMemory)
     : mTotal(aTotal)
+    , mCharge(aMemory)
   {
   }
   ~CountedBuffer() { clear(); }
@@ -24,6 +28,7 @@
   {
     mBytes.append(aBytes);
     mTotal += aBytes.size();
+    mCharge.set(mBytes.capacity());
   }
 
   /** Discards all bytes and frees their memory. */
@@ -31,6 +36,7 @@
   {
     mTotal -= mBytes.size();
     mBytes = {};
+    mCharge.set(0);
   }
 
   /** @return the bytes */
@@ -41,6 +47,7 @@
 
 private:
   std::size_t& mTotal;
+  base::MemoryCharge mCharge;
   std::string mBytes;
 };
 
--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -18,6 +18,8 @@
 constexpr base::Duration kNotReadyRetryDelay = 500ms;
 /** Short, because another VM accepts the caller's next connection at once. */
 constexpr base::Duration kDrainingRetryDelay = 50ms;
+/** Other bodies are answered in about this time. */
+constexpr base::Duration kMemoryRetryDelay = 1s;
 /** Requests with a longer latency target yield to other requests. */
 constexpr base::Duration kLowPriorityTarget = 3s;
 /** Engines order requests by a priority from 0 (highest) to 9. */
@@ -69,17 +71,26 @@
   , mCaller(std::move(aCaller))
   , mCatalog(aContext.catalog.current())
   , mRequest(mCaller->takeRequest())
+  , mRequestCharge(aContext.memory)
   , mHeaders(wire::endToEndHeaders(mRequest.headers))
   , mMetadata(boundary::decodeRequest(mHeaders))
   , mReceivedAt(mCaller->receivedAt())
-  , mBody(aContext.bufferedAnswerBytes)
+  , mBody(aContext.bufferedAnswerBytes, aContext.memory)
 {
+  mRequestCharge.set(mRequest.body.size());
 }
 
 void
 Exchange::start()
 {
   mContext.openRequests.insert(shared_from_this());
+  if (mCaller->bodyRefused()) {
+    refuse(Code::Overloaded,
+           "no memory for the body, " + std::to_string(mContext.memory.used()) +
+             " bytes held",
+           kMemoryRetryDelay);
+    return;
+  }
   if (mContext.refuseAfter && base::monotonicNow() > *mContext.refuseAfter) {
     refuse(Code::Draining, "the process is stopping", kDrainingRetryDelay);
     return;
@@ -437,6 +448,8 @@
   mDeadlineTimer.reset();
   mBackpressureTimer.reset();
   mCaller->onDisconnect(nullptr);
+  mRequest.body = {};
+  mRequestCharge.set(0);
   const base::TimePoint now = base::monotonicNow();
   RequestSummary summary;
   summary.id = mMetadata.id;
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -161,6 +161,7 @@
   int enginePriority() const;
   base::Duration remainingTime() const;
   bool hasTimeForSend() const;
+  bool waitForMemory();
   bool mayBegin(const dispatch::Choice& aChoice) const;
   void endWithoutSend();
   std::uint32_t outputTokens() const;
@@ -169,6 +170,7 @@
   std::shared_ptr<wire::CallerConnection> mCaller;
   std::shared_ptr<const CatalogSnapshot> mCatalog;
   wire::Request mRequest;
+  base::MemoryCharge mRequestCharge;
   http::Headers mHeaders; ///< end-to-end headers of the caller
   catalog::RequestMetadata mMetadata;
   const catalog::Route* mRoute = nullptr;
@@ -191,6 +193,7 @@
   unsigned mUnreachableCount = 0;
   unsigned mUnresolvedSends = 0; ///< sends that may have run at an upstream
   bool mWaitLogged = false;
+  bool mMemoryWaitLogged = false;
   bool mStallLogged = false;
   /** An upstream refused or was unreachable since the last call or retry. */
   bool mNotAccepted = false;
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -29,6 +29,9 @@
 /** Longest advice to callers of upstreams that name a limit; another upstream
  * may get the model meanwhile. */
 constexpr base::Duration kMaxLimitRetryDelay = 2s;
+/** A body up to this size is sent without a look at the memory budget. */
+constexpr std::size_t kSmallBody = 16UL * 1024;
+constexpr base::Duration kMemoryCheckPeriod = 50ms;
 /** Sends beyond the route's attempts that upstreams may refuse. After more,
  * the overload is expected to outlast the request. */
 constexpr unsigned kMaxRefusedSends = 3;
@@ -43,6 +46,27 @@
          (!mContext.endRequestsAt || needed <= *mContext.endRequestsAt);
 }
 
+/** Holds a request whose copy for the upstream would exceed the memory budget,
+ * while other upstreams read theirs. @return true if the request waits */
+bool
+Exchange::waitForMemory()
+{
+  if (mRequest.body.size() <= kSmallBody ||
+      mContext.memory.admitsCopy(mRequest.body.size())) {
+    return false;
+  }
+  if (!mMemoryWaitLogged) {
+    mMemoryWaitLogged = true;
+    mContext.log.logStep(mMetadata.id,
+                         "waits for memory",
+                         "",
+                         std::to_string(mContext.memory.used()) + " bytes held",
+                         base::monotonicNow());
+  }
+  retryAfter(kMemoryCheckPeriod);
+  return true;
+}
+
 /** @return false if a planned stop would end the request before its answer
  * begins */
 bool
@@ -160,6 +184,9 @@
     endWithoutSend();
     return;
   }
+  if (waitForMemory()) {
+    return;
+  }
   std::vector<std::shared_ptr<Upstream>> upstreams;
   const auto found = candidates(upstreams);
   const auto choice = choose(found, upstreams);
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -14,6 +14,8 @@
 /** Reading from the upstream pauses above this, which bounds the memory that a
  * slow caller takes. */
 constexpr std::size_t kMaxPendingOutput = 256UL * 1024;
+/** The same if the memory of the process is tight. */
+constexpr std::size_t kMaxPendingIfTight = 16UL * 1024;
 constexpr base::Duration kBackpressureCheckPeriod = 30ms;
 /** Non-streaming responses up to this size are buffered until they are
  * complete, so that the request can be retried if one breaks. */
@@ -295,16 +297,19 @@
     }
     return;
   }
+  if (isPartiallyForwarded()) {
+    mCaller->sendChunk(aBytes);
+    applyBackpressure();
+    return;
+  }
   mBody.append(aBytes);
-  // After events of a stream, an error response is not forwarded.
-  if (!isPartiallyForwarded()) {
-    const bool tight = mContext.bufferedAnswerBytes > kMaxBufferedInTotal;
-    if (mBody.size() <= (tight ? kMaxBufferedIfTight : kMaxBufferedBytes)) {
-      return;
-    }
-    mStallTimer.reset(); // No other upstream can continue this response.
-    mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
+  const bool tight = mContext.memory.tight() ||
+                     mContext.bufferedAnswerBytes > kMaxBufferedInTotal;
+  if (mBody.size() <= (tight ? kMaxBufferedIfTight : kMaxBufferedBytes)) {
+    return;
   }
+  mStallTimer.reset(); // No other upstream can continue this response.
+  mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
   mCaller->sendChunk(mBody.view());
   mBody.clear();
   applyBackpressure();
@@ -362,18 +367,20 @@
 void
 Exchange::applyBackpressure()
 {
-  if (!mCall || mCaller->pendingOutput() < kMaxPendingOutput) {
+  const std::size_t limit =
+    mContext.memory.tight() ? kMaxPendingIfTight : kMaxPendingOutput;
+  if (!mCall || mCaller->pendingOutput() < limit) {
     return;
   }
   mCall->pauseReading(true);
-  mBackpressureTimer =
-    mContext.loop.every(kBackpressureCheckPeriod, [weak = weak_from_this()] {
+  mBackpressureTimer = mContext.loop.every(
+    kBackpressureCheckPeriod, [weak = weak_from_this(), limit] {
       const auto request = weak.lock();
       if (!request) {
         return;
       }
       const auto self = std::static_pointer_cast<Exchange>(request);
-      if (self->mCaller->pendingOutput() < kMaxPendingOutput / 2) {
+      if (self->mCaller->pendingOutput() < limit / 2) {
         if (self->mCall) {
           self->mCall->pauseReading(false);
         }
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -19,6 +19,10 @@
  * store calls: records change several times a second in all but tiny fleets. */
 constexpr int kUpstreamWatchPauses = 10;
 constexpr base::Duration kCatalogWatchPause = 20ms;
+/** Part of the VM's memory for the bytes of requests. The rest is for the
+ * process itself and for what its allocator does not give back. */
+constexpr std::size_t kMemoryParts = 4;
+constexpr std::size_t kMemoryPartsForRequests = 3;
 constexpr base::Duration kTickPeriod = 250ms;
 /** Debounce delay: orders and records often change together. */
 constexpr base::Duration kChangeDebounce = 10ms;
@@ -97,6 +101,7 @@
               mWaitQueue,
               mRequestLog,
               mRandom,
+              mMemory,
               1,
               {},
               {},
@@ -189,6 +194,12 @@
                   })
   , mEndBlocked(mLoop, [this] { endBlockedRequests(); })
 {
+  if (mSettings.memoryBytes) {
+    mMemory.setLimit(*mSettings.memoryBytes / kMemoryParts *
+                     kMemoryPartsForRequests);
+  }
+  mPool.setMemoryBudget(mMemory);
+  mCallers.setMemoryBudget(mMemory);
   mQuota.setSlack(mSettings.quotaSlack);
   mQuota.setWindow(mSettings.quotaWindow);
   mRetries.setLimits(
@@ -685,11 +696,13 @@
 {
   mOperator.setReadinessCheck([this] { return ready(); });
   mOperator.setStatusReport([this] {
-    return json{
-      { "vm", mSettings.vm },     { "ready", ready() },
-      { "draining", mDraining },  { "configuration", mCatalog.version() },
-      { "fleet", mFleet.size() }, { "owns_orders", mOrders.active() }
-    };
+    return json{ { "vm", mSettings.vm },
+                 { "ready", ready() },
+                 { "draining", mDraining },
+                 { "configuration", mCatalog.version() },
+                 { "fleet", mFleet.size() },
+                 { "owns_orders", mOrders.active() },
+                 { "request_bytes", mMemory.used() } };
   });
   mOperator.addDumpSection("upstreams", [this] {
     json rows = json::object();
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -76,6 +76,7 @@
   UpstreamTable mUpstreams;
   peers::PeerTable mPeers;
   quota::FleetQuota mQuota;
+  base::MemoryBudget mMemory;
   wire::ConnectionPool mPool;
   dispatch::OutlierDetector mOutliers;
   dispatch::LatencyEstimator mLatencyEstimator;
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <docopt/docopt.h>
 #include <iostream>
+#include <malloc.h>
 
 using namespace marigold;
 
@@ -25,6 +26,11 @@
   --version        Show the version.
 )";
 
+/** Blocks from this size on go back to the VM when they are freed. By default
+ * the size grows with the blocks, and freed bodies and answers stay with the
+ * process in pieces. */
+constexpr int kOwnMappingBytes = 128 * 1024;
+
 base::Result<void>
 serve(const std::string& aFile, bool aCheckOnly)
 {
@@ -46,6 +52,7 @@
 main(int aCount, char** aValues)
 {
   http::holdSignals({ SIGTERM, SIGHUP });
+  mallopt(M_MMAP_THRESHOLD, kOwnMappingBytes);
   auto arguments = docopt::docopt(kUsage,
                                   { aValues + 1, aValues + aCount },
                                   true,
--- a/apps/gateway/request_context.h
+++ b/apps/gateway/request_context.h
@@ -37,6 +37,7 @@
   ModelWaitQueue& waitQueue;
   RequestLog& log;
   base::Random& random;
+  base::MemoryBudget& memory;
   std::size_t fleetSize = 1;
   /** Number of requests at upstreams, by model and adapter. */
   std::map<catalog::ModelRef, unsigned> runningByModel;
--- a/apps/gateway/settings.cpp
+++ b/apps/gateway/settings.cpp
@@ -17,6 +17,8 @@
   constexpr double kMaxRatio = 10;
   constexpr double kMaxExtra = 1e6;
   constexpr double kMaxSlack = 1e12;
+  constexpr double kMaxMegabytes = 1e9;
+  constexpr double kMegabyte = 1e6;
   const auto duration = [&aRoot](const char* aKey) {
     return aRoot.require(aKey).duration(0ms, kMaxDuration);
   };
@@ -47,6 +49,10 @@
   settings.loadOvershoot = aRoot.require("load_overshoot").number(1, kMaxRatio);
   settings.loadExtra = aRoot.require("load_extra").number(0, kMaxExtra);
   settings.capacity = aRoot.require("capacity").number(0, kMaxExtra);
+  if (aRoot.has("memory_mb")) {
+    settings.memoryBytes = static_cast<std::size_t>(
+      aRoot.require("memory_mb").number(1, kMaxMegabytes) * kMegabyte);
+  }
   settings.quotaSlack = aRoot.require("quota_slack").number(0, kMaxSlack);
   if (aRoot.has("log_level")) {
     settings.logLevel =
--- a/apps/gateway/settings.h
+++ b/apps/gateway/settings.h
@@ -4,6 +4,7 @@
 #include "base/base.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace marigold::gateway {
@@ -30,10 +31,11 @@
   double retryRatio = 0;
   base::Duration retryWindow{};
   double retryMinExtra = 0;
-  base::Duration loadWindow{};  ///< window of the weights store rate limit
-  double loadOvershoot = 1;     ///< factor on the store's rate over the window
-  double loadExtra = 0;         ///< loads allowed in addition to the rate
-  double capacity = 0;          ///< CPU cores that the process may use
+  base::Duration loadWindow{}; ///< window of the weights store rate limit
+  double loadOvershoot = 1;    ///< factor on the store's rate over the window
+  double loadExtra = 0;        ///< loads allowed in addition to the rate
+  double capacity = 0;         ///< CPU cores that the process may use
+  std::optional<std::size_t> memoryBytes; ///< of this VM
   double quotaSlack = 0;        ///< units that the fleet may count late
   base::Duration quotaWindow{}; ///< window over which quotas are guaranteed
 };
--- a/libs/base/base.h
+++ b/libs/base/base.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * Public header of the base library: identifiers, addresses, time, result
- * codes, errors, seeded random numbers and hashing. Every other library builds
- * on it.
+ * codes, errors, seeded random numbers, hashing and the memory budget. Every
+ * other library builds on it.
  */
 #pragma once
 
@@ -11,6 +11,7 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/ids.h"
+#include "base/memory_budget.h"
 #include "base/number.h"
 #include "base/random.h"
 #include "base/time.h"
--- a/libs/base/tests/base_tests.cpp
+++ b/libs/base/tests/base_tests.cpp
@@ -45,6 +45,31 @@
   CHECK(codeInfo(Code::OutcomeUnknown).outcome == Outcome::Unknown);
 }
 
+// Many long bodies arrive at once. Guards against bodies that leave no memory
+// for what becomes of them.
+TEST(Base, MemoryBudgetKeepsRoomBesideBodies)
+{
+  MemoryBudget budget;
+  CHECK(budget.admitsBody(1'000'000'000));
+  budget.setLimit(300);
+  MemoryCharge first(budget);
+  first.set(150);
+  CHECK(budget.admitsBody(50));
+  CHECK(!budget.admitsBody(51));
+  CHECK(budget.admitsCopy(150));
+  CHECK(!budget.tight());
+  {
+    MemoryCharge second(budget);
+    second.set(200);
+    CHECK(budget.tight());
+    CHECK(!budget.admitsBody(0));
+    CHECK(!budget.admitsCopy(0));
+  }
+  first.set(100);
+  LONGS_EQUAL(100, budget.used());
+  CHECK(budget.admitsBody(100));
+}
+
 int
 main(int aCount, char** aValues)
 {
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t kMaxPipelinedBytes = 64UL * 1024;
 /** Interval at which a connection is asked for its end while reading pauses. */
 constexpr base::Duration kPausedCheckPeriod = 200ms;
+/** A body up to this size is always taken. */
+constexpr std::size_t kSmallBody = 16UL * 1024;
 /** Length of the listen queue. */
 constexpr int kBacklog = 512;
 
@@ -65,16 +67,10 @@
   , mParser(Parser::Kind::Requests,
             aServer.mLimits.headerBytes,
             { [this] { return acceptHeaders(); },
-              [this](std::string_view aBytes) {
-                mCurrent.bodyTooLarge =
-                  mCurrent.bodyTooLarge ||
-                  mCurrent.request.body.size() + aBytes.size() >
-                    mServer.mLimits.bodyBytes;
-                if (!mCurrent.bodyTooLarge) {
-                  mCurrent.request.body.append(aBytes);
-                }
-              },
+              [this](std::string_view aBytes) { addBody(aBytes); },
               [] {} })
+  , mBodyCharge(*aServer.mMemory)
+  , mOutputCharge(*aServer.mMemory)
   , mOpenedAt(base::monotonicNow())
   , mLastInputAt(mOpenedAt)
   , mIdleSince(mOpenedAt)
@@ -87,6 +83,7 @@
   mTransport.setEvents({ {},
                          [this] { readInput(); },
                          [this] {
+                           chargeOutput();
                            // The callback may be late and report the flush of
                            // an earlier part while the last one is pending.
                            if (mClosing && mTransport.pendingOutput() == 0) {
@@ -277,11 +274,11 @@
     armTimer(mServer.mLimits.idleTimeout);
     if (http::equalIgnoringCase(http::findHeader(mParser.headers(), "Expect"),
                                 "100-continue") &&
-        !mParser.completed()) {
+        !mParser.completed() && !mCurrent.bodyRefused) {
       mTransport.write("HTTP/1.1 100 Continue\r\n\r\n");
     }
   }
-  if (mParser.completed()) {
+  if (mParser.completed() || mCurrent.bodyRefused) {
     dispatch();
   }
 }
@@ -327,9 +324,52 @@
 bool
 CallerConnection::acceptHeaders()
 {
+  if (mParser.contentLength() <= mServer.mLimits.bodyBytes) {
+    chargeBody(mParser.contentLength());
+    mCurrent.request.body.reserve(mBodyCharge.bytes());
+  }
   return true;
 }
 
+void
+CallerConnection::addBody(std::string_view aBytes)
+{
+  const std::size_t size = mCurrent.request.body.size() + aBytes.size();
+  mCurrent.bodyTooLarge =
+    mCurrent.bodyTooLarge || size > mServer.mLimits.bodyBytes;
+  if (mCurrent.bodyTooLarge || mCurrent.bodyRefused) {
+    return;
+  }
+  if (size > mBodyCharge.bytes()) {
+    chargeBody(size); // The length of a chunked body is not announced.
+  }
+  if (!mCurrent.bodyRefused) {
+    mCurrent.request.body.append(aBytes);
+  }
+}
+
+/** Counts the body in advance, so that bodies which arrive at the same time
+ * don't exceed the budget together. */
+void
+CallerConnection::chargeBody(std::size_t aBytes)
+{
+  const std::size_t added = aBytes - mBodyCharge.bytes();
+  if (aBytes > kSmallBody && !mServer.mMemory->admitsBody(added)) {
+    mCurrent.bodyRefused = true;
+    mCurrent.closeAfterResponse = true;
+    mCurrent.request.body = {};
+    mBodyCharge.set(0);
+    return;
+  }
+  mBodyCharge.set(aBytes);
+}
+
+void
+CallerConnection::chargeOutput()
+{
+  mOutputCharge.set(mTransport.pendingOutput());
+}
+
 void
 CallerConnection::dispatch()
 {
@@ -346,6 +386,7 @@
 Request
 CallerConnection::takeRequest()
 {
+  mBodyCharge.set(0);
   std::string body = std::exchange(mCurrent.request.body, {});
   Request taken = mCurrent.request;
   taken.body = std::move(body);
@@ -415,12 +456,13 @@
   }
   if (!mCurrent.chunked) {
     mTransport.write(aBytes);
-    return;
+  } else {
+    std::string chunk = chunkHeader(aBytes.size());
+    chunk += aBytes;
+    chunk += "\r\n";
+    mTransport.write(chunk);
   }
-  std::string chunk = chunkHeader(aBytes.size());
-  chunk += aBytes;
-  chunk += "\r\n";
-  mTransport.write(chunk);
+  chargeOutput();
 }
 
 void
@@ -460,6 +502,8 @@
 {
   mCurrent.open = false;
   --mServer.mOpenRequests;
+  mBodyCharge.set(0);
+  chargeOutput();
   mCurrent.disconnectCallback = nullptr;
   mUnansweredBytes = 0;
   mCurrent.request = {};
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "base/memory_budget.h"
 #include "wire/parser.h"
 #include "wire/transport.h"
 
@@ -74,6 +75,10 @@
   /** @return the request with its body, which this object then holds no more */
   Request takeRequest();
 
+  /** @return true if the process has no memory for the body: the request has
+   * none, and its connection closes after the response */
+  bool bodyRefused() const { return mCurrent.bodyRefused; }
+
   /** @return time at which the first byte of the request was read */
   base::TimePoint receivedAt() const { return mCurrent.receivedAt; }
 
@@ -140,6 +145,7 @@
     bool chunked = false;
     bool closeAfterResponse = false;
     bool bodyTooLarge = false;
+    bool bodyRefused = false;
   };
 
   void start();
@@ -150,6 +156,9 @@
   bool rejectInvalid();
   void rejectWith(int aStatus);
   bool acceptHeaders();
+  void addBody(std::string_view aBytes);
+  void chargeBody(std::size_t aBytes);
+  void chargeOutput();
   void dispatch();
   void writeHead(int aStatus, const http::Headers& aHeaders, bool aHasLength);
   void finishRequest();
@@ -173,6 +182,8 @@
   Transport mTransport;
   Parser mParser;
   Current mCurrent;
+  base::MemoryCharge mBodyCharge;
+  base::MemoryCharge mOutputCharge;
   /** Armed in every state, so that no connection can be forgotten. */
   http::EventHandle mTimer;
   base::TimePoint mOpenedAt{};
@@ -207,6 +218,11 @@
    * other limits also to open ones */
   void setLimits(const CallerLimits& aLimits);
 
+  /** Counts bodies and unsent responses towards a budget, and takes bodies only
+   * while it admits them. Call it before listen().
+   * @param aMemory budget, which outlives the server */
+  void setMemoryBudget(base::MemoryBudget& aMemory) { mMemory = &aMemory; }
+
   /** @param aHandler called when a connection has ended */
   void onClosed(CloseHandler aHandler) { mCloseHandler = std::move(aHandler); }
 
@@ -231,6 +247,8 @@
   Handler mHandler;
   CloseHandler mCloseHandler;
   CallerLimits mLimits;
+  base::MemoryBudget mUnlimited;
+  base::MemoryBudget* mMemory = &mUnlimited;
   evconnlistener* mListener = nullptr;
   std::set<std::shared_ptr<CallerConnection>> mCallers;
   std::size_t mOpenRequests = 0;
--- a/libs/wire/connection_pool.cpp
+++ b/libs/wire/connection_pool.cpp
@@ -56,7 +56,8 @@
     if (connections(aUpstream) >= aLimit) {
       return nullptr;
     }
-    connection = std::make_unique<UpstreamConnection>(mLoop, aUpstream.address);
+    connection =
+      std::make_unique<UpstreamConnection>(mLoop, aUpstream.address, *mMemory);
     ++mOpened;
   }
   connection->start(std::move(aCall), std::move(aEvents));
--- a/libs/wire/connection_pool.h
+++ b/libs/wire/connection_pool.h
@@ -61,6 +61,10 @@
   {
   }
 
+  /** Counts what upstreams have not read yet towards a budget.
+   * @param aMemory budget, which outlives the pool */
+  void setMemoryBudget(base::MemoryBudget& aMemory) { mMemory = &aMemory; }
+
   /**
    * Starts a call on an idle connection or a new one.
    * @param aUpstream upstream to call
@@ -100,6 +104,8 @@
   void destroyLater(std::unique_ptr<UpstreamConnection> aConnection);
 
   http::Loop& mLoop;
+  base::MemoryBudget mUnlimited;
+  base::MemoryBudget* mMemory = &mUnlimited;
   std::map<UpstreamKey, std::list<Idle>> mIdle;
   std::map<UpstreamKey, std::size_t> mActive;
   std::uint64_t mOpened = 0;
--- a/libs/wire/parser.cpp
+++ b/libs/wire/parser.cpp
@@ -5,6 +5,14 @@
 namespace marigold::wire {
 namespace {
 
+/** @return true if the message has a Content-Length that counts */
+bool
+announcesLength(const http_parser& aNative)
+{
+  return (aNative.flags & F_CHUNKED) == 0 &&
+         aNative.content_length != std::numeric_limits<std::uint64_t>::max();
+}
+
 /** @return true if a response has neither Content-Length nor chunked encoding,
  * so that it ends when the connection closes */
 bool
@@ -18,8 +26,7 @@
       status == kNotModified) {
     return false;
   }
-  return (aNative.flags & F_CHUNKED) == 0 &&
-         aNative.content_length == std::numeric_limits<std::uint64_t>::max();
+  return (aNative.flags & F_CHUNKED) == 0 && !announcesLength(aNative);
 }
 
 } // namespace
@@ -152,6 +159,8 @@
   Parser* parser = self(aNative);
   parser->mHeadersComplete = true;
   parser->mStatus = aNative->status_code;
+  parser->mContentLength =
+    announcesLength(*aNative) ? aNative->content_length : 0;
   parser->mKeepAlive = http_should_keep_alive(aNative) != 0;
   parser->mCloseDelimited =
     parser->mKind == Kind::Responses && isCloseDelimited(*aNative);
--- a/libs/wire/parser.h
+++ b/libs/wire/parser.h
@@ -71,6 +71,9 @@
   /** @return true once the headers of the current message were parsed */
   bool headersComplete() const { return mHeadersComplete; }
 
+  /** @return the announced size of the body, 0 if there is none */
+  std::size_t contentLength() const { return mContentLength; }
+
   /** @return true if the connection may be reused after this message */
   bool keepAlive() const { return mKeepAlive; }
 
@@ -107,6 +110,7 @@
   http::Headers mHeaders;
   std::size_t mHeaderBytes = 0;
   int mStatus = 0;
+  std::size_t mContentLength = 0;
   bool mLastFieldHasValue = true;
   bool mStarted = false;
   bool mHeadersComplete = false;
--- a/libs/wire/upstream.cpp
+++ b/libs/wire/upstream.cpp
@@ -24,8 +24,10 @@
 } // namespace
 
 UpstreamConnection::UpstreamConnection(http::Loop& aLoop,
-                                       const base::Address& aPeer)
+                                       const base::Address& aPeer,
+                                       base::MemoryBudget& aMemory)
   : mLoop(aLoop)
+  , mOutputCharge(aMemory)
   , mTransport(aLoop, aPeer)
   , mParser(Parser::Kind::Responses,
             kMaxResponseHeaderBytes,
@@ -51,7 +53,7 @@
                           }
                         },
                          [this] { readInput(); },
-                         {},
+                         [this] { chargeOutput(); },
                          [this](TransportEnd aEnd) { ended(aEnd); } });
 }
 
@@ -105,9 +107,16 @@
   mSent = true;
   mTransport.resetOnClose();
   mTransport.writeNow(*bytes);
+  chargeOutput();
   return true;
 }
 
+void
+UpstreamConnection::chargeOutput()
+{
+  mOutputCharge.set(mTransport.pendingOutput());
+}
+
 void
 UpstreamConnection::setIdle(std::function<void()> aCallback)
 {
--- a/libs/wire/upstream.h
+++ b/libs/wire/upstream.h
@@ -1,6 +1,7 @@
 /** @file Client side: connections to upstreams and calls on them. */
 #pragma once
 
+#include "base/memory_budget.h"
 #include "wire/parser.h"
 #include "wire/transport.h"
 
@@ -46,8 +47,11 @@
 class UpstreamConnection
 {
 public:
-  /** @param aLoop event loop @param aPeer address to connect to */
-  UpstreamConnection(http::Loop& aLoop, const base::Address& aPeer);
+  /** @param aLoop event loop @param aPeer address to connect to
+   * @param aMemory budget for what the upstream has not read yet */
+  UpstreamConnection(http::Loop& aLoop,
+                     const base::Address& aPeer,
+                     base::MemoryBudget& aMemory);
   ~UpstreamConnection();
   UpstreamConnection(const UpstreamConnection&) = delete;
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
@@ -91,6 +95,7 @@
 
 private:
   bool send();
+  void chargeOutput();
   void readInput();
   void ended(TransportEnd aEnd);
   void fail(CallFailure aFailure);
@@ -102,6 +107,7 @@
   std::optional<CallFailure> inputFailure() const;
 
   http::Loop& mLoop;
+  base::MemoryCharge mOutputCharge;
   Transport mTransport;
   Parser mParser;
   OutgoingCall mCall;
--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -25,7 +25,7 @@
 class Gateway:
     """The gateway of one VM; start() after stop() starts a new process with the same settings."""
 
-    def __init__(self, number, folder, first_port, store_port, data_centre="dc-a"):
+    def __init__(self, number, folder, first_port, store_port, data_centre="dc-a", memory=260 * 10**6):
         self.port = first_port
         self.name = f"vm{number}"
         self.settings = os.path.join(folder, self.name + ".yaml")
@@ -50,6 +50,7 @@
 load_overshoot: 1.1
 load_extra: 3
 capacity: 0.25
+memory_mb: {memory // 10**6}
 quota_slack: 1000
 quota_window: 8s
 """)
--- a/tests/explore/scenario.cpp
+++ b/tests/explore/scenario.cpp
@@ -228,10 +228,10 @@
     , probe(loop, [](const wire::UpstreamKey&, gateway::ProbeResult) {})
     , log(metrics())
     , random(1)
-    , context{ loop,    settings, catalog, upstreams, peers,   quota,
-               pool,    health,   latency, prefixes,  retries, crashes,
-               notices, probe,    demand,  waitQueue, log,     random,
-               1,       {},       {},      0,         {},      {} }
+    , context{ loop,   settings,  catalog,  upstreams, peers,   quota,   pool,
+               health, latency,   prefixes, retries,   crashes, notices, probe,
+               demand, waitQueue, log,      random,    memory,  1,       {},
+               {},     0,         {},       {} }
     , callers(loop, [this](const auto& aCaller) {
       std::make_shared<gateway::Exchange>(context, aCaller)->start();
     })
@@ -247,6 +247,7 @@
   gateway::UpstreamTable upstreams;
   peers::PeerTable peers;
   quota::FleetQuota quota;
+  base::MemoryBudget memory;
   wire::ConnectionPool pool;
   dispatch::OutlierDetector health;
   dispatch::LatencyEstimator latency;
