--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -389,6 +389,7 @@
   status.drainingUpstreams = mContext.upstreams.draining();
   status.limitStatements = mContext.notices.statements(base::monotonicNow());
   status.storeLoads = mOrders.ownerLoads(base::monotonicNow());
+  status.limitAsks = mContext.notices.asks(base::monotonicNow());
   mSentStatuses.push_back(status);
   if (mSentStatuses.size() > kMaxSentStatuses) {
     mSentStatuses.pop_front();
@@ -452,6 +453,7 @@
   if (status.storeLoads) {
     mOrders.mergeOwnerLoads(*status.storeLoads, now);
   }
+  mContext.notices.merge(status.limitAsks, now);
   if (status.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(vm);
   }
@@ -534,6 +536,7 @@
   if (summary.storeLoads) {
     mOrders.mergeOwnerLoads(*summary.storeLoads, now);
   }
+  mContext.notices.merge(summary.limitAsks, now);
   if (summary.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(summary.relay);
   }
--- a/apps/gateway/request_server.cpp
+++ b/apps/gateway/request_server.cpp
@@ -25,6 +25,7 @@
                std::make_shared<Exchange>(mContext, aCaller)->start();
              })
 {
+  mCallers.setMemoryBudget(mContext.memory);
 }
 
 RequestServer::~RequestServer()
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -126,8 +126,10 @@
 {
   json statements = json::array();
   for (const auto& [tag, statement] : aStatements) {
-    statements.push_back(json::array(
-      { tag, base::inMilliseconds(statement.age), statement.ended }));
+    statements.push_back(json::array({ tag,
+                                       base::inMilliseconds(statement.age),
+                                       statement.ended,
+                                       statement.number }));
   }
   return statements;
 }
@@ -137,7 +139,11 @@
 {
   LimitStatements statements;
   for (const json& row : aJson) {
-    statements[row.at(0)] = { decodeAge(row.at(1)), row.at(2).get<bool>() };
+    LimitStatement& statement = statements[row.at(0)];
+    statement.age = decodeAge(row.at(1));
+    statement.ended = row.at(2).get<bool>();
+    // VMs of earlier versions do not send it.
+    statement.number = row.size() > 3 ? row.at(3).get<std::uint64_t>() : 0;
   }
   return statements;
 }
@@ -181,6 +187,26 @@
   return StoreLoadReport{ decodeAge(aJson.at(0)), decodeAges(aJson.at(1)) };
 }
 
+json
+encodeAsks(const LimitAsks& aAsks)
+{
+  json asks = json::array();
+  for (const auto& [tag, ask] : aAsks) {
+    asks.push_back(json::array({ tag, ask.statement, ask.silence.count() }));
+  }
+  return asks;
+}
+
+LimitAsks
+decodeAsks(const json& aJson)
+{
+  LimitAsks asks;
+  for (const json& row : aJson) {
+    asks[row.at(0)] = { row.at(1), base::Duration(row.at(2)) };
+  }
+  return asks;
+}
+
 LoadTable
 decodeLoads(const json& aJson)
 {
@@ -222,7 +248,8 @@
                        encodeCrashes(aStatus.crashes),
                        aStatus.drainingUpstreams,
                        encodeStatements(aStatus.limitStatements),
-                       encodeStoreLoads(aStatus.storeLoads) });
+                       encodeStoreLoads(aStatus.storeLoads),
+                       encodeAsks(aStatus.limitAsks) });
 }
 
 Status
@@ -251,6 +278,9 @@
   if (field < aBody.size()) {
     status.storeLoads = decodeStoreLoads(next());
   }
+  if (field < aBody.size()) {
+    status.limitAsks = decodeAsks(next());
+  }
   return status;
 }
 
@@ -278,7 +308,8 @@
                        aSummary.drainingUpstreams,
                        aSummary.complete,
                        encodeStatements(aSummary.limitStatements),
-                       encodeStoreLoads(aSummary.storeLoads) });
+                       encodeStoreLoads(aSummary.storeLoads),
+                       encodeAsks(aSummary.limitAsks) });
 }
 
 Summary
@@ -312,6 +343,9 @@
   if (field < aBody.size()) {
     summary.storeLoads = decodeStoreLoads(next());
   }
+  if (field < aBody.size()) {
+    summary.limitAsks = decodeAsks(next());
+  }
   return summary;
 }
 
--- a/libs/peers/summary_builder.cpp
+++ b/libs/peers/summary_builder.cpp
@@ -71,6 +71,7 @@
   summary.crashes = aOwn.crashes;
   summary.limitStatements = aOwn.limitStatements;
   summary.storeLoads = aOwn.storeLoads;
+  summary.limitAsks = aOwn.limitAsks;
   summary.complete = full;
   add(aOwn, full, aRepeatTime, aNow, summary);
   for (const auto& [vm, entry] : aTable.statuses()) {
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -362,6 +362,25 @@
         self.assertIsNone(gateway.child.poll(), gateway.log()[-2000:])
         self.assertEqual(200, gateway.call("/again/x")[0])
 
+    def test_unreadable_ownership_of_orders_is_replaced_after_the_pause(self):
+        """Guards against a fleet without orders for as long as a record that another writer left in place of the
+        ownership exists."""
+        self.start()
+        wait_for(lambda: any(engine.order_log for engine in self.engines), 12)  # the model that nobody holds
+        last_fence = max(row[2] for engine in self.engines for row in engine.order_log)
+        self.platform.change(self.platform.store.put, "marigold/order-owner", b"[]")
+        written = time.monotonic()
+        time.sleep(0.5)  # the former owner has heard of it
+        before = [len(engine.order_log) for engine in self.engines]
+        for engine in self.engines:
+            self.platform.change(engine.restart_empty, self.platform.store)
+
+        def later_orders():
+            return [row for engine, count in zip(self.engines, before) for row in engine.order_log[count:]]
+        wait_for(later_orders, 3 * ORDER_PAUSE + 2)
+        self.assertGreaterEqual(min(row[0] for row in later_orders()) - written, ORDER_PAUSE)
+        self.assertGreater(min(row[2] for row in later_orders()), last_fence)
+
     def test_missing_adapter_is_loaded_while_its_request_waits(self):
         wait_for(lambda: any(e.order_log for e in self.engines), 12)  # the order owner loads the absent model m2
         status, body, _ = self.gateways[0].call("/chat/x", headers={**self.CHAT, "X-Model-Name": "m1/a1"})
@@ -882,6 +901,33 @@
             wait_for(lambda: poll.poll(0)[0][1] & select.POLLERR, 1)
             connection.close()
 
+    def test_call_of_a_caller_that_left_behind_a_pipelined_request_is_reset(self):
+        """Guards against work for a caller that has left: the gateway has paused reading from it, because its next
+        request waits, and so does not see the close."""
+        self.platform.change(self.platform.store.remove, "servers/" + self.desks[1].name)
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((HOST, BASE_PORT + 80))
+            listener.listen(8)
+            self.desks[0].public_port = BASE_PORT + 80
+            self.platform.change(self.platform.store.put, "servers/desk0", self.desks[0].record())
+            time.sleep(0.5)
+            caller = socket.create_connection((HOST, self.gateways[0].port))
+            head = (b"POST /again/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+                    b"X-Request-Id: left%d\r\nX-Deadline-Ms: 3500\r\nContent-Length: %d\r\n\r\n")
+            caller.sendall(head % (1, 1) + b"x")
+            listener.settimeout(2)
+            connection = listener.accept()[0]
+            connection.settimeout(1)
+            self.assertTrue(connection.recv(4096))
+            caller.sendall(head % (2, 95_000) + b"x" * 95_000)
+            time.sleep(0.2)
+            caller.close()
+            poll = select.poll()
+            poll.register(connection, select.POLLIN)
+            wait_for(lambda: any(events & select.POLLERR for _, events in poll.poll(0)), 0.5)
+            connection.close()
+
     def test_clear_answers_to_malformed_requests(self):
         for raw, status in ((b"POST /again/x HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", b"400"),
                             (b"GET /again/x HTTP/1.1\r\nX: " + b"y" * 20000 + b"\r\n\r\n", b"431"),
--- a/tests/explore/site.cpp
+++ b/tests/explore/site.cpp
@@ -78,10 +78,10 @@
   , probe(loop, [](const wire::UpstreamKey&, gateway::ProbeResult) {})
   , log(metrics())
   , random(1)
-  , context{ loop,    settings, catalog, upstreams, peers,   quota,
-             pool,    health,   latency, prefixes,  retries, crashes,
-             notices, probe,    demand,  waitQueue, log,     random,
-             1,       {},       {},      0,         {},      {} }
+  , context{ loop,   settings,  catalog,  upstreams, peers,   quota,   pool,
+             health, latency,   prefixes, retries,   crashes, notices, probe,
+             demand, waitQueue, log,      random,    memory,  1,       {},
+             {},     0,         {},       {} }
   , requests(context)
 {
   settings.dataCentre = "dc";
--- a/tests/explore/site.h
+++ b/tests/explore/site.h
@@ -43,6 +43,7 @@
   gateway::UpstreamTable upstreams;
   peers::PeerTable peers;
   quota::FleetQuota quota;
+  base::MemoryBudget memory;
   wire::ConnectionPool pool;
   dispatch::OutlierDetector health;
   dispatch::LatencyEstimator latency;
