Count what the kernel takes as progress of a slow reader again

Since the progress is read from unacknowledged bytes, those that only went from the process to the kernel no longer counted, which took up to a second from the time that a caller may pause. They count again.

--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -226,10 +226,18 @@
   remove(CallerEnd::Completed);
 }
 
+/** @return 0 if the caller has all of its responses; bytes that the process
+ * still holds count twice, so that handing them to the kernel is progress */
+std::size_t
+CallerConnection::undeliveredOutput() const
+{
+  return mTransport.pendingOutput() + mTransport.unacknowledgedOutput();
+}
+
 bool
 CallerConnection::peerIsReading()
 {
-  const std::size_t pending = mTransport.unacknowledgedOutput();
+  const std::size_t pending = undeliveredOutput();
   const base::TimePoint now = base::monotonicNow();
   if (pending < mLastUndelivered) {
     mLastOutputProgress = now;
@@ -522,7 +530,7 @@
   mCurrent.disconnectCallback = nullptr;
   mUnansweredBytes = 0;
   mCurrent.request = {};
-  mLastUndelivered = mTransport.unacknowledgedOutput();
+  mLastUndelivered = undeliveredOutput();
   mLastOutputProgress = base::monotonicNow();
   if (mCurrent.closeAfterResponse) {
     beginClose();
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -180,6 +180,7 @@
   void requestTimeoutExpired();
   void idleTimeoutExpired();
   void closeTimeoutExpired();
+  std::size_t undeliveredOutput() const;
   bool peerIsReading();
 
   CallerServer& mServer;
@@ -194,7 +195,7 @@
   base::TimePoint mLastInputAt{};
   base::TimePoint mIdleSince{};     ///< if no request has begun
   std::size_t mUnansweredBytes = 0; ///< consumed bytes without a response
-  /** Bytes of responses that the caller did not have at the last check. */
+  /** undeliveredOutput() at the last check. */
   std::size_t mLastUndelivered = 0;
   base::TimePoint mLastOutputProgress{};
   /** Armed while reading is paused, because an end is not reported then. */
