--- /dev/null
+++ b/libs/wire/caller_server.cpp
@@ -0,0 +1,89 @@
+#include "wire/caller_connection.h"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <utility>
+
+namespace marigold::wire {
+namespace {
+
+/** Length of the listen queue. */
+constexpr int kBacklog = 512;
+
+} // namespace
+
+CallerServer::CallerServer(http::Loop& aLoop, Handler aHandler)
+  : mLoop(aLoop)
+  , mHandler(std::move(aHandler))
+{
+}
+
+CallerServer::~CallerServer()
+{
+  if (mListener != nullptr) {
+    evconnlistener_free(mListener);
+  }
+}
+
+base::Result<void>
+CallerServer::listen(const base::Address& aAddress)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.port);
+  inet_pton(AF_INET, aAddress.host.c_str(), &address.sin_addr);
+  mListener = evconnlistener_new_bind(
+    mLoop.native(),
+    [](evconnlistener*,
+       evutil_socket_t aDescriptor,
+       sockaddr*,
+       int,
+       void* aSelf) { static_cast<CallerServer*>(aSelf)->accept(aDescriptor); },
+    this,
+    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+    kBacklog,
+    reinterpret_cast<sockaddr*>(&address),
+    sizeof(address));
+  if (mListener == nullptr) {
+    return base::fail(base::Code::SettingsInvalid,
+                      "cannot listen on " + aAddress.text());
+  }
+  return {};
+}
+
+void
+CallerServer::setLimits(const CallerLimits& aLimits)
+{
+  mLimits = aLimits;
+  for (const auto& caller : mCallers) {
+    caller->mTransport.allowPauses(aLimits.idleTimeout);
+  }
+}
+
+void
+CallerServer::accept(int aDescriptor)
+{
+  const auto caller = std::make_shared<CallerConnection>(*this, aDescriptor);
+  mCallers.insert(caller);
+  caller->start();
+}
+
+void
+CallerServer::stop()
+{
+  mStopped = true;
+  mCloseAfterResponses = true;
+  if (mListener != nullptr) {
+    evconnlistener_free(mListener);
+    mListener = nullptr;
+  }
+  for (const auto& caller : std::set(mCallers)) {
+    if (!caller->mCurrent.open && !caller->mClosing &&
+        !caller->mParser.started() && !caller->mTransport.hasInput()) {
+      caller->endIdle();
+    }
+  }
+}
+
+} // namespace marigold::wire
