--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -372,7 +372,9 @@
     return;
   }
   if (!mayHaveRun()) {
-    refundQuota();
+    // The caller may have closed its sending side only.
+    refuse(Code::CallerLeft, "caller left", {});
+    return;
   }
   finish(Code::CallerLeft, 0, "caller left");
 }
@@ -385,7 +387,8 @@
     return false;
   }
   if (!mayHaveRun()) {
-    refundQuota();
+    refuse(Code::CallerLeft, "caller left before the request was sent", {});
+    return true;
   }
   // Reading from the caller may be paused, which would hide the disconnect.
   mCaller->abort();
--- a/libs/base/code.cpp
+++ b/libs/base/code.cpp
@@ -40,7 +40,7 @@
             Outcome::NotRun },
   CodeInfo{ Code::ClaimInProgress, "claim-in-progress", 409, Outcome::Unknown },
   CodeInfo{ Code::OutcomeUnknown, "outcome-unknown", 504, Outcome::Unknown },
-  CodeInfo{ Code::CallerLeft, "caller-left", 0, Outcome::Unknown },
+  CodeInfo{ Code::CallerLeft, "caller-left", 503, Outcome::Unknown },
   CodeInfo{ Code::RequestPoisonous,
             "request-poisonous",
             422,
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -89,8 +89,11 @@
         }
       },
       [this](TransportEnd aEnd) {
-        end(aEnd == TransportEnd::Orderly ? CallerEnd::ClosedByCaller
-                                          : CallerEnd::Failed);
+        if (aEnd == TransportEnd::Orderly) {
+          inputEnded();
+        } else {
+          end(mInputEnded ? CallerEnd::ClosedByCaller : CallerEnd::Failed);
+        }
       } });
   mTransport.allowPauses(mServer.mLimits.idleTimeout);
   awaitNextRequest();
@@ -307,11 +310,53 @@
   mTransport.pauseReading(true);
   mPauseTimer = mServer.mLoop.every(kPausedCheckPeriod, [this] {
     if (mTransport.peerClosed()) {
-      end(CallerEnd::ClosedByCaller);
+      leaveRequest();
     }
   });
 }
 
+/** The caller has closed its connection, or only its sending side; these can't
+ * be told apart. What has been answered is still sent. */
+void
+CallerConnection::inputEnded()
+{
+  if (std::exchange(mInputEnded, true)) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (mCurrent.open) {
+    leaveRequest();
+  }
+  if (!mReleased && !mCurrent.open && mTransport.pendingInput() > 0) {
+    readInput();
+  }
+  if (mCurrent.open) {
+    leaveRequest();
+  }
+  if (mReleased) {
+    return;
+  }
+  if (mTransport.pendingOutput() == 0) {
+    end(CallerEnd::ClosedByCaller);
+  } else if (!mClosing) {
+    beginClose();
+  }
+}
+
+/** Tells the handler that the caller has left, in time for a refusal. */
+void
+CallerConnection::leaveRequest()
+{
+  const auto self = shared_from_this();
+  const auto callback = std::exchange(mCurrent.disconnectCallback, nullptr);
+  if (callback) {
+    callback();
+  }
+  if (mCurrent.open) {
+    end(CallerEnd::ClosedByCaller);
+  }
+}
+
 bool
 CallerConnection::rejectInvalid()
 {
@@ -418,7 +463,7 @@
 {
   mCurrent.responseStarted = true;
   mCurrent.closeAfterResponse = mCurrent.closeAfterResponse ||
-                                !mCurrent.request.keepAlive ||
+                                !mCurrent.request.keepAlive || mInputEnded ||
                                 mServer.mCloseAfterResponses;
   std::string head = "HTTP/1.1 " + std::to_string(aStatus) + " ";
   head += reasonPhrase(aStatus);
@@ -557,10 +602,16 @@
   armTimer(kLingerTime);
 }
 
-/** All output is flushed: gives the caller time to read it. */
+/** All output is flushed: gives the caller time to read it. Once its input has
+ * ended, the kernel does. */
 void
 CallerConnection::linger()
 {
+  if (mInputEnded) {
+    mTransport.shutdownOutput();
+    remove(CallerEnd::ClosedByCaller);
+    return;
+  }
   mLingering = true;
   mTransport.shutdownOutput();
   armTimer(kLingerTime);
@@ -611,6 +662,7 @@
 {
   // Freed from the event loop, because the object may be in use further up the
   // call stack.
+  mReleased = true;
   mTransport.setEvents({});
   mTimer.reset();
   mPauseTimer.reset();
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -109,7 +109,8 @@
   void abort();
 
   /** @param aCallback runs once if the caller disconnects before the request
-   * ends */
+   * ends; reply() in it still reaches a caller that has closed its sending side
+   * only */
   void onDisconnect(std::function<void()> aCallback)
   {
     mCurrent.disconnectCallback = std::move(aCallback);
@@ -156,6 +157,8 @@
   void openRequest();
   void readInput();
   void pauseInput();
+  void inputEnded();
+  void leaveRequest();
   bool rejectInvalid();
   void rejectWith(int aStatus);
   bool acceptHeaders();
@@ -201,7 +204,9 @@
   /** Armed while reading is paused, because an end is not reported then. */
   http::EventHandle mPauseTimer;
   bool mClosing = false;
-  bool mLingering = false; ///< from the flush of the last response on
+  bool mLingering = false;  ///< from the flush of the last response on
+  bool mInputEnded = false; ///< the caller sends nothing more
+  bool mReleased = false;   ///< no callback runs any more
 };
 
 /** Accepts connections from callers and passes their requests to a handler. */
--- /dev/null
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -0,0 +1,102 @@
+/** @file Tests that the end of a connection loses nothing that is on its way.
+ */
+#include "wire/tests/manual_peers.h"
+
+#include <CppUTest/TestHarness.h>
+#include <memory>
+#include <thread>
+
+using namespace marigold;
+using namespace std::chrono_literals;
+using test::kAddress;
+using test::ManualCaller;
+using test::ManualServer;
+using test::runPending;
+
+namespace {
+
+/** The kernel holds little for a caller that doesn't read. */
+constexpr int kSmallBuffer = 4096;
+/** More than the kernel takes for a caller with a small buffer. */
+constexpr std::size_t kLongerThanTheBuffers = 16UL * 1024 * 1024;
+/** The kernel takes all of it, the buffer of the caller does not. */
+constexpr std::size_t kLongerThanTheWindow = 200UL * 1024;
+/** More pipelined input than a connection reads during a request. */
+constexpr std::size_t kLongInput = 128UL * 1024;
+
+const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+TEST_GROUP(ConnectionEnd)
+{
+  http::Loop loop;
+
+  void runFor(base::Duration aTime)
+  {
+    const auto end = loop.after(aTime, [this] { loop.stop(); });
+    loop.run();
+  }
+
+  /** Lets a caller read until its connection ends, or for a while. */
+  std::string readToEnd(ManualCaller & aCaller, base::Duration aLimit = 1s)
+  {
+    std::string received;
+    const auto read = loop.every(1ms, [&] {
+      received += aCaller.receive();
+      if (aCaller.wasClosed() || aCaller.wasReset()) {
+        loop.stop();
+      }
+    });
+    runFor(aLimit);
+    return received;
+  }
+};
+
+// Guards against a refusal that is dropped because its caller has closed its
+// sending side, as callers that send one request may.
+TEST(ConnectionEnd, HalfClosedCallerGetsTheWholeRefusal)
+{
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    aCaller->reply(503, {}, std::string(kLongerThanTheBuffers, 'x'));
+  });
+  std::vector<wire::ClosedCaller> closed;
+  server.onClosed(
+    [&](const wire::ClosedCaller& aClosed) { closed.push_back(aClosed); });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller(kSmallBuffer);
+  caller.send(kRequest);
+  caller.endInput();
+  runFor(100ms);
+  const std::string received = readToEnd(caller);
+  STRCMP_CONTAINS("HTTP/1.1 503", received.substr(0, 20).c_str());
+  CHECK(received.size() > kLongerThanTheBuffers);
+  CHECK(caller.wasClosed());
+  LONGS_EQUAL(1, closed.size());
+  CHECK(closed[0].end == wire::CallerEnd::ClosedByCaller);
+  LONGS_EQUAL(0, closed[0].unansweredBytes);
+}
+
+// Guards against a request without a refusal whose caller closes its sending
+// side while the request waits.
+TEST(ConnectionEnd, HandlerCanRefuseARequestWhenItsCallerHalfCloses)
+{
+  std::shared_ptr<wire::CallerConnection> waiting;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    waiting = aCaller;
+    aCaller->onDisconnect([&] { waiting->reply(503, {}, "no"); });
+  });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send(kRequest);
+  runFor(20ms);
+  CHECK(waiting != nullptr);
+  caller.endInput();
+  const std::string received = readToEnd(caller);
+  CHECK(received.ends_with("no"));
+  CHECK(caller.wasClosed());
+  LONGS_EQUAL(0, server.openRequests());
+  LONGS_EQUAL(0, server.connections());
+  waiting.reset();
+  runPending(loop);
+}
--- a/tests/e2e/test_caller_connections.py
+++ b/tests/e2e/test_caller_connections.py
@@ -134,6 +134,19 @@
         connection.sendall(self.request("/again/x")[:40])
         self.assertIn(b"HTTP/1.1 408", read_answer(connection, HEADER_TIMEOUT_S + 2))
 
+    def test_request_that_comes_with_a_half_close_is_refused(self):
+        """Guards against a request that is read whole and gets neither an answer nor a refusal, because its caller has
+        closed its sending side and is taken for one that has left."""
+        connection = self.connect()
+        self.gateway.child.send_signal(signal.SIGSTOP)
+        connection.sendall(self.request("/again/x"))
+        connection.shutdown(socket.SHUT_WR)
+        time.sleep(0.1)
+        self.gateway.child.send_signal(signal.SIGCONT)
+        answer = read_answer(connection, 3)
+        self.assertIn(b"HTTP/1.1 503", answer)
+        self.assertIn(b"Marigold-Outcome: not-run", answer)
+
     def test_pausing_callers_get_their_whole_answers_in_a_planned_stop(self):
         """Guards against answers that are reset because their callers stop reading for a few seconds."""
         connections = [self.connect(SMALL_WINDOW) for _ in range(CALLERS)]
--- a/tests/explore/actions.cpp
+++ b/tests/explore/actions.cpp
@@ -360,6 +360,7 @@
 {
   ++mDisturbances;
   mCallers[aTarget].leftAt = mWorld.now();
+  mCallers[aTarget].halfClosed = true;
   connectionOf(mCallers[aTarget]).peerFin = true;
 }
 
--- a/tests/explore/checks.cpp
+++ b/tests/explore/checks.cpp
@@ -281,7 +281,7 @@
 {
   const Connection& connection = connectionOf(aCaller);
   if (aCaller.leftAt || aCaller.pausedTooLong) {
-    return {};
+    return checkHalfClose(aCaller);
   }
   const auto& answers = aCaller.answers;
   for (std::size_t index = 0; index < aCaller.requests.size(); ++index) {
@@ -330,6 +330,39 @@
   return checkDelivery(aCaller);
 }
 
+/** A caller may close its sending side and read on. What it had asked for and
+ * no upstream has got is answered or refused. */
+std::string
+Scenario::checkHalfClose(const Caller& aCaller) const
+{
+  const Connection& connection = connectionOf(aCaller);
+  const auto& connections = World::current().connections();
+  const bool lost =
+    std::any_of(connections.begin(), connections.end(), [](const auto& aItem) {
+      return !aItem->accepted && aItem->lostBytes;
+    });
+  if (!aCaller.halfClosed || aCaller.pausedTooLong || lost ||
+      World::current().exited()) {
+    return {};
+  }
+  const auto& answers = aCaller.answers;
+  for (std::size_t index = 0; index < aCaller.requests.size(); ++index) {
+    const CallerRequest& request = aCaller.requests[index];
+    const bool read =
+      request.sent == request.text.size() && connection.read >= request.end;
+    const bool answered = index < answers.size() && answers[index].complete;
+    if (read && !answered && lastArrivalOf(request.id) == nullptr) {
+      return "request of a caller that has half-closed is neither answered nor "
+             "refused (" +
+             request.id + ")";
+    }
+    if (!answered || answers[index].last) {
+      break; // A call that has begun ends with its caller.
+    }
+  }
+  return {};
+}
+
 /** An answer that the process has read, or that waits for it while the caller
  * reads and time is left, reaches the caller whole. */
 std::string
--- a/tests/explore/scenario.h
+++ b/tests/explore/scenario.h
@@ -67,8 +67,9 @@
     std::vector<CallerRequest> requests;
     std::vector<Answer> answers;
     std::optional<base::TimePoint> leftAt; ///< it closed or reset
-    base::Duration paused{};               ///< for which it has not read
-    bool pausedTooLong = false;            ///< its connection may be closed
+    bool halfClosed = false;    ///< it closed, and reads what still comes
+    base::Duration paused{};    ///< for which it has not read
+    bool pausedTooLong = false; ///< its connection may be closed
     base::TimePoint activeAt{}; ///< when it last sent or received bytes
     std::size_t seen = 0;       ///< bytes that it had received then
     bool hasPaused = false;
@@ -195,6 +196,7 @@
   bool othersAccept(const base::Address& aTried) const;
   std::string checkKeptConnections() const;
   std::string checkEnd(const Caller& aCaller) const;
+  std::string checkHalfClose(const Caller& aCaller) const;
   std::string checkDelivery(const Caller& aCaller) const;
   std::string checkCounters() const;
 
