--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -595,6 +595,9 @@
 CallerConnection::beginClose()
 {
   mClosing = true;
+  // Unread input would turn the close into a reset.
+  mPauseTimer.reset();
+  mTransport.pauseReading(false);
   if (mTransport.pendingOutput() == 0) {
     linger();
     return;
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -100,3 +100,25 @@
   waiting.reset();
   runPending(loop);
 }
+
+// Guards against a last response that is reset, because its caller closes
+// behind so much pipelined input that reading has paused.
+TEST(ConnectionEnd, LastResponseOutlastsACloseBehindLongInput)
+{
+  std::shared_ptr<wire::CallerConnection> waiting;
+  wire::CallerServer server(loop,
+                            [&](const auto& aCaller) { waiting = aCaller; });
+  server.closeAfterResponses();
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller(kSmallBuffer);
+  caller.send(kRequest + std::string(kLongInput, 'x'));
+  runFor(50ms);
+  CHECK(waiting != nullptr);
+  waiting->reply(200, {}, std::string(kLongerThanTheWindow, 'x'));
+  waiting.reset(); // It would keep the socket open.
+  caller.endInput();
+  runFor(500ms);
+  const std::string received = readToEnd(caller);
+  CHECK(received.size() > kLongerThanTheWindow);
+  CHECK(caller.wasClosed());
+}
