--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -126,7 +126,7 @@
 CallerConnection::endIdle()
 {
   const base::Duration idle = base::monotonicNow() - mIdleSince;
-  if (idle < kLingerTime || mTransport.pendingOutput() > 0) {
+  if (idle < kLingerTime || undeliveredOutput() > 0) {
     armTimer(kLingerTime);
     return;
   }
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -26,6 +26,17 @@
 
 const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
+std::size_t
+count(const std::string& aText, const std::string& aPart)
+{
+  std::size_t found = 0;
+  for (std::size_t at = aText.find(aPart); at != std::string::npos;
+       at = aText.find(aPart, at + 1)) {
+    ++found;
+  }
+  return found;
+}
+
 } // namespace
 
 TEST_GROUP(ConnectionEnd)
@@ -122,3 +133,27 @@
   CHECK(received.size() > kLongerThanTheWindow);
   CHECK(caller.wasClosed());
 }
+
+// Guards against a stop that takes a caller for idle which has not got its
+// response yet, because the loop is late.
+TEST(ConnectionEnd, StopWaitsForTheDeliveryOfAResponse)
+{
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    aCaller->reply(200, {}, std::string(kLongerThanTheWindow, 'x'));
+  });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller(kSmallBuffer);
+  caller.send(kRequest);
+  const auto stop = loop.after(100ms, [&] {
+    std::this_thread::sleep_for(1100ms);
+    server.stop();
+    LONGS_EQUAL(1, server.connections());
+    loop.stop();
+  });
+  loop.run();
+  std::string received;
+  const auto read = loop.every(1ms, [&] { received += caller.receive(); });
+  const auto next = loop.after(300ms, [&] { caller.send(kRequest); });
+  runFor(600ms);
+  LONGS_EQUAL(2, count(received, "HTTP/1.1 200"));
+}
