--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -157,3 +157,34 @@
   runFor(600ms);
   LONGS_EQUAL(2, count(received, "HTTP/1.1 200"));
 }
+
+// A stream whose head promised no close can't tell of one. Guards against a
+// request behind it that is not answered, or not told of the close.
+TEST(ConnectionEnd, RequestBehindAStreamThatEndsInAStopIsToldOfTheClose)
+{
+  std::shared_ptr<wire::CallerConnection> stream;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    if (stream) {
+      aCaller->reply(200, {}, "second");
+      return;
+    }
+    stream = aCaller;
+    aCaller->startStream(200, {});
+    aCaller->sendChunk("part");
+  });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send(kRequest);
+  runFor(20ms);
+  server.closeAfterResponses();
+  server.stop();
+  stream->endStream();
+  runFor(800ms);
+  caller.send(kRequest);
+  const std::string received = readToEnd(caller, 2s);
+  CHECK(received.ends_with("second"));
+  STRCMP_CONTAINS("Connection: close", received.c_str());
+  CHECK(caller.wasClosed());
+  stream.reset();
+  runPending(loop);
+}
