--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -82,6 +82,9 @@
       [this] { readInput(); },
       [this] {
         chargeOutput();
+        if (!mCurrent.open) {
+          noteDelivery();
+        }
         // The callback may be late and report the flush of
         // an earlier part while the last one is pending.
         if (mClosing && !mLingering && mTransport.pendingOutput() == 0) {
@@ -110,8 +113,21 @@
 CallerConnection::awaitNextRequest()
 {
   mIdleSince = base::monotonicNow();
-  armTimer(mLastUndelivered > 0 ? std::min(idleLimit(), kDeliveryCheckPeriod)
-                                : idleLimit());
+  armIdleTimer();
+}
+
+/** A caller counts as idle from when it has its response, which a slow link or
+ * a slow reader delays. */
+void
+CallerConnection::armIdleTimer()
+{
+  const base::TimePoint now = base::monotonicNow();
+  const base::Duration left =
+    mLastUndelivered > 0
+      ? std::min(mLastOutputProgress + mServer.mLimits.idleTimeout - now,
+                 kDeliveryCheckPeriod)
+      : mIdleSince + idleLimit() - now;
+  armTimer(std::max(left, base::Duration::zero()));
 }
 
 void
@@ -188,18 +204,12 @@
 void
 CallerConnection::idleTimeoutExpired()
 {
-  // A caller counts as idle from when it has its response, which a slow link or
-  // a slow reader delays.
-  const bool awaitedDelivery = mLastUndelivered > 0;
-  if (peerIsReading() || (awaitedDelivery && mLastUndelivered == 0)) {
-    awaitNextRequest();
-    return;
-  }
+  const bool isReading = peerIsReading();
   // The idle timeout may have become longer meanwhile.
-  const base::Duration left = mIdleSince + idleLimit() - base::monotonicNow();
-  if (left > base::Duration::zero()) {
-    armTimer(mLastUndelivered > 0 ? std::min(left, kDeliveryCheckPeriod)
-                                  : left);
+  const bool isIdle =
+    mLastUndelivered == 0 && base::monotonicNow() - mIdleSince < idleLimit();
+  if (isReading || isIdle) {
+    armIdleTimer();
     return;
   }
   if (mTransport.hasInput()) {
@@ -232,16 +242,26 @@
   return mTransport.pendingOutput() + mTransport.unacknowledgedOutput();
 }
 
-bool
-CallerConnection::peerIsReading()
+void
+CallerConnection::noteDelivery()
 {
-  const std::size_t pending = undeliveredOutput();
+  const std::size_t undelivered = undeliveredOutput();
   const base::TimePoint now = base::monotonicNow();
-  if (pending < mLastUndelivered) {
+  if (undelivered < mLastUndelivered) {
     mLastOutputProgress = now;
   }
-  mLastUndelivered = pending;
-  return pending > 0 && now - mLastOutputProgress < mServer.mLimits.idleTimeout;
+  if (undelivered == 0 && mLastUndelivered > 0) {
+    mIdleSince = now;
+  }
+  mLastUndelivered = undelivered;
+}
+
+bool
+CallerConnection::peerIsReading()
+{
+  noteDelivery();
+  return mLastUndelivered > 0 && base::monotonicNow() - mLastOutputProgress <
+                                   mServer.mLimits.idleTimeout;
 }
 
 void
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -178,12 +178,14 @@
   base::Duration idleLimit() const;
   void armTimer(base::Duration aDelay);
   void awaitNextRequest();
+  void armIdleTimer();
   void timerExpired();
   void overdueTimeoutExpired();
   void requestTimeoutExpired();
   void idleTimeoutExpired();
   void closeTimeoutExpired();
   std::size_t undeliveredOutput() const;
+  void noteDelivery();
   bool peerIsReading();
 
   CallerServer& mServer;
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -188,3 +188,20 @@
   stream.reset();
   runPending(loop);
 }
+
+// Guards against a caller that doesn't read and holds its connection for twice
+// the idle timeout. What the kernel delivers is looked at once a second.
+TEST(ConnectionEnd, CallerWithoutProgressIsClosedAfterOneIdleTimeout)
+{
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    aCaller->reply(200, {}, std::string(kLongerThanTheWindow, 'x'));
+  });
+  server.setLimits({ 1024, 1024, 1s, 4s });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller(kSmallBuffer);
+  caller.send(kRequest);
+  runFor(3800ms);
+  LONGS_EQUAL(1, server.connections());
+  runFor(1800ms);
+  LONGS_EQUAL(0, server.connections());
+}
