--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -102,6 +102,23 @@
   awaitNextRequest();
 }
 
+/** What is left of a pause that began before is what was left of it, or the
+ * whole new time if that is less. The kernel judges by its own count from the
+ * beginning, so its limit is not shortened during a pause.
+ * @param aShortening old idle timeout less the new one */
+void
+CallerConnection::idleTimeoutChanged(base::Duration aShortening)
+{
+  const bool isShorter = aShortening > base::Duration::zero();
+  if (isShorter) {
+    mLastOutputProgress =
+      std::min(mLastOutputProgress + aShortening, base::monotonicNow());
+  }
+  if (!isShorter || undeliveredOutput() == 0) {
+    mTransport.allowPauses(mServer.mLimits.idleTimeout);
+  }
+}
+
 /** @return time for which the connection may stay idle */
 base::Duration
 CallerConnection::idleLimit() const
@@ -252,6 +269,7 @@
   }
   if (undelivered == 0 && mLastUndelivered > 0) {
     mIdleSince = now;
+    mTransport.allowPauses(mServer.mLimits.idleTimeout);
   }
   mLastUndelivered = undelivered;
 }
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -179,6 +179,7 @@
   void armTimer(base::Duration aDelay);
   void awaitNextRequest();
   void armIdleTimer();
+  void idleTimeoutChanged(base::Duration aShortening);
   void timerExpired();
   void overdueTimeoutExpired();
   void requestTimeoutExpired();
--- a/libs/wire/caller_server.cpp
+++ b/libs/wire/caller_server.cpp
@@ -55,9 +55,10 @@
 void
 CallerServer::setLimits(const CallerLimits& aLimits)
 {
+  const base::Duration shortening = mLimits.idleTimeout - aLimits.idleTimeout;
   mLimits = aLimits;
   for (const auto& caller : mCallers) {
-    caller->mTransport.allowPauses(aLimits.idleTimeout);
+    caller->idleTimeoutChanged(shortening);
   }
 }
 
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -205,3 +205,40 @@
   runFor(1800ms);
   LONGS_EQUAL(0, server.connections());
 }
+
+// Guards against a response that is cut because a shorter idle timeout counts
+// for a pause that began before it.
+TEST(ConnectionEnd, ShorterIdleTimeoutCountsFromItsChangeOn)
+{
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    aCaller->reply(200, {}, std::string(kLongerThanTheWindow, 'x'));
+  });
+  server.setLimits({ 1024, 1024, 1s, 4s });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller(kSmallBuffer);
+  caller.send(kRequest);
+  runFor(1800ms);
+  server.setLimits({ 1024, 1024, 1s, 1500ms });
+  runFor(1100ms);
+  CHECK(readToEnd(caller, 200ms).size() > kLongerThanTheWindow);
+  CHECK(!caller.wasReset());
+  CHECK(!caller.wasClosed());
+}
+
+// The same for the time limit of the kernel.
+TEST(ConnectionEnd, ShorterIdleTimeoutOfTheKernelCountsFromItsChangeOn)
+{
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    aCaller->reply(200, {}, std::string(kLongerThanTheWindow, 'x'));
+  });
+  server.setLimits({ 1024, 1024, 1s, 7s });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller(kSmallBuffer);
+  caller.send(kRequest);
+  runFor(2600ms);
+  server.setLimits({ 1024, 1024, 1s, 2500ms });
+  runFor(1400ms);
+  CHECK(readToEnd(caller, 200ms).size() > kLongerThanTheWindow);
+  CHECK(!caller.wasReset());
+  CHECK(!caller.wasClosed());
+}
--- a/tests/explore/actions.cpp
+++ b/tests/explore/actions.cpp
@@ -575,9 +575,17 @@
   mSite->apply(mCatalog);
 }
 
+/** Callers that pause keep what is left of the old time, at most the new one.
+ */
 void
 Scenario::shortenIdle(std::size_t /*aTarget*/)
 {
+  const base::Duration shortening =
+    mCatalog.callerLimits.idleTimeout - kShortIdle;
+  for (Caller& caller : mCallers) {
+    caller.paused =
+      std::max(caller.paused - shortening, base::Duration::zero());
+  }
   mCatalog.callerLimits.idleTimeout = kShortIdle;
   applyChange();
 }
