--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include "http/input_timer.h"
+#include "http/kept_connection.h"
 #include "http/method.h"
 
 #include <algorithm>
@@ -14,6 +15,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
@@ -195,9 +197,14 @@
            bytesInSocket(descriptor(), SIOCOUTQ) > 0;
   }
 
-  /** @return true if bytes follow the end of the response, which would be read
-   * as the start of the next one */
-  bool hasSurplus() const { return evbuffer_get_length(input) > 0; }
+  /** Polls the socket, because the event loop may be late.
+   * @return true if the server has ended the connection, or if bytes follow the
+   * end of the response, which would be read as the start of the next one */
+  bool stale() const
+  {
+    pollfd state{ descriptor(), POLLIN | POLLRDHUP, 0 };
+    return closed || evbuffer_get_length(input) > 0 || poll(&state, 1, 0) > 0;
+  }
 
   Address address;
   evhttp_connection* native = nullptr;
@@ -210,6 +217,8 @@
   bool withheld = false;       ///< the deadline passed before the first byte
   bool sent = false;
   bool closed = false;
+  base::TimePoint idleUntil{}; ///< no other call is sent on it later
+  EventHandle idleTimer;
 };
 
 struct Call::State
@@ -285,7 +294,9 @@
       setResetOnClose(connection->descriptor(), false);
     }
     if (clientAlive.lock()) {
-      client->release(std::move(connection), aReusable);
+      client->release(std::move(connection),
+                      aReusable,
+                      announcedIdleTimeout(response.headers));
     } else {
       connection.reset();
     }
@@ -438,23 +449,46 @@
   while (aReuse && !idle.empty()) {
     std::unique_ptr<Connection> connection = std::move(idle.back());
     idle.pop_back();
-    if (!connection->closed && !connection->hasSurplus()) {
+    connection->idleTimer.reset();
+    // The timer of its end may wait behind the call in a late loop.
+    if (base::monotonicNow() < connection->idleUntil && !connection->stale()) {
       return connection;
     }
+    discard(std::move(connection));
   }
   return std::make_unique<Connection>(mLoop, aAddress);
 }
 
 void
-Client::release(std::unique_ptr<Connection> aConnection, bool aReusable)
+Client::release(std::unique_ptr<Connection> aConnection,
+                bool aReusable,
+                std::optional<base::Duration> aIdleTimeout)
 {
   auto& idle = mIdle[aConnection->address];
-  const bool clean = !aConnection->closed && !aConnection->hasSurplus();
-  if (aReusable && clean && idle.size() < mMaxIdlePerAddress) {
-    idle.push_back(std::move(aConnection));
+  const auto reuse =
+    reuseTime(aIdleTimeout, sinceLastInput(aConnection->descriptor()));
+  if (!aReusable || !reuse || aConnection->stale() ||
+      idle.size() >= mMaxIdlePerAddress) {
+    discard(std::move(aConnection));
     return;
   }
-  discard(std::move(aConnection));
+  Connection* kept = aConnection.get();
+  kept->idleUntil = base::monotonicNow() + *reuse;
+  kept->idleTimer = mLoop.after(*reuse, [this, kept] { removeIdle(*kept); });
+  idle.push_back(std::move(aConnection));
+}
+
+void
+Client::removeIdle(const Connection& aConnection)
+{
+  auto& idle = mIdle[aConnection.address];
+  const auto found =
+    std::find_if(idle.begin(), idle.end(), [&](const auto& aItem) {
+      return aItem.get() == &aConnection;
+    });
+  std::unique_ptr<Connection> removed = std::move(*found);
+  idle.erase(found);
+  discard(std::move(removed));
 }
 
 void
@@ -470,6 +504,7 @@
 void
 Client::discard(std::unique_ptr<Connection> aConnection)
 {
+  aConnection->idleTimer.reset();
   // Deferred, because evhttp may be using the connection further up the call
   // stack.
   const std::shared_ptr<Connection> held(std::move(aConnection));
--- a/libs/http/client.h
+++ b/libs/http/client.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 struct evhttp_connection;
@@ -71,7 +72,8 @@
 /**
  * HTTP client with connection reuse. A connection is reused only after a
  * complete response and reset otherwise, because bytes of the old response
- * could be read as the next one and the kernel could send the request again.
+ * could be read as the next one and the kernel could send the request again. An
+ * idle one is closed before its server may close it, which would lose a call.
  * No byte of a request is sent over a new connection that was established after
  * the call's timeout, and the kernel sends none again after it.
  */
@@ -110,7 +112,11 @@
   friend class Call;
   struct Connection;
   std::unique_ptr<Connection> connect(const Address& aAddress, bool aReuse);
-  void release(std::unique_ptr<Connection> aConnection, bool aReusable);
+  /** @param aIdleTimeout of the server, if it is known */
+  void release(std::unique_ptr<Connection> aConnection,
+               bool aReusable,
+               std::optional<base::Duration> aIdleTimeout);
+  void removeIdle(const Connection& aConnection);
   void discard(std::unique_ptr<Connection> aConnection);
 
   Loop& mLoop;
