Keep the size of bodies that are always taken in MemoryBudget

kSmallBody stood in caller_connection.cpp and exchange_dispatch.cpp with values that must agree. The budget decides for both now. The test of the budget used sizes below that limit; it has the same ratios in MiB, and asks for the limit itself. base_tests and the tests of CallerServer pass.

--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -29,8 +29,6 @@
 /** Longest advice to callers of upstreams that name a limit; another upstream
  * may get the model meanwhile. */
 constexpr base::Duration kMaxLimitRetryDelay = 2s;
-/** A body up to this size is sent without a look at the memory budget. */
-constexpr std::size_t kSmallBody = 16UL * 1024;
 constexpr base::Duration kMemoryCheckPeriod = 50ms;
 /** Sends beyond the route's attempts that upstreams may refuse. After more,
  * the overload is expected to outlast the request. */
@@ -51,8 +49,7 @@
 bool
 Exchange::waitForMemory()
 {
-  if (mRequest.body.size() <= kSmallBody ||
-      mContext.memory.admitsCopy(mRequest.body.size())) {
+  if (mContext.memory.admitsCopy(mRequest.body.size())) {
     return false;
   }
   if (!mMemoryWaitLogged) {
--- a/libs/base/memory_budget.h
+++ b/libs/base/memory_budget.h
@@ -21,21 +21,28 @@
   /** @return bytes held now */
   std::size_t used() const { return mUsed; }
 
-  /** @param aBytes size of a new body @return true if it may be received */
-  bool admitsBody(std::size_t aBytes) const
+  /** @param aBytes size of a body @param aCounted part that counts already
+   * @return true if it may be received */
+  bool admitsBody(std::size_t aBytes, std::size_t aCounted = 0) const
   {
-    return fits(aBytes, mLimit / kParts * kPartsForBodies);
+    return aBytes <= kSmallBody ||
+           fits(aBytes - aCounted, mLimit / kParts * kPartsForBodies);
   }
 
-  /** @param aBytes size of a request to send
+  /** @param aBytes size of a body to send
    * @return true if it may be buffered until its upstream has read it */
-  bool admitsCopy(std::size_t aBytes) const { return fits(aBytes, mLimit); }
+  bool admitsCopy(std::size_t aBytes) const
+  {
+    return aBytes <= kSmallBody || fits(aBytes, mLimit);
+  }
 
   /** @return true if answers must not be buffered as far as usual */
   bool tight() const { return mUsed > mLimit / 2; }
 
 private:
   friend class MemoryCharge;
+  /** Bodies up to this size are always taken and sent. */
+  static constexpr std::size_t kSmallBody = 16UL * 1024;
   static constexpr std::size_t kParts = 3;
   static constexpr std::size_t kPartsForBodies = 2;
 
--- a/libs/base/tests/base_tests.cpp
+++ b/libs/base/tests/base_tests.cpp
@@ -49,25 +49,31 @@
 // for what becomes of them.
 TEST(Base, MemoryBudgetKeepsRoomBesideBodies)
 {
+  constexpr std::size_t kSmall = 16UL * 1024; // always taken and sent
   MemoryBudget budget;
   CHECK(budget.admitsBody(1'000'000'000));
-  budget.setLimit(300);
+  constexpr std::size_t kUnit = 1024UL * 1024;
+  budget.setLimit(300 * kUnit);
   MemoryCharge first(budget);
-  first.set(150);
-  CHECK(budget.admitsBody(50));
-  CHECK(!budget.admitsBody(51));
-  CHECK(budget.admitsCopy(150));
+  first.set(150 * kUnit);
+  CHECK(budget.admitsBody(50 * kUnit));
+  CHECK(!budget.admitsBody(50 * kUnit + 1));
+  CHECK(budget.admitsCopy(150 * kUnit));
   CHECK(!budget.tight());
   {
     MemoryCharge second(budget);
-    second.set(200);
+    second.set(200 * kUnit);
     CHECK(budget.tight());
-    CHECK(!budget.admitsBody(0));
-    CHECK(!budget.admitsCopy(0));
+    CHECK(!budget.admitsBody(kSmall + 1));
+    CHECK(budget.admitsBody(kSmall));
+    CHECK(!budget.admitsCopy(kSmall + 1));
+    CHECK(budget.admitsCopy(kSmall));
   }
-  first.set(100);
-  LONGS_EQUAL(100, budget.used());
-  CHECK(budget.admitsBody(100));
+  first.set(100 * kUnit);
+  CHECK(budget.admitsBody(101 * kUnit, kUnit));
+  CHECK(!budget.admitsBody(101 * kUnit));
+  LONGS_EQUAL(100 * kUnit, budget.used());
+  CHECK(budget.admitsBody(100 * kUnit));
 }
 
 int
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -21,8 +21,6 @@
 constexpr std::size_t kMaxPipelinedBytes = 64UL * 1024;
 /** Interval at which a connection is asked for its end while reading pauses. */
 constexpr base::Duration kPausedCheckPeriod = 200ms;
-/** A body up to this size is always taken. */
-constexpr std::size_t kSmallBody = 16UL * 1024;
 
 std::string
 chunkHeader(std::size_t aSize)
@@ -454,8 +452,7 @@
 void
 CallerConnection::chargeBody(std::size_t aBytes)
 {
-  const std::size_t added = aBytes - mBodyCharge.bytes();
-  if (aBytes > kSmallBody && !mServer.mMemory->admitsBody(added)) {
+  if (!mServer.mMemory->admitsBody(aBytes, mBodyCharge.bytes())) {
     mCurrent.bodyRefused = true;
     mCurrent.closeAfterResponse = true;
     mCurrent.request.body = {};
