Tell a caller that leaves during its answer from a lost answer

An end by the caller is now 'caller left before it had its whole response', at level info; the warning is left for ends by the process or the network.

Seen failing before: test_caller_that_leaves_during_its_answer_is_told_from_a_lost_answer.

--- a/apps/gateway/request_log.cpp
+++ b/apps/gateway/request_log.cpp
@@ -122,16 +122,22 @@
   if (logged || complete || !takeToken(0, aNow)) {
     return;
   }
-  observe::logWarn(
-    aClosed.unansweredBytes > 0 ? "caller connection ended without a response"
-                                : "caller may not have its whole response",
-    { { "reason", reason },
-      { "request_open", aClosed.requestOpen ? "yes" : "no" },
-      { "unanswered_bytes", std::to_string(aClosed.unansweredBytes) },
-      { "unsent_bytes", std::to_string(aClosed.unsentBytes) },
-      { "unacknowledged_bytes", std::to_string(aClosed.unacknowledgedBytes) },
-      { "since_input_ms", formatMilliseconds(aClosed.sinceInput) },
-      { "open_for_ms", formatMilliseconds(aClosed.sinceOpened) } });
+  // A caller that closes while its last response is on its way loses it by its
+  // own doing.
+  const bool leftEarly = aClosed.unansweredBytes == 0 &&
+                         aClosed.end == wire::CallerEnd::ClosedByCaller;
+  const auto log = leftEarly ? &observe::logInfo : &observe::logWarn;
+  log(leftEarly ? "caller left before it had its whole response"
+      : aClosed.unansweredBytes > 0
+        ? "caller connection ended without a response"
+        : "caller may not have its whole response",
+      { { "reason", reason },
+        { "request_open", aClosed.requestOpen ? "yes" : "no" },
+        { "unanswered_bytes", std::to_string(aClosed.unansweredBytes) },
+        { "unsent_bytes", std::to_string(aClosed.unsentBytes) },
+        { "unacknowledged_bytes", std::to_string(aClosed.unacknowledgedBytes) },
+        { "since_input_ms", formatMilliseconds(aClosed.sinceInput) },
+        { "open_for_ms", formatMilliseconds(aClosed.sinceOpened) } });
 }
 
 void
--- a/tests/e2e/test_caller_connections.py
+++ b/tests/e2e/test_caller_connections.py
@@ -159,6 +159,16 @@
             self.assertEqual(answer.count(b"id: "), EVENTS)
             self.assertTrue(answer.endswith(b"0\r\n\r\n"))
 
+    def test_caller_that_leaves_during_its_answer_is_told_from_a_lost_answer(self):
+        """Guards against a warning of a lost answer that callers cause by leaving."""
+        connection = self.connect(SMALL_WINDOW)
+        connection.sendall(self.request("/chat/x", "X-Model-Name: m1\r\nX-Token-Usage: 100,20\r\n"))
+        wait_for(lambda: self.engine.finished == 1, 3)
+        time.sleep(0.3)
+        connection.shutdown(socket.SHUT_WR)
+        wait_for(lambda: "caller left before it had its whole response" in self.gateway.log(), 3)
+        self.assertNotIn("caller may not have its whole response", self.gateway.log())
+
 
 if __name__ == "__main__":
     unittest.main()
