Carry what a VM passes on in one struct

Status and Summary had the same three trailing fields (statements on limits, loads from the store, offers to ask), encoded, decoded and merged twice each. Gossip holds them; the bytes of both messages are the same as before, and the tests of the codec keep their checks.

--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -387,9 +387,9 @@
   }
   status.crashes = mContext.crashes.report(base::monotonicNow());
   status.drainingUpstreams = mContext.upstreams.draining();
-  status.limitStatements = mContext.notices.statements(base::monotonicNow());
-  status.storeLoads = mOrders.ownerLoads(base::monotonicNow());
-  status.limitAsks = mContext.notices.asks(base::monotonicNow());
+  status.gossip = { mContext.notices.statements(base::monotonicNow()),
+                    mOrders.ownerLoads(base::monotonicNow()),
+                    mContext.notices.asks(base::monotonicNow()) };
   mSentStatuses.push_back(status);
   if (mSentStatuses.size() > kMaxSentStatuses) {
     mSentStatuses.pop_front();
@@ -449,11 +449,7 @@
   }
   mergeCrashes(status.crashes, now);
   mContext.upstreams.markDraining(status.drainingUpstreams);
-  mergeStatements(status.limitStatements, now);
-  if (status.storeLoads) {
-    mOrders.mergeOwnerLoads(*status.storeLoads, now);
-  }
-  mContext.notices.merge(status.limitAsks, now);
+  merge(status.gossip, now);
   if (status.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(vm);
   }
@@ -491,15 +487,18 @@
 }
 
 void
-PeerExchange::mergeStatements(const peers::LimitStatements& aStatements,
-                              base::TimePoint aNow)
+PeerExchange::merge(const peers::Gossip& aGossip, base::TimePoint aNow)
 {
   for (const peers::ProcessTag process :
-       mContext.notices.merge(aStatements, aNow)) {
+       mContext.notices.merge(aGossip.limitStatements, aNow)) {
     const auto upstream = mContext.upstreams.findProcess(process);
     observe::logInfo("limit of an upstream ended, as peers report",
                      { { "upstream", upstream ? upstream->record.name : "" } });
   }
+  if (aGossip.storeLoads) {
+    mOrders.mergeOwnerLoads(*aGossip.storeLoads, aNow);
+  }
+  mContext.notices.merge(aGossip.limitAsks, aNow);
 }
 
 void
@@ -532,11 +531,7 @@
   }
   mergeCrashes(summary.crashes, now);
   mContext.upstreams.markDraining(summary.drainingUpstreams);
-  mergeStatements(summary.limitStatements, now);
-  if (summary.storeLoads) {
-    mOrders.mergeOwnerLoads(*summary.storeLoads, now);
-  }
-  mContext.notices.merge(summary.limitAsks, now);
+  merge(summary.gossip, now);
   if (summary.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(summary.relay);
   }
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -207,6 +207,34 @@
   return asks;
 }
 
+/** Appends the fields of aGossip to the body of a message. */
+void
+appendGossip(const Gossip& aGossip, json& aBody)
+{
+  aBody.push_back(encodeStatements(aGossip.limitStatements));
+  aBody.push_back(encodeStoreLoads(aGossip.storeLoads));
+  aBody.push_back(encodeAsks(aGossip.limitAsks));
+}
+
+/** @param aFirst index of the first field; VMs of earlier versions don't send
+ * all of them */
+Gossip
+decodeGossip(const json& aBody, std::size_t aFirst)
+{
+  std::size_t field = aFirst;
+  Gossip gossip;
+  if (field < aBody.size()) {
+    gossip.limitStatements = decodeStatements(aBody.at(field++));
+  }
+  if (field < aBody.size()) {
+    gossip.storeLoads = decodeStoreLoads(aBody.at(field++));
+  }
+  if (field < aBody.size()) {
+    gossip.limitAsks = decodeAsks(aBody.at(field++));
+  }
+  return gossip;
+}
+
 LoadTable
 decodeLoads(const json& aJson)
 {
@@ -234,22 +262,21 @@
 json
 encodeBody(const Status& aStatus)
 {
-  return json::array({ aStatus.vm,
-                       aStatus.dataCentre,
-                       aStatus.incarnation,
-                       aStatus.sequence,
-                       aStatus.catalogVersion,
-                       aStatus.draining,
-                       encodeUsage(aStatus.usage),
-                       encodeLevels(aStatus.levels),
-                       aStatus.unregistered,
-                       encodeLoads(aStatus.loads),
-                       encodeDemand(aStatus.demand),
-                       encodeCrashes(aStatus.crashes),
-                       aStatus.drainingUpstreams,
-                       encodeStatements(aStatus.limitStatements),
-                       encodeStoreLoads(aStatus.storeLoads),
-                       encodeAsks(aStatus.limitAsks) });
+  json body = json::array({ aStatus.vm,
+                            aStatus.dataCentre,
+                            aStatus.incarnation,
+                            aStatus.sequence,
+                            aStatus.catalogVersion,
+                            aStatus.draining,
+                            encodeUsage(aStatus.usage),
+                            encodeLevels(aStatus.levels),
+                            aStatus.unregistered,
+                            encodeLoads(aStatus.loads),
+                            encodeDemand(aStatus.demand),
+                            encodeCrashes(aStatus.crashes),
+                            aStatus.drainingUpstreams });
+  appendGossip(aStatus.gossip, body);
+  return body;
 }
 
 Status
@@ -271,16 +298,7 @@
   status.demand = decodeDemand(next());
   status.crashes = decodeCrashes(next());
   status.drainingUpstreams = next().get<std::map<std::string, std::uint32_t>>();
-  // VMs of earlier versions do not send these.
-  if (field < aBody.size()) {
-    status.limitStatements = decodeStatements(next());
-  }
-  if (field < aBody.size()) {
-    status.storeLoads = decodeStoreLoads(next());
-  }
-  if (field < aBody.size()) {
-    status.limitAsks = decodeAsks(next());
-  }
+  status.gossip = decodeGossip(aBody, field);
   return status;
 }
 
@@ -294,22 +312,21 @@
                                 member.draining,
                                 encodeUsage(member.usage) });
   }
-  return json::array({ aSummary.dataCentre,
-                       aSummary.relay,
-                       aSummary.incarnation,
-                       aSummary.sequence,
-                       aSummary.catalogVersion,
-                       members,
-                       encodeLevels(aSummary.levels),
-                       aSummary.unregistered,
-                       encodeLoads(aSummary.loads),
-                       encodeDemand(aSummary.demand),
-                       encodeCrashes(aSummary.crashes),
-                       aSummary.drainingUpstreams,
-                       aSummary.complete,
-                       encodeStatements(aSummary.limitStatements),
-                       encodeStoreLoads(aSummary.storeLoads),
-                       encodeAsks(aSummary.limitAsks) });
+  json body = json::array({ aSummary.dataCentre,
+                            aSummary.relay,
+                            aSummary.incarnation,
+                            aSummary.sequence,
+                            aSummary.catalogVersion,
+                            members,
+                            encodeLevels(aSummary.levels),
+                            aSummary.unregistered,
+                            encodeLoads(aSummary.loads),
+                            encodeDemand(aSummary.demand),
+                            encodeCrashes(aSummary.crashes),
+                            aSummary.drainingUpstreams,
+                            aSummary.complete });
+  appendGossip(aSummary.gossip, body);
+  return body;
 }
 
 Summary
@@ -335,17 +352,9 @@
   summary.crashes = decodeCrashes(next());
   summary.drainingUpstreams =
     next().get<std::map<std::string, std::uint32_t>>();
-  // VMs of earlier versions do not send these.
+  // VMs of earlier versions do not send it.
   summary.complete = field < aBody.size() && next().get<bool>();
-  if (field < aBody.size()) {
-    summary.limitStatements = decodeStatements(next());
-  }
-  if (field < aBody.size()) {
-    summary.storeLoads = decodeStoreLoads(next());
-  }
-  if (field < aBody.size()) {
-    summary.limitAsks = decodeAsks(next());
-  }
+  summary.gossip = decodeGossip(aBody, field);
   return summary;
 }
 
--- a/libs/peers/messages.h
+++ b/libs/peers/messages.h
@@ -89,6 +89,17 @@
   bool operator==(const StoreLoadReport&) const = default;
 };
 
+/** What a VM has heard and passes on: with its status, and as a relay with the
+ * summary of its data centre. */
+struct Gossip
+{
+  LimitStatements limitStatements;
+  std::optional<StoreLoadReport> storeLoads;
+  LimitAsks limitAsks;
+
+  bool operator==(const Gossip&) const = default;
+};
+
 /** State of one VM, sent to the VMs of its data centre. */
 struct Status
 {
@@ -106,9 +117,7 @@
   CrashTable crashes;
   /** Upstreams that accept no new requests, with a tag of their process. */
   std::map<base::UpstreamName, std::uint32_t> drainingUpstreams;
-  LimitStatements limitStatements;
-  std::optional<StoreLoadReport> storeLoads;
-  LimitAsks limitAsks;
+  Gossip gossip;
 };
 
 /** A VM in the summary of its data centre. */
@@ -137,10 +146,7 @@
   CrashTable crashes; ///< of the relay, which merges that of its peers
   std::map<base::UpstreamName, std::uint32_t> drainingUpstreams;
   bool complete = false; ///< members have their totals of all teams
-  /** Of the relay, which merges those of its peers. */
-  LimitStatements limitStatements;
-  std::optional<StoreLoadReport> storeLoads; ///< of the relay
-  LimitAsks limitAsks;                       ///< likewise
+  Gossip gossip;         ///< of the relay, which merges that of its peers
 };
 
 /** Placement on one engine that its upstream record does not show. */
--- a/libs/peers/summary_builder.cpp
+++ b/libs/peers/summary_builder.cpp
@@ -69,9 +69,7 @@
   summary.catalogVersion = aOwn.catalogVersion;
   summary.levels = aOwn.levels;
   summary.crashes = aOwn.crashes;
-  summary.limitStatements = aOwn.limitStatements;
-  summary.storeLoads = aOwn.storeLoads;
-  summary.limitAsks = aOwn.limitAsks;
+  summary.gossip = aOwn.gossip;
   summary.complete = full;
   add(aOwn, full, aRepeatTime, aNow, summary);
   for (const auto& [vm, entry] : aTable.statuses()) {
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -27,9 +27,9 @@
     250ms, { { 4, 7 }, { 6 } }, { 8 }, { { 4, { 1, 3s } } }
   };
   status.drainingUpstreams["u2"] = 9;
-  status.limitStatements[33] = { 3, 700ms, true };
-  status.limitAsks[35] = { 5, 1300ms };
-  status.storeLoads = peers::StoreLoadReport{ 300ms, { 400ms, 2s } };
+  status.gossip.limitStatements[33] = { 3, 700ms, true };
+  status.gossip.limitAsks[35] = { 5, 1300ms };
+  status.gossip.storeLoads = peers::StoreLoadReport{ 300ms, { 400ms, 2s } };
   status.unregistered = { "vm9" };
   return status;
 }
@@ -48,9 +48,9 @@
   summary.demand["m"] = { 50, 2, 1 };
   summary.crashes[32] = { 1s, { { 2 } }, {}, {} };
   summary.drainingUpstreams["u3"] = 2;
-  summary.limitStatements[34] = { 8, 1200ms, false };
-  summary.limitAsks[36] = { 6, 1400ms };
-  summary.storeLoads = peers::StoreLoadReport{ 100ms, {} };
+  summary.gossip.limitStatements[34] = { 8, 1200ms, false };
+  summary.gossip.limitAsks[36] = { 6, 1400ms };
+  summary.gossip.storeLoads = peers::StoreLoadReport{ 100ms, {} };
   summary.unregistered = { "vm8" };
   summary.complete = true;
   return summary;
@@ -81,9 +81,10 @@
   LONGS_EQUAL(1, status.demand.at("m/a1").running);
   CHECK(status.crashes == sampleStatus(3).crashes);
   LONGS_EQUAL(9, status.drainingUpstreams.at("u2"));
-  CHECK(status.limitStatements == sampleStatus(3).limitStatements);
-  CHECK(status.limitAsks == sampleStatus(3).limitAsks);
-  CHECK(status.storeLoads == sampleStatus(3).storeLoads);
+  CHECK(status.gossip.limitStatements ==
+        sampleStatus(3).gossip.limitStatements);
+  CHECK(status.gossip.limitAsks == sampleStatus(3).gossip.limitAsks);
+  CHECK(status.gossip.storeLoads == sampleStatus(3).gossip.storeLoads);
   STRCMP_EQUAL("vm9", status.unregistered.at(0).c_str());
 }
 
@@ -105,9 +106,11 @@
   LONGS_EQUAL(50, summary.demand.at("m").workMsPerSecond);
   CHECK(summary.crashes == sampleSummary("r", 8, 6).crashes);
   LONGS_EQUAL(2, summary.drainingUpstreams.at("u3"));
-  CHECK(summary.limitStatements == sampleSummary("r", 8, 6).limitStatements);
-  CHECK(summary.limitAsks == sampleSummary("r", 8, 6).limitAsks);
-  CHECK(summary.storeLoads == sampleSummary("r", 8, 6).storeLoads);
+  CHECK(summary.gossip.limitStatements ==
+        sampleSummary("r", 8, 6).gossip.limitStatements);
+  CHECK(summary.gossip.limitAsks == sampleSummary("r", 8, 6).gossip.limitAsks);
+  CHECK(summary.gossip.storeLoads ==
+        sampleSummary("r", 8, 6).gossip.storeLoads);
   STRCMP_EQUAL("vm8", summary.unregistered.at(0).c_str());
   CHECK(summary.complete);
 }
@@ -235,8 +238,9 @@
   LONGS_EQUAL(4, summary.loads.at("u").running);
   LONGS_EQUAL(6, summary.demand.at("m/a1").waiting);
   CHECK(summary.crashes == sampleStatus(3).crashes);
-  CHECK(summary.limitStatements == sampleStatus(3).limitStatements);
-  CHECK(summary.limitAsks == sampleStatus(3).limitAsks);
+  CHECK(summary.gossip.limitStatements ==
+        sampleStatus(3).gossip.limitStatements);
+  CHECK(summary.gossip.limitAsks == sampleStatus(3).gossip.limitAsks);
   LONGS_EQUAL(1, summary.unregistered.size());
 }
 
