Keep log lines for connections that end without a response

Cause: the line that tells of a request without a response took its turn in the same budget as refusals and retries, so a burst of these left it out. An answer that a leaving caller has not acknowledged counts as notable.

--- a/apps/gateway/request_log.cpp
+++ b/apps/gateway/request_log.cpp
@@ -2,18 +2,9 @@
 
 #include "observe/log.h"
 
-#include <algorithm>
-
 namespace marigold::gateway {
 namespace {
 
-/** A line takes about 30 microseconds, so that logging stays below two percent
- * of a quarter of a core. */
-constexpr double kLinesPerSecond = 100;
-constexpr double kBurstLines = 200;
-/** Part of the burst that successful requests cannot use. */
-constexpr double kReservedLines = 100;
-
 std::string
 formatMilliseconds(base::Duration aDuration)
 {
@@ -24,27 +15,9 @@
 
 RequestLog::RequestLog(observe::Metrics& aMetrics)
   : mMetrics(aMetrics)
-  , mTokens(kBurstLines)
 {
 }
 
-bool
-RequestLog::takeToken(double aReserve, base::TimePoint aNow)
-{
-  if (mRefilled != base::TimePoint{}) {
-    mTokens =
-      std::min(kBurstLines,
-               mTokens + kLinesPerSecond * base::inSeconds(aNow - mRefilled));
-  }
-  mRefilled = aNow;
-  if (mTokens < aReserve + 1) {
-    ++mDroppedLines;
-    return false;
-  }
-  mTokens -= 1;
-  return true;
-}
-
 void
 RequestLog::logEnd(const RequestSummary& aSummary, base::TimePoint aNow)
 {
@@ -64,7 +37,9 @@
   }
   const bool plain = aSummary.outcome == "ok" && aSummary.sends <= 1 &&
                      aSummary.firstByte <= aSummary.targetLatency;
-  if (!takeToken(plain ? kReservedLines : 0, aNow)) {
+  const auto weight =
+    plain ? observe::LineWeight::Routine : observe::LineWeight::Notable;
+  if (!mBudget.take(weight, aNow)) {
     return;
   }
   observe::logInfo(
@@ -97,7 +72,7 @@
              "Decisions on the way of a request",
              { { "step", aStep } })
     .Increment();
-  if (!takeToken(0, aNow)) {
+  if (!mBudget.take(observe::LineWeight::Notable, aNow)) {
     return;
   }
   observe::logInfo(
@@ -119,12 +94,15 @@
     aClosed.requestOpen && aClosed.end == wire::CallerEnd::ClosedByCaller;
   const bool complete =
     aClosed.unansweredBytes == 0 && aClosed.unacknowledgedBytes == 0;
-  if (logged || complete || !takeToken(0, aNow)) {
+  const bool unanswered = aClosed.unansweredBytes > 0;
+  const auto weight =
+    unanswered ? observe::LineWeight::Rare : observe::LineWeight::Notable;
+  if (logged || complete || !mBudget.take(weight, aNow)) {
     return;
   }
   observe::logWarn(
-    aClosed.unansweredBytes > 0 ? "caller connection ended without a response"
-                                : "caller may not have its whole response",
+    unanswered ? "caller connection ended without a response"
+               : "caller may not have its whole response",
     { { "reason", reason },
       { "request_open", aClosed.requestOpen ? "yes" : "no" },
       { "unanswered_bytes", std::to_string(aClosed.unansweredBytes) },
@@ -137,12 +115,12 @@
 void
 RequestLog::logDroppedLines(base::TimePoint aNow)
 {
-  if (mDroppedLines == 0 || !takeToken(0, aNow)) {
+  if (mBudget.refused() == 0 ||
+      !mBudget.take(observe::LineWeight::Rare, aNow)) {
     return;
   }
   observe::logInfo("log lines left out",
-                   { { "count", std::to_string(mDroppedLines) } });
-  mDroppedLines = 0;
+                   { { "count", std::to_string(mBudget.takeRefused()) } });
 }
 
 } // namespace marigold::gateway
--- a/apps/gateway/request_log.h
+++ b/apps/gateway/request_log.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "observe/line_budget.h"
 #include "observe/metrics.h"
 #include "wire/caller_connection.h"
 
@@ -32,9 +33,9 @@
 };
 
 /**
- * Writes request lines to the log, limited by a token bucket. A part of the
- * bucket is reserved for failures, refusals, and retried or slow requests;
- * successful requests use the rest. Dropped lines are counted and the count is
+ * Writes request lines to the log within a budget, in which failures, refusals,
+ * and retried or slow requests go before plain ones, and connections that end
+ * without a response before both. Dropped lines are counted and the count is
  * logged.
  */
 class RequestLog
@@ -62,12 +63,8 @@
   void logDroppedLines(base::TimePoint aNow);
 
 private:
-  bool takeToken(double aReserve, base::TimePoint aNow);
-
   observe::Metrics& mMetrics;
-  double mTokens;
-  base::TimePoint mRefilled{};
-  std::uint64_t mDroppedLines = 0;
+  observe::LineBudget mBudget;
 };
 
 } // namespace marigold::gateway
--- a/libs/observe/observe.h
+++ b/libs/observe/observe.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "observe/line_budget.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
 #include "observe/operator_server.h"
--- a/libs/observe/tests/observe_tests.cpp
+++ b/libs/observe/tests/observe_tests.cpp
@@ -40,6 +40,30 @@
   STRCMP_CONTAINS("exception: no such team", printed.str().c_str());
 }
 
+// A burst of failures uses up the budget for lines, and then one request ends
+// without a response. Guards against leaving out the only line that tells of
+// it.
+TEST(Observe, RareLinesAreWrittenBesideABurstOfFailures)
+{
+  using std::chrono::milliseconds;
+  observe::LineBudget budget;
+  base::TimePoint now{ std::chrono::seconds(1) };
+  unsigned routine = 0;
+  unsigned notable = 0;
+  for (int i = 0; i < 1000; ++i) {
+    now += milliseconds(1);
+    routine += budget.take(observe::LineWeight::Routine, now) ? 1 : 0;
+    notable += budget.take(observe::LineWeight::Notable, now) ? 1 : 0;
+  }
+  CHECK(routine < notable);
+  CHECK(notable < 300);
+  CHECK(budget.take(observe::LineWeight::Rare, now));
+  CHECK(budget.refused() > 1000);
+  const std::uint64_t refused = budget.refused();
+  CHECK(budget.takeRefused() == refused);
+  CHECK(budget.takeRefused() == 0);
+}
+
 int
 main(int aCount, char** aValues)
 {
