Let a watch go on that learns the first era from a relay

Seen: explore-watches, 'copy restore relay break wait wait' on the commit before: the watch made no further call, its view stayed empty. Cause: the watch took any later era for a restoration and left the list to the signal that follows, but the client signals none for the first era that it learns. Ruled out for the gateway: it elects a relay only after an answer of the store, which names the era. Now the list counts unless the signal has come.

--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -190,9 +190,9 @@
         retryList();
         return;
       }
-      if (snapshot->era > mClient.era()) {
-        mClient.learnEra(snapshot->era); // Makes all watches list again.
-        return;
+      mClient.learnEra(snapshot->era);
+      if (generation != mGeneration) {
+        return; // All watches list again, because the store was restored.
       }
       observe::logInfo("store's keys listed at a relay",
                        { { "prefix", mPrefix },
