--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -162,6 +162,15 @@
                });
 }
 
+/** @return true if the content of a relay is older than this VM's, which it
+ * would take back */
+bool
+PrefixWatch::isBehind(const platform::Snapshot& aSnapshot) const
+{
+  return aSnapshot.era < mClient.era() ||
+         (aSnapshot.era == mMirror.era() && aSnapshot.revision < mRevision);
+}
+
 /** Lists at a relay, if there is one, because the store may turn away this VM
  * only; else at the store after a delay. */
 void
@@ -185,7 +194,7 @@
         return;
       }
       const auto* snapshot = std::get_if<platform::Snapshot>(&aResult);
-      if (snapshot == nullptr || snapshot->era < mClient.era()) {
+      if (snapshot == nullptr || isBehind(*snapshot)) {
         mRelays.failed(aRelay);
         retryList();
         return;
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -96,6 +96,7 @@
   void list();
   void listAt(platform::Client& aRelay);
   void retryList();
+  bool isBehind(const platform::Snapshot& aSnapshot) const;
   void onList(const platform::Snapshot& aSnapshot, bool aFromRelay);
   void wait();
   void onRestored();
