--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -189,10 +189,12 @@
         self.break_after = None  # cuts a stream inside the event after this many
         self.fail_resumed = False   # answers the resumption of a stream with a signed error
         self.drop_requests = False  # runs a request and closes the connection without an answer
+        self.surplus = False  # sends a second answer behind that of a plain service
         self.refuse = False  # counts a request as run but answers 503 with X-Not-Executed
         self.delay = 0.01
         self.slots = 8
         self.pauses = {}     # event number: seconds of pause before it, applied once
+        self.event_seconds = 0.01  # after each event of a stream
         self.refusals = 0    # number of requests to refuse without running them
         self.endless = None  # (head, chunk repeated without end, seconds between chunks)
         self.endless_limit = ENDLESS_BYTES
@@ -294,6 +296,8 @@
             return await self.stream(headers, signature, writer)
         body = f"done by {self.name} for {signature['X-Request-Id']}"
         writer.write(answer_bytes(200, signature, body.encode()))
+        if self.surplus:
+            writer.write(answer_bytes(200, signature, b"surplus"))
         return True
 
     async def send_endless(self, signature, writer):
@@ -364,7 +368,7 @@
             await writer.drain()
             if self.break_after is not None and number > self.break_after:
                 return False
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self.event_seconds)
         writer.write(b"0\r\n\r\n")
         return True
 
