Remove the claims of non-idempotent requests

Two of three voters held a claim on a caller's Idempotency-Key: VMs with copies of it, epochs and sealed members, which is a consensus group and a replicated store of our own. The users ask for less ("Remove or shrink whatever the platform makes needless") and for this: "non_idempotent requests may run at most once for each client attempt", "Each client attempt has its own id." What is lost: a caller that repeats a booking under a new attempt is not recognised. It has to ask the service.

marigold-entry, which users don't run, sends such a request once as well, and does not cancel it when its caller leaves.

--- a/apps/entry/exchange.cpp
+++ b/apps/entry/exchange.cpp
@@ -56,9 +56,8 @@
 void
 Exchange::onDisconnect()
 {
-  // A claimed request may have been executed, so its answer is still awaited
-  // and stored for a caller that repeats the key.
-  if (mClaim == ClaimStep::Granted) {
+  // A request that must not be executed twice is not cancelled half done.
+  if (!mCaller.idempotent && mWorking) {
     return;
   }
   cancelWork();
@@ -142,7 +141,7 @@
     case Permission::Free:
       break;
   }
-  claim();
+  place();
 }
 
 void
@@ -226,11 +225,6 @@
 void
 Exchange::send(const base::UpstreamName& aUpstream)
 {
-  if (mClaim == ClaimStep::Granted && !mContext.claims.mayForward(mCaller.id)) {
-    stop(Code::ClaimQuorumMissing,
-         "the claim ran out before the request was sent; it was not run");
-    return;
-  }
   const base::TimePoint now = base::monotonicNow();
   const Upstream* upstream = mContext.upstreams.find(aUpstream);
   mLife.onAttempt(aUpstream);
@@ -414,7 +408,6 @@
   if (mTrial) {
     mContext.path.crashes.returnTrial(mCaller.fingerprint);
   }
-  endClaim(aCode);
   if (!mCharge.team.empty()) {
     mContext.limits.refund(mCharge,
                            std::max(0.0, mCharge.cost - usedTokens(aCode)),
--- a/apps/entry/exchange.h
+++ b/apps/entry/exchange.h
@@ -4,7 +4,6 @@
 #include "apps/entry/answers.h"
 #include "apps/entry/attempt.h"
 #include "apps/entry/caller_request.h"
-#include "apps/entry/claim_service.h"
 #include "apps/entry/request_path.h"
 #include "apps/entry/team_limits.h"
 #include "apps/entry/upstream_choice.h"
@@ -27,7 +26,6 @@
   TeamLimits& limits;
   UpstreamTable& upstreams;
   UpstreamChoice& choice;
-  ClaimService& claims;
   observe::Metrics& metrics;
   RequestPath& path;
 };
@@ -67,20 +65,7 @@
     std::unique_ptr<Attempt> attempt;
   };
 
-  /** What the claim of a non-idempotent request allows. */
-  enum class ClaimStep : std::uint8_t
-  {
-    None,    ///< the request needs no claim, or its claim has been settled
-    Asked,   ///< the voters have been asked
-    Granted, ///< the request may be forwarded
-  };
-
   void onDisconnect();
-  void claim();
-  void onClaim(const claims::Decision& aDecision);
-  void replyStored(const claims::StoredAnswer& aStored);
-  void settleClaim(const http::Response& aAnswer);
-  void endClaim(base::Code aCode);
   void admit();
   void askGuard();
   void onPermission(Permission aPermission);
@@ -127,7 +112,6 @@
   base::TimePoint mLastEvent;
   Charge mCharge;
   request::Lifecycle mLife;
-  ClaimStep mClaim = ClaimStep::None;
   std::optional<Working> mWorking;
   std::set<base::UpstreamName> mOccupied; ///< run other suspects
   std::string mLastEvents;                ///< final event held back
--- a/apps/entry/exchange_answer.cpp
+++ b/apps/entry/exchange_answer.cpp
@@ -111,7 +111,6 @@
     return;
   }
   http::Response answer{ aAnswer.status, passedHeaders(aAnswer), aAnswer.body };
-  settleClaim(answer);
   answer.headers.emplace_back(kIdHeader, mCaller.id);
   answer.headers.emplace_back(kOutcomeHeader, "ran");
   mOut->reply(answer);
--- a/apps/entry/node.cpp
+++ b/apps/entry/node.cpp
@@ -28,14 +28,6 @@
   , mPlatform(mLoop, mSettings.platform, mSettings.platformTimeout)
   , mPeers(mLoop, mSettings, mIncarnation, mMembership, mConfiguration)
   , mSync(mLoop, mPlatform, mMembership, mPeers, mConfiguration)
-  , mClaims(mLoop,
-            mSettings,
-            mIncarnation,
-            mPeers,
-            mPlatform,
-            mMembership,
-            mConfiguration,
-            mMetrics)
   , mUpstreams(mLoop, mClient)
   , mChoice(mUpstreams,
             mSettings.dataCentre,
@@ -50,8 +42,8 @@
             mSettings,
             mIncarnation)
   , mPath(mLoop, mClient, mPeers, mMembership, mUpstreams, mChoice, mMetrics)
-  , mContext{ mLoop,   mClient, mConfiguration, mLimits, mUpstreams,
-              mChoice, mClaims, mMetrics,       mPath }
+  , mContext{ mLoop,      mClient, mConfiguration, mLimits,
+              mUpstreams, mChoice, mMetrics,       mPath }
   , mFront(mContext,
            mSettings,
            mIncarnation,
@@ -73,15 +65,12 @@
   BOOST_LEAF_CHECK(mPeers.start());
   BOOST_LEAF_CHECK(mFront.start());
   mSync.start();
-  mClaims.start();
   mUpstreams.start();
   mPath.crashes.start();
   mLimits.start();
   const http::EventHandle term = mLoop.onSignal(SIGTERM, [this] {
     observe::logInfo("draining after SIGTERM");
-    mFront.drain([this] {
-      mClaims.finish([this] { mLimits.handOver([this] { mLoop.stop(); }); });
-    });
+    mFront.drain([this] { mLimits.handOver([this] { mLoop.stop(); }); });
   });
   observe::logInfo("entry process started",
                    { { "vm", mSettings.vm },
@@ -103,7 +92,6 @@
   mOperator.addDumpSection("request_path",
                            [this] { return dumpRequestPath(); });
   mOperator.addDumpSection("limits", [this] { return mLimits.dump(); });
-  mOperator.addDumpSection("claims", [this] { return mClaims.dump(); });
   mOperator.addDumpSection("upstreams", [this] { return mUpstreams.dump(); });
   mOperator.addHandler("GET", "/demand", [this](const auto&, const auto& aOut) {
     aOut->reply(observe::jsonAnswer(200, demand()));
--- a/apps/entry/node.h
+++ b/apps/entry/node.h
@@ -1,7 +1,6 @@
 /** @file Puts the parts of an entry process together. */
 #pragma once
 
-#include "apps/entry/claim_service.h"
 #include "apps/entry/front.h"
 #include "apps/entry/peer_link.h"
 #include "apps/entry/platform_sync.h"
@@ -48,7 +47,6 @@
   platform::Client mPlatform;
   PeerLink mPeers;
   PlatformSync mSync;
-  ClaimService mClaims;
   UpstreamTable mUpstreams;
   UpstreamChoice mChoice;
   TeamLimits mLimits;
--- a/apps/load/measures.h
+++ b/apps/load/measures.h
@@ -79,7 +79,7 @@
 /** Violations of safety guarantees; each count must be zero. */
 struct SafetyCounts
 {
-  int doubleRuns = 0;     ///< repeated runs of one idempotency key
+  int doubleRuns = 0;     ///< further runs of one idempotency key
   int falseNotRun = 0;    ///< reported as "not-run", but run
   int foreignAnswers = 0; ///< answers to another request
   int cutAnswers = 0;     ///< truncated without an error
--- a/apps/load/plan.cpp
+++ b/apps/load/plan.cpp
@@ -11,9 +11,6 @@
 
 constexpr int kServiceTargets = 40;
 
-/** Longest delay between a booking and its repeat. */
-constexpr double kMaxRepeatDelaySeconds = 0.5;
-
 std::size_t
 drawRequestClass(const TeamLoad& aTeam, base::Random& aRandom)
 {
@@ -96,17 +93,10 @@
     planned.prefix = static_cast<int>(mRandom.below(
       static_cast<std::uint64_t>(std::max(1, requestClass.prefixes))));
     planned.target = static_cast<int>(mRandom.below(kServiceTargets));
-    const double delay = mRandom.unit() * kMaxRepeatDelaySeconds;
-    const bool repeat = mRandom.chance(requestClass.repeats);
     if (requestClass.kind == RequestKind::Booking) {
       planned.idempotencyKey = "load-" + planned.reference;
     }
     aPlan.push_back(planned);
-    if (requestClass.kind == RequestKind::Booking && repeat) {
-      planned.at = aAt + base::fromSeconds(delay);
-      planned.entry = drawEntry();
-      aPlan.push_back(planned);
-    }
   }
 
   const Scenario& mScenario;
