Remove the drain and the leaving upstreams of marigold-entry

Leaving: the state of reports, answers and lists, and the refresh of views after a pause that made it true for a paused process. Drain: SIGTERM hands the shares over and ends the process; drain_notice is gone.

--- a/apps/entry/attempt.cpp
+++ b/apps/entry/attempt.cpp
@@ -54,9 +54,6 @@
 Attempt::onHead(const http::Response& aAnswer)
 {
   mHead = aAnswer;
-  if (http::findHeader(aAnswer.headers, "X-Engine-State") == "leaving") {
-    mEvents.leaving();
-  }
 }
 
 void
--- a/apps/entry/attempt.h
+++ b/apps/entry/attempt.h
@@ -24,8 +24,6 @@
   std::function<void(const http::Response&)> whole;
   /** No complete answer of this request will come. */
   std::function<void(request::AttemptEnd)> failed;
-  /** The upstream says that it is leaving. */
-  std::function<void()> leaving;
 };
 
 /** What an attempt sends and expects. */
--- a/apps/entry/exchange.cpp
+++ b/apps/entry/exchange.cpp
@@ -161,11 +161,11 @@
   plan.reuseConnection = mCaller.idempotent;
   mWorking = Working{ aUpstream, now, nullptr };
   mWorking->attempt =
-    std::make_unique<Attempt>(mContext.client, plan, attemptEvents(aUpstream));
+    std::make_unique<Attempt>(mContext.client, plan, attemptEvents());
 }
 
 AttemptEvents
-Exchange::attemptEvents(const base::UpstreamName& aUpstream)
+Exchange::attemptEvents()
 {
   AttemptEvents events;
   events.events = [this](const http::Response& aHead,
@@ -175,9 +175,6 @@
   events.streamDone = [this] { onStreamDone(); };
   events.whole = [this](const http::Response& aAnswer) { onWhole(aAnswer); };
   events.failed = [this](AttemptEnd aEnd) { onFailed(aEnd); };
-  events.leaving = [this, aUpstream] {
-    mContext.upstreams.onLeaving(aUpstream);
-  };
   return events;
 }
 
--- a/apps/entry/exchange.h
+++ b/apps/entry/exchange.h
@@ -69,7 +69,7 @@
   void place();
   void wait();
   void send(const base::UpstreamName& aUpstream);
-  AttemptEvents attemptEvents(const base::UpstreamName& aUpstream);
+  AttemptEvents attemptEvents();
   void onEvents(const http::Response& aHead,
                 const std::vector<std::string>& aEvents);
   void passOn(const std::string& aEvent, const http::Response& aHead);
--- a/apps/entry/front.cpp
+++ b/apps/entry/front.cpp
@@ -1,19 +1,12 @@
 #include "apps/entry/front.h"
 
 #include <nlohmann/json.hpp>
-#include <utility>
 
 namespace marigold::entry {
 namespace {
 
 using nlohmann::json;
 
-/** A gap between two looks at the clock that only a pause explains. */
-constexpr base::Duration kPauseGap = std::chrono::seconds(1);
-constexpr base::Duration kPulsePeriod = std::chrono::milliseconds(100);
-
-constexpr base::Duration kDrainCheckPeriod = std::chrono::milliseconds(20);
-
 http::ServerLimits
 limitsOf(const Settings& aSettings)
 {
@@ -45,51 +38,19 @@
 base::Result<void>
 Front::start()
 {
-  mAwakeAt = base::monotonicNow();
-  mPulse = mContext.loop.every(kPulsePeriod, [this] { noteTime(); });
   return mServer.listen(mSettings.listen);
 }
 
-/** After a pause upstreams may have announced that they leave, so requests wait
- * until each engine has been asked again. */
-void
-Front::noteTime()
-{
-  const base::TimePoint now = base::monotonicNow();
-  const base::Duration gap = now - std::exchange(mAwakeAt, now);
-  if (gap < kPauseGap || mRefreshing) {
-    return;
-  }
-  observe::logWarn("process was paused; views are refreshed",
-                   { { "gap_ms", std::to_string(base::inMilliseconds(gap)) } });
-  mRefreshing = true;
-  mContext.upstreams.refresh([this] { resumeParked(); });
-}
-
-void
-Front::resumeParked()
-{
-  mRefreshing = false;
-  for (const Parked& parked : std::exchange(mParked, {})) {
-    handle(parked.request, parked.out);
-  }
-}
-
 bool
 Front::ready() const
 {
-  return !mDraining && mContext.configuration.complete();
+  return mContext.configuration.complete();
 }
 
 void
 Front::handle(const http::Request& aRequest,
               const std::shared_ptr<http::Responder>& aOut)
 {
-  noteTime();
-  if (mRefreshing) {
-    mParked.push_back({ aRequest, aOut });
-    return;
-  }
   const std::string id = mSettings.vm + "-" + std::to_string(mIncarnation) +
                          "-" + std::to_string(++mRequests);
   if (!mContext.configuration.complete()) {
@@ -166,24 +127,4 @@
   }
 }
 
-void
-Front::drain(const std::function<void()>& aDrained)
-{
-  if (mDraining) {
-    return;
-  }
-  mDraining = true;
-  // Requests are served until the balancer has noticed; only then does the
-  // listener close, so that no connection in its queue is cut.
-  mServer.closeAfterResponses();
-  mDrainNotice = mContext.loop.after(mSettings.drainNotice, [this, aDrained] {
-    mServer.stopListening();
-    mDrainCheck = mContext.loop.every(kDrainCheckPeriod, [this, aDrained] {
-      if (mExchanges.empty() && mServer.openRequests() == 0) {
-        aDrained();
-      }
-    });
-  });
-}
-
 } // namespace marigold::entry
--- a/apps/entry/front.h
+++ b/apps/entry/front.h
@@ -26,11 +26,7 @@
   /** @return SettingsInvalid if the address is taken */
   base::Result<void> start();
 
-  /** Drains: announces it, then stops listening and waits for the exchanges.
-   * @param aDrained runs when the last answer has been sent */
-  void drain(const std::function<void()>& aDrained);
-
-  /** @return false while the process drains or lacks its configuration */
+  /** @return false while the process lacks its configuration */
   bool ready() const;
 
   /** @return exchanges in progress */
@@ -42,15 +38,6 @@
   void listModels(const std::shared_ptr<http::Responder>& aOut) const;
   void checkKeys();
   bool isStale(const CallerRequest& aCaller) const;
-  void noteTime();
-  void resumeParked();
-
-  /** A request that waits until this VM's views are fresh again. */
-  struct Parked
-  {
-    http::Request request;
-    std::shared_ptr<http::Responder> out;
-  };
 
   ExchangeContext& mContext;
   const Settings& mSettings;
@@ -59,13 +46,6 @@
   http::Server mServer;
   std::list<Exchange> mExchanges;
   std::uint64_t mRequests = 0;
-  bool mDraining = false;
-  base::TimePoint mAwakeAt;
-  bool mRefreshing = false;
-  std::vector<Parked> mParked;
-  http::EventHandle mPulse;
-  http::EventHandle mDrainNotice;
-  http::EventHandle mDrainCheck;
 };
 
 } // namespace marigold::entry
--- a/apps/entry/node.cpp
+++ b/apps/entry/node.cpp
@@ -68,8 +68,8 @@
   mUpstreams.start();
   mLimits.start();
   const http::EventHandle term = mLoop.onSignal(SIGTERM, [this] {
-    observe::logInfo("draining after SIGTERM");
-    mFront.drain([this] { mLimits.handOver([this] { mLoop.stop(); }); });
+    observe::logInfo("stopping after SIGTERM");
+    mLimits.handOver([this] { mLoop.stop(); });
   });
   observe::logInfo("entry process started",
                    { { "vm", mSettings.vm },
--- a/apps/entry/node.h
+++ b/apps/entry/node.h
@@ -17,7 +17,7 @@
   /** @param aSettings checked settings */
   explicit Node(Settings aSettings);
 
-  /** Runs until the process has drained after SIGTERM.
+  /** Runs until the process has handed its shares over after SIGTERM.
    * @return an error if an address cannot be bound */
   base::Result<void> run();
 
--- a/apps/entry/settings.cpp
+++ b/apps/entry/settings.cpp
@@ -46,9 +46,6 @@
     settings.logLevel =
       aRoot.require("log_level").oneOf({ "debug", "info", "warn", "error" });
   }
-  if (aRoot.has("drain_notice")) {
-    settings.drainNotice = aRoot.require("drain_notice").duration(0s, 5min);
-  }
   if (aRoot.has("routing")) {
     settings.routing = *routing::strategyKind(aRoot.require("routing").oneOf(
       { "marigold", "round-robin", "least-connections" }));
--- a/apps/entry/settings.h
+++ b/apps/entry/settings.h
@@ -25,9 +25,6 @@
   /** Mesh addresses to greet while the platform cannot tell of peers. */
   std::vector<http::Address> peers;
   std::string logLevel = "info";
-  /** Time between SIGTERM and the end of listening, in which the balancer
-   * notices that this VM is not ready. */
-  base::Duration drainNotice = std::chrono::seconds(1);
   /** Lets tests cut links with POST /fault on the operator address. */
   bool faultInjection = false;
   /** How the upstream of a request is chosen. */
--- a/apps/entry/upstream_table.cpp
+++ b/apps/entry/upstream_table.cpp
@@ -53,10 +53,6 @@
     }
     upstream.vm = vm;
     upstream.address = std::get<http::Address>(address);
-    // The list lags, so it may still show as live what has said it leaves.
-    if (vm.leaving) {
-      upstream.health.onLeaving();
-    }
     updated.emplace(vm.name, std::move(upstream));
   }
   mUpstreams = std::move(updated);
@@ -140,14 +136,6 @@
   }
 }
 
-void
-UpstreamTable::onLeaving(const base::UpstreamName& aName)
-{
-  if (Upstream* upstream = find(aName)) {
-    upstream->health.onLeaving();
-  }
-}
-
 void
 UpstreamTable::poll()
 {
@@ -164,7 +152,6 @@
       if (aEnd == http::CallEnd::Complete && aAnswer.status == 200) {
         read(upstreamName, aAnswer);
       }
-      finishRefresh();
     };
     mCalls[name] = mClient.start(upstream.address,
                                  { "GET", "/v1/report", "", {}, "" },
@@ -173,28 +160,6 @@
   }
 }
 
-void
-UpstreamTable::refresh(std::function<void()> aDone)
-{
-  // An answer that is already on its way may be as old as the last question.
-  mCalls.clear();
-  mRefreshed = std::move(aDone);
-  poll();
-  finishRefresh();
-}
-
-void
-UpstreamTable::finishRefresh()
-{
-  const bool open =
-    std::any_of(mCalls.begin(), mCalls.end(), [](const auto& aCall) {
-      return aCall.second != nullptr;
-    });
-  if (!open && mRefreshed) {
-    mLoop.post(std::exchange(mRefreshed, nullptr));
-  }
-}
-
 void
 UpstreamTable::read(const base::UpstreamName& aName,
                     const http::Response& aAnswer)
@@ -220,14 +185,9 @@
     }
     const std::uint64_t incarnation = content.at("incarnation");
     if (upstream->incarnation != incarnation) {
-      // A new engine process does not inherit that the old one was leaving.
-      upstream->health.onReturned();
       upstream->others = {};
       mPrefixes.forget(aName);
     }
-    if (content.at("state") == "leaving" || upstream->vm.leaving) {
-      upstream->health.onLeaving();
-    }
     const std::uint64_t sequence = content.at("sequence");
     const bool newer = !upstream->reported || upstream->sequence != sequence ||
                        upstream->incarnation != incarnation;
@@ -305,7 +265,6 @@
       resident[model] = state.version;
     }
     upstreams[name] = { { "data_centre", upstream.vm.dataCentre },
-                        { "leaving", upstream.health.leaving() },
                         { "ejected", upstream.health.ejected(now) },
                         { "inflight", upstream.inflight },
                         { "running", upstream.running },
--- a/apps/entry/upstream_table.h
+++ b/apps/entry/upstream_table.h
@@ -96,19 +96,11 @@
   /** Emitted when an upstream may have room that it did not have before. */
   sigc::signal<void()>& freed() { return mFreed; }
 
-  /** Notes that an upstream said it is leaving. @param aName upstream */
-  void onLeaving(const base::UpstreamName& aName);
-
-  /** Asks every engine for a new report. @param aDone runs when each of them
-   * has answered or failed to */
-  void refresh(std::function<void()> aDone);
-
   /** @return state for the dump */
   nlohmann::json dump() const;
 
 private:
   void poll();
-  void finishRefresh();
   void pollCacheEvents(const base::UpstreamName& aName,
                        const http::Address& aAddress);
   void readCacheEvents(const base::UpstreamName& aName,
@@ -124,7 +116,6 @@
   int mEntryVms = 1;
   sigc::signal<void()> mFreed;
   http::EventHandle mPoll;
-  std::function<void()> mRefreshed;
 };
 
 } // namespace marigold::entry
--- a/libs/request/upstream_health.cpp
+++ b/libs/request/upstream_health.cpp
@@ -7,7 +7,7 @@
 bool
 UpstreamHealth::usable(base::TimePoint aNow) const
 {
-  return !mLeaving && !ejected(aNow);
+  return !ejected(aNow);
 }
 
 void
--- a/libs/request/upstream_health.h
+++ b/libs/request/upstream_health.h
@@ -1,4 +1,4 @@
-/** @file Ejection of dead upstreams and withdrawal of leaving ones. */
+/** @file Ejection of dead upstreams. */
 #pragma once
 
 #include "base/base.h"
@@ -10,7 +10,7 @@
 inline constexpr base::Duration kFirstBackOff = std::chrono::seconds(1);
 inline constexpr int kMostBackOffDoublings = 4;
 
-/** What failures and announcements say about one upstream. */
+/** What failures say about one upstream. */
 class UpstreamHealth
 {
 public:
@@ -27,22 +27,12 @@
   /** @param aNow time of a failed connection */
   void onFailure(base::TimePoint aNow);
 
-  /** Notes that the upstream said it is leaving. */
-  void onLeaving() { mLeaving = true; }
-
-  /** Notes that a later process of the upstream says it is live. */
-  void onReturned() { mLeaving = false; }
-
-  /** @return true while it is leaving */
-  bool leaving() const { return mLeaving; }
-
   /** @param aNow current time @return true during a back-off */
   bool ejected(base::TimePoint aNow) const { return aNow < mEjectedUntil; }
 
 private:
   int mFailures = 0; ///< consecutive
   base::TimePoint mEjectedUntil;
-  bool mLeaving = false;
 };
 
 } // namespace marigold::request
