Send each request of marigold-entry once

Entry retries a request only if no byte of it was sent; it resumes no stream. Its lifecycle, retry budget, two metrics and X-Resume-From are gone.

--- a/apps/entry/attempt.cpp
+++ b/apps/entry/attempt.cpp
@@ -5,13 +5,31 @@
 namespace marigold::entry {
 namespace {
 
-using request::AttemptEnd;
-
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
 } // namespace
 
+base::Code
+codeOf(AttemptEnd aEnd)
+{
+  switch (aEnd) {
+    case AttemptEnd::NotSent:
+      return base::Code::UpstreamRefused;
+    case AttemptEnd::NotResident:
+      return base::Code::NoUpstream;
+    case AttemptEnd::TimedOut:
+      return base::Code::UpstreamTimeout;
+    case AttemptEnd::Crossed:
+      return base::Code::AnswerCrossed;
+    case AttemptEnd::Truncated:
+      return base::Code::AnswerTruncated;
+    case AttemptEnd::Broken:
+      break;
+  }
+  return base::Code::UpstreamFailed;
+}
+
 Attempt::Attempt(http::Client& aClient,
                  const AttemptPlan& aPlan,
                  AttemptEvents aEvents)
--- a/apps/entry/attempt.h
+++ b/apps/entry/attempt.h
@@ -3,7 +3,6 @@
 
 #include "apps/entry/sse_parser.h"
 #include "http/http.h"
-#include "request/request.h"
 
 #include <functional>
 #include <memory>
@@ -12,6 +11,21 @@
 
 namespace marigold::entry {
 
+/** How an attempt ended without a whole answer of its own. */
+enum class AttemptEnd : std::uint8_t
+{
+  NotSent,     ///< no byte left this VM
+  NotResident, ///< the engine answered that it does not hold the model
+  Broken,      ///< the connection ended after the first byte
+  TimedOut,    ///< bytes may have left, no complete answer
+  Crossed,     ///< the answer belongs to another request
+  Truncated,   ///< the answer is not whole
+};
+
+/** @param aEnd end of an attempt @return the code that describes it */
+base::Code
+codeOf(AttemptEnd aEnd);
+
 /** What an attempt tells its exchange. Each callback may destroy it. */
 struct AttemptEvents
 {
@@ -23,7 +37,7 @@
   /** A complete answer that is no stream. */
   std::function<void(const http::Response&)> whole;
   /** No complete answer of this request will come. */
-  std::function<void(request::AttemptEnd)> failed;
+  std::function<void(AttemptEnd)> failed;
 };
 
 /** What an attempt sends and expects. */
@@ -58,7 +72,7 @@
   void onHead(const http::Response& aAnswer);
   void onChunk(std::string_view aBytes);
   void onDone(http::CallEnd aEnd);
-  void fail(request::AttemptEnd aEnd);
+  void fail(AttemptEnd aEnd);
   bool isOwn() const;
 
   std::string mId;
--- a/apps/entry/exchange.cpp
+++ b/apps/entry/exchange.cpp
@@ -6,8 +6,6 @@
 namespace {
 
 using base::Code;
-using request::AttemptEnd;
-using request::NextStep;
 
 } // namespace
 
@@ -21,7 +19,6 @@
   , mEnded(std::move(aEnded))
   , mStarted(base::monotonicNow())
   , mLastEvent(mStarted)
-  , mLife({ mCaller.idempotent, mCaller.streamed, mCaller.deadline })
 {
 }
 
@@ -29,7 +26,6 @@
 Exchange::start()
 {
   mOut->onDisconnect([this] { onDisconnect(); });
-  mContext.path.budget.onRequest(mStarted);
   if (mCaller.isChat) {
     mContext.path.waiting.demand().onArrival(
       { mCaller.model, mCaller.adapter });
@@ -88,7 +84,7 @@
     return;
   }
   if (mWorking && mWorking->attempt->sent()) {
-    mLife.markMayHaveRun();
+    mMayHaveRun = true;
   }
   cancelWork();
   stop(Code::KeyWithdrawn, "the key has been withdrawn");
@@ -105,7 +101,7 @@
     stop(Code::DeadlineUnreachable, messageOf(Code::DeadlineUnreachable));
     return;
   }
-  const Chosen chosen = mContext.choice.choose(mCaller, mLife.tried(), now);
+  const Chosen chosen = mContext.choice.choose(mCaller, mTried, now);
   if (!chosen.name.empty()) {
     send(chosen.name);
   } else if (mCaller.isChat &&
@@ -135,7 +131,6 @@
 {
   const base::TimePoint now = base::monotonicNow();
   const Upstream* upstream = mContext.upstreams.find(aUpstream);
-  mLife.onAttempt(aUpstream);
   mContext.upstreams.onSent(aUpstream);
   mContext.choice.onSent(mCaller, aUpstream);
   AttemptPlan plan;
@@ -147,11 +142,6 @@
     static_cast<int>((now - mStarted) / request::kPriorityStep);
   plan.request.headers.emplace_back(
     "X-Priority", std::to_string(std::max(0, mCaller.priority - steps)));
-  if (mDelivered > 0) {
-    plan.request.headers.emplace_back("X-Resume-From",
-                                      std::to_string(mDelivered));
-    mContext.path.resumes.Increment();
-  }
   plan.id = mCaller.id;
   plan.timeout = mCaller.deadline - now;
   plan.streamed = mCaller.streamed;
@@ -192,24 +182,17 @@
     // It waits until a report shows the model, here or on another engine.
     mContext.upstreams.onNotResident(
       failed.upstream, mCaller.model, mCaller.adapter);
-    mLife.onNotResident(failed.upstream);
     place();
     return;
   }
-  const base::TimePoint now = base::monotonicNow();
-  const request::Decision next =
-    mLife.onAttemptEnded(aEnd,
-                         mOut->started(),
-                         mContext.choice.anyUsable(mCaller, mLife.tried(), now),
-                         now,
-                         mContext.path.budget);
-  if (next.step == NextStep::Refuse || next.step == NextStep::EndError) {
-    stop(next.code, messageOf(next.code));
+  if (aEnd == AttemptEnd::NotSent) {
+    mTried.insert(failed.upstream);
+    place();
     return;
   }
-  mContext.path.retries.Increment();
-  mLastEvents.clear();
-  place();
+  mMayHaveRun = true;
+  const Code code = mOut->started() ? Code::AnswerTruncated : codeOf(aEnd);
+  stop(code, messageOf(code));
 }
 
 void
@@ -229,7 +212,9 @@
 void
 Exchange::stop(Code aCode, const std::string& aMessage)
 {
-  const Code code = mLife.truthful(aCode);
+  const bool saysNotRun =
+    base::codeInfo(aCode).outcome == base::Outcome::NotRun;
+  const Code code = mMayHaveRun && saysNotRun ? Code::OutcomeUnknown : aCode;
   if (mOut->started()) {
     mOut->sendChunk(errorEvent(aCode, aMessage));
     mOut->endStream();
@@ -242,7 +227,7 @@
 double
 Exchange::usedTokens(Code aCode) const
 {
-  const bool ran = mLife.mayHaveRun() || mDelivered > 0 ||
+  const bool ran = mMayHaveRun || mDelivered > 0 ||
                    base::codeInfo(aCode).outcome != base::Outcome::NotRun;
   if (!ran) {
     return 0;
--- a/apps/entry/exchange.h
+++ b/apps/entry/exchange.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace marigold::entry {
 
@@ -75,7 +76,7 @@
   void passOn(const std::string& aEvent, const http::Response& aHead);
   void onStreamDone();
   void onWhole(const http::Response& aAnswer);
-  void onFailed(request::AttemptEnd aEnd);
+  void onFailed(AttemptEnd aEnd);
   void pause();
   void cancelWork();
   Working takeWorking(bool aConnected);
@@ -102,7 +103,8 @@
   base::TimePoint mStarted;
   base::TimePoint mLastEvent;
   Charge mCharge;
-  request::Lifecycle mLife;
+  std::set<base::UpstreamName> mTried; ///< could not be reached
+  bool mMayHaveRun = false;
   std::optional<Working> mWorking;
   std::string mLastEvents; ///< final event held back
   int mDelivered = 0;      ///< content events sent on
--- a/apps/entry/request_path.h
+++ b/apps/entry/request_path.h
@@ -7,7 +7,7 @@
 
 namespace marigold::entry {
 
-/** Retry budget, queues and latency metrics of this VM. */
+/** Queues and latency metrics of this VM. */
 struct RequestPath
 {
   RequestPath(http::Loop& aLoop,
@@ -21,10 +21,6 @@
     , betweenEvents(
         aMetrics.durationHistogram("marigold_between_events_seconds",
                                    "Time between two events of a stream."))
-    , retries(aMetrics.counter("marigold_retries_total",
-                               "Further attempts of requests."))
-    , resumes(aMetrics.counter("marigold_resumes_total",
-                               "Streams continued on another engine."))
     , crossed(aMetrics.counter("marigold_answers_crossed_total",
                                "Answers that belonged to another request."))
     , cancels(aMetrics.counter("marigold_cancels_total",
@@ -32,12 +28,9 @@
   {
   }
 
-  request::RetryBudget budget;
   WaitingRoom waiting;
   prometheus::Histogram& firstEvent;
   prometheus::Histogram& betweenEvents;
-  prometheus::Counter& retries;
-  prometheus::Counter& resumes;
   prometheus::Counter& crossed;
   prometheus::Counter& cancels;
 };
--- a/apps/entry/upstream_choice.cpp
+++ b/apps/entry/upstream_choice.cpp
@@ -122,19 +122,6 @@
   return chosen;
 }
 
-bool
-UpstreamChoice::anyUsable(const CallerRequest& aCaller,
-                          const std::set<base::UpstreamName>& aExcluded,
-                          base::TimePoint aNow) const
-{
-  return std::any_of(
-    mTable.all().begin(), mTable.all().end(), [&](const auto& aItem) {
-      return canServe(aItem.second, aCaller) &&
-             aItem.second.health.usable(aNow) &&
-             !aExcluded.contains(aItem.first);
-    });
-}
-
 bool
 UpstreamChoice::isResident(const CallerRequest& aCaller) const
 {
--- a/apps/entry/upstream_choice.h
+++ b/apps/entry/upstream_choice.h
@@ -39,12 +39,6 @@
                 const std::set<base::UpstreamName>& aExcluded,
                 base::TimePoint aNow);
 
-  /** @return true if any upstream could take the request, with or without room
-   */
-  bool anyUsable(const CallerRequest& aCaller,
-                 const std::set<base::UpstreamName>& aExcluded,
-                 base::TimePoint aNow) const;
-
   /** @param aCaller request @return true if any engine holds its model and
    * adapter */
   bool isResident(const CallerRequest& aCaller) const;
--- a/libs/request/tests/request_tests.cpp
+++ b/libs/request/tests/request_tests.cpp
@@ -6,13 +6,10 @@
 #undef new
 #include <CppUTest/CommandLineTestRunner.h>
 #include <cstdlib>
-#include <deque>
 #include <rapidcheck.h>
 
 using namespace marigold;
 using namespace std::chrono_literals;
-using request::AttemptEnd;
-using request::NextStep;
 
 namespace {
 
@@ -37,63 +34,6 @@
   return *rc::gen::inRange(0, aBound);
 }
 
-/** @return true if retries stay within 10% of the requests of any window */
-bool
-budgetHolds(bool aLimited)
-{
-  return holds([aLimited] {
-    request::RetryBudget budget;
-    std::deque<base::TimePoint> requests;
-    std::deque<base::TimePoint> retries;
-    base::TimePoint now(100s);
-    for (int step = 0; step < 400; ++step) {
-      now += std::chrono::milliseconds(below(40));
-      budget.onRequest(now);
-      requests.push_back(now);
-      if (below(2) == 0 && (!aLimited || budget.take(now))) {
-        retries.push_back(now);
-      }
-      // The window is counted in whole seconds, so it spans at least 9 s.
-      while (!retries.empty() && retries.front() < now - 9s) {
-        retries.pop_front();
-      }
-      while (!requests.empty() && requests.front() < now - 10s) {
-        requests.pop_front();
-      }
-      const double allowed = std::max<double>(
-        request::kLeastRetries,
-        request::kRetryShare * static_cast<double>(requests.size()));
-      RC_ASSERT(static_cast<double>(retries.size()) <= allowed);
-    }
-  });
-}
-
-/** @return true if "not run" is only said when no attempt may have run */
-bool
-outcomesAreTrue(bool aRemember)
-{
-  return holds([aRemember] {
-    request::RetryBudget budget;
-    request::Lifecycle life({ below(2) == 0, false, base::TimePoint(100s) });
-    bool ran = false;
-    for (int attempt = 0;; ++attempt) {
-      life.onAttempt("u" + std::to_string(attempt));
-      const auto end = static_cast<AttemptEnd>(below(6));
-      ran = ran || !request::provesNotRun(end);
-      const auto next = life.onAttemptEnded(
-        end, false, below(4) != 0, base::TimePoint(1s), budget);
-      if (next.step == NextStep::Retry) {
-        continue;
-      }
-      const base::Code code = aRemember ? next.code : request::codeOf(end);
-      const bool saysNotRun =
-        base::codeInfo(code).outcome == base::Outcome::NotRun;
-      RC_ASSERT(!saysNotRun || !ran);
-      return;
-    }
-  });
-}
-
 request::Waiting
 waiting(const std::string& aId,
         const std::string& aTeam,
@@ -145,54 +85,6 @@
 
 TEST_GROUP(Request){};
 
-// Guards against retries that amplify an overload.
-TEST(Request, RetriesStayWithinTheBudget)
-{
-  CHECK(budgetHolds(true));
-  CHECK_FALSE(budgetHolds(false));
-}
-
-// Guards against "not run" after a first attempt that may have run.
-TEST(Request, NotRunIsOnlySaidWhenProved)
-{
-  CHECK(outcomesAreTrue(true));
-  CHECK_FALSE(outcomesAreTrue(false));
-}
-
-// Guards against a second execution of a non-idempotent request.
-TEST(Request, NonIdempotentIsRetriedOnlyBeforeTheFirstByte)
-{
-  request::RetryBudget budget;
-  for (const AttemptEnd end : { AttemptEnd::Broken,
-                                AttemptEnd::TimedOut,
-                                AttemptEnd::Crossed,
-                                AttemptEnd::Truncated }) {
-    request::Lifecycle life({ false, false, base::TimePoint(100s) });
-    life.onAttempt("a");
-    CHECK(
-      life.onAttemptEnded(end, false, true, base::TimePoint(1s), budget).step ==
-      NextStep::Refuse);
-  }
-  request::Lifecycle life({ false, false, base::TimePoint(100s) });
-  life.onAttempt("a");
-  CHECK(life
-          .onAttemptEnded(
-            AttemptEnd::NotSent, false, true, base::TimePoint(1s), budget)
-          .step == NextStep::Retry);
-}
-
-// Guards against a retry that starts after the deadline.
-TEST(Request, NoRetryAfterTheDeadline)
-{
-  request::RetryBudget budget;
-  request::Lifecycle life({ true, false, base::TimePoint(5s) });
-  life.onAttempt("a");
-  const auto next = life.onAttemptEnded(
-    AttemptEnd::NotSent, false, true, base::TimePoint(5s), budget);
-  CHECK(next.step == NextStep::Refuse);
-  CHECK(next.code == base::Code::UpstreamRefused);
-}
-
 // Guards against delay by a team that sends above its rate.
 TEST(Request, FloodDoesNotDelayOthers)
 {
--- a/tests/e2e/test_request_path.py
+++ b/tests/e2e/test_request_path.py
@@ -1,4 +1,4 @@
-"""Tests the request path under failures of engines and callers, withdrawn keys and overload."""
+"""Tests the request path with a cold model, withdrawn keys and overload."""
 
 import hashlib
 import hmac
@@ -24,7 +24,6 @@
             json.dumps({"model": MODEL, "max_tokens": tokens, "stream": True,
                         "messages": [{"role": "user", "content": text}]}), bearer(key))
         self.answer = self.connection.getresponse()
-        self.id = self.answer.getheader("X-Request-Id")
 
     def event(self):
         """Returns the content of the next event, or None at the end."""
@@ -40,11 +39,6 @@
     def rest(self):
         return list(iter(self.event, None))
 
-    def close(self):
-        self.connection.sock.close()
-        self.answer.close()
-        self.connection.close()
-
 
 def tokens_of(events):
     """Returns the texts of the content events."""
@@ -57,11 +51,9 @@
 
 
 class Fleet(unittest.TestCase):
-    ENGINES = 1
-
     @classmethod
     def setUpClass(cls):
-        cls.fleet = Deployment("kochi", engines=cls.ENGINES).start()
+        cls.fleet = Deployment("kochi").start()
         cls.entries = sorted(cls.fleet.entries)
         cls.key = cls.fleet.crew_key
 
@@ -76,21 +68,6 @@
         return {name: engine for name, engine in self.fleet.engines.items()
                 if self.fleet.processes[name].running()}
 
-    def engine_of(self, request):
-        """Returns the name of the engine that last ran a request."""
-        return [name for name, engine in self.live_engines().items()
-                if request in str(call(engine["port"], "GET", "/_ran").json())][-1]
-
-    def set_fault(self, fault, count=1):
-        """Applies the fault to the next request at each engine but one."""
-        for name in sorted(self.live_engines())[1:]:
-            call(self.fleet.engines[name]["port"], "POST", "/control",
-                 {"faults": {fault: count}})
-
-    def running(self):
-        return sum(call(engine["port"], "GET", "/v1/report").json()["running"]
-                   for engine in self.live_engines().values())
-
     def restart_crashed_engines(self):
         for name, engine in self.fleet.engines.items():
             if not self.fleet.processes[name].running():
@@ -106,79 +83,7 @@
         wait_until(usable, 30)
 
 
-class Answers(Fleet):
-    def test_killed_engine_resumes_on_another(self):
-        """Guards against a stream that ends or repeats tokens when its engine dies."""
-        stream = Stream(self.port(), self.key, 300)
-        events = [stream.event() for _ in range(20)]
-        self.fleet.processes[self.engine_of(stream.id)].kill()
-        events += stream.rest()
-        self.assertEqual(events[-1], "[DONE]")
-        self.assertEqual(tokens_of(events), ["t%d" % n for n in range(300)])
-        self.restart_crashed_engines()
-
-    def test_crossed_answer_is_discarded(self):
-        """Guards against an answer to another request that is passed on, and against a missing
-        retry after it is discarded."""
-        self.set_fault("wrong-id")
-        for stream in (False, True):
-            answer = chat(self.port(1), self.key, 5, stream, "[[ref:mine]]")
-            self.assertEqual((answer.status, answer.outcome), (200, "ran"))
-            self.assertIn("mine.t4", answer.body)
-            self.assertNotIn("foreign", answer.body)
-        self.set_fault("wrong-id", 0)
-        answer = chat(self.port(1), self.key, 5, False, "[[wrong-id]]")
-        self.assertEqual((answer.code(), answer.outcome), ("answer-crossed", "unknown"))
-
-    def test_short_answer_is_never_passed_as_whole(self):
-        """Guards against a truncated body or stream that looks complete."""
-        self.set_fault("truncate")
-        answer = chat(self.port(2), self.key, 5, False, "[[ref:mine]]")
-        self.assertEqual(answer.status, 200)
-        self.assertIn("mine.t4", answer.json()["choices"][0]["message"]["content"])
-        self.set_fault("truncate", 0)
-        answer = chat(self.port(2), self.key, 5, False, "[[truncate]]")
-        self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
-        events = Stream(self.port(2), self.key, 20, "[[truncate]]").rest()
-        self.assertEqual(error_of(events[-1]), "answer-truncated")
-        self.assertNotIn("[DONE]", events)
-
-    def test_cut_stream_is_continued(self):
-        """Guards against a stream that ends early, or has a gap, because a live engine broke its answer off."""
-        self.set_fault("cut")
-        events = Stream(self.port(3), self.key, 20).rest()
-        self.set_fault("cut", 0)
-        self.assertEqual(tokens_of(events), ["t%d" % n for n in range(20)])
-        self.assertEqual(events[-1], "[DONE]")
-
-    def test_surplus_bytes_reach_nobody(self):
-        """Guards against surplus bytes after one answer that are read as the next answer."""
-        for number in range(12):
-            reference = "r%d" % number
-            stream = number % 2 == 0
-            chat(self.port(4), self.key, 3, stream, "[[surplus]] [[ref:%s]]" % reference)
-            answer = chat(self.port(4), self.key, 3, stream, "[[ref:%s]]" % reference)
-            self.assertEqual(answer.status, 200)
-            self.assertIn(reference + ".t2", answer.body)
-            self.assertNotIn("surplus", answer.body)
-
-    def test_hang_up_cancels_the_work(self):
-        """Guards against engines that go on with requests whose callers have disconnected."""
-        stream = Stream(self.port(5), self.key, 3000)
-        stream.event()
-        self.assertEqual(self.running(), 1)
-        stream.close()
-        self.assertLess(wait_until(lambda: self.running() == 0, 3), 1)
-
-    def test_dead_upstream_costs_no_request(self):
-        """Guards against failed requests while a dead upstream is still listed."""
-        name = sorted(self.live_engines())[0]
-        self.fleet.processes[name].kill()
-        for number in range(30):
-            answer = chat(self.port(number % 6), self.key, 2, False, "d%d" % number)
-            self.assertEqual(answer.status, 200, answer.body)
-        self.restart_crashed_engines()
-
+class ColdModel(Fleet):
     def test_callers_of_a_cold_model_wait(self):
         """Guards against refused requests and unreported demand while a model is not loaded."""
         manifest = self.fleet.manifest(version="v1").replace(
