Count what refills while VMs that start together find each other

Cause: a VM that starts counts only its own share of the rate until it has heard its peers, 0.3 to 0.5 s after the start in grown Kochi.

Ways weighed: take peers that were not heard yet for reachable (each VM of a partition would start with the rate of all); count a peer's share from this process's start on when it is heard first, unless that is longer ago than the time-out of a peer (chosen).

--- a/libs/quota/partition.cpp
+++ b/libs/quota/partition.cpp
@@ -280,6 +280,26 @@
   return aDebt;
 }
 
+/** The share of a peer that is heard for the first time has refilled the bucket
+ * of the fleet since this process started. Without it, VMs that start together
+ * lose what refills until they have found each other. A peer that was silent
+ * for longer may be on another side of a partition, which uses its share. */
+void
+FleetQuota::addRefillSinceStart(base::TimePoint aNow)
+{
+  const base::Duration age = aNow - mStartedAt;
+  if (mWarm || age > mPeerTimeout) {
+    return;
+  }
+  const double share = shareOfOneVm();
+  for (auto& [team, bucket] : mBuckets) {
+    const double refilled =
+      std::min(bucket.limit.burst, bucket.limit.rate * base::inSeconds(age));
+    bucket.level += refilled * share;
+    bucket.deltas.back().peerUsage -= refilled * share;
+  }
+}
+
 /** Discards a peer's reserves; a reserve in debt is charged to this side. */
 void
 FleetQuota::dropReserves(Peer& aPeer, base::TimePoint aNow)
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -322,6 +322,7 @@
   const bool reconnected = peer.unreachable;
   if (peer.totals.empty()) {
     peer.baselinePending = aIncarnation;
+    addRefillSinceStart(aNow);
   }
   if (!peer.totals.contains(aIncarnation)) {
     // What the previous process consumed at the end is unknown.
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -238,6 +238,7 @@
 
   void refill(base::TimePoint aNow);
   void applyUsage(Peer& aPeer, const base::TeamName& aTeam, double aConsumed);
+  void addRefillSinceStart(base::TimePoint aNow);
   static void recordCost(Bucket& aBucket, double aCost);
   double neededLevel(const Bucket& aBucket, double aCost) const;
   void updatePeerRates(base::TimePoint aNow);
--- a/libs/quota/tests/quota_tests.cpp
+++ b/libs/quota/tests/quota_tests.cpp
@@ -380,6 +380,34 @@
   CHECK(!fresh.admit("t", 700, now + 100ms).admitted);
 }
 
+// All VMs restart at once, and the callers of a second are back before the VMs
+// have found each other. What refills until then must not be lost.
+TEST(Quota, VmsThatStartTogetherKeepWhatRefillsUntilTheyMeet)
+{
+  FleetModel fleet(40);
+  const std::vector<bool> idle(40, false);
+  fleet.partitioned.assign(40, true);
+  fleet.run(400ms, idle);
+  fleet.partitioned.assign(40, false);
+  fleet.run(150ms, idle);
+  CHECK(fleet.level(3) >= 0.4 * kRate);
+  CHECK(fleet.level(3) <= 0.56 * kRate);
+  fleet.run(10s, idle);
+  DOUBLES_EQUAL(kBurst, fleet.level(3), 0.01 * kBurst);
+}
+
+// The share of a VM that is heard only later may have been used on its side.
+TEST(Quota, VmsThatMeetAfterAPartitionGainNoRefillOfTheStart)
+{
+  FleetModel fleet(40);
+  const std::vector<bool> idle(40, false);
+  fleet.partitioned.assign(40, true);
+  fleet.run(1500ms, idle);
+  fleet.partitioned.assign(40, false);
+  fleet.run(20ms, idle);
+  CHECK(fleet.level(3) <= 0.1 * kRate);
+}
+
 // New VMs must not pass levels to each other that nobody has confirmed.
 TEST(Quota, OnlyWarmVmsPublishTheirLevels)
 {
