Hold requests that a new process cannot admit yet

Cause: a process knows the configuration 0.01 to 0.21 s after its start and its peers after 0.3 to 0.5 s, and judged requests before. For the first second of a process, and half of the caller's time at most, a request that cannot be admitted for either reason asks again after 40 to 100 ms (dispatch::StartGate).

Evidence: test_requests_of_the_first_moments_wait_for_the_configuration was seen failing with the hold made void (503); dispatch_tests 74 of 74.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -17,6 +17,8 @@
 constexpr base::Duration kDeadlineGrace = 120ms;
 /** A VM without a configuration receives one within this time. */
 constexpr base::Duration kNotReadyRetryDelay = 500ms;
+/** Of a request that states none, while its route is not known. */
+constexpr base::Duration kUnknownDeadline = 1s;
 /** Short, because another VM accepts the caller's next connection at once. */
 constexpr base::Duration kDrainingRetryDelay = 50ms;
 /** Other bodies are answered in about this time. */
@@ -110,8 +112,22 @@
     refuse(Code::Draining, "the process is stopping", kDrainingRetryDelay);
     return;
   }
+  mCaller->onDisconnect([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      std::static_pointer_cast<Exchange>(self)->onCallerDisconnected();
+    }
+  });
+  admit();
+}
+
+void
+Exchange::admit()
+{
+  mCatalog = mContext.catalog.current();
   if (!mCatalog) {
-    refuse(Code::NotReady, "no configuration yet", kNotReadyRetryDelay);
+    if (!hold(&Exchange::admit, "no configuration yet")) {
+      refuse(Code::NotReady, "no configuration yet", kNotReadyRetryDelay);
+    }
     return;
   }
   if (!findRoute() || !authenticate() || !acceptChat()) {
@@ -128,18 +144,49 @@
   if (refuseIfBlocked()) {
     return;
   }
+  admitByQuota();
+}
+
+void
+Exchange::admitByQuota()
+{
   if (!chargeQuota()) {
     return;
   }
   recordDemand();
-  mCaller->onDisconnect([weak = weak_from_this()] {
-    if (const auto self = weak.lock()) {
-      std::static_pointer_cast<Exchange>(self)->onCallerDisconnected();
-    }
-  });
   dispatch();
 }
 
+/** Holds a request that this process cannot admit yet because it has just
+ * started. @param aNext step to repeat @return false if it must be refused */
+bool
+Exchange::hold(AdmissionStep aNext, const char* aReason)
+{
+  const base::TimePoint now = base::monotonicNow();
+  const base::TimePoint deadline =
+    mDeadlineAt != base::TimePoint{}
+      ? mDeadlineAt
+      : mReceivedAt + mMetadata.deadline.value_or(kUnknownDeadline);
+  const auto delay =
+    mContext.startGate.hold(mReceivedAt, deadline, mContext.random.unit(), now);
+  if (!delay) {
+    return false;
+  }
+  if (!mHoldLogged) {
+    mHoldLogged = true;
+    mContext.log.logStep(
+      mMetadata.id, "held by a new process", "", aReason, now);
+  }
+  mStallTimer.start(
+    mContext.loop, *delay, nullptr, [weak = weak_from_this(), aNext] {
+      const auto self = std::static_pointer_cast<Exchange>(weak.lock());
+      if (self && !self->mEnded && !self->endIfCallerDisconnected()) {
+        ((*self).*aNext)();
+      }
+    });
+  return true;
+}
+
 bool
 Exchange::findRoute()
 {
@@ -213,6 +260,9 @@
   const auto decision =
     mContext.quota.admit(mTeam->name, cost, base::monotonicNow());
   if (!decision.admitted) {
+    if (hold(&Exchange::admitByQuota, "quota")) {
+      return false;
+    }
     refuse(Code::RateExceeded,
            "cost " + std::to_string(std::llround(cost)) + ", missing " +
              std::to_string(std::llround(decision.missing)) + ", " +
@@ -355,7 +405,7 @@
     return;
   }
   const bool finishesAlone =
-    mRoute->kind == catalog::RequestKind::AtMostOnce && mCall && mCall->sent();
+    mCall && mCall->sent() && mRoute->kind == catalog::RequestKind::AtMostOnce;
   if (finishesAlone) {
     // A non-idempotent request that was sent is not cancelled before its
     // deadline; its response is discarded.
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -63,6 +63,10 @@
   static constexpr unsigned kMaxUnreachable = 4;
 
   // Admission.
+  void admit();
+  void admitByQuota();
+  using AdmissionStep = void (Exchange::*)();
+  bool hold(AdmissionStep aNext, const char* aReason);
   bool findRoute();
   bool authenticate();
   bool acceptChat();
@@ -207,6 +211,7 @@
   unsigned mUnreachableCount = 0;
   unsigned mUnresolvedSends = 0; ///< sends that may have run at an upstream
   bool mWaitLogged = false;
+  bool mHoldLogged = false;
   bool mMemoryWaitLogged = false;
   bool mStallLogged = false;
   /** An upstream refused or was unreachable since the last call or retry. */
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -193,6 +193,7 @@
   mRetries.setLimits(
     { mSettings.retryRatio, mSettings.retryMinExtra, mSettings.retryWindow });
   mRetries.setStart(base::monotonicNow());
+  mContext.startGate.setStart(base::monotonicNow());
   mRequests.onClosed([this](const wire::ClosedCaller& aClosed) {
     mRequestLog.logCallerClose(aClosed, base::monotonicNow());
   });
--- a/apps/gateway/request_context.h
+++ b/apps/gateway/request_context.h
@@ -50,6 +50,7 @@
   /** Set while the process drains: requests read after this time are refused,
    * so that the caller sends them to another VM. */
   std::optional<base::TimePoint> refuseAfter;
+  dispatch::StartGate startGate{};
 };
 
 } // namespace marigold::gateway
--- a/libs/dispatch/dispatch.h
+++ b/libs/dispatch/dispatch.h
@@ -14,4 +14,5 @@
 #include "dispatch/prefix_index.h"
 #include "dispatch/request_traits.h"
 #include "dispatch/retry_budget.h"
+#include "dispatch/start_gate.h"
 #include "dispatch/upstream_notices.h"
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -243,6 +243,62 @@
   LONGS_EQUAL(9, allowed);
 }
 
+TEST_GROUP(StartGate)
+{
+  dispatch::StartGate gate;
+  TimePoint start{ 100s };
+
+  void setup() override
+  {
+    gate.setStart(start);
+  }
+
+  /** @return how long a request is held if nothing lets it in */
+  base::Duration heldFor(
+    TimePoint aReceivedAt, base::Duration aLimit, double aUnit) const
+  {
+    TimePoint now = aReceivedAt;
+    while (const auto delay =
+             gate.hold(aReceivedAt, aReceivedAt + aLimit, aUnit, now)) {
+      CHECK(*delay > 0ms);
+      now += *delay;
+    }
+    return now - aReceivedAt;
+  }
+};
+
+// All VMs restart, and their callers are back at once. Guards against refusals
+// for want of a configuration that arrives 0.2 s later.
+TEST(StartGate, RequestsOfTheFirstMomentsWaitForTheConfiguration)
+{
+  for (const double unit : { 0.0, 0.5, 1.0 }) {
+    CHECK(heldFor(start, 5s, unit) >= 800ms);
+    CHECK(heldFor(start + 100ms, 1s, unit) >= 350ms);
+  }
+}
+
+// Guards against a VM that keeps requests although what it lacks is not on its
+// way, and against callers that have no time left for another VM.
+TEST(StartGate, HoldsNeitherLaterNorForMostOfACallersTime)
+{
+  for (const double unit : { 0.0, 0.5, 1.0 }) {
+    CHECK(heldFor(start, 20s, unit) <= 1s);
+    CHECK(heldFor(start, 400ms, unit) <= 200ms);
+    CHECK(!gate.hold(start + 1s, start + 6s, unit, start + 1s));
+  }
+  CHECK(!dispatch::StartGate().hold(start, start + 5s, 0, start));
+}
+
+// Requests that arrived together ask again at different times, so that VMs hear
+// of each other's admissions in between.
+TEST(StartGate, SpreadsRequestsThatArrivedTogether)
+{
+  const auto first = gate.hold(start, start + 5s, 0, start);
+  const auto last = gate.hold(start, start + 5s, 1, start);
+  CHECK(first && last);
+  CHECK(*last - *first >= 50ms);
+}
+
 TEST_GROUP(Health)
 {
   dispatch::OutlierDetector detector;
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -246,6 +246,29 @@
         self.platform.publish(2, ["k2"], ROUTES)
         wait_for(lambda: gateway.call("/again/x")[0] == 401, 2.5)
 
+    def test_requests_of_the_first_moments_wait_for_the_configuration(self):
+        """All VMs restart at once and their callers are back. Guards against a refusal, which uses up the last
+        try of a caller, although the configuration is there within a fraction of a second."""
+        gateway = self.gateways[0]
+        gateway.stop()
+        self.platform.change(self.platform.store.remove, "op/config")
+        gateway.start()
+        answers = []
+
+        def call():
+            while not answers:
+                try:
+                    answers.append(gateway.call("/again/x")[0])
+                except ConnectionError:
+                    time.sleep(0.005)  # The process is not listening yet.
+
+        caller = threading.Thread(target=call)
+        caller.start()
+        wait_for(lambda: "held by a new process" in gateway.log(), 1)
+        self.platform.publish(2, ["k1"], ROUTES)
+        caller.join()
+        self.assertEqual([200], answers)
+
     def test_restart_without_the_store_takes_nothing_old_into_use(self):
         """Guards against a restarted process that uses a withdrawn key or an upstream that has left,
         from whatever it finds before it reaches the store again."""
