Name every exception that becomes an error

base::capture() turned any exception but those at main() into "unclassified error", so that neither logs nor an incident could tell which. CaptureNamesExceptions fails before by its message.

--- a/libs/base/error.h
+++ b/libs/base/error.h
@@ -4,6 +4,7 @@
 #include "base/code.h"
 
 #include <boost/leaf.hpp>
+#include <exception>
 #include <string>
 #include <utility>
 #include <variant>
@@ -64,7 +65,7 @@
 
 /**
  * Runs a function and returns its value or its error, for code that handles the
- * error itself.
+ * error itself. An exception becomes an error that names it.
  * @param aFunction callable that returns Result<Value>
  * @return a variant of Value (std::monostate for Result<void>) and Error
  */
@@ -87,6 +88,10 @@
       }
     },
     [](const Error& aError) { return CapturedResult{ aError }; },
+    [](const std::exception& aException) {
+      return CapturedResult{ Error{
+        Code::Internal, std::string("exception: ") + aException.what() } };
+    },
     [] {
       return CapturedResult{ Error{ Code::Internal, "unclassified error" } };
     });
--- a/libs/base/tests/base_tests.cpp
+++ b/libs/base/tests/base_tests.cpp
@@ -3,6 +3,7 @@
 
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/TestHarness.h>
+#include <stdexcept>
 
 using namespace marigold::base;
 
@@ -37,6 +38,17 @@
   STRCMP_EQUAL("no such key", std::get<Error>(outcome).message.c_str());
 }
 
+// Guards against an exception whose reason is lost, so that nobody can tell why
+// an operation or the process ended.
+TEST(Base, CaptureNamesExceptions)
+{
+  const auto outcome = capture(
+    []() -> Result<int> { throw std::out_of_range("no such element"); });
+  CHECK(errorOf(outcome) != nullptr);
+  CHECK(errorOf(outcome)->code == Code::Internal);
+  STRCMP_EQUAL("exception: no such element", errorOf(outcome)->message.c_str());
+}
+
 // Guards against a code that is missing in the table.
 TEST(Base, CodesHaveTheirStatusAndOutcome)
 {
