Free the memory of texts that count as freed

Cause: clear() of an answer that was passed on, and the refusal of a body, assigned an empty text, which keeps the memory in libstdc++ (capacity 300,000 before and after); the budget of the process counted it as free. Traced: 20 to 57 MB counted beside 100 to 169 MB resident; malloc_stats shows 100 MB in blocks of 128 KB and more. FreedTextKeepsNoMemory holds it; an assignment in its place fails it.

--- a/apps/gateway/counted_buffer.h
+++ b/apps/gateway/counted_buffer.h
@@ -35,7 +35,7 @@
   void clear()
   {
     mTotal -= mBytes.size();
-    mBytes = {};
+    base::freeText(mBytes);
     mCharge.set(0);
   }
 
--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -524,7 +524,7 @@
   mDeadlineTimer.reset();
   mBackpressureTimer.reset();
   mCaller->onDisconnect(nullptr);
-  mRequest.body = {};
+  base::freeText(mRequest.body);
   mRequestCharge.set(0);
   const base::TimePoint now = base::monotonicNow();
   RequestSummary summary;
--- a/libs/base/memory_budget.h
+++ b/libs/base/memory_budget.h
@@ -3,9 +3,18 @@
 
 #include <cstddef>
 #include <limits>
+#include <string>
 
 namespace marigold::base {
 
+/** Empties a text and frees its memory, which an assignment of an empty text and
+ * clear() keep. @param aText text */
+inline void
+freeText(std::string& aText)
+{
+  std::string().swap(aText);
+}
+
 /**
  * Adds up the bytes that a process holds for all its requests. What is under
  * way is never cut, so new bodies may take a part of the limit only; the rest
--- a/libs/base/tests/base_tests.cpp
+++ b/libs/base/tests/base_tests.cpp
@@ -57,6 +57,16 @@
   CHECK(codeInfo(Code::OutcomeUnknown).outcome == Outcome::Unknown);
 }
 
+// Bodies and answers count towards the memory of the VM until they are freed.
+// Guards against texts that count as freed and keep their memory.
+TEST(Base, FreedTextKeepsNoMemory)
+{
+  std::string text(300'000, 'x');
+  freeText(text);
+  CHECK(text.empty());
+  CHECK(text.capacity() < 100);
+}
+
 // Many long bodies arrive at once. Guards against bodies that leave no memory
 // for what becomes of them.
 TEST(Base, MemoryBudgetKeepsRoomBesideBodies)
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -455,7 +455,7 @@
   if (!mServer.mMemory->admitsBody(aBytes, mBodyCharge.bytes())) {
     mCurrent.bodyRefused = true;
     mCurrent.closeAfterResponse = true;
-    mCurrent.request.body = {};
+    base::freeText(mCurrent.request.body);
     mBodyCharge.set(0);
     return;
   }
