--- a/apps/entry/exchange.h
+++ b/apps/entry/exchange.h
@@ -4,7 +4,6 @@
 #include "apps/entry/answers.h"
 #include "apps/entry/attempt.h"
 #include "apps/entry/caller_request.h"
-#include "apps/entry/claim_service.h"
 #include "apps/entry/request_path.h"
 #include "apps/entry/team_limits.h"
 #include "apps/entry/upstream_choice.h"
@@ -27,14 +26,13 @@
   TeamLimits& limits;
   UpstreamTable& upstreams;
   UpstreamChoice& choice;
-  ClaimService& claims;
   observe::Metrics& metrics;
   RequestPath& path;
 };
 
 /**
- * Serves one request: charges its team, asks the crash guard, chooses an
- * upstream or waits for one, forwards the request and streams the answer back.
+ * Serves one request: charges its team, chooses an upstream or waits for one,
+ * forwards the request and streams the answer back.
  */
 class Exchange
 {
@@ -62,44 +60,23 @@
   /** One upstream that works on the request. */
   struct Working
   {
-    UpstreamRun run;
+    base::UpstreamName upstream;
     base::TimePoint since;
     std::unique_ptr<Attempt> attempt;
   };
 
-  /** What the claim of a non-idempotent request allows. */
-  enum class ClaimStep : std::uint8_t
-  {
-    None,    ///< the request needs no claim, or its claim has been settled
-    Asked,   ///< the voters have been asked
-    Granted, ///< the request may be forwarded
-  };
-
   void onDisconnect();
-  void claim();
-  void onClaim(const claims::Decision& aDecision);
-  void replyStored(const claims::StoredAnswer& aStored);
-  void settleClaim(const http::Response& aAnswer);
-  void endClaim(base::Code aCode);
   void admit();
-  void askGuard();
-  void onPermission(Permission aPermission);
   void place();
   void wait();
-  void waitForTrial();
-  void reserve(const base::UpstreamName& aUpstream);
-  void onReserved(const base::UpstreamName& aUpstream);
   void send(const base::UpstreamName& aUpstream);
-  AttemptEvents attemptEvents(const base::UpstreamName& aUpstream);
+  AttemptEvents attemptEvents();
   void onEvents(const http::Response& aHead,
                 const std::vector<std::string>& aEvents);
   void passOn(const std::string& aEvent, const http::Response& aHead);
   void onStreamDone();
   void onWhole(const http::Response& aAnswer);
-  void onFailed(request::AttemptEnd aEnd);
-  void onJudged(request::AttemptEnd aEnd, bool aDied);
-  void decide(request::AttemptEnd aEnd);
-  void retry();
+  void onFailed(AttemptEnd aEnd);
   void pause();
   void cancelWork();
   Working takeWorking(bool aConnected);
@@ -126,17 +103,14 @@
   base::TimePoint mStarted;
   base::TimePoint mLastEvent;
   Charge mCharge;
-  request::Lifecycle mLife;
-  ClaimStep mClaim = ClaimStep::None;
+  std::set<base::UpstreamName> mTried; ///< could not be reached
+  bool mMayHaveRun = false;
   std::optional<Working> mWorking;
-  std::set<base::UpstreamName> mOccupied; ///< run other suspects
-  std::string mLastEvents;                ///< final event held back
-  int mDelivered = 0;                     ///< content events sent on
-  bool mTrial = false;                    ///< holds the one trial of a suspect
-  bool mJudging = false; ///< finds out whether its upstream died
+  std::string mLastEvents; ///< final event held back
+  int mDelivered = 0;      ///< content events sent on
   bool mWaiting = false;
   bool mFinished = false;
-  http::EventHandle mTimer; ///< trial wait or paused caller
+  http::EventHandle mTimer; ///< paused caller
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
--- a/apps/entry/upstream_choice.cpp
+++ b/apps/entry/upstream_choice.cpp
@@ -97,7 +97,6 @@
 Chosen
 UpstreamChoice::choose(const CallerRequest& aCaller,
                        const std::set<base::UpstreamName>& aExcluded,
-                       const std::set<base::UpstreamName>& aSuspects,
                        base::TimePoint aNow)
 {
   Chosen chosen;
@@ -108,7 +107,6 @@
       continue;
     }
     routing::UpstreamView candidate = view(upstream, &aCaller, aNow);
-    candidate.runsSuspect = aSuspects.contains(name);
     if (hasRoomFor(candidate, mTable.entryVms())) {
       views.push_back(std::move(candidate));
     } else {
@@ -124,19 +122,6 @@
   return chosen;
 }
 
-bool
-UpstreamChoice::anyUsable(const CallerRequest& aCaller,
-                          const std::set<base::UpstreamName>& aExcluded,
-                          base::TimePoint aNow) const
-{
-  return std::any_of(
-    mTable.all().begin(), mTable.all().end(), [&](const auto& aItem) {
-      return canServe(aItem.second, aCaller) &&
-             aItem.second.health.usable(aNow) &&
-             !aExcluded.contains(aItem.first);
-    });
-}
-
 bool
 UpstreamChoice::isResident(const CallerRequest& aCaller) const
 {
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -98,6 +98,7 @@
   void listAt(platform::Client& aRelay);
   void retryList();
   void listAgain();
+  bool isBehind(const platform::Snapshot& aSnapshot) const;
   void onList(const platform::Snapshot& aSnapshot, bool aFromRelay);
   void wait();
   void onRestored();
