--- a/libs/base/memory_budget.h
+++ b/libs/base/memory_budget.h
@@ -7,8 +7,8 @@
 
 namespace marigold::base {
 
-/** Empties a text and frees its memory, which an assignment of an empty text and
- * clear() keep. @param aText text */
+/** Empties a text and frees its memory, which clear() and assignments keep.
+ * @param aText text */
 inline void
 freeText(std::string& aText)
 {
