--- a/tests/explore/watch_scenario.cpp
+++ b/tests/explore/watch_scenario.cpp
@@ -446,7 +446,7 @@
 WatchScenario::relist(std::size_t /*aTarget*/)
 {
   ++mRelists;
-  mWatch.relist();
+  mWatch.relist("asked by the scenario");
 }
 
 bool
