Free a body that no handler has taken

Found by the review, by reading: after 413, 408 or 400 the rest of a body stayed in memory, up to the limit of a body for each caller, until its connection was closed, while it counted as freed.

--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -604,6 +604,7 @@
   chargeOutput();
   mCurrent.disconnectCallback = nullptr;
   mUnansweredBytes = 0;
+  base::freeText(mCurrent.request.body); // A handler may have left it here.
   mCurrent.request = {};
   mLastUndelivered = undeliveredOutput();
   mLastOutputProgress = base::monotonicNow();
