--- a/apps/gateway/crash_records.cpp
+++ b/apps/gateway/crash_records.cpp
@@ -185,7 +185,8 @@
         [this, record](const base::Captured<platform::Revision>& aResult) {
           onWritten(record, aResult);
         });
-    });
+    },
+    "crashes");
 }
 
 void
@@ -205,7 +206,7 @@
   observe::logWarn("crashes not recorded", { { "error", error->message } });
   if (error->code == base::Code::RevisionConflict) {
     // Usually the watch is about to bring what another VM has written.
-    mFleet.watch().relist();
+    mFleet.watch().relist("write failed");
   }
 }
 
--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -427,7 +427,7 @@
      lease = mLease.id()](const base::Captured<platform::Revision>& aResult) {
       mRegistrationCallPending = false;
       if (lease != mLease.id()) {
-        mWatch.relist(); // The key ends with the former lease.
+        mWatch.relist("lease changed"); // The key ends with the former one.
         return;
       }
       mRegistrationAt = base::monotonicNow() + mRegistrationBackoff.next();
@@ -441,7 +441,7 @@
       } else if (error->code == base::Code::RevisionConflict ||
                  error->code == base::Code::WriteOutcomeUnknown) {
         // Listing yields the revision for the next attempt.
-        mWatch.relist();
+        mWatch.relist("write failed");
       } else if (error->code == base::Code::NotFound) {
         mLease.drop("not found in the store");
       }
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -68,6 +68,7 @@
               mSettings.platform,
               kPlatformTimeout,
               boundary::storeProtocol())
+  , mStoreCalls(mLoop, mPlatform, mMetrics)
   , mPeers(mSettings.dataCentre)
   , mPool(mLoop)
   , mProbe(mLoop,
@@ -144,7 +145,7 @@
             mStoreReachedAt = base::monotonicNow();
           }
           // The watch may have missed leases that expired meanwhile.
-          mUpstreamWatch.relist();
+          mUpstreamWatch.relist("store reached");
           observe::logInfo("upstream records reached");
         },
         [](const base::Error& aError) {
@@ -234,11 +235,13 @@
   BOOST_LEAF_CHECK(mPeerExchange.listen());
   BOOST_LEAF_CHECK(mRequests.listen(mSettings.listen));
   mLoopDelayMonitor.start();
+  mStoreCalls.start();
   mCatalogWatch.start();
   mUpstreamWatch.start();
   mFleet.start();
   mWatches.push_back(mLoop.every(kTickPeriod, [this] { tick(); }));
   mLoop.run();
+  mStoreCalls.log();
   observe::logInfo("stop");
   return {};
 }
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "apps/gateway/order_controller.h"
 #include "apps/gateway/peer_exchange.h"
 #include "apps/gateway/request_server.h"
+#include "apps/gateway/store_call_report.h"
 #include "apps/gateway/watch_relay.h"
 #include "observe/observe.h"
 
@@ -70,6 +71,7 @@
   base::Random mRandom;
   http::Client mClient;
   platform::Client mPlatform;
+  StoreCallReport mStoreCalls;
   CatalogHolder mCatalog;
   UpstreamTable mUpstreams;
   peers::PeerTable mPeers;
--- a/apps/gateway/lease.cpp
+++ b/apps/gateway/lease.cpp
@@ -55,7 +55,8 @@
   mGrantPending = true;
   const base::TimePoint sentAt = base::monotonicNow();
   mClient.grantLease(
-    mTerm, [this, sentAt](const base::Captured<std::string>& aResult) {
+    mTerm,
+    [this, sentAt](const base::Captured<std::string>& aResult) {
       mCallPending = false;
       mGrantPending = false;
       if (base::errorOf(aResult) != nullptr) {
@@ -70,7 +71,8 @@
       recordSuccess(sentAt);
       observe::logInfo("lease granted", { { "lease", mName }, { "id", mId } });
       mGranted.emit();
-    });
+    },
+    mName);
 }
 
 void
@@ -82,7 +84,8 @@
   }
   mCallPending = true;
   mClient.renewLease(
-    mId, [this, now, id = mId](const base::Captured<std::string>& aResult) {
+    mId,
+    [this, now, id = mId](const base::Captured<std::string>& aResult) {
       mCallPending = false;
       const base::Error* error = base::errorOf(aResult);
       if (error == nullptr) {
@@ -96,7 +99,8 @@
         return;
       }
       recordFailure();
-    });
+    },
+    mName);
 }
 
 void
@@ -114,14 +118,17 @@
 Lease::revokeAtStore(const std::string& aId)
 {
   mRevocationPending = true;
-  mClient.revokeLease(aId, [this](const auto& aResult) {
-    mRevocationPending = false;
-    if (const base::Error* error = base::errorOf(aResult)) {
-      // The store ends it after its term.
-      observe::logWarn("lease not revoked",
-                       { { "lease", mName }, { "error", error->message } });
-    }
-  });
+  mClient.revokeLease(
+    aId,
+    [this](const auto& aResult) {
+      mRevocationPending = false;
+      if (const base::Error* error = base::errorOf(aResult)) {
+        // The store ends it after its term.
+        observe::logWarn("lease not revoked",
+                         { { "lease", mName }, { "error", error->message } });
+      }
+    },
+    mName);
 }
 
 void
--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -62,7 +62,7 @@
   mClient.restored().connect([this] { onRestored(); });
   mClient.silenceFound().connect(
     [this](base::TimePoint aSince) { onSilence(aSince); });
-  list();
+  list("start");
 }
 
 /** Revisions of the mirror may be given out again, and a watch after one of
@@ -76,7 +76,7 @@
                      { "era", std::to_string(mClient.era()) } });
   ++mGeneration;
   mStoreWaitSince.reset();
-  list();
+  list("store restored");
 }
 
 /** A wait on a connection from before the silence may get no answer any more.
@@ -105,9 +105,9 @@
 }
 
 void
-PrefixWatch::relist()
+PrefixWatch::relist(const char* aCause)
 {
-  mRelistPending = true;
+  mRelistCause = aCause;
 }
 
 void
@@ -143,23 +143,25 @@
 }
 
 void
-PrefixWatch::list()
+PrefixWatch::list(const char* aCause)
 {
-  mRelistPending = false;
+  mRelistCause = nullptr;
   mTimer.reset();
-  mClient.list(mPrefix,
-               [this, generation = mGeneration](
-                 const base::Captured<platform::Snapshot>& aResult) {
-                 if (generation != mGeneration) {
-                   return;
-                 }
-                 if (const base::Error* error = base::errorOf(aResult)) {
-                   recordFailure(*error);
-                   retryList();
-                   return;
-                 }
-                 onList(std::get<platform::Snapshot>(aResult), false);
-               });
+  mClient.list(
+    mPrefix,
+    [this, generation = mGeneration](
+      const base::Captured<platform::Snapshot>& aResult) {
+      if (generation != mGeneration) {
+        return;
+      }
+      if (const base::Error* error = base::errorOf(aResult)) {
+        recordFailure(*error);
+        retryList();
+        return;
+      }
+      onList(std::get<platform::Snapshot>(aResult), false);
+    },
+    aCause);
 }
 
 /** Lists at a relay, if there is one, because the store may turn away this VM
@@ -171,7 +173,13 @@
     listAt(*relay);
     return;
   }
-  schedule(mStoreCallAt - base::monotonicNow(), &PrefixWatch::list);
+  schedule(mStoreCallAt - base::monotonicNow(), &PrefixWatch::listAgain);
+}
+
+void
+PrefixWatch::listAgain()
+{
+  list("after a failure");
 }
 
 void
@@ -215,26 +223,26 @@
   wait();
 }
 
-base::Duration
+PrefixWatch::WaitLimit
 PrefixWatch::waitLimit(bool aFromRelay)
 {
   if (aFromRelay) {
-    return std::min(kRelayWait, mMaxWait);
+    return { std::min(kRelayWait, mMaxWait), "relay" };
   }
   if (mBackoff.failures() > 0) {
-    return kProbeWait;
+    return { kProbeWait, "after a failure" };
   }
   if (std::exchange(mSpreadPending, false)) {
-    return std::max(kProbeWait, mBackoff.jittered(mMaxWait));
+    return { std::max(kProbeWait, mBackoff.jittered(mMaxWait)), "spread" };
   }
-  return mMaxWait;
+  return { mMaxWait, "wait" };
 }
 
 void
 PrefixWatch::wait()
 {
-  if (mRelistPending) {
-    list();
+  if (mRelistCause != nullptr) {
+    list(mRelistCause);
     return;
   }
   if (platform::Client* relay = mRelays.relay ? mRelays.relay() : nullptr) {
@@ -266,22 +274,24 @@
   if (!aFromRelay) {
     mStoreWaitSince = base::monotonicNow();
   }
-  aClient.watch(mPrefix,
-                { mRevision, mMirror.era() },
-                waitLimit(aFromRelay),
-                [this, &aClient, aFromRelay, generation = mGeneration](
-                  const base::Captured<platform::Snapshot>& aResult) {
-                  if (generation != mGeneration) {
-                    return;
-                  }
-                  mStoreWaitSince.reset();
-                  if (const base::Error* error = base::errorOf(aResult)) {
-                    onFailure(*error, aClient);
-                  } else {
-                    onChanges(std::get<platform::Snapshot>(aResult),
-                              aFromRelay);
-                  }
-                });
+  const WaitLimit limit = waitLimit(aFromRelay);
+  aClient.watch(
+    mPrefix,
+    { mRevision, mMirror.era() },
+    limit.time,
+    [this, &aClient, aFromRelay, generation = mGeneration](
+      const base::Captured<platform::Snapshot>& aResult) {
+      if (generation != mGeneration) {
+        return;
+      }
+      mStoreWaitSince.reset();
+      if (const base::Error* error = base::errorOf(aResult)) {
+        onFailure(*error, aClient);
+      } else {
+        onChanges(std::get<platform::Snapshot>(aResult), aFromRelay);
+      }
+    },
+    limit.cause);
 }
 
 void
@@ -292,7 +302,7 @@
     observe::logInfo(
       "store history compacted",
       { { "prefix", mPrefix }, { "revision", std::to_string(mRevision) } });
-    list();
+    list("history compacted");
     return;
   }
   if (&aClient != &mClient) {
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -61,8 +61,9 @@
   /** Starts the watch. */
   void start();
 
-  /** Lists all keys again before the next wait. */
-  void relist();
+  /** Lists all keys again before the next wait.
+   * @param aCause why, for the counts of calls */
+  void relist(const char* aCause);
 
   /** Makes the watch wait for changes at a relay where possible.
    * @param aRelays chooses the relay */
@@ -93,9 +94,10 @@
   sigc::signal<void()>& mirrorChanged() { return mMirrorChanged; }
 
 private:
-  void list();
+  void list(const char* aCause);
   void listAt(platform::Client& aRelay);
   void retryList();
+  void listAgain();
   void onList(const platform::Snapshot& aSnapshot, bool aFromRelay);
   void wait();
   void onRestored();
@@ -104,7 +106,13 @@
   void onFailure(const base::Error& aError, const platform::Client& aClient);
   void waitAt(platform::Client& aClient, bool aFromRelay);
   void postponeStoreCalls();
-  base::Duration waitLimit(bool aFromRelay);
+  /** How long to wait, and why so. */
+  struct WaitLimit
+  {
+    base::Duration time{};
+    const char* cause = "";
+  };
+  WaitLimit waitLimit(bool aFromRelay);
   void recordSuccess();
   void recordFailure(const base::Error& aError);
   void schedule(base::Duration aDelay, void (PrefixWatch::*aNext)());
@@ -126,7 +134,7 @@
   std::optional<base::TimePoint> mStoreWaitSince;
   base::TimePoint mConfirmedAt{};
   bool mConnected = false;
-  bool mRelistPending = false;
+  const char* mRelistCause = nullptr; ///< set while a list is pending
   bool mLastFromStore = true;
   RelaySource mRelays;
   /** The store is not called before, because the relays or the store failed. */
--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -147,15 +147,23 @@
 
 void
 Client::send(const http::Request& aRequest,
-             base::Duration aTimeout,
-             bool aIsWrite,
+             CallKind aKind,
+             CallReason aReason,
              ResponseCallback aDone)
 {
   // Writes don't reuse idle connections: the server may be closing one, which
   // would look like a lost answer. Writes are rare enough to open a connection
   // for each.
-  sendWith(
-    aRequest, { aTimeout, aIsWrite, &mClient, !aIsWrite }, std::move(aDone));
+  const bool isWrite = aKind != CallKind::Read;
+  sendWith(aRequest,
+           { mTimeout, isWrite, &mClient, !isWrite, aKind, std::move(aReason) },
+           std::move(aDone));
+}
+
+void
+Client::recordEnd(const Options& aOptions, CallOutcome aOutcome)
+{
+  mCallEnded.emit({ aOptions.kind, aOutcome, aOptions.reason });
 }
 
 /** @return the pending call; the end of the list in a simulated outage */
@@ -172,7 +180,7 @@
   }
   const auto position = mCalls.emplace(mCalls.end());
   http::CallEvents events;
-  events.done = [this, position, isWrite, aDone = std::move(aDone)](
+  events.done = [this, position, isWrite, aOptions, aDone = std::move(aDone)](
                   http::CallEnd aEnd, const http::Response& aResponse) {
     // Remove the call first: the callback may destroy this client.
     const std::unique_ptr<http::Call> ended = std::move(*position);
@@ -182,18 +190,28 @@
     }
     if (aEnd != http::CallEnd::Complete) {
       ++mCounts.failures;
+      recordEnd(aOptions,
+                aEnd == http::CallEnd::NotSent ? CallOutcome::Refused
+                                               : CallOutcome::Unanswered);
       aDone(transportError(aEnd, isWrite));
       return;
     }
     if (!recordEra(aResponse.headers)) {
       ++mCounts.failures;
+      recordEnd(aOptions, CallOutcome::Unanswered);
       aDone(transportError(http::CallEnd::TimedOut, isWrite));
       return;
     }
     if (const auto error = mProtocol.statusError(aResponse.status)) {
+      recordEnd(aOptions,
+                isRefusedOrLost(&*error) ? CallOutcome::Refused
+                                         : CallOutcome::Negative);
       aDone(*error);
       return;
     }
+    if (aOptions.kind != CallKind::Watch) {
+      recordEnd(aOptions, CallOutcome::Answered);
+    } // Else watch() does, which reads whether there are changes.
     aDone(aResponse);
   };
   *position = aOptions.connections->start(
@@ -269,15 +287,22 @@
   HedgedCall& call = mHedgedCalls.at(aId);
   call.timer.reset();
   call.repeatedAt = base::monotonicNow();
-  Options options = call.options;
-  options.timeout = call.repeatedTimeout;
-  options.reuse = false;
-  call.repetition =
-    sendWith(call.repeated, options, [this, aId](const auto& aResponse) {
+  call.repetition = sendWith(
+    call.repeated, repetitionOptions(call), [this, aId](const auto& aResponse) {
       onRepetition(aId, aResponse);
     });
 }
 
+Client::Options
+Client::repetitionOptions(const HedgedCall& aCall)
+{
+  Options options = aCall.options;
+  options.timeout = aCall.repeatedTimeout;
+  options.reuse = false;
+  options.reason.cause = "overdue";
+  return options;
+}
+
 void
 Client::onOriginal(HedgedId aId, const Captured<http::Response>& aResponse)
 {
@@ -296,7 +321,7 @@
     repeat(aId);
     return;
   }
-  finish(aId, aResponse);
+  finish(aId, aResponse, Options(call->second.options));
 }
 
 void
@@ -317,21 +342,27 @@
       reportSilence(mSilenceFoundAt);
     }
   }
-  finish(aId, aResponse);
+  finish(aId, aResponse, repetitionOptions(call->second));
 }
 
 void
-Client::finish(HedgedId aId, const Captured<http::Response>& aResponse)
+Client::finish(HedgedId aId,
+               const Captured<http::Response>& aResponse,
+               const Options& aAnswered)
 {
   // The callback may destroy this client.
   const HedgedCall ended = std::move(mHedgedCalls.at(aId));
   mHedgedCalls.erase(aId);
-  for (const auto& pending : { ended.original, ended.repetition }) {
-    if (pending && *pending != mCalls.end()) {
-      mCalls.erase(*pending);
+  const auto drop = [this](const std::optional<Calls::iterator>& aPending,
+                           const Options& aOptions) {
+    if (aPending && *aPending != mCalls.end()) {
+      mCalls.erase(*aPending);
+      recordEnd(aOptions, CallOutcome::Dropped);
     }
-  }
-  ended.done(aResponse);
+  };
+  drop(ended.original, ended.options);
+  drop(ended.repetition, repetitionOptions(ended));
+  ended.done(aResponse, aAnswered);
 }
 
 /** @param aSince when the connection that works was opened */
@@ -349,8 +380,8 @@
 Client::read(const std::string& aKey, Callback<Entry> aDone)
 {
   send(mProtocol.read(aKey),
-       mTimeout,
-       false,
+       CallKind::Read,
+       { aKey, "" },
        [this,
         aDone = std::move(aDone)](const Captured<http::Response>& aResponse) {
          aDone(readResponse<Entry>(aResponse, mProtocol.readEntry));
@@ -358,49 +389,53 @@
 }
 
 void
-Client::list(const std::string& aPrefix, Callback<Snapshot> aDone)
+Client::list(const std::string& aPrefix,
+             Callback<Snapshot> aDone,
+             const std::string& aCause)
 {
-  listFrom(aPrefix, std::make_shared<Snapshot>(), std::move(aDone));
+  listFrom(aPrefix, std::make_shared<Snapshot>(), aCause, std::move(aDone));
 }
 
 void
 Client::listFrom(const std::string& aPrefix,
                  const std::shared_ptr<Snapshot>& aPartial,
+                 const std::string& aCause,
                  Callback<Snapshot> aDone)
 {
   const std::string after =
     aPartial->entries.empty() ? std::string() : aPartial->entries.back().key;
   // A list is not sent again if its answer is overdue, so it does not rely on
   // an idle connection, which may be silent.
-  sendWith(mProtocol.list(aPrefix, after),
-           { mTimeout, false, &mClient, false },
-           [this, aPrefix, aPartial, aDone = std::move(aDone)](
-             const Captured<http::Response>& aResponse) {
-             auto page = readResponse<Snapshot>(aResponse, mProtocol.readPage);
-             if (base::errorOf(page) != nullptr) {
-               aDone(page);
-               return;
-             }
-             auto& read = std::get<Snapshot>(page);
-             if (aPartial->revision == 0) {
-               aPartial->era = era();
-               aPartial->revision = read.revision;
-             }
-             if (aPartial->era != era()) {
-               // The earlier pages are from before the store was restored.
-               list(aPrefix, aDone);
-               return;
-             }
-             const bool more = read.more && !read.entries.empty();
-             std::move(read.entries.begin(),
-                       read.entries.end(),
-                       std::back_inserter(aPartial->entries));
-             if (more) {
-               listFrom(aPrefix, aPartial, aDone);
-               return;
-             }
-             aDone(std::move(*aPartial));
-           });
+  sendWith(
+    mProtocol.list(aPrefix, after),
+    { mTimeout, false, &mClient, false, CallKind::List, { aPrefix, aCause } },
+    [this, aPrefix, aPartial, aCause, aDone = std::move(aDone)](
+      const Captured<http::Response>& aResponse) {
+      auto page = readResponse<Snapshot>(aResponse, mProtocol.readPage);
+      if (base::errorOf(page) != nullptr) {
+        aDone(page);
+        return;
+      }
+      auto& read = std::get<Snapshot>(page);
+      if (aPartial->revision == 0) {
+        aPartial->era = era();
+        aPartial->revision = read.revision;
+      }
+      if (aPartial->era != era()) {
+        // The earlier pages are from before the store was restored.
+        list(aPrefix, aDone, aCause);
+        return;
+      }
+      const bool more = read.more && !read.entries.empty();
+      std::move(read.entries.begin(),
+                read.entries.end(),
+                std::back_inserter(aPartial->entries));
+      if (more) {
+        listFrom(aPrefix, aPartial, aCause, aDone);
+        return;
+      }
+      aDone(std::move(*aPartial));
+    });
 }
 
 void
@@ -411,8 +446,8 @@
               Callback<Revision> aDone)
 {
   send(mProtocol.write({ aKey, aValue, aExpected, aLease }),
-       mTimeout,
-       true,
+       CallKind::Write,
+       { aKey, "" },
        [this,
         aDone = std::move(aDone)](const Captured<http::Response>& aResponse) {
          aDone(readWriteResult(mProtocol, aResponse));
@@ -425,8 +460,8 @@
                Callback<Revision> aDone)
 {
   send(mProtocol.remove(aKey, aExpected),
-       mTimeout,
-       true,
+       CallKind::Write,
+       { aKey, "removal" },
        [aDone = std::move(aDone)](const Captured<http::Response>& aResponse) {
          const Error* error = base::errorOf(aResponse);
          aDone(error != nullptr ? Captured<Revision>(*error)
@@ -438,32 +473,44 @@
 Client::watch(const std::string& aPrefix,
               Position aAfter,
               base::Duration aWait,
-              Callback<Snapshot> aDone)
+              Callback<Snapshot> aDone,
+              const std::string& aCause)
 {
   const base::Duration repeatedWait = std::min(aWait, kRepeatedWait);
-  sendHedged({ .request = mProtocol.watch(aPrefix, aAfter, aWait),
-               .repeated = mProtocol.watch(aPrefix, aAfter, repeatedWait),
-               .options = { aWait + mTimeout, false, &mClient, true },
-               .repeatedTimeout = repeatedWait + mTimeout,
-               .done =
-                 [this, aDone = std::move(aDone)](
-                   const Captured<http::Response>& aResponse) {
-                   auto changes =
-                     readResponse<Snapshot>(aResponse, mProtocol.readChanges);
-                   if (base::errorOf(changes) == nullptr) {
-                     std::get<Snapshot>(changes).era = era();
-                   }
-                   aDone(changes);
-                 } },
-             aWait);
+  const Options options{ aWait + mTimeout, false,
+                         &mClient,         true,
+                         CallKind::Watch,  { aPrefix, aCause } };
+  sendHedged(
+    { .request = mProtocol.watch(aPrefix, aAfter, aWait),
+      .repeated = mProtocol.watch(aPrefix, aAfter, repeatedWait),
+      .options = options,
+      .repeatedTimeout = repeatedWait + mTimeout,
+      .done =
+        [this, aDone = std::move(aDone)](
+          const Captured<http::Response>& aResponse, const Options& aAnswered) {
+          auto changes =
+            readResponse<Snapshot>(aResponse, mProtocol.readChanges);
+          if (auto* read = std::get_if<Snapshot>(&changes)) {
+            read->era = era();
+            recordEnd(aAnswered,
+                      read->entries.empty() ? CallOutcome::NoNews
+                                            : CallOutcome::News);
+          } else if (base::errorOf(aResponse) == nullptr) {
+            recordEnd(aAnswered, CallOutcome::Unanswered); // Malformed.
+          }
+          aDone(changes);
+        } },
+    aWait);
 }
 
 void
-Client::grantLease(base::Duration aTerm, Callback<std::string> aDone)
+Client::grantLease(base::Duration aTerm,
+                   Callback<std::string> aDone,
+                   const std::string& aName)
 {
   send(mProtocol.grantLease(aTerm),
-       mTimeout,
-       true,
+       CallKind::Lease,
+       { aName, "grant" },
        [this,
         aDone = std::move(aDone)](const Captured<http::Response>& aResponse) {
          aDone(readResponse<std::string>(aResponse, mProtocol.readLease));
@@ -471,17 +518,25 @@
 }
 
 void
-Client::renewLease(const std::string& aLease, Callback<std::string> aDone)
+Client::renewLease(const std::string& aLease,
+                   Callback<std::string> aDone,
+                   const std::string& aName)
 {
   const http::Request request = mProtocol.renewLease(aLease);
   sendHedged({ .request = request,
                .repeated = request,
-               .options = { mTimeout, true, &mRenewalClient, true },
+               .options = { mTimeout,
+                            true,
+                            &mRenewalClient,
+                            true,
+                            CallKind::Renewal,
+                            { aName, "" } },
                .repeatedTimeout = mTimeout,
                .repeatAfterLoss = mRenewalKept,
                .done =
                  [this, aLease, aDone = std::move(aDone)](
-                   const Captured<http::Response>& aResponse) {
+                   const Captured<http::Response>& aResponse,
+                   const Options& /*aAnswered*/) {
                    mRenewalKept = base::errorOf(aResponse) == nullptr;
                    aDone(leaseResult(aResponse, aLease));
                  } },
@@ -489,11 +544,13 @@
 }
 
 void
-Client::revokeLease(const std::string& aLease, Callback<std::string> aDone)
+Client::revokeLease(const std::string& aLease,
+                    Callback<std::string> aDone,
+                    const std::string& aName)
 {
   send(mProtocol.revokeLease(aLease),
-       mTimeout,
-       true,
+       CallKind::Lease,
+       { aName, "end" },
        [aLease,
         aDone = std::move(aDone)](const Captured<http::Response>& aResponse) {
          aDone(leaseResult(aResponse, aLease));
@@ -504,8 +561,8 @@
 Client::listVms(Callback<std::string> aDone)
 {
   send({ "GET", "/v1/vms", "", {}, "" },
-       mTimeout,
-       false,
+       CallKind::Read,
+       { "vms", "" },
        [aDone = std::move(aDone)](const Captured<http::Response>& aResponse) {
          const Error* error = base::errorOf(aResponse);
          aDone(error != nullptr ? Captured<std::string>(*error)
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -11,6 +11,7 @@
 #include "http/http.h"
 #include "membership/membership.h"
 #include "platform/backoff.h"
+#include "platform/call_record.h"
 #include "platform/mirror.h"
 #include "platform/untrusted_json.h"
 #include "platform/view_age.h"
@@ -79,8 +80,11 @@
    * of the first page, so that a watch that starts there misses no change.
    * @param aPrefix prefix of the keys
    * @param aDone gets the entries
+   * @param aCause why, for callEnded()
    */
-  void list(const std::string& aPrefix, Callback<Snapshot> aDone);
+  void list(const std::string& aPrefix,
+            Callback<Snapshot> aDone,
+            const std::string& aCause = {});
 
   /**
    * Writes a key if it still has the expected revision (compare-and-swap).
@@ -114,25 +118,36 @@
    * @param aWait maximum time to wait for a change
    * @param aDone gets the changed entries (none if aWait has passed), or
    * HistoryCompacted if the platform no longer has the changes after aAfter
+   * @param aCause why, for callEnded()
    */
   void watch(const std::string& aPrefix,
              Position aAfter,
              base::Duration aWait,
-             Callback<Snapshot> aDone);
+             Callback<Snapshot> aDone,
+             const std::string& aCause = {});
 
   /** Requests a lease. @param aTerm time to live of the lease
-   * @param aDone gets its id */
-  void grantLease(base::Duration aTerm, Callback<std::string> aDone);
+   * @param aDone gets its id
+   * @param aName what the lease is for, for callEnded() */
+  void grantLease(base::Duration aTerm,
+                  Callback<std::string> aDone,
+                  const std::string& aName = {});
 
   /** Renews a lease on a connection kept for renewals, so that these also show
    * whether open connections still work. If the answer is overdue, the renewal
    * is sent again on a new connection.
-   * @param aLease id of the lease @param aDone gets the id or LeaseLost */
-  void renewLease(const std::string& aLease, Callback<std::string> aDone);
+   * @param aLease id of the lease @param aDone gets the id or LeaseLost
+   * @param aName what the lease is for, for callEnded() */
+  void renewLease(const std::string& aLease,
+                  Callback<std::string> aDone,
+                  const std::string& aName = {});
 
   /** Ends a lease. @param aLease id of the lease
-   * @param aDone gets the id or LeaseLost */
-  void revokeLease(const std::string& aLease, Callback<std::string> aDone);
+   * @param aDone gets the id or LeaseLost
+   * @param aName what the lease is for, for callEnded() */
+  void revokeLease(const std::string& aLease,
+                   Callback<std::string> aDone,
+                   const std::string& aName = {});
 
   /** Requests the list of VMs, which may be stale.
    * @param aDone gets its text, for decodeVmList() */
@@ -159,6 +174,9 @@
    * connection was opened. Idle connections are closed before. */
   sigc::signal<void(base::TimePoint)>& silenceFound() { return mSilenceFound; }
 
+  /** Emitted once for each call, repetitions included, when it has ended. */
+  sigc::signal<void(const CallRecord&)>& callEnded() { return mCallEnded; }
+
   /** @return calls since the client was created */
   const CallCounts& counts() const { return mCounts; }
 
@@ -175,6 +193,8 @@
     bool isWrite = false;
     http::Client* connections = nullptr;
     bool reuse = true; ///< an idle connection
+    CallKind kind = CallKind::Read;
+    CallReason reason;
   };
 
   /** A call that is sent again on a new connection if its answer is overdue. */
@@ -185,7 +205,9 @@
     Options options;
     base::Duration repeatedTimeout{};
     bool repeatAfterLoss = false; ///< if the kept connection was closed
-    ResponseCallback done;
+    /** Gets the answer, and with which options the answered call was sent. */
+    std::function<void(const base::Captured<http::Response>&, const Options&)>
+      done;
     std::optional<Calls::iterator> original{}; ///< while it is pending
     std::optional<Calls::iterator> repetition{};
     base::TimePoint startedAt{};
@@ -195,9 +217,10 @@
   using HedgedId = std::uint64_t;
 
   void send(const http::Request& aRequest,
-            base::Duration aTimeout,
-            bool aIsWrite,
+            CallKind aKind,
+            CallReason aReason,
             ResponseCallback aDone);
+  void recordEnd(const Options& aOptions, CallOutcome aOutcome);
   Calls::iterator sendWith(const http::Request& aRequest,
                            const Options& aOptions,
                            ResponseCallback aDone);
@@ -208,7 +231,10 @@
                   const base::Captured<http::Response>& aResponse);
   void onRepetition(HedgedId aId,
                     const base::Captured<http::Response>& aResponse);
-  void finish(HedgedId aId, const base::Captured<http::Response>& aResponse);
+  static Options repetitionOptions(const HedgedCall& aCall);
+  void finish(HedgedId aId,
+              const base::Captured<http::Response>& aResponse,
+              const Options& aAnswered);
   void reportSilence(base::TimePoint aSince);
   bool recordEra(const http::Headers& aHeaders);
   void failAfterTimeout(base::Duration aTimeout,
@@ -216,6 +242,7 @@
                         ResponseCallback aDone);
   void listFrom(const std::string& aPrefix,
                 const std::shared_ptr<Snapshot>& aPartial,
+                const std::string& aCause,
                 Callback<Snapshot> aDone);
 
   http::Loop& mLoop;
@@ -236,6 +263,7 @@
   /** When the connection was opened that showed the latest silence. */
   base::TimePoint mSilenceFoundAt = base::TimePoint::min();
   sigc::signal<void(base::TimePoint)> mSilenceFound;
+  sigc::signal<void(const CallRecord&)> mCallEnded;
   http::EventHandle mSilenceTimer;
   std::list<http::EventHandle> mDroppedCalls; ///< calls made during an outage
   bool mOutageSimulated = false;
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -453,6 +453,100 @@
   CHECK(base::errorOf(*changes) == nullptr);
 }
 
+TEST_GROUP(CallRecords)
+{
+  http::Loop loop;
+  const http::Address address{ "127.0.0.1", testPort() };
+  platform::Client client{ loop, address, kTimeout };
+  platform::CallSummary summary;
+
+  void setup() override
+  {
+    client.callEnded().connect(
+      [this](const platform::CallRecord& aCall) { summary.add(aCall); });
+  }
+
+  void runFor(base::Duration aDuration)
+  {
+    const auto timer = loop.after(aDuration, [this] { loop.stop(); });
+    loop.run();
+  }
+};
+
+// Calls are charged for by kind, refused ones too, so each must be counted once
+// with how it ended.
+TEST(CallRecords, EachCallIsCountedOnceByKindAndOutcome)
+{
+  std::vector<http::Response> answers{
+    { 200, {}, R"({"revision":7,"items":[]})" },
+    { 200, {}, R"({"revision":8,"items":[{"key":"a","value":"w",
+                   "revision":8}]})" },
+    { 200, {}, R"({"revision":8,"items":[]})" },
+    { 410, {}, "" },
+    { 429, {}, "" },
+    { 409, {}, "" },
+    { 200, {}, R"({"lease":"l1"})" },
+    { 200, {}, "{}" }
+  };
+  std::size_t next = 0;
+  http::Server server(loop, {}, [&](const http::Request&, const auto& aOut) {
+    aOut->reply(answers.at(next++));
+  });
+  CHECK(bool(server.listen(address)));
+  const auto ignore = [](const auto&) {};
+  client.list("op/", ignore, "start");
+  runFor(50ms);
+  for (int watches = 0; watches < 3; ++watches) {
+    client.watch("op/", { 7, 0 }, 100ms, ignore, "wait");
+    runFor(30ms);
+  }
+  client.write("k", "v", 0, "", ignore);
+  runFor(30ms);
+  client.write("k", "v", 3, "", ignore);
+  runFor(30ms);
+  client.grantLease(1s, ignore, "ownership");
+  runFor(30ms);
+  client.renewLease("l1", ignore, "ownership");
+  runFor(30ms);
+  LONGS_EQUAL(answers.size(), next);
+  STRCMP_EQUAL("list/answered/op//start=1 watch/news/op//wait=1 "
+               "watch/no-news/op//wait=1 watch/negative/op//wait=1 "
+               "write/negative/k/=1 write/refused/k/=1 "
+               "lease/answered/ownership/grant=1 "
+               "renewal/answered/ownership/=1",
+               summary.takeText().c_str());
+  CHECK(summary.empty());
+}
+
+// A call that is sent again is charged for twice.
+TEST(CallRecords, RepetitionOfAnOverdueCallCountsToo)
+{
+  PartlySilentServer server(loop, address);
+  server.silent = [](std::size_t aNumber) { return aNumber == 1; };
+  client.watch(
+    "op/", { 3, 0 }, 100ms, [](const auto&) {}, "wait");
+  runFor(100ms + kTimeout);
+  LONGS_EQUAL(2, server.requests.size());
+  STRCMP_EQUAL("watch/no-news/op//overdue=1 watch/dropped/op//wait=1",
+               summary.takeText().c_str());
+}
+
+// A store that does not answer, or is not there, is charged for like any other.
+TEST(CallRecords, CallsOfAnOutageAreCounted)
+{
+  client.write("k", "v", 0, "", [](const auto&) {});
+  runFor(50ms);
+  {
+    PartlySilentServer server(loop, address);
+    server.silent = [](std::size_t) { return true; };
+    client.list(
+      "op/", [](const auto&) {}, "start");
+    runFor(2 * kTimeout);
+  }
+  STRCMP_EQUAL("list/unanswered/op//start=1 write/refused/k/=1",
+               summary.takeText().c_str());
+}
+
 int
 main(int aCount, char** aValues)
 {
