--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -48,13 +48,16 @@
 public:
   /** Key of the record of crashes, which is watched with the registrations. */
   static constexpr const char* kCrashRecordKey = "marigold/crashes";
+  /** Prefix of the registrations; the name of the VM follows. */
+  static constexpr const char* kMemberPrefix = "marigold/vm/";
 
   Fleet(http::Loop& aLoop,
         platform::Client& aClient,
         const Settings& aSettings,
         base::Incarnation aIncarnation);
 
-  /** Requests a lease and starts to watch the registrations. */
+  /** Requests a lease, and registers once watch(), which starts by itself,
+   * knows the registrations. */
   void start();
 
   /** Sends no more orders, releases the order ownership and never claims it
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -173,6 +173,11 @@
                  })
   , mOperator(mLoop, mMetrics)
   , mRelay(mLoop, mSettings, mFleet, mPeerExchange, mOperator)
+  , mStartReader(mLoop,
+                 mPlatform,
+                 mSettings,
+                 mRelay,
+                 base::hash64(mSettings.vm, mIncarnation + 4))
   , mPlanCallback(mLoop, [this] { plan(); })
   , mApplyPlacements(mLoop, [this] { applyPlacements(); })
   , mRetryWaiting(mLoop,
@@ -236,9 +241,8 @@
   BOOST_LEAF_CHECK(mRequests.listen(mSettings.listen));
   mLoopDelayMonitor.start();
   mStoreCalls.start();
-  mCatalogWatch.start();
-  mUpstreamWatch.start();
   mFleet.start();
+  mStartReader.start({ &mCatalogWatch, &mUpstreamWatch, &mFleet.watch() });
   mWatches.push_back(mLoop.every(kTickPeriod, [this] { tick(); }));
   mLoop.run();
   mStoreCalls.log();
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "apps/gateway/order_controller.h"
 #include "apps/gateway/peer_exchange.h"
 #include "apps/gateway/request_server.h"
+#include "apps/gateway/start_reader.h"
 #include "apps/gateway/store_call_report.h"
 #include "apps/gateway/watch_relay.h"
 #include "observe/observe.h"
@@ -99,6 +100,7 @@
   http::Server mReadyServer;
   observe::OperatorServer mOperator;
   WatchRelay mRelay;
+  StartReader mStartReader;
   residency::PlanSchedule mPlanSchedule;
   CoalescedCallback mPlanCallback;
   CoalescedCallback mApplyPlacements;
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -108,9 +108,17 @@
   const auto missed = kMaxMissedStatuses + (self - order->second.begin());
   const base::TimePoint since =
     base::monotonicNow() - missed * mSchedule.statusPeriod();
+  // A VM that has just started and heard nobody yet can't tell who is silent.
+  const bool tooEarly =
+    since < mStartedAt &&
+    std::none_of(order->second.begin(),
+                 order->second.end(),
+                 [this](const base::VmName& aVm) {
+                   return mContext.peers.reportedSince(aVm, mStartedAt);
+                 });
   return peers::electRelay(
     order->second, mContext.settings.vm, [&](const base::VmName& aVm) {
-      return mContext.peers.reportedSince(aVm, since);
+      return tooEarly || mContext.peers.reportedSince(aVm, since);
     });
 }
 
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -115,6 +115,7 @@
   Fleet& mFleet;
   OrderController& mOrders;
   base::Incarnation mIncarnation;
+  base::TimePoint mStartedAt = base::monotonicNow();
   PeerSocket mSocket;
   peers::SummaryBuilder mSummaries;
   peers::PlacementAnnouncer mPlacementAnnouncer;
--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -54,22 +54,34 @@
   , mCallbacks(std::move(aCallbacks))
   , mBackoff(kInitialBackoff, kMaxBackoff, makeSeed(mPrefix))
 {
+  mClient.restored().connect([this] { onRestored(); });
+  mClient.silenceFound().connect(
+    [this](base::TimePoint aSince) { onSilence(aSince); });
 }
 
 void
 PrefixWatch::start()
 {
-  mClient.restored().connect([this] { onRestored(); });
-  mClient.silenceFound().connect(
-    [this](base::TimePoint aSince) { onSilence(aSince); });
+  mStarted = true;
   list("start");
 }
 
+void
+PrefixWatch::startAt(platform::Client& aRelay, std::function<void()> aFailed)
+{
+  mStarted = true;
+  mStartFailed = std::move(aFailed);
+  listAt(aRelay);
+}
+
 /** Revisions of the mirror may be given out again, and a watch after one of
  * them would miss changes. */
 void
 PrefixWatch::onRestored()
 {
+  if (!mStarted) {
+    return;
+  }
   observe::logWarn("store restored from an older copy",
                    { { "prefix", mPrefix },
                      { "revision", std::to_string(mRevision) },
@@ -146,6 +158,7 @@
 PrefixWatch::list(const char* aCause)
 {
   mRelistCause = nullptr;
+  mStartFailed = nullptr;
   mTimer.reset();
   mClient.list(
     mPrefix,
@@ -194,12 +207,11 @@
       }
       const auto* snapshot = std::get_if<platform::Snapshot>(&aResult);
       if (snapshot == nullptr || snapshot->era < mClient.era()) {
-        mRelays.failed(aRelay);
-        retryList();
+        onListFailedAt(aRelay);
         return;
       }
-      if (snapshot->era > mClient.era()) {
-        mClient.learnEra(snapshot->era); // Makes all watches list again.
+      mClient.learnEra(snapshot->era); // A later one makes all list again.
+      if (generation != mGeneration) {
         return;
       }
       observe::logInfo("store's keys listed at a relay",
@@ -210,12 +222,27 @@
     });
 }
 
+void
+PrefixWatch::onListFailedAt(const platform::Client& aRelay)
+{
+  if (mStartFailed) {
+    mStarted = false;
+    std::exchange(mStartFailed, nullptr)();
+    return;
+  }
+  mRelays.failed(aRelay);
+  retryList();
+}
+
 void
 PrefixWatch::onList(const platform::Snapshot& aSnapshot, bool aFromRelay)
 {
+  mStartFailed = nullptr;
   mRevision = aSnapshot.revision;
   mLastFromStore = !aFromRelay;
+  const char* pendingRelist = mRelistCause;
   recordSuccess();
+  mRelistCause = pendingRelist; // Those who want a list get this one.
   mMirror.replace(aSnapshot);
   mMirrorChanged.emit();
   mCallbacks.snapshot(aSnapshot);
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -58,9 +58,14 @@
               base::Duration aMaxWait,
               PrefixWatchCallbacks aCallbacks);
 
-  /** Starts the watch. */
+  /** Starts the watch with a list from the store. */
   void start();
 
+  /** Starts the watch with a list from a relay. @param aRelay relay
+   * @param aFailed called if the relay failed or refused; the watch is not
+   * started then */
+  void startAt(platform::Client& aRelay, std::function<void()> aFailed);
+
   /** Lists all keys again before the next wait.
    * @param aCause why, for the counts of calls */
   void relist(const char* aCause);
@@ -96,6 +101,7 @@
 private:
   void list(const char* aCause);
   void listAt(platform::Client& aRelay);
+  void onListFailedAt(const platform::Client& aRelay);
   void retryList();
   void listAgain();
   void onList(const platform::Snapshot& aSnapshot, bool aFromRelay);
@@ -135,6 +141,8 @@
   base::TimePoint mConfirmedAt{};
   bool mConnected = false;
   const char* mRelistCause = nullptr; ///< set while a list is pending
+  bool mStarted = false;
+  std::function<void()> mStartFailed; ///< set while startAt() is in progress
   bool mLastFromStore = true;
   RelaySource mRelays;
   /** The store is not called before, because the relays or the store failed. */
--- /dev/null
+++ b/apps/gateway/start_reader.cpp
@@ -0,0 +1,110 @@
+#include "apps/gateway/start_reader.h"
+
+#include "apps/gateway/fleet_records.h"
+#include "observe/log.h"
+
+namespace marigold::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Pause after a peer failed or the registrations named none. */
+constexpr base::Duration kPause = 100ms;
+
+} // namespace
+
+StartReader::StartReader(http::Loop& aLoop,
+                         platform::Client& aClient,
+                         const Settings& aSettings,
+                         WatchRelay& aRelay,
+                         std::uint64_t aSeed)
+  : mLoop(aLoop)
+  , mClient(aClient)
+  , mSettings(aSettings)
+  , mRelay(aRelay)
+  , mSeed(aSeed)
+{
+}
+
+void
+StartReader::start(std::vector<PrefixWatch*> aWatches)
+{
+  mWaiting = std::move(aWatches);
+  readRegistrations();
+}
+
+void
+StartReader::readRegistrations()
+{
+  mClient.list(
+    Fleet::kMemberPrefix,
+    [this](const base::Captured<platform::Snapshot>& aResult) {
+      if (const base::Error* error = base::errorOf(aResult)) {
+        observe::logWarn("registrations not read",
+                         { { "error", error->message } });
+        for (PrefixWatch* watch : std::exchange(mWaiting, {})) {
+          watch->start();
+        }
+        return;
+      }
+      onRegistrations(std::get<platform::Snapshot>(aResult));
+    },
+    "whom to ask",
+    platform::Freshness::MaybeOld);
+}
+
+void
+StartReader::onRegistrations(const platform::Snapshot& aRegistrations)
+{
+  const std::string prefix = Fleet::kMemberPrefix;
+  std::vector<peers::RelayCandidate> candidates{ { mSettings.vm,
+                                                   mSettings.capacity } };
+  mMembers.clear();
+  for (const platform::Entry& entry : aRegistrations.entries) {
+    const base::VmName vm = entry.key.substr(prefix.size());
+    const auto decoded = base::capture(
+      [&] { return decodeRegistration(vm, entry.value.value_or("")); });
+    const auto* member = std::get_if<Member>(&decoded);
+    if (member != nullptr && vm != mSettings.vm &&
+        member->dataCentre == mSettings.dataCentre) {
+      mMembers[vm] = *member;
+      candidates.push_back({ vm, member->capacity });
+    }
+  }
+  if (!mSource) {
+    mSource.emplace(mSettings.vm, base::monotonicNow(), mSeed);
+  }
+  mSource->setRanking(peers::rankRelays(std::move(candidates)));
+  proceed();
+}
+
+void
+StartReader::proceed()
+{
+  if (mSource->next(base::monotonicNow()) ==
+      peers::StartSource::Step::ReadRegistrations) {
+    mTimer = mLoop.after(kPause, [this] { readRegistrations(); });
+    return;
+  }
+  for (PrefixWatch* watch : std::exchange(mWaiting, {})) {
+    begin(*watch);
+  }
+}
+
+void
+StartReader::begin(PrefixWatch& aWatch)
+{
+  if (mSource->next(base::monotonicNow()) ==
+      peers::StartSource::Step::ReadStore) {
+    aWatch.start();
+    return;
+  }
+  const base::VmName peer = mSource->peer();
+  aWatch.startAt(mRelay.client(mMembers.at(peer)), [this, &aWatch, peer] {
+    mSource->onFailed(peer);
+    mWaiting.push_back(&aWatch);
+    mTimer = mLoop.after(kPause, [this] { proceed(); });
+  });
+}
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/start_reader.h
@@ -0,0 +1,43 @@
+/** @file First reads of the store by a VM that has just started. */
+#pragma once
+
+#include "apps/gateway/watch_relay.h"
+#include "peers/start_source.h"
+
+namespace marigold::gateway {
+
+/**
+ * Starts the watches of a VM where peers::StartSource says. To learn which VMs
+ * there are, it reads the registrations as they may have been seconds ago, for
+ * which the platform charges little.
+ */
+class StartReader
+{
+public:
+  StartReader(http::Loop& aLoop,
+              platform::Client& aClient,
+              const Settings& aSettings,
+              WatchRelay& aRelay,
+              std::uint64_t aSeed);
+
+  /** @param aWatches watches to start, which must outlive this object */
+  void start(std::vector<PrefixWatch*> aWatches);
+
+private:
+  void readRegistrations();
+  void onRegistrations(const platform::Snapshot& aRegistrations);
+  void proceed();
+  void begin(PrefixWatch& aWatch);
+
+  http::Loop& mLoop;
+  platform::Client& mClient;
+  const Settings& mSettings;
+  WatchRelay& mRelay;
+  std::uint64_t mSeed;
+  std::vector<PrefixWatch*> mWaiting; ///< watches not started yet
+  std::optional<peers::StartSource> mSource;
+  std::map<base::VmName, Member> mMembers; ///< of the data centre
+  http::EventHandle mTimer;
+};
+
+} // namespace marigold::gateway
--- a/apps/gateway/watch_relay.cpp
+++ b/apps/gateway/watch_relay.cpp
@@ -64,7 +64,7 @@
     "/v1/kv",
     [this](const http::Request& aRequest,
            const std::shared_ptr<http::Responder>& aResponder) {
-      serveList(aRequest, *aResponder);
+      serveList(aRequest, aResponder);
     });
 }
 
@@ -118,15 +118,19 @@
   }
 }
 
+bool
+WatchRelay::isStoreReader() const
+{
+  const auto readers = mPeerExchange.storeReaders();
+  return std::find(readers.begin(), readers.end(), mSettings.vm) !=
+         readers.end();
+}
+
 base::Duration
 WatchRelay::storeDelay() const
 {
-  const auto readers = mPeerExchange.storeReaders();
-  if (std::find(readers.begin(), readers.end(), mSettings.vm) !=
-      readers.end()) {
-    return {};
-  }
-  return kStoreDelayPerVm * mPeerExchange.dataCentreSize();
+  return isStoreReader() ? base::Duration::zero()
+                         : kStoreDelayPerVm * mPeerExchange.dataCentreSize();
 }
 
 bool
@@ -151,39 +155,49 @@
     aResponder->reply({ kBadRequest, {}, "" });
     return;
   }
-  mReaders.push_back({ watch->second,
-                       { *after, era.value_or(0) },
-                       base::monotonicNow() + kStaleGrace,
-                       aResponder,
-                       {} });
-  const auto reader = std::prev(mReaders.end());
-  if (tryReply(*reader, false)) {
-    mReaders.erase(reader);
-    return;
-  }
   const auto waitLimit =
     std::min<base::Duration>(std::chrono::milliseconds(*wait), kMaxWait);
-  reader->timer = mLoop.after(waitLimit, [this, reader] {
-    tryReply(*reader, true);
-    mReaders.erase(reader);
-  });
+  admit({ watch->second,
+          { *after, era.value_or(0) },
+          base::monotonicNow() + kStaleGrace,
+          false,
+          aResponder,
+          {} },
+        waitLimit);
 }
 
-/** Lists all keys, for readers that have lost the history. */
+/** Lists all keys, for readers that have just started or have lost the history.
+ * A VM that has just started itself, and reads the store, has them soon. */
 void
 WatchRelay::serveList(const http::Request& aRequest,
-                      http::Responder& aResponder)
+                      const std::shared_ptr<http::Responder>& aResponder)
 {
   const auto watch = mWatches.find(http::queryValue(aRequest.query, "prefix"));
   if (watch == mWatches.end()) {
-    aResponder.reply({ kBadRequest, {}, "" });
+    aResponder->reply({ kBadRequest, {}, "" });
     return;
   }
-  if (!isCurrent(*watch->second)) {
-    aResponder.reply({ kUnavailable, {}, "" });
+  const base::Duration wait = isStoreReader() ? kStaleGrace : 0ms;
+  admit(
+    { watch->second, {}, base::monotonicNow() + wait, true, aResponder, {} },
+    wait);
+}
+
+/** Replies at once or, if the reader has to wait, once there is something.
+ * @param aWait longest wait */
+void
+WatchRelay::admit(Reader aReader, base::Duration aWait)
+{
+  mReaders.push_back(std::move(aReader));
+  const auto reader = std::prev(mReaders.end());
+  if (tryReply(*reader, false)) {
+    mReaders.erase(reader);
     return;
   }
-  aResponder.reply(snapshotAnswer(watch->second->mirror().all()));
+  reader->timer = mLoop.after(aWait, [this, reader] {
+    tryReply(*reader, true);
+    mReaders.erase(reader);
+  });
 }
 
 bool
@@ -201,6 +215,10 @@
     aReader.responder->reply({ kUnavailable, {}, "" });
     return true;
   }
+  if (aReader.lists) {
+    aReader.responder->reply(snapshotAnswer(mirror.all()));
+    return true;
+  }
   const auto changes = mirror.changesAfter(aReader.after);
   if (!changes) {
     aReader.responder->reply({ kGone, {}, "" });
--- a/apps/gateway/watch_relay.h
+++ b/apps/gateway/watch_relay.h
@@ -30,6 +30,10 @@
    * if there is one. */
   void addWatch(PrefixWatch& aWatch);
 
+  /** @param aVm VM of this data centre @return client of the data that it
+   * serves, which exists as long as this object */
+  platform::Client& client(const Member& aVm);
+
   /** Refuses waiting readers if the data of this VM may be stale, and removes
    * disconnected readers. */
   void tick();
@@ -40,17 +44,20 @@
     const PrefixWatch* watch = nullptr;
     platform::Position after;
     base::TimePoint refuseAfter{}; ///< if the data may still be stale then
+    bool lists = false;            ///< wants all keys, now
     std::shared_ptr<http::Responder> responder;
     http::EventHandle timer;
   };
   platform::Client* chooseRelay();
-  platform::Client& client(const Member& aRelay);
   void recordFailure(const platform::Client& aRelay);
   base::Duration storeDelay() const;
   bool isCurrent(const PrefixWatch& aWatch) const;
   void serve(const http::Request& aRequest,
              const std::shared_ptr<http::Responder>& aResponder);
-  void serveList(const http::Request& aRequest, http::Responder& aResponder);
+  void serveList(const http::Request& aRequest,
+                 const std::shared_ptr<http::Responder>& aResponder);
+  void admit(Reader aReader, base::Duration aWait);
+  bool isStoreReader() const;
   bool tryReply(Reader& aReader, bool aTimedOut);
   void onChanged(const PrefixWatch& aWatch);
 
--- a/libs/platform/native_protocol.cpp
+++ b/libs/platform/native_protocol.cpp
@@ -25,7 +25,9 @@
 }
 
 http::Request
-listRequest(const std::string& aPrefix, const std::string& /*aAfterKey*/)
+listRequest(const std::string& aPrefix,
+            const std::string& /*aAfterKey*/,
+            Freshness /*aFreshness*/)
 {
   return makeRequest("GET", "/v1/kv", "prefix=" + http::percentEncode(aPrefix));
 }
--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -391,51 +391,54 @@
 void
 Client::list(const std::string& aPrefix,
              Callback<Snapshot> aDone,
-             const std::string& aCause)
+             const std::string& aCause,
+             Freshness aFreshness)
 {
-  listFrom(aPrefix, std::make_shared<Snapshot>(), aCause, std::move(aDone));
+  readNextPage(std::make_shared<ListCall>(
+    ListCall{ aPrefix, aCause, aFreshness, {}, std::move(aDone) }));
 }
 
 void
-Client::listFrom(const std::string& aPrefix,
-                 const std::shared_ptr<Snapshot>& aPartial,
-                 const std::string& aCause,
-                 Callback<Snapshot> aDone)
+Client::readNextPage(const std::shared_ptr<ListCall>& aCall)
 {
+  const auto& earlier = aCall->partial.entries;
   const std::string after =
-    aPartial->entries.empty() ? std::string() : aPartial->entries.back().key;
+    earlier.empty() ? std::string() : earlier.back().key;
   // A list is not sent again if its answer is overdue, so it does not rely on
   // an idle connection, which may be silent.
-  sendWith(
-    mProtocol.list(aPrefix, after),
-    { mTimeout, false, &mClient, false, CallKind::List, { aPrefix, aCause } },
-    [this, aPrefix, aPartial, aCause, aDone = std::move(aDone)](
-      const Captured<http::Response>& aResponse) {
-      auto page = readResponse<Snapshot>(aResponse, mProtocol.readPage);
-      if (base::errorOf(page) != nullptr) {
-        aDone(page);
-        return;
-      }
-      auto& read = std::get<Snapshot>(page);
-      if (aPartial->revision == 0) {
-        aPartial->era = era();
-        aPartial->revision = read.revision;
-      }
-      if (aPartial->era != era()) {
-        // The earlier pages are from before the store was restored.
-        list(aPrefix, aDone, aCause);
-        return;
-      }
-      const bool more = read.more && !read.entries.empty();
-      std::move(read.entries.begin(),
-                read.entries.end(),
-                std::back_inserter(aPartial->entries));
-      if (more) {
-        listFrom(aPrefix, aPartial, aCause, aDone);
-        return;
-      }
-      aDone(std::move(*aPartial));
-    });
+  const Options options{ mTimeout,       false,
+                         &mClient,       false,
+                         CallKind::List, { aCall->prefix, aCall->cause } };
+  sendWith(mProtocol.list(aCall->prefix, after, aCall->freshness),
+           options,
+           [this, aCall](const Captured<http::Response>& aResponse) {
+             auto page = readResponse<Snapshot>(aResponse, mProtocol.readPage);
+             if (base::errorOf(page) != nullptr) {
+               aCall->done(page);
+               return;
+             }
+             auto& read = std::get<Snapshot>(page);
+             Snapshot& partial = aCall->partial;
+             if (partial.revision == 0) {
+               partial.era = era();
+               partial.revision = read.revision;
+             }
+             if (partial.era != era()) {
+               // The earlier pages are from before the store was restored.
+               partial = {};
+               readNextPage(aCall);
+               return;
+             }
+             const bool more = read.more && !read.entries.empty();
+             std::move(read.entries.begin(),
+                       read.entries.end(),
+                       std::back_inserter(partial.entries));
+             if (more) {
+               readNextPage(aCall);
+               return;
+             }
+             aCall->done(std::move(partial));
+           });
 }
 
 void
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -81,10 +81,12 @@
    * @param aPrefix prefix of the keys
    * @param aDone gets the entries
    * @param aCause why, for callEnded()
+   * @param aFreshness how new the answer must be
    */
   void list(const std::string& aPrefix,
             Callback<Snapshot> aDone,
-            const std::string& aCause = {});
+            const std::string& aCause = {},
+            Freshness aFreshness = Freshness::Current);
 
   /**
    * Writes a key if it still has the expected revision (compare-and-swap).
@@ -240,10 +242,15 @@
   void failAfterTimeout(base::Duration aTimeout,
                         bool aIsWrite,
                         ResponseCallback aDone);
-  void listFrom(const std::string& aPrefix,
-                const std::shared_ptr<Snapshot>& aPartial,
-                const std::string& aCause,
-                Callback<Snapshot> aDone);
+  struct ListCall
+  {
+    std::string prefix;
+    std::string cause;
+    Freshness freshness = Freshness::Current;
+    Snapshot partial; ///< pages that were read
+    Callback<Snapshot> done;
+  };
+  void readNextPage(const std::shared_ptr<ListCall>& aCall);
 
   http::Loop& mLoop;
   http::Address mAddress;
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -149,11 +149,12 @@
   CHECK(bool(server.listen(address)));
   std::optional<platform::Snapshot> listed;
   platform::WireProtocol protocol = platform::nativeProtocol();
-  protocol.list = [](const std::string&, const std::string& aAfter) {
-    return http::Request{
-      "GET", "/", aAfter.empty() ? "p" : "p&after=" + aAfter, {}, ""
+  protocol.list =
+    [](const std::string&, const std::string& aAfter, platform::Freshness) {
+      return http::Request{
+        "GET", "/", aAfter.empty() ? "p" : "p&after=" + aAfter, {}, ""
+      };
     };
-  };
   protocol.readPage = [](const nlohmann::json& aContent) {
     platform::Snapshot page;
     page.revision = aContent.at("at");
--- a/libs/platform/wire_protocol.h
+++ b/libs/platform/wire_protocol.h
@@ -45,6 +45,13 @@
   Era era = 0;
 };
 
+/** How new the answer to a list must be. */
+enum class Freshness : std::uint8_t
+{
+  Current,
+  MaybeOld, ///< seconds old, perhaps, where the platform charges less for that
+};
+
 /** A write that is applied only if the key still has the expected revision. */
 struct ConditionalWrite
 {
@@ -62,7 +69,8 @@
 {
   http::Request (*read)(const std::string& aKey);
   http::Request (*list)(const std::string& aPrefix,
-                        const std::string& aAfterKey);
+                        const std::string& aAfterKey,
+                        Freshness aFreshness);
   http::Request (*watch)(const std::string& aPrefix,
                          Position aAfter,
                          base::Duration aWait);
