--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -556,10 +556,12 @@
     names.push_back(vm);
     dataCentres.insert(member.dataCentre);
   }
-  // At least one VM of each data centre reads the store, and peers tell each
-  // other of a newer configuration.
-  mCatalogWatch.spreadWaits(platform::sharedWatchWait(
-    mSettings.configLimit, kPlatformTimeout, dataCentres.size()));
+  // At least one VM of each data centre reads the store, unless one reads for
+  // all, and peers tell each other of a newer configuration.
+  mCatalogWatch.spreadWaits(
+    platform::sharedWatchWait(mSettings.configLimit,
+                              kPlatformTimeout,
+                              mRelay.followsLead() ? 1 : dataCentres.size()));
   mPeerExchange.onFleetChanged();
   mQuota.setPeers(names, now);
   mRetries.setFleetSize(mFleet.size());
--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -172,7 +172,7 @@
         retryList();
         return;
       }
-      onList(std::get<platform::Snapshot>(aResult), false);
+      onList(std::get<platform::Snapshot>(aResult), mClient);
     },
     aCause);
 }
@@ -218,7 +218,7 @@
                        { { "prefix", mPrefix },
                          { "era", std::to_string(snapshot->era) },
                          { "revision", std::to_string(snapshot->revision) } });
-      onList(*snapshot, true);
+      onList(*snapshot, aRelay);
     });
 }
 
@@ -235,11 +235,12 @@
 }
 
 void
-PrefixWatch::onList(const platform::Snapshot& aSnapshot, bool aFromRelay)
+PrefixWatch::onList(const platform::Snapshot& aSnapshot,
+                    const platform::Client& aSource)
 {
   mStartFailed = nullptr;
   mRevision = aSnapshot.revision;
-  mLastFromStore = !aFromRelay;
+  mLatestSource = &aSource;
   const char* pendingRelist = mRelistCause;
   recordSuccess();
   mRelistCause = pendingRelist; // Those who want a list get this one.
@@ -315,7 +316,7 @@
       if (const base::Error* error = base::errorOf(aResult)) {
         onFailure(*error, aClient);
       } else {
-        onChanges(std::get<platform::Snapshot>(aResult), aFromRelay);
+        onChanges(std::get<platform::Snapshot>(aResult), aClient);
       }
     },
     limit.cause);
@@ -345,10 +346,11 @@
 }
 
 void
-PrefixWatch::onChanges(const platform::Snapshot& aChanges, bool aFromRelay)
+PrefixWatch::onChanges(const platform::Snapshot& aChanges,
+                       const platform::Client& aSource)
 {
   mRevision = std::max(mRevision, aChanges.revision);
-  mLastFromStore = !aFromRelay;
+  mLatestSource = &aSource;
   recordSuccess();
   mMirror.apply(aChanges);
   mMirrorChanged.emit();
@@ -356,7 +358,7 @@
     mCallbacks.changed(entry);
   }
   mSpreadPending = mSpreadsWaits && !aChanges.entries.empty();
-  const base::Duration pause = aFromRelay ? kRelayWatchPause : mPause;
+  const base::Duration pause = &aSource == &mClient ? mPause : kRelayWatchPause;
   schedule(aChanges.entries.empty() ? 0ms : pause, &PrefixWatch::wait);
 }
 
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -86,7 +86,13 @@
   const platform::Mirror& mirror() const { return mMirror; }
 
   /** @return true if the latest response came from the store, not a relay */
-  bool isReadingStore() const { return mConnected && mLastFromStore; }
+  bool isReadingStore() const
+  {
+    return mConnected && mLatestSource == &mClient;
+  }
+
+  /** @return client of the store or relay that the latest response came from */
+  const platform::Client* latestSource() const { return mLatestSource; }
 
   /** @return true if the mirror is of the store's current era */
   bool isOfCurrentEra() const { return mMirror.era() == mClient.era(); }
@@ -104,11 +110,13 @@
   void onListFailedAt(const platform::Client& aRelay);
   void retryList();
   void listAgain();
-  void onList(const platform::Snapshot& aSnapshot, bool aFromRelay);
+  void onList(const platform::Snapshot& aSnapshot,
+              const platform::Client& aSource);
   void wait();
   void onRestored();
   void onSilence(base::TimePoint aSince);
-  void onChanges(const platform::Snapshot& aChanges, bool aFromRelay);
+  void onChanges(const platform::Snapshot& aChanges,
+                 const platform::Client& aSource);
   void onFailure(const base::Error& aError, const platform::Client& aClient);
   void waitAt(platform::Client& aClient, bool aFromRelay);
   void postponeStoreCalls();
@@ -143,7 +151,7 @@
   const char* mRelistCause = nullptr; ///< set while a list is pending
   bool mStarted = false;
   std::function<void()> mStartFailed; ///< set while startAt() is in progress
-  bool mLastFromStore = true;
+  const platform::Client* mLatestSource = nullptr;
   RelaySource mRelays;
   /** The store is not called before, because the relays or the store failed. */
   base::TimePoint mStoreCallAt{};
--- a/apps/gateway/store_call_report.cpp
+++ b/apps/gateway/store_call_report.cpp
@@ -7,7 +7,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr base::Duration kLogPeriod = 10s;
+constexpr base::Duration kLogPeriod = 5s;
 
 } // namespace
 
--- a/apps/gateway/watch_relay.cpp
+++ b/apps/gateway/watch_relay.cpp
@@ -1,5 +1,7 @@
 #include "apps/gateway/watch_relay.h"
 
+#include "peers/peers.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -16,6 +18,10 @@
  * missed renewals, may be partitioned from the store. */
 constexpr base::Duration kMaxRenewalAge = 1500ms;
 
+/** A relay that follows a lead has noticed by then if the lead stopped. */
+constexpr base::Duration kLeadDetection = 1800ms;
+constexpr base::Duration kMaxLeadAge = 2s;
+
 /** A relay that failed or refused is not used for this long. */
 constexpr base::Duration kFailedPeriod = 1s;
 /** A VM that begins to read the store, because its own relay failed, has its
@@ -40,6 +46,12 @@
   return response;
 }
 
+bool
+wantsDirect(const http::Request& aRequest)
+{
+  return !http::queryValue(aRequest.query, platform::kDirectParameter).empty();
+}
+
 } // namespace
 
 WatchRelay::WatchRelay(http::Loop& aLoop,
@@ -82,28 +94,70 @@
 platform::Client*
 WatchRelay::chooseRelay()
 {
-  const base::TimePoint now = base::monotonicNow();
-  for (const base::VmName& vm : mPeerExchange.storeReaders()) {
+  const auto readers = mPeerExchange.storeReaders();
+  // A deputy in place of a failed relay reads the store, because the lead may
+  // have failed with the relay.
+  if (!readers.empty() && readers.front() == mSettings.vm) {
+    return chooseLead();
+  }
+  for (const base::VmName& vm : readers) {
     if (vm == mSettings.vm) {
       return nullptr;
     }
-    const auto member = mFleet.others().find(vm);
-    const auto failed = mFailedUntil.find(vm);
-    const bool usable = failed == mFailedUntil.end() || now >= failed->second;
-    if (member != mFleet.others().end() && usable) {
-      return &client(member->second);
+    if (isUsable(vm)) {
+      return &client(mFleet.others().at(vm));
+    }
+  }
+  return nullptr;
+}
+
+/** @return true if a VM is registered and has not failed lately */
+bool
+WatchRelay::isUsable(const base::VmName& aVm) const
+{
+  const auto failed = mFailedUntil.find(aVm);
+  return mFleet.others().contains(aVm) &&
+         (failed == mFailedUntil.end() ||
+          base::monotonicNow() >= failed->second);
+}
+
+bool
+WatchRelay::followsLead() const
+{
+  return peers::mayFollowLead(
+    std::min(mSettings.configLimit, mSettings.drainLimit), kLeadDetection);
+}
+
+platform::Client*
+WatchRelay::chooseLead()
+{
+  if (!followsLead()) {
+    return nullptr;
+  }
+  for (const base::VmName& vm : mPeerExchange.leadReaders()) {
+    if (!isUsable(vm)) {
+      continue;
+    }
+    auto& client = mLeadClients[vm];
+    if (!client) {
+      client = std::make_unique<platform::Client>(
+        mLoop,
+        mFleet.others().at(vm).operatorAddress,
+        kRelayTimeout,
+        platform::directProtocol());
     }
+    return client.get();
   }
   return nullptr;
 }
 
 platform::Client&
-WatchRelay::client(const Member& aRelay)
+WatchRelay::client(const Member& aVm)
 {
-  auto& client = mClients[aRelay.vm];
+  auto& client = mClients[aVm.vm];
   if (!client) {
     client = std::make_unique<platform::Client>(
-      mLoop, aRelay.operatorAddress, kRelayTimeout);
+      mLoop, aVm.operatorAddress, kRelayTimeout);
   }
   return *client;
 }
@@ -111,9 +165,11 @@
 void
 WatchRelay::recordFailure(const platform::Client& aRelay)
 {
-  for (const auto& [vm, client] : mClients) {
-    if (client.get() == &aRelay) {
-      mFailedUntil[vm] = base::monotonicNow() + kFailedPeriod;
+  for (const auto* clients : { &mClients, &mLeadClients }) {
+    for (const auto& [vm, client] : *clients) {
+      if (client.get() == &aRelay) {
+        mFailedUntil[vm] = base::monotonicNow() + kFailedPeriod;
+      }
     }
   }
 }
@@ -129,18 +185,37 @@
 base::Duration
 WatchRelay::storeDelay() const
 {
-  return isStoreReader() ? base::Duration::zero()
-                         : kStoreDelayPerVm * mPeerExchange.dataCentreSize();
+  if (isStoreReader()) {
+    return {};
+  }
+  return kStoreDelayPerVm * mPeerExchange.dataCentreSize();
 }
 
 bool
-WatchRelay::isCurrent(const PrefixWatch& aWatch) const
+WatchRelay::readsStore(const PrefixWatch& aWatch) const
 {
-  return aWatch.isReadingStore() && aWatch.mirror().revision() > 0 &&
-         aWatch.isOfCurrentEra() &&
+  return aWatch.isReadingStore() &&
          base::monotonicNow() - mFleet.renewedAt() < kMaxRenewalAge;
 }
 
+bool
+WatchRelay::isFollowingLead(const PrefixWatch& aWatch) const
+{
+  const bool fromLead = std::any_of(
+    mLeadClients.begin(), mLeadClients.end(), [&aWatch](const auto& aItem) {
+      return aItem.second.get() == aWatch.latestSource();
+    });
+  return fromLead && base::monotonicNow() - aWatch.confirmedAt() < kMaxLeadAge;
+}
+
+/** @param aDirect whether only the store's own word counts */
+bool
+WatchRelay::isCurrent(const PrefixWatch& aWatch, bool aDirect) const
+{
+  return aWatch.mirror().revision() > 0 && aWatch.isOfCurrentEra() &&
+         (readsStore(aWatch) || (!aDirect && isFollowingLead(aWatch)));
+}
+
 void
 WatchRelay::serve(const http::Request& aRequest,
                   const std::shared_ptr<http::Responder>& aResponder)
@@ -161,6 +236,7 @@
           { *after, era.value_or(0) },
           base::monotonicNow() + kStaleGrace,
           false,
+          wantsDirect(aRequest),
           aResponder,
           {} },
         waitLimit);
@@ -178,9 +254,14 @@
     return;
   }
   const base::Duration wait = isStoreReader() ? kStaleGrace : 0ms;
-  admit(
-    { watch->second, {}, base::monotonicNow() + wait, true, aResponder, {} },
-    wait);
+  admit({ watch->second,
+          {},
+          base::monotonicNow() + wait,
+          true,
+          wantsDirect(aRequest),
+          aResponder,
+          {} },
+        wait);
 }
 
 /** Replies at once or, if the reader has to wait, once there is something.
@@ -208,7 +289,8 @@
   }
   const platform::Mirror& mirror = aReader.watch->mirror();
   // A reader of a later era knows of a restored store before this VM does.
-  if (!isCurrent(*aReader.watch) || aReader.after.era > mirror.era()) {
+  if (!isCurrent(*aReader.watch, aReader.direct) ||
+      aReader.after.era > mirror.era()) {
     if (!aTimedOut && base::monotonicNow() < aReader.refuseAfter) {
       return false;
     }
@@ -243,7 +325,8 @@
 WatchRelay::tick()
 {
   std::erase_if(mReaders, [this](Reader& aReader) {
-    return (!isCurrent(*aReader.watch) || aReader.responder->finished()) &&
+    return (!isCurrent(*aReader.watch, aReader.direct) ||
+            aReader.responder->finished()) &&
            tryReply(aReader, false);
   });
 }
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -54,6 +54,7 @@
         self.severed_ports = set()  # connections to these are closed, before or after a call takes effect
         self.unanswered_ports = set()  # calls sent to these are never answered
         self.calls = 0
+        self.calls_of = {}   # port: (path, query) of each call
         self.open_watches = {}  # port: watches that wait now
         self.removed_at = {}  # key: time of its last removal
         self.era = 1         # rises each time the store is restored from a copy
@@ -107,6 +108,7 @@
     async def handle(self, port, method, path, query, body):
         """Executes a call and returns (status, JSON body)."""
         self.calls += 1
+        self.calls_of.setdefault(port, []).append((path, query))
         self.expire()
         if path == "/-/kv-range":
             rows = [item for key, item in sorted(self.items.items()) if key.startswith(query["prefix"])]
