--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -242,7 +242,7 @@
   mLoopDelayMonitor.start();
   mStoreCalls.start();
   mFleet.start();
-  mStartReader.start({ &mCatalogWatch, &mUpstreamWatch, &mFleet.watch() });
+  mStartReader.start(mFleet.watch(), { &mCatalogWatch, &mUpstreamWatch });
   mWatches.push_back(mLoop.every(kTickPeriod, [this] { tick(); }));
   mLoop.run();
   mStoreCalls.log();
--- a/apps/gateway/start_reader.cpp
+++ b/apps/gateway/start_reader.cpp
@@ -27,12 +27,25 @@
 }
 
 void
-StartReader::start(std::vector<PrefixWatch*> aWatches)
+StartReader::start(PrefixWatch& aRegistrations,
+                   std::vector<PrefixWatch*> aOthers)
 {
-  mWaiting = std::move(aWatches);
+  mWaiting = { &aRegistrations };
+  mLater = std::move(aOthers);
+  aRegistrations.mirrorChanged().connect([this] { beginLater(); });
   readRegistrations();
 }
 
+void
+StartReader::beginLater()
+{
+  if (!mLater.empty()) {
+    mWaiting.insert(mWaiting.end(), mLater.begin(), mLater.end());
+    mLater.clear();
+    proceed();
+  }
+}
+
 void
 StartReader::readRegistrations()
 {
@@ -42,9 +55,7 @@
       if (const base::Error* error = base::errorOf(aResult)) {
         observe::logWarn("registrations not read",
                          { { "error", error->message } });
-        for (PrefixWatch* watch : std::exchange(mWaiting, {})) {
-          watch->start();
-        }
+        startAtStore();
         return;
       }
       onRegistrations(std::get<platform::Snapshot>(aResult));
@@ -81,24 +92,33 @@
 void
 StartReader::proceed()
 {
-  if (mSource->next(base::monotonicNow()) ==
-      peers::StartSource::Step::ReadRegistrations) {
+  const auto step = mSource->next(base::monotonicNow());
+  if (step == peers::StartSource::Step::ReadRegistrations) {
     mTimer = mLoop.after(kPause, [this] { readRegistrations(); });
     return;
   }
+  if (step == peers::StartSource::Step::ReadStore) {
+    startAtStore();
+    return;
+  }
   for (PrefixWatch* watch : std::exchange(mWaiting, {})) {
     begin(*watch);
   }
 }
 
 void
-StartReader::begin(PrefixWatch& aWatch)
+StartReader::startAtStore()
 {
-  if (mSource->next(base::monotonicNow()) ==
-      peers::StartSource::Step::ReadStore) {
-    aWatch.start();
-    return;
+  mWaiting.insert(mWaiting.end(), mLater.begin(), mLater.end());
+  mLater.clear();
+  for (PrefixWatch* watch : std::exchange(mWaiting, {})) {
+    watch->start();
   }
+}
+
+void
+StartReader::begin(PrefixWatch& aWatch)
+{
   const base::VmName peer = mSource->peer();
   aWatch.startAt(mRelay.client(mMembers.at(peer)), [this, &aWatch, peer] {
     mSource->onFailed(peer);
--- a/apps/gateway/start_reader.h
+++ b/apps/gateway/start_reader.h
@@ -20,14 +20,18 @@
               WatchRelay& aRelay,
               std::uint64_t aSeed);
 
-  /** @param aWatches watches to start, which must outlive this object */
-  void start(std::vector<PrefixWatch*> aWatches);
+  /** @param aRegistrations watch of the registrations; with a peer's answer it
+   * starts before the others, which then know the peers that they may wait at
+   * @param aOthers other watches; all must outlive this object */
+  void start(PrefixWatch& aRegistrations, std::vector<PrefixWatch*> aOthers);
 
 private:
   void readRegistrations();
   void onRegistrations(const platform::Snapshot& aRegistrations);
   void proceed();
+  void startAtStore();
   void begin(PrefixWatch& aWatch);
+  void beginLater();
 
   http::Loop& mLoop;
   platform::Client& mClient;
@@ -35,6 +39,7 @@
   WatchRelay& mRelay;
   std::uint64_t mSeed;
   std::vector<PrefixWatch*> mWaiting; ///< watches not started yet
+  std::vector<PrefixWatch*> mLater;   ///< those that wait for the first one
   std::optional<peers::StartSource> mSource;
   std::map<base::VmName, Member> mMembers; ///< of the data centre
   http::EventHandle mTimer;
