--- a/apps/gateway/start_reader.cpp
+++ b/apps/gateway/start_reader.cpp
@@ -32,18 +32,35 @@
 {
   mWaiting = { &aRegistrations };
   mLater = std::move(aOthers);
-  aRegistrations.mirrorChanged().connect([this] { beginLater(); });
+  aRegistrations.mirrorChanged().connect(
+    [this, &aRegistrations] { beginLater(aRegistrations.mirror().all()); });
   readRegistrations();
 }
 
 void
-StartReader::beginLater()
+StartReader::beginLater(const platform::Snapshot& aRegistrations)
 {
-  if (!mLater.empty()) {
-    mWaiting.insert(mWaiting.end(), mLater.begin(), mLater.end());
-    mLater.clear();
-    proceed();
+  if (mLater.empty()) {
+    return;
+  }
+  takeLater();
+  if (mMembers.empty()) {
+    // Others may have registered and read the store meanwhile.
+    mSource.reset();
+    learnPeers(aRegistrations);
+  }
+  if (mMembers.empty()) {
+    startAtStore();
+    return;
   }
+  proceed();
+}
+
+void
+StartReader::takeLater()
+{
+  mWaiting.insert(mWaiting.end(), mLater.begin(), mLater.end());
+  mLater.clear();
 }
 
 void
@@ -55,23 +72,28 @@
       if (const base::Error* error = base::errorOf(aResult)) {
         observe::logWarn("registrations not read",
                          { { "error", error->message } });
+        takeLater();
         startAtStore();
         return;
       }
-      onRegistrations(std::get<platform::Snapshot>(aResult));
+      learnPeers(std::get<platform::Snapshot>(aResult));
+      proceed();
     },
     "whom to ask",
     platform::Freshness::MaybeOld);
 }
 
 void
-StartReader::onRegistrations(const platform::Snapshot& aRegistrations)
+StartReader::learnPeers(const platform::Snapshot& aRegistrations)
 {
   const std::string prefix = Fleet::kMemberPrefix;
   std::vector<peers::RelayCandidate> candidates{ { mSettings.vm,
                                                    mSettings.capacity } };
   mMembers.clear();
   for (const platform::Entry& entry : aRegistrations.entries) {
+    if (!entry.key.starts_with(prefix)) {
+      continue;
+    }
     const base::VmName vm = entry.key.substr(prefix.size());
     const auto decoded = base::capture(
       [&] { return decodeRegistration(vm, entry.value.value_or("")); });
@@ -86,7 +108,6 @@
     mSource.emplace(mSettings.vm, base::monotonicNow(), mSeed);
   }
   mSource->setRanking(peers::rankRelays(std::move(candidates)));
-  proceed();
 }
 
 void
@@ -98,6 +119,9 @@
     return;
   }
   if (step == peers::StartSource::Step::ReadStore) {
+    if (!mMembers.empty()) {
+      takeLater();
+    } // Else the others may be read at peers that the first one shows.
     startAtStore();
     return;
   }
@@ -109,8 +133,6 @@
 void
 StartReader::startAtStore()
 {
-  mWaiting.insert(mWaiting.end(), mLater.begin(), mLater.end());
-  mLater.clear();
   for (PrefixWatch* watch : std::exchange(mWaiting, {})) {
     watch->start();
   }
--- a/apps/gateway/start_reader.h
+++ b/apps/gateway/start_reader.h
@@ -27,11 +27,12 @@
 
 private:
   void readRegistrations();
-  void onRegistrations(const platform::Snapshot& aRegistrations);
+  void learnPeers(const platform::Snapshot& aRegistrations);
   void proceed();
   void startAtStore();
   void begin(PrefixWatch& aWatch);
-  void beginLater();
+  void beginLater(const platform::Snapshot& aRegistrations);
+  void takeLater();
 
   http::Loop& mLoop;
   platform::Client& mClient;
