--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -20,10 +20,10 @@
  * because peers notice by its silence that it failed. The ownership must be
  * free soon; a slow store takes a few hundred milliseconds to respond, so a
  * term below this would expire while the owner is healthy. */
-constexpr base::Duration kRegistrationTerm = 6s;
+constexpr base::Duration kRegistrationTerm = 12s;
 constexpr base::Duration kOwnershipTerm = 2s;
 /** Allow three renewals in a term, so that one may be lost. */
-constexpr base::Duration kRegistrationRenewal = 1500ms;
+constexpr base::Duration kRegistrationRenewal = 3s;
 constexpr base::Duration kOwnershipRenewal = 450ms;
 constexpr base::Duration kTickInterval = 150ms;
 constexpr base::Duration kMaxRegistrationBackoff = 1200ms;
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -18,6 +18,8 @@
  * time until a draining upstream gets no new requests. The pause bounds the
  * store calls: records change several times a second in all but tiny fleets. */
 constexpr int kUpstreamWatchPauses = 10;
+/** The same where one VM reads them for the whole fleet. */
+constexpr int kUpstreamWatchPausesOfLead = 20;
 constexpr base::Duration kCatalogWatchPause = 20ms;
 /** Part of the VM's memory for the bytes of requests. The rest is for the
  * process itself and for what its allocator does not give back. */
@@ -222,6 +224,9 @@
        { &mCatalogWatch, &mUpstreamWatch, &mFleet.watch() }) {
     mRelay.addWatch(*watch);
   }
+  if (mRelay.followsLead()) {
+    mUpstreamWatch.setPause(mSettings.drainLimit / kUpstreamWatchPausesOfLead);
+  }
   registerDumps();
 }
 
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -79,6 +79,9 @@
    * @param aMaxWait longest wait for changes at the store */
   void spreadWaits(base::Duration aMaxWait);
 
+  /** @param aPause delay after a change before the next call to the store */
+  void setPause(base::Duration aPause) { mPause = aPause; }
+
   /** @return prefix of the keys */
   const std::string& prefix() const { return mPrefix; }
 
