--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -260,6 +260,10 @@
   if (mBackoff.failures() > 0) {
     return { kProbeWait, "after a failure" };
   }
+  if (mLatestSource != &mClient) {
+    // Those who wait here need to know soon that this VM reads the store.
+    return { kProbeWait, "in place of a relay" };
+  }
   if (std::exchange(mSpreadPending, false)) {
     return { std::max(kProbeWait, mBackoff.jittered(mMaxWait)), "spread" };
   }
--- a/apps/gateway/watch_relay.cpp
+++ b/apps/gateway/watch_relay.cpp
@@ -14,8 +14,9 @@
 constexpr base::Duration kRelayTimeout = 500ms;
 /** Maximum time that a reader may wait for a change. */
 constexpr base::Duration kMaxWait = 5s;
-/** A relay that has not renewed its lease for this long, which is after two
- * missed renewals, may be partitioned from the store. */
+/** A relay that has not renewed its lease and had no other answer for this
+ * long, which is after two missed renewals, may be partitioned from the store.
+ */
 constexpr base::Duration kMaxRenewalAge = 1500ms;
 
 /** A relay that follows a lead has noticed by then if the lead stopped. */
@@ -24,6 +25,8 @@
 
 /** A relay that failed or refused is not used for this long. */
 constexpr base::Duration kFailedPeriod = 1s;
+/** The same of a lead. Longer, because other leads are as good. */
+constexpr base::Duration kLeadFailedPeriod = 3s;
 /** A VM that begins to read the store, because its own relay failed, has its
  * data within this time. Its readers wait for that. */
 constexpr base::Duration kStaleGrace = 400ms;
@@ -165,11 +168,15 @@
 void
 WatchRelay::recordFailure(const platform::Client& aRelay)
 {
-  for (const auto* clients : { &mClients, &mLeadClients }) {
-    for (const auto& [vm, client] : *clients) {
-      if (client.get() == &aRelay) {
-        mFailedUntil[vm] = base::monotonicNow() + kFailedPeriod;
-      }
+  const base::TimePoint now = base::monotonicNow();
+  for (const auto& [vm, client] : mClients) {
+    if (client.get() == &aRelay) {
+      mFailedUntil[vm] = now + kFailedPeriod;
+    }
+  }
+  for (const auto& [vm, client] : mLeadClients) {
+    if (client.get() == &aRelay) {
+      mFailedUntil[vm] = now + kLeadFailedPeriod;
     }
   }
 }
@@ -194,8 +201,10 @@
 bool
 WatchRelay::readsStore(const PrefixWatch& aWatch) const
 {
+  const base::TimePoint answered =
+    std::max(aWatch.confirmedAt(), mFleet.renewedAt());
   return aWatch.isReadingStore() &&
-         base::monotonicNow() - mFleet.renewedAt() < kMaxRenewalAge;
+         base::monotonicNow() - answered < kMaxRenewalAge;
 }
 
 bool
