--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -18,8 +18,6 @@
  * time until a draining upstream gets no new requests. The pause bounds the
  * store calls: records change several times a second in all but tiny fleets. */
 constexpr int kUpstreamWatchPauses = 10;
-/** The same where one VM reads them for the whole fleet. */
-constexpr int kUpstreamWatchPausesOfLead = 20;
 constexpr base::Duration kCatalogWatchPause = 20ms;
 /** Part of the VM's memory for the bytes of requests. The rest is for the
  * process itself and for what its allocator does not give back. */
@@ -224,9 +222,6 @@
        { &mCatalogWatch, &mUpstreamWatch, &mFleet.watch() }) {
     mRelay.addWatch(*watch);
   }
-  if (mRelay.followsLead()) {
-    mUpstreamWatch.setPause(mSettings.drainLimit / kUpstreamWatchPausesOfLead);
-  }
   registerDumps();
 }
 
@@ -561,12 +556,10 @@
     names.push_back(vm);
     dataCentres.insert(member.dataCentre);
   }
-  // At least one VM of each data centre reads the store, unless one reads for
-  // all, and peers tell each other of a newer configuration.
-  mCatalogWatch.spreadWaits(
-    platform::sharedWatchWait(mSettings.configLimit,
-                              kPlatformTimeout,
-                              mRelay.followsLead() ? 1 : dataCentres.size()));
+  // At least one VM of each data centre reads the store, and peers tell each
+  // other of a newer configuration.
+  mCatalogWatch.spreadWaits(platform::sharedWatchWait(
+    mSettings.configLimit, kPlatformTimeout, dataCentres.size()));
   mPeerExchange.onFleetChanged();
   mQuota.setPeers(names, now);
   mRetries.setFleetSize(mFleet.size());
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -34,10 +34,6 @@
 /** The relay of another data centre is known if its latest summary is younger
  * than this. */
 constexpr base::Duration kMaxRelaySummaryAge = 1500ms;
-/** The relay of another data centre counts as silent after this long, and
- * after this many periods. */
-constexpr base::Duration kMinLeadSilence = 1s;
-constexpr int kLeadSilencePeriods = 3;
 /** Minimum time between two crash reports. */
 constexpr base::Duration kCrashReportInterval = 20ms;
 
@@ -135,21 +131,6 @@
            : peers::storeReaders(order->second, relay());
 }
 
-std::vector<base::VmName>
-PeerExchange::leadReaders() const
-{
-  const base::TimePoint now = base::monotonicNow();
-  std::map<base::DataCentre, peers::KnownRelay> relays;
-  for (const auto& [dataCentre, entry] : mContext.peers.summaries()) {
-    relays[dataCentre] = { entry.summary.relay, now - entry.receivedAt };
-  }
-  relays.erase(mContext.settings.dataCentre);
-  return peers::leadReaders(
-    mContext.settings.dataCentre,
-    relays,
-    std::max(kMinLeadSilence, kLeadSilencePeriods * mSchedule.maxPeriod()));
-}
-
 std::size_t
 PeerExchange::dataCentreSize() const
 {
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -62,10 +62,6 @@
    * preference */
   std::vector<base::VmName> storeReaders() const;
 
-  /** @return VMs of other data centres that read the store for this VM, by
-   * preference; none if it reads the store for its data centre itself */
-  std::vector<base::VmName> leadReaders() const;
-
   /** @return number of VMs in this data centre */
   std::size_t dataCentreSize() const;
 
--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -172,7 +172,7 @@
         retryList();
         return;
       }
-      onList(std::get<platform::Snapshot>(aResult), mClient);
+      onList(std::get<platform::Snapshot>(aResult), false);
     },
     aCause);
 }
@@ -218,7 +218,7 @@
                        { { "prefix", mPrefix },
                          { "era", std::to_string(snapshot->era) },
                          { "revision", std::to_string(snapshot->revision) } });
-      onList(*snapshot, aRelay);
+      onList(*snapshot, true);
     });
 }
 
@@ -235,12 +235,11 @@
 }
 
 void
-PrefixWatch::onList(const platform::Snapshot& aSnapshot,
-                    const platform::Client& aSource)
+PrefixWatch::onList(const platform::Snapshot& aSnapshot, bool aFromRelay)
 {
   mStartFailed = nullptr;
   mRevision = aSnapshot.revision;
-  mLatestSource = &aSource;
+  mLastFromStore = !aFromRelay;
   const char* pendingRelist = mRelistCause;
   recordSuccess();
   mRelistCause = pendingRelist; // Those who want a list get this one.
@@ -260,10 +259,6 @@
   if (mBackoff.failures() > 0) {
     return { kProbeWait, "after a failure" };
   }
-  if (mLatestSource != &mClient) {
-    // Those who wait here need to know soon that this VM reads the store.
-    return { kProbeWait, "in place of a relay" };
-  }
   if (std::exchange(mSpreadPending, false)) {
     return { std::max(kProbeWait, mBackoff.jittered(mMaxWait)), "spread" };
   }
@@ -320,7 +315,7 @@
       if (const base::Error* error = base::errorOf(aResult)) {
         onFailure(*error, aClient);
       } else {
-        onChanges(std::get<platform::Snapshot>(aResult), aClient);
+        onChanges(std::get<platform::Snapshot>(aResult), aFromRelay);
       }
     },
     limit.cause);
@@ -350,11 +345,10 @@
 }
 
 void
-PrefixWatch::onChanges(const platform::Snapshot& aChanges,
-                       const platform::Client& aSource)
+PrefixWatch::onChanges(const platform::Snapshot& aChanges, bool aFromRelay)
 {
   mRevision = std::max(mRevision, aChanges.revision);
-  mLatestSource = &aSource;
+  mLastFromStore = !aFromRelay;
   recordSuccess();
   mMirror.apply(aChanges);
   mMirrorChanged.emit();
@@ -362,7 +356,7 @@
     mCallbacks.changed(entry);
   }
   mSpreadPending = mSpreadsWaits && !aChanges.entries.empty();
-  const base::Duration pause = &aSource == &mClient ? mPause : kRelayWatchPause;
+  const base::Duration pause = aFromRelay ? kRelayWatchPause : mPause;
   schedule(aChanges.entries.empty() ? 0ms : pause, &PrefixWatch::wait);
 }
 
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -79,9 +79,6 @@
    * @param aMaxWait longest wait for changes at the store */
   void spreadWaits(base::Duration aMaxWait);
 
-  /** @param aPause delay after a change before the next call to the store */
-  void setPause(base::Duration aPause) { mPause = aPause; }
-
   /** @return prefix of the keys */
   const std::string& prefix() const { return mPrefix; }
 
@@ -89,13 +86,7 @@
   const platform::Mirror& mirror() const { return mMirror; }
 
   /** @return true if the latest response came from the store, not a relay */
-  bool isReadingStore() const
-  {
-    return mConnected && mLatestSource == &mClient;
-  }
-
-  /** @return client of the store or relay that the latest response came from */
-  const platform::Client* latestSource() const { return mLatestSource; }
+  bool isReadingStore() const { return mConnected && mLastFromStore; }
 
   /** @return true if the mirror is of the store's current era */
   bool isOfCurrentEra() const { return mMirror.era() == mClient.era(); }
@@ -113,13 +104,11 @@
   void onListFailedAt(const platform::Client& aRelay);
   void retryList();
   void listAgain();
-  void onList(const platform::Snapshot& aSnapshot,
-              const platform::Client& aSource);
+  void onList(const platform::Snapshot& aSnapshot, bool aFromRelay);
   void wait();
   void onRestored();
   void onSilence(base::TimePoint aSince);
-  void onChanges(const platform::Snapshot& aChanges,
-                 const platform::Client& aSource);
+  void onChanges(const platform::Snapshot& aChanges, bool aFromRelay);
   void onFailure(const base::Error& aError, const platform::Client& aClient);
   void waitAt(platform::Client& aClient, bool aFromRelay);
   void postponeStoreCalls();
@@ -154,7 +143,7 @@
   const char* mRelistCause = nullptr; ///< set while a list is pending
   bool mStarted = false;
   std::function<void()> mStartFailed; ///< set while startAt() is in progress
-  const platform::Client* mLatestSource = nullptr;
+  bool mLastFromStore = true;
   RelaySource mRelays;
   /** The store is not called before, because the relays or the store failed. */
   base::TimePoint mStoreCallAt{};
--- a/apps/gateway/watch_relay.cpp
+++ b/apps/gateway/watch_relay.cpp
@@ -1,7 +1,5 @@
 #include "apps/gateway/watch_relay.h"
 
-#include "peers/peers.h"
-
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -14,19 +12,12 @@
 constexpr base::Duration kRelayTimeout = 500ms;
 /** Maximum time that a reader may wait for a change. */
 constexpr base::Duration kMaxWait = 5s;
-/** A relay that has not renewed its lease and had no other answer for this
- * long, which is after two missed renewals, may be partitioned from the store.
- */
+/** A relay that has not renewed its lease for this long, which is after two
+ * missed renewals, may be partitioned from the store. */
 constexpr base::Duration kMaxRenewalAge = 1500ms;
 
-/** A relay that follows a lead has noticed by then if the lead stopped. */
-constexpr base::Duration kLeadDetection = 1800ms;
-constexpr base::Duration kMaxLeadAge = 2s;
-
 /** A relay that failed or refused is not used for this long. */
 constexpr base::Duration kFailedPeriod = 1s;
-/** The same of a lead. Longer, because other leads are as good. */
-constexpr base::Duration kLeadFailedPeriod = 3s;
 /** A VM that begins to read the store, because its own relay failed, has its
  * data within this time. Its readers wait for that. */
 constexpr base::Duration kStaleGrace = 400ms;
@@ -49,12 +40,6 @@
   return response;
 }
 
-bool
-wantsDirect(const http::Request& aRequest)
-{
-  return !http::queryValue(aRequest.query, platform::kDirectParameter).empty();
-}
-
 } // namespace
 
 WatchRelay::WatchRelay(http::Loop& aLoop,
@@ -97,70 +82,28 @@
 platform::Client*
 WatchRelay::chooseRelay()
 {
-  const auto readers = mPeerExchange.storeReaders();
-  // A deputy in place of a failed relay reads the store, because the lead may
-  // have failed with the relay.
-  if (!readers.empty() && readers.front() == mSettings.vm) {
-    return chooseLead();
-  }
-  for (const base::VmName& vm : readers) {
+  const base::TimePoint now = base::monotonicNow();
+  for (const base::VmName& vm : mPeerExchange.storeReaders()) {
     if (vm == mSettings.vm) {
       return nullptr;
     }
-    if (isUsable(vm)) {
-      return &client(mFleet.others().at(vm));
+    const auto member = mFleet.others().find(vm);
+    const auto failed = mFailedUntil.find(vm);
+    const bool usable = failed == mFailedUntil.end() || now >= failed->second;
+    if (member != mFleet.others().end() && usable) {
+      return &client(member->second);
     }
   }
   return nullptr;
 }
 
-/** @return true if a VM is registered and has not failed lately */
-bool
-WatchRelay::isUsable(const base::VmName& aVm) const
-{
-  const auto failed = mFailedUntil.find(aVm);
-  return mFleet.others().contains(aVm) &&
-         (failed == mFailedUntil.end() ||
-          base::monotonicNow() >= failed->second);
-}
-
-bool
-WatchRelay::followsLead() const
-{
-  return peers::mayFollowLead(
-    std::min(mSettings.configLimit, mSettings.drainLimit), kLeadDetection);
-}
-
-platform::Client*
-WatchRelay::chooseLead()
-{
-  if (!followsLead()) {
-    return nullptr;
-  }
-  for (const base::VmName& vm : mPeerExchange.leadReaders()) {
-    if (!isUsable(vm)) {
-      continue;
-    }
-    auto& client = mLeadClients[vm];
-    if (!client) {
-      client = std::make_unique<platform::Client>(
-        mLoop,
-        mFleet.others().at(vm).operatorAddress,
-        kRelayTimeout,
-        platform::directProtocol());
-    }
-    return client.get();
-  }
-  return nullptr;
-}
-
 platform::Client&
-WatchRelay::client(const Member& aVm)
+WatchRelay::client(const Member& aRelay)
 {
-  auto& client = mClients[aVm.vm];
+  auto& client = mClients[aRelay.vm];
   if (!client) {
     client = std::make_unique<platform::Client>(
-      mLoop, aVm.operatorAddress, kRelayTimeout);
+      mLoop, aRelay.operatorAddress, kRelayTimeout);
   }
   return *client;
 }
@@ -168,15 +111,9 @@
 void
 WatchRelay::recordFailure(const platform::Client& aRelay)
 {
-  const base::TimePoint now = base::monotonicNow();
   for (const auto& [vm, client] : mClients) {
     if (client.get() == &aRelay) {
-      mFailedUntil[vm] = now + kFailedPeriod;
-    }
-  }
-  for (const auto& [vm, client] : mLeadClients) {
-    if (client.get() == &aRelay) {
-      mFailedUntil[vm] = now + kLeadFailedPeriod;
+      mFailedUntil[vm] = base::monotonicNow() + kFailedPeriod;
     }
   }
 }
@@ -199,30 +136,11 @@
 }
 
 bool
-WatchRelay::readsStore(const PrefixWatch& aWatch) const
+WatchRelay::isCurrent(const PrefixWatch& aWatch) const
 {
-  const base::TimePoint answered =
-    std::max(aWatch.confirmedAt(), mFleet.renewedAt());
-  return aWatch.isReadingStore() &&
-         base::monotonicNow() - answered < kMaxRenewalAge;
-}
-
-bool
-WatchRelay::isFollowingLead(const PrefixWatch& aWatch) const
-{
-  const bool fromLead = std::any_of(
-    mLeadClients.begin(), mLeadClients.end(), [&aWatch](const auto& aItem) {
-      return aItem.second.get() == aWatch.latestSource();
-    });
-  return fromLead && base::monotonicNow() - aWatch.confirmedAt() < kMaxLeadAge;
-}
-
-/** @param aDirect whether only the store's own word counts */
-bool
-WatchRelay::isCurrent(const PrefixWatch& aWatch, bool aDirect) const
-{
-  return aWatch.mirror().revision() > 0 && aWatch.isOfCurrentEra() &&
-         (readsStore(aWatch) || (!aDirect && isFollowingLead(aWatch)));
+  return aWatch.isReadingStore() && aWatch.mirror().revision() > 0 &&
+         aWatch.isOfCurrentEra() &&
+         base::monotonicNow() - mFleet.renewedAt() < kMaxRenewalAge;
 }
 
 void
@@ -245,7 +163,6 @@
           { *after, era.value_or(0) },
           base::monotonicNow() + kStaleGrace,
           false,
-          wantsDirect(aRequest),
           aResponder,
           {} },
         waitLimit);
@@ -263,14 +180,9 @@
     return;
   }
   const base::Duration wait = isStoreReader() ? kStaleGrace : 0ms;
-  admit({ watch->second,
-          {},
-          base::monotonicNow() + wait,
-          true,
-          wantsDirect(aRequest),
-          aResponder,
-          {} },
-        wait);
+  admit(
+    { watch->second, {}, base::monotonicNow() + wait, true, aResponder, {} },
+    wait);
 }
 
 /** Replies at once or, if the reader has to wait, once there is something.
@@ -298,8 +210,7 @@
   }
   const platform::Mirror& mirror = aReader.watch->mirror();
   // A reader of a later era knows of a restored store before this VM does.
-  if (!isCurrent(*aReader.watch, aReader.direct) ||
-      aReader.after.era > mirror.era()) {
+  if (!isCurrent(*aReader.watch) || aReader.after.era > mirror.era()) {
     if (!aTimedOut && base::monotonicNow() < aReader.refuseAfter) {
       return false;
     }
@@ -334,8 +245,7 @@
 WatchRelay::tick()
 {
   std::erase_if(mReaders, [this](Reader& aReader) {
-    return (!isCurrent(*aReader.watch, aReader.direct) ||
-            aReader.responder->finished()) &&
+    return (!isCurrent(*aReader.watch) || aReader.responder->finished()) &&
            tryReply(aReader, false);
   });
 }
--- a/apps/gateway/watch_relay.h
+++ b/apps/gateway/watch_relay.h
@@ -15,9 +15,7 @@
  * relay, because calls to the store are rate limited and charged for. A relay
  * whose data may be stale refuses. Its deputy then reads the store, and the
  * other readers follow the deputy; only if that fails too do they read the
- * store themselves. Where the limits leave time for it, one relay, the lead,
- * watches the store, and those of the other data centres watch the lead. As it
- * serves them only while it reads the store, two never follow each other.
+ * store themselves.
  */
 class WatchRelay
 {
@@ -40,9 +38,6 @@
    * disconnected readers. */
   void tick();
 
-  /** @return true if relays follow a lead in this fleet */
-  bool followsLead() const;
-
 private:
   struct Reader
   {
@@ -50,18 +45,13 @@
     platform::Position after;
     base::TimePoint refuseAfter{}; ///< if the data may still be stale then
     bool lists = false;            ///< wants all keys, now
-    bool direct = false; ///< only from a VM that reads the store itself
     std::shared_ptr<http::Responder> responder;
     http::EventHandle timer;
   };
   platform::Client* chooseRelay();
-  platform::Client* chooseLead();
-  bool isUsable(const base::VmName& aVm) const;
-  bool isFollowingLead(const PrefixWatch& aWatch) const;
   void recordFailure(const platform::Client& aRelay);
   base::Duration storeDelay() const;
-  bool readsStore(const PrefixWatch& aWatch) const;
-  bool isCurrent(const PrefixWatch& aWatch, bool aDirect) const;
+  bool isCurrent(const PrefixWatch& aWatch) const;
   void serve(const http::Request& aRequest,
              const std::shared_ptr<http::Responder>& aResponder);
   void serveList(const http::Request& aRequest,
@@ -79,8 +69,6 @@
   std::list<Reader> mReaders;
   /** Clients of the current and former relays; open calls keep using theirs. */
   std::map<base::VmName, std::unique_ptr<platform::Client>> mClients;
-  /** The same of relays of other data centres. */
-  std::map<base::VmName, std::unique_ptr<platform::Client>> mLeadClients;
   /** Relays that failed or refused lately, and until when they are not used. */
   std::map<base::VmName, base::TimePoint> mFailedUntil;
 };
--- a/libs/peers/peers.h
+++ b/libs/peers/peers.h
@@ -7,7 +7,6 @@
  */
 #pragma once
 
-#include "peers/lead_reader.h"
 #include "peers/messages.h"
 #include "peers/peer_table.h"
 #include "peers/placement_announcer.h"
--- a/libs/platform/native_protocol.cpp
+++ b/libs/platform/native_protocol.cpp
@@ -128,46 +128,12 @@
   return readEraHeader(aHeaders, kEraHeader);
 }
 
-/** Marks a call as one for servers that read the platform themselves. */
-http::Request
-markDirect(http::Request aRequest)
-{
-  aRequest.query += std::string("&") + kDirectParameter + "=1";
-  return aRequest;
-}
-
-http::Request
-directListRequest(const std::string& aPrefix,
-                  const std::string& aAfterKey,
-                  Freshness aFreshness)
-{
-  return markDirect(listRequest(aPrefix, aAfterKey, aFreshness));
-}
-
-http::Request
-directWatchRequest(const std::string& aPrefix,
-                   Position aAfter,
-                   base::Duration aWait)
-{
-  return markDirect(watchRequest(aPrefix, aAfter, aWait));
-}
-
 constexpr WireProtocol kNativeProtocol{
   &readRequest,  &listRequest,  &watchRequest,  &writeRequest, &removeRequest,
   &grantRequest, &renewRequest, &revokeRequest, &readEntry,    &readSnapshot,
   &readSnapshot, &readRevision, &readLease,     &statusError,  &readEra
 };
 
-constexpr WireProtocol
-makeDirect(WireProtocol aProtocol)
-{
-  aProtocol.list = &directListRequest;
-  aProtocol.watch = &directWatchRequest;
-  return aProtocol;
-}
-
-constexpr WireProtocol kDirectProtocol = makeDirect(kNativeProtocol);
-
 } // namespace
 
 const WireProtocol&
@@ -176,10 +142,4 @@
   return kNativeProtocol;
 }
 
-const WireProtocol&
-directProtocol()
-{
-  return kDirectProtocol;
-}
-
 } // namespace marigold::platform
--- a/libs/platform/wire_protocol.h
+++ b/libs/platform/wire_protocol.h
@@ -111,13 +111,4 @@
 const WireProtocol&
 nativeProtocol();
 
-/** Parameter of calls of the native protocol that only a server may answer that
- * reads the platform itself. */
-constexpr const char* kDirectParameter = "direct";
-
-/** @return the native protocol with lists and watches that carry
- * kDirectParameter */
-const WireProtocol&
-directProtocol();
-
 } // namespace marigold::platform
--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -27,7 +27,7 @@
     """The gateway of one VM; start() after stop() starts a new process with the same settings."""
 
     def __init__(self, number, folder, first_port, store_port, data_centre="dc-a", data_centres=DATA_CENTRES,
-                 memory=260 * 10**6, limit_ms=2500):
+                 memory=260 * 10**6):
         places = ", ".join(f"{{name: {name}, region: {region}}}" for name, region in data_centres.items())
         self.port = first_port
         self.name = f"vm{number}"
@@ -42,10 +42,10 @@
 operator: {HOST}:{self.port + OPERATOR}
 platform: {HOST}:{store_port}
 grace_period: 8s
-config_limit: {limit_ms}ms
+config_limit: 2500ms
 order_pause: {int(ORDER_PAUSE * 1000)}ms
 record_return: 2500ms
-drain_limit: {limit_ms}ms
+drain_limit: 2500ms
 retry_ratio: 0.2
 retry_window: 10s
 retry_least_extra: 52
