--- a/apps/entry/caller_request.h
+++ b/apps/entry/caller_request.h
@@ -22,8 +22,6 @@
   std::string serviceName; ///< plain services only
   bool streamed = false;   ///< server-sent events
   bool idempotent = true;
-  std::string route; ///< plain services only: service, method, path prefix
-  std::string idempotencyKey;
   int priority = 1;
   double cost = 0; ///< tokens, upper bound
   base::TimePoint deadline;
--- a/libs/config/manifest.cpp
+++ b/libs/config/manifest.cpp
@@ -111,11 +111,6 @@
   if (aNode.has("open")) {
     route.open = aNode.require("open").boolean();
   }
-  if (aNode.has("idempotency_key")) {
-    route.idempotencyKeyRequired =
-      aNode.require("idempotency_key").oneOf({ "required", "optional" }) ==
-      "required";
-  }
   if (aNode.has("cost")) {
     route.cost = aNode.require("cost").number(0, kMaxRate);
   }
@@ -249,7 +244,6 @@
               route.pathPrefix] =
         std::string(route.idempotent ? "idempotent" : "non-idempotent") +
         (route.open ? " open" : "") +
-        (route.idempotencyKeyRequired ? "" : " idempotency_key optional") +
         " cost " + formatNumber(route.cost) + " deadline " +
         std::to_string(base::inMilliseconds(route.deadline)) + "ms";
     }
--- a/libs/config/manifest.h
+++ b/libs/config/manifest.h
@@ -46,9 +46,8 @@
   std::string method;
   std::string pathPrefix;
   bool idempotent = true;
-  bool open = false;                  ///< accepts requests without a key
-  bool idempotencyKeyRequired = true; ///< non-idempotent routes only
-  double cost = 1;                    ///< tokens charged per request
+  bool open = false; ///< accepts requests without a key
+  double cost = 1;   ///< tokens charged per request
   base::Duration deadline = std::chrono::seconds(10);
 };
 
