--- a/libs/catalog/request_metadata.h
+++ b/libs/catalog/request_metadata.h
@@ -32,6 +32,9 @@
   std::uint32_t expectedOutputTokens = 0; ///< 0: no estimate
   std::vector<PromptPart> prompt;
   std::optional<std::uint64_t> lastEventId; ///< to resume a stream
+  /** Id of the attempt that brought the first event of the stream to resume;
+   * empty if the caller names none. */
+  std::string firstAttempt;
 };
 
 } // namespace marigold::catalog
--- a/libs/catalog/types.h
+++ b/libs/catalog/types.h
@@ -49,11 +49,16 @@
   bool isPublic = false;    ///< requires no API key
   bool resumable = false;   ///< a stream may resume at another upstream
 
+  /** @return true if another upstream may continue a stream */
+  bool resumableStream() const
+  {
+    return kind == RequestKind::Stream && resumable;
+  }
+
   /** @return true if a request may safely be executed again */
   bool retryable() const
   {
-    return kind == RequestKind::Idempotent ||
-           (kind == RequestKind::Stream && resumable);
+    return kind == RequestKind::Idempotent || resumableStream();
   }
 };
 
--- a/libs/catalog/upstream.h
+++ b/libs/catalog/upstream.h
@@ -28,6 +28,7 @@
   std::map<base::ModelName, std::set<std::string>> models;
   std::set<base::ModelName> cachedInMemory;
   std::set<base::ModelName> cachedOnDisk;
+  std::optional<std::string> softwareVersion; ///< if it names one
 };
 
 /** What an upstream says of itself in an answer. */
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -18,6 +18,8 @@
   Summary,
   PlacementUpdate,
   CrashReport,
+  StreamReport,
+  StreamQuery,
 };
 
 json
@@ -399,6 +401,41 @@
   return encodeCrashes(aReport.crashes);
 }
 
+json
+encodeBody(const StreamReport& aReport)
+{
+  json rows = json::array();
+  for (const StreamOrigin& origin : aReport.origins) {
+    rows.push_back(origin.stream);
+    rows.push_back(origin.software);
+  }
+  return rows;
+}
+
+StreamReport
+decodeStreamReport(const json& aBody)
+{
+  StreamReport report;
+  for (std::size_t row = 0; row + 1 < aBody.size(); row += 2) {
+    report.origins.push_back(
+      { aBody.at(row).get<StreamId>(), aBody.at(row + 1).get<SoftwareTag>() });
+  }
+  return report;
+}
+
+json
+encodeBody(const StreamQuery& aQuery)
+{
+  return json::array({ aQuery.vm, aQuery.streams });
+}
+
+StreamQuery
+decodeStreamQuery(const json& aBody)
+{
+  return { aBody.at(0).get<base::VmName>(),
+           aBody.at(1).get<std::vector<StreamId>>() };
+}
+
 } // namespace
 
 UpstreamLoad&
@@ -474,6 +511,10 @@
         return Message(decodePlacementUpdate(content.at(2)));
       case MessageKind::CrashReport:
         return Message(CrashReport{ decodeCrashes(content.at(2)) });
+      case MessageKind::StreamReport:
+        return Message(decodeStreamReport(content.at(2)));
+      case MessageKind::StreamQuery:
+        return Message(decodeStreamQuery(content.at(2)));
     }
     return base::fail(base::Code::MessageMalformed, "message of unknown kind");
   } catch (const json::exception& error) {
--- a/libs/peers/messages.h
+++ b/libs/peers/messages.h
@@ -3,6 +3,7 @@
 
 #include "base/base.h"
 #include "peers/crash_evidence.h"
+#include "peers/stream_origin.h"
 
 #include <cstdint>
 #include <map>
@@ -179,7 +180,25 @@
   CrashTable crashes;
 };
 
-using Message = std::variant<Status, Summary, PlacementUpdate, CrashReport>;
+/** Streams that a VM has begun, or knows of and was asked for. */
+struct StreamReport
+{
+  std::vector<StreamOrigin> origins;
+};
+
+/** Streams that callers take up at a VM which doesn't know their origin. */
+struct StreamQuery
+{
+  base::VmName vm; ///< gets the answers
+  std::vector<StreamId> streams;
+};
+
+using Message = std::variant<Status,
+                             Summary,
+                             PlacementUpdate,
+                             CrashReport,
+                             StreamReport,
+                             StreamQuery>;
 
 /** @param aMessage message @return its MessagePack encoding */
 std::string
--- a/libs/peers/peers.h
+++ b/libs/peers/peers.h
@@ -12,4 +12,5 @@
 #include "peers/placement_announcer.h"
 #include "peers/relay.h"
 #include "peers/report_schedule.h"
+#include "peers/stream_origin.h"
 #include "peers/summary_builder.h"
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -148,6 +148,27 @@
     report.crashes);
 }
 
+// Encoder and decoder must agree on origins of streams and questions for them.
+TEST(Peers, DecodesTheStreamMessagesThatItEncodes)
+{
+  constexpr peers::StreamId kLargest = ~peers::StreamId{ 0 };
+  const peers::StreamReport report{ { { kLargest, 7 }, { 2, 0xffffffff } } };
+  const auto origins =
+    base::capture([&] { return peers::decode(peers::encode(report)); });
+  CHECK(base::errorOf(origins) == nullptr);
+  CHECK(
+    std::get<peers::StreamReport>(std::get<peers::Message>(origins)).origins ==
+    report.origins);
+  const peers::StreamQuery query{ "vm1", { kLargest, 3 } };
+  const auto decoded =
+    base::capture([&] { return peers::decode(peers::encode(query)); });
+  CHECK(base::errorOf(decoded) == nullptr);
+  const auto& asked =
+    std::get<peers::StreamQuery>(std::get<peers::Message>(decoded));
+  STRCMP_EQUAL("vm1", asked.vm.c_str());
+  CHECK(asked.streams == query.streams);
+}
+
 // A foreign or truncated datagram must not terminate the process.
 TEST(Peers, RejectsMalformedDatagrams)
 {
