--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -28,6 +28,7 @@
 /** Engines order requests by a priority from 0 (highest) to 9. */
 constexpr int kLowestEnginePriority = 9;
 constexpr int kLevelsPerTeamPriority = 3;
+constexpr std::uint64_t kStreamSeed = 13;
 
 std::string
 formatSeconds(base::Duration aDuration)
@@ -144,9 +145,63 @@
   if (refuseIfBlocked()) {
     return;
   }
+  findOrigin();
+}
+
+/** Finds the software that began the stream which the caller takes up. */
+void
+Exchange::findOrigin()
+{
+  const bool takesUp =
+    mRoute->resumableStream() &&
+    (mMetadata.lastEventId || !mMetadata.firstAttempt.empty());
+  if (!takesUp) {
+    admitByQuota();
+    return;
+  }
+  mContext.streams.find(
+    mMetadata.firstAttempt.empty() ? std::nullopt : std::optional(streamId()),
+    mService->name,
+    [weak = weak_from_this()](std::optional<peers::SoftwareTag> aOrigin) {
+      const auto self = std::static_pointer_cast<Exchange>(weak.lock());
+      if (self && !self->mEnded) {
+        self->continueStream(aOrigin);
+      }
+    });
+}
+
+void
+Exchange::continueStream(std::optional<peers::SoftwareTag> aOrigin)
+{
+  mContext.log.logStep(mMetadata.id,
+                       "takes up a stream",
+                       "",
+                       "of " + mMetadata.firstAttempt + ", software " +
+                         (aOrigin ? std::to_string(*aOrigin) : "unknown"),
+                       base::monotonicNow());
+  if (!aOrigin || *aOrigin == peers::kUnknownSoftware) {
+    refuse(Code::NoUpstream, "the software of the stream is not known", {});
+    return;
+  }
+  mOrigin = aOrigin;
   admitByQuota();
 }
 
+/** @return the stream that the request begins or takes up */
+peers::StreamId
+Exchange::streamId() const
+{
+  return base::hash64(firstAttempt(), kStreamSeed);
+}
+
+/** @return id of the caller's attempt that brought, or may bring, the first
+ * event */
+const std::string&
+Exchange::firstAttempt() const
+{
+  return mMetadata.firstAttempt.empty() ? mMetadata.id : mMetadata.firstAttempt;
+}
+
 void
 Exchange::admitByQuota()
 {
@@ -197,7 +252,7 @@
     return false;
   }
   const auto& name =
-    catalog::pickService(*mRoute, base::hash64(mMetadata.id, 1));
+    catalog::pickService(*mRoute, base::hash64(firstAttempt(), 1));
   const auto service = mCatalog->content.services.find(name);
   if (service == mCatalog->content.services.end()) {
     refuse(Code::NoUpstream, "service " + name + " is not declared", 1s);
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -64,6 +64,8 @@
 
   // Admission.
   void admit();
+  void findOrigin();
+  void continueStream(std::optional<peers::SoftwareTag> aOrigin);
   void admitByQuota();
   using AdmissionStep = void (Exchange::*)();
   bool hold(AdmissionStep aNext, const char* aReason);
@@ -129,6 +131,9 @@
   void retryAfter(base::Duration aDelay);
   void waitUntilAccepted();
   bool isAccepted(const base::UpstreamName& aUpstream) const;
+  bool mayBeSentTo(const base::UpstreamName& aUpstream) const;
+  bool mayContinueAt(const Upstream& aUpstream, base::TimePoint aNow) const;
+  void recordOrigin(base::TimePoint aNow);
   void armStallTimer();
   void startStallTimer(base::Duration aLimit);
   void onStall(base::Duration aLimit);
@@ -181,6 +186,8 @@
   bool mayBegin(const dispatch::Choice& aChoice) const;
   void endWithoutSend();
   std::uint32_t outputTokens() const;
+  peers::StreamId streamId() const;
+  const std::string& firstAttempt() const;
 
   RequestContext& mContext;
   std::shared_ptr<wire::CallerConnection> mCaller;
@@ -244,6 +251,8 @@
   std::size_t mDiscardedBytes = 0;
   wire::EventSplitter mEvents;
   std::optional<std::uint64_t> mLastEventId;
+  /** The software that began the stream, once an event of it was received. */
+  std::optional<peers::SoftwareTag> mOrigin;
   std::uint64_t mEventCount = 0;
   base::TimePoint mFirstByteAt{};
   std::string mLastUpstream;
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -147,7 +147,8 @@
   std::vector<dispatch::Candidate> found;
   const base::TimePoint now = base::monotonicNow();
   for (const auto& [name, upstream] : mContext.upstreams.all()) {
-    if (upstream->record.service != mService->name || !upstream->usable()) {
+    if (upstream->record.service != mService->name || !upstream->usable() ||
+        !mayContinueAt(*upstream, now)) {
       continue;
     }
     if (isEngineCall() && mService->engine &&
@@ -185,7 +186,12 @@
     return;
   }
   std::vector<std::shared_ptr<Upstream>> upstreams;
-  const auto found = candidates(upstreams);
+  auto found = candidates(upstreams);
+  if (found.empty() && mOrigin && !mNotAccepted) {
+    // The one that broke off may be the only one with the same software.
+    mTriedUpstreams.clear();
+    found = candidates(upstreams);
+  }
   const auto choice = choose(found, upstreams);
   if (choice && !mayBegin(*choice)) {
     shutdown();
@@ -226,6 +232,12 @@
     scheduleRetry();
     return;
   }
+  if (mOrigin) {
+    refuse(Code::NoUpstream,
+           "no upstream with the software of the stream",
+           kOverloadRetryDelay);
+    return;
+  }
   if (isEngineCall() && mService->engine) {
     waitForModel();
     return;
@@ -556,7 +568,7 @@
   const bool wanted = !mEnded && mReplacement && !wentOnMeanwhile() &&
                       hasTimeForSend() && !mCaller->abandoned() &&
                       mContext.crashes.verdictOn(mTraits) == nullptr &&
-                      isAccepted(aUpstream);
+                      mayBeSentTo(aUpstream);
   if (!wanted || !mContext.retries.tryConsume(mService->name, now)) {
     return std::nullopt;
   }
@@ -585,6 +597,25 @@
                         base::monotonicNow();
 }
 
+/** What different software writes doesn't fit together, and an upstream goes on
+ * with any stream. @return true if the upstream may send the next event */
+bool
+Exchange::mayContinueAt(const Upstream& aUpstream, base::TimePoint aNow) const
+{
+  return !mOrigin || (*mOrigin != peers::kUnknownSoftware &&
+                      mContext.streams.softwareOf(aUpstream, aNow) == *mOrigin);
+}
+
+/** @return false if what has become known of the upstream since it was chosen
+ * speaks against a send */
+bool
+Exchange::mayBeSentTo(const base::UpstreamName& aUpstream) const
+{
+  const auto upstream = mContext.upstreams.find(aUpstream);
+  return isAccepted(aUpstream) &&
+         (upstream ? mayContinueAt(*upstream, base::monotonicNow()) : !mOrigin);
+}
+
 /** Runs when the request is written, which may be long after the upstream was
  * selected. @return serialized request, or nothing if it must not be sent */
 std::optional<std::string>
@@ -592,7 +623,7 @@
 {
   if (mEnded || !hasTimeForSend() || mCaller->abandoned() ||
       mContext.crashes.verdictOn(mTraits) != nullptr ||
-      !isAccepted(aUpstream)) {
+      !mayBeSentTo(aUpstream)) {
     return std::nullopt;
   }
   ++mUnresolvedSends;
@@ -621,7 +652,7 @@
   if (endIfCallerDisconnected() || refuseIfBlocked()) {
     return;
   }
-  if (!isAccepted(mLastUpstream)) {
+  if (!mayBeSentTo(mLastUpstream)) {
     dispatch();
     return;
   }
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -321,6 +321,27 @@
   applyBackpressure();
 }
 
+/** Takes note of the software that sends the first event of a stream. */
+void
+Exchange::recordOrigin(base::TimePoint aNow)
+{
+  if (!mRoute->resumableStream()) {
+    return;
+  }
+  if (!mOrigin) {
+    const auto upstream =
+      mLoadReservation ? mLoadReservation->upstream() : nullptr;
+    const auto known = mContext.upstreams.find(mLastUpstream);
+    // Another process that has taken the name since may be the one that sends.
+    const bool certain = upstream && (!known || known == upstream);
+    mOrigin = certain ? mContext.streams.softwareOf(*upstream, aNow)
+                      : peers::kUnknownSoftware;
+  }
+  if (!firstAttempt().empty()) {
+    mContext.streams.record({ streamId(), *mOrigin }, aNow);
+  }
+}
+
 void
 Exchange::onEvents(std::string_view aBytes)
 {
@@ -340,6 +361,7 @@
   const base::TimePoint now = base::monotonicNow();
   if (mEventCount == 0) {
     mFirstByteAt = now;
+    recordOrigin(now);
     if (isEngineCall() && mSends == 1) {
       mContext.latency.onFirstToken(
         mMetadata.model->model,
--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -169,13 +169,18 @@
   const auto previous = mOwner;
   mOwner.reset();
   bool crashesRecorded = false;
+  bool softwareRecorded = false;
   for (const platform::Entry& entry : aSnapshot.entries) {
     apply(entry);
     crashesRecorded = crashesRecorded || entry.key == kCrashRecordKey;
+    softwareRecorded = softwareRecorded || entry.key == kSoftwareRecordKey;
   }
   if (!crashesRecorded) {
     mCrashRecord.emit({ kCrashRecordKey, {}, aSnapshot.revision });
   }
+  if (!softwareRecorded) {
+    mSoftwareRecord.emit({ kSoftwareRecordKey, {}, aSnapshot.revision });
+  }
   if (!mSynced) {
     // The store may have been restored just before this process read it.
     mClaimsFrom = base::monotonicNow() + kOwnershipTerm;
@@ -198,6 +203,10 @@
     mCrashRecord.emit(aEntry);
     return;
   }
+  if (aEntry.key == kSoftwareRecordKey) {
+    mSoftwareRecord.emit(aEntry);
+    return;
+  }
   if (!aEntry.key.starts_with(kMemberPrefix)) {
     return;
   }
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -48,6 +48,8 @@
 public:
   /** Key of the record of crashes, which is watched with the registrations. */
   static constexpr const char* kCrashRecordKey = "marigold/crashes";
+  /** Key of the record of software versions, watched likewise. */
+  static constexpr const char* kSoftwareRecordKey = "marigold/software";
 
   Fleet(http::Loop& aLoop,
         platform::Client& aClient,
@@ -128,6 +130,13 @@
     return mCrashRecord;
   }
 
+  /** Emitted when the record of software versions was read; without a value if
+   * there is none. */
+  sigc::signal<void(const platform::Entry&)>& softwareRecord()
+  {
+    return mSoftwareRecord;
+  }
+
 private:
   void apply(const platform::Entry& aEntry);
   void applySnapshot(const platform::Snapshot& aSnapshot);
@@ -185,6 +194,7 @@
   http::EventHandle mReleaseTimer; ///< set while the release is due
   sigc::signal<void()> mChanged;
   sigc::signal<void(const platform::Entry&)> mCrashRecord;
+  sigc::signal<void(const platform::Entry&)> mSoftwareRecord;
 };
 
 } // namespace marigold::gateway
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -71,41 +71,27 @@
   , mStoreCalls(mLoop, mPlatform, mMetrics)
   , mPeers(mSettings.dataCentre)
   , mPool(mLoop)
+  , mStreams(mLoop)
   , mProbe(mLoop,
            [this](const wire::UpstreamKey& aUpstream, ProbeResult aResult) {
              onProbe(aUpstream, aResult);
            })
   , mRequestLog(mMetrics)
-  , mContext{ mLoop,
-              mSettings,
-              mCatalog,
-              mUpstreams,
-              mPeers,
-              mQuota,
-              mPool,
-              mOutliers,
-              mLatencyEstimator,
-              mPrefixIndex,
-              mRetries,
-              mCrashes,
-              mNotices,
-              mProbe,
-              mDemand,
-              mWaitQueue,
-              mRequestLog,
-              mRandom,
-              mMemory,
-              1,
-              {},
-              {},
-              0,
-              {},
-              {} }
+  , mContext{ mLoop,        mSettings,  mCatalog,
+              mUpstreams,   mPeers,     mQuota,
+              mPool,        mOutliers,  mLatencyEstimator,
+              mPrefixIndex, mRetries,   mCrashes,
+              mNotices,     mStreams,   mProbe,
+              mDemand,      mWaitQueue, mRequestLog,
+              mRandom,      mMemory,    1,
+              {},           {},         0,
+              {},           {} }
   , mFleet(mLoop, mPlatform, mSettings, mIncarnation)
   , mCrashRecords(mPlatform,
                   mFleet,
                   mCrashes,
                   base::hash64(mSettings.vm, mIncarnation + 3))
+  , mStreamRecords(mPlatform, mFleet, mStreams)
   , mCatalogWatch(
       mLoop,
       mPlatform,
@@ -201,6 +187,15 @@
   // Deferred, because the verdict may change inside a callback of a request.
   mCrashes.onVerdicts([this] { mEndBlocked.trigger({}); });
   mCrashes.onCrashSeen([this] { mPeerExchange.reportCrashes(); });
+  mStreams.onAnnounce([this](const std::vector<peers::StreamOrigin>& aOrigins) {
+    mPeerExchange.announceStreams(aOrigins);
+  });
+  mStreams.onAsk([this](const std::vector<peers::StreamId>& aStreams) {
+    mPeerExchange.askForStreams(aStreams);
+  });
+  mStreams.onReadStore([this](std::function<void()> aDone) {
+    mStreamRecords.read(std::move(aDone));
+  });
   mPlatform.restored().connect([this] { onStoreRestored(); });
   mFleet.changed().connect([this] { onFleetChanged(); });
   mOrders.changed().connect([this] {
@@ -312,6 +307,8 @@
   }
   mMissingRecords.erase(name);
   const auto change = mUpstreams.apply(record);
+  mStreams.history().observe(
+    record.service, dispatch::softwareTag(record), base::monotonicNow());
   if (change == UpstreamTable::Change::Restarted) {
     mOutliers.erase(name);
     mPrefixIndex.erase(name);
@@ -332,6 +329,7 @@
                      { "service", record.service },
                      { "address", record.address.text() },
                      { "data_centre", record.dataCentre },
+                     { "software", record.softwareVersion.value_or("") },
                      { "models", listModels(record) },
                      { "revision", std::to_string(aEntry.revision) } });
 }
@@ -353,6 +351,7 @@
   mStoreRestoredAt = base::monotonicNow();
   mStoreReachedAt = *mStoreRestoredAt;
   mCrashRecords.onStoreRestored();
+  mStreamRecords.onStoreRestored();
 }
 
 void
@@ -490,7 +489,8 @@
     observe::logInfo("probe without an answer",
                      { { "upstream", aUpstream.name } });
   }
-  if (const auto changed = mUpstreams.applyProbe(aUpstream, aResult)) {
+  if (const auto changed =
+        mUpstreams.applyProbe(aUpstream, aResult, base::monotonicNow())) {
     observe::logInfo(changed->usable() ? "upstream accepts connections again"
                                        : "upstream refuses connections",
                      { { "upstream", aUpstream.name } });
@@ -574,6 +574,8 @@
   mCrashes.setTrialsEnabled(mFleet.fencingToken() != 0);
   mCrashRecords.tick(now);
   mNotices.expire(now);
+  mStreams.update(mUpstreams, now);
+  mStreamRecords.tick(now);
   removeMissingUpstreams();
   mUpstreams.expireRemoved(now);
   mUpstreams.reconsiderReplaced(now);
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "apps/gateway/peer_exchange.h"
 #include "apps/gateway/request_server.h"
 #include "apps/gateway/store_call_report.h"
+#include "apps/gateway/stream_records.h"
 #include "apps/gateway/watch_relay.h"
 #include "observe/observe.h"
 
@@ -84,6 +85,7 @@
   dispatch::RetryBudget mRetries;
   dispatch::CrashTracker mCrashes;
   dispatch::UpstreamNotices mNotices;
+  StreamRegistry mStreams;
   ReachabilityProbe mProbe;
   DemandMeter mDemand;
   ModelWaitQueue mWaitQueue;
@@ -91,6 +93,7 @@
   RequestContext mContext;
   Fleet mFleet;
   CrashRecords mCrashRecords;
+  StreamRecords mStreamRecords;
   PrefixWatch mCatalogWatch;
   PrefixWatch mUpstreamWatch;
   OrderController mOrders;
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -34,6 +34,10 @@
 /** The relay of another data centre is known if its latest summary is younger
  * than this. */
 constexpr base::Duration kMaxRelaySummaryAge = 1500ms;
+/** VMs of its data centre that a VM tells of the streams that it begins. */
+constexpr std::size_t kStreamCopies = 2;
+/** Larger messages would take several packets, all of which have to arrive. */
+constexpr std::size_t kMaxStreamsInMessage = 80;
 /** Minimum time between two crash reports. */
 constexpr base::Duration kCrashReportInterval = 20ms;
 
@@ -295,16 +299,16 @@
   mCrashReportedAt = base::monotonicNow();
   const peers::CrashReport report{ mContext.crashes.seenCrashes(
     mCrashReportedAt) };
-  const auto collector = crashCollector();
-  if (collector && !report.crashes.empty()) {
-    mSocket.send(peers::encode(report), { *collector });
+  const auto address = collector();
+  if (address && !report.crashes.empty()) {
+    mSocket.send(peers::encode(report), { *address });
   }
 }
 
 /** @return the address of the owner of orders, or of the VM ranked first if no
  * VM owns them; nothing if it is this VM */
 std::optional<base::Address>
-PeerExchange::crashCollector() const
+PeerExchange::collector() const
 {
   const auto& others = mFleet.others();
   if (const auto& owner = mFleet.owner()) {
@@ -325,6 +329,77 @@
   return address;
 }
 
+/** @return the next VMs of the data centre in the order of names, where the
+ * callers of this VM go if its process ends */
+std::vector<base::Address>
+PeerExchange::successors() const
+{
+  std::vector<base::Address> addresses;
+  const auto& others = mFleet.others();
+  const auto first = others.upper_bound(mContext.settings.vm);
+  const auto add = [&](auto aFrom, auto aTo) {
+    for (auto member = aFrom; member != aTo && addresses.size() < kStreamCopies;
+         ++member) {
+      if (member->second.dataCentre == mContext.settings.dataCentre) {
+        addresses.push_back(member->second.peerAddress);
+      }
+    }
+  };
+  add(first, others.end());
+  add(others.begin(), first);
+  return addresses;
+}
+
+/** @return the addresses and that of the collector, each once */
+std::vector<base::Address>
+PeerExchange::withCollector(std::vector<base::Address> aAddresses) const
+{
+  const auto address = collector();
+  if (address && std::find(aAddresses.begin(), aAddresses.end(), *address) ==
+                   aAddresses.end()) {
+    aAddresses.push_back(*address);
+  }
+  return aAddresses;
+}
+
+void
+PeerExchange::announceStreams(const std::vector<peers::StreamOrigin>& aOrigins)
+{
+  sendStreams(aOrigins, withCollector(successors()));
+}
+
+void
+PeerExchange::sendStreams(const std::vector<peers::StreamOrigin>& aOrigins,
+                          const std::vector<base::Address>& aTargets)
+{
+  for (std::size_t begin = 0; begin < aOrigins.size();
+       begin += kMaxStreamsInMessage) {
+    peers::StreamReport report;
+    const std::size_t end =
+      std::min(begin + kMaxStreamsInMessage, aOrigins.size());
+    for (std::size_t index = begin; index < end; ++index) {
+      report.origins.push_back(aOrigins[index]);
+    }
+    mSocket.send(peers::encode(report), aTargets);
+  }
+}
+
+void
+PeerExchange::askForStreams(const std::vector<peers::StreamId>& aStreams)
+{
+  const auto targets = withCollector(dataCentreAddresses());
+  for (std::size_t begin = 0; begin < aStreams.size();
+       begin += kMaxStreamsInMessage) {
+    peers::StreamQuery query{ mContext.settings.vm, {} };
+    const std::size_t end =
+      std::min(begin + kMaxStreamsInMessage, aStreams.size());
+    for (std::size_t index = begin; index < end; ++index) {
+      query.streams.push_back(aStreams[index]);
+    }
+    mSocket.send(peers::encode(query), targets);
+  }
+}
+
 void
 PeerExchange::announceDraining()
 {
@@ -486,6 +561,22 @@
   mContext.crashes.adopt(aReport.crashes, base::monotonicNow());
 }
 
+void
+PeerExchange::handle(peers::StreamReport& aReport, const std::string&)
+{
+  mContext.streams.merge(aReport.origins);
+}
+
+void
+PeerExchange::handle(peers::StreamQuery& aQuery, const std::string&)
+{
+  const auto member = mFleet.others().find(aQuery.vm);
+  const auto origins = mContext.streams.known(aQuery.streams);
+  if (member != mFleet.others().end() && !origins.empty()) {
+    sendStreams(origins, { member->second.peerAddress });
+  }
+}
+
 void
 PeerExchange::merge(const peers::Gossip& aGossip, base::TimePoint aNow)
 {
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -44,6 +44,14 @@
    * tell. */
   void reportCrashes();
 
+  /** Tells some VMs of streams that began at this VM, so that they outlive its
+   * process. @param aOrigins streams */
+  void announceStreams(const std::vector<peers::StreamOrigin>& aOrigins);
+
+  /** Asks the VMs that may know for the origin of streams.
+   * @param aStreams streams */
+  void askForStreams(const std::vector<peers::StreamId>& aStreams);
+
   /** Announces changed placements after a short delay, which coalesces several
    * changes. */
   void announcePlacements();
@@ -90,6 +98,8 @@
   void handle(peers::Summary& aSummary, const std::string& aBytes);
   void handle(peers::PlacementUpdate& aUpdate, const std::string& aBytes);
   void handle(peers::CrashReport& aReport, const std::string& aBytes);
+  void handle(peers::StreamReport& aReport, const std::string& aBytes);
+  void handle(peers::StreamQuery& aQuery, const std::string& aBytes);
   void forwardToDataCentre(const std::string& aBytes);
   void send();
   void sendStatus();
@@ -98,7 +108,12 @@
   void sendPlacements();
   void sendOwnerReport();
   void sendCrashReport();
-  std::optional<base::Address> crashCollector() const;
+  std::optional<base::Address> collector() const;
+  std::vector<base::Address> successors() const;
+  std::vector<base::Address> withCollector(
+    std::vector<base::Address> aAddresses) const;
+  void sendStreams(const std::vector<peers::StreamOrigin>& aOrigins,
+                   const std::vector<base::Address>& aTargets);
   /** Creates a status with the next sequence number and keeps a copy, because
    * a later summary may include it. */
   peers::Status nextStatus();
--- a/apps/gateway/request_context.h
+++ b/apps/gateway/request_context.h
@@ -7,6 +7,7 @@
 #include "apps/gateway/reachability_probe.h"
 #include "apps/gateway/request_log.h"
 #include "apps/gateway/settings.h"
+#include "apps/gateway/stream_registry.h"
 #include "apps/gateway/upstream_table.h"
 #include "dispatch/dispatch.h"
 #include "quota/quota.h"
@@ -32,6 +33,7 @@
   dispatch::RetryBudget& retries;
   dispatch::CrashTracker& crashes;
   dispatch::UpstreamNotices& notices;
+  StreamRegistry& streams;
   ReachabilityProbe& probe;
   DemandMeter& demand;
   ModelWaitQueue& waitQueue;
--- a/apps/gateway/request_server.cpp
+++ b/apps/gateway/request_server.cpp
@@ -59,6 +59,7 @@
                        content.callerLimits.bodyBytes,
                        content.callerLimits.headerTimeout,
                        content.callerLimits.idleTimeout });
+  mContext.streams.applyCatalog(content);
   return true;
 }
 
--- /dev/null
+++ b/apps/gateway/stream_records.cpp
@@ -0,0 +1,229 @@
+#include "apps/gateway/stream_records.h"
+
+#include "observe/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marigold::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+/** Outside of the watched keys, because no VM needs to hear of each write. */
+constexpr const char* kStreamPrefix = "marigold-streams/";
+/** Keys that are written in turn, each with the streams since the write before.
+ * Together they cover the lifetime of a stream. */
+constexpr std::size_t kSlots = 64;
+/** Time between two writes. What began since is not known after a kill of all
+ * VMs. */
+constexpr base::Duration kWriteInterval = 500ms;
+/** Streams in one write; the oldest are left out. */
+constexpr std::size_t kMaxStreamsInSlot = 16'384;
+
+/** Runs a reader of a value that may have been left by another writer. */
+template<typename Reader>
+void
+readValue(const platform::Entry& aEntry, Reader aReader)
+{
+  try {
+    aReader(platform::parseUntrusted(*aEntry.value));
+  } catch (const json::exception& exception) {
+    observe::logWarn("record of streams rejected",
+                     { { "key", aEntry.key }, { "error", exception.what() } });
+  } catch (const std::invalid_argument& exception) {
+    observe::logWarn("record of streams rejected",
+                     { { "key", aEntry.key }, { "error", exception.what() } });
+  }
+}
+
+std::string
+encodeStreams(const std::vector<peers::StreamOrigin>& aOrigins)
+{
+  json rows = json::array();
+  const std::size_t first = aOrigins.size() > kMaxStreamsInSlot
+                              ? aOrigins.size() - kMaxStreamsInSlot
+                              : 0;
+  for (std::size_t index = first; index < aOrigins.size(); ++index) {
+    rows.push_back(aOrigins[index].stream);
+    rows.push_back(aOrigins[index].software);
+  }
+  return rows.dump();
+}
+
+std::vector<peers::StreamOrigin>
+decodeStreams(const json& aRows)
+{
+  std::vector<peers::StreamOrigin> origins;
+  for (std::size_t row = 0; row + 1 < aRows.size(); row += 2) {
+    origins.push_back({ aRows.at(row).get<peers::StreamId>(),
+                        aRows.at(row + 1).get<peers::SoftwareTag>() });
+  }
+  return origins;
+}
+
+} // namespace
+
+StreamRecords::StreamRecords(platform::Client& aClient,
+                             Fleet& aFleet,
+                             StreamRegistry& aStreams)
+  : mClient(aClient)
+  , mFleet(aFleet)
+  , mStreams(aStreams)
+{
+  mFleet.softwareRecord().connect(
+    [this](const platform::Entry& aEntry) { applySoftware(aEntry); });
+}
+
+void
+StreamRecords::applySoftware(const platform::Entry& aEntry)
+{
+  mSoftwareListed = true;
+  mSoftwareRevision = aEntry.value ? aEntry.revision : 0;
+  mStored.clear();
+  if (!aEntry.value) {
+    return;
+  }
+  readValue(aEntry, [this](const json& aContent) {
+    mStored = aContent.get<dispatch::SoftwareHistory::Table>();
+  });
+  mStreams.history().merge(mStored, base::monotonicNow());
+}
+
+void
+StreamRecords::tick(base::TimePoint aNow)
+{
+  if (!mSoftwareListed || mCallPending || mFleet.fencingToken() == 0 ||
+      aNow < mNotBefore) {
+    return;
+  }
+  const auto recent = mStreams.history().recent(aNow);
+  if (recent != mStored) {
+    mNotBefore = aNow + kWriteInterval;
+    writeSoftware(recent);
+    return;
+  }
+  if (mStreams.history().mixed(aNow) &&
+      mStreams.origins().added() != mStreamsStored) {
+    mNotBefore = aNow + kWriteInterval;
+    writeStreams();
+  }
+}
+
+void
+StreamRecords::writeSoftware(const dispatch::SoftwareHistory::Table& aTable)
+{
+  mCallPending = true;
+  mClient.write(
+    Fleet::kSoftwareRecordKey,
+    json(aTable).dump(),
+    mSoftwareRevision,
+    "",
+    [this, aTable](const base::Captured<platform::Revision>& aResult) {
+      mCallPending = false;
+      const base::Error* error = base::errorOf(aResult);
+      if (error == nullptr) {
+        mStored = aTable;
+        mSoftwareRevision = std::get<platform::Revision>(aResult);
+        observe::logInfo("software recorded",
+                         { { "content", json(aTable).dump() } });
+        return;
+      }
+      observe::logWarn("software not recorded",
+                       { { "error", error->message } });
+      if (error->code == base::Code::RevisionConflict) {
+        // Usually the watch is about to bring what another VM has written.
+        mFleet.watch().relist("write failed");
+      }
+    });
+}
+
+void
+StreamRecords::writeStreams()
+{
+  if (!mSlotsListed) {
+    read([] {});
+    return;
+  }
+  const std::uint64_t added = mStreams.origins().added();
+  const std::string key = kStreamPrefix + std::to_string(mNextSlot);
+  mCallPending = true;
+  mClient.write(
+    key,
+    encodeStreams(mStreams.origins().addedSince(
+      mStreamsStored, dispatch::StreamOrigins::Whose::All)),
+    mSlots[key],
+    "",
+    [this, key, added](const base::Captured<platform::Revision>& aResult) {
+      mCallPending = false;
+      if (const base::Error* error = base::errorOf(aResult)) {
+        observe::logWarn("streams not recorded",
+                         { { "error", error->message } });
+        mSlotsListed = false; // The revisions may be wrong.
+        return;
+      }
+      mSlots[key] = std::get<platform::Revision>(aResult);
+      mNextSlot = (mNextSlot + 1) % kSlots;
+      mStreamsStored = added;
+    });
+}
+
+void
+StreamRecords::read(std::function<void()> aDone)
+{
+  mReaders.push_back(std::move(aDone));
+  if (mReaders.size() > 1) {
+    return; // A call is pending.
+  }
+  mClient.list(
+    kStreamPrefix,
+    [this](const base::Captured<platform::Snapshot>& aResult) {
+      if (const base::Error* error = base::errorOf(aResult)) {
+        observe::logWarn("streams not read", { { "error", error->message } });
+      } else {
+        onListed(std::get<platform::Snapshot>(aResult));
+      }
+      const auto readers = std::move(mReaders);
+      mReaders.clear();
+      for (const auto& reader : readers) {
+        reader();
+      }
+    },
+    "streams");
+}
+
+void
+StreamRecords::onListed(const platform::Snapshot& aSnapshot)
+{
+  mSlotsListed = true;
+  mSlots.clear();
+  std::size_t streams = 0;
+  platform::Revision newest = 0;
+  for (const platform::Entry& entry : aSnapshot.entries) {
+    if (!entry.value) {
+      continue;
+    }
+    mSlots[entry.key] = entry.revision;
+    const auto slot = base::parseNumber<std::size_t>(
+      std::string_view(entry.key).substr(std::string(kStreamPrefix).size()));
+    if (slot && entry.revision > newest) {
+      newest = entry.revision;
+      mNextSlot = (*slot + 1) % kSlots; // Overwrites the oldest.
+    }
+    readValue(entry, [&](const json& aRows) {
+      const auto origins = decodeStreams(aRows);
+      streams += origins.size();
+      mStreams.merge(origins);
+    });
+  }
+  observe::logInfo("streams read", { { "streams", std::to_string(streams) } });
+}
+
+void
+StreamRecords::onStoreRestored()
+{
+  mSlotsListed = false;
+  mStreamsStored = 0;
+}
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/stream_registry.cpp
@@ -0,0 +1,182 @@
+#include "apps/gateway/stream_registry.h"
+
+#include "observe/log.h"
+
+#include <algorithm>
+
+namespace marigold::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Streams that begin together are announced in one message. What has not been
+ * announced is lost with the process. */
+constexpr base::Duration kAnnounceDelay = 40ms;
+/** Callers whose streams broke off together ask together. */
+constexpr base::Duration kAskDelay = 3ms;
+/** Datagrams may be lost, so the question is repeated once. */
+constexpr base::Duration kAskAgain = 70ms;
+/** A round trip between regions, and a peer that is late by some tens of
+ * milliseconds. */
+constexpr base::Duration kAnswerTime = 180ms;
+/** Streams are remembered for this many times the longest timeout of a route,
+ * and for a minimum, because callers may wait longer than a route allows. */
+constexpr int kTimeouts = 2;
+constexpr base::Duration kMinLifetime = 30s;
+
+} // namespace
+
+StreamRegistry::StreamRegistry(http::Loop& aLoop)
+  : mLoop(aLoop)
+  , mAnnounceNew(aLoop, [this] { announce(); })
+  , mAskPeers(aLoop, [this] { ask(); })
+{
+}
+
+void
+StreamRegistry::applyCatalog(const catalog::Catalog& aCatalog)
+{
+  base::Duration lifetime = kMinLifetime;
+  for (const catalog::Route& route : aCatalog.routes) {
+    if (route.resumableStream()) {
+      lifetime = std::max(lifetime, kTimeouts * route.timeout);
+    }
+  }
+  mHistory.setLifetime(lifetime);
+  mOrigins.setLifetime(lifetime);
+}
+
+void
+StreamRegistry::record(const peers::StreamOrigin& aOrigin, base::TimePoint aNow)
+{
+  mOrigins.record(aOrigin, aNow);
+  announceSoon();
+}
+
+void
+StreamRegistry::announceSoon()
+{
+  if (mSendOrigins && mMixed && mAnnounced != mOrigins.added()) {
+    mAnnounceNew.trigger(kAnnounceDelay);
+  }
+}
+
+void
+StreamRegistry::announce()
+{
+  const auto origins =
+    mOrigins.addedSince(mAnnounced, dispatch::StreamOrigins::Whose::Own);
+  mAnnounced = mOrigins.added();
+  if (!origins.empty()) {
+    mSendOrigins(origins);
+  }
+}
+
+void
+StreamRegistry::find(std::optional<peers::StreamId> aStream,
+                     const catalog::ServiceName& aService,
+                     Found aFound)
+{
+  Software software = aStream ? mOrigins.find(*aStream) : std::nullopt;
+  if (!software) {
+    software = mHistory.only(aService, base::monotonicNow());
+  }
+  if (software || !aStream || !mAsk) {
+    aFound(software);
+    return;
+  }
+  Search& search = mSearches[*aStream];
+  search.waiting.push_back(std::move(aFound));
+  if (search.timeout) {
+    return;
+  }
+  search.timeout =
+    mLoop.after(kAnswerTime, [this, stream = *aStream] { readStore(stream); });
+  mAskPeers.trigger(kAskDelay);
+  if (!mRepeatTimer) {
+    mRepeatTimer = mLoop.after(kAskAgain, [this] {
+      mRepeatTimer.reset();
+      ask();
+    });
+  }
+}
+
+void
+StreamRegistry::ask()
+{
+  std::vector<peers::StreamId> streams;
+  for (const auto& [stream, search] : mSearches) {
+    streams.push_back(stream);
+  }
+  if (!streams.empty()) {
+    mAsk(streams);
+  }
+}
+
+/** No peer has answered. After a kill of all VMs only the store knows. */
+void
+StreamRegistry::readStore(peers::StreamId aStream)
+{
+  if (!mReadStore) {
+    answer(aStream, std::nullopt);
+    return;
+  }
+  mReadStore([this, aStream] { answer(aStream, mOrigins.find(aStream)); });
+}
+
+void
+StreamRegistry::answer(peers::StreamId aStream, Software aSoftware)
+{
+  const auto search = mSearches.extract(aStream);
+  if (search.empty()) {
+    return;
+  }
+  for (const Found& found : search.mapped().waiting) {
+    found(aSoftware);
+  }
+}
+
+void
+StreamRegistry::merge(const std::vector<peers::StreamOrigin>& aOrigins)
+{
+  mOrigins.merge(aOrigins, base::monotonicNow());
+  for (const peers::StreamOrigin& origin : aOrigins) {
+    answer(origin.stream, mOrigins.find(origin.stream));
+  }
+}
+
+std::vector<peers::StreamOrigin>
+StreamRegistry::known(const std::vector<peers::StreamId>& aStreams) const
+{
+  std::vector<peers::StreamOrigin> origins;
+  for (const peers::StreamId stream : aStreams) {
+    if (const auto software = mOrigins.find(stream)) {
+      origins.push_back({ stream, *software });
+    }
+  }
+  return origins;
+}
+
+peers::SoftwareTag
+StreamRegistry::softwareOf(const Upstream& aUpstream,
+                           base::TimePoint aNow) const
+{
+  const peers::SoftwareTag software = aUpstream.softwareAt(aNow);
+  return software != peers::kUnknownSoftware
+           ? software
+           : mHistory.only(aUpstream.record.service, aNow)
+               .value_or(peers::kUnknownSoftware);
+}
+
+void
+StreamRegistry::update(const UpstreamTable& aUpstreams, base::TimePoint aNow)
+{
+  for (const auto& [name, upstream] : aUpstreams.all()) {
+    mHistory.observe(upstream->record.service, upstream->software, aNow);
+  }
+  mOrigins.expire(aNow);
+  mMixed = mHistory.mixed(aNow);
+  announceSoon();
+}
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/stream_registry.h
@@ -0,0 +1,115 @@
+/** @file Which software may continue a stream that a caller takes up. */
+#pragma once
+
+#include "apps/gateway/coalesced_callback.h"
+#include "apps/gateway/upstream_table.h"
+#include "dispatch/dispatch.h"
+
+#include <functional>
+
+namespace marigold::gateway {
+
+/**
+ * Knows the software that began the streams of this VM, and finds out about
+ * those of others: by elimination if a service has had one version only,
+ * otherwise from peers. While a service has several versions, the VM tells some
+ * peers of the streams that it begins, so that the end of its process doesn't
+ * end them.
+ */
+class StreamRegistry
+{
+public:
+  using Software = std::optional<peers::SoftwareTag>;
+  using Found = std::function<void(Software)>;
+
+  /** @param aLoop event loop */
+  explicit StreamRegistry(http::Loop& aLoop);
+
+  /** Sets for how long streams are remembered. @param aCatalog configuration */
+  void applyCatalog(const catalog::Catalog& aCatalog);
+
+  /** @param aOrigin a stream that began at this VM @param aNow time */
+  void record(const peers::StreamOrigin& aOrigin, base::TimePoint aNow);
+
+  /**
+   * Finds the software that began a stream.
+   * @param aStream stream, or nothing if its caller names none
+   * @param aService service that produces it
+   * @param aFound gets the software, or nothing if nobody knows it; called at
+   * once or after peers had time to answer
+   */
+  void find(std::optional<peers::StreamId> aStream,
+            const catalog::ServiceName& aService,
+            Found aFound);
+
+  /** Adds what peers know of streams. @param aOrigins origins */
+  void merge(const std::vector<peers::StreamOrigin>& aOrigins);
+
+  /** @param aStreams streams that a peer asks for
+   * @return the origins of those that are known */
+  std::vector<peers::StreamOrigin> known(
+    const std::vector<peers::StreamId>& aStreams) const;
+
+  /** @param aUpstream upstream @param aNow time
+   * @return its software, as far as that is certain */
+  peers::SoftwareTag softwareOf(const Upstream& aUpstream,
+                                base::TimePoint aNow) const;
+
+  /** Observes the software of the upstreams and forgets old streams.
+   * @param aUpstreams upstreams @param aNow time */
+  void update(const UpstreamTable& aUpstreams, base::TimePoint aNow);
+
+  /** @return software that has served recently */
+  dispatch::SoftwareHistory& history() { return mHistory; }
+
+  /** @return streams of this VM and of peers */
+  const dispatch::StreamOrigins& origins() const { return mOrigins; }
+
+  /** @param aSend tells peers of streams that began at this VM */
+  void onAnnounce(
+    std::function<void(const std::vector<peers::StreamOrigin>&)> aSend)
+  {
+    mSendOrigins = std::move(aSend);
+  }
+
+  /** @param aAsk asks peers for streams; their answers go to merge() */
+  void onAsk(std::function<void(const std::vector<peers::StreamId>&)> aAsk)
+  {
+    mAsk = std::move(aAsk);
+  }
+
+  /** @param aRead merges what the store knows of streams, then calls its
+   * argument */
+  void onReadStore(std::function<void(std::function<void()>)> aRead)
+  {
+    mReadStore = std::move(aRead);
+  }
+
+private:
+  /** Requests that wait for an answer on one stream. */
+  struct Search
+  {
+    std::vector<Found> waiting;
+    http::EventHandle timeout;
+  };
+  void announceSoon();
+  void announce();
+  void ask();
+  void readStore(peers::StreamId aStream);
+  void answer(peers::StreamId aStream, Software aSoftware);
+
+  http::Loop& mLoop;
+  dispatch::SoftwareHistory mHistory;
+  dispatch::StreamOrigins mOrigins;
+  std::uint64_t mAnnounced = 0; ///< streams added when peers were last told
+  bool mMixed = false;          ///< a service has had several versions recently
+  std::map<peers::StreamId, Search> mSearches;
+  CoalescedCallback mAnnounceNew;
+  CoalescedCallback mAskPeers;
+  http::EventHandle mRepeatTimer;
+  std::function<void(const std::vector<peers::StreamOrigin>&)> mSendOrigins;
+  std::function<void(const std::vector<peers::StreamId>&)> mAsk;
+  std::function<void(std::function<void()>)> mReadStore;
+};
+
+} // namespace marigold::gateway
--- a/apps/gateway/upstream_table.cpp
+++ b/apps/gateway/upstream_table.cpp
@@ -9,6 +9,9 @@
 
 /** Copies from which the store is restored are seconds old. */
 constexpr base::Duration kRemovedRetention = 60s;
+/** An address that refuses connections is tried once a second, and a process
+ * that starts there writes its record within another one. */
+constexpr base::Duration kRestartUncertainty = 2s;
 
 std::uint32_t
 processTag(const catalog::UpstreamRecord& aRecord)
@@ -36,6 +39,7 @@
   if (!upstream) {
     upstream = std::make_shared<Upstream>();
     upstream->record = aRecord;
+    upstream->software = dispatch::softwareTag(aRecord);
     return Change::Added;
   }
   const bool restarted = upstream->record.startedAt != aRecord.startedAt ||
@@ -44,6 +48,7 @@
     // Requests at the previous process keep their reference to its entry.
     upstream = std::make_shared<Upstream>();
     upstream->record = aRecord;
+    upstream->software = dispatch::softwareTag(aRecord);
     mPlacements.erase(aRecord.name);
     mUnloadingModels.erase(aRecord.name);
     return Change::Restarted;
@@ -55,6 +60,9 @@
   }
   // Draining is final for a process.
   const bool wasDraining = upstream->record.draining;
+  if (upstream->record.softwareVersion != aRecord.softwareVersion) {
+    upstream->software = dispatch::softwareTag(aRecord);
+  }
   upstream->record = aRecord;
   upstream->record.draining = aRecord.draining || wasDraining;
   upstream->removed = false;
@@ -69,13 +77,17 @@
 
 std::shared_ptr<Upstream>
 UpstreamTable::applyProbe(const wire::UpstreamKey& aUpstream,
-                          ProbeResult aResult)
+                          ProbeResult aResult,
+                          base::TimePoint aNow)
 {
   const auto upstream = find(aUpstream.name);
   if (!upstream || upstream->peer() != aUpstream) {
     return nullptr;
   }
   const bool wasUsable = upstream->usable();
+  if (aResult == ProbeResult::Refused) {
+    upstream->softwareUncertainUntil = aNow + kRestartUncertainty;
+  }
   if (aResult == ProbeResult::Refused &&
       upstream->presence != Presence::Replaced) {
     upstream->presence = Presence::Refusing;
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -33,6 +33,10 @@
   catalog::UpstreamRecord record;
   bool removed = false; ///< its record was removed
   Presence presence = Presence::Present;
+  peers::SoftwareTag software = peers::kUnknownSoftware; ///< by its record
+  /** Until then another process, of other software, may have taken its name,
+   * whose record is still on its way. */
+  base::TimePoint softwareUncertainUntil{};
   base::TimePoint replacedAt{}; ///< when another process answered
   std::uint32_t running = 0;
   double queuedMs = 0;
@@ -50,6 +54,12 @@
     return presence == Presence::Refusing || presence == Presence::Replaced;
   }
 
+  /** @param aNow time @return its software, unknown while that is uncertain */
+  peers::SoftwareTag softwareAt(base::TimePoint aNow) const
+  {
+    return aNow < softwareUncertainUntil ? peers::kUnknownSoftware : software;
+  }
+
   /** @return true if it accepts new requests */
   bool usable() const
   {
@@ -93,9 +103,11 @@
 
   /** Takes note of whether a process listens at an address.
    * @param aUpstream name and address @param aResult result of connecting
+   * @param aNow time
    * @return the upstream if it became usable or unusable, or nullptr */
   std::shared_ptr<Upstream> applyProbe(const wire::UpstreamKey& aUpstream,
-                                       ProbeResult aResult);
+                                       ProbeResult aResult,
+                                       base::TimePoint aNow);
 
   /** Gives upstreams another try at whose addresses others seemed to answer and
    * whose records are still there. @param aNow time */
--- a/tests/explore/site.cpp
+++ b/tests/explore/site.cpp
@@ -69,19 +69,21 @@
   record.dataCentre = "dc";
   record.slots = 4;
   record.startedAt = 1;
+  record.softwareVersion = "1";
   return record;
 }
 
 Site::Site()
   : peers("dc")
   , pool(loop)
+  , streams(loop)
   , probe(loop, [](const wire::UpstreamKey&, gateway::ProbeResult) {})
   , log(metrics())
   , random(1)
-  , context{ loop,   settings,  catalog,  upstreams, peers,   quota,   pool,
-             health, latency,   prefixes, retries,   crashes, notices, probe,
-             demand, waitQueue, log,      random,    memory,  1,       {},
-             {},     0,         {},       {} }
+  , context{ loop,   settings, catalog,   upstreams, peers,   quota,   pool,
+             health, latency,  prefixes,  retries,   crashes, notices, streams,
+             probe,  demand,   waitQueue, log,       random,  memory,  1,
+             {},     {},       0,         {},        {} }
   , requests(context)
 {
   settings.dataCentre = "dc";
--- a/tests/explore/site.h
+++ b/tests/explore/site.h
@@ -51,6 +51,7 @@
   dispatch::RetryBudget retries;
   dispatch::CrashTracker crashes;
   dispatch::UpstreamNotices notices;
+  gateway::StreamRegistry streams;
   gateway::ReachabilityProbe probe;
   gateway::DemandMeter demand;
   gateway::ModelWaitQueue waitQueue;
