--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -178,6 +178,8 @@
         self.public_port = port  # the port in its record; a test may set that of a proxy
         self.models = {m: set() for m in models or []}
         self.data_centre = "dc-a"
+        self.version = "v1"  # of its software; None: its record has none
+        self.mark = ""       # begins each token of its answers; names the software that wrote it
         self.orders = 0
         self.order_log = []  # (time, owner, fence, operation, model, adapter)
         self.control_arrivals = []  # (time, path) of orders and calls for a report
@@ -219,10 +221,12 @@
 
     def record(self, state="ready"):
         models = [{"name": m, "version": 1, "adapters": sorted(a)} for m, a in self.models.items()]
-        return json.dumps({"service": self.service, "address": f"{HOST}:{self.public_port}", "zone": self.data_centre,
-                           "version": "v1", "slots": self.slots, "state": state, "cold_remaining_ms": 0,
-                           "phase": "unified", "sequence": self.heartbeats, "born": self.born,
-                           "models": models}).encode()
+        fields = {"service": self.service, "address": f"{HOST}:{self.public_port}", "zone": self.data_centre,
+                  "version": self.version, "slots": self.slots, "state": state, "cold_remaining_ms": 0,
+                  "phase": "unified", "sequence": self.heartbeats, "born": self.born, "models": models}
+        if self.version is None:
+            del fields["version"]
+        return json.dumps(fields).encode()
 
     async def handle(self, method, path, headers, body, writer):
         signature = {"X-Request-Id": headers.get("x-request-id", ""), "X-Server-Signature": "sig",
@@ -238,6 +242,7 @@
                 return True
         if path == "/-/report":
             report = json.loads(self.record())
+            report.pop("version", None)  # stands in the record only
             report.update({"busy": False, "sequence": self.orders})
             writer.write(answer_bytes(200, {}, json.dumps(report).encode()))
             return True
@@ -293,7 +298,7 @@
             self.chats.append(json.loads(body))
             return await self.stream(headers, signature, writer, self.chat_events())
         if model:
-            return await self.stream(headers, signature, writer)
+            return await self.stream(headers, signature, writer, [self.mark + token for token in TOKENS])
         body = f"done by {self.name} for {signature['X-Request-Id']}"
         writer.write(answer_bytes(200, signature, body.encode()))
         if self.surplus:
@@ -323,6 +328,10 @@
         for writer in self.writers:
             writer.transport.abort()
 
+    def install(self, version):
+        """Sets the version of its software, which its tokens name."""
+        self.version, self.mark = version, f"{version}:"
+
     def restart_empty(self, store):
         """Restarts with a single model, which gives the owner of orders something to order."""
         self.born += 1
@@ -349,12 +358,12 @@
     def chat_events(self):
         """Returns the data of the events that answer a chat."""
         head = {"id": "chat-1", "object": "chat.completion.chunk", "created": 1, "model": "m1"}
-        deltas = [{"role": "assistant", "content": ""}] + [{"content": f"token{n} "} for n in range(1, 10)]
+        deltas = [{"role": "assistant", "content": ""}] + [{"content": f"{self.mark}token{n} "} for n in range(1, 10)]
         chunks = [{**head, "choices": [{"index": 0, "delta": delta, "finish_reason": None}]} for delta in deltas]
         chunks[-1]["choices"][0]["finish_reason"] = "stop"
         return [json.dumps(chunk) for chunk in chunks] + (["[DONE]"] if self.final_event else [])
 
-    async def stream(self, headers, signature, writer, events=TOKENS):
+    async def stream(self, headers, signature, writer, events):
         head = {**signature, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in head.items()) + "\r\n").encode())
         first = int(headers.get("last-event-id", 0)) + 1
@@ -464,6 +473,15 @@
         upstream.listener = self.run(asyncio.start_server(upstream.connection, HOST, upstream.port))
         self.servers.append(upstream.listener)
 
+    def restart(self, upstream, version):
+        """Ends an upstream and starts it again at once under its name with another version. Its record still
+        names the process before; the test writes the new one."""
+        self.change(upstream.crash)
+        upstream.install(version)
+        upstream.born += 1
+        upstream.orders = 0
+        self.listen_again(upstream)
+
     def publish(self, version, keys, routes):
         self.change(self.store.put, "op/config", self.configuration(version, keys, routes))
 
