--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -18,6 +18,9 @@
 GRACE_CHECKED = GRACE * 5 / 6  # seconds after SIGTERM within which answers are not cut
 PROVEN_CRASHES = 5   # crashes by a part of a prompt after which it is blocked
 MOST_DEADLY = 3      # requests with that part that may still reach upstreams
+MOST_JOINED = 2      # streams with events of two versions
+LEAST_TAKE_UPS = 12  # streams that callers take up again for which their share is judged
+TAKE_UP_SHARE = 0.5  # that go on, of the share of new streams that begin
 
 
 class Record:
@@ -37,6 +40,8 @@
         self.planned = set()  # (vm, start) of faults that are planned stops
         self.waits = []       # (request id, vm, time sent whole, seconds until its deadline, time it ended)
         self.pauses = []      # (request id, vm, time sent, time ended, complete) of callers that paused reading
+        self.new_streams = [] # (vm, time it ended, whether events came) of tries at upstreams of several versions
+        self.take_ups = []    # the same of streams that were taken up while two upstreams of their version served
 
     def violation(self, text):
         with self.lock:
@@ -203,3 +208,25 @@
                 late.add(request_id)
     if len(late) > MOST_DEADLY:
         record.violation(f"BUDGET {len(late)} requests with a part that crashed {PROVEN_CRASHES} upstreams reached more")
+
+
+def check_joined(record, callers):
+    """Checks that streams, over all tries of their callers, hold events of one version."""
+    joined = [caller for caller in callers if len(caller.software()) > 1]
+    if len(joined) > MOST_JOINED:
+        record.violation(f"ORDER {len(joined)} streams hold events of two versions, one {joined[0].events}")
+    for caller in callers:
+        if caller not in joined and caller.fault():
+            record.violation(f"ORDER stream {caller.first_id}: {caller.fault()}")
+
+
+def check_take_ups(record):
+    """Checks that streams that are taken up at VMs without faults go on about as often as new ones begin."""
+    def calm(rows):
+        return [good for vm, at, good in rows if record.fault_free(vm, at) and record.core_calm(at)]
+    begun, gone_on = calm(record.new_streams), calm(record.take_ups)
+    if len(gone_on) < LEAST_TAKE_UPS or not begun:
+        return
+    if sum(gone_on) / len(gone_on) < TAKE_UP_SHARE * sum(begun) / len(begun):
+        record.violation(f"LOST {sum(gone_on)} of {len(gone_on)} streams that were taken up went on, "
+                         f"{sum(begun)} of {len(begun)} new ones began")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,7 @@
 from gateway_process import Gateway
 from proxy import HOST
 from users_platform import Platform, Upstream, answer_bytes, route
+from versions import MODEL, ROUTE
 
 DEADLINE = 3.0          # seconds
 WAIT_LIMIT = 16.0       # seconds; longer than a deadline, a freeze and FAULT_FREE
@@ -29,12 +30,12 @@
 REVOKED_KEYS = [f"r{number}" for number in range(8)]
 MORE_ROUTES = [{**route("large", "/large/", "idempotent", "files", attempts=1), "timeout_ms": 15000},
                route("frail", "/frail/", "streaming", "frail", attempts=1),
-               route("churn", "/churn/", "streaming", "churn", attempts=1)]
+               route("churn", "/churn/", "streaming", "churn", attempts=1), ROUTE]
 DATA_CENTRES = "dc-a", "dc-b", *(f"dc-{number}" for number in range(6))
 
 
 class SoakPlatform(Platform):
-    """Adds a service with large answers and one of engines that crash."""
+    """Adds a service with large answers, one of engines that crash, and one of engines of several versions."""
 
     @staticmethod
     def configuration(version, keys, routes):
@@ -42,6 +43,8 @@
         runtime = dict(config["services"][0]["runtime"])
         runtime["models"] = [{**runtime["models"][0], "name": "m3"}]
         churn = {**runtime, "adapter_slots": 2, "models": [{**runtime["models"][0], "name": "m4", "adapters": ADAPTERS}]}
+        skew = {**runtime, "models": [{**runtime["models"][0], "name": MODEL}]}
+        config["services"] += [{"name": "skew", "health_path": "/h", "max_connections": 100, "runtime": skew}]
         config["services"] += [{"name": "churn", "health_path": "/h", "max_connections": 100, "runtime": churn},
                                {"name": "frail", "health_path": "/h", "max_connections": 100, "runtime": runtime},
                                {"name": "files", "health_path": "/h", "max_connections": 100}]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,12 +23,13 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../e2e"))
 
-from checks import (Record, check_deadly, check_exit, check_orders, check_pauses, check_runs, check_statements,
-                    check_stream, check_waits, holds_signal)
+from checks import (Record, check_deadly, check_exit, check_joined, check_orders, check_pauses, check_runs,
+                    check_statements, check_stream, check_take_ups, check_waits, holds_signal)
 from faults import (DEADLY_PART, FRAIL_DELAY, FRAIL_RETURN, LARGE_DEADLINE, REVOKED_KEYS, FileUpstream, Orders,
                     SoakGateway, SoakPlatform)
 from proxy import HOST, Proxy
 from users_platform import ROUTES, Upstream
+from versions import Versions
 
 VMS = 6            # five in one data centre, enough for them to report and read through a relay
 CALLERS = 10
@@ -78,6 +79,7 @@
             self.add_proxy(None, upstream.public_port, upstream.port)
             upstream.after_order = functools.partial(self.tell_record, upstream)
             self.platform.serve_upstream(upstream)
+        self.versions = Versions(self, seed, port + 75)
         self.gateways = []
         for number in range(VMS):
             store, target = port + 90 + number, port + 60 + number
@@ -301,6 +303,7 @@
         for thread in threads:
             thread.start()
         self.orders.start()
+        self.versions.start()
         until = time.monotonic() + self.seconds
         running, active = [], {}
         while time.monotonic() < until:
@@ -313,6 +316,7 @@
             active[gateway.name] = thread
             running.append(thread)
         self.orders.end()
+        self.versions.end()
         for thread in running:
             thread.join()
         self.check_recovery()
@@ -320,12 +324,15 @@
         for thread in threads:
             thread.join()
         time.sleep(1)
-        check_runs(self.record, self.desks + self.engines + self.files + self.frail + self.churned)
+        check_runs(self.record, self.desks + self.engines + self.files + self.frail + self.churned
+                   + self.versions.upstreams)
         check_statements(self.record, self.desks + self.engines)
         check_orders(self.record, self.engines + self.frail + self.churned)
         check_waits(self.record)
         check_pauses(self.record, self.files, LARGE_DEADLINE)
         check_deadly(self.record, self.frail)
+        check_joined(self.record, self.versions.callers)
+        check_take_ups(self.record)
         return sorted(self.record.violations)
 
     def wait_ready(self, limit):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -11,10 +11,14 @@
 import time
 import unittest
 
-from checks import (ANSWER_SLACK, FAULT_FREE, GRACE_CHECKED, IN_FLIGHT, KEY_LIMIT, LEAVING_LIMIT, MOST_DEADLY,
-                    MOST_WHILE_TURNED_AWAY, PROVEN_CRASHES, RESUME_GRACE, Record, check_deadly, check_orders,
-                    check_exit, check_pauses, check_runs, check_statements, check_stream, check_waits, holds_signal)
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../e2e"))
+
+from checks import (ANSWER_SLACK, FAULT_FREE, GRACE_CHECKED, IN_FLIGHT, KEY_LIMIT, LEAST_TAKE_UPS, LEAVING_LIMIT,
+                    MOST_DEADLY, MOST_JOINED, MOST_WHILE_TURNED_AWAY, PROVEN_CRASHES, RESUME_GRACE, Record,
+                    check_deadly, check_exit, check_joined, check_orders, check_pauses, check_runs, check_statements,
+                    check_stream, check_take_ups, check_waits, holds_signal)
 from proxy import HOST, Proxy
+from stream_calls import StreamCaller
 
 
 class UpstreamRecord:
@@ -177,6 +181,50 @@
         self.assertEqual([], self.found())
 
 
+    @staticmethod
+    def stream(*events, complete=False):
+        caller = StreamCaller(1)
+        caller.events, caller.complete = list(events), complete
+        return caller
+
+    def test_streams_of_two_versions(self):
+        joined = self.stream((1, "v1"), (2, "v2"))
+        check_joined(self.record, [joined] * MOST_JOINED + [self.stream((1, "v1"), (2, "v1"))] * 3)
+        self.assertEqual([], self.found())
+        check_joined(self.record, [joined] * (MOST_JOINED + 1))
+        self.assertEqual(["ORDER"], self.found())
+
+    def test_stream_that_was_taken_up_wrongly(self):
+        check_joined(self.record, [self.stream((1, "v1"), (3, "v1"))])
+        check_joined(self.record, [self.stream((1, "v1"), (1, "v1"))])
+        check_joined(self.record, [self.stream((1, "v1"), complete=True)])
+        self.assertEqual(["ORDER"] * 3, self.found())
+
+    def check_shares(self, gone_on, of, begun=8, at=100):
+        self.record.new_streams = [("vm0", 100, number < begun) for number in range(8)]
+        self.record.take_ups = [("vm0", at, number < gone_on) for number in range(of)]
+        check_take_ups(self.record)
+
+    def test_streams_that_are_taken_up_go_on_about_as_often_as_new_ones_begin(self):
+        self.check_shares(0, LEAST_TAKE_UPS - 1)
+        self.check_shares(10, 20)
+        self.check_shares(5, 20, begun=4)
+        self.check_shares(0, 0)
+        self.assertEqual([], self.found())
+        self.check_shares(9, 20)
+        self.check_shares(4, 20, begun=4)
+        self.assertEqual(["LOST"] * 2, self.found())
+
+    def test_streams_that_are_taken_up_count_at_vms_without_faults_only(self):
+        self.record.fault("vm0", 198, 199)
+        self.check_shares(0, 20, at=200)
+        self.record.restored = [298]
+        self.check_shares(0, 20, at=300)
+        self.assertEqual([], self.found())
+        self.check_shares(0, 20, at=400)
+        self.assertEqual(["LOST"], self.found())
+
+
 class ProxyTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.arrived, self.accepted = b"", 0
