--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -179,7 +179,12 @@
                        "of " + mMetadata.firstAttempt + ", software " +
                          (aOrigin ? std::to_string(*aOrigin) : "unknown"),
                        base::monotonicNow());
-  if (!aOrigin || *aOrigin == peers::kUnknownSoftware) {
+  const bool known = aOrigin && *aOrigin != peers::kUnknownSoftware;
+  if (!known && !mMetadata.lastEventId) {
+    admitByQuota(); // Its caller has no event and takes the whole stream.
+    return;
+  }
+  if (!known) {
     refuse(Code::NoUpstream, "the software of the stream is not known", {});
     return;
   }
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -344,11 +344,14 @@
          std::clamp(wait, kOverloadRetryDelay, kMaxLimitRetryDelay));
 }
 
-/** @return the latest expected start at which a first send is worth its while
- */
+/** @return the latest expected start at which a first send is worth its while.
+ * The caller of a stream that is taken up has had its first event. */
 base::Duration
 Exchange::latestStart() const
 {
+  if (mOrigin) {
+    return remainingTime() - kMinRemainingTime;
+  }
   const base::Duration passed = base::monotonicNow() - mReceivedAt;
   return base::fromSeconds(base::inSeconds(mRoute->targetLatency) *
                            kMaxTargetFraction) -
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -190,8 +190,9 @@
   mStreams.onAnnounce([this](const std::vector<peers::StreamOrigin>& aOrigins) {
     mPeerExchange.announceStreams(aOrigins);
   });
-  mStreams.onAsk([this](const std::vector<peers::StreamId>& aStreams) {
-    mPeerExchange.askForStreams(aStreams);
+  mStreams.onAsk([this](const std::vector<peers::StreamId>& aStreams,
+                        StreamRegistry::Scope aScope) {
+    mPeerExchange.askForStreams(aStreams, aScope);
   });
   mStreams.onReadStore([this](std::function<void()> aDone) {
     mStreamRecords.read(std::move(aDone));
@@ -575,7 +576,9 @@
   mCrashRecords.tick(now);
   mNotices.expire(now);
   mStreams.update(mUpstreams, now);
-  mStreamRecords.tick(now);
+  if (mPeerExchange.isCollector()) {
+    mStreamRecords.tick(now);
+  }
   removeMissingUpstreams();
   mUpstreams.expireRemoved(now);
   mUpstreams.reconsiderReplaced(now);
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -305,28 +305,38 @@
   }
 }
 
-/** @return the address of the owner of orders, or of the VM ranked first if no
- * VM owns them; nothing if it is this VM */
-std::optional<base::Address>
-PeerExchange::collector() const
+/** @return the owner of orders, or the VM ranked first if no VM owns them */
+base::VmName
+PeerExchange::collectorName() const
 {
-  const auto& others = mFleet.others();
   if (const auto& owner = mFleet.owner()) {
-    const auto member = others.find(owner->vm);
-    return member == others.end() ? std::nullopt
-                                  : std::optional(member->second.peerAddress);
+    return owner->vm;
   }
   peers::RelayCandidate first{ mContext.settings.vm,
                                mContext.settings.capacity };
-  std::optional<base::Address> address;
-  for (const auto& [vm, member] : others) {
+  for (const auto& [vm, member] : mFleet.others()) {
     const peers::RelayCandidate candidate{ vm, member.capacity };
     if (peers::hasElectionPriority(candidate, first)) {
       first = candidate;
-      address = member.peerAddress;
     }
   }
-  return address;
+  return first.vm;
+}
+
+bool
+PeerExchange::isCollector() const
+{
+  return collectorName() == mContext.settings.vm;
+}
+
+/** @return the address of the collector, nothing if it is this VM or unknown */
+std::optional<base::Address>
+PeerExchange::collector() const
+{
+  const auto member = mFleet.others().find(collectorName());
+  return member == mFleet.others().end()
+           ? std::nullopt
+           : std::optional(member->second.peerAddress);
 }
 
 /** @return the next VMs of the data centre in the order of names, where the
@@ -385,9 +395,17 @@
 }
 
 void
-PeerExchange::askForStreams(const std::vector<peers::StreamId>& aStreams)
+PeerExchange::askForStreams(const std::vector<peers::StreamId>& aStreams,
+                            StreamRegistry::Scope aScope)
 {
-  const auto targets = withCollector(dataCentreAddresses());
+  std::vector<base::Address> targets;
+  if (aScope == StreamRegistry::Scope::Nearby) {
+    targets = withCollector(dataCentreAddresses());
+  } else {
+    for (const auto& [vm, member] : mFleet.others()) {
+      targets.push_back(member.peerAddress);
+    }
+  }
   for (std::size_t begin = 0; begin < aStreams.size();
        begin += kMaxStreamsInMessage) {
     peers::StreamQuery query{ mContext.settings.vm, {} };
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -49,8 +49,9 @@
   void announceStreams(const std::vector<peers::StreamOrigin>& aOrigins);
 
   /** Asks the VMs that may know for the origin of streams.
-   * @param aStreams streams */
-  void askForStreams(const std::vector<peers::StreamId>& aStreams);
+   * @param aStreams streams @param aScope which VMs to ask */
+  void askForStreams(const std::vector<peers::StreamId>& aStreams,
+                     StreamRegistry::Scope aScope);
 
   /** Announces changed placements after a short delay, which coalesces several
    * changes. */
@@ -77,6 +78,10 @@
    * status to the relay only */
   bool usesRelay() const;
 
+  /** @return true if this VM keeps what must outlive the others: it owns the
+   * orders or, if no VM does, is ranked first */
+  bool isCollector() const;
+
   /** Emitted with the name of a VM that has a newer configuration version. */
   sigc::signal<void(base::VmName)>& newerCatalog() { return mNewerCatalog; }
 
@@ -108,6 +113,7 @@
   void sendPlacements();
   void sendOwnerReport();
   void sendCrashReport();
+  base::VmName collectorName() const;
   std::optional<base::Address> collector() const;
   std::vector<base::Address> successors() const;
   std::vector<base::Address> withCollector(
--- a/apps/gateway/stream_records.cpp
+++ b/apps/gateway/stream_records.cpp
@@ -93,19 +93,17 @@
 void
 StreamRecords::tick(base::TimePoint aNow)
 {
-  if (!mSoftwareListed || mCallPending || mFleet.fencingToken() == 0 ||
-      aNow < mNotBefore) {
+  if (!mSoftwareListed || mCallPending) {
     return;
   }
   const auto recent = mStreams.history().recent(aNow);
-  if (recent != mStored) {
-    mNotBefore = aNow + kWriteInterval;
+  if (recent != mStored && aNow >= mSoftwareNotBefore) {
+    mSoftwareNotBefore = aNow + kWriteInterval;
     writeSoftware(recent);
-    return;
-  }
-  if (mStreams.history().mixed(aNow) &&
-      mStreams.origins().added() != mStreamsStored) {
-    mNotBefore = aNow + kWriteInterval;
+  } else if (mStreams.history().mixed(aNow) &&
+             mStreams.origins().added() != mStreamsStored &&
+             aNow >= mStreamsNotBefore) {
+    mStreamsNotBefore = aNow + kWriteInterval;
     writeStreams();
   }
 }
@@ -142,7 +140,11 @@
 StreamRecords::writeStreams()
 {
   if (!mSlotsListed) {
-    read([] {});
+    read([this] {
+      if (mSlotsListed) {
+        writeStreams();
+      }
+    });
     return;
   }
   const std::uint64_t added = mStreams.origins().added();
--- a/apps/gateway/stream_records.h
+++ b/apps/gateway/stream_records.h
@@ -7,10 +7,10 @@
 namespace marigold::gateway {
 
 /**
- * What a kill of all VMs must not take along. The owner of orders writes which
- * software has served each service recently, whenever that changes. This record
+ * What a kill of all VMs must not take along. One VM writes which software has
+ * served each service recently, whenever that changes. This record
  * is watched with the registrations, so a VM has read it before it is ready.
- * Only while a service has several versions, the owner also writes the streams
+ * Only while a service has several versions, it also writes the streams
  * that have begun, which the others read if no peer knows a stream.
  */
 class StreamRecords
@@ -22,7 +22,8 @@
                 Fleet& aFleet,
                 StreamRegistry& aStreams);
 
-  /** Writes what is due. Call several times a second. @param aNow time */
+  /** Writes what is due. Call several times a second on the VM that writes.
+   * @param aNow time */
   void tick(base::TimePoint aNow);
 
   /** Reads the streams that VMs have written. @param aDone called when they
@@ -45,7 +46,9 @@
   platform::Revision mSoftwareRevision = 0; ///< 0: no such key
   bool mSoftwareListed = false;
   bool mCallPending = false;
-  base::TimePoint mNotBefore{}; ///< no write before, to bound their rate
+  /** No writes before, to bound their rate. */
+  base::TimePoint mSoftwareNotBefore{};
+  base::TimePoint mStreamsNotBefore{};
   /** Revisions of the keys that hold streams, by key. */
   std::map<std::string, platform::Revision> mSlots;
   bool mSlotsListed = false;
--- a/apps/gateway/stream_registry.cpp
+++ b/apps/gateway/stream_registry.cpp
@@ -14,7 +14,8 @@
 constexpr base::Duration kAnnounceDelay = 40ms;
 /** Callers whose streams broke off together ask together. */
 constexpr base::Duration kAskDelay = 3ms;
-/** Datagrams may be lost, so the question is repeated once. */
+/** Datagrams may be lost, and the caller may come from another data centre, so
+ * the question is repeated once, to all VMs. */
 constexpr base::Duration kAskAgain = 70ms;
 /** A round trip between regions, and a peer that is late by some tens of
  * milliseconds. */
@@ -29,7 +30,7 @@
 StreamRegistry::StreamRegistry(http::Loop& aLoop)
   : mLoop(aLoop)
   , mAnnounceNew(aLoop, [this] { announce(); })
-  , mAskPeers(aLoop, [this] { ask(); })
+  , mAskPeers(aLoop, [this] { ask(Scope::Nearby); })
 {
 }
 
@@ -96,20 +97,20 @@
   if (!mRepeatTimer) {
     mRepeatTimer = mLoop.after(kAskAgain, [this] {
       mRepeatTimer.reset();
-      ask();
+      ask(Scope::Fleet);
     });
   }
 }
 
 void
-StreamRegistry::ask()
+StreamRegistry::ask(Scope aScope)
 {
   std::vector<peers::StreamId> streams;
   for (const auto& [stream, search] : mSearches) {
     streams.push_back(stream);
   }
   if (!streams.empty()) {
-    mAsk(streams);
+    mAsk(streams, aScope);
   }
 }
 
--- a/apps/gateway/stream_registry.h
+++ b/apps/gateway/stream_registry.h
@@ -72,8 +72,16 @@
     mSendOrigins = std::move(aSend);
   }
 
+  /** Which VMs are asked for a stream. */
+  enum class Scope : std::uint8_t
+  {
+    Nearby, ///< those to which the callers of a VM go if it fails
+    Fleet,
+  };
+
   /** @param aAsk asks peers for streams; their answers go to merge() */
-  void onAsk(std::function<void(const std::vector<peers::StreamId>&)> aAsk)
+  void onAsk(
+    std::function<void(const std::vector<peers::StreamId>&, Scope)> aAsk)
   {
     mAsk = std::move(aAsk);
   }
@@ -94,7 +102,7 @@
   };
   void announceSoon();
   void announce();
-  void ask();
+  void ask(Scope aScope);
   void readStore(peers::StreamId aStream);
   void answer(peers::StreamId aStream, Software aSoftware);
 
@@ -108,7 +116,7 @@
   CoalescedCallback mAskPeers;
   http::EventHandle mRepeatTimer;
   std::function<void(const std::vector<peers::StreamOrigin>&)> mSendOrigins;
-  std::function<void(const std::vector<peers::StreamId>&)> mAsk;
+  std::function<void(const std::vector<peers::StreamId>&, Scope)> mAsk;
   std::function<void(std::function<void()>)> mReadStore;
 };
 
