--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -132,7 +132,9 @@
   void waitUntilAccepted();
   bool isAccepted(const base::UpstreamName& aUpstream) const;
   bool mayBeSentTo(const base::UpstreamName& aUpstream) const;
-  bool mayContinueAt(const Upstream& aUpstream, base::TimePoint aNow) const;
+  bool mayContinueAt(const Upstream& aUpstream) const;
+  bool confirmSoftware();
+  void onConfirmed(const Upstream& aUpstream);
   void recordOrigin(base::TimePoint aNow);
   void armStallTimer();
   void startStallTimer(base::Duration aLimit);
@@ -207,6 +209,10 @@
   peers::TraitSet mTraits;
 
   std::set<base::UpstreamName> mTriedUpstreams;
+  /** Upstreams that may continue the stream if their processes are still those
+   * of their records. */
+  std::vector<std::shared_ptr<Upstream>> mUnconfirmed;
+  bool mConfirmationFailed = false; ///< since the last retry
   /** Earliest time at which a suitable upstream wants requests again; the end
    * of time if none has turned requests away. */
   base::TimePoint mAcceptedFrom = base::TimePoint::max();
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -144,11 +144,12 @@
 Exchange::candidates(std::vector<std::shared_ptr<Upstream>>& aUpstreams)
 {
   mAcceptedFrom = base::TimePoint::max();
+  mUnconfirmed.clear();
   std::vector<dispatch::Candidate> found;
   const base::TimePoint now = base::monotonicNow();
   for (const auto& [name, upstream] : mContext.upstreams.all()) {
     if (upstream->record.service != mService->name || !upstream->usable() ||
-        !mayContinueAt(*upstream, now)) {
+        !mayContinueAt(*upstream)) {
       continue;
     }
     if (isEngineCall() && mService->engine &&
@@ -164,6 +165,10 @@
     if (mTriedUpstreams.contains(name)) {
       continue;
     }
+    if (mOrigin && mContext.streams.mustConfirm(*upstream, now)) {
+      mUnconfirmed.push_back(upstream);
+      continue;
+    }
     dispatch::Candidate candidate = makeCandidate(*upstream);
     candidate.index = aUpstreams.size();
     aUpstreams.push_back(upstream);
@@ -187,11 +192,15 @@
   }
   std::vector<std::shared_ptr<Upstream>> upstreams;
   auto found = candidates(upstreams);
-  if (found.empty() && mOrigin && !mNotAccepted) {
+  if (found.empty() && mUnconfirmed.empty() && mOrigin && !mNotAccepted &&
+      !mConfirmationFailed) {
     // The one that broke off may be the only one with the same software.
     mTriedUpstreams.clear();
     found = candidates(upstreams);
   }
+  if (found.empty() && confirmSoftware()) {
+    return;
+  }
   const auto choice = choose(found, upstreams);
   if (choice && !mayBegin(*choice)) {
     shutdown();
@@ -479,6 +488,7 @@
                        "retrying after a delay",
                        base::monotonicNow());
   mNotAccepted = false;
+  mConfirmationFailed = false;
   mTriedUpstreams.clear();
   retryAfter(kOverloadRetryDelay);
 }
@@ -532,6 +542,7 @@
   const auto choice = dispatch::chooseReplacement(
     found, requestSize(), remainingTime(), mContext.random.bits());
   if (!choice) {
+    confirmSoftware(); // For the next attempt to find a replacement.
     return false;
   }
   const auto& upstream = upstreams[choice->index];
@@ -603,10 +614,42 @@
 /** What different software writes doesn't fit together, and an upstream goes on
  * with any stream. @return true if the upstream may send the next event */
 bool
-Exchange::mayContinueAt(const Upstream& aUpstream, base::TimePoint aNow) const
+Exchange::mayContinueAt(const Upstream& aUpstream) const
 {
   return !mOrigin || (*mOrigin != peers::kUnknownSoftware &&
-                      mContext.streams.softwareOf(aUpstream, aNow) == *mOrigin);
+                      aUpstream.software == *mOrigin);
+}
+
+/** Asks upstreams that may continue the stream which process they are.
+ * @return false if there are none */
+bool
+Exchange::confirmSoftware()
+{
+  constexpr std::size_t kMaxAsked = 2;
+  const auto upstreams = std::exchange(mUnconfirmed, {});
+  for (std::size_t index = 0; index < std::min(kMaxAsked, upstreams.size());
+       ++index) {
+    mContext.streams.confirm(
+      upstreams[index], [weak = weak_from_this(), upstream = upstreams[index]] {
+        if (const auto self = std::static_pointer_cast<Exchange>(weak.lock())) {
+          self->onConfirmed(*upstream);
+        }
+      });
+  }
+  return !upstreams.empty();
+}
+
+void
+Exchange::onConfirmed(const Upstream& aUpstream)
+{
+  if (mEnded || mCall) {
+    return;
+  }
+  if (mContext.streams.mustConfirm(aUpstream, base::monotonicNow())) {
+    mTriedUpstreams.insert(aUpstream.record.name);
+    mConfirmationFailed = true;
+  }
+  dispatch();
 }
 
 /** @return false if what has become known of the upstream since it was chosen
@@ -616,7 +659,7 @@
 {
   const auto upstream = mContext.upstreams.find(aUpstream);
   return isAccepted(aUpstream) &&
-         (upstream ? mayContinueAt(*upstream, base::monotonicNow()) : !mOrigin);
+         (upstream ? mayContinueAt(*upstream) : !mOrigin);
 }
 
 /** Runs when the request is written, which may be long after the upstream was
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -185,11 +185,12 @@
   if (!mLoadReservation) {
     return;
   }
-  const Upstream& upstream = *mLoadReservation->upstream();
+  const auto& upstream = mLoadReservation->upstream();
   if (!hasBegunToAnswer(now)) {
-    mContext.crashes.onConnectionBroken(mTraits, upstream.process(), now);
+    mContext.crashes.onConnectionBroken(mTraits, upstream->process(), now);
   }
-  mContext.probe.start(upstream.peer());
+  mContext.streams.onBrokenConnection(upstream, now);
+  mContext.probe.start(upstream->peer());
 }
 
 /** The replacement could not be sent; the stalled call continues. */
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -19,6 +19,8 @@
  * store calls: records change several times a second in all but tiny fleets. */
 constexpr int kUpstreamWatchPauses = 10;
 constexpr base::Duration kCatalogWatchPause = 20ms;
+/** Several round trips between regions; a caller waits for the answer. */
+constexpr base::Duration kProcessCheckTimeout = 300ms;
 /** Part of the VM's memory for the bytes of requests. The rest is for the
  * process itself and for what its allocator does not give back. */
 constexpr std::size_t kMemoryParts = 4;
@@ -197,6 +199,10 @@
   mStreams.onReadStore([this](std::function<void()> aDone) {
     mStreamRecords.read(std::move(aDone));
   });
+  mStreams.onCheck(
+    [this](const Upstream& aUpstream, StreamRegistry::Started aDone) {
+      checkProcess(aUpstream, std::move(aDone));
+    });
   mPlatform.restored().connect([this] { onStoreRestored(); });
   mFleet.changed().connect([this] { onFleetChanged(); });
   mOrders.changed().connect([this] {
@@ -410,6 +416,37 @@
   }
 }
 
+/** Asks an upstream for the report on itself, which names its process. */
+void
+Gateway::checkProcess(const Upstream& aUpstream, StreamRegistry::Started aDone)
+{
+  const auto call = mProcessChecks.emplace(mProcessChecks.end());
+  http::CallEvents events;
+  events.done = [this, call, done = std::move(aDone)](
+                  http::CallEnd aEnd, const http::Response& aAnswer) {
+    const auto ended = std::move(*call);
+    mProcessChecks.erase(call);
+    constexpr int kOk = 200;
+    if (aEnd != http::CallEnd::Complete || aAnswer.status != kOk) {
+      done(std::nullopt);
+      return;
+    }
+    const auto report =
+      base::capture([&] { return boundary::decodeEngineReport(aAnswer.body); });
+    if (const base::Error* error = base::errorOf(report)) {
+      observe::logWarn("invalid report of a process",
+                       { { "error", error->message } });
+      done(std::nullopt);
+      return;
+    }
+    done(std::get<boundary::EngineReport>(report).startedAt);
+  };
+  *call = mClient.start(aUpstream.record.address,
+                        { "GET", boundary::kReportPath, "", {}, "" },
+                        kProcessCheckTimeout,
+                        std::move(events));
+}
+
 void
 Gateway::fetchCatalogFrom(const base::VmName& aPeer)
 {
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -13,6 +13,8 @@
 #include "apps/gateway/watch_relay.h"
 #include "observe/observe.h"
 
+#include <list>
+
 namespace marigold::gateway {
 
 /** Owns and connects all components of the process and runs the event loop. */
@@ -40,6 +42,7 @@
   void applyUpstreams(const platform::Snapshot& aSnapshot);
   void removeUpstream(const base::UpstreamName& aName, const char* aReason);
   void removeMissingUpstreams();
+  void checkProcess(const Upstream& aUpstream, StreamRegistry::Started aDone);
   void fetchCatalogFrom(const base::VmName& aPeer);
 
   // Peers.
@@ -108,6 +111,7 @@
   CoalescedCallback mRetryWaiting;
   CoalescedCallback mEndBlocked;
   std::unique_ptr<http::Call> mCatalogCall;
+  std::list<std::unique_ptr<http::Call>> mProcessChecks;
   /** Upstreams whose records were missing after the store became reachable
    * again, with the time until which they may write them again. */
   std::map<base::UpstreamName, base::TimePoint> mMissingRecords;
--- a/apps/gateway/stream_registry.cpp
+++ b/apps/gateway/stream_registry.cpp
@@ -24,6 +24,10 @@
  * and for a minimum, because callers may wait longer than a route allows. */
 constexpr int kTimeouts = 2;
 constexpr base::Duration kMinLifetime = 30s;
+/** An answer that names the process counts for this long. */
+constexpr base::Duration kConfirmationPeriod = 600ms;
+/** A process that has started writes its record within this time. */
+constexpr base::Duration kRecordDelay = 1s;
 
 } // namespace
 
@@ -169,6 +173,60 @@
                .value_or(peers::kUnknownSoftware);
 }
 
+bool
+StreamRegistry::mustConfirm(const Upstream& aUpstream,
+                            base::TimePoint aNow) const
+{
+  return mCheck && aNow - aUpstream.softwareConfirmedAt > kConfirmationPeriod &&
+         !mHistory.only(aUpstream.record.service, aNow);
+}
+
+void
+StreamRegistry::confirm(const std::shared_ptr<Upstream>& aUpstream,
+                        std::function<void()> aDone)
+{
+  auto& waiting = mChecks[aUpstream];
+  waiting.push_back(std::move(aDone));
+  if (waiting.size() > 1) {
+    return;
+  }
+  mCheck(*aUpstream,
+         [this, aUpstream](std::optional<std::uint64_t> aStartedAt) {
+           onChecked(aUpstream, aStartedAt);
+         });
+}
+
+void
+StreamRegistry::onChecked(const std::shared_ptr<Upstream>& aUpstream,
+                          std::optional<std::uint64_t> aStartedAt)
+{
+  if (aStartedAt && *aStartedAt == aUpstream->record.startedAt) {
+    aUpstream->softwareConfirmedAt = base::monotonicNow();
+    aUpstream->softwareUncertainUntil = {};
+  } else if (aStartedAt) {
+    // The record of the process that runs now will tell its software.
+    aUpstream->software = peers::kUnknownSoftware;
+    observe::logInfo("upstream has restarted, its record is late",
+                     { { "upstream", aUpstream->record.name } });
+  }
+  const auto check = mChecks.extract(aUpstream);
+  for (const auto& done : check.mapped()) {
+    done();
+  }
+}
+
+void
+StreamRegistry::onBrokenConnection(const std::shared_ptr<Upstream>& aUpstream,
+                                   base::TimePoint aNow)
+{
+  aUpstream->softwareConfirmedAt = {};
+  aUpstream->softwareUncertainUntil =
+    std::max(aUpstream->softwareUncertainUntil, aNow + kRecordDelay);
+  if (mustConfirm(*aUpstream, aNow)) {
+    confirm(aUpstream, [] {});
+  }
+}
+
 void
 StreamRegistry::update(const UpstreamTable& aUpstreams, base::TimePoint aNow)
 {
--- a/apps/gateway/stream_registry.h
+++ b/apps/gateway/stream_registry.h
@@ -50,11 +50,27 @@
   std::vector<peers::StreamOrigin> known(
     const std::vector<peers::StreamId>& aStreams) const;
 
-  /** @param aUpstream upstream @param aNow time
-   * @return its software, as far as that is certain */
+  /** @param aUpstream upstream that sends the first event of a stream
+   * @param aNow time @return its software, as far as that is certain */
   peers::SoftwareTag softwareOf(const Upstream& aUpstream,
                                 base::TimePoint aNow) const;
 
+  /** @param aUpstream upstream that may continue a stream @param aNow time
+   * @return true if it has to be asked first whether its process is still the
+   * one of its record, because there are several versions */
+  bool mustConfirm(const Upstream& aUpstream, base::TimePoint aNow) const;
+
+  /** Asks an upstream which process it is.
+   * @param aUpstream upstream @param aDone called when it has answered, or
+   * hasn't in time */
+  void confirm(const std::shared_ptr<Upstream>& aUpstream,
+               std::function<void()> aDone);
+
+  /** The process of an upstream may have ended: a connection broke.
+   * @param aUpstream upstream @param aNow time */
+  void onBrokenConnection(const std::shared_ptr<Upstream>& aUpstream,
+                          base::TimePoint aNow);
+
   /** Observes the software of the upstreams and forgets old streams.
    * @param aUpstreams upstreams @param aNow time */
   void update(const UpstreamTable& aUpstreams, base::TimePoint aNow);
@@ -86,6 +102,15 @@
     mAsk = std::move(aAsk);
   }
 
+  using Started = std::function<void(std::optional<std::uint64_t>)>;
+
+  /** @param aCheck asks an upstream when its process started; its second
+   * argument gets the answer, nothing if there is none */
+  void onCheck(std::function<void(const Upstream&, Started)> aCheck)
+  {
+    mCheck = std::move(aCheck);
+  }
+
   /** @param aRead merges what the store knows of streams, then calls its
    * argument */
   void onReadStore(std::function<void(std::function<void()>)> aRead)
@@ -101,6 +126,8 @@
     http::EventHandle timeout;
   };
   void announceSoon();
+  void onChecked(const std::shared_ptr<Upstream>& aUpstream,
+                 std::optional<std::uint64_t> aStartedAt);
   void announce();
   void ask(Scope aScope);
   void readStore(peers::StreamId aStream);
@@ -118,6 +145,10 @@
   std::function<void(const std::vector<peers::StreamOrigin>&)> mSendOrigins;
   std::function<void(const std::vector<peers::StreamId>&, Scope)> mAsk;
   std::function<void(std::function<void()>)> mReadStore;
+  std::function<void(const Upstream&, Started)> mCheck;
+  /** Who waits for the answers of upstreams that are being asked. */
+  std::map<std::shared_ptr<Upstream>, std::vector<std::function<void()>>>
+    mChecks;
 };
 
 } // namespace marigold::gateway
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -33,7 +33,9 @@
   catalog::UpstreamRecord record;
   bool removed = false; ///< its record was removed
   Presence presence = Presence::Present;
-  peers::SoftwareTag software = peers::kUnknownSoftware; ///< by its record
+  /** By its record; unknown once another process was found at its address. */
+  peers::SoftwareTag software = peers::kUnknownSoftware;
+  base::TimePoint softwareConfirmedAt{}; ///< its process was the one recorded
   /** Until then another process, of other software, may have taken its name,
    * whose record is still on its way. */
   base::TimePoint softwareUncertainUntil{};
