--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -195,9 +195,8 @@
     armTimer(kOverdueGrace);
     return;
   }
+  mTransport.resetOnClose();
   end(CallerEnd::Overdue);
-  // The handler may hold this object for ever.
-  mTransport.closeWithReset();
 }
 
 /** The loop may be late, so what had arrived when the timer expired is read
@@ -700,9 +699,11 @@
 CallerConnection::release()
 {
   // Freed from the event loop, because the object may be in use further up the
-  // call stack.
+  // call stack. The socket would wait there behind all that the loop has to do,
+  // and take in requests meanwhile.
   mReleased = true;
   mTransport.setEvents({});
+  mTransport.close();
   mTimer.reset();
   mPauseTimer.reset();
   const auto self = shared_from_this();
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -243,6 +243,39 @@
   CHECK(!caller.wasClosed());
 }
 
+// Guards against a socket that still takes in requests after the decision to
+// close it, because the close waits behind the work of a busy loop.
+TEST(ConnectionEnd, IdleConnectionIsClosedAtOnceInABusyLoop)
+{
+  wire::CallerServer server(loop, [](const auto&) {});
+  server.setLimits({ 1024, 1024, 1s, 60ms });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  const auto late =
+    loop.after(40ms, [] { std::this_thread::sleep_for(100ms); });
+  std::size_t connections = 1;
+  const auto behindTheIdleTimer = loop.after(120ms, [&] {
+    connections = server.connections();
+    caller.receive();
+  });
+  runFor(200ms);
+  CHECK_EQUAL(0, connections);
+  CHECK(caller.wasClosed());
+}
+
+// The same for the idle connections that a stop closes.
+TEST(ConnectionEnd, StopClosesIdleConnectionsAtOnceInABusyLoop)
+{
+  wire::CallerServer server(loop, [](const auto&) {});
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  runFor(1100ms);
+  server.stop();
+  caller.receive();
+  CHECK(caller.wasClosed());
+  runPending(loop);
+}
+
 TEST_GROUP(KeptUpstreamConnection)
 {
   http::Loop loop;
--- a/libs/wire/tests/manual_peers.h
+++ b/libs/wire/tests/manual_peers.h
@@ -103,7 +103,7 @@
       const ssize_t size =
         recv(mDescriptor, buffer, sizeof(buffer), MSG_DONTWAIT);
       if (size <= 0) {
-        mReset = size < 0 && errno == ECONNRESET;
+        mReset = (size < 0 && errno == ECONNRESET) || wasResetAfterClose();
         mClosed = size == 0;
         return received;
       }
@@ -118,6 +118,16 @@
   bool wasClosed() const { return mClosed; }
 
 private:
+  /** The kernel tells of a reset that follows an orderly close by this error
+   * only. */
+  bool wasResetAfterClose() const
+  {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(mDescriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+    return error == EPIPE;
+  }
+
   int mDescriptor;
   bool mConnected = false;
   bool mReset = false;
--- a/libs/wire/transport.cpp
+++ b/libs/wire/transport.cpp
@@ -248,12 +248,11 @@
 }
 
 void
-Transport::closeWithReset()
+Transport::close()
 {
-  resetOnClose();
   const int descriptor = bufferevent_getfd(mNative.get());
   bufferevent_setfd(mNative.get(), -1);
-  close(descriptor);
+  ::close(descriptor);
 }
 
 /** Runs in the callback of an event, which has set the error of the socket. */
--- a/libs/wire/transport.h
+++ b/libs/wire/transport.h
@@ -124,8 +124,9 @@
    * @param aReset false for an orderly close */
   void resetOnClose(bool aReset = true);
 
-  /** Closes the socket at once with a TCP reset; no callback runs. */
-  void closeWithReset();
+  /** Closes the socket at once; no callback runs and buffered output is
+   * dropped. */
+  void close();
 
 private:
   void configure();
--- a/tests/explore/world.cpp
+++ b/tests/explore/world.cpp
@@ -329,9 +329,8 @@
 }
 
 void
-Transport::closeWithReset()
+Transport::close()
 {
-  resetOnClose();
   World::current().close(*mNative->connection);
 }
 
