--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -96,25 +96,32 @@
           end(mInputEnded ? CallerEnd::ClosedByCaller : CallerEnd::Failed);
         }
       } });
-  mTransport.allowPauses(mServer.mLimits.idleTimeout);
+  allowPauses();
   awaitNextRequest();
 }
 
 /** What is left of a pause that began before is what was left of it, or the
- * whole new time if that is less. The kernel judges by its own count from the
- * beginning, so its limit is not shortened during a pause.
+ * whole new time if that is less.
  * @param aShortening old idle timeout less the new one */
 void
 CallerConnection::idleTimeoutChanged(base::Duration aShortening)
 {
-  const bool isShorter = aShortening > base::Duration::zero();
-  if (isShorter) {
+  if (aShortening > base::Duration::zero()) {
     mLastOutputProgress =
       std::min(mLastOutputProgress + aShortening, base::monotonicNow());
   }
-  if (!isShorter || undeliveredOutput() == 0) {
-    mTransport.allowPauses(mServer.mLimits.idleTimeout);
-  }
+  allowPauses();
+}
+
+/** The kernel judges a pause by its own count from the beginning, so its limit
+ * is not shortened during one. */
+void
+CallerConnection::allowPauses()
+{
+  const base::Duration limit = mServer.mLimits.idleTimeout;
+  mAllowedPause =
+    undeliveredOutput() > 0 ? std::max(mAllowedPause, limit) : limit;
+  mTransport.allowPauses(mAllowedPause);
 }
 
 /** @return time for which the connection may stay idle */
@@ -266,7 +273,7 @@
   }
   if (undelivered == 0 && mLastUndelivered > 0) {
     mIdleSince = now;
-    mTransport.allowPauses(mServer.mLimits.idleTimeout);
+    allowPauses();
   }
   mLastUndelivered = undelivered;
 }
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -243,6 +243,27 @@
   CHECK(!caller.wasClosed());
 }
 
+// Guards against a response that is lost beside a change of anything: each
+// change set the kernel's limit anew, also during a pause.
+TEST(ConnectionEnd, FurtherChangesDoNotShortenThePauseOfACaller)
+{
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    aCaller->reply(200, {}, std::string(kLongerThanTheWindow, 'x'));
+  });
+  server.setLimits({ 1024, 1024, 1s, 7s });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller(kSmallBuffer);
+  caller.send(kRequest);
+  runFor(2600ms);
+  for (const base::Duration limit : { 2500ms, 2500ms, 2600ms }) {
+    server.setLimits({ 1024, 1024, 1s, limit });
+  }
+  runFor(1400ms);
+  CHECK(readToEnd(caller, 200ms).size() > kLongerThanTheWindow);
+  CHECK(!caller.wasReset());
+  CHECK(!caller.wasClosed());
+}
+
 // Guards against a socket that still takes in requests after the decision to
 // close it, because the close waits behind the work of a busy loop.
 TEST(ConnectionEnd, IdleConnectionIsClosedAtOnceInABusyLoop)
