--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -101,8 +101,7 @@
 }
 
 /** What is left of a pause that began before is what was left of it, or the
- * whole new time if that is less. The kernel judges by its own count from the
- * beginning, so its limit is not shortened during a pause.
+ * whole new time if that is less.
  * @param aShortening old idle timeout less the new one */
 void
 CallerConnection::idleTimeoutChanged(base::Duration aShortening)
@@ -111,15 +110,17 @@
     mLastOutputProgress =
       std::min(mLastOutputProgress + aShortening, base::monotonicNow());
   }
-  if (mServer.mLimits.idleTimeout > mAllowedPause || undeliveredOutput() == 0) {
-    allowPauses();
-  }
+  allowPauses();
 }
 
+/** The kernel judges a pause by its own count from the beginning, so its limit
+ * is not shortened during one. */
 void
 CallerConnection::allowPauses()
 {
-  mAllowedPause = mServer.mLimits.idleTimeout;
+  const base::Duration limit = mServer.mLimits.idleTimeout;
+  mAllowedPause =
+    undeliveredOutput() > 0 ? std::max(mAllowedPause, limit) : limit;
   mTransport.allowPauses(mAllowedPause);
 }
 
@@ -201,9 +202,8 @@
     armTimer(kOverdueGrace);
     return;
   }
+  mTransport.resetOnClose();
   end(CallerEnd::Overdue);
-  // The handler may hold this object for ever.
-  mTransport.closeWithReset();
 }
 
 /** The loop may be late, so what had arrived when the timer expired is read
@@ -706,9 +706,11 @@
 CallerConnection::release()
 {
   // Freed from the event loop, because the object may be in use further up the
-  // call stack.
+  // call stack. The socket would wait there behind all that the loop has to do,
+  // and take in requests meanwhile.
   mReleased = true;
   mTransport.setEvents({});
+  mTransport.close();
   mTimer.reset();
   mPauseTimer.reset();
   const auto self = shared_from_this();
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -205,7 +205,7 @@
   /** undeliveredOutput() at the last check. */
   std::size_t mLastUndelivered = 0;
   base::TimePoint mLastOutputProgress{};
-  base::Duration mAllowedPause{}; ///< the limit that the kernel has
+  base::Duration mAllowedPause{}; ///< limit of the kernel
   /** Armed while reading is paused, because an end is not reported then. */
   http::EventHandle mPauseTimer;
   bool mClosing = false;
