--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -363,11 +363,11 @@
   if (mCurrent.open) {
     leaveRequest();
   }
-  if (!mReleased && !mCurrent.open && mTransport.pendingInput() > 0) {
+  while (!mReleased && !mClosing && mTransport.pendingInput() > 0) {
     readInput();
-  }
-  if (mCurrent.open) {
-    leaveRequest();
+    if (mCurrent.open) {
+      leaveRequest();
+    }
   }
   if (mReleased) {
     return;
@@ -497,8 +497,10 @@
                             bool aHasLength)
 {
   mCurrent.responseStarted = true;
+  // A pipelined request gets its own response, also if nothing follows it.
+  const bool isLast = mInputEnded && mTransport.pendingInput() == 0;
   mCurrent.closeAfterResponse = mCurrent.closeAfterResponse ||
-                                !mCurrent.request.keepAlive || mInputEnded ||
+                                !mCurrent.request.keepAlive || isLast ||
                                 mServer.mCloseAfterResponses;
   std::string head = "HTTP/1.1 " + std::to_string(aStatus) + " ";
   head += reasonPhrase(aStatus);
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -112,6 +112,29 @@
   runPending(loop);
 }
 
+// Guards against a pipelined request that gets no refusal, because the one
+// before it was refused when their caller closed its sending side.
+TEST(ConnectionEnd, PipelinedRequestIsRefusedWhenItsCallerHalfCloses)
+{
+  std::shared_ptr<wire::CallerConnection> waiting;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    waiting = aCaller;
+    aCaller->onDisconnect([&] { waiting->reply(503, {}, "no"); });
+  });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send(kRequest + kRequest + "GET /part");
+  runFor(20ms);
+  caller.endInput();
+  const std::string received = readToEnd(caller);
+  LONGS_EQUAL(2, count(received, "HTTP/1.1 503"));
+  CHECK(caller.wasClosed());
+  LONGS_EQUAL(0, server.openRequests());
+  LONGS_EQUAL(0, server.connections());
+  waiting.reset();
+  runPending(loop);
+}
+
 // Guards against a last response that is reset, because its caller closes
 // behind so much pipelined input that reading has paused.
 TEST(ConnectionEnd, LastResponseOutlastsACloseBehindLongInput)
