--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -299,6 +299,9 @@
 void
 CallerConnection::readInput()
 {
+  if (mReleased) {
+    return; // Posted before the end of the connection.
+  }
   mLastInputAt = base::monotonicNow();
   if (mClosing) {
     mUnansweredBytes += mTransport.pendingInput();
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -157,6 +157,30 @@
   CHECK(caller.wasClosed());
 }
 
+// Guards against a pipelined request that is handled on a connection which was
+// reset meanwhile.
+TEST(ConnectionEnd, RequestBehindAnotherIsNotReadAfterAReset)
+{
+  std::shared_ptr<wire::CallerConnection> waiting;
+  unsigned handled = 0;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    waiting = aCaller;
+    ++handled;
+  });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send(kRequest + kRequest);
+  runFor(20ms);
+  // The loop finds the reset in the round that answers the first request.
+  const auto answer = loop.after(0ms, [&] { waiting->reply(200, {}, "x"); });
+  caller.reset();
+  runFor(20ms);
+  LONGS_EQUAL(1, handled);
+  LONGS_EQUAL(0, server.openRequests());
+  waiting.reset();
+  runPending(loop);
+}
+
 // Guards against a stop that takes a caller for idle which has not got its
 // response yet, because the loop is late.
 TEST(ConnectionEnd, StopWaitsForTheDeliveryOfAResponse)
--- a/libs/wire/tests/manual_peers.h
+++ b/libs/wire/tests/manual_peers.h
@@ -80,14 +80,24 @@
 
   bool connected() const { return mConnected; }
 
-  void send(const std::string& aBytes) const
+  /** @return true if the kernel has taken all bytes */
+  bool send(const std::string& aBytes) const
   {
-    (void)!write(mDescriptor, aBytes.data(), aBytes.size());
+    return write(mDescriptor, aBytes.data(), aBytes.size()) ==
+           static_cast<ssize_t>(aBytes.size());
   }
 
   /** Closes the sending side only. */
   void endInput() const { shutdown(mDescriptor, SHUT_WR); }
 
+  /** Closes the connection with a TCP reset. */
+  void reset()
+  {
+    const linger option{ 1, 0 };
+    setsockopt(mDescriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+    disconnect();
+  }
+
   void disconnect()
   {
     close(mDescriptor);
