--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -246,9 +246,23 @@
     linger();
     return;
   }
+  if (mLingering && isStillSending()) {
+    armTimer(kLingerTime);
+    return;
+  }
   remove(CallerEnd::Completed);
 }
 
+/** A caller that was refused inside a long body may read the response only
+ * after the rest of it. @return true if its input should still be read */
+bool
+CallerConnection::isStillSending() const
+{
+  const base::TimePoint now = base::monotonicNow();
+  return now - mLingeringSince < mServer.mLimits.idleTimeout &&
+         (now - mLastInputAt < kLingerTime || mTransport.hasInput());
+}
+
 /** @return 0 if the caller has all of its responses; bytes that the process
  * still holds count twice, so that handing them to the kernel is progress */
 std::size_t
@@ -657,6 +671,7 @@
     return;
   }
   mLingering = true;
+  mLingeringSince = base::monotonicNow();
   mTransport.shutdownOutput();
   armTimer(kLingerTime);
 }
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -188,6 +188,7 @@
   std::size_t undeliveredOutput() const;
   void noteDelivery();
   bool peerIsReading();
+  bool isStillSending() const;
 
   CallerServer& mServer;
   Transport mTransport;
@@ -199,7 +200,8 @@
   http::EventHandle mTimer;
   base::TimePoint mOpenedAt{};
   base::TimePoint mLastInputAt{};
-  base::TimePoint mIdleSince{};     ///< if no request has begun
+  base::TimePoint mIdleSince{}; ///< if no request has begun
+  base::TimePoint mLingeringSince{};
   std::size_t mUnansweredBytes = 0; ///< consumed bytes without a response
   /** undeliveredOutput() at the last check. */
   std::size_t mLastUndelivered = 0;
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -157,6 +157,27 @@
   CHECK(caller.wasClosed());
 }
 
+// Guards against a refusal that is lost in a reset, because its caller sends
+// the rest of a long body before it reads.
+TEST(ConnectionEnd, CallerThatSendsOnGetsTheRefusalOfItsBody)
+{
+  wire::CallerServer server(loop, [](const auto&) {});
+  server.setLimits({ 1024, 1024, 1s, 4s });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send("POST / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n" +
+              std::string(2000, 'x'));
+  bool isTaken = true;
+  const auto sendOn =
+    loop.every(50ms, [&] { isTaken = caller.send("part") && isTaken; });
+  runFor(2500ms);
+  CHECK(isTaken);
+  STRCMP_CONTAINS("HTTP/1.1 413", caller.receive().c_str());
+  CHECK(caller.wasClosed());
+  runFor(3s);
+  LONGS_EQUAL(0, server.connections());
+}
+
 // Guards against a pipelined request that is handled on a connection which was
 // reset meanwhile.
 TEST(ConnectionEnd, RequestBehindAnotherIsNotReadAfterAReset)
