--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -150,7 +150,7 @@
 void
 Exchange::admitByQuota()
 {
-  if (!chargeQuota()) {
+  if (!followConfiguration() || !chargeQuota()) {
     return;
   }
   recordDemand();
@@ -210,14 +210,16 @@
 bool
 Exchange::authenticate()
 {
-  if (!mCatalog->content.requiresApiKeys || mRoute->isPublic) {
+  mTeamCatalog = mContext.catalog.current();
+  if (!mTeamCatalog->content.requiresApiKeys || mRoute->isPublic) {
+    mTeam = nullptr;
     return true;
   }
   if (!mMetadata.apiKey) {
     fail(Code::KeyMissing, "the request has no API key");
     return false;
   }
-  mTeam = mCatalog->keys.find(*mMetadata.apiKey);
+  mTeam = mTeamCatalog->keys.find(*mMetadata.apiKey);
   if (mTeam == nullptr) {
     fail(Code::KeyUnknown, "the API key belongs to no team");
     return false;
@@ -225,6 +227,15 @@
   return true;
 }
 
+/** The quota knows the teams of the current configuration only, and admits
+ * others without a limit. @return false if the request has ended, because its
+ * team left while it was held */
+bool
+Exchange::followConfiguration()
+{
+  return mTeamCatalog == mContext.catalog.current() || authenticate();
+}
+
 void
 Exchange::startDeadlineTimer()
 {
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -69,6 +69,7 @@
   bool hold(AdmissionStep aNext, const char* aReason);
   bool findRoute();
   bool authenticate();
+  bool followConfiguration();
   bool acceptChat();
   bool acceptCompletion();
   void listModels();
@@ -185,6 +186,7 @@
   RequestContext& mContext;
   std::shared_ptr<wire::CallerConnection> mCaller;
   std::shared_ptr<const CatalogSnapshot> mCatalog;
+  std::shared_ptr<const CatalogSnapshot> mTeamCatalog; ///< of mTeam
   wire::Request mRequest;
   base::MemoryCharge mRequestCharge;
   http::Headers mHeaders; ///< end-to-end headers of the caller
--- a/tests/e2e/test_team_quota.py
+++ b/tests/e2e/test_team_quota.py
@@ -118,6 +118,25 @@
         self.check_bound(arrivals)
         self.check_rate_is_served(arrivals)
 
+    def test_team_that_leaves_while_its_request_is_held_is_refused(self):
+        """Guards against a request that is admitted without a limit, because a new process holds it for its quota
+        while a new configuration drops its team."""
+        gateway, statuses = self.gateways[0], []
+        configured = gateway.log().count("configuration in force")
+        gateway.stop()
+        gateway.start()
+
+        def call():
+            while not any(statuses):  # The process is not listening yet.
+                statuses.append(self.send(gateway, BURST)[0])
+        caller = threading.Thread(target=call)
+        caller.start()
+        wait_for(lambda: gateway.log().count("configuration in force") > configured, 1)
+        self.platform.publish(2, ["k2"], ROUTES)
+        caller.join()
+        self.assertIn("held by a new process", gateway.log())
+        self.assertEqual(401, statuses[-1])
+
     def test_planned_stop_frees_the_share(self):
         """Guards against a share that stays reserved for a VM that has left as planned."""
         stopped = self.gateways[2]
