--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -268,8 +268,10 @@
   const double cost = counted ? static_cast<double>(mMetadata.promptTokens) +
                                   mMetadata.maxOutputTokens
                               : mTeam->defaultCost;
+  const quota::Ask ask =
+    std::exchange(mAskedForQuota, true) ? quota::Ask::Again : quota::Ask::First;
   const auto decision =
-    mContext.quota.admit(mTeam->name, cost, base::monotonicNow());
+    mContext.quota.admit(mTeam->name, cost, base::monotonicNow(), ask);
   if (!decision.admitted) {
     if (hold(&Exchange::admitByQuota, "quota")) {
       return false;
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -214,6 +214,7 @@
   unsigned mUnresolvedSends = 0; ///< sends that may have run at an upstream
   bool mWaitLogged = false;
   bool mHoldLogged = false;
+  bool mAskedForQuota = false;
   bool mMemoryWaitLogged = false;
   bool mStallLogged = false;
   /** An upstream refused or was unreachable since the last call or retry. */
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -250,7 +250,8 @@
 Decision
 FleetQuota::admit(const base::TeamName& aTeam,
                   double aCost,
-                  base::TimePoint aNow)
+                  base::TimePoint aNow,
+                  Ask aAsk)
 {
   refill(aNow);
   const auto found = mBuckets.find(aTeam);
@@ -258,7 +259,9 @@
     return {};
   }
   Bucket& bucket = found->second;
-  recordCost(bucket, aCost);
+  if (aAsk == Ask::First) {
+    recordCost(bucket, aCost);
+  }
   const double needed = neededLevel(bucket, aCost);
   if (bucket.level < needed && !borrow(aTeam, bucket, aCost)) {
     const double missing = needed - bucket.level;
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -35,6 +35,13 @@
                                ///< that they have not reported yet
 };
 
+/** Whether a request has asked for its units before. */
+enum class Ask : std::uint8_t
+{
+  First,
+  Again ///< it waits, and its cost is a part of the mean already
+};
+
 /** What determines the level of a bucket on a VM, for the log. */
 struct Account
 {
@@ -121,12 +128,14 @@
    * then borrows: it admits the request on a negative level, up to the overflow
    * of its bucket since its last admission.
    * @param aTeam team @param aCost units @param aNow time
+   * @param aAsk whether the request has asked before
    * @return whether the units were taken. retryAfter assumes the rate of the
    * whole fleet, because a retry usually reaches another VM.
    */
   Decision admit(const base::TeamName& aTeam,
                  double aCost,
-                 base::TimePoint aNow);
+                 base::TimePoint aNow,
+                 Ask aAsk = Ask::First);
 
   /** Returns the units of an admitted request that did not run. If a report has
    * contained them, peers get them back with the next admissions of this VM,
--- a/libs/quota/tests/size_fairness_tests.cpp
+++ b/libs/quota/tests/size_fairness_tests.cpp
@@ -176,6 +176,24 @@
   checkServedAlike(6, 5, 10 * kFloodTime, { kRate / 10, kRate / 10 });
 }
 
+// A new process holds a large request, which asks again and again. Guards
+// against small requests of its team that are refused because it counts each
+// time towards the mean cost.
+TEST(SizeFairness, RequestThatWaitsCountsOnceTowardsTheMean)
+{
+  TimePoint now{ 100s };
+  FleetQuota quota;
+  quota.setSlack(100);
+  quota.setLimits({ { "t", { 1000, 1000 } } }, now);
+  quota.admit("t", 10, now);
+  now += 60ms;
+  for (int asked = 0; asked < 20; ++asked) {
+    CHECK(!quota.admit("t", 800, now, asked == 0 ? Ask::First : Ask::Again)
+             .admitted);
+  }
+  CHECK(quota.admit("t", 10, now).admitted);
+}
+
 // A team below its limit is served whatever the size of its requests.
 TEST(SizeFairness, TeamBelowItsLimitIsNotRefused)
 {
