--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -509,6 +509,9 @@
 bool
 Exchange::startReplacement()
 {
+  if (!mContext.memory.admitsCopy(mRequest.body.size())) {
+    return false;
+  }
   std::vector<std::shared_ptr<Upstream>> upstreams;
   auto found = candidates(upstreams);
   std::erase_if(found, [](const dispatch::Candidate& aCandidate) {
@@ -643,6 +646,7 @@
   call.idHeader = boundary::kRequestIdHeader;
   call.id = mMetadata.id;
   call.skipBody = mRequest.method == "HEAD";
+  call.bodyBytes = mRequest.body.size();
   const auto guarded = [weak](auto aAction) {
     return [weak, aAction](const auto&... aArguments) {
       if (const auto self = weak.lock()) {
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -1123,6 +1123,33 @@
   CHECK(call->sent());
 }
 
+// Guards against long bodies that exceed the memory together, because none is
+// counted while its connection is being established.
+TEST(Pool, CountsABodyFromTheStartOfItsCallUntilItIsRead)
+{
+  ManualServer server;
+  CHECK(server.bound());
+  base::MemoryBudget memory;
+  wire::ConnectionPool counting(loop);
+  counting.setMemoryBudget(memory);
+  const auto start = [&](std::optional<std::string> aBytes) {
+    return counting.start({ "u", kAddress },
+                          { [aBytes] { return aBytes; }, "", "a", false, 1000 },
+                          { [](const wire::ResponseHead&) {},
+                            [](std::string_view) {},
+                            [] {},
+                            [](wire::CallFailure) {} },
+                          4);
+  };
+  auto sent = start("request");
+  const auto cancelled = start(std::nullopt);
+  LONGS_EQUAL(2000, memory.used());
+  runPending(loop);
+  CHECK(sent->sent());
+  CHECK(!cancelled->sent());
+  LONGS_EQUAL(0, memory.used());
+}
+
 // Guards against a request that waits for the next iteration of a late event
 // loop although a connection is established.
 TEST(Pool, SendsImmediatelyOnIdleConnection)
--- a/libs/wire/upstream.cpp
+++ b/libs/wire/upstream.cpp
@@ -73,6 +73,7 @@
   mIdleCallback = nullptr;
   mActive = true;
   mSent = false;
+  mOutputCharge.set(mCall.bodyBytes);
   mReusable = false;
   mSkippedBytes = 0;
   mHeadPending = false;
@@ -100,14 +101,13 @@
 UpstreamConnection::send()
 {
   const auto bytes = mCall.makeBytes();
-  if (!bytes) {
-    return false;
+  if (bytes) {
+    mSent = true;
+    mTransport.resetOnClose();
+    mTransport.writeNow(*bytes);
   }
-  mSent = true;
-  mTransport.resetOnClose();
-  mTransport.writeNow(*bytes);
   chargeOutput();
-  return true;
+  return mSent;
 }
 
 void
--- a/libs/wire/upstream.h
+++ b/libs/wire/upstream.h
@@ -39,6 +39,10 @@
   std::string idHeader;  ///< header in which the upstream echoes the id
   std::string id;        ///< responses with another id are skipped
   bool skipBody = false; ///< true for HEAD
+  /** Size of the body, which counts towards the memory budget from the start of
+   * the call on, so that calls which connect at the same time don't exceed it
+   * together. */
+  std::size_t bodyBytes = 0;
 };
 
 /** A connection to an upstream. It runs one call at a time. Until the response
