--- a/apps/gateway/exchange_chat.cpp
+++ b/apps/gateway/exchange_chat.cpp
@@ -62,7 +62,8 @@
   mMetadata.prompt = std::move(request.prompt);
   boundary::encodeRequest(mMetadata, mHeaders);
   mRequest.body = std::move(request.body);
-  mChatAnswer = std::make_unique<chat::AnswerReader>(!request.streamed);
+  mChatAnswer =
+    std::make_unique<chat::AnswerReader>(!request.streamed, mContext.memory);
   return true;
 }
 
--- a/libs/chat/answer_reader.cpp
+++ b/libs/chat/answer_reader.cpp
@@ -180,8 +180,9 @@
   return true;
 }
 
-AnswerReader::AnswerReader(bool aJoins)
+AnswerReader::AnswerReader(bool aJoins, base::MemoryBudget& aMemory)
   : mJoined(aJoins ? std::make_unique<Joined>() : nullptr)
+  , mCharge(aMemory)
 {
 }
 
@@ -199,6 +200,7 @@
     return true;
   }
   mJoined->bytes += data.size();
+  mCharge.set(mJoined->bytes);
   if (mComplete || mJoined->bytes > kMaxJoinedBytes) {
     return false;
   }
--- a/libs/chat/answer_reader.h
+++ b/libs/chat/answer_reader.h
@@ -1,6 +1,8 @@
 /** @file Reads the events with which an engine answers a chat. */
 #pragma once
 
+#include "base/memory_budget.h"
+
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -19,8 +21,9 @@
    * of the memory. About 20,000 tokens. */
   static constexpr std::size_t kMaxJoinedBytes = 4UL * 1024 * 1024;
 
-  /** @param aJoins the events are joined to one object */
-  explicit AnswerReader(bool aJoins);
+  /** @param aJoins the events are joined to one object
+   * @param aMemory budget for what is joined, which outlives the reader */
+  AnswerReader(bool aJoins, base::MemoryBudget& aMemory);
   ~AnswerReader();
   AnswerReader(const AnswerReader&) = delete;
   AnswerReader& operator=(const AnswerReader&) = delete;
@@ -43,6 +46,7 @@
   struct Joined;
 
   std::unique_ptr<Joined> mJoined;
+  base::MemoryCharge mCharge;
   bool mComplete = false;
 };
 
--- a/libs/chat/tests/chat_tests.cpp
+++ b/libs/chat/tests/chat_tests.cpp
@@ -173,12 +173,15 @@
   }
 }
 
-TEST_GROUP(AnswerReader){};
+TEST_GROUP(AnswerReader)
+{
+  base::MemoryBudget memory;
+};
 
 // Without its final event an answer has broken off.
 TEST(AnswerReader, CompleteOnlyAfterTheFinalEvent)
 {
-  chat::AnswerReader reader(false);
+  chat::AnswerReader reader(false, memory);
   CHECK(reader.add(chunk({ { "content", "a" } })));
   CHECK(!reader.complete());
   CHECK(reader.add("id: 2\r\ndata: [DONE]\r\n\r\n"));
@@ -188,7 +191,7 @@
 // A whole answer must hold each piece once and in order, with what ended it.
 TEST(AnswerReader, JoinsThePiecesOfAText)
 {
-  chat::AnswerReader reader(true);
+  chat::AnswerReader reader(true, memory);
   CHECK(reader.add(chunk({ { "role", "assistant" }, { "content", "" } })));
   CHECK(reader.add(": comment\n\n"));
   CHECK(reader.add(chunk({ { "content", "Pod " } })));
@@ -216,7 +219,7 @@
     call["index"] = aIndex;
     return chunk({ { "tool_calls", { call } } });
   };
-  chat::AnswerReader reader(true);
+  chat::AnswerReader reader(true, memory);
   CHECK(reader.add(
     piece(0,
           { { "id", "x" },
@@ -233,6 +236,19 @@
   CHECK(!calls[0].contains("index"));
 }
 
+// Guards against many joined answers that together take the memory of the VM.
+TEST(AnswerReader, CountsWhatItJoins)
+{
+  {
+    chat::AnswerReader reader(true, memory);
+    const std::string text(1000, 'x');
+    CHECK(reader.add(chunk({ { "content", text } })));
+    CHECK(reader.add(chunk({ { "content", text } })));
+    CHECK(memory.used() >= 2 * text.size());
+  }
+  LONGS_EQUAL(0, memory.used());
+}
+
 // An engine in trouble must not end the process or fill its memory, and its
 // error must not become a part of an answer.
 TEST(AnswerReader, RefusesEventsThatCannotBeJoined)
@@ -244,10 +260,10 @@
                             R"({"choices":[1]})",
                             R"({"choices":[{"index":-1}]})",
                             R"({"choices":[{"index":1000000}]})" }) {
-    chat::AnswerReader reader(true);
+    chat::AnswerReader reader(true, memory);
     CHECK_TEXT(!reader.add("data: " + std::string(data) + "\n\n"), data);
   }
-  chat::AnswerReader endless(true);
+  chat::AnswerReader endless(true, memory);
   const std::string event = chunk({ { "content", std::string(65536, 'x') } });
   int count = 0;
   while (count < 1000 && endless.add(event)) {
