--- a/libs/platform/mirror.cpp
+++ b/libs/platform/mirror.cpp
@@ -12,6 +12,16 @@
 /** Number of changes that are kept, enough for some seconds during which a
  * large fleet restarts. */
 constexpr std::size_t kMaxChanges = 1024;
+/** Size of the changes that are kept. Readers that have missed more list all
+ * keys. */
+constexpr std::size_t kMaxChangeBytes = 8UL * 1024 * 1024;
+
+std::size_t
+sizeOf(const Entry& aEntry)
+{
+  return sizeof(Entry) + aEntry.key.size() +
+         (aEntry.value ? aEntry.value->size() : 0);
+}
 
 } // namespace
 
@@ -24,9 +34,11 @@
     mEntries.erase(aEntry.key);
   }
   mChanges.push_back(aEntry);
-  if (mChanges.size() > kMaxChanges) {
+  mChangeBytes += sizeOf(aEntry);
+  while (mChanges.size() > kMaxChanges || mChangeBytes > kMaxChangeBytes) {
     mCompactedRevision =
       std::max(mCompactedRevision, mChanges.front().revision);
+    mChangeBytes -= sizeOf(mChanges.front());
     mChanges.pop_front();
   }
 }
@@ -39,6 +51,7 @@
     mRevision = aSnapshot.revision;
     mCompactedRevision = aSnapshot.revision;
     mChanges.clear();
+    mChangeBytes = 0;
     mEntries.clear();
     for (const Entry& entry : aSnapshot.entries) {
       mEntries[entry.key] = entry;
--- a/libs/platform/mirror.h
+++ b/libs/platform/mirror.h
@@ -48,6 +48,7 @@
   Revision mCompactedRevision = 0; ///< changes up to it may be dropped
   std::map<std::string, Entry> mEntries;
   std::deque<Entry> mChanges; ///< oldest first
+  std::size_t mChangeBytes = 0;
 };
 
 /** @param aSnapshot entries @return the answer to a list or a watch in the
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -236,6 +236,25 @@
   CHECK(mirror.changesAfter({ revision - 10 }).has_value());
 }
 
+// Guards against a key with a large value, written again and again, whose
+// changes take the memory of the VM.
+TEST(Mirror, LargeChangesAreDroppedByTheirSize)
+{
+  constexpr std::size_t kValueBytes = 1000UL * 1000;
+  constexpr std::size_t kLeastKept = 4;
+  constexpr std::size_t kMostBytes = 16UL * 1024 * 1024;
+  platform::Revision revision = 10;
+  for (int i = 0; i < 100; ++i) {
+    ++revision;
+    mirror.apply(
+      { revision, { { "a", std::string(kValueBytes, 'x'), revision } } });
+  }
+  CHECK(mirror.changesAfter({ revision - kLeastKept }).has_value());
+  CHECK(
+    !mirror.changesAfter({ revision - kMostBytes / kValueBytes }).has_value());
+  STRCMP_EQUAL("b", mirror.all().entries.at(1).key.c_str());
+}
+
 // Revisions of a lost history are given out again. A reader that knows them
 // must read everything anew, and must not be told that nothing has changed.
 TEST(Mirror, ReaderOfAnEarlierEraGetsNoChanges)
