--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -23,6 +23,9 @@
  * process itself and for what its allocator does not give back. */
 constexpr std::size_t kMemoryParts = 4;
 constexpr std::size_t kMemoryPartsForRequests = 3;
+/** Size of an engine's report, with room for the names of some thousand
+ * adapters, or of its answer to an order. */
+constexpr std::size_t kMaxEngineAnswerBytes = 256UL * 1024;
 constexpr base::Duration kTickPeriod = 250ms;
 /** Debounce delay: orders and records often change together. */
 constexpr base::Duration kChangeDebounce = 10ms;
@@ -64,6 +67,7 @@
   , mLoopDelayMonitor(mLoop, mMetrics)
   , mRandom(base::hash64(mSettings.vm, mIncarnation))
   , mClient(mLoop)
+  , mEngineClient(mLoop, { .bodyBytes = kMaxEngineAnswerBytes })
   , mPlatform(mLoop,
               mSettings.platform,
               kPlatformTimeout,
@@ -152,7 +156,7 @@
           observe::logWarn("upstream records lost",
                            { { "error", aError.message } });
         } })
-  , mOrders(mClient,
+  , mOrders(mEngineClient,
             mSettings,
             mFleet,
             mCatalog,
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -70,6 +70,7 @@
   LoopDelayMonitor mLoopDelayMonitor;
   base::Random mRandom;
   http::Client mClient;
+  http::Client mEngineClient;
   platform::Client mPlatform;
   StoreCallReport mStoreCalls;
   CatalogHolder mCatalog;
--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -29,9 +29,6 @@
 /** Maximum size of the headers of a response; the wire library has the same
  * limit for upstreams. */
 constexpr ev_ssize_t kMaxHeaderBytes = 64L * 1024;
-/** Maximum size of the body of a response: eight pages of the platform's store
- * at about 1 MB each. */
-constexpr ev_ssize_t kMaxBodyBytes = 8L * 1024 * 1024;
 /** Maximum number of bytes received before the headers of the final response
  * are complete, interim (1xx) responses included. Twice the limit of one
  * response, because a read may also contain a part of the body. */
@@ -42,7 +39,11 @@
 /** Maximum size of a response on the wire. A chunk header takes 6 bytes, so a
  * body of the maximum size still fits if it arrives in chunks of 6 bytes, as
  * streams of small events do. */
-constexpr std::size_t kMaxResponseBytes = kMaxHeadsBytes + 2 * kMaxBodyBytes;
+constexpr std::size_t
+maxResponseBytes(std::size_t aBodyBytes)
+{
+  return kMaxHeadsBytes + 2 * aBodyBytes;
+}
 
 constexpr int kContinueStatus = 100;
 
@@ -109,8 +110,9 @@
 /** A connection and the progress of the current call on it. */
 struct Client::Connection
 {
-  Connection(Loop& aLoop, Address aAddress)
+  Connection(Loop& aLoop, Address aAddress, std::size_t aBodyBytes)
     : address(std::move(aAddress))
+    , maxBytes(maxResponseBytes(aBodyBytes))
   {
     bufferevent* transport =
       bufferevent_socket_new(aLoop.native(), -1, BEV_OPT_CLOSE_ON_FREE);
@@ -122,7 +124,8 @@
       aLoop.native(), nullptr, transport, address.host.c_str(), address.port);
     evhttp_connection_set_timeout(native, kEvhttpTimeoutSeconds);
     evhttp_connection_set_max_headers_size(native, kMaxHeaderBytes);
-    evhttp_connection_set_max_body_size(native, kMaxBodyBytes);
+    evhttp_connection_set_max_body_size(native,
+                                        static_cast<ev_ssize_t>(aBodyBytes));
     evhttp_connection_set_closecb(native, &Connection::onClose, this);
   }
 
@@ -207,6 +210,7 @@
   }
 
   Address address;
+  std::size_t maxBytes; ///< of a response
   evhttp_connection* native = nullptr;
   evbuffer* output = nullptr;
   evbuffer* input = nullptr;
@@ -279,7 +283,7 @@
   }
   const bool betweenChunks = request->chunked != 0 && request->ntoread < 0;
   return (betweenChunks && aUnread > kMaxChunkLineBytes) ||
-         connection->received > kMaxResponseBytes;
+         connection->received > connection->maxBytes;
 }
 
 void
@@ -431,9 +435,9 @@
   });
 }
 
-Client::Client(Loop& aLoop, std::size_t aMaxIdlePerAddress)
+Client::Client(Loop& aLoop, const ClientLimits& aLimits)
   : mLoop(aLoop)
-  , mMaxIdlePerAddress(aMaxIdlePerAddress)
+  , mLimits(aLimits)
 {
 }
 
@@ -456,7 +460,7 @@
     }
     discard(std::move(connection));
   }
-  return std::make_unique<Connection>(mLoop, aAddress);
+  return std::make_unique<Connection>(mLoop, aAddress, mLimits.bodyBytes);
 }
 
 void
@@ -468,7 +472,7 @@
   const auto reuse =
     reuseTime(aIdleTimeout, sinceLastInput(aConnection->descriptor()));
   if (!aReusable || !reuse || aConnection->stale() ||
-      idle.size() >= mMaxIdlePerAddress) {
+      idle.size() >= mLimits.idlePerAddress) {
     discard(std::move(aConnection));
     return;
   }
--- a/libs/http/client.h
+++ b/libs/http/client.h
@@ -69,6 +69,15 @@
   std::unique_ptr<State> mState;
 };
 
+/** Size limits of a client. */
+struct ClientLimits
+{
+  std::size_t idlePerAddress = 32; ///< number of idle connections per address
+  /** Bytes of the body of a response: eight pages of the platform's store at
+   * about 1 MB each. */
+  std::size_t bodyBytes = 8UL * 1024 * 1024;
+};
+
 /**
  * HTTP client with connection reuse. A connection is reused only after a
  * complete response and reset otherwise, because bytes of the old response
@@ -80,11 +89,9 @@
 class Client
 {
 public:
-  /**
-   * @param aLoop event loop
-   * @param aMaxIdlePerAddress maximum number of idle connections per address
-   */
-  explicit Client(Loop& aLoop, std::size_t aMaxIdlePerAddress = 32);
+  /** @param aLoop event loop @param aLimits limits; a call whose response
+   * exceeds them ends as Broken */
+  explicit Client(Loop& aLoop, const ClientLimits& aLimits = {});
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
@@ -120,7 +127,7 @@
   void discard(std::unique_ptr<Connection> aConnection);
 
   Loop& mLoop;
-  std::size_t mMaxIdlePerAddress;
+  ClientLimits mLimits;
   std::map<Address, std::vector<std::unique_ptr<Connection>>> mIdle;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -414,6 +414,33 @@
   }
 }
 
+// Guards against upstreams that together take the memory of the VM with answers
+// of which each is expected to be short.
+TEST(Http, ClientWithALowerLimitTakesNoLongerResponse)
+{
+  constexpr std::size_t kLimit = 1000;
+  std::size_t size = kLimit;
+  http::Server server(loop, {}, [&](const http::Request&, auto aOut) {
+    aOut->reply({ 200, {}, std::string(size, 'x') });
+  });
+  CHECK(bool(server.listen(kAddress)));
+  http::Client limited(loop, { .bodyBytes = kLimit });
+  std::optional<http::CallEnd> end;
+  const auto done = [&](http::CallEnd aEnd, const http::Response&) {
+    end = aEnd;
+    loop.stop();
+  };
+  const auto within =
+    limited.start(kAddress, {}, 2s, { nullptr, nullptr, done });
+  loop.run();
+  CHECK(end == http::CallEnd::Complete);
+  size = kLimit + 1;
+  const auto beyond =
+    limited.start(kAddress, {}, 2s, { nullptr, nullptr, done });
+  loop.run();
+  CHECK(end == http::CallEnd::Broken);
+}
+
 // Endless bytes after a complete response must neither keep the connection open
 // nor fill memory.
 TEST(Http, ClosesConnectionOnEndlessBytesAfterResponse)
--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -141,7 +141,7 @@
   , mTimeout(aTimeout)
   , mProtocol(aProtocol)
   , mClient(aLoop)
-  , mRenewalClient(aLoop, 1)
+  , mRenewalClient(aLoop, { 1 })
 {
 }
 
--- a/tests/explore/store.cpp
+++ b/tests/explore/store.cpp
@@ -119,9 +119,9 @@
   Network::current().cancel(mState->id);
 }
 
-Client::Client(Loop& aLoop, std::size_t aMaxIdlePerAddress)
+Client::Client(Loop& aLoop, const ClientLimits& aLimits)
   : mLoop(aLoop)
-  , mMaxIdlePerAddress(aMaxIdlePerAddress)
+  , mLimits(aLimits)
 {
 }
 
@@ -161,7 +161,8 @@
   pending.events = std::move(aEvents);
   pending.giveLinkBack =
     [this, aAddress, connection, alive = mAlive](bool aReusable) {
-      if (aReusable && *alive && mIdle[aAddress].size() < mMaxIdlePerAddress) {
+      if (aReusable && *alive &&
+          mIdle[aAddress].size() < mLimits.idlePerAddress) {
         mIdle[aAddress].push_back(std::move(*connection));
       }
     };
