--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -137,10 +137,10 @@
     return;
   }
   startDeadlineTimer();
-  mTraits = dispatch::makeTraits(mRequest.target + "\n" +
-                                   (mTeam != nullptr ? mTeam->name : "") +
-                                   "\n" + mRequest.body,
-                                 mMetadata.prompt);
+  mTraits = dispatch::makeTraits(
+    mRequest.target + "\n" + (mTeam != nullptr ? mTeam->name : "") + "\n" +
+      (mMetadata.model ? mMetadata.model->text() : "") + "\n" + mRequest.body,
+    mMetadata.prompt);
   if (refuseIfBlocked()) {
     return;
   }
--- a/libs/dispatch/request_traits.cpp
+++ b/libs/dispatch/request_traits.cpp
@@ -13,9 +13,12 @@
 } // namespace
 
 peers::TraitSet
-makeTraits(std::string_view aIdentity,
+makeTraits(std::string aIdentity,
            const std::vector<catalog::PromptPart>& aPrompt)
 {
+  for (const catalog::PromptPart& part : aPrompt) {
+    aIdentity += "\n" + std::to_string(part.id);
+  }
   peers::TraitSet traits{ shorten(base::hash64(aIdentity), true) };
   for (std::size_t part = 0; part + 1 < aPrompt.size(); ++part) {
     traits.insert(
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -439,6 +439,19 @@
   CHECK(!blocked(repeated));
 }
 
+// Guards against blocking requests without a body because another one of their
+// team, with the same target, crashes upstreams.
+TEST(CrashRecord, BlocksNoRequestWithAnotherLastPart)
+{
+  const auto deadly = dispatch::makeTraits("f", { { 1, 100 }, { 2, 50 } });
+  const auto sound = dispatch::makeTraits("f", { { 1, 100 }, { 3, 50 } });
+  finish(sound);
+  crash({ deadly });
+  crash({ deadly });
+  CHECK(blocked(deadly));
+  CHECK(!blocked(sound));
+}
+
 // Guards against blocking a request that was running at a crash but did not
 // cause it.
 TEST(CrashRecord, SuccessClearsTheCrashCount)
