--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -103,6 +103,7 @@
   mClaimsFrom = base::monotonicNow() + kOwnershipTerm;
   noteFreeOwnership();
   mUnreadableRevision = 0;
+  mAbsentRevision = 0;
   mOwnershipLease.clear();
   mOwner.reset();
   mRegistrationAt = {};
@@ -165,6 +166,7 @@
 Fleet::applySnapshot(const platform::Snapshot& aSnapshot)
 {
   mOthers.clear();
+  mRegistered.clear();
   mOwnKeyRevision = 0;
   const auto previous = mOwner;
   mOwner.reset();
@@ -211,9 +213,11 @@
   }
   if (!aEntry.value) {
     mOthers.erase(vm);
+    mRegistered.erase(vm);
     observe::logInfo("vm left the fleet", { { "peer", vm } });
     return;
   }
+  mRegistered.insert(vm);
   const auto decoded =
     base::capture([&] { return decodeRegistration(vm, *aEntry.value); });
   if (const base::Error* error = base::errorOf(decoded)) {
@@ -316,6 +320,31 @@
   return (mClient.era() << kRevisionBits) + aRevision;
 }
 
+/** @return true if no VM gives the ownership up, so that its record may be
+ * replaced after the pause */
+bool
+Fleet::isVoid(const Ownership& aOwner) const
+{
+  return !aOwner.readable || aOwner.revision == mAbsentRevision;
+}
+
+/** A record that was written without a lease stays when its VM has left. A VM
+ * that has only lost its registration is back within the term of one. */
+void
+Fleet::noteAbsentOwner(base::TimePoint aNow)
+{
+  const bool isAbsent = mOwner && mOwner->readable && isOwnedByOther(*mOwner) &&
+                        !mRegistered.contains(mOwner->vm);
+  const platform::Revision revision = isAbsent ? mOwner->revision : 0;
+  if (std::exchange(mAbsentRevision, revision) == revision || !isAbsent) {
+    return;
+  }
+  mFreeSince = aNow + kRegistrationTerm;
+  mOwnershipFreeAt = mFreeSince + mSettings.orderPause;
+  observe::logWarn("order owner is not registered",
+                   { { "owner", mOwner->vm } });
+}
+
 /** @return true if the ownership is free, or its record may be replaced */
 bool
 Fleet::mayClaim(base::TimePoint aNow) const
@@ -323,8 +352,8 @@
   if (!mOwner || isFromEarlierEra(*mOwner)) {
     return aNow >= mClaimsFrom;
   }
-  return mOwner->readable ? isFormerProcess(*mOwner)
-                          : aNow >= std::max(mClaimsFrom, mOwnershipFreeAt);
+  return isVoid(*mOwner) ? aNow >= std::max(mClaimsFrom, mOwnershipFreeAt)
+                         : isFormerProcess(*mOwner);
 }
 
 residency::OrderOwnership
@@ -382,7 +411,8 @@
   if (mRegistrationRevision == 0) {
     writeRegistration();
   }
-  const bool isFree = !mOwner || isFromEarlierEra(*mOwner) || !mOwner->readable;
+  noteAbsentOwner(now);
+  const bool isFree = !mOwner || isFromEarlierEra(*mOwner) || isVoid(*mOwner);
   const bool mustWait =
     isFree && now < mOwnershipFreeAt + kClaimStagger * claimRank();
   if (!mustWait) {
@@ -463,7 +493,8 @@
   }
   mOwnershipLease = mOwnerLease.id();
   writeOwnership(mOwner ? mOwner->revision : 0,
-                 mOwner && mOwner->settled && !outdated);
+                 mOwner && isFormerProcess(*mOwner) && mOwner->settled &&
+                   !outdated);
 }
 
 /** Records that the pause is over. The first order is sent afterwards, so a
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -6,6 +6,7 @@
 #include "apps/gateway/settings.h"
 #include "residency/residency.h"
 
+#include <set>
 #include <sigc++/sigc++.h>
 
 namespace marigold::gateway {
@@ -145,6 +146,8 @@
   bool isFromEarlierEra(const Ownership& aOwner) const;
   bool isOwnRecord(const Ownership& aOwner) const;
   bool isOwnedByOther(const Ownership& aOwner) const;
+  bool isVoid(const Ownership& aOwner) const;
+  void noteAbsentOwner(base::TimePoint aNow);
   bool mayClaim(base::TimePoint aNow) const;
   std::uint64_t fenceAt(platform::Revision aRevision) const;
   residency::OrderOwnership orderOwnership() const;
@@ -157,6 +160,7 @@
   base::Incarnation mIncarnation;
   PrefixWatch mWatch;
   std::map<base::VmName, Member> mOthers;
+  std::set<base::VmName> mRegistered; ///< other VMs, also unreadable ones
   std::optional<Ownership> mOwner;
   platform::Revision mOwnKeyRevision = 0; ///< of this VM's key in the store
   platform::Revision mRegistrationRevision = 0;
@@ -172,6 +176,8 @@
   base::TimePoint mFreeSince{};
   base::TimePoint mOwnershipFreeAt{};         ///< may be claimed
   platform::Revision mUnreadableRevision = 0; ///< of the latest such ownership
+  /** Of the latest ownership of a VM that was not registered; 0 once it is. */
+  platform::Revision mAbsentRevision = 0;
   /** No claims of a free ownership before, because its owner may not know yet
    * that the store has forgotten it. */
   base::TimePoint mClaimsFrom{};
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -1,5 +1,6 @@
 """Tests the gateway process against a stand-in for the users' platform."""
 
+import base64
 import http.client
 import json
 import os
@@ -18,6 +19,8 @@
 # in residency/order_ownership.cpp, with the tests of both sides together.
 OWNER_HEAD_START = 0.7
 
+REGISTRATION_TERM = 6.0  # seconds; of the gateways' leases
+
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
 
 
@@ -385,13 +388,13 @@
         self.assertIsNone(gateway.child.poll(), gateway.log()[-2000:])
         self.assertEqual(200, gateway.call("/again/x")[0])
 
-    def test_unreadable_ownership_of_orders_is_replaced_after_the_pause(self):
-        """Guards against a fleet without orders for as long as a record that another writer left in place of the
-        ownership exists."""
+    def check_ownership_is_replaced(self, change, seconds):
+        """Writes a changed record in place of the ownership of orders, which a VM then takes over."""
         self.start()
         wait_for(lambda: any(engine.order_log for engine in self.engines), 12)  # the model that nobody holds
         last_fence = max(row[2] for engine in self.engines for row in engine.order_log)
-        self.platform.change(self.platform.store.put, "marigold/order-owner", b"[]")
+        record = json.loads(base64.b64decode(self.platform.store.items["marigold/order-owner"]["value"]))
+        self.platform.change(self.platform.store.put, "marigold/order-owner", json.dumps(change(record)).encode())
         written = time.monotonic()
         time.sleep(0.5)  # the former owner has heard of it
         before = [len(engine.order_log) for engine in self.engines]
@@ -400,10 +403,20 @@
 
         def later_orders():
             return [row for engine, count in zip(self.engines, before) for row in engine.order_log[count:]]
-        wait_for(later_orders, 3 * ORDER_PAUSE + 2)
+        wait_for(later_orders, seconds)
         self.assertGreaterEqual(min(row[0] for row in later_orders()) - written, ORDER_PAUSE)
         self.assertGreater(min(row[2] for row in later_orders()), last_fence)
 
+    def test_unreadable_ownership_of_orders_is_replaced_after_the_pause(self):
+        """Guards against a fleet without orders for as long as a record that another writer left in place of the
+        ownership exists."""
+        self.check_ownership_is_replaced(lambda record: [], 3 * ORDER_PAUSE + 2)
+
+    def test_ownership_of_orders_of_a_vm_that_does_not_exist_is_replaced(self):
+        """Guards against the same if the record can be read, but names a VM that is not registered."""
+        self.check_ownership_is_replaced(lambda record: {**record, "vm": "vm9", "address": f"{HOST}:1"},
+                                         REGISTRATION_TERM + 3 * ORDER_PAUSE + 2)
+
     def test_missing_adapter_is_loaded_while_its_request_waits(self):
         wait_for(lambda: any(e.order_log for e in self.engines), 12)  # the order owner loads the absent model m2
         status, body, _ = self.gateways[0].call("/chat/x", headers={**self.CHAT, "X-Model-Name": "m1/a1"})
