--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -96,7 +96,7 @@
           end(mInputEnded ? CallerEnd::ClosedByCaller : CallerEnd::Failed);
         }
       } });
-  mTransport.allowPauses(mServer.mLimits.idleTimeout);
+  allowPauses();
   awaitNextRequest();
 }
 
@@ -107,16 +107,23 @@
 void
 CallerConnection::idleTimeoutChanged(base::Duration aShortening)
 {
-  const bool isShorter = aShortening > base::Duration::zero();
-  if (isShorter) {
+  if (aShortening > base::Duration::zero()) {
     mLastOutputProgress =
       std::min(mLastOutputProgress + aShortening, base::monotonicNow());
   }
-  if (!isShorter || undeliveredOutput() == 0) {
-    mTransport.allowPauses(mServer.mLimits.idleTimeout);
+  if (mServer.mLimits.idleTimeout > mAllowedPause || undeliveredOutput() == 0) {
+    allowPauses();
   }
 }
 
+/** Sets the limit of the kernel to the idle timeout. */
+void
+CallerConnection::allowPauses()
+{
+  mAllowedPause = mServer.mLimits.idleTimeout;
+  mTransport.allowPauses(mAllowedPause);
+}
+
 /** @return time for which the connection may stay idle */
 base::Duration
 CallerConnection::idleLimit() const
@@ -281,7 +288,7 @@
   }
   if (undelivered == 0 && mLastUndelivered > 0) {
     mIdleSince = now;
-    mTransport.allowPauses(mServer.mLimits.idleTimeout);
+    allowPauses();
   }
   mLastUndelivered = undelivered;
 }
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -180,6 +180,7 @@
   void awaitNextRequest();
   void armIdleTimer();
   void idleTimeoutChanged(base::Duration aShortening);
+  void allowPauses();
   void timerExpired();
   void overdueTimeoutExpired();
   void requestTimeoutExpired();
@@ -206,6 +207,7 @@
   /** undeliveredOutput() at the last check. */
   std::size_t mLastUndelivered = 0;
   base::TimePoint mLastOutputProgress{};
+  base::Duration mAllowedPause{}; ///< limit of the kernel
   /** Armed while reading is paused, because an end is not reported then. */
   http::EventHandle mPauseTimer;
   bool mClosing = false;
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -311,6 +311,26 @@
   CHECK(!caller.wasClosed());
 }
 
+// Guards against the same if another change of the configuration follows, which
+// leaves the shorter timeout as it is.
+TEST(ConnectionEnd, NextChangeKeepsTheTimeLimitOfTheKernelDuringAPause)
+{
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    aCaller->reply(200, {}, std::string(kLongerThanTheWindow, 'x'));
+  });
+  server.setLimits({ 1024, 1024, 1s, 7s });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller(kSmallBuffer);
+  caller.send(kRequest);
+  runFor(2600ms);
+  server.setLimits({ 1024, 1024, 1s, 2500ms });
+  server.setLimits({ 1024, 1024, 1s, 2500ms });
+  runFor(1400ms);
+  CHECK(readToEnd(caller, 200ms).size() > kLongerThanTheWindow);
+  CHECK(!caller.wasReset());
+  CHECK(!caller.wasClosed());
+}
+
 TEST_GROUP(KeptUpstreamConnection)
 {
   http::Loop loop;
