--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -138,10 +138,10 @@
     return;
   }
   startDeadlineTimer();
-  mTraits = dispatch::makeTraits(mRequest.target + "\n" +
-                                   (mTeam != nullptr ? mTeam->name : "") +
-                                   "\n" + mRequest.body,
-                                 mMetadata.prompt);
+  mTraits = dispatch::makeTraits(
+    mRequest.target + "\n" + (mTeam != nullptr ? mTeam->name : "") + "\n" +
+      (mMetadata.model ? mMetadata.model->text() : "") + "\n" + mRequest.body,
+    mMetadata.prompt);
   if (refuseIfBlocked()) {
     return;
   }
@@ -210,7 +210,7 @@
 void
 Exchange::admitByQuota()
 {
-  if (!chargeQuota()) {
+  if (!followConfiguration() || !chargeQuota()) {
     return;
   }
   recordDemand();
@@ -270,14 +270,16 @@
 bool
 Exchange::authenticate()
 {
-  if (!mCatalog->content.requiresApiKeys || mRoute->isPublic) {
+  mTeamCatalog = mContext.catalog.current();
+  if (!mTeamCatalog->content.requiresApiKeys || mRoute->isPublic) {
+    mTeam = nullptr;
     return true;
   }
   if (!mMetadata.apiKey) {
     fail(Code::KeyMissing, "the request has no API key");
     return false;
   }
-  mTeam = mCatalog->keys.find(*mMetadata.apiKey);
+  mTeam = mTeamCatalog->keys.find(*mMetadata.apiKey);
   if (mTeam == nullptr) {
     fail(Code::KeyUnknown, "the API key belongs to no team");
     return false;
@@ -285,6 +287,15 @@
   return true;
 }
 
+/** The quota knows the teams of the current configuration only, and admits
+ * others without a limit. @return false if the request has ended, because its
+ * team left while it was held */
+bool
+Exchange::followConfiguration()
+{
+  return mTeamCatalog == mContext.catalog.current() || authenticate();
+}
+
 void
 Exchange::startDeadlineTimer()
 {
@@ -317,8 +328,10 @@
   const double cost = counted ? static_cast<double>(mMetadata.promptTokens) +
                                   mMetadata.maxOutputTokens
                               : mTeam->defaultCost;
+  const quota::Ask ask =
+    std::exchange(mAskedForQuota, true) ? quota::Ask::Again : quota::Ask::First;
   const auto decision =
-    mContext.quota.admit(mTeam->name, cost, base::monotonicNow());
+    mContext.quota.admit(mTeam->name, cost, base::monotonicNow(), ask);
   if (!decision.admitted) {
     if (hold(&Exchange::admitByQuota, "quota")) {
       return false;
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -71,6 +71,7 @@
   bool hold(AdmissionStep aNext, const char* aReason);
   bool findRoute();
   bool authenticate();
+  bool followConfiguration();
   bool acceptChat();
   bool acceptCompletion();
   void listModels();
@@ -194,6 +195,7 @@
   RequestContext& mContext;
   std::shared_ptr<wire::CallerConnection> mCaller;
   std::shared_ptr<const CatalogSnapshot> mCatalog;
+  std::shared_ptr<const CatalogSnapshot> mTeamCatalog; ///< of mTeam
   wire::Request mRequest;
   base::MemoryCharge mRequestCharge;
   http::Headers mHeaders; ///< end-to-end headers of the caller
@@ -225,6 +227,7 @@
   unsigned mUnresolvedSends = 0; ///< sends that may have run at an upstream
   bool mWaitLogged = false;
   bool mHoldLogged = false;
+  bool mAskedForQuota = false;
   bool mMemoryWaitLogged = false;
   bool mStallLogged = false;
   /** An upstream refused or was unreachable since the last call or retry. */
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -25,6 +25,9 @@
  * process itself and for what its allocator does not give back. */
 constexpr std::size_t kMemoryParts = 4;
 constexpr std::size_t kMemoryPartsForRequests = 3;
+/** Size of an engine's report, with room for the names of some thousand
+ * adapters, or of its answer to an order. */
+constexpr std::size_t kMaxEngineAnswerBytes = 256UL * 1024;
 constexpr base::Duration kTickPeriod = 250ms;
 /** Debounce delay: orders and records often change together. */
 constexpr base::Duration kChangeDebounce = 10ms;
@@ -66,6 +69,7 @@
   , mLoopDelayMonitor(mLoop, mMetrics)
   , mRandom(base::hash64(mSettings.vm, mIncarnation))
   , mClient(mLoop)
+  , mEngineClient(mLoop, { .bodyBytes = kMaxEngineAnswerBytes })
   , mPlatform(mLoop,
               mSettings.platform,
               kPlatformTimeout,
@@ -140,7 +144,7 @@
           observe::logWarn("upstream records lost",
                            { { "error", aError.message } });
         } })
-  , mOrders(mClient,
+  , mOrders(mEngineClient,
             mSettings,
             mFleet,
             mCatalog,
@@ -441,10 +445,10 @@
     }
     done(std::get<boundary::EngineReport>(report).startedAt);
   };
-  *call = mClient.start(aUpstream.record.address,
-                        { "GET", boundary::kReportPath, "", {}, "" },
-                        kProcessCheckTimeout,
-                        std::move(events));
+  *call = mEngineClient.start(aUpstream.record.address,
+                              { "GET", boundary::kReportPath, "", {}, "" },
+                              kProcessCheckTimeout,
+                              std::move(events));
 }
 
 void
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -252,9 +252,23 @@
     linger();
     return;
   }
+  if (mLingering && isStillSending()) {
+    armTimer(kLingerTime);
+    return;
+  }
   remove(CallerEnd::Completed);
 }
 
+/** A caller that was refused inside a long body may read the response only
+ * after the rest of it. @return true if its input should still be read */
+bool
+CallerConnection::isStillSending() const
+{
+  const base::TimePoint now = base::monotonicNow();
+  return now - mLingeringSince < mServer.mLimits.idleTimeout &&
+         (now - mLastInputAt < kLingerTime || mTransport.hasInput());
+}
+
 /** @return 0 if the caller has all of its responses; bytes that the process
  * still holds count twice, so that handing them to the kernel is progress */
 std::size_t
@@ -305,6 +319,9 @@
 void
 CallerConnection::readInput()
 {
+  if (mReleased) {
+    return; // Posted before the end of the connection.
+  }
   mLastInputAt = base::monotonicNow();
   if (mClosing) {
     mUnansweredBytes += mTransport.pendingInput();
@@ -369,11 +386,11 @@
   if (mCurrent.open) {
     leaveRequest();
   }
-  if (!mReleased && !mCurrent.open && mTransport.pendingInput() > 0) {
+  while (!mReleased && !mClosing && mTransport.pendingInput() > 0) {
     readInput();
-  }
-  if (mCurrent.open) {
-    leaveRequest();
+    if (mCurrent.open) {
+      leaveRequest();
+    }
   }
   if (mReleased) {
     return;
@@ -503,8 +520,10 @@
                             bool aHasLength)
 {
   mCurrent.responseStarted = true;
+  // A pipelined request gets its own response, also if nothing follows it.
+  const bool isLast = mInputEnded && mTransport.pendingInput() == 0;
   mCurrent.closeAfterResponse = mCurrent.closeAfterResponse ||
-                                !mCurrent.request.keepAlive || mInputEnded ||
+                                !mCurrent.request.keepAlive || isLast ||
                                 mServer.mCloseAfterResponses;
   std::string head = "HTTP/1.1 " + std::to_string(aStatus) + " ";
   head += reasonPhrase(aStatus);
@@ -658,6 +677,7 @@
     return;
   }
   mLingering = true;
+  mLingeringSince = base::monotonicNow();
   mTransport.shutdownOutput();
   armTimer(kLingerTime);
 }
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -112,6 +112,29 @@
   runPending(loop);
 }
 
+// Guards against a pipelined request that gets no refusal, because the one
+// before it was refused when their caller closed its sending side.
+TEST(ConnectionEnd, PipelinedRequestIsRefusedWhenItsCallerHalfCloses)
+{
+  std::shared_ptr<wire::CallerConnection> waiting;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    waiting = aCaller;
+    aCaller->onDisconnect([&] { waiting->reply(503, {}, "no"); });
+  });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send(kRequest + kRequest + "GET /part");
+  runFor(20ms);
+  caller.endInput();
+  const std::string received = readToEnd(caller);
+  LONGS_EQUAL(2, count(received, "HTTP/1.1 503"));
+  CHECK(caller.wasClosed());
+  LONGS_EQUAL(0, server.openRequests());
+  LONGS_EQUAL(0, server.connections());
+  waiting.reset();
+  runPending(loop);
+}
+
 // Guards against a last response that is reset, because its caller closes
 // behind so much pipelined input that reading has paused.
 TEST(ConnectionEnd, LastResponseOutlastsACloseBehindLongInput)
@@ -134,6 +157,51 @@
   CHECK(caller.wasClosed());
 }
 
+// Guards against a refusal that is lost in a reset, because its caller sends
+// the rest of a long body before it reads.
+TEST(ConnectionEnd, CallerThatSendsOnGetsTheRefusalOfItsBody)
+{
+  wire::CallerServer server(loop, [](const auto&) {});
+  server.setLimits({ 1024, 1024, 1s, 4s });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send("POST / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n" +
+              std::string(2000, 'x'));
+  bool isTaken = true;
+  const auto sendOn =
+    loop.every(50ms, [&] { isTaken = caller.send("part") && isTaken; });
+  runFor(2500ms);
+  CHECK(isTaken);
+  STRCMP_CONTAINS("HTTP/1.1 413", caller.receive().c_str());
+  CHECK(caller.wasClosed());
+  runFor(3s);
+  LONGS_EQUAL(0, server.connections());
+}
+
+// Guards against a pipelined request that is handled on a connection which was
+// reset meanwhile.
+TEST(ConnectionEnd, RequestBehindAnotherIsNotReadAfterAReset)
+{
+  std::shared_ptr<wire::CallerConnection> waiting;
+  unsigned handled = 0;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    waiting = aCaller;
+    ++handled;
+  });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send(kRequest + kRequest);
+  runFor(20ms);
+  // The loop finds the reset in the round that answers the first request.
+  const auto answer = loop.after(0ms, [&] { waiting->reply(200, {}, "x"); });
+  caller.reset();
+  runFor(20ms);
+  LONGS_EQUAL(1, handled);
+  LONGS_EQUAL(0, server.openRequests());
+  waiting.reset();
+  runPending(loop);
+}
+
 // Guards against a stop that takes a caller for idle which has not got its
 // response yet, because the loop is late.
 TEST(ConnectionEnd, StopWaitsForTheDeliveryOfAResponse)
