--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -215,6 +215,8 @@
    * of their records. */
   std::vector<std::shared_ptr<Upstream>> mUnconfirmed;
   bool mConfirmationFailed = false; ///< since the last retry
+  /** The call is silent, and upstreams that may replace it were asked. */
+  bool mReplacesWhenConfirmed = false;
   /** Earliest time at which a suitable upstream wants requests again; the end
    * of time if none has turned requests away. */
   base::TimePoint mAcceptedFrom = base::TimePoint::max();
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -545,7 +545,7 @@
   const auto choice = dispatch::chooseReplacement(
     found, requestSize(), remainingTime(), mContext.random.bits());
   if (!choice) {
-    confirmSoftware(); // For the next attempt to find a replacement.
+    mReplacesWhenConfirmed = confirmSoftware();
     return false;
   }
   const auto& upstream = upstreams[choice->index];
@@ -645,7 +645,13 @@
 void
 Exchange::onConfirmed(const Upstream& aUpstream)
 {
-  if (mEnded || mCall) {
+  if (mEnded) {
+    return;
+  }
+  if (mCall) {
+    if (std::exchange(mReplacesWhenConfirmed, false) && !mReplacement) {
+      startReplacement();
+    }
     return;
   }
   if (mContext.streams.mustConfirm(aUpstream, base::monotonicNow())) {
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -94,6 +94,7 @@
 void
 Exchange::armStallTimer()
 {
+  mReplacesWhenConfirmed = false;
   if (!mRoute->retryable()) {
     return;
   }
@@ -219,6 +220,7 @@
 {
   mStallTimer.reset();
   mReplacement.reset();
+  mReplacesWhenConfirmed = false;
   if (mLoadReservation && isEngineCall() &&
       --mContext.runningByModel[*mMetadata.model] == 0) {
     mContext.runningByModel.erase(*mMetadata.model);
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -426,15 +426,22 @@
 {
   const auto call = mProcessChecks.emplace(mProcessChecks.end());
   http::CallEvents events;
-  events.done = [this, call, done = std::move(aDone)](
-                  http::CallEnd aEnd, const http::Response& aAnswer) {
+  events.done = [this,
+                 call,
+                 recorded = aUpstream.record.startedAt,
+                 done = std::move(aDone)](http::CallEnd aEnd,
+                                          const http::Response& aAnswer) {
     const auto ended = std::move(*call);
     mProcessChecks.erase(call);
     constexpr int kOk = 200;
-    if (aEnd != http::CallEnd::Complete || aAnswer.status != kOk) {
+    if (aEnd != http::CallEnd::Complete) {
       done(std::nullopt);
       return;
     }
+    if (aAnswer.status != kOk) {
+      done(recorded); // It has no report, so its record is all there is.
+      return;
+    }
     const auto report =
       base::capture([&] { return boundary::decodeEngineReport(aAnswer.body); });
     if (const base::Error* error = base::errorOf(report)) {
--- a/apps/gateway/stream_registry.cpp
+++ b/apps/gateway/stream_registry.cpp
@@ -177,8 +177,7 @@
 StreamRegistry::mustConfirm(const Upstream& aUpstream,
                             base::TimePoint aNow) const
 {
-  return mCheck && aNow - aUpstream.softwareConfirmedAt > kConfirmationPeriod &&
-         !mHistory.only(aUpstream.record.service, aNow);
+  return mCheck && aNow - aUpstream.softwareConfirmedAt > kConfirmationPeriod;
 }
 
 void
@@ -222,7 +221,8 @@
   aUpstream->softwareConfirmedAt = {};
   aUpstream->softwareUncertainUntil =
     std::max(aUpstream->softwareUncertainUntil, aNow + kRecordDelay);
-  if (mustConfirm(*aUpstream, aNow)) {
+  const bool mixed = !mHistory.only(aUpstream->record.service, aNow);
+  if (mixed && mustConfirm(*aUpstream, aNow)) {
     confirm(aUpstream, [] {});
   }
 }
--- a/apps/gateway/stream_registry.h
+++ b/apps/gateway/stream_registry.h
@@ -57,7 +57,7 @@
 
   /** @param aUpstream upstream that may continue a stream @param aNow time
    * @return true if it has to be asked first whether its process is still the
-   * one of its record, because there are several versions */
+   * one of its record */
   bool mustConfirm(const Upstream& aUpstream, base::TimePoint aNow) const;
 
   /** Asks an upstream which process it is.
