--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -143,6 +143,8 @@
   void awaitCrashEvidence(const char* aReason);
   void retryUnlessSuspect(const char* aReason);
   void endCall();
+  void logGivenUp(const wire::PooledCall& aCall,
+                  const base::UpstreamName& aUpstream);
 
   // Response.
   void onEvents(std::string_view aBytes);
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -213,9 +213,40 @@
   startStallTimer(kMinRecheckInterval);
 }
 
+/** Logs what a call that is given up leaves on its way to the upstream. */
+void
+Exchange::logGivenUp(const wire::PooledCall& aCall,
+                     const base::UpstreamName& aUpstream)
+{
+  const wire::SendProgress progress = aCall.progress();
+  const bool underWay =
+    !progress.connected || progress.unsent + progress.unacknowledged > 0;
+  if (!aCall.active() || !underWay) {
+    return;
+  }
+  const base::TimePoint now = base::monotonicNow();
+  mContext.log.logStep(
+    mMetadata.id,
+    "call given up on its way",
+    aUpstream,
+    std::string(progress.connected ? "connected" : "connecting") + ", opened " +
+      std::to_string(base::inMilliseconds(progress.sinceOpened)) +
+      " ms ago, sent " + std::to_string(base::inMilliseconds(now - mSentAt)) +
+      " ms ago, unsent " + std::to_string(progress.unsent) +
+      " bytes, unacknowledged " + std::to_string(progress.unacknowledged) +
+      " bytes",
+    now);
+}
+
 void
 Exchange::endCall()
 {
+  if (mCall) {
+    logGivenUp(*mCall, mLastUpstream);
+  }
+  if (mReplacement && mReplacement->call) {
+    logGivenUp(*mReplacement->call, mReplacement->upstream->record.name);
+  }
   mStallTimer.reset();
   mReplacement.reset();
   if (mLoadReservation && isEngineCall() &&
--- a/libs/wire/connection_pool.h
+++ b/libs/wire/connection_pool.h
@@ -42,6 +42,12 @@
   /** @return true once the request was written to the connection */
   bool sent() const { return mConnection->sent(); }
 
+  /** @return true while the call has neither a complete response nor failed */
+  bool active() const { return mConnection->active(); }
+
+  /** @return how far the request has come */
+  SendProgress progress() const { return mConnection->progress(); }
+
 private:
   friend class ConnectionPool;
   void finish();
--- a/libs/wire/upstream.cpp
+++ b/libs/wire/upstream.cpp
@@ -135,6 +135,16 @@
            mCarriedIds.end();
 }
 
+SendProgress
+UpstreamConnection::progress() const
+{
+  const std::size_t unsent = mTransport.pendingOutput();
+  return { mConnected,
+           base::monotonicNow() - mOpenedAt,
+           unsent,
+           mTransport.unacknowledgedOutput() - unsent };
+}
+
 bool
 UpstreamConnection::reusable() const
 {
--- a/libs/wire/upstream.h
+++ b/libs/wire/upstream.h
@@ -41,6 +41,15 @@
   bool skipBody = false; ///< true for HEAD
 };
 
+/** How far the request of a call has come. */
+struct SendProgress
+{
+  bool connected = false;
+  base::Duration sinceOpened{};   ///< time since the connection was opened
+  std::size_t unsent = 0;         ///< bytes that wait in the process
+  std::size_t unacknowledged = 0; ///< bytes that wait in the socket or network
+};
+
 /** A connection to an upstream. It runs one call at a time. Until the response
  * is complete, the connection is reset when it is closed or the process ends:
  * the kernel then sends no bytes of the request again, and the upstream learns
@@ -92,6 +101,12 @@
   /** @return true once the request was written to the connection */
   bool sent() const { return mSent; }
 
+  /** @return true while the call has neither a complete response nor failed */
+  bool active() const { return mActive; }
+
+  /** @return how far the request has come */
+  SendProgress progress() const;
+
   /** @return the input since the connection was made */
   http::InputCount inputCount() const { return mTransport.inputCount(); }
 
@@ -113,6 +128,7 @@
   http::Loop& mLoop;
   base::MemoryCharge mOutputCharge;
   Transport mTransport;
+  base::TimePoint mOpenedAt = base::monotonicNow();
   Parser mParser;
   OutgoingCall mCall;
   CallEvents mEvents;
