--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -34,6 +34,10 @@
 /** The relay of another data centre is known if its latest summary is younger
  * than this. */
 constexpr base::Duration kMaxRelaySummaryAge = 1500ms;
+/** Summaries of this data centre that wait for the link, by recipients. Those
+ * of another one wait under its name. */
+constexpr const char* kSameRegionStream = "own, same region";
+constexpr const char* kOtherRegionsStream = "own, other regions";
 /** Minimum time between two crash reports. */
 constexpr base::Duration kCrashReportInterval = 20ms;
 
@@ -176,6 +180,9 @@
   }
   if (!actsAsRelay || !usesRelay()) {
     sendStatus();
+  } else if (mSocket.pacing()) {
+    // Summaries are late, and another VM would take this one for failed.
+    mSocket.send(peers::encode(nextStatus()), dataCentreAddresses());
   }
   const base::TimePoint now = base::monotonicNow();
   if (mOrders.active() && !mAnnouncementTimer &&
@@ -213,19 +220,32 @@
 {
   const bool includeRemoteRegions =
     mSchedule.remoteRegionsDue(base::monotonicNow());
-  std::vector<base::Address> targets;
+  std::vector<base::Address> sameRegionPeers;
+  std::vector<base::Address> otherRegionPeers;
   if (usesRelay()) {
-    targets = dataCentreAddresses();
+    sameRegionPeers = dataCentreAddresses();
   }
   for (const auto& [dataCentre, order] : mRelayRanking) {
-    if (dataCentre != mContext.settings.dataCentre &&
-        (includeRemoteRegions || sameRegion(mContext.settings, dataCentre))) {
-      const auto relays = relayAddresses(dataCentre);
-      targets.insert(targets.end(), relays.begin(), relays.end());
+    if (dataCentre == mContext.settings.dataCentre) {
+      continue;
     }
+    auto& peers = sameRegion(mContext.settings, dataCentre) ? sameRegionPeers
+                                                            : otherRegionPeers;
+    const auto relays = relayAddresses(dataCentre);
+    peers.insert(peers.end(), relays.begin(), relays.end());
   }
-  if (!targets.empty()) {
-    mSocket.send(summary(), targets);
+  if (!includeRemoteRegions) {
+    otherRegionPeers.clear();
+  }
+  if (sameRegionPeers.empty() && otherRegionPeers.empty()) {
+    return;
+  }
+  const std::string bytes = summary();
+  if (!sameRegionPeers.empty()) {
+    mSocket.sendPaced(kSameRegionStream, bytes, sameRegionPeers);
+  }
+  if (!otherRegionPeers.empty()) {
+    mSocket.sendPaced(kOtherRegionsStream, bytes, otherRegionPeers);
   }
 }
 
@@ -514,7 +534,9 @@
     if (!mContext.peers.update(std::move(aSummary), now)) {
       return;
     }
-    forwardToDataCentre(aBytes);
+    if (isRelay()) {
+      mSocket.sendPaced(dataCentre, aBytes, dataCentreAddresses());
+    }
   }
   const auto& summary = mContext.peers.summaries().at(dataCentre).summary;
   mContext.quota.addUnregistered(summary.unregistered, now);
--- a/apps/gateway/peer_socket.cpp
+++ b/apps/gateway/peer_socket.cpp
@@ -2,6 +2,7 @@
 
 #include "observe/log.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <netinet/in.h>
@@ -13,6 +14,11 @@
 
 /** Maximum UDP payload over IPv4, in bytes. */
 constexpr std::size_t kMaxDatagramBytes = 65507;
+/** Share of the link for messages to peers. The rest is left to requests and
+ * answers, which wait behind the messages. */
+constexpr double kLinkShare = 2.0 / 3;
+/** Time between two looks at waiting messages; saves wake-ups. */
+constexpr base::Duration kMinPacedWait = std::chrono::milliseconds(10);
 
 sockaddr_in
 socketAddress(const base::Address& aAddress)
@@ -24,6 +30,30 @@
   return address;
 }
 
+/** @return bytes per second for messages to peers, nothing if the rate of the
+ * link is not known */
+std::optional<double>
+peerRate(const Settings& aSettings)
+{
+  constexpr double kBitsPerMegabit = 1e6;
+  constexpr double kBitsPerByte = 8;
+  if (!aSettings.linkMbps) {
+    return std::nullopt;
+  }
+  return *aSettings.linkMbps * kBitsPerMegabit / kBitsPerByte * kLinkShare;
+}
+
+bool
+fitsDatagram(const std::string& aBytes)
+{
+  if (aBytes.size() > kMaxDatagramBytes) {
+    observe::logError("peer message exceeds the maximum datagram size",
+                      { { "bytes", std::to_string(aBytes.size()) } });
+    return false;
+  }
+  return true;
+}
+
 } // namespace
 
 PeerSocket::PeerSocket(http::Loop& aLoop,
@@ -32,6 +62,7 @@
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mHandler(std::move(aHandler))
+  , mPaced(peerRate(aSettings))
 {
 }
 
@@ -59,24 +90,57 @@
   return {};
 }
 
+void
+PeerSocket::sendTo(const std::string& aBytes, const base::Address& aPeer) const
+{
+  const sockaddr_in address = socketAddress(aPeer);
+  // Errors are ignored: the next message replaces a lost one.
+  (void)sendto(mSocket,
+               aBytes.data(),
+               aBytes.size(),
+               MSG_DONTWAIT,
+               reinterpret_cast<const sockaddr*>(&address),
+               sizeof(address));
+}
+
 void
 PeerSocket::send(const std::string& aBytes,
                  const std::vector<base::Address>& aPeers)
 {
-  if (aBytes.size() > kMaxDatagramBytes) {
-    observe::logError("peer message exceeds the maximum datagram size",
-                      { { "bytes", std::to_string(aBytes.size()) } });
+  if (!fitsDatagram(aBytes)) {
     return;
   }
   for (const base::Address& peer : aPeers) {
-    const sockaddr_in address = socketAddress(peer);
-    // Errors are ignored: the next message replaces a lost one.
-    (void)sendto(mSocket,
-                 aBytes.data(),
-                 aBytes.size(),
-                 MSG_DONTWAIT,
-                 reinterpret_cast<const sockaddr*>(&address),
-                 sizeof(address));
+    sendTo(aBytes, peer);
+  }
+  mPaced.charge(aBytes.size() * aPeers.size(), base::monotonicNow());
+}
+
+void
+PeerSocket::sendPaced(const std::string& aStream,
+                      const std::string& aBytes,
+                      const std::vector<base::Address>& aPeers)
+{
+  if (!fitsDatagram(aBytes)) {
+    return;
+  }
+  mPaced.push(aStream, aBytes, aPeers);
+  if (!mPacedTimer) {
+    sendWaiting();
+  }
+}
+
+void
+PeerSocket::sendWaiting()
+{
+  const base::TimePoint now = base::monotonicNow();
+  while (const auto datagram = mPaced.next(now)) {
+    sendTo(datagram->bytes, datagram->to);
+  }
+  mPacedTimer.reset();
+  if (!mPaced.empty()) {
+    mPacedTimer = mLoop.after(std::max(mPaced.wait(now), kMinPacedWait),
+                              [this] { sendWaiting(); });
   }
 }
 
--- a/apps/gateway/peer_socket.h
+++ b/apps/gateway/peer_socket.h
@@ -3,6 +3,7 @@
 
 #include "apps/gateway/settings.h"
 #include "http/loop.h"
+#include "peers/paced_queue.h"
 
 #include <functional>
 #include <string>
@@ -34,14 +35,29 @@
   void send(const std::string& aBytes,
             const std::vector<base::Address>& aPeers);
 
+  /** Sends a periodic message as the link of this VM allows.
+   * @param aStream kind of message; its next message replaces this one
+   * @param aBytes message
+   * @param aPeers addresses of all VMs that get messages of this kind */
+  void sendPaced(const std::string& aStream,
+                 const std::string& aBytes,
+                 const std::vector<base::Address>& aPeers);
+
+  /** @return true while paced messages wait for the link */
+  bool pacing() const { return !mPaced.empty(); }
+
 private:
   void receive();
+  void sendWaiting();
+  void sendTo(const std::string& aBytes, const base::Address& aPeer) const;
 
   http::Loop& mLoop;
   const Settings& mSettings;
   Handler mHandler;
   int mSocket = -1;
   http::EventHandle mReadable;
+  peers::PacedQueue mPaced;
+  http::EventHandle mPacedTimer;
 };
 
 } // namespace marigold::gateway
--- a/apps/gateway/settings.cpp
+++ b/apps/gateway/settings.cpp
@@ -19,6 +19,8 @@
   constexpr double kMaxSlack = 1e12;
   constexpr double kMaxMegabytes = 1e9;
   constexpr double kMegabyte = 1e6;
+  constexpr double kMinLinkMbps = 0.1;
+  constexpr double kMaxLinkMbps = 1e7;
   const auto duration = [&aRoot](const char* aKey) {
     return aRoot.require(aKey).duration(0ms, kMaxDuration);
   };
@@ -53,6 +55,10 @@
     settings.memoryBytes = static_cast<std::size_t>(
       aRoot.require("memory_mb").number(1, kMaxMegabytes) * kMegabyte);
   }
+  if (aRoot.has("link_mbps")) {
+    settings.linkMbps =
+      aRoot.require("link_mbps").number(kMinLinkMbps, kMaxLinkMbps);
+  }
   settings.quotaSlack = aRoot.require("quota_slack").number(0, kMaxSlack);
   if (aRoot.has("log_level")) {
     settings.logLevel =
--- a/apps/gateway/settings.h
+++ b/apps/gateway/settings.h
@@ -36,8 +36,9 @@
   double loadExtra = 0;        ///< loads allowed in addition to the rate
   double capacity = 0;         ///< CPU cores that the process may use
   std::optional<std::size_t> memoryBytes; ///< of this VM
-  double quotaSlack = 0;        ///< units that the fleet may count late
-  base::Duration quotaWindow{}; ///< window over which quotas are guaranteed
+  std::optional<double> linkMbps; ///< rate of the link of this VM in 10^6 bit/s
+  double quotaSlack = 0;          ///< units that the fleet may count late
+  base::Duration quotaWindow{};   ///< window over which quotas are guaranteed
 };
 
 /** @param aSettings settings @param aOther data centre
--- a/libs/peers/peers.h
+++ b/libs/peers/peers.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "peers/messages.h"
+#include "peers/paced_queue.h"
 #include "peers/peer_table.h"
 #include "peers/placement_announcer.h"
 #include "peers/relay.h"
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -3,6 +3,7 @@
 
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/TestHarness.h>
+#include <cmath>
 
 using namespace marigold;
 using namespace std::chrono_literals;
@@ -477,6 +478,117 @@
   }
 }
 
+/** Six streams of 12 kB, each to 13 VMs, on a link for 800 kB/s. */
+TEST_GROUP(PacedQueue)
+{
+  static constexpr double kRate = 800e3;
+  static constexpr std::size_t kBytes = 12000;
+  static constexpr std::size_t kStreams = 6;
+  std::vector<base::Address> peers;
+  TimePoint now{ 100s };
+  std::size_t sent = 0;
+  std::map<std::pair<std::string, base::Address>, std::vector<TimePoint>>
+    arrivals;
+
+  void setup() override
+  {
+    for (std::uint16_t port = 1; port <= 13; ++port) {
+      peers.push_back({ "10.0.0.1", port });
+    }
+  }
+
+  /** Pushes all streams; the first byte tells the stream, the rest the round.
+   */
+  void push(peers::PacedQueue & aQueue, char aRound)
+  {
+    for (std::size_t stream = 0; stream < kStreams; ++stream) {
+      const char name = static_cast<char>('a' + stream);
+      aQueue.push(
+        std::string(1, name), name + std::string(kBytes - 1, aRound), peers);
+    }
+  }
+
+  /** Sends what may be sent. @return the round of the oldest message sent */
+  char send(peers::PacedQueue & aQueue)
+  {
+    char oldest = 'z';
+    while (const auto datagram = aQueue.next(now)) {
+      sent += datagram->bytes.size();
+      arrivals[{ datagram->bytes.substr(0, 1), datagram->to }].push_back(now);
+      oldest = std::min(oldest, datagram->bytes.back());
+    }
+    return oldest;
+  }
+};
+
+// A relay on a slow link must not fill it with summaries: requests and answers
+// wait behind them for seconds.
+TEST(PacedQueue, StaysBelowItsRateAndServesAllRecipientsInTurn)
+{
+  peers::PacedQueue queue{ kRate };
+  const TimePoint start = now;
+  for (int step = 0; step < 1000; ++step, now += 10ms) {
+    if (step % 16 == 0) {
+      push(queue, 'r');
+    }
+    send(queue);
+  }
+  CHECK(sent <= kRate * (base::inSeconds(now - start) + 0.02) + kBytes);
+  CHECK(sent > 0.95 * kRate * base::inSeconds(now - start));
+  const double cycle = kStreams * 13 * kBytes / kRate;
+  LONGS_EQUAL(kStreams * 13, arrivals.size());
+  for (const auto& [turn, times] : arrivals) {
+    CHECK(times.size() >= std::floor(10 / cycle) - 1);
+  }
+}
+
+// A message that waited for the link must not be older than the latest one.
+TEST(PacedQueue, NewerMessageReplacesOneThatWaits)
+{
+  peers::PacedQueue queue{ kRate };
+  push(queue, 'a');
+  send(queue);
+  push(queue, 'b');
+  now += 20ms;
+  BYTES_EQUAL('b', send(queue));
+}
+
+// A VM that has left the fleet must not get messages for ever.
+TEST(PacedQueue, FormerRecipientGetsNothing)
+{
+  peers::PacedQueue queue{ kRate };
+  queue.push("a", std::string(kBytes, 'a'), peers);
+  queue.push("a", std::string(kBytes, 'a'), { peers.back() });
+  now += 10s;
+  send(queue);
+  LONGS_EQUAL(1, arrivals.size());
+}
+
+// Urgent messages that don't wait take their part of the link, too.
+TEST(PacedQueue, DirectMessagesCount)
+{
+  peers::PacedQueue queue{ kRate };
+  push(queue, 'a');
+  queue.charge(static_cast<std::size_t>(kRate), now);
+  now += 900ms;
+  send(queue);
+  LONGS_EQUAL(0, sent);
+  CHECK(queue.wait(now) > base::Duration::zero());
+  now += queue.wait(now) + 1ms;
+  send(queue);
+  CHECK(sent > 0);
+}
+
+// Without a known rate, all messages must go out at once.
+TEST(PacedQueue, DoesNotWaitWithoutARate)
+{
+  peers::PacedQueue queue{ std::nullopt };
+  push(queue, 'a');
+  send(queue);
+  CHECK(queue.empty());
+  LONGS_EQUAL(kStreams * 13 * kBytes, sent);
+}
+
 int
 main(int aCount, char** aValues)
 {
