--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -31,6 +31,9 @@
 /** Number of summaries in which a changed total is repeated, because UDP may
  * lose some. */
 constexpr int kTotalRepeats = 3;
+/** A VM whose registration has lapsed, because it cannot reach the store, still
+ * gets messages if its latest report is younger than this. */
+constexpr base::Duration kMaxLapsedReportAge = 1500ms;
 /** The relay of another data centre is known if its latest summary is younger
  * than this. */
 constexpr base::Duration kMaxRelaySummaryAge = 1500ms;
@@ -78,6 +81,7 @@
   for (const auto& [vm, member] : mFleet.others()) {
     candidates[member.dataCentre].push_back({ vm, member.capacity });
   }
+  noteLapsedMembers();
   mRelayRanking.clear();
   for (const auto& [dataCentre, list] : candidates) {
     mRelayRanking[dataCentre] = peers::rankRelays(list);
@@ -98,6 +102,24 @@
   mSummaries.requestComplete();
 }
 
+/** Without messages of its relay, a VM would act as relay with a summary of
+ * itself only. */
+void
+PeerExchange::noteLapsedMembers()
+{
+  Addresses registered;
+  for (const auto& [vm, member] : mFleet.others()) {
+    if (member.dataCentre == mContext.settings.dataCentre) {
+      registered[vm] = member.peerAddress;
+    }
+  }
+  mLapsed.merge(mRegistered);
+  mRegistered = std::move(registered);
+  std::erase_if(mLapsed, [this](const auto& aItem) {
+    return mRegistered.contains(aItem.first);
+  });
+}
+
 base::VmName
 PeerExchange::relay() const
 {
@@ -138,9 +160,13 @@
 PeerExchange::dataCentreAddresses() const
 {
   std::vector<base::Address> addresses;
-  for (const auto& [vm, member] : mFleet.others()) {
-    if (member.dataCentre == mContext.settings.dataCentre) {
-      addresses.push_back(member.peerAddress);
+  for (const auto& [vm, address] : mRegistered) {
+    addresses.push_back(address);
+  }
+  const base::TimePoint since = base::monotonicNow() - kMaxLapsedReportAge;
+  for (const auto& [vm, address] : mLapsed) {
+    if (mContext.peers.reportedSince(vm, since)) {
+      addresses.push_back(address);
     }
   }
   return addresses;
@@ -360,6 +386,10 @@
 {
   const base::TimePoint now = base::monotonicNow();
   mContext.peers.expire(now);
+  std::erase_if(mLapsed, [&](const auto& aItem) {
+    return !mContext.peers.reportedSince(aItem.first,
+                                         now - kMaxLapsedReportAge);
+  });
   const auto& owner = mFleet.owner();
   const bool ownerActive = owner &&
                            owner->fencingToken == mPlacementFencingToken &&
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -106,6 +106,7 @@
   bool isRelay() const { return relay() == mContext.settings.vm; }
   bool handleOwnSummary(peers::Summary aSummary, base::TimePoint aNow);
   std::vector<base::Address> dataCentreAddresses() const;
+  void noteLapsedMembers();
   std::vector<base::Address> relayAddresses(
     const base::DataCentre& aOther) const;
 
@@ -123,6 +124,10 @@
   std::deque<peers::Status> mSentStatuses; ///< most recent ones, newest last
   bool mDraining = false;
   std::map<base::DataCentre, std::vector<base::VmName>> mRelayRanking;
+  using Addresses = std::map<base::VmName, base::Address>;
+  Addresses mRegistered; ///< other VMs of this data centre
+  /** Former ones that may still report. */
+  Addresses mLapsed;
   std::uint64_t mPlacementFencingToken = 0;
   std::uint64_t mPlacementSequence = 0;
   base::TimePoint mPlacementsReceivedAt{};
--- a/tests/e2e/test_slow_link.py
+++ b/tests/e2e/test_relay_messages.py
@@ -1,4 +1,4 @@
-"""Tests that messages between VMs leave room on a slow link of a relay."""
+"""Tests the messages of a relay to the VMs of its data centre."""
 
 import json
 import os
@@ -35,13 +35,14 @@
     return b"\xdc" + struct.pack(">H", len(value)) + b"".join(map(pack, value))
 
 
-class SlowLinkTest(unittest.TestCase):
+class RelayTest(unittest.TestCase):
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform()
         self.platform.publish(1, ["k1"], ROUTES)
         self.platform.serve_store(BASE_PORT + 90)
-        self.sockets, self.arrivals, self.running = [], [], True
+        self.sockets, self.threads, self.arrivals = [], [], []
+        self.running = self.reporting = True
         for number in range(MEMBERS):
             port = BASE_PORT + 40 + number
             member = {"peer_address": f"{HOST}:{port}", "operator": f"{HOST}:{BASE_PORT + 95}",
@@ -50,12 +51,18 @@
             self.sockets.append(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
             self.sockets[-1].bind((HOST, port))
             self.sockets[-1].settimeout(0.2)
-            threading.Thread(target=self.receive, args=(number,), daemon=True).start()
+            self.begin(self.receive, number)
         self.gateway = Gateway(0, self.folder.name, BASE_PORT, BASE_PORT + 90, link_mbps=LINK_MBPS)
-        threading.Thread(target=self.report, daemon=True).start()
+        self.begin(self.report)
+
+    def begin(self, action, *arguments):
+        self.threads.append(threading.Thread(target=action, args=arguments, daemon=True))
+        self.threads[-1].start()
 
     def tearDown(self):
         self.running = False
+        for thread in self.threads:
+            thread.join()
         self.gateway.stop()
         self.platform.close()
         for one in self.sockets:
@@ -69,8 +76,6 @@
                 self.arrivals.append((time.monotonic(), number, size))
             except TimeoutError:
                 pass
-            except OSError:
-                return
 
     def report(self):
         """Sends the statuses of a busy member to the relay."""
@@ -80,7 +85,8 @@
             while self.running:
                 sequence += 1
                 body = ["member0", "dc-a", 1, sequence, 1, False, {}, {}, [], loads, {}, [], {}]
-                sender.sendto(pack([5, 0, body]), (HOST, self.gateway.port + 2))
+                if self.reporting:
+                    sender.sendto(pack([5, 0, body]), (HOST, self.gateway.port + 2))
                 time.sleep(PERIOD)
 
     def test_summaries_of_a_relay_leave_room_on_its_link(self):
@@ -98,6 +104,25 @@
             self.assertLess(max(pauses), MISSED * PERIOD, f"member {number} takes the relay for failed")
             self.assertGreaterEqual(sum(to == number and size > SUMMARY for _, to, size in seen), 2)
 
+    def arrivals_at(self, number, start):
+        return sum(to == number and at >= start for at, to, _ in list(self.arrivals))
+
+    def test_member_whose_registration_has_lapsed_still_hears_the_relay(self):
+        """Guards against VMs that are cut off from the store and act as relays, with summaries of themselves only."""
+        wait_for(lambda: any(size > SUMMARY for _, _, size in list(self.arrivals)))
+        for member in ("member0", "member1"):
+            self.platform.change(self.platform.store.remove, f"marigold/vm/{member}")
+        wait_for(lambda: self.gateway.log().count("vm left the fleet") == 2)
+        lapsed = time.monotonic()
+        time.sleep(2)
+        self.assertGreater(self.arrivals_at(0, lapsed + 1), 0)
+        self.assertEqual(self.arrivals_at(1, lapsed + 1), 0, "member1 never reported")
+        self.reporting = False
+        time.sleep(2)
+        silent = time.monotonic()
+        time.sleep(1)
+        self.assertEqual(self.arrivals_at(0, silent), 0, "member0 has gone")
+
 
 if __name__ == "__main__":
     unittest.main()
