--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -31,6 +31,9 @@
 /** Number of summaries in which a changed total is repeated, because UDP may
  * lose some. */
 constexpr int kTotalRepeats = 3;
+/** A VM whose registration has lapsed, because it cannot reach the store, still
+ * gets messages if its latest report is younger than this. */
+constexpr base::Duration kMaxLapsedReportAge = 1500ms;
 /** The relay of another data centre is known if its latest summary is younger
  * than this. */
 constexpr base::Duration kMaxRelaySummaryAge = 1500ms;
@@ -38,6 +41,10 @@
 constexpr std::size_t kStreamCopies = 2;
 /** Larger messages would take several packets, all of which have to arrive. */
 constexpr std::size_t kMaxStreamsInMessage = 80;
+/** Summaries of this data centre that wait for the link, by recipients. Those
+ * of another one wait under its name. */
+constexpr const char* kSameRegionStream = "own, same region";
+constexpr const char* kOtherRegionsStream = "own, other regions";
 /** Minimum time between two crash reports. */
 constexpr base::Duration kCrashReportInterval = 20ms;
 
@@ -78,6 +85,7 @@
   for (const auto& [vm, member] : mFleet.others()) {
     candidates[member.dataCentre].push_back({ vm, member.capacity });
   }
+  noteLapsedMembers();
   mRelayRanking.clear();
   for (const auto& [dataCentre, list] : candidates) {
     mRelayRanking[dataCentre] = peers::rankRelays(list);
@@ -98,6 +106,24 @@
   mSummaries.requestComplete();
 }
 
+/** Without messages of its relay, a VM would act as relay with a summary of
+ * itself only. */
+void
+PeerExchange::noteLapsedMembers()
+{
+  Addresses registered;
+  for (const auto& [vm, member] : mFleet.others()) {
+    if (member.dataCentre == mContext.settings.dataCentre) {
+      registered[vm] = member.peerAddress;
+    }
+  }
+  mLapsed.merge(mRegistered);
+  mRegistered = std::move(registered);
+  std::erase_if(mLapsed, [this](const auto& aItem) {
+    return mRegistered.contains(aItem.first);
+  });
+}
+
 base::VmName
 PeerExchange::relay() const
 {
@@ -138,9 +164,13 @@
 PeerExchange::dataCentreAddresses() const
 {
   std::vector<base::Address> addresses;
-  for (const auto& [vm, member] : mFleet.others()) {
-    if (member.dataCentre == mContext.settings.dataCentre) {
-      addresses.push_back(member.peerAddress);
+  for (const auto& [vm, address] : mRegistered) {
+    addresses.push_back(address);
+  }
+  const base::TimePoint since = base::monotonicNow() - kMaxLapsedReportAge;
+  for (const auto& [vm, address] : mLapsed) {
+    if (mContext.peers.reportedSince(vm, since)) {
+      addresses.push_back(address);
     }
   }
   return addresses;
@@ -180,6 +210,9 @@
   }
   if (!actsAsRelay || !usesRelay()) {
     sendStatus();
+  } else if (mSocket.pacing()) {
+    // Summaries are late, and another VM would take this one for failed.
+    mSocket.send(peers::encode(nextStatus()), dataCentreAddresses());
   }
   const base::TimePoint now = base::monotonicNow();
   if (mOrders.active() && !mAnnouncementTimer &&
@@ -217,19 +250,32 @@
 {
   const bool includeRemoteRegions =
     mSchedule.remoteRegionsDue(base::monotonicNow());
-  std::vector<base::Address> targets;
+  std::vector<base::Address> sameRegionPeers;
+  std::vector<base::Address> otherRegionPeers;
   if (usesRelay()) {
-    targets = dataCentreAddresses();
+    sameRegionPeers = dataCentreAddresses();
   }
   for (const auto& [dataCentre, order] : mRelayRanking) {
-    if (dataCentre != mContext.settings.dataCentre &&
-        (includeRemoteRegions || sameRegion(mContext.settings, dataCentre))) {
-      const auto relays = relayAddresses(dataCentre);
-      targets.insert(targets.end(), relays.begin(), relays.end());
+    if (dataCentre == mContext.settings.dataCentre) {
+      continue;
     }
+    auto& peers = sameRegion(mContext.settings, dataCentre) ? sameRegionPeers
+                                                            : otherRegionPeers;
+    const auto relays = relayAddresses(dataCentre);
+    peers.insert(peers.end(), relays.begin(), relays.end());
   }
-  if (!targets.empty()) {
-    mSocket.send(summary(), targets);
+  if (!includeRemoteRegions) {
+    otherRegionPeers.clear();
+  }
+  if (sameRegionPeers.empty() && otherRegionPeers.empty()) {
+    return;
+  }
+  const std::string bytes = summary();
+  if (!sameRegionPeers.empty()) {
+    mSocket.sendPaced(kSameRegionStream, bytes, sameRegionPeers);
+  }
+  if (!otherRegionPeers.empty()) {
+    mSocket.sendPaced(kOtherRegionsStream, bytes, otherRegionPeers);
   }
 }
 
@@ -433,6 +479,10 @@
 {
   const base::TimePoint now = base::monotonicNow();
   mContext.peers.expire(now);
+  std::erase_if(mLapsed, [&](const auto& aItem) {
+    return !mContext.peers.reportedSince(aItem.first,
+                                         now - kMaxLapsedReportAge);
+  });
   const auto& owner = mFleet.owner();
   const bool ownerActive = owner &&
                            owner->fencingToken == mPlacementFencingToken &&
@@ -623,7 +673,9 @@
     if (!mContext.peers.update(std::move(aSummary), now)) {
       return;
     }
-    forwardToDataCentre(aBytes);
+    if (isRelay()) {
+      mSocket.sendPaced(dataCentre, aBytes, dataCentreAddresses());
+    }
   }
   const auto& summary = mContext.peers.summaries().at(dataCentre).summary;
   mContext.quota.addUnregistered(summary.unregistered, now);
