--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -246,6 +246,7 @@
   std::optional<std::uint64_t> mLastEventId;
   std::uint64_t mEventCount = 0;
   base::TimePoint mFirstByteAt{};
+  bool mSurvivalReported = false; ///< its traits are cleared of crashes
   std::string mLastUpstream;
   http::InputTimer mDeadlineTimer;
   http::InputTimer mStallTimer; ///< detects a stall or delays a retry
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -351,6 +351,10 @@
   if (mLoadReservation) {
     mLoadReservation->releaseQueueTime();
   }
+  if (!mSurvivalReported && hasBegunToAnswer(now)) {
+    mSurvivalReported = true;
+    mContext.crashes.onSuccess(mTraits, mFirstByteAt, now);
+  }
   mContext.health.onSuccess(mLastUpstream, now);
   std::string bytes;
   for (const wire::StreamEvent& event : aEvents) {
--- a/libs/dispatch/crash_limits.h
+++ b/libs/dispatch/crash_limits.h
@@ -13,6 +13,13 @@
 /** Lifetime of any other verdict, after which requests show whether it was
  * right. A sound part that was convicted by chance is back soon. */
 constexpr base::Duration kUncertainLifetime = std::chrono::seconds(20);
+/** Crashes within this time are one moment: upstreams that share a cause end
+ * together, those that a part of prompts ends do so as requests arrive. */
+constexpr base::Duration kCrashMoment = std::chrono::milliseconds(250);
+/** Time in which other upstreams show that they survive a part which used to be
+ * sound. Below the time in which all VMs have to know a part that crashes
+ * upstreams, with the delay of reports. */
+constexpr base::Duration kSurvivalTime = std::chrono::milliseconds(2500);
 /** Time within which a crashed upstream is found unreachable, by the next
  * request to it or by three missed heartbeats of its record. */
 constexpr base::Duration kConfirmTimeout = std::chrono::seconds(5);
--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::size_t kMaxBrokenConnections = 512;
 constexpr std::size_t kMaxReported = 8;
+/** Further crashes of which a report tells the cleared parts only, which are
+ * few and the same for upstreams that ended together. */
+constexpr std::size_t kMaxReportedCleared = 32;
 /** A change is reported for this long, because UDP may lose messages. */
 constexpr base::Duration kReportTime = 2s;
 /** Older evidence is reported in one of kReportTurns turns of this length. */
@@ -83,6 +86,7 @@
                    : std::min(crash.at, aConnection.at);
       crash.changedAt = aNow;
       addSuspect(crash, aConnection.traits);
+      clearAnswered(crash);
       const bool mayBeCause = hasNewPart(aConnection.traits);
       crash.seenHere = crash.seenHere || mayBeCause;
       seen = seen || mayBeCause;
@@ -152,6 +156,44 @@
   return true;
 }
 
+/** Evidence may arrive after the answers that refute it.
+ * @return true if a trait was not cleared before */
+bool
+CrashTracker::clearAnswered(Crash& aCrash) const
+{
+  peers::TraitSet answered;
+  for (const peers::TraitSet& traits : aCrash.suspects) {
+    std::copy_if(traits.begin(),
+                 traits.end(),
+                 std::inserter(answered, answered.end()),
+                 [&](peers::RequestTrait aTrait) {
+                   return mFinished.begunAt(aTrait) > aCrash.at;
+                 });
+  }
+  bool changed = false;
+  for (const peers::RequestTrait trait : answered) {
+    changed = clear(aCrash, trait) || changed;
+  }
+  return changed;
+}
+
+/** @return parts of the suspects with which requests are known to finish */
+peers::TraitSet
+CrashTracker::finishedParts(const Crash& aCrash) const
+{
+  peers::TraitSet finished;
+  for (const peers::TraitSet& traits : aCrash.suspects) {
+    std::copy_if(traits.begin(),
+                 traits.end(),
+                 std::inserter(finished, finished.end()),
+                 [this](peers::RequestTrait aTrait) {
+                   return !peers::isWholeRequest(aTrait) &&
+                          mFinished.contains(aTrait);
+                 });
+  }
+  return finished;
+}
+
 void
 CrashTracker::onSuccess(const peers::TraitSet& aTraits,
                         base::TimePoint aBegunAt,
@@ -159,7 +201,7 @@
 {
   bool changed = false;
   for (const peers::RequestTrait trait : aTraits) {
-    mFinished.insert(trait);
+    mFinished.insert(trait, aBegunAt);
     for (auto& [tag, crash] : mCrashes) {
       const bool suspected =
         crash.at < aBegunAt &&
@@ -194,13 +236,18 @@
     // is the best, and peers do not keep each other's evidence alive.
     crash.at = isNew ? at : std::min(crash.at, at);
     bool crashChanged = isNew;
+    for (const peers::RequestTrait trait : evidence.finished) {
+      crashChanged = !mFinished.contains(trait) || crashChanged;
+      mFinished.insert(trait, base::TimePoint::min());
+    }
     for (const peers::RequestTrait trait : evidence.cleared) {
-      mFinished.insert(trait);
+      mFinished.insert(trait, base::TimePoint::min());
       crashChanged = clear(crash, trait) || crashChanged;
     }
     for (const peers::TraitSet& traits : evidence.suspects) {
       crashChanged = addSuspect(crash, traits) || crashChanged;
     }
+    crashChanged = clearAnswered(crash) || crashChanged;
     crashChanged = mergeTrials(evidence, aNow) || crashChanged;
     if (crashChanged) {
       crash.changedAt = aNow;
@@ -231,10 +278,24 @@
     }
   }
   std::sort(due.rbegin(), due.rend());
-  due.resize(std::min(due.size(), kMaxReported));
+  due.resize(std::min(due.size(), kMaxReported + kMaxReportedCleared));
   peers::CrashTable table;
+  std::size_t reported = 0;
   for (const auto& [changedAt, tag] : due) {
-    table[tag] = evidence(mCrashes.at(tag), aNow);
+    const Crash& crash = mCrashes.at(tag);
+    if (++reported <= kMaxReported) {
+      table[tag] = evidence(crash, aNow);
+      continue;
+    }
+    peers::CrashEvidence cleared;
+    cleared.age = std::max(aNow - crash.at, base::Duration::zero());
+    std::copy_if(crash.cleared.begin(),
+                 crash.cleared.end(),
+                 std::inserter(cleared.cleared, cleared.cleared.end()),
+                 std::not_fn(peers::isWholeRequest));
+    if (!cleared.cleared.empty()) {
+      table[tag] = std::move(cleared);
+    }
   }
   return table;
 }
@@ -307,13 +368,18 @@
 CrashTracker::updateVerdicts(base::TimePoint aNow)
 {
   SuspectsByCrash suspects;
+  mVerdictsDueAt = base::TimePoint::max();
   for (const auto& [tag, crash] : mCrashes) {
-    suspects[tag] = crash.suspects;
+    suspects[tag] = { crash.at, crash.suspects };
+    const base::TimePoint dueAt = crash.at + kSurvivalTime;
+    if (dueAt > aNow) {
+      mVerdictsDueAt = std::min(mVerdictsDueAt, dueAt);
+    }
   }
-  std::vector<CrashVerdict> verdicts =
-    explainCrashes(suspects, [this](peers::RequestTrait aTrait) {
-      return mFinished.contains(aTrait);
-    });
+  std::vector<CrashVerdict> verdicts = explainCrashes(
+    suspects,
+    [this](peers::RequestTrait aTrait) { return mFinished.contains(aTrait); },
+    aNow);
   std::erase_if(verdicts, [this, aNow](const CrashVerdict& aVerdict) {
     return lapsed(aVerdict, aNow);
   });
@@ -342,11 +408,11 @@
                 [aNow](const BrokenConnection& aConnection) {
                   return aNow - aConnection.at > kConfirmTimeout;
                 });
-  if (expired > 0 || std::any_of(mVerdicts.begin(),
-                                 mVerdicts.end(),
-                                 [&](const CrashVerdict& aVerdict) {
-                                   return lapsed(aVerdict, aNow);
-                                 })) {
+  if (expired > 0 || aNow >= mVerdictsDueAt ||
+      std::any_of(
+        mVerdicts.begin(), mVerdicts.end(), [&](const CrashVerdict& aVerdict) {
+          return lapsed(aVerdict, aNow);
+        })) {
     updateVerdicts(aNow);
   }
 }
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -64,8 +64,8 @@
   void onUpstreamAlive(const base::UpstreamName& aUpstream,
                        base::TimePoint aSentAt);
 
-  /** Clears the traits of a request that finished.
-   * @param aTraits its traits @param aBegunAt when its answer began
+  /** Clears the traits of a request whose upstream survived the beginning of
+   * the answer. @param aTraits its traits @param aBegunAt when its answer began
    * @param aNow time */
   void onSuccess(const peers::TraitSet& aTraits,
                  base::TimePoint aBegunAt,
@@ -177,6 +177,8 @@
     const std::function<bool(const BrokenConnection&)>& aIsConfirmed,
     base::TimePoint aNow);
   bool addSuspect(Crash& aCrash, peers::TraitSet aTraits) const;
+  bool clearAnswered(Crash& aCrash) const;
+  peers::TraitSet finishedParts(const Crash& aCrash) const;
   static bool clear(Crash& aCrash, peers::RequestTrait aTrait);
   void limitCrashes();
   peers::TraitSet trialSuspects(const peers::TraitSet& aTraits,
@@ -199,6 +201,8 @@
   std::map<peers::ProcessTag, Crash> mCrashes;
   RecentTraits mFinished;
   std::vector<CrashVerdict> mVerdicts;
+  /** When the verdicts change although no evidence does. */
+  base::TimePoint mVerdictsDueAt = base::TimePoint::max();
   CrashTrials mTrials; ///< of this VM
   std::map<peers::RequestTrait, Tried> mTried;
   bool mTrialsEnabled = false;
--- a/libs/dispatch/crash_tracker_record.cpp
+++ b/libs/dispatch/crash_tracker_record.cpp
@@ -12,11 +12,14 @@
 {
   SuspectsByCrash suspects;
   for (const auto& [tag, evidence] : aRecord.crashes) {
-    suspects[tag] = evidence.suspects;
+    suspects[tag] = { base::TimePoint{} - evidence.age, evidence.suspects };
   }
-  return explainCrashes(suspects, [&aRecord](peers::RequestTrait aTrait) {
-    return aRecord.finished.contains(aTrait);
-  });
+  return explainCrashes(
+    suspects,
+    [&aRecord](peers::RequestTrait aTrait) {
+      return aRecord.finished.contains(aTrait);
+    },
+    base::TimePoint{});
 }
 
 /** @return true if the other verdict blocks all that the verdict blocks */
@@ -85,15 +88,7 @@
   for (const auto& [at, tag] : latest) {
     const Crash& crash = mCrashes.at(tag);
     record.crashes[tag] = evidence(crash, aNow);
-    for (const peers::TraitSet& traits : crash.suspects) {
-      std::copy_if(traits.begin(),
-                   traits.end(),
-                   std::inserter(record.finished, record.finished.end()),
-                   [this](peers::RequestTrait aTrait) {
-                     return !peers::isWholeRequest(aTrait) &&
-                            mFinished.contains(aTrait);
-                   });
-    }
+    record.finished.merge(finishedParts(crash));
   }
   return record;
 }
@@ -207,7 +202,7 @@
     }
   }
   for (const peers::RequestTrait trait : aRecord.finished) {
-    mFinished.insert(trait);
+    mFinished.insert(trait, base::TimePoint::min());
   }
   merge(crashes, aNow);
 }
--- a/libs/dispatch/crash_verdict.cpp
+++ b/libs/dispatch/crash_verdict.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/crash_verdict.h"
 
+#include "dispatch/crash_limits.h"
+
 #include <algorithm>
 #include <iterator>
 
@@ -9,8 +11,8 @@
 /** Crashes from which on a trait is held responsible. One crash affects all
  * requests at the upstream and proves nothing. */
 constexpr std::size_t kMinCrashes = 2;
-/** The same for a part with which requests used to finish: several upstreams
- * that fail together have many requests with a popular part. */
+/** The same for a part with which requests used to finish, and the number of
+ * moments at which they happened. */
 constexpr std::size_t kMinCrashesOfFinished = 4;
 /** Crashes at which a single remaining trait is hardly present by chance. */
 constexpr std::size_t kCertainCrashes = 3;
@@ -37,10 +39,10 @@
            const std::function<bool(peers::RequestTrait)>& aHasFinished)
 {
   SuspectTable table;
-  for (const auto& [crash, requests] : aSuspects) {
-    for (const peers::TraitSet& traits : requests) {
+  for (const auto& [tag, crash] : aSuspects) {
+    for (const peers::TraitSet& traits : crash.requests) {
       for (const peers::RequestTrait trait : traits) {
-        table[trait].crashes.insert(crash);
+        table[trait].crashes.insert(tag);
       }
     }
   }
@@ -54,25 +56,67 @@
   return table;
 }
 
+/** @param aTimes times of crashes, in order
+ * @return number of moments at which they happened */
+std::size_t
+countMoments(const std::vector<base::TimePoint>& aTimes)
+{
+  std::size_t moments = 0;
+  base::TimePoint begin{};
+  for (const base::TimePoint at : aTimes) {
+    if (moments == 0 || at - begin >= kCrashMoment) {
+      begin = at;
+      ++moments;
+    }
+  }
+  return moments;
+}
+
+/** @return true if the crashes count against a part with which requests used to
+ * finish */
+bool
+outweighsHistory(const std::set<peers::ProcessTag>& aCrashes,
+                 const SuspectsByCrash& aSuspects,
+                 base::TimePoint aNow)
+{
+  if (aCrashes.size() < kMinCrashesOfFinished) {
+    return false;
+  }
+  std::vector<base::TimePoint> times;
+  for (const peers::ProcessTag crash : aCrashes) {
+    times.push_back(aSuspects.at(crash).at);
+  }
+  std::sort(times.begin(), times.end());
+  return aNow - times[kMinCrashesOfFinished - 1] >= kSurvivalTime ||
+         countMoments(times) >= kMinCrashesOfFinished;
+}
+
+/** @return true if the first suspect is the likelier cause */
 bool
-isResponsible(const Suspect& aSuspect)
+isStronger(const Suspect& aOne, const Suspect& aOther)
 {
-  return aSuspect.crashes.size() >= (aSuspect.history == History::FinishedPart
-                                       ? kMinCrashesOfFinished
-                                       : kMinCrashes);
+  const bool finished = aOne.history == History::FinishedPart;
+  if (finished != (aOther.history == History::FinishedPart)) {
+    return !finished;
+  }
+  return aOne.crashes.size() != aOther.crashes.size()
+           ? aOne.crashes.size() > aOther.crashes.size()
+           : aOne.history < aOther.history;
 }
 
 /** @return the likeliest cause of the most crashes, or nullptr */
 const Suspect*
-strongest(const SuspectTable& aTable)
+strongest(const SuspectTable& aTable,
+          const SuspectsByCrash& aSuspects,
+          base::TimePoint aNow)
 {
   const Suspect* best = nullptr;
   for (const auto& [trait, suspect] : aTable) {
-    const bool stronger = best == nullptr ||
-                          suspect.crashes.size() > best->crashes.size() ||
-                          (suspect.crashes.size() == best->crashes.size() &&
-                           suspect.history < best->history);
-    if (isResponsible(suspect) && stronger) {
+    const bool responsible =
+      suspect.history == History::FinishedPart
+        ? outweighsHistory(suspect.crashes, aSuspects, aNow)
+        : suspect.crashes.size() >= kMinCrashes;
+    if (responsible && (best == nullptr || isStronger(suspect, *best))) {
       best = &suspect;
     }
   }
@@ -86,7 +130,7 @@
 {
   std::set<peers::TraitSet> alternatives;
   for (const peers::ProcessTag crash : aCrashes) {
-    for (const peers::TraitSet& traits : aSuspects.at(crash)) {
+    for (const peers::TraitSet& traits : aSuspects.at(crash).requests) {
       peers::TraitSet common;
       std::set_intersection(traits.begin(),
                             traits.end(),
@@ -125,11 +169,12 @@
 
 std::vector<CrashVerdict>
 explainCrashes(const SuspectsByCrash& aSuspects,
-               const std::function<bool(peers::RequestTrait)>& aHasFinished)
+               const std::function<bool(peers::RequestTrait)>& aHasFinished,
+               base::TimePoint aNow)
 {
   SuspectTable table = listTraits(aSuspects, aHasFinished);
   std::vector<CrashVerdict> verdicts;
-  while (const Suspect* found = strongest(table)) {
+  while (const Suspect* found = strongest(table, aSuspects, aNow)) {
     const Suspect cause = *found;
     peers::TraitSet group;
     for (auto& [trait, suspect] : table) {
--- a/libs/dispatch/crash_verdict.h
+++ b/libs/dispatch/crash_verdict.h
@@ -26,8 +26,14 @@
   bool operator==(const CrashVerdict&) const = default;
 };
 
-/** The suspects of each crash. */
-using SuspectsByCrash = std::map<peers::ProcessTag, std::set<peers::TraitSet>>;
+/** A crash and the requests that the upstream had not begun to answer. */
+struct CrashSuspects
+{
+  base::TimePoint at{};
+  std::set<peers::TraitSet> requests;
+};
+
+using SuspectsByCrash = std::map<peers::ProcessTag, CrashSuspects>;
 
 /**
  * Explains crashes by as few traits as possible. The trait that was present at
@@ -35,14 +41,19 @@
  * other traits. Of traits that were present at the same crashes, a part with
  * which no request has finished is the likeliest cause. If several remain, only
  * requests with the same ones of them as a suspect are held responsible, so
- * that other requests can show which of them is sound.
- * @param aSuspects suspects
+ * that other requests can show which of them is sound. A part with which
+ * requests used to finish may have been at many upstreams that ended together,
+ * so it is the last explanation: only crashes at several moments, or crashes
+ * since which no answer with it has begun for a while, count against it.
+ * @param aSuspects crashes, without the traits that are cleared
  * @param aHasFinished returns whether a request with the trait has finished
  * recently
+ * @param aNow time
  * @return verdicts on the traits that were present at enough crashes
  */
 std::vector<CrashVerdict>
 explainCrashes(const SuspectsByCrash& aSuspects,
-               const std::function<bool(peers::RequestTrait)>& aHasFinished);
+               const std::function<bool(peers::RequestTrait)>& aHasFinished,
+               base::TimePoint aNow);
 
 } // namespace marigold::dispatch
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -90,7 +90,8 @@
                                     base::inMilliseconds(evidence.age),
                                     evidence.suspects,
                                     evidence.cleared,
-                                    encodeTrials(evidence.trials) }));
+                                    encodeTrials(evidence.trials),
+                                    evidence.finished }));
   }
   return crashes;
 }
@@ -111,12 +112,15 @@
     evidence.age = decodeAge(row.at(1));
     evidence.suspects = row.at(2).get<std::set<TraitSet>>();
     evidence.cleared = row.at(3).get<TraitSet>();
-    // VMs of earlier versions do not send it.
+    // VMs of earlier versions do not send these.
     if (row.size() > 4) {
       for (const json& tried : row.at(4)) {
         evidence.trials[tried.at(0)] = { tried.at(1), decodeAge(tried.at(2)) };
       }
     }
+    if (row.size() > 5) {
+      evidence.finished = row.at(5).get<TraitSet>();
+    }
   }
   return crashes;
 }
--- a/libs/peers/crash_evidence.h
+++ b/libs/peers/crash_evidence.h
@@ -43,10 +43,12 @@
   /** Requests that the upstream had not begun to answer, each without the
    * traits that are cleared. */
   std::set<TraitSet> suspects;
-  /** Traits with which a request has finished since the crash. */
+  /** Traits with which an answer has begun since the crash. */
   TraitSet cleared;
   /** Those of the suspects' traits that were on trial. */
   std::map<RequestTrait, TraitTrials> trials;
+  /** Those of the suspects' parts with which requests finished before. */
+  TraitSet finished;
 
   bool operator==(const CrashEvidence&) const = default;
 };
