--- a/libs/dispatch/crash_record.h
+++ b/libs/dispatch/crash_record.h
@@ -12,7 +12,7 @@
 struct CrashRecord
 {
   peers::CrashTable crashes;
-  /** Parts of the suspects with which requests have finished. */
+  /** Traits of the suspects with which requests have finished. */
   peers::TraitSet finished;
 
   /** @param aOther record @return true if both tell the same, whatever the ages
--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -177,9 +177,9 @@
   return changed;
 }
 
-/** @return parts of the suspects with which requests are known to finish */
+/** @return traits of the suspects with which requests are known to finish */
 peers::TraitSet
-CrashTracker::finishedParts(const Crash& aCrash) const
+CrashTracker::finishedTraits(const Crash& aCrash) const
 {
   peers::TraitSet finished;
   for (const peers::TraitSet& traits : aCrash.suspects) {
@@ -187,8 +187,7 @@
                  traits.end(),
                  std::inserter(finished, finished.end()),
                  [this](peers::RequestTrait aTrait) {
-                   return !peers::isWholeRequest(aTrait) &&
-                          mFinished.contains(aTrait);
+                   return mFinished.contains(aTrait);
                  });
   }
   return finished;
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -178,7 +178,7 @@
     base::TimePoint aNow);
   bool addSuspect(Crash& aCrash, peers::TraitSet aTraits) const;
   bool clearAnswered(Crash& aCrash) const;
-  peers::TraitSet finishedParts(const Crash& aCrash) const;
+  peers::TraitSet finishedTraits(const Crash& aCrash) const;
   static bool clear(Crash& aCrash, peers::RequestTrait aTrait);
   void limitCrashes();
   peers::TraitSet trialSuspects(const peers::TraitSet& aTraits,
--- a/libs/dispatch/crash_tracker_record.cpp
+++ b/libs/dispatch/crash_tracker_record.cpp
@@ -88,7 +88,7 @@
   for (const auto& [at, tag] : latest) {
     const Crash& crash = mCrashes.at(tag);
     record.crashes[tag] = evidence(crash, aNow);
-    record.finished.merge(finishedParts(crash));
+    record.finished.merge(finishedTraits(crash));
   }
   return record;
 }
--- a/libs/dispatch/crash_tracker_trial.cpp
+++ b/libs/dispatch/crash_tracker_trial.cpp
@@ -161,7 +161,7 @@
     return std::max(aNow - aAt, base::Duration::zero());
   };
   peers::CrashEvidence evidence{
-    age(aCrash.at), aCrash.suspects, aCrash.cleared, {}, finishedParts(aCrash)
+    age(aCrash.at), aCrash.suspects, aCrash.cleared, {}, finishedTraits(aCrash)
   };
   for (const peers::TraitSet& traits : aCrash.suspects) {
     for (const peers::RequestTrait trait : traits) {
--- a/libs/dispatch/crash_verdict.cpp
+++ b/libs/dispatch/crash_verdict.cpp
@@ -11,7 +11,7 @@
 /** Crashes from which on a trait is held responsible. One crash affects all
  * requests at the upstream and proves nothing. */
 constexpr std::size_t kMinCrashes = 2;
-/** The same for a part with which requests used to finish, and the number of
+/** The same for a trait with which requests used to finish, and the number of
  * moments at which they happened. */
 constexpr std::size_t kMinCrashesOfFinished = 4;
 /** Crashes at which a single remaining trait is hardly present by chance. */
@@ -23,7 +23,7 @@
 {
   NewPart,
   WholeRequest,
-  FinishedPart,
+  Finished,
 };
 
 struct Suspect
@@ -47,10 +47,10 @@
     }
   }
   for (auto& [trait, suspect] : table) {
-    if (peers::isWholeRequest(trait)) {
+    if (aHasFinished(trait)) {
+      suspect.history = History::Finished;
+    } else if (peers::isWholeRequest(trait)) {
       suspect.history = History::WholeRequest;
-    } else if (aHasFinished(trait)) {
-      suspect.history = History::FinishedPart;
     }
   }
   return table;
@@ -72,8 +72,8 @@
   return moments;
 }
 
-/** @return true if the crashes count against a part with which requests used to
- * finish */
+/** @return true if the crashes count against a trait with which requests used
+ * to finish */
 bool
 outweighsHistory(const std::set<peers::ProcessTag>& aCrashes,
                  const SuspectsByCrash& aSuspects,
@@ -95,8 +95,8 @@
 bool
 isStronger(const Suspect& aOne, const Suspect& aOther)
 {
-  const bool finished = aOne.history == History::FinishedPart;
-  if (finished != (aOther.history == History::FinishedPart)) {
+  const bool finished = aOne.history == History::Finished;
+  if (finished != (aOther.history == History::Finished)) {
     return !finished;
   }
   return aOne.crashes.size() != aOther.crashes.size()
@@ -113,7 +113,7 @@
   const Suspect* best = nullptr;
   for (const auto& [trait, suspect] : aTable) {
     const bool responsible =
-      suspect.history == History::FinishedPart
+      suspect.history == History::Finished
         ? outweighsHistory(suspect.crashes, aSuspects, aNow)
         : suspect.crashes.size() >= kMinCrashes;
     if (responsible && (best == nullptr || isStronger(suspect, *best))) {
--- a/libs/dispatch/crash_verdict.h
+++ b/libs/dispatch/crash_verdict.h
@@ -41,7 +41,7 @@
  * other traits. Of traits that were present at the same crashes, a part with
  * which no request has finished is the likeliest cause. If several remain, only
  * requests with the same ones of them as a suspect are held responsible, so
- * that other requests can show which of them is sound. A part with which
+ * that other requests can show which of them is sound. A trait with which
  * requests used to finish may have been at many upstreams that ended together,
  * so it is the last explanation: only crashes at several moments, or crashes
  * since which no answer with it has begun for a while, count against it.
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -1166,6 +1166,12 @@
       crash({ request({ kShared, 2 }), request({ kShared, own }) });
     }
   }
+  void crashRepeated(int aCrashes)
+  {
+    for (int i = 0; i < aCrashes; ++i, now += 300ms) {
+      crash({ repeated });
+    }
+  }
   /** Lets time pass. @return true if sound requests were blocked meanwhile */
   bool blocksWithin(base::Duration aTime)
   {
@@ -1192,6 +1198,23 @@
   }
 }
 
+// Many callers ask for the same page. Guards against refusing it because it was
+// at two upstreams that ended together.
+TEST(PowerCut, RequestThatUsedToFinishIsNotBlocked)
+{
+  tracker.onSuccess(repeated, now, now + 150ms);
+  now += 10s;
+  for (int upstream = 0; upstream < 3; ++upstream) {
+    crash({ repeated });
+  }
+  for (int step = 0; step < 100; ++step, now += 100ms) {
+    tracker.expire(now);
+    CHECK(!blocked(repeated));
+  }
+  crashRepeated(4);
+  CHECK(blocked(repeated));
+}
+
 // Guards against the same when the power fails in two steps.
 TEST(PowerCut, SharedPartIsNotBlockedAfterTwoWaves)
 {
--- a/libs/peers/crash_evidence.h
+++ b/libs/peers/crash_evidence.h
@@ -47,7 +47,7 @@
   TraitSet cleared;
   /** Those of the suspects' traits that were on trial. */
   std::map<RequestTrait, TraitTrials> trials;
-  /** Those of the suspects' parts with which requests finished before. */
+  /** Those of the suspects' traits with which requests finished before. */
   TraitSet finished;
 
   bool operator==(const CrashEvidence&) const = default;
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -18,6 +18,7 @@
 GRACE_CHECKED = GRACE * 5 / 6  # seconds after SIGTERM within which answers are not cut
 PROVEN_CRASHES = 5   # crashes by a part of a prompt after which it is blocked
 MOST_DEADLY = 3      # requests with that part that may still reach upstreams
+MOST_BLOCKED = 20    # sound requests that may be refused because upstreams ended together
 
 
 class Record:
@@ -36,6 +37,7 @@
         self.restored = []    # times at which the store came back from a copy
         self.planned = set()  # (vm, start) of faults that are planned stops
         self.waits = []       # (request id, vm, time sent whole, seconds until its deadline, time it ended)
+        self.blocked = []     # (request id, vm, time sent) of requests that were refused as deadly
         self.pauses = []      # (request id, vm, time sent, time ended, complete) of callers that paused reading
 
     def violation(self, text):
@@ -203,3 +205,11 @@
                 late.add(request_id)
     if len(late) > MOST_DEADLY:
         record.violation(f"BUDGET {len(late)} requests with a part that crashed {PROVEN_CRASHES} upstreams reached more")
+
+
+def check_blocked(record):
+    """Checks that sound requests are not refused as deadly because upstreams with them ended together."""
+    found = [request_id for request_id, vm, sent in list(record.blocked)
+             if record.sent[request_id][0] == "rack" and record.fault_free(vm, sent)]
+    if len(found) > MOST_BLOCKED:
+        record.violation(f"LOST {len(found)} sound requests were refused as deadly")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -26,10 +26,14 @@
 ADAPTERS = 40           # of the model that is asked for with another adapter each time
 FRAIL_DELAY = 0.8       # seconds until the first event, so that a burst arrives before the first crash
 FRAIL_RETURN = 2.0      # seconds until a crashed upstream is back
+RACK_DELAY = 0.4        # seconds until the first event of an engine of the rack, so that each has requests
+RACK_SHARE = 0.6        # of these engines that lose power at one moment
+BLOCKED = b"Marigold-Code: request-blocked"
 REVOKED_KEYS = [f"r{number}" for number in range(8)]
 MORE_ROUTES = [{**route("large", "/large/", "idempotent", "files", attempts=1), "timeout_ms": 15000},
                route("frail", "/frail/", "streaming", "frail", attempts=1),
-               route("churn", "/churn/", "streaming", "churn", attempts=1)]
+               route("churn", "/churn/", "streaming", "churn", attempts=1),
+               route("rack", "/rack/", "streaming", "rack", attempts=1)]
 DATA_CENTRES = "dc-a", "dc-b", *(f"dc-{number}" for number in range(6))
 
 
@@ -42,7 +46,9 @@
         runtime = dict(config["services"][0]["runtime"])
         runtime["models"] = [{**runtime["models"][0], "name": "m3"}]
         churn = {**runtime, "adapter_slots": 2, "models": [{**runtime["models"][0], "name": "m4", "adapters": ADAPTERS}]}
-        config["services"] += [{"name": "churn", "health_path": "/h", "max_connections": 100, "runtime": churn},
+        rack = {**runtime, "models": [{**runtime["models"][0], "name": "m5"}]}
+        config["services"] += [{"name": "rack", "health_path": "/h", "max_connections": 100, "runtime": rack},
+                               {"name": "churn", "health_path": "/h", "max_connections": 100, "runtime": churn},
                                {"name": "frail", "health_path": "/h", "max_connections": 100, "runtime": runtime},
                                {"name": "files", "health_path": "/h", "max_connections": 100}]
         return json.dumps(config).encode()
@@ -89,6 +95,7 @@
         kinds = [self.freeze, self.stop_beside_pauses, self.hold_order, self.silence, self.kill_all]
         chosen = random.Random(f"{seed} kinds")
         loops += [kind for kind in kinds if chosen.random() < KIND_SHARE]
+        loops += [self.rack_caller, self.power_cut]  # last, so that the others keep their random numbers
         self.threads = [threading.Thread(target=self.run, args=(loop, random.Random(f"{seed} {number}")))
                         for number, loop in enumerate(loops)]
 
@@ -249,8 +256,12 @@
                 with self.connect(gateway) as connection:
                     connection.sendall(data)
                     connection.settimeout(DEADLINE + 1)
-                    while connection.recv(65536):
-                        pass
+                    sent, answer = time.monotonic(), b""
+                    while data_read := connection.recv(65536):
+                        answer += data_read
+                        if BLOCKED in answer:
+                            self.record.blocked.append((request_id, gateway.name, sent))
+                            break
             except OSError:
                 pass  # Its fate is not judged.
         threading.Thread(target=call, daemon=True).start()
@@ -261,6 +272,13 @@
         self.prompt(numbers.choice(self.soak.gateways), "sound", f"{first},{numbers.getrandbits(40):x}:50")
         self.ending.wait(0.1)
 
+    def rack_caller(self, numbers):
+        """All prompts share their first part, as those with one system prompt do, and some requests are alike."""
+        own = f"{numbers.getrandbits(40):x}"
+        path = "/rack/x" if numbers.random() < 0.5 else f"/rack/{own}"
+        self.prompt(numbers.choice(self.soak.gateways), "rack", f"cafe:100,{own}:50", path, "m5")
+        self.ending.wait(0.03)
+
     def churn_caller(self, numbers):
         """Asks for other adapters than those that are loaded, so that orders are sent."""
         self.prompt(numbers.choice(self.soak.gateways), "churn", f"{numbers.getrandbits(40):x}:50", "/churn/x",
@@ -345,6 +363,19 @@
             self.soak.withdraw(key)
             self.next_key += 1
 
+    def power_cut(self, numbers):
+        """Ends several engines at one moment, or in two steps, once VMs are in touch."""
+        self.ending.wait(numbers.uniform(2, 5))
+        self.wait_for(lambda: len(self.calm()) >= MOST_CALM, 8)
+        rack = self.soak.rack
+        ended = numbers.sample(rack, round(RACK_SHARE * len(rack)))
+        steps = [ended] if numbers.random() < 0.5 else [ended[::2], ended[1::2]]
+        for step in steps:
+            self.soak.platform.change(lambda step=step: [engine.crash() for engine in step])
+            time.sleep(0.3)
+        self.soak.count("power cut")
+        self.ending.wait(6)
+
     def kill_all(self, numbers):
         """Kills all VMs at once and starts them again, once in a run."""
         if self.ending.wait(self.soak.seconds * numbers.uniform(0.2, 0.5)):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,10 +23,10 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../e2e"))
 
-from checks import (Record, check_deadly, check_exit, check_orders, check_pauses, check_runs, check_statements,
+from checks import (Record, check_blocked, check_deadly, check_exit, check_orders, check_pauses, check_runs, check_statements,
                     check_stream, check_waits, holds_signal)
-from faults import (DEADLY_PART, FRAIL_DELAY, FRAIL_RETURN, LARGE_DEADLINE, REVOKED_KEYS, FileUpstream, Orders,
-                    SoakGateway, SoakPlatform)
+from faults import (DEADLY_PART, FRAIL_DELAY, FRAIL_RETURN, LARGE_DEADLINE, RACK_DELAY, REVOKED_KEYS, FileUpstream,
+                    Orders, SoakGateway, SoakPlatform)
 from proxy import HOST, Proxy
 from users_platform import ROUTES, Upstream
 
@@ -72,6 +72,10 @@
         for upstream in self.frail:
             upstream.deadly_part, upstream.delay = DEADLY_PART, FRAIL_DELAY
             self.platform.serve_upstream(upstream, FRAIL_RETURN)
+        self.rack = [Upstream(f"rack{n}", port + 8 + 10 * (n % 6) + n // 6, "rack", ["m5"]) for n in range(10)]
+        for upstream in self.rack:
+            upstream.delay = RACK_DELAY
+            self.platform.serve_upstream(upstream, FRAIL_RETURN)
         self.churned = [Upstream(f"churn{n}", port + 7 + 10 * n, "churn", ["m4"]) for n in range(2)]
         for number, upstream in enumerate(self.churned):
             upstream.public_port = port + 27 + 10 * number
@@ -320,12 +324,13 @@
         for thread in threads:
             thread.join()
         time.sleep(1)
-        check_runs(self.record, self.desks + self.engines + self.files + self.frail + self.churned)
+        check_runs(self.record, self.desks + self.engines + self.files + self.frail + self.rack + self.churned)
         check_statements(self.record, self.desks + self.engines)
-        check_orders(self.record, self.engines + self.frail + self.churned)
+        check_orders(self.record, self.engines + self.frail + self.rack + self.churned)
         check_waits(self.record)
         check_pauses(self.record, self.files, LARGE_DEADLINE)
         check_deadly(self.record, self.frail)
+        check_blocked(self.record)
         return sorted(self.record.violations)
 
     def wait_ready(self, limit):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -11,8 +11,9 @@
 import time
 import unittest
 
-from checks import (ANSWER_SLACK, FAULT_FREE, GRACE_CHECKED, IN_FLIGHT, KEY_LIMIT, LEAVING_LIMIT, MOST_DEADLY,
-                    MOST_WHILE_TURNED_AWAY, PROVEN_CRASHES, RESUME_GRACE, Record, check_deadly, check_orders,
+from checks import (ANSWER_SLACK, FAULT_FREE, GRACE_CHECKED, IN_FLIGHT, KEY_LIMIT, LEAVING_LIMIT, MOST_BLOCKED, MOST_DEADLY,
+                    MOST_WHILE_TURNED_AWAY, PROVEN_CRASHES, RESUME_GRACE, Record, check_blocked, check_deadly,
+                    check_orders,
                     check_exit, check_pauses, check_runs, check_statements, check_stream, check_waits, holds_signal)
 from proxy import HOST, Proxy
 
@@ -40,6 +41,14 @@
         check_runs(self.record, [UpstreamRecord(request_headers("a")), UpstreamRecord(request_headers("a"))])
         self.assertEqual(["TWICE"], self.found())
 
+    def test_sound_requests_refused_as_deadly(self):
+        for number in range(MOST_BLOCKED + 1):
+            self.assertEqual([], self.found())
+            self.record.request(str(number), "rack", "k1", "vm0")
+            self.record.blocked.append((str(number), "vm0", time.monotonic()))
+            check_blocked(self.record)
+        self.assertEqual(["LOST"], self.found())
+
     def test_lookup_may_run_twice(self):
         self.record.request("a", "again", "k1", "vm0")
         check_runs(self.record, [UpstreamRecord(request_headers("a")), UpstreamRecord(request_headers("a"))])
