--- a/libs/dispatch/crash_verdict.cpp
+++ b/libs/dispatch/crash_verdict.cpp
@@ -83,6 +83,7 @@
     return false;
   }
   std::vector<base::TimePoint> times;
+  times.reserve(aCrashes.size());
   for (const peers::ProcessTag crash : aCrashes) {
     times.push_back(aSuspects.at(crash).at);
   }
