--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -268,6 +268,7 @@
   std::optional<peers::SoftwareTag> mOrigin;
   std::uint64_t mEventCount = 0;
   base::TimePoint mFirstByteAt{};
+  bool mSurvivalReported = false; ///< its traits are cleared of crashes
   std::string mLastUpstream;
   http::InputTimer mDeadlineTimer;
   http::InputTimer mStallTimer; ///< detects a stall or delays a retry
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -21,6 +21,7 @@
 MOST_JOINED = 2      # streams with events of two versions
 LEAST_TAKE_UPS = 12  # streams that callers take up again for which their share is judged
 TAKE_UP_SHARE = 0.5  # that go on, of the share of new streams that begin
+MOST_BLOCKED = 20    # sound requests that may be refused because upstreams ended together
 
 
 class Record:
@@ -39,6 +40,7 @@
         self.restored = []    # times at which the store came back from a copy
         self.planned = set()  # (vm, start) of faults that are planned stops
         self.waits = []       # (request id, vm, time sent whole, seconds until its deadline, time it ended)
+        self.blocked = []     # (request id, vm, time sent) of requests that were refused as deadly
         self.pauses = []      # (request id, vm, time sent, time ended, complete) of callers that paused reading
         self.new_streams = [] # (vm, time it ended, whether events came) of tries at upstreams of several versions
         self.take_ups = []    # the same of streams that were taken up while two upstreams of their version served
@@ -230,3 +232,11 @@
     if sum(gone_on) / len(gone_on) < TAKE_UP_SHARE * sum(begun) / len(begun):
         record.violation(f"LOST {sum(gone_on)} of {len(gone_on)} streams that were taken up went on, "
                          f"{sum(begun)} of {len(begun)} new ones began")
+
+
+def check_blocked(record):
+    """Checks that sound requests are not refused as deadly because upstreams with them ended together."""
+    found = [request_id for request_id, vm, sent in list(record.blocked)
+             if record.sent[request_id][0] == "rack" and record.fault_free(vm, sent)]
+    if len(found) > MOST_BLOCKED:
+        record.violation(f"LOST {len(found)} sound requests were refused as deadly")
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -14,9 +14,9 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../e2e"))
 
 from checks import (ANSWER_SLACK, FAULT_FREE, GRACE_CHECKED, IN_FLIGHT, KEY_LIMIT, LEAST_TAKE_UPS, LEAVING_LIMIT,
-                    MOST_DEADLY, MOST_JOINED, MOST_WHILE_TURNED_AWAY, PROVEN_CRASHES, RESUME_GRACE, Record,
-                    check_deadly, check_exit, check_joined, check_orders, check_pauses, check_runs, check_statements,
-                    check_stream, check_take_ups, check_waits, holds_signal)
+                    MOST_BLOCKED, MOST_DEADLY, MOST_JOINED, MOST_WHILE_TURNED_AWAY, PROVEN_CRASHES, RESUME_GRACE, Record,
+                    check_blocked, check_deadly, check_exit, check_joined, check_orders, check_pauses, check_runs,
+                    check_statements, check_stream, check_take_ups, check_waits, holds_signal)
 from proxy import HOST, Proxy
 from stream_calls import StreamCaller
 
@@ -44,6 +44,14 @@
         check_runs(self.record, [UpstreamRecord(request_headers("a")), UpstreamRecord(request_headers("a"))])
         self.assertEqual(["TWICE"], self.found())
 
+    def test_sound_requests_refused_as_deadly(self):
+        for number in range(MOST_BLOCKED + 1):
+            self.assertEqual([], self.found())
+            self.record.request(str(number), "rack", "k1", "vm0")
+            self.record.blocked.append((str(number), "vm0", time.monotonic()))
+            check_blocked(self.record)
+        self.assertEqual(["LOST"], self.found())
+
     def test_lookup_may_run_twice(self):
         self.record.request("a", "again", "k1", "vm0")
         check_runs(self.record, [UpstreamRecord(request_headers("a")), UpstreamRecord(request_headers("a"))])
