--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -447,7 +447,8 @@
 bool
 CallerConnection::acceptHeaders()
 {
-  if (mParser.contentLength() <= mServer.mLimits.bodyBytes) {
+  mCurrent.bodyTooLarge = mParser.contentLength() > mServer.mLimits.bodyBytes;
+  if (!mCurrent.bodyTooLarge) {
     chargeBody(mParser.contentLength());
     mCurrent.request.body.reserve(mBodyCharge.bytes());
   }
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -178,6 +178,21 @@
   LONGS_EQUAL(0, server.connections());
 }
 
+// Guards against a caller that sends a body of many megabytes, although its
+// length has told that it is refused.
+TEST(ConnectionEnd, BodyIsRefusedByItsAnnouncedLength)
+{
+  wire::CallerServer server(loop, [](const auto&) {});
+  server.setLimits({ 1024, 1024, 1s, 4s });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send("POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
+              "Content-Length: 1000000\r\n\r\n");
+  runFor(50ms);
+  const std::string received = caller.receive();
+  CHECK(received.starts_with("HTTP/1.1 413"));
+}
+
 // Guards against a pipelined request that is handled on a connection which was
 // reset meanwhile.
 TEST(ConnectionEnd, RequestBehindAnotherIsNotReadAfterAReset)
