--- a/tests/e2e/test_software_versions.py
+++ b/tests/e2e/test_software_versions.py
@@ -13,11 +13,12 @@
 
 from gateway_process import Gateway, wait_for
 from stream_calls import StreamCaller, at_once, background
-from users_platform import ROUTES, TOKENS, Platform, Upstream, route
+from users_platform import TOKENS, Platform, Upstream, route
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27200))
 DATA_CENTRES = "dc-a", "dc-a", "dc-b"  # of the VMs
 SLOTS = 16
+TIMEOUT_MS = 15000   # of the route; callers take streams up again for that long
 EVENT_SECONDS = 0.04
 LONG_EVENT_SECONDS = 0.3  # of streams that outlast what a test does meanwhile
 SILENCE = 2.0        # seconds; longer than a VM waits before it looks for a replacement
@@ -44,8 +45,8 @@
         self.store_ports = [BASE_PORT + 90 + number for number in range(len(DATA_CENTRES))]
         for port in self.store_ports:
             self.platform.serve_store(port)
-        chat = {**route("open", "/", "streaming", "llm", resumable=True), "host": "chat.example"}
-        self.platform.publish(1, ["k1"], ROUTES + [chat])
+        chat = {**route("chat", "/chat/", "streaming", "llm", resumable=True), "timeout_ms": TIMEOUT_MS}
+        self.platform.publish(1, ["k1"], [chat, {**chat, "name": "open", "prefix": "/", "host": "chat.example"}])
         self.engines = []
         self.gateways = []
         self.upstream_numbers, self.caller_numbers = itertools.count(), itertools.count()
@@ -63,9 +64,7 @@
         engine = Upstream(f"engine{number}", BASE_PORT + 60 + number, "llm", ["m1"])
         engine.slots, engine.event_seconds = SLOTS, EVENT_SECONDS
         engine.install(version)
-        self.platform.serve_upstream(engine)
-        if not listed:
-            self.hide(engine)
+        self.platform.serve_upstream(engine, listed=listed)
         self.engines.append(engine)
         return engine
 
@@ -300,6 +299,19 @@
         callers, begun = self.begin_many(("v1", "v2"), gateway=self.gateways[0])
         self.check_share(callers, begun, self.take_up(callers, self.gateways[0]))
 
+    def test_streams_are_taken_up_where_their_version_serves_now(self):
+        """Guards against streams that are joined of two versions because the upstreams that began them were replaced,
+        so that no cache leads their callers back."""
+        first = self.start(*self.TWO_OF_EACH)
+        callers, begun = self.begin_many(("v1", "v2"))
+        for version in self.TWO_OF_EACH:
+            self.add(version)
+        time.sleep(APPLY_SECONDS)
+        for engine in first:
+            self.leave(engine)
+        time.sleep(APPLY_SECONDS)
+        self.check_share(callers, begun, self.take_up(callers))
+
     def test_streams_are_taken_up_at_their_version_at_another_vm(self):
         """Guards against streams that are joined of two versions, or refused, at a VM that did not begin them."""
         self.start(*self.TWO_OF_EACH)
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -439,8 +439,9 @@
             writer.close()
         self.servers.append(self.run(asyncio.start_server(connection, HOST, port)))
 
-    def serve_upstream(self, upstream, restart_after=None):
-        """Serves an upstream; with restart_after, a crashed one is back after that many seconds."""
+    def serve_upstream(self, upstream, restart_after=None, listed=True):
+        """Serves an upstream; with restart_after, a crashed one is back after that many seconds. An unlisted one has
+        no record yet."""
         async def connection(reader, writer):
             upstream.writers.add(writer)
             try:
@@ -465,7 +466,8 @@
                     self.store.put("servers/" + upstream.name, upstream.record())
         upstream.connection = connection
         self.listen_again(upstream)
-        self.change(self.store.put, "servers/" + upstream.name, upstream.record())
+        if listed:
+            self.change(self.store.put, "servers/" + upstream.name, upstream.record())
         if restart_after is not None:
             asyncio.run_coroutine_threadsafe(restart_crashed(), self.loop)
 
