--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -18,7 +18,7 @@
 RECORD_DELAY = 0.2     # seconds that the record of a restarted upstream is late at most
 DRAIN_SECONDS = 2.5    # that an upstream serves after its record says that it leaves
 ROUTE = route("skew", "/skew/", "streaming", "skew", resumable=True)
-MODEL = "m5"
+MODEL = "m6"
 
 
 class Versions:
