--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -134,9 +134,10 @@
   bool isAccepted(const base::UpstreamName& aUpstream) const;
   bool mayBeSentTo(const base::UpstreamName& aUpstream) const;
   bool mayContinueAt(const Upstream& aUpstream) const;
-  bool confirmSoftware();
+  bool confirmSoftware(const std::shared_ptr<Upstream>& aUpstream);
   void onConfirmed(const Upstream& aUpstream);
   void recordOrigin(base::TimePoint aNow);
+  void confirmOrigin(const std::shared_ptr<Upstream>& aUpstream);
   void armStallTimer();
   void startStallTimer(base::Duration aLimit);
   void onStall(base::Duration aLimit);
@@ -213,11 +214,13 @@
   peers::TraitSet mTraits;
 
   std::set<base::UpstreamName> mTriedUpstreams;
-  /** Upstreams that may continue the stream if their processes are still those
-   * of their records. */
-  std::vector<std::shared_ptr<Upstream>> mUnconfirmed;
+  /** Gets the request if it is still a candidate: it was chosen, and has said
+   * that its process is the one of its record. */
+  base::UpstreamName mConfirmedUpstream;
   bool mConfirmationFailed = false; ///< since the last retry
-  /** The call is silent, and upstreams that may replace it were asked. */
+  /** What waits for the answer of the chosen upstream: the next send, or the
+   * replacement of a silent call. */
+  bool mDispatchesWhenConfirmed = false;
   bool mReplacesWhenConfirmed = false;
   /** Earliest time at which a suitable upstream wants requests again; the end
    * of time if none has turned requests away. */
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -34,6 +34,19 @@
  * the overload is expected to outlast the request. */
 constexpr unsigned kMaxRefusedSends = 3;
 
+/** @param aCandidates candidates, of which some may have been removed
+ * @return the one that was chosen */
+const dispatch::Candidate&
+chosenFrom(const std::vector<dispatch::Candidate>& aCandidates,
+           const dispatch::Choice& aChoice)
+{
+  return *std::find_if(aCandidates.begin(),
+                       aCandidates.end(),
+                       [&aChoice](const dispatch::Candidate& aCandidate) {
+                         return aCandidate.index == aChoice.index;
+                       });
+}
+
 } // namespace
 
 bool
@@ -144,7 +157,6 @@
 Exchange::candidates(std::vector<std::shared_ptr<Upstream>>& aUpstreams)
 {
   mAcceptedFrom = base::TimePoint::max();
-  mUnconfirmed.clear();
   std::vector<dispatch::Candidate> found;
   const base::TimePoint now = base::monotonicNow();
   for (const auto& [name, upstream] : mContext.upstreams.all()) {
@@ -165,15 +177,18 @@
     if (mTriedUpstreams.contains(name)) {
       continue;
     }
-    if (mOrigin && mContext.streams.mustConfirm(*upstream, now)) {
-      mUnconfirmed.push_back(upstream);
-      continue;
-    }
     dispatch::Candidate candidate = makeCandidate(*upstream);
     candidate.index = aUpstreams.size();
     aUpstreams.push_back(upstream);
     found.push_back(candidate);
   }
+  const base::UpstreamName confirmed = std::exchange(mConfirmedUpstream, {});
+  const auto isConfirmed = [&](const dispatch::Candidate& aCandidate) {
+    return aUpstreams[aCandidate.index]->record.name == confirmed;
+  };
+  if (std::any_of(found.begin(), found.end(), isConfirmed)) {
+    std::erase_if(found, std::not_fn(isConfirmed));
+  }
   return found;
 }
 
@@ -192,15 +207,11 @@
   }
   std::vector<std::shared_ptr<Upstream>> upstreams;
   auto found = candidates(upstreams);
-  if (found.empty() && mUnconfirmed.empty() && mOrigin && !mNotAccepted &&
-      !mConfirmationFailed) {
+  if (found.empty() && mOrigin && !mNotAccepted && !mConfirmationFailed) {
     // The one that broke off may be the only one with the same software.
     mTriedUpstreams.clear();
     found = candidates(upstreams);
   }
-  if (found.empty() && confirmSoftware()) {
-    return;
-  }
   const auto choice = choose(found, upstreams);
   if (choice && !mayBegin(*choice)) {
     shutdown();
@@ -210,10 +221,15 @@
   if (mMustAskAgain && !canStart && waitForReports()) {
     return;
   }
+  if (choice && confirmSoftware(upstreams[choice->index])) {
+    mDispatchesWhenConfirmed = true;
+    return;
+  }
   if (choice) {
     if (admitByExpectedStart(*choice)) {
-      mQueuedAheadMs = found[choice->index].queuedMs;
-      mProcessingMs = found[choice->index].processingMs;
+      const dispatch::Candidate& chosen = chosenFrom(found, *choice);
+      mQueuedAheadMs = chosen.queuedMs;
+      mProcessingMs = chosen.processingMs;
       send(upstreams[choice->index]);
     }
     return;
@@ -241,7 +257,11 @@
     scheduleRetry();
     return;
   }
-  if (mOrigin) {
+  const bool heldByOthers =
+    mOrigin && isEngineCall() &&
+    mContext.upstreams.anyCanServe(*mMetadata.model, base::monotonicNow());
+  if (heldByOthers) {
+    // A load is planned for models that no upstream holds.
     refuse(Code::NoUpstream,
            "no upstream with the software of the stream",
            kOverloadRetryDelay);
@@ -545,11 +565,14 @@
   const auto choice = dispatch::chooseReplacement(
     found, requestSize(), remainingTime(), mContext.random.bits());
   if (!choice) {
-    mReplacesWhenConfirmed = confirmSoftware();
     return false;
   }
   const auto& upstream = upstreams[choice->index];
-  const auto& chosen = found[choice->index];
+  if (confirmSoftware(upstream)) {
+    mReplacesWhenConfirmed = true;
+    return false;
+  }
+  const dispatch::Candidate& chosen = chosenFrom(found, *choice);
   mReplacement = Replacement{
     upstream, nullptr, chosen.queuedMs, chosen.processingMs, mEventCount
   };
@@ -623,42 +646,42 @@
                       aUpstream.software == *mOrigin);
 }
 
-/** Asks upstreams that may continue the stream which process they are.
- * @return false if there are none */
+/** Asks the upstream that is to continue a stream which process it is.
+ * @return false if that is known */
 bool
-Exchange::confirmSoftware()
+Exchange::confirmSoftware(const std::shared_ptr<Upstream>& aUpstream)
 {
-  constexpr std::size_t kMaxAsked = 2;
-  const auto upstreams = std::exchange(mUnconfirmed, {});
-  for (std::size_t index = 0; index < std::min(kMaxAsked, upstreams.size());
-       ++index) {
-    mContext.streams.confirm(
-      upstreams[index], [weak = weak_from_this(), upstream = upstreams[index]] {
-        if (const auto self = std::static_pointer_cast<Exchange>(weak.lock())) {
-          self->onConfirmed(*upstream);
-        }
-      });
+  if (!mOrigin ||
+      !mContext.streams.mustConfirm(*aUpstream, base::monotonicNow())) {
+    return false;
   }
-  return !upstreams.empty();
+  mContext.streams.confirm(aUpstream, [weak = weak_from_this(), aUpstream] {
+    if (const auto self = std::static_pointer_cast<Exchange>(weak.lock())) {
+      self->onConfirmed(*aUpstream);
+    }
+  });
+  return true;
 }
 
 void
 Exchange::onConfirmed(const Upstream& aUpstream)
 {
-  if (mEnded) {
-    return;
-  }
-  if (mCall) {
-    if (std::exchange(mReplacesWhenConfirmed, false) && !mReplacement) {
-      startReplacement();
-    }
+  const bool dispatches = std::exchange(mDispatchesWhenConfirmed, false);
+  const bool replaces = std::exchange(mReplacesWhenConfirmed, false);
+  if (mEnded || (mCall ? !replaces || mReplacement : !dispatches)) {
     return;
   }
   if (mContext.streams.mustConfirm(aUpstream, base::monotonicNow())) {
     mTriedUpstreams.insert(aUpstream.record.name);
     mConfirmationFailed = true;
+  } else {
+    mConfirmedUpstream = aUpstream.record.name;
+  }
+  if (mCall) {
+    startReplacement();
+  } else {
+    dispatch();
   }
-  dispatch();
 }
 
 /** @return false if what has become known of the upstream since it was chosen
@@ -666,9 +689,12 @@
 bool
 Exchange::mayBeSentTo(const base::UpstreamName& aUpstream) const
 {
+  if (!isAccepted(aUpstream) || !mOrigin) {
+    return isAccepted(aUpstream);
+  }
   const auto upstream = mContext.upstreams.find(aUpstream);
-  return isAccepted(aUpstream) &&
-         (upstream ? mayContinueAt(*upstream) : !mOrigin);
+  return upstream && mayContinueAt(*upstream) &&
+         !mContext.streams.mustConfirm(*upstream, base::monotonicNow());
 }
 
 /** Runs when the request is written, which may be long after the upstream was
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -362,20 +362,39 @@
   if (!mRoute->resumableStream()) {
     return;
   }
+  const auto upstream =
+    mLoadReservation ? mLoadReservation->upstream() : nullptr;
   if (!mOrigin) {
-    const auto upstream =
-      mLoadReservation ? mLoadReservation->upstream() : nullptr;
     const auto known = mContext.upstreams.find(mLastUpstream);
     // Another process that has taken the name since may be the one that sends.
     const bool certain = upstream && (!known || known == upstream);
-    mOrigin = certain ? mContext.streams.softwareOf(*upstream, aNow)
-                      : peers::kUnknownSoftware;
+    mOrigin = certain ? upstream->certainSoftware() : peers::kUnknownSoftware;
+    if (certain && upstream->softwareUncertain) {
+      confirmOrigin(upstream);
+    }
   }
   if (!firstAttempt().empty()) {
     mContext.streams.record({ streamId(), *mOrigin }, aNow);
   }
 }
 
+/** The process that answers on the connection of the call, while it lasts, is
+ * the one that answers a question asked meanwhile. */
+void
+Exchange::confirmOrigin(const std::shared_ptr<Upstream>& aUpstream)
+{
+  mContext.streams.confirm(
+    aUpstream, [weak = weak_from_this(), aUpstream, sends = mSends] {
+      const auto self = std::static_pointer_cast<Exchange>(weak.lock());
+      const bool sameCall =
+        self && !self->mEnded && self->mCall && self->mSends == sends;
+      if (sameCall && !aUpstream->softwareUncertain) {
+        self->mOrigin = aUpstream->software;
+        self->recordOrigin(base::monotonicNow());
+      }
+    });
+}
+
 void
 Exchange::onEvents(std::string_view aBytes)
 {
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -438,10 +438,16 @@
       done(std::nullopt);
       return;
     }
-    if (aAnswer.status != kOk) {
+    constexpr int kNotFound = 404;
+    constexpr int kMethodNotAllowed = 405;
+    if (aAnswer.status == kNotFound || aAnswer.status == kMethodNotAllowed) {
       done(recorded); // It has no report, so its record is all there is.
       return;
     }
+    if (aAnswer.status != kOk) {
+      done(std::nullopt);
+      return;
+    }
     const auto report =
       base::capture([&] { return boundary::decodeEngineReport(aAnswer.body); });
     if (const base::Error* error = base::errorOf(report)) {
@@ -534,6 +540,10 @@
     mOutliers.onUnreachable(aUpstream.name, now);
     mCrashes.onUpstreamGone(aUpstream.name, now);
   }
+  const auto probed = mUpstreams.find(aUpstream.name);
+  if (aResult == ProbeResult::Accepted && probed && probed->softwareUncertain) {
+    mStreams.confirm(probed, [] {});
+  }
   if (aResult == ProbeResult::NoAnswer) {
     observe::logInfo("probe without an answer",
                      { { "upstream", aUpstream.name } });
@@ -623,7 +633,8 @@
   mCrashes.setTrialsEnabled(mFleet.fencingToken() != 0);
   mCrashRecords.tick(now);
   mNotices.expire(now);
-  mStreams.update(mUpstreams, now);
+  mStreams.update(
+    mUpstreams, now - mUpstreamWatch.confirmedAt() < mSettings.drainLimit, now);
   if (mPeerExchange.isCollector()) {
     mStreamRecords.tick(now);
   }
--- a/apps/gateway/stream_records.cpp
+++ b/apps/gateway/stream_records.cpp
@@ -3,6 +3,7 @@
 #include "observe/log.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace marigold::gateway {
 namespace {
@@ -14,7 +15,7 @@
 constexpr const char* kStreamPrefix = "marigold-streams/";
 /** Keys that are written in turn, each with the streams since the write before.
  * Together they cover the lifetime of a stream. */
-constexpr std::size_t kSlots = 64;
+constexpr std::size_t kSlots = 128;
 /** Time between two writes. What began since is not known after a kill of all
  * VMs. */
 constexpr base::Duration kWriteInterval = 500ms;
@@ -78,22 +79,24 @@
 void
 StreamRecords::applySoftware(const platform::Entry& aEntry)
 {
-  mSoftwareListed = true;
+  const bool isFirst = !std::exchange(mSoftwareListed, true);
   mSoftwareRevision = aEntry.value ? aEntry.revision : 0;
   mStored.clear();
-  if (!aEntry.value) {
-    return;
+  if (aEntry.value) {
+    readValue(aEntry, [this](const json& aContent) {
+      mStored = aContent.get<dispatch::SoftwareHistory::Table>();
+    });
+  }
+  if (isFirst && mStored.empty()) {
+    mStreams.onHistoryUnknown(base::monotonicNow());
   }
-  readValue(aEntry, [this](const json& aContent) {
-    mStored = aContent.get<dispatch::SoftwareHistory::Table>();
-  });
   mStreams.history().merge(mStored, base::monotonicNow());
 }
 
 void
 StreamRecords::tick(base::TimePoint aNow)
 {
-  if (!mSoftwareListed || mCallPending) {
+  if (!mSoftwareListed || mCallPending || !mReaders.empty()) {
     return;
   }
   const auto recent = mStreams.history().recent(aNow);
@@ -173,10 +176,16 @@
 void
 StreamRecords::read(std::function<void()> aDone)
 {
+  const base::TimePoint now = base::monotonicNow();
+  if (mReaders.empty() && now < mListNotBefore) {
+    aDone(); // What was written since the last list is not due yet.
+    return;
+  }
   mReaders.push_back(std::move(aDone));
   if (mReaders.size() > 1) {
     return; // A call is pending.
   }
+  mListNotBefore = now + kWriteInterval;
   mClient.list(
     kStreamPrefix,
     [this](const base::Captured<platform::Snapshot>& aResult) {
@@ -212,11 +221,11 @@
       newest = entry.revision;
       mNextSlot = (*slot + 1) % kSlots; // Overwrites the oldest.
     }
-    readValue(entry, [&](const json& aRows) {
-      const auto origins = decodeStreams(aRows);
-      streams += origins.size();
-      mStreams.merge(origins);
-    });
+    std::vector<peers::StreamOrigin> origins;
+    readValue(entry,
+              [&](const json& aRows) { origins = decodeStreams(aRows); });
+    streams += origins.size();
+    mStreams.merge(origins);
   }
   observe::logInfo("streams read", { { "streams", std::to_string(streams) } });
 }
--- a/apps/gateway/stream_records.h
+++ b/apps/gateway/stream_records.h
@@ -52,6 +52,7 @@
   /** Revisions of the keys that hold streams, by key. */
   std::map<std::string, platform::Revision> mSlots;
   bool mSlotsListed = false;
+  base::TimePoint mListNotBefore{};
   std::size_t mNextSlot = 0;
   std::uint64_t mStreamsStored = 0; ///< streams added when last written
   std::vector<std::function<void()>> mReaders;
--- a/apps/gateway/stream_registry.cpp
+++ b/apps/gateway/stream_registry.cpp
@@ -26,8 +26,6 @@
 constexpr base::Duration kMinLifetime = 30s;
 /** An answer that names the process counts for this long. */
 constexpr base::Duration kConfirmationPeriod = 600ms;
-/** A process that has started writes its record within this time. */
-constexpr base::Duration kRecordDelay = 1s;
 
 } // namespace
 
@@ -83,8 +81,9 @@
                      Found aFound)
 {
   Software software = aStream ? mOrigins.find(*aStream) : std::nullopt;
-  if (!software) {
-    software = mHistory.only(aService, base::monotonicNow());
+  const base::TimePoint now = base::monotonicNow();
+  if (!software && mayEliminate(now)) {
+    software = mHistory.only(aService, now);
   }
   if (software || !aStream || !mAsk) {
     aFound(software);
@@ -110,8 +109,10 @@
 StreamRegistry::ask(Scope aScope)
 {
   std::vector<peers::StreamId> streams;
-  for (const auto& [stream, search] : mSearches) {
-    streams.push_back(stream);
+  for (auto& [stream, search] : mSearches) {
+    if (search.asked.insert(aScope).second) {
+      streams.push_back(stream);
+    }
   }
   if (!streams.empty()) {
     mAsk(streams, aScope);
@@ -162,15 +163,16 @@
   return origins;
 }
 
-peers::SoftwareTag
-StreamRegistry::softwareOf(const Upstream& aUpstream,
-                           base::TimePoint aNow) const
+bool
+StreamRegistry::mayEliminate(base::TimePoint aNow) const
 {
-  const peers::SoftwareTag software = aUpstream.softwareAt(aNow);
-  return software != peers::kUnknownSoftware
-           ? software
-           : mHistory.only(aUpstream.record.service, aNow)
-               .value_or(peers::kUnknownSoftware);
+  return mViewIsCurrent && aNow >= mHistoryKnownFrom;
+}
+
+void
+StreamRegistry::onHistoryUnknown(base::TimePoint aNow)
+{
+  mHistoryKnownFrom = aNow + mHistory.lifetime();
 }
 
 bool
@@ -184,11 +186,17 @@
 StreamRegistry::confirm(const std::shared_ptr<Upstream>& aUpstream,
                         std::function<void()> aDone)
 {
-  auto& waiting = mChecks[aUpstream];
-  waiting.push_back(std::move(aDone));
-  if (waiting.size() > 1) {
-    return;
+  Check& check = mChecks[aUpstream];
+  check.waiting.push_back(std::move(aDone));
+  if (check.waiting.size() == 1) {
+    startCheck(aUpstream);
   }
+}
+
+void
+StreamRegistry::startCheck(const std::shared_ptr<Upstream>& aUpstream)
+{
+  mChecks[aUpstream].startedAt = base::monotonicNow();
   mCheck(*aUpstream,
          [this, aUpstream](std::optional<std::uint64_t> aStartedAt) {
            onChecked(aUpstream, aStartedAt);
@@ -199,9 +207,14 @@
 StreamRegistry::onChecked(const std::shared_ptr<Upstream>& aUpstream,
                           std::optional<std::uint64_t> aStartedAt)
 {
+  const base::TimePoint askedAt = mChecks[aUpstream].startedAt;
+  if (aStartedAt && aUpstream->softwareDoubtedAt >= askedAt) {
+    startCheck(aUpstream); // A process that has ended since may have answered.
+    return;
+  }
   if (aStartedAt && *aStartedAt == aUpstream->record.startedAt) {
-    aUpstream->softwareConfirmedAt = base::monotonicNow();
-    aUpstream->softwareUncertainUntil = {};
+    aUpstream->softwareConfirmedAt = askedAt;
+    aUpstream->softwareUncertain = false;
   } else if (aStartedAt) {
     // The record of the process that runs now will tell its software.
     aUpstream->software = peers::kUnknownSoftware;
@@ -209,7 +222,7 @@
                      { { "upstream", aUpstream->record.name } });
   }
   const auto check = mChecks.extract(aUpstream);
-  for (const auto& done : check.mapped()) {
+  for (const auto& done : check.mapped().waiting) {
     done();
   }
 }
@@ -218,21 +231,24 @@
 StreamRegistry::onBrokenConnection(const std::shared_ptr<Upstream>& aUpstream,
                                    base::TimePoint aNow)
 {
-  aUpstream->softwareConfirmedAt = {};
-  aUpstream->softwareUncertainUntil =
-    std::max(aUpstream->softwareUncertainUntil, aNow + kRecordDelay);
-  const bool mixed = !mHistory.only(aUpstream->record.service, aNow);
-  if (mixed && mustConfirm(*aUpstream, aNow)) {
+  aUpstream->doubtSoftware(aNow);
+  if (mCheck) {
     confirm(aUpstream, [] {});
   }
 }
 
 void
-StreamRegistry::update(const UpstreamTable& aUpstreams, base::TimePoint aNow)
+StreamRegistry::update(const UpstreamTable& aUpstreams,
+                       bool aViewIsCurrent,
+                       base::TimePoint aNow)
 {
+  mViewIsCurrent = aViewIsCurrent;
   for (const auto& [name, upstream] : aUpstreams.all()) {
-    mHistory.observe(upstream->record.service, upstream->software, aNow);
+    if (upstream->software != peers::kUnknownSoftware) {
+      mHistory.observe(upstream->record.service, upstream->software, aNow);
+    }
   }
+  mHistory.expire(aNow);
   mOrigins.expire(aNow);
   mMixed = mHistory.mixed(aNow);
   announceSoon();
--- a/apps/gateway/stream_registry.h
+++ b/apps/gateway/stream_registry.h
@@ -6,6 +6,7 @@
 #include "dispatch/dispatch.h"
 
 #include <functional>
+#include <set>
 
 namespace marigold::gateway {
 
@@ -50,11 +51,6 @@
   std::vector<peers::StreamOrigin> known(
     const std::vector<peers::StreamId>& aStreams) const;
 
-  /** @param aUpstream upstream that sends the first event of a stream
-   * @param aNow time @return its software, as far as that is certain */
-  peers::SoftwareTag softwareOf(const Upstream& aUpstream,
-                                base::TimePoint aNow) const;
-
   /** @param aUpstream upstream that may continue a stream @param aNow time
    * @return true if it has to be asked first whether its process is still the
    * one of its record */
@@ -72,8 +68,17 @@
                           base::TimePoint aNow);
 
   /** Observes the software of the upstreams and forgets old streams.
-   * @param aUpstreams upstreams @param aNow time */
-  void update(const UpstreamTable& aUpstreams, base::TimePoint aNow);
+   * @param aUpstreams upstreams
+   * @param aViewIsCurrent whether they are those that serve now; otherwise
+   * there may be versions of which this VM has not heard
+   * @param aNow time */
+  void update(const UpstreamTable& aUpstreams,
+              bool aViewIsCurrent,
+              base::TimePoint aNow);
+
+  /** What has served before this process started can't be told, so nothing is
+   * eliminated for the lifetime of a stream. @param aNow time */
+  void onHistoryUnknown(base::TimePoint aNow);
 
   /** @return software that has served recently */
   dispatch::SoftwareHistory& history() { return mHistory; }
@@ -124,7 +129,16 @@
   {
     std::vector<Found> waiting;
     http::EventHandle timeout;
+    std::set<Scope> asked;
+  };
+  /** Requests that wait until an upstream has said which process it is. */
+  struct Check
+  {
+    std::vector<std::function<void()>> waiting;
+    base::TimePoint startedAt{};
   };
+  bool mayEliminate(base::TimePoint aNow) const;
+  void startCheck(const std::shared_ptr<Upstream>& aUpstream);
   void announceSoon();
   void onChecked(const std::shared_ptr<Upstream>& aUpstream,
                  std::optional<std::uint64_t> aStartedAt);
@@ -146,9 +160,9 @@
   std::function<void(const std::vector<peers::StreamId>&, Scope)> mAsk;
   std::function<void(std::function<void()>)> mReadStore;
   std::function<void(const Upstream&, Started)> mCheck;
-  /** Who waits for the answers of upstreams that are being asked. */
-  std::map<std::shared_ptr<Upstream>, std::vector<std::function<void()>>>
-    mChecks;
+  std::map<std::shared_ptr<Upstream>, Check> mChecks;
+  bool mViewIsCurrent = false;
+  base::TimePoint mHistoryKnownFrom{};
 };
 
 } // namespace marigold::gateway
--- a/apps/gateway/upstream_table.cpp
+++ b/apps/gateway/upstream_table.cpp
@@ -9,10 +9,6 @@
 
 /** Copies from which the store is restored are seconds old. */
 constexpr base::Duration kRemovedRetention = 60s;
-/** An address that refuses connections is tried once a second, and a process
- * that starts there writes its record within another one. */
-constexpr base::Duration kRestartUncertainty = 2s;
-
 std::uint32_t
 processTag(const catalog::UpstreamRecord& aRecord)
 {
@@ -86,7 +82,7 @@
   }
   const bool wasUsable = upstream->usable();
   if (aResult == ProbeResult::Refused) {
-    upstream->softwareUncertainUntil = aNow + kRestartUncertainty;
+    upstream->doubtSoftware(aNow);
   }
   if (aResult == ProbeResult::Refused &&
       upstream->presence != Presence::Replaced) {
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -35,10 +35,12 @@
   Presence presence = Presence::Present;
   /** By its record; unknown once another process was found at its address. */
   peers::SoftwareTag software = peers::kUnknownSoftware;
-  base::TimePoint softwareConfirmedAt{}; ///< its process was the one recorded
-  /** Until then another process, of other software, may have taken its name,
-   * whose record is still on its way. */
-  base::TimePoint softwareUncertainUntil{};
+  /** Another process, of other software, may have taken its name, whose record
+   * is late. Ends when the process names itself, or with its record. */
+  bool softwareUncertain = false;
+  base::TimePoint softwareDoubtedAt{}; ///< when that was last seen
+  base::TimePoint
+    softwareConfirmedAt{};      ///< asked then, it was the one recorded
   base::TimePoint replacedAt{}; ///< when another process answered
   std::uint32_t running = 0;
   double queuedMs = 0;
@@ -56,10 +58,18 @@
     return presence == Presence::Refusing || presence == Presence::Replaced;
   }
 
-  /** @param aNow time @return its software, unknown while that is uncertain */
-  peers::SoftwareTag softwareAt(base::TimePoint aNow) const
+  /** @return its software, unknown while that is uncertain */
+  peers::SoftwareTag certainSoftware() const
   {
-    return aNow < softwareUncertainUntil ? peers::kUnknownSoftware : software;
+    return softwareUncertain ? peers::kUnknownSoftware : software;
+  }
+
+  /** Its process may have ended. @param aNow time */
+  void doubtSoftware(base::TimePoint aNow)
+  {
+    softwareUncertain = true;
+    softwareDoubtedAt = aNow;
+    softwareConfirmedAt = {};
   }
 
   /** @return true if it accepts new requests */
--- a/libs/dispatch/software_history.cpp
+++ b/libs/dispatch/software_history.cpp
@@ -39,6 +39,15 @@
   }
 }
 
+void
+SoftwareHistory::expire(base::TimePoint aNow)
+{
+  for (auto& [service, tags] : mLastSeen) {
+    std::erase_if(
+      tags, [&](const auto& aItem) { return aNow - aItem.second > mLifetime; });
+  }
+}
+
 SoftwareHistory::Table
 SoftwareHistory::recent(base::TimePoint aNow) const
 {
--- a/libs/dispatch/software_history.h
+++ b/libs/dispatch/software_history.h
@@ -48,6 +48,9 @@
    * @param aTable software by service @param aNow time */
   void merge(const Table& aTable, base::TimePoint aNow);
 
+  /** Forgets software that has not served for a lifetime. @param aNow time */
+  void expire(base::TimePoint aNow);
+
   /** @param aService service @param aNow time
    * @return the only software that can have begun a stream which may still be
    * taken up, or nothing if there are several or none */
--- a/libs/dispatch/stream_origins.cpp
+++ b/libs/dispatch/stream_origins.cpp
@@ -15,9 +15,13 @@
                    Whose aWhose,
                    base::TimePoint aNow)
 {
-  if (!mOrigins.emplace(aOrigin.stream, aOrigin.software).second) {
+  const auto [known, isNew] =
+    mOrigins.emplace(aOrigin.stream, aOrigin.software);
+  if (!isNew && (known->second != peers::kUnknownSoftware ||
+                 aOrigin.software == peers::kUnknownSoftware)) {
     return;
   }
+  known->second = aOrigin.software;
   mByAge.push_back({ aOrigin, aNow, aWhose });
   ++mAdded;
   if (mByAge.size() > kMaxStreams) {
--- a/libs/dispatch/stream_origins.h
+++ b/libs/dispatch/stream_origins.h
@@ -23,7 +23,7 @@
    * last continuation */
   void setLifetime(base::Duration aLifetime) { mLifetime = aLifetime; }
 
-  /** Adds a stream that began at this VM. The first origin of a stream counts.
+  /** Adds a stream that began at this VM. The first known origin counts.
    * @param aOrigin origin @param aNow time */
   void record(const peers::StreamOrigin& aOrigin, base::TimePoint aNow);
 
