--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -1132,7 +1132,7 @@
   base::MemoryBudget memory;
   wire::ConnectionPool counting(loop);
   counting.setMemoryBudget(memory);
-  const auto start = [&](std::optional<std::string> aBytes) {
+  const auto start = [&](const std::optional<std::string>& aBytes) {
     return counting.start({ "u", kAddress },
                           { [aBytes] { return aBytes; }, "", "a", false, 1000 },
                           { [](const wire::ResponseHead&) {},
