--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -265,7 +265,7 @@
 CallerConnection::isStillSending() const
 {
   const base::TimePoint now = base::monotonicNow();
-  return now - mLingeringSince < mServer.mLimits.idleTimeout &&
+  return now - mLingeringSince < idleLimit() &&
          (now - mLastInputAt < kLingerTime || mTransport.hasInput());
 }
 
