--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -190,7 +190,9 @@
   if (!hasBegunToAnswer(now)) {
     mContext.crashes.onConnectionBroken(mTraits, upstream->process(), now);
   }
-  mContext.streams.onBrokenConnection(upstream, now);
+  if (mRoute->resumableStream()) {
+    mContext.streams.onBrokenConnection(upstream, now);
+  }
   mContext.probe.start(upstream->peer());
 }
 
