--- a/apps/gateway/order_controller.cpp
+++ b/apps/gateway/order_controller.cpp
@@ -278,6 +278,7 @@
     engine.dataCentre = record.dataCentre;
     engine.draining = !upstream->usable();
     engine.restarting = upstream->processEnded();
+    engine.software = upstream->software;
     engine.quiet = isQuiet(*upstream, aNow);
     engine.orderable = known.reportReceived && !known.needsReport &&
                        !known.callInProgress && !known.loading &&
--- a/libs/residency/fleet_stats.cpp
+++ b/libs/residency/fleet_stats.cpp
@@ -91,6 +91,9 @@
     presence.unloading = held.unloading;
     model.replicas += aEngine.draining || held.unloading ? 0U : 1U;
     model.onRestartingEngine |= aEngine.restarting;
+    if (aEngine.restarting) {
+      model.brokenSoftware.insert(aEngine.software);
+    }
     added.usedSlots += adapters.size();
     for (const std::string& adapter : adapters) {
       AdapterStats& stats = model.adapters[adapter];
--- a/libs/residency/fleet_stats.h
+++ b/libs/residency/fleet_stats.h
@@ -42,8 +42,11 @@
   /** Engines that hold or load it and neither drain nor unload it. */
   unsigned replicas = 0;
   bool onRestartingEngine = false; ///< a restarting engine held or loaded it
-  double workMsPerSecond = 0;      ///< including its adapters' work
-  unsigned waiting = 0;            ///< waiting requests, without its adapters'
+  /** Software of the restarting engines that held it, whose streams broke off.
+   */
+  std::set<std::uint32_t> brokenSoftware;
+  double workMsPerSecond = 0; ///< including its adapters' work
+  unsigned waiting = 0;       ///< waiting requests, without its adapters'
   /** Longest Demand::unservedTime of the model and its adapters. */
   base::Duration unservedTime{};
   std::vector<ModelPresence> presences; ///< in the order of the engines
--- a/libs/residency/plan_models.cpp
+++ b/libs/residency/plan_models.cpp
@@ -50,6 +50,10 @@
  * chosen for a replica. */
 constexpr double kCostPerLoadSecond = 10;
 constexpr double kCostPerEngineWorkMs = 0.05;
+/** Gain of an engine whose software began the streams that broke off with
+ * another replica: their callers take them up, and no other software may go on
+ * with them. Worth four seconds of a load; their callers wait little longer. */
+constexpr double kSameSoftwareGain = 40;
 
 /** A possible engine for a further replica of a model. */
 struct Placement
@@ -281,6 +285,9 @@
     }
     aPlacement.gain = gain - base::inSeconds(load) * kCostPerLoadSecond -
                       engine.workMsPerSecond * kCostPerEngineWorkMs;
+    if (aNeed.model->brokenSoftware.contains(engine.engine->software)) {
+      aPlacement.gain += kSameSoftwareGain;
+    }
     if (memoryIsFree) {
       return true;
     }
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -30,6 +30,8 @@
   /** Its process has ended, so it counts as draining too. The next one is soon
    * there, empty but with the same disk. */
   bool restarting = false;
+  /** Equal on engines that may continue each other's streams. */
+  std::uint32_t software = 0;
   bool orderable = true; ///< false while an order runs or its state is unknown
   bool quiet = false;    ///< has asked for a time without orders, and gets none
   /** Models in the engine's record, each with its resident adapters. */
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -318,6 +318,27 @@
   CHECK(evicts());
 }
 
+// Two software versions serve, and an engine of one crashes with the streams of
+// a model. Guards against a load at the other one, which may not continue them.
+TEST(PlanModels, ModelOfACrashedEngineIsLoadedWhereItsStreamsMayGoOn)
+{
+  input.demand = { { { "a", "" }, { 500, 5, 0 } } };
+  input.engines = { engine("e1", { "a" }), engine("e2", {}), engine("e3", {}) };
+  input.engines[0].draining = true;
+  input.engines[0].restarting = true;
+  input.engines[1].cachedOnDisk = { "a" };
+  input.engines[2].cachedOnDisk = { "a" };
+  for (const std::uint32_t software : { 1U, 2U }) {
+    input.engines[0].software = software;
+    input.engines[1].software = 1;
+    input.engines[2].software = 2;
+    const auto orders = residency::planModels(input);
+    const PlannedOrder* load = orderFor(orders, "a", true);
+    CHECK(load != nullptr);
+    STRCMP_EQUAL(software == 1 ? "e2" : "e3", load->engine.c_str());
+  }
+}
+
 TEST_GROUP(PlanAdapters)
 {
   catalog::EngineSpec spec = makeSpec({ "a", "b" });
