--- a/apps/gateway/stream_registry.cpp
+++ b/apps/gateway/stream_registry.cpp
@@ -231,10 +231,11 @@
 StreamRegistry::onBrokenConnection(const std::shared_ptr<Upstream>& aUpstream,
                                    base::TimePoint aNow)
 {
-  aUpstream->doubtSoftware(aNow);
-  if (mCheck) {
-    confirm(aUpstream, [] {});
+  if (!mCheck) {
+    return; // Nothing would end the doubt.
   }
+  aUpstream->doubtSoftware(aNow);
+  confirm(aUpstream, [] {});
 }
 
 void
