--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -674,6 +674,13 @@
   if (mContext.streams.mustConfirm(aUpstream, base::monotonicNow())) {
     mTriedUpstreams.insert(aUpstream.record.name);
     mConfirmationFailed = true;
+    // A late answer is no evidence of a crash; the probe shows one.
+    mContext.probe.start(aUpstream.peer());
+    mContext.log.logStep(mMetadata.id,
+                         "unreachable upstream",
+                         aUpstream.record.name,
+                         "has not said which process it is",
+                         base::monotonicNow());
   } else {
     mConfirmedUpstream = aUpstream.record.name;
   }
--- a/tests/e2e/test_caller_connections.py
+++ b/tests/e2e/test_caller_connections.py
@@ -46,7 +46,7 @@
 
     finished = 0
 
-    async def stream(self, headers, signature, writer):
+    async def stream(self, headers, signature, writer, events):
         head = {**signature, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in head.items()) + "\r\n").encode())
         for number in range(1, EVENTS + 1):
