--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -87,7 +87,9 @@
   std::vector<dispatch::Candidate> candidates(
     std::vector<std::shared_ptr<Upstream>>& aUpstreams);
   dispatch::Candidate makeCandidate(const Upstream& aUpstream) const;
+  bool waitForAdapter();
   void waitForModel();
+  void waitInQueue(std::optional<peers::SoftwareTag> aSoftware);
   std::optional<base::Duration> estimateLoadTime() const;
   std::optional<dispatch::Choice> choose(
     const std::vector<dispatch::Candidate>& aCandidates,
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -242,6 +242,9 @@
     waitUntilAccepted();
     return;
   }
+  if (waitForAdapter()) {
+    return;
+  }
   if (mayHaveRun()) {
     if (mNotAccepted &&
         remainingTime() > kOverloadRetryDelay + kMinRemainingTime) {
@@ -435,6 +438,45 @@
   return best;
 }
 
+/** An upstream that may continue the stream has its model and lacks just the
+ * adapter, which is loaded in milliseconds. @return true if the request waits
+ * for that */
+bool
+Exchange::waitForAdapter()
+{
+  const bool continues = mOrigin && *mOrigin != peers::kUnknownSoftware &&
+                         isEngineCall() && mService->engine;
+  if (!continues || mMetadata.model->adapter.empty() ||
+      mContext.endRequestsAt ||
+      remainingTime() < kOrderDelay + kMinRemainingTime) {
+    return false;
+  }
+  const catalog::ModelRef& ref = *mMetadata.model;
+  const UpstreamTable& upstreams = mContext.upstreams;
+  const base::TimePoint now = base::monotonicNow();
+  if (!upstreams.anyCanServe({ ref.model, "" }, now, mOrigin) ||
+      upstreams.anyCanServe(ref, now, mOrigin)) {
+    return false;
+  }
+  waitInQueue(mOrigin);
+  return true;
+}
+
+/** @param aSoftware software that the upstream must have, if it matters */
+void
+Exchange::waitInQueue(std::optional<peers::SoftwareTag> aSoftware)
+{
+  if (!mWaitLogged) {
+    mWaitLogged = true;
+    mContext.log.logStep(mMetadata.id,
+                         "waits for model",
+                         "",
+                         mMetadata.model->text(),
+                         base::monotonicNow());
+  }
+  mContext.waitQueue.add({ *mMetadata.model, aSoftware }, shared_from_this());
+}
+
 void
 Exchange::waitForModel()
 {
@@ -460,15 +502,7 @@
       *load);
     return;
   }
-  if (!mWaitLogged) {
-    mWaitLogged = true;
-    mContext.log.logStep(mMetadata.id,
-                         "waits for model",
-                         "",
-                         mMetadata.model->text(),
-                         base::monotonicNow());
-  }
-  mContext.waitQueue.add(*mMetadata.model, shared_from_this());
+  waitInQueue(std::nullopt);
 }
 
 /** All upstreams that could serve the request have said for how long they want
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -170,8 +170,9 @@
   , mRetryWaiting(mLoop,
                   [this] {
                     const base::TimePoint now = base::monotonicNow();
-                    mWaitQueue.retryIf([&](const catalog::ModelRef& aRef) {
-                      return mUpstreams.anyCanServe(aRef, now);
+                    mWaitQueue.retryIf([&](const AwaitedModel& aModel) {
+                      return mUpstreams.anyCanServe(
+                        aModel.ref, now, aModel.software);
                     });
                   })
   , mEndBlocked(mLoop, [this] { endBlockedRequests(); })
@@ -494,8 +495,10 @@
   for (const auto& [ref, rate] : mDemand.rates(now)) {
     table[ref].workMsPerSecond += rate;
   }
-  for (const auto& [ref, count] : mWaitQueue.counts()) {
-    table[ref].waiting += count;
+  for (const auto& [model, count] : mWaitQueue.counts()) {
+    residency::Demand& demand = table[model.ref];
+    (model.software ? demand.takeUps[*model.software] : demand.waiting) +=
+      count;
   }
   for (const auto& [ref, count] : mContext.runningByModel) {
     table[ref].running += count;
@@ -505,6 +508,9 @@
     sum.workMsPerSecond += demand.workMsPerSecond;
     sum.waiting += demand.waiting;
     sum.running += demand.running;
+    for (const auto& [software, count] : demand.takeUps) {
+      sum.takeUps[software] += count;
+    }
   }
   return table;
 }
--- a/apps/gateway/model_wait_queue.h
+++ b/apps/gateway/model_wait_queue.h
@@ -3,10 +3,13 @@
 
 #include "base/base.h"
 #include "catalog/catalog.h"
+#include "peers/peers.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace marigold::gateway {
 
@@ -30,16 +33,25 @@
   virtual void endIfBlocked() = 0;
 };
 
+/** What a request waits for. */
+struct AwaitedModel
+{
+  catalog::ModelRef ref; ///< model or adapter that is not loaded
+  /** Of the upstreams that may serve it, if it continues a stream. */
+  std::optional<peers::SoftwareTag> software;
+
+  auto operator<=>(const AwaitedModel&) const = default;
+};
+
 /** Holds the waiting requests by model and counts them as demand. */
 class ModelWaitQueue
 {
 public:
-  /** @param aRef model or adapter that is not loaded
-   * @param aRequest request that waits for it */
-  void add(const catalog::ModelRef& aRef,
+  /** @param aModel what the request waits for @param aRequest request */
+  void add(const AwaitedModel& aModel,
            const std::shared_ptr<PendingRequest>& aRequest)
   {
-    mRequests[aRef].push_back(aRequest);
+    mRequests[aModel].push_back(aRequest);
     if (mOnAdd) {
       mOnAdd();
     }
@@ -49,12 +61,11 @@
    */
   void retryAll()
   {
-    retryIf([](const catalog::ModelRef&) { return true; });
+    retryIf([](const AwaitedModel&) { return true; });
   }
 
   /** Retries the requests whose model can be served now.
-   * @param aIsServed predicate: true if an upstream serves this model or
-   * adapter
+   * @param aIsServed predicate: true if an upstream serves what they wait for
    */
   template<typename Predicate>
   void retryIf(Predicate aIsServed)
@@ -62,9 +73,9 @@
     auto requests = std::move(mRequests);
     mRequests.clear();
     mRetrying = true;
-    for (auto& [ref, group] : requests) {
-      if (!aIsServed(ref)) {
-        requeue(ref, std::move(group));
+    for (auto& [model, group] : requests) {
+      if (!aIsServed(model)) {
+        requeue(model, std::move(group));
         continue;
       }
       for (const auto& weak : group) {
@@ -76,13 +87,17 @@
     mRetrying = false;
   }
 
-  /** @return number of waiting requests by missing model or adapter */
-  std::map<catalog::ModelRef, unsigned> counts() const
+  /** @return numbers of waiting requests by what they wait for */
+  std::map<AwaitedModel, unsigned> counts() const
   {
-    std::map<catalog::ModelRef, unsigned> counts;
-    for (const auto& [ref, group] : mRequests) {
-      for (const auto& weak : group) {
-        counts[ref] += weak.expired() ? 0U : 1U;
+    std::map<AwaitedModel, unsigned> counts;
+    for (const auto& [model, group] : mRequests) {
+      const auto alive =
+        std::count_if(group.begin(), group.end(), [](const auto& aWeak) {
+          return !aWeak.expired();
+        });
+      if (alive > 0) {
+        counts[model] = static_cast<unsigned>(alive);
       }
     }
     return counts;
@@ -104,17 +119,17 @@
 private:
   using Group = std::vector<std::weak_ptr<PendingRequest>>;
 
-  void requeue(const catalog::ModelRef& aRef, Group aGroup)
+  void requeue(const AwaitedModel& aModel, Group aGroup)
   {
     // Drops requests that ended while they waited.
     std::erase_if(aGroup, [](const auto& aWeak) { return aWeak.expired(); });
     if (!aGroup.empty()) {
-      auto& group = mRequests[aRef];
+      auto& group = mRequests[aModel];
       group.insert(group.end(), aGroup.begin(), aGroup.end());
     }
   }
 
-  std::map<catalog::ModelRef, Group> mRequests;
+  std::map<AwaitedModel, Group> mRequests;
   std::function<void()> mOnAdd;
   bool mRetrying = false;
 };
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -522,8 +522,9 @@
   for (const auto& [ref, rate] : mContext.demand.rates(base::monotonicNow())) {
     status.demand[ref.text()].workMsPerSecond = toCount(std::round(rate));
   }
-  for (const auto& [ref, count] : mContext.waitQueue.counts()) {
-    status.demand[ref.text()].waiting = count;
+  for (const auto& [model, count] : mContext.waitQueue.counts()) {
+    peers::ModelDemand& demand = status.demand[model.ref.text()];
+    (model.software ? demand.takeUps[*model.software] : demand.waiting) = count;
   }
   for (const auto& [ref, count] : mContext.runningByModel) {
     status.demand[ref.text()].running = count;
@@ -565,7 +566,7 @@
 {
   const bool waits =
     std::any_of(aDemand.begin(), aDemand.end(), [](const auto& aItem) {
-      return aItem.second.waiting > 0;
+      return aItem.second.awaited();
     });
   if (waits && mOrders.active()) {
     mWaitingDemandReceived.emit();
--- a/apps/gateway/upstream_table.cpp
+++ b/apps/gateway/upstream_table.cpp
@@ -241,11 +241,15 @@
 
 bool
 UpstreamTable::anyCanServe(const catalog::ModelRef& aRef,
-                           base::TimePoint aNow) const
+                           base::TimePoint aNow,
+                           std::optional<peers::SoftwareTag> aSoftware) const
 {
   return std::any_of(
     mUpstreams.begin(), mUpstreams.end(), [&](const auto& aItem) {
-      return aItem.second->usable() && canServe(*aItem.second, aRef, aNow);
+      const Upstream& upstream = *aItem.second;
+      return upstream.usable() &&
+             (!aSoftware || upstream.software == *aSoftware) &&
+             canServe(upstream, aRef, aNow);
     });
 }
 
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace marigold::gateway {
 
@@ -160,8 +161,13 @@
                 const catalog::ModelRef& aRef,
                 base::TimePoint aNow) const;
 
-  /** @return true if any usable upstream can serve the model or adapter */
-  bool anyCanServe(const catalog::ModelRef& aRef, base::TimePoint aNow) const;
+  /** @param aRef model or adapter @param aNow time
+   * @param aSoftware software that it must have, if it matters
+   * @return true if any usable upstream can serve the model or adapter */
+  bool anyCanServe(
+    const catalog::ModelRef& aRef,
+    base::TimePoint aNow,
+    std::optional<peers::SoftwareTag> aSoftware = std::nullopt) const;
 
   const Map& all() const { return mUpstreams; }
 
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -66,8 +66,12 @@
 {
   json demand = json::object();
   for (const auto& [name, row] : aDemand) {
-    demand[name] =
+    json fields =
       json::array({ row.workMsPerSecond, row.waiting, row.running });
+    if (!row.takeUps.empty()) {
+      fields.push_back(row.takeUps);
+    }
+    demand[name] = std::move(fields);
   }
   return demand;
 }
@@ -260,7 +264,11 @@
 {
   DemandTable demand;
   for (const auto& [name, row] : aJson.items()) {
-    demand[name] = { row.at(0), row.at(1), row.at(2) };
+    ModelDemand& read = demand[name];
+    read = { row.at(0), row.at(1), row.at(2), {} };
+    if (row.size() > 3) {
+      read.takeUps = row.at(3).get<decltype(read.takeUps)>();
+    }
   }
   return demand;
 }
@@ -474,6 +482,9 @@
   workMsPerSecond += aOther.workMsPerSecond;
   waiting += aOther.waiting;
   running += aOther.running;
+  for (const auto& [software, count] : aOther.takeUps) {
+    takeUps[software] += count;
+  }
   return *this;
 }
 
@@ -483,6 +494,10 @@
   workMsPerSecond -= aOther.workMsPerSecond;
   waiting -= aOther.waiting;
   running -= aOther.running;
+  for (const auto& [software, count] : aOther.takeUps) {
+    takeUps[software] -= count;
+  }
+  std::erase_if(takeUps, [](const auto& aItem) { return aItem.second == 0; });
   return *this;
 }
 
--- a/libs/peers/messages.h
+++ b/libs/peers/messages.h
@@ -71,6 +71,12 @@
   std::uint32_t workMsPerSecond = 0; ///< prompt and output work, averaged
   std::uint32_t waiting = 0; ///< requests that no upstream can serve yet
   std::uint32_t running = 0; ///< requests in progress at upstreams
+  /** Requests that wait to continue a stream, which only upstreams with the
+   * software that began it may do. */
+  std::map<SoftwareTag, std::uint32_t> takeUps{};
+
+  /** @return true if requests wait */
+  bool awaited() const { return waiting > 0 || !takeUps.empty(); }
 
   ModelDemand& operator+=(const ModelDemand& aOther);
   ModelDemand& operator-=(const ModelDemand& aOther);
--- a/libs/peers/peer_table.cpp
+++ b/libs/peers/peer_table.cpp
@@ -11,6 +11,29 @@
  * not be reported any more. */
 constexpr base::Duration kEntryExpiry = 3s;
 
+std::uint32_t
+excess(std::uint32_t aReported, std::uint32_t aSummarized)
+{
+  return aReported > aSummarized ? aReported - aSummarized : 0;
+}
+
+/** Adds the waiting requests that are reported and not summarized yet. */
+void
+addWaitingExcess(const ModelDemand& aReported,
+                 const ModelDemand& aSummarized,
+                 ModelDemand& aTotal)
+{
+  aTotal.waiting += excess(aReported.waiting, aSummarized.waiting);
+  for (const auto& [software, count] : aReported.takeUps) {
+    const auto known = aSummarized.takeUps.find(software);
+    const std::uint32_t more =
+      excess(count, known == aSummarized.takeUps.end() ? 0 : known->second);
+    if (more > 0) {
+      aTotal.takeUps[software] += more;
+    }
+  }
+}
+
 } // namespace
 
 bool
@@ -170,7 +193,7 @@
   // A VM of another data centre with waiting requests sends its status before
   // the next summary of its data centre, which will contain the same requests.
   // Only the excess over the last summary is added.
-  std::map<base::DataCentre, std::map<std::string, std::uint32_t>> unsummarized;
+  std::map<base::DataCentre, DemandTable> unsummarized;
   for (const auto& [vm, entry] : mStatuses) {
     const Status& status = entry.status;
     if (isSummed(status)) {
@@ -186,20 +209,19 @@
       continue;
     }
     for (const auto& [name, demand] : status.demand) {
-      unsummarized[status.dataCentre][name] += demand.waiting;
+      unsummarized[status.dataCentre][name] += demand;
     }
   }
-  for (const auto& [dataCentre, waiting] : unsummarized) {
+  for (const auto& [dataCentre, reported] : unsummarized) {
     const auto summary = mSummaries.find(dataCentre);
-    for (const auto& [name, count] : waiting) {
-      std::uint32_t summarized = 0;
+    for (const auto& [name, demand] : reported) {
+      ModelDemand summarized;
       if (summary != mSummaries.end()) {
-        const auto entry = summary->second.summary.demand.find(name);
-        summarized = entry == summary->second.summary.demand.end()
-                       ? 0
-                       : entry->second.waiting;
+        const DemandTable& sums = summary->second.summary.demand;
+        const auto entry = sums.find(name);
+        summarized = entry == sums.end() ? summarized : entry->second;
       }
-      total[name].waiting += count > summarized ? count - summarized : 0;
+      addWaitingExcess(demand, summarized, total[name]);
     }
   }
   return total;
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -23,7 +23,7 @@
   status.draining = true;
   status.usage = { { "t", 100.5 } };
   status.loads["u"] = { 2, 30, 4, 5000, { 3, 9, 1 } };
-  status.demand["m/a1"] = { 12, 3, 1 };
+  status.demand["m/a1"] = { 12, 3, 1, { { 7, 2 } } };
   status.crashes[31] = {
     250ms, { { 4, 7 }, { 6 } }, { 8 }, { { 4, { 1, 3s } } }, { 4 }
   };
@@ -46,7 +46,7 @@
   summary.catalogVersion = 3;
   summary.members["vm7"] = { 4, 9, true, { { "t", 20 } } };
   summary.loads["u"] = { aRunning, 0, 0, 100, {} };
-  summary.demand["m"] = { 50, 2, 1 };
+  summary.demand["m"] = { 50, 2, 1, {} };
   summary.crashes[32] = { 1s, { { 2 } }, {}, {}, {} };
   summary.drainingUpstreams["u3"] = 2;
   summary.gossip.limitStatements[34] = { 8, 1200ms, false };
@@ -80,6 +80,7 @@
         (peers::UpstreamLoad{ 2, 30, 4, 5000, { 3, 9, 1 } }));
   LONGS_EQUAL(3, status.demand.at("m/a1").waiting);
   LONGS_EQUAL(1, status.demand.at("m/a1").running);
+  LONGS_EQUAL(2, status.demand.at("m/a1").takeUps.at(7));
   CHECK(status.crashes == sampleStatus(3).crashes);
   LONGS_EQUAL(9, status.drainingUpstreams.at("u2"));
   CHECK(status.gossip.limitStatements ==
@@ -222,10 +223,11 @@
   peers::Status newer = sampleStatus(1);
   newer.vm = "vm7";
   newer.dataCentre = "dc2";
-  newer.demand = { { "m", { 0, 3, 0 } } };
+  newer.demand = { { "m", { 0, 3, 0, { { 7, 2 } } } } };
   table.update(sampleSummary("r", 1, 3), TimePoint{ 1s });
   table.update(newer, TimePoint{ 2s });
   LONGS_EQUAL(3, table.demand().at("m").waiting);
+  LONGS_EQUAL(2, table.demand().at("m").takeUps.at(7));
   LONGS_EQUAL(3, table.peerLoad("u").running);
   table.update(sampleSummary("r", 2, 3), TimePoint{ 3s });
   LONGS_EQUAL(2, table.demand().at("m").waiting);
@@ -426,6 +428,7 @@
   CHECK(table.updateOwnSummary(summaryOfBothVms(1), own, TimePoint{ 100s }));
   LONGS_EQUAL(2, table.peerLoad("u").running);
   LONGS_EQUAL(3, table.demand().at("m/a1").waiting);
+  LONGS_EQUAL(2, table.demand().at("m/a1").takeUps.at(7));
   CHECK(table.summaries().at("dc1").summary.crashes == sampleStatus(1).crashes);
 }
 
--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -1,6 +1,7 @@
 #include "residency/fleet_stats.h"
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 
 namespace marigold::residency {
@@ -33,13 +34,24 @@
  * and usually end within a few seconds. */
 constexpr base::Duration kMaxSlotWait = 10s;
 
+unsigned
+waitingTakeUps(const Demand& aDemand)
+{
+  unsigned sum = 0;
+  for (const auto& [software, count] : aDemand.takeUps) {
+    sum += count;
+  }
+  return sum;
+}
+
 double
 demandValue(const Demand* aDemand)
 {
   return aDemand == nullptr
            ? 0
            : aDemand->workMsPerSecond +
-               kValuePerWaitingRequest * aDemand->waiting +
+               kValuePerWaitingRequest *
+                 (aDemand->waiting + waitingTakeUps(*aDemand)) +
                kValuePerUnservedSecond * base::inSeconds(aDemand->unservedTime);
 }
 
@@ -56,6 +68,8 @@
   double value = 0;      ///< compared with other needs and with victims
   const ModelStats* model = nullptr;
   const AdapterStats* adapter = nullptr;
+  /** Of the engines that may serve it, if it is for streams that go on. */
+  std::optional<std::uint32_t> software;
 };
 
 /** How much an eviction harms, in the order in which adapters are evicted. */
@@ -169,8 +183,12 @@
           (demand->waiting > 0 || demand->unservedTime > base::Duration{});
         const bool hot = adapter.replicas == 1 &&
                          demand->workMsPerSecond > kHotAdapterMsPerSecond;
+        if (addTakeUps(model, adapter, needs)) {
+          continue; // The replica serves other requests too.
+        }
         if (unserved || hot) {
-          needs.push_back({ unserved, demandValue(demand), &model, &adapter });
+          needs.push_back(
+            { unserved, demandValue(demand), &model, &adapter, std::nullopt });
         }
       }
     }
@@ -184,6 +202,39 @@
     return needs;
   }
 
+  /** Adds the needs of streams that go on: an engine with their software holds
+   * the model, and none of these the adapter.
+   * @return true if there is one */
+  bool addTakeUps(const ModelStats& aModel,
+                  const AdapterStats& aAdapter,
+                  std::vector<ReplicaNeed>& aNeeds) const
+  {
+    bool added = false;
+    for (const auto& [software, count] : aAdapter.demand->takeUps) {
+      bool modelHeld = false;
+      bool adapterHeld = false;
+      for (const ModelPresence& presence : aModel.presences) {
+        const EngineStats& engine = mFleet.engines()[presence.engine];
+        if (engine.engine->software == software && !engine.engine->draining &&
+            presence.holds && !presence.unloading) {
+          modelHeld = true;
+          adapterHeld |= holds(engine, aAdapter);
+        }
+      }
+      if (modelHeld && !adapterHeld) {
+        aNeeds.push_back(
+          { true, demandValue(aAdapter.demand), &aModel, &aAdapter, software });
+        added = true;
+      }
+    }
+    return added;
+  }
+
+  static bool mayServe(const EngineStats& aEngine, const ReplicaNeed& aNeed)
+  {
+    return !aNeed.software || aEngine.engine->software == *aNeed.software;
+  }
+
   bool hasFreeSlot(const EngineStats& aEngine) const
   {
     return aEngine.usedSlots < mFleet.input().spec->adapterSlots;
@@ -273,7 +324,8 @@
     double bestCost = 0;
     for (const ModelPresence& presence : aNeed.model->presences) {
       const EngineStats& engine = mFleet.engines()[presence.engine];
-      if (!acceptsLoad(presence) || holds(engine, *aNeed.adapter)) {
+      if (!acceptsLoad(presence) || !mayServe(engine, aNeed) ||
+          holds(engine, *aNeed.adapter)) {
         continue;
       }
       Victim victim;
@@ -323,7 +375,7 @@
       const bool awaitsReport = !engine.draining && !engine.quiet &&
                                 !engine.orderable && engine.loading.empty() &&
                                 engine.unloading.empty();
-      if (presence.holds && awaitsReport &&
+      if (presence.holds && awaitsReport && mayServe(stats, aNeed) &&
           stats.usedSlots + mReservedSlots[presence.engine] <
             mFleet.input().spec->adapterSlots) {
         ++mReservedSlots[presence.engine];
@@ -338,7 +390,8 @@
     if (aVictim.adapter == nullptr) {
       return false;
     }
-    if (aNeed.unserved && aNeed.adapter->demand->waiting == 0) {
+    if (aNeed.unserved && !aNeed.software &&
+        aNeed.adapter->demand->waiting == 0) {
       return false; // Requested earlier but not now; wait for a free slot.
     }
     if (!aNeed.unserved) {
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -52,6 +52,8 @@
   unsigned running = 0;       ///< requests that engines are processing
   /** Time since its first request that found no engine holding it. */
   base::Duration unservedTime{};
+  /** Requests that wait to continue a stream, by Engine::software. */
+  std::map<std::uint32_t, unsigned> takeUps{};
 };
 
 using DemandTable = std::map<catalog::ModelRef, Demand>;
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -379,6 +379,41 @@
   CHECK(orders[0].load);
 }
 
+// Two software versions serve, and callers take up streams of an adapter that
+// only the other one holds. Guards against take-ups that are refused although
+// the adapter is loaded in milliseconds.
+TEST(PlanAdapters, LoadsAnAdapterWhereItsStreamsMayGoOn)
+{
+  input.engines = { engine("e1", { "a" }),
+                    engine("e2", { "a" }),
+                    engine("e3", { "b" }) };
+  input.engines[0].software = 1;
+  input.engines[0].models["a"] = { "a1" };
+  input.engines[1].software = 2;
+  input.engines[2].software = 2;
+  input.demand[{ "a", "a1" }].takeUps = { { 2, 1 } };
+  const auto orders = residency::planAdapters(input);
+  LONGS_EQUAL(1, orders.size());
+  STRCMP_EQUAL("e2", orders[0].engine.c_str());
+  STRCMP_EQUAL("a1", orders[0].target.adapter.c_str());
+  input.engines[1].models["a"] = { "a1" };
+  CHECK(residency::planAdapters(input).empty());
+}
+
+// No engine holds an adapter that new requests and streams of one software wait
+// for. Guards against two loads of it, or one that serves only the former.
+TEST(PlanAdapters, LoadsAnAdapterForNewRequestsAndStreamsOnce)
+{
+  input.engines = { engine("e1", { "a" }), engine("e2", { "a" }) };
+  input.engines[0].software = 1;
+  input.engines[1].software = 2;
+  input.demand[{ "a", "a1" }].waiting = 4;
+  input.demand[{ "a", "a1" }].takeUps = { { 2, 1 } };
+  const auto orders = residency::planAdapters(input);
+  LONGS_EQUAL(1, orders.size());
+  STRCMP_EQUAL("e2", orders[0].engine.c_str());
+}
+
 // Guards against unloading an adapter in use: the unload waits for running
 // requests and blocks further orders to the engine.
 TEST(PlanAdapters, EvictsOnlyIdleAdapters)
