--- a/libs/residency/fleet_stats.cpp
+++ b/libs/residency/fleet_stats.cpp
@@ -89,9 +89,7 @@
     ModelPresence& presence = presenceOn(name, aIndex);
     presence.holds = true;
     presence.unloading = held.unloading;
-    const unsigned served = aEngine.draining || held.unloading ? 0U : 1U;
-    model.replicas += served;
-    model.serving += served;
+    model.replicas += aEngine.draining || held.unloading ? 0U : 1U;
     model.onRestartingEngine |= aEngine.restarting;
     if (aEngine.restarting) {
       model.brokenSoftware.insert(aEngine.software);
--- a/libs/residency/fleet_stats.h
+++ b/libs/residency/fleet_stats.h
@@ -41,7 +41,6 @@
   const catalog::Model* spec = nullptr; ///< null: no longer configured
   /** Engines that hold or load it and neither drain nor unload it. */
   unsigned replicas = 0;
-  unsigned serving = 0;            ///< of these, those that hold it already
   bool onRestartingEngine = false; ///< a restarting engine held or loaded it
   /** Software of the restarting engines that held it, whose streams broke off.
    */
