--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -730,8 +730,11 @@
 bool
 Exchange::mayBeSentTo(const base::UpstreamName& aUpstream) const
 {
-  if (!isAccepted(aUpstream) || !mOrigin) {
-    return isAccepted(aUpstream);
+  if (!isAccepted(aUpstream)) {
+    return false;
+  }
+  if (!mOrigin) {
+    return true;
   }
   const auto upstream = mContext.upstreams.find(aUpstream);
   return upstream && mayContinueAt(*upstream) &&
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -48,6 +48,20 @@
 /** Minimum time between two crash reports. */
 constexpr base::Duration kCrashReportInterval = 20ms;
 
+/** Splits a list so that each part fits into one message. */
+template<typename Item, typename Send>
+void
+forEachPart(const std::vector<Item>& aList, Send aSend)
+{
+  for (std::size_t begin = 0; begin < aList.size();
+       begin += kMaxStreamsInMessage) {
+    const std::size_t end =
+      std::min(begin + kMaxStreamsInMessage, aList.size());
+    aSend(std::vector<Item>(aList.begin() + static_cast<std::ptrdiff_t>(begin),
+                            aList.begin() + static_cast<std::ptrdiff_t>(end)));
+  }
+}
+
 } // namespace
 
 PeerExchange::PeerExchange(http::Loop& aLoop,
@@ -428,16 +442,10 @@
 PeerExchange::sendStreams(const std::vector<peers::StreamOrigin>& aOrigins,
                           const std::vector<base::Address>& aTargets)
 {
-  for (std::size_t begin = 0; begin < aOrigins.size();
-       begin += kMaxStreamsInMessage) {
-    peers::StreamReport report;
-    const std::size_t end =
-      std::min(begin + kMaxStreamsInMessage, aOrigins.size());
-    for (std::size_t index = begin; index < end; ++index) {
-      report.origins.push_back(aOrigins[index]);
-    }
-    mSocket.send(peers::encode(report), aTargets);
-  }
+  forEachPart(aOrigins, [&](std::vector<peers::StreamOrigin> aPart) {
+    mSocket.send(peers::encode(peers::StreamReport{ std::move(aPart) }),
+                 aTargets);
+  });
 }
 
 void
@@ -452,16 +460,11 @@
       targets.push_back(member.peerAddress);
     }
   }
-  for (std::size_t begin = 0; begin < aStreams.size();
-       begin += kMaxStreamsInMessage) {
-    peers::StreamQuery query{ mContext.settings.vm, {} };
-    const std::size_t end =
-      std::min(begin + kMaxStreamsInMessage, aStreams.size());
-    for (std::size_t index = begin; index < end; ++index) {
-      query.streams.push_back(aStreams[index]);
-    }
-    mSocket.send(peers::encode(query), targets);
-  }
+  forEachPart(aStreams, [&](std::vector<peers::StreamId> aPart) {
+    mSocket.send(peers::encode(peers::StreamQuery{ mContext.settings.vm,
+                                                   std::move(aPart) }),
+                 targets);
+  });
 }
 
 void
--- a/apps/gateway/stream_records.cpp
+++ b/apps/gateway/stream_records.cpp
@@ -2,6 +2,8 @@
 
 #include "observe/log.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -41,26 +43,17 @@
 std::string
 encodeStreams(const std::vector<peers::StreamOrigin>& aOrigins)
 {
-  json rows = json::array();
-  const std::size_t first = aOrigins.size() > kMaxStreamsInSlot
-                              ? aOrigins.size() - kMaxStreamsInSlot
-                              : 0;
-  for (std::size_t index = first; index < aOrigins.size(); ++index) {
-    rows.push_back(aOrigins[index].stream);
-    rows.push_back(aOrigins[index].software);
-  }
-  return rows.dump();
+  const auto excess =
+    std::max(aOrigins.size(), kMaxStreamsInSlot) - kMaxStreamsInSlot;
+  const std::vector<peers::StreamOrigin> newest(
+    aOrigins.begin() + static_cast<std::ptrdiff_t>(excess), aOrigins.end());
+  return json(peers::toNumbers(newest)).dump();
 }
 
 std::vector<peers::StreamOrigin>
-decodeStreams(const json& aRows)
+decodeStreams(const json& aNumbers)
 {
-  std::vector<peers::StreamOrigin> origins;
-  for (std::size_t row = 0; row + 1 < aRows.size(); row += 2) {
-    origins.push_back({ aRows.at(row).get<peers::StreamId>(),
-                        aRows.at(row + 1).get<peers::SoftwareTag>() });
-  }
-  return origins;
+  return peers::fromNumbers(aNumbers.get<std::vector<std::uint64_t>>());
 }
 
 } // namespace
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -416,23 +416,13 @@
 json
 encodeBody(const StreamReport& aReport)
 {
-  json rows = json::array();
-  for (const StreamOrigin& origin : aReport.origins) {
-    rows.push_back(origin.stream);
-    rows.push_back(origin.software);
-  }
-  return rows;
+  return toNumbers(aReport.origins);
 }
 
 StreamReport
 decodeStreamReport(const json& aBody)
 {
-  StreamReport report;
-  for (std::size_t row = 0; row + 1 < aBody.size(); row += 2) {
-    report.origins.push_back(
-      { aBody.at(row).get<StreamId>(), aBody.at(row + 1).get<SoftwareTag>() });
-  }
-  return report;
+  return { fromNumbers(aBody.get<std::vector<std::uint64_t>>()) };
 }
 
 json
--- a/libs/peers/stream_origin.h
+++ b/libs/peers/stream_origin.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 namespace marigold::peers {
 
@@ -25,4 +26,14 @@
   bool operator==(const StreamOrigin&) const = default;
 };
 
+/** @param aOrigins origins
+ * @return the numbers of each in turn, as messages and records hold them */
+std::vector<std::uint64_t>
+toNumbers(const std::vector<StreamOrigin>& aOrigins);
+
+/** @param aNumbers from toNumbers(); a single one at the end is ignored
+ * @return the origins */
+std::vector<StreamOrigin>
+fromNumbers(const std::vector<std::uint64_t>& aNumbers);
+
 } // namespace marigold::peers
