--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -796,6 +796,72 @@
   CHECK(!next.reportAge(heard)); // it has not heard the owner itself
 }
 
+// Guards against twice the loads that the store allows: a VM that has never
+// planned has no limit yet, and passed on the loads of the last 250 ms only.
+TEST(LoadWindow, PeerThatNeverOwnedOrdersPassesOnAllLoadsInTheWindow)
+{
+  const unsigned ordered = exhaust(start);
+  residency::StoreLoadLimiter peer;
+  peer.replaceLoads(limiter.loadAges(start + 1s), start + 1s);
+  const base::TimePoint heard = start + 2s;
+  residency::StoreLoadLimiter next;
+  next.startOwnership(900ms, FormerOwner::OwnVm, heard);
+  next.mergeReport(peer.loadAges(heard), *peer.reportAge(heard), heard);
+  next.setLimit({ 1, 5s, 1.1, 3 });
+  LONGS_EQUAL(ordered, next.loadAges(heard).size());
+  LONGS_EQUAL(0, next.available(heard));
+}
+
+// Guards against the same where another VM takes over: what a peer without a
+// limit passes on replaced what the next owner had heard from the former one.
+TEST(LoadWindow, LaterReportOfAPeerDoesNotHideLoadsHeardFromTheOwner)
+{
+  exhaust(start);
+  residency::StoreLoadLimiter peer;
+  peer.replaceLoads(limiter.loadAges(start + 100ms), start + 100ms);
+  residency::StoreLoadLimiter next;
+  next.replaceLoads(limiter.loadAges(start + 100ms), start + 100ms);
+  const auto ages = peer.loadAges(start + 1s);
+  const base::Duration age = *peer.reportAge(start + 1s);
+  next.mergeReport(ages, age, start + 1050ms); // 50 ms on its way
+  next.startOwnership(3s, FormerOwner::OtherVm, start + 3s);
+  next.setLimit({ 1, 5s, 1.1, 3 });
+  LONGS_EQUAL(0, next.available(start + 3s));
+}
+
+// A peer passes on what it heard before the owner's latest loads, and its
+// message is long on its way behind a full link. Guards against a report that
+// looks newer than it is and hides the loads that the next owner has heard of.
+TEST(LoadWindow, ReportThatWasLongOnItsWayDoesNotHideNewerLoads)
+{
+  residency::StoreLoadLimiter peer;
+  peer.replaceLoads({}, start - 100ms);
+  const base::Duration age = *peer.reportAge(start);
+  exhaust(start + 200ms);
+  residency::StoreLoadLimiter next;
+  next.setLimit({ 0, 5s, 1.1, 3 }); // it has not planned, but knows the window
+  next.replaceLoads(limiter.loadAges(start + 300ms), start + 300ms);
+  next.mergeReport(peer.loadAges(start), age, start + 1s);
+  next.startOwnership(3s, FormerOwner::OtherVm, start + 3s);
+  next.setLimit({ 1, 5s, 1.1, 3 });
+  LONGS_EQUAL(0, next.available(start + 3s));
+  CHECK(next.available(start + 5500ms) > 0);
+}
+
+// Guards against a VM that keeps loads which no longer count, and takes no news
+// of a peer for them: it would wait for a window after it took over.
+TEST(LoadWindow, ReportWithFewerLoadsIsTakenOnceTheOthersHaveExpired)
+{
+  exhaust(start);
+  residency::StoreLoadLimiter next;
+  next.setLimit({ 0, 5s, 1.1, 3 });
+  next.replaceLoads(limiter.loadAges(start + 100ms), start + 100ms);
+  next.mergeReport({}, 50ms, start + 5500ms);
+  next.startOwnership(3s, FormerOwner::OtherVm, start + 8s);
+  next.setLimit({ 1, 5s, 1.1, 3 });
+  CHECK(next.available(start + 8s) >= 6);
+}
+
 // Guards against a report from before the latest loads of another VM, as one of
 // a peer that was cut off from that VM.
 TEST(LoadWindow, OldReportOfAPeerDoesNotEmptyTheWindow)
