--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -393,6 +393,11 @@
   const std::string detail =
     "blocked after it crashed " + std::to_string(verdict->crashes.size()) +
     " upstreams" + (verdict->certain() ? "" : ", uncertain");
+  if (mCall && mLoadReservation) {
+    // The upstream may crash on it nevertheless. The verdict may end here.
+    mContext.crashes.onRequestWithdrawn(
+      mTraits, mLoadReservation->upstream()->process(), base::monotonicNow());
+  }
   if (mayHaveRun()) {
     fail(Code::UpstreamFailed, detail);
   } else {
--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -33,12 +33,28 @@
 CrashTracker::onConnectionBroken(const peers::TraitSet& aTraits,
                                  const UpstreamProcess& aProcess,
                                  base::TimePoint aNow)
+{
+  countTrial(mTrials.onBroken(aTraits), kMaxTrials, aNow);
+  addBrokenConnection(aTraits, aProcess, aNow);
+}
+
+void
+CrashTracker::onRequestWithdrawn(const peers::TraitSet& aTraits,
+                                 const UpstreamProcess& aProcess,
+                                 base::TimePoint aNow)
+{
+  addBrokenConnection(aTraits, aProcess, aNow);
+}
+
+void
+CrashTracker::addBrokenConnection(const peers::TraitSet& aTraits,
+                                  const UpstreamProcess& aProcess,
+                                  base::TimePoint aNow)
 {
   if (mBrokenConnections.size() >= kMaxBrokenConnections) {
     mBrokenConnections.erase(mBrokenConnections.begin());
   }
   mBrokenConnections.push_back({ aTraits, aProcess, aNow });
-  countTrial(mTrials.onBroken(aTraits), kMaxTrials, aNow);
   // A peer may already have confirmed the crash.
   confirmIf(
     [this](const BrokenConnection& aConnection) {
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -53,6 +53,15 @@
                           const UpstreamProcess& aProcess,
                           base::TimePoint aNow);
 
+  /** Records that a request was withdrawn from an upstream before the upstream
+   * began to answer it. If the upstream is found to be gone, that counts as if
+   * the connection had broken: it may have begun to work on the request.
+   * @param aTraits traits of the request @param aProcess upstream
+   * @param aNow time */
+  void onRequestWithdrawn(const peers::TraitSet& aTraits,
+                          const UpstreamProcess& aProcess,
+                          base::TimePoint aNow);
+
   /** Confirms a crash: the upstream is unreachable, was replaced or is no
    * longer listed. @param aUpstream upstream @param aNow time */
   void onUpstreamGone(const base::UpstreamName& aUpstream,
@@ -173,6 +182,9 @@
     UpstreamProcess process;
     base::TimePoint at{};
   };
+  void addBrokenConnection(const peers::TraitSet& aTraits,
+                           const UpstreamProcess& aProcess,
+                           base::TimePoint aNow);
   void confirmIf(
     const std::function<bool(const BrokenConnection&)>& aIsConfirmed,
     base::TimePoint aNow);
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -498,6 +498,35 @@
   CHECK(blocked(repeated));
 }
 
+// Guards against a part that ended many upstreams and is let through again
+// soon, because the first two crashes withdrew the requests at the others.
+TEST(CrashRecord, WithdrawnRequestsCountIfTheirUpstreamsCrash)
+{
+  crash({ request({ 66 }) });
+  crash({ request({ 66 }) });
+  tracker.onRequestWithdrawn(request({ 66 }), { "v", 1 }, now + 20ms);
+  tracker.onUpstreamGone("v", now + 500ms);
+  now += 1min;
+  tracker.expire(now);
+  CHECK(blocked(request({ 66 })));
+}
+
+// Guards against requests that count as causes of a crash of another time,
+// because they were withdrawn from an upstream that survived them.
+TEST(CrashRecord, WithdrawnRequestsDoNotCountIfTheirUpstreamsSurvive)
+{
+  crash({ request({ 66 }) });
+  crash({ request({ 66 }) });
+  tracker.onRequestWithdrawn(request({ 66 }), { "v", 1 }, now + 20ms);
+  tracker.onUpstreamAlive("v", now + 100ms);
+  tracker.onUpstreamGone("v", now + 500ms);
+  tracker.onRequestWithdrawn(request({ 66 }), { "w", 1 }, now + 20ms);
+  tracker.onUpstreamGone("w", now + 10s);
+  now += 1min;
+  tracker.expire(now);
+  CHECK(!blocked(request({ 66 })));
+}
+
 // Guards against a request that stays blocked although a peer has served it.
 TEST(CrashRecord, RequestThatAPeerServedIsNotBlocked)
 {
--- a/tests/e2e/test_deadly_part.py
+++ b/tests/e2e/test_deadly_part.py
@@ -15,9 +15,14 @@
 SPREAD_SECONDS = 4.0    # after the fifth crash all VMs know the part
 MOST_AFTERWARDS = 3     # requests with the part that may reach engines from then on
 FIFTH = 5
+ANSWER_DELAY = 0.8      # seconds until an engine crashes, so that a burst arrives before the first crash
+BURST = 12              # requests with the part
+VERDICT_LAPSES = 21.0   # seconds after which a verdict that rests on two crashes is dropped
 
 
-class DeadlyPart(unittest.TestCase):
+class Fleet(unittest.TestCase):
+    restart_seconds = RESTART_SECONDS
+
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform()
@@ -25,7 +30,7 @@
         self.engines = [Upstream(f"engine{n}", BASE_PORT + 70 + n, "llm", ["m1"]) for n in range(ENGINES)]
         for engine in self.engines:
             engine.deadly_part = "dead"
-            self.platform.serve_upstream(engine, restart_after=RESTART_SECONDS)
+            self.platform.serve_upstream(engine, restart_after=self.restart_seconds)
         self.gateways = []
         for number, data_centre in enumerate(("dc-a", "dc-b")):
             self.platform.serve_store(BASE_PORT + 90 + number)
@@ -61,6 +66,8 @@
     def crashes(self):
         return sorted(at for engine in self.engines for at in engine.crashes)
 
+
+class DeadlyPart(Fleet):
     def test_requests_that_share_only_the_part_stop_reaching_engines(self):
         """Guards against requests that crash one engine after another because no two of them are alike."""
         self.check_that_crashes_end()
@@ -94,5 +101,34 @@
         self.assertGreater(served, 0.9 * len(sound), f"{len(crashes)} crashes; sound requests: {sound}")
 
 
+class Bursts(Fleet):
+    # Longer than an engine works on a request, so that none ends the next process.
+    restart_seconds = 2.0
+
+    def test_crashes_of_requests_that_were_withdrawn_count(self):
+        """Guards against a part that is let through again after 20 s although it ended many engines, because most
+        crashes came after the verdict had withdrawn the requests that caused them."""
+        self.check_second_burst("dead:30")
+
+    def check_second_burst(self, parts):
+        for engine in self.engines:
+            engine.delay = ANSWER_DELAY
+        self.burst(parts)
+        self.assertGreaterEqual(sum(bool(engine.crashes) for engine in self.engines), FIFTH)
+        time.sleep(VERDICT_LAPSES)
+        before = sum(len(engine.deadly_arrivals) for engine in self.engines)
+        self.burst(parts)
+        arrived = sum(len(engine.deadly_arrivals) for engine in self.engines) - before
+        self.assertLessEqual(arrived, MOST_AFTERWARDS, f"{len(self.crashes())} crashes")
+
+    def burst(self, parts):
+        for number in range(BURST):
+            self.chat(number, f"{parts},{os.urandom(4).hex()}:50")
+            time.sleep(0.04)
+        for call in self.calls:
+            call.join()
+        time.sleep(ANSWER_DELAY + self.restart_seconds)
+
+
 if __name__ == "__main__":
     unittest.main()
