--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -379,6 +379,23 @@
            (aVerdict.certain() ? kCertainLifetime : kUncertainLifetime);
 }
 
+/** Of an uncertain verdict stays what is proven: a request with all parts to
+ * blame has the cause, whichever it is. */
+void
+CrashTracker::dropLapsed(std::vector<CrashVerdict>& aVerdicts,
+                         base::TimePoint aNow) const
+{
+  for (CrashVerdict& verdict : aVerdicts) {
+    const peers::TraitSet* proven = verdict.proven();
+    if (proven != nullptr && lapsed(verdict, aNow)) {
+      verdict.alternatives = { peers::TraitSet(*proven) };
+    }
+  }
+  std::erase_if(aVerdicts, [this, aNow](const CrashVerdict& aVerdict) {
+    return lapsed(aVerdict, aNow);
+  });
+}
+
 void
 CrashTracker::updateVerdicts(base::TimePoint aNow)
 {
@@ -395,9 +412,7 @@
     suspects,
     [this](peers::RequestTrait aTrait) { return mFinished.contains(aTrait); },
     aNow);
-  std::erase_if(verdicts, [this, aNow](const CrashVerdict& aVerdict) {
-    return lapsed(aVerdict, aNow);
-  });
+  dropLapsed(verdicts, aNow);
   if (verdicts == mVerdicts) {
     return;
   }
--- a/libs/dispatch/crash_tracker.h
+++ b/libs/dispatch/crash_tracker.h
@@ -207,6 +207,8 @@
   peers::ProcessTag latestCrash(const CrashVerdict& aVerdict) const;
   bool isRefuted(const CrashVerdict& aVerdict) const;
   bool lapsed(const CrashVerdict& aVerdict, base::TimePoint aNow) const;
+  void dropLapsed(std::vector<CrashVerdict>& aVerdicts,
+                  base::TimePoint aNow) const;
   void updateVerdicts(base::TimePoint aNow);
 
   std::vector<BrokenConnection> mBrokenConnections;
--- a/libs/dispatch/crash_tracker_record.cpp
+++ b/libs/dispatch/crash_tracker_record.cpp
@@ -26,7 +26,7 @@
 bool
 isContained(const CrashVerdict& aVerdict, const CrashVerdict& aOther)
 {
-  return (aOther.certain() || !aVerdict.certain()) &&
+  return (aOther.proven() != nullptr || aVerdict.proven() == nullptr) &&
          std::all_of(aVerdict.alternatives.begin(),
                      aVerdict.alternatives.end(),
                      [&aOther](const peers::TraitSet& aAlternative) {
--- a/libs/dispatch/crash_verdict.cpp
+++ b/libs/dispatch/crash_verdict.cpp
@@ -14,7 +14,8 @@
 /** The same for a trait with which requests used to finish, and the number of
  * moments at which they happened. */
 constexpr std::size_t kMinCrashesOfFinished = 4;
-/** Crashes at which a single remaining trait is hardly present by chance. */
+/** Crashes at which a trait, or traits that go together, are hardly present by
+ * chance. */
 constexpr std::size_t kCertainCrashes = 3;
 
 /** What is known about a trait apart from the crashes, likeliest causes first.
@@ -151,8 +152,23 @@
 bool
 CrashVerdict::certain() const
 {
-  return alternatives.size() == 1 && alternatives.begin()->size() == 1 &&
-         crashes.size() >= kCertainCrashes;
+  return alternatives.size() == 1 && proven() != nullptr;
+}
+
+const peers::TraitSet*
+CrashVerdict::proven() const
+{
+  peers::TraitSet blamed;
+  for (const peers::TraitSet& alternative : alternatives) {
+    blamed.insert(alternative.begin(), alternative.end());
+  }
+  // Parts that used to be sound, as those of a system prompt, are together at
+  // all upstreams that end for another cause.
+  if (crashes.size() < kCertainCrashes || (usedToFinish && blamed.size() > 1)) {
+    return nullptr;
+  }
+  const auto found = alternatives.find(blamed);
+  return found == alternatives.end() ? nullptr : &*found;
 }
 
 bool
@@ -187,8 +203,9 @@
         return cause.crashes.contains(aCrash);
       });
     }
-    verdicts.push_back(
-      { restrict(aSuspects, cause.crashes, group), cause.crashes });
+    verdicts.push_back({ restrict(aSuspects, cause.crashes, group),
+                         cause.crashes,
+                         cause.history == History::Finished });
   }
   return verdicts;
 }
--- a/libs/dispatch/crash_verdict.h
+++ b/libs/dispatch/crash_verdict.h
@@ -16,10 +16,16 @@
   /** Requests that have all traits of one of these are held responsible. */
   std::set<peers::TraitSet> alternatives;
   std::set<peers::ProcessTag> crashes;
+  /** Requests with these traits used to finish. */
+  bool usedToFinish = false;
 
   /** @return true if further crashes would tell nothing new */
   bool certain() const;
 
+  /** @return all traits to blame, if a request had them all, so that it
+   * certainly had the cause; nullptr otherwise */
+  const peers::TraitSet* proven() const;
+
   /** @param aTraits traits of a request @return true if it is responsible */
   bool covers(const peers::TraitSet& aTraits) const;
 
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -658,6 +658,43 @@
   CHECK(!blocked(request({ 66 })));
 }
 
+// Two parts were at the same crashes, and requests with one of them as well.
+// Guards against crash after crash as soon as the verdict lapses: a request
+// with both has the cause, whichever it is. The other requests are let through.
+TEST(CrashRecord, RequestsWithAllSuspectedPartsStayBlocked)
+{
+  for (int i = 0; i < 3; ++i) {
+    crash({ request({ 1, 66 }), request({ 1 }) });
+  }
+  CHECK(blocked(request({ 1, 66 })));
+  CHECK(blocked(request({ 1 })));
+  tracker.expire(now + 21s);
+  CHECK(blocked(request({ 1, 66 })));
+  CHECK(!blocked(request({ 1 })));
+  CHECK(!blocked(request({ 66 })));
+  now += 22s;
+  finish(request({ 1 }));
+  CHECK(blocked(request({ 66 })));
+  CHECK(!blocked(request({ 1 })));
+  tracker.expire(now + 11min);
+  CHECK(!blocked(request({ 1, 66 })));
+}
+
+// Guards against the same for parts that used to be sound: those of a system
+// prompt are at the crashes of all upstreams that lose power.
+TEST(CrashRecord, SoundPartsThatAreAlwaysTogetherAreBackSoon)
+{
+  finish(request({ 1, 2 }));
+  now += 5s;
+  for (int i = 0; i < 4; ++i) {
+    now += 300ms;
+    crash({ request({ 1, 2 }) });
+  }
+  CHECK(blocked(request({ 1, 2 })));
+  tracker.expire(now + 21s);
+  CHECK(!blocked(request({ 1, 2 })));
+}
+
 // Guards against VMs that pass old evidence back and forth for ever.
 TEST(CrashRecord, EvidenceExpiresAlthoughPeersExchangeIt)
 {
--- a/tests/e2e/test_deadly_part.py
+++ b/tests/e2e/test_deadly_part.py
@@ -110,6 +110,11 @@
         crashes came after the verdict had withdrawn the requests that caused them."""
         self.check_second_burst("dead:30")
 
+    def test_part_behind_a_shared_one_stays_blocked(self):
+        """Guards against a part that is let through again after 20 s, because the part before it was at the same
+        crashes and nobody could tell which of the two had caused them."""
+        self.check_second_burst("f0:20,dead:30")
+
     def check_second_burst(self, parts):
         for engine in self.engines:
             engine.delay = ANSWER_DELAY
