--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -33,12 +33,28 @@
 CrashTracker::onConnectionBroken(const peers::TraitSet& aTraits,
                                  const UpstreamProcess& aProcess,
                                  base::TimePoint aNow)
+{
+  countTrial(mTrials.onBroken(aTraits), kMaxTrials, aNow);
+  addBrokenConnection(aTraits, aProcess, aNow);
+}
+
+void
+CrashTracker::onRequestWithdrawn(const peers::TraitSet& aTraits,
+                                 const UpstreamProcess& aProcess,
+                                 base::TimePoint aNow)
+{
+  addBrokenConnection(aTraits, aProcess, aNow);
+}
+
+void
+CrashTracker::addBrokenConnection(const peers::TraitSet& aTraits,
+                                  const UpstreamProcess& aProcess,
+                                  base::TimePoint aNow)
 {
   if (mBrokenConnections.size() >= kMaxBrokenConnections) {
     mBrokenConnections.erase(mBrokenConnections.begin());
   }
   mBrokenConnections.push_back({ aTraits, aProcess, aNow });
-  countTrial(mTrials.onBroken(aTraits), kMaxTrials, aNow);
   // A peer may already have confirmed the crash.
   confirmIf(
     [this](const BrokenConnection& aConnection) {
@@ -363,6 +379,23 @@
            (aVerdict.certain() ? kCertainLifetime : kUncertainLifetime);
 }
 
+/** Of an uncertain verdict stays what is proven: a request with all parts to
+ * blame has the cause, whichever it is. */
+void
+CrashTracker::dropLapsed(std::vector<CrashVerdict>& aVerdicts,
+                         base::TimePoint aNow) const
+{
+  for (CrashVerdict& verdict : aVerdicts) {
+    const peers::TraitSet* proven = verdict.proven();
+    if (proven != nullptr && lapsed(verdict, aNow)) {
+      verdict.alternatives = { peers::TraitSet(*proven) };
+    }
+  }
+  std::erase_if(aVerdicts, [this, aNow](const CrashVerdict& aVerdict) {
+    return lapsed(aVerdict, aNow);
+  });
+}
+
 void
 CrashTracker::updateVerdicts(base::TimePoint aNow)
 {
@@ -379,9 +412,7 @@
     suspects,
     [this](peers::RequestTrait aTrait) { return mFinished.contains(aTrait); },
     aNow);
-  std::erase_if(verdicts, [this, aNow](const CrashVerdict& aVerdict) {
-    return lapsed(aVerdict, aNow);
-  });
+  dropLapsed(verdicts, aNow);
   if (verdicts == mVerdicts) {
     return;
   }
