--- a/tests/e2e/test_software_versions.py
+++ b/tests/e2e/test_software_versions.py
@@ -21,10 +21,14 @@
 TIMEOUT_MS = 15000   # of the route; callers take streams up again for that long
 EVENT_SECONDS = 0.04
 LONG_EVENT_SECONDS = 0.3  # of streams that outlast what a test does meanwhile
+MODELS = "m1", "m2"
+ADAPTERS = "a1", "a2", "a3"  # of each model
 AT_ONCE = 4          # streams that go on within one answer; the retry budget of a new VM allows no more at once
 SILENCE = 2.0        # seconds; longer than a VM waits before it looks for a replacement
 VERSION_STREAMS = 20  # of each version that are taken up
 GO_ON_SHARE = 0.5    # of the share of new streams that begin, as the users demand
+ADAPTER_STREAMS = 12  # that break off with the upstream that has their adapters; enough for the users' bound
+OWNER_SECONDS = 15   # until the owner of orders has loaded a model that no upstream has
 REFUSAL_SECONDS = 1  # "at once"
 KNOWN_SECONDS = 1    # after which the other VMs, and the store, may know who began a stream
 CONTACT_SECONDS = 4.5  # until VMs are in touch with the store again
@@ -47,7 +51,8 @@
         for port in self.store_ports:
             self.platform.serve_store(port)
         chat = {**route("chat", "/chat/", "streaming", "llm", resumable=True), "timeout_ms": TIMEOUT_MS}
-        self.platform.publish(1, ["k1"], [chat, {**chat, "name": "open", "prefix": "/", "host": "chat.example"}])
+        self.platform.publish(1, ["k1"], [chat, {**chat, "name": "open", "prefix": "/", "host": "chat.example"}],
+                              len(ADAPTERS))
         self.engines = []
         self.gateways = []
         self.upstream_numbers, self.caller_numbers = itertools.count(), itertools.count()
@@ -59,10 +64,12 @@
         self.platform.close()
         self.folder.cleanup()
 
-    def add(self, version, listed=True):
-        """Starts an upstream of a version; an unlisted one has no record yet."""
+    def add(self, version, listed=True, models=("m1",), adapters=()):
+        """Starts an upstream of a version, with adapters of its first model; an unlisted one has no record yet. Its
+        record follows the orders that it gets."""
         number = next(self.upstream_numbers)
-        engine = Upstream(f"engine{number}", BASE_PORT + 60 + number, "llm", ["m1"])
+        engine = Upstream(f"engine{number}", BASE_PORT + 60 + number, "llm", models)
+        engine.models[models[0]].update(adapters)
         engine.slots, engine.event_seconds = SLOTS, EVENT_SECONDS
         engine.install(version)
         self.platform.serve_upstream(engine, listed=listed)
@@ -78,11 +85,14 @@
     def start(self, *versions):
         """Starts an upstream of each of the versions, and all VMs."""
         engines = [self.add(version) for version in versions]
+        self.start_vms()
+        return engines
+
+    def start_vms(self):
         for number, port in enumerate(self.store_ports):
             self.gateways.append(Gateway(number, self.folder.name, BASE_PORT + 10 * number, port,
                                          DATA_CENTRES[number]))
         self.wait_ready()
-        return engines
 
     def wait_ready(self):
         for gateway in self.gateways:
@@ -93,8 +103,8 @@
         self.hide(engine)
         self.platform.change(engine.crash)
 
-    def caller(self):
-        return StreamCaller(next(self.caller_numbers))
+    def caller(self, model="m1"):
+        return StreamCaller(next(self.caller_numbers), model=model)
 
     def begin(self, gateway=None, leave_after=None):
         """A new caller begins a stream, at any VM if none is named."""
@@ -398,6 +408,76 @@
         self.check_share(callers, begun, self.take_up(callers, other=True))
 
 
+class MissingAdapters(SoftwareVersionTest):
+    """Of two upstreams of the old version, both with the model, the one that has the adapters of its callers ends."""
+
+    def add(self, *arguments, **options):
+        engine = super().add(*arguments, **options)
+        # A stand-in writes no record by itself. VMs read there what it has loaded.
+        engine.after_order = lambda: self.store.put("servers/" + engine.name, engine.record())
+        return engine
+
+    def break_off(self, needed, vms=len(DATA_CENTRES), **held):
+        """Streams of these models begin at the first VMs, at two upstreams that hold what they need, one of each
+        version. Then the old one ends, and one of its version that holds just m1 is left. Returns the callers of the
+        streams that broke off, the share of the streams that began, and the upstreams that are left, the old one
+        first."""
+        ends, left, new = self.add("v1", **held), self.add("v1"), self.add("v2", **held)
+        ends.event_seconds = new.event_seconds = LONG_EVENT_SECONDS
+        self.start_vms()
+        wait_for(lambda: "marigold/order-owner" in self.store.items and
+                 all(any(engine.serves(model) for engine in self.engines) for model in MODELS), OWNER_SECONDS)
+        callers, threads = [], []
+
+        def broken():
+            return [caller for caller in callers if caller.software() == {"v1"} and not caller.complete]
+        while len(broken()) < ADAPTER_STREAMS:
+            self.assertLess(len(callers), 8 * ADAPTER_STREAMS, "hardly any streams of the old version")
+            callers += [self.caller(model) for model in needed]
+            threads += [background(functools.partial(caller.attempt, self.random.choice(self.gateways[:vms])))
+                        for caller in callers[-len(needed):]]
+            wait_for(lambda: all(caller.events or caller.statuses for caller in callers))
+        self.assertFalse([model for model in needed if left.serves(model)], "loaded before it was missing")
+        self.platform.change(ends.crash)
+        for thread in threads:
+            thread.join()
+        self.check(callers)
+        begun = sum(bool(caller.events) for caller in callers) / len(callers)
+        return broken(), begun, left, new
+
+    def check_goes_on(self, adapters, vms=len(DATA_CENTRES), other=False):
+        """Take-ups go on at the upstream that is left of their version, which gets their adapters for it."""
+        callers, begun, left, new = self.break_off([f"m1/{adapter}" for adapter in adapters], vms, adapters=adapters)
+        self.assertEqual(set(adapters), {caller.model.partition("/")[2] for caller in callers})
+        share = self.take_up(callers, self.gateways[0] if vms == 1 else None, other)
+        self.assertGreaterEqual(share, GO_ON_SHARE * begun, f"of {len(callers)} streams; answers "
+                                f"{[(caller.model, caller.statuses[-1]) for caller in callers]}")
+        self.assertLessEqual(set(adapters), left.models["m1"])
+        self.assertFalse(any("last-event-id" in headers for headers in new.seen))
+
+    def test_stream_is_taken_up_where_its_version_lacks_just_the_adapter(self):
+        """Guards against take-ups that are refused at once although the owner of orders could load their adapter at an
+        upstream of their version."""
+        self.check_goes_on(ADAPTERS[:1], vms=1)
+
+    def test_stream_is_taken_up_at_another_vm_where_its_version_lacks_just_the_adapter(self):
+        """Guards against take-ups that wait for their adapter only at the VM that began them."""
+        self.check_goes_on(ADAPTERS[:1], other=True)
+
+    def test_streams_of_several_adapters_are_taken_up_where_their_version_lacks_them(self):
+        """Guards against take-ups of which just those of one adapter go on."""
+        self.check_goes_on(ADAPTERS)
+
+    def test_stream_whose_version_lacks_the_model_does_not_wait_in_vain_and_is_not_joined(self):
+        """Guards against take-ups that wait for a load that cannot be in time, or go on at the other version."""
+        callers, _, _, new = self.break_off(["m2"], models=("m2", "m1"))
+        self.take_up(callers)
+        for caller in callers:
+            if not caller.complete:
+                self.check_refused(caller)
+        self.assertFalse(any("last-event-id" in headers for headers in new.seen))
+
+
 class AllKilled(SoftwareVersionTest):
     """All VMs are killed at once while streams of two versions run through them."""
 
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -253,8 +253,8 @@
             self.misdirected += 1
             writer.write(answer_bytes(421, signature, b""))
             return True
-        model, _, adapter = headers.get("x-model-name", "").partition("/")
-        if model and (model not in self.models or (adapter and adapter not in self.models[model])):
+        model = headers.get("x-model-name", "")
+        if model and not self.serves(model):
             writer.write(answer_bytes(421, signature, b""))
             return True
         self.arrivals.append(time.monotonic())
@@ -328,6 +328,11 @@
         for writer in self.writers:
             writer.transport.abort()
 
+    def serves(self, name):
+        """Returns whether it has a model, and the adapter if the name has one."""
+        model, _, adapter = name.partition("/")
+        return model in self.models and (not adapter or adapter in self.models[model])
+
     def install(self, version):
         """Sets the version of its software, which its tokens name."""
         self.version, self.mark = version, f"{version}:"
@@ -484,12 +489,13 @@
         upstream.orders = 0
         self.listen_again(upstream)
 
-    def publish(self, version, keys, routes):
-        self.change(self.store.put, "op/config", self.configuration(version, keys, routes))
+    def publish(self, version, keys, routes, adapters=2):
+        self.change(self.store.put, "op/config", self.configuration(version, keys, routes, adapters))
 
     @staticmethod
-    def configuration(version, keys, routes):
-        models = [{"name": m, "weights_mb": 100, "load_time_s": 1, "adapters": 2, "adapter_size_mb": 1,
+    def configuration(version, keys, routes, adapters=2):
+        """Returns a configuration; each model has that many adapters, named a1, a2 and so on."""
+        models = [{"name": m, "weights_mb": 100, "load_time_s": 1, "adapters": adapters, "adapter_size_mb": 1,
                    "warmup_s": 1, "disk_load_s": 1} for m in ("m1", "m2")]
         config = {"version": version, "routes": routes,
                   "services": [{"name": "llm", "health_path": "/h", "max_connections": 100,
