--- a/tests/e2e/test_upstream_notices.py
+++ b/tests/e2e/test_upstream_notices.py
@@ -14,6 +14,7 @@
 CONTACT_SECONDS = 4.0  # after the first naming
 WINDOW_SECONDS = 4.0
 FACTOR, EXTRA = 1.5, 5  # of the limit in a window, as the users allow
+RECORD_SECONDS = 0.5  # until VMs know a record
 
 
 class NoticeTest(unittest.TestCase):
@@ -34,6 +35,7 @@
             self.assertLess(time.monotonic(), deadline)
             time.sleep(0.02)
         self.statuses = []
+        self.vms = {}  # by request id: to which it was sent
 
     def tearDown(self):
         for gateway in self.gateways:
@@ -41,14 +43,16 @@
         self.platform.close()
         self.folder.cleanup()
 
-    def drive(self, seconds, pause):
-        """Sends requests to all gateways in turn."""
+    def drive(self, seconds, pause, beginning="a:50,"):
+        """Sends requests to all gateways in turn; their prompts share the beginning."""
         calls = []
 
         def call(number):
-            status, _, headers = self.gateways[number % len(self.gateways)].call(
-                "/chat/x", headers={"X-Model-Name": "m1", "X-Token-Usage": "100,20",
-                                    "X-Prompt-Prefix": f"a:50,{number:x}:50"})
+            gateway, request_id = self.gateways[number % len(self.gateways)], os.urandom(8).hex()
+            self.vms[request_id] = gateway.name
+            status, _, headers = gateway.call(
+                "/chat/x", headers={"X-Model-Name": "m1", "X-Token-Usage": "100,20", "X-Request-Id": request_id,
+                                    "X-Prompt-Prefix": f"{beginning}{number:x}:50"})
             self.statuses.append((status, headers.get("Retry-After")))
         started = time.monotonic()
         while time.monotonic() - started < seconds:
@@ -61,7 +65,7 @@
     def keep_one_engine(self):
         for number in range(1, ENGINES):
             self.platform.change(self.platform.store.remove, f"servers/engine{number}")
-        time.sleep(0.5)
+        time.sleep(RECORD_SECONDS)
 
 
 class NamedLimit(NoticeTest):
@@ -123,16 +127,39 @@
         self.assertEqual([], [at for at in self.engines[0].arrivals if at > told])
         self.assertTrue(all(status == 200 for status, _ in self.statuses), self.statuses)
 
-    def test_next_process_of_the_upstream_is_used(self):
-        """Guards against an upstream that stays shut out after a restart under its old name and address."""
+    def start_next_process(self):
+        """An upstream is the only one and tells all VMs that it leaves; then its next process is ready."""
+        self.keep_one_engine()
         self.engines[0].leaving = True
         self.drive(1, pause=0.03)
+        for gateway in self.gateways:
+            self.assertIn("upstream says it leaves", gateway.log())
         self.engines[0].leaving = False
         self.engines[0].born += 1
         self.platform.change(self.platform.store.put, "servers/engine0", self.engines[0].record())
-        self.engines[0].arrivals.clear()
+        time.sleep(RECORD_SECONDS)
+        self.engines[0].arrival_log.clear()
+        self.statuses.clear()
+
+    def test_next_process_of_the_only_upstream_serves_all_callers(self):
+        """Guards against an upstream that stays shut out after a restart under its old name and address, at any VM."""
+        self.start_next_process()
         self.drive(2, pause=0.03)
-        self.assertTrue(self.engines[0].arrivals)
+        self.assertEqual({200}, {status for status, _ in self.statuses})
+        self.assertEqual(len(self.statuses), len(self.engines[0].arrival_log))
+
+    def test_next_process_of_the_upstream_is_used_beside_others(self):
+        """Guards against an upstream that gets nothing after a restart while others have its models. The prompts share
+        nothing: others may rightly get all that share a beginning, because its cache is empty."""
+        self.start_next_process()
+        for engine in self.engines[1:]:
+            self.platform.change(self.platform.store.put, "servers/" + engine.name, engine.record())
+        time.sleep(RECORD_SECONDS)
+        self.drive(3, pause=0.03, beginning="")
+        self.assertEqual({200}, {status for status, _ in self.statuses})
+        self.assertEqual({gateway.name for gateway in self.gateways},
+                         {self.vms[request_id] for _, request_id, _ in self.engines[0].arrival_log})
+        self.assertTrue(all(engine.arrivals for engine in self.engines[1:]), "the others have room too")
 
 
 class TurnedAway(NoticeTest):
