--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -393,7 +393,7 @@
   const std::string detail =
     "blocked after it crashed " + std::to_string(verdict->crashes.size()) +
     " upstreams" + (verdict->certain() ? "" : ", uncertain");
-  if (mCall && mLoadReservation) {
+  if (mCall && mCall->sent() && mLoadReservation) {
     // The upstream may crash on it nevertheless. The verdict may end here.
     mContext.crashes.onRequestWithdrawn(
       mTraits, mLoadReservation->upstream()->process(), base::monotonicNow());
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -235,6 +235,8 @@
   unsigned mUnreachableCount = 0;
   unsigned mUnresolvedSends = 0; ///< sends that may have run at an upstream
   bool mWaitLogged = false;
+  /** When the stream began to wait for its adapter, if it has. */
+  std::optional<base::TimePoint> mAdapterAwaitedFrom;
   bool mHoldLogged = false;
   bool mAskedForQuota = false;
   bool mMemoryWaitLogged = false;
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -26,6 +26,9 @@
  * reach this VM. */
 constexpr base::Duration kOrderDelay = 600ms;
 constexpr base::Duration kOverloadRetryDelay = 400ms;
+/** Callers leave a stream that they have taken up after some three seconds
+ * without an event. */
+constexpr base::Duration kMaxAdapterWait = 2s;
 /** Longest advice to callers of upstreams that name a limit; another upstream
  * may get the model meanwhile. */
 constexpr base::Duration kMaxLimitRetryDelay = 2s;
@@ -439,13 +442,13 @@
 }
 
 /** An upstream that may continue the stream has its model and lacks just the
- * adapter, which is loaded in milliseconds. @return true if the request waits
- * for that */
+ * adapter, which is loaded in milliseconds if it has a slot for it.
+ * @return true if the request waits for that */
 bool
 Exchange::waitForAdapter()
 {
   const bool continues = mOrigin && *mOrigin != peers::kUnknownSoftware &&
-                         isEngineCall() && mService->engine;
+                         !mayHaveRun() && isEngineCall() && mService->engine;
   if (!continues || mMetadata.model->adapter.empty() ||
       mContext.endRequestsAt ||
       remainingTime() < kOrderDelay + kMinRemainingTime) {
@@ -458,6 +461,12 @@
       upstreams.anyCanServe(ref, now, mOrigin)) {
     return false;
   }
+  if (!mAdapterAwaitedFrom) {
+    mAdapterAwaitedFrom = now;
+  }
+  if (now - *mAdapterAwaitedFrom > kMaxAdapterWait) {
+    return false;
+  }
   waitInQueue(mOrigin);
   return true;
 }
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -485,7 +485,9 @@
   waiting -= aOther.waiting;
   running -= aOther.running;
   for (const auto& [software, count] : aOther.takeUps) {
-    takeUps[software] -= count;
+    // A relay of an earlier release leaves them out of its sums.
+    std::uint32_t& left = takeUps[software];
+    left -= std::min(left, count);
   }
   std::erase_if(takeUps, [](const auto& aItem) { return aItem.second == 0; });
   return *this;
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -432,6 +432,16 @@
   CHECK(table.summaries().at("dc1").summary.crashes == sampleStatus(1).crashes);
 }
 
+// A relay of an earlier release drops what it doesn't know. Guards against a
+// demand of four billion requests after this VM's own are subtracted.
+TEST(OwnSummary, LacksTheTakeUpsOfThisVm)
+{
+  peers::Summary summary = summaryOfBothVms(1);
+  summary.demand["m/a1"].takeUps.clear();
+  CHECK(table.updateOwnSummary(summary, own, TimePoint{ 100s }));
+  CHECK(table.demand().at("m/a1").takeUps.empty());
+}
+
 // Load must not count in the status of its VM and again in the summary of its
 // data centre.
 TEST(OwnSummary, ReplacesTheStatusesOfTheDataCentre)
--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <tuple>
 
 namespace marigold::residency {
@@ -183,9 +184,7 @@
           (demand->waiting > 0 || demand->unservedTime > base::Duration{});
         const bool hot = adapter.replicas == 1 &&
                          demand->workMsPerSecond > kHotAdapterMsPerSecond;
-        if (addTakeUps(model, adapter, needs)) {
-          continue; // The replica serves other requests too.
-        }
+        addTakeUps(model, adapter, needs);
         if (unserved || hot) {
           needs.push_back(
             { unserved, demandValue(demand), &model, &adapter, std::nullopt });
@@ -203,31 +202,36 @@
   }
 
   /** Adds the needs of streams that go on: an engine with their software holds
-   * the model, and none of these the adapter.
-   * @return true if there is one */
-  bool addTakeUps(const ModelStats& aModel,
+   * the model, and none of these the adapter. */
+  void addTakeUps(const ModelStats& aModel,
                   const AdapterStats& aAdapter,
                   std::vector<ReplicaNeed>& aNeeds) const
   {
-    bool added = false;
     for (const auto& [software, count] : aAdapter.demand->takeUps) {
-      bool modelHeld = false;
-      bool adapterHeld = false;
-      for (const ModelPresence& presence : aModel.presences) {
-        const EngineStats& engine = mFleet.engines()[presence.engine];
-        if (engine.engine->software == software && !engine.engine->draining &&
-            presence.holds && !presence.unloading) {
-          modelHeld = true;
-          adapterHeld |= holds(engine, aAdapter);
-        }
-      }
-      if (modelHeld && !adapterHeld) {
+      if (holdersWith(software, aModel, nullptr) > 0 &&
+          holdersWith(software, aModel, &aAdapter) == 0) {
         aNeeds.push_back(
           { true, demandValue(aAdapter.demand), &aModel, &aAdapter, software });
-        added = true;
       }
     }
-    return added;
+  }
+
+  /** @param aAdapter adapter, or nullptr for the model alone
+   * @return engines with the software that hold it */
+  std::size_t holdersWith(std::uint32_t aSoftware,
+                          const ModelStats& aModel,
+                          const AdapterStats* aAdapter) const
+  {
+    return static_cast<std::size_t>(std::count_if(
+      aModel.presences.begin(),
+      aModel.presences.end(),
+      [&](const ModelPresence& aPresence) {
+        const EngineStats& engine = mFleet.engines()[aPresence.engine];
+        return engine.engine->software == aSoftware &&
+               !engine.engine->draining && aPresence.holds &&
+               !aPresence.unloading &&
+               (aAdapter == nullptr || holds(engine, *aAdapter));
+      }));
   }
 
   static bool mayServe(const EngineStats& aEngine, const ReplicaNeed& aNeed)
@@ -319,6 +323,9 @@
 
   void place(const ReplicaNeed& aNeed)
   {
+    if (mLoaded.contains(aNeed.adapter)) {
+      return; // A replica for streams that go on serves other requests too.
+    }
     const ModelPresence* best = nullptr;
     Victim bestVictim;
     double bestCost = 0;
@@ -352,6 +359,7 @@
     const char* reason = aNeed.unserved ? "requests wait" : "hot";
     if (bestVictim.adapter == nullptr) {
       addOrder(best->engine, true, refOf(*aNeed.model, *aNeed.adapter), reason);
+      mLoaded.insert(aNeed.adapter);
       return;
     }
     markEvicted(bestVictim);
@@ -385,13 +393,19 @@
     return false;
   }
 
-  static bool mayEvict(const Victim& aVictim, const ReplicaNeed& aNeed)
+  bool mayEvict(const Victim& aVictim, const ReplicaNeed& aNeed) const
   {
     if (aVictim.adapter == nullptr) {
       return false;
     }
-    if (aNeed.unserved && !aNeed.software &&
-        aNeed.adapter->demand->waiting == 0) {
+    if (aNeed.software) {
+      // Streams of the victim must be able to go on, too.
+      return aVictim.evictionClass == EvictionClass::Unneeded ||
+             (aVictim.evictionClass == EvictionClass::Redundant &&
+              holdersWith(*aNeed.software, *aVictim.model, aVictim.adapter) >
+                1);
+    }
+    if (aNeed.unserved && aNeed.adapter->demand->waiting == 0) {
       return false; // Requested earlier but not now; wait for a free slot.
     }
     if (!aNeed.unserved) {
@@ -436,8 +450,9 @@
   }
 
   FleetStats mFleet;
-  std::vector<char> mUnavailable;    ///< by engine: gets no further order
-  std::size_t mAvailableEngines = 0; ///< engines that can get an order
+  std::vector<char> mUnavailable;        ///< by engine: gets no further order
+  std::size_t mAvailableEngines = 0;     ///< engines that can get an order
+  std::set<const AdapterStats*> mLoaded; ///< ordered in this plan
   std::vector<Victim> mVictims;
   std::vector<unsigned>
     mReservedSlots; ///< by engine: free slots reserved in this plan
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -396,6 +396,52 @@
   STRCMP_EQUAL("e2", orders[0].engine.c_str());
 }
 
+// The engine whose software began a stream can get no order now. Guards against
+// one waiting take-up that stops the load for all new requests.
+TEST(PlanAdapters, LoadsAnAdapterForNewRequestsWhileATakeUpHasNoPlace)
+{
+  input.engines = { engine("e1", { "a" }), engine("e2", { "a" }) };
+  input.engines[0].software = 1;
+  input.engines[1].software = 2;
+  input.demand[{ "a", "a1" }].waiting = 20;
+  input.demand[{ "a", "a1" }].takeUps = { { 2, 1 } };
+  const auto loadsAtFirst = [this] {
+    const auto orders = residency::planAdapters(input);
+    return orders.size() == 1 && orders[0].load && orders[0].engine == "e1";
+  };
+  input.engines[1].orderable = false;
+  CHECK(loadsAtFirst());
+  input.engines[1].orderable = true;
+  input.engines[1].quiet = true;
+  CHECK(loadsAtFirst());
+  input.engines[1].quiet = false;
+  input.engines[1].models["a"] = { "a2", "a3" };
+  input.demand[{ "a", "a2" }] = { 900, 0, 30 };
+  input.demand[{ "a", "a3" }] = { 900, 0, 30 };
+  CHECK(loadsAtFirst());
+}
+
+// Both versions hold an adapter in use. Guards against a take-up of another one
+// that takes its place at the only engine which may go on with its streams.
+TEST(PlanAdapters, TakeUpDoesNotEvictTheOnlyReplicaOfItsSoftware)
+{
+  spec.adapterSlots = 1;
+  input.engines = { engine("e1", { "a" }), engine("e2", { "a" }) };
+  input.engines[0].software = 1;
+  input.engines[0].models["a"] = { "a2" };
+  input.engines[1].software = 2;
+  input.engines[1].models["a"] = { "a2" };
+  input.demand[{ "a", "a2" }] = { 900, 0, 30 };
+  input.demand[{ "a", "a1" }].takeUps = { { 2, 1 } };
+  CHECK(residency::planAdapters(input).empty());
+  input.engines.push_back(engine("e3", { "a" }));
+  input.engines[2].software = 2;
+  input.engines[2].models["a"] = { "a2" };
+  const auto orders = residency::planAdapters(input);
+  LONGS_EQUAL(1, orders.size());
+  CHECK(!orders[0].load);
+}
+
 // Guards against unloading an adapter in use: the unload waits for running
 // requests and blocks further orders to the engine.
 TEST(PlanAdapters, EvictsOnlyIdleAdapters)
--- a/tests/e2e/test_software_versions.py
+++ b/tests/e2e/test_software_versions.py
@@ -30,6 +30,7 @@
 ADAPTER_STREAMS = 12  # that break off with the upstream that has their adapters; enough for the users' bound
 OWNER_SECONDS = 15   # until the owner of orders has loaded a model that no upstream has
 REFUSAL_SECONDS = 1  # "at once"
+LEAVE_SECONDS = 3.2  # without an event, after which callers leave a stream
 KNOWN_SECONDS = 1    # after which the other VMs, and the store, may know who began a stream
 CONTACT_SECONDS = 4.5  # until VMs are in touch with the store again
 APPLY_SECONDS = 1    # until VMs know a record that was written
@@ -417,7 +418,7 @@
         engine.after_order = lambda: self.store.put("servers/" + engine.name, engine.record())
         return engine
 
-    def break_off(self, needed, vms=len(DATA_CENTRES), **held):
+    def break_off(self, needed, vms=len(DATA_CENTRES), before_end=lambda: None, **held):
         """Streams of these models begin at the first VMs, at two upstreams that hold what they need, one of each
         version. Then the old one ends, and one of its version that holds just m1 is left. Returns the callers of the
         streams that broke off, the share of the streams that began, and the upstreams that are left, the old one
@@ -438,6 +439,7 @@
                         for caller in callers[-len(needed):]]
             wait_for(lambda: all(caller.events or caller.statuses for caller in callers))
         self.assertFalse([model for model in needed if left.serves(model)], "loaded before it was missing")
+        before_end()
         self.platform.change(ends.crash)
         for thread in threads:
             thread.join()
@@ -468,6 +470,17 @@
         """Guards against take-ups of which just those of one adapter go on."""
         self.check_goes_on(ADAPTERS)
 
+    def test_take_up_whose_adapter_is_not_loaded_is_refused_before_its_caller_leaves(self):
+        """Guards against take-ups that wait until their deadline for an upstream that takes no orders."""
+        def take_no_orders():
+            self.engines[1].turn_control_away = "20"
+        callers, _, left, _ = self.break_off(["m1/a1"], adapters=ADAPTERS[:1], before_end=take_no_orders)
+        self.take_up(callers)
+        self.assertFalse(left.serves("m1/a1"))
+        for caller in callers:
+            self.assertEqual((503, "not-run"), (caller.statuses[-1], caller.outcomes[-1]))
+            self.assertLess(caller.seconds, LEAVE_SECONDS)
+
     def test_stream_whose_version_lacks_the_model_does_not_wait_in_vain_and_is_not_joined(self):
         """Guards against take-ups that wait for a load that cannot be in time, or go on at the other version."""
         callers, _, _, new = self.break_off(["m2"], models=("m2", "m1"))
