--- a/libs/residency/store_load_limiter.cpp
+++ b/libs/residency/store_load_limiter.cpp
@@ -34,11 +34,20 @@
   return std::max(1.0, std::floor(rate + mLimit.extra - kReservedLoads));
 }
 
+/** @return time for which a load counts. A VM that has not planned yet knows no
+ * window, and keeps for the next owner all that it has heard. */
+base::Duration
+StoreLoadLimiter::countedTime() const
+{
+  return mLimit.window > base::Duration::zero()
+           ? mLimit.window + kDeliveryJitter
+           : kReportLifetime;
+}
+
 void
 StoreLoadLimiter::dropExpired(base::TimePoint aNow)
 {
-  while (!mLoads.empty() &&
-         aNow - mLoads.front() > mLimit.window + kDeliveryJitter) {
+  while (!mLoads.empty() && aNow - mLoads.front() > countedTime()) {
     mLoads.pop_front();
   }
 }
@@ -104,8 +113,7 @@
 bool
 StoreLoadLimiter::isUnknown(base::TimePoint aNow) const
 {
-  return mUnknownUntil &&
-         aNow - *mUnknownUntil <= mLimit.window + kDeliveryJitter;
+  return mUnknownUntil && aNow - *mUnknownUntil <= countedTime();
 }
 
 std::optional<base::Duration>
@@ -141,7 +149,7 @@
                 aNow - *mUnknownUntil);
   }
   for (const base::TimePoint at : mLoads) {
-    if (aNow - at <= mLimit.window + kDeliveryJitter) {
+    if (aNow - at <= countedTime()) {
       ages.push_back(aNow - at);
     }
   }
--- a/libs/residency/store_load_limiter.h
+++ b/libs/residency/store_load_limiter.h
@@ -83,6 +83,7 @@
 private:
   void setLoads(const std::vector<base::Duration>& aAges, base::TimePoint aNow);
   double windowCapacity() const;
+  base::Duration countedTime() const;
   void dropExpired(base::TimePoint aNow);
   bool isComplete(base::TimePoint aReportedAt) const;
 
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -761,6 +761,39 @@
   CHECK(!next.reportAge(heard)); // it has not heard the owner itself
 }
 
+// Guards against twice the loads that the store allows: a VM that has never
+// planned has no limit yet, and passed on the loads of the last 250 ms only.
+TEST(LoadWindow, PeerThatNeverOwnedOrdersPassesOnAllLoadsInTheWindow)
+{
+  const unsigned ordered = exhaust(start);
+  residency::StoreLoadLimiter peer;
+  peer.replaceLoads(limiter.loadAges(start + 1s), start + 1s);
+  const base::TimePoint heard = start + 2s;
+  residency::StoreLoadLimiter next;
+  next.startOwnership(900ms, FormerOwner::OwnVm, heard);
+  next.mergeReport(peer.loadAges(heard), *peer.reportAge(heard), heard);
+  next.setLimit({ 1, 5s, 1.1, 3 });
+  LONGS_EQUAL(ordered, next.loadAges(heard).size());
+  LONGS_EQUAL(0, next.available(heard));
+}
+
+// Guards against the same where another VM takes over: what a peer without a
+// limit passes on replaced what the next owner had heard from the former one.
+TEST(LoadWindow, LaterReportOfAPeerDoesNotHideLoadsHeardFromTheOwner)
+{
+  exhaust(start);
+  residency::StoreLoadLimiter peer;
+  peer.replaceLoads(limiter.loadAges(start + 100ms), start + 100ms);
+  residency::StoreLoadLimiter next;
+  next.replaceLoads(limiter.loadAges(start + 100ms), start + 100ms);
+  const auto ages = peer.loadAges(start + 1s);
+  const base::Duration age = *peer.reportAge(start + 1s);
+  next.mergeReport(ages, age, start + 1050ms); // 50 ms on its way
+  next.startOwnership(3s, FormerOwner::OtherVm, start + 3s);
+  next.setLimit({ 1, 5s, 1.1, 3 });
+  LONGS_EQUAL(0, next.available(start + 3s));
+}
+
 // Guards against a report from before the latest loads of another VM, as one of
 // a peer that was cut off from that VM.
 TEST(LoadWindow, OldReportOfAPeerDoesNotEmptyTheWindow)
