--- a/apps/gateway/order_controller.cpp
+++ b/apps/gateway/order_controller.cpp
@@ -41,6 +41,9 @@
   , mMetrics(aMetrics)
   , mPlanStatistics(aMetrics)
 {
+  // What this VM hears before its first plan expires with the window.
+  mStoreLoads.setLimit(
+    { 0, mSettings.loadWindow, mSettings.loadOvershoot, mSettings.loadExtra });
 }
 
 void
--- a/libs/residency/store_load_limiter.cpp
+++ b/libs/residency/store_load_limiter.cpp
@@ -78,7 +78,15 @@
                               base::TimePoint aNow)
 {
   const base::TimePoint reportedAt = aNow - aReportAge;
-  if (reportedAt <= mReportedAt) {
+  // The owner's list gets shorter only as loads expire, so a report with fewer
+  // is older than it looks: it was long on its way.
+  const auto reported =
+    std::count_if(aAges.begin(), aAges.end(), [this](base::Duration aAge) {
+      return aAge <= countedTime();
+    });
+  dropExpired(aNow);
+  if (reportedAt <= mReportedAt ||
+      reported < static_cast<std::ptrdiff_t>(mLoads.size())) {
     return;
   }
   setLoads(aAges, aNow);
--- a/libs/residency/store_load_limiter.h
+++ b/libs/residency/store_load_limiter.h
@@ -46,7 +46,7 @@
                     base::TimePoint aNow);
 
   /** Adds a report of the former owner that a peer has heard, if none is known
-   * that is newer. @param aAges time since each load
+   * that is newer or has more loads. @param aAges time since each load
    * @param aReportAge time since the peer heard it
    * @param aNow time */
   void mergeReport(const std::vector<base::Duration>& aAges,
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -794,6 +794,39 @@
   LONGS_EQUAL(0, next.available(start + 3s));
 }
 
+// A peer passes on what it heard before the owner's latest loads, and its
+// message is long on its way behind a full link. Guards against a report that
+// looks newer than it is and hides the loads that the next owner has heard of.
+TEST(LoadWindow, ReportThatWasLongOnItsWayDoesNotHideNewerLoads)
+{
+  residency::StoreLoadLimiter peer;
+  peer.replaceLoads({}, start - 100ms);
+  const base::Duration age = *peer.reportAge(start);
+  exhaust(start + 200ms);
+  residency::StoreLoadLimiter next;
+  next.setLimit({ 0, 5s, 1.1, 3 }); // it has not planned, but knows the window
+  next.replaceLoads(limiter.loadAges(start + 300ms), start + 300ms);
+  next.mergeReport(peer.loadAges(start), age, start + 1s);
+  next.startOwnership(3s, FormerOwner::OtherVm, start + 3s);
+  next.setLimit({ 1, 5s, 1.1, 3 });
+  LONGS_EQUAL(0, next.available(start + 3s));
+  CHECK(next.available(start + 5500ms) > 0);
+}
+
+// Guards against a VM that keeps loads which no longer count, and takes no news
+// of a peer for them: it would wait for a window after it took over.
+TEST(LoadWindow, ReportWithFewerLoadsIsTakenOnceTheOthersHaveExpired)
+{
+  exhaust(start);
+  residency::StoreLoadLimiter next;
+  next.setLimit({ 0, 5s, 1.1, 3 });
+  next.replaceLoads(limiter.loadAges(start + 100ms), start + 100ms);
+  next.mergeReport({}, 50ms, start + 5500ms);
+  next.startOwnership(3s, FormerOwner::OtherVm, start + 8s);
+  next.setLimit({ 1, 5s, 1.1, 3 });
+  CHECK(next.available(start + 8s) >= 6);
+}
+
 // Guards against a report from before the latest loads of another VM, as one of
 // a peer that was cut off from that VM.
 TEST(LoadWindow, OldReportOfAPeerDoesNotEmptyTheWindow)
