--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -28,6 +28,8 @@
 /** Engines order requests by a priority from 0 (highest) to 9. */
 constexpr int kLowestEnginePriority = 9;
 constexpr int kLevelsPerTeamPriority = 3;
+/** A caller that takes up a stream has waited longer for its next event. */
+constexpr base::Duration kMaxQuotaWait = 500ms;
 constexpr std::uint64_t kStreamSeed = 13;
 
 std::string
@@ -237,13 +239,40 @@
     mContext.log.logStep(
       mMetadata.id, "held by a new process", "", aReason, now);
   }
+  repeatAfter(*delay, aNext);
+  return true;
+}
+
+void
+Exchange::repeatAfter(base::Duration aDelay, AdmissionStep aNext)
+{
   mStallTimer.start(
-    mContext.loop, *delay, nullptr, [weak = weak_from_this(), aNext] {
+    mContext.loop, aDelay, nullptr, [weak = weak_from_this(), aNext] {
       const auto self = std::static_pointer_cast<Exchange>(weak.lock());
       if (self && !self->mEnded && !self->endIfCallerDisconnected()) {
         ((*self).*aNext)();
       }
     });
+}
+
+/** Lets a take-up wait for units that its team will have soon. A refusal would
+ * end the stream for a caller that can't come back once more.
+ * @return false if it must be refused */
+bool
+Exchange::waitForQuota(base::Duration aDelay)
+{
+  const base::TimePoint now = base::monotonicNow();
+  const base::TimePoint latest =
+    std::min(mReceivedAt + kMaxQuotaWait, mDeadlineAt);
+  if (now + aDelay > latest) {
+    return false;
+  }
+  if (!mQuotaWaitLogged) {
+    mQuotaWaitLogged = true;
+    mContext.log.logStep(
+      mMetadata.id, "take-up waits for the quota", "", mTeam->name, now);
+  }
+  repeatAfter(aDelay, &Exchange::admitByQuota);
   return true;
 }
 
@@ -330,10 +359,13 @@
                               : mTeam->defaultCost;
   const quota::Ask ask =
     std::exchange(mAskedForQuota, true) ? quota::Ask::Again : quota::Ask::First;
+  const bool takesUp = mRoute->resumableStream() && mMetadata.lastEventId;
+  const auto claim = takesUp ? quota::Claim::TakeUp : quota::Claim::New;
   const auto decision =
-    mContext.quota.admit(mTeam->name, cost, base::monotonicNow(), ask);
+    mContext.quota.admit(mTeam->name, cost, base::monotonicNow(), ask, claim);
   if (!decision.admitted) {
-    if (hold(&Exchange::admitByQuota, "quota")) {
+    if (hold(&Exchange::admitByQuota, "quota") ||
+        (takesUp && waitForQuota(decision.retryAfter))) {
       return false;
     }
     refuse(Code::RateExceeded,
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -69,6 +69,8 @@
   void admitByQuota();
   using AdmissionStep = void (Exchange::*)();
   bool hold(AdmissionStep aNext, const char* aReason);
+  void repeatAfter(base::Duration aDelay, AdmissionStep aNext);
+  bool waitForQuota(base::Duration aDelay);
   bool findRoute();
   bool authenticate();
   bool followConfiguration();
@@ -234,6 +236,7 @@
   unsigned mUnresolvedSends = 0; ///< sends that may have run at an upstream
   bool mWaitLogged = false;
   bool mHoldLogged = false;
+  bool mQuotaWaitLogged = false;
   bool mAskedForQuota = false;
   bool mMemoryWaitLogged = false;
   bool mStallLogged = false;
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -228,10 +228,11 @@
 /** A bucket of a team over its limit is nearly empty most of the time. If a
  * request needed as many units as it costs, small requests would take them all
  * and large ones would starve. So all need the mean cost, and larger ones
- * overdraw the bucket.
+ * overdraw the bucket. A take-up may overdraw it as far as the largest request
+ * does, so that new requests don't take each unit before it.
  * @return level at which a request is admitted */
 double
-FleetQuota::neededLevel(const Bucket& aBucket, double aCost) const
+FleetQuota::neededLevel(const Bucket& aBucket, double aCost, Claim aClaim) const
 {
   // Withholds units that peers have probably consumed but not reported yet.
   const double withheld =
@@ -242,8 +243,9 @@
   const double maxOverdraft = isIsolated() ? 0 : mSlack * share;
   // A bucket loses refill while it is full, so this is well below its capacity.
   const double common = std::min(aBucket.meanCost, burst * share / 2);
-  const double level =
-    maxOverdraft > 0 ? std::max(common, aCost - maxOverdraft) : aCost;
+  const double lowest = aCost - maxOverdraft;
+  const bool takesTurn = aClaim == Claim::New && maxOverdraft > 0;
+  const double level = takesTurn ? std::max(common, lowest) : lowest;
   return std::min(level + withheld, burst);
 }
 
@@ -251,7 +253,8 @@
 FleetQuota::admit(const base::TeamName& aTeam,
                   double aCost,
                   base::TimePoint aNow,
-                  Ask aAsk)
+                  Ask aAsk,
+                  Claim aClaim)
 {
   refill(aNow);
   const auto found = mBuckets.find(aTeam);
@@ -262,7 +265,7 @@
   if (aAsk == Ask::First) {
     recordCost(bucket, aCost);
   }
-  const double needed = neededLevel(bucket, aCost);
+  const double needed = neededLevel(bucket, aCost, aClaim);
   if (bucket.level < needed && !borrow(aTeam, bucket, aCost)) {
     const double missing = needed - bucket.level;
     const auto wait = base::fromSeconds(missing / bucket.limit.rate);
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -42,6 +42,13 @@
   Again ///< it waits, and its cost is a part of the mean already
 };
 
+/** What a request asks units for. */
+enum class Claim : std::uint8_t
+{
+  New,
+  TakeUp ///< the rest of a stream, whose team was charged for it before
+};
+
 /** What determines the level of a bucket on a VM, for the log. */
 struct Account
 {
@@ -129,13 +136,15 @@
    * of its bucket since its last admission.
    * @param aTeam team @param aCost units @param aNow time
    * @param aAsk whether the request has asked before
+   * @param aClaim what it asks for; take-ups come before new requests
    * @return whether the units were taken. retryAfter assumes the rate of the
    * whole fleet, because a retry usually reaches another VM.
    */
   Decision admit(const base::TeamName& aTeam,
                  double aCost,
                  base::TimePoint aNow,
-                 Ask aAsk = Ask::First);
+                 Ask aAsk = Ask::First,
+                 Claim aClaim = Claim::New);
 
   /** Returns the units of an admitted request that did not run. If a report has
    * contained them, peers get them back with the next admissions of this VM,
@@ -249,7 +258,7 @@
   void applyUsage(Peer& aPeer, const base::TeamName& aTeam, double aConsumed);
   void addRefillSinceStart(base::TimePoint aNow);
   static void recordCost(Bucket& aBucket, double aCost);
-  double neededLevel(const Bucket& aBucket, double aCost) const;
+  double neededLevel(const Bucket& aBucket, double aCost, Claim aClaim) const;
   void updatePeerRates(base::TimePoint aNow);
   bool isIsolated() const;
   bool borrow(const base::TeamName& aTeam, Bucket& aBucket, double aCost);
--- a/tests/e2e/test_team_quota.py
+++ b/tests/e2e/test_team_quota.py
@@ -10,6 +10,7 @@
 import unittest
 
 from gateway_process import Gateway, wait_for
+from stream_calls import StreamCaller, at_once
 from users_platform import ROUTES, Platform, Upstream
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
@@ -23,6 +24,8 @@
 LEAST_SERVED = 0.9    # of the rate, while a team asks for more
 REPLACEMENT_SECONDS = 2.0
 SHIFT_SECONDS = 4.0
+STREAMS = 10          # that are taken up while their team is over its limit
+STREAM_COST = 120
 
 
 class TeamQuota(unittest.TestCase):
@@ -73,9 +76,11 @@
             call.join()
         return sorted(at for desk in self.desks for at in desk.arrivals)
 
-    def check_bound(self, arrivals):
+    def check_bound(self, arrivals, streams=0):
+        """Checks the limit, with the cost of streams that were taken up in one window."""
         most = max(COST * sum(start <= at < start + WINDOW_SECONDS for at in arrivals) for start in arrivals)
-        self.assertLessEqual(most, (RATE * WINDOW_SECONDS + BURST) * (1 + OVERSHOOT) + TOLERANCE)
+        self.assertLessEqual(most + streams * STREAM_COST,
+                             (RATE * WINDOW_SECONDS + BURST) * (1 + OVERSHOOT) + TOLERANCE)
 
     def check_rate_is_served(self, arrivals):
         """Checks that the flood got the rate in its last window, in which the burst is used up."""
@@ -137,6 +142,26 @@
         self.assertIn("held by a new process", gateway.log())
         self.assertEqual(401, statuses[-1])
 
+    def test_streams_are_taken_up_while_new_requests_use_up_the_quota(self):
+        """Guards against streams that are lost because their callers come back beside more new requests than the limit
+        of their team allows."""
+        engine = Upstream("engine", BASE_PORT + 62, "llm", ["m1"])
+        engine.install("v1")
+        engine.slots, engine.event_seconds = 2 * STREAMS, 0.04
+        self.platform.serve_upstream(engine)
+        time.sleep(FILL_SECONDS)
+        callers = [StreamCaller(number) for number in range(STREAMS)]
+        at_once([lambda caller=caller: caller.attempt(self.gateways[0], leave_after=3) for caller in callers])
+        self.assertEqual([[200]] * STREAMS, [caller.statuses for caller in callers])
+        taken_up = threading.Timer(FLOOD_SECONDS - 2, lambda: at_once(
+            [lambda caller=caller: caller.attempt(self.gateways[0]) for caller in callers], STREAMS))
+        taken_up.start()
+        arrivals = self.flood(self.gateways)
+        taken_up.join()
+        self.assertEqual([[200, 200]] * STREAMS, [caller.statuses for caller in callers])
+        self.assertEqual([None] * STREAMS, [caller.fault() for caller in callers])
+        self.check_bound(arrivals, STREAMS)
+
     def test_planned_stop_frees_the_share(self):
         """Guards against a share that stays reserved for a VM that has left as planned."""
         stopped = self.gateways[2]
