--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -69,6 +69,8 @@
   void admitByQuota();
   using AdmissionStep = void (Exchange::*)();
   bool hold(AdmissionStep aNext, const char* aReason);
+  void repeatAfter(base::Duration aDelay, AdmissionStep aNext);
+  bool waitForQuota(base::Duration aDelay);
   bool findRoute();
   bool authenticate();
   bool followConfiguration();
@@ -238,6 +240,7 @@
   /** When the stream began to wait for its adapter, if it has. */
   std::optional<base::TimePoint> mAdapterAwaitedFrom;
   bool mHoldLogged = false;
+  bool mQuotaWaitLogged = false;
   bool mAskedForQuota = false;
   bool mMemoryWaitLogged = false;
   bool mStallLogged = false;
