--- a/scripts/explore.sh
+++ b/scripts/explore.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Plays orders of events on the request path, or on a watch of the store, and looks for violated promises; prints a script that replays what it finds.
-# Usage: scripts/explore.sh [--watches] [--depth N] [--seconds S] [--seed N] | [--watches] --replay SCRIPT
+# Plays orders of events on the request path, there while upstreams of two versions restart, or on a watch of the store, and looks for violated promises; prints a script that replays what it finds.
+# Usage: scripts/explore.sh [--watches | --versions] [--depth N] [--seconds S] [--seed N] | [--watches | --versions] --replay SCRIPT
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ "${1:-}" = --help ]; then
@@ -8,9 +8,11 @@
   exit 0
 fi
 program=explore
-if [ "${1:-}" = --watches ]; then
-  program=explore-watches
-  shift
-fi
+case "${1:-}" in
+  --watches | --versions)
+    program=explore-${1#--}
+    shift
+    ;;
+esac
 scripts/build.sh release
 exec "build/bin/$program" "$@"
--- a/tests/explore/site.cpp
+++ b/tests/explore/site.cpp
@@ -77,7 +77,13 @@
   : peers("dc")
   , pool(loop)
   , streams(loop)
-  , probe(loop, [](const wire::UpstreamKey&, gateway::ProbeResult) {})
+  , probe(
+      loop,
+      [this](const wire::UpstreamKey& aUpstream, gateway::ProbeResult aResult) {
+        if (onProbe) {
+          onProbe(aUpstream, aResult);
+        }
+      })
   , log(metrics())
   , random(1)
   , context{ loop,   settings, catalog,   upstreams, peers,   quota,   pool,
--- a/tests/explore/site.h
+++ b/tests/explore/site.h
@@ -59,6 +59,8 @@
   base::Random random;
   gateway::RequestContext context;
   gateway::RequestServer requests;
+  /** Gets the results of probes, if it is set. */
+  gateway::ReachabilityProbe::Callback onProbe;
 };
 
 } // namespace marigold::explore
