--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -200,8 +200,9 @@
 void
 Exchange::onReplacementFailed(wire::CallFailure aFailure)
 {
-  if (!mReplacement) {
-    onFailed(aFailure); // The replacement is already the current call.
+  if (!mReplacement || (mCall && !mCall->active())) {
+    // The replacement is already the current call; there may be a further one.
+    onFailed(aFailure);
     return;
   }
   const base::UpstreamName name = mReplacement->upstream->record.name;
