--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -192,6 +192,11 @@
   }
   if (mRoute->resumableStream()) {
     mContext.streams.onBrokenConnection(upstream, now);
+    const auto known = mContext.upstreams.find(upstream->record.name);
+    if (known && known != upstream) {
+      // The call may have been sent before the record of its process came.
+      mContext.streams.onBrokenConnection(known, now);
+    }
   }
   mContext.probe.start(upstream->peer());
 }
