--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -192,6 +192,11 @@
   }
   if (mRoute->resumableStream()) {
     mContext.streams.onBrokenConnection(upstream, now);
+    const auto known = mContext.upstreams.find(upstream->record.name);
+    if (known && known != upstream) {
+      // The call may have been sent before the record of its process came.
+      mContext.streams.onBrokenConnection(known, now);
+    }
   }
   mContext.probe.start(upstream->peer());
 }
@@ -200,8 +205,9 @@
 void
 Exchange::onReplacementFailed(wire::CallFailure aFailure)
 {
-  if (!mReplacement) {
-    onFailed(aFailure); // The replacement is already the current call.
+  if (!mReplacement || (mCall && !mCall->active())) {
+    // The replacement is already the current call; there may be a further one.
+    onFailed(aFailure);
     return;
   }
   const base::UpstreamName name = mReplacement->upstream->record.name;
