--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -600,16 +600,24 @@
 }
 
 void
-PeerExchange::probeCrashed(const peers::CrashTable& aCrashes)
+PeerExchange::onCrashes(const peers::CrashTable& aCrashes, base::TimePoint aNow)
 {
-  // The owner of orders replaces lost models. In a large fleet hardly any of
-  // its own requests would show it the crash.
   for (const auto& [process, evidence] : aCrashes) {
-    const auto upstream = mOrders.active() && !mContext.crashes.knows(process)
-                            ? mContext.upstreams.findProcess(process)
-                            : nullptr;
-    if (upstream) {
-      mContext.probe.start(upstream->peer());
+    if (mContext.crashes.knows(process)) {
+      continue;
+    }
+    // The owner of orders replaces lost models. In a large fleet hardly any of
+    // its own requests would show it the crash.
+    if (mOrders.active()) {
+      if (const auto upstream = mContext.upstreams.findProcess(process)) {
+        mContext.probe.start(upstream->peer());
+      }
+    } else if (evidence.age < kRecordLifetime) {
+      if (const auto upstream =
+            mContext.upstreams.onProcessEnded(process, aNow)) {
+        observe::logInfo("upstream has ended, as peers report",
+                         { { "upstream", upstream->record.name } });
+      }
     }
   }
 }
@@ -618,15 +626,16 @@
 PeerExchange::mergeCrashes(const peers::CrashTable& aCrashes,
                            base::TimePoint aNow)
 {
-  probeCrashed(aCrashes);
+  onCrashes(aCrashes, aNow);
   mContext.crashes.merge(aCrashes, aNow);
 }
 
 void
 PeerExchange::handle(peers::CrashReport& aReport, const std::string&)
 {
-  probeCrashed(aReport.crashes);
-  mContext.crashes.adopt(aReport.crashes, base::monotonicNow());
+  const base::TimePoint now = base::monotonicNow();
+  onCrashes(aReport.crashes, now);
+  mContext.crashes.adopt(aReport.crashes, now);
 }
 
 void
