--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -15,6 +15,8 @@
 /** Wait of a watch that is sent again: its answer shows at once whether the
  * store responds. */
 constexpr base::Duration kRepeatedWait = 100ms;
+/** Calls that are sent again in vain before a store counts as slow. */
+constexpr unsigned kMaxWastedRepetitions = 3;
 
 Error
 transportError(http::CallEnd aEnd, bool aIsWrite)
@@ -264,23 +266,50 @@
   const HedgedId id = mNextHedgedId++;
   HedgedCall& call = mHedgedCalls[id] = std::move(aCall);
   call.startedAt = base::monotonicNow();
-  call.timer = mLoop.after(aExpectedWithin + overdueAfter(mTimeout),
-                           [this, id] { onOverdue(id); });
+  call.expectedAt = call.startedAt + aExpectedWithin;
+  call.timer =
+    mLoop.after(aExpectedWithin + patience(), [this, id] { onOverdue(id); });
   call.original =
     sendWith(call.request, call.options, [this, id](const auto& aResponse) {
       onOriginal(id, aResponse);
     });
 }
 
-/** A store that is slow for all is not asked twice as often. */
+/** A store that is slow for all is not asked twice as often: the next answer
+ * may be a little later than the latest one, unless a silent connection would
+ * be found too late then. */
+base::Duration
+Client::patience() const
+{
+  const base::Duration overdue = overdueAfter(mTimeout);
+  return std::clamp<base::Duration>(
+    mLateness + overdue / 2, overdue, 2 * overdue);
+}
+
+/** A store that stays slower than that is asked once. */
 void
 Client::onOverdue(HedgedId aId)
 {
-  if (!mAnswersLate) {
+  if (mWastedRepetitions < kMaxWastedRepetitions) {
     repeat(aId);
   }
 }
 
+void
+Client::recordLateness(const HedgedCall& aCall, const Error* aError)
+{
+  const base::Duration lateness = base::monotonicNow() - aCall.expectedAt;
+  if (isLost(aError) || lateness < overdueAfter(mTimeout) / 2) {
+    mLateness = {};
+    mWastedRepetitions = 0;
+    return;
+  }
+  mLateness = lateness;
+  if (aCall.repetition) {
+    ++mWastedRepetitions;
+  }
+}
+
 void
 Client::repeat(HedgedId aId)
 {
@@ -312,7 +341,7 @@
   }
   call->second.original.reset();
   const Error* error = base::errorOf(aResponse);
-  mAnswersLate = !isLost(error) && call->second.repetition;
+  recordLateness(call->second, error);
   if (isRefusedOrLost(error) && call->second.repetition) {
     return;
   }
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -211,6 +211,7 @@
     std::optional<Calls::iterator> original{}; ///< while it is pending
     std::optional<Calls::iterator> repetition{};
     base::TimePoint startedAt{};
+    base::TimePoint expectedAt{}; ///< of a store that is not slow
     base::TimePoint repeatedAt{};
     http::EventHandle timer{};
   };
@@ -226,6 +227,8 @@
                            ResponseCallback aDone);
   void sendHedged(HedgedCall aCall, base::Duration aExpectedWithin);
   void onOverdue(HedgedId aId);
+  base::Duration patience() const;
+  void recordLateness(const HedgedCall& aCall, const base::Error* aError);
   void repeat(HedgedId aId);
   void onOriginal(HedgedId aId,
                   const base::Captured<http::Response>& aResponse);
@@ -258,8 +261,12 @@
   Calls mCalls;
   std::map<HedgedId, HedgedCall> mHedgedCalls; ///< pending
   HedgedId mNextHedgedId = 0;
-  /** The latest answer came, but only after its call was sent again. */
-  bool mAnswersLate = false;
+  /** By how much the latest answer was overdue or nearly so; zero if it came
+   * in time or was lost. */
+  base::Duration mLateness{};
+  /** Calls that were sent again although their answers were only late, since
+   * the latest answer in time. */
+  unsigned mWastedRepetitions = 0;
   /** When the connection was opened that showed the latest silence. */
   base::TimePoint mSilenceFoundAt = base::TimePoint::min();
   sigc::signal<void(base::TimePoint)> mSilenceFound;
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -428,9 +428,45 @@
   LONGS_EQUAL(2, watchEnds);
   watch(100ms);
   runFor(100ms + platform::overdueAfter(kTimeout) + 50ms);
+  LONGS_EQUAL(4, server.requests.size());
+  runFor(platform::overdueAfter(kTimeout));
   LONGS_EQUAL(5, server.requests.size());
 }
 
+// A connection that goes silent right behind a late answer must not hide a
+// change until the timeout of the call.
+TEST(SilentConnections, SilenceRightBehindALateAnswerIsFound)
+{
+  server.silent = [](std::size_t) { return true; };
+  watch(100ms);
+  runFor(100ms + platform::overdueAfter(kTimeout) + 20ms);
+  server.held.front()->reply({ 200, {}, R"({"revision":7,"items":[]})" });
+  runFor(20ms);
+  LONGS_EQUAL(1, watchEnds);
+  server.silent = [](std::size_t aNumber) { return aNumber <= 3; };
+  watch(100ms);
+  runFor(100ms + 2 * platform::overdueAfter(kTimeout) + 50ms);
+  LONGS_EQUAL(2, watchEnds);
+  LONGS_EQUAL(1, silences);
+}
+
+// A store that stays so slow that each answer comes after the call was sent
+// again must not get twice the calls.
+TEST(SilentConnections, VerySlowStoreIsNotAskedTwiceForEver)
+{
+  constexpr unsigned kWatches = 10;
+  for (unsigned number = 1; number <= kWatches; ++number) {
+    server.silent = [](std::size_t) { return true; };
+    const std::size_t before = server.requests.size();
+    watch(100ms);
+    runFor(100ms + 2 * platform::overdueAfter(kTimeout) + 50ms);
+    server.held.at(before)->reply({ 200, {}, R"({"revision":7,"items":[]})" });
+    runFor(20ms);
+    LONGS_EQUAL(number, watchEnds);
+  }
+  CHECK(server.requests.size() <= kWatches + kWatches / 2);
+}
+
 // Calls that hang since a silence that was found already must not make watches
 // on sound connections ask again.
 TEST(SilentConnections, OneSilenceIsReportedOnce)
