--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -1,5 +1,6 @@
 /** @file Tests of the platform client against a scripted server. */
 #include "platform/platform.h"
+#include "platform/untrusted_json.h"
 
 // Before CppUTest, whose macros replace operator new.
 #include <nlohmann/json.hpp>
@@ -283,6 +284,37 @@
   CHECK(!read.entries.at(0).value);
 }
 
+TEST_GROUP(UntrustedJson){};
+
+// Guards against a body of a few hundred kilobytes that stops the loop of the
+// process for minutes, because the time grows with the square of its elements.
+TEST(UntrustedJson, ManyElementsAreReadInTime)
+{
+  constexpr std::size_t kElements = 100'000;
+  std::string text = "[0";
+  for (std::size_t element = 0; element < kElements; ++element) {
+    text += ",{}";
+  }
+  const base::TimePoint begin = base::monotonicNow();
+  LONGS_EQUAL(kElements + 1, platform::parseUntrusted(text + "]").size());
+  CHECK(base::monotonicNow() - begin < 1s);
+}
+
+// Guards against recursion without bound, and against texts that are taken for
+// nested because they contain brackets.
+TEST(UntrustedJson, OnlyDeeplyNestedTextIsRejected)
+{
+  constexpr std::size_t kDepth = 64;
+  const std::string open(kDepth, '[');
+  const std::string close(kDepth, ']');
+  CHECK(platform::parseUntrusted(open + "0" + close).is_array());
+  const std::string brackets = R"("\"[[\\")" + std::string(" ");
+  CHECK(platform::parseUntrusted(open + brackets + close).is_array());
+  CHECK(platform::parseUntrusted('"' + open + open + '"').is_string());
+  CHECK_THROWS(std::invalid_argument,
+               platform::parseUntrusted('[' + open + "0" + close + ']'));
+}
+
 namespace {
 
 constexpr base::Duration kTimeout = 300ms; ///< of the clients below
@@ -428,9 +460,45 @@
   LONGS_EQUAL(2, watchEnds);
   watch(100ms);
   runFor(100ms + platform::overdueAfter(kTimeout) + 50ms);
+  LONGS_EQUAL(4, server.requests.size());
+  runFor(platform::overdueAfter(kTimeout));
   LONGS_EQUAL(5, server.requests.size());
 }
 
+// A connection that goes silent right behind a late answer must not hide a
+// change until the timeout of the call.
+TEST(SilentConnections, SilenceRightBehindALateAnswerIsFound)
+{
+  server.silent = [](std::size_t) { return true; };
+  watch(100ms);
+  runFor(100ms + platform::overdueAfter(kTimeout) + 20ms);
+  server.held.front()->reply({ 200, {}, R"({"revision":7,"items":[]})" });
+  runFor(20ms);
+  LONGS_EQUAL(1, watchEnds);
+  server.silent = [](std::size_t aNumber) { return aNumber <= 3; };
+  watch(100ms);
+  runFor(100ms + 2 * platform::overdueAfter(kTimeout) + 50ms);
+  LONGS_EQUAL(2, watchEnds);
+  LONGS_EQUAL(1, silences);
+}
+
+// A store that stays so slow that each answer comes after the call was sent
+// again must not get twice the calls.
+TEST(SilentConnections, VerySlowStoreIsNotAskedTwiceForEver)
+{
+  constexpr unsigned kWatches = 10;
+  for (unsigned number = 1; number <= kWatches; ++number) {
+    server.silent = [](std::size_t) { return true; };
+    const std::size_t before = server.requests.size();
+    watch(100ms);
+    runFor(100ms + 2 * platform::overdueAfter(kTimeout) + 50ms);
+    server.held.at(before)->reply({ 200, {}, R"({"revision":7,"items":[]})" });
+    runFor(20ms);
+    LONGS_EQUAL(number, watchEnds);
+  }
+  CHECK(server.requests.size() <= kWatches + kWatches / 2);
+}
+
 // Calls that hang since a silence that was found already must not make watches
 // on sound connections ask again.
 TEST(SilentConnections, OneSilenceIsReportedOnce)
