--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -314,8 +314,8 @@
         until = time.monotonic() + ENDLESS_SECONDS
         try:
             while time.monotonic() < until and self.endless_sent < self.endless_limit:
+                self.endless_sent += len(chunk)  # before the gateway can answer
                 writer.write(chunk)
-                self.endless_sent += len(chunk)
                 await writer.drain()
                 await asyncio.sleep(pause)
         except ConnectionError:
