--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -103,10 +103,7 @@
 {
   mContext.openRequests.insert(shared_from_this());
   if (mCaller->bodyRefused()) {
-    refuse(Code::Overloaded,
-           "no memory for the body, " + std::to_string(mContext.memory.used()) +
-             " bytes held",
-           kMemoryRetryDelay);
+    refuseForMemory("for the body");
     return;
   }
   if (mContext.refuseAfter && base::monotonicNow() > *mContext.refuseAfter) {
@@ -121,6 +118,15 @@
   admit();
 }
 
+void
+Exchange::refuseForMemory(const std::string& aPurpose)
+{
+  refuse(Code::Overloaded,
+         "no memory " + aPurpose + ", " +
+           std::to_string(mContext.memory.used()) + " bytes held",
+         kMemoryRetryDelay);
+}
+
 void
 Exchange::admit()
 {
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -74,6 +74,7 @@
   bool followConfiguration();
   bool acceptChat();
   bool acceptCompletion();
+  bool refuseWithoutMemoryToRead();
   void listModels();
   bool chargeQuota();
   void refundQuota();
@@ -162,6 +163,7 @@
   void deliverResponse();
   void applyBackpressure();
   void fail(base::Code aCode, const std::string& aDetail);
+  void refuseForMemory(const std::string& aPurpose);
   void refuse(base::Code aCode,
               const std::string& aDetail,
               base::Duration aRetryAfter);
--- a/apps/gateway/exchange_chat.cpp
+++ b/apps/gateway/exchange_chat.cpp
@@ -33,9 +33,26 @@
   return acceptCompletion();
 }
 
+/** The tree of a body is gone before the next event, so nothing else can take
+ * the memory meanwhile.
+ * @return true if the request ended */
+bool
+Exchange::refuseWithoutMemoryToRead()
+{
+  const std::size_t needed = chat::memoryToRead(mRequest.body);
+  if (needed > chat::kMaxTreeBytes || mContext.memory.admitsCopy(needed)) {
+    return false;
+  }
+  refuseForMemory("to read the body");
+  return true;
+}
+
 bool
 Exchange::acceptCompletion()
 {
+  if (refuseWithoutMemoryToRead()) {
+    return false;
+  }
   auto result =
     base::capture([this] { return chat::readRequest(mRequest.body); });
   if (const base::Error* error = base::errorOf(result)) {
--- a/libs/chat/request.cpp
+++ b/libs/chat/request.cpp
@@ -141,9 +141,18 @@
   return path == "/v1/models" ? Call::ModelList : Call::None;
 }
 
+std::size_t
+memoryToRead(const std::string& aBody)
+{
+  return platform::estimateTreeBytes(aBody);
+}
+
 base::Result<Request>
 readRequest(const std::string& aBody)
 {
+  if (memoryToRead(aBody) > kMaxTreeBytes) {
+    return base::fail(Code::BadRequest, "the body has too many elements");
+  }
   BOOST_LEAF_AUTO(content, parseObject(aBody));
   Request request;
   const auto model = content.find("model");
--- a/libs/chat/request.h
+++ b/libs/chat/request.h
@@ -21,6 +21,14 @@
 Call
 callOf(std::string_view aTarget);
 
+/** Memory that reading a body may take. The longest conversations need less. */
+constexpr std::size_t kMaxTreeBytes = 32UL * 1024 * 1024;
+
+/** @param aBody body of a request for a completion
+ * @return about as much memory as readRequest() takes for it, or more */
+std::size_t
+memoryToRead(const std::string& aBody);
+
 /** A request for a completion. */
 struct Request
 {
@@ -37,7 +45,7 @@
 
 /**
  * @param aBody body of a request for a completion
- * @return the request, or BadRequest if it cannot be read
+ * @return the request, or BadRequest if it cannot be read within kMaxTreeBytes
  */
 base::Result<Request>
 readRequest(const std::string& aBody);
--- a/libs/platform/untrusted_json.h
+++ b/libs/platform/untrusted_json.h
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <string_view>
 
 namespace marigold::platform {
 
@@ -17,4 +18,9 @@
 nlohmann::json
 parseUntrusted(const std::string& aText);
 
+/** @param aText untrusted text
+ * @return about as much memory as parseUntrusted() takes for it, or more */
+std::size_t
+estimateTreeBytes(std::string_view aText);
+
 } // namespace marigold::platform
--- a/tests/e2e/test_large_bodies.py
+++ b/tests/e2e/test_large_bodies.py
@@ -9,7 +9,7 @@
 import unittest
 
 from gateway_process import Gateway, wait_for
-from users_platform import HOST, ROUTES, Platform, Upstream
+from users_platform import HOST, ROUTES, Platform, Upstream, route
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
 BODY_BYTES = 4_000_000
@@ -26,7 +26,8 @@
         self.desk = Upstream("desk0", BASE_PORT + 60, "desk")
         self.desk.slots = REQUESTS
         self.desk.delay = 2.0  # all requests are open at once
-        routes = [{**row, "timeout_ms": 20000, "target_latency_ms": 15000} for row in ROUTES]
+        chat = route("chat-api", "/v1/", "streaming", "llm")
+        routes = [{**row, "timeout_ms": 20000, "target_latency_ms": 15000} for row in ROUTES + [chat]]
         configuration = json.loads(Platform.configuration(1, ["k1"], routes))
         configuration["limits"]["max_body_bytes"] = 4_194_304
         for service in configuration["services"]:
@@ -138,6 +139,26 @@
             caller.close()
         self.assertLess(peak, SMALLEST_VM_BYTES)
 
+    def chat(self, content):
+        body = b'{"model":"m1","max_tokens":1,"messages":[{"role":"user","content":' + content + b"}]}"
+        return self.gateway.call("/v1/chat/completions", headers={"X-Deadline-Ms": "6000"}, body=body, timeout=10)[0]
+
+    def test_chat_bodies_of_many_elements_fit_the_memory(self):
+        """Guards against the tree of a chat body, which takes many times the bytes of the body and was not counted."""
+        self.gateway.stop()
+        engine = Upstream("engine0", BASE_PORT + 61, "llm", ["m1"])
+        self.platform.serve_upstream(engine)
+        self.gateway = Gateway(0, self.folder.name, BASE_PORT, BASE_PORT + 90, memory=SMALLEST_VM_BYTES)
+        wait_for(self.gateway.ready)
+        for element in (b"{},", b"[],", b'{"":0},', b"0,"):
+            with self.subTest(element):
+                status = self.chat(b"[" + element * (BODY_BYTES // len(element)) + b"0]")
+                self.assertIn(status, (200, 400, 429, 503))
+                self.assertLess(self.gateway.memory("VmHWM"), SMALLEST_VM_BYTES)
+        self.assertEqual(200, self.chat(b'"word"'))
+        self.assertEqual(200, self.chat(b"[" + b'{"type":"text","text":"word"},' * 10000 + b'{"type":"text"}]'))
+        self.assertLess(self.gateway.memory("VmHWM"), SMALLEST_VM_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
