--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -600,24 +600,16 @@
 }
 
 void
-PeerExchange::onCrashes(const peers::CrashTable& aCrashes, base::TimePoint aNow)
+PeerExchange::probeCrashed(const peers::CrashTable& aCrashes)
 {
+  // The owner of orders replaces lost models. In a large fleet hardly any of
+  // its own requests would show it the crash.
   for (const auto& [process, evidence] : aCrashes) {
-    if (mContext.crashes.knows(process)) {
-      continue;
-    }
-    // The owner of orders replaces lost models. In a large fleet hardly any of
-    // its own requests would show it the crash.
-    if (mOrders.active()) {
-      if (const auto upstream = mContext.upstreams.findProcess(process)) {
-        mContext.probe.start(upstream->peer());
-      }
-    } else if (evidence.age < kRecordLifetime) {
-      if (const auto upstream =
-            mContext.upstreams.onProcessEnded(process, aNow)) {
-        observe::logInfo("upstream has ended, as peers report",
-                         { { "upstream", upstream->record.name } });
-      }
+    const auto upstream = mOrders.active() && !mContext.crashes.knows(process)
+                            ? mContext.upstreams.findProcess(process)
+                            : nullptr;
+    if (upstream) {
+      mContext.probe.start(upstream->peer());
     }
   }
 }
@@ -626,16 +618,15 @@
 PeerExchange::mergeCrashes(const peers::CrashTable& aCrashes,
                            base::TimePoint aNow)
 {
-  onCrashes(aCrashes, aNow);
+  probeCrashed(aCrashes);
   mContext.crashes.merge(aCrashes, aNow);
 }
 
 void
 PeerExchange::handle(peers::CrashReport& aReport, const std::string&)
 {
-  const base::TimePoint now = base::monotonicNow();
-  onCrashes(aReport.crashes, now);
-  mContext.crashes.adopt(aReport.crashes, now);
+  probeCrashed(aReport.crashes);
+  mContext.crashes.adopt(aReport.crashes, base::monotonicNow());
 }
 
 void
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -97,7 +97,7 @@
 private:
   void receive(const std::string& aBytes);
   void mergeCrashes(const peers::CrashTable& aCrashes, base::TimePoint aNow);
-  void onCrashes(const peers::CrashTable& aCrashes, base::TimePoint aNow);
+  void probeCrashed(const peers::CrashTable& aCrashes);
   void merge(const peers::Gossip& aGossip, base::TimePoint aNow);
   void handle(peers::Status& aStatus, const std::string& aBytes);
   void handle(peers::Summary& aSummary, const std::string& aBytes);
--- a/apps/gateway/upstream_table.cpp
+++ b/apps/gateway/upstream_table.cpp
@@ -259,17 +259,6 @@
   return found == mUpstreams.end() ? nullptr : found->second;
 }
 
-std::shared_ptr<Upstream>
-UpstreamTable::onProcessEnded(peers::ProcessTag aTag, base::TimePoint aNow)
-{
-  const auto upstream = findProcess(aTag);
-  if (!upstream || upstream->record.models.empty()) {
-    return nullptr;
-  }
-  upstream->onAnswer(true, true, aNow);
-  return upstream;
-}
-
 std::shared_ptr<Upstream>
 UpstreamTable::find(const base::UpstreamName& aName) const
 {
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -169,13 +169,6 @@
    * @return the usable upstream with this process, or nullptr */
   std::shared_ptr<Upstream> findProcess(peers::ProcessTag aTag) const;
 
-  /** Peers found that an engine has ended. Its next process has none of its
-   * models, but its record comes later than requests to it would.
-   * @param aTag tag of the process @param aNow time
-   * @return the upstream, or nullptr if it is not known or has no models */
-  std::shared_ptr<Upstream> onProcessEnded(peers::ProcessTag aTag,
-                                           base::TimePoint aNow);
-
   /** @param aName upstream name @return the upstream, or nullptr if unknown */
   std::shared_ptr<Upstream> find(const base::UpstreamName& aName) const;
 
