--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -97,7 +97,7 @@
                   mFleet,
                   mCrashes,
                   base::hash64(mSettings.vm, mIncarnation + 3))
-  , mStreamRecords(mPlatform, mFleet, mStreams)
+  , mStreamRecords(mPlatform, mFleet, mStreams, mSettings.firstStart)
   , mCatalogWatch(
       mLoop,
       mPlatform,
--- a/apps/gateway/settings.cpp
+++ b/apps/gateway/settings.cpp
@@ -59,6 +59,9 @@
     settings.linkMbps =
       aRoot.require("link_mbps").number(kMinLinkMbps, kMaxLinkMbps);
   }
+  if (aRoot.has("first_start")) {
+    settings.firstStart = aRoot.require("first_start").boolean();
+  }
   settings.quotaSlack = aRoot.require("quota_slack").number(0, kMaxSlack);
   if (aRoot.has("log_level")) {
     settings.logLevel =
--- a/apps/gateway/settings.h
+++ b/apps/gateway/settings.h
@@ -37,8 +37,10 @@
   double capacity = 0;         ///< CPU cores that the process may use
   std::optional<std::size_t> memoryBytes; ///< of this VM
   std::optional<double> linkMbps; ///< rate of the link of this VM in 10^6 bit/s
-  double quotaSlack = 0;          ///< units that the fleet may count late
-  base::Duration quotaWindow{};   ///< window over which quotas are guaranteed
+  /** The whole system starts for the first time: nothing has served before. */
+  bool firstStart = false;
+  double quotaSlack = 0;        ///< units that the fleet may count late
+  base::Duration quotaWindow{}; ///< window over which quotas are guaranteed
 };
 
 /** @param aSettings settings @param aOther data centre
--- a/apps/gateway/stream_records.cpp
+++ b/apps/gateway/stream_records.cpp
@@ -60,10 +60,12 @@
 
 StreamRecords::StreamRecords(platform::Client& aClient,
                              Fleet& aFleet,
-                             StreamRegistry& aStreams)
+                             StreamRegistry& aStreams,
+                             bool aFirstStart)
   : mClient(aClient)
   , mFleet(aFleet)
   , mStreams(aStreams)
+  , mFirstStart(aFirstStart)
 {
   mFleet.softwareRecord().connect(
     [this](const platform::Entry& aEntry) { applySoftware(aEntry); });
@@ -80,7 +82,7 @@
       mStored = aContent.get<dispatch::SoftwareHistory::Table>();
     });
   }
-  if (isFirst && mStored.empty()) {
+  if (isFirst && mStored.empty() && !mFirstStart) {
     mStreams.onHistoryUnknown(base::monotonicNow());
   }
   mStreams.history().merge(mStored, base::monotonicNow());
--- a/apps/gateway/stream_records.h
+++ b/apps/gateway/stream_records.h
@@ -17,10 +17,12 @@
 {
 public:
   /** @param aClient client of the store @param aFleet fleet
-   * @param aStreams streams; all of them must outlive this object */
+   * @param aStreams streams; all of them must outlive this object
+   * @param aFirstStart whether nothing has served before */
   StreamRecords(platform::Client& aClient,
                 Fleet& aFleet,
-                StreamRegistry& aStreams);
+                StreamRegistry& aStreams,
+                bool aFirstStart);
 
   /** Writes what is due. Call several times a second on the VM that writes.
    * @param aNow time */
@@ -42,6 +44,7 @@
   platform::Client& mClient;
   Fleet& mFleet;
   StreamRegistry& mStreams;
+  bool mFirstStart;
   dispatch::SoftwareHistory::Table mStored; ///< as far as known
   platform::Revision mSoftwareRevision = 0; ///< 0: no such key
   bool mSoftwareListed = false;
--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -27,7 +27,7 @@
     """The gateway of one VM; start() after stop() starts a new process with the same settings."""
 
     def __init__(self, number, folder, first_port, store_port, data_centre="dc-a", data_centres=DATA_CENTRES,
-                 memory=260 * 10**6, link_mbps=1000):
+                 memory=260 * 10**6, link_mbps=1000, first_start=False):
         places = ", ".join(f"{{name: {name}, region: {region}}}" for name, region in data_centres.items())
         self.port = first_port
         self.name = f"vm{number}"
@@ -55,6 +55,7 @@
 capacity: 0.25
 memory_mb: {memory // 10**6}
 link_mbps: {link_mbps}
+first_start: {str(first_start).lower()}
 quota_slack: 1000
 quota_window: 8s
 """)
--- a/tests/e2e/test_software_versions.py
+++ b/tests/e2e/test_software_versions.py
@@ -89,10 +89,10 @@
         self.start_vms()
         return engines
 
-    def start_vms(self):
+    def start_vms(self, first_start=False):
         for number, port in enumerate(self.store_ports):
             self.gateways.append(Gateway(number, self.folder.name, BASE_PORT + 10 * number, port,
-                                         DATA_CENTRES[number]))
+                                         DATA_CENTRES[number], first_start=first_start))
         self.wait_ready()
 
     def wait_ready(self):
@@ -584,6 +584,26 @@
             self.assertIn((caller.statuses[-1], caller.outcomes[-1]), ((200, None), (503, "not-run")))
             self.assertIn([number for number, _ in caller.events], ([], list(range(4, len(TOKENS) + 1))))
 
+    def take_up_without_a_name(self, first_start):
+        """Callers that name no try take up streams of the only version that serves, at another VM, soon after the
+        start of all VMs; returns the statuses of their last tries."""
+        self.add("v1"), self.add("v1")
+        self.start_vms(first_start)
+        callers = at_once([self.begin] * 6)
+        for caller in callers:
+            other = next(vm for vm in self.gateways if vm is not caller.gateway)
+            caller.attempt(other, headers={"Last-Event-Id": str(caller.events[-1][0])})
+        self.check(callers)
+        return [caller.statuses[-1] for caller in callers]
+
+    def test_take_ups_without_a_name_go_on_after_the_first_start_of_the_system(self):
+        """Guards against take-ups that are refused for half a minute although nothing can have served before."""
+        self.assertEqual([200] * 6, self.take_up_without_a_name(first_start=True))
+
+    def test_take_ups_without_a_name_are_refused_after_a_start_that_knows_nothing(self):
+        """Guards against a guess by VMs that start without a record of what has served before."""
+        self.assertEqual([503] * 6, self.take_up_without_a_name(first_start=False))
+
     def test_request_for_a_whole_stream_is_served_whatever_it_resumes(self):
         """Guards against new streams that are refused for a name of an earlier try without events."""
         self.start("v1", "v2")
