--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -42,8 +42,8 @@
     """Adds a service with large answers, one of engines that crash, and one of engines of several versions."""
 
     @staticmethod
-    def configuration(version, keys, routes):
-        config = json.loads(Platform.configuration(version, keys, routes + MORE_ROUTES))
+    def configuration(version, keys, routes, adapters=2):
+        config = json.loads(Platform.configuration(version, keys, routes + MORE_ROUTES, adapters))
         runtime = dict(config["services"][0]["runtime"])
         runtime["models"] = [{**runtime["models"][0], "name": "m3"}]
         churn = {**runtime, "adapter_slots": 2, "models": [{**runtime["models"][0], "name": "m4", "adapters": ADAPTERS}]}
