Take a reset for a reset also while bytes wait to be sent

What callers saw: possibly a success that looked complete and was not. An answer without a length ends with its connection; if the upstream reset the connection while a part of the request was still unsent here, the answer counted as whole. A caller that reset its connection, or that the kernel gave up, while output was pending was told as one that had closed it in order.

Cause: with output pending, the loop finds the socket writable and readable in one pass. The write takes the error of the socket, the read behind it gets 0, and libevent reports both in one event (BEV_EVENT_ERROR and BEV_EVENT_EOF; seen: flags 0x33, errno 110). endOf() looked at the end first. Now an error goes first.

Ruled out: a reset that comes together with the bytes before it, which was already told as a failure (the test passed on the old code in that order).

Found while telling resets from time-outs for the log of a caller's end; it is not the cause of the request without an answer (LOST), where no answer had begun.

--- a/libs/http/tests/manual_listener.h
+++ b/libs/http/tests/manual_listener.h
@@ -102,6 +102,16 @@
   /** Closes the first connection. */
   void closeFirst() const { shutdown(mDescriptors.front(), SHUT_RDWR); }
 
+  /** Closes the first connection with a TCP reset. */
+  void resetFirst()
+  {
+    const linger option{ 1, 0 };
+    setsockopt(
+      mDescriptors.front(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+    close(mDescriptors.front());
+    mDescriptors.erase(mDescriptors.begin());
+  }
+
   /** @return true if a reset of the first connection has arrived, also if
    * unread bytes precede it */
   bool firstWasReset() const
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -380,6 +380,37 @@
   runPending(loop);
 }
 
+// Guards against an answer without a length that is taken for complete although
+// its upstream has reset the connection, while the request was still on its
+// way.
+TEST(ConnectionEnd, ResetBehindAnUnsentRequestIsNoEndOfTheAnswer)
+{
+  ManualServer server(kSmallBuffer);
+  base::MemoryBudget memory;
+  wire::UpstreamConnection connection(loop, kAddress, memory);
+  bool complete = false;
+  std::optional<wire::CallFailure> failure;
+  wire::OutgoingCall call;
+  call.makeBytes = [] {
+    return std::optional(kRequest + std::string(kLongerThanTheBuffers, 'x'));
+  };
+  wire::CallEvents events;
+  events.head = [](const wire::ResponseHead&) {};
+  events.body = [](std::string_view) {};
+  events.complete = [&] { complete = true; };
+  events.failed = [&](wire::CallFailure aFailure) { failure = aFailure; };
+  connection.start(std::move(call), std::move(events));
+  runFor(50ms);
+  (void)server.received();
+  CHECK(connection.progress().unsent > 0);
+  server.respond("HTTP/1.1 200 OK\r\n\r\na part");
+  runFor(20ms);
+  server.resetFirst();
+  runFor(20ms);
+  CHECK_FALSE(complete);
+  CHECK(failure == wire::CallFailure::Broken);
+}
+
 TEST_GROUP(KeptUpstreamConnection)
 {
   http::Loop loop;
--- a/libs/wire/transport.cpp
+++ b/libs/wire/transport.cpp
@@ -259,7 +259,8 @@
 TransportEnd
 Transport::endOf(const bufferevent* /*aEvent*/, short aFlags)
 {
-  if ((aFlags & BEV_EVENT_EOF) != 0) {
+  // A write may take the error of a reset; the next read then sees an end.
+  if ((aFlags & BEV_EVENT_ERROR) == 0) {
     return TransportEnd::Orderly;
   }
   return EVUTIL_SOCKET_ERROR() == ECONNREFUSED ? TransportEnd::Refused
