Tell in the log who ended a caller's connection, and what the caller has

Cause: a reset by the caller, a time-out of the kernel and any other error of the socket were one reason, "failed", and a request counted as unanswered until its response was complete.

Now the transport tells a reset from a time-out, the connection counts the bytes of the response that the caller has acknowledged, and callerLoss(), a pure function, decides the line:

Input that was read behind the last response and dropped counts as before, whoever ends the connection.

--- a/apps/gateway/request_log.cpp
+++ b/apps/gateway/request_log.cpp
@@ -11,6 +11,24 @@
   return std::to_string(base::inMilliseconds(aDuration));
 }
 
+const char*
+lossText(wire::CallerLoss aLoss)
+{
+  switch (aLoss) {
+    case wire::CallerLoss::LeftEarly:
+      return "caller left before it had its whole response";
+    case wire::CallerLoss::Unanswered:
+      return "caller connection ended without a response";
+    case wire::CallerLoss::BrokenOff:
+      return "caller connection ended inside its response";
+    case wire::CallerLoss::Undelivered:
+      return "caller may not have its whole response";
+    case wire::CallerLoss::None:
+      break;
+  }
+  return "caller connection ended";
+}
+
 } // namespace
 
 RequestLog::RequestLog(observe::Metrics& aMetrics)
@@ -89,28 +107,20 @@
              "Connections of callers that have ended, by reason",
              { { "reason", reason } })
     .Increment();
-  // A caller that leaves during its request is in the line of the request.
-  const bool logged =
-    aClosed.requestOpen && aClosed.end == wire::CallerEnd::ClosedByCaller;
-  const bool complete =
-    aClosed.unansweredBytes == 0 && aClosed.unacknowledgedBytes == 0;
-  const bool unanswered = aClosed.unansweredBytes > 0;
-  const auto weight =
-    unanswered ? observe::LineWeight::Rare : observe::LineWeight::Notable;
-  if (logged || complete || !mBudget.take(weight, aNow)) {
+  const wire::CallerLoss loss = wire::callerLoss(aClosed);
+  const auto weight = loss == wire::CallerLoss::Unanswered
+                        ? observe::LineWeight::Rare
+                        : observe::LineWeight::Notable;
+  if (loss == wire::CallerLoss::None || !mBudget.take(weight, aNow)) {
     return;
   }
-  // A caller that closes while its last response is on its way loses it by its
-  // own doing.
-  const bool leftEarly =
-    !unanswered && aClosed.end == wire::CallerEnd::ClosedByCaller;
-  const auto log = leftEarly ? &observe::logInfo : &observe::logWarn;
-  log(leftEarly    ? "caller left before it had its whole response"
-      : unanswered ? "caller connection ended without a response"
-                   : "caller may not have its whole response",
+  const auto log =
+    loss == wire::CallerLoss::LeftEarly ? &observe::logInfo : &observe::logWarn;
+  log(lossText(loss),
       { { "reason", reason },
         { "request_open", aClosed.requestOpen ? "yes" : "no" },
         { "unanswered_bytes", std::to_string(aClosed.unansweredBytes) },
+        { "delivered_bytes", std::to_string(aClosed.deliveredBytes) },
         { "unsent_bytes", std::to_string(aClosed.unsentBytes) },
         { "unacknowledged_bytes", std::to_string(aClosed.unacknowledgedBytes) },
         { "since_input_ms", formatMilliseconds(aClosed.sinceInput) },
--- a/apps/gateway/request_log.h
+++ b/apps/gateway/request_log.h
@@ -54,8 +54,8 @@
                const std::string& aReason,
                base::TimePoint aNow);
 
-  /** Counts a caller's connection that has ended, and logs it if it ended with
-   * a request that got no response. @param aClosed how it ended
+  /** Counts a caller's connection that has ended, and logs it if its caller
+   * lost a response or a part of one. @param aClosed how it ended
    * @param aNow time */
   void logCallerClose(const wire::ClosedCaller& aClosed, base::TimePoint aNow);
 
--- a/libs/http/tests/manual_listener.h
+++ b/libs/http/tests/manual_listener.h
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <cerrno>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
@@ -22,6 +23,16 @@
   }
 }
 
+/** @param aDescriptor socket whose kernel side drops all packets from now on */
+inline void
+dropInput(int aDescriptor)
+{
+  sock_filter drop{ BPF_RET | BPF_K, 0, 0, 0 };
+  const sock_fprog program{ 1, &drop };
+  setsockopt(
+    aDescriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
 /** A server that reads and responds only when the test calls it. */
 class ManualListener
 {
@@ -99,6 +110,15 @@
   /** @return number of connections, as of the last received() */
   std::size_t connections() const { return mDescriptors.size(); }
 
+  /** Drops what arrives on the connections from now on, as if the server or the
+   * path to it were gone. */
+  void dropInput() const
+  {
+    for (const int descriptor : mDescriptors) {
+      test::dropInput(descriptor);
+    }
+  }
+
   /** Closes the first connection. */
   void closeFirst() const { shutdown(mDescriptors.front(), SHUT_RDWR); }
 
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -36,26 +36,6 @@
 
 } // namespace
 
-const char*
-callerEndName(CallerEnd aEnd)
-{
-  switch (aEnd) {
-    case CallerEnd::ClosedByCaller:
-      return "closed by the caller";
-    case CallerEnd::Failed:
-      return "failed";
-    case CallerEnd::Idle:
-      return "idle";
-    case CallerEnd::Completed:
-      return "after its last response";
-    case CallerEnd::Aborted:
-      return "aborted";
-    case CallerEnd::Overdue:
-      return "overdue";
-  }
-  return "unknown";
-}
-
 CallerConnection::CallerConnection(CallerServer& aServer, int aDescriptor)
   : mServer(aServer)
   , mTransport(aServer.mLoop, aDescriptor)
@@ -93,7 +73,7 @@
         if (aEnd == TransportEnd::Orderly) {
           inputEnded();
         } else {
-          end(mInputEnded ? CallerEnd::ClosedByCaller : CallerEnd::Failed);
+          end(mInputEnded ? CallerEnd::ClosedByCaller : callerEndOf(aEnd));
         }
       } });
   allowPauses();
@@ -515,6 +495,14 @@
   return taken;
 }
 
+/** @param aBytes next part of the response to the current request */
+void
+CallerConnection::send(std::string_view aBytes)
+{
+  mCurrent.responseBytes += aBytes.size();
+  mTransport.write(aBytes);
+}
+
 void
 CallerConnection::writeHead(int aStatus,
                             const http::Headers& aHeaders,
@@ -541,7 +529,7 @@
   if (mCurrent.closeAfterResponse) {
     head += "Connection: close\r\n";
   }
-  mTransport.write(head);
+  send(head);
 }
 
 void
@@ -558,7 +546,7 @@
   if (mCurrent.request.method != "HEAD") {
     remainder += aBody;
   }
-  mTransport.write(remainder);
+  send(remainder);
   finishRequest();
 }
 
@@ -569,7 +557,7 @@
     return;
   }
   writeHead(aStatus, aHeaders, false);
-  mTransport.write("\r\n");
+  send("\r\n");
 }
 
 void
@@ -579,12 +567,12 @@
     return;
   }
   if (!mCurrent.chunked) {
-    mTransport.write(aBytes);
+    send(aBytes);
   } else {
     std::string chunk = chunkHeader(aBytes.size());
     chunk += aBytes;
     chunk += "\r\n";
-    mTransport.write(chunk);
+    send(chunk);
   }
   chargeOutput();
 }
@@ -596,7 +584,7 @@
     return;
   }
   if (mCurrent.chunked) {
-    mTransport.write("0\r\n\r\n");
+    send("0\r\n\r\n");
   }
   finishRequest();
 }
@@ -707,11 +695,15 @@
     return;
   }
   const base::TimePoint now = base::monotonicNow();
+  const std::size_t unacknowledged = mTransport.unacknowledgedOutput();
+  const std::size_t delivered =
+    mCurrent.responseBytes - std::min(mCurrent.responseBytes, unacknowledged);
   mServer.mCloseHandler({ aEnd,
                           mCurrent.open,
                           mUnansweredBytes + mTransport.pendingInput(),
+                          mCurrent.open ? delivered : 0,
                           mTransport.pendingOutput(),
-                          mTransport.unacknowledgedOutput(),
+                          unacknowledged,
                           now - mLastInputAt,
                           now - mOpenedAt });
 }
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -3,6 +3,7 @@
 
 #include "base/error.h"
 #include "base/memory_budget.h"
+#include "wire/closed_caller.h"
 #include "wire/parser.h"
 #include "wire/transport.h"
 
@@ -30,36 +31,6 @@
   base::Duration responseTimeout = std::chrono::minutes(1);
 };
 
-/** Why the connection of a caller ended. */
-enum class CallerEnd : std::uint8_t
-{
-  ClosedByCaller,
-  Failed,    ///< reset, or the network lost it
-  Idle,      ///< no further request within the idle timeout
-  Completed, ///< closed after its last response, or by a stop
-  Aborted,   ///< closed to show the caller an incomplete response
-  Overdue    ///< the handler did not end the request in time
-};
-
-/** @param aEnd reason @return its name for logs and metrics */
-const char*
-callerEndName(CallerEnd aEnd);
-
-/** How the connection of a caller ended. */
-struct ClosedCaller
-{
-  CallerEnd end = CallerEnd::ClosedByCaller;
-  bool requestOpen = false; ///< a request was waiting for its response
-  /** Received bytes of requests that got no response. */
-  std::size_t unansweredBytes = 0;
-  std::size_t unsentBytes = 0; ///< of responses
-  /** Bytes of responses that the caller may not have, the unsent ones included.
-   */
-  std::size_t unacknowledgedBytes = 0;
-  base::Duration sinceInput{};  ///< time since the latest bytes arrived
-  base::Duration sinceOpened{}; ///< age of the connection
-};
-
 class CallerServer;
 
 /**
@@ -143,6 +114,7 @@
      * that had arrived when it expired. */
     std::optional<std::size_t> bytesBeforeTimeout;
     std::size_t parsedBytes = 0;
+    std::size_t responseBytes = 0; ///< handed to the transport
     bool open = false; ///< from the end of the request to that of the response
     bool graceIsLeft = false; ///< after the expected end
     bool responseStarted = false;
@@ -166,6 +138,7 @@
   void chargeBody(std::size_t aBytes);
   void chargeOutput();
   void dispatch();
+  void send(std::string_view aBytes);
   void writeHead(int aStatus, const http::Headers& aHeaders, bool aHasLength);
   void finishRequest();
   void beginClose();
--- a/libs/wire/tests/manual_peers.h
+++ b/libs/wire/tests/manual_peers.h
@@ -90,6 +90,10 @@
   /** Closes the sending side only. */
   void endInput() const { shutdown(mDescriptor, SHUT_WR); }
 
+  /** Drops what arrives from now on, as if the caller or the path to it were
+   * gone. */
+  void dropInput() const { test::dropInput(mDescriptor); }
+
   /** Closes the connection with a TCP reset. */
   void reset()
   {
--- a/libs/wire/transport.cpp
+++ b/libs/wire/transport.cpp
@@ -263,8 +263,17 @@
   if ((aFlags & BEV_EVENT_ERROR) == 0) {
     return TransportEnd::Orderly;
   }
-  return EVUTIL_SOCKET_ERROR() == ECONNREFUSED ? TransportEnd::Refused
-                                               : TransportEnd::Failed;
+  switch (EVUTIL_SOCKET_ERROR()) {
+    case ECONNREFUSED:
+      return TransportEnd::Refused;
+    case ECONNRESET:
+    case EPIPE:
+      return TransportEnd::Reset;
+    case ETIMEDOUT:
+      return TransportEnd::TimedOut;
+    default:
+      return TransportEnd::Failed;
+  }
 }
 
 } // namespace marigold::wire
--- a/libs/wire/transport.h
+++ b/libs/wire/transport.h
@@ -25,7 +25,9 @@
 {
   Orderly, ///< the peer closed after sending all its bytes
   Refused, ///< no process listens at the address
-  Failed,  ///< reset or timed out
+  Reset,
+  TimedOut, ///< the peer did not acknowledge or read for too long
+  Failed,   ///< another error of the socket
 };
 
 /** Callbacks of a connection. */
--- a/libs/wire/wire.h
+++ b/libs/wire/wire.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "wire/caller_connection.h"
+#include "wire/closed_caller.h"
 #include "wire/connection_pool.h"
 #include "wire/event_stream.h"
 #include "wire/message.h"
--- a/tests/e2e/test_caller_connections.py
+++ b/tests/e2e/test_caller_connections.py
@@ -1,8 +1,10 @@
 """Tests of callers' connections around a suspension of the gateway and pauses of callers."""
 
+import asyncio
 import os
 import signal
 import socket
+import struct
 import tempfile
 import threading
 import time
@@ -45,11 +47,14 @@
     """Streams answers that exceed the buffers of a caller that doesn't read."""
 
     finished = 0
+    pauses_at = None  # number of an event
 
     async def stream(self, headers, signature, writer, events):
         head = {**signature, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in head.items()) + "\r\n").encode())
         for number in range(1, EVENTS + 1):
+            if number == self.pauses_at:
+                await asyncio.sleep(DEADLINE_MS / 1000)
             event = f"id: {number}\ndata: ".encode()
             event += b"t" * (EVENT_BYTES - len(event) - 2) + b"\n\n"
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
@@ -169,6 +174,18 @@
         wait_for(lambda: "caller left before it had its whole response" in self.gateway.log(), 3)
         self.assertNotIn("caller may not have its whole response", self.gateway.log())
 
+    def test_caller_that_resets_its_stream_is_told_from_a_request_without_a_response(self):
+        """Guards against a warning of an unanswered request that callers cause by a reset inside their streams."""
+        self.engine.pauses_at = 3
+        connection = self.connect()
+        connection.sendall(self.request("/chat/x", "X-Model-Name: m1\r\nX-Token-Usage: 100,20\r\n"))
+        self.assertIn(b"200 OK", connection.recv(1024))
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.close()
+        wait_for(lambda: "caller left before it had its whole response" in self.gateway.log(), 3)
+        self.assertIn('"reset by the caller"', self.gateway.log())
+        self.assertNotIn("caller connection ended without a response", self.gateway.log())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/explore/world.cpp
+++ b/tests/explore/world.cpp
@@ -340,7 +340,11 @@
   if ((aFlags & BEV_EVENT_EOF) != 0) {
     return TransportEnd::Orderly;
   }
-  return aEvent->refused ? TransportEnd::Refused : TransportEnd::Failed;
+  if (aEvent->refused) {
+    return TransportEnd::Refused;
+  }
+  return aEvent->connection->resetSent ? TransportEnd::TimedOut
+                                       : TransportEnd::Reset;
 }
 
 } // namespace marigold::wire
