--- a/libs/wire/transport.cpp
+++ b/libs/wire/transport.cpp
@@ -23,9 +23,10 @@
  * this long. A broken link drops bytes without a reset. The value is well below
  * every deadline of an assistant and above the retransmission delays of a
  * healthy link. It also counts for a peer that acknowledges but keeps its
- * window closed, and replaces kKeepAliveProbes. */
+ * window closed. */
 constexpr std::chrono::milliseconds kUserTimeout{ 2500 };
-/** TCP keep-alive detects a silent peer within three seconds. */
+/** TCP keep-alive probes a silent peer. On Linux the first probe after
+ * TCP_USER_TIMEOUT ends the connection, elsewhere the number of probes may. */
 constexpr int kKeepAliveIdleS = 1;
 constexpr int kKeepAliveIntervalS = 1;
 constexpr int kKeepAliveProbes = 2;
