Tell callers for how long their connections may be used again

Cause: the request crosses the close of its idle connection. On a copy that logs idle times they do so up to the close itself at 15.0 s, and up to 18.9 s if it is put off.

Ruled out: a change of the idle timeout (config_change idle adds a route, idle_timeout_ms stayed 15,000), an end of the process, a request that was read.

--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -12,6 +12,9 @@
  * input resets the connection, which can discard a response that the caller has
  * not read yet. */
 constexpr base::Duration kLingerTime = 1s;
+/** Between the idle time that callers are told and the close. A request that is
+ * sent at the last moment arrives within it, also on a slow link. */
+constexpr base::Duration kIdleCloseMargin = 1s;
 /** A request whose handler has not ended it this long after it should have is
  * closed. */
 constexpr base::Duration kOverdueGrace = 1s;
@@ -34,6 +37,18 @@
   return digits + "\r\n";
 }
 
+/** @param aIdleTimeout of the connection @return header that tells its caller
+ * for how long it may be used again, nothing if that is too short */
+std::string
+keepAliveHeader(base::Duration aIdleTimeout)
+{
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
+    aIdleTimeout - kIdleCloseMargin);
+  return seconds > 0s
+           ? "Keep-Alive: timeout=" + std::to_string(seconds.count()) + "\r\n"
+           : std::string();
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(CallerServer& aServer, int aDescriptor)
@@ -526,9 +541,9 @@
   } else if (!aHasLength) {
     mCurrent.closeAfterResponse = true;
   }
-  if (mCurrent.closeAfterResponse) {
-    head += "Connection: close\r\n";
-  }
+  head += mCurrent.closeAfterResponse
+            ? "Connection: close\r\n"
+            : keepAliveHeader(mServer.mLimits.idleTimeout);
   send(head);
 }
 
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -380,6 +380,37 @@
   runPending(loop);
 }
 
+// Guards against a request that crosses the close of its idle connection,
+// because its caller does not know when that comes.
+TEST(ConnectionEnd, ResponseTellsForHowLongItsConnectionMayBeUsedAgain)
+{
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    if (aCaller->request().target == "/stream") {
+      aCaller->startStream(200, {});
+      aCaller->endStream();
+    } else {
+      aCaller->reply(200, {}, "done");
+    }
+  });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  const auto headOf = [&](const std::string& aRequest) {
+    caller.send(aRequest);
+    runFor(20ms);
+    return caller.receive();
+  };
+  server.setLimits({ 1024, 1024, 1s, 15s });
+  STRCMP_CONTAINS("\r\nKeep-Alive: timeout=14\r\n", headOf(kRequest).c_str());
+  server.setLimits({ 1024, 1024, 1s, 4500ms });
+  STRCMP_CONTAINS("\r\nKeep-Alive: timeout=3\r\n",
+                  headOf("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n").c_str());
+  server.setLimits({ 1024, 1024, 1s, 1900ms });
+  LONGS_EQUAL(0, count(headOf(kRequest), "Keep-Alive"));
+  server.closeAfterResponses();
+  server.setLimits({ 1024, 1024, 1s, 15s });
+  LONGS_EQUAL(0, count(headOf(kRequest), "Keep-Alive"));
+}
+
 // Guards against an answer without a length that is taken for complete although
 // its upstream has reset the connection, while the request was still on its
 // way.
