Give the tests a stand-in for the path of one VM to the upstreams

The store hands each VM records with addresses of its own, at which a proxy listens that can be cut: no packet passes any more, open connections are reset and new ones refused, or open ones live on and new ones are refused. VMs can name an upstream to each other only by the name in its record. The proxy of the soak moves to tests/e2e for it.

--- a/tests/soak/proxy.py
+++ b/tests/e2e/proxy.py
@@ -9,7 +9,7 @@
 import time
 
 HOST = "127.0.0.1"
-SO_ATTACH_FILTER = 26
+SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27
 FIRST_RESEND = 0.2  # seconds until the first resending of TCP; each further wait is twice as long
 HOLDER = re.compile(rb'"holder":\s*"([^"]+)"')
 
@@ -20,6 +20,11 @@
     sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HL", 1, ctypes.addressof(code)))
 
 
+def keep_packets(sock):
+    """Undoes drop_packets()."""
+    sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+
+
 def was_reset(writer):
     """Tells whether the peer has reset a connection, also after it ended its side in order, when the reader sees no
     error any more."""
@@ -110,7 +115,7 @@
             while data := await reader.read(65536):
                 if self.delay:
                     await asyncio.sleep(self.delay)
-                self.note_order(data, direction)
+                self.note(data, direction)
                 if direction in self.stalled:
                     await self.hold(reader, link.near if direction == "up" else link.far, direction)
                 if direction in link.silent:
@@ -122,7 +127,7 @@
         if direction not in link.silent:
             writer.close()
 
-    def note_order(self, data, direction):
+    def note(self, data, direction):
         if self.cut_at_order and direction == "up" and b"/-/order" in data:
             found = HOLDER.search(data)
             self.cut_at_order = False
--- /dev/null
+++ b/tests/e2e/upstream_links.py
@@ -0,0 +1,123 @@
+"""The paths of one VM to the upstreams, which a test can cut while the other VMs still reach them.
+
+The store hands each VM records with addresses of its own (127.0.1.N with the port of the upstream), where a proxy
+listens. So VMs can't name an upstream to each other by its address, only by the name in its record.
+"""
+
+import asyncio
+import base64
+import json
+import re
+import socket
+import time
+
+from proxy import Proxy, drop_packets, keep_packets
+
+HOWS = ("silent", "reset", "refuse")
+BACKLOG = 100
+REQUEST_ID = re.compile(rb"\r\nx-request-id: *([^\r]+)", re.IGNORECASE)
+
+
+class UpstreamLink(Proxy):
+    """The path of one VM to one upstream. Its methods run on the thread of the platform."""
+
+    def __init__(self, host, upstream):
+        super().__init__(upstream.port)
+        self.address = (host, upstream.port)
+        self.passed = {}     # request id: times at which requests passed
+        self.how = None      # of the cut
+        self.filler = None   # takes the only place in the backlog, so that connects hang
+        self.open()
+
+    def open(self):
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.setblocking(False)
+        self.listener.bind(self.address)
+        self.listener.listen(BACKLOG)
+        self.acceptor = asyncio.get_running_loop().create_task(self.accept())
+
+    async def accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            sock, _ = await loop.sock_accept(self.listener)
+            reader, writer = await asyncio.open_connection(sock=sock)
+            loop.create_task(self.connection(reader, writer))
+
+    def cut(self, how):
+        """Cuts the path. "silent": no packet passes any more; "reset": open connections are reset, and new ones
+        refused; "refuse": open connections live on, and new ones are refused."""
+        self.mend()
+        self.how = how
+        self.acceptor.cancel()
+        if how != "silent":
+            self.listener.close()
+            if how == "reset":
+                self.reset()
+            return
+        self.listener.listen(0)
+        self.filler = socket.socket()
+        self.filler.setblocking(False)
+        self.filler.connect_ex(self.address)
+        self.stalled = {"up", "down"}
+        for sock in self.near_sockets():
+            drop_packets(sock)
+
+    def mend(self):
+        """Restores the path. What was sent meanwhile on silent connections arrives as TCP sends it again."""
+        if self.how == "silent":
+            for sock in self.near_sockets():
+                keep_packets(sock)
+            self.stalled = set()
+            self.filler.close()
+            self.listener.listen(BACKLOG)
+            self.acceptor = asyncio.get_running_loop().create_task(self.accept())
+        elif self.how:
+            self.open()
+        self.how = None
+
+    def near_sockets(self):
+        sockets = [link.near.get_extra_info("socket") for link in self.links]
+        return [sock for sock in sockets if sock is not None and sock.fileno() >= 0]
+
+    def note(self, data, direction):
+        super().note(data, direction)
+        if direction == "up":
+            for request_id in REQUEST_ID.findall(data):
+                self.passed.setdefault(request_id.decode(), []).append(time.monotonic())
+
+    def close(self):
+        super().close()
+        self.acceptor.cancel()
+        self.listener.close()
+
+
+class VmLinks:
+    """The paths of one VM. Made before the VM starts."""
+
+    def __init__(self, platform, number, store_port, upstreams):
+        self.platform, host = platform, f"127.0.1.{number + 1}"
+        self.links = platform.change(lambda: {upstream.name: UpstreamLink(host, upstream) for upstream in upstreams})
+        platform.store.views[store_port] = self.view
+
+    def view(self, item):
+        link = self.links.get(item["key"].removeprefix("servers/"))
+        if link is None or "value" not in item:
+            return item
+        record = json.loads(base64.b64decode(item["value"]))
+        record["address"] = "{}:{}".format(*link.address)
+        return {**item, "value": base64.b64encode(json.dumps(record).encode()).decode()}
+
+    def cut(self, how, upstreams=None):
+        """Cuts the paths to the named upstreams, or to all."""
+        self.platform.change(lambda: [self.links[name].cut(how) for name in upstreams or self.links])
+
+    def mend(self):
+        self.platform.change(lambda: [link.mend() for link in self.links.values()])
+
+    def passed(self, request_id):
+        """Tells whether a request passed one of the paths."""
+        return any(request_id in link.passed for link in self.links.values())
+
+    def close(self):
+        self.platform.change(lambda: [link.close() for link in self.links.values()])
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -53,6 +53,7 @@
         self.next_lease = 100
         self.severed_ports = set()  # connections to these are closed, before or after a call takes effect
         self.unanswered_ports = set()  # calls sent to these are never answered
+        self.views = {}      # port: function that returns an item as the VM with that port gets it
         self.calls = 0
         self.open_watches = {}  # port: watches that wait now
         self.removed_at = {}  # key: time of its last removal
@@ -137,6 +138,12 @@
         self.leases[lease] = (time.monotonic() + ttl / 1000, ttl)
         return 200, {"ttl_ms": ttl}
 
+    def seen_from(self, port, content):
+        """Returns the content of an answer as the VM with this port gets it."""
+        view = self.views.get(port)
+        rows = [name for name in ("items", "events") if name in content] if view else []
+        return {**content, **{name: [view(item) for item in content[name]] for name in rows}}
+
     async def watch(self, port, query):
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         after = int(query["after"])
@@ -203,6 +210,7 @@
         self.endless_sent = 0       # bytes of chunks sent
         self.endless_closed = False  # whether the gateway closed that connection
         self.limit = None    # requests a second that it says it takes from all VMs together
+        self.last_events = {}  # request id: time of the latest event written
         self.arrivals = []   # times of all requests
         self.arrival_log = []  # (time, request id, process) of the same
         self.statements = []  # (time, request id, process, seconds) of answers: wants none for so long; None: leaves
@@ -380,6 +388,7 @@
                 event = event[:7]
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
+            self.last_events[signature["X-Request-Id"]] = time.monotonic()
             if self.break_after is not None and number > self.break_after:
                 return False
             await asyncio.sleep(self.event_seconds)
@@ -435,6 +444,7 @@
                         if writer.is_closing():
                             break
                     status, content = await self.store.handle(port, method, path, query, body)
+                    content = self.store.seen_from(port, content)
                     if port in self.store.severed_ports:
                         break
                     era = {"Store-Era": str(self.store.era)}
