--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -21,6 +21,8 @@
 MOST_JOINED = 2      # streams with events of two versions
 LEAST_TAKE_UPS = 12  # streams that callers take up again for which their share is judged
 TAKE_UP_SHARE = 0.5  # that go on, of the share of new streams that begin
+STRANDED_SHARE = 2 / 3  # of first tries at VMs without a path to upstreams that are served, of the share at others
+MOST_STRANDED_FAILED = 10, 1 / 50  # that may fail there, and more in proportion to all first tries
 MOST_BLOCKED = 20    # sound requests that may be refused because upstreams ended together
 
 
@@ -42,6 +44,7 @@
         self.waits = []       # (request id, vm, time sent whole, seconds until its deadline, time it ended)
         self.blocked = []     # (request id, vm, time sent) of requests that were refused as deadly
         self.pauses = []      # (request id, vm, time sent, time ended, complete) of callers that paused reading
+        self.strands = []     # (vm, start, end) of cuts of its paths to all upstreams
         self.new_streams = [] # (vm, time it ended, whether events came) of tries at upstreams of several versions
         self.take_ups = []    # the same of streams that were taken up while two upstreams of their version served
 
@@ -77,6 +80,10 @@
             return any(start <= until and end >= since for start, end in self.faults.get(vm, [])
                        if (vm, start) not in self.planned)
 
+    def stranded(self, vm, since, until):
+        """True if the paths of a VM to the upstreams were cut in a span."""
+        return any(vm == other and start <= until and end >= since for other, start, end in self.strands)
+
     def core_calm(self, at):
         return not any(at - FAULT_FREE < restored <= at for restored in self.restored)
 
@@ -147,6 +154,8 @@
             end = told + (LEAVING_CHECKED if leaves else float(seconds))
             if not (record.fault_free(vm, end) and record.fault_free(upstream.name, end)):
                 continue
+            if any(vm == other and told - IN_FLIGHT < begun < told + IN_FLIGHT for other, begun, _ in record.strands):
+                continue  # The statement may not have arrived.
             if leaves:
                 late = [at for at, other, sent, of in arrivals
                         if (other, of) == (vm, process) and sent > told + LEAVING_LIMIT and at < end]
@@ -192,7 +201,8 @@
         stop = next((at for at in record.stops.get(vm, []) if sent <= at <= ended), None)
         if complete or stop is None or request_id not in ran:
             continue
-        if ended < min(stop + GRACE_CHECKED, sent + deadline) and not record.disrupted(vm, sent - FAULT_FREE, ended):
+        disrupted = record.disrupted(vm, sent - FAULT_FREE, ended) or record.stranded(vm, sent - FAULT_FREE, ended)
+        if ended < min(stop + GRACE_CHECKED, sent + deadline) and not disrupted:
             record.violation(f"LOST the answer of {request_id} was cut within {ended - stop:.1f} s of SIGTERM to {vm}")
 
 
@@ -240,3 +250,24 @@
              if record.sent[request_id][0] == "rack" and record.fault_free(vm, sent)]
     if len(found) > MOST_BLOCKED:
         record.violation(f"LOST {len(found)} sound requests were refused as deadly")
+
+
+def check_strands(record, kinds):
+    """Checks that callers of VMs without a path to the upstreams are served about as often as those of the others, from
+    some seconds after the cut began."""
+    there, elsewhere = [], []
+    for request_id, (kind, key, vm, at) in record.sent.items():
+        spans = [other for other, start, end in record.strands if start + FAULT_FREE <= at <= end]
+        if kind not in kinds or key in record.withdrawn or not spans:
+            continue
+        if record.fault_free(vm, at) and record.core_calm(at):
+            if vm in spans:
+                there.append(record.answers.get(request_id) == 200)
+            elif not record.stranded(vm, at, at):
+                elsewhere.append(record.answers.get(request_id) == 200)
+    extra, share = MOST_STRANDED_FAILED
+    if not there or not elsewhere or there.count(False) <= extra + share * len(there + elsewhere):
+        return
+    if sum(there) / len(there) < STRANDED_SHARE * sum(elsewhere) / len(elsewhere):
+        record.violation(f"RECOVER {sum(there)} of {len(there)} first tries at VMs without upstreams were served, "
+                         f"{sum(elsewhere)} of {len(elsewhere)} at others")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,10 +24,11 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../e2e"))
 
 from checks import (Record, check_blocked, check_deadly, check_exit, check_joined, check_orders, check_pauses, check_runs,
-                    check_statements, check_stream, check_take_ups, check_waits, holds_signal)
+                    check_statements, check_strands, check_stream, check_take_ups, check_waits, holds_signal)
 from faults import (DEADLY_PART, FRAIL_DELAY, FRAIL_RETURN, LARGE_DEADLINE, RACK_DELAY, REVOKED_KEYS, FileUpstream,
                     Orders, SoakGateway, SoakPlatform)
 from proxy import HOST, Proxy
+from strands import Strands
 from users_platform import ROUTES, Upstream
 from versions import Versions
 
@@ -84,15 +85,22 @@
             upstream.after_order = functools.partial(self.tell_record, upstream)
             self.platform.serve_upstream(upstream)
         self.versions = Versions(self, seed, port + 75)
+        self.strands = Strands(self, seed)
         self.gateways = []
         for number in range(VMS):
             store, target = port + 90 + number, port + 60 + number
             self.platform.serve_store(target)
             self.add_proxy(f"vm{number}", store, target)
             centre = f"dc-{number}" if seed % 4 == APART else "dc-b" if number == VMS - 1 else "dc-a"
+            if centre != "dc-a":
+                self.strands.add_paths(number, target, self.upstreams())
             self.gateways.append(SoakGateway(number, folder, port + 10 * number, store, centre))
         self.orders = Orders(self, seed)
 
+    def upstreams(self):
+        return (self.desks + self.engines + self.files + self.frail + self.rack + self.churned
+                + self.versions.upstreams)
+
     def add_proxy(self, vm, port, target):
         proxy = Proxy(target)
         self.platform.servers.append(self.platform.run(proxy.listen(port)))
@@ -308,6 +316,7 @@
             thread.start()
         self.orders.start()
         self.versions.start()
+        self.strands.start()
         until = time.monotonic() + self.seconds
         running, active = [], {}
         while time.monotonic() < until:
@@ -321,6 +330,7 @@
             running.append(thread)
         self.orders.end()
         self.versions.end()
+        self.strands.end()
         for thread in running:
             thread.join()
         self.check_recovery()
@@ -328,8 +338,7 @@
         for thread in threads:
             thread.join()
         time.sleep(1)
-        check_runs(self.record, self.desks + self.engines + self.files + self.frail + self.rack + self.churned
-                   + self.versions.upstreams)
+        check_runs(self.record, self.upstreams())
         check_statements(self.record, self.desks + self.engines)
         check_orders(self.record, self.engines + self.frail + self.rack + self.churned)
         check_waits(self.record)
@@ -338,6 +347,7 @@
         check_joined(self.record, self.versions.callers)
         check_take_ups(self.record)
         check_blocked(self.record)
+        check_strands(self.record, PATHS)
         return sorted(self.record.violations)
 
     def wait_ready(self, limit):
@@ -366,6 +376,7 @@
     def close(self):
         for gateway in self.gateways:
             gateway.stop()
+        self.strands.close()
         self.platform.change(lambda: [proxy.close() for _, proxy in self.proxies])
         self.platform.close()
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -16,7 +16,7 @@
 from checks import (ANSWER_SLACK, FAULT_FREE, GRACE_CHECKED, IN_FLIGHT, KEY_LIMIT, LEAST_TAKE_UPS, LEAVING_LIMIT,
                     MOST_BLOCKED, MOST_DEADLY, MOST_JOINED, MOST_WHILE_TURNED_AWAY, PROVEN_CRASHES, RESUME_GRACE, Record,
                     check_blocked, check_deadly, check_exit, check_joined, check_orders, check_pauses, check_runs,
-                    check_statements, check_stream, check_take_ups, check_waits, holds_signal)
+                    check_statements, check_strands, check_stream, check_take_ups, check_waits, holds_signal)
 from proxy import HOST, Proxy
 from stream_calls import StreamCaller
 
@@ -52,6 +52,34 @@
             check_blocked(self.record)
         self.assertEqual(["LOST"], self.found())
 
+    def strand(self, served_there, served_elsewhere, of=60):
+        """Requests at VMs with and without a path, in a cut that is old enough."""
+        now = time.monotonic()
+        self.record.strands.append(("vm0", now - FAULT_FREE - 1, now + 1))
+        for vm, served in (("vm0", served_there), ("vm1", served_elsewhere)):
+            for number in range(of):
+                self.record.request(f"{vm} {number}", "again", "k1", vm)
+                self.record.answer(f"{vm} {number}", 200 if number < served else 503)
+        check_strands(self.record, ["again"])
+        return self.found()
+
+    def test_callers_of_a_vm_without_a_path_are_served_less(self):
+        self.assertEqual(["RECOVER"], self.strand(33, 60))
+
+    def test_callers_of_a_vm_without_a_path_are_served_two_thirds_as_often(self):
+        self.assertEqual([], self.strand(40, 60))
+
+    def test_nobody_is_served_anywhere(self):
+        self.assertEqual([], self.strand(0, 0))
+
+    def test_first_seconds_of_a_cut_and_faults_of_the_vm_excuse(self):
+        self.record.fault("vm0", time.monotonic() - 1, time.monotonic())
+        self.assertEqual([], self.strand(0, 60))
+        self.record.faults.clear()
+        self.record.strands[:] = [("vm0", time.monotonic() - FAULT_FREE + 1, time.monotonic() + 1)]
+        check_strands(self.record, ["again"])
+        self.assertEqual([], self.found())
+
     def test_lookup_may_run_twice(self):
         self.record.request("a", "again", "k1", "vm0")
         check_runs(self.record, [UpstreamRecord(request_headers("a")), UpstreamRecord(request_headers("a"))])
