Log that an upstream leaves as a peer reports

Cause, from that log: the two other engines' records were removed at 46.404 and 46.658, and from 46.939 on vm1 refused all requests because engine0, the only one left, was leaving for it, too, although vm1 had had no answer from it. vm0 had one before and told it in its status, which comes every 100 ms; the first request of the test came to vm1 later than that. So the VM knew, by the other of its two ways, and the test looked for the line of one way only. No line told of the other: a VM's belief changed without a word.

--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -595,7 +595,7 @@
     mContext.quota.adoptLevels(status.levels, now);
   }
   mergeCrashes(status.crashes, now);
-  mContext.upstreams.markDraining(status.drainingUpstreams);
+  mergeDraining(status.drainingUpstreams);
   merge(status.gossip, now);
   if (status.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(vm);
@@ -649,6 +649,16 @@
   }
 }
 
+void
+PeerExchange::mergeDraining(
+  const std::map<base::UpstreamName, std::uint32_t>& aDraining)
+{
+  for (const auto& name : mContext.upstreams.markDraining(aDraining)) {
+    observe::logInfo("upstream leaves, as a peer reports",
+                     { { "upstream", name } });
+  }
+}
+
 void
 PeerExchange::merge(const peers::Gossip& aGossip, base::TimePoint aNow)
 {
@@ -695,7 +705,7 @@
     }
   }
   mergeCrashes(summary.crashes, now);
-  mContext.upstreams.markDraining(summary.drainingUpstreams);
+  mergeDraining(summary.drainingUpstreams);
   merge(summary.gossip, now);
   if (summary.catalogVersion > mContext.catalog.version()) {
     mNewerCatalog.emit(summary.relay);
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -99,6 +99,8 @@
   void mergeCrashes(const peers::CrashTable& aCrashes, base::TimePoint aNow);
   void probeCrashed(const peers::CrashTable& aCrashes);
   void merge(const peers::Gossip& aGossip, base::TimePoint aNow);
+  void mergeDraining(
+    const std::map<base::UpstreamName, std::uint32_t>& aDraining);
   void handle(peers::Status& aStatus, const std::string& aBytes);
   void handle(peers::Summary& aSummary, const std::string& aBytes);
   void handle(peers::PlacementUpdate& aUpdate, const std::string& aBytes);
--- a/apps/gateway/upstream_table.cpp
+++ b/apps/gateway/upstream_table.cpp
@@ -1,6 +1,7 @@
 #include "apps/gateway/upstream_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marigold::gateway {
 namespace {
@@ -145,16 +146,20 @@
   });
 }
 
-void
+std::vector<base::UpstreamName>
 UpstreamTable::markDraining(
   const std::map<base::UpstreamName, std::uint32_t>& aDraining)
 {
+  std::vector<base::UpstreamName> marked;
   for (const auto& [name, tag] : aDraining) {
     const auto found = mUpstreams.find(name);
-    if (found != mUpstreams.end() && processTag(found->second->record) == tag) {
-      found->second->record.draining = true;
+    if (found != mUpstreams.end() &&
+        processTag(found->second->record) == tag &&
+        !std::exchange(found->second->record.draining, true)) {
+      marked.push_back(name);
     }
   }
+  return marked;
 }
 
 std::map<base::UpstreamName, std::uint32_t>
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -140,8 +140,9 @@
   void expireRemoved(base::TimePoint aNow);
 
   /** Marks upstreams as draining that a peer saw draining.
-   * @param aDraining names, each with the tag of its process */
-  void markDraining(
+   * @param aDraining names, each with the tag of its process
+   * @return those that did not count as draining */
+  std::vector<base::UpstreamName> markDraining(
     const std::map<base::UpstreamName, std::uint32_t>& aDraining);
 
   /** @return names of draining upstreams, each with the tag of its process */
