Tell a lost path from upstreams that have ended

PathMonitor judges the results of connects: lost after three upstreams failed and none was reached, open again once most probes of a second succeed. Not used yet.

--- a/libs/dispatch/dispatch.h
+++ b/libs/dispatch/dispatch.h
@@ -5,12 +5,14 @@
  */
 #pragma once
 
+#include "dispatch/carrier_choice.h"
 #include "dispatch/choice.h"
 #include "dispatch/crash_record.h"
 #include "dispatch/crash_tracker.h"
 #include "dispatch/crash_verdict.h"
 #include "dispatch/latency_estimator.h"
 #include "dispatch/outlier_detector.h"
+#include "dispatch/path_monitor.h"
 #include "dispatch/prefix_index.h"
 #include "dispatch/request_traits.h"
 #include "dispatch/retry_budget.h"
--- a/libs/dispatch/outlier_detector.h
+++ b/libs/dispatch/outlier_detector.h
@@ -32,6 +32,9 @@
   /** Resets the state of a name that another process now has. */
   void erase(const base::UpstreamName& aName) { mStates.erase(aName); }
 
+  /** Resets the state of all upstreams, whose failures were not their own. */
+  void eraseAll() { mStates.clear(); }
+
 private:
   struct State
   {
--- /dev/null
+++ b/libs/dispatch/path_monitor.h
@@ -0,0 +1,92 @@
+/** @file Whether a VM has lost its own path to the upstreams. */
+#pragma once
+
+#include "base/base.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace marigold::dispatch {
+
+/** A VM's path to the upstreams. */
+enum class PathState : std::uint8_t
+{
+  Open,
+  InDoubt, ///< a connect failed, and no other one has succeeded since
+  Lost     ///< connects to several upstreams failed and none succeeded
+};
+
+/**
+ * Tells a lost path from upstreams that have ended, by the results of connects.
+ * Bytes on open connections say nothing, because these may live on while new
+ * ones are refused. Upstreams that lose power together look the same from here,
+ * so only a peer can tell that one has ended while the path is lost.
+ */
+class PathMonitor
+{
+public:
+  /** @param aAny false if no peer could reach the upstreams instead; the path
+   * then counts as open */
+  void setHasPeers(bool aAny);
+
+  /** @param aCount number of known upstreams */
+  void setUpstreamCount(std::size_t aCount) { mUpstreamCount = aCount; }
+
+  /** Records that a connection was established. @param aName upstream
+   * @param aNow time */
+  void onReached(const base::UpstreamName& aName, base::TimePoint aNow);
+
+  /** Records that a connection could not be established. @param aName upstream
+   * @param aNow time */
+  void onFailed(const base::UpstreamName& aName, base::TimePoint aNow);
+
+  /** Ends a doubt that has lasted too long. @param aNow time */
+  void update(base::TimePoint aNow);
+
+  PathState state() const { return mState; }
+
+  /** @param aName upstream @return true if requests can go to it straight */
+  bool isDirect(const base::UpstreamName& aName) const;
+
+  /** A request is not acknowledged. @param aNow time
+   * @return true if other upstreams should be probed, which tells at once
+   * whether the path or the upstream is the reason */
+  bool onSuspicion(base::TimePoint aNow);
+
+  /** @param aKnown upstreams @param aRandom random bits @param aNow time
+   * @return upstreams to connect to now, whose results settle the state */
+  std::vector<base::UpstreamName> nextProbes(
+    const std::vector<base::UpstreamName>& aKnown,
+    std::uint64_t aRandom,
+    base::TimePoint aNow);
+
+private:
+  /** Result of the latest connect to an upstream. */
+  struct Link
+  {
+    bool reached = false;
+    base::TimePoint at{};
+  };
+  struct Counts
+  {
+    std::size_t reached = 0;
+    std::size_t failed = 0;
+  };
+  Counts recent(base::TimePoint aNow) const;
+  std::size_t wantedProbes(base::TimePoint aNow) const;
+  void evaluate(base::TimePoint aNow);
+  void setState(PathState aState);
+
+  PathState mState = PathState::Open;
+  bool mHasPeers = false;
+  bool mDoubtProbed = false;
+  bool mSuspected = false; ///< since the latest probes
+  std::size_t mUpstreamCount = 0;
+  std::map<base::UpstreamName, Link> mLinks;
+  base::TimePoint mLastReachedAt{};
+  base::TimePoint mDoubtedAt{};
+  base::TimePoint mProbedAt{};
+};
+
+} // namespace marigold::dispatch
