Serve callers of a VM without a path by way of a peer

Cause: the only way to an upstream was a connection of this VM, and every failed connect counted as a failure of the upstream.

- UpstreamReach judges failed connects.
While the path is in doubt they are held back; while it is lost, a peer tells whether the upstream is there.
A request that isn't acknowledged for 250 ms starts the probes.
- UpstreamCalls starts calls, straight or by way of a peer.
The exchange sees the same events either way; a peer that has not passed a request on fails the call as NotForwarded or CarrierDeclined, and the request has not run.
- Carrier serves the requests of peers on the TCP port of their messages.
- Calls that got stuck on the lost path are sent again by way of a peer, to the same upstream first: that is no further attempt of the route.
- With no peer left, requests are refused at once, and the VM isn't ready.
- Back-pressure and the notes on upstreams left the exchange, since the carrier needs them, too.

Ruled out: readiness alone (open connections stay, and new ones stay where less than half of a data centre is ready); see decisions/0018.

--- /dev/null
+++ b/apps/gateway/carry_protocol.h
@@ -0,0 +1,33 @@
+/** @file How a VM asks a peer to pass a request on to an upstream: it sends the
+ * request as to the upstream, with these headers. */
+#pragma once
+
+#include <cstdint>
+
+namespace marigold::gateway {
+
+/** Name of the upstream. */
+inline constexpr const char* kCarryToHeader = "Marigold-Carry-To";
+/** Start of the upstream's process, as in its record. */
+inline constexpr const char* kCarryProcessHeader = "Marigold-Carry-Process";
+/** In an answer: the peer has not passed the request on, for this reason. */
+inline constexpr const char* kCarryDeclinedHeader = "Marigold-Carry-Declined";
+
+/** Why a peer has no answer of the upstream. */
+enum class CarryDecline : std::uint8_t
+{
+  NotAsked,    ///< the request doesn't name an upstream and its process
+  NoPath,      ///< the peer has lost its own path to the upstreams
+  Stopping,    ///< the process of the peer is about to end
+  Busy,        ///< no memory or connection for it
+  Unknown,     ///< the peer knows no such upstream that takes requests
+  Unwanted,    ///< the upstream wants no requests from the peer
+  Unreachable, ///< the peer can't connect to the upstream
+  Broken       ///< the upstream broke off before its answer; it may have run
+};
+
+/** @param aDecline reason @return its name in the header */
+const char*
+carryDeclineName(CarryDecline aDecline);
+
+} // namespace marigold::gateway
--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -93,6 +93,14 @@
                               : chat::callOf(mRequest.target))
   , mReceivedAt(mCaller->receivedAt())
   , mBody(aContext.bufferedAnswerBytes, aContext.memory)
+  , mBackPressure(aContext.loop,
+                  aContext.memory,
+                  mCaller,
+                  [this](bool aPaused) {
+                    if (mCall) {
+                      mCall->pauseReading(aPaused);
+                    }
+                  })
 {
   if (mChatCall != chat::Call::None && mMetadata.id.empty()) {
     mMetadata.id = makeRequestId(mContext.random);
@@ -527,7 +535,7 @@
     // deadline; its response is discarded.
     mCallerDisconnected = true;
     mBody.clear();
-    mBackpressureTimer.reset();
+    mBackPressure.reset();
     mCall->pauseReading(false);
     mCaller->onDisconnect(nullptr);
     mContext.log.logStep(mMetadata.id,
@@ -638,7 +646,7 @@
   mContext.openRequests.erase(self);
   endCall();
   mDeadlineTimer.reset();
-  mBackpressureTimer.reset();
+  mBackPressure.reset();
   mCaller->onDisconnect(nullptr);
   base::freeText(mRequest.body);
   mRequestCharge.set(0);
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -1,6 +1,7 @@
 /** @file Handles one request: admission, upstream selection, response. */
 #pragma once
 
+#include "apps/gateway/back_pressure.h"
 #include "apps/gateway/counted_buffer.h"
 #include "apps/gateway/request_context.h"
 #include "chat/chat.h"
@@ -58,6 +59,10 @@
   /** Ends the request, also while it waits for its answer to begin. */
   void endIfBlocked() override;
 
+  /** Finds out whether the upstream can be reached if it does not acknowledge
+   * the request, and lets a peer pass the request on if none can. */
+  void checkProgress() override;
+
 private:
   /** Maximum number of unreachable upstreams that one request tries. */
   static constexpr unsigned kMaxUnreachable = 4;
@@ -112,20 +117,22 @@
   using RequestWriter =
     std::optional<std::string> (Exchange::*)(const base::UpstreamName&);
   using FailureHandler = void (Exchange::*)(wire::CallFailure);
-  std::unique_ptr<wire::PooledCall> startCall(
+  std::unique_ptr<UpstreamCall> startCall(
     const std::shared_ptr<Upstream>& aUpstream,
     RequestWriter aWriteRequest,
     FailureHandler aOnFailure);
   void activateCall(const std::shared_ptr<Upstream>& aUpstream,
-                    std::unique_ptr<wire::PooledCall> aCall);
+                    std::unique_ptr<UpstreamCall> aCall);
   std::optional<std::string> serializeRequest(
     const base::UpstreamName& aUpstream);
   void onSendCancelled();
   void onHead(const wire::ResponseHead& aHead);
-  void recordNotice(const catalog::UpstreamNotice& aNotice);
   void onBody(std::string_view aBytes);
   void onComplete();
   void onFailed(wire::CallFailure aFailure);
+  void onNotConnected();
+  void onNotForwarded(bool aTryAgain);
+  void dispatchAfterFailure();
   void onRefused(const boundary::AnswerMetadata& aMetadata);
   void onInvalidResponse(const char* aReason);
   bool rejectResponse();
@@ -147,6 +154,11 @@
   void startStallTimer(base::Duration aLimit);
   void onStall(base::Duration aLimit);
   bool startReplacement();
+  bool replaceBy(const std::shared_ptr<Upstream>& aUpstream,
+                 const dispatch::Candidate& aChosen);
+  bool isSilent(base::TimePoint aNow) const;
+  void noteInput();
+  void reroute();
   bool wentOnMeanwhile() const;
   std::optional<std::string> switchToReplacement(
     const base::UpstreamName& aUpstream);
@@ -157,7 +169,7 @@
   void awaitCrashEvidence(const char* aReason);
   void retryUnlessSuspect(const char* aReason);
   void endCall();
-  void logGivenUp(const wire::PooledCall& aCall,
+  void logGivenUp(const UpstreamCall& aCall,
                   const base::UpstreamName& aUpstream);
 
   // Response.
@@ -165,7 +177,6 @@
   bool deliverEvents(const std::vector<wire::StreamEvent>& aEvents);
   void deliverStreamEnd();
   void deliverResponse();
-  void applyBackpressure();
   void fail(base::Code aCode, const std::string& aDetail);
   void refuseForMemory(const std::string& aPurpose);
   void refuse(base::Code aCode,
@@ -195,6 +206,7 @@
   base::Duration remainingTime() const;
   bool hasTimeForSend() const;
   bool waitForMemory();
+  bool endWithoutPath();
   bool mayBegin(const dispatch::Choice& aChoice) const;
   void endWithoutSend();
   std::uint32_t outputTokens() const;
@@ -238,6 +250,8 @@
   unsigned mSends = 0;
   unsigned mUnreachableCount = 0;
   unsigned mUnresolvedSends = 0; ///< sends that may have run at an upstream
+  /** Those of them that went to the same upstream once more, by another way. */
+  unsigned mRepeatedSends = 0;
   bool mWaitLogged = false;
   /** When the stream began to wait for its adapter, if it has. */
   std::optional<base::TimePoint> mAdapterAwaitedFrom;
@@ -255,16 +269,19 @@
   struct Replacement
   {
     std::shared_ptr<Upstream> upstream;
-    std::unique_ptr<wire::PooledCall> call;
+    std::unique_ptr<UpstreamCall> call;
     double queuedAheadMs = 0;
     double processingMs = 0;
-    std::uint64_t events = 0; ///< received from the stalled call at the start
+    std::uint64_t events = 0;  ///< received from the stalled call at the start
+    bool sameUpstream = false; ///< only the way to it is another one
   };
 
-  std::unique_ptr<wire::PooledCall> mCall;
+  std::unique_ptr<UpstreamCall> mCall;
   std::optional<Replacement> mReplacement;
   std::unique_ptr<LoadReservation> mLoadReservation;
+  bool mCallRepeats = false; ///< the call is one of mRepeatedSends
   base::TimePoint mSentAt{};
+  base::TimePoint mLastInputAt{}; ///< of the call, or when it was sent
   double mQueuedAheadMs = 0;
   double mProcessingMs = 0;
   wire::ResponseHead mHead;
@@ -284,7 +301,7 @@
   std::string mLastUpstream;
   http::InputTimer mDeadlineTimer;
   http::InputTimer mStallTimer; ///< detects a stall or delays a retry
-  http::EventHandle mBackpressureTimer;
+  BackPressure mBackPressure;
 };
 
 } // namespace marigold::gateway
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -32,6 +32,10 @@
 /** Longest advice to callers of upstreams that name a limit; another upstream
  * may get the model meanwhile. */
 constexpr base::Duration kMaxLimitRetryDelay = 2s;
+/** Minimum interval between two attempts to find another way. */
+constexpr base::Duration kMinRerouteInterval = 400ms;
+/** Callers come back on new connections, which other VMs may get. */
+constexpr base::Duration kNoPathRetryDelay = 100ms;
 constexpr base::Duration kMemoryCheckPeriod = 50ms;
 /** Sends beyond the route's attempts that upstreams may refuse. After more,
  * the overload is expected to outlast the request. */
@@ -205,7 +209,7 @@
     endWithoutSend();
     return;
   }
-  if (waitForMemory()) {
+  if (waitForMemory() || endWithoutPath()) {
     return;
   }
   std::vector<std::shared_ptr<Upstream>> upstreams;
@@ -281,6 +285,23 @@
     Code::NoUpstream, "no upstream of " + mService->name, kOverloadRetryDelay);
 }
 
+/** Ends a request that no upstream can get, not even by way of a peer. Another
+ * VM may serve its caller. @return false if there is a way */
+bool
+Exchange::endWithoutPath()
+{
+  if (mContext.calls.anyWay()) {
+    return false;
+  }
+  constexpr const char* kDetail = "no path to the upstreams";
+  if (mayHaveRun()) {
+    fail(Code::UpstreamFailed, kDetail);
+  } else {
+    refuse(Code::NoUpstream, kDetail, kNoPathRetryDelay);
+  }
+  return true;
+}
+
 /** Prefers upstreams without a limit, because one that names a limit is in need
  * and its requests are counted in the whole fleet. */
 std::optional<dispatch::Choice>
@@ -561,9 +582,11 @@
 {
   // Once the request may have run, it cannot be refused as not run any more,
   // so sends that upstreams refused do not use up attempts.
-  return mayHaveRun() ? mUnresolvedSends < mRoute->maxAttempts &&
-                          mSends < mRoute->maxAttempts + kMaxRefusedSends
-                      : mSends < mRoute->maxAttempts;
+  const unsigned unresolved = mUnresolvedSends - mRepeatedSends;
+  const unsigned sends = mSends - mRepeatedSends;
+  return mayHaveRun() ? unresolved < mRoute->maxAttempts &&
+                          sends < mRoute->maxAttempts + kMaxRefusedSends
+                      : sends < mRoute->maxAttempts;
 }
 
 bool
@@ -615,15 +638,23 @@
     mReplacesWhenConfirmed = true;
     return false;
   }
-  const dispatch::Candidate& chosen = chosenFrom(found, *choice);
-  mReplacement = Replacement{
-    upstream, nullptr, chosen.queuedMs, chosen.processingMs, mEventCount
-  };
+  return replaceBy(upstream, chosenFrom(found, *choice));
+}
+
+/** @return false if no call to the upstream could be started */
+bool
+Exchange::replaceBy(const std::shared_ptr<Upstream>& aUpstream,
+                    const dispatch::Candidate& aChosen)
+{
+  const base::UpstreamName& name = aUpstream->record.name;
+  mReplacement = Replacement{ aUpstream,        nullptr,
+                              aChosen.queuedMs, aChosen.processingMs,
+                              mEventCount,      name == mLastUpstream };
   auto call = startCall(
-    upstream, &Exchange::switchToReplacement, &Exchange::onReplacementFailed);
+    aUpstream, &Exchange::switchToReplacement, &Exchange::onReplacementFailed);
   if (!call) {
     mReplacement.reset();
-    mTriedUpstreams.insert(upstream->record.name);
+    mTriedUpstreams.insert(name);
     return false;
   }
   // On an open connection the request was already written, and
@@ -632,6 +663,23 @@
   return true;
 }
 
+/** The path to the upstreams is lost, and the call got stuck on it: sends the
+ * request to the same upstream once more, by way of a peer. */
+void
+Exchange::reroute()
+{
+  const auto upstream = mLoadReservation->upstream();
+  mTriedUpstreams = { mLastUpstream }; // The others have not failed.
+  const bool known =
+    mContext.upstreams.find(mLastUpstream) == upstream && upstream->usable();
+  if (!known || !mContext.memory.admitsCopy(mRequest.body.size()) ||
+      confirmSoftware(upstream)) {
+    onStall(kMinRerouteInterval);
+    return;
+  }
+  replaceBy(upstream, makeCandidate(*upstream));
+}
+
 /** @return true if the call that is to be replaced has had events, or has
  * unread bytes */
 bool
@@ -655,18 +703,22 @@
   if (!wanted || !mContext.retries.tryConsume(mService->name, now)) {
     return std::nullopt;
   }
-  mContext.health.onFailure(mLastUpstream, now);
+  Replacement next = std::move(*mReplacement);
+  mReplacement.reset();
+  if (!next.sameUpstream) {
+    mContext.health.onFailure(mLastUpstream, now);
+  }
   mContext.log.logStep(mMetadata.id,
                        "silent upstream",
                        mLastUpstream,
                        "replaced by a call to " + aUpstream,
                        now);
-  Replacement next = std::move(*mReplacement);
-  mReplacement.reset();
   endCall();
   mQueuedAheadMs = next.queuedAheadMs;
   mProcessingMs = next.processingMs;
   activateCall(next.upstream, std::move(next.call));
+  mCallRepeats = next.sameUpstream;
+  mRepeatedSends += mCallRepeats ? 1 : 0;
   return serializeRequest(aUpstream);
 }
 
@@ -718,7 +770,7 @@
     mTriedUpstreams.insert(aUpstream.record.name);
     mConfirmationFailed = true;
     // A late answer is no evidence of a crash; the probe shows one.
-    mContext.probe.start(aUpstream.peer());
+    mContext.reach.probe(aUpstream.peer());
     mContext.log.logStep(mMetadata.id,
                          "unreachable upstream",
                          aUpstream.record.name,
@@ -793,7 +845,7 @@
   endWithoutSend();
 }
 
-std::unique_ptr<wire::PooledCall>
+std::unique_ptr<UpstreamCall>
 Exchange::startCall(const std::shared_ptr<Upstream>& aUpstream,
                     RequestWriter aWriteRequest,
                     FailureHandler aOnFailure)
@@ -831,11 +883,17 @@
   const std::size_t limit = std::max(
     kMinConnections,
     mService->maxConnections / std::max<std::size_t>(1, mContext.fleetSize));
-  auto started = mContext.pool.start(
-    aUpstream->peer(), std::move(call), std::move(events), limit);
+  auto started =
+    mContext.calls.start(*aUpstream, std::move(call), std::move(events), limit);
   if (!started) {
     mContext.log.logStep(
       mMetadata.id, "connection limit", name, "", base::monotonicNow());
+  } else if (!started->carrier().empty()) {
+    mContext.log.logStep(mMetadata.id,
+                         "sent by way of a peer",
+                         name,
+                         started->carrier(),
+                         base::monotonicNow());
   }
   return started;
 }
@@ -869,7 +927,7 @@
 
 void
 Exchange::activateCall(const std::shared_ptr<Upstream>& aUpstream,
-                       std::unique_ptr<wire::PooledCall> aCall)
+                       std::unique_ptr<UpstreamCall> aCall)
 {
   const base::UpstreamName& name = aUpstream->record.name;
   mCall = std::move(aCall);
@@ -877,6 +935,8 @@
   mTriedUpstreams.insert(name);
   mLastUpstream = name;
   mSentAt = base::monotonicNow();
+  mLastInputAt = mSentAt;
+  mCallRepeats = false;
   ++mSends;
   mLoadReservation = std::make_unique<LoadReservation>(
     aUpstream,
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -1,4 +1,5 @@
 #include "apps/gateway/exchange.h"
+#include "apps/gateway/upstream_notes.h"
 
 #include <algorithm>
 #include <array>
@@ -11,12 +12,6 @@
 using namespace std::chrono_literals;
 using base::Code;
 
-/** Reading from the upstream pauses above this, which bounds the memory that a
- * slow caller takes. */
-constexpr std::size_t kMaxPendingOutput = 256UL * 1024;
-/** The same if the memory of the process is tight. */
-constexpr std::size_t kMaxPendingIfTight = 16UL * 1024;
-constexpr base::Duration kBackpressureCheckPeriod = 30ms;
 /** Non-streaming responses up to this size are buffered until they are
  * complete, so that the request can be retried if one breaks. */
 constexpr std::size_t kMaxBufferedBytes = 1024UL * 1024;
@@ -38,6 +33,12 @@
 /** Minimum interval between two attempts to find a replacement. Peers report
  * their load about that often. */
 constexpr base::Duration kMinRecheckInterval = 400ms;
+/** A request that its upstream has not acknowledged by then may have met a lost
+ * path. Several round trips between regions. */
+constexpr base::Duration kAcknowledgeTime = 250ms;
+/** On a lost path, open connections may live on. They haven't if no upstream
+ * has sent anything for this long. */
+constexpr base::Duration kMaxSilenceIfLost = 500ms;
 /** An upstream that breaks off later than this after the first event was not
  * crashed by the request. */
 constexpr base::Duration kBeginOfAnswer = 150ms;
@@ -154,14 +155,62 @@
 void
 Exchange::recordUnreachable(const base::UpstreamName& aUpstream)
 {
-  const base::TimePoint now = base::monotonicNow();
-  mContext.health.onUnreachable(aUpstream, now);
-  mContext.crashes.onUpstreamGone(aUpstream, now);
+  mContext.log.logStep(
+    mMetadata.id, "unreachable upstream", aUpstream, "", base::monotonicNow());
   if (const auto upstream = mContext.upstreams.find(aUpstream)) {
-    mContext.probe.start(upstream->peer());
+    mContext.reach.onConnectFailed(upstream->peer());
+  }
+}
+
+void
+Exchange::checkProgress()
+{
+  const bool waits = !mEnded && mCall && mCall->carrier().empty() &&
+                     mCall->active() && mLoadReservation && !mReplacement;
+  if (!waits || !isSilent(base::monotonicNow())) {
+    return;
+  }
+  const wire::UpstreamKey upstream = mLoadReservation->upstream()->peer();
+  if (mContext.reach.isDirect(upstream)) {
+    mContext.reach.suspect(upstream);
+  } else if (!mCall->sent()) {
+    --mSends;
+    mTriedUpstreams.clear();
+    endCall();
+    dispatch();
+  } else if (mRoute->retryable() && !isPartiallyForwarded() && canContinue()) {
+    reroute();
+  } else {
+    mLoadReservation->releaseQueueTime();
+  }
+}
+
+/** @return true if the upstream does not acknowledge the request, or if the
+ * path is lost and open connections have gone silent, too */
+bool
+Exchange::isSilent(base::TimePoint aNow) const
+{
+  const wire::UpstreamKey upstream = mLoadReservation->upstream()->peer();
+  if (!mContext.reach.isDirect(upstream) &&
+      aNow - mLastInputAt > kMaxSilenceIfLost &&
+      aNow - mContext.reach.lastInputAt() > kMaxSilenceIfLost) {
+    return true;
+  }
+  if (mHeadReceived || aNow - mSentAt < kAcknowledgeTime) {
+    return false;
+  }
+  const wire::SendProgress progress = mCall->progress();
+  return !progress.connected || progress.unsent + progress.unacknowledged > 0;
+}
+
+/** Takes note of bytes of the upstream. */
+void
+Exchange::noteInput()
+{
+  mLastInputAt = base::monotonicNow();
+  if (mCall && mCall->carrier().empty()) {
+    mContext.reach.noteInput(mLastInputAt);
   }
-  mContext.log.logStep(
-    mMetadata.id, "unreachable upstream", aUpstream, "", now);
 }
 
 /** @return true if upstreams evidently survive the beginning of the answer */
@@ -198,7 +247,7 @@
       mContext.streams.onBrokenConnection(known, now);
     }
   }
-  mContext.probe.start(upstream->peer());
+  mContext.reach.probe(upstream->peer());
 }
 
 /** The replacement could not be sent; the stalled call continues. */
@@ -213,11 +262,12 @@
   const base::UpstreamName name = mReplacement->upstream->record.name;
   const bool notNeeded =
     aFailure == wire::CallFailure::Cancelled && wentOnMeanwhile();
+  const bool carried = !mReplacement->call->carrier().empty();
   mReplacement.reset();
-  if (!notNeeded) {
+  if (!notNeeded && !carried) {
     mTriedUpstreams.insert(name);
   }
-  if (aFailure == wire::CallFailure::NotConnected) {
+  if (aFailure == wire::CallFailure::NotConnected && !carried) {
     recordUnreachable(name);
   }
   startStallTimer(kMinRecheckInterval);
@@ -225,7 +275,7 @@
 
 /** Logs what a call that is given up leaves on its way to the upstream. */
 void
-Exchange::logGivenUp(const wire::PooledCall& aCall,
+Exchange::logGivenUp(const UpstreamCall& aCall,
                      const base::UpstreamName& aUpstream)
 {
   const wire::SendProgress progress = aCall.progress();
@@ -273,6 +323,7 @@
 {
   mHead = aHead;
   mHeadReceived = true;
+  noteInput();
   mContext.crashes.onUpstreamAlive(mLastUpstream, mSentAt);
   const auto metadata =
     boundary::decodeAnswer(aHead.status, aHead.headers, mLastUpstream);
@@ -285,7 +336,8 @@
                                            metadata.wrongUpstream,
                                            base::monotonicNow());
     if (!metadata.wrongUpstream) {
-      recordNotice(metadata.notice);
+      recordNotice(
+        mContext, *mLoadReservation->upstream(), mMetadata.id, metadata);
     }
   }
   mStreaming = mRoute->kind == catalog::RequestKind::Stream &&
@@ -294,41 +346,10 @@
   mDiscardBody = metadata.notExecuted || invalidHead(metadata) != nullptr;
 }
 
-void
-Exchange::recordNotice(const catalog::UpstreamNotice& aNotice)
-{
-  const base::TimePoint now = base::monotonicNow();
-  const auto& upstream = mLoadReservation->upstream();
-  const auto change =
-    mContext.notices.onAnswer(upstream->process().tag(), aNotice, now);
-  if (change.limit) {
-    mContext.log.logStep(mMetadata.id,
-                         "upstream limit",
-                         mLastUpstream,
-                         aNotice.requestsPerSecond
-                           ? std::to_string(*aNotice.requestsPerSecond) +
-                               " requests/s"
-                           : "none",
-                         now);
-  }
-  if (change.leaving) {
-    upstream->record.draining = true; // Peers and the placement learn it too.
-    mContext.log.logStep(
-      mMetadata.id, "upstream says it leaves", mLastUpstream, "", now);
-  }
-  if (aNotice.turnsAwayFor) {
-    mContext.log.logStep(
-      mMetadata.id,
-      "upstream wants no requests",
-      mLastUpstream,
-      std::to_string(base::inMilliseconds(*aNotice.turnsAwayFor)) + " ms",
-      now);
-  }
-}
-
 void
 Exchange::onBody(std::string_view aBytes)
 {
+  noteInput();
   if (mStreaming) {
     onEvents(aBytes);
     return;
@@ -345,7 +366,7 @@
   }
   if (isPartiallyForwarded()) {
     mCaller->sendChunk(aBytes);
-    applyBackpressure();
+    mBackPressure.apply();
     return;
   }
   mBody.append(aBytes);
@@ -360,7 +381,7 @@
   mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
   mCaller->sendChunk(mBody.view());
   mBody.clear();
-  applyBackpressure();
+  mBackPressure.apply();
 }
 
 /** Takes note of the software that sends the first event of a stream. */
@@ -459,37 +480,12 @@
       mCaller->startStream(mHead.status, wire::endToEndHeaders(mHead.headers));
     }
     mCaller->sendChunk(bytes);
-    applyBackpressure();
+    mBackPressure.apply();
   }
   armStallTimer();
   return true;
 }
 
-void
-Exchange::applyBackpressure()
-{
-  const std::size_t limit =
-    mContext.memory.tight() ? kMaxPendingIfTight : kMaxPendingOutput;
-  if (!mCall || mCaller->pendingOutput() < limit) {
-    return;
-  }
-  mCall->pauseReading(true);
-  mBackpressureTimer = mContext.loop.every(
-    kBackpressureCheckPeriod, [weak = weak_from_this(), limit] {
-      const auto request = weak.lock();
-      if (!request) {
-        return;
-      }
-      const auto self = std::static_pointer_cast<Exchange>(request);
-      if (self->mCaller->pendingOutput() < limit / 2) {
-        if (self->mCall) {
-          self->mCall->pauseReading(false);
-        }
-        self->mBackpressureTimer.reset();
-      }
-    });
-}
-
 /** Retries or ends the request if the response must not be forwarded.
  * @return true if the response was rejected */
 bool
@@ -612,20 +608,64 @@
     onSendCancelled();
     return;
   }
-  if (aFailure == wire::CallFailure::NotConnected) {
-    --mSends;
-    mNotAccepted = true;
+  switch (aFailure) {
+    case wire::CallFailure::NotConnected:
+      onNotConnected();
+      break;
+    case wire::CallFailure::NotForwarded:
+      onNotForwarded(false);
+      break;
+    case wire::CallFailure::CarrierDeclined:
+      onNotForwarded(true);
+      break;
+    default:
+      onBroken(failureText(aFailure));
+  }
+}
+
+void
+Exchange::onNotConnected()
+{
+  --mSends;
+  mNotAccepted = true;
+  if (mCall->carrier().empty()) {
     recordUnreachable(mLastUpstream);
-    endCall();
-    ++mUnreachableCount;
-    if (mUnreachableCount < kMaxUnreachable) {
-      dispatch();
-    } else {
-      retryOnOtherUpstream("too many unreachable upstreams");
-    }
-    return;
+  } else {
+    mTriedUpstreams.erase(mLastUpstream); // The peer has not been reached.
+  }
+  dispatchAfterFailure();
+}
+
+/** A peer has not passed the request on, so it has not run there.
+ * @param aTryAgain true if the upstream is not the reason */
+void
+Exchange::onNotForwarded(bool aTryAgain)
+{
+  --mSends;
+  --mUnresolvedSends;
+  mRepeatedSends -= std::exchange(mCallRepeats, false) ? 1 : 0;
+  mNotAccepted = true;
+  if (aTryAgain) {
+    mTriedUpstreams.erase(mLastUpstream);
+  }
+  mContext.log.logStep(mMetadata.id,
+                       "not passed on by a peer",
+                       mLastUpstream,
+                       mCall->carrier(),
+                       base::monotonicNow());
+  dispatchAfterFailure();
+}
+
+void
+Exchange::dispatchAfterFailure()
+{
+  endCall();
+  ++mUnreachableCount;
+  if (mUnreachableCount < kMaxUnreachable) {
+    dispatch();
+  } else {
+    retryOnOtherUpstream("too many unreachable upstreams");
   }
-  onBroken(failureText(aFailure));
 }
 
 void
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -21,6 +21,9 @@
 constexpr base::Duration kCatalogWatchPause = 20ms;
 /** Several round trips between regions; a caller waits for the answer. */
 constexpr base::Duration kProcessCheckTimeout = 300ms;
+/** The peer takes 400 ms to find that it can't connect, and longer if it doubts
+ * its own path. */
+constexpr base::Duration kPeerCheckTimeout = 1500ms;
 /** Part of the VM's memory for the bytes of requests. The rest is for the
  * process itself and for what its allocator does not give back. */
 constexpr std::size_t kMemoryParts = 4;
@@ -78,20 +81,41 @@
   , mPeers(mSettings.dataCentre)
   , mPool(mLoop)
   , mStreams(mLoop)
-  , mProbe(mLoop,
+  , mReach(mLoop,
+           mUpstreams,
+           mRandom,
            [this](const wire::UpstreamKey& aUpstream, ProbeResult aResult) {
              onProbe(aUpstream, aResult);
            })
+  , mCalls(mPool, mReach, mRandom)
   , mRequestLog(mMetrics)
-  , mContext{ mLoop,        mSettings,  mCatalog,
-              mUpstreams,   mPeers,     mQuota,
-              mPool,        mOutliers,  mLatencyEstimator,
-              mPrefixIndex, mRetries,   mCrashes,
-              mNotices,     mStreams,   mProbe,
-              mDemand,      mWaitQueue, mRequestLog,
-              mRandom,      mMemory,    1,
-              {},           {},         0,
-              {},           {} }
+  , mContext{ mLoop,
+              mSettings,
+              mCatalog,
+              mUpstreams,
+              mPeers,
+              mQuota,
+              mPool,
+              mOutliers,
+              mLatencyEstimator,
+              mPrefixIndex,
+              mRetries,
+              mCrashes,
+              mNotices,
+              mStreams,
+              mReach,
+              mCalls,
+              mDemand,
+              mWaitQueue,
+              mRequestLog,
+              mRandom,
+              mMemory,
+              1,
+              {},
+              {},
+              0,
+              {},
+              {} }
   , mFleet(mLoop, mPlatform, mSettings, mIncarnation)
   , mCrashRecords(mPlatform,
                   mFleet,
@@ -153,6 +177,8 @@
             mMetrics)
   , mPeerExchange(mLoop, mContext, mFleet, mOrders, mIncarnation)
   , mRequests(mContext)
+  , mCarrier(mContext,
+             [this](const std::string& aHost) { return isPeer(aHost); })
   , mReadyServer(mLoop,
                  {},
                  [this](const http::Request& aRequest,
@@ -208,6 +234,11 @@
     [this](const Upstream& aUpstream, StreamRegistry::Started aDone) {
       checkProcess(aUpstream, std::move(aDone));
     });
+  mReach.onPathChanged([this] { onPathChanged(); });
+  mReach.onPeerCheck(
+    [this](const Upstream& aUpstream, UpstreamReach::PeerResult aDone) {
+      askPeer(aUpstream, std::move(aDone));
+    });
   mPlatform.restored().connect([this] { onStoreRestored(); });
   mFleet.changed().connect([this] { onFleetChanged(); });
   mOrders.changed().connect([this] {
@@ -241,6 +272,7 @@
   BOOST_LEAF_CHECK(mOperator.listen(mSettings.operatorAddress));
   BOOST_LEAF_CHECK(mReadyServer.listen(mSettings.ready));
   BOOST_LEAF_CHECK(mPeerExchange.listen());
+  BOOST_LEAF_CHECK(mCarrier.listen(mSettings.peerAddress));
   BOOST_LEAF_CHECK(mRequests.listen(mSettings.listen));
   mLoopDelayMonitor.start();
   mStoreCalls.start();
@@ -274,6 +306,7 @@
     return;
   }
   const catalog::Catalog& content = snapshot->content;
+  mCarrier.setLimits(content.callerLimits);
   observe::logInfo("configuration in force",
                    { { "version", std::to_string(content.version) },
                      { "source", aSource },
@@ -425,6 +458,11 @@
 void
 Gateway::checkProcess(const Upstream& aUpstream, StreamRegistry::Started aDone)
 {
+  const auto way = mCalls.wayTo(aUpstream);
+  if (!way) {
+    mLoop.post([done = std::move(aDone)] { done(std::nullopt); });
+    return;
+  }
   const auto call = mProcessChecks.emplace(mProcessChecks.end());
   http::CallEvents events;
   events.done = [this,
@@ -459,10 +497,11 @@
     }
     done(std::get<boundary::EngineReport>(report).startedAt);
   };
-  *call = mEngineClient.start(aUpstream.record.address,
-                              { "GET", boundary::kReportPath, "", {}, "" },
-                              kProcessCheckTimeout,
-                              std::move(events));
+  *call =
+    mEngineClient.start(way->address,
+                        { "GET", boundary::kReportPath, "", way->headers, "" },
+                        kProcessCheckTimeout,
+                        std::move(events));
 }
 
 void
@@ -565,10 +604,88 @@
   const auto upstream = mUpstreams.find(aUpstream.name);
   if (upstream && upstream->peer() == aUpstream &&
       upstream->presence == Presence::Refusing) {
-    mProbe.start(aUpstream, kProbeInterval);
+    mReach.probe(aUpstream, kProbeInterval);
+  }
+}
+
+void
+Gateway::onPathChanged()
+{
+  // Failures of calls were those of the path.
+  mOutliers.eraseAll();
+  checkProgress();
+  scheduleRetries();
+}
+
+void
+Gateway::checkProgress()
+{
+  for (const auto& request : std::set(mContext.openRequests)) {
+    request->checkProgress();
   }
 }
 
+/** Lets a peer ask an upstream for its report, which shows that it is there. */
+void
+Gateway::askPeer(const Upstream& aUpstream, UpstreamReach::PeerResult aDone)
+{
+  const auto way = mCalls.carriedWayTo(aUpstream);
+  if (!way) {
+    aDone(std::nullopt);
+    return;
+  }
+  const auto call = mProcessChecks.emplace(mProcessChecks.end());
+  http::CallEvents events;
+  events.done = [this, call, carrier = way->carrier, done = std::move(aDone)](
+                  http::CallEnd aEnd, const http::Response& aAnswer) {
+    const auto ended = std::move(*call);
+    mProcessChecks.erase(call);
+    if (aEnd != http::CallEnd::Complete) {
+      mCalls.onCarrierFailed(carrier);
+      done(std::nullopt);
+      return;
+    }
+    const std::string_view declined =
+      http::findHeader(aAnswer.headers, kCarryDeclinedHeader);
+    if (declined.empty()) {
+      done(true);
+    } else if (declined == carryDeclineName(CarryDecline::Unreachable)) {
+      done(false);
+    } else {
+      done(std::nullopt);
+    }
+  };
+  *call =
+    mEngineClient.start(way->address,
+                        { "GET", boundary::kReportPath, "", way->headers, "" },
+                        kPeerCheckTimeout,
+                        std::move(events));
+}
+
+std::vector<CarrierPeer>
+Gateway::carrierPeers() const
+{
+  using Distance = dispatch::Carrier::Distance;
+  std::vector<CarrierPeer> peers;
+  for (const auto& [vm, member] : mFleet.others()) {
+    const Distance distance =
+      member.dataCentre == mSettings.dataCentre  ? Distance::SameDataCentre
+      : sameRegion(mSettings, member.dataCentre) ? Distance::SameRegion
+                                                 : Distance::OtherRegion;
+    peers.push_back({ { vm, distance, member.capacity }, member.peerAddress });
+  }
+  return peers;
+}
+
+bool
+Gateway::isPeer(const std::string& aHost) const
+{
+  const auto& others = mFleet.others();
+  return std::any_of(others.begin(), others.end(), [&](const auto& aItem) {
+    return aItem.second.peerAddress.host == aHost;
+  });
+}
+
 void
 Gateway::endBlockedRequests()
 {
@@ -626,6 +743,7 @@
   mQuota.setPeers(names, now);
   mRetries.setFleetSize(mFleet.size());
   mContext.fleetSize = mFleet.size();
+  mCalls.setPeers(carrierPeers());
 }
 
 void
@@ -649,6 +767,7 @@
   mUpstreams.reconsiderReplaced(now);
   mOrders.updateOwnership();
   schedulePlan();
+  checkProgress();
   mWaitQueue.retryAll();
   mRequestLog.logDroppedLines(now);
   if (mRequests.draining()) {
@@ -660,7 +779,7 @@
 Gateway::ready() const
 {
   return !mRequests.draining() && mCatalog.current() && mUpstreamsKnown &&
-         mFleetKnownAt != base::TimePoint{} &&
+         mCalls.anyWay() && mFleetKnownAt != base::TimePoint{} &&
          base::monotonicNow() - mFleetKnownAt > kPeerReportDelay;
 }
 
@@ -676,7 +795,11 @@
   if (mRequests.draining()) {
     return;
   }
-  mRequests.beginDrain([this] { mFleet.leave(); });
+  mRequests.beginDrain([this] {
+    mCarrier.stopListening();
+    mFleet.leave();
+  });
+  mCarrier.beginDrain();
   mOrders.stop();
   mFleet.releaseOwnership(mOrders.lastOrderAt());
   observe::logInfo(
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -1,6 +1,7 @@
 /** @file The gateway process. */
 #pragma once
 
+#include "apps/gateway/carrier.h"
 #include "apps/gateway/coalesced_callback.h"
 #include "apps/gateway/crash_records.h"
 #include "apps/gateway/fleet.h"
@@ -56,6 +57,11 @@
   void scheduleRetries();
   void endBlockedRequests();
   void onProbe(const wire::UpstreamKey& aUpstream, ProbeResult aResult);
+  void onPathChanged();
+  void checkProgress();
+  void askPeer(const Upstream& aUpstream, UpstreamReach::PeerResult aDone);
+  std::vector<CarrierPeer> carrierPeers() const;
+  bool isPeer(const std::string& aHost) const;
 
   // Process lifecycle.
   void tick();
@@ -90,7 +96,8 @@
   dispatch::CrashTracker mCrashes;
   dispatch::UpstreamNotices mNotices;
   StreamRegistry mStreams;
-  ReachabilityProbe mProbe;
+  UpstreamReach mReach;
+  UpstreamCalls mCalls;
   DemandMeter mDemand;
   ModelWaitQueue mWaitQueue;
   RequestLog mRequestLog;
@@ -103,6 +110,7 @@
   OrderController mOrders;
   PeerExchange mPeerExchange;
   RequestServer mRequests;
+  Carrier mCarrier;
   http::Server mReadyServer;
   observe::OperatorServer mOperator;
   WatchRelay mRelay;
--- a/apps/gateway/model_wait_queue.h
+++ b/apps/gateway/model_wait_queue.h
@@ -31,6 +31,9 @@
   /** Ends the request if it has come to be known as one that crashes upstreams.
    */
   virtual void endIfBlocked() = 0;
+
+  /** Looks for another way if the request does not get to its upstream. */
+  virtual void checkProgress() = 0;
 };
 
 /** What a request waits for. */
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -613,7 +613,7 @@
                             ? mContext.upstreams.findProcess(process)
                             : nullptr;
     if (upstream) {
-      mContext.probe.start(upstream->peer());
+      mContext.reach.probe(upstream->peer());
     }
   }
 }
--- a/apps/gateway/reachability_probe.cpp
+++ b/apps/gateway/reachability_probe.cpp
@@ -11,20 +11,21 @@
 
 } // namespace
 
-void
+bool
 ReachabilityProbe::start(const wire::UpstreamKey& aUpstream,
                          base::Duration aDelay)
 {
   const auto [found, isNew] = mProbes.try_emplace(aUpstream);
   if (!isNew) {
-    return;
+    return false;
   }
   if (aDelay <= base::Duration::zero()) {
     connect(aUpstream);
-    return;
+    return true;
   }
   found->second.timer.start(
     mLoop, aDelay, nullptr, [this, aUpstream] { connect(aUpstream); });
+  return true;
 }
 
 void
--- a/apps/gateway/reachability_probe.h
+++ b/apps/gateway/reachability_probe.h
@@ -35,8 +35,9 @@
   }
 
   /** Connects to an upstream unless a probe of it is running or due.
-   * @param aUpstream upstream @param aDelay time until the probe starts */
-  void start(const wire::UpstreamKey& aUpstream, base::Duration aDelay = {});
+   * @param aUpstream upstream @param aDelay time until the probe starts
+   * @return false if one is running or due */
+  bool start(const wire::UpstreamKey& aUpstream, base::Duration aDelay = {});
 
 private:
   struct Probe
--- a/apps/gateway/request_context.h
+++ b/apps/gateway/request_context.h
@@ -4,10 +4,10 @@
 #include "apps/gateway/catalog_snapshot.h"
 #include "apps/gateway/demand_meter.h"
 #include "apps/gateway/model_wait_queue.h"
-#include "apps/gateway/reachability_probe.h"
 #include "apps/gateway/request_log.h"
 #include "apps/gateway/settings.h"
 #include "apps/gateway/stream_registry.h"
+#include "apps/gateway/upstream_calls.h"
 #include "apps/gateway/upstream_table.h"
 #include "dispatch/dispatch.h"
 #include "quota/quota.h"
@@ -34,7 +34,8 @@
   dispatch::CrashTracker& crashes;
   dispatch::UpstreamNotices& notices;
   StreamRegistry& streams;
-  ReachabilityProbe& probe;
+  UpstreamReach& reach;
+  UpstreamCalls& calls;
   DemandMeter& demand;
   ModelWaitQueue& waitQueue;
   RequestLog& log;
--- /dev/null
+++ b/apps/gateway/upstream_notes.cpp
@@ -0,0 +1,40 @@
+#include "apps/gateway/upstream_notes.h"
+
+namespace marigold::gateway {
+
+void
+recordNotice(RequestContext& aContext,
+             Upstream& aUpstream,
+             const std::string& aId,
+             const boundary::AnswerMetadata& aAnswer)
+{
+  const base::TimePoint now = base::monotonicNow();
+  const catalog::UpstreamNotice& notice = aAnswer.notice;
+  const base::UpstreamName& name = aUpstream.record.name;
+  const auto change =
+    aContext.notices.onAnswer(aUpstream.process().tag(), notice, now);
+  if (change.limit) {
+    aContext.log.logStep(aId,
+                         "upstream limit",
+                         name,
+                         notice.requestsPerSecond
+                           ? std::to_string(*notice.requestsPerSecond) +
+                               " requests/s"
+                           : "none",
+                         now);
+  }
+  if (change.leaving) {
+    aUpstream.record.draining = true; // Peers and the placement learn it too.
+    aContext.log.logStep(aId, "upstream says it leaves", name, "", now);
+  }
+  if (notice.turnsAwayFor) {
+    aContext.log.logStep(
+      aId,
+      "upstream wants no requests",
+      name,
+      std::to_string(base::inMilliseconds(*notice.turnsAwayFor)) + " ms",
+      now);
+  }
+}
+
+} // namespace marigold::gateway
--- /dev/null
+++ b/apps/gateway/upstream_reach.cpp
@@ -0,0 +1,203 @@
+#include "apps/gateway/upstream_reach.h"
+
+#include "observe/log.h"
+
+#include <utility>
+
+namespace marigold::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+using dispatch::PathState;
+
+/** Period of the decisions on a path that is not open. */
+constexpr base::Duration kPathTick = 100ms;
+/** Time between two questions to peers about an upstream that refuses
+ * connections. */
+constexpr base::Duration kAskAgain = 1s;
+
+} // namespace
+
+UpstreamReach::UpstreamReach(http::Loop& aLoop,
+                             UpstreamTable& aUpstreams,
+                             base::Random& aRandom,
+                             ResultHandler aOnResult)
+  : mLoop(aLoop)
+  , mUpstreams(aUpstreams)
+  , mRandom(aRandom)
+  , mOnResult(std::move(aOnResult))
+  , mProbe(aLoop,
+           [this](const wire::UpstreamKey& aUpstream, ProbeResult aResult) {
+             onProbe(aUpstream, aResult);
+           })
+{
+}
+
+void
+UpstreamReach::setHasPeers(bool aAny)
+{
+  mPath.setHasPeers(aAny);
+  follow();
+}
+
+void
+UpstreamReach::probe(const wire::UpstreamKey& aUpstream, base::Duration aDelay)
+{
+  if (aDelay <= base::Duration::zero() && !isDirect(aUpstream)) {
+    askPeer(aUpstream, ProbeResult::NoAnswer);
+    return;
+  }
+  mProbe.start(aUpstream, aDelay);
+}
+
+void
+UpstreamReach::suspect(const wire::UpstreamKey& aUpstream)
+{
+  probe(aUpstream);
+  if (mPath.onSuspicion(base::monotonicNow())) {
+    startProbes();
+  }
+}
+
+void
+UpstreamReach::onConnected(const wire::UpstreamKey& aUpstream)
+{
+  mPath.onReached(aUpstream.name, base::monotonicNow());
+  follow();
+}
+
+void
+UpstreamReach::onConnectFailed(const wire::UpstreamKey& aUpstream)
+{
+  mPath.setUpstreamCount(mUpstreams.all().size());
+  mPath.onFailed(aUpstream.name, base::monotonicNow());
+  judge(aUpstream, ProbeResult::NoAnswer);
+  follow();
+  probe(aUpstream);
+}
+
+void
+UpstreamReach::onGone(const wire::UpstreamKey& aUpstream)
+{
+  mHeld.erase(aUpstream);
+  mOnResult(aUpstream, ProbeResult::NoAnswer);
+}
+
+void
+UpstreamReach::onProbe(const wire::UpstreamKey& aUpstream, ProbeResult aResult)
+{
+  const bool ofPath = mPathProbes.erase(aUpstream) > 0;
+  const base::TimePoint now = base::monotonicNow();
+  mPath.setUpstreamCount(mUpstreams.all().size());
+  if (aResult == ProbeResult::Accepted) {
+    mPath.onReached(aUpstream.name, now);
+    mHeld.erase(aUpstream);
+    mOnResult(aUpstream, aResult);
+  } else {
+    mPath.onFailed(aUpstream.name, now);
+    if (!ofPath) {
+      judge(aUpstream, aResult);
+    }
+  }
+  follow();
+}
+
+/** Reports a failed connect if it speaks against the upstream. */
+void
+UpstreamReach::judge(const wire::UpstreamKey& aUpstream, ProbeResult aResult)
+{
+  switch (mPath.state()) {
+    case PathState::Open:
+      mOnResult(aUpstream, aResult);
+      break;
+    case PathState::InDoubt:
+      mHeld[aUpstream] = aResult;
+      break;
+    case PathState::Lost:
+      askPeer(aUpstream, aResult);
+      break;
+  }
+}
+
+void
+UpstreamReach::askPeer(const wire::UpstreamKey& aUpstream, ProbeResult aResult)
+{
+  const auto upstream = mUpstreams.find(aUpstream.name);
+  if (!upstream || upstream->peer() != aUpstream || !mPeerCheck ||
+      !mAskedPeers.insert(aUpstream).second) {
+    return;
+  }
+  mPeerCheck(
+    *upstream, [this, aUpstream, aResult](std::optional<bool> aReached) {
+      mAskedPeers.erase(aUpstream);
+      if (aReached) {
+        mOnResult(aUpstream, *aReached ? ProbeResult::Accepted : aResult);
+        return;
+      }
+      const auto asked = mUpstreams.find(aUpstream.name);
+      if (asked && asked->presence == Presence::Refusing) {
+        mProbe.start(aUpstream, kAskAgain);
+      }
+    });
+}
+
+/** Acts on a change of the path's state. */
+void
+UpstreamReach::follow()
+{
+  const PathState state = mPath.state();
+  const PathState before = std::exchange(mFollowed, state);
+  if (state != PathState::Open && !mTimer) {
+    mTimer = mLoop.every(kPathTick, [this] { tick(); });
+    startProbes();
+  }
+  if (state == before) {
+    return;
+  }
+  if (state != PathState::InDoubt) {
+    for (const auto& [upstream, result] : std::exchange(mHeld, {})) {
+      judge(upstream, result);
+    }
+  }
+  if (state != PathState::Lost && before != PathState::Lost) {
+    return;
+  }
+  const char* const event = state == PathState::Lost
+                              ? "path to the upstreams lost"
+                              : "path to the upstreams is back";
+  observe::logWarn(
+    event, { { "upstreams", std::to_string(mUpstreams.all().size()) } });
+  if (mOnPathChanged) {
+    mOnPathChanged();
+  }
+}
+
+void
+UpstreamReach::tick()
+{
+  mPath.update(base::monotonicNow());
+  follow();
+  if (mPath.state() == PathState::Open) {
+    mTimer.reset();
+    return;
+  }
+  startProbes();
+}
+
+void
+UpstreamReach::startProbes()
+{
+  std::vector<base::UpstreamName> known;
+  for (const auto& [name, upstream] : mUpstreams.all()) {
+    known.push_back(name);
+  }
+  for (const auto& name :
+       mPath.nextProbes(known, mRandom.bits(), base::monotonicNow())) {
+    const auto upstream = mUpstreams.find(name);
+    if (upstream && mProbe.start(upstream->peer())) {
+      mPathProbes.insert(upstream->peer());
+    }
+  }
+}
+
+} // namespace marigold::gateway
--- a/apps/gateway/upstream_table.cpp
+++ b/apps/gateway/upstream_table.cpp
@@ -153,8 +153,7 @@
   std::vector<base::UpstreamName> marked;
   for (const auto& [name, tag] : aDraining) {
     const auto found = mUpstreams.find(name);
-    if (found != mUpstreams.end() &&
-        processTag(found->second->record) == tag &&
+    if (found != mUpstreams.end() && processTag(found->second->record) == tag &&
         !std::exchange(found->second->record.draining, true)) {
       marked.push_back(name);
     }
--- a/libs/dispatch/tests/path_tests.cpp
+++ b/libs/dispatch/tests/path_tests.cpp
@@ -20,6 +20,7 @@
 upstreams(int aCount)
 {
   std::vector<base::UpstreamName> names;
+  names.reserve(static_cast<std::size_t>(aCount));
   for (int n = 0; n < aCount; ++n) {
     names.push_back("u" + std::to_string(n));
   }
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -11,6 +11,7 @@
 #include <set>
 
 struct evconnlistener;
+struct sockaddr;
 
 namespace marigold::wire {
 
@@ -222,6 +223,7 @@
 public:
   using Handler = std::function<void(const std::shared_ptr<CallerConnection>&)>;
   using CloseHandler = std::function<void(const ClosedCaller&)>;
+  using HostFilter = std::function<bool(const std::string&)>;
 
   /** @param aLoop event loop @param aHandler called with each complete request
    */
@@ -245,6 +247,10 @@
   /** @param aHandler called when a connection has ended */
   void onClosed(CloseHandler aHandler) { mCloseHandler = std::move(aHandler); }
 
+  /** Closes connections of other hosts at once. @param aFilter gets the numeric
+   * address of the peer, returns true if it may send requests */
+  void acceptOnly(HostFilter aFilter) { mFilter = std::move(aFilter); }
+
   /** From now on, closes each connection after its response. */
   void closeAfterResponses() { mCloseAfterResponses = true; }
 
@@ -260,11 +266,13 @@
 
 private:
   friend class CallerConnection;
+  bool mayAccept(const sockaddr* aPeer) const;
   void accept(int aDescriptor);
 
   http::Loop& mLoop;
   Handler mHandler;
   CloseHandler mCloseHandler;
+  HostFilter mFilter;
   CallerLimits mLimits;
   base::MemoryBudget mUnlimited;
   base::MemoryBudget* mMemory = &mUnlimited;
--- a/libs/wire/caller_server.cpp
+++ b/libs/wire/caller_server.cpp
@@ -1,8 +1,10 @@
 #include "wire/caller_connection.h"
 
 #include <arpa/inet.h>
+#include <array>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <unistd.h>
 #include <utility>
 
 namespace marigold::wire {
@@ -37,9 +39,16 @@
     mLoop.native(),
     [](evconnlistener*,
        evutil_socket_t aDescriptor,
-       sockaddr*,
+       sockaddr* aPeer,
        int,
-       void* aSelf) { static_cast<CallerServer*>(aSelf)->accept(aDescriptor); },
+       void* aSelf) {
+      auto* self = static_cast<CallerServer*>(aSelf);
+      if (self->mayAccept(aPeer)) {
+        self->accept(aDescriptor);
+      } else {
+        ::close(aDescriptor);
+      }
+    },
     this,
     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
     kBacklog,
@@ -62,6 +71,20 @@
   }
 }
 
+bool
+CallerServer::mayAccept(const sockaddr* aPeer) const
+{
+  if (!mFilter) {
+    return true;
+  }
+  std::array<char, INET_ADDRSTRLEN> host{};
+  const auto* address = reinterpret_cast<const sockaddr_in*>(aPeer);
+  return aPeer->sa_family == AF_INET &&
+         inet_ntop(AF_INET, &address->sin_addr, host.data(), host.size()) !=
+           nullptr &&
+         mFilter(host.data());
+}
+
 void
 CallerServer::accept(int aDescriptor)
 {
--- a/libs/wire/upstream.h
+++ b/libs/wire/upstream.h
@@ -18,6 +18,9 @@
   Broken,       ///< reset, closed or timed out after the request was sent
   Malformed,    ///< the bytes are not a valid response
   Oversized,    ///< headers, framing or skipped responses exceed a limit
+  /** An intermediary has not passed the request on, because of the upstream. */
+  NotForwarded,
+  CarrierDeclined, ///< the same, because of the intermediary
 };
 
 /** Callbacks of one call; each may destroy the call. */
--- a/tests/explore/site.cpp
+++ b/tests/explore/site.cpp
@@ -77,19 +77,22 @@
   : peers("dc")
   , pool(loop)
   , streams(loop)
-  , probe(
+  , random(1)
+  , reach(
       loop,
+      upstreams,
+      random,
       [this](const wire::UpstreamKey& aUpstream, gateway::ProbeResult aResult) {
         if (onProbe) {
           onProbe(aUpstream, aResult);
         }
       })
+  , calls(pool, reach, random)
   , log(metrics())
-  , random(1)
-  , context{ loop,   settings, catalog,   upstreams, peers,   quota,   pool,
-             health, latency,  prefixes,  retries,   crashes, notices, streams,
-             probe,  demand,   waitQueue, log,       random,  memory,  1,
-             {},     {},       0,         {},        {} }
+  , context{ loop,   settings, catalog,  upstreams, peers,   quota,   pool,
+             health, latency,  prefixes, retries,   crashes, notices, streams,
+             reach,  calls,    demand,   waitQueue, log,     random,  memory,
+             1,      {},       {},       0,         {},      {} }
   , requests(context)
 {
   settings.dataCentre = "dc";
--- a/tests/explore/site.h
+++ b/tests/explore/site.h
@@ -52,11 +52,12 @@
   dispatch::CrashTracker crashes;
   dispatch::UpstreamNotices notices;
   gateway::StreamRegistry streams;
-  gateway::ReachabilityProbe probe;
+  base::Random random;
+  gateway::UpstreamReach reach;
+  gateway::UpstreamCalls calls;
   gateway::DemandMeter demand;
   gateway::ModelWaitQueue waitQueue;
   gateway::RequestLog log;
-  base::Random random;
   gateway::RequestContext context;
   gateway::RequestServer requests;
   /** Gets the results of probes, if it is set. */
