Hand the orders over when their owner has lost its path

A model that no engine has is loaded by the owner of orders. An owner without a path to the engines kept the ownership, because it still renewed its lease at the store, and nothing was loaded for as long as the cut lasted.

Now it gives the ownership up, as in a planned stop: after the pause that the next owner counts on, and claims none until the path is back. If the path returns before the removal was sent, it goes on; otherwise it waits until the ownership is gone, since the next owner counts on no orders from then on.

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -115,6 +115,33 @@
 Fleet::releaseOwnership(base::TimePoint aLastOrderAt)
 {
   mClaimsEnabled = false;
+  giveUpOwnership(aLastOrderAt);
+}
+
+void
+Fleet::setReachesEngines(bool aReaches, base::TimePoint aLastOrderAt)
+{
+  if (mLeaving || !mClaimsEnabled || (aReaches && mReachesEngines)) {
+    return;
+  }
+  const bool owns = ownsOrders();
+  mRemovalSent = mRemovalSent && owns;
+  // Once the removal is under way, the next owner counts on no orders.
+  if (aReaches && !mRemovalSent) {
+    mReleaseTimer.reset();
+    mReachesEngines = true;
+    return;
+  }
+  mReachesEngines = false;
+  if (owns && !mReleaseTimer && !mRemovalPending) {
+    observe::logWarn("order ownership given up, no path to the engines");
+    giveUpOwnership(aLastOrderAt);
+  }
+}
+
+void
+Fleet::giveUpOwnership(base::TimePoint aLastOrderAt)
+{
   const base::Duration wait =
     residency::releasableFrom(aLastOrderAt) - base::monotonicNow();
   if (wait <= base::Duration::zero()) {
@@ -134,8 +161,11 @@
     return;
   }
   const std::uint64_t fencingToken = mOwner->fencingToken;
+  mRemovalSent = true;
+  mRemovalPending = true;
   mClient.remove(
-    kOwnerKey, mOwner->revision, [fencingToken](const auto& aResult) {
+    kOwnerKey, mOwner->revision, [this, fencingToken](const auto& aResult) {
+      mRemovalPending = false;
       if (const base::Error* error = base::errorOf(aResult)) {
         // The store removes the key when the lease ends.
         observe::logWarn("order ownership not released",
@@ -386,7 +416,7 @@
 bool
 Fleet::canSendOrders(base::TimePoint aNow) const
 {
-  return ownsOrders() && mClaimsEnabled &&
+  return ownsOrders() && wantsOwnership() &&
          residency::mayOrder(orderOwnership(), aNow);
 }
 
@@ -427,7 +457,7 @@
   if (!mustWait) {
     claimOwnership();
   }
-  if (ownsOrders() && mClaimsEnabled && !mOwner->settled &&
+  if (ownsOrders() && wantsOwnership() && !mOwner->settled &&
       residency::maySettle(orderOwnership(), mSettings.orderPause, now)) {
     settleOwnership();
   }
@@ -491,7 +521,7 @@
 Fleet::claimOwnership()
 {
   const bool outdated = mOwner && isFromEarlierEra(*mOwner);
-  if (mClaimCallPending || !mClaimsEnabled || !mSynced ||
+  if (mClaimCallPending || !wantsOwnership() || !mSynced ||
       !mayClaim(base::monotonicNow()) || mRegistrationRevision == 0) {
     return;
   }
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -66,6 +66,12 @@
    * @param aLastOrderAt when the latest order was sent */
   void releaseOwnership(base::TimePoint aLastOrderAt);
 
+  /** Gives the order ownership up while this VM can't reach the engines, and
+   * claims none meanwhile.
+   * @param aReaches whether it reaches them
+   * @param aLastOrderAt when the latest order was sent */
+  void setReachesEngines(bool aReaches, base::TimePoint aLastOrderAt);
+
   /** A VM that serves the store's data to others, or reads it there itself,
    * renews its lease more often, which shows that the data are current.
    * @param aReads whether this VM reads the store directly */
@@ -148,6 +154,8 @@
   void claimOwnership();
   void settleOwnership();
   void writeOwnership(platform::Revision aExpected, bool aSettled);
+  bool wantsOwnership() const { return mClaimsEnabled && mReachesEngines; }
+  void giveUpOwnership(base::TimePoint aLastOrderAt);
   void removeOwnership();
   void noteFreeOwnership();
   bool isSelf(const Ownership& aOwner) const;
@@ -195,7 +203,10 @@
   bool mRegistrationCallPending = false;
   bool mClaimCallPending = false;
   bool mLeaving = false;
-  bool mClaimsEnabled = true; ///< claims a free ownership
+  bool mClaimsEnabled = true; ///< claims a free ownership, until it leaves
+  bool mReachesEngines = true;
+  bool mRemovalSent = false;    ///< of the ownership, which is still there
+  bool mRemovalPending = false; ///< the store has not answered
   http::EventHandle mTickTimer;
   http::EventHandle mReleaseTimer; ///< set while the release is due
   sigc::signal<void()> mChanged;
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -765,6 +765,7 @@
   removeMissingUpstreams();
   mUpstreams.expireRemoved(now);
   mUpstreams.reconsiderReplaced(now);
+  mFleet.setReachesEngines(!mReach.pathLost(), mOrders.lastOrderAt());
   mOrders.updateOwnership();
   schedulePlan();
   checkProgress();
--- a/tests/e2e/test_stranded_vm.py
+++ b/tests/e2e/test_stranded_vm.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import json
 import os
 import signal
 import socket
@@ -10,9 +11,9 @@
 import time
 import unittest
 
-from gateway_process import Gateway, wait_for
+from gateway_process import OPERATOR, ORDER_PAUSE, Gateway, wait_for
 from upstream_links import HOWS, VmLinks
-from users_platform import ROUTES, TOKENS, Platform, Upstream
+from users_platform import HOST, ROUTES, TOKENS, Platform, Upstream
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 26000))
 DATA_CENTRES = ("dc-a", "dc-a", "dc-b", "dc-b")  # of the VMs
@@ -281,6 +282,23 @@
             self.check_served(tries)
             self.assertEqual(["vm0"], list(self.paths_of(tries)), how)
 
+    def test_owner_of_orders_without_a_path_hands_them_over(self):
+        """Guards against models that no engine loads because the VM that orders can't reach the engines."""
+        wait_for(lambda: any(self.owns_orders(gateway) for gateway in self.gateways))
+        owner = next(n for n, gateway in enumerate(self.gateways) if self.owns_orders(gateway))
+        stranded = self.strand([owner], "silent")
+        wait_for(lambda: any(self.owns_orders(gateway) for gateway in self.gateways if gateway not in stranded))
+        self.assertFalse(self.owns_orders(stranded[0]))
+        self.links[owner].mend()
+        time.sleep(ADAPT_SECONDS + ORDER_PAUSE)
+        self.assertEqual(1, sum(self.owns_orders(gateway) for gateway in self.gateways))
+
+    @staticmethod
+    def owns_orders(gateway):
+        connection = http.client.HTTPConnection(HOST, gateway.port + OPERATOR, timeout=2)
+        connection.request("GET", "/status")
+        return json.loads(connection.getresponse().read())["owns_orders"]
+
     def test_all_vms(self):
         """Guards against callers that wait for upstreams that no VM reaches, and against parts of prompts that are
         held to crash upstreams because their requests failed in a cut."""
