--- a/apps/gateway/carrier.cpp
+++ b/apps/gateway/carrier.cpp
@@ -17,6 +17,9 @@
 constexpr base::Duration kDoubtCheckPeriod = 50ms;
 constexpr int kServiceUnavailable = 503;
 constexpr std::size_t kMinConnections = 4;
+/** Shares of an upstream's connections that a VM may use which carries for
+ * others: they don't use theirs. */
+constexpr std::size_t kConnectionShares = 2;
 
 } // namespace
 
@@ -76,13 +79,14 @@
 std::optional<CarryDecline>
 CarriedRequest::reasonToDecline() const
 {
-  if (http::findHeader(mRequest.headers, kCarryToHeader).empty()) {
+  if (!mPeer->fromKnownHost() ||
+      http::findHeader(mRequest.headers, kCarryToHeader).empty()) {
     return CarryDecline::NotAsked;
   }
   if (mContext.endRequestsAt) {
     return CarryDecline::Stopping;
   }
-  if (mPeer->bodyRefused() ||
+  if (!mContext.catalog.current() || mPeer->bodyRefused() ||
       !mContext.memory.admitsCopy(mRequest.body.size())) {
     return CarryDecline::Busy;
   }
@@ -139,12 +143,12 @@
     service == services.end()
       ? kMinConnections
       : std::max(kMinConnections,
-                 service->second.maxConnections /
+                 kConnectionShares * service->second.maxConnections /
                    std::max<std::size_t>(1, mContext.fleetSize));
   mCall = mContext.calls.startDirect(
     mUpstream->peer(), std::move(outgoing), std::move(events), limit);
   if (!mCall) {
-    decline(CarryDecline::Busy);
+    decline(CarryDecline::Full);
   }
 }
 
@@ -178,6 +182,8 @@
   }
   http::Headers headers = wire::endToEndHeaders(aHead.headers);
   wire::removeHeader(headers, kCarryDeclinedHeader);
+  wire::removeHeader(headers, kCarriedHeader);
+  headers.emplace_back(kCarriedHeader, "1");
   if (mRequest.method == "HEAD") {
     mPeer->reply(aHead.status, headers, {});
   } else {
@@ -291,7 +297,7 @@
            })
 {
   mPeers.setMemoryBudget(aContext.memory);
-  mPeers.acceptOnly(std::move(aIsPeer));
+  mPeers.setKnownHosts(std::move(aIsPeer));
 }
 
 base::Result<void>
--- a/apps/gateway/carry_protocol.h
+++ b/apps/gateway/carry_protocol.h
@@ -10,16 +10,20 @@
 inline constexpr const char* kCarryToHeader = "Marigold-Carry-To";
 /** Start of the upstream's process, as in its record. */
 inline constexpr const char* kCarryProcessHeader = "Marigold-Carry-Process";
+/** In an answer: it is the upstream's. */
+inline constexpr const char* kCarriedHeader = "Marigold-Carried";
 /** In an answer: the peer has not passed the request on, for this reason. */
 inline constexpr const char* kCarryDeclinedHeader = "Marigold-Carry-Declined";
 
 /** Why a peer has no answer of the upstream. */
 enum class CarryDecline : std::uint8_t
 {
-  NotAsked,    ///< the request doesn't name an upstream and its process
+  NotAsked,    ///< no upstream is named, or the sender is no VM of the fleet
+  NotRead,     ///< the HTTP server of the peer has rejected the request
   NoPath,      ///< the peer has lost its own path to the upstreams
   Stopping,    ///< the process of the peer is about to end
-  Busy,        ///< no memory or connection for it
+  Busy,        ///< no memory for it, or no configuration yet
+  Full,        ///< no connection to the upstream is free
   Unknown,     ///< the peer knows no such upstream that takes requests
   Unwanted,    ///< the upstream wants no requests from the peer
   Unreachable, ///< the peer can't connect to the upstream
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -281,6 +281,7 @@
   std::unique_ptr<LoadReservation> mLoadReservation;
   bool mCallRepeats = false; ///< the call is one of mRepeatedSends
   base::TimePoint mSentAt{};
+  base::TimePoint mReroutedAt{};
   base::TimePoint mLastInputAt{}; ///< of the call, or when it was sent
   double mQueuedAheadMs = 0;
   double mProcessingMs = 0;
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -181,7 +181,7 @@
       mAcceptedFrom = std::min(mAcceptedFrom, acceptsFrom);
       continue;
     }
-    if (mTriedUpstreams.contains(name)) {
+    if (mTriedUpstreams.contains(name) || !mContext.calls.hasWayTo(*upstream)) {
       continue;
     }
     dispatch::Candidate candidate = makeCandidate(*upstream);
@@ -668,6 +668,11 @@
 void
 Exchange::reroute()
 {
+  const base::TimePoint now = base::monotonicNow();
+  if (now - mReroutedAt < kMinRerouteInterval) {
+    return;
+  }
+  mReroutedAt = now;
   const auto upstream = mLoadReservation->upstream();
   mTriedUpstreams = { mLastUpstream }; // The others have not failed.
   const bool known =
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -39,6 +39,8 @@
 /** On a lost path, open connections may live on. They haven't if no upstream
  * has sent anything for this long. */
 constexpr base::Duration kMaxSilenceIfLost = 500ms;
+/** On an open path, no byte of any upstream for this long raises a doubt. */
+constexpr base::Duration kMaxSilenceOfAll = 1s;
 /** An upstream that breaks off later than this after the first event was not
  * crashed by the request. */
 constexpr base::Duration kBeginOfAnswer = 150ms;
@@ -137,6 +139,9 @@
     startStallTimer(std::max(aLimit, kMinRecheckInterval));
     return;
   }
+  if (!mHeadReceived && !mCall->carrier().empty()) {
+    mContext.calls.onCarrierFailed(mCall->carrier());
+  }
   // With unsent output the caller is slow, not the upstream.
   if (mCaller->pendingOutput() == 0 && startReplacement()) {
     return;
@@ -196,6 +201,10 @@
       aNow - mContext.reach.lastInputAt() > kMaxSilenceIfLost) {
     return true;
   }
+  if (aNow - mLastInputAt > kMaxSilenceOfAll &&
+      aNow - mContext.reach.lastInputAt() > kMaxSilenceOfAll) {
+    return true;
+  }
   if (mHeadReceived || aNow - mSentAt < kAcknowledgeTime) {
     return false;
   }
@@ -643,7 +652,8 @@
 {
   --mSends;
   --mUnresolvedSends;
-  mRepeatedSends -= std::exchange(mCallRepeats, false) ? 1 : 0;
+  const bool repeated = std::exchange(mCallRepeats, false);
+  mRepeatedSends -= repeated ? 1 : 0;
   mNotAccepted = true;
   if (aTryAgain) {
     mTriedUpstreams.erase(mLastUpstream);
@@ -653,6 +663,11 @@
                        mLastUpstream,
                        mCall->carrier(),
                        base::monotonicNow());
+  if (repeated && !attemptsLeft()) {
+    endCall();
+    fail(Code::UpstreamFailed, "no further way to the upstream");
+    return;
+  }
   dispatchAfterFailure();
 }
 
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -467,11 +467,15 @@
   http::CallEvents events;
   events.done = [this,
                  call,
+                 carrier = way->carrier,
                  recorded = aUpstream.record.startedAt,
                  done = std::move(aDone)](http::CallEnd aEnd,
                                           const http::Response& aAnswer) {
     const auto ended = std::move(*call);
     mProcessChecks.erase(call);
+    if (!carrier.empty() && aEnd == http::CallEnd::Complete) {
+      mCalls.onAnswerBy(carrier, aAnswer.headers);
+    }
     constexpr int kOk = 200;
     if (aEnd != http::CallEnd::Complete) {
       done(std::nullopt);
@@ -645,9 +649,10 @@
       done(std::nullopt);
       return;
     }
+    mCalls.onAnswerBy(carrier, aAnswer.headers);
     const std::string_view declined =
       http::findHeader(aAnswer.headers, kCarryDeclinedHeader);
-    if (declined.empty()) {
+    if (!http::findHeader(aAnswer.headers, kCarriedHeader).empty()) {
       done(true);
     } else if (declined == carryDeclineName(CarryDecline::Unreachable)) {
       done(false);
--- a/apps/gateway/upstream_calls.cpp
+++ b/apps/gateway/upstream_calls.cpp
@@ -15,9 +15,11 @@
 using DeclineName = std::pair<CarryDecline, const char*>;
 constexpr std::array kDeclineNames{
   DeclineName{ CarryDecline::NotAsked, "not-asked" },
+  DeclineName{ CarryDecline::NotRead, "not-read" },
   DeclineName{ CarryDecline::NoPath, "no-path" },
   DeclineName{ CarryDecline::Stopping, "stopping" },
   DeclineName{ CarryDecline::Busy, "busy" },
+  DeclineName{ CarryDecline::Full, "full" },
   DeclineName{ CarryDecline::Unknown, "unknown" },
   DeclineName{ CarryDecline::Unwanted, "unwanted" },
   DeclineName{ CarryDecline::Unreachable, "unreachable" },
@@ -44,6 +46,21 @@
              std::to_string(aUpstream.record.startedAt) } };
 }
 
+/** @return why a peer has not passed the request on; empty if these are the
+ * headers of the upstream's answer */
+std::string
+declineIn(const http::Headers& aHeaders)
+{
+  const std::string_view reason =
+    http::findHeader(aHeaders, kCarryDeclinedHeader);
+  if (!reason.empty()) {
+    return std::string(reason);
+  }
+  // The peer's HTTP server rejects what it can't read.
+  const bool carried = !http::findHeader(aHeaders, kCarriedHeader).empty();
+  return carried ? "" : carryDeclineName(CarryDecline::NotRead);
+}
+
 /** Adds headers to a serialized request. */
 void
 insertHeaders(std::string& aBytes, const http::Headers& aHeaders)
@@ -73,7 +90,7 @@
   , mCarrier(std::move(aCarrier))
 {
   if (!mCarrier.empty()) {
-    mCalls.mCarriers.onStarted(mCarrier);
+    mCalls.mCarriers.onStarted(mCarrier, base::monotonicNow());
   }
 }
 
@@ -158,12 +175,17 @@
     return bytes;
   };
   const auto declined = std::make_shared<std::string>();
+  const auto answered = std::make_shared<bool>(false);
   wire::CallEvents events;
-  events.head = [declined,
-                 next = aEvents.head](const wire::ResponseHead& aHead) {
-    *declined = http::findHeader(aHead.headers, kCarryDeclinedHeader);
+  events.head = [this, declined, answered, vm = *carrier, next = aEvents.head](
+                  const wire::ResponseHead& aHead) {
+    *answered = true;
+    *declined = declineIn(aHead.headers);
     if (declined->empty()) {
-      next(aHead);
+      mCarriers.onAnswered(vm);
+      wire::ResponseHead head = aHead;
+      wire::removeHeader(head.headers, kCarriedHeader);
+      next(head);
     }
   };
   events.body = [declined, next = aEvents.body](std::string_view aBytes) {
@@ -183,13 +205,13 @@
       fail(onDeclined(*declined, vm, upstream));
     }
   };
-  events.failed =
-    [this, vm = *carrier, fail = aEvents.failed](wire::CallFailure aFailure) {
-      if (aFailure == wire::CallFailure::NotConnected) {
-        onCarrierFailed(vm);
-      }
-      fail(aFailure);
-    };
+  events.failed = [this, answered, vm = *carrier, fail = aEvents.failed](
+                    wire::CallFailure aFailure) {
+    if (!*answered && aFailure != wire::CallFailure::Cancelled) {
+      onCarrierFailed(vm);
+    }
+    fail(aFailure);
+  };
   auto call = std::make_unique<UpstreamCall>(*this, *carrier);
   call->mCall = mPool.start({ "carrier " + *carrier, mAddresses.at(*carrier) },
                             std::move(aCall),
@@ -203,16 +225,22 @@
                           const base::VmName& aCarrier,
                           const wire::UpstreamKey& aUpstream)
 {
-  switch (parseDecline(aReason).value_or(CarryDecline::NotAsked)) {
+  // A reason that this version doesn't know promises nothing.
+  switch (parseDecline(aReason).value_or(CarryDecline::Broken)) {
     case CarryDecline::Broken:
+      mCarriers.onAnswered(aCarrier);
       return wire::CallFailure::Broken;
     case CarryDecline::Unreachable:
+      mCarriers.onAnswered(aCarrier);
       mReach.onGone(aUpstream);
       break;
     case CarryDecline::Unknown:
     case CarryDecline::Unwanted:
+    case CarryDecline::Full:
+      mCarriers.onAnswered(aCarrier);
       break;
     case CarryDecline::NotAsked:
+    case CarryDecline::NotRead:
     case CarryDecline::NoPath:
     case CarryDecline::Stopping:
     case CarryDecline::Busy:
@@ -222,10 +250,28 @@
   return wire::CallFailure::NotForwarded;
 }
 
+void
+UpstreamCalls::onAnswerBy(const base::VmName& aCarrier,
+                          const http::Headers& aHeaders)
+{
+  const auto decline = parseDecline(declineIn(aHeaders));
+  if (decline == CarryDecline::NoPath || decline == CarryDecline::Stopping ||
+      decline == CarryDecline::Busy || decline == CarryDecline::NotAsked) {
+    onCarrierFailed(aCarrier);
+  }
+}
+
+bool
+UpstreamCalls::hasWayTo(const Upstream& aUpstream) const
+{
+  return mReach.isDirect(aUpstream.peer()) ||
+         mCarriers.choose(0, base::monotonicNow()).has_value();
+}
+
 bool
 UpstreamCalls::anyWay() const
 {
-  return !mReach.pathLost() ||
+  return mReach.anyDirect() ||
          mCarriers.choose(0, base::monotonicNow()).has_value();
 }
 
--- a/apps/gateway/upstream_calls.h
+++ b/apps/gateway/upstream_calls.h
@@ -95,6 +95,13 @@
    * passes requests on */
   bool anyWay() const;
 
+  /** @param aUpstream upstream @return true if calls to it can be started */
+  bool hasWayTo(const Upstream& aUpstream) const;
+
+  /** A peer has answered a call that reads from an upstream.
+   * @param aCarrier peer @param aHeaders headers of the answer */
+  void onAnswerBy(const base::VmName& aCarrier, const http::Headers& aHeaders);
+
   /** Where a call that reads from an upstream goes. */
   struct Way
   {
--- a/apps/gateway/upstream_reach.cpp
+++ b/apps/gateway/upstream_reach.cpp
@@ -53,8 +53,8 @@
 void
 UpstreamReach::suspect(const wire::UpstreamKey& aUpstream)
 {
-  probe(aUpstream);
   if (mPath.onSuspicion(base::monotonicNow())) {
+    probe(aUpstream);
     startProbes();
   }
 }
@@ -70,7 +70,9 @@
 UpstreamReach::onConnectFailed(const wire::UpstreamKey& aUpstream)
 {
   mPath.setUpstreamCount(mUpstreams.all().size());
-  mPath.onFailed(aUpstream.name, base::monotonicNow());
+  if (!isRefusing(aUpstream)) {
+    mPath.onFailed(aUpstream.name, base::monotonicNow());
+  }
   judge(aUpstream, ProbeResult::NoAnswer);
   follow();
   probe(aUpstream);
@@ -87,21 +89,45 @@
 UpstreamReach::onProbe(const wire::UpstreamKey& aUpstream, ProbeResult aResult)
 {
   const bool ofPath = mPathProbes.erase(aUpstream) > 0;
+  const bool reached = aResult == ProbeResult::Accepted;
   const base::TimePoint now = base::monotonicNow();
   mPath.setUpstreamCount(mUpstreams.all().size());
-  if (aResult == ProbeResult::Accepted) {
+  if (ofPath) {
+    mPath.onProbed(aUpstream.name, reached, now);
+  } else if (reached) {
     mPath.onReached(aUpstream.name, now);
+  } else if (!isRefusing(aUpstream)) {
+    mPath.onFailed(aUpstream.name, now);
+  }
+  if (reached) {
     mHeld.erase(aUpstream);
     mOnResult(aUpstream, aResult);
-  } else {
-    mPath.onFailed(aUpstream.name, now);
-    if (!ofPath) {
-      judge(aUpstream, aResult);
-    }
+  } else if (!ofPath) {
+    judge(aUpstream, aResult);
   }
   follow();
 }
 
+/** @return true if the upstream is known to have ended, so that its failures
+ * say nothing about the path */
+bool
+UpstreamReach::isRefusing(const wire::UpstreamKey& aUpstream) const
+{
+  const auto upstream = mUpstreams.find(aUpstream.name);
+  return upstream && upstream->presence == Presence::Refusing;
+}
+
+/** Some may have been taken for ended by the first failures of the path. */
+void
+UpstreamReach::askAboutRefusing()
+{
+  for (const auto& [name, upstream] : UpstreamTable::Map(mUpstreams.all())) {
+    if (upstream->presence == Presence::Refusing) {
+      askPeer(upstream->peer(), ProbeResult::Refused);
+    }
+  }
+}
+
 /** Reports a failed connect if it speaks against the upstream. */
 void
 UpstreamReach::judge(const wire::UpstreamKey& aUpstream, ProbeResult aResult)
@@ -162,6 +188,9 @@
   if (state != PathState::Lost && before != PathState::Lost) {
     return;
   }
+  if (state == PathState::Lost) {
+    askAboutRefusing();
+  }
   const char* const event = state == PathState::Lost
                               ? "path to the upstreams lost"
                               : "path to the upstreams is back";
@@ -189,7 +218,9 @@
 {
   std::vector<base::UpstreamName> known;
   for (const auto& [name, upstream] : mUpstreams.all()) {
-    known.push_back(name);
+    if (upstream->usable()) {
+      known.push_back(name);
+    }
   }
   for (const auto& name :
        mPath.nextProbes(known, mRandom.bits(), base::monotonicNow())) {
--- a/apps/gateway/upstream_reach.h
+++ b/apps/gateway/upstream_reach.h
@@ -71,6 +71,9 @@
   /** @return true if the path to the upstreams is lost */
   bool pathLost() const { return mPath.state() == dispatch::PathState::Lost; }
 
+  /** @return true if an upstream can be reached straight */
+  bool anyDirect() const { return mPath.anyDirect(); }
+
   /** @return true if the path may be lost */
   bool pathInDoubt() const
   {
@@ -86,6 +89,8 @@
 
 private:
   void onProbe(const wire::UpstreamKey& aUpstream, ProbeResult aResult);
+  bool isRefusing(const wire::UpstreamKey& aUpstream) const;
+  void askAboutRefusing();
   void judge(const wire::UpstreamKey& aUpstream, ProbeResult aResult);
   void askPeer(const wire::UpstreamKey& aUpstream, ProbeResult aResult);
   void follow();
--- a/libs/dispatch/carrier_choice.cpp
+++ b/libs/dispatch/carrier_choice.cpp
@@ -81,6 +81,15 @@
   mDeclinesUntil[aVm] = aNow + kDeclinePeriod;
 }
 
+void
+CarrierChoice::onStarted(const base::VmName& aVm, base::TimePoint aNow)
+{
+  ++mOpen[aVm];
+  if (mDeclinesUntil.contains(aVm)) {
+    mDeclinesUntil[aVm] = aNow + kDeclinePeriod;
+  }
+}
+
 void
 CarrierChoice::onEnded(const base::VmName& aVm)
 {
--- a/libs/dispatch/carrier_choice.h
+++ b/libs/dispatch/carrier_choice.h
@@ -42,12 +42,15 @@
   std::optional<base::VmName> choose(std::uint64_t aRandom,
                                      base::TimePoint aNow) const;
 
-  /** The peer can't be reached, or passes nothing on. @param aVm peer
-   * @param aNow time */
+  /** The peer can't be reached, is silent or passes nothing on. It gets single
+   * requests until it has answered one. @param aVm peer @param aNow time */
   void onDeclined(const base::VmName& aVm, base::TimePoint aNow);
 
-  /** @param aVm peer that gets a request */
-  void onStarted(const base::VmName& aVm) { ++mOpen[aVm]; }
+  /** The peer has answered. @param aVm peer */
+  void onAnswered(const base::VmName& aVm) { mDeclinesUntil.erase(aVm); }
+
+  /** @param aVm peer that gets a request @param aNow time */
+  void onStarted(const base::VmName& aVm, base::TimePoint aNow);
 
   /** @param aVm peer whose request has ended */
   void onEnded(const base::VmName& aVm);
--- a/libs/dispatch/path_monitor.cpp
+++ b/libs/dispatch/path_monitor.cpp
@@ -7,7 +7,8 @@
 
 using namespace std::chrono_literals;
 
-/** A failed connect raises no doubt for this long after a successful one. */
+/** The failure of one upstream raises no doubt for this long after another one
+ * was reached. */
 constexpr base::Duration kReachedValidity = 300ms;
 /** Results older than this don't count. */
 constexpr base::Duration kResultValidity = 1s;
@@ -15,16 +16,14 @@
 constexpr base::Duration kMaxDoubt = 700ms;
 /** Upstreams that have to fail before the path counts as lost. */
 constexpr std::size_t kMinFailures = 3;
-/** Upstreams that have to be reached before it counts as open. */
-constexpr std::size_t kMinReached = 2;
-constexpr std::size_t kProbesOnSuspicion = 2;
+/** Probes that have to end before a lost path counts as open. */
+constexpr std::size_t kMinProbesToOpen = 3;
+/** It is open if one of this many probes succeeds. */
+constexpr std::size_t kProbesForSuccess = 2;
+constexpr std::size_t kProbesOnSuspicion = 3;
 constexpr std::size_t kProbesInDoubt = 4;
 constexpr std::size_t kProbesIfLost = 2;
 constexpr base::Duration kProbePeriod = 300ms;
-/** Failures for each upstream that is reached on a path that counts as lost. */
-constexpr std::size_t kFailuresIfLost = 4;
-/** Reached upstreams for each that fails on a path that counts as open. */
-constexpr std::size_t kReachedIfOpen = 3;
 
 } // namespace
 
@@ -41,6 +40,8 @@
 PathMonitor::setState(PathState aState)
 {
   mState = aState;
+  mProbes.clear();
+  mDoubtProbed = false;
   if (aState == PathState::Open) {
     mLinks.clear();
   }
@@ -50,12 +51,7 @@
 PathMonitor::onReached(const base::UpstreamName& aName, base::TimePoint aNow)
 {
   mLastReachedAt = aNow;
-  if (mState == PathState::Open) {
-    mLinks.erase(aName);
-    return;
-  }
-  mLinks[aName] = { true, aNow };
-  evaluate(aNow);
+  record(aName, true, aNow);
 }
 
 void
@@ -64,21 +60,48 @@
   if (!mHasPeers) {
     return;
   }
-  mLinks[aName] = { false, aNow };
-  if (mState == PathState::Open) {
-    std::erase_if(mLinks, [aNow](const auto& aItem) {
-      return aNow - aItem.second.at > kResultValidity;
-    });
-    if (aNow - mLastReachedAt < kReachedValidity) {
-      return;
-    }
+  record(aName, false, aNow);
+  if (mState != PathState::Open) {
+    return;
+  }
+  std::erase_if(mLinks, [aNow](const auto& aItem) {
+    return aNow - aItem.second.at > kResultValidity;
+  });
+  if (mLinks.size() > 1 || aNow - mLastReachedAt >= kReachedValidity) {
     setState(PathState::InDoubt);
     mDoubtedAt = aNow;
-    mDoubtProbed = false;
+    mDoubtProbed = !mProbesUnderWay.empty(); // Those of a suspicion.
+  }
+}
+
+void
+PathMonitor::onProbed(const base::UpstreamName& aName,
+                      bool aReached,
+                      base::TimePoint aNow)
+{
+  if (mProbesUnderWay.erase(aName) > 0 && mState != PathState::Open) {
+    mProbes[aName] = { aReached, aNow };
+  }
+  if (aReached) {
+    onReached(aName, aNow);
+  } else {
+    onFailed(aName, aNow);
   }
   evaluate(aNow);
 }
 
+void
+PathMonitor::record(const base::UpstreamName& aName,
+                    bool aReached,
+                    base::TimePoint aNow)
+{
+  if (mState == PathState::Open && aReached) {
+    mLinks.clear();
+    return;
+  }
+  mLinks[aName] = { aReached, aNow };
+}
+
 bool
 PathMonitor::onSuspicion(base::TimePoint aNow)
 {
@@ -94,39 +117,46 @@
 }
 
 PathMonitor::Counts
-PathMonitor::recent(base::TimePoint aNow) const
+PathMonitor::recentProbes(base::TimePoint aNow) const
 {
   Counts counts;
-  for (const auto& [name, link] : mLinks) {
-    if (aNow - link.at <= kResultValidity) {
-      ++(link.reached ? counts.reached : counts.failed);
+  for (const auto& [name, probe] : mProbes) {
+    if (aNow - probe.at <= kResultValidity) {
+      ++(probe.reached ? counts.reached : counts.failed);
     }
   }
   return counts;
 }
 
+/** @return number of upstreams whose latest connect failed */
+std::size_t
+PathMonitor::failures() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mLinks.begin(), mLinks.end(), [](const auto& aItem) {
+      return !aItem.second.reached;
+    }));
+}
+
 void
 PathMonitor::evaluate(base::TimePoint aNow)
 {
-  const Counts counts = recent(aNow);
-  const std::size_t enoughReached =
-    std::clamp<std::size_t>(mUpstreamCount, 1, kMinReached);
-  const std::size_t enoughFailed =
-    std::clamp<std::size_t>(mUpstreamCount, 1, kMinFailures);
+  const Counts probes = recentProbes(aNow);
   if (mState == PathState::InDoubt) {
-    const bool failed = counts.failed >= enoughFailed;
-    if (counts.reached >= enoughReached) {
+    const bool late = aNow - mDoubtedAt > kMaxDoubt;
+    const bool allFailed =
+      failures() >= std::clamp<std::size_t>(mUpstreamCount, 1, kMinFailures);
+    if (probes.reached > 0 || (late && !allFailed)) {
       setState(PathState::Open);
-    } else if (failed && counts.reached == 0) {
+    } else if (allFailed &&
+               (late || (mDoubtProbed && mProbesUnderWay.empty()))) {
       setState(PathState::Lost);
-    } else if (aNow - mDoubtedAt > kMaxDoubt) {
-      const bool lost =
-        failed && counts.reached * kFailuresIfLost <= counts.failed;
-      setState(lost ? PathState::Lost : PathState::Open);
     }
   } else if (mState == PathState::Lost) {
-    if (counts.reached >= enoughReached &&
-        counts.reached >= kReachedIfOpen * counts.failed) {
+    const std::size_t ended = probes.reached + probes.failed;
+    const std::size_t enough =
+      std::clamp<std::size_t>(mUpstreamCount, 1, kMinProbesToOpen);
+    if (ended >= enough && probes.reached * kProbesForSuccess >= ended) {
       setState(PathState::Open);
     }
   }
@@ -142,6 +172,12 @@
   return found != mLinks.end() && found->second.reached;
 }
 
+bool
+PathMonitor::anyDirect() const
+{
+  return mState != PathState::Lost || failures() < mLinks.size();
+}
+
 std::size_t
 PathMonitor::wantedProbes(base::TimePoint aNow) const
 {
@@ -167,6 +203,7 @@
     return chosen;
   }
   mSuspected = false;
+  mProbesUnderWay.clear();
   mDoubtProbed = mState == PathState::InDoubt;
   mProbedAt = aNow;
   for (std::size_t step = 0; step < aKnown.size() && chosen.size() < wanted;
@@ -175,6 +212,7 @@
     // In doubt, the failed ones have told what they can.
     if (mState == PathState::Lost || !mLinks.contains(name)) {
       chosen.push_back(name);
+      mProbesUnderWay.insert(name);
     }
   }
   return chosen;
--- a/libs/dispatch/path_monitor.h
+++ b/libs/dispatch/path_monitor.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace marigold::dispatch {
@@ -13,15 +14,16 @@
 enum class PathState : std::uint8_t
 {
   Open,
-  InDoubt, ///< a connect failed, and no other one has succeeded since
-  Lost     ///< connects to several upstreams failed and none succeeded
+  InDoubt, ///< connects failed; probes of other upstreams are under way
+  Lost     ///< they failed as well
 };
 
 /**
  * Tells a lost path from upstreams that have ended, by the results of connects.
- * Bytes on open connections say nothing, because these may live on while new
- * ones are refused. Upstreams that lose power together look the same from here,
- * so only a peer can tell that one has ended while the path is lost.
+ * Upstreams often end together, so that only probes of others that are chosen
+ * at random count. Bytes on open connections say nothing, because these may
+ * live on while new ones are refused. If all upstreams have ended, only a peer
+ * can tell that from a lost path.
  */
 class PathMonitor
 {
@@ -46,16 +48,26 @@
 
   PathState state() const { return mState; }
 
+  /** A probe from nextProbes() has ended. @param aName upstream
+   * @param aReached true if a connection was established @param aNow time */
+  void onProbed(const base::UpstreamName& aName,
+                bool aReached,
+                base::TimePoint aNow);
+
   /** @param aName upstream @return true if requests can go to it straight */
   bool isDirect(const base::UpstreamName& aName) const;
 
+  /** @return true if requests can go straight to an upstream */
+  bool anyDirect() const;
+
   /** A request is not acknowledged. @param aNow time
    * @return true if other upstreams should be probed, which tells at once
    * whether the path or the upstream is the reason */
   bool onSuspicion(base::TimePoint aNow);
 
-  /** @param aKnown upstreams @param aRandom random bits @param aNow time
-   * @return upstreams to connect to now, whose results settle the state */
+  /** @param aKnown upstreams that seem to be alive @param aRandom random bits
+   * @param aNow time
+   * @return upstreams to probe now, whose results settle the state */
   std::vector<base::UpstreamName> nextProbes(
     const std::vector<base::UpstreamName>& aKnown,
     std::uint64_t aRandom,
@@ -73,7 +85,11 @@
     std::size_t reached = 0;
     std::size_t failed = 0;
   };
-  Counts recent(base::TimePoint aNow) const;
+  void record(const base::UpstreamName& aName,
+              bool aReached,
+              base::TimePoint aNow);
+  Counts recentProbes(base::TimePoint aNow) const;
+  std::size_t failures() const;
   std::size_t wantedProbes(base::TimePoint aNow) const;
   void evaluate(base::TimePoint aNow);
   void setState(PathState aState);
@@ -83,7 +99,10 @@
   bool mDoubtProbed = false;
   bool mSuspected = false; ///< since the latest probes
   std::size_t mUpstreamCount = 0;
+  /** On an open path, the failures since the latest success. */
   std::map<base::UpstreamName, Link> mLinks;
+  std::map<base::UpstreamName, Link> mProbes; ///< results
+  std::set<base::UpstreamName> mProbesUnderWay;
   base::TimePoint mLastReachedAt{};
   base::TimePoint mDoubtedAt{};
   base::TimePoint mProbedAt{};
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -56,7 +56,9 @@
   return "unknown";
 }
 
-CallerConnection::CallerConnection(CallerServer& aServer, int aDescriptor)
+CallerConnection::CallerConnection(CallerServer& aServer,
+                                   int aDescriptor,
+                                   bool aKnownHost)
   : mServer(aServer)
   , mTransport(aServer.mLoop, aDescriptor)
   , mParser(Parser::Kind::Requests,
@@ -69,6 +71,7 @@
   , mOpenedAt(base::monotonicNow())
   , mLastInputAt(mOpenedAt)
   , mIdleSince(mOpenedAt)
+  , mFromKnownHost(aKnownHost)
 {
 }
 
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -71,7 +71,10 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  CallerConnection(CallerServer& aServer, int aDescriptor);
+  CallerConnection(CallerServer& aServer, int aDescriptor, bool aKnownHost);
+
+  /** @return false if CallerServer::setKnownHosts() excludes its host */
+  bool fromKnownHost() const { return mFromKnownHost; }
 
   /** @return the request in progress, without its body once that was taken */
   const Request& request() const { return mCurrent.request; }
@@ -211,6 +214,7 @@
   base::Duration mAllowedPause{}; ///< limit of the kernel
   /** Armed while reading is paused, because an end is not reported then. */
   http::EventHandle mPauseTimer;
+  bool mFromKnownHost = true;
   bool mClosing = false;
   bool mLingering = false;  ///< from the flush of the last response on
   bool mInputEnded = false; ///< the caller sends nothing more
@@ -247,9 +251,9 @@
   /** @param aHandler called when a connection has ended */
   void onClosed(CloseHandler aHandler) { mCloseHandler = std::move(aHandler); }
 
-  /** Closes connections of other hosts at once. @param aFilter gets the numeric
-   * address of the peer, returns true if it may send requests */
-  void acceptOnly(HostFilter aFilter) { mFilter = std::move(aFilter); }
+  /** @param aFilter gets the numeric address of a host that connects, returns
+   * true if it is known */
+  void setKnownHosts(HostFilter aFilter) { mFilter = std::move(aFilter); }
 
   /** From now on, closes each connection after its response. */
   void closeAfterResponses() { mCloseAfterResponses = true; }
@@ -266,8 +270,8 @@
 
 private:
   friend class CallerConnection;
-  bool mayAccept(const sockaddr* aPeer) const;
-  void accept(int aDescriptor);
+  bool isKnown(const sockaddr* aPeer) const;
+  void accept(int aDescriptor, bool aKnownHost);
 
   http::Loop& mLoop;
   Handler mHandler;
--- a/libs/wire/caller_server.cpp
+++ b/libs/wire/caller_server.cpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <event2/listener.h>
 #include <netinet/in.h>
-#include <unistd.h>
 #include <utility>
 
 namespace marigold::wire {
@@ -43,11 +42,7 @@
        int,
        void* aSelf) {
       auto* self = static_cast<CallerServer*>(aSelf);
-      if (self->mayAccept(aPeer)) {
-        self->accept(aDescriptor);
-      } else {
-        ::close(aDescriptor);
-      }
+      self->accept(aDescriptor, self->isKnown(aPeer));
     },
     this,
     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
@@ -72,7 +67,7 @@
 }
 
 bool
-CallerServer::mayAccept(const sockaddr* aPeer) const
+CallerServer::isKnown(const sockaddr* aPeer) const
 {
   if (!mFilter) {
     return true;
@@ -86,9 +81,10 @@
 }
 
 void
-CallerServer::accept(int aDescriptor)
+CallerServer::accept(int aDescriptor, bool aKnownHost)
 {
-  const auto caller = std::make_shared<CallerConnection>(*this, aDescriptor);
+  const auto caller =
+    std::make_shared<CallerConnection>(*this, aDescriptor, aKnownHost);
   mCallers.insert(caller);
   caller->start();
 }
