Pass resets on through the proxies of the tests

A gateway that resets a connection takes back what it has sent. Paths accept without a task, which a cut could end between an accept and its use.

--- a/tests/e2e/proxy.py
+++ b/tests/e2e/proxy.py
@@ -36,6 +36,14 @@
     return any(events & select.POLLERR for _, events in state.poll(0))
 
 
+def reset_connection(writer):
+    """Closes a connection with a TCP RST."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Link:
     """One connection through the proxy."""
 
@@ -65,10 +73,7 @@
     def reset(self):
         """Resets all open connections with a TCP RST."""
         for writer in list(self.writers):
-            sock = writer.get_extra_info("socket")
-            if sock is not None:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            writer.close()
+            reset_connection(writer)
 
     def silence(self, directions):
         """Makes all open connections go silent for good, without a reset; new ones work. Returns their number.
@@ -122,10 +127,15 @@
                     continue
                 writer.write(data)
                 await writer.drain()
-        except ConnectionError:
-            pass  # One side was reset; the other one is closed below.
+        except ConnectionError:  # One side was reset, and the other one learns it as on a direct connection.
+            if direction not in link.silent:
+                reset_connection(writer)
         if direction not in link.silent:
-            writer.close()
+            await self.end(link, writer, direction)
+
+    async def end(self, link, writer, direction):
+        """Ends the other side after one side has ended in this direction."""
+        writer.close()
 
     def note(self, data, direction):
         if self.cut_at_order and direction == "up" and b"/-/order" in data:
--- a/tests/e2e/upstream_links.py
+++ b/tests/e2e/upstream_links.py
@@ -11,7 +11,7 @@
 import socket
 import time
 
-from proxy import Proxy, drop_packets, keep_packets
+from proxy import Proxy, drop_packets, keep_packets, reset_connection, was_reset
 
 HOWS = ("silent", "reset", "refuse")
 BACKLOG = 100
@@ -35,14 +35,21 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.setblocking(False)
         self.listener.bind(self.address)
-        self.listener.listen(BACKLOG)
-        self.acceptor = asyncio.get_running_loop().create_task(self.accept())
+        self.start_accepting()
 
-    async def accept(self):
-        loop = asyncio.get_running_loop()
-        while True:
-            sock, _ = await loop.sock_accept(self.listener)
-            loop.create_task(self.serve(sock))
+    def start_accepting(self):
+        self.listener.listen(BACKLOG)
+        asyncio.get_running_loop().add_reader(self.listener, self.accept)
+
+    def accept(self):
+        """Accepts the connections that wait. Returns their sockets."""
+        accepted = []
+        try:
+            while True:
+                accepted.append(self.listener.accept()[0])
+                asyncio.get_running_loop().create_task(self.serve(accepted[-1]))
+        except BlockingIOError:
+            return accepted
 
     async def serve(self, sock):
         reader, writer = await asyncio.open_connection(sock=sock)
@@ -55,7 +62,7 @@
         refused; "refuse": open connections live on, and new ones are refused."""
         self.mend()
         self.how = how
-        self.acceptor.cancel()
+        asyncio.get_running_loop().remove_reader(self.listener)
         if how == "silent":
             self.silence_path()
             return
@@ -67,15 +74,8 @@
     def silence_path(self):
         """What has arrived from the VM goes on to the upstream; the rest is not acknowledged."""
         self.stalled = {"down"}
-        for sock in self.near_sockets():
-            drop_packets(sock)
-        while True:
-            try:
-                sock, _ = self.listener.accept()
-            except BlockingIOError:
-                break
+        for sock in self.near_sockets() + self.accept():
             drop_packets(sock)
-            asyncio.get_running_loop().create_task(self.serve(sock))
         self.listener.listen(0)
         self.filler = socket.socket()
         self.filler.setblocking(False)
@@ -88,12 +88,25 @@
                 keep_packets(sock)
             self.stalled = set()
             self.filler.close()
-            self.listener.listen(BACKLOG)
-            self.acceptor = asyncio.get_running_loop().create_task(self.accept())
+            self.start_accepting()
         elif self.how:
             self.open()
         self.how = None
 
+    async def end(self, link, writer, direction):
+        """Passes on a reset by a VM that has ended its side in order before, since it takes back what was sent."""
+        if direction == "up" and not writer.is_closing():
+            try:
+                writer.write_eof()
+            except OSError:
+                pass  # The upstream has ended it.
+            while not link.near.is_closing():
+                if was_reset(link.near):
+                    reset_connection(writer)
+                    break
+                await asyncio.sleep(0.02)
+        writer.close()
+
     def near_sockets(self):
         sockets = [writer.get_extra_info("socket") for writer in self.near]
         return [sock for sock in sockets if sock is not None and sock.fileno() >= 0]
@@ -106,7 +119,8 @@
 
     def close(self):
         super().close()
-        self.acceptor.cancel()
+        if self.listener.fileno() >= 0:
+            asyncio.get_running_loop().remove_reader(self.listener)
         self.listener.close()
 
 
