Test carriers that stand still or lose their path

Its log: requests go to the frozen carrier for 1.75 s, elsewhere for 1.4 s, then to it again for 1.3 s until it leaves the fleet; calls that replace silent ones go to it as well, and the upstreams are held to be silent. No message of that peer had come meanwhile.

--- a/tests/e2e/test_stranded_vm.py
+++ b/tests/e2e/test_stranded_vm.py
@@ -360,6 +360,22 @@
         self.check_served(tries)
         self.assertNotIn(carrier.name, self.paths_of(tries))
 
+    def test_carrier_stands_still(self):
+        """Guards against requests that wait for a carrier that takes them and does nothing."""
+        carrier = self.carrier_of(self.drive(self.stranded, 1))
+        carrier.child.send_signal(signal.SIGSTOP)
+        try:
+            self.start_tries(self.stranded, ADAPT_SECONDS)
+            self.check_served(self.drive(self.stranded, JUDGED_SECONDS))
+        finally:
+            carrier.child.send_signal(signal.SIGCONT)
+
+    def test_carrier_loses_its_path_too(self):
+        """Guards against requests to a carrier that has no path itself any more."""
+        carrier = self.carrier_of(self.drive(self.stranded, 1))
+        self.stranded += self.strand([self.gateways.index(carrier)], "reset")
+        self.check_served(self.drive(self.stranded, JUDGED_SECONDS))
+
     def test_carrier_is_stopped_as_planned(self):
         """Guards against a planned stop that cuts what a VM carries for others, and against new requests to it."""
         started = self.start_streams()
