--- a/libs/dispatch/path_monitor.cpp
+++ b/libs/dispatch/path_monitor.cpp
@@ -203,7 +203,9 @@
     return chosen;
   }
   mSuspected = false;
-  mProbesUnderWay.clear();
+  if (mState != PathState::Lost) {
+    mProbesUnderWay.clear();
+  }
   mDoubtProbed = mState == PathState::InDoubt;
   mProbedAt = aNow;
   for (std::size_t step = 0; step < aKnown.size() && chosen.size() < wanted;
