--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -51,7 +51,9 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(CallerServer& aServer, int aDescriptor)
+CallerConnection::CallerConnection(CallerServer& aServer,
+                                   int aDescriptor,
+                                   bool aKnownHost)
   : mServer(aServer)
   , mTransport(aServer.mLoop, aDescriptor)
   , mParser(Parser::Kind::Requests,
@@ -64,6 +66,7 @@
   , mOpenedAt(base::monotonicNow())
   , mLastInputAt(mOpenedAt)
   , mIdleSince(mOpenedAt)
+  , mFromKnownHost(aKnownHost)
 {
 }
 
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -12,6 +12,7 @@
 #include <set>
 
 struct evconnlistener;
+struct sockaddr;
 
 namespace marigold::wire {
 
@@ -41,7 +42,10 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  CallerConnection(CallerServer& aServer, int aDescriptor);
+  CallerConnection(CallerServer& aServer, int aDescriptor, bool aKnownHost);
+
+  /** @return false if CallerServer::setKnownHosts() excludes its host */
+  bool fromKnownHost() const { return mFromKnownHost; }
 
   /** @return the request in progress, without its body once that was taken */
   const Request& request() const { return mCurrent.request; }
@@ -183,6 +187,7 @@
   base::Duration mAllowedPause{}; ///< limit of the kernel
   /** Armed while reading is paused, because an end is not reported then. */
   http::EventHandle mPauseTimer;
+  bool mFromKnownHost = true;
   bool mClosing = false;
   bool mLingering = false;  ///< from the flush of the last response on
   bool mInputEnded = false; ///< the caller sends nothing more
@@ -195,6 +200,7 @@
 public:
   using Handler = std::function<void(const std::shared_ptr<CallerConnection>&)>;
   using CloseHandler = std::function<void(const ClosedCaller&)>;
+  using HostFilter = std::function<bool(const std::string&)>;
 
   /** @param aLoop event loop @param aHandler called with each complete request
    */
@@ -218,6 +224,10 @@
   /** @param aHandler called when a connection has ended */
   void onClosed(CloseHandler aHandler) { mCloseHandler = std::move(aHandler); }
 
+  /** @param aFilter gets the numeric address of a host that connects, returns
+   * true if it is known */
+  void setKnownHosts(HostFilter aFilter) { mFilter = std::move(aFilter); }
+
   /** From now on, closes each connection after its response. */
   void closeAfterResponses() { mCloseAfterResponses = true; }
 
@@ -233,11 +243,13 @@
 
 private:
   friend class CallerConnection;
-  void accept(int aDescriptor);
+  bool isKnown(const sockaddr* aPeer) const;
+  void accept(int aDescriptor, bool aKnownHost);
 
   http::Loop& mLoop;
   Handler mHandler;
   CloseHandler mCloseHandler;
+  HostFilter mFilter;
   CallerLimits mLimits;
   base::MemoryBudget mUnlimited;
   base::MemoryBudget* mMemory = &mUnlimited;
--- a/tests/soak/proxy.py
+++ b/tests/e2e/proxy.py
@@ -9,7 +9,7 @@
 import time
 
 HOST = "127.0.0.1"
-SO_ATTACH_FILTER = 26
+SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27
 FIRST_RESEND = 0.2  # seconds until the first resending of TCP; each further wait is twice as long
 HOLDER = re.compile(rb'"holder":\s*"([^"]+)"')
 
@@ -20,6 +20,11 @@
     sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HL", 1, ctypes.addressof(code)))
 
 
+def keep_packets(sock):
+    """Undoes drop_packets()."""
+    sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+
+
 def was_reset(writer):
     """Tells whether the peer has reset a connection, also after it ended its side in order, when the reader sees no
     error any more."""
@@ -31,6 +36,14 @@
     return any(events & select.POLLERR for _, events in state.poll(0))
 
 
+def reset_connection(writer):
+    """Closes a connection with a TCP RST."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Link:
     """One connection through the proxy."""
 
@@ -60,10 +73,7 @@
     def reset(self):
         """Resets all open connections with a TCP RST."""
         for writer in list(self.writers):
-            sock = writer.get_extra_info("socket")
-            if sock is not None:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            writer.close()
+            reset_connection(writer)
 
     def silence(self, directions):
         """Makes all open connections go silent for good, without a reset; new ones work. Returns their number.
@@ -110,19 +120,24 @@
             while data := await reader.read(65536):
                 if self.delay:
                     await asyncio.sleep(self.delay)
-                self.note_order(data, direction)
+                self.note(data, direction)
                 if direction in self.stalled:
                     await self.hold(reader, link.near if direction == "up" else link.far, direction)
                 if direction in link.silent:
                     continue
                 writer.write(data)
                 await writer.drain()
-        except ConnectionError:
-            pass  # One side was reset; the other one is closed below.
+        except ConnectionError:  # One side was reset, and the other one learns it as on a direct connection.
+            if direction not in link.silent:
+                reset_connection(writer)
         if direction not in link.silent:
-            writer.close()
+            await self.end(link, writer, direction)
+
+    async def end(self, link, writer, direction):
+        """Ends the other side after one side has ended in this direction."""
+        writer.close()
 
-    def note_order(self, data, direction):
+    def note(self, data, direction):
         if self.cut_at_order and direction == "up" and b"/-/order" in data:
             found = HOLDER.search(data)
             self.cut_at_order = False
