Eliminate software only with records as recent as the take-up

What callers saw (reported by other operators): during a release a VM was cut off or stood still for a few seconds while upstreams of a new version joined. Streams that had begun on these through other VMs broke, were taken up at that VM and went on at another version (ORDER).

Cause: a VM that doesn't know a stream took the only version of the service that it had seen for the one that began it, if its view of the upstreams had been confirmed within drain_limit (2.5 s), as of the latest tick (0.25 s). A version that joined within that time is not in that view. It asked its peers only if it knew several versions, so neither their answers nor the store were asked.

Now it asks its peers first. If none knows the stream after 40 ms, the VM reads the changes of the records at the store (not a relay), and eliminates with what is there then: the record of the upstream that began the stream precedes the take-up. A VM that the store doesn't answer within 0.6 s refuses what no peer knows. The read is shared by all take-ups that wait, at most one each 0.1 s.

Ruled out: the answers of peers alone (the VM that began the stream may be killed before it told others), a shorter age of the view (the same with a shorter window).

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -204,6 +204,9 @@
   mStreams.onReadStore([this](std::function<void()> aDone) {
     mStreamRecords.read(std::move(aDone));
   });
+  mStreams.onSynchronize([this](StreamRegistry::Synchronized aDone) {
+    mUpstreamWatch.synchronize(std::move(aDone));
+  });
   mStreams.onCheck(
     [this](const Upstream& aUpstream, StreamRegistry::Started aDone) {
       checkProcess(aUpstream, std::move(aDone));
@@ -639,8 +642,7 @@
   mCrashes.setTrialsEnabled(mFleet.fencingToken() != 0);
   mCrashRecords.tick(now);
   mNotices.expire(now);
-  mStreams.update(
-    mUpstreams, now - mUpstreamWatch.confirmedAt() < mSettings.drainLimit, now);
+  mStreams.update(mUpstreams, now);
   if (mPeerExchange.isCollector()) {
     mStreamRecords.tick(now);
   }
--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -27,6 +27,8 @@
 /** Time over which the watches of a VM ask again when connections to the store
  * went silent, so that the calls of a fleet don't arrive at the same moment. */
 constexpr base::Duration kSilenceJitter = 100ms;
+/** Bounds the calls of a VM while many callers wait for them. */
+constexpr base::Duration kSynchronizationInterval = 100ms;
 
 /** VMs may give the same id to their processes. */
 std::uint64_t
@@ -149,7 +151,7 @@
   mTimer.reset();
   mClient.list(
     mPrefix,
-    [this, generation = mGeneration](
+    [this, aCause, generation = mGeneration, revision = mRevision](
       const base::Captured<platform::Snapshot>& aResult) {
       if (generation != mGeneration) {
         return;
@@ -159,7 +161,12 @@
         retryList();
         return;
       }
-      onList(std::get<platform::Snapshot>(aResult), false);
+      const auto& snapshot = std::get<platform::Snapshot>(aResult);
+      if (mRevision > revision && isBehind(snapshot)) {
+        list(aCause); // It was overtaken by a synchronization.
+        return;
+      }
+      onList(snapshot, false);
     },
     aCause);
 }
@@ -329,17 +336,80 @@
 void
 PrefixWatch::onChanges(const platform::Snapshot& aChanges, bool aFromRelay)
 {
-  mRevision = std::max(mRevision, aChanges.revision);
   mLastFromStore = !aFromRelay;
   recordSuccess();
-  mMirror.apply(aChanges);
-  mMirrorChanged.emit();
-  for (const platform::Entry& entry : aChanges.entries) {
-    mCallbacks.changed(entry);
-  }
+  applyChanges(aChanges);
   mSpreadPending = mSpreadsWaits && !aChanges.entries.empty();
   const base::Duration pause = aFromRelay ? kRelayWatchPause : mPause;
   schedule(aChanges.entries.empty() ? 0ms : pause, &PrefixWatch::wait);
 }
 
+/** Two calls may bring the same changes. Applied once more, older ones would
+ * undo what came between. */
+void
+PrefixWatch::applyChanges(const platform::Snapshot& aChanges)
+{
+  platform::Snapshot unseen = aChanges;
+  std::erase_if(unseen.entries, [this](const platform::Entry& aEntry) {
+    return aEntry.revision <= mRevision;
+  });
+  mRevision = std::max(mRevision, aChanges.revision);
+  mMirror.apply(unseen);
+  mMirrorChanged.emit();
+  for (const platform::Entry& entry : unseen.entries) {
+    mCallbacks.changed(entry);
+  }
+}
+
+void
+PrefixWatch::synchronize(std::function<void(bool)> aDone)
+{
+  mSynchronizeNext.push_back(std::move(aDone));
+  scheduleSynchronization();
+}
+
+/** A call that is pending already may have been answered before a change. */
+void
+PrefixWatch::scheduleSynchronization()
+{
+  if (!mSynchronizing.empty() || mSynchronizeNext.empty()) {
+    return;
+  }
+  const base::Duration delay =
+    mSynchronizedAt + kSynchronizationInterval - base::monotonicNow();
+  mSynchronizeTimer = mLoop.after(std::max(delay, base::Duration::zero()),
+                                  [this] { startSynchronization(); });
+}
+
+void
+PrefixWatch::startSynchronization()
+{
+  mSynchronizing = std::exchange(mSynchronizeNext, {});
+  mSynchronizedAt = base::monotonicNow();
+  mClient.changes(
+    mPrefix,
+    { mRevision, mMirror.era() },
+    [this, era = mMirror.era(), generation = mGeneration](
+      const base::Captured<platform::Snapshot>& aResult) {
+      const auto* changes = std::get_if<platform::Snapshot>(&aResult);
+      const bool usable = changes != nullptr && generation == mGeneration &&
+                          era == mMirror.era() && isOfCurrentEra();
+      if (usable) {
+        applyChanges(*changes);
+      }
+      endSynchronization(usable);
+    },
+    "synchronize");
+}
+
+void
+PrefixWatch::endSynchronization(bool aSucceeded)
+{
+  const Waiting done = std::exchange(mSynchronizing, {});
+  for (const auto& callback : done) {
+    callback(aSucceeded);
+  }
+  scheduleSynchronization();
+}
+
 } // namespace marigold::gateway
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <sigc++/sigc++.h>
+#include <vector>
 
 namespace marigold::gateway {
 
@@ -74,6 +75,14 @@
    * @param aMaxWait longest wait for changes at the store */
   void spreadWaits(base::Duration aMaxWait);
 
+  /**
+   * Asks the store, not a relay, for the changes up to now. Calls that wait at
+   * the same moment share one answer.
+   * @param aDone called with true when every change that the store had accepted
+   * before this call has been applied, with false if the store doesn't answer
+   */
+  void synchronize(std::function<void(bool)> aDone);
+
   /** @return prefix of the keys */
   const std::string& prefix() const { return mPrefix; }
 
@@ -104,6 +113,10 @@
   void onRestored();
   void onSilence(base::TimePoint aSince);
   void onChanges(const platform::Snapshot& aChanges, bool aFromRelay);
+  void applyChanges(const platform::Snapshot& aChanges);
+  void scheduleSynchronization();
+  void startSynchronization();
+  void endSynchronization(bool aSucceeded);
   void onFailure(const base::Error& aError, const platform::Client& aClient);
   void waitAt(platform::Client& aClient, bool aFromRelay);
   void postponeStoreCalls();
@@ -145,6 +158,11 @@
   sigc::signal<void()> mMirrorChanged;
   platform::Backoff mBackoff;
   http::EventHandle mTimer;
+  using Waiting = std::vector<std::function<void(bool)>>;
+  Waiting mSynchronizing; ///< get the answer to the pending call
+  Waiting mSynchronizeNext;
+  base::TimePoint mSynchronizedAt{}; ///< when the latest call was sent
+  http::EventHandle mSynchronizeTimer;
 };
 
 } // namespace marigold::gateway
--- a/apps/gateway/stream_registry.cpp
+++ b/apps/gateway/stream_registry.cpp
@@ -17,6 +17,12 @@
 /** Datagrams may be lost, and the caller may come from another data centre, so
  * the question is repeated once, to all VMs. */
 constexpr base::Duration kAskAgain = 70ms;
+/** A round trip in the data centre, and a peer that is late by some tens of
+ * milliseconds. While there is one version, what no peer knows soon is found by
+ * a call to the store. */
+constexpr base::Duration kNearbyAnswerTime = 40ms;
+/** A slow store takes a few hundred milliseconds. */
+constexpr base::Duration kSynchronizationTime = 600ms;
 /** A round trip between regions, and a peer that is late by some tens of
  * milliseconds. */
 constexpr base::Duration kAnswerTime = 180ms;
@@ -80,13 +86,13 @@
                      const catalog::ServiceName& aService,
                      Found aFound)
 {
-  Software software = aStream ? mOrigins.find(*aStream) : std::nullopt;
-  const base::TimePoint now = base::monotonicNow();
-  if (!software && mayEliminate(now)) {
-    software = mHistory.only(aService, now);
+  const Software known = aStream ? mOrigins.find(*aStream) : std::nullopt;
+  if (known) {
+    aFound(known);
+    return;
   }
-  if (software || !aStream || !mAsk) {
-    aFound(software);
+  if (!aStream || !mAsk) {
+    eliminate(aService, std::move(aFound));
     return;
   }
   Search& search = mSearches[*aStream];
@@ -94,8 +100,14 @@
   if (search.timeout) {
     return;
   }
+  search.service = aService;
+  search.peersAnswerBy = base::monotonicNow() + kAnswerTime;
   search.timeout =
-    mLoop.after(kAnswerTime, [this, stream = *aStream] { readStore(stream); });
+    onlySoftware(aService)
+      ? mLoop.after(kNearbyAnswerTime,
+                    [this, stream = *aStream] { onNoAnswerNearby(stream); })
+      : mLoop.after(kAnswerTime,
+                    [this, stream = *aStream] { readStore(stream); });
   mAskPeers.trigger(kAskDelay);
   if (!mRepeatTimer) {
     mRepeatTimer = mLoop.after(kAskAgain, [this] {
@@ -105,6 +117,68 @@
   }
 }
 
+/** The VM that began the stream may have ended without telling others. */
+void
+StreamRegistry::onNoAnswerNearby(peers::StreamId aStream)
+{
+  const catalog::ServiceName service = mSearches.at(aStream).service;
+  eliminate(service, [this, aStream, service](Software aSoftware) {
+    const auto search = mSearches.find(aStream);
+    if (search == mSearches.end()) {
+      return; // A peer has answered meanwhile.
+    }
+    if (aSoftware) {
+      answer(aStream, aSoftware);
+      return;
+    }
+    const bool storeAnswers = !onlySoftware(service);
+    const base::Duration left =
+      search->second.peersAnswerBy - base::monotonicNow();
+    search->second.timeout = mLoop.after(
+      std::max(left, base::Duration::zero()), [this, aStream, storeAnswers] {
+        storeAnswers ? readStore(aStream) : answer(aStream, std::nullopt);
+      });
+  });
+}
+
+/** @return the only software that this VM has seen in a service, if it would
+ * have seen others */
+StreamRegistry::Software
+StreamRegistry::onlySoftware(const catalog::ServiceName& aService) const
+{
+  const base::TimePoint now = base::monotonicNow();
+  return now >= mHistoryKnownFrom ? mHistory.only(aService, now) : std::nullopt;
+}
+
+/** The record of the upstream that began a stream was in the store before, so
+ * the records that are there now show whether other software may have begun it.
+ * The view of this VM may be older than the stream. */
+void
+StreamRegistry::eliminate(const catalog::ServiceName& aService, Found aFound)
+{
+  if (!mSynchronize || !onlySoftware(aService)) {
+    aFound(std::nullopt);
+    return;
+  }
+  const std::uint64_t id = mNextElimination++;
+  Elimination& elimination = mEliminations[id];
+  elimination.found = std::move(aFound);
+  elimination.timeout = mLoop.after(
+    kSynchronizationTime, [this, id] { endElimination(id, std::nullopt); });
+  mSynchronize([this, id, aService](bool aSynchronized) {
+    endElimination(id, aSynchronized ? onlySoftware(aService) : std::nullopt);
+  });
+}
+
+void
+StreamRegistry::endElimination(std::uint64_t aId, Software aSoftware)
+{
+  const auto elimination = mEliminations.extract(aId);
+  if (!elimination.empty()) {
+    elimination.mapped().found(aSoftware);
+  }
+}
+
 void
 StreamRegistry::ask(Scope aScope)
 {
@@ -163,12 +237,6 @@
   return origins;
 }
 
-bool
-StreamRegistry::mayEliminate(base::TimePoint aNow) const
-{
-  return mViewIsCurrent && aNow >= mHistoryKnownFrom;
-}
-
 void
 StreamRegistry::onHistoryUnknown(base::TimePoint aNow)
 {
@@ -239,11 +307,8 @@
 }
 
 void
-StreamRegistry::update(const UpstreamTable& aUpstreams,
-                       bool aViewIsCurrent,
-                       base::TimePoint aNow)
+StreamRegistry::update(const UpstreamTable& aUpstreams, base::TimePoint aNow)
 {
-  mViewIsCurrent = aViewIsCurrent;
   for (const auto& [name, upstream] : aUpstreams.all()) {
     if (upstream->software != peers::kUnknownSoftware) {
       mHistory.observe(upstream->record.service, upstream->software, aNow);
--- a/apps/gateway/stream_registry.h
+++ b/apps/gateway/stream_registry.h
@@ -6,16 +6,17 @@
 #include "dispatch/dispatch.h"
 
 #include <functional>
+#include <map>
 #include <set>
 
 namespace marigold::gateway {
 
 /**
  * Knows the software that began the streams of this VM, and finds out about
- * those of others: by elimination if a service has had one version only,
- * otherwise from peers. While a service has several versions, the VM tells some
- * peers of the streams that it begins, so that the end of its process doesn't
- * end them.
+ * those of others: from peers, or by elimination if a service has had one
+ * version only. While a service has several versions, the VM tells some peers
+ * of the streams that it begins, so that the end of its process doesn't end
+ * them.
  */
 class StreamRegistry
 {
@@ -68,13 +69,8 @@
                           base::TimePoint aNow);
 
   /** Observes the software of the upstreams and forgets old streams.
-   * @param aUpstreams upstreams
-   * @param aViewIsCurrent whether they are those that serve now; otherwise
-   * there may be versions of which this VM has not heard
-   * @param aNow time */
-  void update(const UpstreamTable& aUpstreams,
-              bool aViewIsCurrent,
-              base::TimePoint aNow);
+   * @param aUpstreams upstreams @param aNow time */
+  void update(const UpstreamTable& aUpstreams, base::TimePoint aNow);
 
   /** What has served before this process started can't be told, so nothing is
    * eliminated for the lifetime of a stream. @param aNow time */
@@ -123,21 +119,41 @@
     mReadStore = std::move(aRead);
   }
 
+  using Synchronized = std::function<void(bool)>;
+
+  /** @param aSynchronize brings the records of the upstreams up to date with
+   * the store; its argument gets false if the store doesn't answer */
+  void onSynchronize(std::function<void(Synchronized)> aSynchronize)
+  {
+    mSynchronize = std::move(aSynchronize);
+  }
+
 private:
   /** Requests that wait for an answer on one stream. */
   struct Search
   {
     std::vector<Found> waiting;
+    catalog::ServiceName service;
+    base::TimePoint peersAnswerBy{};
     http::EventHandle timeout;
     std::set<Scope> asked;
   };
+  /** A request that waits until the records are up to date. */
+  struct Elimination
+  {
+    Found found;
+    http::EventHandle timeout;
+  };
   /** Requests that wait until an upstream has said which process it is. */
   struct Check
   {
     std::vector<std::function<void()>> waiting;
     base::TimePoint startedAt{};
   };
-  bool mayEliminate(base::TimePoint aNow) const;
+  Software onlySoftware(const catalog::ServiceName& aService) const;
+  void eliminate(const catalog::ServiceName& aService, Found aFound);
+  void endElimination(std::uint64_t aId, Software aSoftware);
+  void onNoAnswerNearby(peers::StreamId aStream);
   void startCheck(const std::shared_ptr<Upstream>& aUpstream);
   void announceSoon();
   void onChecked(const std::shared_ptr<Upstream>& aUpstream,
@@ -161,7 +177,9 @@
   std::function<void(std::function<void()>)> mReadStore;
   std::function<void(const Upstream&, Started)> mCheck;
   std::map<std::shared_ptr<Upstream>, Check> mChecks;
-  bool mViewIsCurrent = false;
+  std::function<void(Synchronized)> mSynchronize;
+  std::map<std::uint64_t, Elimination> mEliminations;
+  std::uint64_t mNextElimination = 0;
   base::TimePoint mHistoryKnownFrom{};
 };
 
--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -517,21 +517,43 @@
       .done =
         [this, aDone = std::move(aDone)](
           const Captured<http::Response>& aResponse, const Options& aAnswered) {
-          auto changes =
-            readResponse<Snapshot>(aResponse, mProtocol.readChanges);
-          if (auto* read = std::get_if<Snapshot>(&changes)) {
-            read->era = era();
-            recordEnd(aAnswered,
-                      read->entries.empty() ? CallOutcome::NoNews
-                                            : CallOutcome::News);
-          } else if (base::errorOf(aResponse) == nullptr) {
-            recordEnd(aAnswered, CallOutcome::Unanswered); // Malformed.
-          }
-          aDone(changes);
+          aDone(readChanges(aResponse, aAnswered));
         } },
     aWait);
 }
 
+Captured<Snapshot>
+Client::readChanges(const Captured<http::Response>& aResponse,
+                    const Options& aAnswered)
+{
+  auto changes = readResponse<Snapshot>(aResponse, mProtocol.readChanges);
+  if (auto* read = std::get_if<Snapshot>(&changes)) {
+    read->era = era();
+    recordEnd(aAnswered,
+              read->entries.empty() ? CallOutcome::NoNews : CallOutcome::News);
+  } else if (base::errorOf(aResponse) == nullptr) {
+    recordEnd(aAnswered, CallOutcome::Unanswered); // Malformed.
+  }
+  return changes;
+}
+
+void
+Client::changes(const std::string& aPrefix,
+                Position aAfter,
+                Callback<Snapshot> aDone,
+                const std::string& aCause)
+{
+  // As for a list, an idle connection may be silent.
+  const Options options{ mTimeout, false,           &mClient,
+                         false,    CallKind::Watch, { aPrefix, aCause } };
+  sendWith(mProtocol.watch(aPrefix, aAfter, base::Duration::zero()),
+           options,
+           [this, options, aDone = std::move(aDone)](
+             const Captured<http::Response>& aResponse) {
+             aDone(readChanges(aResponse, options));
+           });
+}
+
 void
 Client::grantLease(base::Duration aTerm,
                    Callback<std::string> aDone,
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -126,6 +126,18 @@
              Callback<Snapshot> aDone,
              const std::string& aCause = {});
 
+  /**
+   * Reads the changes up to now.
+   * @param aPrefix prefix of the keys
+   * @param aAfter last point of the history that the caller has seen
+   * @param aDone gets the changed entries, or HistoryCompacted
+   * @param aCause why, for callEnded()
+   */
+  void changes(const std::string& aPrefix,
+               Position aAfter,
+               Callback<Snapshot> aDone,
+               const std::string& aCause = {});
+
   /** Requests a lease. @param aTerm time to live of the lease
    * @param aDone gets its id
    * @param aName what the lease is for, for callEnded() */
@@ -217,6 +229,9 @@
   };
   using HedgedId = std::uint64_t;
 
+  base::Captured<Snapshot> readChanges(
+    const base::Captured<http::Response>& aResponse,
+    const Options& aAnswered);
   void send(const http::Request& aRequest,
             CallKind aKind,
             CallReason aReason,
--- a/tests/explore/version_scenario.cpp
+++ b/tests/explore/version_scenario.cpp
@@ -620,7 +620,7 @@
     mSite->prefixes.erase(aServer.process.name);
     mSite->crashes.onUpstreamGone(aServer.process.name, mWorld.now());
   }
-  mSite->streams.update(mSite->upstreams, true, mWorld.now());
+  mSite->streams.update(mSite->upstreams, mWorld.now());
 }
 
 /** As Gateway::onProbe(). */
--- a/tests/explore/watch_scenario.cpp
+++ b/tests/explore/watch_scenario.cpp
@@ -101,6 +101,7 @@
     { "relay", 1, &Self::canElectRelay, &Self::electRelay },
     { "update", 1, &Self::canUpdateRelay, &Self::updateRelay },
     { "relist", 1, &Self::canRelist, &Self::relist },
+    { "synchronize", 1, &Self::canSynchronize, &Self::synchronize },
     { "wait", 1, &Self::canWait, &Self::wait },
     { "late", 1, &Self::canBeLate, &Self::beLate },
   };
@@ -449,6 +450,42 @@
   mWatch.relist("asked by the scenario");
 }
 
+bool
+WatchScenario::canSynchronize(std::size_t /*aTarget*/) const
+{
+  return mSynchronizations < 2;
+}
+
+/** The view must not be older than the question when the answer comes, unless
+ * the store has been restored meanwhile. */
+void
+WatchScenario::synchronize(std::size_t /*aTarget*/)
+{
+  ++mSynchronizations;
+  mWatch.synchronize([this, asked = mStore](bool aSucceeded) {
+    if (aSucceeded && asked.era == mStore.era) {
+      requireViewSince(asked);
+    }
+  });
+}
+
+void
+WatchScenario::requireViewSince(const StoreContent& aContent)
+{
+  for (std::size_t number = 0; number < kKeys; ++number) {
+    const std::string key = keyName(number);
+    const auto then = aContent.keys.find(key);
+    const auto seen = mView.find(key);
+    const bool isBehind =
+      then != aContent.keys.end()
+        ? mShown[key] < then->second.revision
+        : seen != mView.end() && seen->second <= aContent.revision;
+    if (isBehind) {
+      mViolation = "the view is older than its synchronization (" + key + ")";
+    }
+  }
+}
+
 bool
 WatchScenario::canWait(std::size_t /*aTarget*/) const
 {
@@ -646,7 +683,7 @@
   std::ostringstream text;
   text << describe() << mWorld.fingerprint() << " " << mSilences << mWrites
        << mCompactions << mRestorations << mElections << mRelists << mLate
-       << mCopy.has_value() << mWatch.isReadingStore()
+       << mSynchronizations << mCopy.has_value() << mWatch.isReadingStore()
        << mWatch.mirror().revision();
   if (mCopy) {
     text << " " << mCopy->revision;
--- a/tests/explore/watch_scenario.h
+++ b/tests/explore/watch_scenario.h
@@ -61,6 +61,7 @@
   void electRelay(std::size_t aTarget);
   void updateRelay(std::size_t aTarget);
   void relist(std::size_t aTarget);
+  void synchronize(std::size_t aTarget);
   void wait(std::size_t aTarget);
   void beLate(std::size_t aTarget);
 
@@ -78,6 +79,7 @@
   bool canElectRelay(std::size_t aTarget) const;
   bool canUpdateRelay(std::size_t aTarget) const;
   bool canRelist(std::size_t aTarget) const;
+  bool canSynchronize(std::size_t aTarget) const;
   bool canWait(std::size_t aTarget) const;
   bool canBeLate(std::size_t aTarget) const;
 
@@ -100,6 +102,7 @@
                  platform::Revision aRevision,
                  platform::Era aEra);
   void requireCurrentView(const char* aWhen);
+  void requireViewSince(const StoreContent& aContent);
 
   World mWorld;
   Network mNetwork;
@@ -124,6 +127,7 @@
   std::size_t mSilences = 0;
   std::size_t mElections = 0;
   std::size_t mRelists = 0;
+  std::size_t mSynchronizations = 0;
   std::size_t mWaits = 0;
   std::size_t mLate = 0;
   gateway::PrefixWatch mWatch;
