Eliminate no software until a restored store has its records back

What callers would see: the store comes back from a copy from before a release. A VM that was out of step during the release reads it, sees the old version only, and continues a stream of the new version there (ORDER).

Cause: records that upstreams wrote since the copy are missing until these write again (record_return); elimination took their absence for proof.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -367,6 +367,7 @@
   mStoreReachedAt = *mStoreRestoredAt;
   mCrashRecords.onStoreRestored();
   mStreamRecords.onStoreRestored();
+  mStreams.onStoreRestored(*mStoreRestoredAt + mSettings.recordReturnPeriod);
 }
 
 void
--- a/apps/gateway/stream_registry.cpp
+++ b/apps/gateway/stream_registry.cpp
@@ -243,6 +243,12 @@
   mHistoryKnownFrom = aNow + mHistory.lifetime();
 }
 
+void
+StreamRegistry::onStoreRestored(base::TimePoint aUntil)
+{
+  mHistoryKnownFrom = std::max(mHistoryKnownFrom, aUntil);
+}
+
 bool
 StreamRegistry::mustConfirm(const Upstream& aUpstream,
                             base::TimePoint aNow) const
--- a/apps/gateway/stream_registry.h
+++ b/apps/gateway/stream_registry.h
@@ -76,6 +76,10 @@
    * eliminated for the lifetime of a stream. @param aNow time */
   void onHistoryUnknown(base::TimePoint aNow);
 
+  /** The store came back from a copy, which may lack records of upstreams that
+   * have begun streams. @param aUntil time until these are written again */
+  void onStoreRestored(base::TimePoint aUntil);
+
   /** @return software that has served recently */
   dispatch::SoftwareHistory& history() { return mHistory; }
 
--- a/tests/e2e/test_release_out_of_step.py
+++ b/tests/e2e/test_release_out_of_step.py
@@ -160,6 +160,21 @@
         self.assertEqual(1, self.take_up(callers, self.vm))
 
 
+class Restored(OutOfStepTest):
+    def test_take_up_behind_a_restored_store_that_lacks_the_new_version_is_refused(self):
+        """Guards against a VM that was cut off and trusts a store which came back from a copy from before the release."""
+        self.store.take_copy()
+        self.store.severed_ports.add(self.store_port)
+        callers = self.release()
+        self.stop(*self.peers)
+        self.platform.change(self.store.restore, ())
+        self.store.severed_ports.clear()
+        wait_for(lambda: self.store.open_watches[self.store_port])
+        time.sleep(LATE_SECONDS)
+        self.take_up(callers, self.vm)
+        self.check_all_refused(callers)
+
+
 class StandingStill(OutOfStepTest):
     def take_up_on_waking(self, callers):
         """The take-ups wait at the VM when it goes on."""
