Ask an upstream who it is if its record may be out of date

What callers would see: a VM is cut off from the store for some seconds. Meanwhile an upstream starts again under its name, at its address, with another version. A stream that begins there through that VM counts as one of the old version, breaks, and goes on at an upstream of the old version, at this VM or at another one that asks it (ORDER).

Cause: the first event fixes the software of a stream by the record of its upstream, however old that is, unless a connection to the upstream was seen to break.

Now a first event counts as of unknown software while the latest call for the records has failed or was answered longer than drain_limit ago, until the upstream has named its process; the stream itself doesn't wait. An answer counts from when it was due at the latest: a process that stood still reads it later.

Left: a restart within the time in which a record may be late at any VM, at an upstream to which the VM has no connection.

--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -376,8 +376,9 @@
     const auto known = mContext.upstreams.find(mLastUpstream);
     // Another process that has taken the name since may be the one that sends.
     const bool certain = upstream && (!known || known == upstream);
-    mOrigin = certain ? upstream->certainSoftware() : peers::kUnknownSoftware;
-    if (certain && upstream->softwareUncertain) {
+    const bool asks = certain && mContext.streams.isUncertain(*upstream, aNow);
+    mOrigin = certain && !asks ? upstream->software : peers::kUnknownSoftware;
+    if (asks) {
       confirmOrigin(upstream);
     }
   }
@@ -396,9 +397,10 @@
       const auto self = std::static_pointer_cast<Exchange>(weak.lock());
       const bool sameCall =
         self && !self->mEnded && self->mCall && self->mSends == sends;
-      if (sameCall && !aUpstream->softwareUncertain) {
+      const base::TimePoint now = base::monotonicNow();
+      if (sameCall && !self->mContext.streams.isUncertain(*aUpstream, now)) {
         self->mOrigin = aUpstream->software;
-        self->recordOrigin(base::monotonicNow());
+        self->recordOrigin(now);
       }
     });
 }
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -207,6 +207,10 @@
   mStreams.onSynchronize([this](StreamRegistry::Synchronized aDone) {
     mUpstreamWatch.synchronize(std::move(aDone));
   });
+  mStreams.onCheckView([this](base::TimePoint aNow) {
+    return mUpstreamWatch.isConnected() &&
+           aNow - mUpstreamWatch.confirmedAt() < mSettings.drainLimit;
+  });
   mStreams.onCheck(
     [this](const Upstream& aUpstream, StreamRegistry::Started aDone) {
       checkProcess(aUpstream, std::move(aDone));
--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -125,7 +125,7 @@
   mBackoff.reset();
   mStoreCallAt = {};
   mRelayFailed = false;
-  mConfirmedAt = base::monotonicNow();
+  mConfirmedAt = std::min(base::monotonicNow(), mAnswerDueAt);
   if (!mConnected) {
     mConnected = true;
     mCallbacks.reached();
@@ -149,6 +149,7 @@
 {
   mRelistCause = nullptr;
   mTimer.reset();
+  mAnswerDueAt = base::monotonicNow();
   mClient.list(
     mPrefix,
     [this, aCause, generation = mGeneration, revision = mRevision](
@@ -201,6 +202,7 @@
 void
 PrefixWatch::listAt(platform::Client& aRelay)
 {
+  mAnswerDueAt = base::monotonicNow();
   aRelay.list(
     mPrefix,
     [this, &aRelay, generation = mGeneration](
@@ -291,6 +293,7 @@
     mStoreWaitSince = base::monotonicNow();
   }
   const WaitLimit limit = waitLimit(aFromRelay);
+  mAnswerDueAt = base::monotonicNow() + limit.time;
   aClient.watch(
     mPrefix,
     { mRevision, mMirror.era() },
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -92,11 +92,15 @@
   /** @return true if the latest response came from the store, not a relay */
   bool isReadingStore() const { return mConnected && mLastFromStore; }
 
+  /** @return true if the latest call was answered */
+  bool isConnected() const { return mConnected; }
+
   /** @return true if the mirror is of the store's current era */
   bool isOfCurrentEra() const { return mMirror.era() == mClient.era(); }
 
-  /** @return when the store or a relay has answered last; after that, changes
-   * may be missing */
+  /** @return when the store or a relay has answered last, or should have: the
+   * answer may have waited for this process. Changes after that may be missing
+   */
   base::TimePoint confirmedAt() const { return mConfirmedAt; }
 
   /** Emitted when the mirror may have changed. */
@@ -147,6 +151,7 @@
   /** When the pending wait at the store began, if there is one. */
   std::optional<base::TimePoint> mStoreWaitSince;
   base::TimePoint mConfirmedAt{};
+  base::TimePoint mAnswerDueAt{}; ///< of the pending call
   bool mConnected = false;
   const char* mRelistCause = nullptr; ///< set while a list is pending
   bool mLastFromStore = true;
--- a/apps/gateway/stream_registry.cpp
+++ b/apps/gateway/stream_registry.cpp
@@ -256,6 +256,15 @@
   return mCheck && aNow - aUpstream.softwareConfirmedAt > kConfirmationPeriod;
 }
 
+bool
+StreamRegistry::isUncertain(const Upstream& aUpstream,
+                            base::TimePoint aNow) const
+{
+  const bool recordIsOld = mViewIsCurrent && !mViewIsCurrent(aNow);
+  return aUpstream.softwareUncertain ||
+         (recordIsOld && mustConfirm(aUpstream, aNow));
+}
+
 void
 StreamRegistry::confirm(const std::shared_ptr<Upstream>& aUpstream,
                         std::function<void()> aDone)
--- a/apps/gateway/stream_registry.h
+++ b/apps/gateway/stream_registry.h
@@ -57,6 +57,12 @@
    * one of its record */
   bool mustConfirm(const Upstream& aUpstream, base::TimePoint aNow) const;
 
+  /** @param aUpstream upstream that sends the first event of a stream
+   * @param aNow time
+   * @return true if that may come from another process, of other software, than
+   * the one of its record */
+  bool isUncertain(const Upstream& aUpstream, base::TimePoint aNow) const;
+
   /** Asks an upstream which process it is.
    * @param aUpstream upstream @param aDone called when it has answered, or
    * hasn't in time */
@@ -132,6 +138,13 @@
     mSynchronize = std::move(aSynchronize);
   }
 
+  /** @param aIsCurrent tells whether the records are as recent as they are at
+   * VMs in step @param aNow time */
+  void onCheckView(std::function<bool(base::TimePoint)> aIsCurrent)
+  {
+    mViewIsCurrent = std::move(aIsCurrent);
+  }
+
 private:
   /** Requests that wait for an answer on one stream. */
   struct Search
@@ -182,6 +195,7 @@
   std::function<void(const Upstream&, Started)> mCheck;
   std::map<std::shared_ptr<Upstream>, Check> mChecks;
   std::function<void(Synchronized)> mSynchronize;
+  std::function<bool(base::TimePoint)> mViewIsCurrent;
   std::map<std::uint64_t, Elimination> mEliminations;
   std::uint64_t mNextElimination = 0;
   base::TimePoint mHistoryKnownFrom{};
--- a/apps/gateway/upstream_table.h
+++ b/apps/gateway/upstream_table.h
@@ -59,12 +59,6 @@
     return presence == Presence::Refusing || presence == Presence::Replaced;
   }
 
-  /** @return its software, unknown while that is uncertain */
-  peers::SoftwareTag certainSoftware() const
-  {
-    return softwareUncertain ? peers::kUnknownSoftware : software;
-  }
-
   /** Its process may have ended. @param aNow time */
   void doubtSoftware(base::TimePoint aNow)
   {
--- a/tests/e2e/test_release_out_of_step.py
+++ b/tests/e2e/test_release_out_of_step.py
@@ -8,7 +8,8 @@
 
 from gateway_process import Gateway, wait_for
 from stream_calls import at_once, background
-from test_software_versions import BASE_PORT, CONTACT_SECONDS, DATA_CENTRES, OWNER_SECONDS, SoftwareVersionTest
+from test_software_versions import (APPLY_SECONDS, BASE_PORT, CONTACT_SECONDS, DATA_CENTRES, OWNER_SECONDS,
+                                    SoftwareVersionTest)
 
 JOIN_SECONDS = 6   # in which a new version is known to the VMs in step, and streams have begun there
 BEGIN_EVENTS = 3   # of a stream, after which its caller has left
@@ -211,5 +212,33 @@
             self.assertEqual((503, "not-run"), (caller.statuses[-1], caller.outcomes[-1]))
 
 
+class Restarted(OutOfStepTest):
+    def restart(self):
+        """An upstream of v1 starts again under its name, at its address, with v2; the VM doesn't hear of it."""
+        self.store.severed_ports.add(self.store_port)
+        self.platform.restart(self.old[0], "v2")
+        self.show(self.old[0])
+        time.sleep(APPLY_SECONDS)
+
+    def test_stream_that_begins_at_a_vm_without_the_store_is_not_joined(self):
+        """Guards against a stream of an upstream whose record names the version before its restart, which goes on at an
+        upstream of that version."""
+        self.restart()
+        callers = self.begin_new(self.vm)
+        self.take_up(callers, self.vm)
+
+    def test_stream_that_begins_at_a_vm_without_the_store_is_not_joined_at_another_one(self):
+        """Guards against the same where another VM asks who began the stream."""
+        self.restart()
+        callers = self.begin_new(self.vm)
+        self.take_up(callers, self.peers[0])
+
+    def test_stream_that_began_elsewhere_does_not_go_on_at_an_upstream_that_was_restarted(self):
+        """Guards against a stream of the old version that goes on at the name that began it."""
+        callers = at_once([functools.partial(self.begin, self.peers[0], BEGIN_EVENTS)] * NEW_STREAMS)
+        self.restart()
+        self.take_up(callers, self.vm)
+
+
 if __name__ == "__main__":
     unittest.main()
