Don't count attempts at upstreams that have ended since

An engine whose process has ended can't be tried again, and the users' bound on attempts doesn't count it.

Now a break after the first event doesn't count once the upstream's process is seen to have ended (its address refuses connections, or another process has its name). The events show that this request is not the cause. Connections that are reset at engines that live count as before. The retry budget and the bound on all sends hold as before.

Test: EnginesCrashInTurn in test_upstream_crash.py.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -183,6 +183,7 @@
   /** @return the input of the current call, if any */
   std::optional<http::InputCount> inputCount() const;
   bool isEngineCall() const { return mMetadata.model.has_value(); }
+  unsigned endedAttempts() const;
   bool mayHaveRun() const { return mUnresolvedSends > 0; }
   /** @return true if another upstream could continue the stream */
   bool canContinue() const { return mEventCount == 0 || mLastEventId; }
@@ -238,6 +239,8 @@
   unsigned mSends = 0;
   unsigned mUnreachableCount = 0;
   unsigned mUnresolvedSends = 0; ///< sends that may have run at an upstream
+  /** Upstreams that have broken the stream off after its first event. */
+  std::vector<std::shared_ptr<Upstream>> mBrokeOff;
   bool mWaitLogged = false;
   /** When the stream began to wait for its adapter, if it has. */
   std::optional<base::TimePoint> mAdapterAwaitedFrom;
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -556,14 +556,29 @@
   retryAfter(kOverloadRetryDelay);
 }
 
+/** @return attempts that don't count, because the process of the upstream has
+ * ended. The events before show that the request is not the cause. */
+unsigned
+Exchange::endedAttempts() const
+{
+  return static_cast<unsigned>(std::count_if(
+    mBrokeOff.begin(),
+    mBrokeOff.end(),
+    [this](const std::shared_ptr<Upstream>& aUpstream) {
+      return aUpstream->processEnded() ||
+             mContext.upstreams.find(aUpstream->record.name) != aUpstream;
+    }));
+}
+
 bool
 Exchange::attemptsLeft() const
 {
   // Once the request may have run, it cannot be refused as not run any more,
   // so sends that upstreams refused do not use up attempts.
-  return mayHaveRun() ? mUnresolvedSends < mRoute->maxAttempts &&
-                          mSends < mRoute->maxAttempts + kMaxRefusedSends
-                      : mSends < mRoute->maxAttempts;
+  return mayHaveRun()
+           ? mUnresolvedSends < mRoute->maxAttempts + endedAttempts() &&
+               mSends < mRoute->maxAttempts + kMaxRefusedSends
+           : mSends < mRoute->maxAttempts;
 }
 
 bool
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -187,6 +187,9 @@
     return;
   }
   const auto& upstream = mLoadReservation->upstream();
+  if (mEventCount > 0) {
+    mBrokeOff.push_back(upstream);
+  }
   if (!hasBegunToAnswer(now)) {
     mContext.crashes.onConnectionBroken(mTraits, upstream->process(), now);
   }
--- a/tests/e2e/test_upstream_crash.py
+++ b/tests/e2e/test_upstream_crash.py
@@ -7,6 +7,7 @@
 import unittest
 
 from gateway_process import Gateway, wait_for
+from stream_calls import StreamCaller, background
 from users_platform import ROUTES, Platform, Upstream
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
@@ -99,5 +100,56 @@
         wait_for(lambda: self.call_all(2) == [200, 200], 10)
 
 
+class EnginesCrashInTurn(unittest.TestCase):
+    """Engines with the same model; the route allows two attempts."""
+
+    ENGINES = 4
+    EVENT_SECONDS = 0.1
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.platform = Platform()
+        self.platform.publish(1, ["k1"], ROUTES)
+        self.engines = [Upstream(f"engine{n}", BASE_PORT + 70 + n, "llm", ["m1"]) for n in range(self.ENGINES)]
+        for engine in self.engines:
+            engine.install("v1")
+            engine.event_seconds = self.EVENT_SECONDS
+            self.platform.serve_upstream(engine)
+        self.platform.serve_store(BASE_PORT + 90)
+        self.gateway = Gateway(0, self.folder.name, BASE_PORT, BASE_PORT + 90)
+        wait_for(self.gateway.ready)
+
+    def tearDown(self):
+        self.gateway.stop()
+        self.platform.close()
+        self.folder.cleanup()
+
+    def break_off_in_turn(self, break_off):
+        """A stream begins; twice, the engine that writes it breaks it off, in the way given. Returns its caller."""
+        caller = StreamCaller(0)
+        thread = background(lambda: caller.attempt(self.gateway))
+        wrote = []
+        for events in (2, 5):
+            wait_for(lambda: len(caller.events) >= events)
+            wrote.append(next(engine for engine in self.engines if engine.seen and engine not in wrote))
+            self.platform.change(break_off, wrote[-1])
+        thread.join()
+        self.assertIsNone(caller.fault())
+        return caller
+
+    def test_stream_goes_on_after_two_engines_have_crashed(self):
+        """Guards against streams that are broken off because the engines that wrote them have ended one after the
+        other, as beside a request that crashes them."""
+        self.assertTrue(self.break_off_in_turn(Upstream.crash).complete)
+
+    def test_stream_uses_up_its_attempts_at_engines_that_live(self):
+        """Guards against a stream that runs at ever more engines."""
+        def reset(engine):
+            for writer in list(engine.writers):
+                writer.transport.abort()
+        self.assertFalse(self.break_off_in_turn(reset).complete)
+        self.assertEqual(2, sum(bool(engine.seen) for engine in self.engines))
+
+
 if __name__ == "__main__":
     unittest.main()
