--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -194,6 +194,7 @@
   /** @return the input of the current call, if any */
   std::optional<http::InputCount> inputCount() const;
   bool isEngineCall() const { return mMetadata.model.has_value(); }
+  unsigned endedAttempts() const;
   bool mayHaveRun() const { return mUnresolvedSends > 0; }
   /** @return true if another upstream could continue the stream */
   bool canContinue() const { return mEventCount == 0 || mLastEventId; }
@@ -252,6 +253,8 @@
   unsigned mUnresolvedSends = 0; ///< sends that may have run at an upstream
   /** Those of them that went to the same upstream once more, by another way. */
   unsigned mRepeatedSends = 0;
+  /** Upstreams that have broken the stream off after its first event. */
+  std::vector<std::shared_ptr<Upstream>> mBrokeOff;
   bool mWaitLogged = false;
   /** When the stream began to wait for its adapter, if it has. */
   std::optional<base::TimePoint> mAdapterAwaitedFrom;
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -577,6 +577,20 @@
   retryAfter(kOverloadRetryDelay);
 }
 
+/** @return attempts that don't count, because the process of the upstream has
+ * ended. The events before show that the request is not the cause. */
+unsigned
+Exchange::endedAttempts() const
+{
+  return static_cast<unsigned>(std::count_if(
+    mBrokeOff.begin(),
+    mBrokeOff.end(),
+    [this](const std::shared_ptr<Upstream>& aUpstream) {
+      return aUpstream->processEnded() ||
+             mContext.upstreams.find(aUpstream->record.name) != aUpstream;
+    }));
+}
+
 bool
 Exchange::attemptsLeft() const
 {
@@ -584,9 +598,10 @@
   // so sends that upstreams refused do not use up attempts.
   const unsigned unresolved = mUnresolvedSends - mRepeatedSends;
   const unsigned sends = mSends - mRepeatedSends;
-  return mayHaveRun() ? unresolved < mRoute->maxAttempts &&
-                          sends < mRoute->maxAttempts + kMaxRefusedSends
-                      : sends < mRoute->maxAttempts;
+  return mayHaveRun()
+           ? unresolved < mRoute->maxAttempts + endedAttempts() &&
+               sends < mRoute->maxAttempts + kMaxRefusedSends
+           : sends < mRoute->maxAttempts;
 }
 
 bool
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -230,6 +230,13 @@
   mStreams.onReadStore([this](std::function<void()> aDone) {
     mStreamRecords.read(std::move(aDone));
   });
+  mStreams.onSynchronize([this](StreamRegistry::Synchronized aDone) {
+    mUpstreamWatch.synchronize(std::move(aDone));
+  });
+  mStreams.onCheckView([this](base::TimePoint aNow) {
+    return mUpstreamWatch.isConnected() &&
+           aNow - mUpstreamWatch.confirmedAt() < mSettings.drainLimit;
+  });
   mStreams.onCheck(
     [this](const Upstream& aUpstream, StreamRegistry::Started aDone) {
       checkProcess(aUpstream, std::move(aDone));
@@ -397,6 +404,7 @@
   mStoreReachedAt = *mStoreRestoredAt;
   mCrashRecords.onStoreRestored();
   mStreamRecords.onStoreRestored();
+  mStreams.onStoreRestored(*mStoreRestoredAt + mSettings.recordReturnPeriod);
 }
 
 void
@@ -762,8 +770,7 @@
   mCrashes.setTrialsEnabled(mFleet.fencingToken() != 0);
   mCrashRecords.tick(now);
   mNotices.expire(now);
-  mStreams.update(
-    mUpstreams, now - mUpstreamWatch.confirmedAt() < mSettings.drainLimit, now);
+  mStreams.update(mUpstreams, now);
   if (mPeerExchange.isCollector()) {
     mStreamRecords.tick(now);
   }
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <sigc++/sigc++.h>
+#include <vector>
 
 namespace marigold::gateway {
 
@@ -74,6 +75,14 @@
    * @param aMaxWait longest wait for changes at the store */
   void spreadWaits(base::Duration aMaxWait);
 
+  /**
+   * Asks the store, not a relay, for the changes up to now. Calls that wait at
+   * the same moment share one answer.
+   * @param aDone called with true when every change that the store had accepted
+   * before this call has been applied, with false if the store doesn't answer
+   */
+  void synchronize(std::function<void(bool)> aDone);
+
   /** @return prefix of the keys */
   const std::string& prefix() const { return mPrefix; }
 
@@ -83,11 +92,15 @@
   /** @return true if the latest response came from the store, not a relay */
   bool isReadingStore() const { return mConnected && mLastFromStore; }
 
+  /** @return true if the latest call was answered */
+  bool isConnected() const { return mConnected; }
+
   /** @return true if the mirror is of the store's current era */
   bool isOfCurrentEra() const { return mMirror.era() == mClient.era(); }
 
-  /** @return when the store or a relay has answered last; after that, changes
-   * may be missing */
+  /** @return when the store or a relay has answered last, or should have: the
+   * answer may have waited for this process. Changes after that may be missing
+   */
   base::TimePoint confirmedAt() const { return mConfirmedAt; }
 
   /** Emitted when the mirror may have changed. */
@@ -104,6 +117,10 @@
   void onRestored();
   void onSilence(base::TimePoint aSince);
   void onChanges(const platform::Snapshot& aChanges, bool aFromRelay);
+  void applyChanges(const platform::Snapshot& aChanges);
+  void scheduleSynchronization();
+  void startSynchronization();
+  void endSynchronization(bool aSucceeded);
   void onFailure(const base::Error& aError, const platform::Client& aClient);
   void waitAt(platform::Client& aClient, bool aFromRelay);
   void postponeStoreCalls();
@@ -134,6 +151,7 @@
   /** When the pending wait at the store began, if there is one. */
   std::optional<base::TimePoint> mStoreWaitSince;
   base::TimePoint mConfirmedAt{};
+  base::TimePoint mAnswerDueAt{}; ///< of the pending call
   bool mConnected = false;
   const char* mRelistCause = nullptr; ///< set while a list is pending
   bool mLastFromStore = true;
@@ -145,6 +163,11 @@
   sigc::signal<void()> mMirrorChanged;
   platform::Backoff mBackoff;
   http::EventHandle mTimer;
+  using Waiting = std::vector<std::function<void(bool)>>;
+  Waiting mSynchronizing; ///< get the answer to the pending call
+  Waiting mSynchronizeNext;
+  base::TimePoint mSynchronizedAt{}; ///< when the latest call was sent
+  http::EventHandle mSynchronizeTimer;
 };
 
 } // namespace marigold::gateway
