--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -598,10 +598,9 @@
   // so sends that upstreams refused do not use up attempts.
   const unsigned unresolved = mUnresolvedSends - mRepeatedSends;
   const unsigned sends = mSends - mRepeatedSends;
-  return mayHaveRun()
-           ? unresolved < mRoute->maxAttempts + endedAttempts() &&
-               sends < mRoute->maxAttempts + kMaxRefusedSends
-           : sends < mRoute->maxAttempts;
+  return mayHaveRun() ? unresolved < mRoute->maxAttempts + endedAttempts() &&
+                          sends < mRoute->maxAttempts + kMaxRefusedSends
+                      : sends < mRoute->maxAttempts;
 }
 
 bool
