--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -212,6 +212,13 @@
         self.deadly_head = False  # a crash lets the head of a stream without length or chunks out first
         self.deadly_arrivals = []  # times at which requests with that part arrived
         self.crashes = []    # times
+        self.waiting_room = None  # requests that may wait for a slot; None: it counts no slots
+        self.brittle = None  # rejections in a second beyond which it falls over, as its answers say
+        self.falls_over = True  # False: it says so and survives
+        self.held = set()    # requests that wait or run, as objects
+        self.running = set()  # those that run
+        self.rejections = []  # (time, request id, process) of requests that it had no room for
+        self.falls = []      # (time, ids of the requests that it turned away in the second before)
         self.born = 1700000000000
         self.heartbeats = 1  # counted in its record
         self.after_order = lambda: None  # runs on the platform's thread after each order that took effect
@@ -235,6 +242,8 @@
             signature["Server-Limit"] = str(self.limit)
         if self.leaving:
             signature["Server-Leaving"] = "1"
+        if self.brittle is not None:
+            signature["Server-Brittle"] = str(self.brittle)
         if path in ("/-/report", "/-/order"):
             self.control_arrivals.append((time.monotonic(), path))
             if self.turn_control_away is not None:
@@ -270,6 +279,38 @@
             self.refusals -= 1
             writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "1"}, b""))
             return True
+        if self.waiting_room is None:
+            return await self.run(path, headers, body, writer, signature)
+        if len(self.held) >= self.slots + self.waiting_room:
+            return await self.reject(signature, writer)
+        place, held, running = object(), self.held, self.running
+        held.add(place)
+        try:
+            while len(running) >= self.slots:
+                await asyncio.sleep(0.005)
+            running.add(place)
+            return await self.run(path, headers, body, writer, signature)
+        finally:
+            held.discard(place)
+            running.discard(place)
+
+    async def reject(self, signature, writer):
+        """Turns a request away for want of room; a brittle process ends if it does so too often."""
+        now = time.monotonic()
+        self.rejections.append((now, signature["X-Request-Id"], self.born))
+        writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "full"}, b""))
+        recent = [request_id for at, request_id, born in self.rejections if at > now - 1 and born == self.born]
+        if self.brittle is None or not self.falls_over or len(recent) <= self.brittle:
+            return True
+        await writer.drain()
+        if self.listener.is_serving():
+            self.falls.append((now, recent))
+            self.held, self.running = set(), set()
+            self.crash()
+        return False
+
+    async def run(self, path, headers, body, writer, signature):
+        model = headers.get("x-model-name", "")
         self.seen.append(headers)
         deadly = self.deadly_part in [part.split(":")[0] for part in headers.get("x-prompt-prefix", "").split(",")]
         if deadly:
