Keep the fleet's requests within the places of brittle upstreams

What callers saw: an upstream that says Server-Brittle falls over as soon as one burst turns more than N requests away there; its streams break off, all VMs send them to the next one, and that falls too.

Cause: nothing reads the header, and each VM sends what the reports of its peers leave free, which a burst outruns.

dispatch::BrittleGuard divides the places of each brittle upstream equally among the VMs, which know exactly what they use themselves; a request beyond that is held for the report delay, once, and may then borrow a place that is free. Rejections, borrowed places and the demand travel with the loads that VMs report anyway, in such times only; a VM that starts hears from its peers which services are brittle, and an upstream that starts is as brittle as its service.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -97,6 +97,11 @@
   std::optional<dispatch::Choice> choose(
     const std::vector<dispatch::Candidate>& aCandidates,
     const std::vector<std::shared_ptr<Upstream>>& aUpstreams);
+  std::optional<dispatch::Choice> chooseWithRoom(
+    std::vector<dispatch::Candidate> aCandidates,
+    const std::vector<std::shared_ptr<Upstream>>& aUpstreams);
+  dispatch::Admission admitAtBrittle(const dispatch::Candidate& aCandidate,
+                                     const Upstream& aUpstream);
   std::optional<dispatch::Choice> chooseLimited(
     std::vector<dispatch::Candidate> aCandidates,
     const std::vector<std::shared_ptr<Upstream>>& aUpstreams);
@@ -128,6 +133,7 @@
   void onFailed(wire::CallFailure aFailure);
   void onRefused(const boundary::AnswerMetadata& aMetadata);
   void onInvalidResponse(const char* aReason);
+  void recordRejection(const Upstream& aUpstream, base::TimePoint aNow);
   bool rejectResponse();
   const char* invalidHead(const boundary::AnswerMetadata& aMetadata) const;
   void retryOnOtherUpstream(const char* aReason);
@@ -235,6 +241,8 @@
   std::set<peers::ProcessTag> mAskedLimited;
   bool mMustAskAgain = false;
   bool mWaitedForReports = false;
+  bool mBrittleIsFull = false;     ///< since the last choice
+  bool mRejectedByBrittle = false; ///< for want of room
   unsigned mSends = 0;
   unsigned mUnreachableCount = 0;
   unsigned mUnresolvedSends = 0; ///< sends that may have run at an upstream
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -32,6 +32,10 @@
 /** Longest advice to callers of upstreams that name a limit; another upstream
  * may get the model meanwhile. */
 constexpr base::Duration kMaxLimitRetryDelay = 2s;
+/** Advice to callers for whom brittle upstreams have no room. Their rejections
+ * count over one second; callers come back at different moments of the next. */
+constexpr base::Duration kMinRoomRetryDelay = 500ms;
+constexpr base::Duration kMaxRoomRetryDelay = 1500ms;
 constexpr base::Duration kMemoryCheckPeriod = 50ms;
 /** Sends beyond the route's attempts that upstreams may refuse. After more,
  * the overload is expected to outlast the request. */
@@ -143,8 +147,10 @@
   }
   candidate.failureRate = mContext.health.failureRate(record.name);
   candidate.ejected = mContext.health.ejected(record.name, now);
-  candidate.limited =
-    mContext.notices.limit(aUpstream.process().tag()).has_value();
+  const peers::ProcessTag process = aUpstream.process().tag();
+  candidate.limited = mContext.notices.limit(process).has_value();
+  candidate.brittle =
+    mContext.brittle.maxRejections(record.service, process, now).has_value();
   return candidate;
 }
 
@@ -249,7 +255,7 @@
     return;
   }
   if (mayHaveRun()) {
-    if (mNotAccepted &&
+    if ((mNotAccepted || (mBrittleIsFull && !found.empty())) &&
         remainingTime() > kOverloadRetryDelay + kMinRemainingTime) {
       scheduleRetry();
       return;
@@ -296,8 +302,7 @@
                       aCandidates.end(),
                       std::back_inserter(others),
                       isLimited);
-  auto choice =
-    dispatch::chooseUpstream(others, requestSize(), mContext.random.bits());
+  auto choice = chooseWithRoom(others, aUpstreams);
   const bool limitedHelps =
     others.size() < aCandidates.size() && (!choice || !startsInTime(*choice));
   if (limitedHelps) {
@@ -309,6 +314,60 @@
   return choice;
 }
 
+/** @return the best upstream, of the brittle ones with room as far as this VM
+ * knows; sets mMustAskAgain if there may be room later */
+std::optional<dispatch::Choice>
+Exchange::chooseWithRoom(
+  std::vector<dispatch::Candidate> aCandidates,
+  const std::vector<std::shared_ptr<Upstream>>& aUpstreams)
+{
+  mBrittleIsFull = false;
+  while (const auto choice = dispatch::chooseUpstream(
+           aCandidates, requestSize(), mContext.random.bits())) {
+    const dispatch::Candidate& candidate = chosenFrom(aCandidates, *choice);
+    if (!candidate.brittle || !startsInTime(*choice)) {
+      return choice;
+    }
+    const auto admission =
+      admitAtBrittle(candidate, *aUpstreams[choice->index]);
+    if (admission == dispatch::Admission::Admitted) {
+      return choice;
+    }
+    mBrittleIsFull = true;
+    mMustAskAgain |= admission == dispatch::Admission::AskAgain;
+    std::erase_if(aCandidates, [&](const dispatch::Candidate& aCandidate) {
+      return aCandidate.index == choice->index;
+    });
+  }
+  return std::nullopt;
+}
+
+/** A request that was rejected for want of room waits for the reports of peers,
+ * because what this VM knew was wrong. */
+dispatch::Admission
+Exchange::admitAtBrittle(const dispatch::Candidate& aCandidate,
+                         const Upstream& aUpstream)
+{
+  if (mRejectedByBrittle && !mWaitedForReports) {
+    return dispatch::Admission::AskAgain;
+  }
+  const base::TimePoint now = base::monotonicNow();
+  const peers::ProcessTag process = aUpstream.process().tag();
+  dispatch::Places places;
+  places.total = dispatch::placesFor(aCandidate, requestSize());
+  places.taken = aCandidate.running;
+  places.own = aUpstream.running;
+  return mContext.brittle.tryAdmit(
+    process,
+    mContext.brittle.maxRejections(aUpstream.record.service, process, now)
+      .value_or(0),
+    places,
+    mContext.peers.peerLoad(aUpstream.record.name).brittleUse,
+    mContext.random.unit(),
+    now,
+    mWaitedForReports);
+}
+
 /** @return the best limited upstream that takes another request; sets
  * mMustAskAgain if one may take it later */
 std::optional<dispatch::Choice>
@@ -321,12 +380,19 @@
     const Upstream& upstream = *aUpstreams[choice->index];
     if (startsInTime(*choice)) {
       const peers::ProcessTag process = upstream.process().tag();
-      const auto admission = mContext.notices.tryAdmit(
-        process,
-        mContext.peers.peerLoad(upstream.record.name).limitUse,
-        mContext.random.unit(),
-        base::monotonicNow(),
-        !mAskedLimited.insert(process).second);
+      auto admission = dispatch::Admission::Admitted;
+      if (const auto& candidate = chosenFrom(aCandidates, *choice);
+          candidate.brittle) {
+        admission = admitAtBrittle(candidate, upstream);
+      }
+      if (admission == dispatch::Admission::Admitted) {
+        admission = mContext.notices.tryAdmit(
+          process,
+          mContext.peers.peerLoad(upstream.record.name).limitUse,
+          mContext.random.unit(),
+          base::monotonicNow(),
+          !mAskedLimited.insert(process).second);
+      }
       if (admission == dispatch::Admission::Admitted) {
         return choice;
       }
@@ -350,7 +416,7 @@
   }
   mWaitedForReports = true;
   mContext.log.logStep(mMetadata.id,
-                       "limited upstream",
+                       mBrittleIsFull ? "brittle upstream" : "limited upstream",
                        "",
                        "waits for reports of peers",
                        base::monotonicNow());
@@ -365,6 +431,14 @@
   const std::vector<dispatch::Candidate>& aCandidates,
   const std::vector<std::shared_ptr<Upstream>>& aUpstreams)
 {
+  if (mBrittleIsFull) {
+    const base::Duration spread = kMaxRoomRetryDelay - kMinRoomRetryDelay;
+    refuse(Code::Overloaded,
+           "no known room at brittle upstreams",
+           kMinRoomRetryDelay + base::fromSeconds(base::inSeconds(spread) *
+                                                  mContext.random.unit()));
+    return;
+  }
   double perSecond = 0;
   for (const dispatch::Candidate& candidate : aCandidates) {
     perSecond +=
@@ -603,7 +677,7 @@
   std::vector<std::shared_ptr<Upstream>> upstreams;
   auto found = candidates(upstreams);
   std::erase_if(found, [](const dispatch::Candidate& aCandidate) {
-    return aCandidate.limited;
+    return aCandidate.limited || aCandidate.brittle;
   });
   const auto choice = dispatch::chooseReplacement(
     found, requestSize(), remainingTime(), mContext.random.bits());
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -45,6 +45,7 @@
  * finish on this VM or a peer reports some. */
 constexpr base::Duration kCrashEvidenceDelay = 400ms;
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 constexpr int kFirstServerError = 500;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
@@ -316,6 +317,19 @@
     mContext.log.logStep(
       mMetadata.id, "upstream says it leaves", mLastUpstream, "", now);
   }
+  if (mContext.brittle.onAnswer(upstream->record.service,
+                                upstream->process().tag(),
+                                aNotice.maxRejections,
+                                now)) {
+    mContext.log.logStep(mMetadata.id,
+                         "brittle upstreams",
+                         mLastUpstream,
+                         aNotice.maxRejections
+                           ? std::to_string(*aNotice.maxRejections) +
+                               " rejections/s"
+                           : "none",
+                         now);
+  }
   if (aNotice.turnsAwayFor) {
     mContext.log.logStep(
       mMetadata.id,
@@ -591,12 +605,33 @@
     mContext.health.onUnreachable(mLastUpstream, now);
   } else if (mHead.status == kMisdirected && upstream && mMetadata.model) {
     upstream->refusedModels[*mMetadata.model] = now + kModelRefusalPeriod;
+  } else if (mHead.status == kUnavailable && upstream) {
+    recordRejection(*upstream, now);
   }
   retryOnOtherUpstream(mHead.status == kMisdirected
                          ? "upstream lacks the model"
                          : "upstream refused the request");
 }
 
+/** Takes note of an upstream that had no room, if it is brittle. */
+void
+Exchange::recordRejection(const Upstream& aUpstream, base::TimePoint aNow)
+{
+  const peers::ProcessTag process = aUpstream.process().tag();
+  const auto most =
+    mContext.brittle.maxRejections(aUpstream.record.service, process, aNow);
+  if (!most) {
+    return;
+  }
+  mRejectedByBrittle = true;
+  mContext.brittle.onRejected(process, aNow);
+  mContext.log.logStep(mMetadata.id,
+                       "brittle upstream without room",
+                       mLastUpstream,
+                       "survives " + std::to_string(*most) + " rejections/s",
+                       aNow);
+}
+
 void
 Exchange::onInvalidResponse(const char* aReason)
 {
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -639,6 +639,7 @@
   mCrashes.setTrialsEnabled(mFleet.fencingToken() != 0);
   mCrashRecords.tick(now);
   mNotices.expire(now);
+  mContext.brittle.expire(now);
   mStreams.update(
     mUpstreams, now - mUpstreamWatch.confirmedAt() < mSettings.drainLimit, now);
   if (mPeerExchange.isCollector()) {
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -115,6 +115,11 @@
   mContext.notices.setFleetSize(mFleet.size());
   mContext.notices.setReportDelay(mSchedule.statusPeriod() +
                                   mSchedule.maxPeriod());
+  const auto after = mFleet.others().lower_bound(mContext.settings.vm);
+  mContext.brittle.setFleet(
+    mFleet.size(),
+    static_cast<std::size_t>(std::distance(mFleet.others().begin(), after)));
+  mContext.brittle.setReportDelay(mContext.notices.reportDelay());
   // New VMs receive the placements and the usage totals at once.
   announcePlacements();
   mSummaries.requestComplete();
@@ -498,6 +503,7 @@
 peers::Status
 PeerExchange::nextStatus()
 {
+  mContext.brittle.setHeard(mContext.peers.reportingVms());
   peers::Status status;
   status.vm = mContext.settings.vm;
   status.dataCentre = mContext.settings.dataCentre;
@@ -514,12 +520,16 @@
   for (const auto& [name, upstream] : mContext.upstreams.all()) {
     const peers::LimitUse limitUse =
       mContext.notices.use(upstream->process().tag(), base::monotonicNow());
-    if (upstream->running > 0 || limitUse != peers::LimitUse{}) {
+    const peers::BrittleUse brittleUse = mContext.brittle.use(
+      upstream->process().tag(), upstream->running, base::monotonicNow());
+    if (upstream->running > 0 || limitUse != peers::LimitUse{} ||
+        brittleUse != peers::BrittleUse{}) {
       status.loads[name] = { upstream->running,
                              toCount(upstream->queuedMs),
                              toCount(upstream->lowPriorityMs),
                              toCount(upstream->memoryTokens),
-                             limitUse };
+                             limitUse,
+                             brittleUse };
     }
   }
   for (const auto& [ref, rate] : mContext.demand.rates(base::monotonicNow())) {
@@ -536,7 +546,8 @@
   status.drainingUpstreams = mContext.upstreams.draining();
   status.gossip = { mContext.notices.statements(base::monotonicNow()),
                     mOrders.ownerLoads(base::monotonicNow()),
-                    mContext.notices.asks(base::monotonicNow()) };
+                    mContext.notices.asks(base::monotonicNow()),
+                    mContext.brittle.services(base::monotonicNow()) };
   mSentStatuses.push_back(status);
   if (mSentStatuses.size() > kMaxSentStatuses) {
     mSentStatuses.pop_front();
@@ -662,6 +673,7 @@
     mOrders.mergeOwnerLoads(*aGossip.storeLoads, aNow);
   }
   mContext.notices.merge(aGossip.limitAsks, aNow);
+  mContext.brittle.merge(aGossip.brittleServices, aNow);
 }
 
 void
--- a/apps/gateway/request_context.h
+++ b/apps/gateway/request_context.h
@@ -53,6 +53,7 @@
    * so that the caller sends them to another VM. */
   std::optional<base::TimePoint> refuseAfter;
   dispatch::StartGate startGate{};
+  dispatch::BrittleGuard brittle{};
 };
 
 } // namespace marigold::gateway
--- a/libs/catalog/upstream.h
+++ b/libs/catalog/upstream.h
@@ -40,6 +40,9 @@
   bool leaving = false; ///< its process will end and wants no new requests
   /** Time for which it wants no requests from this VM. */
   std::optional<base::Duration> turnsAwayFor;
+  /** Requests that it can turn away in a second for want of room without
+   * falling over, if it is brittle. */
+  std::optional<std::uint32_t> maxRejections;
 };
 
 } // namespace marigold::catalog
--- a/libs/dispatch/choice.cpp
+++ b/libs/dispatch/choice.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace marigold::dispatch {
@@ -66,6 +67,18 @@
 
 } // namespace
 
+double
+placesFor(const Candidate& aCandidate, const RequestSize& aRequest)
+{
+  const double slots = aCandidate.slots;
+  if (aCandidate.kvCapacity <= 0 || aRequest.kvTokens <= 0) {
+    return slots;
+  }
+  const double left = aCandidate.kvCapacity * kMaxKvUsage - aCandidate.kvTokens;
+  const double further = std::floor(std::max(0.0, left) / aRequest.kvTokens);
+  return std::min(slots, aCandidate.running + further);
+}
+
 std::optional<Choice>
 chooseUpstream(const std::vector<Candidate>& aCandidates,
                const RequestSize& aRequest,
--- a/libs/dispatch/choice.h
+++ b/libs/dispatch/choice.h
@@ -23,6 +23,7 @@
   double failureRate = 0;   ///< fraction of recent requests that failed
   bool ejected = false;     ///< avoided while another candidate is available
   bool limited = false;     ///< names a limit on its requests
+  bool brittle = false;     ///< falls over when it turns many requests away
 };
 
 /** Resources that a request needs at an upstream. */
@@ -39,6 +40,12 @@
   base::Duration processing{};    ///< the part of it that is the request's own
 };
 
+/** @param aCandidate upstream @param aRequest size of a request
+ * @return requests that it can run at the same time, if further ones are of
+ * that size */
+double
+placesFor(const Candidate& aCandidate, const RequestSize& aRequest);
+
 /**
  * Decides whether a request is worth sending. One that hardly has to queue
  * always is: its own processing time may be an old estimate, and only an answer
--- a/libs/dispatch/dispatch.h
+++ b/libs/dispatch/dispatch.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "dispatch/brittle_guard.h"
 #include "dispatch/choice.h"
 #include "dispatch/crash_record.h"
 #include "dispatch/crash_tracker.h"
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -51,11 +51,17 @@
   for (const auto& [name, load] : aLoads) {
     json row = json::array(
       { load.running, load.queuedMs, load.lowPriorityMs, load.memoryTokens });
-    if (load.limitUse != LimitUse{}) {
+    const bool brittle = load.brittleUse != BrittleUse{};
+    if (brittle || load.limitUse != LimitUse{}) {
       row.push_back(load.limitUse.sends);
       row.push_back(load.limitUse.wants);
       row.push_back(load.limitUse.recentWants);
     }
+    if (brittle) {
+      row.push_back(load.brittleUse.wants);
+      row.push_back(load.brittleUse.rejections);
+      row.push_back(load.brittleUse.borrowed);
+    }
     loads[name] = std::move(row);
   }
   return loads;
@@ -217,6 +223,27 @@
   return asks;
 }
 
+json
+encodeBrittle(const BrittleServices& aServices)
+{
+  json services = json::array();
+  for (const auto& [name, service] : aServices) {
+    services.push_back(json::array(
+      { name, service.maxRejections, base::inMilliseconds(service.age) }));
+  }
+  return services;
+}
+
+BrittleServices
+decodeBrittle(const json& aJson)
+{
+  BrittleServices services;
+  for (const json& row : aJson) {
+    services[row.at(0)] = { row.at(1), decodeAge(row.at(2)) };
+  }
+  return services;
+}
+
 /** Appends the fields of aGossip to the body of a message. */
 void
 appendGossip(const Gossip& aGossip, json& aBody)
@@ -224,6 +251,7 @@
   aBody.push_back(encodeStatements(aGossip.limitStatements));
   aBody.push_back(encodeStoreLoads(aGossip.storeLoads));
   aBody.push_back(encodeAsks(aGossip.limitAsks));
+  aBody.push_back(encodeBrittle(aGossip.brittleServices));
 }
 
 /** @param aFirst index of the first field; VMs of earlier versions don't send
@@ -242,6 +270,9 @@
   if (field < aBody.size()) {
     gossip.limitAsks = decodeAsks(aBody.at(field++));
   }
+  if (field < aBody.size()) {
+    gossip.brittleServices = decodeBrittle(aBody.at(field++));
+  }
   return gossip;
 }
 
@@ -251,10 +282,13 @@
   LoadTable loads;
   for (const auto& [name, row] : aJson.items()) {
     UpstreamLoad& load = loads[name];
-    load = { row.at(0), row.at(1), row.at(2), row.at(3), {} };
+    load = { row.at(0), row.at(1), row.at(2), row.at(3), {}, {} };
     if (row.size() > 4) {
       load.limitUse = { row.at(4), row.at(5), row.at(6) };
     }
+    if (row.size() > 7) {
+      load.brittleUse = { row.at(7), row.at(8), row.at(9) };
+    }
   }
   return loads;
 }
@@ -450,6 +484,9 @@
   limitUse.sends += aOther.limitUse.sends;
   limitUse.wants += aOther.limitUse.wants;
   limitUse.recentWants += aOther.limitUse.recentWants;
+  brittleUse.wants += aOther.brittleUse.wants;
+  brittleUse.rejections += aOther.brittleUse.rejections;
+  brittleUse.borrowed += aOther.brittleUse.borrowed;
   return *this;
 }
 
@@ -463,6 +500,12 @@
   limitUse.sends -= aOther.limitUse.sends;
   limitUse.wants -= aOther.limitUse.wants;
   limitUse.recentWants -= aOther.limitUse.recentWants;
+  // The relay whose sum this is taken from may be of an earlier version.
+  brittleUse.wants -= std::min(brittleUse.wants, aOther.brittleUse.wants);
+  brittleUse.rejections -=
+    std::min(brittleUse.rejections, aOther.brittleUse.rejections);
+  brittleUse.borrowed -=
+    std::min(brittleUse.borrowed, aOther.brittleUse.borrowed);
   return *this;
 }
 
--- a/libs/peers/messages.h
+++ b/libs/peers/messages.h
@@ -50,6 +50,27 @@
 
 using LimitAsks = std::map<ProcessTag, LimitAsk>;
 
+/** Use of an upstream that falls over when it turns too many requests away. */
+struct BrittleUse
+{
+  std::uint32_t wants = 0;      ///< requests for it within the report delay
+  std::uint32_t rejections = 0; ///< for want of room, in the last second
+  std::uint32_t borrowed = 0;   ///< places that belong to other VMs
+
+  bool operator==(const BrittleUse&) const = default;
+};
+
+/** What an upstream of a brittle service said last. */
+struct BrittleService
+{
+  std::uint32_t maxRejections = 0; ///< in a second, without falling over
+  base::Duration age{};
+
+  bool operator==(const BrittleService&) const = default;
+};
+
+using BrittleServices = std::map<std::string, BrittleService>; ///< by name
+
 /** Load of one upstream. */
 struct UpstreamLoad
 {
@@ -58,6 +79,7 @@
   std::uint32_t lowPriorityMs = 0; ///< the same of low-priority requests
   std::uint32_t memoryTokens = 0;  ///< prompt and output tokens in progress
   LimitUse limitUse;               ///< zero if it names no limit
+  BrittleUse brittleUse;           ///< zero if it is not brittle
 
   bool operator==(const UpstreamLoad&) const = default;
 
@@ -103,6 +125,7 @@
   LimitStatements limitStatements;
   std::optional<StoreLoadReport> storeLoads;
   LimitAsks limitAsks;
+  BrittleServices brittleServices;
 
   bool operator==(const Gossip&) const = default;
 };
--- a/libs/peers/peer_table.cpp
+++ b/libs/peers/peer_table.cpp
@@ -181,6 +181,23 @@
   return found == mLoads.end() ? UpstreamLoad{} : found->second;
 }
 
+std::size_t
+PeerTable::reportingVms() const
+{
+  std::size_t count = 0;
+  for (const auto& [dataCentre, entry] : mSummaries) {
+    count += entry.summary.members.size();
+  }
+  if (mSummaries.contains(mOwnDataCentre)) {
+    return std::max<std::size_t>(count, 1);
+  }
+  const auto statuses = std::count_if(
+    mStatuses.begin(), mStatuses.end(), [this](const auto& aItem) {
+      return aItem.second.status.dataCentre == mOwnDataCentre;
+    });
+  return count + static_cast<std::size_t>(statuses) + 1;
+}
+
 DemandTable
 PeerTable::demand() const
 {
--- a/libs/peers/peer_table.h
+++ b/libs/peers/peer_table.h
@@ -82,6 +82,9 @@
    */
   UpstreamLoad peerLoad(const base::UpstreamName& aUpstream) const;
 
+  /** @return VMs with recent reports, with this one */
+  std::size_t reportingVms() const;
+
   /** @return total demand reported by all peers */
   DemandTable demand() const;
 
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -22,7 +22,7 @@
   status.catalogVersion = 12;
   status.draining = true;
   status.usage = { { "t", 100.5 } };
-  status.loads["u"] = { 2, 30, 4, 5000, { 3, 9, 1 } };
+  status.loads["u"] = { 2, 30, 4, 5000, { 3, 9, 1 }, { 8, 6, 2 } };
   status.demand["m/a1"] = { 12, 3, 1, { { 7, 2 } } };
   status.crashes[31] = {
     250ms, { { 4, 7 }, { 6 } }, { 8 }, { { 4, { 1, 3s } } }, { 4 }
@@ -30,6 +30,7 @@
   status.drainingUpstreams["u2"] = 9;
   status.gossip.limitStatements[33] = { 3, 700ms, true };
   status.gossip.limitAsks[35] = { 5, 1300ms };
+  status.gossip.brittleServices["chat"] = { 4, 600ms };
   status.gossip.storeLoads = peers::StoreLoadReport{ 300ms, { 400ms, 2s } };
   status.unregistered = { "vm9" };
   return status;
@@ -45,7 +46,7 @@
   summary.sequence = aSequence;
   summary.catalogVersion = 3;
   summary.members["vm7"] = { 4, 9, true, { { "t", 20 } } };
-  summary.loads["u"] = { aRunning, 0, 0, 100, {} };
+  summary.loads["u"] = { aRunning, 0, 0, 100, {}, {} };
   summary.demand["m"] = { 50, 2, 1, {} };
   summary.crashes[32] = { 1s, { { 2 } }, {}, {}, {} };
   summary.drainingUpstreams["u3"] = 2;
@@ -77,7 +78,7 @@
   CHECK(status.draining);
   DOUBLES_EQUAL(101, status.usage.at("t"), 0.001);
   CHECK(status.loads.at("u") ==
-        (peers::UpstreamLoad{ 2, 30, 4, 5000, { 3, 9, 1 } }));
+        (peers::UpstreamLoad{ 2, 30, 4, 5000, { 3, 9, 1 }, { 8, 6, 2 } }));
   LONGS_EQUAL(3, status.demand.at("m/a1").waiting);
   LONGS_EQUAL(1, status.demand.at("m/a1").running);
   LONGS_EQUAL(2, status.demand.at("m/a1").takeUps.at(7));
@@ -86,6 +87,8 @@
   CHECK(status.gossip.limitStatements ==
         sampleStatus(3).gossip.limitStatements);
   CHECK(status.gossip.limitAsks == sampleStatus(3).gossip.limitAsks);
+  CHECK(status.gossip.brittleServices ==
+        sampleStatus(3).gossip.brittleServices);
   CHECK(status.gossip.storeLoads == sampleStatus(3).gossip.storeLoads);
   STRCMP_EQUAL("vm9", status.unregistered.at(0).c_str());
 }
@@ -442,6 +445,31 @@
   CHECK(table.demand().at("m/a1").takeUps.empty());
 }
 
+// The same of requests for brittle upstreams.
+TEST(OwnSummary, LacksTheBrittleUseOfThisVm)
+{
+  peers::Summary summary = summaryOfBothVms(1);
+  summary.loads["u"].brittleUse = {};
+  CHECK(table.updateOwnSummary(summary, own, TimePoint{ 100s }));
+  CHECK(table.peerLoad("u").brittleUse == peers::BrittleUse{});
+}
+
+// Guards against a VM that takes what it hears of some for what all VMs use.
+TEST(OwnSummary, ShowsHowManyVmsReport)
+{
+  LONGS_EQUAL(1, table.reportingVms());
+  peers::Status other = sampleStatus(1);
+  other.vm = "vm3";
+  table.update(other, TimePoint{ 100s });
+  LONGS_EQUAL(2, table.reportingVms());
+  table.update(sampleSummary("r", 1, 0), TimePoint{ 100s });
+  LONGS_EQUAL(3, table.reportingVms());
+  CHECK(table.updateOwnSummary(summaryOfBothVms(1), own, TimePoint{ 100s }));
+  LONGS_EQUAL(3, table.reportingVms());
+  table.expire(TimePoint{ 110s });
+  LONGS_EQUAL(1, table.reportingVms());
+}
+
 // Load must not count in the status of its VM and again in the summary of its
 // data centre.
 TEST(OwnSummary, ReplacesTheStatusesOfTheDataCentre)
