--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,7 @@
 import threading
 import time
 
+from brittle import ROUTE as BRITTLE_ROUTE
 from gateway_process import Gateway
 from proxy import HOST
 from users_platform import Platform, Upstream, answer_bytes, route
@@ -34,7 +35,7 @@
 MORE_ROUTES = [{**route("large", "/large/", "idempotent", "files", attempts=1), "timeout_ms": 15000},
                route("frail", "/frail/", "streaming", "frail", attempts=1),
                route("churn", "/churn/", "streaming", "churn", attempts=1),
-               route("rack", "/rack/", "streaming", "rack", attempts=1), ROUTE]
+               route("rack", "/rack/", "streaming", "rack", attempts=1), ROUTE, BRITTLE_ROUTE]
 DATA_CENTRES = "dc-a", "dc-b", *(f"dc-{number}" for number in range(6))
 
 
@@ -49,7 +50,8 @@
         churn = {**runtime, "adapter_slots": 2, "models": [{**runtime["models"][0], "name": "m4", "adapters": ADAPTERS}]}
         rack = {**runtime, "models": [{**runtime["models"][0], "name": "m5"}]}
         skew = {**runtime, "models": [{**runtime["models"][0], "name": MODEL}]}
-        config["services"] += [{"name": "rack", "health_path": "/h", "max_connections": 100, "runtime": rack},
+        config["services"] += [{"name": "brittle", "health_path": "/h", "max_connections": 200},
+                               {"name": "rack", "health_path": "/h", "max_connections": 100, "runtime": rack},
                                {"name": "skew", "health_path": "/h", "max_connections": 100, "runtime": skew},
                                {"name": "churn", "health_path": "/h", "max_connections": 100, "runtime": churn},
                                {"name": "frail", "health_path": "/h", "max_connections": 100, "runtime": runtime},
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../e2e"))
 
+from brittle import Brittle, check_falls
 from checks import (Record, check_blocked, check_deadly, check_exit, check_joined, check_orders, check_pauses, check_runs,
                     check_statements, check_stream, check_take_ups, check_waits, holds_signal)
 from faults import (DEADLY_PART, FRAIL_DELAY, FRAIL_RETURN, LARGE_DEADLINE, RACK_DELAY, REVOKED_KEYS, FileUpstream,
@@ -84,6 +85,7 @@
             upstream.after_order = functools.partial(self.tell_record, upstream)
             self.platform.serve_upstream(upstream)
         self.versions = Versions(self, seed, port + 75)
+        self.brittle = Brittle(self, seed, port + 85)
         self.gateways = []
         for number in range(VMS):
             store, target = port + 90 + number, port + 60 + number
@@ -308,6 +310,7 @@
             thread.start()
         self.orders.start()
         self.versions.start()
+        self.brittle.start()
         until = time.monotonic() + self.seconds
         running, active = [], {}
         while time.monotonic() < until:
@@ -321,6 +324,7 @@
             running.append(thread)
         self.orders.end()
         self.versions.end()
+        self.brittle.end()
         for thread in running:
             thread.join()
         self.check_recovery()
@@ -329,7 +333,7 @@
             thread.join()
         time.sleep(1)
         check_runs(self.record, self.desks + self.engines + self.files + self.frail + self.rack + self.churned
-                   + self.versions.upstreams)
+                   + self.versions.upstreams + self.brittle.upstreams)
         check_statements(self.record, self.desks + self.engines)
         check_orders(self.record, self.engines + self.frail + self.rack + self.churned)
         check_waits(self.record)
@@ -338,6 +342,7 @@
         check_joined(self.record, self.versions.callers)
         check_take_ups(self.record)
         check_blocked(self.record)
+        check_falls(self.record, self.brittle.times, self.brittle.upstreams)
         return sorted(self.record.violations)
 
     def wait_ready(self, limit):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -13,6 +13,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../e2e"))
 
+from brittle import check_falls
 from checks import (ANSWER_SLACK, FAULT_FREE, GRACE_CHECKED, IN_FLIGHT, KEY_LIMIT, LEAST_TAKE_UPS, LEAVING_LIMIT,
                     MOST_BLOCKED, MOST_DEADLY, MOST_JOINED, MOST_WHILE_TURNED_AWAY, PROVEN_CRASHES, RESUME_GRACE, Record,
                     check_blocked, check_deadly, check_exit, check_joined, check_orders, check_pauses, check_runs,
@@ -356,6 +357,32 @@
             self.assertEqual(1, self.violations(began, -signal.SIGSEGV))
 
 
+class FallTest(unittest.TestCase):
+    def violations(self, falls, fault=None):
+        """Checks upstreams one of which turned requests of two VMs away before each of its falls."""
+        record, upstreams = Record(), [UpstreamRecord() for _ in range(4)]
+        for upstream in upstreams:
+            upstream.falls = []
+        for request_id, vm in (("a", "vm1"), ("b", "vm1"), ("c", "vm2")):
+            record.request(request_id, "brittle", "k1", vm)
+        if fault is not None:
+            record.fault("vm1", *fault)
+        upstreams[0].falls = [(at, ["a", "b", "c"]) for at in falls]
+        check_falls(record, [(100, 110)], upstreams)
+        return len(record.violations)
+
+    # Guards against falls that are overlooked, and against more than the users allow.
+    def test_upstreams_may_fall_twice_and_a_tenth_of_their_number(self):
+        self.assertEqual(0, self.violations([101, 105]))
+        self.assertEqual(1, self.violations([101, 105, 109]))
+        self.assertEqual(0, self.violations([101, 105, 111]))
+
+    # Guards against falls that count although most rejected requests came from VMs out of touch.
+    def test_falls_by_vms_out_of_touch_do_not_count(self):
+        self.assertEqual(0, self.violations([101, 105, 109], fault=(108 - FAULT_FREE, 108)))
+        self.assertEqual(1, self.violations([101, 105, 109], fault=(90, 101 - FAULT_FREE)))
+
+
 class CommandLineTest(unittest.TestCase):
     # Guards against a traceback for each seed whose logs cannot be kept.
     def test_folder_of_logs_is_made(self):
