--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -770,6 +770,7 @@
   mCrashes.setTrialsEnabled(mFleet.fencingToken() != 0);
   mCrashRecords.tick(now);
   mNotices.expire(now);
+  mContext.brittle.expire(now);
   mStreams.update(mUpstreams, now);
   if (mPeerExchange.isCollector()) {
     mStreamRecords.tick(now);
--- a/apps/gateway/upstream_notes.cpp
+++ b/apps/gateway/upstream_notes.cpp
@@ -27,6 +27,19 @@
     aUpstream.record.draining = true; // Peers and the placement learn it too.
     aContext.log.logStep(aId, "upstream says it leaves", name, "", now);
   }
+  if (aContext.brittle.onAnswer(aUpstream.record.service,
+                                aUpstream.process().tag(),
+                                notice.maxRejections,
+                                now)) {
+    aContext.log.logStep(aId,
+                         "brittle upstreams",
+                         name,
+                         notice.maxRejections
+                           ? std::to_string(*notice.maxRejections) +
+                               " rejections/s"
+                           : "none",
+                         now);
+  }
   if (notice.turnsAwayFor) {
     aContext.log.logStep(
       aId,
--- a/libs/dispatch/dispatch.h
+++ b/libs/dispatch/dispatch.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "dispatch/brittle_guard.h"
 #include "dispatch/carrier_choice.h"
 #include "dispatch/choice.h"
 #include "dispatch/crash_record.h"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../e2e"))
 
+from brittle import Brittle, check_falls
 from checks import (Record, check_blocked, check_deadly, check_exit, check_joined, check_orders, check_pauses, check_runs,
                     check_statements, check_strands, check_stream, check_take_ups, check_waits, holds_signal)
 from faults import (DEADLY_PART, FRAIL_DELAY, FRAIL_RETURN, LARGE_DEADLINE, RACK_DELAY, REVOKED_KEYS, FileUpstream,
@@ -86,6 +87,7 @@
             self.platform.serve_upstream(upstream)
         self.versions = Versions(self, seed, port + 75)
         self.strands = Strands(self, seed)
+        self.brittle = Brittle(self, seed, port + 85)
         self.gateways = []
         for number in range(VMS):
             store, target = port + 90 + number, port + 60 + number
@@ -317,6 +319,7 @@
         self.orders.start()
         self.versions.start()
         self.strands.start()
+        self.brittle.start()
         until = time.monotonic() + self.seconds
         running, active = [], {}
         while time.monotonic() < until:
@@ -331,6 +334,7 @@
         self.orders.end()
         self.versions.end()
         self.strands.end()
+        self.brittle.end()
         for thread in running:
             thread.join()
         self.check_recovery()
@@ -338,7 +342,7 @@
         for thread in threads:
             thread.join()
         time.sleep(1)
-        check_runs(self.record, self.upstreams())
+        check_runs(self.record, self.upstreams() + self.brittle.upstreams)
         check_statements(self.record, self.desks + self.engines)
         check_orders(self.record, self.engines + self.frail + self.rack + self.churned)
         check_waits(self.record)
@@ -348,6 +352,7 @@
         check_take_ups(self.record)
         check_blocked(self.record)
         check_strands(self.record, PATHS)
+        check_falls(self.record, self.brittle.times, self.brittle.upstreams)
         return sorted(self.record.violations)
 
     def wait_ready(self, limit):
