--- a/tests/e2e/stranded_fleet.py
+++ b/tests/e2e/stranded_fleet.py
@@ -62,12 +62,15 @@
 class StrandedTest(unittest.TestCase):
     """Base of tests with four VMs in two data centres. Each has paths of its own."""
 
+    ENGINES = 4
+
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform()
         self.platform.publish(1, ["k1"], ROUTES)
         self.desks = [Upstream(f"desk{n}", BASE_PORT + 60 + n, "desk") for n in range(2)]
-        self.engines = [Upstream(f"engine{n}", BASE_PORT + 70 + n, "llm", ["m1", "m2"]) for n in range(4)]
+        self.engines = [Upstream(f"engine{n}", BASE_PORT + 70 + n, "llm", ["m1", "m2"])
+                        for n in range(self.ENGINES)]
         self.upstreams = self.desks + self.engines
         for number, upstream in enumerate(self.upstreams):
             upstream.slots, upstream.event_seconds = 24, 0.03
