--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -333,6 +333,28 @@
 }
 
 // An aborted stream must not look complete to its caller.
+// A host that is no VM connects to the address for VMs. Guards against serving
+// it, and against a close that its request may cross.
+TEST(CallerServer, TellsKnownHostsFromOthers)
+{
+  for (const bool known : { true, false }) {
+    std::string host;
+    wire::CallerServer server(loop, [](const auto& aCaller) {
+      aCaller->reply(aCaller->fromKnownHost() ? 200 : 403, {}, "");
+    });
+    server.setKnownHosts([&](const std::string& aHost) {
+      host = aHost;
+      return known;
+    });
+    CHECK(bool(server.listen(kAddress)));
+    const auto response = sendAndReadWhileRunning(
+      loop, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK(response.starts_with(known ? "HTTP/1.1 200" : "HTTP/1.1 403"));
+    STRCMP_EQUAL(kAddress.host.c_str(), host.c_str());
+    server.stop();
+  }
+}
+
 TEST(CallerServer, AbortedStreamHasNoFinalChunk)
 {
   wire::CallerServer server(loop, [&](const auto& aCaller) {
