Tell probes without an answer from calls that couldn't connect

Since calls by way of a peer, a call that can't connect is judged like a probe, and the line was written for both. Now the probe itself writes it.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -601,10 +601,6 @@
   if (aResult == ProbeResult::Accepted && probed && probed->softwareUncertain) {
     mStreams.confirm(probed, [] {});
   }
-  if (aResult == ProbeResult::NoAnswer) {
-    observe::logInfo("probe without an answer",
-                     { { "upstream", aUpstream.name } });
-  }
   if (const auto changed =
         mUpstreams.applyProbe(aUpstream, aResult, base::monotonicNow())) {
     observe::logInfo(changed->usable() ? "upstream accepts connections again"
--- a/apps/gateway/upstream_reach.cpp
+++ b/apps/gateway/upstream_reach.cpp
@@ -103,6 +103,10 @@
     mHeld.erase(aUpstream);
     mOnResult(aUpstream, aResult);
   } else if (!ofPath) {
+    if (aResult == ProbeResult::NoAnswer) {
+      observe::logInfo("probe without an answer",
+                       { { "upstream", aUpstream.name } });
+    }
     judge(aUpstream, aResult);
   }
   follow();
