--- a/apps/gateway/carrier.cpp
+++ b/apps/gateway/carrier.cpp
@@ -11,12 +11,8 @@
 
 /** The headers of peers' requests are those of callers and a few more. */
 constexpr std::size_t kExtraHeaderBytes = 4UL * 1024;
-/** Time after the deadline in which the upstream's own deadline response may
- * still arrive. */
-constexpr base::Duration kDeadlineGrace = 120ms;
 constexpr base::Duration kDoubtCheckPeriod = 50ms;
 constexpr int kServiceUnavailable = 503;
-constexpr std::size_t kMinConnections = 4;
 /** Shares of an upstream's connections that a VM may use which carries for
  * others: they don't use theirs. */
 constexpr std::size_t kConnectionShares = 2;
@@ -139,12 +135,12 @@
     });
   const auto& services = mContext.catalog.current()->content.services;
   const auto service = services.find(mUpstream->record.service);
+  // A service that is not declared any more still answers.
   const std::size_t limit =
-    service == services.end()
-      ? kMinConnections
-      : std::max(kMinConnections,
-                 kConnectionShares * service->second.maxConnections /
-                   std::max<std::size_t>(1, mContext.fleetSize));
+    kConnectionShares * connectionShare(service == services.end()
+                                          ? catalog::Service{}
+                                          : service->second,
+                                        mContext.fleetSize);
   mCall = mContext.calls.startDirect(
     mUpstream->peer(), std::move(outgoing), std::move(events), limit);
   if (!mCall) {
--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -12,9 +12,6 @@
 using namespace std::chrono_literals;
 using base::Code;
 
-/** Time after the deadline in which the upstream's own deadline response may
- * still arrive. */
-constexpr base::Duration kDeadlineGrace = 120ms;
 /** A VM without a configuration receives one within this time. */
 constexpr base::Duration kNotReadyRetryDelay = 500ms;
 /** Of a request that states none, while its route is not known. */
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -66,6 +66,9 @@
 private:
   /** Maximum number of unreachable upstreams that one request tries. */
   static constexpr unsigned kMaxUnreachable = 4;
+  /** Time until another try while no upstream takes the request. */
+  static constexpr base::Duration kOverloadRetryDelay =
+    std::chrono::milliseconds(400);
 
   // Admission.
   void admit();
--- a/apps/gateway/upstream_calls.cpp
+++ b/apps/gateway/upstream_calls.cpp
@@ -11,6 +11,7 @@
 
 /** Connections of this VM to one peer that passes requests on. */
 constexpr std::size_t kMaxCarrierConnections = 256;
+constexpr std::size_t kMinConnections = 4;
 
 using DeclineName = std::pair<CarryDecline, const char*>;
 constexpr std::array kDeclineNames{
@@ -85,6 +86,13 @@
   return found->second;
 }
 
+std::size_t
+connectionShare(const catalog::Service& aService, std::size_t aVms)
+{
+  return std::max(kMinConnections,
+                  aService.maxConnections / std::max<std::size_t>(1, aVms));
+}
+
 UpstreamCall::UpstreamCall(UpstreamCalls& aCalls, base::VmName aCarrier)
   : mCalls(aCalls)
   , mCarrier(std::move(aCarrier))
--- a/apps/gateway/upstream_calls.h
+++ b/apps/gateway/upstream_calls.h
@@ -49,6 +49,15 @@
   std::unique_ptr<wire::PooledCall> mCall;
 };
 
+/** Time after the deadline of a request in which the upstream's own deadline
+ * response may still arrive. */
+inline constexpr base::Duration kDeadlineGrace = std::chrono::milliseconds(120);
+
+/** @param aService service @param aVms VMs of the fleet
+ * @return connections of one VM to an upstream of the service */
+std::size_t
+connectionShare(const catalog::Service& aService, std::size_t aVms);
+
 /** A VM that may pass requests on, and where it takes them. */
 struct CarrierPeer
 {
