Silence connections that are accepted in the moment of a cut

Cause: a connection that had been accepted, but had no writer yet, was left out of a silent cut and was then to be mended with the others: detaching a filter that was never attached is an error. Such a connection also went on through a path that was meant to be cut.

Ruled out: a connection that the VM closes meanwhile; its descriptor is checked.

The path keeps the accepted sockets themselves. LinkTest fails on the code before: 0 of 1 connections are silenced.

--- a/tests/e2e/upstream_links.py
+++ b/tests/e2e/upstream_links.py
@@ -25,6 +25,7 @@
         super().__init__(port)
         self.address = (host, port)
         self.near = set()    # writers of connections that were accepted
+        self.sockets = set() # of these and of connections that have no writer yet
         self.passed = {}     # request id: times at which requests passed
         self.how = None      # of the cut
         self.filler = None   # takes the only place in the backlog, so that connects hang
@@ -42,20 +43,21 @@
         asyncio.get_running_loop().add_reader(self.listener, self.accept)
 
     def accept(self):
-        """Accepts the connections that wait. Returns their sockets."""
-        accepted = []
+        """Accepts the connections that wait."""
         try:
             while True:
-                accepted.append(self.listener.accept()[0])
-                asyncio.get_running_loop().create_task(self.serve(accepted[-1]))
+                sock = self.listener.accept()[0]
+                self.sockets.add(sock)
+                asyncio.get_running_loop().create_task(self.serve(sock))
         except BlockingIOError:
-            return accepted
+            pass
 
     async def serve(self, sock):
         reader, writer = await asyncio.open_connection(sock=sock)
         self.near.add(writer)
         await self.connection(reader, writer)
         self.near.discard(writer)
+        self.sockets.discard(sock)
 
     def cut(self, how):
         """Cuts the path. "silent": no packet passes any more; "reset": open connections are reset, and new ones
@@ -74,7 +76,8 @@
     def silence_path(self):
         """What has arrived from the VM goes on to the upstream; the rest is not acknowledged."""
         self.stalled = {"down"}
-        for sock in self.near_sockets() + self.accept():
+        self.accept()
+        for sock in self.open_sockets():
             drop_packets(sock)
         self.listener.listen(0)
         self.filler = socket.socket()
@@ -84,7 +87,7 @@
     def mend(self):
         """Restores the path. What was sent meanwhile on silent connections arrives as TCP sends it again."""
         if self.how == "silent":
-            for sock in self.near_sockets():
+            for sock in self.open_sockets():
                 keep_packets(sock)
             self.stalled = set()
             self.filler.close()
@@ -107,9 +110,8 @@
                 await asyncio.sleep(0.02)
         writer.close()
 
-    def near_sockets(self):
-        sockets = [writer.get_extra_info("socket") for writer in self.near]
-        return [sock for sock in sockets if sock is not None and sock.fileno() >= 0]
+    def open_sockets(self):
+        return [sock for sock in self.sockets if sock.fileno() >= 0]
 
     def note(self, data, direction):
         super().note(data, direction)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -20,6 +20,7 @@
                     check_statements, check_strands, check_stream, check_take_ups, check_waits, holds_signal)
 from proxy import HOST, Proxy
 from stream_calls import StreamCaller
+from upstream_links import UpstreamLink
 
 
 class UpstreamRecord:
@@ -422,5 +423,22 @@
             self.assertTrue(os.path.isdir(kept))
 
 
+class LinkTest(unittest.TestCase):
+    # Guards against a soak whose thread of cuts ends with an error, so that its cuts are neither mended nor recorded.
+    def test_connection_that_is_accepted_in_the_moment_of_a_silent_cut(self):
+        async def play():
+            link = UpstreamLink("127.0.2.1", int(os.environ.get("MARIGOLD_TEST_PORT", 25000)) + 99)
+            with socket.create_connection(link.address):
+                link.accept()
+                link.cut("silent")
+                silenced = link.open_sockets()
+                await asyncio.sleep(0.1)
+                link.mend()
+            await asyncio.sleep(0.1)
+            link.close()
+            return len(silenced)
+        self.assertEqual(1, asyncio.run(play()))
+
+
 if __name__ == "__main__":
     unittest.main()
