--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -378,6 +378,11 @@
         self.record.request(request_id, "again", "k1", gateway.name)
         return {"X-Request-Id": request_id}
 
+    def thread_failed(self, error):
+        """A fault or a caller that has ended would go unnoticed."""
+        threading.__excepthook__(error)
+        self.record.violation(f"ERROR a thread of the soak ended: {error.exc_value!r}")
+
     def close(self):
         for gateway in self.gateways:
             gateway.stop()
@@ -389,6 +394,7 @@
 def run(seed, arguments):
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=arguments.keep)
     soak = Soak(seed, arguments.seconds, arguments.port, folder)
+    threading.excepthook = soak.thread_failed
     try:
         violations = soak.execute()
     finally:
