Check in the soak that each whole request is answered or refused

The soak counted such requests as "no answer" and judged none of them, but for large answers in a planned stop.

A VM without faults may now close no connection without an answer once it has sent the request on, or has held it for longer than a close may cross it (0.2 s).

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -14,6 +14,7 @@
 MOST_WHILE_TURNED_AWAY = 2  # requests of a VM afterwards, until the time that the upstream named
 RESUME_GRACE = 0.3   # seconds; an order in flight when its sender was paused or its link cut arrives afterwards
 ANSWER_SLACK = 0.5   # seconds after its deadline in which a request must be answered, refused or closed
+LOSS_SLACK = 0.2     # seconds after a request was sent in which the close of its connection may have crossed it
 GRACE = 8.0          # seconds that a planned stop may take
 GRACE_CHECKED = GRACE * 5 / 6  # seconds after SIGTERM within which answers are not cut
 PROVEN_CRASHES = 5   # crashes by a part of a prompt after which it is blocked
@@ -42,6 +43,7 @@
         self.restored = []    # times at which the store came back from a copy
         self.planned = set()  # (vm, start) of faults that are planned stops
         self.waits = []       # (request id, vm, time sent whole, seconds until its deadline, time it ended)
+        self.unanswered = []  # (request id, vm, time sent whole, time its connection was closed without any answer)
         self.blocked = []     # (request id, vm, time sent) of requests that were refused as deadly
         self.pauses = []      # (request id, vm, time sent, time ended, complete) of callers that paused reading
         self.strands = []     # (vm, start, end) of cuts of its paths to all upstreams
@@ -60,6 +62,11 @@
         with self.lock:
             self.answers[request_id] = status
 
+    def closed(self, request_id, sent):
+        """A request was sent whole, and its connection has just ended without any answer."""
+        with self.lock:
+            self.unanswered.append((request_id, self.sent[request_id][2], sent, time.monotonic()))
+
     def fault(self, vm, start, end):
         with self.lock:
             self.faults.setdefault(vm, []).append((start, end))
@@ -194,6 +201,18 @@
             record.violation(f"CONFIG {request_id} at {vm} had no answer {ended - due:.1f} s after its deadline")
 
 
+def check_answered(record, upstreams):
+    """Checks that a VM ends no connection without an answer or a refusal once it has sent the request on, or has held
+    it. What crosses the close of a connection, or is still open near the end of a planned stop, is excused."""
+    ran = {headers.get("x-request-id") for upstream in upstreams for headers in list(upstream.seen)}
+    for request_id, vm, sent, ended in list(record.unanswered):
+        crossed = request_id not in ran and ended - sent <= LOSS_SLACK
+        stopping = any(GRACE_CHECKED <= ended - at <= GRACE + 1 for at in record.stops.get(vm, []))
+        if not crossed and not stopping and not record.disrupted(vm, sent - FAULT_FREE, ended):
+            record.violation(f"LOST {request_id} ({record.sent[request_id][0]}) at {vm} got neither an answer nor a "
+                             f"refusal, its connection was closed after {ended - sent:.3f} s")
+
+
 def check_pauses(record, upstreams, deadline):
     """Checks that a planned stop cuts no answer whose caller only pauses."""
     ran = {headers.get("x-request-id") for upstream in upstreams for headers in list(upstream.seen)}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -42,8 +42,9 @@
 class SoakPlatform(Platform):
     """Adds a service with large answers, one of engines that crash, and one of engines of several versions."""
 
-    @staticmethod
-    def configuration(version, keys, routes, adapters=2):
+    changes = None  # what else varies in the configuration
+
+    def configuration(self, version, keys, routes, adapters=2):
         config = json.loads(Platform.configuration(version, keys, routes + MORE_ROUTES, adapters))
         runtime = dict(config["services"][0]["runtime"])
         runtime["models"] = [{**runtime["models"][0], "name": "m3"}]
@@ -56,6 +57,8 @@
                                {"name": "churn", "health_path": "/h", "max_connections": 100, "runtime": churn},
                                {"name": "frail", "health_path": "/h", "max_connections": 100, "runtime": runtime},
                                {"name": "files", "health_path": "/h", "max_connections": 100}]
+        if self.changes:
+            self.changes.apply(config)
         return json.dumps(config).encode()
 
 
@@ -145,12 +148,15 @@
                             "Content-Length: 1\r\n\r\nx").encode()
 
     def read(self, connection, request_id):
-        """Reads one answer. Returns whether it was complete."""
+        """Reads the answer to a request that was just sent. Returns whether it was complete."""
+        sent = time.monotonic()
         answer = http.client.HTTPResponse(connection, method="POST")
         try:
             answer.begin()
             body = answer.read()
-        except (OSError, http.client.HTTPException):
+        except (OSError, http.client.HTTPException) as error:
+            if isinstance(error, ConnectionError) and not answer.status:
+                self.record.closed(request_id, sent)
             self.record.answer(request_id, None)
             return False
         finally:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,8 +24,10 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../e2e"))
 
 from brittle import Brittle, check_falls
-from checks import (Record, check_blocked, check_deadly, check_exit, check_joined, check_orders, check_pauses, check_runs,
-                    check_statements, check_strands, check_stream, check_take_ups, check_waits, holds_signal)
+from changes import Changes
+from checks import (Record, check_answered, check_blocked, check_deadly, check_exit, check_joined, check_orders,
+                    check_pauses, check_runs, check_statements, check_strands, check_stream, check_take_ups, check_waits,
+                    holds_signal)
 from faults import (DEADLY_PART, FRAIL_DELAY, FRAIL_RETURN, LARGE_DEADLINE, RACK_DELAY, REVOKED_KEYS, FileUpstream,
                     Orders, SoakGateway, SoakPlatform)
 from proxy import HOST, Proxy
@@ -53,6 +55,7 @@
         self.pace, self.restores = PACES[seed % 4], RESTORES[seed % 4]
         self.record = Record()
         self.platform = SoakPlatform()
+        self.changes = self.platform.changes = Changes(self, seed)
         self.version = 1
         self.keys = ["k1", "k2", "k3"] + REVOKED_KEYS
         self.publishing, self.starting = threading.Lock(), threading.Lock()
@@ -122,13 +125,15 @@
             model = self.call_random.choice(["m1", "m1", "m1/a1", "m2"])
             headers.update({"X-Model-Name": model, "X-Token-Usage": "100,20", "X-Prompt-Prefix": "a:50,b:50"})
         self.record.request(request_id, kind, key, gateway.name)
-        sent = time.monotonic()
+        sent, whole = time.monotonic(), False
         try:
             connection.request("POST", PATHS[kind], request_id.encode(), headers)
-            sent = time.monotonic()
+            sent, whole = time.monotonic(), True
             answer = connection.getresponse()
-        except (OSError, http.client.HTTPException):
+        except (OSError, http.client.HTTPException) as error:
             self.count("no answer")
+            if whole and isinstance(error, ConnectionError):
+                self.record.closed(request_id, sent)
             self.record.answer(request_id, None)
             return False
         finally:
@@ -320,6 +325,7 @@
         self.versions.start()
         self.strands.start()
         self.brittle.start()
+        self.changes.start()
         until = time.monotonic() + self.seconds
         running, active = [], {}
         while time.monotonic() < until:
@@ -335,6 +341,7 @@
         self.versions.end()
         self.strands.end()
         self.brittle.end()
+        self.changes.end()
         for thread in running:
             thread.join()
         self.check_recovery()
@@ -346,6 +353,7 @@
         check_statements(self.record, self.desks + self.engines)
         check_orders(self.record, self.engines + self.frail + self.rack + self.churned)
         check_waits(self.record)
+        check_answered(self.record, self.upstreams() + self.brittle.upstreams)
         check_pauses(self.record, self.files, LARGE_DEADLINE)
         check_deadly(self.record, self.frail)
         check_joined(self.record, self.versions.callers)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -15,8 +15,8 @@
 
 from brittle import check_falls
 from checks import (ANSWER_SLACK, FAULT_FREE, GRACE_CHECKED, IN_FLIGHT, KEY_LIMIT, LEAST_TAKE_UPS, LEAVING_LIMIT,
-                    MOST_BLOCKED, MOST_DEADLY, MOST_JOINED, MOST_WHILE_TURNED_AWAY, PROVEN_CRASHES, RESUME_GRACE, Record,
-                    check_blocked, check_deadly, check_exit, check_joined, check_orders, check_pauses, check_runs,
+                    LOSS_SLACK, MOST_BLOCKED, MOST_DEADLY, MOST_JOINED, MOST_WHILE_TURNED_AWAY, PROVEN_CRASHES,
+                    RESUME_GRACE, Record, check_answered, check_blocked, check_deadly, check_exit, check_joined, check_orders, check_pauses, check_runs,
                     check_statements, check_strands, check_stream, check_take_ups, check_waits, holds_signal)
 from proxy import HOST, Proxy
 from stream_calls import StreamCaller
@@ -176,6 +176,30 @@
         check_waits(self.record)
         self.assertEqual(["CONFIG"], self.found())
 
+    def check_close(self, ended, ran=False):
+        self.record.request("a", "once", "k1", "vm0")
+        self.record.unanswered = [("a", "vm0", 100, ended)]
+        check_answered(self.record, [UpstreamRecord(*[request_headers("a")] * ran)])
+        return self.found()
+
+    def test_whole_request_that_was_held_gets_no_answer(self):
+        self.assertEqual(["LOST"], self.check_close(100 + LOSS_SLACK + 0.044))
+
+    def test_request_that_was_sent_on_gets_no_answer(self):
+        self.assertEqual(["LOST"], self.check_close(100.05, ran=True))
+
+    def test_request_that_crosses_a_close(self):
+        self.assertEqual([], self.check_close(100 + LOSS_SLACK - 0.01))
+
+    def test_faults_excuse_a_request_without_an_answer(self):
+        self.record.fault("vm0", 99, 100.1)
+        self.assertEqual([], self.check_close(100.3, ran=True))
+
+    def test_planned_stop_excuses_a_request_without_an_answer_at_its_end_only(self):
+        self.record.planned_stop("vm0", 101, 115)
+        self.assertEqual([], self.check_close(101 + GRACE_CHECKED + 0.1, ran=True))
+        self.assertEqual(["LOST"], self.check_close(101 + GRACE_CHECKED - 0.1, ran=True))
+
     def check_pause(self, ended, complete=False, ran=True):
         self.record.pauses = [("a", "vm0", 100, ended, complete)]
         check_pauses(self.record, [UpstreamRecord(*[request_headers("a")] * ran)], 12)
