--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -27,7 +27,7 @@
     """The gateway of one VM; start() after stop() starts a new process with the same settings."""
 
     def __init__(self, number, folder, first_port, store_port, data_centre="dc-a", data_centres=DATA_CENTRES,
-                 memory=260 * 10**6, link_mbps=1000, first_start=False):
+                 memory=260 * 10**6, link_mbps=1000, first_start=False, binaries=BIN):
         places = ", ".join(f"{{name: {name}, region: {region}}}" for name, region in data_centres.items())
         self.port = first_port
         self.name = f"vm{number}"
@@ -61,11 +61,12 @@
 """)
         self.log_path = os.path.join(folder, self.name + ".log")
         self.child = None
+        self.binaries = binaries
         self.start()
 
     def start(self):
         with open(self.log_path, "a") as log:
-            self.child = subprocess.Popen([os.path.join(BIN, "marigold-gateway"), "--settings", self.settings],
+            self.child = subprocess.Popen([os.path.join(self.binaries, "marigold-gateway"), "--settings", self.settings],
                                           stdout=log, stderr=log)
 
     def stop(self):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,7 +11,7 @@
 import time
 
 from brittle import ROUTE as BRITTLE_ROUTE
-from gateway_process import Gateway
+from gateway_process import BIN, Gateway
 from proxy import HOST
 from users_platform import Platform, Upstream, answer_bytes, route
 from versions import MODEL, ROUTE
@@ -63,7 +63,7 @@
 
 
 class SoakGateway(Gateway):
-    """A gateway that knows more data centres."""
+    """A gateway that knows more data centres. Only its first process may be of an earlier build."""
 
     def start(self):
         rows = ", ".join(f"{{name: {name}, region: r{number}}}" for number, name in enumerate(DATA_CENTRES))
@@ -72,6 +72,7 @@
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(text)
         super().start()
+        self.binaries = BIN
 
 
 class FileUpstream(Upstream):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,6 @@
 """Runs gateway processes under random faults and checks what callers and upstreams observe.
 
-Usage: soak.py [--seed N] [--seconds S] [--runs N] [--port P] [--jobs N] [--keep DIR]
+Usage: soak.py [--seed N] [--seconds S] [--runs N] [--port P] [--jobs N] [--keep DIR] [--before DIR]
 
 Prints one line for each run. Exits with 1 if a guarantee was violated, and prints the
 violations and the folder of the logs. seeds.txt lists seeds that failed before, with
@@ -30,6 +30,7 @@
                     holds_signal)
 from faults import (DEADLY_PART, FRAIL_DELAY, FRAIL_RETURN, LARGE_DEADLINE, RACK_DELAY, REVOKED_KEYS, FileUpstream,
                     Orders, SoakGateway, SoakPlatform)
+from gateway_process import BIN
 from proxy import HOST, Proxy
 from strands import Strands
 from users_platform import ROUTES, Upstream
@@ -48,10 +49,11 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, port, folder):
+    def __init__(self, seed, seconds, port, folder, before=BIN):
         self.random = random.Random(seed)
         self.restore_random = random.Random(-1 - seed)  # of its own, so that the other faults of a seed stay
         self.seconds, self.port = seconds, port
+        self.upgrades = before != BIN
         self.pace, self.restores = PACES[seed % 4], RESTORES[seed % 4]
         self.record = Record()
         self.platform = SoakPlatform()
@@ -99,7 +101,7 @@
             centre = f"dc-{number}" if seed % 4 == APART else "dc-b" if number == VMS - 1 else "dc-a"
             if centre != "dc-a":
                 self.strands.add_paths(number, target, self.upstreams())
-            self.gateways.append(SoakGateway(number, folder, port + 10 * number, store, centre))
+            self.gateways.append(SoakGateway(number, folder, port + 10 * number, store, centre, binaries=before))
         self.orders = Orders(self, seed)
 
     def upstreams(self):
@@ -229,6 +231,12 @@
         if gateway.child.poll() is None:
             gateway.child.send_signal(signal.SIGCONT)
 
+    def upgrade(self):
+        """Replaces the processes of the earlier build one after the other."""
+        for gateway, child in [(gateway, gateway.child) for gateway in self.gateways]:
+            if gateway.child is child:
+                self.planned_stop(gateway, 0)
+
     def reload(self, gateway, seconds):
         gateway.child.send_signal(signal.SIGHUP)
 
@@ -328,6 +336,9 @@
         self.changes.start()
         until = time.monotonic() + self.seconds
         running, active = [], {}
+        if self.upgrades:
+            running.append(threading.Thread(target=self.upgrade))
+            running[0].start()
         while time.monotonic() < until:
             time.sleep(self.pace * self.random.uniform(0.1, 1.2))
             gateway, fault = self.random.choice(self.gateways), self.random.choice(faults)
@@ -401,7 +412,7 @@
 
 def run(seed, arguments):
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=arguments.keep)
-    soak = Soak(seed, arguments.seconds, arguments.port, folder)
+    soak = Soak(seed, arguments.seconds, arguments.port, folder, arguments.before)
     threading.excepthook = soak.thread_failed
     try:
         violations = soak.execute()
@@ -433,6 +444,7 @@
             command = [sys.executable, __file__, "--skip-known", "--seed", str(seed), "--port", str(port),
                        "--seconds", str(arguments.seconds)]
             command += ["--keep", arguments.keep] if arguments.keep else []
+            command += ["--before", arguments.before]
             done = subprocess.run(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, check=False)
             print(done.stdout[:done.stdout.rfind("\n", 0, -1) + 1], end="", flush=True)
             if done.returncode:
@@ -452,6 +464,9 @@
     parser.add_argument("--seconds", type=float, default=20, help="seconds with faults in each run")
     parser.add_argument("--port", type=int, default=int(os.environ.get("MARIGOLD_TEST_PORT", 25000)))
     parser.add_argument("--keep", help="folder that keeps the logs of failed runs")
+    parser.add_argument("--before", default=BIN, metavar="DIR",
+                        help="folder with the gateway of an earlier build; the processes of it that start first are "
+                             "replaced one after the other")
     parser.add_argument("--skip-known", action="store_true", help="do not run the seeds of seeds.txt")
     parser.add_argument("--jobs", type=int, default=1, help="runs at once; each takes 100 ports of its own")
     arguments = parser.parse_args()
