--- a/libs/peers/tests/upgrade_tests.cpp
+++ b/libs/peers/tests/upgrade_tests.cpp
@@ -94,11 +94,11 @@
 // upgraded yet.
 TEST(Upgrade, MessagesOfTheVersionInProductionAreRead)
 {
-  for (const auto& [message, recorded] : recordedMessages()) {
+  for (const RecordedMessage& row : recordedMessages()) {
     const auto decoded =
-      base::capture([&] { return peers::decode(bytesOf(recorded)); });
+      base::capture([&row] { return peers::decode(bytesOf(row.recorded)); });
     CHECK(base::errorOf(decoded) == nullptr);
-    CHECK(extends(recorded, encoded(std::get<peers::Message>(decoded))));
+    CHECK(extends(row.recorded, encoded(std::get<peers::Message>(decoded))));
   }
 }
 
@@ -106,7 +106,7 @@
 // reports: fields are only appended.
 TEST(Upgrade, MessagesAreReadByTheVersionInProduction)
 {
-  for (const auto& [message, recorded] : recordedMessages()) {
-    CHECK(extends(recorded, encoded(message)));
+  for (const RecordedMessage& row : recordedMessages()) {
+    CHECK(extends(row.recorded, encoded(row.message)));
   }
 }
