Answer each request that was read whole, whatever its handler does

What callers saw: a request that was read whole could end with a closed or reset connection and no answer in three ways. Its handler had not ended it a second after its deadline; it was aborted before a response had begun (a caller found to have left right before a send, a carrier that stops while its upstream works); its caller had closed its sending side only while an upstream worked.

Cause: the duty to answer was the handler's alone, and the connection closed without it. Class: a duty without an owner that outlives its holder.

Now the connection owns it: it tells the handler, and if that sends nothing it sends the fallback response of its server: 504 "unknown" for callers, "broken" for peers, which promises nothing to VMs of the version in production either. The connection closes behind it, so that a late handler reaches no other request. A request that the request path leaves is named in the log with its id and counted (marigold_unanswered_requests_total); a connection that fails under a waiting request names it, too.

--- a/apps/gateway/carrier.cpp
+++ b/apps/gateway/carrier.cpp
@@ -293,6 +293,12 @@
            })
 {
   mPeers.setMemoryBudget(aContext.memory);
+  mPeers.setFallback([](const wire::Request& /*aRequest*/) {
+    return wire::FallbackResponse{
+      kServiceUnavailable,
+      { { kCarryDeclinedHeader, carryDeclineName(CarryDecline::Broken) } }
+    };
+  });
   mPeers.setKnownHosts(std::move(aIsPeer));
 }
 
--- a/apps/gateway/request_log.cpp
+++ b/apps/gateway/request_log.cpp
@@ -1,6 +1,7 @@
 #include "apps/gateway/request_log.h"
 
 #include "observe/log.h"
+#include "platform/boundary.h"
 
 namespace marigold::gateway {
 namespace {
@@ -118,6 +119,9 @@
     loss == wire::CallerLoss::LeftEarly ? &observe::logInfo : &observe::logWarn;
   log(lossText(loss),
       { { "reason", reason },
+        { "id",
+          std::string(http::findHeader(aClosed.openRequest,
+                                       boundary::kRequestIdHeader)) },
         { "request_open", aClosed.requestOpen ? "yes" : "no" },
         { "unanswered_bytes", std::to_string(aClosed.unansweredBytes) },
         { "delivered_bytes", std::to_string(aClosed.deliveredBytes) },
@@ -127,6 +131,24 @@
         { "open_for_ms", formatMilliseconds(aClosed.sinceOpened) } });
 }
 
+void
+RequestLog::logUnanswered(const std::string& aId,
+                          wire::CallerEnd aReason,
+                          base::TimePoint aNow)
+{
+  const char* reason = wire::callerEndName(aReason);
+  ++mUnanswered;
+  mMetrics
+    .counter("marigold_unanswered_requests_total",
+             "Requests that were left without a response, by reason",
+             { { "reason", reason } })
+    .Increment();
+  if (mBudget.take(observe::LineWeight::Rare, aNow)) {
+    observe::logWarn("request left without a response",
+                     { { "id", aId }, { "reason", reason } });
+  }
+}
+
 void
 RequestLog::logDroppedLines(base::TimePoint aNow)
 {
--- a/apps/gateway/request_log.h
+++ b/apps/gateway/request_log.h
@@ -59,12 +59,23 @@
    * @param aNow time */
   void logCallerClose(const wire::ClosedCaller& aClosed, base::TimePoint aNow);
 
+  /** Counts and logs a request that its connection had to answer, because the
+   * request path has left it without a response.
+   * @param aId of the request @param aReason of the end @param aNow time */
+  void logUnanswered(const std::string& aId,
+                     wire::CallerEnd aReason,
+                     base::TimePoint aNow);
+
+  /** @return number of requests that logUnanswered() was told of */
+  std::uint64_t unanswered() const { return mUnanswered; }
+
   /** Logs the number of dropped lines, if any. @param aNow time */
   void logDroppedLines(base::TimePoint aNow);
 
 private:
   observe::Metrics& mMetrics;
   observe::LineBudget mBudget;
+  std::uint64_t mUnanswered = 0;
 };
 
 } // namespace marigold::gateway
--- a/apps/gateway/request_server.cpp
+++ b/apps/gateway/request_server.cpp
@@ -16,6 +16,19 @@
  * have not read all of their responses. */
 constexpr double kRunFraction = 0.95;
 
+wire::FallbackResponse
+fallbackResponse(const wire::Request& aRequest)
+{
+  const base::CodeInfo& unknown = base::codeInfo(base::Code::OutcomeUnknown);
+  return { unknown.httpStatus,
+           { { "Marigold-Outcome",
+               std::string(base::outcomeName(unknown.outcome)) },
+             { "Marigold-Code", std::string(unknown.name) },
+             { boundary::kRequestIdHeader,
+               std::string(http::findHeader(aRequest.headers,
+                                            boundary::kRequestIdHeader)) } } };
+}
+
 } // namespace
 
 RequestServer::RequestServer(RequestContext& aContext)
@@ -26,6 +39,14 @@
              })
 {
   mCallers.setMemoryBudget(mContext.memory);
+  mCallers.setFallback(&fallbackResponse);
+  mCallers.onUnanswered([this](wire::CallerEnd aReason,
+                               const wire::Request& aRequest) {
+    mContext.log.logUnanswered(std::string(http::findHeader(
+                                 aRequest.headers, boundary::kRequestIdHeader)),
+                               aReason,
+                               base::monotonicNow());
+  });
 }
 
 RequestServer::~RequestServer()
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -200,8 +200,7 @@
     armTimer(kOverdueGrace);
     return;
   }
-  mTransport.resetOnClose();
-  end(CallerEnd::Overdue);
+  giveUpRequest(CallerEnd::Overdue);
 }
 
 /** The loop may be late, so what had arrived when the timer expired is read
@@ -400,18 +399,59 @@
   }
 }
 
-/** Tells the handler that the caller has left, in time for a refusal. */
 void
 CallerConnection::leaveRequest()
+{
+  giveUpRequest(CallerEnd::ClosedByCaller);
+}
+
+/** Ends a request without waiting for its handler any longer, which is told in
+ * time for a response. */
+void
+CallerConnection::giveUpRequest(CallerEnd aReason)
 {
   const auto self = shared_from_this();
+  reportUnanswered(aReason);
   const auto callback = std::exchange(mCurrent.disconnectCallback, nullptr);
   if (callback) {
     callback();
   }
-  if (mCurrent.open) {
-    end(CallerEnd::ClosedByCaller);
+  if (!mCurrent.open || sendFallback(aReason)) {
+    return;
+  }
+  if (aReason != CallerEnd::ClosedByCaller) {
+    mTransport.resetOnClose(); // Else an end could complete the response.
   }
+  end(aReason);
+}
+
+/** Tells of a request that is given up although its caller waits. */
+void
+CallerConnection::reportUnanswered(CallerEnd aReason)
+{
+  const bool waits =
+    aReason != CallerEnd::ClosedByCaller && !mCurrent.responseStarted;
+  if (waits && mServer.mUnansweredHandler) {
+    mServer.mUnansweredHandler(aReason, mCurrent.request);
+  }
+}
+
+/** @return false if a part of a response was already sent */
+bool
+CallerConnection::sendFallback(CallerEnd aReason)
+{
+  if (mCurrent.responseStarted) {
+    return false;
+  }
+  // The handler may still refer to the connection as that of this request.
+  mCurrent.closeAfterResponse = true;
+  mCurrent.disconnectCallback = nullptr;
+  mCurrent.callerHadLeft = aReason == CallerEnd::ClosedByCaller;
+  const FallbackResponse response = mServer.mFallback
+                                      ? mServer.mFallback(mCurrent.request)
+                                      : FallbackResponse();
+  reply(response.status, response.headers, {});
+  return true;
 }
 
 bool
@@ -527,6 +567,7 @@
                             bool aHasLength)
 {
   mCurrent.responseStarted = true;
+  mCurrent.callerHadLeft = mCurrent.callerHadLeft || mInputEnded;
   // A pipelined request gets its own response, also if nothing follows it.
   const bool isLast = mInputEnded && mTransport.pendingInput() == 0;
   mCurrent.closeAfterResponse = mCurrent.closeAfterResponse ||
@@ -613,12 +654,17 @@
   if (!mCurrent.open) {
     return;
   }
+  const CallerEnd reason =
+    mTransport.peerClosed() ? CallerEnd::ClosedByCaller : CallerEnd::Aborted;
+  reportUnanswered(reason);
+  if (sendFallback(reason)) {
+    return;
+  }
   mCurrent.closeAfterResponse = true;
   if (!mCurrent.chunked) {
     // Without chunked encoding an orderly close would complete the response.
     mTransport.resetOnClose();
-    reportClose(mTransport.peerClosed() ? CallerEnd::ClosedByCaller
-                                        : CallerEnd::Aborted);
+    reportClose(reason);
     mCurrent.open = false;
     --mServer.mOpenRequests;
     release();
@@ -716,14 +762,17 @@
   const std::size_t unacknowledged = mTransport.unacknowledgedOutput();
   const std::size_t delivered =
     mCurrent.responseBytes - std::min(mCurrent.responseBytes, unacknowledged);
-  mServer.mCloseHandler({ aEnd,
-                          mCurrent.open,
-                          mUnansweredBytes + mTransport.pendingInput(),
-                          mCurrent.open ? delivered : 0,
-                          mTransport.pendingOutput(),
-                          unacknowledged,
-                          now - mLastInputAt,
-                          now - mOpenedAt });
+  mServer.mCloseHandler(
+    { aEnd,
+      mCurrent.open,
+      mUnansweredBytes + mTransport.pendingInput(),
+      mCurrent.open ? delivered : 0,
+      mTransport.pendingOutput(),
+      unacknowledged,
+      now - mLastInputAt,
+      now - mOpenedAt,
+      mCurrent.callerHadLeft,
+      mCurrent.open ? mCurrent.request.headers : http::Headers() });
 }
 
 void
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -34,10 +34,21 @@
 
 class CallerServer;
 
+/** Response to a request that its handler leaves without one. */
+struct FallbackResponse
+{
+  int status = 504;
+  http::Headers headers;
+};
+
 /**
  * One connection from a caller. It serves one request at a time: after the
  * handler was called, the request ends with reply(), with startStream()
  * followed by endStream(), or with abort(). Later calls have no effect.
+ *
+ * A request that was read whole always gets a response: if its handler sends
+ * none, the connection sends the fallback response of its server. Only a caller
+ * that can't receive one, because its connection has failed, gets nothing.
  */
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
@@ -60,8 +71,8 @@
   /** @return time at which the first byte of the request was read */
   base::TimePoint receivedAt() const { return mCurrent.receivedAt; }
 
-  /** Closes the connection if the handler has not ended the request shortly
-   * after this time, in place of CallerLimits::responseTimeout.
+  /** Ends the request if the handler has not done so shortly after this time,
+   * in place of CallerLimits::responseTimeout.
    * @param aTime time by which the handler ends the request */
   void expectEndBy(base::TimePoint aTime);
 
@@ -80,12 +91,13 @@
   void endStream();
 
   /** Closes the connection without the end of the body, so that the caller
-   * detects an incomplete response. */
+   * detects an incomplete response. Before the response has started, sends the
+   * fallback response. */
   void abort();
 
   /** @param aCallback runs once if the caller disconnects before the request
-   * ends; reply() in it still reaches a caller that has closed its sending side
-   * only */
+   * ends, or if the request is overdue; reply() in it still reaches a caller
+   * that waits or has closed its sending side only */
   void onDisconnect(std::function<void()> aCallback)
   {
     mCurrent.disconnectCallback = std::move(aCallback);
@@ -122,6 +134,7 @@
     bool open = false; ///< from the end of the request to that of the response
     bool graceIsLeft = false; ///< after the expected end
     bool responseStarted = false;
+    bool callerHadLeft = false; ///< when the response started
     bool chunked = false;
     bool closeAfterResponse = false;
     bool bodyTooLarge = false;
@@ -135,6 +148,9 @@
   void pauseInput();
   void inputEnded();
   void leaveRequest();
+  void giveUpRequest(CallerEnd aReason);
+  bool sendFallback(CallerEnd aReason);
+  void reportUnanswered(CallerEnd aReason);
   bool rejectInvalid();
   void rejectWith(int aStatus);
   bool acceptHeaders();
@@ -200,6 +216,8 @@
 public:
   using Handler = std::function<void(const std::shared_ptr<CallerConnection>&)>;
   using CloseHandler = std::function<void(const ClosedCaller&)>;
+  using Fallback = std::function<FallbackResponse(const Request&)>;
+  using UnansweredHandler = std::function<void(CallerEnd, const Request&)>;
   using HostFilter = std::function<bool(const std::string&)>;
 
   /** @param aLoop event loop @param aHandler called with each complete request
@@ -224,6 +242,18 @@
   /** @param aHandler called when a connection has ended */
   void onClosed(CloseHandler aHandler) { mCloseHandler = std::move(aHandler); }
 
+  /** @param aFallback makes the response to a request that the handler leaves
+   * without one; it must not promise that the request has not run */
+  void setFallback(Fallback aFallback) { mFallback = std::move(aFallback); }
+
+  /** @param aHandler called with the reason and the request, perhaps without
+   * its body, when the handler has left a request without a response although
+   * its caller waits */
+  void onUnanswered(UnansweredHandler aHandler)
+  {
+    mUnansweredHandler = std::move(aHandler);
+  }
+
   /** @param aFilter gets the numeric address of a host that connects, returns
    * true if it is known */
   void setKnownHosts(HostFilter aFilter) { mFilter = std::move(aFilter); }
@@ -249,6 +279,8 @@
   http::Loop& mLoop;
   Handler mHandler;
   CloseHandler mCloseHandler;
+  Fallback mFallback;
+  UnansweredHandler mUnansweredHandler;
   HostFilter mFilter;
   CallerLimits mLimits;
   base::MemoryBudget mUnlimited;
--- a/libs/wire/closed_caller.cpp
+++ b/libs/wire/closed_caller.cpp
@@ -55,6 +55,9 @@
     return aClosed.deliveredBytes > 0 ? CallerLoss::BrokenOff
                                       : CallerLoss::Unanswered;
   }
+  if (left && aClosed.leftBeforeResponse) {
+    return CallerLoss::None;
+  }
   if (aClosed.unacknowledgedBytes > 0) {
     return left ? CallerLoss::LeftEarly : CallerLoss::Undelivered;
   }
--- a/libs/wire/closed_caller.h
+++ b/libs/wire/closed_caller.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "http/message.h"
 #include "wire/transport.h"
 
 #include <cstddef>
@@ -46,6 +47,9 @@
   std::size_t unacknowledgedBytes = 0;
   base::Duration sinceInput{};  ///< time since the latest bytes arrived
   base::Duration sinceOpened{}; ///< age of the connection
+  /** The caller had ended its input when its last response started. */
+  bool leftBeforeResponse = false;
+  http::Headers openRequest; ///< headers of the request that was waiting
 };
 
 /** What a caller lost by the end of its connection. */
--- a/tests/explore/scenario.h
+++ b/tests/explore/scenario.h
@@ -199,6 +199,7 @@
   std::string checkHalfClose(const Caller& aCaller) const;
   std::string checkDelivery(const Caller& aCaller) const;
   std::string checkCounters() const;
+  std::string checkDuty() const;
 
   World mWorld;
   std::unique_ptr<Site> mSite;
