--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -61,6 +61,8 @@
         self.copy = None     # what restore() goes back to
         self.refused_key = None  # writes of it are answered with 503 and not done
         self.hold_grants = False  # leases are granted at once, but the answers wait
+        self.answer_delay = 0  # seconds by which its answers are late
+        self.lost_answers = 0  # number of answers to lose; their calls have taken effect
         self.revocation_delay = 0  # seconds until a revocation arrives, unless its connection is reset before
 
     def put(self, key, value, lease=0):
@@ -486,8 +488,12 @@
                             break
                     status, content = await self.store.handle(port, method, path, query, body)
                     content = self.store.seen_from(port, content)
+                    await asyncio.sleep(self.store.answer_delay)
                     if port in self.store.severed_ports:
                         break
+                    if self.store.lost_answers > 0:
+                        self.store.lost_answers -= 1
+                        break
                     era = {"Store-Era": str(self.store.era)}
                     writer.write(answer_bytes(status, era, json.dumps(content).encode()))
             except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
