Fuzz quotas with replaced VMs, planned stops, changed limits, clocks and bad links

Not played: pauses of hours, which concerned the term of a slot, and a request for a whole level (Drain).

--- a/tests/fuzz/quota_world.cpp
+++ b/tests/fuzz/quota_world.cpp
@@ -13,6 +13,10 @@
 constexpr base::Duration kTick = 20ms;
 constexpr base::Duration kReportPeriod = 100ms;
 constexpr base::Duration kLongestDelay = 50ms; ///< of a link between regions
+constexpr base::Duration kLongestLateness = 3s;
+constexpr double kClocks[] = { 0.99, 1, 1.01 };
+constexpr double kLimitFactors[] = { 0.5, 1, 2 }; ///< of a change
+constexpr base::TimePoint kStart{ 1000s };
 constexpr base::Duration kWindow = 8s;
 /** Part above the limit that the users allow in a window. */
 constexpr double kOvershoot = 0.1;
@@ -44,7 +48,8 @@
 {
   constexpr const char* kNames[] = { "Flood",  "Trickle", "Idle",    "Cut",
                                      "Split",  "Heal",    "Restart", "Pause",
-                                     "Resume", "Refund" };
+                                     "Resume", "Refund",  "Replace", "Stop",
+                                     "Limits" };
   return kNames[static_cast<std::size_t>(aOp)];
 }
 
@@ -55,12 +60,23 @@
   , mRandom(aOptions.seed)
   , mVms(aOptions.vms)
   , mAsked(aOptions.vms, 0)
+  , mLimits{ { kStart, { kRate, aOptions.burst * kRate } } }
 {
+  for (std::size_t vm = 0; vm < mVms.size(); ++vm) {
+    mVms[vm].name = name(vm);
+    mVms[vm].clock = vm < mOptions.clocks.size() ? mOptions.clocks[vm] : 1;
+  }
   for (std::size_t vm = 0; vm < mVms.size(); ++vm) {
     start(vm);
   }
 }
 
+base::TimePoint
+World::clockOf(const Vm& aVm) const
+{
+  return kStart + base::fromSeconds(base::inSeconds(mNow - kStart) * aVm.clock);
+}
+
 void
 World::start(std::size_t aVm)
 {
@@ -69,17 +85,69 @@
   ++vm.incarnation;
   vm.paused = false;
   vm.held.clear();
+  vm.sequence = 0;
+  vm.heard.clear();
   vm.quota.setReportPeriod(kReportPeriod);
   vm.quota.setWindow(kWindow);
   vm.quota.setSlack(mOptions.tolerance * kRate);
-  vm.quota.setLimits({ { "t", { kRate, mOptions.burst * kRate } } }, mNow);
+  configure(vm);
+}
+
+void
+World::configure(Vm& aVm)
+{
+  aVm.quota.setLimits({ { "t", mLimits.back().limit } }, clockOf(aVm));
   std::vector<base::VmName> peers;
-  for (std::size_t other = 0; other < mVms.size(); ++other) {
-    if (other != aVm) {
-      peers.push_back(name(other));
+  for (const Vm& other : mVms) {
+    if (&other != &aVm) {
+      peers.push_back(other.name);
+    }
+  }
+  aVm.quota.setPeers(peers, clockOf(aVm));
+}
+
+/** A paused VM gets the configuration when it goes on. */
+void
+World::configureAll()
+{
+  for (Vm& vm : mVms) {
+    if (!vm.paused) {
+      configure(vm);
+    }
+  }
+}
+
+void
+World::replace(std::size_t aVm)
+{
+  mVms[aVm].name = "new" + std::to_string(++mReplacements);
+  start(aVm);
+  configureAll();
+}
+
+void
+World::stop(std::size_t aVm)
+{
+  const Vm& leaving = mVms[aVm];
+  if (leaving.paused) {
+    return;
+  }
+  for (Vm& vm : mVms) {
+    if (&vm != &leaving && !vm.paused && vm.side == leaving.side) {
+      vm.quota.onPeerDraining(leaving.name, clockOf(vm));
     }
   }
-  vm.quota.setPeers(peers, mNow);
+  start(aVm);
+}
+
+void
+World::changeLimits(const Step& aStep)
+{
+  const double rate = kRate * kLimitFactors[aStep.target % 3];
+  const double burst =
+    mOptions.burst * kRate * kLimitFactors[aStep.target / 3 % 3];
+  mLimits.push_back({ mNow, { rate, burst } });
+  configureAll();
 }
 
 void
@@ -125,6 +193,15 @@
     case Op::Refund:
       refund(target);
       break;
+    case Op::Replace:
+      replace(target);
+      break;
+    case Op::Stop:
+      stop(target);
+      break;
+    case Op::Limits:
+      changeLimits(aStep);
+      break;
     default:
       break;
   }
@@ -135,10 +212,12 @@
 void
 World::resume(Vm& aVm)
 {
-  aVm.paused = false;
+  if (!std::exchange(aVm.paused, false)) {
+    return;
+  }
+  configure(aVm);
   for (const Report& report : std::exchange(aVm.held, {})) {
-    aVm.quota.onPeerUsage(
-      name(report.from), report.incarnation, report.usage, Totals::All, mNow);
+    receive(aVm, report);
   }
 }
 
@@ -181,36 +260,60 @@
   const double cost = mOptions.cost * kRate;
   mAsked[aVm] += aUnits;
   for (; mAsked[aVm] >= cost; mAsked[aVm] -= cost) {
-    if (!quota.admit("t", cost, mNow).admitted) {
+    if (!quota.admit("t", cost, clockOf(mVms[aVm])).admitted) {
       mAsked[aVm] = 0; // further ones would be refused too
       return;
     }
     mRuns.push_back({ mNow, cost, aVm });
   }
-  quota.admit("t", 0, mNow);
+  quota.admit("t", 0, clockOf(mVms[aVm]));
 }
 
 void
 World::report()
 {
-  std::uniform_int_distribution<base::Duration::rep> delay(
-    0, kLongestDelay.count());
   for (std::size_t from = 0; from < mVms.size(); ++from) {
     Vm& sender = mVms[from];
     if (sender.paused) {
       continue;
     }
+    ++sender.sequence;
     const Usage usage =
       mOptions.withUsage ? sender.quota.reportUsage() : Usage{ { "t", 0 } };
     for (std::size_t to = 0; to < mVms.size(); ++to) {
       if (to != from && mVms[to].side == sender.side) {
-        mInFlight.emplace(mNow + base::Duration(delay(mRandom)),
-                          Report{ from, to, sender.incarnation, usage });
+        sendReport({ sender.name,
+                     to,
+                     mVms[to].name,
+                     sender.incarnation,
+                     sender.sequence,
+                     usage });
       }
     }
   }
 }
 
+void
+World::sendReport(const Report& aReport)
+{
+  const auto happens = [this](int aPercent) {
+    return std::uniform_int_distribution<int>(0, 99)(mRandom) < aPercent;
+  };
+  const auto delay = [this](base::Duration aLongest) {
+    return base::Duration(std::uniform_int_distribution<base::Duration::rep>(
+      0, aLongest.count())(mRandom));
+  };
+  if (happens(mOptions.lostPercent)) {
+    return;
+  }
+  const int copies = happens(mOptions.doublePercent) ? 2 : 1;
+  for (int copy = 0; copy < copies; ++copy) {
+    const bool late = happens(mOptions.latePercent);
+    mInFlight.emplace(mNow + delay(late ? kLongestLateness : kLongestDelay),
+                      aReport);
+  }
+}
+
 void
 World::deliver()
 {
@@ -218,22 +321,54 @@
     const Report report = mInFlight.begin()->second;
     mInFlight.erase(mInFlight.begin());
     Vm& receiver = mVms[report.to];
+    if (receiver.name != report.receiver) {
+      continue; // It has been replaced.
+    }
     if (receiver.paused) {
       receiver.held.push_back(report);
-      continue;
+    } else {
+      receive(receiver, report);
+    }
+  }
+}
+
+void
+World::receive(Vm& aVm, const Report& aReport)
+{
+  const std::pair version(aReport.incarnation, aReport.sequence);
+  auto& latest = aVm.heard[aReport.from];
+  if (version <= latest) {
+    return; // As peers::PeerTable does.
+  }
+  latest = version;
+  aVm.quota.onPeerUsage(aReport.from,
+                        aReport.incarnation,
+                        aReport.usage,
+                        Totals::All,
+                        clockOf(aVm));
+}
+
+/** A lower limit binds a window that began after the change. */
+double
+World::allowed(base::TimePoint aUntil) const
+{
+  Limit largest;
+  for (std::size_t index = 0; index < mLimits.size(); ++index) {
+    const bool ended = index + 1 < mLimits.size() &&
+                       mLimits[index + 1].from < aUntil - 2 * kWindow;
+    if (mLimits[index].from <= aUntil && !ended) {
+      largest.rate = std::max(largest.rate, mLimits[index].limit.rate);
+      largest.burst = std::max(largest.burst, mLimits[index].limit.burst);
     }
-    receiver.quota.onPeerUsage(
-      name(report.from), report.incarnation, report.usage, Totals::All, mNow);
   }
+  return (largest.rate * base::inSeconds(kWindow) + largest.burst) *
+           (1 + kOvershoot) +
+         mOptions.tolerance * kRate;
 }
 
 std::string
 World::violation() const
 {
-  const double allowed =
-    (kRate * base::inSeconds(kWindow) + mOptions.burst * kRate) *
-      (1 + kOvershoot) +
-    mOptions.tolerance * kRate;
   double sum = 0;
   std::size_t first = 0;
   for (const Run& run : mRuns) {
@@ -241,9 +376,9 @@
     while (mRuns[first].at < run.at - kWindow) {
       sum -= mRuns[first++].units;
     }
-    if (sum > allowed) {
+    if (sum > allowed(run.at)) {
       return std::to_string(sum) + " units in 8 s, allowed " +
-             std::to_string(allowed);
+             std::to_string(allowed(run.at));
     }
   }
   return "";
@@ -265,6 +400,14 @@
     options.tolerance =
       *rc::gen::inRange(0, 5).as("tenths of tolerance") / 10.0;
     options.cost = *rc::gen::inRange(1, 10).as("hundredths of cost") / 100.0;
+    options.lostPercent = *rc::gen::inRange(0, 11).as("% of reports lost");
+    options.doublePercent = *rc::gen::inRange(0, 11).as("% doubled");
+    options.latePercent = *rc::gen::inRange(0, 11).as("% late");
+    options.clocks = *rc::gen::container<std::vector<double>>(
+                        kMostVms,
+                        rc::gen::elementOf(std::vector<double>(
+                          std::begin(kClocks), std::end(kClocks))))
+                        .as("clocks");
     const auto steps =
       *rc::gen::container<std::vector<Step>>(anyStep()).as("steps");
     World world(options);
--- a/tests/fuzz/quota_world.h
+++ b/tests/fuzz/quota_world.h
@@ -25,6 +25,9 @@
   Pause,   ///< the process of a VM is stopped
   Resume,  ///< all of them go on
   Refund,  ///< the latest request of a VM did not run
+  Replace, ///< a VM is lost; a new one takes its place, under its own name
+  Stop,    ///< planned stop of a VM, then a new process
+  Limits,  ///< the configuration changes rate and burst
   Count
 };
 
@@ -39,10 +42,14 @@
 {
   std::uint32_t seed = 1;
   std::size_t vms = 2;
-  double burst = 1;      ///< in seconds of the rate
-  double tolerance = 0;  ///< in seconds of the rate
-  double cost = 0.01;    ///< of a request, in seconds of the rate
-  bool withUsage = true; ///< false: reports tell of no usage
+  double burst = 1;           ///< in seconds of the rate
+  double tolerance = 0;       ///< in seconds of the rate
+  double cost = 0.01;         ///< of a request, in seconds of the rate
+  std::vector<double> clocks; ///< speeds of the VMs' clocks; 1 for the others
+  int lostPercent = 0;        ///< of the reports
+  int doublePercent = 0;      ///< of the reports
+  int latePercent = 0;        ///< of the reports, by up to 3 s
+  bool withUsage = true;      ///< false: reports tell of no usage
 };
 
 /** The fleet, with a record of all units that ran. */
@@ -61,15 +68,22 @@
 private:
   struct Report
   {
-    std::size_t from = 0;
+    base::VmName from;
     std::size_t to = 0;
+    base::VmName receiver;
     base::Incarnation incarnation = 0;
+    std::uint64_t sequence = 0;
     Usage usage;
   };
   struct Vm
   {
     FleetQuota quota;
+    base::VmName name;
+    double clock = 1; ///< speed
     base::Incarnation incarnation = 0;
+    std::uint64_t sequence = 0; ///< of its latest report
+    /** Process and sequence of the latest report of each peer. */
+    std::map<base::VmName, std::pair<base::Incarnation, std::uint64_t>> heard;
     unsigned side = 0;
     bool paused = false;
     std::deque<Report> held; ///< arrived while it was paused
@@ -81,14 +95,30 @@
     std::size_t vm = 0;
   };
 
+  /** A limit and the time from which it is in force. */
+  struct LimitChange
+  {
+    base::TimePoint from;
+    Limit limit;
+  };
+
   void apply(const Step& aStep);
+  base::TimePoint clockOf(const Vm& aVm) const;
   void start(std::size_t aVm);
+  void configure(Vm& aVm);
+  void configureAll();
+  void replace(std::size_t aVm);
+  void stop(std::size_t aVm);
+  void changeLimits(const Step& aStep);
   void resume(Vm& aVm);
   void refund(std::size_t aVm);
   void advance(base::Duration aTime, unsigned aAsked, double aDemand);
   void ask(std::size_t aVm, double aUnits);
   void report();
+  void sendReport(const Report& aReport);
   void deliver();
+  void receive(Vm& aVm, const Report& aReport);
+  double allowed(base::TimePoint aUntil) const;
 
   WorldOptions mOptions;
   std::mt19937 mRandom;
@@ -97,6 +127,8 @@
   std::vector<double> mAsked; ///< units not yet asked for, by VM
   std::multimap<base::TimePoint, Report> mInFlight;
   std::deque<Run> mRuns;
+  std::vector<LimitChange> mLimits;
+  int mReplacements = 0;
 };
 
 /** Plays random sequences and prints the shortest one that breaks the limit.
