--- a/tests/e2e/peer_links.py
+++ b/tests/e2e/peer_links.py
@@ -30,15 +30,14 @@
 class PeerLinks:
     """The links between all VMs of a fleet, by the names of sender and receiver. Made before the VMs start."""
 
-    def __init__(self, platform, store_ports, first_port):
-        """store_ports: port of the store of each VM, by its name. Needs a port for each pair of VMs."""
-        self.links = {}
-        port = first_port
+    def __init__(self, platform, store_ports, ports):
+        """store_ports: port of the store of each VM, by its name; ports: one for each VM and each other one."""
+        self.links, free = {}, iter(ports)
         for sender in store_ports:
             for receiver in store_ports:
                 if sender != receiver:
+                    port = next(free)
                     self.links[sender, receiver] = (port, platform.run(self.open(port)))
-                    port += 1
             platform.store.views[store_ports[sender]] = lambda item, sender=sender: self.view(sender, item)
 
     @staticmethod
--- a/tests/e2e/test_quota_faults.py
+++ b/tests/e2e/test_quota_faults.py
@@ -49,7 +49,7 @@
         for port in self.store_ports:
             self.platform.serve_store(port)
         self.links = PeerLinks(self.platform, {f"vm{n}": port for n, port in enumerate(self.store_ports)},
-                               BASE_PORT + 70)
+                               range(BASE_PORT + 70, BASE_PORT + 80))
         self.gateways = [Gateway(number, self.folder.name, BASE_PORT + 10 * number, self.store_ports[number], data_centre)
                          for number, data_centre in enumerate(DATA_CENTRES)]
         wait_for(lambda: all(gateway.ready() for gateway in self.gateways))
