Take no answer with a status that HTTP doesn't have

What callers saw: an upstream that answers with status 000 or 199 and a body, and keeps its connection open, made its callers wait: 504 "unknown" at the deadline, or the answer of another upstream after the stall time-out. A signed answer with status 600 or 999 was passed on as it was, and so were the bytes behind a signed 204 or 304.

Cause: the parser gives the number as it stands, and each status under 200 was skipped as an interim response together with its body, for a final one that never comes. http_parser reads a body behind 1xx, 204 and 304 if the headers announce one.

Now the parser fails on a status outside 100 to 599, on an interim response with a length or chunks, and on 101, for which no request asks (Upgrade is not passed on). 204 and 304 end with their headers; behind a 204 that announces a body, the connection is not used again, because its bytes may come late.

A 204 that announces a body could be malformed, too. RFC 9112 ends it with its headers, and the upstream has answered, so it is delivered, without bytes.

--- a/libs/wire/message.cpp
+++ b/libs/wire/message.cpp
@@ -90,6 +90,14 @@
   return bytes;
 }
 
+bool
+mayHaveBody(int aStatus)
+{
+  constexpr int kNotModified = 304;
+  return aStatus >= kFirstFinalStatus && aStatus != kNoContent &&
+         aStatus != kNotModified;
+}
+
 std::string_view
 reasonPhrase(int aStatus)
 {
--- a/libs/wire/parser.cpp
+++ b/libs/wire/parser.cpp
@@ -13,20 +13,43 @@
          aNative.content_length != std::numeric_limits<std::uint64_t>::max();
 }
 
+/** @return true if the headers of a response announce a body, even an empty one
+ */
+bool
+isFramed(const http_parser& aNative)
+{
+  return (aNative.flags & F_CHUNKED) != 0 || announcesLength(aNative);
+}
+
 /** @return true if a response has neither Content-Length nor chunked encoding,
  * so that it ends when the connection closes */
 bool
 isCloseDelimited(const http_parser& aNative)
 {
-  constexpr unsigned kNoContent = 204;
-  constexpr unsigned kNotModified = 304;
-  constexpr unsigned kFirstFinalStatus = 200;
-  const unsigned status = aNative.status_code;
-  if (status < kFirstFinalStatus || status == kNoContent ||
-      status == kNotModified) {
+  return mayHaveBody(static_cast<int>(aNative.status_code)) &&
+         !isFramed(aNative);
+}
+
+/** @return false if HTTP has no such status, or none with such headers */
+bool
+isValidResponse(const http_parser& aNative)
+{
+  constexpr int kSwitchingProtocols = 101; // No request asks for it.
+  const int status = static_cast<int>(aNative.status_code);
+  if (status < kFirstStatus || status > kLastStatus ||
+      status == kSwitchingProtocols) {
     return false;
   }
-  return (aNative.flags & F_CHUNKED) == 0 && !announcesLength(aNative);
+  return status >= kFirstFinalStatus || !isFramed(aNative);
+}
+
+/** @return true if a response without a body says that bytes follow. After 304
+ * the headers are those of the body that was not sent. */
+bool
+announcesSurplus(const http_parser& aNative)
+{
+  return static_cast<int>(aNative.status_code) == kNoContent &&
+         isFramed(aNative) && aNative.content_length != 0;
 }
 
 } // namespace
@@ -156,15 +179,22 @@
 Parser::onHeadersComplete(http_parser* aNative)
 {
   constexpr int kSkipBody = 1;
+  constexpr int kFail = -1;
   Parser* parser = self(aNative);
+  const bool isResponse = parser->mKind == Kind::Responses;
+  if (isResponse && !isValidResponse(*aNative)) {
+    return kFail;
+  }
   parser->mHeadersComplete = true;
   parser->mStatus = aNative->status_code;
   parser->mContentLength =
     announcesLength(*aNative) ? aNative->content_length : 0;
-  parser->mKeepAlive = http_should_keep_alive(aNative) != 0;
-  parser->mCloseDelimited =
-    parser->mKind == Kind::Responses && isCloseDelimited(*aNative);
-  return parser->mEvents.head() ? 0 : kSkipBody;
+  parser->mKeepAlive = http_should_keep_alive(aNative) != 0 &&
+                       !(isResponse && announcesSurplus(*aNative));
+  parser->mCloseDelimited = isResponse && isCloseDelimited(*aNative);
+  const bool wantsBody = parser->mEvents.head();
+  const bool hasBody = !isResponse || mayHaveBody(parser->mStatus);
+  return wantsBody && hasBody ? 0 : kSkipBody;
 }
 
 int
--- a/libs/wire/upstream.cpp
+++ b/libs/wire/upstream.cpp
@@ -34,7 +34,6 @@
                mHead.status = mParser.status();
                mHead.headers = mParser.headers();
                mHeadPending = true;
-               constexpr int kFirstFinalStatus = 200;
                const std::string_view id =
                  http::findHeader(mHead.headers, mCall.idHeader);
                mSkipping = mHead.status < kFirstFinalStatus ||
