Try a malformed answer elsewhere at once, and take no 204 for a stream

What callers saw: a request with a new part of a prompt waited 400 ms behind a malformed answer, each time, before it was tried elsewhere or ended. A stream or chat that its upstream answered with a signed 204 got that as its answer, with text/event-stream and bytes behind it as a stream with status 204, otherwise as a success without events.

Cause: Exchange took a malformed answer for the end of a process, so it waited for evidence of a crash, and every signed 2xx for a result of a stream route.

An upstream that crashes breaks off and writes no malformed bytes, so CallFailure::Malformed is now handled as an unsigned answer is: 502 "unknown" at once where the request may run once, another upstream at once, within attempts and retry budget, where it may be repeated. Malformed answers are no evidence of a crash any more, also inside a body; Broken and Oversized still are. On a stream route a 2xx without a body is an invalid answer.

--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -354,8 +354,8 @@
     }
   }
   mStreaming = mRoute->kind == catalog::RequestKind::Stream &&
-               isSuccess(aHead.status) && isEventStream(aHead.headers) &&
-               metadata.signedByUpstream;
+               isSuccess(aHead.status) && wire::mayHaveBody(aHead.status) &&
+               isEventStream(aHead.headers) && metadata.signedByUpstream;
   mDiscardBody = metadata.notExecuted || invalidHead(metadata) != nullptr;
 }
 
@@ -529,6 +529,10 @@
   if (mEventCount > 0) {
     return "response to the resumed stream is not a stream";
   }
+  if (mRoute->kind == catalog::RequestKind::Stream && isSuccess(mHead.status) &&
+      !wire::mayHaveBody(mHead.status)) {
+    return "response has no events";
+  }
   if (aMetadata.signedByUpstream) {
     // A signed error is the upstream's result for this request; another
     // upstream would return the same.
@@ -654,6 +658,10 @@
     case wire::CallFailure::CarrierDeclined:
       onNotForwarded(true);
       break;
+    case wire::CallFailure::Malformed:
+      // An upstream that crashes writes no such bytes.
+      onInvalidResponse(failureText(aFailure));
+      break;
     default:
       onBroken(failureText(aFailure));
   }
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -198,6 +198,7 @@
         self.break_after = None  # cuts a stream inside the event after this many
         self.fail_resumed = False   # answers the resumption of a stream with a signed error
         self.drop_requests = False  # runs a request and closes the connection without an answer
+        self.raw_answer = None  # (bytes in place of its answers, whether their connection stays open)
         self.surplus = False  # sends a second answer behind that of a plain service
         self.refuse = False  # counts a request as run but answers 503 with X-Not-Executed
         self.delay = 0.01
@@ -337,6 +338,10 @@
         if self.refuse:
             writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "full"}, b""))
             return True
+        if self.raw_answer:
+            text, stays_open = self.raw_answer
+            writer.write(self.sign(text, signature))
+            return stays_open
         if self.endless:
             await self.send_endless(signature, writer)
             return False
@@ -354,12 +359,17 @@
             writer.write(answer_bytes(200, signature, b"surplus"))
         return True
 
+    @staticmethod
+    def sign(text, signature):
+        """Returns the bytes of an answer with its signature where the text asks for it."""
+        lines = "".join(f"{k}: {v}\r\n" for k, v in signature.items())
+        return text.replace("SIGNATURE\r\n", lines).encode()
+
     async def send_endless(self, signature, writer):
         """Sends chunks until the gateway closes the connection, ENDLESS_SECONDS have passed or
         endless_limit bytes were sent."""
         head, chunk, pause = self.endless
-        lines = "".join(f"{k}: {v}\r\n" for k, v in signature.items())
-        writer.write(head.replace("SIGNATURE\r\n", lines).encode())
+        writer.write(self.sign(head, signature))
         until = time.monotonic() + ENDLESS_SECONDS
         try:
             while time.monotonic() < until and self.endless_sent < self.endless_limit:
