Tell a peer that an upstream's answer is malformed

What callers saw: on a VM without a path to its upstreams, a malformed answer that a peer got was "broken", so a request with a new part of a prompt waited 400 ms for evidence of a crash, each time.

CarryDecline gains "malformed", at its end. VMs of older versions take a reason that they don't know for "broken", as before. The carrier also sends 204 and 304 as it sends answers to HEAD, without chunks behind them: by reading, the end of the chunks would now cost the connection between the VMs.

--- a/apps/gateway/carrier.cpp
+++ b/apps/gateway/carrier.cpp
@@ -180,7 +180,7 @@
   wire::removeHeader(headers, kCarryDeclinedHeader);
   wire::removeHeader(headers, kCarriedHeader);
   headers.emplace_back(kCarriedHeader, "1");
-  if (mRequest.method == "HEAD") {
+  if (mRequest.method == "HEAD" || !wire::mayHaveBody(aHead.status)) {
     mPeer->reply(aHead.status, headers, {});
   } else {
     mPeer->startStream(aHead.status, headers);
@@ -213,6 +213,10 @@
     decline(CarryDecline::Unwanted);
     return;
   }
+  if (aFailure == wire::CallFailure::Malformed) {
+    decline(CarryDecline::Malformed);
+    return;
+  }
   if (aFailure != wire::CallFailure::NotConnected) {
     mContext.reach.probe(mUpstream->peer());
     decline(CarryDecline::Broken);
--- a/apps/gateway/carry_protocol.h
+++ b/apps/gateway/carry_protocol.h
@@ -27,7 +27,8 @@
   Unknown,     ///< the peer knows no such upstream that takes requests
   Unwanted,    ///< the upstream wants no requests from the peer
   Unreachable, ///< the peer can't connect to the upstream
-  Broken       ///< the upstream broke off before its answer; it may have run
+  Broken,      ///< the upstream broke off before its answer; it may have run
+  Malformed    ///< the upstream's answer is not one of HTTP; it may have run
 };
 
 /** @param aDecline reason @return its name in the header */
--- a/apps/gateway/upstream_calls.cpp
+++ b/apps/gateway/upstream_calls.cpp
@@ -25,6 +25,7 @@
   DeclineName{ CarryDecline::Unwanted, "unwanted" },
   DeclineName{ CarryDecline::Unreachable, "unreachable" },
   DeclineName{ CarryDecline::Broken, "broken" },
+  DeclineName{ CarryDecline::Malformed, "malformed" },
 };
 
 std::optional<CarryDecline>
@@ -238,6 +239,9 @@
     case CarryDecline::Broken:
       mCarriers.onAnswered(aCarrier);
       return wire::CallFailure::Broken;
+    case CarryDecline::Malformed:
+      mCarriers.onAnswered(aCarrier);
+      return wire::CallFailure::Malformed;
     case CarryDecline::Unreachable:
       mCarriers.onAnswered(aCarrier);
       mReach.onGone(aUpstream);
