End calls to the store and to upstreams on a status that is no final one

A write to the store that was answered with status 600, 103 or 20 counted as not done ("the platform answered with status 600"), though such an answer says nothing of a write that may have taken effect. A streamed call passed such a head on.

Cause: evhttp turns away status 0 only, and takes each 1xx but 100 for a final response; Client reported these as complete. So an acknowledgement with status 000 was never taken for one (the call was broken at once, before and now), and orders compare with 200 and 202 exactly; a 100 with a body let evhttp read that body as the next status line until the timeout.

Now a status outside 200 to 599, or 100 with a length or chunks, ends the call as broken at once. A write then counts as one whose answer was lost.

Platform.StatusThatIsNoFinalOneIsAnUnknownOutcome fails without it.

--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -46,6 +46,8 @@
 }
 
 constexpr int kContinueStatus = 100;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 
 /** The kernel resets the connection when the socket is closed, also at the end
  * of the process, instead of sending unacknowledged bytes again. */
@@ -96,6 +98,15 @@
   }
 }
 
+/** @return true if the headers announce a body, even an empty one */
+bool
+isFramed(evhttp_request* aRequest)
+{
+  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  return evhttp_find_header(headers, "Content-Length") != nullptr ||
+         evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+}
+
 std::string
 takeBytes(evhttp_request* aRequest)
 {
@@ -340,9 +351,14 @@
 Call::State::onHead(evhttp_request* aRequest, void* aState)
 {
   auto* state = static_cast<State*>(aState);
-  if (evhttp_request_get_response_code(aRequest) == kContinueStatus) {
+  constexpr int kFail = -1;
+  const int status = evhttp_request_get_response_code(aRequest);
+  if (status == kContinueStatus && !isFramed(aRequest)) {
     return 0; // evhttp goes on to read the final response.
   }
+  if (status < kFirstFinalStatus || status > kLastStatus) {
+    return kFail;
+  }
   readHead(aRequest, state->response);
   state->headersComplete = true;
   if (state->events.head) {
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -93,6 +93,16 @@
   CHECK(writeCode(answering(503, "{}")) == Code::PlatformUnreachable);
 }
 
+// A status that HTTP doesn't have, or an interim one, says nothing of a write
+// that may have taken effect.
+TEST(Platform, StatusThatIsNoFinalOneIsAnUnknownOutcome)
+{
+  for (const int status : { 20, 103, 600, 999 }) {
+    CHECK(writeCode(answering(status, R"({"revision": 4})")) ==
+          Code::WriteOutcomeUnknown);
+  }
+}
+
 // Failure tests rely on an outage that drops all answers. A write during it has
 // an unknown outcome and must not be reported as refused.
 TEST(Platform, SimulatedOutageDropsAnswers)
