--- a/tests/explore/actions.cpp
+++ b/tests/explore/actions.cpp
@@ -65,6 +65,7 @@
     { "busy", 'u', &S::canAnswerBadly, &S::answerWith<A::Busy> },
     { "fail", 'u', &S::canAnswerBadly, &S::answerWith<A::Failed> },
     { "unsigned", 'u', &S::canAnswerBadly, &S::answerWith<A::Unsigned> },
+    { "invalid", 'u', &S::canAnswerBadly, &S::answerWith<A::Invalid> },
     { "unframed", 'u', &S::canAnswerBadly, &S::answerWith<A::Unframed> },
     { "short", 'u', &S::canBreakStream, &S::answerWith<A::Short> },
     { "cut", 'u', &S::canBreakStream, &S::answerWith<A::Cut> },
--- a/tests/explore/checks.cpp
+++ b/tests/explore/checks.cpp
@@ -157,6 +157,26 @@
   return {};
 }
 
+/** Nothing that follows such an answer can belong to its request. */
+std::string
+Scenario::checkInvalidAnswers() const
+{
+  if (mWorld.ready(Step::Next) || mWorld.ready(Step::Poll)) {
+    return {};
+  }
+  for (const auto& [id, upstream] : mUpstreams) {
+    const Connection& connection = *World::current().connections()[id];
+    const bool answered = !upstream.arrivals.empty() &&
+                          upstream.arrivals.back().complete() &&
+                          upstream.arrivals.back().kind == AnswerKind::Invalid;
+    if (answered && connection.unread.empty() && !connection.closed) {
+      return "a call goes on behind a status that HTTP doesn't have (" +
+             upstream.arrivals.back().id + ")";
+    }
+  }
+  return {};
+}
+
 /** A request on a connection that has visibly ended is lost needlessly. */
 std::string
 Scenario::checkKeptConnections() const
@@ -271,6 +291,7 @@
   for (const auto check : { &Scenario::checkArrivals,
                             &Scenario::checkGivenUpCalls,
                             &Scenario::checkCallsWithoutCaller,
+                            &Scenario::checkInvalidAnswers,
                             &Scenario::checkAttempts,
                             &Scenario::checkKeptConnections }) {
     if (auto found = (this->*check)(); !found.empty()) {
--- a/tests/explore/messages.cpp
+++ b/tests/explore/messages.cpp
@@ -181,6 +181,8 @@
       return "HTTP/1.1 500 Failed" + end;
     case AnswerKind::Unsigned:
       return unsignedAnswer(aId);
+    case AnswerKind::Invalid:
+      return "HTTP/1.1 000 Invalid\r\nX-Server-Signature: s" + end;
     case AnswerKind::Whole:
       return wholeAnswer(aId);
     default:
--- a/tests/explore/messages.h
+++ b/tests/explore/messages.h
@@ -32,6 +32,7 @@
   Short,    ///< unframed, a stream that ends between two events
   Cut,      ///< unframed, a stream that ends inside an event
   Unsigned, ///< a success that is not the upstream's
+  Invalid,  ///< signed, with a status that HTTP doesn't have
   Busy,     ///< not executed
   Failed
 };
--- a/tests/explore/scenario.h
+++ b/tests/explore/scenario.h
@@ -192,6 +192,7 @@
   std::string checkArrivals() const;
   std::string checkGivenUpCalls() const;
   std::string checkCallsWithoutCaller() const;
+  std::string checkInvalidAnswers() const;
   std::string checkAttempts() const;
   bool othersAccept(const base::Address& aTried) const;
   std::string checkKeptConnections() const;
