Refuse connections on a path to an upstream that has ended

Cause: such a path (tests/e2e/upstream_links.py) went on accepting connections while its upstream was down, and closed each of them once it failed to connect further. The kernel of an upstream that has ended refuses connections. So a VM sent requests on what looked like a sound connection, saw it break a few milliseconds later, and rightly counted these as evidence of crashes, at other moments than the power cut itself.

Evidence: tests/soak/test_checks.py PathsTest.test_path_to_an_upstream_that_has_ended_refuses_connections, before: "First differing element 1: 'refused' / 'accepted'".

An upstream now tells its paths when it ends and when it listens again, and they close or open their listeners with it.

--- a/tests/e2e/upstream_links.py
+++ b/tests/e2e/upstream_links.py
@@ -28,6 +28,7 @@
         self.sockets = set() # of these and of connections that have no writer yet
         self.passed = {}     # request id: times at which requests passed
         self.how = None      # of the cut
+        self.ended = False   # whether the upstream refuses connections
         self.filler = None   # takes the only place in the backlog, so that connects hang
         self.open()
 
@@ -42,6 +43,20 @@
         self.listener.listen(BACKLOG)
         asyncio.get_running_loop().add_reader(self.listener, self.accept)
 
+    def stop_listening(self):
+        asyncio.get_running_loop().remove_reader(self.listener)
+        self.listener.close()
+
+    def follow(self, listening):
+        """Refuses connections while the upstream does, unless a cut hides that."""
+        changed, self.ended = listening == self.ended, not listening
+        if not changed or self.how:
+            return
+        if listening:
+            self.open()
+        else:
+            self.stop_listening()
+
     def accept(self):
         """Accepts the connections that wait."""
         try:
@@ -64,11 +79,11 @@
         refused; "refuse": open connections live on, and new ones are refused."""
         self.mend()
         self.how = how
-        asyncio.get_running_loop().remove_reader(self.listener)
         if how == "silent":
             self.silence_path()
             return
-        self.listener.close()
+        if not self.ended:
+            self.stop_listening()
         if how == "reset":
             self.writers |= self.near
             self.reset()
@@ -76,6 +91,9 @@
     def silence_path(self):
         """What has arrived from the VM goes on to the upstream; the rest is not acknowledged."""
         self.stalled = {"down"}
+        if self.ended:
+            self.open()
+        asyncio.get_running_loop().remove_reader(self.listener)
         self.accept()
         for sock in self.open_sockets():
             drop_packets(sock)
@@ -91,8 +109,11 @@
                 keep_packets(sock)
             self.stalled = set()
             self.filler.close()
-            self.start_accepting()
-        elif self.how:
+            if self.ended:
+                self.listener.close()
+            else:
+                self.start_accepting()
+        elif self.how and not self.ended:
             self.open()
         self.how = None
 
@@ -133,6 +154,8 @@
         self.platform, host = platform, f"127.0.1.{number + 1}"
         ports = [upstream.public_port for upstream in upstreams]
         self.links = platform.change(lambda: {port: UpstreamLink(host, port) for port in ports})
+        for upstream in upstreams:
+            upstream.on_listening.append(self.links[upstream.public_port].follow)
         platform.store.views[store_port] = self.view
 
     def view(self, item):
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -232,6 +232,7 @@
         self.after_order = lambda: None  # runs on the platform's thread after each order that took effect
         self.misdirected = 0  # requests for another upstream
         self.listener = None
+        self.on_listening = []  # functions that are told when it ends (False) or listens again (True)
         self.writers = set()  # open connections
 
     def record(self, state="ready"):
@@ -376,6 +377,11 @@
         self.listener.close()
         for writer in self.writers:
             writer.transport.abort()
+        self.tell_listening(False)
+
+    def tell_listening(self, listening):
+        for function in self.on_listening:
+            function(listening)
 
     def serves(self, name):
         """Returns whether it has a model, and the adapter if the name has one."""
@@ -519,6 +525,7 @@
                     upstream.born += 1
                     upstream.listener = await asyncio.start_server(connection, HOST, upstream.port)
                     self.servers.append(upstream.listener)
+                    upstream.tell_listening(True)
                     self.store.put("servers/" + upstream.name, upstream.record())
         upstream.connection = connection
         self.listen_again(upstream)
@@ -530,6 +537,7 @@
     def listen_again(self, upstream):
         upstream.listener = self.run(asyncio.start_server(upstream.connection, HOST, upstream.port))
         self.servers.append(upstream.listener)
+        self.change(upstream.tell_listening, True)
 
     def restart(self, upstream, version):
         """Ends an upstream and starts it again at once under its name with another version. Its record still
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -20,7 +20,8 @@
                     check_statements, check_strands, check_stream, check_take_ups, check_waits, holds_signal)
 from proxy import HOST, Proxy
 from stream_calls import StreamCaller
-from upstream_links import UpstreamLink
+from upstream_links import UpstreamLink, VmLinks
+from users_platform import Platform, Upstream
 
 
 class UpstreamRecord:
@@ -464,5 +465,49 @@
         self.assertEqual(1, asyncio.run(play()))
 
 
+class PathsTest(unittest.TestCase):
+    """The paths of VMs to the upstreams, on ports from PORT on."""
+
+    PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 25000))
+
+    def connect(self, address):
+        with socket.socket() as connection:
+            connection.settimeout(0.3)
+            try:
+                connection.connect(address)
+                return "accepted"
+            except ConnectionRefusedError:
+                return "refused"
+            except socket.timeout:
+                return "silent"
+
+    # Guards against a path that accepts requests for an upstream that has ended, which shows them beside its crash.
+    def test_path_to_an_upstream_that_has_ended_refuses_connections(self):
+        platform, upstream = Platform(), Upstream("u", self.PORT + 98, "desk")
+        platform.serve_upstream(upstream)
+        links = VmLinks(platform, 0, self.PORT + 99, [upstream])
+        address = links.links[upstream.public_port].address
+        seen = [self.connect(address)]
+        for change in (upstream.crash, upstream.crash, lambda: links.links[upstream.port].cut("silent"),
+                       lambda: links.links[upstream.port].cut("refuse"), lambda: links.links[upstream.port].mend()):
+            platform.change(change)
+            seen.append(self.connect(address))
+        platform.listen_again(upstream)
+        seen.append(self.connect(address))
+        links.cut("reset")
+        platform.restart(upstream, "v2")
+        seen.append(self.connect(address))
+        links.mend()
+        seen.append(self.connect(address))
+        links.cut("silent")
+        platform.restart(upstream, "v3")
+        links.mend()
+        seen.append(self.connect(address))
+        links.close()
+        platform.close()
+        self.assertEqual(["accepted", "refused", "refused", "silent", "refused", "refused", "accepted", "refused",
+                          "accepted", "accepted"], seen)
+
+
 if __name__ == "__main__":
     unittest.main()
