Give VMs paths of their own to the brittle upstreams of the soak

A cut of "all" upstreams in the soak (tests/soak/strands.py) left the four brittle ones reachable: Soak.upstreams(), from which a VM's paths are made, did not name them, so their records kept the address that all VMs share. A stranded VM then found its path "back" whenever its probes met brittle upstreams, which stand beside each other in the order of names, and "lost" again with the next failures of others. check_strands() judged RECOVER on such cuts.

Evidence: tests/soak/test_checks.py PathsTest.test_each_record_names_a_path_of_the_vm, before: "Items in the second set but not the first: 'brittle'".

The brittle upstreams are part of Soak.upstreams() now, so the two checks that added them need not.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -106,7 +106,7 @@
 
     def upstreams(self):
         return (self.desks + self.engines + self.files + self.frail + self.rack + self.churned
-                + self.versions.upstreams)
+                + self.versions.upstreams + self.brittle.upstreams)
 
     def add_proxy(self, vm, port, target):
         proxy = Proxy(target)
@@ -360,11 +360,11 @@
         for thread in threads:
             thread.join()
         time.sleep(1)
-        check_runs(self.record, self.upstreams() + self.brittle.upstreams)
+        check_runs(self.record, self.upstreams())
         check_statements(self.record, self.desks + self.engines)
         check_orders(self.record, self.engines + self.frail + self.rack + self.churned)
         check_waits(self.record)
-        check_answered(self.record, self.upstreams() + self.brittle.upstreams)
+        check_answered(self.record, self.upstreams())
         check_pauses(self.record, self.files, LARGE_DEADLINE)
         check_deadly(self.record, self.frail)
         check_joined(self.record, self.versions.callers)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,6 +1,8 @@
 """Tests that the checks of the soak detect violations and accept valid records."""
 
 import asyncio
+import base64
+import json
 import os
 import signal
 import socket
@@ -10,9 +12,11 @@
 import tempfile
 import time
 import unittest
+import unittest.mock
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../e2e"))
 
+import soak
 from brittle import check_falls
 from checks import (ANSWER_SLACK, FAULT_FREE, GRACE_CHECKED, IN_FLIGHT, KEY_LIMIT, LEAST_TAKE_UPS, LEAVING_LIMIT,
                     LOSS_SLACK, MOST_BLOCKED, MOST_DEADLY, MOST_JOINED, MOST_WHILE_TURNED_AWAY, PROVEN_CRASHES,
@@ -20,6 +24,7 @@
                     check_statements, check_strands, check_stream, check_take_ups, check_waits, holds_signal)
 from proxy import HOST, Proxy
 from stream_calls import StreamCaller
+from strands import Strands
 from upstream_links import UpstreamLink, VmLinks
 from users_platform import Platform, Upstream
 
@@ -508,6 +513,19 @@
         self.assertEqual(["accepted", "refused", "refused", "silent", "refused", "refused", "accepted", "refused",
                           "accepted", "accepted"], seen)
 
+    # Guards against a cut of all upstreams that leaves some of them reachable.
+    def test_each_record_names_a_path_of_the_vm(self):
+        seed = next(seed for seed in range(soak.APART, 99, len(soak.PACES)) if Strands(unittest.mock.Mock(), seed).played)
+        with tempfile.TemporaryDirectory() as folder, unittest.mock.patch("soak.SoakGateway"):
+            played = soak.Soak(seed, 1, self.PORT, folder)
+            store = played.platform.store
+            records = [item for key, item in store.items.items() if key.startswith("servers/")]
+            seen = [json.loads(base64.b64decode(view(item)["value"]))
+                    for view in store.views.values() for item in records]
+            played.close()
+        self.assertEqual(soak.VMS * len(records), len(seen))
+        self.assertEqual(set(), {record["service"] for record in seen if not record["address"].startswith("127.0.1.")})
+
 
 if __name__ == "__main__":
     unittest.main()
