Share the start and end of the threads of a soak's kinds

Orders, Versions, Strands, Brittle and Changes repeated the soak, its record, their random numbers, the event of the end and the loops that start and join their threads. They are in tests/soak/kind.py now, and soak.py keeps the kinds in a list.

--- a/tests/soak/brittle.py
+++ b/tests/soak/brittle.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from kind import Kind
 from users_platform import Upstream, route
 
 UPSTREAMS = 4
@@ -22,30 +23,25 @@
 ROUTE = route("brittle", "/brittle/", "idempotent", "brittle")
 
 
-class Brittle:
+class Brittle(Kind):
     """The threads of one soak."""
 
     def __init__(self, soak, seed, port):
-        self.soak, self.record = soak, soak.record
-        self.random = random.Random(f"{seed} brittle")
+        super().__init__(soak, seed, "brittle")
         self.call_random = random.Random(f"{seed} brittle calls")
         self.played = self.random.random() < PROBABILITY
-        self.ending = threading.Event()
         self.calls = []
         self.times = []  # (start, end) during which the upstreams said that they are brittle
         self.upstreams = [Upstream(f"brittle{number}", port + number, "brittle") for number in range(UPSTREAMS)]
         for upstream in self.upstreams:
             upstream.slots, upstream.delay, upstream.waiting_room = SLOTS, SECONDS, WAITING
             soak.platform.serve_upstream(upstream, RETURN)
-        self.threads = [threading.Thread(target=self.drive), threading.Thread(target=self.change)]
-
-    def start(self):
-        for thread in self.threads if self.played else []:
-            thread.start()
+        loops = [self.drive, self.change] if self.played else []
+        self.threads = [threading.Thread(target=loop) for loop in loops]
 
     def end(self):
-        self.ending.set()
-        for thread in (self.threads if self.played else []) + self.calls:
+        super().end()
+        for thread in self.calls:
             thread.join()
 
     def drive(self):
--- a/tests/soak/changes.py
+++ b/tests/soak/changes.py
@@ -5,6 +5,7 @@
 import random
 import threading
 
+from kind import Kind
 from users_platform import HOST, route
 
 SHARE = 0.65             # of the seeds
@@ -17,14 +18,12 @@
 TIMEOUTS_MS = (4000, 6000)
 
 
-class Changes:
+class Changes(Kind):
     """The thread of one soak."""
 
     def __init__(self, soak, seed):
-        self.soak = soak
-        self.random = random.Random(f"{seed} changes")
+        super().__init__(soak, seed, "changes")
         self.played = self.random.random() < SHARE
-        self.ending = threading.Event()
         callers = [random.Random(f"{seed} idle caller {n}") for n in range(IDLE_CALLERS)]
         self.threads = [threading.Thread(target=self.run)]
         self.threads += [threading.Thread(target=self.idle_caller, args=(numbers,)) for numbers in callers]
@@ -33,15 +32,6 @@
         self.teams, self.routes = [], []
         self.settings = {}
 
-    def start(self):
-        for thread in self.threads:
-            thread.start()
-
-    def end(self):
-        self.ending.set()
-        for thread in self.threads:
-            thread.join()
-
     def run(self):
         while self.played and not self.ending.wait(self.random.uniform(*PAUSE)):
             self.random.choice(self.kinds)()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,7 @@
 
 from brittle import ROUTE as BRITTLE_ROUTE
 from gateway_process import BIN, Gateway
+from kind import Kind
 from proxy import HOST
 from users_platform import Platform, Upstream, answer_bytes, route
 from versions import MODEL, ROUTE
@@ -88,12 +89,11 @@
         return True
 
 
-class Orders:
+class Orders(Kind):
     """The threads of one soak."""
 
     def __init__(self, soak, seed):
-        self.soak, self.record, self.seed = soak, soak.record, seed
-        self.ending = threading.Event()
+        super().__init__(soak, seed, "kinds")
         self.heads = {}    # vm: number of heads that have arrived in part
         self.pausing = {}  # vm: number of callers that pause in an answer
         self.lock = threading.Lock()
@@ -102,8 +102,7 @@
         loops = [self.segment_caller] * 3 + [self.pausing_caller] * 3 + [self.key_caller] * 3
         loops += [self.frail_caller, self.churn_caller, self.deadly_caller]
         kinds = [self.freeze, self.stop_beside_pauses, self.hold_order, self.silence, self.kill_all]
-        chosen = random.Random(f"{seed} kinds")
-        loops += [kind for kind in kinds if chosen.random() < KIND_SHARE]
+        loops += [kind for kind in kinds if self.random.random() < KIND_SHARE]
         loops += [self.rack_caller, self.power_cut]  # last, so that the others keep their random numbers
         self.threads = [threading.Thread(target=self.run, args=(loop, random.Random(f"{seed} {number}")))
                         for number, loop in enumerate(loops)]
@@ -112,15 +111,6 @@
         while not self.ending.is_set():
             loop(numbers)
 
-    def start(self):
-        for thread in self.threads:
-            thread.start()
-
-    def end(self):
-        self.ending.set()
-        for thread in self.threads:
-            thread.join()
-
     def tell(self, counts, vm, change):
         with self.lock:
             counts[vm] = counts.get(vm, 0) + change
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -102,7 +102,7 @@
             if centre != "dc-a":
                 self.strands.add_paths(number, target, self.upstreams())
             self.gateways.append(SoakGateway(number, folder, port + 10 * number, store, centre, binaries=before))
-        self.orders = Orders(self, seed)
+        self.kinds = [Orders(self, seed), self.versions, self.strands, self.brittle, self.changes]
 
     def upstreams(self):
         return (self.desks + self.engines + self.files + self.frail + self.rack + self.churned
@@ -329,11 +329,8 @@
         self.wait_ready(START_LIMIT)
         for thread in threads:
             thread.start()
-        self.orders.start()
-        self.versions.start()
-        self.strands.start()
-        self.brittle.start()
-        self.changes.start()
+        for kind in self.kinds:
+            kind.start()
         until = time.monotonic() + self.seconds
         running, active = [], {}
         if self.upgrades:
@@ -348,11 +345,8 @@
             thread.start()
             active[gateway.name] = thread
             running.append(thread)
-        self.orders.end()
-        self.versions.end()
-        self.strands.end()
-        self.brittle.end()
-        self.changes.end()
+        for kind in self.kinds:
+            kind.end()
         for thread in running:
             thread.join()
         self.check_recovery()
--- a/tests/soak/strands.py
+++ b/tests/soak/strands.py
@@ -2,10 +2,10 @@
 of their own. Only VMs that are alone in their data centre have paths of their own: others may read the records through
 a relay, with its addresses."""
 
-import random
 import threading
 import time
 
+from kind import Kind
 from upstream_links import HOWS, VmLinks
 
 SHARE = 0.65             # of the seeds
@@ -13,29 +13,20 @@
 LENGTH = (6.0, 9.0)      # seconds
 
 
-class Strands:
+class Strands(Kind):
     """The thread of one soak."""
 
     def __init__(self, soak, seed):
-        self.soak, self.record = soak, soak.record
-        self.random = random.Random(f"{seed} strands")
+        super().__init__(soak, seed, "strands")
         self.played = self.random.random() < SHARE
-        self.ending = threading.Event()
         self.links = {}  # VM name: its paths
-        self.thread = threading.Thread(target=self.run)
+        self.threads = [threading.Thread(target=self.run)]
 
     def add_paths(self, number, store_port, upstreams):
         """Gives a VM paths of its own. Called before it starts."""
         if self.played:
             self.links[f"vm{number}"] = VmLinks(self.soak.platform, number, store_port, upstreams)
 
-    def start(self):
-        self.thread.start()
-
-    def end(self):
-        self.ending.set()
-        self.thread.join()
-
     def run(self):
         while self.links and not self.ending.wait(self.random.uniform(*PAUSE)):
             most = max(1, len(self.links) // 2)
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -6,6 +6,7 @@
 import threading
 import time
 
+from kind import Kind
 from stream_calls import StreamCaller
 from users_platform import TOKENS, Upstream, route
 
@@ -21,13 +22,11 @@
 MODEL = "m6"
 
 
-class Versions:
+class Versions(Kind):
     """The threads of one soak."""
 
     def __init__(self, soak, seed, port):
-        self.soak, self.record = soak, soak.record
-        self.random = random.Random(f"{seed} versions")
-        self.ending = threading.Event()
+        super().__init__(soak, seed, "versions")
         self.callers = []
         self.number = 0
         self.lock = threading.Lock()
@@ -40,15 +39,6 @@
         self.threads = [threading.Thread(target=self.call, args=(random.Random(f"{seed} versions {number}"),))
                         for number in range(CALLERS)] + [threading.Thread(target=self.swap)]
 
-    def start(self):
-        for thread in self.threads:
-            thread.start()
-
-    def end(self):
-        self.ending.set()
-        for thread in self.threads:
-            thread.join()
-
     def serving(self, version):
         return sum(upstream.version == version for upstream in list(self.sound))
 
