Let a VM that asked a peer too early open another connection

Callers of a VM without a path to the upstreams were refused ("no path to the upstreams", 503 at once) for as long as the cut lasted, although VMs with a path stood beside it, if the VMs had just started again.

Cause: a peer judges once, when it accepts a connection, whether the host is that of a registered VM (wire::CallerServer). A process that has just started knows no VM yet, so it answers "not-asked". The VM behind the connection keeps it open and sends its next requests on it, one a second as to any peer that has declined; each of them is "not-asked" again, also after both have registered.

The answer "not-asked" on such a connection says "Connection: close" now. The asking VM closes it, and its next request comes on a new one, on which the host is judged anew. Ruled out: that the registry was late (all records had been read), and that peers which decline aren't asked again (they are, once a second). Judging the host at each request, in libs/wire, would do as well, and would notice a VM that has left the fleet.

--- a/apps/gateway/carrier.cpp
+++ b/apps/gateway/carrier.cpp
@@ -266,9 +266,13 @@
                        mUpstream ? mUpstream->record.name : "",
                        carryDeclineName(aReason),
                        base::monotonicNow());
-  mPeer->reply(kServiceUnavailable,
-               { { kCarryDeclinedHeader, carryDeclineName(aReason) } },
-               {});
+  http::Headers headers{ { kCarryDeclinedHeader, carryDeclineName(aReason) } };
+  if (!mPeer->fromKnownHost()) {
+    // The host was judged when the connection was accepted; its VM may have
+    // registered since.
+    headers.emplace_back("Connection", "close");
+  }
+  mPeer->reply(kServiceUnavailable, headers, {});
   finish();
 }
 
--- a/tests/e2e/test_carriers.py
+++ b/tests/e2e/test_carriers.py
@@ -5,8 +5,8 @@
 import time
 import unittest
 
-from gateway_process import PEERS
-from stranded_fleet import ADAPT_SECONDS, DEADLINE, JUDGED_SECONDS, KINDS, SERVED_OF_KIND, StrandedTest
+from gateway_process import PEERS, wait_for
+from stranded_fleet import ADAPT_SECONDS, BASE_PORT, DEADLINE, JUDGED_SECONDS, KINDS, SERVED_OF_KIND, StrandedTest
 
 SLOW_EVENTS = 0.25    # seconds between events of streams that a test watches
 GONE_SECONDS = 0.5    # until the work for a caller that left ends
@@ -131,6 +131,26 @@
         for upstream in self.upstreams:
             self.assertNotIn("from-127.0.9.9", [request_id for _, request_id, _ in upstream.arrival_log])
 
+    def test_carriers_learn_of_the_vm_after_it_has_asked(self):
+        """Guards against connections on which a VM stays unknown that asked before its registration was read."""
+        for gateway in self.gateways:
+            gateway.stop()
+        late = {BASE_PORT + 90 + number for number in range(1, len(self.gateways))}
+        self.platform.store.unanswered_ports |= late
+        for gateway in self.gateways:
+            gateway.start()
+        self.start_tries(self.stranded, 1)
+        self.assertIn("not passed on by a peer", self.last_log(self.gateways[0]))
+        self.platform.store.unanswered_ports -= late
+        wait_for(lambda: all(gateway.ready() for gateway in self.gateways[1:]))
+        self.start_tries(self.stranded, ADAPT_SECONDS)
+        self.check_served(self.drive(self.stranded, JUDGED_SECONDS))
+
+    @staticmethod
+    def last_log(gateway):
+        """Returns the log of the latest process."""
+        return gateway.log().rpartition('"message": "start"')[2]
+
     def busiest_engine(self):
         """Returns the engine that gets most of what is carried."""
         carried = {attempt.id for attempt in self.drive(self.stranded, 1)}
