Fill the backlog of a silent path before its connections are silenced

By the log, vm0's last order to churn1, an unload that it gave up at 23:38:26.1, took effect at 23:38:33.0, as vm0's path to the upstreams was mended; vm1's first order followed 1.4 s later. A VM resets such a connection, so nothing should be left of it.

Cause, by reading: a silent cut (tests/e2e/upstream_links.py) accepted what waited, silenced all open connections, and only then took the one place that the backlog of a listener keeps. A connection that came in between got that place: the kernel acknowledged its request, and when the path was mended it was accepted and its bytes were passed on, although its sender had reset it long before.

Evidence: test_checks.py LinkTest.test_connection_that_comes_while_others_are_silenced, before: "True is not false".

--- a/tests/e2e/upstream_links.py
+++ b/tests/e2e/upstream_links.py
@@ -94,13 +94,25 @@
         if self.ended:
             self.open()
         asyncio.get_running_loop().remove_reader(self.listener)
-        self.accept()
+        self.listener.listen(0)
+        self.fill_backlog()
         for sock in self.open_sockets():
             drop_packets(sock)
-        self.listener.listen(0)
+
+    def fill_backlog(self):
+        """Accepts connections until the filler has the only place, since what waits there is acknowledged."""
         self.filler = socket.socket()
         self.filler.setblocking(False)
-        self.filler.connect_ex(self.address)
+        while True:
+            self.accept()
+            self.filler.connect_ex(self.address)
+            try:
+                self.filler.getpeername()
+                return
+            except OSError:  # Another connection has the place.
+                self.filler.close()
+                self.filler = socket.socket()
+                self.filler.setblocking(False)
 
     def mend(self):
         """Restores the path. What was sent meanwhile on silent connections arrives as TCP sends it again."""
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -469,6 +469,37 @@
             return len(silenced)
         self.assertEqual(1, asyncio.run(play()))
 
+    # Guards against an order that waits unread in a silent cut and arrives when the path is mended, although its sender
+    # has reset the connection.
+    def test_connection_that_comes_while_others_are_silenced(self):
+        class Link(UpstreamLink):
+            def open_sockets(self):
+                if not late:
+                    late.append(socket.socket())
+                    late[0].setblocking(False)
+                    late[0].connect_ex(self.address)
+                return super().open_sockets()
+
+        def acknowledged():
+            try:
+                late[0].getpeername()
+                return True
+            except OSError:
+                return False
+
+        async def play():
+            link = Link("127.0.2.1", int(os.environ.get("MARIGOLD_TEST_PORT", 25000)) + 99)
+            link.cut("silent")
+            await asyncio.sleep(0.1)
+            seen = acknowledged()
+            link.mend()
+            late[0].close()
+            await asyncio.sleep(0.1)
+            link.close()
+            return seen
+        late = []
+        self.assertFalse(asyncio.run(play()))
+
 
 class PathsTest(unittest.TestCase):
     """The paths of VMs to the upstreams, on ports from PORT on."""
@@ -509,6 +540,7 @@
         links.mend()
         seen.append(self.connect(address))
         links.close()
+        time.sleep(0.1)  # for the ends of the connections
         platform.close()
         self.assertEqual(["accepted", "refused", "refused", "silent", "refused", "refused", "accepted", "refused",
                           "accepted", "accepted"], seen)
