--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,6 +1,8 @@
 """Tests that the checks of the soak detect violations and accept valid records."""
 
 import asyncio
+import base64
+import json
 import os
 import signal
 import socket
@@ -10,9 +12,11 @@
 import tempfile
 import time
 import unittest
+import unittest.mock
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../e2e"))
 
+import soak
 from brittle import check_falls
 from checks import (ANSWER_SLACK, FAULT_FREE, GRACE_CHECKED, IN_FLIGHT, KEY_LIMIT, LEAST_TAKE_UPS, LEAVING_LIMIT,
                     LOSS_SLACK, MOST_BLOCKED, MOST_DEADLY, MOST_JOINED, MOST_WHILE_TURNED_AWAY, PROVEN_CRASHES,
@@ -20,7 +24,9 @@
                     check_statements, check_strands, check_stream, check_take_ups, check_waits, holds_signal)
 from proxy import HOST, Proxy
 from stream_calls import StreamCaller
-from upstream_links import UpstreamLink
+from strands import Strands
+from upstream_links import UpstreamLink, VmLinks
+from users_platform import Platform, Upstream
 
 
 class UpstreamRecord:
@@ -463,6 +469,95 @@
             return len(silenced)
         self.assertEqual(1, asyncio.run(play()))
 
+    # Guards against an order that waits unread in a silent cut and arrives when the path is mended, although its sender
+    # has reset the connection.
+    def test_connection_that_comes_while_others_are_silenced(self):
+        class Link(UpstreamLink):
+            def open_sockets(self):
+                if not late:
+                    late.append(socket.socket())
+                    late[0].setblocking(False)
+                    late[0].connect_ex(self.address)
+                return super().open_sockets()
+
+        def acknowledged():
+            try:
+                late[0].getpeername()
+                return True
+            except OSError:
+                return False
+
+        async def play():
+            link = Link("127.0.2.1", int(os.environ.get("MARIGOLD_TEST_PORT", 25000)) + 99)
+            link.cut("silent")
+            await asyncio.sleep(0.1)
+            seen = acknowledged()
+            link.mend()
+            late[0].close()
+            await asyncio.sleep(0.1)
+            link.close()
+            return seen
+        late = []
+        self.assertFalse(asyncio.run(play()))
+
+
+class PathsTest(unittest.TestCase):
+    """The paths of VMs to the upstreams, on ports from PORT on."""
+
+    PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 25000))
+
+    def connect(self, address):
+        with socket.socket() as connection:
+            connection.settimeout(0.3)
+            try:
+                connection.connect(address)
+                return "accepted"
+            except ConnectionRefusedError:
+                return "refused"
+            except socket.timeout:
+                return "silent"
+
+    # Guards against a path that accepts requests for an upstream that has ended, which shows them beside its crash.
+    def test_path_to_an_upstream_that_has_ended_refuses_connections(self):
+        platform, upstream = Platform(), Upstream("u", self.PORT + 98, "desk")
+        platform.serve_upstream(upstream)
+        links = VmLinks(platform, 0, self.PORT + 99, [upstream])
+        address = links.links[upstream.public_port].address
+        seen = [self.connect(address)]
+        for change in (upstream.crash, upstream.crash, lambda: links.links[upstream.port].cut("silent"),
+                       lambda: links.links[upstream.port].cut("refuse"), lambda: links.links[upstream.port].mend()):
+            platform.change(change)
+            seen.append(self.connect(address))
+        platform.listen_again(upstream)
+        seen.append(self.connect(address))
+        links.cut("reset")
+        platform.restart(upstream, "v2")
+        seen.append(self.connect(address))
+        links.mend()
+        seen.append(self.connect(address))
+        links.cut("silent")
+        platform.restart(upstream, "v3")
+        links.mend()
+        seen.append(self.connect(address))
+        links.close()
+        time.sleep(0.1)  # for the ends of the connections
+        platform.close()
+        self.assertEqual(["accepted", "refused", "refused", "silent", "refused", "refused", "accepted", "refused",
+                          "accepted", "accepted"], seen)
+
+    # Guards against a cut of all upstreams that leaves some of them reachable.
+    def test_each_record_names_a_path_of_the_vm(self):
+        seed = next(seed for seed in range(soak.APART, 99, len(soak.PACES)) if Strands(unittest.mock.Mock(), seed).played)
+        with tempfile.TemporaryDirectory() as folder, unittest.mock.patch("soak.SoakGateway"):
+            played = soak.Soak(seed, 1, self.PORT, folder)
+            store = played.platform.store
+            records = [item for key, item in store.items.items() if key.startswith("servers/")]
+            seen = [json.loads(base64.b64decode(view(item)["value"]))
+                    for view in store.views.values() for item in records]
+            played.close()
+        self.assertEqual(soak.VMS * len(records), len(seen))
+        self.assertEqual(set(), {record["service"] for record in seen if not record["address"].startswith("127.0.1.")})
+
 
 if __name__ == "__main__":
     unittest.main()
