--- a/apps/gateway/request_server.cpp
+++ b/apps/gateway/request_server.cpp
@@ -20,13 +20,15 @@
 fallbackResponse(const wire::Request& aRequest)
 {
   const base::CodeInfo& unknown = base::codeInfo(base::Code::OutcomeUnknown);
-  return { unknown.httpStatus,
-           { { "Marigold-Outcome",
-               std::string(base::outcomeName(unknown.outcome)) },
-             { "Marigold-Code", std::string(unknown.name) },
-             { boundary::kRequestIdHeader,
-               std::string(http::findHeader(aRequest.headers,
-                                            boundary::kRequestIdHeader)) } } };
+  http::Headers headers{ { "Marigold-Outcome",
+                           std::string(base::outcomeName(unknown.outcome)) },
+                         { "Marigold-Code", std::string(unknown.name) } };
+  const std::string_view id =
+    http::findHeader(aRequest.headers, boundary::kRequestIdHeader);
+  if (!id.empty()) {
+    headers.emplace_back(boundary::kRequestIdHeader, id);
+  }
+  return { unknown.httpStatus, std::move(headers) };
 }
 
 } // namespace
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -419,9 +419,14 @@
   if (!mCurrent.open || sendFallback(aReason)) {
     return;
   }
-  if (aReason != CallerEnd::ClosedByCaller) {
-    mTransport.resetOnClose(); // Else an end could complete the response.
+  if (aReason == CallerEnd::ClosedByCaller && mCurrent.chunked) {
+    // The caller may still read what has been sent of its response.
+    mCurrent.closeAfterResponse = true;
+    mCurrent.callerHadLeft = true;
+    finishRequest();
+    return;
   }
+  mTransport.resetOnClose(); // Else an end could complete the response.
   end(aReason);
 }
 
--- a/libs/wire/closed_caller.cpp
+++ b/libs/wire/closed_caller.cpp
@@ -51,13 +51,13 @@
   if (left && aClosed.requestOpen) {
     return closed ? CallerLoss::None : CallerLoss::LeftEarly;
   }
+  if (left && aClosed.leftBeforeResponse) {
+    return CallerLoss::None;
+  }
   if (aClosed.unansweredBytes > 0) {
     return aClosed.deliveredBytes > 0 ? CallerLoss::BrokenOff
                                       : CallerLoss::Unanswered;
   }
-  if (left && aClosed.leftBeforeResponse) {
-    return CallerLoss::None;
-  }
   if (aClosed.unacknowledgedBytes > 0) {
     return left ? CallerLoss::LeftEarly : CallerLoss::Undelivered;
   }
--- a/libs/wire/tests/closed_caller_tests.cpp
+++ b/libs/wire/tests/closed_caller_tests.cpp
@@ -242,4 +242,6 @@
   leftFirst.unacknowledgedBytes = 9;
   leftFirst.leftBeforeResponse = true;
   CHECK(wire::callerLoss(leftFirst) == CallerLoss::None);
+  leftFirst.unansweredBytes = 9; // A request behind the one that was answered.
+  CHECK(wire::callerLoss(leftFirst) == CallerLoss::None);
 }
--- a/libs/wire/tests/connection_end_tests.cpp
+++ b/libs/wire/tests/connection_end_tests.cpp
@@ -112,6 +112,64 @@
   runPending(loop);
 }
 
+// Guards against a part of a response that is dropped, although its caller has
+// closed its sending side only and reads on.
+TEST(ConnectionEnd, HalfClosedCallerGetsWhatWasSentOfItsStream)
+{
+  std::shared_ptr<wire::CallerConnection> waiting;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    waiting = aCaller;
+    aCaller->startStream(200, {});
+    aCaller->sendChunk(std::string(kLongerThanTheBuffers, 'x'));
+  });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller(kSmallBuffer);
+  caller.send(kRequest);
+  runFor(20ms);
+  caller.endInput();
+  const std::string received = readToEnd(caller, 3s);
+  CHECK(received.size() > kLongerThanTheBuffers);
+  CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+  LONGS_EQUAL(0, server.openRequests());
+  waiting.reset();
+  runPending(loop);
+}
+
+// Guards against a stream without chunks that looks complete to a caller that
+// has closed its sending side only, or whose handler is overdue.
+TEST(ConnectionEnd, StreamWithoutChunksThatIsGivenUpEndsInAReset)
+{
+  std::vector<std::shared_ptr<wire::CallerConnection>> waiting;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    waiting.push_back(aCaller);
+    aCaller->startStream(200, {});
+    aCaller->sendChunk("an event");
+  });
+  std::vector<wire::ClosedCaller> closed;
+  server.onClosed(
+    [&](const wire::ClosedCaller& aClosed) { closed.push_back(aClosed); });
+  server.setLimits({ 1024, 1024, 1s, 1s, 200ms });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller halfClosed;
+  ManualCaller overdue;
+  for (ManualCaller* caller : { &halfClosed, &overdue }) {
+    caller->send("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+  }
+  runFor(50ms);
+  halfClosed.endInput();
+  runFor(1500ms);
+  LONGS_EQUAL(2, closed.size());
+  CHECK(closed[0].end == wire::CallerEnd::ClosedByCaller);
+  CHECK(closed[1].end == wire::CallerEnd::Overdue);
+  CHECK(wire::callerLoss(closed[1]) == wire::CallerLoss::BrokenOff);
+  for (ManualCaller* caller : { &halfClosed, &overdue }) {
+    (void)caller->receive();
+    CHECK(caller->wasReset());
+  }
+  waiting.clear();
+  runPending(loop);
+}
+
 // Guards against a pipelined request that gets no refusal, because the one
 // before it was refused when their caller closed its sending side.
 TEST(ConnectionEnd, PipelinedRequestIsRefusedWhenItsCallerHalfCloses)
--- a/tests/explore/actions.cpp
+++ b/tests/explore/actions.cpp
@@ -361,6 +361,10 @@
   ++mDisturbances;
   mCallers[aTarget].leftAt = mWorld.now();
   mCallers[aTarget].halfClosed = true;
+  for (CallerRequest& request : mCallers[aTarget].requests) {
+    const Arrival* arrival = lastArrivalOf(request.id);
+    request.openAtLeave = arrival != nullptr && !arrival->answerRead;
+  }
   connectionOf(mCallers[aTarget]).peerFin = true;
 }
 
--- a/tests/explore/checks.cpp
+++ b/tests/explore/checks.cpp
@@ -203,9 +203,13 @@
                ")";
       }
       // The outcome was open when a caller that has half-closed was answered;
-      // an upstream may have refused the request since.
+      // an upstream has refused the request since.
       const bool wasOpen =
-        caller.halfClosed && lastArrivalOf(answer.id) != nullptr;
+        std::any_of(caller.requests.begin(),
+                    caller.requests.end(),
+                    [&answer](const CallerRequest& aRequest) {
+                      return aRequest.id == answer.id && aRequest.openAtLeave;
+                    });
       if (answer.unknown && !mayHave && !lost && !wasOpen) {
         return "a request that cannot have run is said to be unknown (" +
                answer.id + ")";
@@ -359,17 +363,17 @@
     const bool read =
       request.sent == request.text.size() && connection.read >= request.end;
     const bool begun = index < answers.size() && answers[index].status != 0;
-    // A response that has begun ends with its caller, perhaps before a byte of
-    // it was sent.
+    const bool complete = begun && answers[index].complete;
+    // A stream that has begun ends with its caller.
     const Arrival* arrival = lastArrivalOf(request.id);
-    const bool mayHaveBegun = arrival != nullptr && arrival->answered > 0;
-    if (read && !begun && !mayHaveBegun) {
+    const bool mayBreakOff = arrival != nullptr && arrival->answered > 0;
+    if (read && !complete && !(begun && mayBreakOff)) {
       return "request of a caller that has half-closed is neither answered nor "
              "refused (" +
              request.id + ")";
     }
-    if (!begun || !answers[index].complete || answers[index].last) {
-      break; // A stream that has begun ends with its caller.
+    if (!complete || answers[index].last) {
+      break;
     }
   }
   return {};
--- a/tests/explore/scenario.cpp
+++ b/tests/explore/scenario.cpp
@@ -194,6 +194,8 @@
     Arrival& arrival = upstream.arrivals.back();
     const bool endSeen =
       !endsWithConnection(arrival.kind) || connection.endReported;
+    arrival.answerRead = arrival.answerRead ||
+                         (arrival.complete() && connection.read >= arrival.end);
     arrival.read = arrival.read || (isSound(arrival) && endSeen &&
                                     connection.read >= arrival.end);
   }
--- a/tests/explore/scenario.h
+++ b/tests/explore/scenario.h
@@ -60,6 +60,9 @@
     base::TimePoint begunAt{}; ///< when its first byte was sent
     base::TimePoint sentAt{};  ///< when its last byte was sent
     bool due = false;          ///< its answer must be complete at the end
+    /** Its caller left while an upstream had it, which had not refused it as
+     * far as the process had read. */
+    bool openAtLeave = false;
   };
   struct Caller
   {
@@ -87,7 +90,8 @@
     std::size_t answered = 0; ///< bytes of its answer that were sent
     std::size_t end = 0;      ///< bytes sent on the connection up to its end
     bool inTime = false;      ///< the answer was whole before the deadline
-    bool read = false;        ///< the process has read all of the answer
+    bool read = false;        ///< the process has read all of a sound answer
+    bool answerRead = false;  ///< the process has read all of any answer
 
     bool complete() const { return answered > 0 && answered == answer.size(); }
   };
