--- a/apps/gateway/carrier.cpp
+++ b/apps/gateway/carrier.cpp
@@ -180,7 +180,7 @@
   wire::removeHeader(headers, kCarryDeclinedHeader);
   wire::removeHeader(headers, kCarriedHeader);
   headers.emplace_back(kCarriedHeader, "1");
-  if (mRequest.method == "HEAD") {
+  if (mRequest.method == "HEAD" || !wire::mayHaveBody(aHead.status)) {
     mPeer->reply(aHead.status, headers, {});
   } else {
     mPeer->startStream(aHead.status, headers);
@@ -213,6 +213,10 @@
     decline(CarryDecline::Unwanted);
     return;
   }
+  if (aFailure == wire::CallFailure::Malformed) {
+    decline(CarryDecline::Malformed);
+    return;
+  }
   if (aFailure != wire::CallFailure::NotConnected) {
     mContext.reach.probe(mUpstream->peer());
     decline(CarryDecline::Broken);
@@ -266,9 +270,13 @@
                        mUpstream ? mUpstream->record.name : "",
                        carryDeclineName(aReason),
                        base::monotonicNow());
-  mPeer->reply(kServiceUnavailable,
-               { { kCarryDeclinedHeader, carryDeclineName(aReason) } },
-               {});
+  http::Headers headers{ { kCarryDeclinedHeader, carryDeclineName(aReason) } };
+  if (!mPeer->fromKnownHost()) {
+    // The host was judged when the connection was accepted; its VM may have
+    // registered since.
+    headers.emplace_back("Connection", "close");
+  }
+  mPeer->reply(kServiceUnavailable, headers, {});
   finish();
 }
 
@@ -293,6 +301,12 @@
            })
 {
   mPeers.setMemoryBudget(aContext.memory);
+  mPeers.setFallback([](const wire::Request& /*aRequest*/) {
+    return wire::FallbackResponse{
+      kServiceUnavailable,
+      { { kCarryDeclinedHeader, carryDeclineName(CarryDecline::Broken) } }
+    };
+  });
   mPeers.setKnownHosts(std::move(aIsPeer));
 }
 
--- a/tests/explore/actions.cpp
+++ b/tests/explore/actions.cpp
@@ -65,6 +65,7 @@
     { "busy", 'u', &S::canAnswerBadly, &S::answerWith<A::Busy> },
     { "fail", 'u', &S::canAnswerBadly, &S::answerWith<A::Failed> },
     { "unsigned", 'u', &S::canAnswerBadly, &S::answerWith<A::Unsigned> },
+    { "invalid", 'u', &S::canAnswerBadly, &S::answerWith<A::Invalid> },
     { "unframed", 'u', &S::canAnswerBadly, &S::answerWith<A::Unframed> },
     { "short", 'u', &S::canBreakStream, &S::answerWith<A::Short> },
     { "cut", 'u', &S::canBreakStream, &S::answerWith<A::Cut> },
@@ -361,6 +362,10 @@
   ++mDisturbances;
   mCallers[aTarget].leftAt = mWorld.now();
   mCallers[aTarget].halfClosed = true;
+  for (CallerRequest& request : mCallers[aTarget].requests) {
+    const Arrival* arrival = lastArrivalOf(request.id);
+    request.openAtLeave = arrival != nullptr && !arrival->answerRead;
+  }
   connectionOf(mCallers[aTarget]).peerFin = true;
 }
 
