--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -35,12 +35,6 @@
 constexpr std::size_t kMaxIncarnations = 2;
 /** Weight of the latest request in the mean cost: some tens of requests. */
 constexpr double kCostWeight = 0.03;
-/** Part of the rate that is divided evenly between the reachable VMs, whatever
- * they have consumed, so that none begins without a share. */
-constexpr double kEvenPart = 0.2;
-/** Part of a bucket below which each VM admits only its own part of the units.
- * A fuller one is not in demand by many VMs, or not for long. */
-constexpr double kDividedPart = 0.25;
 /** An earlier retry would find about the same level. */
 constexpr base::Duration kMinRetryAfter = 50ms;
 
@@ -76,7 +70,6 @@
 FleetQuota::setReportPeriod(base::Duration aPeriod)
 {
   mPeerTimeout = std::max(kMinPeerTimeout, aPeriod * kPeerTimeoutReports);
-  mReportDelay = aPeriod + kReportLag;
 }
 
 void
@@ -219,9 +212,6 @@
     const double sample = bucket.peerUsage / base::inSeconds(passed);
     bucket.peerUsage = 0;
     bucket.peerRate += kRateWeight * (sample - bucket.peerRate);
-    const double own = bucket.ownUsage / base::inSeconds(passed);
-    bucket.ownUsage = 0;
-    bucket.ownRate += kRateWeight * (own - bucket.ownRate);
   }
 }
 
@@ -235,49 +225,6 @@
   aBucket.meanCost += weight * (aCost - aBucket.meanCost);
 }
 
-/** @return part of the reachable VMs' consumption that is this VM's; the parts
- * of all VMs add up to one */
-double
-FleetQuota::demandShare(const Bucket& aBucket) const
-{
-  const double reachable = reachableShare();
-  const double even = kEvenPart * aBucket.limit.rate;
-  return (aBucket.ownRate + even * shareOfOneVm()) /
-         (aBucket.ownRate + aBucket.peerRate + even * reachable);
-}
-
-/** @return units that this VM consumed and that some peers do not know of */
-double
-FleetQuota::recentUsage(const Bucket& aBucket) const
-{
-  double units = 0;
-  for (std::size_t index = mIntervals.size(); index-- > 0;) {
-    units += aBucket.deltas[index].ownUsage;
-    if (mIntervals[index].start <= mRefilledAt - mReportDelay) {
-      break;
-    }
-  }
-  return units;
-}
-
-/** If all VMs took what a bucket that is above zero holds, until they hear of
- * each other, they would take it many times over. So each takes its own part of
- * the level, beside its part of what refills meanwhile.
- * @return level at which this VM has not used up its part */
-double
-FleetQuota::levelForOwnPart(const Bucket& aBucket) const
-{
-  if (isIsolated()) {
-    return 0;
-  }
-  const double reachable = reachableShare();
-  const double share = demandShare(aBucket);
-  const double refilled =
-    aBucket.limit.rate * reachable * base::inSeconds(mReportDelay);
-  const double level = recentUsage(aBucket) / share - refilled;
-  return std::clamp(level, 0.0, kDividedPart * aBucket.limit.burst * reachable);
-}
-
 /** A bucket of a team over its limit is nearly empty most of the time. If a
  * request needed as many units as it costs, small requests would take them all
  * and large ones would starve. So all need the mean cost, and larger ones
@@ -299,8 +246,7 @@
   const double lowest = aCost - maxOverdraft;
   const bool takesTurn = aClaim == Claim::New && maxOverdraft > 0;
   const double level = takesTurn ? std::max(common, lowest) : lowest;
-  const double ownPart = aClaim == Claim::New ? levelForOwnPart(aBucket) : 0;
-  return std::min(level + ownPart + withheld, burst);
+  return std::min(level + withheld, burst);
 }
 
 Decision
@@ -327,7 +273,6 @@
   }
   bucket.level -= aCost;
   bucket.deltas.back().ownUsage += aCost;
-  bucket.ownUsage += aCost;
   bucket.borrowable = aCost > 0 ? 0 : bucket.borrowable;
   const double refunded = std::min(bucket.unreportedRefund, aCost);
   bucket.unreportedRefund -= refunded;
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -80,9 +80,6 @@
  * and subtracts its own admissions at once and those of its peers when their
  * usage reports arrive.
  *
- * Below a quarter of the bucket a VM admits only its own part of the level, so
- * that not all VMs take the same units before their reports arrive.
- *
  * When a peer becomes unreachable, the bucket is split: the peer's reserve gets
  * an equal share of the level (also of a negative one) as of the peer's last
  * report. From then on the peer's share of the rate no longer refills this
@@ -223,8 +220,6 @@
     double overflow = 0;
     double peerUsage = 0; ///< units peers consumed in the current rate period
     double peerRate = 0;  ///< smoothed consumption of the peers, units/s
-    double ownUsage = 0;  ///< units this VM consumed in that period
-    double ownRate = 0;   ///< smoothed consumption of this VM, units/s
     double meanCost = 0;  ///< smoothed cost of all requests, in units
     /** Refunded units that peers have heard of: their level is lower by them,
      * until they are admitted again or their buckets are full. */
@@ -264,9 +259,6 @@
   void addRefillSinceStart(base::TimePoint aNow);
   static void recordCost(Bucket& aBucket, double aCost);
   double neededLevel(const Bucket& aBucket, double aCost, Claim aClaim) const;
-  double demandShare(const Bucket& aBucket) const;
-  double recentUsage(const Bucket& aBucket) const;
-  double levelForOwnPart(const Bucket& aBucket) const;
   void updatePeerRates(base::TimePoint aNow);
   bool isIsolated() const;
   bool borrow(const base::TeamName& aTeam, Bucket& aBucket, double aCost);
@@ -303,8 +295,6 @@
   double mSlack = 0;
   base::Duration mWindow{};
   base::Duration mPeerTimeout = std::chrono::seconds(1);
-  /** Time until most peers know of an admission. */
-  base::Duration mReportDelay = std::chrono::milliseconds(250);
   /** Covers the longest time until an unreachable peer is detected. */
   std::deque<Interval> mIntervals;
   base::TimePoint mRefilledAt{};
