Hold the bounds of a status and the test of framing in libs/http

Both libraries had the bounds of a status of their own, and three tests whether headers announce a body. libs/http has them now, and wire uses them.

The parser's note of a response that ends with its connection goes: http_parser never calls such a connection reusable (http_should_keep_alive), so nothing depended on it. In the client of calls a Content-Length or Transfer-Encoding without a value is no framing on an interim response either, as it was none on a final one.

--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -46,8 +46,6 @@
 }
 
 constexpr int kContinueStatus = 100;
-constexpr int kFirstFinalStatus = 200;
-constexpr int kLastStatus = 599;
 
 /** The kernel resets the connection when the socket is closed, also at the end
  * of the process, instead of sending unacknowledged bytes again. */
@@ -98,15 +96,6 @@
   }
 }
 
-/** @return true if the headers announce a body, even an empty one */
-bool
-isFramed(evhttp_request* aRequest)
-{
-  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
-  return evhttp_find_header(headers, "Content-Length") != nullptr ||
-         evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
-}
-
 std::string
 takeBytes(evhttp_request* aRequest)
 {
@@ -352,14 +341,14 @@
 {
   auto* state = static_cast<State*>(aState);
   constexpr int kFail = -1;
-  const int status = evhttp_request_get_response_code(aRequest);
-  if (status == kContinueStatus && !isFramed(aRequest)) {
+  readHead(aRequest, state->response);
+  const int status = state->response.status;
+  if (status == kContinueStatus && !isFramed(state->response.headers)) {
     return 0; // evhttp goes on to read the final response.
   }
   if (status < kFirstFinalStatus || status > kLastStatus) {
     return kFail;
   }
-  readHead(aRequest, state->response);
   state->headersComplete = true;
   if (state->events.head) {
     const auto callback = state->events.head;
@@ -397,9 +386,7 @@
   const std::string_view connection =
     findHeader(state->response.headers, "Connection");
   const bool framed =
-    !findHeader(state->response.headers, "Content-Length").empty() ||
-    !findHeader(state->response.headers, "Transfer-Encoding").empty() ||
-    state->response.status == 204;
+    isFramed(state->response.headers) || state->response.status == kNoContent;
   // A close-delimited response cannot be distinguished from a truncated one.
   state->end(framed ? CallEnd::Complete : CallEnd::Broken,
              framed && !equalIgnoringCase(connection, "close"));
--- a/libs/http/message.cpp
+++ b/libs/http/message.cpp
@@ -25,6 +25,13 @@
   return {};
 }
 
+bool
+isFramed(const Headers& aHeaders)
+{
+  return !findHeader(aHeaders, "Content-Length").empty() ||
+         !findHeader(aHeaders, "Transfer-Encoding").empty();
+}
+
 std::string
 queryValue(std::string_view aQuery, std::string_view aName)
 {
--- a/libs/http/message.h
+++ b/libs/http/message.h
@@ -21,6 +21,13 @@
   std::string body;
 };
 
+/** Least and greatest status code of HTTP; those below kFirstFinalStatus are of
+ * interim responses. */
+inline constexpr int kFirstStatus = 100;
+inline constexpr int kFirstFinalStatus = 200;
+inline constexpr int kLastStatus = 599;
+inline constexpr int kNoContent = 204;
+
 /** A complete response. */
 struct Response
 {
@@ -37,6 +44,11 @@
 std::string_view
 findHeader(const Headers& aHeaders, std::string_view aName);
 
+/** @param aHeaders headers of a response @return true if they announce a body,
+ * even an empty one */
+bool
+isFramed(const Headers& aHeaders);
+
 /**
  * @param aQuery percent-encoded query
  * @param aName decoded parameter name
--- a/libs/wire/message.cpp
+++ b/libs/wire/message.cpp
@@ -94,7 +94,7 @@
 mayHaveBody(int aStatus)
 {
   constexpr int kNotModified = 304;
-  return aStatus >= kFirstFinalStatus && aStatus != kNoContent &&
+  return aStatus >= http::kFirstFinalStatus && aStatus != http::kNoContent &&
          aStatus != kNotModified;
 }
 
--- a/libs/wire/message.h
+++ b/libs/wire/message.h
@@ -50,13 +50,6 @@
 std::string
 serialize(const Request& aHead, std::string_view aBody);
 
-/** Least and greatest status code of HTTP; those below kFirstFinalStatus are of
- * interim responses. */
-inline constexpr int kFirstStatus = 100;
-inline constexpr int kFirstFinalStatus = 200;
-inline constexpr int kLastStatus = 599;
-inline constexpr int kNoContent = 204;
-
 /** @param aStatus HTTP status code @return false if a response with this status
  * ends with its headers, whatever these say */
 bool
--- a/libs/wire/parser.cpp
+++ b/libs/wire/parser.cpp
@@ -13,43 +13,25 @@
          aNative.content_length != std::numeric_limits<std::uint64_t>::max();
 }
 
-/** @return true if the headers of a response announce a body, even an empty one
- */
-bool
-isFramed(const http_parser& aNative)
-{
-  return (aNative.flags & F_CHUNKED) != 0 || announcesLength(aNative);
-}
-
-/** @return true if a response has neither Content-Length nor chunked encoding,
- * so that it ends when the connection closes */
-bool
-isCloseDelimited(const http_parser& aNative)
-{
-  return mayHaveBody(static_cast<int>(aNative.status_code)) &&
-         !isFramed(aNative);
-}
-
 /** @return false if HTTP has no such status, or none with such headers */
 bool
-isValidResponse(const http_parser& aNative)
+isValidResponse(int aStatus, const http::Headers& aHeaders)
 {
   constexpr int kSwitchingProtocols = 101; // No request asks for it.
-  const int status = static_cast<int>(aNative.status_code);
-  if (status < kFirstStatus || status > kLastStatus ||
-      status == kSwitchingProtocols) {
+  if (aStatus < http::kFirstStatus || aStatus > http::kLastStatus ||
+      aStatus == kSwitchingProtocols) {
     return false;
   }
-  return status >= kFirstFinalStatus || !isFramed(aNative);
+  return aStatus >= http::kFirstFinalStatus || !http::isFramed(aHeaders);
 }
 
 /** @return true if a response without a body says that bytes follow. After 304
  * the headers are those of the body that was not sent. */
 bool
-announcesSurplus(const http_parser& aNative)
+announcesSurplus(const http_parser& aNative, const http::Headers& aHeaders)
 {
-  return static_cast<int>(aNative.status_code) == kNoContent &&
-         isFramed(aNative) && aNative.content_length != 0;
+  return static_cast<int>(aNative.status_code) == http::kNoContent &&
+         http::isFramed(aHeaders) && aNative.content_length != 0;
 }
 
 } // namespace
@@ -77,7 +59,6 @@
   mHeadersComplete = false;
   mComplete = false;
   mKeepAlive = false;
-  mCloseDelimited = false;
   mFailed = false;
   mHeaderTooLarge = false;
   mOverflow = false;
@@ -182,16 +163,17 @@
   constexpr int kFail = -1;
   Parser* parser = self(aNative);
   const bool isResponse = parser->mKind == Kind::Responses;
-  if (isResponse && !isValidResponse(*aNative)) {
+  const int status = static_cast<int>(aNative->status_code);
+  if (isResponse && !isValidResponse(status, parser->mHeaders)) {
     return kFail;
   }
   parser->mHeadersComplete = true;
-  parser->mStatus = aNative->status_code;
+  parser->mStatus = status;
   parser->mContentLength =
     announcesLength(*aNative) ? aNative->content_length : 0;
-  parser->mKeepAlive = http_should_keep_alive(aNative) != 0 &&
-                       !(isResponse && announcesSurplus(*aNative));
-  parser->mCloseDelimited = isResponse && isCloseDelimited(*aNative);
+  parser->mKeepAlive =
+    http_should_keep_alive(aNative) != 0 &&
+    !(isResponse && announcesSurplus(*aNative, parser->mHeaders));
   const bool wantsBody = parser->mEvents.head();
   const bool hasBody = !isResponse || mayHaveBody(parser->mStatus);
   return wantsBody && hasBody ? 0 : kSkipBody;
--- a/libs/wire/parser.h
+++ b/libs/wire/parser.h
@@ -77,10 +77,6 @@
   /** @return true if the connection may be reused after this message */
   bool keepAlive() const { return mKeepAlive; }
 
-  /** @return true for a response without length and chunked encoding, which
-   * ends when the connection closes */
-  bool closeDelimited() const { return mCloseDelimited; }
-
   const std::string& target() const { return mTarget; }
   http::Headers& headers() { return mHeaders; }
   int status() const { return mStatus; }
@@ -116,7 +112,6 @@
   bool mHeadersComplete = false;
   bool mComplete = false;
   bool mKeepAlive = false;
-  bool mCloseDelimited = false;
   bool mFailed = false;
   bool mHeaderTooLarge = false;
   bool mOverflow = false;
--- a/libs/wire/upstream.cpp
+++ b/libs/wire/upstream.cpp
@@ -36,7 +36,7 @@
                mHeadPending = true;
                const std::string_view id =
                  http::findHeader(mHead.headers, mCall.idHeader);
-               mSkipping = mHead.status < kFirstFinalStatus ||
+               mSkipping = mHead.status < http::kFirstFinalStatus ||
                            (!id.empty() && id != mCall.id);
                return !mCall.skipBody;
              },
@@ -233,7 +233,7 @@
     return true;
   }
   mTransport.resetOnClose(false);
-  mReusable = mParser.keepAlive() && !mParser.closeDelimited();
+  mReusable = mParser.keepAlive();
   mActive = false;
   const auto callback = std::move(mEvents.complete);
   callback();
