Reject a status that has not three digits

"HTTP/1.1 0200" counted as 200: http_parser drops zeros in front, and evhttp reads the number with atoi, so that "200x" and "+200" counted, too. RFC 9112 has three digits. Neither parser gives the text of the status, so both clients keep the first 13 bytes of the status line and look at them before the head is accepted; evhttp reads a line when all of it is in the buffer, so the buffer begins with the line until then, also behind an interim response.

A status line that has another length of its version, or two spaces before the status, is rejected as well.

NeedsNoReason guards the other side and passed.

--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -5,6 +5,7 @@
 #include "http/method.h"
 
 #include <algorithm>
+#include <array>
 #include <climits>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -177,12 +178,25 @@
   {
     call = aCall;
     received = 0;
+    statusLine.clear();
     sent = false;
     begun = false;
     withheld = false;
     deadline = base::monotonicNow() + aTimeout;
   }
 
+  /** evhttp takes a line from the buffer when all of it has arrived, so the
+   * buffer begins with the status line until then. */
+  void noteStatusLine()
+  {
+    if (statusLine.size() < kStatusLineBytes) {
+      std::array<char, kStatusLineBytes> bytes{};
+      const auto size = evbuffer_copyout(input, bytes.data(), bytes.size());
+      statusLine.assign(
+        bytes.data(), static_cast<std::size_t>(std::max<ev_ssize_t>(size, 0)));
+    }
+  }
+
   static void onInput(evbuffer* aBuffer,
                       const evbuffer_cb_info* aInfo,
                       void* aSelf);
@@ -216,6 +230,7 @@
   evbuffer* input = nullptr;
   Call::State* call = nullptr; ///< current call, if any
   std::size_t received = 0;    ///< bytes of the current response
+  std::string statusLine;      ///< its beginning
   base::TimePoint deadline{};  ///< no byte of the request is sent later
   bool begun = false;          ///< the request was passed to the socket buffer
   bool withheld = false;       ///< the deadline passed before the first byte
@@ -261,6 +276,7 @@
     return;
   }
   self->received += aInfo->n_added;
+  self->noteStatusLine();
   if (!self->call->oversized(evbuffer_get_length(aBuffer))) {
     return;
   }
@@ -341,9 +357,14 @@
 {
   auto* state = static_cast<State*>(aState);
   constexpr int kFail = -1;
+  if (!hasThreeDigitStatus(state->connection->statusLine)) {
+    return kFail;
+  }
   readHead(aRequest, state->response);
   const int status = state->response.status;
   if (status == kContinueStatus && !isFramed(state->response.headers)) {
+    state->connection->statusLine.clear();
+    state->connection->noteStatusLine();
     return 0; // evhttp goes on to read the final response.
   }
   if (status < kFirstFinalStatus || status > kLastStatus) {
--- a/libs/http/message.cpp
+++ b/libs/http/message.cpp
@@ -1,5 +1,6 @@
 #include "http/message.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <event2/http.h>
 #include <memory>
@@ -25,6 +26,22 @@
   return {};
 }
 
+bool
+hasThreeDigitStatus(std::string_view aLine)
+{
+  constexpr std::size_t kDigits = 3;
+  constexpr std::string_view kLineStart = "HTTP/1.1 ";
+  static_assert(kLineStart.size() + kDigits + 1 == kStatusLineBytes);
+  const auto isDigit = [](char aByte) { return aByte >= '0' && aByte <= '9'; };
+  if (aLine.size() < kStatusLineBytes || aLine[kLineStart.size() - 1] != ' ') {
+    return false;
+  }
+  const std::string_view digits = aLine.substr(kLineStart.size(), kDigits);
+  const char next = aLine[kStatusLineBytes - 1];
+  return std::all_of(digits.begin(), digits.end(), isDigit) &&
+         (next == ' ' || next == '\r' || next == '\n');
+}
+
 bool
 isFramed(const Headers& aHeaders)
 {
--- a/libs/http/message.h
+++ b/libs/http/message.h
@@ -1,6 +1,7 @@
 /** @file HTTP requests and responses as plain data types. */
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -28,6 +29,15 @@
 inline constexpr int kLastStatus = 599;
 inline constexpr int kNoContent = 204;
 
+/** Size of the beginning of a status line that ends behind the status. */
+inline constexpr std::size_t kStatusLineBytes = 13;
+
+/** Parsers read a status as a number, whatever its digits.
+ * @param aLine first kStatusLineBytes of a status line
+ * @return true if its status has three digits */
+bool
+hasThreeDigitStatus(std::string_view aLine);
+
 /** A complete response. */
 struct Response
 {
--- a/libs/http/tests/response_status_tests.cpp
+++ b/libs/http/tests/response_status_tests.cpp
@@ -80,6 +80,27 @@
   }
 }
 
+// Guards against a status with zeros in front, or with other bytes behind, that
+// is taken for the number in it, also behind an interim response.
+TEST(HttpResponseStatus, WithOtherThanThreeDigitsIsBrokenAtOnce)
+{
+  for (const char* number : { "0200", "00204", "200x", "+200", "2" }) {
+    for (const char* before : { "", "HTTP/1.1 100 Continue\r\n\r\n" }) {
+      call(std::string(before) + "HTTP/1.1 " + number + " X\r\n" + kBody,
+           false);
+      CHECK_TEXT(end == http::CallEnd::Broken, number);
+    }
+  }
+}
+
+// Guards against a status line without a reason that is rejected.
+TEST(HttpResponseStatus, NeedsNoReason)
+{
+  call(std::string("HTTP/1.1 200\r\n") + kBody, false);
+  CHECK(end == http::CallEnd::Complete);
+  LONGS_EQUAL(200, response.status);
+}
+
 // Guards against the body of an interim response that is read as the final one.
 TEST(HttpResponseStatus, ContinueWithBodyIsBrokenAtOnce)
 {
--- a/libs/wire/parser.cpp
+++ b/libs/wire/parser.cpp
@@ -1,5 +1,6 @@
 #include "wire/parser.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace marigold::wire {
@@ -50,6 +51,7 @@
   http_parser_init(&mNative,
                    mKind == Kind::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
   mNative.data = this;
+  mStatusLine.clear();
   mTarget.clear();
   mHeaders.clear();
   mHeaderBytes = 0;
@@ -71,6 +73,7 @@
     return 0;
   }
   mStarted = true;
+  noteStatusLine(aBytes);
   const std::size_t used =
     http_parser_execute(&mNative, &callbacks(), aBytes.data(), aBytes.size());
   const auto error = HTTP_PARSER_ERRNO(&mNative);
@@ -122,6 +125,20 @@
   return !mHeaderTooLarge;
 }
 
+void
+Parser::noteStatusLine(std::string_view aBytes)
+{
+  if (mKind == Kind::Requests || mHeadersComplete) {
+    return;
+  }
+  if (mStatusLine.empty()) {
+    // http_parser skips empty lines before a message.
+    const std::size_t first = aBytes.find_first_not_of("\r\n");
+    aBytes.remove_prefix(std::min(first, aBytes.size()));
+  }
+  mStatusLine += aBytes.substr(0, http::kStatusLineBytes - mStatusLine.size());
+}
+
 int
 Parser::onUrl(http_parser* aNative, const char* aData, std::size_t aSize)
 {
@@ -164,7 +181,8 @@
   Parser* parser = self(aNative);
   const bool isResponse = parser->mKind == Kind::Responses;
   const int status = static_cast<int>(aNative->status_code);
-  if (isResponse && !isValidResponse(status, parser->mHeaders)) {
+  if (isResponse && (!http::hasThreeDigitStatus(parser->mStatusLine) ||
+                     !isValidResponse(status, parser->mHeaders))) {
     return kFail;
   }
   parser->mHeadersComplete = true;
--- a/libs/wire/parser.h
+++ b/libs/wire/parser.h
@@ -97,11 +97,13 @@
   static int onComplete(http_parser* aNative);
   static const http_parser_settings& callbacks();
   bool countHeaderBytes(std::size_t aSize);
+  void noteStatusLine(std::string_view aBytes);
 
   http_parser mNative{};
   Kind mKind;
   std::size_t mHeaderLimit;
   ParserEvents mEvents;
+  std::string mStatusLine; ///< its beginning
   std::string mTarget;
   http::Headers mHeaders;
   std::size_t mHeaderBytes = 0;
--- a/libs/wire/tests/response_status_tests.cpp
+++ b/libs/wire/tests/response_status_tests.cpp
@@ -116,6 +116,39 @@
   }
 }
 
+// Guards against a status whose zeros in front are dropped, so that it is taken
+// for another one, also if it arrives in parts.
+TEST(ResponseStatus, WithOtherThanThreeDigitsIsMalformedAtOnce)
+{
+  for (const char* number : { "0200", "00204", "0103", "2", "2000" }) {
+    for (const char* rest : { kBody, kChunks, "\r\n" }) {
+      runCall(response(number, rest));
+      CHECK_TEXT(failure == wire::CallFailure::Malformed, number);
+      CHECK_TEXT(!status && body.empty() && !complete, number);
+    }
+    runCall(response("100", "\r\n") + response(number, kBody));
+    CHECK_TEXT(failure == wire::CallFailure::Malformed, number);
+  }
+  for (const char* number : { "0200", "200" }) {
+    wire::Parser parser(
+      wire::Parser::Kind::Responses,
+      1024,
+      { [] { return true; }, [](std::string_view) {}, [] {} });
+    for (const char byte : "\r\n" + response(number, kBody)) {
+      parser.feed({ &byte, 1 });
+    }
+    CHECK_EQUAL(std::string(number) == "0200", parser.failed());
+  }
+}
+
+// Guards against a status line without a reason that is rejected.
+TEST(ResponseStatus, NeedsNoReason)
+{
+  runCall("HTTP/1.1 200\r\n" + std::string(kOwnId) + kBody);
+  CHECK(complete);
+  LONGS_EQUAL(200, status.value_or(0));
+}
+
 // Guards against an interim response whose body is skipped while its call waits
 // for a final response, and against an upgrade that nobody has asked for.
 TEST(ResponseStatus, InterimWithBodyOrUpgradeIsMalformedAtOnce)
