Send 204 and 304 without a Content-Length

RFC 9110 forbids it for 204; for 304 it would tell the length of the response that was not sent, and 0 is wrong there.

Failed before, with the library of: ResponseStatus.WithoutBodyIsSentWithoutALength.

--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -605,9 +605,12 @@
     return;
   }
   writeHead(aStatus, aHeaders, true);
-  std::string remainder =
-    "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n";
-  if (mCurrent.request.method != "HEAD") {
+  std::string remainder;
+  if (mayHaveBody(aStatus)) {
+    remainder = "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
+  }
+  remainder += "\r\n";
+  if (mayHaveBody(aStatus) && mCurrent.request.method != "HEAD") {
     remainder += aBody;
   }
   send(remainder);
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -76,7 +76,8 @@
    * @param aTime time by which the handler ends the request */
   void expectEndBy(base::TimePoint aTime);
 
-  /** Sends a complete response with Content-Length. */
+  /** Sends a complete response, with Content-Length if its status may have a
+   * body. */
   void reply(int aStatus,
              const http::Headers& aHeaders,
              std::string_view aBody);
--- a/libs/wire/tests/response_status_tests.cpp
+++ b/libs/wire/tests/response_status_tests.cpp
@@ -227,3 +227,24 @@
     LONGS_EQUAL_TEXT(0, connections(), number);
   }
 }
+
+// Guards against a length, or a body, in a response whose status has none. RFC
+// 9110 forbids it for 204, and 304 would tell the length of another response.
+TEST(ResponseStatus, WithoutBodyIsSentWithoutALength)
+{
+  int sent = 204;
+  wire::CallerServer callers(
+    loop, [&](const auto& aCaller) { aCaller->reply(sent, {}, "foreign"); });
+  CHECK(bool(callers.listen(kAddress)));
+  test::ManualCaller caller;
+  for (const int without : { 204, 304, 204 }) {
+    sent = without;
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    runPending(loop);
+    const std::string received = caller.receive();
+    STRCMP_CONTAINS(("HTTP/1.1 " + std::to_string(without)).c_str(),
+                    received.c_str());
+    CHECK(received.ends_with("\r\n\r\n"));
+    CHECK(received.find("Content-Length") == std::string::npos);
+  }
+}
