End a response that has begun in one function

abort() and giveUpRequest() had the same end of a begun response twice; it is breakOff() now. leaveRequest() was a call of giveUpRequest() only.

That the caller had left first is noted at the beginning of both, so also when the handler answers in its callback while reading pauses, or aborts a response in chunks: the end of that connection is then not told as a loss ("caller left before it had its whole response").

--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -366,7 +366,7 @@
   mTransport.pauseReading(true);
   mPauseTimer = mServer.mLoop.every(kPausedCheckPeriod, [this] {
     if (mTransport.peerClosed()) {
-      leaveRequest();
+      giveUpRequest(CallerEnd::ClosedByCaller);
     }
   });
 }
@@ -381,12 +381,12 @@
   }
   const auto self = shared_from_this();
   if (mCurrent.open) {
-    leaveRequest();
+    giveUpRequest(CallerEnd::ClosedByCaller);
   }
   while (!mReleased && !mClosing && mTransport.pendingInput() > 0) {
     readInput();
     if (mCurrent.open) {
-      leaveRequest();
+      giveUpRequest(CallerEnd::ClosedByCaller);
     }
   }
   if (mReleased) {
@@ -399,35 +399,37 @@
   }
 }
 
-void
-CallerConnection::leaveRequest()
-{
-  giveUpRequest(CallerEnd::ClosedByCaller);
-}
-
 /** Ends a request without waiting for its handler any longer, which is told in
  * time for a response. */
 void
 CallerConnection::giveUpRequest(CallerEnd aReason)
 {
   const auto self = shared_from_this();
+  mCurrent.callerHadLeft = aReason == CallerEnd::ClosedByCaller;
   reportUnanswered(aReason);
   const auto callback = std::exchange(mCurrent.disconnectCallback, nullptr);
   if (callback) {
     callback();
   }
-  if (!mCurrent.open || sendFallback(aReason)) {
-    return;
+  if (mCurrent.open && !sendFallback()) {
+    breakOff(aReason);
   }
-  if (aReason == CallerEnd::ClosedByCaller && mCurrent.chunked) {
-    // The caller may still read what has been sent of its response.
-    mCurrent.closeAfterResponse = true;
-    mCurrent.callerHadLeft = true;
-    finishRequest();
+}
+
+/** Ends a response that has begun so that the caller detects that it is
+ * incomplete. What has been sent of it still arrives, unless the handler is
+ * overdue or the end of the connection would complete the response. */
+void
+CallerConnection::breakOff(CallerEnd aReason)
+{
+  mCurrent.disconnectCallback = nullptr;
+  if (aReason == CallerEnd::Overdue || !mCurrent.chunked) {
+    mTransport.resetOnClose();
+    end(aReason);
     return;
   }
-  mTransport.resetOnClose(); // Else an end could complete the response.
-  end(aReason);
+  mCurrent.closeAfterResponse = true;
+  finishRequest();
 }
 
 /** Tells of a request that is given up although its caller waits. */
@@ -443,7 +445,7 @@
 
 /** @return false if a part of a response was already sent */
 bool
-CallerConnection::sendFallback(CallerEnd aReason)
+CallerConnection::sendFallback()
 {
   if (mCurrent.responseStarted) {
     return false;
@@ -451,7 +453,6 @@
   // The handler may still refer to the connection as that of this request.
   mCurrent.closeAfterResponse = true;
   mCurrent.disconnectCallback = nullptr;
-  mCurrent.callerHadLeft = aReason == CallerEnd::ClosedByCaller;
   const FallbackResponse response = mServer.mFallback
                                       ? mServer.mFallback(mCurrent.request)
                                       : FallbackResponse();
@@ -664,21 +665,11 @@
   }
   const CallerEnd reason =
     mTransport.peerClosed() ? CallerEnd::ClosedByCaller : CallerEnd::Aborted;
+  mCurrent.callerHadLeft = reason == CallerEnd::ClosedByCaller;
   reportUnanswered(reason);
-  if (sendFallback(reason)) {
-    return;
-  }
-  mCurrent.closeAfterResponse = true;
-  if (!mCurrent.chunked) {
-    // Without chunked encoding an orderly close would complete the response.
-    mTransport.resetOnClose();
-    reportClose(reason);
-    mCurrent.open = false;
-    --mServer.mOpenRequests;
-    release();
-    return;
+  if (!sendFallback()) {
+    breakOff(reason);
   }
-  finishRequest();
 }
 
 void
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -135,7 +135,7 @@
     bool open = false; ///< from the end of the request to that of the response
     bool graceIsLeft = false; ///< after the expected end
     bool responseStarted = false;
-    bool callerHadLeft = false; ///< when the response started
+    bool callerHadLeft = false; ///< when its response started or was given up
     bool chunked = false;
     bool closeAfterResponse = false;
     bool bodyTooLarge = false;
@@ -148,9 +148,9 @@
   void readInput();
   void pauseInput();
   void inputEnded();
-  void leaveRequest();
   void giveUpRequest(CallerEnd aReason);
-  bool sendFallback(CallerEnd aReason);
+  bool sendFallback();
+  void breakOff(CallerEnd aReason);
   void reportUnanswered(CallerEnd aReason);
   bool rejectInvalid();
   void rejectWith(int aStatus);
