Report the end of a connection without a copy of the headers

Each end of a caller's connection copied the headers of its open request, of which the log takes the id. The report points to them while its handler runs.

--- a/apps/gateway/request_log.cpp
+++ b/apps/gateway/request_log.cpp
@@ -12,6 +12,12 @@
   return std::to_string(base::inMilliseconds(aDuration));
 }
 
+std::string
+requestId(const http::Headers& aHeaders)
+{
+  return std::string(http::findHeader(aHeaders, boundary::kRequestIdHeader));
+}
+
 const char*
 lossText(wire::CallerLoss aLoss)
 {
@@ -119,9 +125,7 @@
     loss == wire::CallerLoss::LeftEarly ? &observe::logInfo : &observe::logWarn;
   log(lossText(loss),
       { { "reason", reason },
-        { "id",
-          std::string(http::findHeader(aClosed.openRequest,
-                                       boundary::kRequestIdHeader)) },
+        { "id", aClosed.openRequest ? requestId(*aClosed.openRequest) : "" },
         { "request_open", aClosed.requestOpen ? "yes" : "no" },
         { "unanswered_bytes", std::to_string(aClosed.unansweredBytes) },
         { "delivered_bytes", std::to_string(aClosed.deliveredBytes) },
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -771,7 +771,7 @@
       now - mLastInputAt,
       now - mOpenedAt,
       mCurrent.callerHadLeft,
-      mCurrent.open ? mCurrent.request.headers : http::Headers() });
+      mCurrent.open ? &mCurrent.request.headers : nullptr });
 }
 
 void
--- a/libs/wire/closed_caller.h
+++ b/libs/wire/closed_caller.h
@@ -49,7 +49,9 @@
   base::Duration sinceOpened{}; ///< age of the connection
   /** The caller had ended its input when its last response started. */
   bool leftBeforeResponse = false;
-  http::Headers openRequest; ///< headers of the request that was waiting
+  /** Headers of the request that was waiting, valid while the handler of the
+   * end runs; nullptr if none was. */
+  const http::Headers* openRequest = nullptr;
 };
 
 /** What a caller lost by the end of its connection. */
--- a/libs/wire/tests/closed_caller_tests.cpp
+++ b/libs/wire/tests/closed_caller_tests.cpp
@@ -222,7 +222,7 @@
                               {},
                               {},
                               false,
-                              {} });
+                              nullptr });
   };
   CHECK(loss(CallerEnd::Idle, false, 0, 0, 0) == CallerLoss::None);
   CHECK(loss(CallerEnd::ClosedByCaller, true, 9, 0, 0) == CallerLoss::None);
