Judge the host of a peer at each request

A carrier looked at the host of a peer when it accepted its connection. So a VM that had left the fleet was served on as long as its connections lasted, and one that was not known yet had to be told to connect again, by a header of the handler's own beside the Keep-Alive of the connection.

The connection knows its host and asks the filter of its server when the handler asks it. A handler can make its response the last one (closeAfterResponse()), which CarriedRequest::decline uses in place of the header. A peer that has left the registry is told "not-asked" on its open connections, as on new ones before; it then tries another peer.

HandlerCanMakeItsResponseTheLastOne is for the new function. A comment in wire_tests that stood above the wrong test is moved, unchanged.

--- a/apps/gateway/carrier.cpp
+++ b/apps/gateway/carrier.cpp
@@ -270,13 +270,12 @@
                        mUpstream ? mUpstream->record.name : "",
                        carryDeclineName(aReason),
                        base::monotonicNow());
-  http::Headers headers{ { kCarryDeclinedHeader, carryDeclineName(aReason) } };
   if (!mPeer->fromKnownHost()) {
-    // The host was judged when the connection was accepted; its VM may have
-    // registered since.
-    headers.emplace_back("Connection", "close");
+    mPeer->closeAfterResponse();
   }
-  mPeer->reply(kServiceUnavailable, headers, {});
+  mPeer->reply(kServiceUnavailable,
+               { { kCarryDeclinedHeader, carryDeclineName(aReason) } },
+               {});
   finish();
 }
 
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -53,7 +53,7 @@
 
 CallerConnection::CallerConnection(CallerServer& aServer,
                                    int aDescriptor,
-                                   bool aKnownHost)
+                                   std::string aHost)
   : mServer(aServer)
   , mTransport(aServer.mLoop, aDescriptor)
   , mParser(Parser::Kind::Requests,
@@ -66,10 +66,16 @@
   , mOpenedAt(base::monotonicNow())
   , mLastInputAt(mOpenedAt)
   , mIdleSince(mOpenedAt)
-  , mFromKnownHost(aKnownHost)
+  , mHost(std::move(aHost))
 {
 }
 
+bool
+CallerConnection::fromKnownHost() const
+{
+  return !mServer.mFilter || mServer.mFilter(mHost);
+}
+
 void
 CallerConnection::start()
 {
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -53,10 +53,12 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  CallerConnection(CallerServer& aServer, int aDescriptor, bool aKnownHost);
+  /** @param aServer that has accepted it @param aDescriptor socket
+   * @param aHost numeric address of the caller, for the filter of the server */
+  CallerConnection(CallerServer& aServer, int aDescriptor, std::string aHost);
 
-  /** @return false if CallerServer::setKnownHosts() excludes its host */
-  bool fromKnownHost() const { return mFromKnownHost; }
+  /** @return false if CallerServer::setKnownHosts() excludes its host now */
+  bool fromKnownHost() const;
 
   /** @return the request in progress, without its body once that was taken */
   const Request& request() const { return mCurrent.request; }
@@ -76,6 +78,10 @@
    * @param aTime time by which the handler ends the request */
   void expectEndBy(base::TimePoint aTime);
 
+  /** Makes the response to the request in progress the last one: the connection
+   * closes after it. Call it before the response starts. */
+  void closeAfterResponse() { mCurrent.closeAfterResponse = true; }
+
   /** Sends a complete response, with Content-Length if its status may have a
    * body. */
   void reply(int aStatus,
@@ -204,7 +210,7 @@
   base::Duration mAllowedPause{}; ///< limit of the kernel
   /** Armed while reading is paused, because an end is not reported then. */
   http::EventHandle mPauseTimer;
-  bool mFromKnownHost = true;
+  std::string mHost;
   bool mClosing = false;
   bool mLingering = false;  ///< from the flush of the last response on
   bool mInputEnded = false; ///< the caller sends nothing more
@@ -255,8 +261,8 @@
     mUnansweredHandler = std::move(aHandler);
   }
 
-  /** @param aFilter gets the numeric address of a host that connects, returns
-   * true if it is known */
+  /** @param aFilter gets the numeric address of a caller's host, returns true
+   * if it is known now; call this before listen() */
   void setKnownHosts(HostFilter aFilter) { mFilter = std::move(aFilter); }
 
   /** From now on, closes each connection after its response. */
@@ -274,8 +280,7 @@
 
 private:
   friend class CallerConnection;
-  bool isKnown(const sockaddr* aPeer) const;
-  void accept(int aDescriptor, bool aKnownHost);
+  void accept(int aDescriptor, const sockaddr* aPeer);
 
   http::Loop& mLoop;
   Handler mHandler;
--- a/libs/wire/caller_server.cpp
+++ b/libs/wire/caller_server.cpp
@@ -12,6 +12,20 @@
 /** Length of the listen queue. */
 constexpr int kBacklog = 512;
 
+/** @return the numeric address, empty if it has none */
+std::string
+hostOf(const sockaddr* aPeer)
+{
+  std::array<char, INET_ADDRSTRLEN> host{};
+  const auto* address = reinterpret_cast<const sockaddr_in*>(aPeer);
+  if (aPeer->sa_family != AF_INET ||
+      inet_ntop(AF_INET, &address->sin_addr, host.data(), host.size()) ==
+        nullptr) {
+    return {};
+  }
+  return host.data();
+}
+
 } // namespace
 
 CallerServer::CallerServer(http::Loop& aLoop, Handler aHandler)
@@ -41,8 +55,7 @@
        sockaddr* aPeer,
        int,
        void* aSelf) {
-      auto* self = static_cast<CallerServer*>(aSelf);
-      self->accept(aDescriptor, self->isKnown(aPeer));
+      static_cast<CallerServer*>(aSelf)->accept(aDescriptor, aPeer);
     },
     this,
     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
@@ -66,25 +79,11 @@
   }
 }
 
-bool
-CallerServer::isKnown(const sockaddr* aPeer) const
-{
-  if (!mFilter) {
-    return true;
-  }
-  std::array<char, INET_ADDRSTRLEN> host{};
-  const auto* address = reinterpret_cast<const sockaddr_in*>(aPeer);
-  return aPeer->sa_family == AF_INET &&
-         inet_ntop(AF_INET, &address->sin_addr, host.data(), host.size()) !=
-           nullptr &&
-         mFilter(host.data());
-}
-
 void
-CallerServer::accept(int aDescriptor, bool aKnownHost)
+CallerServer::accept(int aDescriptor, const sockaddr* aPeer)
 {
-  const auto caller =
-    std::make_shared<CallerConnection>(*this, aDescriptor, aKnownHost);
+  const auto caller = std::make_shared<CallerConnection>(
+    *this, aDescriptor, mFilter ? hostOf(aPeer) : std::string());
   mCallers.insert(caller);
   caller->start();
 }
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -332,7 +332,6 @@
   }
 }
 
-// An aborted stream must not look complete to its caller.
 // A host that is no VM connects to the address for VMs. Guards against serving
 // it, and against a close that its request may cross.
 TEST(CallerServer, TellsKnownHostsFromOthers)
@@ -355,6 +354,46 @@
   }
 }
 
+// Guards against serving a host that has left the fleet on a connection that it
+// opened before, and against refusing one that has joined it since.
+TEST(CallerServer, HostIsJudgedAtEachRequest)
+{
+  bool known = true;
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    aCaller->reply(aCaller->fromKnownHost() ? 200 : 403, {}, "");
+  });
+  server.setKnownHosts([&](const std::string& /*aHost*/) { return known; });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  for (const bool now : { true, false, true }) {
+    known = now;
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    runPending(loop);
+    CHECK(caller.receive().starts_with(now ? "HTTP/1.1 200" : "HTTP/1.1 403"));
+  }
+  server.stop();
+}
+
+// Guards against a response of a handler that wants it to be the last one on
+// its connection, and a caller that is not told.
+TEST(CallerServer, HandlerCanMakeItsResponseTheLastOne)
+{
+  wire::CallerServer server(loop, [](const auto& aCaller) {
+    aCaller->closeAfterResponse();
+    aCaller->reply(503, {}, "no");
+  });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  runPending(loop);
+  const std::string received = caller.receive();
+  STRCMP_CONTAINS("\r\nConnection: close\r\n", received.c_str());
+  CHECK(received.find("Keep-Alive") == std::string::npos);
+  CHECK(received.ends_with("no"));
+  CHECK(caller.wasClosed());
+}
+
+// An aborted stream must not look complete to its caller.
 TEST(CallerServer, AbortedStreamHasNoFinalChunk)
 {
   wire::CallerServer server(loop, [&](const auto& aCaller) {
