Wait for the answers of peers in a planned stop

A carrier that had a whole answer for a peer cut it at the end of a planned stop if the peer had not read it yet: the stop waited for the connections of callers only. It waits for those of peers, too, within the grace period (0.95 of it, as before); idle ones are closed when the VM stops listening.

--- a/apps/gateway/carrier.h
+++ b/apps/gateway/carrier.h
@@ -89,6 +89,9 @@
   /** Accepts no more connections. */
   void stopListening() { mPeers.stop(); }
 
+  /** @return number of open connections of peers */
+  std::size_t connections() const { return mPeers.connections(); }
+
 private:
   wire::CallerServer mPeers;
 };
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -823,8 +823,11 @@
     return;
   }
   mPeerExchange.announceDraining();
+  // Callers and peers may not have read all of their answers yet.
+  const bool delivered =
+    mRequests.connections() == 0 && mCarrier.connections() == 0;
   // The end of the process resets calls that are on their way.
-  if (mRequests.connections() == 0 && !mFleet.leavePending()) {
+  if (delivered && !mFleet.leavePending()) {
     mLoop.stop();
   }
 }
--- a/tests/e2e/test_caller_connections.py
+++ b/tests/e2e/test_caller_connections.py
@@ -48,6 +48,7 @@
 
     finished = 0
     pauses_at = None  # number of an event
+    event_bytes = EVENT_BYTES
 
     async def stream(self, headers, signature, writer, events):
         head = {**signature, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
@@ -56,7 +57,7 @@
             if number == self.pauses_at:
                 await asyncio.sleep(DEADLINE_MS / 1000)
             event = f"id: {number}\ndata: ".encode()
-            event += b"t" * (EVENT_BYTES - len(event) - 2) + b"\n\n"
+            event += b"t" * (self.event_bytes - len(event) - 2) + b"\n\n"
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
         writer.write(b"0\r\n\r\n")
