Log unanswered requests and ends of connections of peers

A carrier said nothing of requests that it had left without an answer and of connections of peers that ended inside one. It logs and counts them as the server of callers does, within the same budget of lines; the lines say "peer" in place of "caller", and "request left without a response" names the sender.

A planned stop ended carried requests at upstreams by abort(), which would be a warning at each stop beside slow upstreams. It declines them as "broken" itself now, the same bytes as before.

--- a/apps/gateway/carrier.cpp
+++ b/apps/gateway/carrier.cpp
@@ -254,12 +254,13 @@
   if (mEnded) {
     return;
   }
-  if (mPeer->responseStarted() || (mCall && mCall->sent())) {
+  if (mPeer->responseStarted()) {
     mPeer->abort();
     finish();
     return;
   }
-  decline(CarryDecline::Stopping);
+  decline(mCall && mCall->sent() ? CarryDecline::Broken
+                                 : CarryDecline::Stopping);
 }
 
 void
@@ -307,6 +308,14 @@
     };
   });
   mPeers.setKnownHosts(std::move(aIsPeer));
+  mPeers.onClosed([&aContext](const wire::ClosedCaller& aClosed) {
+    aContext.log.logClose(RequestSender::Peer, aClosed, base::monotonicNow());
+  });
+  mPeers.onUnanswered(
+    [&aContext](wire::CallerEnd aReason, const wire::Request& aRequest) {
+      aContext.log.logUnanswered(
+        RequestSender::Peer, aReason, aRequest, base::monotonicNow());
+    });
 }
 
 base::Result<void>
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -215,7 +215,7 @@
   mRetries.setStart(base::monotonicNow());
   mContext.startGate.setStart(base::monotonicNow());
   mRequests.onClosed([this](const wire::ClosedCaller& aClosed) {
-    mRequestLog.logCallerClose(aClosed, base::monotonicNow());
+    mRequestLog.logClose(RequestSender::Caller, aClosed, base::monotonicNow());
   });
   // Deferred, because the verdict may change inside a callback of a request.
   mCrashes.onVerdicts([this] { mEndBlocked.trigger({}); });
--- a/apps/gateway/request_log.cpp
+++ b/apps/gateway/request_log.cpp
@@ -19,21 +19,28 @@
 }
 
 const char*
-lossText(wire::CallerLoss aLoss)
+senderName(RequestSender aSender)
 {
+  return aSender == RequestSender::Caller ? "caller" : "peer";
+}
+
+std::string
+lossText(RequestSender aSender, wire::CallerLoss aLoss)
+{
+  const std::string sender = senderName(aSender);
   switch (aLoss) {
     case wire::CallerLoss::LeftEarly:
-      return "caller left before it had its whole response";
+      return sender + " left before it had its whole response";
     case wire::CallerLoss::Unanswered:
-      return "caller connection ended without a response";
+      return sender + " connection ended without a response";
     case wire::CallerLoss::BrokenOff:
-      return "caller connection ended inside its response";
+      return sender + " connection ended inside its response";
     case wire::CallerLoss::Undelivered:
-      return "caller may not have its whole response";
+      return sender + " may not have its whole response";
     case wire::CallerLoss::None:
       break;
   }
-  return "caller connection ended";
+  return sender + " connection ended";
 }
 
 } // namespace
@@ -105,13 +112,16 @@
 }
 
 void
-RequestLog::logCallerClose(const wire::ClosedCaller& aClosed,
-                           base::TimePoint aNow)
+RequestLog::logClose(RequestSender aSender,
+                     const wire::ClosedCaller& aClosed,
+                     base::TimePoint aNow)
 {
   const char* reason = wire::callerEndName(aClosed.end);
   mMetrics
-    .counter("marigold_caller_connections_closed_total",
-             "Connections of callers that have ended, by reason",
+    .counter(aSender == RequestSender::Caller
+               ? "marigold_caller_connections_closed_total"
+               : "marigold_peer_connections_closed_total",
+             "Connections that have ended, by reason",
              { { "reason", reason } })
     .Increment();
   const wire::CallerLoss loss = wire::callerLoss(aClosed);
@@ -123,33 +133,38 @@
   }
   const auto log =
     loss == wire::CallerLoss::LeftEarly ? &observe::logInfo : &observe::logWarn;
-  log(lossText(loss),
-      { { "reason", reason },
-        { "id", aClosed.openRequest ? requestId(*aClosed.openRequest) : "" },
-        { "request_open", aClosed.requestOpen ? "yes" : "no" },
-        { "unanswered_bytes", std::to_string(aClosed.unansweredBytes) },
-        { "delivered_bytes", std::to_string(aClosed.deliveredBytes) },
-        { "unsent_bytes", std::to_string(aClosed.unsentBytes) },
-        { "unacknowledged_bytes", std::to_string(aClosed.unacknowledgedBytes) },
-        { "since_input_ms", formatMilliseconds(aClosed.sinceInput) },
-        { "open_for_ms", formatMilliseconds(aClosed.sinceOpened) } });
+  log(
+    lossText(aSender, loss),
+    { { "reason", reason },
+      { "id",
+        aClosed.openRequest != nullptr ? requestId(*aClosed.openRequest) : "" },
+      { "request_open", aClosed.requestOpen ? "yes" : "no" },
+      { "unanswered_bytes", std::to_string(aClosed.unansweredBytes) },
+      { "delivered_bytes", std::to_string(aClosed.deliveredBytes) },
+      { "unsent_bytes", std::to_string(aClosed.unsentBytes) },
+      { "unacknowledged_bytes", std::to_string(aClosed.unacknowledgedBytes) },
+      { "since_input_ms", formatMilliseconds(aClosed.sinceInput) },
+      { "open_for_ms", formatMilliseconds(aClosed.sinceOpened) } });
 }
 
 void
-RequestLog::logUnanswered(const std::string& aId,
+RequestLog::logUnanswered(RequestSender aSender,
                           wire::CallerEnd aReason,
+                          const wire::Request& aRequest,
                           base::TimePoint aNow)
 {
   const char* reason = wire::callerEndName(aReason);
   ++mUnanswered;
   mMetrics
     .counter("marigold_unanswered_requests_total",
-             "Requests that were left without a response, by reason",
-             { { "reason", reason } })
+             "Requests that were left without a response, by sender and reason",
+             { { "sender", senderName(aSender) }, { "reason", reason } })
     .Increment();
   if (mBudget.take(observe::LineWeight::Rare, aNow)) {
     observe::logWarn("request left without a response",
-                     { { "id", aId }, { "reason", reason } });
+                     { { "id", requestId(aRequest.headers) },
+                       { "sender", senderName(aSender) },
+                       { "reason", reason } });
   }
 }
 
--- a/apps/gateway/request_log.h
+++ b/apps/gateway/request_log.h
@@ -11,6 +11,13 @@
 
 namespace marigold::gateway {
 
+/** Who has sent a request to this VM. */
+enum class RequestSender : std::uint8_t
+{
+  Caller,
+  Peer ///< a VM that asks this one to pass it on
+};
+
 /** Result of a request, for its log line. */
 struct RequestSummary
 {
@@ -54,16 +61,19 @@
                const std::string& aReason,
                base::TimePoint aNow);
 
-  /** Counts a caller's connection that has ended, and logs it if its caller
-   * lost a response or a part of one. @param aClosed how it ended
-   * @param aNow time */
-  void logCallerClose(const wire::ClosedCaller& aClosed, base::TimePoint aNow);
+  /** Counts a connection that has ended, and logs it if its sender lost a
+   * response or a part of one. @param aSender that opened it
+   * @param aClosed how it ended @param aNow time */
+  void logClose(RequestSender aSender,
+                const wire::ClosedCaller& aClosed,
+                base::TimePoint aNow);
 
   /** Counts and logs a request that its connection had to answer, because the
-   * request path has left it without a response.
-   * @param aId of the request @param aReason of the end @param aNow time */
-  void logUnanswered(const std::string& aId,
+   * request path has left it without a response. @param aSender of the request
+   * @param aReason of the end @param aRequest the request @param aNow time */
+  void logUnanswered(RequestSender aSender,
                      wire::CallerEnd aReason,
+                     const wire::Request& aRequest,
                      base::TimePoint aNow);
 
   /** @return number of requests that logUnanswered() was told of */
--- a/apps/gateway/request_server.cpp
+++ b/apps/gateway/request_server.cpp
@@ -42,13 +42,11 @@
 {
   mCallers.setMemoryBudget(mContext.memory);
   mCallers.setFallback(&fallbackResponse);
-  mCallers.onUnanswered([this](wire::CallerEnd aReason,
-                               const wire::Request& aRequest) {
-    mContext.log.logUnanswered(std::string(http::findHeader(
-                                 aRequest.headers, boundary::kRequestIdHeader)),
-                               aReason,
-                               base::monotonicNow());
-  });
+  mCallers.onUnanswered(
+    [this](wire::CallerEnd aReason, const wire::Request& aRequest) {
+      mContext.log.logUnanswered(
+        RequestSender::Caller, aReason, aRequest, base::monotonicNow());
+    });
 }
 
 RequestServer::~RequestServer()
--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -1,6 +1,7 @@
 """Runs marigold-gateway as a child process for tests."""
 
 import http.client
+import json
 import os
 import subprocess
 import time
@@ -78,6 +79,11 @@
         with open(self.log_path, encoding="utf-8", errors="replace") as file:
             return file.read()
 
+    def log_rows(self, message):
+        """Returns the fields of the lines of the log with this message."""
+        rows = [json.loads(line) for line in self.log().splitlines() if line.startswith("{") and line.endswith("}")]
+        return [row.get("context_map", {}) for row in rows if row["message"] == message]
+
     def memory(self, field="VmRSS"):
         """Returns the resident memory of the process in bytes; with VmHWM, its peak."""
         with open(f"/proc/{self.child.pid}/status", encoding="utf-8") as file:
--- a/tests/e2e/test_carrier_connections.py
+++ b/tests/e2e/test_carrier_connections.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import socket
+import struct
 import tempfile
 import time
 import unittest
@@ -15,7 +16,9 @@
 SMALL_SEGMENT = 536   # bytes; the kernel of the sender holds little for a peer that announces it
 LONG_EVENT = 700      # bytes; the answer exceeds what that kernel holds and not what the process may
 DEADLINE_MS = 10000   # beyond the grace period
+SHORT_DEADLINE_MS = 300
 STOP_SECONDS = 9      # beyond the grace period
+UNANSWERED = "request left without a response"
 
 
 def join_chunks(answer):
@@ -80,6 +83,36 @@
         self.assertTrue(whole)
         self.assertEqual(0, self.carrier.child.wait(timeout=STOP_SECONDS - (time.monotonic() - begun)))
 
+    def test_peer_that_resets_its_stream_is_logged(self):
+        """Guards against connections of peers whose end leaves no trace."""
+        self.engine.pauses_at = 3
+        connection = self.carry(self.engine, "reset")
+        self.assertIn(b"200 OK", connection.recv(1024))
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.close()
+        wait_for(lambda: self.carrier.log_rows("peer left before it had its whole response"), 3)
+        row = self.carrier.log_rows("peer left before it had its whole response")[0]
+        self.assertEqual(("reset", "reset by the caller"), (row["id"], row["reason"]))
+
+    def test_request_that_the_carrier_leaves_unanswered_is_logged(self):
+        """Guards against a request of a peer without an answer in time that leaves no trace."""
+        self.desk.delay = 4
+        answer = read_answer(self.carry(self.desk, "overdue", SHORT_DEADLINE_MS), 3)
+        self.assertIn(b"HTTP/1.1 503", answer)
+        self.assertEqual([("overdue", "peer", "overdue")],
+                         [(row["id"], row["sender"], row["reason"]) for row in self.carrier.log_rows(UNANSWERED)])
+
+    def test_request_that_a_planned_stop_ends_is_not_left_unanswered(self):
+        """Guards against a warning of an unanswered request that each planned stop beside slow upstreams causes."""
+        self.desk.delay = STOP_SECONDS
+        connection = self.carry(self.desk, "stopped")
+        wait_for(lambda: self.desk.seen, 3)
+        self.carrier.child.send_signal(signal.SIGTERM)
+        answer = read_answer(connection, STOP_SECONDS)
+        self.assertIn(b"\r\nMarigold-Carry-Declined: broken\r\n", answer)
+        self.assertEqual([], self.carrier.log_rows(UNANSWERED))
+        self.assertEqual(0, self.carrier.child.wait(timeout=STOP_SECONDS))
+
 
 if __name__ == "__main__":
     unittest.main()
