Set a carrier aside that has left a request unanswered

Since a connection answers what its handler leaves, an overdue carrier answers 503 "broken", as if the upstream had broken off. So its peer took it for sound, where the reset of before had set it aside. The fallback says "unanswered" now: the request may have run, and the peer is set aside as one that is silent.

A VM gives its requests up before a carrier is overdue, so the test suspends it meanwhile.

--- a/apps/gateway/carrier.cpp
+++ b/apps/gateway/carrier.cpp
@@ -304,7 +304,7 @@
   mPeers.setFallback([](const wire::Request& /*aRequest*/) {
     return wire::FallbackResponse{
       kServiceUnavailable,
-      { { kCarryDeclinedHeader, carryDeclineName(CarryDecline::Broken) } }
+      { { kCarryDeclinedHeader, carryDeclineName(CarryDecline::Unanswered) } }
     };
   });
   mPeers.setKnownHosts(std::move(aIsPeer));
--- a/apps/gateway/carry_protocol.h
+++ b/apps/gateway/carry_protocol.h
@@ -28,7 +28,8 @@
   Unwanted,    ///< the upstream wants no requests from the peer
   Unreachable, ///< the peer can't connect to the upstream
   Broken,      ///< the upstream broke off before its answer; it may have run
-  Malformed    ///< the upstream's answer is not one of HTTP; it may have run
+  Malformed,   ///< the upstream's answer is not one of HTTP; it may have run
+  Unanswered   ///< the peer has left the request without one; it may have run
 };
 
 /** @param aDecline reason @return its name in the header */
--- a/apps/gateway/upstream_calls.cpp
+++ b/apps/gateway/upstream_calls.cpp
@@ -26,6 +26,7 @@
   DeclineName{ CarryDecline::Unreachable, "unreachable" },
   DeclineName{ CarryDecline::Broken, "broken" },
   DeclineName{ CarryDecline::Malformed, "malformed" },
+  DeclineName{ CarryDecline::Unanswered, "unanswered" },
 };
 
 std::optional<CarryDecline>
@@ -242,6 +243,9 @@
     case CarryDecline::Malformed:
       mCarriers.onAnswered(aCarrier);
       return wire::CallFailure::Malformed;
+    case CarryDecline::Unanswered:
+      onCarrierFailed(aCarrier);
+      return wire::CallFailure::Broken;
     case CarryDecline::Unreachable:
       mCarriers.onAnswered(aCarrier);
       mReach.onGone(aUpstream);
@@ -268,7 +272,8 @@
 {
   const auto decline = parseDecline(declineIn(aHeaders));
   if (decline == CarryDecline::NoPath || decline == CarryDecline::Stopping ||
-      decline == CarryDecline::Busy || decline == CarryDecline::NotAsked) {
+      decline == CarryDecline::Busy || decline == CarryDecline::NotAsked ||
+      decline == CarryDecline::Unanswered) {
     onCarrierFailed(aCarrier);
   }
 }
--- a/tests/e2e/test_carrier_connections.py
+++ b/tests/e2e/test_carrier_connections.py
@@ -95,10 +95,12 @@
         self.assertEqual(("reset", "reset by the caller"), (row["id"], row["reason"]))
 
     def test_request_that_the_carrier_leaves_unanswered_is_logged(self):
-        """Guards against a request of a peer without an answer in time that leaves no trace."""
+        """Guards against a request of a peer without an answer in time that leaves no trace, and against an answer
+        to it that blames the upstream."""
         self.desk.delay = 4
         answer = read_answer(self.carry(self.desk, "overdue", SHORT_DEADLINE_MS), 3)
         self.assertIn(b"HTTP/1.1 503", answer)
+        self.assertIn(b"\r\nMarigold-Carry-Declined: unanswered\r\n", answer)
         self.assertEqual([("overdue", "peer", "overdue")],
                          [(row["id"], row["sender"], row["reason"]) for row in self.carrier.log_rows(UNANSWERED)])
 
--- a/tests/e2e/test_carriers.py
+++ b/tests/e2e/test_carriers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import signal
+import threading
 import time
 import unittest
 
@@ -12,6 +13,9 @@
 GONE_SECONDS = 0.5    # until the work for a caller that left ends
 LEAVING_SECONDS = 2.5  # until an upstream that says that it leaves gets nothing from a VM that passed the answer on
 IN_FLIGHT = 0.5       # seconds in which requests may reach an upstream that has turned one away
+OVERDUE_DEADLINE = 0.5
+OVERDUE_SECONDS = 1.5  # after its deadline, a request has been given up
+ASIDE_SECONDS = 0.6   # a peer that is set aside gets nothing for longer
 MOST_WHILE_TURNED_AWAY = 2  # requests of a VM afterwards
 
 
@@ -72,6 +76,26 @@
         finally:
             carrier.child.send_signal(signal.SIGCONT)
 
+    def test_carrier_that_leaves_a_request_unanswered_is_set_aside(self):
+        """Guards against a VM that stays with a peer which has not ended a request in time: the peer answers that
+        itself now, late, and counted as sound."""
+        carrier = self.carrier_of(self.drive(self.stranded, 1))
+        for desk in self.desks:
+            desk.delay = DEADLINE
+        waiting = threading.Thread(target=self.gateways[0].call, args=("/once/x",),
+                                   kwargs={"headers": {"X-Request-Id": "overdue",
+                                                       "X-Deadline-Ms": str(int(OVERDUE_DEADLINE * 1000))}})
+        waiting.start()
+        wait_for(lambda: any(headers["x-request-id"] == "overdue" for desk in self.desks for headers in desk.seen), 1)
+        # Else the VM gives the request up before the peer does.
+        self.gateways[0].child.send_signal(signal.SIGSTOP)
+        time.sleep(OVERDUE_DEADLINE + OVERDUE_SECONDS)
+        self.gateways[0].child.send_signal(signal.SIGCONT)
+        waiting.join()
+        tries = self.drive(self.stranded, ASIDE_SECONDS, ("chat",))
+        self.assertTrue([attempt for attempt in tries if attempt.end == "whole"], tries)
+        self.assertNotIn(carrier.name, self.paths_of(tries))
+
     def test_carrier_loses_its_path_too(self):
         """Guards against requests to a carrier that has no path itself any more."""
         carrier = self.carrier_of(self.drive(self.stranded, 1))
