--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -1,5 +1,7 @@
 #include "apps/gateway/exchange.h"
 
+#include "apps/gateway/own_response.h"
+
 #include <algorithm>
 #include <array>
 #include <cinttypes>
@@ -614,12 +616,7 @@
     return;
   }
   const base::CodeInfo& info = base::codeInfo(aCode);
-  http::Headers headers{ { "Marigold-Outcome",
-                           std::string(base::outcomeName(aOutcome)) },
-                         { "Marigold-Code", std::string(info.name) } };
-  if (!mMetadata.id.empty()) {
-    headers.emplace_back(boundary::kRequestIdHeader, mMetadata.id);
-  }
+  http::Headers headers = outcomeHeaders(aCode, aOutcome, mMetadata.id);
   if (aRetryAfter > base::Duration::zero()) {
     headers.emplace_back("Retry-After", formatSeconds(aRetryAfter));
   }
--- a/apps/gateway/request_server.cpp
+++ b/apps/gateway/request_server.cpp
@@ -1,5 +1,7 @@
 #include "apps/gateway/request_server.h"
 
+#include "apps/gateway/own_response.h"
+
 #include <algorithm>
 
 namespace marigold::gateway {
@@ -16,21 +18,6 @@
  * have not read all of their responses. */
 constexpr double kRunFraction = 0.95;
 
-wire::FallbackResponse
-fallbackResponse(const wire::Request& aRequest)
-{
-  const base::CodeInfo& unknown = base::codeInfo(base::Code::OutcomeUnknown);
-  http::Headers headers{ { "Marigold-Outcome",
-                           std::string(base::outcomeName(unknown.outcome)) },
-                         { "Marigold-Code", std::string(unknown.name) } };
-  const std::string_view id =
-    http::findHeader(aRequest.headers, boundary::kRequestIdHeader);
-  if (!id.empty()) {
-    headers.emplace_back(boundary::kRequestIdHeader, id);
-  }
-  return { unknown.httpStatus, std::move(headers) };
-}
-
 } // namespace
 
 RequestServer::RequestServer(RequestContext& aContext)
@@ -41,7 +28,10 @@
              })
 {
   mCallers.setMemoryBudget(mContext.memory);
-  mCallers.setFallback(&fallbackResponse);
+  mCallers.setFallback([](const wire::Request& aRequest) {
+    return unknownOutcomeResponse(
+      http::findHeader(aRequest.headers, boundary::kRequestIdHeader));
+  });
   mCallers.onUnanswered(
     [this](wire::CallerEnd aReason, const wire::Request& aRequest) {
       mContext.log.logUnanswered(
