Log a request that goes on without its caller as caller-left

A request that may run once goes on when its caller leaves. If its upstream refused it then, the log said "no-upstream", as if a caller had been refused. All errors of such a request end as "caller-left", with what happened in the detail: there is no caller that could get another end.

Failed before, with the gateway of: test_request_that_goes_on_without_its_caller_and_is_refused_ends_as_left.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -607,6 +607,10 @@
                        const std::string& aDetail,
                        base::Duration aRetryAfter)
 {
+  if (mCallerDisconnected) {
+    finish(Code::CallerLeft, 0, aDetail);
+    return;
+  }
   if (mCaller->responseStarted()) {
     if (mChatCall != chat::Call::None) {
       mCaller->sendChunk(chat::errorEvent(aCode));
--- a/tests/e2e/test_caller_connections.py
+++ b/tests/e2e/test_caller_connections.py
@@ -95,8 +95,8 @@
         return connection
 
     @staticmethod
-    def request(path, extra=""):
-        return (f"POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {os.urandom(8).hex()}\r\n"
+    def request(path, extra="", request_id=None):
+        return (f"POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {request_id or os.urandom(8).hex()}\r\n"
                 f"X-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Bearer k1\r\n{extra}"
                 "Content-Length: 1\r\n\r\nx").encode()
 
@@ -169,6 +169,22 @@
             self.assertIn(b"Marigold-Outcome: unknown", answer, path)
         self.assertNotIn("request left without a response", self.gateway.log())
 
+    def request_row(self, request_id):
+        """Returns the fields of the log line of the end of a request, None if there is none."""
+        return next((row for row in self.gateway.log_rows("request") if row.get("id") == request_id), None)
+
+    def test_request_that_goes_on_without_its_caller_and_is_refused_ends_as_left(self):
+        """Guards against a request that may run once, whose caller leaves and whose upstream refuses it then, logged
+        as one that has found no upstream."""
+        self.desk.delay, self.desk.refuse = 0.8, True
+        connection = self.connect()
+        connection.sendall(self.request("/once/x", request_id="refused"))
+        wait_for(lambda: self.desk.seen, 2)
+        connection.close()
+        wait_for(lambda: self.request_row("refused"), 3)
+        self.assertEqual("caller-left", self.request_row("refused")["outcome"])
+        self.assertEqual(1, len(self.desk.seen))
+
     def test_pausing_callers_get_their_whole_answers_in_a_planned_stop(self):
         """Guards against answers that are reset because their callers stop reading for a few seconds."""
         connections = [self.connect(SMALL_WINDOW) for _ in range(CALLERS)]
