Log the status and the id that a caller gets who has left

A request that may have run and whose caller has closed its sending side was answered by its connection, behind the end of the request: the log line said status 0. The request path answers it now, with the same response, which also bears the id that a chat without one of its own was given. That id is added to the request of the connection, so that its end is named as well.

The fallback response of a caller's connection is thus left to faults of the request path; the explorer asks that it is never used.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -103,6 +103,7 @@
 {
   if (mChatCall != chat::Call::None && mMetadata.id.empty()) {
     mMetadata.id = makeRequestId(mContext.random);
+    mCaller->addRequestHeader(boundary::kRequestIdHeader, mMetadata.id);
   }
   mRequestCharge.set(mRequest.body.size());
 }
@@ -533,6 +534,7 @@
     // A non-idempotent request that was sent is not cancelled before its
     // deadline; its response is discarded.
     mCallerDisconnected = true;
+    mLeftStatus = leaveCaller();
     mBody.clear();
     mBackPressure.reset();
     mCall->pauseReading(false);
@@ -549,7 +551,22 @@
     refuse(Code::CallerLeft, "caller left", {});
     return;
   }
-  finish(Code::CallerLeft, 0, "caller left");
+  finish(Code::CallerLeft, leaveCaller(), "caller left");
+}
+
+/** Answers a caller that has left, or closed its sending side only, and whose
+ * request may have run. @return status of the response, 0 if none is sent */
+int
+Exchange::leaveCaller()
+{
+  if (mCaller->finished() || mCaller->responseStarted()) {
+    return 0;
+  }
+  const wire::FallbackResponse response = unknownOutcomeResponse(mMetadata.id);
+  // The call may go on and must not refer to a later request.
+  mCaller->closeAfterResponse();
+  mCaller->reply(response.status, response.headers, {});
+  return response.status;
 }
 
 /** @return true if the request ended because its caller disconnected */
@@ -564,8 +581,9 @@
     return true;
   }
   // Reading from the caller may be paused, which would hide the disconnect.
+  const int status = leaveCaller();
   mCaller->abort();
-  finish(Code::CallerLeft, 0, "caller left before the request was sent");
+  finish(Code::CallerLeft, status, "caller left before the request was sent");
   return true;
 }
 
@@ -576,7 +594,8 @@
     return;
   }
   if (mCallerDisconnected) {
-    finish(Code::CallerLeft, 0, "no complete answer before the deadline");
+    finish(
+      Code::CallerLeft, mLeftStatus, "no complete answer before the deadline");
     return;
   }
   if (!mayHaveRun()) {
@@ -608,7 +627,7 @@
                        base::Duration aRetryAfter)
 {
   if (mCallerDisconnected) {
-    finish(Code::CallerLeft, 0, aDetail);
+    finish(Code::CallerLeft, mLeftStatus, aDetail);
     return;
   }
   if (mCaller->responseStarted()) {
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -196,6 +196,7 @@
                     const std::string& aDetail,
                     base::Duration aRetryAfter);
   void finish(base::Code aCode, int aStatus, const std::string& aDetail);
+  int leaveCaller();
   void onCallerDisconnected();
   bool endIfCallerDisconnected();
   void onDeadline();
@@ -278,6 +279,7 @@
   bool mNotAccepted = false;
   bool mEnded = false;
   bool mCallerDisconnected = false; ///< the call continues without a caller
+  int mLeftStatus = 0; ///< of the response to a caller that has left, 0: none
 
   /** A call that replaces a stalled one when its request is written. */
   struct Replacement
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -579,7 +579,7 @@
 {
   if (mCallerDisconnected) {
     finish(Code::CallerLeft,
-           0,
+           mLeftStatus,
            "answer " + std::to_string(mHead.status) + " has no caller");
     return;
   }
--- a/apps/gateway/request_server.cpp
+++ b/apps/gateway/request_server.cpp
@@ -28,7 +28,8 @@
              })
 {
   mCallers.setMemoryBudget(mContext.memory);
-  mCallers.setFallback([](const wire::Request& aRequest) {
+  mCallers.setFallback([this](const wire::Request& aRequest) {
+    ++mFallbackResponses;
     return unknownOutcomeResponse(
       http::findHeader(aRequest.headers, boundary::kRequestIdHeader));
   });
--- a/apps/gateway/request_server.h
+++ b/apps/gateway/request_server.h
@@ -48,6 +48,10 @@
   /** @return number of open connections */
   std::size_t connections() const { return mCallers.connections(); }
 
+  /** @return number of requests that the request path has left to the fallback
+   * response of their connections */
+  std::size_t fallbackResponses() const { return mFallbackResponses; }
+
 private:
   void stopListening();
   void endOpenRequests();
@@ -56,6 +60,7 @@
   wire::CallerServer mCallers;
   std::function<void()> mListeningStopped;
   std::vector<http::EventHandle> mTimers;
+  std::size_t mFallbackResponses = 0;
   bool mDraining = false;
   bool mListening = true;
 };
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -73,6 +73,13 @@
   /** @return time at which the first byte of the request was read */
   base::TimePoint receivedAt() const { return mCurrent.receivedAt; }
 
+  /** Adds a header to the request in progress, for its fallback response and
+   * the reports on its end. @param aName name @param aValue value */
+  void addRequestHeader(std::string aName, std::string aValue)
+  {
+    mCurrent.request.headers.emplace_back(std::move(aName), std::move(aValue));
+  }
+
   /** Ends the request if the handler has not done so shortly after this time,
    * in place of CallerLimits::responseTimeout.
    * @param aTime time by which the handler ends the request */
--- a/tests/e2e/test_caller_connections.py
+++ b/tests/e2e/test_caller_connections.py
@@ -1,7 +1,9 @@
 """Tests of callers' connections around a suspension of the gateway and pauses of callers."""
 
 import asyncio
+import json
 import os
+import re
 import signal
 import socket
 import struct
@@ -11,7 +13,7 @@
 import unittest
 
 from gateway_process import Gateway, wait_for
-from users_platform import HOST, ROUTES, Platform, Upstream
+from users_platform import HOST, ROUTES, Platform, Upstream, route
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
 STORE, DESK, ENGINE = 90, 80, 81  # port offsets
@@ -69,7 +71,7 @@
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform()
-        self.platform.publish(1, ["k1"], ROUTES)
+        self.platform.publish(1, ["k1"], ROUTES + [route("chat-api", "/v1/", "streaming", "llm", resumable=True)])
         self.engine = LongAnswers("engine", BASE_PORT + ENGINE, "llm", ["m1"])
         self.desk = Upstream("desk", BASE_PORT + DESK, "desk")
         self.platform.serve_upstream(self.desk)
@@ -185,6 +187,47 @@
         self.assertEqual("caller-left", self.request_row("refused")["outcome"])
         self.assertEqual(1, len(self.desk.seen))
 
+    def test_request_line_tells_what_a_half_closed_caller_got(self):
+        """Guards against a request that may have run and whose caller has closed its sending side, logged with
+        another status than its caller got, or without an id."""
+        self.engine.pauses_at = 1
+        self.desk.delay = 1
+        model = "X-Model-Name: m1\r\nX-Token-Usage: 100,20\r\n"
+        for data in (self.request("/once/x", request_id="once"), self.request("/chat/x", model, "chat"), self.chat()):
+            connection = self.connect()
+            connection.sendall(data)
+            time.sleep(0.3)
+            connection.shutdown(socket.SHUT_WR)
+            answer = read_answer(connection, 3)
+            self.assertIn(b"HTTP/1.1 504", answer, data)
+            request_id = re.search(rb"\r\nX-Request-Id: (\w+)\r\n", answer)
+            self.assertIsNotNone(request_id, answer)
+            request_id = request_id[1].decode()
+            wait_for(lambda known=request_id: self.request_row(known), 3)
+            row = self.request_row(request_id)
+            self.assertEqual(("caller-left", "504"), (row["outcome"], row["status"]), row)
+
+    def test_chat_without_an_id_is_named_when_its_connection_ends(self):
+        """Guards against the end of a connection that can't be told from the ends of others."""
+        self.engine.pauses_at = 3
+        connection = self.connect()
+        connection.sendall(self.chat())
+        self.assertIn(b"200 OK", connection.recv(1024))
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.close()
+        wait_for(lambda: "caller left before it had its whole response" in self.gateway.log(), 3)
+        row = self.gateway.log_rows("caller left before it had its whole response")[0]
+        self.assertRegex(row.get("id", ""), r"^\w+$")
+        self.assertIsNotNone(self.request_row(row["id"]))
+
+    @staticmethod
+    def chat():
+        """Returns a streamed chat without an id of its own."""
+        body = json.dumps({"model": "m1", "max_tokens": 20, "stream": True,
+                           "messages": [{"role": "user", "content": "Is the pod clean?"}]}).encode()
+        return (f"POST /v1/chat/completions HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n"
+                f"Authorization: Bearer k1\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body
+
     def test_pausing_callers_get_their_whole_answers_in_a_planned_stop(self):
         """Guards against answers that are reset because their callers stop reading for a few seconds."""
         connections = [self.connect(SMALL_WINDOW) for _ in range(CALLERS)]
--- a/tests/explore/checks.cpp
+++ b/tests/explore/checks.cpp
@@ -449,7 +449,8 @@
 std::string
 Scenario::checkDuty() const
 {
-  return mSite->log.unanswered() == 0
+  return mSite->log.unanswered() == 0 &&
+             mSite->requests.fallbackResponses() == 0
            ? ""
            : "the request path has left a request without a response";
 }
