Count what has been sent while the gateway is frozen

test_once_is_not_sent_when_its_caller_left_during_a_connect counted after 0.2 s how many of six requests had run, and expected that none runs later. A connect fails after 0.4 s, and its request then rightly goes to the other upstream, as its caller still waits: a test that was late by 0.2 s failed ("6 not less than 6"). The bound was the test's.

The test suspends the gateway as soon as a connect of it hangs, lets arrive what it has sent, counts, closes the callers and lets it go on. So all that runs later was sent after the callers had left, however late the test is. It is as strict: some request must have hung, and none may run afterwards.

--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import signal
 import subprocess
 import time
 
@@ -11,6 +12,7 @@
 BIN = os.environ.get("MARIGOLD_BIN", os.path.join(os.path.dirname(__file__), "../../build/bin"))
 ORDER_PAUSE = 3.0  # seconds; the value of the users' platform
 DATA_CENTRES = {"dc-a": "r", "dc-b": "s"}  # with their regions
+SYN_SENT = "02"  # state of a connection in /proc/net/tcp
 READY, PEERS, OPERATOR = 1, 2, 3  # port offsets from the callers' port
 
 
@@ -90,6 +92,20 @@
             row = next(line for line in file if line.startswith(field + ":"))
         return int(row.split()[1]) * 1024
 
+    def freeze_in_connect(self, port):
+        """Suspends the process if a connect of it to a port has no answer yet; returns whether it has done so."""
+        self.child.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.child.pid, os.WSTOPPED)
+        folder = f"/proc/{self.child.pid}/fd"
+        sockets = {os.readlink(os.path.join(folder, name)) for name in os.listdir(folder)}
+        with open(f"/proc/{self.child.pid}/net/tcp", encoding="utf-8") as file:
+            rows = [line.split() for line in file][1:]
+        connecting = [row for row in rows if row[2].endswith(f":{port:04X}") and row[3] == SYN_SENT]
+        if any(f"socket:[{row[9]}]" in sockets for row in connecting):
+            return True
+        self.child.send_signal(signal.SIGCONT)
+        return False
+
     def ready(self):
         try:
             connection = http.client.HTTPConnection(HOST, self.port + READY, timeout=2)
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -903,11 +903,15 @@
             for index, caller in enumerate(callers):
                 caller.sendall(b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
                                b"X-Request-Id: r%d\r\nX-Deadline-Ms: 3000\r\nContent-Length: 1\r\n\r\nx" % index)
-            time.sleep(0.2)
+            # A connect that has failed lets its request go to the other upstream, rightly until its caller leaves. A
+            # frozen gateway sends nothing, and what it has sent before arrives.
+            wait_for(lambda: gateway.freeze_in_connect(unresponsive.public_port), 2)
+            time.sleep(0.3)
             before = self.runs()
             self.assertLess(before, len(callers))
             for caller in callers:
                 caller.close()
+            gateway.child.send_signal(signal.SIGCONT)
             time.sleep(1)
             self.assertEqual(before, self.runs())
             for waiting in queue:
