--- a/apps/gateway/carrier.cpp
+++ b/apps/gateway/carrier.cpp
@@ -254,12 +254,13 @@
   if (mEnded) {
     return;
   }
-  if (mPeer->responseStarted() || (mCall && mCall->sent())) {
+  if (mPeer->responseStarted()) {
     mPeer->abort();
     finish();
     return;
   }
-  decline(CarryDecline::Stopping);
+  decline(mCall && mCall->sent() ? CarryDecline::Broken
+                                 : CarryDecline::Stopping);
 }
 
 void
@@ -270,13 +271,12 @@
                        mUpstream ? mUpstream->record.name : "",
                        carryDeclineName(aReason),
                        base::monotonicNow());
-  http::Headers headers{ { kCarryDeclinedHeader, carryDeclineName(aReason) } };
   if (!mPeer->fromKnownHost()) {
-    // The host was judged when the connection was accepted; its VM may have
-    // registered since.
-    headers.emplace_back("Connection", "close");
+    mPeer->closeAfterResponse();
   }
-  mPeer->reply(kServiceUnavailable, headers, {});
+  mPeer->reply(kServiceUnavailable,
+               { { kCarryDeclinedHeader, carryDeclineName(aReason) } },
+               {});
   finish();
 }
 
@@ -304,10 +304,18 @@
   mPeers.setFallback([](const wire::Request& /*aRequest*/) {
     return wire::FallbackResponse{
       kServiceUnavailable,
-      { { kCarryDeclinedHeader, carryDeclineName(CarryDecline::Broken) } }
+      { { kCarryDeclinedHeader, carryDeclineName(CarryDecline::Unanswered) } }
     };
   });
   mPeers.setKnownHosts(std::move(aIsPeer));
+  mPeers.onClosed([&aContext](const wire::ClosedCaller& aClosed) {
+    aContext.log.logClose(RequestSender::Peer, aClosed, base::monotonicNow());
+  });
+  mPeers.onUnanswered(
+    [&aContext](wire::CallerEnd aReason, const wire::Request& aRequest) {
+      aContext.log.logUnanswered(
+        RequestSender::Peer, aReason, aRequest, base::monotonicNow());
+    });
 }
 
 base::Result<void>
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -215,7 +215,7 @@
   mRetries.setStart(base::monotonicNow());
   mContext.startGate.setStart(base::monotonicNow());
   mRequests.onClosed([this](const wire::ClosedCaller& aClosed) {
-    mRequestLog.logCallerClose(aClosed, base::monotonicNow());
+    mRequestLog.logClose(RequestSender::Caller, aClosed, base::monotonicNow());
   });
   // Deferred, because the verdict may change inside a callback of a request.
   mCrashes.onVerdicts([this] { mEndBlocked.trigger({}); });
@@ -823,8 +823,11 @@
     return;
   }
   mPeerExchange.announceDraining();
+  // Callers and peers may not have read all of their answers yet.
+  const bool delivered =
+    mRequests.connections() == 0 && mCarrier.connections() == 0;
   // The end of the process resets calls that are on their way.
-  if (mRequests.connections() == 0 && !mFleet.leavePending()) {
+  if (delivered && !mFleet.leavePending()) {
     mLoop.stop();
   }
 }
--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -5,6 +5,7 @@
 #include "http/method.h"
 
 #include <algorithm>
+#include <array>
 #include <climits>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -46,8 +47,6 @@
 }
 
 constexpr int kContinueStatus = 100;
-constexpr int kFirstFinalStatus = 200;
-constexpr int kLastStatus = 599;
 
 /** The kernel resets the connection when the socket is closed, also at the end
  * of the process, instead of sending unacknowledged bytes again. */
@@ -98,15 +97,6 @@
   }
 }
 
-/** @return true if the headers announce a body, even an empty one */
-bool
-isFramed(evhttp_request* aRequest)
-{
-  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
-  return evhttp_find_header(headers, "Content-Length") != nullptr ||
-         evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
-}
-
 std::string
 takeBytes(evhttp_request* aRequest)
 {
@@ -188,12 +178,25 @@
   {
     call = aCall;
     received = 0;
+    statusLine.clear();
     sent = false;
     begun = false;
     withheld = false;
     deadline = base::monotonicNow() + aTimeout;
   }
 
+  /** evhttp takes a line from the buffer when all of it has arrived, so the
+   * buffer begins with the status line until then. */
+  void noteStatusLine()
+  {
+    if (statusLine.size() < kStatusLineBytes) {
+      std::array<char, kStatusLineBytes> bytes{};
+      const auto size = evbuffer_copyout(input, bytes.data(), bytes.size());
+      statusLine.assign(
+        bytes.data(), static_cast<std::size_t>(std::max<ev_ssize_t>(size, 0)));
+    }
+  }
+
   static void onInput(evbuffer* aBuffer,
                       const evbuffer_cb_info* aInfo,
                       void* aSelf);
@@ -227,6 +230,7 @@
   evbuffer* input = nullptr;
   Call::State* call = nullptr; ///< current call, if any
   std::size_t received = 0;    ///< bytes of the current response
+  std::string statusLine;      ///< its beginning
   base::TimePoint deadline{};  ///< no byte of the request is sent later
   bool begun = false;          ///< the request was passed to the socket buffer
   bool withheld = false;       ///< the deadline passed before the first byte
@@ -272,6 +276,7 @@
     return;
   }
   self->received += aInfo->n_added;
+  self->noteStatusLine();
   if (!self->call->oversized(evbuffer_get_length(aBuffer))) {
     return;
   }
@@ -352,14 +357,19 @@
 {
   auto* state = static_cast<State*>(aState);
   constexpr int kFail = -1;
-  const int status = evhttp_request_get_response_code(aRequest);
-  if (status == kContinueStatus && !isFramed(aRequest)) {
+  if (!hasThreeDigitStatus(state->connection->statusLine)) {
+    return kFail;
+  }
+  readHead(aRequest, state->response);
+  const int status = state->response.status;
+  if (status == kContinueStatus && !isFramed(state->response.headers)) {
+    state->connection->statusLine.clear();
+    state->connection->noteStatusLine();
     return 0; // evhttp goes on to read the final response.
   }
   if (status < kFirstFinalStatus || status > kLastStatus) {
     return kFail;
   }
-  readHead(aRequest, state->response);
   state->headersComplete = true;
   if (state->events.head) {
     const auto callback = state->events.head;
@@ -397,9 +407,7 @@
   const std::string_view connection =
     findHeader(state->response.headers, "Connection");
   const bool framed =
-    !findHeader(state->response.headers, "Content-Length").empty() ||
-    !findHeader(state->response.headers, "Transfer-Encoding").empty() ||
-    state->response.status == 204;
+    isFramed(state->response.headers) || state->response.status == kNoContent;
   // A close-delimited response cannot be distinguished from a truncated one.
   state->end(framed ? CallEnd::Complete : CallEnd::Broken,
              framed && !equalIgnoringCase(connection, "close"));
--- a/libs/http/message.h
+++ b/libs/http/message.h
@@ -1,6 +1,7 @@
 /** @file HTTP requests and responses as plain data types. */
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,6 +22,22 @@
   std::string body;
 };
 
+/** Least and greatest status code of HTTP; those below kFirstFinalStatus are of
+ * interim responses. */
+inline constexpr int kFirstStatus = 100;
+inline constexpr int kFirstFinalStatus = 200;
+inline constexpr int kLastStatus = 599;
+inline constexpr int kNoContent = 204;
+
+/** Size of the beginning of a status line that ends behind the status. */
+inline constexpr std::size_t kStatusLineBytes = 13;
+
+/** Parsers read a status as a number, whatever its digits.
+ * @param aLine first kStatusLineBytes of a status line
+ * @return true if its status has three digits */
+bool
+hasThreeDigitStatus(std::string_view aLine);
+
 /** A complete response. */
 struct Response
 {
@@ -37,6 +54,11 @@
 std::string_view
 findHeader(const Headers& aHeaders, std::string_view aName);
 
+/** @param aHeaders headers of a response @return true if they announce a body,
+ * even an empty one */
+bool
+isFramed(const Headers& aHeaders);
+
 /**
  * @param aQuery percent-encoded query
  * @param aName decoded parameter name
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -53,10 +53,12 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  CallerConnection(CallerServer& aServer, int aDescriptor, bool aKnownHost);
+  /** @param aServer that has accepted it @param aDescriptor socket
+   * @param aHost numeric address of the caller, for the filter of the server */
+  CallerConnection(CallerServer& aServer, int aDescriptor, std::string aHost);
 
-  /** @return false if CallerServer::setKnownHosts() excludes its host */
-  bool fromKnownHost() const { return mFromKnownHost; }
+  /** @return false if CallerServer::setKnownHosts() excludes its host now */
+  bool fromKnownHost() const;
 
   /** @return the request in progress, without its body once that was taken */
   const Request& request() const { return mCurrent.request; }
@@ -71,12 +73,24 @@
   /** @return time at which the first byte of the request was read */
   base::TimePoint receivedAt() const { return mCurrent.receivedAt; }
 
+  /** Adds a header to the request in progress, for its fallback response and
+   * the reports on its end. @param aName name @param aValue value */
+  void addRequestHeader(std::string aName, std::string aValue)
+  {
+    mCurrent.request.headers.emplace_back(std::move(aName), std::move(aValue));
+  }
+
   /** Ends the request if the handler has not done so shortly after this time,
    * in place of CallerLimits::responseTimeout.
    * @param aTime time by which the handler ends the request */
   void expectEndBy(base::TimePoint aTime);
 
-  /** Sends a complete response with Content-Length. */
+  /** Makes the response to the request in progress the last one: the connection
+   * closes after it. Call it before the response starts. */
+  void closeAfterResponse() { mCurrent.closeAfterResponse = true; }
+
+  /** Sends a complete response, with Content-Length if its status may have a
+   * body. */
   void reply(int aStatus,
              const http::Headers& aHeaders,
              std::string_view aBody);
@@ -134,7 +148,7 @@
     bool open = false; ///< from the end of the request to that of the response
     bool graceIsLeft = false; ///< after the expected end
     bool responseStarted = false;
-    bool callerHadLeft = false; ///< when the response started
+    bool callerHadLeft = false; ///< when its response started or was given up
     bool chunked = false;
     bool closeAfterResponse = false;
     bool bodyTooLarge = false;
@@ -147,9 +161,9 @@
   void readInput();
   void pauseInput();
   void inputEnded();
-  void leaveRequest();
   void giveUpRequest(CallerEnd aReason);
-  bool sendFallback(CallerEnd aReason);
+  bool sendFallback();
+  void breakOff(CallerEnd aReason);
   void reportUnanswered(CallerEnd aReason);
   bool rejectInvalid();
   void rejectWith(int aStatus);
@@ -203,7 +217,7 @@
   base::Duration mAllowedPause{}; ///< limit of the kernel
   /** Armed while reading is paused, because an end is not reported then. */
   http::EventHandle mPauseTimer;
-  bool mFromKnownHost = true;
+  std::string mHost;
   bool mClosing = false;
   bool mLingering = false;  ///< from the flush of the last response on
   bool mInputEnded = false; ///< the caller sends nothing more
@@ -254,8 +268,8 @@
     mUnansweredHandler = std::move(aHandler);
   }
 
-  /** @param aFilter gets the numeric address of a host that connects, returns
-   * true if it is known */
+  /** @param aFilter gets the numeric address of a caller's host, returns true
+   * if it is known now; call this before listen() */
   void setKnownHosts(HostFilter aFilter) { mFilter = std::move(aFilter); }
 
   /** From now on, closes each connection after its response. */
@@ -273,8 +287,7 @@
 
 private:
   friend class CallerConnection;
-  bool isKnown(const sockaddr* aPeer) const;
-  void accept(int aDescriptor, bool aKnownHost);
+  void accept(int aDescriptor, const sockaddr* aPeer);
 
   http::Loop& mLoop;
   Handler mHandler;
--- a/libs/wire/parser.h
+++ b/libs/wire/parser.h
@@ -77,10 +77,6 @@
   /** @return true if the connection may be reused after this message */
   bool keepAlive() const { return mKeepAlive; }
 
-  /** @return true for a response without length and chunked encoding, which
-   * ends when the connection closes */
-  bool closeDelimited() const { return mCloseDelimited; }
-
   const std::string& target() const { return mTarget; }
   http::Headers& headers() { return mHeaders; }
   int status() const { return mStatus; }
@@ -101,11 +97,13 @@
   static int onComplete(http_parser* aNative);
   static const http_parser_settings& callbacks();
   bool countHeaderBytes(std::size_t aSize);
+  void noteStatusLine(std::string_view aBytes);
 
   http_parser mNative{};
   Kind mKind;
   std::size_t mHeaderLimit;
   ParserEvents mEvents;
+  std::string mStatusLine; ///< its beginning
   std::string mTarget;
   http::Headers mHeaders;
   std::size_t mHeaderBytes = 0;
@@ -116,7 +114,6 @@
   bool mHeadersComplete = false;
   bool mComplete = false;
   bool mKeepAlive = false;
-  bool mCloseDelimited = false;
   bool mFailed = false;
   bool mHeaderTooLarge = false;
   bool mOverflow = false;
--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -1,7 +1,9 @@
 """Runs marigold-gateway as a child process for tests."""
 
 import http.client
+import json
 import os
+import signal
 import subprocess
 import time
 
@@ -10,6 +12,7 @@
 BIN = os.environ.get("MARIGOLD_BIN", os.path.join(os.path.dirname(__file__), "../../build/bin"))
 ORDER_PAUSE = 3.0  # seconds; the value of the users' platform
 DATA_CENTRES = {"dc-a": "r", "dc-b": "s"}  # with their regions
+SYN_SENT = "02"  # state of a connection in /proc/net/tcp
 READY, PEERS, OPERATOR = 1, 2, 3  # port offsets from the callers' port
 
 
@@ -78,12 +81,31 @@
         with open(self.log_path, encoding="utf-8", errors="replace") as file:
             return file.read()
 
+    def log_rows(self, message):
+        """Returns the fields of the lines of the log with this message."""
+        rows = [json.loads(line) for line in self.log().splitlines() if line.startswith("{") and line.endswith("}")]
+        return [row.get("context_map", {}) for row in rows if row["message"] == message]
+
     def memory(self, field="VmRSS"):
         """Returns the resident memory of the process in bytes; with VmHWM, its peak."""
         with open(f"/proc/{self.child.pid}/status", encoding="utf-8") as file:
             row = next(line for line in file if line.startswith(field + ":"))
         return int(row.split()[1]) * 1024
 
+    def freeze_in_connect(self, port):
+        """Suspends the process if a connect of it to a port has no answer yet; returns whether it has done so."""
+        self.child.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.child.pid, os.WSTOPPED)
+        folder = f"/proc/{self.child.pid}/fd"
+        sockets = {os.readlink(os.path.join(folder, name)) for name in os.listdir(folder)}
+        with open(f"/proc/{self.child.pid}/net/tcp", encoding="utf-8") as file:
+            rows = [line.split() for line in file][1:]
+        connecting = [row for row in rows if row[2].endswith(f":{port:04X}") and row[3] == SYN_SENT]
+        if any(f"socket:[{row[9]}]" in sockets for row in connecting):
+            return True
+        self.child.send_signal(signal.SIGCONT)
+        return False
+
     def ready(self):
         try:
             connection = http.client.HTTPConnection(HOST, self.port + READY, timeout=2)
