Refuse a request that crosses the close of an idle connection

Callers saw a connection that ended without an answer: a request that was on its way when its idle connection was closed, by the idle timer or in a planned stop, was never read. The announced idle time (Keep-Alive) makes it rare, but a caller that is late by a second, or any planned stop, still meets it.

An idle connection now closes behind a last response, 408 or in a planned stop 503, with Connection: close, the outcome not-run and no id of a request (RFC 9110, 15.5.9, allows a server to send it). The connection reads no more, so the promise holds for each byte that comes later; it stays half-closed for a second, so that these bytes don't reset it and destroy the response. A caller with nothing on its way sees a response to nothing and a close. Servers of peers close as before.

The explorer takes a closing refusal for what it is: the last bytes of an idle connection, no sooner than its idle timeout, which may reach a request only if that began when these bytes had been sent, and no such request reaches an upstream.

--- a/apps/gateway/request_log.cpp
+++ b/apps/gateway/request_log.cpp
@@ -24,6 +24,8 @@
       return "caller connection ended inside its response";
     case wire::CallerLoss::Undelivered:
       return "caller may not have its whole response";
+    case wire::CallerLoss::Refused:
+      return "request crossed the close of its idle connection";
     case wire::CallerLoss::None:
       break;
   }
@@ -115,8 +117,9 @@
   if (loss == wire::CallerLoss::None || !mBudget.take(weight, aNow)) {
     return;
   }
-  const auto log =
-    loss == wire::CallerLoss::LeftEarly ? &observe::logInfo : &observe::logWarn;
+  const bool expected =
+    loss == wire::CallerLoss::LeftEarly || loss == wire::CallerLoss::Refused;
+  const auto log = expected ? &observe::logInfo : &observe::logWarn;
   log(lossText(loss),
       { { "reason", reason },
         { "id",
--- a/apps/gateway/request_server.cpp
+++ b/apps/gateway/request_server.cpp
@@ -41,6 +41,9 @@
              })
 {
   mCallers.setMemoryBudget(mContext.memory);
+  mCallers.refuseCrossingRequests(
+    { { "Marigold-Outcome",
+        std::string(base::outcomeName(base::Outcome::NotRun)) } });
   mCallers.setFallback(&fallbackResponse);
   mCallers.onUnanswered([this](wire::CallerEnd aReason,
                                const wire::Request& aRequest) {
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -156,8 +156,7 @@
   mTimer = mServer.mLoop.after(aDelay, [this] { timerExpired(); });
 }
 
-/** Half-closing it would take in a request that crosses the close, and no
- * response could be sent. */
+/** Closes a connection of which no byte is unread. */
 void
 CallerConnection::endIdle()
 {
@@ -166,7 +165,28 @@
     armTimer(kLingerTime);
     return;
   }
-  remove(CallerEnd::Completed);
+  closeIdle(CallerEnd::Completed);
+}
+
+/** Half-closing the connection without a response would take in a request that
+ * crosses the close, which then got none. */
+void
+CallerConnection::closeIdle(CallerEnd aReason)
+{
+  if (!mServer.mCrossingRefusal) {
+    remove(aReason);
+    return;
+  }
+  constexpr int kRequestTimeout = 408;
+  constexpr int kServiceUnavailable = 503;
+  mCloseReason = aReason;
+  mRefusesCrossing = true;
+  mCurrent = {};
+  openRequest();
+  mCurrent.closeAfterResponse = true;
+  reply(mServer.mStopped ? kServiceUnavailable : kRequestTimeout,
+        *mServer.mCrossingRefusal,
+        {});
 }
 
 void
@@ -234,7 +254,7 @@
     armTimer(kLingerTime);
     return;
   }
-  remove(CallerEnd::Idle);
+  closeIdle(CallerEnd::Idle);
 }
 
 void
@@ -253,7 +273,7 @@
     armTimer(kLingerTime);
     return;
   }
-  remove(CallerEnd::Completed);
+  remove(mCloseReason);
 }
 
 /** A caller that was refused inside a long body may read the response only
@@ -393,7 +413,7 @@
     return;
   }
   if (mTransport.pendingOutput() == 0) {
-    end(CallerEnd::ClosedByCaller);
+    end(mRefusesCrossing ? mCloseReason : CallerEnd::ClosedByCaller);
   } else if (!mClosing) {
     beginClose();
   }
@@ -777,7 +797,8 @@
       now - mLastInputAt,
       now - mOpenedAt,
       mCurrent.callerHadLeft,
-      mCurrent.open ? mCurrent.request.headers : http::Headers() });
+      mCurrent.open ? mCurrent.request.headers : http::Headers(),
+      mRefusesCrossing });
 }
 
 void
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -168,6 +168,7 @@
   void release();
   void end(CallerEnd aEnd);
   void endIdle();
+  void closeIdle(CallerEnd aReason);
   base::Duration idleLimit() const;
   void armTimer(base::Duration aDelay);
   void awaitNextRequest();
@@ -204,10 +205,13 @@
   /** Armed while reading is paused, because an end is not reported then. */
   http::EventHandle mPauseTimer;
   bool mFromKnownHost = true;
+  /** Why the connection closes once its last response is sent. */
+  CallerEnd mCloseReason = CallerEnd::Completed;
   bool mClosing = false;
-  bool mLingering = false;  ///< from the flush of the last response on
-  bool mInputEnded = false; ///< the caller sends nothing more
-  bool mReleased = false;   ///< no callback runs any more
+  bool mRefusesCrossing = false; ///< its last response is the closing refusal
+  bool mLingering = false;       ///< from the flush of the last response on
+  bool mInputEnded = false;      ///< the caller sends nothing more
+  bool mReleased = false;        ///< no callback runs any more
 };
 
 /** Accepts connections from callers and passes their requests to a handler. */
@@ -261,6 +265,15 @@
   /** From now on, closes each connection after its response. */
   void closeAfterResponses() { mCloseAfterResponses = true; }
 
+  /** Closes idle connections behind a last response, with status 408 or, once
+   * stopped, 503. A caller whose request crosses the close thus learns that it
+   * was not read. Without it, they close without a word.
+   * @param aHeaders of that response */
+  void refuseCrossingRequests(http::Headers aHeaders)
+  {
+    mCrossingRefusal = std::move(aHeaders);
+  }
+
   /** Stops accepting and closes idle connections, recently used ones after a
    * short time. What is read until a connection is closed is still served. */
   void stop();
@@ -282,6 +295,7 @@
   Fallback mFallback;
   UnansweredHandler mUnansweredHandler;
   HostFilter mFilter;
+  std::optional<http::Headers> mCrossingRefusal;
   CallerLimits mLimits;
   base::MemoryBudget mUnlimited;
   base::MemoryBudget* mMemory = &mUnlimited;
--- a/libs/wire/closed_caller.cpp
+++ b/libs/wire/closed_caller.cpp
@@ -47,6 +47,9 @@
 callerLoss(const ClosedCaller& aClosed)
 {
   const bool closed = aClosed.end == CallerEnd::ClosedByCaller;
+  if (aClosed.crossingRefused) {
+    return aClosed.unansweredBytes > 0 ? CallerLoss::Refused : CallerLoss::None;
+  }
   const bool left = closed || aClosed.end == CallerEnd::ResetByCaller;
   if (left && aClosed.requestOpen) {
     return closed ? CallerLoss::None : CallerLoss::LeftEarly;
--- a/libs/wire/closed_caller.h
+++ b/libs/wire/closed_caller.h
@@ -50,12 +50,16 @@
   /** The caller had ended its input when its last response started. */
   bool leftBeforeResponse = false;
   http::Headers openRequest; ///< headers of the request that was waiting
+  /** Its last response refuses what crosses the close of an idle connection:
+   * the bytes without a response. */
+  bool crossingRefused = false;
 };
 
 /** What a caller lost by the end of its connection. */
 enum class CallerLoss : std::uint8_t
 {
   None,
+  Refused,    ///< a request crossed the close of the idle connection
   LeftEarly,  ///< the caller ended it before it had a whole response
   Unanswered, ///< a request got no part of a response
   BrokenOff,  ///< a response ended after a part of it
--- a/tests/explore/actions.cpp
+++ b/tests/explore/actions.cpp
@@ -257,6 +257,14 @@
   constexpr auto kCount = static_cast<std::size_t>(RequestKind::Count);
   CallerRequest request;
   request.begunAt = mWorld.now();
+  // Bytes on their way to a caller that has all of its answers.
+  const Connection& connection = connectionOf(aCaller);
+  const auto& answers = aCaller.answers;
+  const bool answered = answers.size() == aCaller.requests.size() &&
+                        (answers.empty() || answers.back().complete);
+  request.crossesClose =
+    connection.finSent ||
+    (answered && connection.written > connection.received.size());
   request.id =
     makeId(static_cast<RequestKind>(mRequests % kCount), mRequests, aLarge);
   request.text = requestText(request.id);
--- a/tests/explore/scenario.h
+++ b/tests/explore/scenario.h
@@ -60,6 +60,9 @@
     base::TimePoint begunAt{}; ///< when its first byte was sent
     base::TimePoint sentAt{};  ///< when its last byte was sent
     bool due = false;          ///< its answer must be complete at the end
+    /** Begun when the process had sent the last bytes of its connection, which
+     * the caller didn't know. */
+    bool crossesClose = false;
     /** Its caller left while an upstream had it, which had not refused it as
      * far as the process had read. */
     bool openAtLeave = false;
--- a/tests/explore/world.cpp
+++ b/tests/explore/world.cpp
@@ -230,6 +230,7 @@
 void
 Transport::write(std::string_view aBytes)
 {
+  mNative->connection->written += aBytes.size();
   mNative->output.append(aBytes);
 }
 
--- a/tests/explore/world.h
+++ b/tests/explore/world.h
@@ -31,6 +31,7 @@
   bool peerFin = false;
   bool peerReset = false;
   bool peerPaused = false; ///< the peer's window is closed
+  std::size_t written = 0; ///< bytes that the process has sent or will send
   std::string inFlight;    ///< accepted by the kernel, not yet by the peer
   std::string received;    ///< by the peer
   bool finSent = false;    ///< the process closed its sending side
