--- a/apps/gateway/request_log.cpp
+++ b/apps/gateway/request_log.cpp
@@ -37,6 +37,8 @@
       return sender + " connection ended inside its response";
     case wire::CallerLoss::Undelivered:
       return sender + " may not have its whole response";
+    case wire::CallerLoss::Refused:
+      return "request crossed the close of its idle connection";
     case wire::CallerLoss::None:
       break;
   }
@@ -131,8 +133,9 @@
   if (loss == wire::CallerLoss::None || !mBudget.take(weight, aNow)) {
     return;
   }
-  const auto log =
-    loss == wire::CallerLoss::LeftEarly ? &observe::logInfo : &observe::logWarn;
+  const bool expected =
+    loss == wire::CallerLoss::LeftEarly || loss == wire::CallerLoss::Refused;
+  const auto log = expected ? &observe::logInfo : &observe::logWarn;
   log(
     lossText(aSender, loss),
     { { "reason", reason },
--- a/apps/gateway/request_server.cpp
+++ b/apps/gateway/request_server.cpp
@@ -28,6 +28,9 @@
              })
 {
   mCallers.setMemoryBudget(mContext.memory);
+  mCallers.refuseCrossingRequests(
+    { { "Marigold-Outcome",
+        std::string(base::outcomeName(base::Outcome::NotRun)) } });
   mCallers.setFallback([this](const wire::Request& aRequest) {
     ++mFallbackResponses;
     return unknownOutcomeResponse(
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -162,8 +162,7 @@
   mTimer = mServer.mLoop.after(aDelay, [this] { timerExpired(); });
 }
 
-/** Half-closing it would take in a request that crosses the close, and no
- * response could be sent. */
+/** Closes a connection of which no byte is unread. */
 void
 CallerConnection::endIdle()
 {
@@ -172,7 +171,28 @@
     armTimer(kLingerTime);
     return;
   }
-  remove(CallerEnd::Completed);
+  closeIdle(CallerEnd::Completed);
+}
+
+/** Half-closing the connection without a response would take in a request that
+ * crosses the close, which then got none. */
+void
+CallerConnection::closeIdle(CallerEnd aReason)
+{
+  if (!mServer.mCrossingRefusal) {
+    remove(aReason);
+    return;
+  }
+  constexpr int kRequestTimeout = 408;
+  constexpr int kServiceUnavailable = 503;
+  mCloseReason = aReason;
+  mRefusesCrossing = true;
+  mCurrent = {};
+  openRequest();
+  mCurrent.closeAfterResponse = true;
+  reply(mServer.mStopped ? kServiceUnavailable : kRequestTimeout,
+        *mServer.mCrossingRefusal,
+        {});
 }
 
 void
@@ -240,7 +260,7 @@
     armTimer(kLingerTime);
     return;
   }
-  remove(CallerEnd::Idle);
+  closeIdle(CallerEnd::Idle);
 }
 
 void
@@ -259,7 +279,7 @@
     armTimer(kLingerTime);
     return;
   }
-  remove(CallerEnd::Completed);
+  remove(mCloseReason);
 }
 
 /** A caller that was refused inside a long body may read the response only
@@ -399,7 +419,7 @@
     return;
   }
   if (mTransport.pendingOutput() == 0) {
-    end(CallerEnd::ClosedByCaller);
+    end(mRefusesCrossing ? mCloseReason : CallerEnd::ClosedByCaller);
   } else if (!mClosing) {
     beginClose();
   }
@@ -767,17 +787,17 @@
   const std::size_t unacknowledged = mTransport.unacknowledgedOutput();
   const std::size_t delivered =
     mCurrent.responseBytes - std::min(mCurrent.responseBytes, unacknowledged);
-  mServer.mCloseHandler(
-    { aEnd,
-      mCurrent.open,
-      mUnansweredBytes + mTransport.pendingInput(),
-      mCurrent.open ? delivered : 0,
-      mTransport.pendingOutput(),
-      unacknowledged,
-      now - mLastInputAt,
-      now - mOpenedAt,
-      mCurrent.callerHadLeft,
-      mCurrent.open ? &mCurrent.request.headers : nullptr });
+  mServer.mCloseHandler({ aEnd,
+                          mCurrent.open,
+                          mUnansweredBytes + mTransport.pendingInput(),
+                          mCurrent.open ? delivered : 0,
+                          mTransport.pendingOutput(),
+                          unacknowledged,
+                          now - mLastInputAt,
+                          now - mOpenedAt,
+                          mCurrent.callerHadLeft,
+                          mCurrent.open ? &mCurrent.request.headers : nullptr,
+                          mRefusesCrossing });
 }
 
 void
