Run tests two to a core, the largest first, and those of long programs side by side

The tests took 595 of the 977 s of a whole run (70 programs, empty caches), at a load below 1: nearly all of them wait, and four at once left the cores idle. e2e_test_gateway alone took 234 s, software_versions 167 s, quota_faults 163 s, stranded_vm 134 s, crash_records 121 s.

- ctest gives two places to each core.
A test that keeps a core busy takes two, a program that runs several tests at once half as many as these.
- COST comes from tests/seconds.txt (seconds times places), since a fresh clone has no record of earlier runs.
Wide tests have to begin early: in a run ordered by seconds only, quota_faults began last, because narrow tests took each place that became free.
- The end of the script prints the ten longest tests.

Ruled out: tests beside lint. They measure time, and with the cache of lint warm there is little left to overlap.

--- a/cmake/Marigold.cmake
+++ b/cmake/Marigold.cmake
@@ -1,3 +1,22 @@
+# marigold_schedule(TEST [PLACES])
+# Tells ctest how much a test takes, since it begins with the largest and a fresh clone has no record of earlier runs.
+# scripts/test.sh gives two places to each core, as most tests wait. One that keeps a core busy, or runs several tests
+# at once, takes more; it begins early, since others would take each place that becomes free.
+function(marigold_schedule test)
+  set(places 1 ${ARGN})
+  list(GET places -1 places)
+  file(STRINGS ${CMAKE_SOURCE_DIR}/tests/seconds.txt row REGEX "^${test} ")
+  if(row MATCHES " ([0-9]+)( busy)?$")
+    set(seconds ${CMAKE_MATCH_1})
+    if(CMAKE_MATCH_2)
+      set(places 2)
+    endif()
+    math(EXPR cost "${seconds} * ${places}")
+    set_property(TEST ${test} PROPERTY COST ${cost})
+  endif()
+  set_property(TEST ${test} PROPERTY PROCESSORS ${places})
+endfunction()
+
 # marigold_library(NAME [DEPENDS libs...] [LINK targets...])
 # Declares the static library marigold_NAME from the *.cpp files of the current
 # folder, and its test program from tests/*.cpp. DEPENDS names libraries of this
@@ -35,6 +54,7 @@
     endif()
     target_link_libraries(${name}_tests PRIVATE PkgConfig::CPPUTEST)
     add_test(NAME ${name} COMMAND ${name}_tests)
+    marigold_schedule(${name})
   endif()
 endfunction()
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,19 +14,21 @@
 note_time() { times+=("$(printf '%6d s  %s' $((SECONDS - $2)) "$1")"); }
 
 print_times() {
-  echo "time of each part:"
-  printf '%s\n' "${times[@]}" "$(printf '%6d s  in all' $((SECONDS - started)))"
   if [ -f build/ctest.log ]; then
-    echo "slowest tests:"
+    echo "ten longest tests:"
     sed -nE 's/^ *[0-9]+\/[0-9]+ Test +#[0-9]+: (\S+) .* ([0-9.]+) sec.*$/\2 s  \1/p' build/ctest.log |
-      sort -rn | sed 5q | sed 's/^/  /'
+      sort -rn | sed 10q | sed 's/^/  /'
   fi
+  echo "time of each part:"
+  printf '%s\n' "${times[@]}" "$(printf '%6d s  in all' $((SECONDS - started)))"
 }
 
+begun=$SECONDS
 scripts/install.sh
 cmake --preset release >/dev/null
 rm -f build/ctest.log
 scripts/check_boundary.sh
+note_time "configuration" "$begun"
 
 set -m # A process group of its own, so that a failed build ends all of it.
 scripts/lint.sh >build/lint.log 2>&1 &
@@ -39,6 +41,7 @@
 begun=$SECONDS
 cmake --build --preset release --target all_verify_interface_header_sets
 note_time "public headers alone" "$begun"
+begun=$SECONDS
 if ! wait "$lint"; then
   cat build/lint.log
   exit 1
@@ -47,9 +50,10 @@
 cat build/lint.log
 note_time "lint, beyond the build" "$begun"
 
+# Tests measure time, so neither build nor lint runs beside them. Most of them wait, so each core takes two.
 begun=$SECONDS
 failed=0
-if ! ctest --test-dir build --output-on-failure -j 4 2>&1 | tee build/ctest.log; then
+if ! ctest --test-dir build --output-on-failure -j $((2 * $(nproc))) 2>&1 | tee build/ctest.log; then
   python3 scripts/known_red.py build/ctest.log KNOWN-RED.txt || failed=1
 fi
 note_time "tests" "$begun"
--- a/tests/e2e/test_carriers.py
+++ b/tests/e2e/test_carriers.py
@@ -5,6 +5,7 @@
 import time
 import unittest
 
+import side_by_side
 from gateway_process import PEERS, wait_for
 from stranded_fleet import ADAPT_SECONDS, BASE_PORT, DEADLINE, JUDGED_SECONDS, KINDS, SERVED_OF_KIND, StrandedTest
 
@@ -198,4 +199,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    side_by_side.main(BASE_PORT, jobs=2)
--- a/tests/e2e/test_crash_records.py
+++ b/tests/e2e/test_crash_records.py
@@ -7,6 +7,7 @@
 import time
 import unittest
 
+import side_by_side
 from gateway_process import Gateway, wait_for
 from prompt_calls import PromptCalls
 from users_platform import HOST, ROUTES, Platform, Upstream
@@ -237,4 +238,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    side_by_side.main(BASE_PORT, jobs=2)
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -12,6 +12,7 @@
 import time
 import unittest
 
+import side_by_side
 from gateway_process import OPERATOR, ORDER_PAUSE, Gateway, wait_for
 from users_platform import HOST, ROUTES, Platform, Upstream, route
 
@@ -1182,4 +1183,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    side_by_side.main(BASE_PORT, jobs=4)
--- a/tests/e2e/test_software_versions.py
+++ b/tests/e2e/test_software_versions.py
@@ -11,6 +11,7 @@
 import time
 import unittest
 
+import side_by_side
 from gateway_process import Gateway, wait_for
 from stream_calls import StreamCaller, at_once, background
 from users_platform import TOKENS, Platform, Upstream, route
@@ -646,4 +647,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    side_by_side.main(BASE_PORT, jobs=3)
--- a/tests/e2e/test_stranded_vm.py
+++ b/tests/e2e/test_stranded_vm.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 
+import side_by_side
 from gateway_process import OPERATOR, ORDER_PAUSE, wait_for
 from stranded_fleet import ADAPT_SECONDS, BASE_PORT, JUDGED_SECONDS, RATE, SERVED, StrandedTest
 from upstream_links import HOWS, VmLinks
@@ -179,4 +180,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    side_by_side.main(BASE_PORT, jobs=2)
--- a/tests/e2e/test_upstream_notices.py
+++ b/tests/e2e/test_upstream_notices.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 
+import side_by_side
 from gateway_process import Gateway, wait_for
 from users_platform import ROUTES, Platform, Upstream
 
@@ -252,4 +253,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    side_by_side.main(BASE_PORT, jobs=2)
