--- a/tests/e2e/test_carriers.py
+++ b/tests/e2e/test_carriers.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 
+import side_by_side
 from gateway_process import PEERS, wait_for
 from stranded_fleet import ADAPT_SECONDS, BASE_PORT, DEADLINE, JUDGED_SECONDS, KINDS, SERVED_OF_KIND, StrandedTest
 
@@ -222,4 +223,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    side_by_side.main(BASE_PORT, jobs=2)
