Ask the store again beside an unanswered first list

A VM that starts first while the store is silent waited for the timeout of its list (1.2 s) and then for its backoff (up to 0.8 s), so it served up to two seconds after the store was back. Until the first list, a watch now asks at most 0.4 s after its former call, also if that one is unanswered; whichever answer comes first counts. A shorter timeout was ruled out: a store that takes longer than it would never be listed.

The test's question for readiness closes its connection now.

--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -21,6 +21,10 @@
  */
 constexpr base::Duration kInitialBackoff = 100ms;
 constexpr base::Duration kMaxBackoff = 800ms;
+/** Until the first list: longest time between two calls, also if the former one
+ * is still unanswered. This process can't serve before, and a call that is lost
+ * in an outage must not delay it after the store's return. */
+constexpr base::Duration kFirstListInterval = 400ms;
 /** Interval at which a watch that may not call the store yet tries the relays.
  */
 constexpr base::Duration kRelayPollInterval = 100ms;
@@ -136,7 +140,7 @@
 PrefixWatch::recordFailure(const base::Error& aError)
 {
   const base::Duration delay = mRelays.storeDelay ? mRelays.storeDelay() : 0ms;
-  mBackoff.setMax(std::max(kMaxBackoff, delay));
+  mBackoff.setMax(mListed ? std::max(kMaxBackoff, delay) : kFirstListInterval);
   mStoreCallAt = base::monotonicNow() + mBackoff.next();
   if (mConnected) {
     mConnected = false;
@@ -150,14 +154,18 @@
   mRelistCause = nullptr;
   mTimer.reset();
   mAnswerDueAt = base::monotonicNow();
+  const unsigned call = ++mListCalls;
   mClient.list(
     mPrefix,
-    [this, aCause, generation = mGeneration, revision = mRevision](
+    [this, aCause, call, generation = mGeneration, revision = mRevision](
       const base::Captured<platform::Snapshot>& aResult) {
       if (generation != mGeneration) {
         return;
       }
       if (const base::Error* error = base::errorOf(aResult)) {
+        if (call != mListCalls) {
+          return; // A later call is under way.
+        }
         recordFailure(*error);
         retryList();
         return;
@@ -170,6 +178,9 @@
       onList(snapshot, false);
     },
     aCause);
+  if (!mListed) {
+    schedule(kFirstListInterval, &PrefixWatch::listAgain);
+  }
 }
 
 /** @return true if the content of a relay is older than this VM's, which it
@@ -231,6 +242,11 @@
 void
 PrefixWatch::onList(const platform::Snapshot& aSnapshot, bool aFromRelay)
 {
+  if (!mListed) {
+    mListed = true;
+    ++mGeneration; // Other calls for the first list may be under way.
+    mTimer.reset();
+  }
   mRevision = aSnapshot.revision;
   mLastFromStore = !aFromRelay;
   recordSuccess();
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -37,9 +37,10 @@
   std::function<base::Duration()> storeDelay;
 };
 
-/** Lists all keys, then waits for changes by long polling. Lists again if the
- * store's history was compacted, or was replaced by that of an older copy; at a
- * relay if the store turns this VM away. */
+/** Lists all keys, asking again and again until the store has answered once,
+ * then waits for changes by long polling. Lists again if the store's history
+ * was compacted, or was replaced by that of an older copy; at a relay if the
+ * store turns this VM away. */
 class PrefixWatch
 {
 public:
@@ -146,6 +147,8 @@
   bool mSpreadPending = false;
   PrefixWatchCallbacks mCallbacks;
   platform::Revision mRevision = 0;
+  bool mListed = false;    ///< since the start of this process
+  unsigned mListCalls = 0; ///< to the store
   /** Raised when the answers to earlier calls have lost their meaning. */
   unsigned mGeneration = 0;
   /** When the pending wait at the store began, if there is one. */
--- a/tests/e2e/gateway_process.py
+++ b/tests/e2e/gateway_process.py
@@ -85,12 +85,14 @@
         return int(row.split()[1]) * 1024
 
     def ready(self):
+        connection = http.client.HTTPConnection(HOST, self.port + READY, timeout=2)
         try:
-            connection = http.client.HTTPConnection(HOST, self.port + READY, timeout=2)
             connection.request("GET", "/-/readyz")
             return connection.getresponse().status == 200
         except OSError:
             return False
+        finally:
+            connection.close()
 
     def call(self, path, method="POST", key="k1", headers=None, body=b"x", timeout=6):
         connection = http.client.HTTPConnection(HOST, self.port, timeout=timeout)
