Measure a VM lost without the platform as callers meet it

The users answered that a VM that starts first while the store is away may refuse: it isn't ready, so load balancers avoid it. vm-lost-platform-down counted every request that such a VM would refuse.

--- a/tests/measure/limits_fleet.h
+++ b/tests/measure/limits_fleet.h
@@ -84,6 +84,11 @@
    * @param aUntil virtual time in seconds */
   void runUntil(double aUntil);
 
+  /** Sends the requests of a VM that isn't ready to another one of its data
+   * centre, as a load balancer does. By default they are lost if it has failed,
+   * and refused if it doesn't know the configuration yet. */
+  void avoidUnreadyVms() { mAvoidsUnreadyVms = true; }
+
   /** Drops messages between one data centre and the others.
    * @param aDataCentre index of the isolated data centre, or -1 for none */
   void isolate(int aDataCentre) { mIsolatedDataCentre = aDataCentre; }
@@ -146,6 +151,8 @@
   void onStatus(Vm& aVm, const peers::Status& aStatus);
   void onSummary(Vm& aVm, const peers::Summary& aSummary);
   void handleArrival(const Arrival& aArrival, bool aCounted);
+  bool isReady(int aVm) const;
+  int balancedVm(int aVm) const;
   bool exactBucketAdmits(const Arrival& aArrival);
   bool admits(Vm& aVm, const Arrival& aArrival);
   void recordDecision(const PendingRequest& aPending, bool aAdmitted);
@@ -174,6 +181,7 @@
   std::uint64_t mPlatformCalls = 0;
   TokenBucket mPlatformBucket; ///< writes that the platform accepts
   int mIsolatedDataCentre = -1;
+  bool mAvoidsUnreadyVms = false;
 };
 
 } // namespace marigold::measure
