Accept the connections that wait when a planned stop closes the listener

Callers saw a reset: a connection that the kernel had established, with its request on it, was reset as the listener closed in the same pass of the loop. The stop accepts what waits first; each such connection has a second for its request, as all new ones have.

--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -301,6 +301,7 @@
 private:
   friend class CallerConnection;
   void accept(int aDescriptor, const sockaddr* aPeer);
+  void acceptWaiting();
 
   http::Loop& mLoop;
   Handler mHandler;
--- a/libs/wire/caller_server.cpp
+++ b/libs/wire/caller_server.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace marigold::wire {
@@ -88,12 +89,32 @@
   caller->start();
 }
 
+/** Takes the connections that the kernel has established, which the end of the
+ * listener would reset with the requests on them. */
+void
+CallerServer::acceptWaiting()
+{
+  for (;;) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    const int descriptor = accept4(evconnlistener_get_fd(mListener),
+                                   reinterpret_cast<sockaddr*>(&peer),
+                                   &size,
+                                   SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
+      return;
+    }
+    accept(descriptor, reinterpret_cast<const sockaddr*>(&peer));
+  }
+}
+
 void
 CallerServer::stop()
 {
   mStopped = true;
   mCloseAfterResponses = true;
   if (mListener != nullptr) {
+    acceptWaiting();
     evconnlistener_free(mListener);
     mListener = nullptr;
   }
--- a/tests/explore/world.cpp
+++ b/tests/explore/world.cpp
@@ -60,6 +60,13 @@
   return listener;
 }
 
+/** Connections are accepted at once, so none waits. */
+int
+evconnlistener_get_fd(evconnlistener* /*aListener*/)
+{
+  return -1;
+}
+
 void
 evconnlistener_free(evconnlistener* aListener)
 {
