Let a refusal of a crossing request arrive, and wait for nobody who is gone

Findings of a review by reading, each with a test that failed on: - in a stop, the connection closed a second after its refusal whatever its caller still sent, so the close became a reset (CallerThatStillSendsInAStopGetsItsRefusal); - a caller that takes nothing of its last response got a refusal behind it and was waited for once more, without the line that tells of its loss (CallerThatReadsNothingIsNotRefused); - an unreachable idle caller would have held up a stop until the idle timeout. The explorer now demands for each refusal by a close, 408 and 503, that its request began behind it: a refusal without an id had left the check of untrue not-run.

--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -260,13 +260,18 @@
     armTimer(kLingerTime);
     return;
   }
+  if (mLastUndelivered > 0) {
+    remove(CallerEnd::Idle); // A refusal would wait behind what it can't read.
+    return;
+  }
   closeIdle(CallerEnd::Idle);
 }
 
 void
 CallerConnection::closeTimeoutExpired()
 {
-  if (peerIsReading()) {
+  // The kernel sends a refusal on, so a caller that is gone holds up no stop.
+  if (!(mRefusesCrossing && mLingering) && peerIsReading()) {
     armTimer(kLingerTime);
     return;
   }
@@ -288,7 +293,7 @@
 CallerConnection::isStillSending() const
 {
   const base::TimePoint now = base::monotonicNow();
-  return now - mLingeringSince < idleLimit() &&
+  return now - mLingeringSince < mServer.mLimits.idleTimeout &&
          (now - mLastInputAt < kLingerTime || mTransport.hasInput());
 }
 
--- a/libs/wire/tests/idle_close_tests.cpp
+++ b/libs/wire/tests/idle_close_tests.cpp
@@ -14,6 +14,10 @@
 namespace {
 
 const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+/** The kernel holds little for a caller that doesn't read. */
+constexpr int kSmallBuffer = 4096;
+/** More than the kernel takes for such a caller. */
+constexpr std::size_t kLongerThanTheBuffers = 16UL * 1024 * 1024;
 constexpr base::Duration kIdleTimeout = 60ms;
 /** Past which a stop takes a connection for idle. */
 constexpr base::Duration kIdleBeforeStop = 1100ms;
@@ -136,3 +140,52 @@
   STRCMP_CONTAINS("HTTP/1.1 200", caller.receive().c_str());
   LONGS_EQUAL(1, handled);
 }
+
+// Guards against requests that are reset with their connections, because these
+// wait to be accepted when a stop closes the listener.
+TEST(IdleClose, RequestOnAConnectionThatWaitsAtAStopIsAnswered)
+{
+  listen(10s);
+  ManualCaller caller;
+  CHECK(caller.send(kRequest));
+  server->stop();
+  runFor(20ms);
+  STRCMP_CONTAINS("HTTP/1.1 200", caller.receive().c_str());
+  CHECK(!caller.wasReset());
+  LONGS_EQUAL(1, handled);
+}
+
+// Guards against a refusal that is destroyed by a reset, because the connection
+// closes in a stop while its caller still sends.
+TEST(IdleClose, CallerThatStillSendsInAStopGetsItsRefusal)
+{
+  listen(10s);
+  ManualCaller caller;
+  runFor(kIdleBeforeStop);
+  server->stop();
+  bool sent = true;
+  const auto send = loop.every(100ms, [&] { sent = caller.send("x") && sent; });
+  runFor(kLinger + 300ms);
+  CHECK(sent);
+  STRCMP_CONTAINS("HTTP/1.1 503", caller.receive().c_str());
+  CHECK(!caller.wasReset());
+}
+
+// Guards against a caller that takes nothing of its response and is waited for
+// once more when a refusal is put behind that.
+TEST(IdleClose, CallerThatReadsNothingIsNotRefused)
+{
+  server = std::make_unique<wire::CallerServer>(loop, [](const auto& aCaller) {
+    aCaller->reply(200, {}, std::string(kLongerThanTheBuffers, 'x'));
+  });
+  server->setLimits({ 1024, 1024, 1s, 300ms });
+  server->refuseCrossingRequests({});
+  server->onClosed(
+    [this](const wire::ClosedCaller& aClosed) { closed.push_back(aClosed); });
+  CHECK(bool(server->listen(kAddress)));
+  ManualCaller caller(kSmallBuffer);
+  CHECK(caller.send(kRequest));
+  runFor(1500ms);
+  LONGS_EQUAL(1, closed.size());
+  CHECK(wire::callerLoss(closed[0]) == wire::CallerLoss::Undelivered);
+}
--- a/tests/explore/actions.cpp
+++ b/tests/explore/actions.cpp
@@ -257,13 +257,14 @@
   constexpr auto kCount = static_cast<std::size_t>(RequestKind::Count);
   CallerRequest request;
   request.begunAt = mWorld.now();
-  // Bytes on their way to a caller that has all of its answers.
+  // What comes behind the answers to all requests is the last refusal.
   const Connection& connection = connectionOf(aCaller);
-  const auto& answers = aCaller.answers;
-  const bool answered = answers.size() == aCaller.requests.size() &&
-                        (answers.empty() || answers.back().complete);
+  const auto answers = parseAnswers(connection.received);
+  const std::size_t asked = aCaller.requests.size();
+  const bool answered =
+    answers.size() == asked && (answers.empty() || answers.back().complete);
   request.crossesClose =
-    connection.finSent ||
+    connection.finSent || answers.size() > asked ||
     (answered && connection.written > connection.received.size());
   request.id =
     makeId(static_cast<RequestKind>(mRequests % kCount), mRequests, aLarge);
--- a/tests/explore/checks.cpp
+++ b/tests/explore/checks.cpp
@@ -23,19 +23,6 @@
   return aStatus >= 200 && aStatus < 300;
 }
 
-/** @return true for the last response of an idle connection, which a request
- * that crosses the close gets; with no such request it answers none */
-bool
-isClosingRefusal(const Answer& aAnswer)
-{
-  constexpr int kRequestTimeout = 408;
-  constexpr int kServiceUnavailable = 503;
-  const bool refuses =
-    aAnswer.status == kRequestTimeout || aAnswer.status == kServiceUnavailable;
-  return refuses && aAnswer.notRun && aAnswer.last && aAnswer.complete &&
-         aAnswer.id.empty() && aAnswer.body.empty();
-}
-
 } // namespace
 
 std::string
@@ -78,7 +65,11 @@
 {
   const bool whole = aRequest.sent == aRequest.text.size();
   const bool inTime = whole && aRequest.sentAt - aRequest.begunAt < kShortIdle;
-  const bool crossed = aRequest.crossesClose && isClosingRefusal(aAnswer);
+  const bool crossed = isClosingRefusal(aAnswer);
+  if (crossed && !aRequest.crossesClose) {
+    return "a request that crossed no close is refused by one (" + aRequest.id +
+           ")";
+  }
   if (crossed && lastArrivalOf(aRequest.id) != nullptr) {
     return "a request that crossed the close of its connection is passed on (" +
            aRequest.id + ")";
--- a/tests/explore/messages.cpp
+++ b/tests/explore/messages.cpp
@@ -209,6 +209,17 @@
   return aHead.substr(begin, aHead.find("\r\n", begin) - begin);
 }
 
+bool
+isClosingRefusal(const Answer& aAnswer)
+{
+  constexpr int kRequestTimeout = 408;
+  constexpr int kServiceUnavailable = 503;
+  const bool refuses =
+    aAnswer.status == kRequestTimeout || aAnswer.status == kServiceUnavailable;
+  return refuses && aAnswer.notRun && aAnswer.last && aAnswer.complete &&
+         aAnswer.id.empty() && aAnswer.body.empty();
+}
+
 std::vector<Answer>
 parseAnswers(const std::string& aReceived)
 {
--- a/tests/explore/messages.h
+++ b/tests/explore/messages.h
@@ -85,6 +85,12 @@
   bool complete = false;
 };
 
+/** @param aAnswer to a caller @return true for the last response of an idle
+ * connection, which a request that crosses the close gets; without such a
+ * request it answers none */
+bool
+isClosingRefusal(const Answer& aAnswer);
+
 /** @param aReceived bytes of a connection @return the answers in them */
 std::vector<Answer>
 parseAnswers(const std::string& aReceived);
--- a/tests/explore/scenario.cpp
+++ b/tests/explore/scenario.cpp
@@ -206,17 +206,19 @@
 {
   for (Caller& caller : mCallers) {
     const Connection& connection = connectionOf(caller);
-    const base::TimePoint activeBefore = caller.activeAt;
     if (connection.received.size() != caller.seen) {
       caller.seen = connection.received.size();
-      caller.activeAt = mWorld.now();
       caller.answers = parseAnswers(connection.received);
+      // The refusal at the end of the idle time is no use of the connection.
+      if (caller.answers.size() <= caller.requests.size()) {
+        caller.activeAt = mWorld.now();
+      }
     }
     if ((connection.closed || connection.finSent) && !caller.closeSeen) {
       caller.closeSeen = true;
       caller.closedEarly =
         mWorld.now() > mChangedAt &&
-        mWorld.now() - activeBefore < mCatalog.callerLimits.idleTimeout;
+        mWorld.now() - caller.activeAt < mCatalog.callerLimits.idleTimeout;
     }
   }
 }
