Keep the default ports of single programs apart from those of ctest

The tests of ctest take 5,400 ports from 21000 on now, which would reach those that the soak (25000) and the tests of stranded VMs (26000) take when they are run by hand. These begin at 28000 and 27000, as other programs by hand do.

--- a/tests/e2e/stranded_fleet.py
+++ b/tests/e2e/stranded_fleet.py
@@ -12,7 +12,7 @@
 from upstream_links import VmLinks
 from users_platform import ROUTES, TOKENS, Platform, Upstream
 
-BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 26000))
+BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
 DATA_CENTRES = ("dc-a", "dc-a", "dc-b", "dc-b")  # of the VMs
 KINDS = ("chat", "again", "single", "once")  # may run again: the first two
 RATE = 12             # tries a second at a VM
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -456,7 +456,7 @@
     parser.add_argument("--seed", type=int, default=1, help="first seed")
     parser.add_argument("--runs", type=int, default=1, help="number of seeds to run after those of seeds.txt")
     parser.add_argument("--seconds", type=float, default=20, help="seconds with faults in each run")
-    parser.add_argument("--port", type=int, default=int(os.environ.get("MARIGOLD_TEST_PORT", 25000)))
+    parser.add_argument("--port", type=int, default=int(os.environ.get("MARIGOLD_TEST_PORT", 28000)))
     parser.add_argument("--keep", help="folder that keeps the logs of failed runs")
     parser.add_argument("--before", default=BIN, metavar="DIR",
                         help="folder with the gateway of an earlier build; the processes of it that start first are "
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -457,7 +457,7 @@
     # Guards against a soak whose thread of cuts ends with an error, so that its cuts are neither mended nor recorded.
     def test_connection_that_is_accepted_in_the_moment_of_a_silent_cut(self):
         async def play():
-            link = UpstreamLink("127.0.2.1", int(os.environ.get("MARIGOLD_TEST_PORT", 25000)) + 99)
+            link = UpstreamLink("127.0.2.1", int(os.environ.get("MARIGOLD_TEST_PORT", 28000)) + 99)
             with socket.create_connection(link.address):
                 link.accept()
                 link.cut("silent")
@@ -488,7 +488,7 @@
                 return False
 
         async def play():
-            link = Link("127.0.2.1", int(os.environ.get("MARIGOLD_TEST_PORT", 25000)) + 99)
+            link = Link("127.0.2.1", int(os.environ.get("MARIGOLD_TEST_PORT", 28000)) + 99)
             link.cut("silent")
             await asyncio.sleep(0.1)
             seen = acknowledged()
@@ -504,7 +504,7 @@
 class PathsTest(unittest.TestCase):
     """The paths of VMs to the upstreams, on ports from PORT on."""
 
-    PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 25000))
+    PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 28000))
 
     def connect(self, address):
         with socket.socket() as connection:
