Share one model of a fleet between the tests of quotas

flood_tests.cpp, size_fairness_tests.cpp and partitioned_fleet.h each had VMs with a quota, messages on their way, the largest window and the total. simulated_fleet.h has them once; how often and by which ways VMs report stays with each.

No check is changed: partition and settlement tests only call members of the fleet where they called functions.

--- a/libs/quota/tests/partition_tests.cpp
+++ b/libs/quota/tests/partition_tests.cpp
@@ -15,7 +15,7 @@
 {
   PartitionedFleet fleet(1);
   fleet.run(6s, kNoDemand);
-  isolate(fleet, 0);
+  fleet.isolate(0);
   fleet.run(2s, kNoDemand);
   DOUBLES_EQUAL(kBurst * kShare, fleet.vms[0].quota.level("t"), 1);
   DOUBLES_EQUAL(kBurst * (1 - kShare), fleet.vms[1].quota.level("t"), 1);
@@ -30,13 +30,13 @@
   fleet.run(6s, withinShare);
   constexpr std::size_t kIsolated = 29;
   for (std::size_t vm = 0; vm < kIsolated; ++vm) {
-    isolate(fleet, vm);
+    fleet.isolate(vm);
   }
   for (PartitionedFleet::Vm& vm : fleet.vms) {
     vm.refused = 0;
   }
   fleet.run(12s, withinShare);
-  heal(fleet);
+  fleet.heal();
   fleet.run(10s, withinShare);
   for (const PartitionedFleet::Vm& vm : fleet.vms) {
     DOUBLES_EQUAL(0, vm.refused, 0);
@@ -49,7 +49,7 @@
 {
   PartitionedFleet fleet(3);
   fleet.run(6s, kNoDemand);
-  isolate(fleet, 0);
+  fleet.isolate(0);
   std::vector<double> isolatedOnly = kNoDemand;
   isolatedOnly[0] = 0.1 * kRate;
   fleet.run(500ms, isolatedOnly);
@@ -74,7 +74,7 @@
   quota.onPeerUsage("vm1", 1, { { "t", 1e9 } }, Totals::All, fleet.now);
   const double debt = -quota.level("t");
   CHECK(debt > 10 * kBurst);
-  isolate(fleet, 0);
+  fleet.isolate(0);
   fleet.run(2s, kNoDemand);
   CHECK(-quota.level("t") < 1.1 * debt * kShare);
 }
@@ -86,7 +86,7 @@
   PartitionedFleet fleet(5);
   fleet.cost = 4 * kBurst * kShare;
   fleet.run(6s, kNoDemand);
-  isolate(fleet, 0);
+  fleet.isolate(0);
   fleet.run(5s, kNoDemand);
   std::vector<double> isolatedOnly = kNoDemand;
   isolatedOnly[0] = 2 * fleet.cost;
@@ -103,13 +103,13 @@
 TEST(Partition, IsolatedVmBorrowsNoMoreThanTheWindowAllows)
 {
   PartitionedFleet fleet(5);
-  fleet.window = 2s;
+  fleet.settings.window = 2s;
   for (std::size_t vm = 0; vm < kVms; ++vm) {
     fleet.start(vm);
   }
   fleet.cost = 4 * kBurst * kShare;
   fleet.run(6s, kNoDemand);
-  isolate(fleet, 0);
+  fleet.isolate(0);
   fleet.run(8s, kNoDemand);
   std::vector<double> isolatedOnly = kNoDemand;
   isolatedOnly[0] = 2 * fleet.cost;
@@ -126,14 +126,14 @@
   fleet.maxDelay = 400ms;
   fleet.run(6s, kNoDemand);
   for (std::size_t vm = 0; vm < kVms; ++vm) {
-    isolate(fleet, vm);
+    fleet.isolate(vm);
   }
   fleet.run(12s, kNoDemand);
   fleet.cost = 8 * kBurst * kShare;
   const std::vector<double> oneRequest(kVms, fleet.cost / 0.2);
   fleet.run(200ms, oneRequest);
   LONGS_EQUAL(kVms, fleet.admitted.size());
-  heal(fleet);
+  fleet.heal();
   fleet.cost = 2000;
   fleet.run(10s, std::vector<double>(kVms, 1.5 * kRate * kShare));
   CHECK(fleet.maxInWindow() <= (kRate * 8 + kBurst) * 1.1);
--- a/libs/quota/tests/settlement_tests.cpp
+++ b/libs/quota/tests/settlement_tests.cpp
@@ -48,7 +48,7 @@
   fleet.vms[kVms - 1].refused = 0; // The buckets start empty.
   fleet.run(12s, oneVm);
   CHECK(fleet.vms[kVms - 1].refused == 0);
-  heal(fleet);
+  fleet.heal();
   for (int step = 0; step < 50; ++step) {
     fleet.run(100ms, oneVm);
     CHECK(minorityLevel(fleet) > 0);
@@ -67,7 +67,7 @@
   fleet.run(6s, flood);
   cutMinority(fleet);
   fleet.run(12s, flood);
-  heal(fleet);
+  fleet.heal();
   double lowest = kBurst;
   for (int step = 0; step < 50; ++step) {
     fleet.run(100ms, flood);
--- a/libs/quota/tests/size_fairness_tests.cpp
+++ b/libs/quota/tests/size_fairness_tests.cpp
@@ -1,10 +1,9 @@
 /** @file Tests of a team over its limit whose requests differ in size. */
-#include "quota/quota.h"
+#include "simulated_fleet.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <array>
-#include <deque>
 #include <random>
 
 using namespace marigold;
@@ -33,34 +32,25 @@
 
 /** A team sends a multiple of its rate to all VMs; reports reach the peers one
  * period later. */
-class Flood
+class Flood : public test::SimulatedFleet
 {
 public:
   Flood(std::size_t aVms, std::uint32_t aSeed, Limit aLimit = { kRate, kBurst })
-    : mLimit(aLimit)
-    , mQuotas(aVms)
-    , mRandom(aSeed)
+    : SimulatedFleet(
+        { aVms, { { test::kTeam, aLimit } }, kTolerance, kReportPeriod },
+        aSeed)
+    , mLimit(aLimit)
   {
-    std::vector<std::string> names;
     for (std::size_t vm = 0; vm < aVms; ++vm) {
-      names.push_back("vm" + std::to_string(vm));
-    }
-    for (std::size_t vm = 0; vm < aVms; ++vm) {
-      std::vector<std::string> peers = names;
-      peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(vm));
-      mQuotas[vm].setReportPeriod(kReportPeriod);
-      mQuotas[vm].setWindow(8s);
-      mQuotas[vm].setSlack(kTolerance);
-      mQuotas[vm].setLimits({ { "t", aLimit } }, mNow);
-      mQuotas[vm].setPeers(peers, mNow);
+      startProcess(vm);
     }
   }
 
   void run(base::Duration aTime, double aTimesRate)
   {
     std::uniform_real_distribution<double> cost(200, kLargest);
-    std::uniform_int_distribution<std::size_t> vm(0, mQuotas.size() - 1);
-    for (const auto end = mNow + aTime; mNow < end; mNow += kStep) {
+    std::uniform_int_distribution<std::size_t> vm(0, vms.size() - 1);
+    for (const auto end = now + aTime; now < end; now += kStep) {
       mWanted += aTimesRate * mLimit.rate * base::inSeconds(kStep);
       while (mWanted > 0) {
         const double units = cost(mRandom);
@@ -68,68 +58,36 @@
         auto& tally =
           tenths[static_cast<std::size_t>(units / (kLargest + 1) * kTenths)];
         tally.offered += 1;
-        if (mQuotas[vm(mRandom)].admit("t", units, mNow).admitted) {
+        if (ask(vm(mRandom), units)) {
           tally.admitted += 1;
-          mAdmitted.emplace_back(mNow, units);
         }
       }
-      if ((mNow - TimePoint{}) % kReportPeriod == base::Duration::zero()) {
+      if ((now - TimePoint{}) % kReportPeriod == base::Duration::zero()) {
         report();
       }
     }
   }
 
-  double maxInWindow() const
-  {
-    double max = 0;
-    double sum = 0;
-    std::size_t first = 0;
-    for (const auto& [at, units] : mAdmitted) {
-      sum += units;
-      while (mAdmitted[first].first < at - 8s) {
-        sum -= mAdmitted[first++].second;
-      }
-      max = std::max(max, sum);
-    }
-    return max;
-  }
-
-  double totalAdmitted() const
-  {
-    double sum = 0;
-    for (const auto& [at, units] : mAdmitted) {
-      sum += units;
-    }
-    return sum;
-  }
-
   std::array<Tally, kTenths> tenths{};
 
 private:
   void report()
   {
-    std::vector<Usage> usages;
-    for (FleetQuota& quota : mQuotas) {
-      usages.push_back(quota.reportUsage());
-    }
-    for (std::size_t to = 0; to < mQuotas.size(); ++to) {
-      for (std::size_t from = 0; from < mReports.size(); ++from) {
-        if (from != to) {
-          mQuotas[to].onPeerUsage(
-            "vm" + std::to_string(from), 1, mReports[from], Totals::All, mNow);
+    deliver();
+    for (std::size_t from = 0; from < vms.size(); ++from) {
+      Message message;
+      message.members[from] = total(from);
+      for (std::size_t to = 0; to < vms.size(); ++to) {
+        if (to != from) {
+          message.to.push_back(to);
         }
       }
+      send(kReportPeriod, std::move(message));
     }
-    mReports = std::move(usages);
   }
 
   Limit mLimit;
-  std::vector<FleetQuota> mQuotas;
-  std::vector<Usage> mReports; ///< on their way
-  std::mt19937 mRandom;
-  TimePoint mNow{ 1000s };
   double mWanted = 0;
-  std::deque<std::pair<TimePoint, double>> mAdmitted;
 };
 
 void
