--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -273,7 +273,7 @@
   }
   const double beyondPart = aClaim == Claim::New ? unitsBeyondPart(bucket) : 0;
   if (beyondPart > 0) {
-    return { false, mReportDelay, beyondPart };
+    return { false, mReportDelay, beyondPart, true };
   }
   const double needed = neededLevel(bucket, aCost, aClaim);
   if (bucket.level < needed && !borrow(aTeam, bucket, aCost)) {
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -34,6 +34,8 @@
   base::Duration retryAfter{}; ///< time until the bucket holds enough units
   double missing = 0;          ///< units that it lacks, also for peers' usage
                                ///< that they have not reported yet
+  /** Units are missing from this VM's part of the window, not the bucket. */
+  bool beyondPart = false;
 };
 
 /** Whether a request has asked for its units before. */
