Report the largest window in the quotas' fuzzer

It reported the first window above the bound, so each failure looked like one request too many. The check is the same: any window above the bound fails.

The closed window adds no step: one exact bucket admits burst and 8 s of refill in it.

--- a/tests/fuzz/quota_world.cpp
+++ b/tests/fuzz/quota_world.cpp
@@ -371,18 +371,22 @@
 World::violation() const
 {
   double sum = 0;
+  double mostAbove = 0;
+  std::string worst;
   std::size_t first = 0;
   for (const Run& run : mRuns) {
     sum += run.units;
     while (mRuns[first].at < run.at - kWindow) {
       sum -= mRuns[first++].units;
     }
-    if (sum > allowed(run.at)) {
-      return std::to_string(sum) + " units in 8 s, allowed " +
-             std::to_string(allowed(run.at));
+    const double limit = allowed(run.at);
+    if (sum - limit > mostAbove) {
+      mostAbove = sum - limit;
+      worst =
+        std::to_string(sum) + " units in 8 s, allowed " + std::to_string(limit);
     }
   }
-  return "";
+  return worst;
 }
 
 bool
--- a/tests/fuzz/quota_world.h
+++ b/tests/fuzz/quota_world.h
@@ -61,8 +61,8 @@
   /** @param aSteps what happens, one step after the other */
   void run(const std::vector<Step>& aSteps);
 
-  /** @return the window in which the team got more than the users allow, or
-   * empty */
+  /** @return the window in which the team exceeded what the users allow by
+   * most, or empty */
   std::string violation() const;
 
 private:
