Revert the parts of the window, keep the measure of quotas

 let a VM admit only its part of what the users' window of 8 s has left, once the largest consumption within a report delay could exceed (rate x 8 s + burst) x 1.1 + tolerance, and while a VM hears nobody.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -209,7 +209,6 @@
   }
   mPool.setMemoryBudget(mMemory);
   mQuota.setSlack(mSettings.quotaSlack);
-  mQuota.setOvershoot(mSettings.quotaOvershoot);
   mQuota.setWindow(mSettings.quotaWindow);
   mRetries.setLimits(
     { mSettings.retryRatio, mSettings.retryMinExtra, mSettings.retryWindow });
--- a/tests/fuzz/quota_world.cpp
+++ b/tests/fuzz/quota_world.cpp
@@ -90,7 +90,6 @@
   vm.quota.setReportPeriod(kReportPeriod);
   vm.quota.setWindow(kWindow);
   vm.quota.setSlack(mOptions.tolerance * kRate);
-  vm.quota.setOvershoot(kOvershoot);
   configure(vm);
 }
 
--- a/tests/measure/limits_fleet.cpp
+++ b/tests/measure/limits_fleet.cpp
@@ -149,7 +149,6 @@
   aVm.replica = std::make_unique<Vm::Replica>(dataCentreName(aVm.index));
   quota::FleetQuota& quota = aVm.replica->quota;
   quota.setSlack(mLimits.slack);
-  quota.setOvershoot(kQuotaOvershoot);
   quota.setWindow(base::fromSeconds(kQuotaWindowSeconds));
   std::map<base::TeamName, quota::Limit> limits;
   for (int team = 0; team < mSize.teams; ++team) {
