Carry for VMs whose registration has lapsed and that still report

Since hosts of peers are judged at each request, a VM that can reach neither the upstreams nor the store lost its last way, by its peers, as soon as the store dropped its registration; before, its kept connections went on. VMs already keep such members for their reports.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -690,9 +690,11 @@
 Gateway::isPeer(const std::string& aHost) const
 {
   const auto& others = mFleet.others();
-  return std::any_of(others.begin(), others.end(), [&](const auto& aItem) {
-    return aItem.second.peerAddress.host == aHost;
-  });
+  const bool registered =
+    std::any_of(others.begin(), others.end(), [&](const auto& aItem) {
+      return aItem.second.peerAddress.host == aHost;
+    });
+  return registered || mPeerExchange.isLapsedMember(aHost);
 }
 
 void
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -143,6 +143,16 @@
   });
 }
 
+bool
+PeerExchange::isLapsedMember(const std::string& aHost) const
+{
+  const base::TimePoint since = base::monotonicNow() - kMaxLapsedReportAge;
+  return std::any_of(mLapsed.begin(), mLapsed.end(), [&](const auto& aItem) {
+    return aItem.second.host == aHost &&
+           mContext.peers.reportedSince(aItem.first, since);
+  });
+}
+
 base::VmName
 PeerExchange::relay() const
 {
--- a/apps/gateway/peer_exchange.h
+++ b/apps/gateway/peer_exchange.h
@@ -64,6 +64,10 @@
    * owner that sent nothing for a while. */
   void expire();
 
+  /** @param aHost numeric address @return true if a VM of the data centre has
+   * it whose registration has lapsed and that still reports */
+  bool isLapsedMember(const std::string& aHost) const;
+
   /** @return the VM that this VM considers the relay of its data centre */
   base::VmName relay() const;
 
--- a/tests/e2e/test_carrier_connections.py
+++ b/tests/e2e/test_carrier_connections.py
@@ -18,6 +18,8 @@
 DEADLINE_MS = 10000   # beyond the grace period
 SHORT_DEADLINE_MS = 300
 STOP_SECONDS = 9      # beyond the grace period
+LAPSE_SECONDS = 0.6   # until a VM knows which registrations are gone
+SILENCE_SECONDS = 2.0  # after which a VM that doesn't report any more is none of the fleet
 UNANSWERED = "request left without a response"
 
 
@@ -83,6 +85,18 @@
         self.assertTrue(whole)
         self.assertEqual(0, self.carrier.child.wait(timeout=STOP_SECONDS - (time.monotonic() - begun)))
 
+    def test_vm_whose_registration_has_lapsed_is_carried(self):
+        """Guards against a VM that can reach neither the upstreams nor the store, and that its peers take for none of
+        theirs once the store has dropped its registration."""
+        lapsed = self.gateways[1]
+        self.platform.store.severed_ports.add(BASE_PORT + 91)
+        self.platform.change(self.platform.store.remove, "marigold/vm/" + lapsed.name)
+        time.sleep(LAPSE_SECONDS)
+        self.assertIn(b"HTTP/1.1 200", read_answer(self.carry(self.desk, "lapsed"), 3))
+        lapsed.child.kill()
+        time.sleep(SILENCE_SECONDS)
+        self.assertIn(b"\r\nMarigold-Carry-Declined: not-asked\r\n", read_answer(self.carry(self.desk, "gone"), 3))
+
     def test_peer_that_resets_its_stream_is_logged(self):
         """Guards against connections of peers whose end leaves no trace."""
         self.engine.pauses_at = 3
