--- a/libs/wire/tests/idle_close_tests.cpp
+++ b/libs/wire/tests/idle_close_tests.cpp
@@ -171,6 +171,19 @@
   CHECK(!caller.wasReset());
 }
 
+// Guards against a stop that waits for the idle timeout, because a refusal is
+// on its way to a caller that is gone.
+TEST(IdleClose, CallerThatIsGoneHoldsUpNoStop)
+{
+  listen(10s);
+  const ManualCaller caller;
+  runFor(kIdleBeforeStop);
+  caller.dropInput();
+  server->stop();
+  runFor(kLinger + 300ms);
+  LONGS_EQUAL(0, server->connections());
+}
+
 // Guards against a caller that takes nothing of its response and is waited for
 // once more when a refusal is put behind that.
 TEST(IdleClose, CallerThatReadsNothingIsNotRefused)
