Give the handler of an overdue request the passes that its timers need

What callers saw: 504 "unknown", as they should, but from the connection instead of the request path, with a log line and a counter that stand for a fault.

Cause: the timer of the deadline reads what waits in the sockets first and judges up to eight passes of the loop later. If the loop is late by more than the grace of the connection between the two, the grace ends in front of the handler.

Change: the connection gives the handler as many passes behind the grace as that timer takes.

--- a/libs/http/input_timer.cpp
+++ b/libs/http/input_timer.cpp
@@ -3,14 +3,6 @@
 #include <utility>
 
 namespace marigold::http {
-namespace {
-
-/** Rounds of the loop in which each socket is handled once: libevent asks for
- * 32 sockets in the first one and for twice as many in each next one, up to
- * 4096. Also covers events without bytes, such as a close. */
-constexpr int kMaxIdleRounds = 8;
-
-} // namespace
 
 void
 InputTimer::start(Loop& aLoop,
--- a/libs/http/input_timer.h
+++ b/libs/http/input_timer.h
@@ -26,6 +26,11 @@
   /** @return the input, or nothing if no input needs to be waited for */
   using Counter = std::function<std::optional<InputCount>()>;
 
+  /** Rounds of the loop in which each socket is handled once: libevent asks for
+   * 32 sockets in the first one and for twice as many in each next one, up to
+   * 4096. Also covers events without bytes, such as a close. */
+  static constexpr int kMaxIdleRounds = 8;
+
   InputTimer() = default;
   InputTimer(const InputTimer&) = delete;
   InputTimer& operator=(const InputTimer&) = delete;
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -226,6 +226,13 @@
     armTimer(kOverdueGrace);
     return;
   }
+  // In a late loop, the grace may end beside a timer of the handler that still
+  // has to read what waits.
+  if (mCurrent.passesLeft > 0) {
+    --mCurrent.passesLeft;
+    armTimer(base::Duration::zero());
+    return;
+  }
   giveUpRequest(CallerEnd::Overdue);
 }
 
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -3,6 +3,7 @@
 
 #include "base/error.h"
 #include "base/memory_budget.h"
+#include "http/input_timer.h"
 #include "wire/closed_caller.h"
 #include "wire/parser.h"
 #include "wire/transport.h"
@@ -147,6 +148,8 @@
     std::size_t responseBytes = 0; ///< handed to the transport
     bool open = false; ///< from the end of the request to that of the response
     bool graceIsLeft = false; ///< after the expected end
+    /** Passes of the loop behind the grace, for the timers of the handler. */
+    int passesLeft = http::InputTimer::kMaxIdleRounds;
     bool responseStarted = false;
     bool callerHadLeft = false; ///< when its response started or was given up
     bool chunked = false;
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -962,6 +962,38 @@
   runPending(loop);
 }
 
+// Guards against a fallback response in place of that of a handler whose timer
+// still reads what has arrived, because the loop was late for longer than the
+// grace.
+TEST(CallerServer, HandlerReadsWhatWaitsBeforeItIsOverdue)
+{
+  std::size_t unanswered = 0;
+  http::InputTimer deadline;
+  http::EventHandle suspend;
+  wire::CallerServer server(loop, [&](const auto& aCaller) {
+    aCaller->expectEndBy(base::monotonicNow() + 50ms);
+    deadline.start(
+      loop,
+      50ms,
+      [] {
+        return std::optional(http::InputCount{ 1, 0 });
+      },
+      [aCaller] { aCaller->reply(200, {}, "in time"); });
+    suspend = loop.after(50ms, [] { std::this_thread::sleep_for(1200ms); });
+  });
+  server.onUnanswered(
+    [&](wire::CallerEnd, const wire::Request&) { ++unanswered; });
+  CHECK(bool(server.listen(kAddress)));
+  ManualCaller caller;
+  caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  const auto end = loop.after(1400ms, [&] { loop.stop(); });
+  loop.run();
+  LONGS_EQUAL(0, unanswered);
+  CHECK(caller.receive().ends_with("in time"));
+  deadline.reset();
+  runPending(loop);
+}
+
 // Guards against an end that cuts the response to a later request.
 TEST(CallerServer, ExpectedEndOfARequestDoesNotOutlastIt)
 {
