Refuse at an idle close as elsewhere, name status codes in one place

The closing refusal goes through rejectWith() like all other refusals of a connection, so that no step of it can be missing there; 408 and 503 are named in libs/http.

--- a/apps/gateway/carrier.cpp
+++ b/apps/gateway/carrier.cpp
@@ -12,7 +12,6 @@
 /** The headers of peers' requests are those of callers and a few more. */
 constexpr std::size_t kExtraHeaderBytes = 4UL * 1024;
 constexpr base::Duration kDoubtCheckPeriod = 50ms;
-constexpr int kServiceUnavailable = 503;
 /** Shares of an upstream's connections that a VM may use which carries for
  * others: they don't use theirs. */
 constexpr std::size_t kConnectionShares = 2;
@@ -274,7 +273,7 @@
   if (!mPeer->fromKnownHost()) {
     mPeer->closeAfterResponse();
   }
-  mPeer->reply(kServiceUnavailable,
+  mPeer->reply(http::kServiceUnavailable,
                { { kCarryDeclinedHeader, carryDeclineName(aReason) } },
                {});
   finish();
@@ -303,7 +302,7 @@
   mPeers.setMemoryBudget(aContext.memory);
   mPeers.setFallback([](const wire::Request& /*aRequest*/) {
     return wire::FallbackResponse{
-      kServiceUnavailable,
+      http::kServiceUnavailable,
       { { kCarryDeclinedHeader, carryDeclineName(CarryDecline::Unanswered) } }
     };
   });
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -48,7 +48,6 @@
  * finish on this VM or a peer reports some. */
 constexpr base::Duration kCrashEvidenceDelay = 400ms;
 constexpr int kMisdirected = 421;
-constexpr int kUnavailable = 503;
 constexpr int kFirstServerError = 500;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
@@ -606,7 +605,7 @@
     mContext.health.onUnreachable(mLastUpstream, now);
   } else if (mHead.status == kMisdirected && upstream && mMetadata.model) {
     upstream->refusedModels[*mMetadata.model] = now + kModelRefusalPeriod;
-  } else if (mHead.status == kUnavailable && upstream) {
+  } else if (mHead.status == http::kServiceUnavailable && upstream) {
     recordRejection(*upstream, now);
   }
   retryOnOtherUpstream(mHead.status == kMisdirected
--- a/apps/gateway/watch_relay.cpp
+++ b/apps/gateway/watch_relay.cpp
@@ -28,7 +28,6 @@
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 constexpr int kBadRequest = 400;
-constexpr int kUnavailable = 503;
 
 http::Response
 snapshotAnswer(const platform::Snapshot& aSnapshot)
@@ -180,7 +179,7 @@
     return;
   }
   if (!isCurrent(*watch->second)) {
-    aResponder.reply({ kUnavailable, {}, "" });
+    aResponder.reply({ http::kServiceUnavailable, {}, "" });
     return;
   }
   aResponder.reply(snapshotAnswer(watch->second->mirror().all()));
@@ -198,7 +197,7 @@
     if (!aTimedOut && base::monotonicNow() < aReader.refuseAfter) {
       return false;
     }
-    aReader.responder->reply({ kUnavailable, {}, "" });
+    aReader.responder->reply({ http::kServiceUnavailable, {}, "" });
     return true;
   }
   const auto changes = mirror.changesAfter(aReader.after);
--- a/libs/http/message.h
+++ b/libs/http/message.h
@@ -28,6 +28,8 @@
 inline constexpr int kFirstFinalStatus = 200;
 inline constexpr int kLastStatus = 599;
 inline constexpr int kNoContent = 204;
+inline constexpr int kRequestTimeout = 408;
+inline constexpr int kServiceUnavailable = 503;
 
 /** Size of the beginning of a status line that ends behind the status. */
 inline constexpr std::size_t kStatusLineBytes = 13;
--- a/libs/wire/caller_connection.cpp
+++ b/libs/wire/caller_connection.cpp
@@ -174,8 +174,8 @@
   closeIdle(CallerEnd::Completed);
 }
 
-/** Half-closing the connection without a response would take in a request that
- * crosses the close, which then got none. */
+/** The response tells a caller whose request crosses the close that it was not
+ * read. */
 void
 CallerConnection::closeIdle(CallerEnd aReason)
 {
@@ -183,16 +183,12 @@
     remove(aReason);
     return;
   }
-  constexpr int kRequestTimeout = 408;
-  constexpr int kServiceUnavailable = 503;
   mCloseReason = aReason;
   mRefusesCrossing = true;
   mCurrent = {};
-  openRequest();
-  mCurrent.closeAfterResponse = true;
-  reply(mServer.mStopped ? kServiceUnavailable : kRequestTimeout,
-        *mServer.mCrossingRefusal,
-        {});
+  rejectWith(mServer.mStopped ? http::kServiceUnavailable
+                              : http::kRequestTimeout,
+             *mServer.mCrossingRefusal);
 }
 
 void
@@ -249,7 +245,7 @@
     armTimer(base::Duration::zero());
     return;
   }
-  rejectWith(408);
+  rejectWith(http::kRequestTimeout);
 }
 
 void
@@ -517,12 +513,12 @@
 }
 
 void
-CallerConnection::rejectWith(int aStatus)
+CallerConnection::rejectWith(int aStatus, const http::Headers& aHeaders)
 {
   openRequest();
   mCurrent.closeAfterResponse = true;
   mCurrent.request.acceptsChunked = false;
-  reply(aStatus, {}, {});
+  reply(aStatus, aHeaders, {});
 }
 
 bool
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -169,7 +169,7 @@
   void breakOff(CallerEnd aReason);
   void reportUnanswered(CallerEnd aReason);
   bool rejectInvalid();
-  void rejectWith(int aStatus);
+  void rejectWith(int aStatus, const http::Headers& aHeaders = {});
   bool acceptHeaders();
   void addBody(std::string_view aBytes);
   void chargeBody(std::size_t aBytes);
--- a/tests/explore/messages.cpp
+++ b/tests/explore/messages.cpp
@@ -1,5 +1,7 @@
 #include "messages.h"
 
+#include "http/http.h"
+
 #include <array>
 #include <map>
 #include <sstream>
@@ -212,10 +214,8 @@
 bool
 isClosingRefusal(const Answer& aAnswer)
 {
-  constexpr int kRequestTimeout = 408;
-  constexpr int kServiceUnavailable = 503;
-  const bool refuses =
-    aAnswer.status == kRequestTimeout || aAnswer.status == kServiceUnavailable;
+  const bool refuses = aAnswer.status == http::kRequestTimeout ||
+                       aAnswer.status == http::kServiceUnavailable;
   return refuses && aAnswer.notRun && aAnswer.last && aAnswer.complete &&
          aAnswer.id.empty() && aAnswer.body.empty();
 }
