--- a/apps/gateway/request_log.cpp
+++ b/apps/gateway/request_log.cpp
@@ -127,6 +127,12 @@
              { { "reason", reason } })
     .Increment();
   const wire::CallerLoss loss = wire::callerLoss(aClosed);
+  if (loss == wire::CallerLoss::Refused) {
+    mMetrics
+      .counter("marigold_crossing_requests_refused_total",
+               "Requests that crossed the close of their idle connection")
+      .Increment();
+  }
   const auto weight = loss == wire::CallerLoss::Unanswered
                         ? observe::LineWeight::Rare
                         : observe::LineWeight::Notable;
--- a/tests/e2e/test_caller_connections.py
+++ b/tests/e2e/test_caller_connections.py
@@ -20,6 +20,7 @@
 CALLERS = 4
 DEADLINE_MS = 4000  # time-out of the routes
 HEADER_TIMEOUT_S = 1.0  # of the platform's configuration
+IDLE_TIMEOUT_S = 5.0  # likewise
 SUSPENDED_S = 2.0
 PAUSE_S = 3.5  # within the deadline and the idle timeout
 EVENTS, EVENT_BYTES = 400, 240
@@ -143,6 +144,16 @@
         connection.sendall(self.request("/again/x")[:40])
         self.assertIn(b"HTTP/1.1 408", read_answer(connection, HEADER_TIMEOUT_S + 2))
 
+    def test_request_that_crosses_the_idle_close_is_refused_and_counted(self):
+        """Guards against refusals of requests that crossed a close which nobody sees in the metrics."""
+        connection = self.connect()
+        connection.sendall(self.request("/again/x"))
+        self.assertIn(b"200 OK", read_answer(connection, 3))
+        self.assertIn(b"HTTP/1.1 408", read_answer(connection, IDLE_TIMEOUT_S + 2))
+        connection.sendall(self.request("/again/x"))
+        wait_for(lambda: "request crossed the close of its idle connection" in self.gateway.log(), 3)
+        self.assertEqual(1, self.gateway.metric("marigold_crossing_requests_refused_total"))
+
     def test_request_that_comes_with_a_half_close_is_refused(self):
         """Guards against a request that is read whole and gets neither an answer nor a refusal, because its caller has
         closed its sending side and is taken for one that has left."""
