Count the time without orders from the start of a process that has seen no free ownership

Cause: an owner of orders stops as planned, and the next one is killed while it waits for the pause. Its next process finds an ownership of its own that is unsettled, so it never sees the orders become free: mFreeSince stays at its default, and the whole window counts as unused.

Change: without a known end of the former ownership the time counts from the start of the process; the decision is residency::timeWithoutOrders, without sockets or clocks.

Test: NextProcessDoesNotCountThePauseFromBeforeItsStart fails before.

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -178,8 +178,9 @@
 void
 Fleet::noteFreeOwnership()
 {
-  mFreeSince = base::monotonicNow();
-  mOwnershipFreeAt = std::max(mFreeSince, mClaimsFrom);
+  const base::TimePoint now = base::monotonicNow();
+  mFreeSince = now;
+  mOwnershipFreeAt = std::max(now, mClaimsFrom);
 }
 
 void
@@ -294,6 +295,7 @@
     if (aEntry.revision != mUnreadableRevision) {
       mUnreadableRevision = aEntry.revision;
       mOwnershipFreeAt = base::monotonicNow() + mSettings.orderPause;
+      mFreeSince = mOwnershipFreeAt;
     }
   } else {
     owner = std::get<Ownership>(decoded);
@@ -378,8 +380,9 @@
   if (std::exchange(mAbsentRevision, revision) == revision || !isAbsent) {
     return;
   }
-  mFreeSince = aNow + kRegistrationTerm;
-  mOwnershipFreeAt = mFreeSince + mSettings.orderPause;
+  const base::TimePoint freeSince = aNow + kRegistrationTerm;
+  mFreeSince = freeSince;
+  mOwnershipFreeAt = freeSince + mSettings.orderPause;
   observe::logWarn("order owner is not registered",
                    { { "owner", mOwner->vm } });
 }
@@ -423,9 +426,8 @@
 base::Duration
 Fleet::timeWithoutOrders(base::TimePoint aNow) const
 {
-  // A VM that has seen no owner since it started knows more than the pause.
-  return mSucceededItself ? std::min(mSettings.orderPause, aNow - mStartedAt)
-                          : std::max(mSettings.orderPause, aNow - mFreeSince);
+  return residency::timeWithoutOrders(
+    { mSucceededItself, mStartedAt, mFreeSince }, mSettings.orderPause, aNow);
 }
 
 std::uint64_t
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -190,7 +190,7 @@
   base::TimePoint mOwnedSince{};
   bool mSucceededItself = false; ///< took over from this VM's former process
   /** When this VM learnt that no VM owns the orders, before its ownership. */
-  base::TimePoint mFreeSince{};
+  std::optional<base::TimePoint> mFreeSince;
   base::TimePoint mOwnershipFreeAt{};         ///< may be claimed
   platform::Revision mUnreadableRevision = 0; ///< of the latest such ownership
   /** Of the latest ownership of a VM that was not registered; 0 once it is. */
--- a/libs/residency/order_ownership.cpp
+++ b/libs/residency/order_ownership.cpp
@@ -1,5 +1,7 @@
 #include "residency/order_ownership.h"
 
+#include <algorithm>
+
 namespace marigold::residency {
 namespace {
 
@@ -36,6 +38,18 @@
          aNow > aOwnership.startedAt + kOrderFlight;
 }
 
+base::Duration
+timeWithoutOrders(const EarlierOrders& aOrders,
+                  base::Duration aPause,
+                  base::TimePoint aNow)
+{
+  if (aOrders.ofFormerProcess) {
+    return std::min(aPause, aNow - aOrders.startedAt);
+  }
+  // A VM that has seen no owner since it started knows more than the pause.
+  return std::max(aPause, aNow - aOrders.freeSince.value_or(aOrders.startedAt));
+}
+
 base::TimePoint
 releasableFrom(base::TimePoint aLastOrderAt)
 {
--- a/libs/residency/tests/order_ownership_tests.cpp
+++ b/libs/residency/tests/order_ownership_tests.cpp
@@ -91,3 +91,27 @@
   const TimePoint claim = start + 60s;
   CHECK(firstOrder(claim) - claim > 2s);
 }
+
+// An owner stops as planned, and the next one is killed while it waits for the
+// pause. Guards against a process of the latter that takes the weights store's
+// rate for unused, because it has seen no end of an ownership itself.
+TEST(OrderOwnership, NextProcessDoesNotCountThePauseFromBeforeItsStart)
+{
+  const TimePoint claim = start + 400ms;
+  const base::Duration without =
+    residency::timeWithoutOrders({ false, start, {} }, kPause, claim + kPause);
+  CHECK(without == kPause + 400ms);
+}
+
+// Guards against loads that wait although nobody can have ordered any.
+TEST(OrderOwnership, OwnerCountsThePauseFromTheEndOfTheFormerOwnership)
+{
+  const TimePoint free = start + 60s;
+  const TimePoint now = free + 10s;
+  CHECK(residency::timeWithoutOrders({ false, start, free }, kPause, now) ==
+        10s);
+  CHECK(residency::timeWithoutOrders({ false, start, now }, kPause, now) ==
+        kPause);
+  CHECK(residency::timeWithoutOrders({ true, now - 1s, {} }, kPause, now) ==
+        1s);
+}
