Count no units of an ended process that are reported behind its successor

Cause: a relay that stops itself passes on an old report of a process that has ended. Its VM has been forgotten, and its next process is known already, so the report counts whole, as that of a successor: a debt of all that the former process has ever consumed.

Change: a process that began before the known one counts from its first report.

Test: LateReportOfAProcessThatHasLeftCountsNothing fails before.

--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -327,9 +327,11 @@
   Peer& peer = mPeers[aPeer];
   const bool reconnected = peer.unreachable;
   if (peer.totals.empty()) {
-    peer.baselinePending = aIncarnation;
     addRefillSinceStart(aNow);
   }
+  if (beganBeforeKnown(peer, aIncarnation)) {
+    peer.baselinePending.insert(aIncarnation);
+  }
   if (!peer.totals.contains(aIncarnation)) {
     // What the previous process consumed at the end is unknown.
     dropReserves(peer, aNow);
@@ -342,14 +344,12 @@
     const auto [known, added] = totals.try_emplace(team, 0);
     const double consumed = std::max(0.0, total - known->second);
     known->second = std::max(known->second, total);
-    if (!added || peer.baselinePending != aIncarnation) {
+    if (!added || !peer.baselinePending.contains(aIncarnation)) {
       applyUsage(peer, team, consumed);
     }
   }
   if (aTotals == Totals::All) {
-    if (peer.baselinePending == aIncarnation) {
-      peer.baselinePending.reset();
-    }
+    peer.baselinePending.erase(aIncarnation);
     // Teams that are not listed have consumed nothing.
     for (const auto& [team, reserve] : std::map(peer.reserves)) {
       if (!aUsage.contains(team)) {
@@ -358,9 +358,11 @@
     }
   }
   while (peer.totals.size() > kMaxIncarnations) {
-    peer.totals.erase(peer.totals.begin()->first == aIncarnation
-                        ? std::next(peer.totals.begin())
-                        : peer.totals.begin());
+    const auto oldest = peer.totals.begin()->first == aIncarnation
+                          ? std::next(peer.totals.begin())
+                          : peer.totals.begin();
+    peer.baselinePending.erase(oldest->first);
+    peer.totals.erase(oldest);
   }
   peer.hasReported = true;
   peer.unreachable = false;
@@ -374,6 +376,17 @@
   }
 }
 
+/** Reports of a process that has ended may arrive, through a relay, behind the
+ * first one of its successor.
+ * @return true for a process that this VM does not know and that is not the
+ * successor of those it knows */
+bool
+FleetQuota::beganBeforeKnown(const Peer& aPeer, base::Incarnation aIncarnation)
+{
+  return aPeer.totals.empty() || (!aPeer.totals.contains(aIncarnation) &&
+                                  aIncarnation < aPeer.totals.rbegin()->first);
+}
+
 /** Subtracts units that a peer consumed from the bucket of a team, and merges
  * the peer's reserve. */
 void
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -247,14 +248,16 @@
     /** Cumulative usage by process; late reports of the previous process may
      * still arrive. */
     std::map<base::Incarnation, Usage> totals;
-    /** The process that was running when this VM heard the peer first, until a
-     * report with all of its totals arrives. What it consumed before is not
-     * this VM's concern. */
-    std::optional<base::Incarnation> baselinePending;
+    /** Processes that began before this VM heard the peer first, until a report
+     * with all of their totals arrives. What they consumed before is not this
+     * VM's concern. */
+    std::set<base::Incarnation> baselinePending;
     std::map<base::TeamName, Reserve> reserves;
   };
 
   void refill(base::TimePoint aNow);
+  static bool beganBeforeKnown(const Peer& aPeer,
+                               base::Incarnation aIncarnation);
   void applyUsage(Peer& aPeer, const base::TeamName& aTeam, double aConsumed);
   void addRefillSinceStart(base::TimePoint aNow);
   static void recordCost(Bucket& aBucket, double aCost);
--- a/libs/quota/tests/quota_tests.cpp
+++ b/libs/quota/tests/quota_tests.cpp
@@ -243,6 +243,28 @@
   DOUBLES_EQUAL(before - 50, quota.level("t"), 0.1);
 }
 
+// A VM has stopped as planned, and its next process reports. Guards against a
+// debt of all that the former process has consumed, if a relay passes one of
+// its last reports on behind that.
+TEST(Quota, LateReportOfAProcessThatHasLeftCountsNothing)
+{
+  const base::TimePoint start{ 100s };
+  quota::FleetQuota quota;
+  quota.setLimits({ { "t", { 100, 1000 } }, { "s", { 100, 1000 } } }, start);
+  quota.setPeers({ "vm2" }, start);
+  quota.onPeerUsage("vm2", 1, { { "t", 5000 } }, quota::Totals::All, start);
+  quota.onPeerDraining("vm2", start);
+  quota.onPeerUsage("vm2", 2, { { "t", 50 } }, quota::Totals::All, start);
+  const double before = quota.level("t");
+  quota.onPeerUsage("vm2", 1, { { "t", 5000 } }, quota::Totals::Changed, start);
+  quota.onPeerUsage(
+    "vm2", 1, { { "s", 700 }, { "t", 5000 } }, quota::Totals::All, start);
+  DOUBLES_EQUAL(before, quota.level("t"), 0.1);
+  DOUBLES_EQUAL(before, quota.level("s"), 0.1);
+  quota.onPeerUsage("vm2", 2, { { "t", 80 } }, quota::Totals::All, start);
+  DOUBLES_EQUAL(before - 30, quota.level("t"), 0.1);
+}
+
 // A report that omits a team must not make that team's total count again when
 // it is reported the next time.
 TEST(Quota, ReportOfSomeTeamsKeepsTheOtherTotals)
