Set no share of the quota aside for the own VM

What callers saw: refusals at 86% of the rate, behind planned stops.

Cause: peers report a VM as unregistered until its next process has registered.

Test: VmSetsNoShareAsideForItself fails before.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -208,6 +208,7 @@
                      kMemoryPartsForRequests);
   }
   mPool.setMemoryBudget(mMemory);
+  mQuota.setOwnName(mSettings.vm);
   mQuota.setSlack(mSettings.quotaSlack);
   mQuota.setWindow(mSettings.quotaWindow);
   mRetries.setLimits(
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -98,6 +98,9 @@
                             base::TimePoint aNow)
 {
   for (const base::VmName& name : aPeers) {
+    if (name == mOwnName) {
+      continue;
+    }
     const auto [peer, added] = mPeers.try_emplace(name);
     if (added) {
       peer->second.unregisteredAt = aNow;
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace marigold::quota {
@@ -98,6 +99,10 @@
   void setLimits(const std::map<base::TeamName, Limit>& aLimits,
                  base::TimePoint aNow);
 
+  /** @param aName this VM, which peers may report as unregistered while it
+   * starts */
+  void setOwnName(base::VmName aName) { mOwnName = std::move(aName); }
+
   /** @param aPeriod longest time between two reports of a peer */
   void setReportPeriod(base::Duration aPeriod);
 
@@ -289,6 +294,7 @@
   double shareOfOneVm() const;
   double reachableShare() const;
 
+  base::VmName mOwnName;
   std::map<base::TeamName, Bucket> mBuckets;
   std::map<base::VmName, Peer> mPeers;
   Usage mUsage;
--- a/libs/quota/tests/quota_tests.cpp
+++ b/libs/quota/tests/quota_tests.cpp
@@ -265,6 +265,21 @@
   DOUBLES_EQUAL(before - 30, quota.level("t"), 0.1);
 }
 
+// Peers report a VM as unregistered until its next process is registered.
+// Guards against a VM that sets a share aside for itself.
+TEST(Quota, VmSetsNoShareAsideForItself)
+{
+  const base::TimePoint start{ 100s };
+  quota::FleetQuota quota;
+  quota.setOwnName("vm1");
+  quota.setLimits({ { "t", { 100, 1000 } } }, start);
+  quota.setPeers({ "vm2" }, start);
+  quota.onPeerUsage("vm2", 1, { { "t", 0 } }, quota::Totals::All, start);
+  quota.addUnregistered({ "vm1" }, start);
+  CHECK(quota.unregistered().empty());
+  DOUBLES_EQUAL(1, quota.account("t").share, 0.001);
+}
+
 // A report that omits a team must not make that team's total count again when
 // it is reported the next time.
 TEST(Quota, ReportOfSomeTeamsKeepsTheOtherTotals)
--- a/tests/measure/limits_fleet.cpp
+++ b/tests/measure/limits_fleet.cpp
@@ -148,6 +148,7 @@
 {
   aVm.replica = std::make_unique<Vm::Replica>(dataCentreName(aVm.index));
   quota::FleetQuota& quota = aVm.replica->quota;
+  quota.setOwnName(aVm.name);
   quota.setSlack(mLimits.slack);
   quota.setWindow(base::fromSeconds(kQuotaWindowSeconds));
   std::map<base::TeamName, quota::Limit> limits;
