Keep the share of a VM released that has stopped as planned

Cause: a VM that has heard of the stop hears from peers that have not, from a relay or from a late view of the registrations that the VM exists or is unregistered, and sets its share aside for 65 minutes again.

Change: a VM that has stopped as planned is remembered with its process; what is told of that process sets nothing aside.

Tests: ShareOfADrainedVmStaysReleased and LateDrainingOfTheFormerProcessReleasesNothing fail before.

--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -608,7 +608,7 @@
   }
   const peers::Status& status = mContext.peers.statuses().at(vm).status;
   if (status.draining) {
-    mContext.quota.onPeerDraining(vm, now);
+    mContext.quota.onPeerDraining(vm, status.incarnation, now);
   } else {
     mContext.quota.addUnregistered(status.unregistered, now);
     mContext.quota.onPeerUsage(
@@ -720,7 +720,7 @@
     summary.complete ? quota::Totals::All : quota::Totals::Changed;
   for (const auto& [vm, member] : summary.members) {
     if (member.draining) {
-      mContext.quota.onPeerDraining(vm, now);
+      mContext.quota.onPeerDraining(vm, member.incarnation, now);
     } else if (vm != mContext.settings.vm) {
       mContext.quota.onPeerUsage(
         vm, member.incarnation, member.usage, totals, now);
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -80,6 +80,15 @@
   for (const base::VmName& name : aPeers) {
     mPeers[name].unregisteredAt.reset();
   }
+  // The registration of a VM may be seen for longer than its planned stop.
+  std::erase_if(mPeers, [&](const auto& aItem) {
+    const auto& [name, peer] = aItem;
+    return peer.totals.empty() && mDrained.contains(name) &&
+           std::find(aPeers.begin(), aPeers.end(), name) == aPeers.end();
+  });
+  std::erase_if(mDrained, [aNow](const auto& aItem) {
+    return aNow - aItem.second.at > kUnregisteredRetention;
+  });
   for (auto& [name, peer] : mPeers) {
     const bool registered =
       std::find(aPeers.begin(), aPeers.end(), name) != aPeers.end();
@@ -98,7 +107,8 @@
                             base::TimePoint aNow)
 {
   for (const base::VmName& name : aPeers) {
-    if (name == mOwnName) {
+    // Peers may say so before they have heard of the planned stop.
+    if (name == mOwnName || mDrained.contains(name)) {
       continue;
     }
     const auto [peer, added] = mPeers.try_emplace(name);
@@ -109,10 +119,17 @@
 }
 
 void
-FleetQuota::onPeerDraining(const base::VmName& aPeer, base::TimePoint aNow)
+FleetQuota::onPeerDraining(const base::VmName& aPeer,
+                           base::Incarnation aIncarnation,
+                           base::TimePoint aNow)
 {
   refill(aNow);
   const auto found = mPeers.find(aPeer);
+  if (found != mPeers.end() && beganBeforeKnown(found->second, aIncarnation) &&
+      !found->second.totals.empty()) {
+    return; // Its successor reports already.
+  }
+  mDrained[aPeer] = { aIncarnation, aNow };
   if (found == mPeers.end()) {
     return;
   }
@@ -327,6 +344,13 @@
                         base::TimePoint aNow)
 {
   refill(aNow);
+  const auto drained = mDrained.find(aPeer);
+  if (drained != mDrained.end()) {
+    if (drained->second.incarnation == aIncarnation) {
+      return; // A relay has passed it on late.
+    }
+    mDrained.erase(drained);
+  }
   Peer& peer = mPeers[aPeer];
   const bool reconnected = peer.unreachable;
   if (peer.totals.empty()) {
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -129,9 +129,12 @@
   void addUnregistered(const std::vector<base::VmName>& aPeers,
                        base::TimePoint aNow);
 
-  /** Releases the share of a VM that has stopped admitting requests.
-   * @param aPeer VM @param aNow time */
-  void onPeerDraining(const base::VmName& aPeer, base::TimePoint aNow);
+  /** Releases the share of a VM that has stopped admitting requests. What
+   * arrives later of that process counts nothing.
+   * @param aPeer VM @param aIncarnation its process @param aNow time */
+  void onPeerDraining(const base::VmName& aPeer,
+                      base::Incarnation aIncarnation,
+                      base::TimePoint aNow);
 
   /** @return unregistered VMs whose share is still reserved */
   std::vector<base::VmName> unregistered() const;
@@ -260,6 +263,13 @@
     std::map<base::TeamName, Reserve> reserves;
   };
 
+  /** The last process of a VM that has stopped admitting requests. */
+  struct Drained
+  {
+    base::Incarnation incarnation = 0;
+    base::TimePoint at{};
+  };
+
   void refill(base::TimePoint aNow);
   static bool beganBeforeKnown(const Peer& aPeer,
                                base::Incarnation aIncarnation);
@@ -297,6 +307,8 @@
   base::VmName mOwnName;
   std::map<base::TeamName, Bucket> mBuckets;
   std::map<base::VmName, Peer> mPeers;
+  /** VMs of which nothing is known behind their planned stop. */
+  std::map<base::VmName, Drained> mDrained;
   Usage mUsage;
   Usage mReported;    ///< usage that the latest report contained
   bool mWarm = false; ///< the levels were adopted from another VM
--- a/libs/quota/tests/quota_tests.cpp
+++ b/libs/quota/tests/quota_tests.cpp
@@ -204,7 +204,7 @@
   fleet.run(1s, { false, false });
   fleet.quotas[0].setPeers({}, fleet.now);
   LONGS_EQUAL(1, fleet.quotas[0].unregistered().size());
-  fleet.quotas[0].onPeerDraining("vm1", fleet.now);
+  fleet.quotas[0].onPeerDraining("vm1", 1, fleet.now);
   CHECK(fleet.quotas[0].unregistered().empty());
 }
 
@@ -253,7 +253,7 @@
   quota.setLimits({ { "t", { 100, 1000 } }, { "s", { 100, 1000 } } }, start);
   quota.setPeers({ "vm2" }, start);
   quota.onPeerUsage("vm2", 1, { { "t", 5000 } }, quota::Totals::All, start);
-  quota.onPeerDraining("vm2", start);
+  quota.onPeerDraining("vm2", 1, start);
   quota.onPeerUsage("vm2", 2, { { "t", 50 } }, quota::Totals::All, start);
   const double before = quota.level("t");
   quota.onPeerUsage("vm2", 1, { { "t", 5000 } }, quota::Totals::Changed, start);
@@ -265,6 +265,47 @@
   DOUBLES_EQUAL(before - 30, quota.level("t"), 0.1);
 }
 
+// Guards against a share that is set aside for more than an hour, because a
+// peer that has not heard of a planned stop yet reports the VM as unregistered,
+// a relay passes an old report on, or its registration is seen for longer.
+TEST(Quota, ShareOfADrainedVmStaysReleased)
+{
+  const base::TimePoint start{ 100s };
+  quota::FleetQuota quota;
+  quota.setLimits({ { "t", { 100, 1000 } } }, start);
+  quota.setPeers({ "vm2", "vm3" }, start);
+  for (const char* peer : { "vm2", "vm3" }) {
+    quota.onPeerUsage(peer, 1, { { "t", 0 } }, quota::Totals::All, start);
+  }
+  quota.onPeerDraining("vm3", 1, start);
+  quota.addUnregistered({ "vm3" }, start);
+  quota.onPeerUsage("vm3", 1, { { "t", 10 } }, quota::Totals::All, start);
+  quota.setPeers({ "vm2", "vm3" }, start);
+  quota.setPeers({ "vm2" }, start);
+  CHECK(quota.unregistered().empty());
+  DOUBLES_EQUAL(1, quota.account("t").share, 0.001);
+  // The VM's next process takes its share again.
+  quota.setPeers({ "vm2", "vm3" }, start);
+  DOUBLES_EQUAL(2.0 / 3, quota.account("t").share, 0.001);
+  quota.onPeerUsage("vm3", 2, { { "t", 0 } }, quota::Totals::All, start);
+  quota.setPeers({ "vm2" }, start);
+  LONGS_EQUAL(1, quota.unregistered().size());
+}
+
+// Guards against a planned stop that is heard late and takes the next process
+// for gone.
+TEST(Quota, LateDrainingOfTheFormerProcessReleasesNothing)
+{
+  const base::TimePoint start{ 100s };
+  quota::FleetQuota quota;
+  quota.setLimits({ { "t", { 100, 1000 } } }, start);
+  quota.setPeers({ "vm2" }, start);
+  quota.onPeerUsage("vm2", 2, { { "t", 0 } }, quota::Totals::All, start);
+  quota.onPeerDraining("vm2", 1, start);
+  quota.setPeers({}, start);
+  LONGS_EQUAL(1, quota.unregistered().size());
+}
+
 // Peers report a VM as unregistered until its next process is registered.
 // Guards against a VM that sets a share aside for itself.
 TEST(Quota, VmSetsNoShareAsideForItself)
--- a/tests/fuzz/quota_world.cpp
+++ b/tests/fuzz/quota_world.cpp
@@ -134,7 +134,7 @@
   }
   for (Vm& vm : mVms) {
     if (&vm != &leaving && !vm.paused && vm.side == leaving.side) {
-      vm.quota.onPeerDraining(leaving.name, clockOf(vm));
+      vm.quota.onPeerDraining(leaving.name, leaving.incarnation, clockOf(vm));
     }
   }
   start(aVm);
