--- a/apps/gateway/order_controller.cpp
+++ b/apps/gateway/order_controller.cpp
@@ -2,26 +2,31 @@
 
 #include "observe/log.h"
 
-#include <algorithm>
 
 namespace marigold::gateway {
 namespace {
 
-using namespace std::chrono_literals;
+/** @param aReply meaning of an answer to an order */
+residency::OrderEnd
+orderEnd(boundary::OrderReply aReply)
+{
+  switch (aReply) {
+    case boundary::OrderReply::Started:
+      return residency::OrderEnd::Started;
+    case boundary::OrderReply::AlreadyApplied:
+      return residency::OrderEnd::AlreadyApplied;
+    default:
+      return residency::OrderEnd::Refused;
+  }
+}
 
-/** Delay before the state of an engine is read again after a conflict, a lost
- * response or a report. */
-constexpr base::Duration kReportDelay = 400ms;
-/** Delay before the next report of an engine that runs an unknown order. */
-constexpr base::Duration kBusyReportDelay = 1s;
-/** A new adapter is not unloaded for this long, because the requests that
- * waited for it arrive only after the owner's next placement update. */
-constexpr base::Duration kMinAdapterResidency = 1500ms;
-/** Added to the expected duration of a load. If the model is not in the record
- * then, the state of the engine is read again. */
-constexpr base::Duration kLoadTimeoutMargin = 6s;
-/** Long, because an unload waits for the running requests of the model. */
-constexpr base::Duration kUnloadTimeout = 20s;
+/** @param aEnd end of a call that was not answered */
+residency::OrderEnd
+orderEnd(http::CallEnd aEnd)
+{
+  return aEnd == http::CallEnd::NotSent ? residency::OrderEnd::NotSent
+                                        : residency::OrderEnd::Unanswered;
+}
 
 } // namespace
 
@@ -129,47 +134,14 @@
       engine.startedAt = record.startedAt;
       engine.address = record.address;
     }
-    detectFinishedOrders(engine, record, aNow);
-    if ((!engine.reportReceived || engine.needsReport) &&
-        !engine.callInProgress && aNow >= engine.retryAt &&
-        upstream->usable() && !isQuiet(*upstream, aNow)) {
+    engine.orders.onRecord(record.models, *aService.engine, aNow);
+    if (engine.orders.wantsReport(aNow) && upstream->usable() &&
+        !isQuiet(*upstream, aNow)) {
       fetchReport(name, engine);
     }
   }
 }
 
-void
-OrderController::detectFinishedOrders(Engine& aEngine,
-                                      const catalog::UpstreamRecord& aRecord,
-                                      base::TimePoint aNow)
-{
-  if (aEngine.loading && aRecord.models.contains(*aEngine.loading)) {
-    aEngine.loading.reset();
-  }
-  if (aEngine.unloading && !aRecord.models.contains(*aEngine.unloading)) {
-    aEngine.adapters.erase(*aEngine.unloading);
-    aEngine.reportedModels.erase(*aEngine.unloading);
-    aEngine.unloading.reset();
-  }
-  const auto& snapshot = mCatalog.current();
-  if (aEngine.loading) {
-    base::Duration limit = kLoadTimeoutMargin;
-    for (const auto& [name, service] : snapshot->content.services) {
-      if (service.engine && service.engine->models.contains(*aEngine.loading)) {
-        limit += 2 * service.engine->models.at(*aEngine.loading).storeLoadTime;
-      }
-    }
-    if (aNow - aEngine.loadStarted > limit) {
-      aEngine.loading.reset();
-      aEngine.needsReport = true;
-    }
-  }
-  if (aEngine.unloading && aNow - aEngine.unloadStarted > kUnloadTimeout) {
-    aEngine.unloading.reset();
-    aEngine.needsReport = true;
-  }
-}
-
 /** @return true if the upstream wants nothing from this VM now */
 bool
 OrderController::isQuiet(const Upstream& aUpstream, base::TimePoint aNow) const
@@ -196,7 +168,7 @@
 void
 OrderController::fetchReport(const base::UpstreamName& aName, Engine& aEngine)
 {
-  aEngine.callInProgress = true;
+  aEngine.orders.reportRequested();
   const http::Request request{ "GET", boundary::kReportPath, "", {}, "" };
   http::CallEvents events;
   events.done = [this, aName, startedAt = aEngine.startedAt](
@@ -205,8 +177,7 @@
     if (found == mEngines.end() || found->second.startedAt != startedAt) {
       return;
     }
-    found->second.callInProgress = false;
-    found->second.retryAt = base::monotonicNow() + kReportDelay;
+    found->second.orders.reportCallEnded(base::monotonicNow());
     constexpr int kOk = 200;
     if (aEnd != http::CallEnd::Complete) {
       return;
@@ -232,28 +203,10 @@
                      { { "upstream", aName }, { "error", error->message } });
     return;
   }
-  const auto& report = std::get<boundary::EngineReport>(decoded);
-  Engine& engine = mEngines.at(aName);
-  if (report.orderRunning && !engine.loading && !engine.unloading) {
-    // The running order is unknown, and so is the memory that will be free.
-    engine.retryAt = base::monotonicNow() + kBusyReportDelay;
-    return;
-  }
-  engine.reportReceived = true;
-  engine.needsReport = false;
-  engine.reportedModels.clear();
-  if (engine.loading && !report.orderRunning &&
-      engine.orderCount == report.orderCount) {
-    // The load order did not arrive. If it still does, the next order has
-    // changed the order count and the engine rejects it.
-    engine.loading.reset();
-  }
-  engine.orderCount = report.orderCount;
-  engine.adapters.clear();
-  for (const auto& [model, adapters] : report.models) {
-    engine.adapters[model] = adapters;
-    engine.reportedModels.insert(model);
-  }
+  auto& report = std::get<boundary::EngineReport>(decoded);
+  mEngines.at(aName).orders.onReport(
+    { report.orderRunning, report.orderCount, std::move(report.models) },
+    base::monotonicNow());
   mChanged.emit();
 }
 
@@ -283,30 +236,7 @@
     engine.restarting = upstream->processEnded();
     engine.software = upstream->software;
     engine.quiet = isQuiet(*upstream, aNow);
-    engine.orderable = known.reportReceived && !known.needsReport &&
-                       !known.callInProgress && !known.loading &&
-                       !known.unloading && aNow >= known.retryAt;
-    for (const auto& [model, adapters] : record.models) {
-      const auto held = known.adapters.find(model);
-      engine.models[model] =
-        held == known.adapters.end() ? std::set<std::string>{} : held->second;
-    }
-    if (known.loading) {
-      engine.loading.insert(*known.loading);
-    }
-    for (const base::ModelName& model : known.reportedModels) {
-      if (!engine.models.contains(model)) {
-        engine.loading.insert(model);
-      }
-    }
-    for (const auto& [ref, loadedAt] : known.adapterLoadedAt) {
-      if (aNow - loadedAt < kMinAdapterResidency) {
-        engine.recentlyLoaded.insert(ref);
-      }
-    }
-    if (known.unloading) {
-      engine.unloading.insert(*known.unloading);
-    }
+    known.orders.describe(record.models, aNow, engine);
     engine.cachedInMemory = record.cachedInMemory;
     engine.cachedOnDisk = record.cachedOnDisk;
     input.engines.push_back(std::move(engine));
@@ -324,22 +254,18 @@
   }
   mLastOrderAt = now;
   Engine& engine = mEngines.at(aOrder.engine);
-  engine.callInProgress = true;
   if (aOrder.fromStore) {
     mStoreLoads.recordLoad(now);
   }
+  engine.orders.orderSent(aOrder, now);
   if (!aOrder.load && aOrder.target.adapter.empty()) {
-    engine.unloading = aOrder.target.model;
-    engine.unloadStarted = now;
     mChanged.emit();
   }
-  if (aOrder.load && aOrder.target.adapter.empty()) {
-    engine.loading = aOrder.target.model;
-    engine.loadStarted = now;
-  }
-  const boundary::Order order{
-    aOrder.load, aOrder.target, mSettings.vm, mFencingToken, engine.orderCount
-  };
+  const boundary::Order order{ aOrder.load,
+                               aOrder.target,
+                               mSettings.vm,
+                               mFencingToken,
+                               engine.orders.orderCount() };
   http::CallEvents events;
   events.done = [this, aOrder, startedAt = engine.startedAt](
                   http::CallEnd aEnd, const http::Response& aAnswer) {
@@ -369,13 +295,10 @@
                          const http::Response& aAnswer)
 {
   Engine& engine = mEngines.at(aOrder.engine);
-  engine.callInProgress = false;
   const bool answered = aEnd == http::CallEnd::Complete;
   if (answered) {
     recordRefusal(aOrder.engine, engine, aAnswer);
   }
-  const auto reply = answered ? boundary::decodeOrderReply(aAnswer.status)
-                              : boundary::OrderReply::Unknown;
   observe::logInfo(
     "order",
     { { "upstream", aOrder.engine },
@@ -383,54 +306,16 @@
       { "what", aOrder.target.text() },
       { "reason", aOrder.reason },
       { "fence", std::to_string(mFencingToken) },
-      { "order_count", std::to_string(engine.orderCount) },
+      { "order_count", std::to_string(engine.orders.orderCount()) },
       { "status", answered ? std::to_string(aAnswer.status) : "no answer" } });
-  switch (reply) {
-    case boundary::OrderReply::Started:
-      ++engine.orderCount;
-      applyCompletedOrder(engine, aOrder);
-      if (!aOrder.load && !aOrder.target.adapter.empty()) {
-        // The adapter is removed after its requests end; a report shows when.
-        engine.needsReport = true;
-        engine.retryAt = base::monotonicNow() + kReportDelay;
-      }
-      break;
-    case boundary::OrderReply::AlreadyApplied:
-      applyCompletedOrder(engine, aOrder);
-      if (!aOrder.load) {
-        ++engine.orderCount;
-      }
-      break;
-    default:
-      // A report will show whether the order took effect. Until then the
-      // engine counts as loading what the order may have loaded.
-      engine.needsReport = true;
-      engine.retryAt = base::monotonicNow() + kReportDelay;
-      if (aEnd == http::CallEnd::NotSent || answered) {
-        engine.loading.reset();
-      }
-      engine.unloading.reset();
-      break;
-  }
+  engine.orders.orderEnded(
+    aOrder,
+    answered ? orderEnd(boundary::decodeOrderReply(aAnswer.status))
+             : orderEnd(aEnd),
+    base::monotonicNow());
   mChanged.emit();
 }
 
-void
-OrderController::applyCompletedOrder(Engine& aEngine,
-                                     const residency::PlannedOrder& aOrder)
-{
-  if (aOrder.target.adapter.empty()) {
-    return; // The engine's record shows when a model order is complete.
-  }
-  auto& adapters = aEngine.adapters[aOrder.target.model];
-  if (aOrder.load) {
-    adapters.insert(aOrder.target.adapter);
-    aEngine.adapterLoadedAt[aOrder.target] = base::monotonicNow();
-  } else {
-    adapters.erase(aOrder.target.adapter);
-  }
-}
-
 void
 OrderController::recordOwnerLoads(const std::vector<base::Duration>& aAges,
                                   base::TimePoint aNow)
@@ -464,13 +349,13 @@
 {
   peers::PlacementTable table;
   for (const auto& [name, engine] : mEngines) {
-    for (const auto& [model, adapters] : engine.adapters) {
+    for (const auto& [model, adapters] : engine.orders.adapters()) {
       if (!adapters.empty()) {
         table[name].adapters[model] = { adapters.begin(), adapters.end() };
       }
     }
-    if (engine.unloading) {
-      table[name].unloading.push_back(*engine.unloading);
+    if (const auto& unloading = engine.orders.unloading()) {
+      table[name].unloading.push_back(*unloading);
     }
   }
   return table;
--- a/apps/gateway/order_controller.h
+++ b/apps/gateway/order_controller.h
@@ -78,28 +78,13 @@
   {
     std::uint64_t startedAt = 0;
     base::Address address;
-    bool reportReceived = false; ///< a report was received since the takeover
-    bool callInProgress = false; ///< a report or order call is in progress
-    bool needsReport = false;    ///< the order count may differ from orderCount
-    std::uint64_t orderCount = 0;
-    std::map<base::ModelName, std::set<std::string>> adapters;
-    /** Models of the last report, which may be newer than the record. */
-    std::set<base::ModelName> reportedModels;
-    std::map<catalog::ModelRef, base::TimePoint> adapterLoadedAt;
-    std::optional<base::ModelName> loading;
-    base::TimePoint loadStarted{};
-    std::optional<base::ModelName> unloading;
-    base::TimePoint unloadStarted{};
-    base::TimePoint retryAt{};
+    residency::EngineOrders orders;
     std::unique_ptr<http::Call> call;
   };
 
   void takeOver();
   void release();
   void syncEngines(const catalog::Service& aService, base::TimePoint aNow);
-  void detectFinishedOrders(Engine& aEngine,
-                            const catalog::UpstreamRecord& aRecord,
-                            base::TimePoint aNow);
   bool isQuiet(const Upstream& aUpstream, base::TimePoint aNow) const;
   void recordRefusal(const base::UpstreamName& aName,
                      const Engine& aEngine,
@@ -113,8 +98,6 @@
   void onReply(const residency::PlannedOrder& aOrder,
                http::CallEnd aEnd,
                const http::Response& aAnswer);
-  void applyCompletedOrder(Engine& aEngine,
-                           const residency::PlannedOrder& aOrder);
 
   http::Client& mClient;
   const Settings& mSettings;
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -9,6 +9,7 @@
 #include "base/base.h"
 #include "catalog/model_name.h"
 #include "catalog/types.h"
+#include "residency/engine_orders.h"
 #include "residency/order_ownership.h"
 #include "residency/plan_schedule.h"
 #include "residency/store_load_limiter.h"
