Count no unload of a model that has left already

Cause: each order names the order count of the engine that it was planned for, which makes a late order harmless. An owner with an old record orders an unload of a model that the engine no longer holds; the engine answers 200 and counts no order, the owner counts one. A count ahead of the engine's lets a late order act.

Change: an unload that finds nothing makes the owner ask the engine for a report.

--- a/libs/residency/engine_orders.cpp
+++ b/libs/residency/engine_orders.cpp
@@ -131,8 +131,16 @@
       }
       break;
     case OrderEnd::AlreadyApplied:
-      applyAdapterOrder(aOrder, aNow);
-      mOrderCount += aOrder.load ? 0 : 1;
+      if (aOrder.load) {
+        applyAdapterOrder(aOrder, aNow);
+      } else if (holdsAdapter(aOrder.target)) {
+        ++mOrderCount; // An adapter that no request uses is gone at once.
+        applyAdapterOrder(aOrder, aNow);
+      } else {
+        // The engine doesn't count it. An order that expects more than its
+        // count would be accepted later, on a state that nobody planned for.
+        requireReport(aNow);
+      }
       break;
     case OrderEnd::Refused:
     case OrderEnd::NotSent:
@@ -148,6 +156,14 @@
   }
 }
 
+bool
+EngineOrders::holdsAdapter(const catalog::ModelRef& aTarget) const
+{
+  const auto held = mAdapters.find(aTarget.model);
+  return !aTarget.adapter.empty() && held != mAdapters.end() &&
+         held->second.contains(aTarget.adapter);
+}
+
 /** The engine's record shows when an order for a model is complete. */
 void
 EngineOrders::applyAdapterOrder(const PlannedOrder& aOrder,
--- a/libs/residency/engine_orders.h
+++ b/libs/residency/engine_orders.h
@@ -99,6 +99,7 @@
 
 private:
   void applyAdapterOrder(const PlannedOrder& aOrder, base::TimePoint aNow);
+  bool holdsAdapter(const catalog::ModelRef& aTarget) const;
   void requireReport(base::TimePoint aNow);
 
   bool mReportReceived = false; ///< a report was received since the takeover
--- a/libs/residency/tests/engine_orders_tests.cpp
+++ b/libs/residency/tests/engine_orders_tests.cpp
@@ -37,6 +37,18 @@
   }
 };
 
+// An owner takes over while the record still names a model that has left.
+// Guards against an order count ahead of that of the engine: an order that is
+// carried out late would then be accepted on another state than planned.
+TEST(EngineOrders, UnloadOfAnAbsentModelIsNotCounted)
+{
+  orders.onReport({ false, 4, { { "m1", {} } } }, start);
+  execute(order(false, { "m2", "" }), OrderEnd::AlreadyApplied);
+  LONGS_EQUAL(4, orders.orderCount());
+  CHECK_FALSE(view({ { "m1", {} } }, start + 100ms).orderable);
+  CHECK(orders.wantsReport(start + 1s));
+}
+
 // Guards against a report after each eviction of an adapter.
 TEST(EngineOrders, UnloadOfAnIdleAdapterIsCounted)
 {
