Ask an engine again for models that its record does not confirm

Cause: models of the last report that the record lacks count as being loaded, since the report may be newer than the record. If it is older, because an unload without an answer took effect behind it, nothing asks again.

Change: a model that the record has not confirmed within 3 s makes the owner ask for a report.

--- a/libs/residency/engine_orders.cpp
+++ b/libs/residency/engine_orders.cpp
@@ -2,6 +2,8 @@
 
 #include "residency/residency.h"
 
+#include <algorithm>
+
 namespace marigold::residency {
 namespace {
 
@@ -12,6 +14,9 @@
 constexpr base::Duration kReportDelay = 400ms;
 /** Delay before the next report of an engine that runs an unknown order. */
 constexpr base::Duration kBusyReportDelay = 1s;
+/** Two heartbeats of an engine and the way of a record. A model that the report
+ * names and the record doesn't has left since. */
+constexpr base::Duration kRecordDelay = 3s;
 /** A new adapter is not unloaded for this long, because the requests that
  * waited for it arrive only after the owner's next placement update. */
 constexpr base::Duration kMinAdapterResidency = 1500ms;
@@ -68,6 +73,7 @@
     // changed the order count and the engine rejects it.
     mLoading.reset();
   }
+  mReportedAt = aNow;
   mOrderCount = aReport.orderCount;
   mAdapters = aReport.models;
   mReportedModels.clear();
@@ -89,6 +95,13 @@
     mReportedModels.erase(*mUnloading);
     mUnloading.reset();
   }
+  const bool isUnconfirmed =
+    std::any_of(mReportedModels.begin(),
+                mReportedModels.end(),
+                [&](const auto& aModel) { return !aModels.contains(aModel); });
+  if (isUnconfirmed && aNow - mReportedAt > kRecordDelay) {
+    mNeedsReport = true;
+  }
   if (mLoading && aNow - mLoadStarted > loadTimeout(*mLoading, aSpec)) {
     mLoading.reset();
     mNeedsReport = true;
--- a/libs/residency/engine_orders.h
+++ b/libs/residency/engine_orders.h
@@ -109,6 +109,7 @@
   HeldModels mAdapters;
   /** Models of the last report, which may be newer than the record. */
   std::set<base::ModelName> mReportedModels;
+  base::TimePoint mReportedAt{};
   std::map<catalog::ModelRef, base::TimePoint> mAdapterLoadedAt;
   std::optional<base::ModelName> mLoading;
   base::TimePoint mLoadStarted{};
--- a/libs/residency/tests/engine_orders_tests.cpp
+++ b/libs/residency/tests/engine_orders_tests.cpp
@@ -59,6 +59,21 @@
   CHECK(orders.adapters().at("m1").empty());
 }
 
+// An unload without an answer is carried out behind the report that follows it.
+// Guards against a model that counts as being loaded for ever, so that callers
+// wait for it in vain.
+TEST(EngineOrders, ReportedModelThatHasLeftIsAskedFor)
+{
+  orders.onReport({ false, 4, { { "m1", {} } } }, start);
+  LONGS_EQUAL(1, view({}, start + 1s).loading.size());
+  CHECK_FALSE(orders.wantsReport(start + 1s));
+  LONGS_EQUAL(1, view({}, start + 5s).loading.size());
+  CHECK(orders.wantsReport(start + 5s));
+  orders.onReport({ false, 5, {} }, start + 5s);
+  CHECK(view({}, start + 10s).loading.empty());
+  CHECK_FALSE(orders.wantsReport(start + 10s));
+}
+
 // Guards against memory that counts as free although a load may take effect.
 TEST(EngineOrders, UnansweredLoadCountsUntilAReport)
 {
