--- a/tests/fuzz/quota_world.cpp
+++ b/tests/fuzz/quota_world.cpp
@@ -90,6 +90,7 @@
   vm.quota.setReportPeriod(kReportPeriod);
   vm.quota.setWindow(kWindow);
   vm.quota.setSlack(mOptions.tolerance * kRate);
+  vm.quota.setOvershoot(kOvershoot);
   configure(vm);
 }
 
