Divide what a window has left between the VMs under floods

Cause: a bucket that is above zero lets all 82 VMs admit until they hear of each other. The debt that this leaves makes up for it over time, but not within the users' window of 8 s.

Once the largest consumption within a report delay could exceed (rate x 8 s + burst) x 1.1 + tolerance, each VM takes only its part of what the window has left, in proportion to what it has consumed, with a fifth divided evenly.

Tests: Flood.FloodAtAllVmsStaysWithinRateAndBurst and Flood.FloodBesideCutVmsStaysWithinRateAndBurst, which were passed over, hold; quota_tests 63 of 63.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -384,7 +384,8 @@
     }
     refuse(Code::RateExceeded,
            "cost " + std::to_string(std::llround(cost)) + ", missing " +
-             std::to_string(std::llround(decision.missing)) + ", " +
+             std::to_string(std::llround(decision.missing)) +
+             (decision.beyondPart ? " in the part of this VM, " : ", ") +
              quota::describe(mContext.quota.account(mTeam->name)),
            decision.retryAfter);
     return false;
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -210,6 +210,7 @@
   mPool.setMemoryBudget(mMemory);
   mQuota.setOwnName(mSettings.vm);
   mQuota.setSlack(mSettings.quotaSlack);
+  mQuota.setOvershoot(mSettings.quotaOvershoot);
   mQuota.setWindow(mSettings.quotaWindow);
   mRetries.setLimits(
     { mSettings.retryRatio, mSettings.retryMinExtra, mSettings.retryWindow });
--- a/apps/gateway/settings.cpp
+++ b/apps/gateway/settings.cpp
@@ -62,6 +62,10 @@
   if (aRoot.has("first_start")) {
     settings.firstStart = aRoot.require("first_start").boolean();
   }
+  if (aRoot.has("quota_overshoot")) {
+    settings.quotaOvershoot =
+      aRoot.require("quota_overshoot").number(0, kMaxRatio);
+  }
   settings.quotaSlack = aRoot.require("quota_slack").number(0, kMaxSlack);
   if (aRoot.has("log_level")) {
     settings.logLevel =
--- a/apps/gateway/settings.h
+++ b/apps/gateway/settings.h
@@ -39,6 +39,7 @@
   std::optional<double> linkMbps; ///< rate of the link of this VM in 10^6 bit/s
   /** The whole system starts for the first time: nothing has served before. */
   bool firstStart = false;
+  double quotaOvershoot = 0;    ///< tolerated excess, as a part of a limit
   double quotaSlack = 0;        ///< units that the fleet may count late
   base::Duration quotaWindow{}; ///< window over which quotas are guaranteed
 };
--- a/libs/quota/partition.cpp
+++ b/libs/quota/partition.cpp
@@ -69,6 +69,25 @@
   }
 }
 
+void
+FleetQuota::updateSilence(base::TimePoint aNow)
+{
+  mSilentShare = 0;
+  mHeardAt = mStartedAt;
+  if (mWindow <= base::Duration::zero()) {
+    return;
+  }
+  const double window = base::inSeconds(mWindow);
+  for (const auto& [name, peer] : mPeers) {
+    mHeardAt = std::max(mHeardAt, peer.lastReportAt);
+    const base::Duration silence = aNow - peer.lastReportAt;
+    if (silence > mReportDelay) {
+      mSilentShare +=
+        shareOfOneVm() * std::min(1.0, base::inSeconds(silence) / window);
+    }
+  }
+}
+
 /**
  * Splits the buckets between this side and peers that became unreachable.
  * @param aPeers the peers
--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -52,6 +52,9 @@
   for (const auto& [team, limit] : aLimits) {
     Bucket& bucket = mBuckets[team];
     changed = changed || bucket.deltas.empty() || bucket.limit != limit;
+    if (bucket.limit != limit) {
+      bucket.used.clear(); // It was consumed under another limit.
+    }
     bucket.limit = limit;
     bucket.level = std::min(bucket.level, limit.burst);
   }
@@ -70,6 +73,7 @@
 FleetQuota::setReportPeriod(base::Duration aPeriod)
 {
   mPeerTimeout = std::max(kMinPeerTimeout, aPeriod * kPeerTimeoutReports);
+  mReportDelay = aPeriod + kReportLag;
 }
 
 void
@@ -212,8 +216,10 @@
                           ? std::min(maxBorrow, bucket.borrowable + overflow)
                           : 0;
     bucket.overflow = isolated ? bucket.overflow + overflow : 0;
+    bucket.used.slide(mWindow, aNow);
   }
   detectUnreachablePeers(aNow);
+  updateSilence(aNow);
   if (aNow - mIntervals.back().start >= mPeerTimeout / kIntervalsPerTimeout) {
     startInterval(aNow);
   }
@@ -285,6 +291,10 @@
   if (aAsk == Ask::First) {
     recordCost(bucket, aCost);
   }
+  const double beyondPart = aClaim == Claim::New ? unitsBeyondPart(bucket) : 0;
+  if (beyondPart > 0) {
+    return { false, mReportDelay, beyondPart, true };
+  }
   const double needed = neededLevel(bucket, aCost, aClaim);
   if (bucket.level < needed && !borrow(aTeam, bucket, aCost)) {
     const double missing = needed - bucket.level;
@@ -293,6 +303,7 @@
   }
   bucket.level -= aCost;
   bucket.deltas.back().ownUsage += aCost;
+  bucket.used.add(aCost, 0, aNow);
   bucket.borrowable = aCost > 0 ? 0 : bucket.borrowable;
   const double refunded = std::min(bucket.unreportedRefund, aCost);
   bucket.unreportedRefund -= refunded;
@@ -333,6 +344,7 @@
   bucket.unreportedRefund =
     std::max(0.0, bucket.unreportedRefund + gain - unreported);
   bucket.deltas.back().ownUsage -= gain;
+  bucket.used.add(-aCost, 0, mRefilledAt);
   bucket.level = level;
 }
 
@@ -429,7 +441,17 @@
   Bucket& bucket = found->second;
   // Consumption while the peer was unreachable does not reflect its current
   // rate.
-  bucket.peerUsage += aPeer.reserves.contains(aTeam) ? 0 : aConsumed;
+  const auto reserve = aPeer.reserves.find(aTeam);
+  if (reserve == aPeer.reserves.end()) {
+    bucket.peerUsage += aConsumed;
+    bucket.used.add(0, aConsumed, mRefilledAt);
+  } else {
+    const base::TimePoint since = reserve->second.since;
+    const base::Duration age = mRefilledAt - since;
+    const double recent =
+      age > mWindow ? base::inSeconds(mWindow) / base::inSeconds(age) : 1;
+    bucket.used.addEarlier(aConsumed * recent, since, mRefilledAt);
+  }
   const double gain = mergeReserve(aPeer, aTeam, bucket, aConsumed);
   const double level = std::min(bucket.limit.burst, bucket.level + gain);
   bucket.deltas.back().peerUsage -= level - bucket.level;
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "quota/usage_window.h"
 
 #include <cstdint>
 #include <deque>
@@ -35,6 +36,8 @@
   base::Duration retryAfter{}; ///< time until the bucket holds enough units
   double missing = 0;          ///< units that it lacks, also for peers' usage
                                ///< that they have not reported yet
+  /** Units are missing from this VM's part of the window, not the bucket. */
+  bool beyondPart = false;
 };
 
 /** Whether a request has asked for its units before. */
@@ -82,6 +85,10 @@
  * and subtracts its own admissions at once and those of its peers when their
  * usage reports arrive.
  *
+ * Until then all VMs may take the same units, which leaves a debt. Once the
+ * units of one window could exceed the limit that way, each VM takes only its
+ * part of what the window has left.
+ *
  * When a peer becomes unreachable, the bucket is split: the peer's reserve gets
  * an equal share of the level (also of a negative one) as of the peer's last
  * report. From then on the peer's share of the rate no longer refills this
@@ -111,6 +118,10 @@
    * bucket by it */
   void setSlack(double aSlack) { mSlack = aSlack; }
 
+  /** @param aPart by how much the fleet may exceed a limit over one window, as
+   * a part of it, beside the slack */
+  void setOvershoot(double aPart) { mOvershoot = aPart; }
+
   /** @param aWindow time window over which the limits are enforced. An isolated
    * VM borrows at most its share of the rate over one window, so that no window
    * exceeds the limit. */
@@ -229,6 +240,7 @@
     double overflow = 0;
     double peerUsage = 0; ///< units peers consumed in the current rate period
     double peerRate = 0;  ///< smoothed consumption of the peers, units/s
+    UsageWindow used;     ///< units consumed in the last window
     double meanCost = 0;  ///< smoothed cost of all requests, in units
     /** Refunded units that peers have heard of: their level is lower by them,
      * until they are admitted again or their buckets are full. */
@@ -277,10 +289,14 @@
   void addRefillSinceStart(base::TimePoint aNow);
   static void recordCost(Bucket& aBucket, double aCost);
   double neededLevel(const Bucket& aBucket, double aCost, Claim aClaim) const;
+  double allowedUnits(const Limit& aLimit) const;
+  double partOfDemand(const Bucket& aBucket) const;
+  double unitsBeyondPart(const Bucket& aBucket) const;
   void updatePeerRates(base::TimePoint aNow);
   bool isIsolated() const;
   bool borrow(const base::TeamName& aTeam, Bucket& aBucket, double aCost);
   void detectUnreachablePeers(base::TimePoint aNow);
+  void updateSilence(base::TimePoint aNow);
   void startInterval(base::TimePoint aNow);
   void separatePeers(std::vector<Peer*> aPeers, bool aPartitioned);
   void separatePeer(Peer& aPeer,
@@ -314,8 +330,14 @@
   bool mWarm = false; ///< the levels were adopted from another VM
   base::TimePoint mStartedAt{};
   double mSlack = 0;
+  double mOvershoot = 0;
+  /** Part of the window's units that silent peers may have consumed. */
+  double mSilentShare = 0;
+  base::TimePoint mHeardAt{}; ///< latest report of any peer
   base::Duration mWindow{};
   base::Duration mPeerTimeout = std::chrono::seconds(1);
+  /** Time until most peers know of an admission. */
+  base::Duration mReportDelay = std::chrono::milliseconds(250);
   /** Covers the longest time until an unreachable peer is detected. */
   std::deque<Interval> mIntervals;
   base::TimePoint mRefilledAt{};
--- a/libs/quota/tests/simulated_fleet.h
+++ b/libs/quota/tests/simulated_fleet.h
@@ -22,6 +22,7 @@
   double slack = 0;                       ///< units
   base::Duration reportPeriod{};
   base::Duration window = std::chrono::seconds(8);
+  double overshoot = 0.1; ///< as the users allow
 };
 
 inline constexpr const char* kTeam = "t"; ///< whose requests are simulated
@@ -123,6 +124,7 @@
     vm.quota.setReportPeriod(settings.reportPeriod);
     vm.quota.setWindow(settings.window);
     vm.quota.setSlack(settings.slack);
+    vm.quota.setOvershoot(settings.overshoot);
     vm.quota.setLimits(settings.limits, now);
     std::vector<std::string> peers;
     for (std::size_t other = 0; other < vms.size(); ++other) {
--- a/tests/measure/limits_fleet.cpp
+++ b/tests/measure/limits_fleet.cpp
@@ -150,6 +150,7 @@
   quota::FleetQuota& quota = aVm.replica->quota;
   quota.setOwnName(aVm.name);
   quota.setSlack(mLimits.slack);
+  quota.setOvershoot(kQuotaOvershoot);
   quota.setWindow(base::fromSeconds(kQuotaWindowSeconds));
   std::map<base::TeamName, quota::Limit> limits;
   for (int team = 0; team < mSize.teams; ++team) {
