Count all evictions that a load needs

Cause: the planner weighs the next eviction only. Where the cheapest victim frees too little for a hot model, it is evicted in vain, and it or another small model is loaded into the gap: of 422 evictions 28 are followed by the load that they are for, 132 by the evicted model again. The gain has to exceed the loss of all evictions that make room now (the cheapest ones, or a single one that is large enough).

Tests: EvictsNothingUnlessAllEvictionsAreWorthIt and EvictsAModelThatIsLargeEnough, both fail before.

--- a/libs/residency/plan_models.cpp
+++ b/libs/residency/plan_models.cpp
@@ -59,7 +59,7 @@
 struct Placement
 {
   std::size_t engine = 0;
-  ModelStats* victim = nullptr; ///< to evict first; null: memory is free
+  ModelStats* victim = nullptr; ///< to evict next; null: memory is free
   double gain = 0;
   bool fromStore = true;
 };
@@ -89,14 +89,56 @@
   EvictInUse,
 };
 
-/** The cheapest model to evict from an engine, cached per engine. */
+/** A model that may be evicted from an engine. */
 struct Victim
 {
-  ModelStats* model = nullptr; ///< null: no model may be evicted
-  double loss = 0;
+  ModelStats* model = nullptr;
+  double loss = 0;    ///< cost of its eviction
+  double freedMb = 0; ///< memory that its eviction frees
+};
+
+/** The models that may be evicted from an engine, the cheapest first. */
+struct Victims
+{
+  std::vector<Victim> models;
   bool cached = false; ///< false until computed, and after an eviction
 };
 
+/** Evictions that make room for a model. */
+struct Eviction
+{
+  ModelStats* first = nullptr; ///< null: there is no way to make room
+  double loss = 0;             ///< of all models that have to be evicted
+};
+
+/** @param aVictims the cheapest first @param aMissingMb memory to be freed
+ * @return the cheaper of evicting the cheapest models until there is room, and
+ * of evicting a single model that is large enough */
+Eviction
+makeRoom(const std::vector<Victim>& aVictims, double aMissingMb)
+{
+  Eviction single;
+  for (const Victim& victim : aVictims) {
+    if (victim.freedMb >= aMissingMb) {
+      single = { victim.model, victim.loss };
+      break;
+    }
+  }
+  double freedMb = 0;
+  double loss = 0;
+  for (const Victim& victim : aVictims) {
+    freedMb += victim.freedMb;
+    loss += victim.loss;
+    if (single.first != nullptr && loss >= single.loss) {
+      return single;
+    }
+    if (freedMb >= aMissingMb) {
+      return { aVictims.front().model, loss };
+    }
+  }
+  return single;
+}
+
 /** @return cost of serving the model's demand with aReplicas replicas */
 double
 costOf(const ModelStats& aModel, unsigned aReplicas)
@@ -184,12 +226,13 @@
     return needs;
   }
 
-  /** @return the model whose eviction from the engine costs least */
-  Victim cheapestVictim(std::size_t aEngine, LastReplicaPolicy aPolicy) const
+  /** @return the models that may be evicted from the engine, the cheapest
+   * first */
+  std::vector<Victim> findVictims(std::size_t aEngine,
+                                  LastReplicaPolicy aPolicy) const
   {
     const auto& heldModels = mFleet.engines()[aEngine].held;
-    Victim best;
-    best.cached = true;
+    std::vector<Victim> victims;
     for (std::size_t i = 0; i < heldModels.size(); ++i) {
       const HeldModel& held = heldModels[i];
       const ModelStats& model = *held.model;
@@ -206,24 +249,31 @@
       const double loss =
         costOf(model, model.replicas - 1) - costOf(model, model.replicas) +
         kCostPerMissingSlot * mSlots.at(aEngine).neededByModel[i];
-      if (best.model == nullptr || loss < best.loss) {
-        best.model = held.model;
-        best.loss = loss;
-      }
+      // The size of a model that is no longer configured is not known.
+      const double freedMb = model.spec != nullptr
+                               ? model.spec->weightsMb
+                               : mFleet.input().spec->weightsMb;
+      victims.push_back({ held.model, loss, freedMb });
     }
-    return best;
+    std::stable_sort(victims.begin(),
+                     victims.end(),
+                     [](const Victim& aLeft, const Victim& aRight) {
+                       return aLeft.loss < aRight.loss;
+                     });
+    return victims;
   }
 
-  const Victim& cachedVictim(std::size_t aEngine, LastReplicaPolicy aPolicy)
+  const std::vector<Victim>& cachedVictims(std::size_t aEngine,
+                                           LastReplicaPolicy aPolicy)
   {
-    Victim& victim =
+    Victims& victims =
       aPolicy == LastReplicaPolicy::Keep        ? mRedundantVictims[aEngine]
       : aPolicy == LastReplicaPolicy::EvictIdle ? mIdleVictims[aEngine]
                                                 : mInUseVictims[aEngine];
-    if (!victim.cached) {
-      victim = cheapestVictim(aEngine, aPolicy);
+    if (!victims.cached) {
+      victims = { findVictims(aEngine, aPolicy), true };
     }
-    return victim;
+    return victims.models;
   }
 
   static LastReplicaPolicy policyFor(const ReplicaNeed& aNeed)
@@ -291,13 +341,14 @@
     if (memoryIsFree) {
       return true;
     }
-    const Victim& victim = cachedVictim(aEngine, policyFor(aNeed));
-    if (victim.model == nullptr ||
-        gain < victim.loss * kMinGainLossRatio + kMinGain) {
+    const Eviction eviction = makeRoom(cachedVictims(aEngine, policyFor(aNeed)),
+                                       model.weightsMb - engine.freeMb);
+    if (eviction.first == nullptr ||
+        gain < eviction.loss * kMinGainLossRatio + kMinGain) {
       return false;
     }
-    aPlacement.victim = victim.model;
-    aPlacement.gain -= victim.loss;
+    aPlacement.victim = eviction.first;
+    aPlacement.gain -= eviction.loss;
     return true;
   }
 
@@ -352,10 +403,10 @@
   unsigned mAvailableStoreLoads;
   std::vector<std::size_t>
     mAvailableEngines; ///< engines without an order in this plan
-  std::vector<ModelPresence> mPresence;  ///< of the current model, by engine
-  std::vector<Victim> mRedundantVictims; ///< for Keep, by engine
-  std::vector<Victim> mIdleVictims;      ///< for EvictIdle, by engine
-  std::vector<Victim> mInUseVictims;     ///< for EvictInUse, by engine
+  std::vector<ModelPresence> mPresence;   ///< of the current model, by engine
+  std::vector<Victims> mRedundantVictims; ///< for Keep, by engine
+  std::vector<Victims> mIdleVictims;      ///< for EvictIdle, by engine
+  std::vector<Victims> mInUseVictims;     ///< for EvictInUse, by engine
   std::vector<const ModelStats*> mEvicted;
   std::vector<PlannedOrder> mOrders;
 };
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -75,6 +75,40 @@
   }
 };
 
+// Room for a large hot model needs two evictions, of which the second costs
+// more than the model gains. Guards against an unload that serves nobody, after
+// which the evicted model is loaded again, and so on.
+TEST(PlanModels, EvictsNothingUnlessAllEvictionsAreWorthIt)
+{
+  spec.weightsMb = 2 * kWeightsMb + 1000;
+  spec.models["c"].weightsMb = 2 * kWeightsMb;
+  input.engines = { engine("e1", { "a", "b" }),
+                    engine("e2", { "a", "b" }),
+                    engine("e3", { "c" }) };
+  input.demand[{ "a", "" }] = { 60, 0, 1 };
+  input.demand[{ "b", "" }] = { 900, 0, 9 };
+  input.demand[{ "c", "" }] = { 600, 0, 6 };
+  CHECK(residency::planModels(input).empty());
+}
+
+// The cheapest victim is too small to make room for a hot model. Guards against
+// its eviction, which would serve nobody.
+TEST(PlanModels, EvictsAModelThatIsLargeEnough)
+{
+  spec.models["a"].weightsMb = kWeightsMb / 2;
+  spec.weightsMb = 2.5 * kWeightsMb + 1000;
+  input.engines = { engine("e1", { "a", "b", "c" }),
+                    engine("e2", { "a", "b", "c" }),
+                    engine("e3", { "d" }) };
+  input.demand[{ "b", "" }] = { 40, 0, 1 };
+  input.demand[{ "c", "" }] = { 60, 0, 1 };
+  input.demand[{ "d", "" }] = { 900, 0, 9 };
+  input.engines[2].orderable = false;
+  const auto orders = residency::planModels(input);
+  CHECK(orderFor(orders, "b", false) != nullptr);
+  CHECK(orderFor(orders, "a", false) == nullptr);
+}
+
 // The only engine that held a model has gone.
 TEST(PlanModels, LoadsAModelThatNoEngineHolds)
 {
