--- a/libs/quota/quota.cpp
+++ b/libs/quota/quota.cpp
@@ -52,6 +52,9 @@
   for (const auto& [team, limit] : aLimits) {
     Bucket& bucket = mBuckets[team];
     changed = changed || bucket.deltas.empty() || bucket.limit != limit;
+    if (bucket.limit != limit) {
+      bucket.used.clear(); // It was consumed under another limit.
+    }
     bucket.limit = limit;
     bucket.level = std::min(bucket.level, limit.burst);
   }
@@ -70,6 +73,7 @@
 FleetQuota::setReportPeriod(base::Duration aPeriod)
 {
   mPeerTimeout = std::max(kMinPeerTimeout, aPeriod * kPeerTimeoutReports);
+  mReportDelay = aPeriod + kReportLag;
 }
 
 void
@@ -80,6 +84,15 @@
   for (const base::VmName& name : aPeers) {
     mPeers[name].unregisteredAt.reset();
   }
+  // The registration of a VM may be seen for longer than its planned stop.
+  std::erase_if(mPeers, [&](const auto& aItem) {
+    const auto& [name, peer] = aItem;
+    return peer.totals.empty() && mDrained.contains(name) &&
+           std::find(aPeers.begin(), aPeers.end(), name) == aPeers.end();
+  });
+  std::erase_if(mDrained, [aNow](const auto& aItem) {
+    return aNow - aItem.second.at > kUnregisteredRetention;
+  });
   for (auto& [name, peer] : mPeers) {
     const bool registered =
       std::find(aPeers.begin(), aPeers.end(), name) != aPeers.end();
@@ -98,6 +111,10 @@
                             base::TimePoint aNow)
 {
   for (const base::VmName& name : aPeers) {
+    // Peers may say so before they have heard of the planned stop.
+    if (name == mOwnName || mDrained.contains(name)) {
+      continue;
+    }
     const auto [peer, added] = mPeers.try_emplace(name);
     if (added) {
       peer->second.unregisteredAt = aNow;
@@ -106,10 +123,17 @@
 }
 
 void
-FleetQuota::onPeerDraining(const base::VmName& aPeer, base::TimePoint aNow)
+FleetQuota::onPeerDraining(const base::VmName& aPeer,
+                           base::Incarnation aIncarnation,
+                           base::TimePoint aNow)
 {
   refill(aNow);
   const auto found = mPeers.find(aPeer);
+  if (found != mPeers.end() && beganBeforeKnown(found->second, aIncarnation) &&
+      !found->second.totals.empty()) {
+    return; // Its successor reports already.
+  }
+  mDrained[aPeer] = { aIncarnation, aNow };
   if (found == mPeers.end()) {
     return;
   }
@@ -192,8 +216,10 @@
                           ? std::min(maxBorrow, bucket.borrowable + overflow)
                           : 0;
     bucket.overflow = isolated ? bucket.overflow + overflow : 0;
+    bucket.used.slide(mWindow, aNow);
   }
   detectUnreachablePeers(aNow);
+  updateSilence(aNow);
   if (aNow - mIntervals.back().start >= mPeerTimeout / kIntervalsPerTimeout) {
     startInterval(aNow);
   }
@@ -265,6 +291,10 @@
   if (aAsk == Ask::First) {
     recordCost(bucket, aCost);
   }
+  const double beyondPart = aClaim == Claim::New ? unitsBeyondPart(bucket) : 0;
+  if (beyondPart > 0) {
+    return { false, mReportDelay, beyondPart, true };
+  }
   const double needed = neededLevel(bucket, aCost, aClaim);
   if (bucket.level < needed && !borrow(aTeam, bucket, aCost)) {
     const double missing = needed - bucket.level;
@@ -273,6 +303,7 @@
   }
   bucket.level -= aCost;
   bucket.deltas.back().ownUsage += aCost;
+  bucket.used.add(aCost, 0, aNow);
   bucket.borrowable = aCost > 0 ? 0 : bucket.borrowable;
   const double refunded = std::min(bucket.unreportedRefund, aCost);
   bucket.unreportedRefund -= refunded;
@@ -313,6 +344,7 @@
   bucket.unreportedRefund =
     std::max(0.0, bucket.unreportedRefund + gain - unreported);
   bucket.deltas.back().ownUsage -= gain;
+  bucket.used.add(-aCost, 0, mRefilledAt);
   bucket.level = level;
 }
 
@@ -324,12 +356,21 @@
                         base::TimePoint aNow)
 {
   refill(aNow);
+  const auto drained = mDrained.find(aPeer);
+  if (drained != mDrained.end()) {
+    if (drained->second.incarnation == aIncarnation) {
+      return; // A relay has passed it on late.
+    }
+    mDrained.erase(drained);
+  }
   Peer& peer = mPeers[aPeer];
   const bool reconnected = peer.unreachable;
   if (peer.totals.empty()) {
-    peer.baselinePending = aIncarnation;
     addRefillSinceStart(aNow);
   }
+  if (beganBeforeKnown(peer, aIncarnation)) {
+    peer.baselinePending.insert(aIncarnation);
+  }
   if (!peer.totals.contains(aIncarnation)) {
     // What the previous process consumed at the end is unknown.
     dropReserves(peer, aNow);
@@ -342,14 +383,12 @@
     const auto [known, added] = totals.try_emplace(team, 0);
     const double consumed = std::max(0.0, total - known->second);
     known->second = std::max(known->second, total);
-    if (!added || peer.baselinePending != aIncarnation) {
+    if (!added || !peer.baselinePending.contains(aIncarnation)) {
       applyUsage(peer, team, consumed);
     }
   }
   if (aTotals == Totals::All) {
-    if (peer.baselinePending == aIncarnation) {
-      peer.baselinePending.reset();
-    }
+    peer.baselinePending.erase(aIncarnation);
     // Teams that are not listed have consumed nothing.
     for (const auto& [team, reserve] : std::map(peer.reserves)) {
       if (!aUsage.contains(team)) {
@@ -358,9 +397,11 @@
     }
   }
   while (peer.totals.size() > kMaxIncarnations) {
-    peer.totals.erase(peer.totals.begin()->first == aIncarnation
-                        ? std::next(peer.totals.begin())
-                        : peer.totals.begin());
+    const auto oldest = peer.totals.begin()->first == aIncarnation
+                          ? std::next(peer.totals.begin())
+                          : peer.totals.begin();
+    peer.baselinePending.erase(oldest->first);
+    peer.totals.erase(oldest);
   }
   peer.hasReported = true;
   peer.unreachable = false;
@@ -374,6 +415,17 @@
   }
 }
 
+/** Reports of a process that has ended may arrive, through a relay, behind the
+ * first one of its successor.
+ * @return true for a process that this VM does not know and that is not the
+ * successor of those it knows */
+bool
+FleetQuota::beganBeforeKnown(const Peer& aPeer, base::Incarnation aIncarnation)
+{
+  return aPeer.totals.empty() || (!aPeer.totals.contains(aIncarnation) &&
+                                  aIncarnation < aPeer.totals.rbegin()->first);
+}
+
 /** Subtracts units that a peer consumed from the bucket of a team, and merges
  * the peer's reserve. */
 void
@@ -389,7 +441,17 @@
   Bucket& bucket = found->second;
   // Consumption while the peer was unreachable does not reflect its current
   // rate.
-  bucket.peerUsage += aPeer.reserves.contains(aTeam) ? 0 : aConsumed;
+  const auto reserve = aPeer.reserves.find(aTeam);
+  if (reserve == aPeer.reserves.end()) {
+    bucket.peerUsage += aConsumed;
+    bucket.used.add(0, aConsumed, mRefilledAt);
+  } else {
+    const base::TimePoint since = reserve->second.since;
+    const base::Duration age = mRefilledAt - since;
+    const double recent =
+      age > mWindow ? base::inSeconds(mWindow) / base::inSeconds(age) : 1;
+    bucket.used.addEarlier(aConsumed * recent, since, mRefilledAt);
+  }
   const double gain = mergeReserve(aPeer, aTeam, bucket, aConsumed);
   const double level = std::min(bucket.limit.burst, bucket.level + gain);
   bucket.deltas.back().peerUsage -= level - bucket.level;
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -7,12 +7,15 @@
 #pragma once
 
 #include "base/base.h"
+#include "quota/usage_window.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace marigold::quota {
@@ -33,6 +36,8 @@
   base::Duration retryAfter{}; ///< time until the bucket holds enough units
   double missing = 0;          ///< units that it lacks, also for peers' usage
                                ///< that they have not reported yet
+  /** Units are missing from this VM's part of the window, not the bucket. */
+  bool beyondPart = false;
 };
 
 /** Whether a request has asked for its units before. */
@@ -80,6 +85,10 @@
  * and subtracts its own admissions at once and those of its peers when their
  * usage reports arrive.
  *
+ * Until then all VMs may take the same units, which leaves a debt. Once the
+ * units of one window could exceed the limit that way, each VM takes only its
+ * part of what the window has left.
+ *
  * When a peer becomes unreachable, the bucket is split: the peer's reserve gets
  * an equal share of the level (also of a negative one) as of the peer's last
  * report. From then on the peer's share of the rate no longer refills this
@@ -97,6 +106,10 @@
   void setLimits(const std::map<base::TeamName, Limit>& aLimits,
                  base::TimePoint aNow);
 
+  /** @param aName this VM, which peers may report as unregistered while it
+   * starts */
+  void setOwnName(base::VmName aName) { mOwnName = std::move(aName); }
+
   /** @param aPeriod longest time between two reports of a peer */
   void setReportPeriod(base::Duration aPeriod);
 
@@ -105,6 +118,10 @@
    * bucket by it */
   void setSlack(double aSlack) { mSlack = aSlack; }
 
+  /** @param aPart by how much the fleet may exceed a limit over one window, as
+   * a part of it, beside the slack */
+  void setOvershoot(double aPart) { mOvershoot = aPart; }
+
   /** @param aWindow time window over which the limits are enforced. An isolated
    * VM borrows at most its share of the rate over one window, so that no window
    * exceeds the limit. */
@@ -123,9 +140,12 @@
   void addUnregistered(const std::vector<base::VmName>& aPeers,
                        base::TimePoint aNow);
 
-  /** Releases the share of a VM that has stopped admitting requests.
-   * @param aPeer VM @param aNow time */
-  void onPeerDraining(const base::VmName& aPeer, base::TimePoint aNow);
+  /** Releases the share of a VM that has stopped admitting requests. What
+   * arrives later of that process counts nothing.
+   * @param aPeer VM @param aIncarnation its process @param aNow time */
+  void onPeerDraining(const base::VmName& aPeer,
+                      base::Incarnation aIncarnation,
+                      base::TimePoint aNow);
 
   /** @return unregistered VMs whose share is still reserved */
   std::vector<base::VmName> unregistered() const;
@@ -220,6 +240,7 @@
     double overflow = 0;
     double peerUsage = 0; ///< units peers consumed in the current rate period
     double peerRate = 0;  ///< smoothed consumption of the peers, units/s
+    UsageWindow used;     ///< units consumed in the last window
     double meanCost = 0;  ///< smoothed cost of all requests, in units
     /** Refunded units that peers have heard of: their level is lower by them,
      * until they are admitted again or their buckets are full. */
@@ -247,22 +268,35 @@
     /** Cumulative usage by process; late reports of the previous process may
      * still arrive. */
     std::map<base::Incarnation, Usage> totals;
-    /** The process that was running when this VM heard the peer first, until a
-     * report with all of its totals arrives. What it consumed before is not
-     * this VM's concern. */
-    std::optional<base::Incarnation> baselinePending;
+    /** Processes that began before this VM heard the peer first, until a report
+     * with all of their totals arrives. What they consumed before is not this
+     * VM's concern. */
+    std::set<base::Incarnation> baselinePending;
     std::map<base::TeamName, Reserve> reserves;
   };
 
+  /** The last process of a VM that has stopped admitting requests. */
+  struct Drained
+  {
+    base::Incarnation incarnation = 0;
+    base::TimePoint at{};
+  };
+
   void refill(base::TimePoint aNow);
+  static bool beganBeforeKnown(const Peer& aPeer,
+                               base::Incarnation aIncarnation);
   void applyUsage(Peer& aPeer, const base::TeamName& aTeam, double aConsumed);
   void addRefillSinceStart(base::TimePoint aNow);
   static void recordCost(Bucket& aBucket, double aCost);
   double neededLevel(const Bucket& aBucket, double aCost, Claim aClaim) const;
+  double allowedUnits(const Limit& aLimit) const;
+  double partOfDemand(const Bucket& aBucket) const;
+  double unitsBeyondPart(const Bucket& aBucket) const;
   void updatePeerRates(base::TimePoint aNow);
   bool isIsolated() const;
   bool borrow(const base::TeamName& aTeam, Bucket& aBucket, double aCost);
   void detectUnreachablePeers(base::TimePoint aNow);
+  void updateSilence(base::TimePoint aNow);
   void startInterval(base::TimePoint aNow);
   void separatePeers(std::vector<Peer*> aPeers, bool aPartitioned);
   void separatePeer(Peer& aPeer,
@@ -286,15 +320,24 @@
   double shareOfOneVm() const;
   double reachableShare() const;
 
+  base::VmName mOwnName;
   std::map<base::TeamName, Bucket> mBuckets;
   std::map<base::VmName, Peer> mPeers;
+  /** VMs of which nothing is known behind their planned stop. */
+  std::map<base::VmName, Drained> mDrained;
   Usage mUsage;
   Usage mReported;    ///< usage that the latest report contained
   bool mWarm = false; ///< the levels were adopted from another VM
   base::TimePoint mStartedAt{};
   double mSlack = 0;
+  double mOvershoot = 0;
+  /** Part of the window's units that silent peers may have consumed. */
+  double mSilentShare = 0;
+  base::TimePoint mHeardAt{}; ///< latest report of any peer
   base::Duration mWindow{};
   base::Duration mPeerTimeout = std::chrono::seconds(1);
+  /** Time until most peers know of an admission. */
+  base::Duration mReportDelay = std::chrono::milliseconds(250);
   /** Covers the longest time until an unreachable peer is detected. */
   std::deque<Interval> mIntervals;
   base::TimePoint mRefilledAt{};
--- a/tests/fuzz/quota_world.cpp
+++ b/tests/fuzz/quota_world.cpp
@@ -90,6 +90,7 @@
   vm.quota.setReportPeriod(kReportPeriod);
   vm.quota.setWindow(kWindow);
   vm.quota.setSlack(mOptions.tolerance * kRate);
+  vm.quota.setOvershoot(kOvershoot);
   configure(vm);
 }
 
@@ -134,7 +135,7 @@
   }
   for (Vm& vm : mVms) {
     if (&vm != &leaving && !vm.paused && vm.side == leaving.side) {
-      vm.quota.onPeerDraining(leaving.name, clockOf(vm));
+      vm.quota.onPeerDraining(leaving.name, leaving.incarnation, clockOf(vm));
     }
   }
   start(aVm);
