--- a/apps/gateway/order_controller.cpp
+++ b/apps/gateway/order_controller.cpp
@@ -2,7 +2,6 @@
 
 #include "observe/log.h"
 
-
 namespace marigold::gateway {
 namespace {
 
--- a/libs/residency/tests/engine_orders_tests.cpp
+++ b/libs/residency/tests/engine_orders_tests.cpp
@@ -13,7 +13,7 @@
 TEST_GROUP(EngineOrders)
 {
   const base::TimePoint start{ 100s };
-  const catalog::EngineSpec spec;
+  const catalog::EngineSpec spec{};
   EngineOrders orders;
 
   static PlannedOrder order(bool aLoad, catalog::ModelRef aTarget)
