Set aside at once what a silent peer may take of the window

Cause: a VM that hears nobody may take its part of all that was left of the window when it heard its peers last. Its peers set its part aside in proportion to its silence, only after 8 s whole. So in the first seconds of a cut both sides take the same units. It needs a flood that begins right before the cut, when nearly all of the window is left; a cut in the middle of a flood finds it used up.

Change: a silent peer's share of what was left when it was heard last is set aside at once, and grows as older units leave the window; what this VM consumed within a report delay before that counts as not known to the peer. A VM that hears nobody takes its share of the same, no longer its part of the demand.

--- a/libs/quota/bound.cpp
+++ b/libs/quota/bound.cpp
@@ -11,15 +11,28 @@
 
 } // namespace
 
-/** @return units that this side may admit in a window; peers that are silent
- * use their share of them meanwhile */
+/** @return units that the fleet may admit in a window */
 double
 FleetQuota::allowedUnits(const Limit& aLimit) const
 {
-  const double allowed =
-    (aLimit.rate * base::inSeconds(mWindow) + aLimit.burst) * (1 + mOvershoot) +
-    mSlack;
-  return allowed * (1 - mSilentShare);
+  return (aLimit.rate * base::inSeconds(mWindow) + aLimit.burst) *
+           (1 + mOvershoot) +
+         mSlack;
+}
+
+/** A silent peer may be cut off, and take its share of what was left when it
+ * was heard last. The share grows as older consumption leaves the window.
+ * @return units that silent peers may take */
+double
+FleetQuota::unitsForSilentPeers(const Bucket& aBucket) const
+{
+  const double allowed = allowedUnits(aBucket.limit);
+  double units = 0;
+  for (const base::TimePoint heardAt : mSilentSince) {
+    const double known = aBucket.used.knownToPeer(heardAt, mReportDelay);
+    units += std::max(0.0, allowed - known);
+  }
+  return units * shareOfOneVm();
 }
 
 /** @return this VM's part of what the fleet consumes; the parts of all VMs add
@@ -44,7 +57,8 @@
     return 0;
   }
   const UsageWindow& used = aBucket.used;
-  const double left = allowedUnits(aBucket.limit) - used.total();
+  const double left =
+    allowedUnits(aBucket.limit) - used.total() - unitsForSilentPeers(aBucket);
   // A VM that hears nobody may be heard by nobody.
   const base::TimePoint heardAt = std::min(mRefilledAt, mHeardAt);
   const bool hearsPeers = mRefilledAt - heardAt <= mReportDelay;
@@ -52,7 +66,9 @@
     return 0;
   }
   const double unknown = used.ownSince(heardAt - mReportDelay);
-  const double part = partOfDemand(aBucket) * std::max(0.0, left + unknown);
+  // What is left is all its own if the shares of all peers are set aside.
+  const double part =
+    (hearsPeers ? partOfDemand(aBucket) : 1) * std::max(0.0, left + unknown);
   // A VM that has taken none may take a request, however small its part.
   return unknown > 0 ? std::max(0.0, unknown + aBucket.meanCost - part) : 0;
 }
--- a/libs/quota/partition.cpp
+++ b/libs/quota/partition.cpp
@@ -72,18 +72,15 @@
 void
 FleetQuota::updateSilence(base::TimePoint aNow)
 {
-  mSilentShare = 0;
+  mSilentSince.clear();
   mHeardAt = mStartedAt;
   if (mWindow <= base::Duration::zero()) {
     return;
   }
-  const double window = base::inSeconds(mWindow);
   for (const auto& [name, peer] : mPeers) {
     mHeardAt = std::max(mHeardAt, peer.lastReportAt);
-    const base::Duration silence = aNow - peer.lastReportAt;
-    if (silence > mReportDelay) {
-      mSilentShare +=
-        shareOfOneVm() * std::min(1.0, base::inSeconds(silence) / window);
+    if (aNow - peer.lastReportAt > mReportDelay) {
+      mSilentSince.push_back(peer.lastReportAt);
     }
   }
 }
--- a/libs/quota/quota.h
+++ b/libs/quota/quota.h
@@ -290,6 +290,7 @@
   static void recordCost(Bucket& aBucket, double aCost);
   double neededLevel(const Bucket& aBucket, double aCost, Claim aClaim) const;
   double allowedUnits(const Limit& aLimit) const;
+  double unitsForSilentPeers(const Bucket& aBucket) const;
   double partOfDemand(const Bucket& aBucket) const;
   double unitsBeyondPart(const Bucket& aBucket) const;
   void updatePeerRates(base::TimePoint aNow);
@@ -331,8 +332,8 @@
   base::TimePoint mStartedAt{};
   double mSlack = 0;
   double mOvershoot = 0;
-  /** Part of the window's units that silent peers may have consumed. */
-  double mSilentShare = 0;
+  /** When silent peers were heard last. */
+  std::vector<base::TimePoint> mSilentSince;
   base::TimePoint mHeardAt{}; ///< latest report of any peer
   base::Duration mWindow{};
   base::Duration mPeerTimeout = std::chrono::seconds(1);
--- a/libs/quota/tests/flood_tests.cpp
+++ b/libs/quota/tests/flood_tests.cpp
@@ -96,6 +96,25 @@
   }
 }
 
+// VMs are cut off just as a flood begins. Guards against VMs that set nothing
+// aside yet for peers that have just fallen silent and take their parts at
+// once.
+TEST(Flood, FloodThatBeginsBeforeACutStaysWithinRateAndBurst)
+{
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    LargeFleet fleet(seed);
+    fleet.run(5s, 0.3);
+    fleet.run(300ms, 8);
+    for (std::size_t vm = 0; vm < kVms; vm += 3) {
+      fleet.isolate(vm);
+    }
+    fleet.run(6s, 8);
+    fleet.heal();
+    fleet.run(5s, 8);
+    checkWithinQuota(fleet, seed);
+  }
+}
+
 // The same while processes are killed. Guards against new processes that take
 // what has been admitted for unused.
 TEST(Flood, FloodBesideKillsStaysWithinRateAndBurst)
--- a/libs/quota/tests/usage_window_tests.cpp
+++ b/libs/quota/tests/usage_window_tests.cpp
@@ -61,3 +61,15 @@
   DOUBLES_EQUAL(60, window.mostWithin(500ms), 0);
   DOUBLES_EQUAL(30, window.mostWithin(300ms), 0);
 }
+
+TEST(UsageWindow, TellsWhatASilentPeerKnew)
+{
+  UsageWindow window;
+  window.slide(kLength, kStart);
+  window.add(10, 100, kStart);
+  window.add(5, 200, kStart + 2s);
+  window.add(3, 400, kStart + 3s);
+  DOUBLES_EQUAL(110, window.knownToPeer(kStart + 1s, 500ms), 0);
+  DOUBLES_EQUAL(310, window.knownToPeer(kStart + 2s, 500ms), 0);
+  DOUBLES_EQUAL(315, window.knownToPeer(kStart + 2s + 700ms, 500ms), 0);
+}
--- a/libs/quota/usage_window.cpp
+++ b/libs/quota/usage_window.cpp
@@ -68,6 +68,19 @@
   mPeers = 0;
 }
 
+double
+UsageWindow::knownToPeer(base::TimePoint aHeardAt, base::Duration aDelay) const
+{
+  double units = 0;
+  for (auto slot = mSlots.begin();
+       slot != mSlots.end() && slot->start <= aHeardAt;
+       ++slot) {
+    const bool reported = slot->start + mSlotLength <= aHeardAt - aDelay;
+    units += slot->peers + (reported ? slot->own : 0);
+  }
+  return units;
+}
+
 double
 UsageWindow::ownSince(base::TimePoint aSince) const
 {
--- a/libs/quota/usage_window.h
+++ b/libs/quota/usage_window.h
@@ -34,6 +34,11 @@
   /** @return units that all VMs consumed in the window */
   double total() const { return mOwn + mPeers; }
 
+  /** @param aHeardAt time @param aDelay until a peer knows what this VM
+   * consumed @return units of the window that a peer that was heard then last
+   * surely knew of */
+  double knownToPeer(base::TimePoint aHeardAt, base::Duration aDelay) const;
+
   /** @param aSince time @return units that this VM consumed since then */
   double ownSince(base::TimePoint aSince) const;
 
--- a/tests/measure/measure_quota.cpp
+++ b/tests/measure/measure_quota.cpp
@@ -100,6 +100,8 @@
     { "flood-6", { idle, usual, { 15s, 6 }, usual } },
     { "flood-10", { idle, usual, { 15s, 10 }, usual } },
     { "flood-some-vms", { idle, usual, { 15s, 6, 3 }, usual } },
+    { "cut-at-flood",
+      { { 5s, 0.3 }, { 300ms, 8 }, { 6s, 8, 0, 1, 3 }, { 5s, 8 }, usual } },
     { "flood-cut",
       { { 5s, 0 }, { 5s, 4 }, { 8s, 4, 0, 1, 5 }, { 10s, 4 }, usual } },
   };
