--- a/libs/quota/tests/flood_tests.cpp
+++ b/libs/quota/tests/flood_tests.cpp
@@ -86,9 +86,7 @@
     LargeFleet fleet(seed);
     fleet.run(5s, 0);
     fleet.run(5s, 4);
-    for (std::size_t vm = 0; vm < kVms; vm += 5) {
-      fleet.isolate(vm);
-    }
+    fleet.isolateEach(5);
     fleet.run(8s, 4);
     fleet.heal();
     fleet.run(10s, 4);
@@ -105,9 +103,7 @@
     LargeFleet fleet(seed);
     fleet.run(5s, 0.3);
     fleet.run(300ms, 8);
-    for (std::size_t vm = 0; vm < kVms; vm += 3) {
-      fleet.isolate(vm);
-    }
+    fleet.isolateEach(3);
     fleet.run(6s, 8);
     fleet.heal();
     fleet.run(5s, 8);
--- a/libs/quota/tests/simulated_fleet.h
+++ b/libs/quota/tests/simulated_fleet.h
@@ -53,6 +53,15 @@
     vms[aVm].side = static_cast<unsigned>(aVm) + 1;
   }
 
+  /** Partitions VMs from all others, one by one.
+   * @param aEach every VM of this number, from the first */
+  void isolateEach(std::size_t aEach)
+  {
+    for (std::size_t vm = 0; vm < vms.size(); vm += aEach) {
+      isolate(vm);
+    }
+  }
+
   /** Ends all partitions. */
   void heal()
   {
--- a/tests/measure/measure_quota.cpp
+++ b/tests/measure/measure_quota.cpp
@@ -111,9 +111,8 @@
 play(test::RelayedFleet& aFleet, const Phase& aPhase)
 {
   aFleet.heal();
-  for (std::size_t vm = 0; aPhase.isolatedEach > 0 && vm < aFleet.vms.size();
-       vm += aPhase.isolatedEach) {
-    aFleet.isolate(vm);
+  if (aPhase.isolatedEach > 0) {
+    aFleet.isolateEach(aPhase.isolatedEach);
   }
   const std::size_t vms = aPhase.vms > 0 ? aPhase.vms : aFleet.vms.size();
   aFleet.run(aPhase.time, { aPhase.timesRate, vms, aPhase.together });
