Send VMs of a data centre what changed of a large value, not the value

Cause: a relay kept each version of the configuration whole (8 MB), sent all that a reader had missed, and encoded the answer anew for each reader; its link took seconds for eleven times 467 KB, so readers gave it up after 0.5 s and read the store, and parsed two or three versions in one pass. (By reading and measure-configuration; which part each late pass had isn't shown.)

Now a mirror holds a large value once and its changes as patches, which are checked by the hash of the result. A reader that asks for them (patches=1) gets those since its revision; one that has another base, or a wrong result, lists at the relay. Readers of an earlier version get the latest value. Readers at the same position share one encoded answer. Changes of small values come one by one as before: that an upstream said it leaves counts although it is removed later.

Ruled out: a format of routes and teams between VMs (a second form of the configuration), compression (the whole text at both ends still).

--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -355,27 +355,48 @@
 void
 PrefixWatch::onChanges(const platform::Snapshot& aChanges, bool aFromRelay)
 {
+  const auto unseen = readChanges(aChanges);
+  if (!unseen) {
+    observe::logWarn(
+      "change of an unknown value, listing all keys",
+      { { "prefix", mPrefix }, { "revision", std::to_string(mRevision) } });
+    retryList();
+    return;
+  }
   mLastFromStore = !aFromRelay;
   recordSuccess();
-  applyChanges(aChanges);
+  applyChanges(*unseen);
   mSpreadPending = mSpreadsWaits && !aChanges.entries.empty();
   const base::Duration pause = aFromRelay ? kRelayWatchPause : mPause;
   schedule(aChanges.entries.empty() ? 0ms : pause, &PrefixWatch::wait);
 }
 
 /** Two calls may bring the same changes. Applied once more, older ones would
- * undo what came between. */
-void
-PrefixWatch::applyChanges(const platform::Snapshot& aChanges)
+ * undo what came between.
+ * @return changes that this VM hasn't seen, with their values, or nothing if
+ * they belong to a value that it doesn't have */
+std::optional<platform::Snapshot>
+PrefixWatch::readChanges(const platform::Snapshot& aChanges) const
 {
   platform::Snapshot unseen = aChanges;
   std::erase_if(unseen.entries, [this](const platform::Entry& aEntry) {
     return aEntry.revision <= mRevision;
   });
-  mRevision = std::max(mRevision, aChanges.revision);
-  mMirror.apply(unseen);
+  for (platform::Entry& entry : unseen.entries) {
+    if (!mMirror.resolve(entry)) {
+      return std::nullopt;
+    }
+  }
+  return unseen;
+}
+
+void
+PrefixWatch::applyChanges(const platform::Snapshot& aUnseen)
+{
+  mRevision = std::max(mRevision, aUnseen.revision);
+  mMirror.apply(aUnseen);
   mMirrorChanged.emit();
-  for (const platform::Entry& entry : unseen.entries) {
+  for (const platform::Entry& entry : aUnseen.entries) {
     mCallbacks.changed(entry);
   }
 }
@@ -413,10 +434,11 @@
       const auto* changes = std::get_if<platform::Snapshot>(&aResult);
       const bool usable = changes != nullptr && generation == mGeneration &&
                           era == mMirror.era() && isOfCurrentEra();
-      if (usable) {
-        applyChanges(*changes);
+      const auto unseen = usable ? readChanges(*changes) : std::nullopt;
+      if (unseen) {
+        applyChanges(*unseen);
       }
-      endSynchronization(usable);
+      endSynchronization(unseen.has_value());
     },
     "synchronize");
 }
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -118,7 +118,9 @@
   void onRestored();
   void onSilence(base::TimePoint aSince);
   void onChanges(const platform::Snapshot& aChanges, bool aFromRelay);
-  void applyChanges(const platform::Snapshot& aChanges);
+  std::optional<platform::Snapshot> readChanges(
+    const platform::Snapshot& aChanges) const;
+  void applyChanges(const platform::Snapshot& aUnseen);
   void scheduleSynchronization();
   void startSynchronization();
   void endSynchronization(bool aSucceeded);
--- a/apps/gateway/watch_relay.cpp
+++ b/apps/gateway/watch_relay.cpp
@@ -152,6 +152,7 @@
   }
   mReaders.push_back({ watch->second,
                        { *after, era.value_or(0) },
+                       http::queryValue(aRequest.query, "patches") == "1",
                        base::monotonicNow() + kStaleGrace,
                        aResponder,
                        {} });
@@ -200,7 +201,10 @@
     aReader.responder->reply({ http::kServiceUnavailable, {}, "" });
     return true;
   }
-  const auto changes = mirror.changesAfter(aReader.after);
+  if (replyFromShared(aReader)) {
+    return true;
+  }
+  const auto changes = mirror.changesAfter(aReader.after, aReader.takesPatches);
   if (!changes) {
     aReader.responder->reply({ kGone, {}, "" });
     return true;
@@ -208,13 +212,35 @@
   if (changes->entries.empty() && !aTimedOut) {
     return false;
   }
-  aReader.responder->reply(snapshotAnswer(*changes));
+  http::Response response = snapshotAnswer(*changes);
+  aReader.responder->reply(response);
+  if (!changes->entries.empty()) {
+    mShared = {
+      aReader.watch, aReader.after, aReader.takesPatches, std::move(response)
+    };
+  }
+  return true;
+}
+
+/** Encoding a large value anew for each reader would hold up this VM. */
+bool
+WatchRelay::replyFromShared(Reader& aReader)
+{
+  if (!mShared || mShared->watch != aReader.watch ||
+      mShared->after != aReader.after ||
+      mShared->patches != aReader.takesPatches) {
+    return false;
+  }
+  aReader.responder->reply(mShared->response);
   return true;
 }
 
 void
 WatchRelay::onChanged(const PrefixWatch& aWatch)
 {
+  if (mShared && mShared->watch == &aWatch) {
+    mShared.reset();
+  }
   std::erase_if(mReaders, [&](Reader& aReader) {
     return aReader.watch == &aWatch && tryReply(aReader, false);
   });
--- a/apps/gateway/watch_relay.h
+++ b/apps/gateway/watch_relay.h
@@ -7,6 +7,7 @@
 #include "observe/observe.h"
 
 #include <list>
+#include <optional>
 
 namespace marigold::gateway {
 
@@ -39,6 +40,7 @@
   {
     const PrefixWatch* watch = nullptr;
     platform::Position after;
+    bool takesPatches = false;     ///< in place of large values
     base::TimePoint refuseAfter{}; ///< if the data may still be stale then
     std::shared_ptr<http::Responder> responder;
     http::EventHandle timer;
@@ -51,7 +53,16 @@
   void serve(const http::Request& aRequest,
              const std::shared_ptr<http::Responder>& aResponder);
   void serveList(const http::Request& aRequest, http::Responder& aResponder);
+  /** An answer that readers at the same position share. */
+  struct SharedAnswer
+  {
+    const PrefixWatch* watch = nullptr;
+    platform::Position after;
+    bool patches = false;
+    http::Response response;
+  };
   bool tryReply(Reader& aReader, bool aTimedOut);
+  bool replyFromShared(Reader& aReader);
   void onChanged(const PrefixWatch& aWatch);
 
   http::Loop& mLoop;
@@ -60,6 +71,7 @@
   PeerExchange& mPeerExchange;
   std::map<std::string, PrefixWatch*> mWatches; ///< by prefix
   std::list<Reader> mReaders;
+  std::optional<SharedAnswer> mShared; ///< until its watch changes
   /** Clients of the current and former relays; open calls keep using theirs. */
   std::map<base::VmName, std::unique_ptr<platform::Client>> mClients;
   /** Relays that failed or refused lately, and until when they are not used. */
--- a/libs/platform/mirror.h
+++ b/libs/platform/mirror.h
@@ -35,19 +35,35 @@
 
   /**
    * @param aAfter last point of the history that the reader has seen
-   * @return later changes, or nothing if some of them were dropped or the
-   * reader's point is from another era
+   * @param aPatches true if the reader takes patches in place of large values
+   * @return later changes, of a large value only the latest, or nothing if some
+   * of them were dropped or the reader's point is from another era
    */
-  std::optional<Snapshot> changesAfter(Position aAfter) const;
+  std::optional<Snapshot> changesAfter(Position aAfter,
+                                       bool aPatches = false) const;
+
+  /** Gives an entry that has only patches its value. @param aEntry a change
+   * @return false if the patches don't fit what this copy has */
+  bool resolve(Entry& aEntry) const;
 
 private:
+  /** A change. That of a large value holds the patches that led to it, if
+   * there are any, and no value: a later one may have replaced it. */
+  struct Change
+  {
+    Entry entry;
+    bool isLarge = false;
+  };
   void applyEntry(const Entry& aEntry);
+  void recordChange(Change aChange);
+  static void merge(Entry& aChange, Entry aLater);
+  void completeEntry(Entry& aChange, bool aPatches) const;
 
   Era mEra = 0;
   Revision mRevision = 0;
   Revision mCompactedRevision = 0; ///< changes up to it may be dropped
   std::map<std::string, Entry> mEntries;
-  std::deque<Entry> mChanges; ///< oldest first
+  std::deque<Change> mChanges; ///< oldest first
   std::size_t mChangeBytes = 0;
 };
 
--- a/libs/platform/native_protocol.cpp
+++ b/libs/platform/native_protocol.cpp
@@ -38,7 +38,7 @@
     "/v1/watch",
     "prefix=" + http::percentEncode(aPrefix) + "&era=" +
       std::to_string(aAfter.era) + "&after=" + std::to_string(aAfter.revision) +
-      "&wait_ms=" + std::to_string(base::inMilliseconds(aWait)));
+      "&wait_ms=" + std::to_string(base::inMilliseconds(aWait)) + "&patches=1");
 }
 
 http::Request
@@ -78,15 +78,38 @@
   return makeRequest("DELETE", "/v1/leases/" + aLease);
 }
 
+TextPatch
+readPatch(const json& aJson)
+{
+  TextPatch patch;
+  patch.resultHash = aJson.at("hash");
+  for (const json& item : aJson.at("parts")) {
+    PatchPart& part = patch.parts.emplace_back();
+    if (item.is_string()) {
+      part.bytes = item;
+    } else {
+      part.offset = item.at(0);
+      part.length = item.at(1);
+    }
+  }
+  return patch;
+}
+
 Entry
 readEntry(const json& aJson)
 {
   Entry entry;
   entry.key = aJson.at("key");
-  if (!aJson.at("value").is_null()) {
+  entry.revision = aJson.at("revision");
+  if (aJson.contains("patches")) {
+    entry.base = aJson.at("base");
+    aJson.at("patches").at(0); // Without any, the key would count as deleted.
+    for (const json& patch : aJson.at("patches")) {
+      entry.patches.push_back(readPatch(patch));
+    }
+  } else if (!aJson.at("value").is_null()) {
     entry.value = aJson.at("value").get<std::string>();
   }
-  entry.revision = aJson.at("revision");
   return entry;
 }
 
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -13,6 +13,7 @@
 #include "platform/backoff.h"
 #include "platform/call_record.h"
 #include "platform/mirror.h"
+#include "platform/text_patch.h"
 #include "platform/untrusted_json.h"
 #include "platform/view_age.h"
 #include "platform/wire_protocol.h"
--- a/libs/platform/wire_protocol.h
+++ b/libs/platform/wire_protocol.h
@@ -4,6 +4,7 @@
 
 #include "base/base.h"
 #include "http/message.h"
+#include "platform/text_patch.h"
 
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
@@ -26,14 +27,21 @@
 {
   Revision revision = 0;
   Era era = 0;
+
+  bool operator==(const Position&) const = default;
 };
 
 /** A key with its value and the revision at which it was last changed. */
 struct Entry
 {
   std::string key;
-  std::optional<std::string> value; ///< absent: the key was deleted
+  /** Absent: the key was deleted, unless there are patches. */
+  std::optional<std::string> value;
   Revision revision = 0;
+  /** How the value came from that of the base revision, oldest first. A relay
+   * sends them in place of a large value. */
+  std::vector<TextPatch> patches = {};
+  Revision base = 0;
 };
 
 /** Entries and the revision of the store at which they were read. */
