--- a/tests/explore/actions.cpp
+++ b/tests/explore/actions.cpp
@@ -21,6 +21,10 @@
 /** A longer one in a planned stop would outlast the stop itself. */
 constexpr base::Duration kLatenessInStop = 300ms;
 constexpr std::size_t kMaxLate = 1;
+/** For how long decoding a large configuration holds up a VM with an eighth of
+ * a core. */
+constexpr base::Duration kHeldUp = 600ms;
+constexpr std::size_t kMaxHeldUp = 1;
 constexpr std::size_t kFirstPiece = 20;
 constexpr std::size_t kNewRoutes = 200;
 constexpr double kNewRate = 50;
@@ -78,6 +82,7 @@
     { "team-changes", '-', &S::canChange, &S::changeTeam },
     { "route-gone", '-', &S::canChange, &S::removeRoute },
     { "more-routes", '-', &S::canChange, &S::addRoutes },
+    { "held-up", '-', &S::canBeHeldUp, &S::beHeldUp },
     { "stop", '-', &S::canStop, &S::stop },
     { "exit", '-', &S::canExit, &S::exit }
   };
@@ -655,6 +660,22 @@
   applyChange();
 }
 
+bool
+Scenario::canBeHeldUp(std::size_t aTarget) const
+{
+  return canChange(aTarget) && mHeldUp < kMaxHeldUp;
+}
+
+/** Input, timers and new connections wait while a large configuration is
+ * decoded, and are ready in the same pass behind it. */
+void
+Scenario::beHeldUp(std::size_t aTarget)
+{
+  ++mHeldUp;
+  advance(mDraining ? kLatenessInStop : kHeldUp);
+  addRoutes(aTarget);
+}
+
 bool
 Scenario::canStop(std::size_t /*aTarget*/) const
 {
--- a/tests/explore/checks.cpp
+++ b/tests/explore/checks.cpp
@@ -118,8 +118,8 @@
      (answers.empty() || (answers.back().complete && !answers.back().last)));
   // What a caller that pauses has received says little of when it was sent.
   // A late loop counts the time until it sends an answer as idle.
-  const bool mayClose =
-    mDraining || aCaller.leftAt || aCaller.hasPaused || mLate > 0;
+  const bool mayClose = mDraining || aCaller.leftAt || aCaller.hasPaused ||
+                        mLate > 0 || mHeldUp > 0;
   const Connection& connection = connectionOf(aCaller);
   return isIdle && !mayClose && (connection.closed || connection.finSent) &&
              aCaller.closedEarly
--- a/tests/explore/scenario.cpp
+++ b/tests/explore/scenario.cpp
@@ -309,6 +309,7 @@
   add(mWaits);
   add(mSeconds);
   add(mLate);
+  add(mHeldUp);
   add(mLarge);
   add(mDisturbances);
   add(mDraining);
--- a/tests/explore/scenario.h
+++ b/tests/explore/scenario.h
@@ -131,6 +131,7 @@
   void wait(std::size_t aTarget);
   void waitASecond(std::size_t aTarget);
   void beLate(std::size_t aTarget);
+  void beHeldUp(std::size_t aTarget);
   void stop(std::size_t aTarget);
   void exit(std::size_t aTarget);
   void shortenIdle(std::size_t aTarget);
@@ -164,6 +165,7 @@
   bool canWait(std::size_t aTarget) const;
   bool canWaitASecond(std::size_t aTarget) const;
   bool canBeLate(std::size_t aTarget) const;
+  bool canBeHeldUp(std::size_t aTarget) const;
   bool canStop(std::size_t aTarget) const;
   bool canExit(std::size_t aTarget) const;
   bool canChange(std::size_t aTarget) const;
@@ -221,6 +223,7 @@
   std::size_t mWaits = 0;
   std::size_t mSeconds = 0;
   std::size_t mLate = 0;
+  std::size_t mHeldUp = 0;
   std::size_t mLarge = 0;
   std::size_t mDisturbances = 0;
   bool mDraining = false;
