Refuse requests that are incomplete as a planned stop ends

Callers could see: a request whose body arrives slowly across a planned stop is read whole in the last pass of the process and gets neither an answer nor a refusal (LOST). If the rest doesn't come in time, it is cut without a word.

Cause: at 85% of the grace the requests that are open are ended, but one whose head was read and whose body is on its way is none yet; it has the idle timeout (15 s), and the process ends at 95% of the grace. A head that is incomplete likewise, if the header timeout is longer than the users'.

These requests are refused at 85% of the grace: 503, not-run, code draining, with the id if the head told it. The explorer tells such a refusal from that of a crossing request by its code, and asks that a refusal has an id unless the process stops and no upstream has got the request.

--- a/apps/gateway/request_server.cpp
+++ b/apps/gateway/request_server.cpp
@@ -120,6 +120,13 @@
   for (const auto& request : std::set(mContext.openRequests)) {
     request->shutdown();
   }
+  // The rest of a long body may arrive as the process ends.
+  mCallers.refuseIncomplete([](const http::Headers& aRequest) {
+    return outcomeHeaders(
+      base::Code::Draining,
+      base::Outcome::NotRun,
+      http::findHeader(aRequest, boundary::kRequestIdHeader));
+  });
 }
 
 } // namespace marigold::gateway
--- a/libs/wire/caller_connection.h
+++ b/libs/wire/caller_connection.h
@@ -291,6 +291,15 @@
     mCrossingRefusal = std::move(aHeaders);
   }
 
+  /** @param aRequest headers of a request, if they were read
+   * @return headers of its refusal */
+  using RefusalHeaders =
+    std::function<http::Headers(const http::Headers& aRequest)>;
+
+  /** Refuses requests of which a part has not arrived with status 503 and
+   * closes their connections. @param aRefusalHeaders of the responses */
+  void refuseIncomplete(const RefusalHeaders& aRefusalHeaders);
+
   /** Stops accepting and closes idle connections, recently used ones after a
    * short time. What is read until a connection is closed is still served. */
   void stop();
--- a/libs/wire/caller_server.cpp
+++ b/libs/wire/caller_server.cpp
@@ -126,4 +126,16 @@
   }
 }
 
+void
+CallerServer::refuseIncomplete(const RefusalHeaders& aRefusalHeaders)
+{
+  for (const auto& caller : std::set(mCallers)) {
+    if (caller->mParser.started() && !caller->mCurrent.open &&
+        !caller->mClosing) {
+      caller->rejectWith(http::kServiceUnavailable,
+                         aRefusalHeaders(caller->mParser.headers()));
+    }
+  }
+}
+
 } // namespace marigold::wire
--- a/tests/explore/checks.cpp
+++ b/tests/explore/checks.cpp
@@ -74,6 +74,12 @@
     return "a request that crossed the close of its connection is passed on (" +
            aRequest.id + ")";
   }
+  // The id of a request is known unless the end of its head is missing.
+  const bool anonymous = aAnswer.notRun && aAnswer.id.empty() && !crossed;
+  if (anonymous && (!mDraining || aAnswer.code != "draining" ||
+                    lastArrivalOf(aRequest.id) != nullptr)) {
+    return "a request is refused without its id (" + aRequest.id + ")";
+  }
   if (aAnswer.status == 408 && inTime && !crossed) {
     return "a request that came in time is refused as late (" + aRequest.id +
            ")";
--- a/tests/explore/messages.cpp
+++ b/tests/explore/messages.cpp
@@ -217,7 +217,7 @@
   const bool refuses = aAnswer.status == http::kRequestTimeout ||
                        aAnswer.status == http::kServiceUnavailable;
   return refuses && aAnswer.notRun && aAnswer.last && aAnswer.complete &&
-         aAnswer.id.empty() && aAnswer.body.empty();
+         aAnswer.id.empty() && aAnswer.body.empty() && aAnswer.code.empty();
 }
 
 std::vector<Answer>
@@ -237,6 +237,7 @@
     answer.status = std::atoi(fields.substr(9, 3).c_str());
     answer.id = headerOf(fields, "X-Request-Id");
     const std::string outcome = headerOf(fields, "Marigold-Outcome");
+    answer.code = headerOf(fields, "Marigold-Code");
     answer.notRun = outcome == "not-run";
     answer.unknown = outcome == "unknown";
     answer.last = headerOf(fields, "Connection") == "close";
--- a/tests/explore/messages.h
+++ b/tests/explore/messages.h
@@ -79,6 +79,7 @@
   int status = 0; ///< 0 while its head is incomplete
   std::string id;
   std::string body;
+  std::string code; ///< why the process refuses
   bool notRun = false;
   bool unknown = false; ///< it says that the request may have run
   bool last = false;    ///< it says that the connection will be closed
