--- a/tests/fuzz/fuzz_decoders.cpp
+++ b/tests/fuzz/fuzz_decoders.cpp
@@ -1,7 +1,8 @@
 /**
  * @file
  * Feeds random and mutated input to every decoder: settings, manifest,
- * documents, key records, the platform's VM list and messages between VMs.
+ * documents, key records, the platform's VM list, the operator's configuration,
+ * patches of it and messages between VMs.
  * Every input must yield a value or an error with a message.
  */
 #include "base/base.h"
@@ -9,11 +10,13 @@
 #include "documents/documents.h"
 #include "identity/identity.h"
 #include "mesh/mesh.h"
+#include "platform/boundary.h"
 #include "platform/platform.h"
 
 #include <array>
 #include <docopt/docopt.h>
 #include <iostream>
+#include <nlohmann/json.hpp>
 
 using namespace marigold;
 
@@ -82,6 +85,101 @@
   }
 }
 
+/** @return a configuration of some routes and teams */
+std::string
+sampleConfiguration()
+{
+  std::string text = R"({"version":7,"routes":[)";
+  for (int route = 0; route < 6; ++route) {
+    text += R"({"name":"r","host":"h","prefix":"/)" + std::to_string(route) +
+            R"(/","type":"streaming","service":"s"},)";
+  }
+  text.back() = ']';
+  return text + R"(,"services":[{"name":"s"}],"limits":{},"tenants":[
+    {"name":"a","api_keys":["k"]},{"name":"b","api_keys":["l","m"]}]})";
+}
+
+/** @throws std::runtime_error if a text that is no JSON is accepted, or if
+ * decoding it in slices behind another version differs from decoding it alone
+ */
+void
+decodeConfiguration(const std::string& aText)
+{
+  const auto text = std::make_shared<const std::string>(aText);
+  boundary::CatalogDecoder fresh;
+  const auto alone = fresh.decode(text);
+  const base::Error* error = base::errorOf(alone);
+  if (error == nullptr && !nlohmann::json::accept(aText)) {
+    throw std::runtime_error("text that is no JSON was accepted");
+  }
+  boundary::CatalogDecoder decoder;
+  decoder.decode(std::make_shared<const std::string>(sampleConfiguration()));
+  decoder.begin(text);
+  auto behind = decoder.proceed(1);
+  while (!behind) {
+    behind = decoder.proceed(1);
+  }
+  if ((error == nullptr) != (base::errorOf(*behind) == nullptr)) {
+    throw std::runtime_error("refused only behind another version, or alone");
+  }
+  if (error != nullptr) {
+    if (error->message.empty()) {
+      throw std::runtime_error("decoder returned an error without a message");
+    }
+    return;
+  }
+  const auto& one = std::get<catalog::Catalog>(alone);
+  const auto& other = std::get<catalog::Catalog>(*behind);
+  const auto prefixes = [](const catalog::Catalog& aCatalog) {
+    std::string joined = std::to_string(aCatalog.version);
+    for (const catalog::Route& route : *aCatalog.routes) {
+      joined += " " + route.prefix;
+    }
+    for (const catalog::Team& team : *aCatalog.teams) {
+      joined += " " + team.name + std::to_string(team.keyDigests.size());
+    }
+    return joined;
+  };
+  if (prefixes(one) != prefixes(other)) {
+    throw std::runtime_error("decoded differently behind another version");
+  }
+}
+
+constexpr const char* kPatchedText = R"({"a":1},{"b":2},{"c":3})";
+
+/** @return a relay's answer with a patch of kPatchedText */
+std::string
+samplePatch()
+{
+  platform::Entry entry{ "k", std::nullopt, 2 };
+  entry.base = 1;
+  entry.patches.push_back(
+    *platform::makePatch(kPatchedText, R"({"a":1},{"b":4},{"c":3})", 1000));
+  return platform::encodeSnapshot({ 2, { entry } }).dump();
+}
+
+/** @throws std::runtime_error if a patch makes a text that its hash doesn't
+ * name */
+void
+applyPatches(const std::string& aText)
+{
+  const auto content = nlohmann::json::parse(aText, nullptr, false);
+  platform::Snapshot changes;
+  try {
+    changes = platform::nativeProtocol().readChanges(content);
+  } catch (const nlohmann::json::exception&) {
+    return; // As readResponse() in libs/platform does.
+  }
+  platform::Mirror mirror;
+  mirror.replace({ 1, { { "k", kPatchedText, 1 } } });
+  for (platform::Entry& entry : changes.entries) {
+    if (mirror.resolve(entry) && !entry.patches.empty() &&
+        base::hash64(*entry.value) != entry.patches.back().resultHash) {
+      throw std::runtime_error("a patch made another text");
+    }
+  }
+}
+
 std::vector<DecoderTarget>
 makeDecoderTargets()
 {
@@ -120,6 +218,8 @@
         const std::string mac = base::hmacSha256(kMeshKey, aText);
         expectValueOrError([&] { return mesh::open(mac + aText, kMeshKey); });
       } },
+    { "configuration", sampleConfiguration(), decodeConfiguration },
+    { "patch", samplePatch(), applyPatches },
     { "address",
       "127.0.0.1:8080",
       [](const std::string& aText) {
