--- a/libs/platform/text_patch.cpp
+++ b/libs/platform/text_patch.cpp
@@ -122,13 +122,13 @@
 {
   const std::size_t shorter = std::min(aOld.size(), aNew.size());
   const auto prefix = static_cast<std::size_t>(
-    std::mismatch(aOld.begin(), aOld.begin() + shorter, aNew.begin()).first -
+    std::mismatch(aOld.begin(), aOld.end(), aNew.begin(), aNew.end()).first -
     aOld.begin());
-  const auto suffix = static_cast<std::size_t>(
-    std::mismatch(
-      aOld.rbegin(), aOld.rbegin() + (shorter - prefix), aNew.rbegin())
+  const auto sharedEnd = static_cast<std::size_t>(
+    std::mismatch(aOld.rbegin(), aOld.rend(), aNew.rbegin(), aNew.rend())
       .first -
     aOld.rbegin());
+  const std::size_t suffix = std::min(sharedEnd, shorter - prefix);
   const std::size_t oldEnd = aOld.size() - suffix;
   const std::size_t newEnd = aNew.size() - suffix;
 
