--- a/tests/measure/measure_configuration.cpp
+++ b/tests/measure/measure_configuration.cpp
@@ -15,7 +15,6 @@
 #include <iostream>
 #include <malloc.h>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 using namespace marigold;
 using nlohmann::json;
@@ -167,27 +166,16 @@
   return best;
 }
 
-std::string
-encodeBase64(const std::string& aBytes)
-{
-  std::string text(4 * ((aBytes.size() + 2) / 3), '\0');
-  EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                  reinterpret_cast<const unsigned char*>(aBytes.data()),
-                  static_cast<int>(aBytes.size()));
-  return text;
-}
-
 /** @return the store's answer to a watch that has waited for the change */
 std::string
 storeAnswer(const std::string& aText)
 {
-  return json{
-    { "events",
-      { { { "key", boundary::kCatalogKey },
-          { "value", encodeBase64(aText) },
-          { "revision", 2 } } } },
-    { "at", 2 }
-  }.dump();
+  // A write has the value in the form of the store.
+  const http::Request write =
+    boundary::storeProtocol().write({ boundary::kCatalogKey, aText, 1, "" });
+  json row = json::parse(write.body).at("write").at(0);
+  row["revision"] = 2;
+  return json{ { "events", { row } }, { "at", 2 } }.dump();
 }
 
 platform::Snapshot
