Keep a VM that the store refuses from asking it again at each answer of its relay

In an outage in which the store refuses some VMs, a VM whose relay answers went round in a circle: the relay's list counts as "reached", "reached" asks for a list at the store, the store refuses it, the relay lists again, and so on. The answer of the relay reset the backoff each time.

Who relists, and where, now follows from who has answered: - The answer of a relay no longer ends the backoff from the store. - The watch itself lists when a wait is answered after failures, at the server that has answered, and isn't current before (the watch of upstream records; leases may have ended without a change). A list that ends the failures needs no second one, so a start lists the upstreams' records once, not twice. - A list that was asked for before a refusal waits for the backoff. - A relay that lost its history is listed itself, not the store.

The explorer asks that no call follows a refusal of the store sooner than the backoff.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -163,8 +163,6 @@
           if (mUpstreamsKnown) {
             mStoreReachedAt = base::monotonicNow();
           }
-          // The watch may have missed leases that expired meanwhile.
-          mUpstreamWatch.relist("store reached");
           observe::logInfo("upstream records reached");
         },
         [](const base::Error& aError) {
@@ -289,6 +287,7 @@
   mLoopDelayMonitor.start();
   mStoreCalls.start();
   mCatalogWatch.start();
+  mUpstreamWatch.listWhenReached();
   mUpstreamWatch.start();
   mFleet.start();
   mWatches.push_back(mLoop.every(kTickPeriod, [this] { tick(); }));
--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -123,12 +123,18 @@
                        [this, aNext] { (this->*aNext)(); });
 }
 
+/** The answer of a relay doesn't end the backoff from a store that may still
+ * turn this VM away. */
 void
-PrefixWatch::recordSuccess()
+PrefixWatch::recordSuccess(bool aFromRelay)
 {
-  mBackoff.reset();
-  mStoreCallAt = {};
+  if (!aFromRelay) {
+    mBackoff.reset();
+    mStoreCallAt = {};
+  }
+  mLastFromStore = !aFromRelay;
   mRelayFailed = false;
+  mStoreCallsPostponed = false;
   mConfirmedAt = std::min(base::monotonicNow(), mAnswerDueAt);
   if (!mConnected) {
     mConnected = true;
@@ -192,6 +198,17 @@
          (aSnapshot.era == mMirror.era() && aSnapshot.revision < mRevision);
 }
 
+/** A relay that answers says nothing about whether the store does. */
+void
+PrefixWatch::listWhereReached(bool aAtRelay)
+{
+  if (aAtRelay) {
+    retryList();
+    return;
+  }
+  list("store reached");
+}
+
 /** Lists at a relay, if there is one, because the store may turn away this VM
  * only; else at the store after a delay. */
 void
@@ -201,7 +218,7 @@
     listAt(*relay);
     return;
   }
-  schedule(mStoreCallAt - base::monotonicNow(), &PrefixWatch::listAgain);
+  schedule(untilStoreCall(), &PrefixWatch::listAgain);
 }
 
 void
@@ -223,6 +240,7 @@
       }
       const auto* snapshot = std::get_if<platform::Snapshot>(&aResult);
       if (snapshot == nullptr || isBehind(*snapshot)) {
+        mRelayFailed = mListed; // Without a view there is no time to lose.
         mRelays.failed(aRelay);
         retryList();
         return;
@@ -248,8 +266,7 @@
     mTimer.reset();
   }
   mRevision = aSnapshot.revision;
-  mLastFromStore = !aFromRelay;
-  recordSuccess();
+  recordSuccess(aFromRelay);
   mMirror.replace(aSnapshot);
   mMirrorChanged.emit();
   mCallbacks.snapshot(aSnapshot);
@@ -275,7 +292,7 @@
 void
 PrefixWatch::wait()
 {
-  if (mRelistCause != nullptr) {
+  if (mRelistCause != nullptr && base::monotonicNow() >= mStoreCallAt) {
     list(mRelistCause);
     return;
   }
@@ -283,23 +300,32 @@
     waitAt(*relay, true);
     return;
   }
-  if (mRelayFailed && mStoreCallAt == base::TimePoint{}) {
-    postponeStoreCalls();
-  }
-  if (base::monotonicNow() < mStoreCallAt) {
+  if (untilStoreCall() > base::Duration::zero()) {
     schedule(kRelayPollInterval, &PrefixWatch::wait);
     return;
   }
   waitAt(mClient, false);
 }
 
+/** @return time until this VM may call the store, not positive if it may now */
+base::Duration
+PrefixWatch::untilStoreCall()
+{
+  if (mRelayFailed && !mStoreCallsPostponed) {
+    postponeStoreCalls();
+  }
+  return mStoreCallAt - base::monotonicNow();
+}
+
 /** When a relay fails, all of its readers notice at once. They read the store
  * at random moments, so that most find the next relay working before. */
 void
 PrefixWatch::postponeStoreCalls()
 {
-  mBackoff.setMax(std::max(kMaxBackoff, mRelays.storeDelay()));
-  mStoreCallAt = base::monotonicNow() + mBackoff.jittered(mRelays.storeDelay());
+  mStoreCallsPostponed = true;
+  mStoreCallAt =
+    std::max(mStoreCallAt,
+             base::monotonicNow() + mBackoff.jittered(mRelays.storeDelay()));
 }
 
 void
@@ -337,6 +363,10 @@
     observe::logInfo(
       "store history compacted",
       { { "prefix", mPrefix }, { "revision", std::to_string(mRevision) } });
+    if (&aClient != &mClient) {
+      retryList();
+      return;
+    }
     list("history compacted");
     return;
   }
@@ -363,8 +393,11 @@
     retryList();
     return;
   }
-  mLastFromStore = !aFromRelay;
-  recordSuccess();
+  if (!mConnected && mListsWhenReached) {
+    listWhereReached(aFromRelay);
+    return;
+  }
+  recordSuccess(aFromRelay);
   applyChanges(*unseen);
   mSpreadPending = mSpreadsWaits && !aChanges.entries.empty();
   const base::Duration pause = aFromRelay ? kRelayWatchPause : mPause;
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -18,9 +18,10 @@
   std::function<void(const platform::Snapshot&)> snapshot;
   /** A key was written or, without a value, removed. */
   std::function<void(const platform::Entry&)> changed;
-  /** The store responded for the first time or after failed calls. */
+  /** The store or a relay responded for the first time or after failed calls.
+   */
   std::function<void()> reached;
-  /** A call failed after a successful one. */
+  /** A call to the store failed after a successful one. */
   std::function<void(const base::Error&)> lost;
 };
 
@@ -63,10 +64,16 @@
   /** Starts the watch. */
   void start();
 
-  /** Lists all keys again before the next wait.
+  /** Lists all keys of the store again before the next wait, or as soon as a
+   * store that fails may be called.
    * @param aCause why, for the counts of calls */
   void relist(const char* aCause);
 
+  /** Makes the watch list all keys when a wait is answered after failed calls,
+   * at the server that has answered: leases may have ended meanwhile without a
+   * change. Until then its content isn't taken for current. */
+  void listWhenReached() { mListsWhenReached = true; }
+
   /** Makes the watch wait for changes at a relay where possible.
    * @param aRelays chooses the relay */
   void setRelays(RelaySource aRelays) { mRelays = std::move(aRelays); }
@@ -109,6 +116,7 @@
 
 private:
   void list(const char* aCause);
+  void listWhereReached(bool aAtRelay);
   void listAt(platform::Client& aRelay);
   void retryList();
   void listAgain();
@@ -126,6 +134,7 @@
   void endSynchronization(bool aSucceeded);
   void onFailure(const base::Error& aError, const platform::Client& aClient);
   void waitAt(platform::Client& aClient, bool aFromRelay);
+  base::Duration untilStoreCall();
   void postponeStoreCalls();
   /** How long to wait, and why so. */
   struct WaitLimit
@@ -134,7 +143,7 @@
     const char* cause = "";
   };
   WaitLimit waitLimit(bool aFromRelay);
-  void recordSuccess();
+  void recordSuccess(bool aFromRelay);
   void recordFailure(const base::Error& aError);
   void schedule(base::Duration aDelay, void (PrefixWatch::*aNext)());
 
@@ -143,6 +152,7 @@
   std::string mPrefix;
   base::Duration mPause;
   base::Duration mMaxWait;
+  bool mListsWhenReached = false;
   bool mSpreadsWaits = false;
   /** The next wait ends at a random moment: a change has ended those of all VMs
    * at the same one. */
@@ -163,7 +173,8 @@
   RelaySource mRelays;
   /** The store is not called before, because the relays or the store failed. */
   base::TimePoint mStoreCallAt{};
-  bool mRelayFailed = false; ///< since the latest answer
+  bool mRelayFailed = false;         ///< since the latest answer
+  bool mStoreCallsPostponed = false; ///< for that
   platform::Mirror mMirror;
   sigc::signal<void()> mMirrorChanged;
   platform::Backoff mBackoff;
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -53,6 +53,7 @@
         self.next_lease = 100
         self.severed_ports = set()  # connections to these are closed, before or after a call takes effect
         self.unanswered_ports = set()  # calls sent to these are never answered
+        self.refused_ports = {}  # port: (status, list of the calls refused there); these do nothing
         self.views = {}      # port: function that returns an item as the VM with that port gets it
         self.calls = 0
         self.open_watches = {}  # port: watches that wait now
@@ -578,6 +579,12 @@
                         stalled.add(writer)
                         await asyncio.sleep(0.05)
                     method, path, query, _, body = request
+                    if port in self.store.refused_ports:
+                        status, refused = self.store.refused_ports[port]
+                        refused.append((time.monotonic(), path, query.get("prefix", "")))
+                        writer.write(answer_bytes(status, {}, b"{}"))
+                        await writer.drain()
+                        continue
                     if method == "DELETE" and self.store.revocation_delay:
                         await asyncio.sleep(self.store.revocation_delay)
                         if writer.is_closing():
--- a/tests/explore/watch_scenario.cpp
+++ b/tests/explore/watch_scenario.cpp
@@ -31,6 +31,9 @@
 constexpr base::Duration kLimit = 2500ms;
 /** Time without trouble after which that holds. */
 constexpr base::Duration kContact = 4s;
+/** Shortest time between a refusal of the store and the next call to it, half
+ * of the first delay of prefix_watch.cpp. */
+constexpr base::Duration kMinBackoff = 50ms;
 constexpr base::Duration kPause = 20ms;
 constexpr base::Duration kLate = 300ms;
 
@@ -56,6 +59,12 @@
   return !http::queryValue(aRequest.query, "wait_ms").empty();
 }
 
+bool
+isSynchronization(const http::Request& aRequest)
+{
+  return http::queryValue(aRequest.query, "wait_ms") == "0";
+}
+
 /** @return a row of an answer of the store, or of a relay */
 json
 makeRow(const StoreContent::Change& aChange, bool aAtRelay)
@@ -160,6 +169,7 @@
         mRelayFailedUntil = mWorld.now() + kRelayFailedPeriod;
       },
       [this] { return mRelayElected ? kStoreDelay : base::Duration{}; } });
+  mWatch.listWhenReached();
   mWatch.start();
 }
 
@@ -190,6 +200,7 @@
     if (kind.name == aAction.name && isPossible(kind, aAction.target)) {
       (this->*kind.run)(aAction.target);
       mWorld.runAllReady();
+      requirePauseAfterRefusal();
       return true;
     }
   }
@@ -322,7 +333,16 @@
 {
   const Network::CallId id = *callAt(aTarget);
   const http::Response answer = *mNetwork.calls().at(id).answer;
+  const bool atRelay = isAtRelay(mNetwork.calls().at(id));
+  const platform::Era era = mStoreClient.era();
+  if (!isSynchronization(mNetwork.calls().at(id).request)) {
+    mLatestBeforeAnswer = mNetwork.calls().rbegin()->first;
+  }
   mNetwork.end(id, http::CallEnd::Complete, answer);
+  // A restored store is listed at once, also if a relay tells of it.
+  if (!atRelay || mStoreClient.era() != era) {
+    mRefusedAt.reset();
+  }
 }
 
 bool
@@ -349,8 +369,12 @@
 WatchScenario::refuse(std::size_t aTarget)
 {
   disturb();
-  mNetwork.end(
-    *callAt(aTarget), http::CallEnd::Complete, { kUnavailable, {}, "" });
+  const Network::CallId id = *callAt(aTarget);
+  // An outdated call is ignored.
+  if (isOnlyCallToStore(id) && id > mLatestBeforeAnswer) {
+    mRefusedAt = mWorld.now();
+  }
+  mNetwork.end(id, http::CallEnd::Complete, { kUnavailable, {}, "" });
 }
 
 bool
@@ -428,6 +452,7 @@
 {
   disturb();
   ++mRestorations;
+  mRefusedAt.reset();
   const std::uint64_t era = mStore.era + 1;
   mStore = *mCopy;
   mStore.era = era;
@@ -475,6 +500,7 @@
 WatchScenario::relist(std::size_t /*aTarget*/)
 {
   ++mRelists;
+  mRefusedAt.reset();
   mWatch.relist("asked by the scenario");
 }
 
@@ -514,6 +540,34 @@
   }
 }
 
+/** @return true for a call to the store while no other one is under way; the
+ * client may send another one again at any moment. Synchronizations don't
+ * count: callers wait for them. */
+bool
+WatchScenario::isOnlyCallToStore(Network::CallId aCall) const
+{
+  for (const auto& [id, call] : mNetwork.calls()) {
+    const bool counts = !isAtRelay(call) && !isSynchronization(call.request);
+    if (counts != (id == aCall)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/** A VM that the store turns away must not press on, whatever a relay answers
+ * meanwhile. */
+void
+WatchScenario::requirePauseAfterRefusal()
+{
+  for (const auto& [id, call] : mNetwork.calls()) {
+    if (mRefusedAt && isOnlyCallToStore(id) &&
+        call.sentAt < *mRefusedAt + kMinBackoff) {
+      mViolation = "the store was called right after it refused a call";
+    }
+  }
+}
+
 bool
 WatchScenario::canWait(std::size_t /*aTarget*/) const
 {
@@ -713,6 +767,9 @@
        << mCompactions << mRestorations << mElections << mRelists << mLate
        << mSynchronizations << mCopy.has_value() << mWatch.isReadingStore()
        << mWatch.mirror().revision();
+  if (mRefusedAt) {
+    text << " " << base::inMilliseconds(mRefusedAt->time_since_epoch());
+  }
   if (mCopy) {
     text << " " << mCopy->revision;
   }
--- a/tests/explore/watch_scenario.h
+++ b/tests/explore/watch_scenario.h
@@ -103,6 +103,8 @@
                  platform::Era aEra);
   void requireCurrentView(const char* aWhen);
   void requireViewSince(const StoreContent& aContent);
+  bool isOnlyCallToStore(Network::CallId aCall) const;
+  void requirePauseAfterRefusal();
 
   World mWorld;
   Network mNetwork;
@@ -120,6 +122,11 @@
   std::map<std::string, platform::Revision> mShown;
   platform::Era mShownEra = 0;
   base::TimePoint mDisturbedAt{};
+  /** When the store refused the only call under way, unless it has answered one
+   * since, or the VM has another reason to ask. */
+  std::optional<base::TimePoint> mRefusedAt;
+  /** Latest call that was under way when one was answered. */
+  Network::CallId mLatestBeforeAnswer = 0;
   std::string mViolation;
   std::size_t mWrites = 0;
   std::size_t mCompactions = 0;
