List in place of a wait after failures, and forget old refusals of the store

It tries the relays each 100 ms now, as a wait does. - An answered wait after failures was dropped, and then a list was needed, which could fail in its turn. The watch lists at once instead: one call fewer. - Since a relay's answer no longer ends the backoff, failures of long ago still counted, and a VM that became the reader of its data centre kept the delay of one that isn't. Failures lapse after 10 s; the delay follows the VM's role. - Before the first list, a call to the store could follow its refusal at once while a relay was asked.

The end-to-end test has three VMs in the data centre, so that the deputy and a plain reader are refused, counts waits as well as lists, and plays resets. The explorer plays watches with and without lists after failures ("leases"), counts broken calls as refusals and excuses no relist any more.

Not checked: that the pause grows with each refusal.

--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -21,6 +21,9 @@
  */
 constexpr base::Duration kInitialBackoff = 100ms;
 constexpr base::Duration kMaxBackoff = 800ms;
+/** Failures of the store that are older say nothing about the next call. A
+ * relay may have answered since. */
+constexpr base::Duration kFailureMemory = 10s;
 /** Until the first list: longest time between two calls, also if the former one
  * is still unanswered. This process can't serve before, and a call that is lost
  * in an outage must not delay it after the store's return. */
@@ -145,9 +148,12 @@
 void
 PrefixWatch::recordFailure(const base::Error& aError)
 {
-  const base::Duration delay = mRelays.storeDelay ? mRelays.storeDelay() : 0ms;
-  mBackoff.setMax(mListed ? std::max(kMaxBackoff, delay) : kFirstListInterval);
-  mStoreCallAt = base::monotonicNow() + mBackoff.next();
+  const base::TimePoint now = base::monotonicNow();
+  if (now - mStoreCallAt > kFailureMemory) {
+    mBackoff.reset();
+  }
+  mBackoff.setMax(mListed ? maxStoreDelay() : kFirstListInterval);
+  mStoreCallAt = now + mBackoff.next();
   if (mConnected) {
     mConnected = false;
     mCallbacks.lost(aError);
@@ -198,17 +204,6 @@
          (aSnapshot.era == mMirror.era() && aSnapshot.revision < mRevision);
 }
 
-/** A relay that answers says nothing about whether the store does. */
-void
-PrefixWatch::listWhereReached(bool aAtRelay)
-{
-  if (aAtRelay) {
-    retryList();
-    return;
-  }
-  list("store reached");
-}
-
 /** Lists at a relay, if there is one, because the store may turn away this VM
  * only; else at the store after a delay. */
 void
@@ -218,7 +213,12 @@
     listAt(*relay);
     return;
   }
-  schedule(untilStoreCall(), &PrefixWatch::listAgain);
+  const base::Duration delay = untilStoreCall();
+  if (delay > base::Duration::zero()) {
+    schedule(std::min(kRelayPollInterval, delay), &PrefixWatch::retryList);
+    return;
+  }
+  listAgain();
 }
 
 void
@@ -231,6 +231,9 @@
 PrefixWatch::listAt(platform::Client& aRelay)
 {
   mAnswerDueAt = base::monotonicNow();
+  if (!mListed) {
+    schedule(untilStoreCall(), &PrefixWatch::listAgain);
+  }
   aRelay.list(
     mPrefix,
     [this, &aRelay, generation = mGeneration](
@@ -296,6 +299,10 @@
     list(mRelistCause);
     return;
   }
+  if (!mConnected && mListsWhenReached) {
+    retryList();
+    return;
+  }
   if (platform::Client* relay = mRelays.relay ? mRelays.relay() : nullptr) {
     waitAt(*relay, true);
     return;
@@ -314,7 +321,18 @@
   if (mRelayFailed && !mStoreCallsPostponed) {
     postponeStoreCalls();
   }
-  return mStoreCallAt - base::monotonicNow();
+  const base::TimePoint now = base::monotonicNow();
+  // This VM may have become the one that reads the store.
+  mStoreCallAt = std::min(mStoreCallAt, now + maxStoreDelay());
+  return mStoreCallAt - now;
+}
+
+/** @return longest time between two calls to a store that fails */
+base::Duration
+PrefixWatch::maxStoreDelay() const
+{
+  const base::Duration delay = mRelays.storeDelay ? mRelays.storeDelay() : 0ms;
+  return std::max(kMaxBackoff, delay);
 }
 
 /** When a relay fails, all of its readers notice at once. They read the store
@@ -393,10 +411,6 @@
     retryList();
     return;
   }
-  if (!mConnected && mListsWhenReached) {
-    listWhereReached(aFromRelay);
-    return;
-  }
   recordSuccess(aFromRelay);
   applyChanges(*unseen);
   mSpreadPending = mSpreadsWaits && !aChanges.entries.empty();
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -64,14 +64,13 @@
   /** Starts the watch. */
   void start();
 
-  /** Lists all keys of the store again before the next wait, or as soon as a
-   * store that fails may be called.
+  /** Lists all keys again before the next wait, or as soon as a store that
+   * fails may be called; at a relay if the store refuses.
    * @param aCause why, for the counts of calls */
   void relist(const char* aCause);
 
-  /** Makes the watch list all keys when a wait is answered after failed calls,
-   * at the server that has answered: leases may have ended meanwhile without a
-   * change. Until then its content isn't taken for current. */
+  /** Makes the watch list all keys after failed calls, in place of a wait for
+   * changes: leases may have ended meanwhile without a change. */
   void listWhenReached() { mListsWhenReached = true; }
 
   /** Makes the watch wait for changes at a relay where possible.
@@ -116,7 +115,6 @@
 
 private:
   void list(const char* aCause);
-  void listWhereReached(bool aAtRelay);
   void listAt(platform::Client& aRelay);
   void retryList();
   void listAgain();
@@ -135,6 +133,7 @@
   void onFailure(const base::Error& aError, const platform::Client& aClient);
   void waitAt(platform::Client& aClient, bool aFromRelay);
   base::Duration untilStoreCall();
+  base::Duration maxStoreDelay() const;
   void postponeStoreCalls();
   /** How long to wait, and why so. */
   struct WaitLimit
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -53,7 +53,7 @@
         self.next_lease = 100
         self.severed_ports = set()  # connections to these are closed, before or after a call takes effect
         self.unanswered_ports = set()  # calls sent to these are never answered
-        self.refused_ports = {}  # port: (status, list of the calls refused there); these do nothing
+        self.refused_ports = {}  # port: (status, list of the calls refused there), None: they are reset
         self.views = {}      # port: function that returns an item as the VM with that port gets it
         self.calls = 0
         self.open_watches = {}  # port: watches that wait now
@@ -582,6 +582,8 @@
                     if port in self.store.refused_ports:
                         status, refused = self.store.refused_ports[port]
                         refused.append((time.monotonic(), path, query.get("prefix", "")))
+                        if status is None:
+                            break
                         writer.write(answer_bytes(status, {}, b"{}"))
                         await writer.drain()
                         continue
--- a/tests/explore/watch_scenario.cpp
+++ b/tests/explore/watch_scenario.cpp
@@ -135,6 +135,7 @@
     { "relay", 1, &Self::canElectRelay, &Self::electRelay },
     { "update", 1, &Self::canUpdateRelay, &Self::updateRelay },
     { "relist", 1, &Self::canRelist, &Self::relist },
+    { "leases", 1, &Self::canHaveLeases, &Self::haveLeases },
     { "synchronize", 1, &Self::canSynchronize, &Self::synchronize },
     { "wait", 1, &Self::canWait, &Self::wait },
     { "late", 1, &Self::canBeLate, &Self::beLate },
@@ -169,7 +170,6 @@
         mRelayFailedUntil = mWorld.now() + kRelayFailedPeriod;
       },
       [this] { return mRelayElected ? kStoreDelay : base::Duration{}; } });
-  mWatch.listWhenReached();
   mWatch.start();
 }
 
@@ -333,14 +333,12 @@
 {
   const Network::CallId id = *callAt(aTarget);
   const http::Response answer = *mNetwork.calls().at(id).answer;
-  const bool atRelay = isAtRelay(mNetwork.calls().at(id));
+  const PendingCall& call = mNetwork.calls().at(id);
+  const bool fromStore = !isAtRelay(call) && !isSynchronization(call.request);
   const platform::Era era = mStoreClient.era();
-  if (!isSynchronization(mNetwork.calls().at(id).request)) {
-    mLatestBeforeAnswer = mNetwork.calls().rbegin()->first;
-  }
   mNetwork.end(id, http::CallEnd::Complete, answer);
-  // A restored store is listed at once, also if a relay tells of it.
-  if (!atRelay || mStoreClient.era() != era) {
+  // A restored store is listed at once, whoever tells of it.
+  if (fromStore || mStoreClient.era() != era) {
     mRefusedAt.reset();
   }
 }
@@ -355,7 +353,7 @@
 WatchScenario::breakCall(std::size_t aTarget)
 {
   disturb();
-  mNetwork.end(*callAt(aTarget), http::CallEnd::Broken, {});
+  endInVain(*callAt(aTarget), http::CallEnd::Broken, {});
 }
 
 bool
@@ -369,12 +367,8 @@
 WatchScenario::refuse(std::size_t aTarget)
 {
   disturb();
-  const Network::CallId id = *callAt(aTarget);
-  // An outdated call is ignored.
-  if (isOnlyCallToStore(id) && id > mLatestBeforeAnswer) {
-    mRefusedAt = mWorld.now();
-  }
-  mNetwork.end(id, http::CallEnd::Complete, { kUnavailable, {}, "" });
+  endInVain(
+    *callAt(aTarget), http::CallEnd::Complete, { kUnavailable, {}, "" });
 }
 
 bool
@@ -452,7 +446,6 @@
 {
   disturb();
   ++mRestorations;
-  mRefusedAt.reset();
   const std::uint64_t era = mStore.era + 1;
   mStore = *mCopy;
   mStore.era = era;
@@ -500,10 +493,23 @@
 WatchScenario::relist(std::size_t /*aTarget*/)
 {
   ++mRelists;
-  mRefusedAt.reset();
   mWatch.relist("asked by the scenario");
 }
 
+bool
+WatchScenario::canHaveLeases(std::size_t /*aTarget*/) const
+{
+  return !mHasLeases;
+}
+
+/** From now on the watch lists after failures, as that of upstreams does. */
+void
+WatchScenario::haveLeases(std::size_t /*aTarget*/)
+{
+  mHasLeases = true;
+  mWatch.listWhenReached();
+}
+
 bool
 WatchScenario::canSynchronize(std::size_t /*aTarget*/) const
 {
@@ -555,6 +561,19 @@
   return true;
 }
 
+void
+WatchScenario::endInVain(Network::CallId aCall,
+                         http::CallEnd aEnd,
+                         const http::Response& aAnswer)
+{
+  const bool counts = isOnlyCallToStore(aCall) && mWatch.isConnected();
+  mNetwork.end(aCall, aEnd, aAnswer);
+  // Still connected, it has ignored the end of an outdated call.
+  if (counts && !mWatch.isConnected()) {
+    mRefusedAt = mWorld.now();
+  }
+}
+
 /** A VM that the store turns away must not press on, whatever a relay answers
  * meanwhile. */
 void
@@ -764,9 +783,9 @@
 {
   std::ostringstream text;
   text << describe() << mWorld.fingerprint() << " " << mSilences << mWrites
-       << mCompactions << mRestorations << mElections << mRelists << mLate
-       << mSynchronizations << mCopy.has_value() << mWatch.isReadingStore()
-       << mWatch.mirror().revision();
+       << mCompactions << mRestorations << mElections << mRelists << mHasLeases
+       << mLate << mSynchronizations << mCopy.has_value()
+       << mWatch.isReadingStore() << mWatch.mirror().revision();
   if (mRefusedAt) {
     text << " " << base::inMilliseconds(mRefusedAt->time_since_epoch());
   }
--- a/tests/explore/watch_scenario.h
+++ b/tests/explore/watch_scenario.h
@@ -61,6 +61,7 @@
   void electRelay(std::size_t aTarget);
   void updateRelay(std::size_t aTarget);
   void relist(std::size_t aTarget);
+  void haveLeases(std::size_t aTarget);
   void synchronize(std::size_t aTarget);
   void wait(std::size_t aTarget);
   void beLate(std::size_t aTarget);
@@ -79,6 +80,7 @@
   bool canElectRelay(std::size_t aTarget) const;
   bool canUpdateRelay(std::size_t aTarget) const;
   bool canRelist(std::size_t aTarget) const;
+  bool canHaveLeases(std::size_t aTarget) const;
   bool canSynchronize(std::size_t aTarget) const;
   bool canWait(std::size_t aTarget) const;
   bool canBeLate(std::size_t aTarget) const;
@@ -104,6 +106,9 @@
   void requireCurrentView(const char* aWhen);
   void requireViewSince(const StoreContent& aContent);
   bool isOnlyCallToStore(Network::CallId aCall) const;
+  void endInVain(Network::CallId aCall,
+                 http::CallEnd aEnd,
+                 const http::Response& aAnswer);
   void requirePauseAfterRefusal();
 
   World mWorld;
@@ -122,11 +127,9 @@
   std::map<std::string, platform::Revision> mShown;
   platform::Era mShownEra = 0;
   base::TimePoint mDisturbedAt{};
-  /** When the store refused the only call under way, unless it has answered one
-   * since, or the VM has another reason to ask. */
+  /** When the watch lost the store with the only call under way, unless the
+   * store has answered one since, or was restored. */
   std::optional<base::TimePoint> mRefusedAt;
-  /** Latest call that was under way when one was answered. */
-  Network::CallId mLatestBeforeAnswer = 0;
   std::string mViolation;
   std::size_t mWrites = 0;
   std::size_t mCompactions = 0;
@@ -134,6 +137,7 @@
   std::size_t mSilences = 0;
   std::size_t mElections = 0;
   std::size_t mRelists = 0;
+  bool mHasLeases = false;
   std::size_t mSynchronizations = 0;
   std::size_t mWaits = 0;
   std::size_t mLate = 0;
