--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -21,6 +21,9 @@
  */
 constexpr base::Duration kInitialBackoff = 100ms;
 constexpr base::Duration kMaxBackoff = 800ms;
+/** Failures of the store that are older say nothing about the next call. A
+ * relay may have answered since. */
+constexpr base::Duration kFailureMemory = 10s;
 /** Until the first list: longest time between two calls, also if the former one
  * is still unanswered. This process can't serve before, and a call that is lost
  * in an outage must not delay it after the store's return. */
@@ -123,12 +126,18 @@
                        [this, aNext] { (this->*aNext)(); });
 }
 
+/** The answer of a relay doesn't end the backoff from a store that may still
+ * turn this VM away. */
 void
-PrefixWatch::recordSuccess()
+PrefixWatch::recordSuccess(bool aFromRelay)
 {
-  mBackoff.reset();
-  mStoreCallAt = {};
+  if (!aFromRelay) {
+    mBackoff.reset();
+    mStoreCallAt = {};
+  }
+  mLastFromStore = !aFromRelay;
   mRelayFailed = false;
+  mStoreCallsPostponed = false;
   mConfirmedAt = std::min(base::monotonicNow(), mAnswerDueAt);
   if (!mConnected) {
     mConnected = true;
@@ -139,9 +148,12 @@
 void
 PrefixWatch::recordFailure(const base::Error& aError)
 {
-  const base::Duration delay = mRelays.storeDelay ? mRelays.storeDelay() : 0ms;
-  mBackoff.setMax(mListed ? std::max(kMaxBackoff, delay) : kFirstListInterval);
-  mStoreCallAt = base::monotonicNow() + mBackoff.next();
+  const base::TimePoint now = base::monotonicNow();
+  if (now - mStoreCallAt > kFailureMemory) {
+    mBackoff.reset();
+  }
+  mBackoff.setMax(mListed ? maxStoreDelay() : kFirstListInterval);
+  mStoreCallAt = now + mBackoff.next();
   if (mConnected) {
     mConnected = false;
     mCallbacks.lost(aError);
@@ -201,7 +213,12 @@
     listAt(*relay);
     return;
   }
-  schedule(mStoreCallAt - base::monotonicNow(), &PrefixWatch::listAgain);
+  const base::Duration delay = untilStoreCall();
+  if (delay > base::Duration::zero()) {
+    schedule(std::min(kRelayPollInterval, delay), &PrefixWatch::retryList);
+    return;
+  }
+  listAgain();
 }
 
 void
@@ -214,6 +231,9 @@
 PrefixWatch::listAt(platform::Client& aRelay)
 {
   mAnswerDueAt = base::monotonicNow();
+  if (!mListed) {
+    schedule(untilStoreCall(), &PrefixWatch::listAgain);
+  }
   aRelay.list(
     mPrefix,
     [this, &aRelay, generation = mGeneration](
@@ -223,6 +243,7 @@
       }
       const auto* snapshot = std::get_if<platform::Snapshot>(&aResult);
       if (snapshot == nullptr || isBehind(*snapshot)) {
+        mRelayFailed = mListed; // Without a view there is no time to lose.
         mRelays.failed(aRelay);
         retryList();
         return;
@@ -248,8 +269,7 @@
     mTimer.reset();
   }
   mRevision = aSnapshot.revision;
-  mLastFromStore = !aFromRelay;
-  recordSuccess();
+  recordSuccess(aFromRelay);
   mMirror.replace(aSnapshot);
   mMirrorChanged.emit();
   mCallbacks.snapshot(aSnapshot);
@@ -275,31 +295,55 @@
 void
 PrefixWatch::wait()
 {
-  if (mRelistCause != nullptr) {
+  if (mRelistCause != nullptr && base::monotonicNow() >= mStoreCallAt) {
     list(mRelistCause);
     return;
   }
+  if (!mConnected && mListsWhenReached) {
+    retryList();
+    return;
+  }
   if (platform::Client* relay = mRelays.relay ? mRelays.relay() : nullptr) {
     waitAt(*relay, true);
     return;
   }
-  if (mRelayFailed && mStoreCallAt == base::TimePoint{}) {
-    postponeStoreCalls();
-  }
-  if (base::monotonicNow() < mStoreCallAt) {
+  if (untilStoreCall() > base::Duration::zero()) {
     schedule(kRelayPollInterval, &PrefixWatch::wait);
     return;
   }
   waitAt(mClient, false);
 }
 
+/** @return time until this VM may call the store, not positive if it may now */
+base::Duration
+PrefixWatch::untilStoreCall()
+{
+  if (mRelayFailed && !mStoreCallsPostponed) {
+    postponeStoreCalls();
+  }
+  const base::TimePoint now = base::monotonicNow();
+  // This VM may have become the one that reads the store.
+  mStoreCallAt = std::min(mStoreCallAt, now + maxStoreDelay());
+  return mStoreCallAt - now;
+}
+
+/** @return longest time between two calls to a store that fails */
+base::Duration
+PrefixWatch::maxStoreDelay() const
+{
+  const base::Duration delay = mRelays.storeDelay ? mRelays.storeDelay() : 0ms;
+  return std::max(kMaxBackoff, delay);
+}
+
 /** When a relay fails, all of its readers notice at once. They read the store
  * at random moments, so that most find the next relay working before. */
 void
 PrefixWatch::postponeStoreCalls()
 {
-  mBackoff.setMax(std::max(kMaxBackoff, mRelays.storeDelay()));
-  mStoreCallAt = base::monotonicNow() + mBackoff.jittered(mRelays.storeDelay());
+  mStoreCallsPostponed = true;
+  mStoreCallAt =
+    std::max(mStoreCallAt,
+             base::monotonicNow() + mBackoff.jittered(mRelays.storeDelay()));
 }
 
 void
@@ -337,6 +381,10 @@
     observe::logInfo(
       "store history compacted",
       { { "prefix", mPrefix }, { "revision", std::to_string(mRevision) } });
+    if (&aClient != &mClient) {
+      retryList();
+      return;
+    }
     list("history compacted");
     return;
   }
@@ -363,8 +411,7 @@
     retryList();
     return;
   }
-  mLastFromStore = !aFromRelay;
-  recordSuccess();
+  recordSuccess(aFromRelay);
   applyChanges(*unseen);
   mSpreadPending = mSpreadsWaits && !aChanges.entries.empty();
   const base::Duration pause = aFromRelay ? kRelayWatchPause : mPause;
--- /dev/null
+++ b/tests/e2e/test_refused_vm.py
@@ -0,0 +1,64 @@
+"""Tests VMs that the store refuses while it serves the others, whose relays answer."""
+
+import time
+import unittest
+
+from fleet_case import FleetCase
+from gateway_process import wait_for
+
+SECONDS = 5.0
+MIN_PAUSE = 0.4  # seconds between calls to a store that goes on failing: half of kMaxBackoff of prefix_watch.cpp
+BUSY = 503
+OVER_RATE = 429
+RESET = None
+REGISTRATIONS = "marigold/"  # the only keys that a VM has another reason to list than an answer of its relay
+
+
+class RefusedVm(FleetCase):
+    PLACES = ("dc-a", "dc-a", "dc-a", "dc-b")
+
+    def reader(self):
+        """Returns the number of the VM that reads the store for dc-a: it waits there all the time."""
+        waits = [0, 0, 0]
+        for _ in range(20):
+            for number in range(3):
+                waits[number] += self.platform.store.open_watches.get(self.store_ports[number], 0)
+            time.sleep(0.05)
+        return waits.index(max(waits))
+
+    def check_calls(self, status):
+        """Counts the refused calls of the other VMs, the deputy of the reader and a plain one, whose relay was away for a moment."""
+        reader = self.reader()
+        others = [number for number in range(3) if number != reader]
+        refused = {number: [] for number in others}
+        for number in others:
+            self.platform.store.refused_ports[self.store_ports[number]] = (status, refused[number])
+        self.gateways[reader].stop()
+        for number in others:
+            wait_for(lambda: "upstream records lost" in self.gateways[number].log())
+        self.gateways[reader].start()
+        for number in others:
+            wait_for(lambda: self.gateways[number].log().count("upstream records reached") > 1)
+        begun = time.monotonic()
+        time.sleep(SECONDS)
+        for number in others:
+            calls = [(path, prefix) for at, path, prefix in refused[number] if at > begun]
+            watched = [prefix for path, prefix in calls if prefix]
+            print(f"vm{number} refused with {status} in {SECONDS:.0f} s: {len(calls)} calls, of its watches: {watched}")
+            for prefix in set(watched):
+                self.assertLessEqual(watched.count(prefix), SECONDS / MIN_PAUSE + 1 if prefix == REGISTRATIONS else 1, prefix)
+            self.assertEqual(200, self.gateways[number].call("/again/x")[0])
+
+    def test_vm_over_the_rate_backs_off_beside_a_relay(self):
+        """Guards against a VM that asks the store again each time its relay answers."""
+        self.check_calls(OVER_RATE)
+
+    def test_vm_that_is_turned_away_backs_off_beside_a_relay(self):
+        self.check_calls(BUSY)
+
+    def test_vm_that_is_reset_backs_off_beside_a_relay(self):
+        self.check_calls(RESET)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/explore/watch_scenario.cpp
+++ b/tests/explore/watch_scenario.cpp
@@ -31,6 +31,9 @@
 constexpr base::Duration kLimit = 2500ms;
 /** Time without trouble after which that holds. */
 constexpr base::Duration kContact = 4s;
+/** Shortest time between a refusal of the store and the next call to it, half
+ * of the first delay of prefix_watch.cpp. */
+constexpr base::Duration kMinBackoff = 50ms;
 constexpr base::Duration kPause = 20ms;
 constexpr base::Duration kLate = 300ms;
 
@@ -56,6 +59,12 @@
   return !http::queryValue(aRequest.query, "wait_ms").empty();
 }
 
+bool
+isSynchronization(const http::Request& aRequest)
+{
+  return http::queryValue(aRequest.query, "wait_ms") == "0";
+}
+
 /** @return a row of an answer of the store, or of a relay */
 json
 makeRow(const StoreContent::Change& aChange, bool aAtRelay)
@@ -126,6 +135,7 @@
     { "relay", 1, &Self::canElectRelay, &Self::electRelay },
     { "update", 1, &Self::canUpdateRelay, &Self::updateRelay },
     { "relist", 1, &Self::canRelist, &Self::relist },
+    { "leases", 1, &Self::canHaveLeases, &Self::haveLeases },
     { "synchronize", 1, &Self::canSynchronize, &Self::synchronize },
     { "wait", 1, &Self::canWait, &Self::wait },
     { "late", 1, &Self::canBeLate, &Self::beLate },
@@ -190,6 +200,7 @@
     if (kind.name == aAction.name && isPossible(kind, aAction.target)) {
       (this->*kind.run)(aAction.target);
       mWorld.runAllReady();
+      requirePauseAfterRefusal();
       return true;
     }
   }
@@ -322,7 +333,14 @@
 {
   const Network::CallId id = *callAt(aTarget);
   const http::Response answer = *mNetwork.calls().at(id).answer;
+  const PendingCall& call = mNetwork.calls().at(id);
+  const bool fromStore = !isAtRelay(call) && !isSynchronization(call.request);
+  const platform::Era era = mStoreClient.era();
   mNetwork.end(id, http::CallEnd::Complete, answer);
+  // A restored store is listed at once, whoever tells of it.
+  if (fromStore || mStoreClient.era() != era) {
+    mRefusedAt.reset();
+  }
 }
 
 bool
@@ -335,7 +353,7 @@
 WatchScenario::breakCall(std::size_t aTarget)
 {
   disturb();
-  mNetwork.end(*callAt(aTarget), http::CallEnd::Broken, {});
+  endInVain(*callAt(aTarget), http::CallEnd::Broken, {});
 }
 
 bool
@@ -349,7 +367,7 @@
 WatchScenario::refuse(std::size_t aTarget)
 {
   disturb();
-  mNetwork.end(
+  endInVain(
     *callAt(aTarget), http::CallEnd::Complete, { kUnavailable, {}, "" });
 }
 
@@ -478,6 +496,20 @@
   mWatch.relist("asked by the scenario");
 }
 
+bool
+WatchScenario::canHaveLeases(std::size_t /*aTarget*/) const
+{
+  return !mHasLeases;
+}
+
+/** From now on the watch lists after failures, as that of upstreams does. */
+void
+WatchScenario::haveLeases(std::size_t /*aTarget*/)
+{
+  mHasLeases = true;
+  mWatch.listWhenReached();
+}
+
 bool
 WatchScenario::canSynchronize(std::size_t /*aTarget*/) const
 {
@@ -514,6 +546,47 @@
   }
 }
 
+/** @return true for a call to the store while no other one is under way; the
+ * client may send another one again at any moment. Synchronizations don't
+ * count: callers wait for them. */
+bool
+WatchScenario::isOnlyCallToStore(Network::CallId aCall) const
+{
+  for (const auto& [id, call] : mNetwork.calls()) {
+    const bool counts = !isAtRelay(call) && !isSynchronization(call.request);
+    if (counts != (id == aCall)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+WatchScenario::endInVain(Network::CallId aCall,
+                         http::CallEnd aEnd,
+                         const http::Response& aAnswer)
+{
+  const bool counts = isOnlyCallToStore(aCall) && mWatch.isConnected();
+  mNetwork.end(aCall, aEnd, aAnswer);
+  // Still connected, it has ignored the end of an outdated call.
+  if (counts && !mWatch.isConnected()) {
+    mRefusedAt = mWorld.now();
+  }
+}
+
+/** A VM that the store turns away must not press on, whatever a relay answers
+ * meanwhile. */
+void
+WatchScenario::requirePauseAfterRefusal()
+{
+  for (const auto& [id, call] : mNetwork.calls()) {
+    if (mRefusedAt && isOnlyCallToStore(id) &&
+        call.sentAt < *mRefusedAt + kMinBackoff) {
+      mViolation = "the store was called right after it refused a call";
+    }
+  }
+}
+
 bool
 WatchScenario::canWait(std::size_t /*aTarget*/) const
 {
@@ -710,9 +783,12 @@
 {
   std::ostringstream text;
   text << describe() << mWorld.fingerprint() << " " << mSilences << mWrites
-       << mCompactions << mRestorations << mElections << mRelists << mLate
-       << mSynchronizations << mCopy.has_value() << mWatch.isReadingStore()
-       << mWatch.mirror().revision();
+       << mCompactions << mRestorations << mElections << mRelists << mHasLeases
+       << mLate << mSynchronizations << mCopy.has_value()
+       << mWatch.isReadingStore() << mWatch.mirror().revision();
+  if (mRefusedAt) {
+    text << " " << base::inMilliseconds(mRefusedAt->time_since_epoch());
+  }
   if (mCopy) {
     text << " " << mCopy->revision;
   }
