--- a/libs/platform/json_scanner.h
+++ b/libs/platform/json_scanner.h
@@ -21,9 +21,6 @@
   {
   }
 
-  /** @return offset of the next byte that is no white space */
-  std::size_t position();
-
   /** @return what follows the position */
   std::string_view rest();
 
@@ -43,6 +40,8 @@
   void expectEnd();
 
 private:
+  /** @return offset of the next byte that is no white space */
+  std::size_t position();
   [[noreturn]] void fail(const char* aReason) const;
   void skipString();
 
--- a/libs/platform/mirror.cpp
+++ b/libs/platform/mirror.cpp
@@ -48,6 +48,20 @@
   return patch ? std::vector{ std::move(*patch) } : std::vector<TextPatch>();
 }
 
+/** Adds a later change of the same key. */
+void
+merge(Entry& aChange, Entry aLater)
+{
+  aChange.revision = aLater.revision;
+  if (aChange.patches.empty() || aLater.patches.empty()) {
+    aChange.patches.clear();
+    return;
+  }
+  std::move(aLater.patches.begin(),
+            aLater.patches.end(),
+            std::back_inserter(aChange.patches));
+}
+
 } // namespace
 
 void
@@ -93,13 +107,15 @@
   if (stored == mEntries.end() || stored->second.revision != aEntry.base) {
     return false;
   }
-  std::string value = *stored->second.value;
+  const std::string* base = &*stored->second.value;
+  std::string value;
   for (const TextPatch& patch : aEntry.patches) {
-    auto next = applyPatch(patch, value, kMaxValueBytes);
+    auto next = applyPatch(patch, *base, kMaxValueBytes);
     if (!next) {
       return false;
     }
     value = std::move(*next);
+    base = &value;
   }
   aEntry.value = std::move(value);
   return true;
@@ -203,20 +219,6 @@
   return changes;
 }
 
-/** Adds a later change of the same key. */
-void
-Mirror::merge(Entry& aChange, Entry aLater)
-{
-  aChange.revision = aLater.revision;
-  if (aChange.patches.empty() || aLater.patches.empty()) {
-    aChange.patches.clear();
-    return;
-  }
-  std::move(aLater.patches.begin(),
-            aLater.patches.end(),
-            std::back_inserter(aChange.patches));
-}
-
 /** Gives the latest change of a large value the value, unless the reader takes
  * its patches and these are much smaller. */
 void
--- a/libs/platform/mirror.h
+++ b/libs/platform/mirror.h
@@ -56,7 +56,6 @@
   };
   void applyEntry(const Entry& aEntry);
   void recordChange(Change aChange);
-  static void merge(Entry& aChange, Entry aLater);
   void completeEntry(Entry& aChange, bool aPatches) const;
 
   Era mEra = 0;
