Refuse a configuration with two items of one name

A list with two items of one name was accepted: of two services the first one was used, of two routes or teams both. The version is refused now with an error that names the item ("configuration: routes[1504]: a second item is named r700"), and the last version stays in force.

--- a/tests/e2e/test_large_configuration.py
+++ b/tests/e2e/test_large_configuration.py
@@ -92,6 +92,17 @@
             self.assertEqual(200, gateway.call("/new7/x", key="k1")[0])
         self.publish(4, ["k2"], many_routes(NEW_ROUTES))
 
+    def test_version_with_two_items_of_one_name_changes_nothing(self):
+        """Guards against two routes of one name, of which nobody knows which one is in force."""
+        self.publish(2, ["k1"], many_routes(NEW_ROUTES))
+        self.platform.publish(3, ["k2"], many_routes(NEW_ROUTES) + [route("r700", "/else/", "idempotent", "desk")])
+        wait_for(lambda: all(gateway.log_rows("configuration rejected") for gateway in self.gateways), TARGET_SECONDS)
+        for gateway in self.gateways:
+            self.assertIn("routes[1504]: a second item is named r700",
+                          gateway.log_rows("configuration rejected")[0]["error"])
+            self.assertEqual(200, gateway.call("/new700/x", key="k1")[0])
+        self.publish(4, ["k2"], many_routes(NEW_ROUTES))
+
 
 if __name__ == "__main__":
     unittest.main()
