Let the soak change large configurations

Half of the seeds with changes of the configuration get 1,500 to 3,000 routes more, of which each further change edits up to three, and which are removed at times and added again, beside all other faults. The other random numbers of a seed stay.

--- a/tests/soak/changes.py
+++ b/tests/soak/changes.py
@@ -15,6 +15,8 @@
 IDLE_CALLERS = 6
 TEAMS = 40               # at most, beside the one of the callers
 ROUTES = 200             # at most, beside those of the callers
+LARGE = (1500, 3000)     # routes of a large configuration, which is decoded in several slices and passed on as patches
+LARGE_SHARE = 0.5        # of the seeds that play changes
 TIMEOUTS_MS = (4000, 6000)
 
 
@@ -29,12 +31,16 @@
         self.threads += [threading.Thread(target=self.idle_caller, args=(numbers,)) for numbers in callers]
         self.kinds = [self.change_teams, self.change_quota, self.change_idle_time, self.change_routes,
                       self.change_timeouts]
-        self.teams, self.routes = [], []
+        self.teams, self.routes, self.large = [], [], []
+        self.large_random = random.Random(f"{seed} large configuration")  # of its own, so that the other changes stay
+        self.large_played = self.played and self.large_random.random() < LARGE_SHARE
         self.settings = {}
 
     def run(self):
         while self.played and not self.ending.wait(self.random.uniform(*PAUSE)):
             self.random.choice(self.kinds)()
+            if self.large_played:
+                self.change_large()
             self.soak.count("changes")
             self.soak.withdraw(None)
 
@@ -65,12 +71,25 @@
         self.routes = [{**route(f"more{n}", f"/more{n}/", "idempotent", "desk"), "host": f"host{n % 7}.example"}
                        for n in range(count)]
 
+    def change_large(self):
+        """Adds or removes all routes of a large configuration, or changes a few of them among the others."""
+        numbers = self.large_random
+        if not self.large or numbers.random() < 0.1:
+            count = numbers.randrange(*LARGE) if not self.large else 0
+            self.large = [{**route(f"large{n}", f"/large{n}/", "idempotent", "desk"), "host": f"host{n % 40}.example"}
+                          for n in range(count)]
+            self.soak.count("large configurations" if count else "large configurations removed")
+            return
+        for _ in range(numbers.randrange(4)):
+            at = numbers.randrange(len(self.large))
+            self.large[at] = {**self.large[at], "target_latency_ms": numbers.randrange(500, 2000)}
+
     def change_timeouts(self):
         self.settings["timeout_ms"] = self.random.choice(TIMEOUTS_MS)
 
     def apply(self, config):
         """Adds what has changed to a configuration."""
-        config["routes"] = config["routes"] + [dict(row) for row in self.routes]
+        config["routes"] = config["routes"] + [dict(row) for row in self.routes + self.large]
         team = config["tenants"][0]
         config["tenants"] = config["tenants"] + self.teams
         for name in ("rate_per_s", "priority"):
