Explore versions that come in the middle of a slice

CatalogLoader takes the size of a slice, so that small texts have several; the product's is as before. The explorer begins at the loader: watch, mirror and patches of a relay are in explore-watches and aren't joined to it.

--- a/apps/gateway/catalog_loader.cpp
+++ b/apps/gateway/catalog_loader.cpp
@@ -9,8 +9,6 @@
 
 using namespace std::chrono_literals;
 
-/** Parsing these takes some 2 ms of a core, and 20 ms of a tenth of one. */
-constexpr std::size_t kSliceBytes = 64UL * 1024;
 /** Long enough for the loop to look at its sockets. */
 constexpr base::Duration kSlicePause = 1ms;
 
@@ -22,9 +20,12 @@
   return aSource == CatalogSource::Store ? "store" : "peer";
 }
 
-CatalogLoader::CatalogLoader(http::Loop& aLoop, Loaded aLoaded)
+CatalogLoader::CatalogLoader(http::Loop& aLoop,
+                             Loaded aLoaded,
+                             std::size_t aSliceBytes)
   : mLoop(aLoop)
   , mLoaded(std::move(aLoaded))
+  , mSliceBytes(aSliceBytes)
 {
 }
 
@@ -54,7 +55,7 @@
 CatalogLoader::proceed()
 {
   const base::Duration begun = processCpuTime();
-  auto content = mDecoder.proceed(kSliceBytes);
+  auto content = mDecoder.proceed(mSliceBytes);
   ++mCurrent.slices;
   mCurrent.worked += processCpuTime() - begun;
   if (!content) {
--- a/apps/gateway/catalog_loader.h
+++ b/apps/gateway/catalog_loader.h
@@ -20,6 +20,9 @@
 
 constexpr std::size_t kCatalogSources = 2;
 
+/** Parsing these takes some 2 ms of a core, and 20 ms of a tenth of one. */
+constexpr std::size_t kCatalogSliceBytes = 64UL * 1024;
+
 /** @return the name of a source in logs */
 const char*
 sourceName(CatalogSource aSource);
@@ -45,8 +48,11 @@
 public:
   using Loaded = std::function<void(LoadedCatalog)>;
 
-  /** @param aLoop event loop @param aLoaded called with each decoded text */
-  CatalogLoader(http::Loop& aLoop, Loaded aLoaded);
+  /** @param aLoop event loop @param aLoaded called with each decoded text
+   * @param aSliceBytes how much to parse in a slice */
+  CatalogLoader(http::Loop& aLoop,
+                Loaded aLoaded,
+                std::size_t aSliceBytes = kCatalogSliceBytes);
 
   /** Decodes a text, the first slice of it before this function returns.
    * @param aText text @param aSource where it came from */
@@ -61,6 +67,7 @@
 
   http::Loop& mLoop;
   Loaded mLoaded;
+  std::size_t mSliceBytes;
   boundary::CatalogDecoder mDecoder;
   LoadedCatalog mCurrent; ///< without text while there is none
   std::array<std::shared_ptr<const std::string>, kCatalogSources> mWaiting;
--- a/scripts/explore.sh
+++ b/scripts/explore.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Plays orders of events on the request path, there while upstreams of two versions restart, or on a watch of the store, and looks for violated promises; prints a script that replays what it finds.
-# Usage: scripts/explore.sh [--watches | --versions] [--depth N] [--seconds S] [--seed N] | [--watches | --versions] --replay SCRIPT
+# Plays orders of events on the request path, there while upstreams of two versions restart, on a watch of the store, or on the loader of configurations, and looks for violated promises; prints a script that replays what it finds.
+# Usage: scripts/explore.sh [--watches | --versions | --configurations] [--depth N] [--seconds S] [--seed N] | [--watches | --versions | --configurations] --replay SCRIPT
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ "${1:-}" = --help ]; then
@@ -9,7 +9,7 @@
 fi
 program=explore
 case "${1:-}" in
-  --watches | --versions)
+  --watches | --versions | --configurations)
     program=explore-${1#--}
     shift
     ;;
