--- a/tests/e2e/placement_fleet.py
+++ b/tests/e2e/placement_fleet.py
@@ -7,7 +7,8 @@
 import time
 import unittest
 
-from gateway_process import Gateway, wait_for
+from gateway_process import DATA_CENTRES, Gateway, wait_for
+from peer_links import PeerLinks
 from users_platform import ROUTES, Platform, Upstream
 
 BASE_PORT = int(os.environ.get("MARIGOLD_TEST_PORT", 27000))
@@ -26,6 +27,9 @@
 
 class PlacementFleet(unittest.TestCase):
     vms = ("dc-a", "dc-a")  # data centre of each VM
+    data_centres = DATA_CENTRES  # with their regions
+    engine_places = ("dc-a", "dc-a")  # data centre of each engine
+    linked = False  # whether the paths between the VMs can be cut, by self.links
 
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
@@ -36,24 +40,33 @@
         models = runtime["models"]
         models += [{**models[0], "name": name} for name in COLD]
         self.platform.change(self.platform.store.put, "op/config", json.dumps(config).encode())
-        self.engines = [Upstream(f"engine{n}", BASE_PORT + 70 + n, "llm", ["m1", "m2"]) for n in (0, 1)]
-        for engine in self.engines:
+        self.engines = [Upstream(f"engine{n}", BASE_PORT + 70 + n, "llm", ["m1", "m2"])
+                        for n in range(len(self.engine_places))]
+        for engine, place in zip(self.engines, self.engine_places):
+            engine.data_centre = place
             engine.memory_mb, engine.adapter_slots = MEMORY_MB, runtime["adapter_slots"]
             engine.weights_mb = {model["name"]: MODEL_MB for model in models}
             engine.load_seconds, engine.event_seconds, engine.slots = 0.5, 0.03, 50
             engine.after_order = lambda engine=engine: self.write_record(engine)
             self.platform.serve_upstream(engine)
         self.store_ports = [BASE_PORT + 90 + number for number in range(len(self.vms))]
+        self.links = None
+        if self.linked:
+            vms = range(len(self.vms))
+            self.links = PeerLinks(self.platform, {f"vm{number}": self.store_ports[number] for number in vms},
+                                   [BASE_PORT + 10 * number + offset for number in vms for offset in range(4, 10)])
         self.gateways = []
         for number, data_centre in enumerate(self.vms):
             self.platform.serve_store(self.store_ports[number])
             self.gateways.append(Gateway(number, self.folder.name, BASE_PORT + 10 * number, self.store_ports[number],
-                                         data_centre))
+                                         data_centre, self.data_centres))
         wait_for(lambda: all(gateway.ready() for gateway in self.gateways))
 
     def tearDown(self):
         for gateway in self.gateways:
             gateway.stop()
+        if self.links:
+            self.platform.change(self.links.close)
         self.platform.close()
         self.folder.cleanup()
 
@@ -86,5 +99,5 @@
 
     def check_memory(self):
         """Checks that no load has crashed an engine, and that their memory was used (P1)."""
-        self.assertEqual([[], []], [engine.overcommits for engine in self.engines])
+        self.assertEqual([[]] * len(self.engines), [engine.overcommits for engine in self.engines])
         self.assertEqual(2 * MODEL_MB, max(engine.peak_mb for engine in self.engines))
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -228,6 +228,7 @@
         self.falls_over = True  # False: it says so and survives
         self.held = set()    # requests that wait or run, as objects
         self.running = set()  # those that run
+        self.frozen = False   # its process is suspended: the kernel accepts connections, nothing is answered
         self.rejections = []  # (time, request id, process) of requests that it had no room for
         self.falls = []      # (time, ids of the requests that it turned away in the second before)
         self.born = 1700000000000
@@ -407,6 +408,10 @@
         except ConnectionError:
             self.endless_closed = True
 
+    async def until_resumed(self):
+        while self.frozen:
+            await asyncio.sleep(0.01)
+
     def crash(self):
         """Ends all connections and the listener, as the end of the process does."""
         self.crashes.append(time.monotonic())
@@ -489,6 +494,7 @@
     async def finish_order(self, loads, model, born, runs):
         if loads:
             await asyncio.sleep(self.load_seconds)
+        await self.until_resumed()
         while not loads and runs.get(model, 0):
             await asyncio.sleep(0.01)
         if born != self.born or not self.listener.is_serving():
@@ -521,6 +527,7 @@
         first = int(headers.get("last-event-id", 0)) + 1
         for number in range(first, len(events) + 1):
             await asyncio.sleep(self.pauses.pop(number, 0))
+            await self.until_resumed()
             line = f"id: {number}\n" if self.event_ids else ""
             event = f"{line}data: {events[number - 1]}\n\n".encode()
             if self.break_after is not None and number > self.break_after:
@@ -605,6 +612,7 @@
             try:
                 while request := await read_request(reader):
                     method, path, _, headers, body = request
+                    await upstream.until_resumed()
                     if not await upstream.handle(method, path, headers, body, writer):
                         break
                     await writer.drain()
