Measure the gateway's choice of an upstream in place of libs/routing

measure-routing played libs/routing, which only marigold-entry uses (decisions/0015, measure.sh). It plays dispatch::chooseUpstream now, with candidates as Exchange::makeCandidate has them: requests and queued work of all VMs from their statuses, load in the heads of answers, learnt speed, cached prefixes, failure rates; a request that no engine starts in time is refused.

--- a/tests/measure/engine_model.h
+++ b/tests/measure/engine_model.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <list>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace marigold::measure {
@@ -15,6 +16,10 @@
 /** Maximum batch size of an engine. */
 inline constexpr int kEngineCapacity = 8;
 
+/** Prompt of a request; all but the last part may be cached. */
+inline constexpr std::uint32_t kCacheableTokens = 700;
+inline constexpr std::uint32_t kOwnTokens = 100;
+
 /** One request on an engine. */
 struct Job
 {
@@ -24,6 +29,7 @@
   double tokens = 0;
   double remainingPrefillSeconds = 0;
   double producedTokens = 0;
+  bool begun = false; ///< its first token was produced
 };
 
 /** Runs up to kEngineCapacity requests in a batch and queues the others. A
@@ -48,10 +54,16 @@
 
   int load() const { return static_cast<int>(mQueue.size() + mRunning.size()); }
 
-  /** Advances virtual time.
-   * @param aStepSeconds length of the step
-   * @return ids of the requests that completed */
-  std::vector<std::uint64_t> step(double aStepSeconds)
+  /** Requests that produced their first token, and that completed, in a step.
+   */
+  struct Progress
+  {
+    std::vector<std::uint64_t> begun;
+    std::vector<std::uint64_t> completed;
+  };
+
+  /** Advances virtual time. @param aStepSeconds length of the step */
+  Progress step(double aStepSeconds)
   {
     while (mRunning.size() < kEngineCapacity && !mQueue.empty()) {
       mRunning.push_back(startPrefill(mQueue.front()));
@@ -63,21 +75,24 @@
     const double tokensPerSecond =
       kTokensPerSecond / mSlowdown /
       (1 + kFullBatchSlowdown * otherRequests / kEngineCapacity);
-    std::vector<std::uint64_t> completedIds;
+    Progress progress;
     for (Job& job : mRunning) {
       if (job.remainingPrefillSeconds > 0) {
         job.remainingPrefillSeconds -= aStepSeconds / mSlowdown;
       } else {
         job.producedTokens += tokensPerSecond * aStepSeconds;
+        if (!std::exchange(job.begun, true)) {
+          progress.begun.push_back(job.id);
+        }
       }
       if (job.producedTokens >= job.tokens) {
-        completedIds.push_back(job.id);
+        progress.completed.push_back(job.id);
       }
     }
     std::erase_if(mRunning, [](const Job& aJob) {
       return aJob.producedTokens >= aJob.tokens;
     });
-    return completedIds;
+    return progress;
   }
 
 private:
--- a/tests/measure/measure_routing.cpp
+++ b/tests/measure/measure_routing.cpp
@@ -1,4 +1,4 @@
-/** @file Compares routing strategies with baselines in virtual time. */
+/** @file Compares the choice of an upstream with baselines in virtual time. */
 #include "tests/measure/routing_simulation.h"
 
 #include <docopt/docopt.h>
@@ -6,13 +6,14 @@
 #include <nlohmann/json.hpp>
 
 using namespace marigold;
-using routing::StrategyKind;
+using measure::RoutingPolicy;
 
 namespace {
 
-constexpr const char* kUsage = R"(Compares routing strategies in virtual time.
+constexpr const char* kUsage =
+  R"(Compares the choice of an upstream with baselines in virtual time.
 
-Prints one JSON object per line. Exits with 1 if the strategy marigold
+Prints one JSON object per line. Exits with 1 if marigold
 misses a target: 1.3 times the baseline's in-time answers where the baseline
 misses more than a quarter, and never below the baseline.
 
@@ -84,11 +85,12 @@
   bool targetsMet = true;
   for (const measure::Scenario& scenario : scenarios()) {
     const auto marigoldResult =
-      measure::run(scenario, StrategyKind::Marigold, seed);
+      measure::run(scenario, RoutingPolicy::Marigold, seed);
     std::cout << makeRow(scenario, "marigold", marigoldResult) << "\n";
     for (const auto& [kind, name] :
-         { std::pair{ StrategyKind::RoundRobin, "round-robin" },
-           std::pair{ StrategyKind::LeastConnections, "least-connections" } }) {
+         { std::pair{ RoutingPolicy::RoundRobin, "round-robin" },
+           std::pair{ RoutingPolicy::LeastConnections,
+                      "least-connections" } }) {
       const auto baselineResult = measure::run(scenario, kind, seed);
       nlohmann::json row = makeRow(scenario, name, baselineResult);
       const double ratio = static_cast<double>(marigoldResult.inTime) /
--- a/tests/measure/routing_simulation.h
+++ b/tests/measure/routing_simulation.h
@@ -1,8 +1,7 @@
 /** @file Simulates entry VMs and engines of a deployment in virtual time. */
 #pragma once
 
-#include "request/request.h"
-#include "routing/routing.h"
+#include "dispatch/dispatch.h"
 #include "tests/measure/engine_model.h"
 
 #include <deque>
@@ -20,7 +19,7 @@
   std::string deployment;
   std::string name;
   int replicas = 12;          ///< of one model, over three data centres
-  base::Duration reportLag{}; ///< on top of the period of 500 ms
+  base::Duration reportLag{}; ///< of what VMs tell each other
   double load = 0.85;         ///< share of the capacity of all engines
   double firstDataCentreShare = 1.0 / 3; ///< of all requests
   bool slowFirstEngine = false;
@@ -38,10 +37,17 @@
   double perAccelerator = 0;
 };
 
+/** How a VM chooses an engine. */
+enum class RoutingPolicy : std::uint8_t
+{
+  Marigold, ///< dispatch::chooseUpstream, as the gateway calls it
+  RoundRobin,
+  LeastConnections,
+};
+
 namespace simulation {
 
 using namespace std::chrono_literals;
-using routing::StrategyKind;
 
 inline constexpr int kDataCentres = 3;
 inline constexpr int kVms = 6;
@@ -51,69 +57,82 @@
 inline constexpr double kMeanOutputTokens = 100;
 inline constexpr base::Duration kStep = 5ms;
 inline constexpr base::Duration kRunDuration = 120s;
-inline constexpr base::Duration kReportPeriod = 500ms;
+inline constexpr base::Duration kStatusPeriod = 100ms; ///< as of peers
 inline constexpr base::Duration kInterDataCentreDelay = 24ms;
 inline constexpr base::Duration kDeadline = 5s;
+/** Latest expected first token: the rest of an answer takes up to 4 s. */
+inline constexpr base::Duration kLatestStart = 1500ms;
+/** Of another data centre, as the gateway has it for another region. */
+inline constexpr double kRemoteCostMs = 60;
+/** Load that an engine reported is used for this long, as by the gateway. */
+inline constexpr base::Duration kMaxReportedLoadAge = 400ms;
+inline constexpr const char* kModel = "m";
 
 /** Requests per second of one engine with a full batch: 8 requests, each of
  * 100 tokens at 39 tokens per second and about 0.6 s of prefill. */
 inline constexpr double kEngineRequestsPerSecond = 8 / (100 / 39.3 + 0.6);
 
-/** A request that is queued at an entry VM or runs on an engine. */
+/** A request that runs or waits on an engine. */
 struct Request
 {
   int vm = 0;
   int team = 0;
   Job job;
-  base::TimePoint arrival;
   base::TimePoint deadline;
-  std::optional<std::size_t> engine;
+  std::size_t engine = 0;
   base::TimePoint sentAt;
+  double processingMs = 0; ///< estimated, less cached prefix
+  double queuedAheadMs = 0;
+  bool begun = false;
+};
+
+/** What a VM tells of its requests at an engine. */
+struct VmLoad
+{
+  unsigned running = 0;
+  double queuedMs = 0; ///< work of requests without a first token
 };
 
-/** Load that an engine reported. */
-struct Report
+/** Load that an engine told in the head of an answer. */
+struct ReportedLoad
 {
   base::TimePoint at;
-  int load = 0;
+  unsigned requests = 0;
 };
 
-/** State that one entry VM holds about one engine. */
-struct EngineView
+/** What one entry VM has learnt. */
+struct VmState
 {
-  int inflight = 0;
-  Report report;
-  routing::OthersLoad othersLoad;
-  double meanSeconds = 0;
+  std::vector<VmLoad> own;                  ///< by engine
+  std::vector<ReportedLoad> reported;       ///< by engine
+  std::deque<std::vector<VmLoad>> statuses; ///< newest last, one a period
+  dispatch::LatencyEstimator latency;
+  dispatch::PrefixIndex prefixes;
+  dispatch::OutlierDetector health;
+  std::size_t turn = 0; ///< of round robin and least connections
 };
 
-/** Runs one scenario under one routing strategy. */
+/** Runs one scenario under one policy. */
 class RoutingSimulation
 {
 public:
   RoutingSimulation(const Scenario& aScenario,
-                    StrategyKind aKind,
+                    RoutingPolicy aPolicy,
                     std::uint64_t aSeed)
     : mScenario(aScenario)
-    , mIsMarigold(aKind == StrategyKind::Marigold)
+    , mPolicy(aPolicy)
     , mRandom(aSeed)
-    , mReportHistory(static_cast<std::size_t>(aScenario.replicas))
+    , mTieBreak(aSeed + 1)
+    , mVms(kVms)
   {
     for (int number = 0; number < aScenario.replicas; ++number) {
       const bool slow = aScenario.slowFirstEngine && number == 0;
       mEngines.emplace_back(slow ? 4 : 1);
     }
-    for (int vm = 0; vm < kVms; ++vm) {
-      mStrategies.push_back(
-        routing::makeStrategy(aKind, aSeed + static_cast<std::uint64_t>(vm)));
-      mQueues.emplace_back(512);
-      const double rate = teamRequestsPerSecond() / kVms;
-      for (int team = 0; team < kTeams; ++team) {
-        mQueues.back().setRate(std::to_string(team), rate);
-      }
+    for (VmState& vm : mVms) {
+      vm.own.resize(mEngines.size());
+      vm.reported.resize(mEngines.size());
     }
-    mViews.assign(kVms, std::vector<EngineView>(mEngines.size()));
-    mPrefixIndexes.resize(kVms);
   }
 
   RoutingResult run()
@@ -122,11 +141,8 @@
     for (int step = 0; step < steps; ++step) {
       mNow += kStep;
       generateRequests();
-      if (mNow.time_since_epoch() % kReportPeriod == 0ms) {
-        deliverReports();
-      }
-      for (int vm = 0; mIsMarigold && vm < kVms; ++vm) {
-        serveQueue(vm);
+      if (mNow.time_since_epoch() % kStatusPeriod == 0ms) {
+        reportStatuses();
       }
       stepEngines();
       cancelExpired();
@@ -169,212 +185,248 @@
     request.job.prefix = static_cast<int>(skew * skew * kPrefixCount);
     request.job.adapter = static_cast<int>(mRandom.below(kAdapterCount));
     request.job.tokens = kMeanOutputTokens * (0.5 + mRandom.unit());
-    request.arrival = mNow;
     request.deadline = mNow + kDeadline;
     ++mOffered[aTeam];
-    mRequests[request.job.id] = request;
-    if (!mIsMarigold ||
-        mQueues[static_cast<std::size_t>(request.vm)].size() > 0 ||
-        !send(mRequests[request.job.id])) {
-      dispatchOrEnqueue(mRequests[request.job.id]);
+    if (!send(request)) {
+      ++mRefused;
     }
   }
 
-  void dispatchOrEnqueue(Request& aRequest)
+  int dataCentreOf(std::size_t aEngine) const
   {
-    if (!mIsMarigold) {
-      send(aRequest);
-      return;
-    }
-    const auto offered = mQueues[static_cast<std::size_t>(aRequest.vm)].offer(
-      { std::to_string(aRequest.job.id),
-        std::to_string(aRequest.team),
-        1,
-        1,
-        aRequest.deadline,
-        leastServiceTime(aRequest.vm) },
-      mNow);
-    if (offered.displaced) {
-      refuse(std::stoull(offered.displaced->id));
-    }
-    if (offered.code != base::Code::Ok) {
-      refuse(aRequest.job.id);
-    }
+    return static_cast<int>(aEngine) % kDataCentres;
+  }
+
+  bool connected(int aFrom, int aTo) const
+  {
+    constexpr int kIsolatedDataCentre = kDataCentres - 1;
+    return !mScenario.isolateThirdDataCentre ||
+           (aFrom == kIsolatedDataCentre) == (aTo == kIsolatedDataCentre);
   }
 
-  /** @return an estimate of the shortest possible service time */
-  base::Duration leastServiceTime(int aVm) const
+  std::vector<std::size_t> reachableEngines(int aVm) const
   {
-    double shortestSeconds = 0;
-    for (const EngineView& view : mViews[static_cast<std::size_t>(aVm)]) {
-      if (view.meanSeconds > 0 &&
-          (shortestSeconds == 0 || view.meanSeconds < shortestSeconds)) {
-        shortestSeconds = view.meanSeconds;
+    std::vector<std::size_t> engines;
+    for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
+      if (connected(aVm / 2, dataCentreOf(engine))) {
+        engines.push_back(engine);
       }
     }
-    return base::fromSeconds(shortestSeconds * kLeastTimeShare);
+    return engines;
   }
 
-  void refuse(std::uint64_t aId)
+  static std::vector<catalog::PromptPart> promptOf(const Request& aRequest)
   {
-    ++mRefused;
-    mRequests.erase(aId);
+    constexpr std::uint64_t kFirstOwnPart = 1000000;
+    return { { static_cast<std::uint64_t>(aRequest.job.prefix) + 1,
+               kCacheableTokens },
+             { kFirstOwnPart + aRequest.job.id, kOwnTokens } };
   }
 
-  int dataCentreOf(std::size_t aEngine) const
+  /** @return what a VM knows of the requests of another one at an engine */
+  VmLoad loadOfPeer(int aVm, std::size_t aEngine) const
   {
-    return static_cast<int>(aEngine) % kDataCentres;
+    const auto& statuses = mVms[static_cast<std::size_t>(aVm)].statuses;
+    return statuses.empty() ? VmLoad{} : statuses.front()[aEngine];
   }
 
-  bool reachable(int aVm, std::size_t aEngine) const
+  /** As Exchange::makeCandidate. */
+  dispatch::Candidate makeCandidate(const Request& aRequest,
+                                    std::size_t aEngine) const
   {
-    const int from = aVm / 2;
-    const int to = dataCentreOf(aEngine);
-    constexpr int kIsolatedDataCentre = kDataCentres - 1;
-    return !mScenario.isolateThirdDataCentre ||
-           (from == kIsolatedDataCentre) == (to == kIsolatedDataCentre);
+    const VmState& vm = mVms[static_cast<std::size_t>(aRequest.vm)];
+    const std::string name = std::to_string(aEngine);
+    dispatch::Candidate candidate;
+    candidate.index = aEngine;
+    candidate.slots = kEngineCapacity;
+    candidate.running = vm.own[aEngine].running;
+    candidate.queuedMs = vm.own[aEngine].queuedMs;
+    for (int peer = 0; peer < kVms; ++peer) {
+      if (peer != aRequest.vm && connected(aRequest.vm / 2, peer / 2)) {
+        const VmLoad load = loadOfPeer(peer, aEngine);
+        candidate.running += load.running;
+        candidate.queuedMs += load.queuedMs;
+      }
+    }
+    const ReportedLoad& reported = vm.reported[aEngine];
+    if (mNow - reported.at < kMaxReportedLoadAge) {
+      candidate.running = std::max(candidate.running, reported.requests);
+    }
+    const std::uint32_t cached =
+      vm.prefixes.cachedTokens(name, kModel, promptOf(aRequest));
+    candidate.processingMs =
+      (kCacheableTokens + kOwnTokens - cached) * vm.latency.msPerToken(kModel);
+    candidate.networkCostMs =
+      dataCentreOf(aEngine) == aRequest.vm / 2 ? 0 : kRemoteCostMs;
+    candidate.failureRate = vm.health.failureRate(name);
+    candidate.ejected = vm.health.ejected(name, mNow);
+    return candidate;
   }
 
-  routing::UpstreamView viewOf(const Request& aRequest, std::size_t aEngine)
+  /** @return the engine for a request, or nothing if none starts it in time */
+  std::optional<std::size_t> choose(Request& aRequest)
   {
-    const auto vm = static_cast<std::size_t>(aRequest.vm);
-    const EngineView& engineView = mViews[vm][aEngine];
-    routing::UpstreamView view;
-    view.name = std::to_string(aEngine);
-    view.near = dataCentreOf(aEngine) == aRequest.vm / 2;
-    view.linkTime = view.near ? base::Duration::zero() : kInterDataCentreDelay;
-    view.reported = engineView.report.at > base::TimePoint{};
-    view.reportAge = mNow - engineView.report.at;
-    view.othersLoad = engineView.othersLoad.value();
-    view.capacity = kEngineCapacity;
-    view.inflight = engineView.inflight;
-    view.meanTime = base::fromSeconds(engineView.meanSeconds);
-    view.adapterResident = true;
-    view.prefixMatch = mPrefixIndexes[vm].match(
-      view.name, std::to_string(aRequest.job.prefix), mNow);
-    return view;
+    VmState& vm = mVms[static_cast<std::size_t>(aRequest.vm)];
+    const std::vector<std::size_t> engines = reachableEngines(aRequest.vm);
+    if (mPolicy == RoutingPolicy::RoundRobin) {
+      return roundRobin(aRequest.vm, engines);
+    }
+    if (mPolicy == RoutingPolicy::LeastConnections) {
+      return leastConnections(vm, engines);
+    }
+    std::vector<dispatch::Candidate> candidates;
+    for (const std::size_t engine : engines) {
+      candidates.push_back(makeCandidate(aRequest, engine));
+    }
+    const auto choice =
+      dispatch::chooseUpstream(candidates, {}, mTieBreak.below(kTieBreaks));
+    if (!choice || !dispatch::startsInTime(*choice, kLatestStart)) {
+      return {};
+    }
+    const auto chosen =
+      std::find_if(candidates.begin(),
+                   candidates.end(),
+                   [&](const dispatch::Candidate& aCandidate) {
+                     return aCandidate.index == choice->index;
+                   });
+    aRequest.processingMs = chosen->processingMs;
+    aRequest.queuedAheadMs = chosen->queuedMs;
+    return choice->index;
   }
 
-  /** Sends a request to the engine that the strategy chooses.
-   * @return false if no engine can take it; only the strategy marigold checks
-   * for free capacity */
-  bool send(Request& aRequest)
+  /** Takes the engines in turn, those of the own data centre first. */
+  std::size_t roundRobin(int aVm, const std::vector<std::size_t>& aEngines)
   {
-    std::vector<routing::UpstreamView> views;
-    std::vector<std::size_t> engines;
-    for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
-      if (!reachable(aRequest.vm, engine)) {
-        continue;
+    std::vector<std::size_t> near;
+    for (const std::size_t engine : aEngines) {
+      if (dataCentreOf(engine) == aVm / 2) {
+        near.push_back(engine);
       }
-      const routing::UpstreamView view = viewOf(aRequest, engine);
-      const bool hasCapacity =
-        !view.reported || view.inflight < std::max(1, kEngineCapacity / kVms) ||
-        routing::estimatedLoad(view) < kEngineCapacity;
-      if (!mIsMarigold || hasCapacity) {
-        views.push_back(view);
-        engines.push_back(engine);
+    }
+    const auto& engines = near.empty() ? aEngines : near;
+    return engines[mVms[static_cast<std::size_t>(aVm)].turn++ % engines.size()];
+  }
+
+  /** Takes the engine with the fewest requests of this VM. */
+  static std::size_t leastConnections(VmState& aVm,
+                                      const std::vector<std::size_t>& aEngines)
+  {
+    // Starts at another place each time, so that equal ones take turns.
+    const std::size_t start = aVm.turn++;
+    std::size_t best = aEngines[start % aEngines.size()];
+    for (std::size_t step = 1; step < aEngines.size(); ++step) {
+      const std::size_t engine = aEngines[(start + step) % aEngines.size()];
+      if (aVm.own[engine].running < aVm.own[best].running) {
+        best = engine;
       }
     }
-    const auto vm = static_cast<std::size_t>(aRequest.vm);
-    const auto index = mStrategies[vm]->choose(
-      { 1, aRequest.deadline, aRequest.job.adapter != 0 }, views, mNow);
-    if (!index) {
+    return best;
+  }
+
+  /** @return false if no engine can take the request */
+  bool send(Request& aRequest)
+  {
+    const auto engine = choose(aRequest);
+    if (!engine) {
       return false;
     }
-    const std::size_t engine = engines[*index];
-    aRequest.engine = engine;
+    aRequest.engine = *engine;
     aRequest.sentAt = mNow;
-    ++mViews[vm][engine].inflight;
-    mEngines[engine].enqueue(aRequest.job);
-    mPrefixIndexes[vm].onSent(
-      std::to_string(engine), std::to_string(aRequest.job.prefix), mNow);
+    VmState& vm = mVms[static_cast<std::size_t>(aRequest.vm)];
+    ++vm.own[*engine].running;
+    vm.own[*engine].queuedMs += aRequest.processingMs;
+    vm.prefixes.recordPrompt(
+      std::to_string(*engine), kModel, promptOf(aRequest));
+    mEngines[*engine].enqueue(aRequest.job);
+    mRequests[aRequest.job.id] = aRequest;
     return true;
   }
 
-  void serveQueue(int aVm)
+  void reportStatuses()
   {
-    request::ModelQueue& queue = mQueues[static_cast<std::size_t>(aVm)];
-    for (const request::Waiting& late : queue.shed(mNow)) {
-      refuse(std::stoull(late.id));
-    }
-    std::size_t remaining = queue.size();
-    while (remaining-- > 0) {
-      const auto next = queue.take(mNow);
-      if (!next) {
-        return;
-      }
-      Request& request = mRequests.at(std::stoull(next->id));
-      if (!send(request)) {
-        queue.offer(*next, mNow);
-        return;
+    const auto lag =
+      static_cast<std::size_t>(mScenario.reportLag / kStatusPeriod);
+    for (VmState& vm : mVms) {
+      vm.statuses.push_back(vm.own);
+      while (vm.statuses.size() > lag + 1) {
+        vm.statuses.pop_front();
       }
     }
   }
 
-  void deliverReports()
+  void stepEngines()
   {
-    for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
-      mReportHistory[engine].push_back({ mNow, mEngines[engine].load() });
-      while (mReportHistory[engine].size() > 1 &&
-             mReportHistory[engine][1].at + mScenario.reportLag <= mNow) {
-        mReportHistory[engine].pop_front();
+    for (EngineModel& engine : mEngines) {
+      const auto progress = engine.step(base::inSeconds(kStep));
+      for (const std::uint64_t id : progress.begun) {
+        onFirstToken(id);
       }
-      for (int vm = 0; vm < kVms; ++vm) {
-        EngineView& view = mViews[static_cast<std::size_t>(vm)][engine];
-        // An entry VM dates a report by its arrival and cannot see the lag.
-        view.report = mReportHistory[engine].front();
-        view.report.at = mNow;
-        view.othersLoad.onReport(view.report.load, view.inflight);
+      for (const std::uint64_t id : progress.completed) {
+        onCompleted(id);
       }
     }
   }
 
-  void stepEngines()
+  void onFirstToken(std::uint64_t aId)
   {
-    for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
-      for (const std::uint64_t id :
-           mEngines[engine].step(base::inSeconds(kStep))) {
-        completeRequest(id, engine);
-      }
+    const auto found = mRequests.find(aId);
+    if (found == mRequests.end()) {
+      return;
     }
+    Request& request = found->second;
+    VmState& vm = mVms[static_cast<std::size_t>(request.vm)];
+    request.begun = true;
+    vm.own[request.engine].queuedMs -= request.processingMs;
+    vm.latency.onFirstToken(kModel,
+                            request.processingMs /
+                              vm.latency.msPerToken(kModel),
+                            request.queuedAheadMs,
+                            mNow - request.sentAt);
+    vm.health.onSuccess(std::to_string(request.engine), mNow);
+    vm.reported[request.engine] = {
+      mNow, static_cast<unsigned>(mEngines[request.engine].load())
+    };
   }
 
-  void completeRequest(std::uint64_t aId, std::size_t aEngine)
+  void onCompleted(std::uint64_t aId)
   {
     const auto found = mRequests.find(aId);
     if (found == mRequests.end()) {
       return;
     }
     const Request& request = found->second;
-    const bool near = dataCentreOf(aEngine) == request.vm / 2;
+    const bool near = dataCentreOf(request.engine) == request.vm / 2;
     const base::TimePoint answered =
       mNow + (near ? 0ms : 2 * kInterDataCentreDelay);
     if (answered <= request.deadline) {
       ++mInTime[request.team];
     }
-    EngineView& view = mViews[static_cast<std::size_t>(request.vm)][aEngine];
-    --view.inflight;
-    const double seconds = base::inSeconds(mNow - request.sentAt);
-    view.meanSeconds =
-      view.meanSeconds == 0 ? seconds : view.meanSeconds * 0.9 + seconds * 0.1;
+    forget(request);
     mRequests.erase(found);
   }
 
-  /** Cancels running requests past their deadline, under every strategy. */
+  /** Ends the account of a request that has ended. */
+  void forget(const Request& aRequest)
+  {
+    VmLoad& load =
+      mVms[static_cast<std::size_t>(aRequest.vm)].own[aRequest.engine];
+    --load.running;
+    load.queuedMs -= aRequest.begun ? 0 : aRequest.processingMs;
+  }
+
+  /** Cancels running requests past their deadline, under every policy. */
   void cancelExpired()
   {
     for (auto item = mRequests.begin(); item != mRequests.end();) {
       const Request& request = item->second;
-      if (request.deadline > mNow || !request.engine) {
+      if (request.deadline > mNow) {
         ++item;
         continue;
       }
-      mEngines[*request.engine].cancel(request.job.id);
-      EngineView& view =
-        mViews[static_cast<std::size_t>(request.vm)][*request.engine];
-      --view.inflight;
-      const double seconds = base::inSeconds(mNow - request.sentAt);
-      view.meanSeconds = std::max(view.meanSeconds, seconds);
+      mEngines[request.engine].cancel(request.job.id);
+      mVms[static_cast<std::size_t>(request.vm)].health.onFailure(
+        std::to_string(request.engine), mNow);
+      forget(request);
       item = mRequests.erase(item);
     }
   }
@@ -398,19 +450,15 @@
     return result;
   }
 
-  /** The same value as in the entry process. */
-  static constexpr double kLeastTimeShare = request::kLeastTimeShare;
+  static constexpr std::uint64_t kTieBreaks = 1UL << 32U;
 
   Scenario mScenario;
-  bool mIsMarigold;
+  RoutingPolicy mPolicy;
   base::Random mRandom;
+  base::Random mTieBreak; ///< so that all policies meet the same requests
   base::TimePoint mNow;
   std::vector<EngineModel> mEngines;
-  std::vector<std::deque<Report>> mReportHistory;
-  std::vector<std::unique_ptr<routing::Strategy>> mStrategies;
-  std::vector<request::ModelQueue> mQueues;
-  std::vector<std::vector<EngineView>> mViews;
-  std::vector<routing::PrefixIndex> mPrefixIndexes;
+  std::vector<VmState> mVms;
   std::map<std::uint64_t, Request> mRequests;
   std::map<int, int> mOffered;
   std::map<int, int> mInTime;
@@ -418,14 +466,14 @@
   std::uint64_t mLastRequestId = 0;
 };
 
-} // namespace world
+} // namespace simulation
 
-/** @param aScenario scenario @param aKind strategy @param aSeed seed
+/** @param aScenario scenario @param aPolicy policy @param aSeed seed
  * @return the outcome of 120 s of virtual time */
 inline RoutingResult
-run(const Scenario& aScenario, routing::StrategyKind aKind, std::uint64_t aSeed)
+run(const Scenario& aScenario, RoutingPolicy aPolicy, std::uint64_t aSeed)
 {
-  return simulation::RoutingSimulation(aScenario, aKind, aSeed).run();
+  return simulation::RoutingSimulation(aScenario, aPolicy, aSeed).run();
 }
 
 } // namespace marigold::measure
