Add the comparison of upstreams by the errors that they answer

UpstreamErrors sums a log-likelihood ratio (CUSUM) per upstream against the share of errors of its siblings. Above a threshold it gets single trials; its score fades, so that it returns without traffic, too. At most half of a service is avoided, none if two thirds are in doubt, never an only upstream.

--- a/libs/dispatch/dispatch.h
+++ b/libs/dispatch/dispatch.h
@@ -20,4 +20,5 @@
 #include "dispatch/software_history.h"
 #include "dispatch/start_gate.h"
 #include "dispatch/stream_origins.h"
+#include "dispatch/upstream_errors.h"
 #include "dispatch/upstream_notices.h"
--- /dev/null
+++ b/libs/dispatch/tests/errors_tests.cpp
@@ -0,0 +1,307 @@
+/** @file Tests of which upstreams are avoided for their errors. */
+#include "dispatch/dispatch.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+using namespace marigold;
+using namespace std::chrono_literals;
+using base::TimePoint;
+using dispatch::Repetition;
+using dispatch::UpstreamErrors;
+using Change = UpstreamErrors::Change;
+
+namespace {
+
+const TimePoint kStart{ 1000s };
+constexpr double kUsualShare = 0.14;
+
+std::string
+nameOf(std::size_t aNumber)
+{
+  return "u" + std::to_string(aNumber);
+}
+
+/** VMs that each send requests to upstreams of one service, with a share of
+ * errors that goes with the requests and one that goes with each upstream. */
+struct Fleet
+{
+  Fleet(std::size_t aVms, std::size_t aUpstreams, double aRatePerVm)
+    : vms(aVms)
+    , trouble(aUpstreams, 0.0)
+    , met(aUpstreams, 0)
+    , detected(aVms, false)
+    , rate(aRatePerVm)
+  {
+  }
+
+  /** Plays requests at all VMs for a time. */
+  void play(base::Duration aTime)
+  {
+    const base::Duration step = base::fromSeconds(1 / rate);
+    for (const TimePoint end = now + aTime; now < end; now += step) {
+      for (UpstreamErrors& vm : vms) {
+        request(vm);
+      }
+    }
+  }
+
+  void request(UpstreamErrors& aVm)
+  {
+    std::vector<std::size_t> open;
+    for (std::size_t i = 0; i < trouble.size(); ++i) {
+      if (!aVm.avoided("s", nameOf(i), Repetition::Allowed, now)) {
+        open.push_back(i);
+      }
+    }
+    const std::size_t chosen = open[random.below(open.size())];
+    aVm.onSent("s", nameOf(chosen), now);
+    const bool error = random.unit() < usual || random.unit() < trouble[chosen];
+    met[chosen] += error ? 1 : 0;
+    const auto vm = static_cast<std::size_t>(&aVm - vms.data());
+    const bool counts = chosen == 0 && error && !detected[vm];
+    metBefore += counts ? 1 : 0;
+    ++requests;
+    const Change change = aVm.onAnswer("s", nameOf(chosen), error, now);
+    avoidances += change == Change::Avoided ? 1 : 0;
+    if (change == Change::Avoided && chosen == 0) {
+      detected[vm] = true;
+    }
+    if (error && aVm.doubtful("s", nameOf(chosen), now)) {
+      ++repetitions;
+    }
+  }
+
+  /** @return fraction of VMs that avoid the upstream */
+  double avoidedBy(std::size_t aUpstream) const
+  {
+    double count = 0;
+    for (const UpstreamErrors& vm : vms) {
+      count += vm.shares("s", nameOf(aUpstream), now).avoided ? 1 : 0;
+    }
+    return count / static_cast<double>(vms.size());
+  }
+
+  std::vector<UpstreamErrors> vms;
+  std::vector<double> trouble; ///< share of errors, by upstream
+  std::vector<unsigned> met;   ///< errors, by upstream
+  std::vector<bool> detected;  ///< VMs that have avoided the first upstream
+  unsigned metBefore = 0;      ///< its errors that VMs met before
+  double rate;
+  double usual = 0;
+  TimePoint now = kStart;
+  base::Random random{ 79 };
+  unsigned long requests = 0;
+  unsigned long avoidances = 0;
+  unsigned long repetitions = 0; ///< errors that would be tried elsewhere
+};
+
+void
+answer(UpstreamErrors& aErrors,
+       const char* aUpstream,
+       bool aError,
+       unsigned aCount,
+       TimePoint aNow = kStart)
+{
+  for (unsigned i = 0; i < aCount; ++i) {
+    aErrors.onAnswer("s", aUpstream, aError, aNow);
+  }
+}
+
+bool
+isAvoided(const UpstreamErrors& aErrors,
+          const char* aUpstream,
+          TimePoint aNow = kStart,
+          Repetition aRepetition = Repetition::Allowed)
+{
+  return aErrors.avoided("s", aUpstream, aRepetition, aNow);
+}
+
+} // namespace
+
+TEST_GROUP(UpstreamErrors)
+{
+  UpstreamErrors errors;
+
+  void sound(std::initializer_list<const char*> aUpstreams)
+  {
+    for (const char* name : aUpstreams) {
+      answer(errors, name, false, 10);
+    }
+  }
+};
+
+// Guards against an upstream that keeps its share while it answers errors only.
+TEST(UpstreamErrors, UpstreamBesideSoundOnesIsAvoidedAfterAFewErrors)
+{
+  sound({ "a", "b", "c" });
+  answer(errors, "a", true, 3);
+  CHECK(isAvoided(errors, "a"));
+  CHECK_FALSE(isAvoided(errors, "b"));
+}
+
+// Guards against a choice by a single error.
+TEST(UpstreamErrors, OneErrorMakesAnUpstreamDoubtfulOnly)
+{
+  sound({ "a", "b", "c" });
+  answer(errors, "a", true, 1);
+  CHECK_FALSE(isAvoided(errors, "a"));
+  CHECK(errors.doubtful("s", "a", kStart));
+  CHECK_FALSE(errors.doubtful("s", "b", kStart));
+}
+
+// Guards against a service that loses its only upstream.
+TEST(UpstreamErrors, OnlyUpstreamIsNeverAvoided)
+{
+  answer(errors, "a", false, 10);
+  answer(errors, "a", true, 50);
+  CHECK_FALSE(isAvoided(errors, "a"));
+}
+
+// Guards against load that the rest of a service cannot bear.
+TEST(UpstreamErrors, AtMostHalfIsAvoidedAndNoneIfAllErrAlike)
+{
+  sound({ "a", "b", "c", "d", "e", "f" });
+  for (unsigned round = 0; round < 40; ++round) {
+    for (const char* name : { "a", "b", "c", "d" }) {
+      answer(errors, name, true, 1);
+    }
+    sound({ "e", "f" });
+  }
+  unsigned avoided = 0;
+  for (const char* name : { "a", "b", "c", "d", "e", "f" }) {
+    avoided += isAvoided(errors, name) ? 1 : 0;
+  }
+  CHECK(avoided > 0 && avoided <= 3);
+  UpstreamErrors alike;
+  for (unsigned round = 0; round < 40; ++round) {
+    for (const char* name : { "a", "b", "c" }) {
+      alike.onAnswer("s", name, round >= 10, kStart);
+    }
+  }
+  for (const char* name : { "a", "b", "c" }) {
+    CHECK_FALSE(isAvoided(alike, name));
+  }
+}
+
+// Guards against an upstream that never gets the request that would clear it,
+// and against one that may not be repeated as the first trial.
+TEST(UpstreamErrors, TrialsAreSpacedAndBringASoundUpstreamBack)
+{
+  sound({ "a", "b", "c" });
+  answer(errors, "a", true, 3);
+  TimePoint now = kStart + 500ms;
+  CHECK_FALSE(isAvoided(errors, "a", now));
+  CHECK(isAvoided(errors, "a", now, Repetition::Forbidden));
+  CHECK_FALSE(isAvoided(errors, "a", now + 1s, Repetition::Forbidden));
+  errors.onSent("s", "a", now);
+  CHECK(isAvoided(errors, "a", now));
+  answer(errors, "a", true, 1, now);
+  CHECK(isAvoided(errors, "a", now + 200ms));
+  now += 1s;
+  CHECK_FALSE(isAvoided(errors, "a", now));
+  unsigned trials = 0;
+  while (errors.shares("s", "a", now).avoided && trials < 20) {
+    answer(errors, "a", false, 1, now);
+    ++trials;
+  }
+  CHECK(trials >= 2 && trials <= 10);
+}
+
+// Guards against blame that a new process inherits.
+TEST(UpstreamErrors, RestartedUpstreamStartsAnew)
+{
+  sound({ "a", "b", "c" });
+  answer(errors, "a", true, 3);
+  errors.erase("a");
+  CHECK_FALSE(isAvoided(errors, "a"));
+  CHECK_FALSE(errors.doubtful("s", "a", kStart));
+}
+
+// Guards against errors of one service that count against another.
+TEST(UpstreamErrors, ServicesHaveSharesOfTheirOwn)
+{
+  sound({ "a", "b" });
+  for (unsigned i = 0; i < 100; ++i) {
+    errors.onAnswer("t", i % 2 == 0 ? "x" : "y", i % 5 == 0, kStart);
+  }
+  CHECK(errors.shares("t", "x", kStart).usual > 0.1);
+  CHECK(errors.shares("s", "a", kStart).usual < 0.03);
+}
+
+struct FleetSize
+{
+  std::size_t vms;
+  std::size_t upstreams;
+  double rate;
+};
+
+const FleetSize kSizes[] = { { 6, 5, 3 }, { 6, 5, 300 }, { 82, 60, 300 } };
+
+// Guards against a detector that is fit for one size of fleet or load only.
+TEST(UpstreamErrors, SimulatedFleetsAvoidABadUpstreamAndTakeItBack)
+{
+  for (const FleetSize& size : kSizes) {
+    for (const double share : { 0.3, 0.6, 1.0 }) {
+      Fleet fleet(size.vms, size.upstreams, size.rate);
+      fleet.play(8s);
+      fleet.trouble[0] = share;
+      fleet.met[0] = 0;
+      fleet.play(8s);
+      const double perVm = fleet.met[0] / static_cast<double>(size.vms);
+      const double before = fleet.metBefore / static_cast<double>(size.vms);
+      const double keepingItsShare =
+        size.rate / static_cast<double>(size.upstreams) * 8 * share;
+      const double avoided = fleet.avoidedBy(0);
+      fleet.trouble[0] = 0;
+      double back = 0;
+      while (fleet.avoidedBy(0) > 0.1 && back < 20) {
+        fleet.play(250ms);
+        back += 0.25;
+      }
+      std::printf("%zu VMs, %zu upstreams, %.0f/s, share %.1f: a VM meets %.1f "
+                  "errors of it until it avoids it, %.1f in 8 s (%.1f if it "
+                  "kept its share); avoided by %.2f, back after %.2f s\n",
+                  size.vms,
+                  size.upstreams,
+                  size.rate,
+                  share,
+                  before,
+                  perVm,
+                  keepingItsShare,
+                  avoided,
+                  back);
+      CHECK(back <= 3);
+      CHECK(before <= 6);
+      // Few errors vary too much to compare.
+      CHECK(perVm < std::max(6.0, keepingItsShare));
+    }
+  }
+}
+
+// Guards against sound upstreams that are avoided, and requests sent again,
+// where the errors go with the requests.
+TEST(UpstreamErrors, SimulatedErrorsOfRequestsAreNotHeldAgainstUpstreams)
+{
+  for (const FleetSize& size : { FleetSize{ 1, 5, 3 }, { 1, 60, 300 } }) {
+    Fleet fleet(size.vms, size.upstreams, size.rate);
+    fleet.usual = kUsualShare;
+    fleet.play(60s);
+    fleet.requests = fleet.avoidances = fleet.repetitions = 0;
+    fleet.play(size.upstreams == 5 ? 3600s : 600s);
+    const auto requests = static_cast<double>(fleet.requests);
+    std::printf("one VM, %zu upstreams, %.0f/s: %lu avoidances in "
+                "%lu requests, %.4f repeated\n",
+                size.upstreams,
+                size.rate,
+                fleet.avoidances,
+                fleet.requests,
+                fleet.repetitions / requests);
+    CHECK(fleet.avoidances / requests < 0.001);
+    CHECK(fleet.repetitions / requests < 0.02);
+  }
+}
