Avoid upstreams that err and try their errors elsewhere

- Outcome upstream-error, marigold_upstream_errors_total by upstream, route and status; /dump shows error_share, error_share_of_siblings and avoided_for_errors; a line when an upstream begins or ceases to be avoided.
- The choice leaves out upstreams avoided for their errors unless a trial is due; one that may be repeated makes the earlier trial.
- An error of a request that may be repeated is tried once elsewhere if it probably goes with the upstream and a sound one can start in time.
The first answer is kept whole and given if the second send brings none.
- 503 and a 504 at the deadline are not counted: they tell of load and of the request's deadline.
Answers of an earlier process are not counted.

Ruled out: a soft penalty of 20 ms for an upstream in doubt. It got no trial while others were idle, and did not come back in the test.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -92,6 +92,7 @@
                               : chat::callOf(mRequest.target))
   , mReceivedAt(mCaller->receivedAt())
   , mBody(aContext.bufferedAnswerBytes, aContext.memory)
+  , mKeptBody(aContext.bufferedAnswerBytes, aContext.memory)
   , mBackPressure(aContext.loop,
                   aContext.memory,
                   mCaller,
@@ -611,6 +612,9 @@
                  const std::string& aDetail,
                  base::Duration aRetryAfter)
 {
+  if (deliverKept(aDetail)) {
+    return;
+  }
   refundQuota();
   endWithError(aCode, base::Outcome::NotRun, aDetail, aRetryAfter);
 }
@@ -627,6 +631,9 @@
                        const std::string& aDetail,
                        base::Duration aRetryAfter)
 {
+  if (deliverKept(aDetail)) {
+    return;
+  }
   if (mCallerDisconnected) {
     finish(Code::CallerLeft, mLeftStatus, aDetail);
     return;
@@ -664,6 +671,7 @@
   mContext.openRequests.erase(self);
   endCall();
   mDeadlineTimer.reset();
+  mKeptTimer.reset();
   mBackPressure.reset();
   mCaller->onDisconnect(nullptr);
   base::freeText(mRequest.body);
--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -145,6 +145,10 @@
   void onInvalidResponse(const char* aReason);
   void recordRejection(const Upstream& aUpstream, base::TimePoint aNow);
   bool rejectResponse();
+  void recordAnswer();
+  bool tryElsewhere();
+  bool deliverKept(const std::string& aReason);
+  bool isUpstreamsError() const;
   const char* invalidHead(const boundary::AnswerMetadata& aMetadata) const;
   void retryOnOtherUpstream(const char* aReason);
   bool attemptsLeft() const;
@@ -305,6 +309,9 @@
   bool mHeadReceived = false;
   bool mStreaming = false;
   CountedBuffer mBody;
+  /** An error of an upstream, while the request is tried elsewhere. */
+  std::optional<wire::ResponseHead> mKeptHead;
+  CountedBuffer mKeptBody;
   /** The head shows that the body will not be forwarded. */
   bool mDiscardBody = false;
   std::size_t mDiscardedBytes = 0;
@@ -317,6 +324,7 @@
   bool mSurvivalReported = false; ///< its traits are cleared of crashes
   std::string mLastUpstream;
   http::InputTimer mDeadlineTimer;
+  http::InputTimer mKeptTimer;  ///< until the kept answer must be given
   http::InputTimer mStallTimer; ///< detects a stall or delays a retry
   BackPressure mBackPressure;
 };
--- a/apps/gateway/exchange_calls.cpp
+++ b/apps/gateway/exchange_calls.cpp
@@ -309,6 +309,7 @@
   mTriedUpstreams.insert(name);
   mLastUpstream = name;
   mSentAt = base::monotonicNow();
+  mContext.errors.onSent(mService->name, name, mSentAt);
   mLastInputAt = mSentAt;
   mCallRepeats = false;
   ++mSends;
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -147,7 +147,13 @@
                                 : kOtherRegionMs;
   }
   candidate.failureRate = mContext.health.failureRate(record.name);
-  candidate.ejected = mContext.health.ejected(record.name, now);
+  candidate.ejected = mContext.health.ejected(record.name, now) ||
+                      mContext.errors.avoided(
+                        record.service,
+                        record.name,
+                        mRoute->retryable() ? dispatch::Repetition::Allowed
+                                            : dispatch::Repetition::Forbidden,
+                        now);
   const peers::ProcessTag process = aUpstream.process().tag();
   candidate.limited = mContext.notices.limit(process).has_value();
   candidate.brittle =
@@ -681,9 +687,86 @@
          mContext.retries.tryConsume(mService->name, base::monotonicNow());
 }
 
+/** Sends a request that its upstream has answered with an error once more, if
+ * the error is probably the upstream's and another one can serve the request at
+ * once. The answer is kept for the case that the second send brings none.
+ * @return true if it is sent */
+bool
+Exchange::tryElsewhere()
+{
+  const bool allowed = isUpstreamsError() && mRoute->retryable() &&
+                       !mKeptHead && !mOrigin && mEventCount == 0 &&
+                       !mCaller->responseStarted() && !mCaller->abandoned() &&
+                       hasTimeForSend() && attemptsLeft() &&
+                       mContext.crashes.verdictOn(mTraits) == nullptr &&
+                       mContext.memory.admitsCopy(mRequest.body.size());
+  const base::TimePoint now = base::monotonicNow();
+  if (!allowed ||
+      !mContext.errors.doubtful(mService->name, mLastUpstream, now)) {
+    return false;
+  }
+  std::vector<std::shared_ptr<Upstream>> upstreams;
+  auto found = candidates(upstreams);
+  std::erase_if(found, [&](const dispatch::Candidate& aCandidate) {
+    const auto& record = upstreams[aCandidate.index]->record;
+    return aCandidate.limited || aCandidate.brittle ||
+           mContext.errors.doubtful(record.service, record.name, now);
+  });
+  const auto choice =
+    dispatch::chooseReplacement(found,
+                                requestSize(),
+                                std::min(remainingTime(), latestStart()),
+                                mContext.random.bits());
+  if (!choice || !mayBegin(*choice) ||
+      !mContext.retries.tryConsume(mService->name, now)) {
+    return false;
+  }
+  mContext.log.logStep(mMetadata.id,
+                       "error tried elsewhere",
+                       mLastUpstream,
+                       "status " + std::to_string(mHead.status),
+                       now);
+  mKeptHead = mHead;
+  mKeptBody.append(mBody.view());
+  endCall();
+  const dispatch::Candidate& chosen = chosenFrom(found, *choice);
+  mQueuedAheadMs = chosen.queuedMs;
+  mProcessingMs = chosen.processingMs;
+  mKeptTimer.start(mContext.loop,
+                   remainingTime() - kMinRemainingTime,
+                   nullptr,
+                   [weak = weak_from_this()] {
+                     if (const auto self = weak.lock()) {
+                       std::static_pointer_cast<Exchange>(self)->deliverKept(
+                         "no second answer in time");
+                     }
+                   });
+  send(upstreams[choice->index]);
+  return true;
+}
+
+/** Ends the request with the answer that was kept, if there is one and the
+ * caller has had no part of another. @return true if it has ended */
+bool
+Exchange::deliverKept(const std::string& aReason)
+{
+  if (mEnded || !mKeptHead || mCaller->responseStarted()) {
+    return false;
+  }
+  mHead = *mKeptHead;
+  mFirstByteAt = base::monotonicNow();
+  mCaller->reply(
+    mHead.status, wire::endToEndHeaders(mHead.headers), mKeptBody.view());
+  finish(Code::UpstreamError, mHead.status, "second send: " + aReason);
+  return true;
+}
+
 void
 Exchange::retryOnOtherUpstream(const char* aReason)
 {
+  if (deliverKept(aReason)) {
+    return;
+  }
   const bool allowed = !isPartiallyForwarded() && canContinue() &&
                        (!mayHaveRun() || mRoute->retryable());
   if (allowed && tryConsumeRetry()) {
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -1,5 +1,6 @@
 #include "apps/gateway/exchange.h"
 #include "apps/gateway/upstream_notes.h"
+#include "observe/log.h"
 
 #include <algorithm>
 #include <array>
@@ -49,6 +50,7 @@
 constexpr base::Duration kCrashEvidenceDelay = 400ms;
 constexpr int kMisdirected = 421;
 constexpr int kFirstServerError = 500;
+constexpr int kGatewayTimeout = 504;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 
@@ -544,6 +546,52 @@
                                            : nullptr;
 }
 
+/** A timeout tells of the deadline of the request, and a refusal of load; both
+ * are no errors of the upstream. @return true if the answer is one */
+bool
+Exchange::isUpstreamsError() const
+{
+  return mHead.status >= kFirstServerError &&
+         mHead.status != http::kServiceUnavailable &&
+         mHead.status != kGatewayTimeout;
+}
+
+/** Takes note of a signed answer for the comparison with the siblings of the
+ * upstream. */
+void
+Exchange::recordAnswer()
+{
+  const bool error = isUpstreamsError();
+  if (error) {
+    mContext.log.countUpstreamError(mLastUpstream, mRoute->name, mHead.status);
+  } else if (mHead.status >= kFirstServerError) {
+    return;
+  }
+  if (!mLoadReservation) {
+    return;
+  }
+  const base::TimePoint now = base::monotonicNow();
+  const auto& upstream = mLoadReservation->upstream();
+  if (mContext.upstreams.find(mLastUpstream) != upstream) {
+    return; // Another process has the name now.
+  }
+  using Change = dispatch::UpstreamErrors::Change;
+  const Change change =
+    mContext.errors.onAnswer(mService->name, mLastUpstream, error, now);
+  if (change == Change::None) {
+    return;
+  }
+  const auto shares =
+    mContext.errors.shares(mService->name, mLastUpstream, now);
+  observe::logInfo(
+    change == Change::Avoided ? "upstream avoided for its errors"
+                              : "upstream no longer avoided for its errors",
+    { { "upstream", mLastUpstream },
+      { "service", mService->name },
+      { "error_share", std::to_string(shares.own) },
+      { "error_share_of_siblings", std::to_string(shares.usual) } });
+}
+
 void
 Exchange::onComplete()
 {
@@ -561,14 +609,18 @@
       return;
     }
     mContext.crashes.onSuccess(mTraits, mFirstByteAt, base::monotonicNow());
+    recordAnswer();
     deliverStreamEnd();
     return;
   }
+  recordAnswer();
   if (mHead.status < kFirstServerError) {
     const base::TimePoint now = base::monotonicNow();
     mContext.health.onSuccess(mLastUpstream, now);
     mContext.latency.onAnswer(mService->name, now - mSentAt);
     mContext.crashes.onSuccess(mTraits, now, now);
+  } else if (tryElsewhere()) {
+    return;
   }
   deliverResponse();
 }
@@ -589,7 +641,7 @@
     mCaller->reply(
       mHead.status, wire::endToEndHeaders(mHead.headers), mBody.view());
   }
-  finish(Code::Ok, mHead.status, "");
+  finish(isUpstreamsError() ? Code::UpstreamError : Code::Ok, mHead.status, "");
 }
 
 void
@@ -723,6 +775,9 @@
   recordBrokenConnection();
   mContext.health.onFailure(mLastUpstream, base::monotonicNow());
   endCall();
+  if (deliverKept(aReason)) {
+    return;
+  }
   if (mEventCount == 0 && mContext.crashes.hasNewPart(mTraits)) {
     awaitCrashEvidence(aReason);
   } else {
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -376,6 +376,7 @@
     record.service, dispatch::softwareTag(record), base::monotonicNow());
   if (change == UpstreamTable::Change::Restarted) {
     mOutliers.erase(name);
+    mContext.errors.erase(name);
     mPrefixIndex.erase(name);
     mCrashes.onUpstreamGone(name, base::monotonicNow());
   }
@@ -430,6 +431,7 @@
   }
   mPool.closeIdle(upstream->peer());
   mOutliers.erase(aName);
+  mContext.errors.erase(aName);
   mPrefixIndex.erase(aName);
   mCrashes.onUpstreamGone(aName, base::monotonicNow());
   mUpstreams.remove(aName, base::monotonicNow());
@@ -881,13 +883,19 @@
   });
   mOperator.addDumpSection("upstreams", [this] {
     json rows = json::object();
+    const base::TimePoint now = base::monotonicNow();
     for (const auto& [name, upstream] : mUpstreams.all()) {
+      const auto errors =
+        mContext.errors.shares(upstream->record.service, name, now);
       rows[name] = { { "service", upstream->record.service },
                      { "leaving", upstream->record.draining },
                      { "process_ended", upstream->processEnded() },
                      { "running", upstream->running },
                      { "queued_ms", upstream->queuedMs },
                      { "failure_rate", mOutliers.failureRate(name) },
+                     { "error_share", errors.own },
+                     { "error_share_of_siblings", errors.usual },
+                     { "avoided_for_errors", errors.avoided },
                      { "models", upstream->record.models } };
     }
     return rows;
--- a/apps/gateway/request_context.h
+++ b/apps/gateway/request_context.h
@@ -55,6 +55,7 @@
   std::optional<base::TimePoint> refuseAfter;
   dispatch::StartGate startGate{};
   dispatch::BrittleGuard brittle{};
+  dispatch::UpstreamErrors errors{};
 };
 
 } // namespace marigold::gateway
--- a/apps/gateway/request_log.cpp
+++ b/apps/gateway/request_log.cpp
@@ -113,6 +113,20 @@
     aStep, { { "id", aId }, { "upstream", aUpstream }, { "reason", aReason } });
 }
 
+void
+RequestLog::countUpstreamError(const std::string& aUpstream,
+                               const std::string& aRoute,
+                               int aStatus)
+{
+  mMetrics
+    .counter("marigold_upstream_errors_total",
+             "Server errors that upstreams have answered themselves",
+             { { "upstream", aUpstream },
+               { "route", aRoute },
+               { "status", std::to_string(aStatus) } })
+    .Increment();
+}
+
 void
 RequestLog::logClose(RequestSender aSender,
                      const wire::ClosedCaller& aClosed,
--- a/apps/gateway/request_log.h
+++ b/apps/gateway/request_log.h
@@ -61,6 +61,13 @@
                const std::string& aReason,
                base::TimePoint aNow);
 
+  /** Counts an error that an upstream has made itself.
+   * @param aUpstream that has answered @param aRoute of the request
+   * @param aStatus of the answer */
+  void countUpstreamError(const std::string& aUpstream,
+                          const std::string& aRoute,
+                          int aStatus);
+
   /** Counts a connection that has ended, and logs it if its sender lost a
    * response or a part of one. @param aSender that opened it
    * @param aClosed how it ended @param aNow time */
--- a/libs/base/code.cpp
+++ b/libs/base/code.cpp
@@ -34,6 +34,7 @@
   CodeInfo{ Code::UpstreamTimeout, "upstream-timeout", 504, Outcome::Unknown },
   CodeInfo{ Code::AnswerTruncated, "answer-truncated", 502, Outcome::Unknown },
   CodeInfo{ Code::AnswerCrossed, "answer-crossed", 502, Outcome::Unknown },
+  CodeInfo{ Code::UpstreamError, "upstream-error", 502, Outcome::Unknown },
   CodeInfo{ Code::ClaimQuorumMissing,
             "claim-quorum-missing",
             503,
--- a/libs/base/code.h
+++ b/libs/base/code.h
@@ -37,6 +37,7 @@
   UpstreamTimeout = 133,
   AnswerTruncated = 134,
   AnswerCrossed = 135,
+  UpstreamError = 136,
   ClaimQuorumMissing = 140,
   ClaimInProgress = 141,
   OutcomeUnknown = 142,
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -200,6 +200,9 @@
         self.break_after = None  # cuts a stream inside the event after this many
         self.fail_resumed = False   # answers the resumption of a stream with a signed error
         self.drop_requests = False  # runs a request and closes the connection without an answer
+        self.error_share = 0  # of the requests that it runs and answers with a signed error; its health is good
+        self.error_debt = 0   # part of the next one that is due
+        self.own_errors = []   # ids of these
         self.raw_answer = None  # (bytes in place of its answers, whether their connection stays open)
         self.surplus = False  # sends a second answer behind that of a plain service
         self.refuse = False  # counts a request as run but answers 503 with X-Not-Executed
@@ -365,6 +368,10 @@
         if self.refuse:
             writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "full"}, b""))
             return True
+        if self.errs():
+            self.own_errors.append(signature["X-Request-Id"])
+            writer.write(answer_bytes(500, signature, b"own error"))
+            return True
         if self.raw_answer:
             text, stays_open = self.raw_answer
             writer.write(self.sign(text, signature))
@@ -386,6 +393,13 @@
             writer.write(answer_bytes(200, signature, b"surplus"))
         return True
 
+    def errs(self):
+        """Returns whether it answers this request with an error: evenly spread, so that a test repeats."""
+        self.error_debt += self.error_share
+        due = self.error_debt >= 1
+        self.error_debt -= 1 if due else 0
+        return due
+
     @staticmethod
     def sign(text, signature):
         """Returns the bytes of an answer with its signature where the text asks for it."""
