--- a/tests/e2e/placement_fleet.py
+++ b/tests/e2e/placement_fleet.py
@@ -29,12 +29,13 @@
     vms = ("dc-a", "dc-a")  # data centre of each VM
     data_centres = DATA_CENTRES  # with their regions
     engine_places = ("dc-a", "dc-a")  # data centre of each engine
+    routes = ROUTES
     linked = False  # whether the paths between the VMs can be cut, by self.links
 
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform()
-        config = json.loads(self.platform.configuration(1, ["k1"], ROUTES))
+        config = json.loads(self.platform.configuration(1, ["k1"], self.routes))
         runtime = config["services"][0]["runtime"]
         runtime["weights_mb"] = MEMORY_MB
         models = runtime["models"]
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -219,6 +219,7 @@
         self.statements = []  # (time, request id, process, seconds) of answers: wants none for so long; None: leaves
         self.leaving = False   # says in its answers that it leaves
         self.turn_away = None  # text of Retry-After with which it turns every request away
+        self.names_requests = False  # begins each token with the id of its request
         self.deadly_part = None  # part of a prompt that crashes the process before its first event
         self.deadly_head = False  # a crash lets the head of a stream without length or chunks out first
         self.deadly_arrivals = []  # times at which requests with that part arrived
@@ -378,9 +379,9 @@
             return True
         if path == "/v1/chat/completions":
             self.chats.append(json.loads(body))
-            return await self.stream(headers, signature, writer, self.chat_events())
+            return await self.stream(headers, signature, writer, self.chat_events(self.mark_of(headers)))
         if model:
-            return await self.stream(headers, signature, writer, [self.mark + token for token in TOKENS])
+            return await self.stream(headers, signature, writer, [self.mark_of(headers) + token for token in TOKENS])
         body = f"done by {self.name} for {signature['X-Request-Id']}"
         writer.write(answer_bytes(200, signature, body.encode()))
         if self.surplus:
@@ -513,10 +514,14 @@
         self.orders = 0
         self.order_running, self.runs = None, {}
 
-    def chat_events(self):
+    def mark_of(self, headers):
+        """Returns what begins each token of an answer."""
+        return self.mark + (headers.get("x-request-id", "") + "." if self.names_requests else "")
+
+    def chat_events(self, mark):
         """Returns the data of the events that answer a chat."""
         head = {"id": "chat-1", "object": "chat.completion.chunk", "created": 1, "model": "m1"}
-        deltas = [{"role": "assistant", "content": ""}] + [{"content": f"{self.mark}token{n} "} for n in range(1, 10)]
+        deltas = [{"role": "assistant", "content": ""}] + [{"content": f"{mark}token{n} "} for n in range(1, 10)]
         chunks = [{**head, "choices": [{"index": 0, "delta": delta, "finish_reason": None}]} for delta in deltas]
         chunks[-1]["choices"][0]["finish_reason"] = "stop"
         return [json.dumps(chunk) for chunk in chunks] + (["[DONE]"] if self.final_event else [])
