Fuzz the decoders of upstreams, headers and gateway messages

It feeds records and reports of upstreams, headers of requests and answers, and statuses, summaries and placement updates of gateways now; a message that was decoded must survive another round through the codec.

--- a/tests/fuzz/fuzz_decoders.cpp
+++ b/tests/fuzz/fuzz_decoders.cpp
@@ -2,7 +2,8 @@
  * @file
  * Feeds random and mutated input to every decoder: settings, manifest,
  * documents, key records, the platform's VM list, the operator's configuration,
- * patches of it and messages between VMs.
+ * patches of it, records and reports of upstreams, headers of requests and
+ * messages between VMs.
  * Every input must yield a value or an error with a message.
  */
 #include "base/base.h"
@@ -10,6 +11,8 @@
 #include "documents/documents.h"
 #include "identity/identity.h"
 #include "mesh/mesh.h"
+#include "peers/peers.h"
+#include "peers/tests/sample_messages.h"
 #include "platform/boundary.h"
 #include "platform/platform.h"
 
@@ -17,6 +20,7 @@
 #include <docopt/docopt.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 using namespace marigold;
 
@@ -180,6 +184,48 @@
   }
 }
 
+const std::string kUpstreamRecord =
+  R"({"service":"llm","address":"127.0.0.1:80","zone":"a","version":"v1",)"
+  R"("slots":8,"state":"ready","cold_remaining_ms":0,"phase":"unified",)"
+  R"("sequence":3,"born":1700000000000,)"
+  R"("models":[{"name":"m","version":1,"adapters":["a1"]}]})";
+
+/** @param aMessage sample @return a target whose decoded messages must survive
+ * another round through the codec */
+DecoderTarget
+peerMessageTarget(const char* aName, const peers::Message& aMessage)
+{
+  return { aName, peers::encode(aMessage), [](const std::string& aText) {
+            const auto decode = [](const std::string& aBytes) {
+              return base::capture([&] { return peers::decode(aBytes); });
+            };
+            expectValueOrError([&] { return peers::decode(aText); });
+            const auto message = decode(aText);
+            if (base::errorOf(message) == nullptr &&
+                base::errorOf(decode(peers::encode(
+                  std::get<peers::Message>(message)))) != nullptr) {
+              throw std::runtime_error("a decoded message cannot be sent on");
+            }
+          } };
+}
+
+/** Decodes headers, one "name: value" a line; none may be refused. */
+void
+decodeHeaders(const std::string& aText)
+{
+  http::Headers headers;
+  std::istringstream lines(aText);
+  for (std::string line; std::getline(lines, line);) {
+    const auto colon = line.find(':');
+    if (colon != std::string::npos) {
+      headers.emplace_back(line.substr(0, colon), line.substr(colon + 1));
+    }
+  }
+  boundary::decodeRequest(headers);
+  constexpr int kOk = 200;
+  boundary::decodeAnswer(kOk, headers, "u");
+}
+
 std::vector<DecoderTarget>
 makeDecoderTargets()
 {
@@ -220,6 +266,25 @@
       } },
     { "configuration", sampleConfiguration(), decodeConfiguration },
     { "patch", samplePatch(), applyPatches },
+    { "upstream-record",
+      kUpstreamRecord,
+      [](const std::string& aText) {
+        expectValueOrError(
+          [&] { return boundary::decodeUpstreamRecord("u", aText); });
+      } },
+    { "engine-report",
+      kUpstreamRecord,
+      [](const std::string& aText) {
+        expectValueOrError([&] { return boundary::decodeEngineReport(aText); });
+      } },
+    { "headers",
+      "Authorization:Bearer k\nX-Model-Name:m/a\nX-Token-Usage:100,20\n"
+      "X-Prompt-Prefix:a:50,b:50\nX-Deadline-Ms:3000\nLast-Event-Id:4\n"
+      "X-Replica-Load:1,2,8\nRetry-After:1\nServer-Limit:4",
+      decodeHeaders },
+    peerMessageTarget("peer-status", peers::sampleStatus(4)),
+    peerMessageTarget("peer-summary", peers::sampleSummary("vm7", 3, 2)),
+    peerMessageTarget("peer-placement", peers::samplePlacementUpdate()),
     { "address",
       "127.0.0.1:8080",
       [](const std::string& aText) {
