--- a/tests/explore/configuration_scenario.cpp
+++ b/tests/explore/configuration_scenario.cpp
@@ -25,8 +25,8 @@
   Team,       ///< a team, in the last list
   Routes,     ///< all routes
   Unreadable, ///< it can't be read, which shows in its last item
-  kHows
 };
+constexpr std::size_t kHows = How::Unreadable + 1;
 
 /** @param aBefore version before, or null @return the next one */
 json
@@ -83,7 +83,7 @@
 {
   using Self = ConfigurationScenario;
   static const std::vector<Kind> kKinds{
-    { "change", How::kHows, &Self::canChange, &Self::change },
+    { "change", kHows, &Self::canChange, &Self::change },
     { "restore", 2, &Self::canRestore, &Self::restore },
     { "peer", 2, &Self::canAskPeer, &Self::askPeer },
     { "slice", 1, &Self::canRunSlice, &Self::runSlice },
