--- a/libs/platform/platform.cpp
+++ b/libs/platform/platform.cpp
@@ -1,5 +1,7 @@
 #include "platform/platform.h"
 
+#include "platform/answer_json.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -41,8 +43,7 @@
   if (const Error* error = base::errorOf(aResponse)) {
     return *error;
   }
-  const auto content =
-    json::parse(std::get<http::Response>(aResponse).body, nullptr, false);
+  const auto content = parseAnswer(std::get<http::Response>(aResponse).body);
   try {
     return aReader(content);
   } catch (const json::exception& exception) {
--- a/tests/measure/measure_configuration.cpp
+++ b/tests/measure/measure_configuration.cpp
@@ -5,6 +5,7 @@
  * several changes. docs/decisions/0021-configuration-changes.md has its table.
  */
 #include "apps/gateway/catalog_snapshot.h"
+#include "platform/answer_json.h"
 #include "platform/boundary.h"
 #include "platform/platform.h"
 
@@ -214,8 +215,9 @@
   const std::string after = configuration.dump();
 
   const std::string fromStore = storeAnswer(after);
-  const double readStore = shortest(
-    [&] { boundary::storeProtocol().readChanges(json::parse(fromStore)); });
+  const double readStore = shortest([&] {
+    boundary::storeProtocol().readChanges(platform::parseAnswer(fromStore));
+  });
   platform::Mirror mirror;
   mirror.replace(withRevision(before, 1));
   const double remember = once([&] { mirror.apply(withRevision(after, 2)); });
@@ -228,7 +230,7 @@
   reader.replace(withRevision(before, 1));
   const double readRelay = shortest([&] {
     platform::Snapshot changes =
-      platform::nativeProtocol().readChanges(json::parse(fromRelay));
+      platform::nativeProtocol().readChanges(platform::parseAnswer(fromRelay));
     reader.resolve(changes.entries.at(0));
   });
   const double decodeAlone = shortest([&] {
