--- a/tests/fuzz/fuzz_decoders.cpp
+++ b/tests/fuzz/fuzz_decoders.cpp
@@ -2,7 +2,7 @@
  * @file
  * Feeds random and mutated input to every decoder: settings, manifest,
  * documents, key records, the platform's VM list, the operator's configuration,
- * patches of it and messages between VMs.
+ * patches of it, answers of the store and messages between VMs.
  * Every input must yield a value or an error with a message.
  */
 #include "base/base.h"
@@ -10,6 +10,7 @@
 #include "documents/documents.h"
 #include "identity/identity.h"
 #include "mesh/mesh.h"
+#include "platform/answer_json.h"
 #include "platform/boundary.h"
 #include "platform/platform.h"
 
@@ -181,6 +182,29 @@
   }
 }
 
+/** @return an answer of the store with large values */
+std::string
+sampleAnswer()
+{
+  const std::string value(5000, 'A');
+  return R"({"at":3,"items":[{"key":"k","value":")" + value +
+         R"(","revision":3},{"key":"large string 0","value":")" + value +
+         R"("}]})";
+}
+
+/** @throws std::runtime_error if an answer is not read as the parser reads it
+ */
+void
+readAnswer(const std::string& aText)
+{
+  const auto expected = nlohmann::json::parse(aText, nullptr, false);
+  const auto content = platform::parseAnswer(aText);
+  if (expected.is_discarded() != content.is_discarded() ||
+      (!expected.is_discarded() && expected != content)) {
+    throw std::runtime_error("an answer was read as another one");
+  }
+}
+
 std::vector<DecoderTarget>
 makeDecoderTargets()
 {
@@ -221,6 +245,7 @@
       } },
     { "configuration", sampleConfiguration(), decodeConfiguration },
     { "patch", samplePatch(), applyPatches },
+    { "answer", sampleAnswer(), readAnswer },
     { "address",
       "127.0.0.1:8080",
       [](const std::string& aText) {
