--- a/tests/fuzz/fuzz_decoders.cpp
+++ b/tests/fuzz/fuzz_decoders.cpp
@@ -2,9 +2,9 @@
  * @file
  * Feeds random and mutated input to every decoder: settings, manifest,
  * documents, key records, the platform's VM list, the operator's configuration,
- * patches of it, records and reports of upstreams, headers of requests and
- * messages between VMs.
- * Every input must yield a value or an error with a message.
+ * patches of it, answers of the store, records and reports of upstreams,
+ * headers of requests and messages between VMs. Every input must yield a value
+ * or an error with a message.
  */
 #include "base/base.h"
 #include "config/config.h"
@@ -13,6 +13,7 @@
 #include "mesh/mesh.h"
 #include "peers/peers.h"
 #include "peers/tests/sample_messages.h"
+#include "platform/answer_json.h"
 #include "platform/boundary.h"
 #include "platform/platform.h"
 
@@ -227,6 +228,29 @@
   boundary::decodeAnswer(kOk, headers, "u");
 }
 
+/** @return an answer of the store with large values */
+std::string
+sampleAnswer()
+{
+  const std::string value(5000, 'A');
+  return R"({"at":3,"items":[{"key":"k","value":")" + value +
+         R"(","revision":3},{"key":"large string 0","value":")" + value +
+         R"("}]})";
+}
+
+/** @throws std::runtime_error if an answer is not read as the parser reads it
+ */
+void
+readAnswer(const std::string& aText)
+{
+  const auto expected = nlohmann::json::parse(aText, nullptr, false);
+  const auto content = platform::parseAnswer(aText);
+  if (expected.is_discarded() != content.is_discarded() ||
+      (!expected.is_discarded() && expected != content)) {
+    throw std::runtime_error("an answer was read as another one");
+  }
+}
+
 std::vector<DecoderTarget>
 makeDecoderTargets()
 {
@@ -286,6 +310,7 @@
     peerMessageTarget("peer-status", peers::sampleStatus(4)),
     peerMessageTarget("peer-summary", peers::sampleSummary("vm7", 3, 2)),
     peerMessageTarget("peer-placement", peers::samplePlacementUpdate()),
+    { "answer", sampleAnswer(), readAnswer },
     { "address",
       "127.0.0.1:8080",
       [](const std::string& aText) {
