Avoid an upstream after one error where errors are rare

Cause: where a VM sends an upstream under one request a second, as on the small sites, three errors take longer than the trouble. The threshold now follows the usual share of errors: 2.9 (one error) at 0.02 and below, 7 from 0.12 on; the score has a cap above it, and the upstream returns at 0.6 of it.

--- a/libs/dispatch/upstream_errors.cpp
+++ b/libs/dispatch/upstream_errors.cpp
@@ -27,11 +27,17 @@
 constexpr double kAnswerWeight = 0.15;
 /** Answers of siblings without which nothing is usual. */
 constexpr double kMinSiblingAnswers = 3;
-/** Scores at which an upstream is avoided, has shown that it is sound again,
- * and may be at fault for its latest error. */
-constexpr double kAvoidScore = 7;
-constexpr double kMaxScore = 7.5;
-constexpr double kRestoreScore = 4;
+/** Score at which an upstream is avoided, where errors are rare and where they
+ * are usual. One error says much where there are none, and a sound upstream is
+ * avoided as rarely as it errs; where many requests fail, errors of sound ones
+ * come in a row, too. */
+constexpr double kMinAvoidScore = 2.9;
+constexpr double kMaxAvoidScore = 7;
+constexpr double kUsualShareOfMaxScore = 0.12;
+/** Scores at which an upstream has shown that it is sound again, as a fraction
+ * of the one above, and may be at fault for its latest error. */
+constexpr double kMaxExcessScore = 1.5;
+constexpr double kRestoreFraction = 0.6;
 constexpr double kDoubtScore = 2.9;
 /** Pauses between trials. */
 constexpr base::Duration kMinPause = 500ms;
@@ -50,6 +56,18 @@
   return std::exp(-base::inSeconds(aTo - aFrom) / aSeconds);
 }
 
+/** @return score at which an upstream is avoided beside siblings with this
+ * share of errors */
+double
+avoidScore(double aUsualShare)
+{
+  const double part =
+    (aUsualShare - kMinUsualShare) / (kUsualShareOfMaxScore - kMinUsualShare);
+  return std::clamp(kMinAvoidScore + part * (kMaxAvoidScore - kMinAvoidScore),
+                    kMinAvoidScore,
+                    kMaxAvoidScore);
+}
+
 } // namespace
 
 void
@@ -64,7 +82,7 @@
   aState.score *= fade(
     aState.at, aNow, aState.avoided ? kAvoidedScoreSeconds : kScoreSeconds);
   aState.at = aNow;
-  if (aState.avoided && aState.score < kRestoreScore) {
+  if (aState.avoided && aState.score < aState.restoreScore) {
     // Its next answers alone decide.
     aState.avoided = false;
     aState.answers = 0;
@@ -129,6 +147,7 @@
     return returned ? Change::Restored : Change::None;
   }
   const Siblings all = siblings(service, aUpstream, aNow);
+  const double threshold = avoidScore(all.usual);
   if (all.answers < kMinSiblingAnswers) {
     state.score = 0;
   } else {
@@ -137,7 +156,7 @@
       state.avoided ? std::clamp(state.share, excess, kMaxShare) : excess;
     state.score += aError ? std::log(assumed / all.usual)
                           : std::log((1 - assumed) / (1 - all.usual));
-    state.score = std::clamp(state.score, 0.0, kMaxScore);
+    state.score = std::clamp(state.score, 0.0, threshold + kMaxExcessScore);
   }
   if (state.score <= 0) {
     state.avoidances = 0;
@@ -147,7 +166,7 @@
     static_cast<double>(all.doubtful) + (state.score >= kDoubtScore ? 1 : 0);
   const bool common = doubtful > total * kCommonCauseShare;
   if (state.avoided) {
-    if (common || state.score < kRestoreScore) {
+    if (common || state.score < state.restoreScore) {
       state.avoided = false;
       state.answers = 0;
       state.errors = 0;
@@ -160,9 +179,10 @@
     return Change::None;
   }
   const bool mayAvoid = (all.avoided + 1) * 2 <= all.total && !common;
-  if (state.score < kAvoidScore || !mayAvoid) {
+  if (state.score < threshold || !mayAvoid) {
     return returned ? Change::Restored : Change::None;
   }
+  state.restoreScore = threshold * kRestoreFraction;
   avoid(state, aNow);
   return returned ? Change::None : Change::Avoided;
 }
--- a/libs/dispatch/upstream_errors.h
+++ b/libs/dispatch/upstream_errors.h
@@ -87,11 +87,12 @@
 private:
   struct State
   {
-    double answers = 0;   ///< decaying count
-    double errors = 0;    ///< decaying count
-    double share = 0;     ///< moving average over the latest answers
-    double score = 0;     ///< log-likelihood ratio, at least 0
-    base::TimePoint at{}; ///< of the decaying values
+    double answers = 0;      ///< decaying count
+    double errors = 0;       ///< decaying count
+    double share = 0;        ///< moving average over the latest answers
+    double score = 0;        ///< log-likelihood ratio, at least 0
+    base::TimePoint at{};    ///< of the decaying values
+    double restoreScore = 0; ///< below which it is no longer avoided
     bool avoided = false;
     unsigned avoidances = 0; ///< since the score was last 0
     base::Duration pause{};
