--- a/libs/dispatch/tests/errors_tests.cpp
+++ b/libs/dispatch/tests/errors_tests.cpp
@@ -313,8 +313,8 @@
                 size.rate,
                 fleet.avoidances,
                 fleet.requests,
-                fleet.repetitions / requests);
-    CHECK(fleet.avoidances / requests < 0.001);
-    CHECK(fleet.repetitions / requests < 0.02);
+                static_cast<double>(fleet.repetitions) / requests);
+    CHECK(static_cast<double>(fleet.avoidances) / requests < 0.001);
+    CHECK(static_cast<double>(fleet.repetitions) / requests < 0.02);
   }
 }
