--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -80,6 +80,26 @@
     def test_nobody_is_served_anywhere(self):
         self.assertEqual([], self.strand(0, 0))
 
+    def test_moments_without_an_upstream_that_serves_tell_nothing_of_a_path(self):
+        """Guards against a service whose upstreams are silent for all VMs being counted as the lost path of one whose
+        callers sent more then."""
+        now = time.monotonic()
+        self.record.strands.append(("vm0", now - FAULT_FREE - 4, now + 1))
+        for vm, at, count, served in (("vm0", now - 2, 60, False), ("vm1", now - 2, 10, False),
+                                      ("vm0", now, 20, True), ("vm1", now, 60, True)):
+            for number in range(count):
+                request_id = f"{vm} {at} {number}"
+                self.record.request(request_id, "again", "k1", vm)
+                self.record.sent[request_id] = ("again", "k1", vm, at)
+                self.record.answer(request_id, 200 if served else 503)
+        check_strands(self.record, ["again"])
+        self.assertEqual([], self.found())
+        self.record.request("vm1 served", "again", "k1", "vm1")
+        self.record.sent["vm1 served"] = ("again", "k1", "vm1", now - 2)
+        self.record.answer("vm1 served", 200)
+        check_strands(self.record, ["again"])
+        self.assertEqual(["RECOVER"], self.found())
+
     def test_first_seconds_of_a_cut_and_faults_of_the_vm_excuse(self):
         self.record.fault("vm0", time.monotonic() - 1, time.monotonic())
         self.assertEqual([], self.strand(0, 60))
