Never evict the last replica that serves

Cause: the planner counted each replica alike, also those whose engine errs, rejects or is silent and those that still load, so the one that served looked redundant. For adapters the same, and a copy of a model that is being unloaded counted as well.

Now a replica is evicted as a redundant one only if another remains that serves at least as well: one on an engine that isn't impaired (new field Engine::impaired), or, for a replica on an impaired engine, any that is held. What its eviction costs is reckoned from these too, so a model does not lose room that only replicas without service seem to have. The last replica that serves still gives way where the last replica does, to a model unserved for 10 s.

Evidence: seen failing with the plan_*.cpp of before: KeepsTheLastReplicaThatServes (models, adapters), KeepsTheLastReplicaThatServesWhileAnotherLoads, CountsTheReplicasThatServeAsTheRoomOfAModel, StarvedModelEvictsTheLastReplicaThatServes.

--- a/libs/residency/fleet_stats.cpp
+++ b/libs/residency/fleet_stats.cpp
@@ -89,7 +89,11 @@
     ModelPresence& presence = presenceOn(name, aIndex);
     presence.holds = true;
     presence.unloading = held.unloading;
-    model.replicas += aEngine.draining || held.unloading ? 0U : 1U;
+    const unsigned usable = aEngine.draining || held.unloading ? 0U : 1U;
+    const unsigned serving = aEngine.impaired ? 0U : usable;
+    model.replicas += usable;
+    model.held += usable;
+    model.serving += serving;
     model.onRestartingEngine |= aEngine.restarting;
     if (aEngine.restarting) {
       model.brokenSoftware.insert(aEngine.software);
@@ -99,6 +103,8 @@
       AdapterStats& stats = model.adapters[adapter];
       stats.name = adapter;
       stats.replicas += aEngine.draining ? 0U : 1U;
+      stats.held += usable;
+      stats.serving += serving;
       held.adapters.push_back(&stats);
     }
   }
--- a/libs/residency/fleet_stats.h
+++ b/libs/residency/fleet_stats.h
@@ -21,6 +21,17 @@
   std::string_view name;
   const Demand* demand = nullptr; ///< null: no requests for it
   unsigned replicas = 0;          ///< engines that hold it and are not draining
+  /** Of the replicas, those on engines that neither unload the model nor are
+   * impaired. */
+  unsigned serving = 0;
+  unsigned held = 0; ///< the same, impaired engines included
+
+  /** @param aImpaired whether the engine of one of its replicas is impaired
+   * @return the replicas that serve at least as well, that one included */
+  unsigned replicasLike(bool aImpaired) const
+  {
+    return aImpaired ? held : serving;
+  }
 };
 
 /** State of a model on one engine. */
@@ -41,6 +52,9 @@
   const catalog::Model* spec = nullptr; ///< null: no longer configured
   /** Engines that hold or load it and neither drain nor unload it. */
   unsigned replicas = 0;
+  /** Of the replicas, those that engines hold already and are not impaired. */
+  unsigned serving = 0;
+  unsigned held = 0;               ///< the same, impaired engines included
   bool onRestartingEngine = false; ///< a restarting engine held or loaded it
   /** Software of the restarting engines that held it, whose streams broke off.
    */
@@ -54,6 +68,13 @@
 
   /** @return work of each replica in ms per second */
   double workPerReplica() const;
+
+  /** @param aImpaired whether the engine of one of its replicas is impaired
+   * @return the replicas that serve at least as well, that one included */
+  unsigned replicasLike(bool aImpaired) const
+  {
+    return aImpaired ? held : serving;
+  }
 };
 
 /** A model that an engine holds, with its adapters on that engine. */
--- a/libs/residency/plan_adapters.cpp
+++ b/libs/residency/plan_adapters.cpp
@@ -89,13 +89,15 @@
   AdapterStats* adapter = nullptr; ///< null: no adapter may be evicted
   EvictionClass evictionClass = EvictionClass::Unneeded;
   double value = 0;
-  bool cached = false; ///< false until computed, and after an eviction
+  bool impaired = false; ///< its engine is
+  bool cached = false;   ///< false until computed, and after an eviction
 };
 
+/** @param aImpaired whether the engine of the replica is impaired */
 EvictionClass
-evictionClassOf(const AdapterStats& aAdapter)
+evictionClassOf(const AdapterStats& aAdapter, bool aImpaired)
 {
-  const bool redundant = aAdapter.replicas > 1;
+  const bool redundant = aAdapter.replicasLike(aImpaired) > 1;
   if (inUse(aAdapter)) {
     return redundant ? EvictionClass::Redundant : EvictionClass::InUse;
   }
@@ -208,8 +210,8 @@
                   std::vector<ReplicaNeed>& aNeeds) const
   {
     for (const auto& [software, count] : aAdapter.demand->takeUps) {
-      if (holdersWith(software, aModel, nullptr) > 0 &&
-          holdersWith(software, aModel, &aAdapter) == 0) {
+      if (holdersWith(software, aModel, nullptr, true) > 0 &&
+          holdersWith(software, aModel, &aAdapter, true) == 0) {
         aNeeds.push_back(
           { true, demandValue(aAdapter.demand), &aModel, &aAdapter, software });
       }
@@ -217,10 +219,12 @@
   }
 
   /** @param aAdapter adapter, or nullptr for the model alone
+   * @param aImpaired whether impaired engines count
    * @return engines with the software that hold it */
   std::size_t holdersWith(std::uint32_t aSoftware,
                           const ModelStats& aModel,
-                          const AdapterStats* aAdapter) const
+                          const AdapterStats* aAdapter,
+                          bool aImpaired) const
   {
     return static_cast<std::size_t>(std::count_if(
       aModel.presences.begin(),
@@ -228,7 +232,8 @@
       [&](const ModelPresence& aPresence) {
         const EngineStats& engine = mFleet.engines()[aPresence.engine];
         return engine.engine->software == aSoftware &&
-               !engine.engine->draining && aPresence.holds &&
+               !engine.engine->draining &&
+               (aImpaired || !engine.engine->impaired) && aPresence.holds &&
                !aPresence.unloading &&
                (aAdapter == nullptr || holds(engine, *aAdapter));
       }));
@@ -275,19 +280,23 @@
   /** @return the adapter whose eviction from the engine harms least */
   Victim cheapestVictim(const EngineStats& aEngine) const
   {
+    const bool impaired = aEngine.engine->impaired;
     Victim cheapest;
     cheapest.cached = true;
     for (const HeldModel& held : aEngine.held) {
       for (AdapterStats* adapter : held.adapters) {
-        if (isRecentlyLoaded(aEngine, *held.model, *adapter)) {
+        if (held.unloading ||
+            isRecentlyLoaded(aEngine, *held.model, *adapter)) {
           continue;
         }
-        const EvictionClass evictionClass = evictionClassOf(*adapter);
+        const EvictionClass evictionClass = evictionClassOf(*adapter, impaired);
         const double value = evictionValue(*adapter);
         if (cheapest.adapter == nullptr ||
             std::tie(evictionClass, value) <
               std::tie(cheapest.evictionClass, cheapest.value)) {
-          cheapest = { held.model, adapter, evictionClass, value, true };
+          cheapest = {
+            held.model, adapter, evictionClass, value, impaired, true
+          };
         }
       }
     }
@@ -402,8 +411,10 @@
       // Streams of the victim must be able to go on, too.
       return aVictim.evictionClass == EvictionClass::Unneeded ||
              (aVictim.evictionClass == EvictionClass::Redundant &&
-              holdersWith(*aNeed.software, *aVictim.model, aVictim.adapter) >
-                1);
+              holdersWith(*aNeed.software,
+                          *aVictim.model,
+                          aVictim.adapter,
+                          aVictim.impaired) > 1);
     }
     if (aNeed.unserved && aNeed.adapter->demand->waiting == 0) {
       return false; // Requested earlier but not now; wait for a free slot.
@@ -430,6 +441,8 @@
   void markEvicted(const Victim& aVictim)
   {
     --aVictim.adapter->replicas;
+    --aVictim.adapter->held;
+    aVictim.adapter->serving -= aVictim.impaired ? 0U : 1U;
     for (const ModelPresence& presence : aVictim.model->presences) {
       mVictims[presence.engine].cached = false;
     }
--- a/libs/residency/plan_models.cpp
+++ b/libs/residency/plan_models.cpp
@@ -232,6 +232,7 @@
                                   LastReplicaPolicy aPolicy) const
   {
     const auto& heldModels = mFleet.engines()[aEngine].held;
+    const bool impaired = mFleet.engines()[aEngine].engine->impaired;
     std::vector<Victim> victims;
     for (std::size_t i = 0; i < heldModels.size(); ++i) {
       const HeldModel& held = heldModels[i];
@@ -243,11 +244,13 @@
       const bool lastEvictable =
         aPolicy == LastReplicaPolicy::EvictInUse ||
         (aPolicy == LastReplicaPolicy::EvictIdle && idle);
-      if (model.replicas == 1 && !lastEvictable) {
+      // A replica that loads or errs does not take over from one that serves.
+      const unsigned replicas = model.replicasLike(impaired);
+      if (replicas <= 1 && !lastEvictable) {
         continue;
       }
       const double loss =
-        costOf(model, model.replicas - 1) - costOf(model, model.replicas) +
+        costOf(model, replicas - 1) - costOf(model, replicas) +
         kCostPerMissingSlot * mSlots.at(aEngine).neededByModel[i];
       // The size of a model that is no longer configured is not known.
       const double freedMb = model.spec != nullptr
--- a/libs/residency/residency.h
+++ b/libs/residency/residency.h
@@ -31,6 +31,10 @@
   /** Its process has ended, so it counts as draining too. The next one is soon
    * there, empty but with the same disk. */
   bool restarting = false;
+  /** Its answers do not serve its callers: errors, rejections or silence. Its
+   * replicas count when a plan asks whether a further one is needed, since the
+   * trouble may soon end, but none of them replaces one that serves. */
+  bool impaired = false;
   /** Equal on engines that may continue each other's streams. */
   std::uint32_t software = 0;
   bool orderable = true; ///< false while an order runs or its state is unknown
--- a/libs/residency/tests/residency_tests.cpp
+++ b/libs/residency/tests/residency_tests.cpp
@@ -224,6 +224,89 @@
   CHECK(orderFor(residency::planModels(input), "a", false) == nullptr);
 }
 
+// Two of three engines with a model answer errors to all, or are silent, while
+// another model is hot. Guards against unloading it from the one that serves.
+TEST(PlanModels, KeepsTheLastReplicaThatServes)
+{
+  spec.weightsMb = 2 * kWeightsMb + 1000;
+  Engine second = engine("e2", { "a", "b" });
+  Engine third = engine("e3", { "a", "c" });
+  second.orderable = third.orderable = false;
+  input.engines = { engine("e1", { "a", "d" }), second, third };
+  input.demand[{ "a", "" }] = { 30, 0, 1 };
+  input.demand[{ "c", "" }] = { 900, 0, 9 };
+  input.demand[{ "d", "" }] = { 30, 0, 1 };
+  CHECK(orderFor(residency::planModels(input), "a", false) != nullptr);
+  input.engines[1].impaired = true;
+  CHECK(orderFor(residency::planModels(input), "a", false) != nullptr);
+  input.engines[2].impaired = true;
+  CHECK(residency::planModels(input).empty());
+}
+
+// Guards against unloading a model from the only engine that serves it since
+// another one has begun to load it.
+TEST(PlanModels, KeepsTheLastReplicaThatServesWhileAnotherLoads)
+{
+  spec.weightsMb = 2 * kWeightsMb + 1000;
+  Engine loading = engine("e2", { "c" });
+  loading.loading = { "a" };
+  loading.orderable = false;
+  input.engines = { engine("e1", { "a", "d" }), loading };
+  input.demand[{ "a", "" }] = { 30, 0, 1 };
+  input.demand[{ "c", "" }] = { 900, 0, 9 };
+  CHECK(orderFor(residency::planModels(input), "a", false) == nullptr);
+  input.engines[0].impaired = true; // It is still better than none.
+  CHECK(orderFor(residency::planModels(input), "a", false) == nullptr);
+}
+
+// Guards against taking room from a model as if all its engines served: one of
+// two that do is worth more than one of six.
+TEST(PlanModels, CountsTheReplicasThatServeAsTheRoomOfAModel)
+{
+  spec.weightsMb = 2 * kWeightsMb + 1000;
+  input.engines = { engine("e1", { "a", "d" }), engine("e2", { "a", "c" }) };
+  input.engines[1].orderable = false;
+  for (const char* name : { "e3", "e4", "e5", "e6" }) {
+    input.engines.push_back(engine(name, { "a", "c" }));
+    input.engines.back().orderable = false;
+  }
+  input.demand[{ "a", "" }] = { 600, 0, 6 };
+  input.demand[{ "c", "" }] = { 1800, 0, 18 };
+  CHECK(orderFor(residency::planModels(input), "a", false) != nullptr);
+  for (std::size_t i = 2; i < input.engines.size(); ++i) {
+    input.engines[i].impaired = true;
+  }
+  CHECK(orderFor(residency::planModels(input), "a", false) == nullptr);
+}
+
+// A trouble of seconds ends sooner than a load. Guards against loads and
+// evictions each time that it begins and ends.
+TEST(PlanModels, PlacesNothingAnewWhileReplicasAreImpaired)
+{
+  Engine first = engine("e1", { "a" });
+  Engine second = engine("e2", { "a" });
+  first.impaired = second.impaired = true;
+  input.engines = { first, second, engine("e3", { "b" }) };
+  input.demand[{ "a", "" }] = { 100, 0, 1 };
+  CHECK(orderFor(residency::planModels(input), "a", true) == nullptr);
+}
+
+// Guards against a model that is never loaded because the last replicas that
+// serve are kept for ever.
+TEST(PlanModels, StarvedModelEvictsTheLastReplicaThatServes)
+{
+  spec.weightsMb = kWeightsMb + 1000;
+  Engine impaired = engine("e2", { "a" });
+  impaired.impaired = true;
+  impaired.orderable = false;
+  input.engines = { engine("e1", { "a" }), impaired };
+  input.demand[{ "a", "" }] = { 5, 0, 0 };
+  input.demand[{ "b", "" }] = { 20, 2, 0, 5s };
+  CHECK(residency::planModels(input).empty());
+  input.demand[{ "b", "" }] = { 20, 2, 0, 12s };
+  CHECK(orderFor(residency::planModels(input), "a", false) != nullptr);
+}
+
 // A model with little work has more requested adapters than its engines have
 // slots. Guards against adapters that are never loaded.
 TEST(PlanModels, AddsReplicasForAdaptersWithoutSlots)
@@ -579,6 +662,40 @@
   STRCMP_EQUAL("a2", orders[0].target.adapter.c_str());
 }
 
+// Guards against evicting an adapter in use from the only engine that serves
+// it, since another one, which errs or unloads its model, holds it too.
+TEST(PlanAdapters, KeepsTheLastReplicaThatServes)
+{
+  Engine full = engine("e1", { "a" });
+  full.models["a"] = { "a1", "a2" };
+  Engine other = engine("e2", { "b" });
+  other.models["a"] = { "a2", "a4" };
+  other.orderable = false;
+  input.engines = { full, other };
+  input.demand[{ "a", "a1" }] = { 10, 0, 1 };
+  input.demand[{ "a", "a2" }] = { 500, 0, 5 };
+  input.demand[{ "a", "a3" }] = { 0, 1, 0 };
+  LONGS_EQUAL(1, residency::planAdapters(input).size());
+  input.engines[1].impaired = true;
+  CHECK(residency::planAdapters(input).empty());
+  input.engines[1].impaired = false;
+  input.engines[1].unloading = { "a" };
+  CHECK(residency::planAdapters(input).empty());
+}
+
+// Guards against second replicas for each trouble of seconds.
+TEST(PlanAdapters, PlacesNothingAnewWhileReplicasAreImpaired)
+{
+  Engine first = engine("e1", { "a" });
+  first.models["a"] = { "a1" };
+  Engine second = engine("e2", { "a" });
+  second.models["a"] = { "a1" };
+  first.impaired = second.impaired = true;
+  input.engines = { first, second, engine("e3", { "a" }) };
+  input.demand[{ "a", "a1" }] = { 500, 0, 5 };
+  CHECK(residency::planAdapters(input).empty());
+}
+
 // Guards against evicting both replicas of an adapter in one plan.
 TEST(PlanAdapters, KeepsOneReplicaOfAnAdapterInUse)
 {
--- a/tests/fuzz/fuzz_residency.cpp
+++ b/tests/fuzz/fuzz_residency.cpp
@@ -1,5 +1,5 @@
 /** @file Fuzzes the plans and orders of the residency library against engines
- * that answer late, lose answers, execute orders late and restart. */
+ * that answer late, lose answers, execute orders late, err and restart. */
 #include "residency_world.h"
 
 #include <docopt/docopt.h>
@@ -11,7 +11,9 @@
 
 constexpr const char* kUsage =
   R"(Fuzzes the plans and orders of the owner of orders: no engine is ordered to hold
-more than it can, and each model is loaded once its callers wait and nothing fails.
+more than it can or to unload a model in use that no other engine serves, unless
+another model has waited for long, and each model is loaded once its callers wait
+and nothing fails.
 
 Usage:
   fuzz-residency [--seed N] [--runs N] [--without-order-count]
--- a/tests/fuzz/residency_world.cpp
+++ b/tests/fuzz/residency_world.cpp
@@ -28,6 +28,7 @@
 constexpr double kEngineRestart = 0.002;
 constexpr double kOwnerChange = 0.01;
 constexpr double kDemandChange = 0.05;
+constexpr double kImpairment = 0.005; ///< of an engine
 constexpr double kStoreOutage = 0.01;
 constexpr double kLostAnswer = 0.08; ///< of one order
 constexpr double kLateOrder = 0.15;  ///< of one order: no answer, executed late
@@ -83,6 +84,7 @@
     , mSpec(makeSpec(mRandom))
     , mRecords(kEngines)
     , mHistory(kEngines)
+    , mImpairedUntil(kEngines)
     , mViews(kOwners, std::vector<View>(kEngines))
   {
     for (std::size_t number = 0; number < kEngines; ++number) {
@@ -126,6 +128,9 @@
       if (happens(kEngineRestart)) {
         mEngines[number].restart(mNow, mNow + between(1s, 4s));
       }
+      if (happens(kImpairment)) {
+        mImpairedUntil[number] = mNow + between(1s, 15s);
+      }
     }
     if (happens(kOwnerChange)) {
       changeOwner();
@@ -230,6 +235,10 @@
     for (const auto planner :
          { &planAdapters, &planModels, &planAdapterPrefetch }) {
       for (const PlannedOrder& order : planner(input)) {
+        if (takesLastServing(input, order)) {
+          mFault = order.target.model + " was to be unloaded from " +
+                   order.engine + ", the last that serves it";
+        }
         if (ordered.insert(order.engine).second) {
           send(static_cast<std::size_t>(order.engine.back() - '0'), order);
         }
@@ -237,6 +246,36 @@
     }
   }
 
+  /** @return true if the order unloads a model in use from the only engine
+   * that serves it, although no other model has waited for long */
+  static bool takesLastServing(const PlanInput& aInput,
+                               const PlannedOrder& aOrder)
+  {
+    const base::ModelName& model = aOrder.target.model;
+    if (aOrder.load || !aOrder.target.adapter.empty()) {
+      return false;
+    }
+    double workMsPerSecond = 0;
+    bool starved = false;
+    for (const auto& [ref, demand] : aInput.demand) {
+      workMsPerSecond += ref.model == model ? demand.workMsPerSecond : 0;
+      starved = starved || (ref.model != model && demand.unservedTime >= 10s);
+    }
+    const auto serves = [&](const Engine& aEngine) {
+      return !aEngine.impaired && aEngine.models.contains(model) &&
+             !aEngine.unloading.contains(model);
+    };
+    return workMsPerSecond >= 1 && !starved &&
+           std::any_of(aInput.engines.begin(),
+                       aInput.engines.end(),
+                       [&](const Engine& aEngine) {
+                         return aEngine.name == aOrder.engine &&
+                                serves(aEngine);
+                       }) &&
+           std::count_if(
+             aInput.engines.begin(), aInput.engines.end(), serves) == 1;
+  }
+
   Engine describe(std::size_t aNumber)
   {
     const Record& record = mRecords[aNumber];
@@ -252,6 +291,7 @@
     engine.name = "e" + std::to_string(aNumber);
     engine.dataCentre = "dc";
     engine.cachedOnDisk = record.disk;
+    engine.impaired = mNow < mImpairedUntil[aNumber];
     view.orders.describe(record.models, mNow, engine);
     return engine;
   }
@@ -352,6 +392,9 @@
 
   std::string checkMemory() const
   {
+    if (!mFault.empty()) {
+      return mFault;
+    }
     for (std::size_t number = 0; number < kEngines; ++number) {
       if (mEngines[number].overcommitted()) {
         return "engine " + std::to_string(number) +
@@ -394,6 +437,7 @@
   std::vector<SimulatedEngine> mEngines;
   std::vector<Record> mRecords;
   std::vector<std::deque<EngineReport>> mHistory; ///< one report a step
+  std::vector<base::TimePoint> mImpairedUntil;    ///< by engine
   std::vector<std::vector<View>> mViews;          ///< by owner and engine
   std::vector<Event> mEvents;
   DemandTable mDemand;
@@ -404,6 +448,7 @@
   base::TimePoint mHeartbeatAt{};
   base::TimePoint mStoreBackAt{};
   bool mCalm = false;
+  std::string mFault; ///< of a plan
 };
 
 } // namespace
