Tell the owner of orders which engines serve few of their callers

What an owner sees of an engine is a few requests a second of its own. So each VM counts, for each upstream, the answers of the last 3 s that served (an answer below 500, a stream's first event) and that did not (errors of the upstream, rejections, breaks, silence, deadlines without an event; not "lacks the model" or "wrong upstream"), in whole numbers, so that 95 VMs with a request each sum up exactly (dispatch::ServedAnswers). An engine is impaired if at least 4 answers to all VMs are known, fewer than half served, and its share is less than half of its siblings' share: if all fail alike, as in a flood, none is. The owner logs when that begins and ends.

Not run: a test of the gateway's wiring as a whole.

--- a/apps/gateway/exchange.cpp
+++ b/apps/gateway/exchange.cpp
@@ -1,6 +1,7 @@
 #include "apps/gateway/exchange.h"
 
 #include "apps/gateway/own_response.h"
+#include "apps/gateway/upstream_notes.h"
 
 #include <algorithm>
 #include <array>
@@ -604,6 +605,9 @@
     refuse(Code::DeadlineUnreachable, "not sent before the deadline", {});
     return;
   }
+  if (mEventCount == 0) {
+    recordService(mContext, mLoadReservation.get(), dispatch::Service::Failed);
+  }
   fail(Code::UpstreamTimeout, "no complete answer before the deadline");
 }
 
--- a/apps/gateway/exchange_calls.cpp
+++ b/apps/gateway/exchange_calls.cpp
@@ -1,4 +1,5 @@
 #include "apps/gateway/exchange.h"
+#include "apps/gateway/upstream_notes.h"
 
 #include <utility>
 
@@ -80,6 +81,7 @@
   if (!wanted || !mContext.retries.tryConsume(mService->name, now)) {
     return std::nullopt;
   }
+  recordService(mContext, mLoadReservation.get(), dispatch::Service::Failed);
   Replacement next = std::move(*mReplacement);
   mReplacement.reset();
   if (!next.sameUpstream) {
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -460,6 +460,7 @@
   if (mEventCount == 0) {
     mFirstByteAt = now;
     recordOrigin(now);
+    recordService(mContext, mLoadReservation.get(), dispatch::Service::Served);
     if (isEngineCall() && mSends == 1) {
       mContext.latency.onFirstToken(
         mMetadata.model->model,
@@ -567,6 +568,12 @@
   } else if (mHead.status >= kFirstServerError) {
     return;
   }
+  if (error || !mStreaming) {
+    recordService(mContext,
+                  mLoadReservation.get(),
+                  error ? dispatch::Service::Failed
+                        : dispatch::Service::Served);
+  }
   if (!mLoadReservation) {
     return;
   }
@@ -652,6 +659,9 @@
   mNotAccepted = true;
   const auto upstream =
     mLoadReservation ? mLoadReservation->upstream() : nullptr;
+  if (mHead.status != kMisdirected && !aMetadata.wrongUpstream) {
+    recordService(mContext, mLoadReservation.get(), dispatch::Service::Failed);
+  }
   endCall();
   if (aMetadata.wrongUpstream && upstream) {
     mContext.health.onUnreachable(mLastUpstream, now);
@@ -687,6 +697,7 @@
 void
 Exchange::onInvalidResponse(const char* aReason)
 {
+  recordService(mContext, mLoadReservation.get(), dispatch::Service::Failed);
   mContext.health.onFailure(mLastUpstream, base::monotonicNow());
   endCall();
   retryOnOtherUpstream(aReason);
@@ -772,6 +783,7 @@
 void
 Exchange::onBroken(const char* aReason)
 {
+  recordService(mContext, mLoadReservation.get(), dispatch::Service::Failed);
   recordBrokenConnection();
   mContext.health.onFailure(mLastUpstream, base::monotonicNow());
   endCall();
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -1,4 +1,5 @@
 #include "apps/gateway/gateway.h"
+#include "apps/gateway/upstream_notes.h"
 
 #include "config/config.h"
 
@@ -595,7 +596,7 @@
     return;
   }
   const base::TimePoint startedAt = base::monotonicNow();
-  mOrders.run(fleetDemand());
+  mOrders.run(fleetDemand(), impairedUpstreams(mContext));
   mPlanSchedule.recordPlan(startedAt, base::monotonicNow());
 }
 
@@ -785,6 +786,7 @@
   mCrashRecords.tick(now);
   mNotices.expire(now);
   mContext.brittle.expire(now);
+  mContext.answers.expire(now);
   mStreams.update(mUpstreams, now);
   if (mPeerExchange.isCollector()) {
     mStreamRecords.tick(now);
--- a/apps/gateway/order_controller.cpp
+++ b/apps/gateway/order_controller.cpp
@@ -2,6 +2,8 @@
 
 #include "observe/log.h"
 
+#include <utility>
+
 namespace marigold::gateway {
 namespace {
 
@@ -86,7 +88,8 @@
 }
 
 void
-OrderController::run(const residency::DemandTable& aDemand)
+OrderController::run(const residency::DemandTable& aDemand,
+                     const std::set<base::UpstreamName>& aImpaired)
 {
   const base::TimePoint now = base::monotonicNow();
   const auto& snapshot = mCatalog.current();
@@ -96,6 +99,7 @@
     }
     const base::TimePoint planStart = base::monotonicNow();
     syncEngines(service, now);
+    updateImpaired(aImpaired);
     residency::PlanInput input = planInput(service, aDemand, now);
     std::set<base::UpstreamName> orderedEngines;
     auto steps = residency::planAdapters(input);
@@ -141,6 +145,19 @@
   }
 }
 
+void
+OrderController::updateImpaired(const std::set<base::UpstreamName>& aImpaired)
+{
+  for (auto& [name, engine] : mEngines) {
+    if (std::exchange(engine.impaired, aImpaired.contains(name)) !=
+        engine.impaired) {
+      observe::logInfo(engine.impaired ? "engine serves few of its callers"
+                                       : "engine serves its callers again",
+                       { { "upstream", name } });
+    }
+  }
+}
+
 /** @return true if the upstream wants nothing from this VM now */
 bool
 OrderController::isQuiet(const Upstream& aUpstream, base::TimePoint aNow) const
@@ -235,6 +252,7 @@
     engine.restarting = upstream->processEnded();
     engine.software = upstream->software;
     engine.quiet = isQuiet(*upstream, aNow);
+    engine.impaired = known.impaired;
     known.orders.describe(record.models, aNow, engine);
     engine.cachedInMemory = record.cachedInMemory;
     engine.cachedOnDisk = record.cachedOnDisk;
--- a/apps/gateway/order_controller.h
+++ b/apps/gateway/order_controller.h
@@ -34,8 +34,9 @@
 
   /** Plans for all services and sends the resulting orders. Call it only if
    * updateOwnership() returned true. @param aDemand demand of the whole fleet
-   */
-  void run(const residency::DemandTable& aDemand);
+   * @param aImpaired engines whose answers do not serve their callers */
+  void run(const residency::DemandTable& aDemand,
+           const std::set<base::UpstreamName>& aImpaired);
 
   /** Stops sending orders permanently because the VM leaves the fleet. */
   void stop() { mStopped = true; }
@@ -79,12 +80,14 @@
     std::uint64_t startedAt = 0;
     base::Address address;
     residency::EngineOrders orders;
+    bool impaired = false; ///< as residency::Engine has it
     std::unique_ptr<http::Call> call;
   };
 
   void takeOver();
   void release();
   void syncEngines(const catalog::Service& aService, base::TimePoint aNow);
+  void updateImpaired(const std::set<base::UpstreamName>& aImpaired);
   bool isQuiet(const Upstream& aUpstream, base::TimePoint aNow) const;
   void recordRefusal(const base::UpstreamName& aName,
                      const Engine& aEngine,
--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -532,14 +532,17 @@
       mContext.notices.use(upstream->process().tag(), base::monotonicNow());
     const peers::BrittleUse brittleUse = mContext.brittle.use(
       upstream->process().tag(), upstream->running, base::monotonicNow());
+    const peers::AnswerCounts answers =
+      mContext.answers.counts(upstream->process().tag(), base::monotonicNow());
     if (upstream->running > 0 || limitUse != peers::LimitUse{} ||
-        brittleUse != peers::BrittleUse{}) {
+        brittleUse != peers::BrittleUse{} || answers != peers::AnswerCounts{}) {
       status.loads[name] = { upstream->running,
                              toCount(upstream->queuedMs),
                              toCount(upstream->lowPriorityMs),
                              toCount(upstream->memoryTokens),
                              limitUse,
-                             brittleUse };
+                             brittleUse,
+                             answers };
     }
   }
   for (const auto& [ref, rate] : mContext.demand.rates(base::monotonicNow())) {
--- a/apps/gateway/request_context.h
+++ b/apps/gateway/request_context.h
@@ -56,6 +56,7 @@
   dispatch::StartGate startGate{};
   dispatch::BrittleGuard brittle{};
   dispatch::UpstreamErrors errors{};
+  dispatch::ServedAnswers answers{};
 };
 
 } // namespace marigold::gateway
--- a/apps/gateway/upstream_notes.cpp
+++ b/apps/gateway/upstream_notes.cpp
@@ -1,5 +1,7 @@
 #include "apps/gateway/upstream_notes.h"
 
+#include "apps/gateway/exchange.h"
+
 namespace marigold::gateway {
 
 void
@@ -50,4 +52,38 @@
   }
 }
 
+void
+recordService(RequestContext& aContext,
+              const LoadReservation* aReservation,
+              dispatch::Service aService)
+{
+  if (aReservation != nullptr) {
+    aContext.answers.onAnswer(aReservation->upstream()->process().tag(),
+                              aService,
+                              base::monotonicNow());
+  }
+}
+
+std::set<base::UpstreamName>
+impairedUpstreams(const RequestContext& aContext)
+{
+  const base::TimePoint now = base::monotonicNow();
+  std::map<catalog::ServiceName,
+           std::map<base::UpstreamName, peers::AnswerCounts>>
+    answers;
+  for (const auto& [name, upstream] : aContext.upstreams.all()) {
+    peers::AnswerCounts counts =
+      aContext.answers.counts(upstream->process().tag(), now);
+    const peers::AnswerCounts others = aContext.peers.peerLoad(name).answers;
+    counts.served += others.served;
+    counts.failed += others.failed;
+    answers[upstream->record.service][name] = counts;
+  }
+  std::set<base::UpstreamName> impaired;
+  for (const auto& [service, counts] : answers) {
+    impaired.merge(dispatch::impairedUpstreams(counts));
+  }
+  return impaired;
+}
+
 } // namespace marigold::gateway
--- a/apps/gateway/upstream_notes.h
+++ b/apps/gateway/upstream_notes.h
@@ -5,6 +5,8 @@
 
 namespace marigold::gateway {
 
+class LoadReservation;
+
 /** Keeps what an answer says of its upstream: limit, leaving, and for how
  * long it wants no requests.
  * @param aContext state of this VM @param aUpstream upstream
@@ -15,4 +17,17 @@
              const std::string& aId,
              const boundary::AnswerMetadata& aAnswer);
 
+/** Counts an answer, or that there is none.
+ * @param aContext state of this VM @param aReservation of the request that was
+ * sent, may be null @param aService what the answer was to the caller */
+void
+recordService(RequestContext& aContext,
+              const LoadReservation* aReservation,
+              dispatch::Service aService);
+
+/** @param aContext state of this VM
+ * @return engines that serve few callers of all VMs, although others serve */
+std::set<base::UpstreamName>
+impairedUpstreams(const RequestContext& aContext);
+
 } // namespace marigold::gateway
--- a/libs/dispatch/dispatch.h
+++ b/libs/dispatch/dispatch.h
@@ -17,6 +17,7 @@
 #include "dispatch/prefix_index.h"
 #include "dispatch/request_traits.h"
 #include "dispatch/retry_budget.h"
+#include "dispatch/served_answers.h"
 #include "dispatch/software_history.h"
 #include "dispatch/start_gate.h"
 #include "dispatch/stream_origins.h"
--- a/libs/peers/codec.cpp
+++ b/libs/peers/codec.cpp
@@ -51,7 +51,8 @@
   for (const auto& [name, load] : aLoads) {
     json row = json::array(
       { load.running, load.queuedMs, load.lowPriorityMs, load.memoryTokens });
-    const bool brittle = load.brittleUse != BrittleUse{};
+    const bool answers = load.answers != AnswerCounts{};
+    const bool brittle = answers || load.brittleUse != BrittleUse{};
     if (brittle || load.limitUse != LimitUse{}) {
       row.push_back(load.limitUse.sends);
       row.push_back(load.limitUse.wants);
@@ -62,6 +63,10 @@
       row.push_back(load.brittleUse.rejections);
       row.push_back(load.brittleUse.borrowed);
     }
+    if (answers) {
+      row.push_back(load.answers.served);
+      row.push_back(load.answers.failed);
+    }
     loads[name] = std::move(row);
   }
   return loads;
@@ -282,13 +287,16 @@
   LoadTable loads;
   for (const auto& [name, row] : aJson.items()) {
     UpstreamLoad& load = loads[name];
-    load = { row.at(0), row.at(1), row.at(2), row.at(3), {}, {} };
+    load = { row.at(0), row.at(1), row.at(2), row.at(3), {}, {}, {} };
     if (row.size() > 4) {
       load.limitUse = { row.at(4), row.at(5), row.at(6) };
     }
     if (row.size() > 7) {
       load.brittleUse = { row.at(7), row.at(8), row.at(9) };
     }
+    if (row.size() > 10) {
+      load.answers = { row.at(10), row.at(11) };
+    }
   }
   return loads;
 }
@@ -487,6 +495,8 @@
   brittleUse.wants += aOther.brittleUse.wants;
   brittleUse.rejections += aOther.brittleUse.rejections;
   brittleUse.borrowed += aOther.brittleUse.borrowed;
+  answers.served += aOther.answers.served;
+  answers.failed += aOther.answers.failed;
   return *this;
 }
 
@@ -506,6 +516,8 @@
     std::min(brittleUse.rejections, aOther.brittleUse.rejections);
   brittleUse.borrowed -=
     std::min(brittleUse.borrowed, aOther.brittleUse.borrowed);
+  answers.served -= std::min(answers.served, aOther.answers.served);
+  answers.failed -= std::min(answers.failed, aOther.answers.failed);
   return *this;
 }
 
--- a/libs/peers/messages.h
+++ b/libs/peers/messages.h
@@ -71,6 +71,15 @@
 
 using BrittleServices = std::map<std::string, BrittleService>; ///< by name
 
+/** Answers of an upstream within the last seconds. */
+struct AnswerCounts
+{
+  std::uint32_t served = 0;
+  std::uint32_t failed = 0; ///< errors, rejections, breaks and silence
+
+  bool operator==(const AnswerCounts&) const = default;
+};
+
 /** Load of one upstream. */
 struct UpstreamLoad
 {
@@ -80,6 +89,7 @@
   std::uint32_t memoryTokens = 0;  ///< prompt and output tokens in progress
   LimitUse limitUse;               ///< zero if it names no limit
   BrittleUse brittleUse;           ///< zero if it is not brittle
+  AnswerCounts answers;            ///< zero if it has answered nothing lately
 
   bool operator==(const UpstreamLoad&) const = default;
 
--- a/libs/peers/tests/peers_tests.cpp
+++ b/libs/peers/tests/peers_tests.cpp
@@ -30,7 +30,8 @@
   CHECK(status.draining);
   DOUBLES_EQUAL(101, status.usage.at("t"), 0.001);
   CHECK(status.loads.at("u") ==
-        (peers::UpstreamLoad{ 2, 30, 4, 5000, { 3, 9, 1 }, { 8, 6, 2 } }));
+        (peers::UpstreamLoad{
+          2, 30, 4, 5000, { 3, 9, 1 }, { 8, 6, 2 }, { 7, 5 } }));
   LONGS_EQUAL(3, status.demand.at("m/a1").waiting);
   LONGS_EQUAL(1, status.demand.at("m/a1").running);
   LONGS_EQUAL(2, status.demand.at("m/a1").takeUps.at(7));
@@ -400,6 +401,16 @@
   CHECK(table.peerLoad("u").brittleUse == peers::BrittleUse{});
 }
 
+// The same of answers. Guards against upstreams that seem to have served four
+// billion callers.
+TEST(OwnSummary, LacksTheAnswersToThisVm)
+{
+  peers::Summary summary = summaryOfBothVms(1);
+  summary.loads["u"].answers = {};
+  CHECK(table.updateOwnSummary(summary, own, TimePoint{ 100s }));
+  CHECK(table.peerLoad("u").answers == peers::AnswerCounts{});
+}
+
 // Guards against a VM that takes what it hears of some for what all VMs use.
 TEST(OwnSummary, ShowsHowManyVmsReport)
 {
--- a/libs/peers/tests/sample_messages.h
+++ b/libs/peers/tests/sample_messages.h
@@ -17,7 +17,7 @@
   status.catalogVersion = 12;
   status.draining = true;
   status.usage = { { "t", 100.5 } };
-  status.loads["u"] = { 2, 30, 4, 5000, { 3, 9, 1 }, { 8, 6, 2 } };
+  status.loads["u"] = { 2, 30, 4, 5000, { 3, 9, 1 }, { 8, 6, 2 }, { 7, 5 } };
   status.demand["m/a1"] = { 12, 3, 1, { { 7, 2 } } };
   status.crashes[31] = {
     250ms, { { 4, 7 }, { 6 } }, { 8 }, { { 4, { 1, 3s } } }, { 4 }
@@ -42,7 +42,7 @@
   summary.sequence = aSequence;
   summary.catalogVersion = 3;
   summary.members["vm7"] = { 4, 9, true, { { "t", 20 } } };
-  summary.loads["u"] = { aRunning, 0, 0, 100, {}, {} };
+  summary.loads["u"] = { aRunning, 0, 0, 100, {}, {}, { 9, 1 } };
   summary.demand["m"] = { 50, 2, 1, {} };
   summary.crashes[32] = { 1s, { { 2 } }, {}, {}, {} };
   summary.drainingUpstreams["u3"] = 2;
