Tell counts of answers only while some upstream fails

Now a VM tells its counts for a service only if it or a peer has told a failure there within the last seconds; the first report of a failure brings those of the others after one status. Without failures messages have the size that they had (the row is not extended).

--- a/apps/gateway/peer_exchange.cpp
+++ b/apps/gateway/peer_exchange.cpp
@@ -1,4 +1,5 @@
 #include "apps/gateway/peer_exchange.h"
+#include "apps/gateway/upstream_notes.h"
 
 #include "observe/log.h"
 
@@ -527,13 +528,16 @@
   const auto toCount = [](double aValue) {
     return static_cast<std::uint32_t>(std::max(0.0, aValue));
   };
+  const auto reportedAnswers = answersToReport(mContext);
   for (const auto& [name, upstream] : mContext.upstreams.all()) {
     const peers::LimitUse limitUse =
       mContext.notices.use(upstream->process().tag(), base::monotonicNow());
     const peers::BrittleUse brittleUse = mContext.brittle.use(
       upstream->process().tag(), upstream->running, base::monotonicNow());
-    const peers::AnswerCounts answers =
-      mContext.answers.counts(upstream->process().tag(), base::monotonicNow());
+    const auto answered = reportedAnswers.find(name);
+    const peers::AnswerCounts answers = answered == reportedAnswers.end()
+                                          ? peers::AnswerCounts{}
+                                          : answered->second;
     if (upstream->running > 0 || limitUse != peers::LimitUse{} ||
         brittleUse != peers::BrittleUse{} || answers != peers::AnswerCounts{}) {
       status.loads[name] = { upstream->running,
--- a/apps/gateway/upstream_notes.cpp
+++ b/apps/gateway/upstream_notes.cpp
@@ -64,6 +64,26 @@
   }
 }
 
+std::map<base::UpstreamName, peers::AnswerCounts>
+answersToReport(const RequestContext& aContext)
+{
+  const base::TimePoint now = base::monotonicNow();
+  std::map<base::UpstreamName, peers::AnswerCounts> answers;
+  std::set<catalog::ServiceName> failing;
+  for (const auto& [name, upstream] : aContext.upstreams.all()) {
+    answers[name] = aContext.answers.counts(upstream->process().tag(), now);
+    if (answers[name].failed > 0 ||
+        aContext.peers.peerLoad(name).answers.failed > 0) {
+      failing.insert(upstream->record.service);
+    }
+  }
+  std::erase_if(answers, [&](const auto& aItem) {
+    return !failing.contains(
+      aContext.upstreams.find(aItem.first)->record.service);
+  });
+  return answers;
+}
+
 std::set<base::UpstreamName>
 impairedUpstreams(const RequestContext& aContext)
 {
--- a/apps/gateway/upstream_notes.h
+++ b/apps/gateway/upstream_notes.h
@@ -25,6 +25,12 @@
               const LoadReservation* aReservation,
               dispatch::Service aService);
 
+/** @param aContext state of this VM
+ * @return recent answers to this VM, for its peers; none of a service of which
+ * no VM has told a failure, since all of its upstreams serve */
+std::map<base::UpstreamName, peers::AnswerCounts>
+answersToReport(const RequestContext& aContext);
+
 /** @param aContext state of this VM
  * @return engines that serve few callers of all VMs, although others serve */
 std::set<base::UpstreamName>
