Hold rejections against an upstream whose siblings serve

What callers saw: while a third of a service's upstreams answered 429 or 503 "not run" to everything, with their health and their load good, those ended their requests at once, looked idle and drew the next ones. Routes with one attempt were refused, and retries ran out of attempts or of the budget ("upstream refused the request").

Cause: a rejection was recorded for brittle upstreams only, and a 429 for none.

UpstreamErrors judges errors and rejections, with one state for each upstream and a record for each kind. A rejection of an upstream that is full, names a time, is brittle, or is near the request's deadline does not count; where all reject alike none is avoided. A retry after a rejection is paid from the budget like any other. A stream counts as served at its first event, and a request on its last attempt is no trial while another can be one.

In errors_tests.cpp the calls of onAnswer name an Answer in place of a bool; nothing that they check has changed.

--- a/apps/gateway/exchange.h
+++ b/apps/gateway/exchange.h
@@ -143,16 +143,20 @@
   void dispatchAfterFailure();
   void onRefused(const boundary::AnswerMetadata& aMetadata);
   void onInvalidResponse(const char* aReason);
-  void recordRejection(const Upstream& aUpstream, base::TimePoint aNow);
+  void recordRejection(const Upstream& aUpstream,
+                       const boundary::AnswerMetadata& aMetadata,
+                       bool aByPeer);
+  void recordBrittleRejection(const Upstream& aUpstream, base::TimePoint aNow);
+  void judge(const Upstream& aUpstream, dispatch::Answer aAnswer);
   bool rejectResponse();
   void recordAnswer();
   bool tryElsewhere();
   bool deliverKept(const std::string& aReason);
   bool isUpstreamsError() const;
   const char* invalidHead(const boundary::AnswerMetadata& aMetadata) const;
-  void retryOnOtherUpstream(const char* aReason);
+  void retryOnOtherUpstream(const std::string& aReason);
   bool attemptsLeft() const;
-  bool tryConsumeRetry();
+  const char* consumeRetry();
   void scheduleRetry();
   void retryAfter(base::Duration aDelay);
   void waitUntilAccepted();
@@ -281,6 +285,7 @@
   bool mStallLogged = false;
   /** An upstream refused or was unreachable since the last call or retry. */
   bool mNotAccepted = false;
+  bool mAnswerRecorded = false; ///< the answer of the current call
   bool mEnded = false;
   bool mCallerDisconnected = false; ///< the call continues without a caller
   int mLeftStatus = 0; ///< of the response to a caller that has left, 0: none
--- a/apps/gateway/exchange_calls.cpp
+++ b/apps/gateway/exchange_calls.cpp
@@ -319,6 +319,7 @@
     isEngineCall() && isLowPriority(),
     isEngineCall() ? mMetadata.promptTokens + outputTokens() : 0);
   mHeadReceived = false;
+  mAnswerRecorded = false;
   mBody.clear();
   mDiscardBody = false;
   mDiscardedBytes = 0;
--- a/apps/gateway/exchange_dispatch.cpp
+++ b/apps/gateway/exchange_dispatch.cpp
@@ -151,8 +151,9 @@
                       mContext.errors.avoided(
                         record.service,
                         record.name,
-                        mRoute->retryable() ? dispatch::Repetition::Allowed
-                                            : dispatch::Repetition::Forbidden,
+                        mRoute->retryable() && mSends + 1 < mRoute->maxAttempts
+                          ? dispatch::Repetition::Allowed
+                          : dispatch::Repetition::Forbidden,
                         now);
   const peers::ProcessTag process = aUpstream.process().tag();
   candidate.limited = mContext.notices.limit(process).has_value();
@@ -680,11 +681,19 @@
                       : sends < mRoute->maxAttempts;
 }
 
-bool
-Exchange::tryConsumeRetry()
+/** @return why there is no retry, or nullptr if there is one */
+const char*
+Exchange::consumeRetry()
 {
-  return attemptsLeft() && remainingTime() > kMinRemainingTime &&
-         mContext.retries.tryConsume(mService->name, base::monotonicNow());
+  if (!attemptsLeft()) {
+    return "no attempts left";
+  }
+  if (remainingTime() <= kMinRemainingTime) {
+    return "no time left";
+  }
+  return mContext.retries.tryConsume(mService->name, base::monotonicNow())
+           ? nullptr
+           : "retry budget used";
 }
 
 /** Sends a request that its upstream has answered with an error once more, if
@@ -762,14 +771,15 @@
 }
 
 void
-Exchange::retryOnOtherUpstream(const char* aReason)
+Exchange::retryOnOtherUpstream(const std::string& aReason)
 {
   if (deliverKept(aReason)) {
     return;
   }
   const bool allowed = !isPartiallyForwarded() && canContinue() &&
                        (!mayHaveRun() || mRoute->retryable());
-  if (allowed && tryConsumeRetry()) {
+  const char* obstacle = allowed ? consumeRetry() : "must not be repeated";
+  if (obstacle == nullptr) {
     mContext.log.logStep(mMetadata.id,
                          mEventCount > 0 ? "resume" : "retry",
                          mLastUpstream,
@@ -778,11 +788,12 @@
     dispatch();
     return;
   }
+  const std::string detail = aReason + "; " + obstacle;
   if (!mayHaveRun()) {
-    refuse(Code::NoUpstream, aReason, kOverloadRetryDelay);
+    refuse(Code::NoUpstream, detail, kOverloadRetryDelay);
     return;
   }
-  fail(Code::UpstreamFailed, aReason);
+  fail(Code::UpstreamFailed, detail);
 }
 
 bool
--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -49,6 +49,7 @@
  * finish on this VM or a peer reports some. */
 constexpr base::Duration kCrashEvidenceDelay = 400ms;
 constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerError = 500;
 constexpr int kGatewayTimeout = 504;
 constexpr int kFirstSuccess = 200;
@@ -87,6 +88,16 @@
   return list;
 }
 
+/** @return what an upstream says of its load in a refusal, for the log */
+std::string
+describeLoad(const std::optional<boundary::ReportedLoad>& aLoad)
+{
+  return aLoad ? ", runs " + std::to_string(aLoad->running) + " of " +
+                   std::to_string(aLoad->slots) + ", " +
+                   std::to_string(aLoad->waiting) + " wait"
+               : ", load not given";
+}
+
 bool
 isEventStream(const http::Headers& aHeaders)
 {
@@ -468,6 +479,10 @@
         now - mSentAt);
     }
   }
+  if (!mAnswerRecorded) {
+    mAnswerRecorded = true; // Its end may be far.
+    recordAnswer();
+  }
   if (mLoadReservation) {
     mLoadReservation->releaseQueueTime();
   }
@@ -567,29 +582,39 @@
   } else if (mHead.status >= kFirstServerError) {
     return;
   }
-  if (!mLoadReservation) {
-    return;
+  if (mLoadReservation) {
+    judge(*mLoadReservation->upstream(),
+          error ? dispatch::Answer::Error : dispatch::Answer::Served);
   }
-  const base::TimePoint now = base::monotonicNow();
-  const auto& upstream = mLoadReservation->upstream();
-  if (mContext.upstreams.find(mLastUpstream) != upstream) {
+}
+
+/** Compares what an upstream has done with its siblings. */
+void
+Exchange::judge(const Upstream& aUpstream, dispatch::Answer aAnswer)
+{
+  if (mContext.upstreams.find(mLastUpstream).get() != &aUpstream) {
     return; // Another process has the name now.
   }
+  const base::TimePoint now = base::monotonicNow();
   using Change = dispatch::UpstreamErrors::Change;
   const Change change =
-    mContext.errors.onAnswer(mService->name, mLastUpstream, error, now);
+    mContext.errors.onAnswer(mService->name, mLastUpstream, aAnswer, now);
   if (change == Change::None) {
     return;
   }
-  const auto shares =
-    mContext.errors.shares(mService->name, mLastUpstream, now);
+  const auto errors = mContext.errors.shares(
+    mService->name, mLastUpstream, dispatch::Evidence::Error, now);
+  const auto rejections = mContext.errors.shares(
+    mService->name, mLastUpstream, dispatch::Evidence::Rejection, now);
   observe::logInfo(
-    change == Change::Avoided ? "upstream avoided for its errors"
-                              : "upstream no longer avoided for its errors",
+    change == Change::Avoided ? "upstream avoided for its answers"
+                              : "upstream no longer avoided for its answers",
     { { "upstream", mLastUpstream },
       { "service", mService->name },
-      { "error_share", std::to_string(shares.own) },
-      { "error_share_of_siblings", std::to_string(shares.usual) } });
+      { "error_share", std::to_string(errors.own) },
+      { "error_share_of_siblings", std::to_string(errors.usual) },
+      { "rejection_share", std::to_string(rejections.own) },
+      { "rejection_share_of_siblings", std::to_string(rejections.usual) } });
 }
 
 void
@@ -609,7 +634,6 @@
       return;
     }
     mContext.crashes.onSuccess(mTraits, mFirstByteAt, base::monotonicNow());
-    recordAnswer();
     deliverStreamEnd();
     return;
   }
@@ -652,22 +676,50 @@
   mNotAccepted = true;
   const auto upstream =
     mLoadReservation ? mLoadReservation->upstream() : nullptr;
+  const bool byPeer = mCall && !mCall->carrier().empty();
   endCall();
   if (aMetadata.wrongUpstream && upstream) {
     mContext.health.onUnreachable(mLastUpstream, now);
   } else if (mHead.status == kMisdirected && upstream && mMetadata.model) {
     upstream->refusedModels[*mMetadata.model] = now + kModelRefusalPeriod;
-  } else if (mHead.status == http::kServiceUnavailable && upstream) {
-    recordRejection(*upstream, now);
+  } else if (upstream && (mHead.status == http::kServiceUnavailable ||
+                          mHead.status == kTooManyRequests)) {
+    if (mHead.status == http::kServiceUnavailable) {
+      recordBrittleRejection(*upstream, now);
+    }
+    recordRejection(*upstream, aMetadata, byPeer);
   }
   retryOnOtherUpstream(mHead.status == kMisdirected
                          ? "upstream lacks the model"
-                         : "upstream refused the request");
+                         : "upstream refused the request with " +
+                             std::to_string(mHead.status) +
+                             describeLoad(aMetadata.load));
+}
+
+/** Takes note of an upstream that has not run a request, unless its load, its
+ * notice or the request itself is the reason. */
+void
+Exchange::recordRejection(const Upstream& aUpstream,
+                          const boundary::AnswerMetadata& aMetadata,
+                          bool aByPeer)
+{
+  const dispatch::Candidate candidate = makeCandidate(aUpstream);
+  dispatch::RejectionFacts facts;
+  facts.hasRoom = dispatch::hasRoom(candidate, requestSize());
+  facts.othersWait = aMetadata.load && aMetadata.load->waiting > 0;
+  facts.namesTime = aMetadata.notice.turnsAwayFor.has_value();
+  facts.brittle = candidate.brittle;
+  facts.deadlineNear = !hasTimeForSend();
+  facts.byPeer = aByPeer && !aMetadata.signedByUpstream;
+  if (dispatch::speaksAgainstUpstream(facts)) {
+    judge(aUpstream, dispatch::Answer::Rejection);
+  }
 }
 
 /** Takes note of an upstream that had no room, if it is brittle. */
 void
-Exchange::recordRejection(const Upstream& aUpstream, base::TimePoint aNow)
+Exchange::recordBrittleRejection(const Upstream& aUpstream,
+                                 base::TimePoint aNow)
 {
   const peers::ProcessTag process = aUpstream.process().tag();
   const auto most =
--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -884,8 +884,11 @@
     json rows = json::object();
     const base::TimePoint now = base::monotonicNow();
     for (const auto& [name, upstream] : mUpstreams.all()) {
+      const auto& service = upstream->record.service;
       const auto errors =
-        mContext.errors.shares(upstream->record.service, name, now);
+        mContext.errors.shares(service, name, dispatch::Evidence::Error, now);
+      const auto rejections = mContext.errors.shares(
+        service, name, dispatch::Evidence::Rejection, now);
       rows[name] = { { "service", upstream->record.service },
                      { "leaving", upstream->record.draining },
                      { "process_ended", upstream->processEnded() },
@@ -895,6 +898,9 @@
                      { "error_share", errors.own },
                      { "error_share_of_siblings", errors.usual },
                      { "avoided_for_errors", errors.avoided },
+                     { "rejection_share", rejections.own },
+                     { "rejection_share_of_siblings", rejections.usual },
+                     { "avoided_for_rejections", rejections.avoided },
                      { "models", upstream->record.models } };
     }
     return rows;
--- a/libs/dispatch/choice.cpp
+++ b/libs/dispatch/choice.cpp
@@ -49,15 +49,6 @@
                            kMsPerSecond);
 }
 
-bool
-hasCapacity(const Candidate& aCandidate, const RequestSize& aRequest)
-{
-  return aCandidate.running < aCandidate.slots &&
-         (aCandidate.kvCapacity <= 0 ||
-          aCandidate.kvTokens + aRequest.kvTokens <=
-            aCandidate.kvCapacity * kMaxKvUsage);
-}
-
 double
 penaltyMs(const Candidate& aCandidate)
 {
@@ -67,6 +58,15 @@
 
 } // namespace
 
+bool
+hasRoom(const Candidate& aCandidate, const RequestSize& aRequest)
+{
+  return aCandidate.running < aCandidate.slots &&
+         (aCandidate.kvCapacity <= 0 ||
+          aCandidate.kvTokens + aRequest.kvTokens <=
+            aCandidate.kvCapacity * kMaxKvUsage);
+}
+
 double
 placesFor(const Candidate& aCandidate, const RequestSize& aRequest)
 {
@@ -127,8 +127,7 @@
                aCandidates.end(),
                std::back_inserter(suitable),
                [&](const Candidate& aCandidate) {
-                 return !aCandidate.ejected &&
-                        hasCapacity(aCandidate, aRequest) &&
+                 return !aCandidate.ejected && hasRoom(aCandidate, aRequest) &&
                         expectedStart(aCandidate, aRequest) < aTimeLeft;
                });
   return chooseUpstream(suitable, aRequest, aTieBreak);
--- a/libs/dispatch/choice.h
+++ b/libs/dispatch/choice.h
@@ -46,6 +46,11 @@
 double
 placesFor(const Candidate& aCandidate, const RequestSize& aRequest);
 
+/** @param aCandidate upstream @param aRequest size of a request
+ * @return true if it can run the request at once */
+bool
+hasRoom(const Candidate& aCandidate, const RequestSize& aRequest);
+
 /**
  * Decides whether a request is worth sending. One that hardly has to queue
  * always is: its own processing time may be an old estimate, and only an answer
--- a/libs/dispatch/tests/errors_tests.cpp
+++ b/libs/dispatch/tests/errors_tests.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,9 @@
 
 namespace {
 
+using dispatch::Answer;
+using dispatch::Evidence;
+
 const TimePoint kStart{ 1000s };
 constexpr double kUsualShare = 0.14;
 
@@ -26,6 +30,12 @@
   return "u" + std::to_string(aNumber);
 }
 
+Answer
+answerOf(bool aError)
+{
+  return aError ? Answer::Error : Answer::Served;
+}
+
 /** VMs that each send requests to upstreams of one service, with a share of
  * errors that goes with the requests and one that goes with each upstream. */
 struct Fleet
@@ -66,7 +76,8 @@
     const bool counts = chosen == 0 && error && !detected[vm];
     metBefore += counts ? 1 : 0;
     ++requests;
-    const Change change = aVm.onAnswer("s", nameOf(chosen), error, now);
+    const Change change =
+      aVm.onAnswer("s", nameOf(chosen), answerOf(error), now);
     avoidances += change == Change::Avoided ? 1 : 0;
     if (change == Change::Avoided && chosen == 0) {
       detected[vm] = true;
@@ -81,7 +92,8 @@
   {
     double count = 0;
     for (const UpstreamErrors& vm : vms) {
-      count += vm.shares("s", nameOf(aUpstream), now).avoided ? 1 : 0;
+      count +=
+        vm.shares("s", nameOf(aUpstream), Evidence::Error, now).avoided ? 1 : 0;
     }
     return count / static_cast<double>(vms.size());
   }
@@ -108,7 +120,7 @@
        TimePoint aNow = kStart)
 {
   for (unsigned i = 0; i < aCount; ++i) {
-    aErrors.onAnswer("s", aUpstream, aError, aNow);
+    aErrors.onAnswer("s", aUpstream, answerOf(aError), aNow);
   }
 }
 
@@ -154,15 +166,15 @@
   CHECK(isAvoided(errors, "a"));
   CHECK_FALSE(isAvoided(errors, "a", kStart + 600ms));
   answer(errors, "a", false, 3, kStart + 600ms);
-  CHECK_FALSE(errors.shares("s", "a", kStart + 600ms).avoided);
+  CHECK_FALSE(errors.shares("s", "a", Evidence::Error, kStart + 600ms).avoided);
   CHECK_FALSE(errors.doubtful("s", "b", kStart));
   for (unsigned i = 0; i < 210; ++i) {
-    errors.onAnswer("t", nameOf(i % 3), i % 7 == 0, kStart);
+    errors.onAnswer("t", nameOf(i % 3), answerOf(i % 7 == 0), kStart);
   }
   for (unsigned i = 0; i < 20; ++i) {
-    errors.onAnswer("t", "u0", false, kStart);
+    errors.onAnswer("t", "u0", Answer::Served, kStart);
   }
-  errors.onAnswer("t", "u0", true, kStart);
+  errors.onAnswer("t", "u0", Answer::Error, kStart);
   CHECK_FALSE(errors.doubtful("t", "u0", kStart));
   CHECK_FALSE(errors.avoided("t", "u0", Repetition::Allowed, kStart));
 }
@@ -193,7 +205,7 @@
   UpstreamErrors alike;
   for (unsigned round = 0; round < 40; ++round) {
     for (const char* name : { "a", "b", "c" }) {
-      alike.onAnswer("s", name, round >= 10, kStart);
+      alike.onAnswer("s", name, answerOf(round >= 10), kStart);
     }
   }
   for (const char* name : { "a", "b", "c" }) {
@@ -218,7 +230,7 @@
   now += 1s;
   CHECK_FALSE(isAvoided(errors, "a", now));
   unsigned trials = 0;
-  while (errors.shares("s", "a", now).avoided && trials < 20) {
+  while (errors.shares("s", "a", Evidence::Error, now).avoided && trials < 20) {
     answer(errors, "a", false, 1, now);
     ++trials;
   }
@@ -240,10 +252,10 @@
 {
   sound({ "a", "b" });
   for (unsigned i = 0; i < 100; ++i) {
-    errors.onAnswer("t", i % 2 == 0 ? "x" : "y", i % 5 == 0, kStart);
+    errors.onAnswer("t", i % 2 == 0 ? "x" : "y", answerOf(i % 5 == 0), kStart);
   }
-  CHECK(errors.shares("t", "x", kStart).usual > 0.1);
-  CHECK(errors.shares("s", "a", kStart).usual < 0.03);
+  CHECK(errors.shares("t", "x", Evidence::Error, kStart).usual > 0.1);
+  CHECK(errors.shares("s", "a", Evidence::Error, kStart).usual < 0.03);
 }
 
 struct FleetSize
@@ -318,3 +330,196 @@
     CHECK(static_cast<double>(fleet.repetitions) / requests < 0.02);
   }
 }
+
+namespace {
+
+/** One VM that sends requests to the upstream with the earliest expected start,
+ * of which some run no request. */
+struct RejectionPlay
+{
+  explicit RejectionPlay(std::size_t aUpstreams)
+    : rejects(aUpstreams, false)
+    , sends(aUpstreams, 0)
+  {
+    limits.ratio = 0.1;
+    limits.minRetries = 10;
+    retries.setLimits(limits);
+    retries.setFleetSize(1);
+  }
+
+  /** Plays requests, each of which may be sent to two upstreams. */
+  void play(base::Duration aTime, double aRate)
+  {
+    const base::Duration step = base::fromSeconds(1 / aRate);
+    for (const TimePoint end = now + aTime; now < end; now += step) {
+      ++requests;
+      retries.onRequest("s", now);
+      std::set<std::size_t> tried;
+      bool served = sendOnce(tried);
+      if (!served && retries.tryConsume("s", now)) {
+        served = sendOnce(tried);
+      }
+      refused += served ? 0 : 1;
+    }
+  }
+
+  bool sendOnce(std::set<std::size_t>& aTried)
+  {
+    std::vector<dispatch::Candidate> candidates;
+    for (std::size_t i = 0; i < rejects.size(); ++i) {
+      if (!aTried.contains(i)) {
+        dispatch::Candidate& candidate = candidates.emplace_back();
+        candidate.index = i;
+        candidate.slots = 8;
+        candidate.running = rejects[i] ? 0 : 2;
+        candidate.queuedMs = candidate.running * 5.0;
+        candidate.ejected =
+          judge.avoided("s", nameOf(i), Repetition::Allowed, now);
+        avoidedSeen += candidate.ejected ? 1 : 0;
+      }
+    }
+    const auto choice = dispatch::chooseUpstream(candidates, {}, random.bits());
+    const std::size_t chosen = choice->index;
+    aTried.insert(chosen);
+    ++sends[chosen];
+    ++allSends;
+    judge.onSent("s", nameOf(chosen), now);
+    const bool served = !rejects[chosen];
+    judge.onAnswer(
+      "s", nameOf(chosen), served ? Answer::Served : Answer::Rejection, now);
+    return served;
+  }
+
+  UpstreamErrors judge;
+  dispatch::RetryLimits limits;
+  dispatch::RetryBudget retries;
+  std::vector<bool> rejects;
+  std::vector<unsigned long> sends; ///< by upstream
+  unsigned long requests = 0;
+  unsigned long allSends = 0;
+  unsigned long refused = 0;
+  unsigned long avoidedSeen = 0;
+  TimePoint now = kStart;
+  base::Random random{ 84 };
+};
+
+} // namespace
+
+// Guards against an upstream that rejects everything, looks idle and draws the
+// most requests.
+TEST(UpstreamErrors, UpstreamThatRejectsBesideSiblingsGetsTrialsOnly)
+{
+  for (const std::size_t upstreams : { 3, 5, 60 }) {
+    for (const double rate : { 10.0, 300.0 }) {
+      RejectionPlay play(upstreams);
+      play.play(8s, rate);
+      play.rejects[0] = true;
+      play.sends[0] = play.requests = play.refused = 0;
+      play.play(5s, rate);
+      const double share =
+        static_cast<double>(play.sends[0]) / static_cast<double>(play.requests);
+      std::printf("%zu upstreams, %.0f/s, one rejects: %.3f of requests sent "
+                  "to it, %lu refused\n",
+                  upstreams,
+                  rate,
+                  share,
+                  play.refused);
+      CHECK(play.sends[0] <= 8);
+      CHECK(share <= 0.16);
+      LONGS_EQUAL(0, play.refused);
+      play.rejects[0] = false;
+      const TimePoint recovered = play.now;
+      const auto avoided = [&play] {
+        return play.judge.shares("s", nameOf(0), Evidence::Rejection, play.now)
+          .avoided;
+      };
+      while (avoided() && play.now < recovered + 10s) {
+        play.play(100ms, rate);
+      }
+      // Two requests that serve bring it back; it gets few where there are few.
+      const base::Duration twoRequests =
+        base::fromSeconds(2.0 * static_cast<double>(upstreams) / rate);
+      CHECK(play.now - recovered <= 2s + twoRequests);
+    }
+  }
+}
+
+// Guards against capacity that is left out in a flood, and against a storm of
+// sends while all reject.
+TEST(UpstreamErrors, NoneIsAvoidedWhereAllRejectAndSendsStayInTheBudget)
+{
+  for (const std::size_t upstreams : { 2, 5, 60 }) {
+    for (const double rate : { 20.0, 300.0, 2400.0 }) {
+      RejectionPlay play(upstreams);
+      play.play(10s, rate);
+      play.rejects.assign(upstreams, true);
+      play.allSends = play.requests = 0;
+      play.play(10s, rate);
+      unsigned avoided = 0;
+      for (std::size_t i = 0; i < upstreams; ++i) {
+        const bool is =
+          play.judge.avoided("s", nameOf(i), Repetition::Allowed, play.now);
+        avoided += is ? 1 : 0;
+      }
+      const double beyond = static_cast<double>(play.allSends) /
+                              static_cast<double>(play.requests) -
+                            1;
+      std::printf("%zu upstreams, %.0f/s, all reject: %u avoided, %.3f sends "
+                  "beyond the first of each request\n",
+                  upstreams,
+                  rate,
+                  avoided,
+                  beyond);
+      LONGS_EQUAL(0, avoided);
+      CHECK(beyond < 0.2);
+    }
+  }
+}
+
+// Guards against a full upstream that loses its place, and rejections for the
+// sake of the request that count as its fault.
+TEST(UpstreamErrors, RejectionWithAReasonSpeaksAgainstNobody)
+{
+  using Facts = dispatch::RejectionFacts;
+  CHECK(dispatch::speaksAgainstUpstream(Facts{}));
+  CHECK_FALSE(dispatch::speaksAgainstUpstream(Facts{ .hasRoom = false }));
+  for (bool Facts::*reason : { &Facts::othersWait,
+                               &Facts::namesTime,
+                               &Facts::brittle,
+                               &Facts::deadlineNear,
+                               &Facts::byPeer }) {
+    Facts facts;
+    facts.*reason = true;
+    CHECK_FALSE(dispatch::speaksAgainstUpstream(facts));
+  }
+  dispatch::Candidate full;
+  full.slots = full.running = 8;
+  CHECK_FALSE(dispatch::hasRoom(full, {}));
+}
+
+// Guards against a rejection that clears an upstream of errors.
+TEST(UpstreamErrors, RejectionsTellNothingOfErrors)
+{
+  sound({ "a", "b", "c" });
+  answer(errors, "a", true, 2);
+  for (unsigned i = 0; i < 20; ++i) {
+    errors.onAnswer("s", "a", Answer::Rejection, kStart);
+  }
+  CHECK(errors.shares("s", "a", Evidence::Error, kStart).avoided);
+  CHECK_FALSE(errors.shares("s", "a", Evidence::Rejection, kStart).avoided);
+}
+
+// Guards against an upstream with a few errors that is avoided in place of one
+// that rejects everything.
+TEST(UpstreamErrors, WorseUpstreamTakesThePlaceOfAnAvoidedOne)
+{
+  sound({ "a", "b", "c" });
+  answer(errors, "a", true, 1);
+  CHECK(isAvoided(errors, "a"));
+  for (unsigned i = 0; i < 3; ++i) {
+    errors.onAnswer("s", "b", Answer::Rejection, kStart);
+    errors.onAnswer("s", "c", Answer::Served, kStart);
+  }
+  CHECK(isAvoided(errors, "b"));
+  CHECK_FALSE(isAvoided(errors, "a"));
+}
--- a/libs/dispatch/upstream_errors.cpp
+++ b/libs/dispatch/upstream_errors.cpp
@@ -17,10 +17,10 @@
 constexpr double kAvoidedScoreSeconds = 5;
 /** What is assumed of a service before its answers show it, as a count. */
 constexpr double kPriorAnswers = 10;
-constexpr double kPriorErrors = 0.2;
+constexpr double kPriorBad = 0.2;
 constexpr double kMinUsualShare = 0.02;
 constexpr double kMaxUsualShare = 0.9;
-/** Share of errors of an upstream in trouble above the usual one. */
+/** Share of bad answers of an upstream in trouble above the usual one. */
 constexpr double kExcessShare = 0.35;
 constexpr double kMaxShare = 0.95;
 /** Weight of the newest answer in the moving average of an upstream. */
@@ -49,6 +49,11 @@
 /** Fraction of a service's upstreams in doubt at which the cause is a common
  * one. */
 constexpr double kCommonCauseShare = 2.0 / 3;
+/** Share of the latest answers of an upstream that puts it in doubt for this,
+ * also if its siblings have no answers to compare with. */
+constexpr double kCommonShare = 0.5;
+
+constexpr Evidence kKinds[] = { Evidence::Error, Evidence::Rejection };
 
 double
 fade(base::TimePoint aFrom, base::TimePoint aTo, double aSeconds)
@@ -70,6 +75,30 @@
 
 } // namespace
 
+bool
+speaksAgainstUpstream(const RejectionFacts& aFacts)
+{
+  return aFacts.hasRoom && !aFacts.othersWait && !aFacts.namesTime &&
+         !aFacts.brittle && !aFacts.deadlineNear && !aFacts.byPeer;
+}
+
+bool
+UpstreamErrors::State::doubtful(Evidence aKind) const
+{
+  return avoidedFor == aKind || record(aKind).score >= kDoubtScore;
+}
+
+/** Its next answers alone decide. */
+void
+UpstreamErrors::State::restore()
+{
+  if (avoidedFor) {
+    record(*avoidedFor).answers = 0;
+    record(*avoidedFor).bad = 0;
+  }
+  avoidedFor.reset();
+}
+
 void
 UpstreamErrors::decay(State& aState, base::TimePoint aNow)
 {
@@ -77,16 +106,19 @@
     return;
   }
   const double kept = fade(aState.at, aNow, kMemorySeconds);
-  aState.answers *= kept;
-  aState.errors *= kept;
-  aState.score *= fade(
-    aState.at, aNow, aState.avoided ? kAvoidedScoreSeconds : kScoreSeconds);
+  for (const Evidence kind : kKinds) {
+    Record& record = aState.record(kind);
+    record.answers *= kept;
+    record.bad *= kept;
+    record.score *=
+      fade(aState.at,
+           aNow,
+           aState.avoidedFor == kind ? kAvoidedScoreSeconds : kScoreSeconds);
+  }
   aState.at = aNow;
-  if (aState.avoided && aState.score < aState.restoreScore) {
-    // Its next answers alone decide.
-    aState.avoided = false;
-    aState.answers = 0;
-    aState.errors = 0;
+  if (aState.avoidedFor &&
+      aState.record(*aState.avoidedFor).score < aState.restoreScore) {
+    aState.restore();
   }
 }
 
@@ -94,10 +126,11 @@
 UpstreamErrors::Siblings
 UpstreamErrors::siblings(const Service& aService,
                          const base::UpstreamName& aUpstream,
+                         Evidence aKind,
                          base::TimePoint aNow)
 {
   Siblings all;
-  double errors = 0;
+  double bad = 0;
   for (const auto& [name, state] : aService) {
     if (name == aUpstream) {
       continue;
@@ -105,86 +138,164 @@
     State now = state;
     decay(now, aNow);
     ++all.total;
-    all.avoided += now.avoided ? 1 : 0;
-    all.doubtful += now.avoided || now.score >= kDoubtScore ? 1 : 0;
-    if (!now.avoided) {
-      all.answers += now.answers;
-      errors += now.errors;
+    all.avoided += now.avoidedFor ? 1 : 0;
+    const double recent = now.record(aKind).share *
+                          fade(std::min(state.at, aNow), aNow, kScoreSeconds);
+    all.doubtful += now.doubtful(aKind) || recent >= kCommonShare ? 1 : 0;
+    if (!now.avoidedFor) {
+      all.answers += now.record(aKind).answers;
+      bad += now.record(aKind).bad;
     }
   }
-  all.usual =
-    std::clamp((errors + kPriorErrors) / (all.answers + kPriorAnswers),
-               kMinUsualShare,
-               kMaxUsualShare);
+  all.usual = std::clamp((bad + kPriorBad) / (all.answers + kPriorAnswers),
+                         kMinUsualShare,
+                         kMaxUsualShare);
   return all;
 }
 
 void
-UpstreamErrors::avoid(State& aState, base::TimePoint aNow)
+UpstreamErrors::avoid(State& aState, Evidence aKind, base::TimePoint aNow)
 {
-  aState.avoided = true;
+  aState.avoidedFor = aKind;
   aState.pause = std::min(
     kMaxPause, kMinPause * (1U << std::min(aState.avoidances, kMaxDoublings)));
   ++aState.avoidances;
   aState.nextTrial = aNow + aState.pause;
+  aState.trialServed = false;
+}
+
+/** Changes the score of one kind by an answer. */
+void
+UpstreamErrors::weigh(State& aState,
+                      const Siblings& aSiblings,
+                      Evidence aKind,
+                      bool aBad)
+{
+  Record& record = aState.record(aKind);
+  if (aSiblings.answers < kMinSiblingAnswers) {
+    record.score = 0;
+    return;
+  }
+  const double usual = aSiblings.usual;
+  const double excess = std::min(kMaxShare, usual + kExcessShare);
+  const double assumed = aState.avoidedFor == aKind
+                           ? std::clamp(record.share, excess, kMaxShare)
+                           : excess;
+  record.score +=
+    aBad ? std::log(assumed / usual) : std::log((1 - assumed) / (1 - usual));
+  record.score =
+    std::clamp(record.score, 0.0, avoidScore(usual) + kMaxExcessScore);
+}
+
+/** Takes note of the answer of an upstream that stays avoided. */
+void
+UpstreamErrors::weighTrial(State& aState, bool aServed, base::TimePoint aNow)
+{
+  aState.pause = aServed
+                   ? kPauseAfterSuccess
+                   : std::min(kMaxPause, std::max(kMinPause, aState.pause * 2));
+  aState.nextTrial = aNow + (aServed ? base::Duration::zero() : aState.pause);
+  aState.trialServed = aServed;
+}
+
+/** Gives up the avoidance of an upstream with a smaller share of bad answers,
+ * if there is one. @return true if there is */
+bool
+UpstreamErrors::restoreBetterOne(Service& aService, double aShare)
+{
+  State* best = nullptr;
+  for (auto& [name, state] : aService) {
+    if (state.avoidedFor) {
+      const double share = state.record(*state.avoidedFor).share;
+      if (share < aShare) {
+        best = &state;
+        aShare = share;
+      }
+    }
+  }
+  if (best != nullptr) {
+    best->restore();
+  }
+  return best != nullptr;
+}
+
+/** @return true if the cause of this kind is a common one */
+bool
+UpstreamErrors::update(Service& aService,
+                       const base::UpstreamName& aUpstream,
+                       Evidence aKind,
+                       bool aBad,
+                       base::TimePoint aNow)
+{
+  State& state = aService[aUpstream];
+  Record& record = state.record(aKind);
+  record.answers += 1;
+  record.bad += aBad ? 1 : 0;
+  record.share += kAnswerWeight * ((aBad ? 1 : 0) - record.share);
+  if (!aBad && record.score <= 0) {
+    return false;
+  }
+  const Siblings all = siblings(aService, aUpstream, aKind, aNow);
+  weigh(state, all, aKind, aBad);
+  const bool common =
+    static_cast<double>(all.doubtful) + (record.score >= kDoubtScore ? 1 : 0) >
+    static_cast<double>(all.total) * kCommonCauseShare;
+  const double threshold = avoidScore(all.usual);
+  if (state.avoidedFor == aKind) {
+    // Its siblings may have shown meanwhile that this is usual.
+    state.restoreScore = threshold * kRestoreFraction;
+    if (common || record.score < state.restoreScore) {
+      state.restore();
+    } else {
+      weighTrial(state, !aBad, aNow);
+    }
+    return common;
+  }
+  if (state.avoidedFor || common || record.score < threshold) {
+    return common;
+  }
+  if ((all.avoided + 1) * 2 > all.total &&
+      !restoreBetterOne(aService, record.share)) {
+    return common;
+  }
+  state.restoreScore = threshold * kRestoreFraction;
+  avoid(state, aKind, aNow);
+  return common;
 }
 
 UpstreamErrors::Change
 UpstreamErrors::onAnswer(const catalog::ServiceName& aService,
                          const base::UpstreamName& aUpstream,
-                         bool aError,
+                         Answer aAnswer,
                          base::TimePoint aNow)
 {
   Service& service = mServices[aService];
   State& state = service[aUpstream];
-  const bool wasAvoided = state.avoided;
+  const bool wasAvoided = state.avoidedFor.has_value();
   decay(state, aNow);
-  const bool returned = wasAvoided && !state.avoided;
-  state.answers += 1;
-  state.errors += aError ? 1 : 0;
-  state.share += kAnswerWeight * ((aError ? 1 : 0) - state.share);
-  if (!aError && state.score <= 0) {
-    return returned ? Change::Restored : Change::None;
-  }
-  const Siblings all = siblings(service, aUpstream, aNow);
-  const double threshold = avoidScore(all.usual);
-  if (all.answers < kMinSiblingAnswers) {
-    state.score = 0;
-  } else {
-    const double excess = std::min(kMaxShare, all.usual + kExcessShare);
-    const double assumed =
-      state.avoided ? std::clamp(state.share, excess, kMaxShare) : excess;
-    state.score += aError ? std::log(assumed / all.usual)
-                          : std::log((1 - assumed) / (1 - all.usual));
-    state.score = std::clamp(state.score, 0.0, threshold + kMaxExcessScore);
-  }
-  if (state.score <= 0) {
-    state.avoidances = 0;
-  }
-  const auto total = static_cast<double>(all.total);
-  const auto doubtful =
-    static_cast<double>(all.doubtful) + (state.score >= kDoubtScore ? 1 : 0);
-  const bool common = doubtful > total * kCommonCauseShare;
-  if (state.avoided) {
-    if (common || state.score < state.restoreScore) {
-      state.avoided = false;
-      state.answers = 0;
-      state.errors = 0;
-      return Change::Restored;
+  for (const Evidence kind : kKinds) {
+    if (kind == Evidence::Error && aAnswer == Answer::Rejection) {
+      continue; // It has not run, so it tells nothing of errors.
+    }
+    const bool bad = kind == Evidence::Error ? aAnswer == Answer::Error
+                                             : aAnswer == Answer::Rejection;
+    if (update(service, aUpstream, kind, bad, aNow)) {
+      for (auto& [name, sibling] : service) {
+        if (sibling.avoidedFor == kind) {
+          sibling.restore();
+        }
+      }
     }
-    state.pause = aError
-                    ? std::min(kMaxPause, std::max(kMinPause, state.pause * 2))
-                    : kPauseAfterSuccess;
-    state.nextTrial = aNow + (aError ? state.pause : base::Duration::zero());
-    return Change::None;
   }
-  const bool mayAvoid = (all.avoided + 1) * 2 <= all.total && !common;
-  if (state.score < threshold || !mayAvoid) {
-    return returned ? Change::Restored : Change::None;
+  const bool quiet =
+    std::all_of(state.records.begin(),
+                state.records.end(),
+                [](const Record& aRecord) { return aRecord.score <= 0; });
+  state.avoidances = quiet ? 0 : state.avoidances;
+  if (state.avoidedFor.has_value() == wasAvoided) {
+    return Change::None;
   }
-  state.restoreScore = threshold * kRestoreFraction;
-  avoid(state, aNow);
-  return returned ? Change::None : Change::Avoided;
+  return wasAvoided ? Change::Restored : Change::Avoided;
 }
 
 const UpstreamErrors::State*
@@ -209,7 +320,7 @@
     return;
   }
   const auto found = service->second.find(aUpstream);
-  if (found != service->second.end() && found->second.avoided) {
+  if (found != service->second.end() && found->second.avoidedFor) {
     found->second.nextTrial = aNow + found->second.pause;
   }
 }
@@ -221,15 +332,17 @@
                         base::TimePoint aNow) const
 {
   const State* found = find(aService, aUpstream);
-  if (found == nullptr || !found->avoided) {
+  if (found == nullptr || !found->avoidedFor) {
     return false;
   }
   State state = *found;
   decay(state, aNow);
-  const base::Duration wait = aRepetition == Repetition::Allowed
-                                ? base::Duration::zero()
-                                : kMaxWaitForRepeatable;
-  return state.avoided && aNow < state.nextTrial + wait;
+  const bool suits =
+    aRepetition == Repetition::Allowed ||
+    (state.avoidedFor == Evidence::Rejection && state.trialServed);
+  const base::Duration wait =
+    suits ? base::Duration::zero() : kMaxWaitForRepeatable;
+  return state.avoidedFor && aNow < state.nextTrial + wait;
 }
 
 bool
@@ -243,24 +356,26 @@
   }
   State now = *state;
   decay(now, aNow);
-  return now.avoided || now.score >= kDoubtScore;
+  return now.avoidedFor || now.doubtful(Evidence::Error) ||
+         now.doubtful(Evidence::Rejection);
 }
 
 UpstreamErrors::Shares
 UpstreamErrors::shares(const catalog::ServiceName& aService,
                        const base::UpstreamName& aUpstream,
+                       Evidence aKind,
                        base::TimePoint aNow) const
 {
   Shares found;
   const auto service = mServices.find(aService);
   if (service != mServices.end()) {
-    found.usual = siblings(service->second, aUpstream, aNow).usual;
+    found.usual = siblings(service->second, aUpstream, aKind, aNow).usual;
   }
   if (const State* state = find(aService, aUpstream)) {
     State now = *state;
     decay(now, aNow);
-    found.own = now.share;
-    found.avoided = now.avoided;
+    found.own = now.record(aKind).share;
+    found.avoided = now.avoidedFor == aKind;
   }
   return found;
 }
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -204,6 +204,9 @@
         self.error_share = 0  # of the requests that it runs and answers with a signed error; its health is good
         self.error_debt = 0   # part of the next one that is due
         self.own_errors = []   # ids of these
+        self.reject_status = None  # of its answers to all requests, none of which it runs; its health is good
+        self.reject_headers = {}   # of these answers
+        self.turned_away = []      # (time, request id) of these
         self.raw_answer = None  # (bytes in place of its answers, whether their connection stays open)
         self.surplus = False  # sends a second answer behind that of a plain service
         self.refuse = False  # counts a request as run but answers 503 with X-Not-Executed
@@ -308,6 +311,11 @@
             self.statements.append((time.monotonic(), request_id, self.born, self.turn_away))
             writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "1", "Retry-After": self.turn_away}, b""))
             return True
+        if self.reject_status is not None:
+            self.turned_away.append((time.monotonic(), request_id))
+            writer.write(answer_bytes(self.reject_status, {**signature, "X-Not-Executed": "1", **self.reject_headers},
+                                      b""))
+            return True
         if self.refusals > 0:
             self.refusals -= 1
             writer.write(answer_bytes(503, {**signature, "X-Not-Executed": "1"}, b""))
