List what a synchronization finds before a watch is back, so that lapsed records may return

Behind an outage the store may answer it while the watch still backs off. The removals of records that lapsed in the outage were applied before "reached" had told that the store is back, so that live upstreams were taken as gone at once, and calls to them ended, although their records are back within two seconds.

Cause: PrefixWatch::startSynchronization applied changes whether or not the watch had a view. Now an answer to a synchronization of a lost watch shows that the store is back; the watch lists at once, which tells "reached" first, and its callers get their answer with that list. One call more on the return of the store, none while it refuses.

The explorer asks that no change is shown while the watch is lost. On the code before it found "answer:0 break:0 synchronize:0" after 306 orders; the order in known_watches.txt fails there, too. Its check of pauses behind refusals ends with a synchronization that was answered, since the list follows by design; one that is answered with anything but 200 doesn't count.

--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -481,6 +481,10 @@
       const auto* changes = std::get_if<platform::Snapshot>(&aResult);
       const bool usable = changes != nullptr && generation == mGeneration &&
                           era == mMirror.era() && isOfCurrentEra();
+      if (usable && !mConnected) {
+        listToSynchronize();
+        return;
+      }
       const auto unseen = usable ? readChanges(*changes) : std::nullopt;
       if (unseen) {
         applyChanges(*unseen);
@@ -490,6 +494,31 @@
     "synchronize");
 }
 
+/** The store answers again after failed calls. Applied before its return is
+ * known, the removal of a key that ended meanwhile would count as one of now.
+ */
+void
+PrefixWatch::listToSynchronize()
+{
+  mClient.list(
+    mPrefix,
+    [this, sentAt = base::monotonicNow(), generation = mGeneration](
+      const base::Captured<platform::Snapshot>& aResult) {
+      const auto* snapshot = std::get_if<platform::Snapshot>(&aResult);
+      const bool usable = snapshot != nullptr && generation == mGeneration;
+      // Behind the mirror, it brings nothing.
+      if (usable && !isBehind(*snapshot)) {
+        ++mGeneration; // Other calls of the watch may be under way.
+        mStoreWaitSince.reset();
+        mTimer.reset();
+        mAnswerDueAt = sentAt;
+        onList(*snapshot, false);
+      }
+      endSynchronization(usable && isOfCurrentEra());
+    },
+    "synchronize");
+}
+
 void
 PrefixWatch::endSynchronization(bool aSucceeded)
 {
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -129,6 +129,7 @@
   void applyChanges(const platform::Snapshot& aUnseen);
   void scheduleSynchronization();
   void startSynchronization();
+  void listToSynchronize();
   void endSynchronization(bool aSucceeded);
   void onFailure(const base::Error& aError, const platform::Client& aClient);
   void waitAt(platform::Client& aClient, bool aFromRelay);
