Back off from claims of the orders that the store refuses

While the store served lists and leases but refused writes of the ownership, each VM wrote its claim every 150 ms, and so did a VM that settles its ownership. All these calls are paid, and use up the store's rate limit.

Cause: the claim had no pause of its own; a refused write ended only the call. Claims and settlements now wait after a failed write, 150 ms at first, 1.2 s at most, as registrations do. A conflict has no pause: the watch brings the owner. The pause ends when another VM owns the orders or the store was restored, so that a claim after a kill is not late for a failure of long ago. The pause of leases, registrations and claims is one class now, RetryPause.

--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -27,7 +27,8 @@
 constexpr base::Duration kRegistrationRenewal = 1500ms;
 constexpr base::Duration kOwnershipRenewal = 450ms;
 constexpr base::Duration kTickInterval = 150ms;
-constexpr base::Duration kMaxRegistrationBackoff = 1200ms;
+/** Longest pause between two writes of a key while these fail. */
+constexpr base::Duration kMaxWritePause = 1200ms;
 /** Minimum delay between a change and the next watch call. */
 constexpr base::Duration kWatchPause = 150ms;
 /** Longest wait for changes. Longer than those for data that limits hold for,
@@ -66,9 +67,12 @@
                observe::logWarn("fleet registry lost",
                                 { { "error", aError.message } });
              } })
-  , mRegistrationBackoff(kTickInterval,
-                         kMaxRegistrationBackoff,
-                         base::hash64(aSettings.vm, aIncarnation + 2))
+  , mRegistrationPause(kTickInterval,
+                       kMaxWritePause,
+                       base::hash64(aSettings.vm, aIncarnation + 2))
+  , mOwnershipPause(kTickInterval,
+                    kMaxWritePause,
+                    base::hash64(aSettings.vm, aIncarnation + 3))
   , mLease(aClient,
            "registration",
            kRegistrationTerm,
@@ -106,7 +110,8 @@
   mAbsentRevision = 0;
   mOwnershipLease.clear();
   mOwner.reset();
-  mRegistrationAt = {};
+  mRegistrationPause.reset();
+  mOwnershipPause.reset();
   mOwnerLease.drop("the store was restored");
   mLease.drop("the store was restored");
 }
@@ -302,8 +307,11 @@
   }
   owner.fencingToken = fenceAt(aEntry.revision);
   const auto previous = std::exchange(mOwner, owner);
-  if (isOwnedByOther(owner) && !mClaimCallPending) {
-    mOwnerLease.drop("another VM owns the orders");
+  if (isOwnedByOther(owner)) {
+    mOwnershipPause.reset(); // The next claim has nothing to do with the last.
+    if (!mClaimCallPending) {
+      mOwnerLease.drop("another VM owns the orders");
+    }
   }
   if (previous && previous->fencingToken == owner.fencingToken) {
     return;
@@ -480,7 +488,7 @@
 Fleet::writeRegistration()
 {
   if (mRegistrationCallPending || !mSynced || !mLease.held() ||
-      base::monotonicNow() < mRegistrationAt) {
+      !mRegistrationPause.isOver(base::monotonicNow())) {
     return;
   }
   mRegistrationCallPending = true;
@@ -501,11 +509,10 @@
         mWatch.relist("lease changed"); // The key ends with the former one.
         return;
       }
-      mRegistrationAt = base::monotonicNow() + mRegistrationBackoff.next();
+      mRegistrationPause.recordFailure(base::monotonicNow());
       const base::Error* error = base::errorOf(aResult);
       if (error == nullptr) {
-        mRegistrationAt = {};
-        mRegistrationBackoff.reset();
+        mRegistrationPause.reset();
         mRegistrationRevision = std::get<platform::Revision>(aResult);
         mOwnKeyRevision = mRegistrationRevision;
         observe::logInfo("registered");
@@ -524,6 +531,7 @@
 {
   const bool outdated = mOwner && isFromEarlierEra(*mOwner);
   if (mClaimCallPending || !wantsOwnership() || !mSynced ||
+      !mOwnershipPause.isOver(base::monotonicNow()) ||
       !mayClaim(base::monotonicNow()) || mRegistrationRevision == 0) {
     return;
   }
@@ -543,7 +551,7 @@
 void
 Fleet::settleOwnership()
 {
-  if (!mClaimCallPending) {
+  if (!mClaimCallPending && mOwnershipPause.isOver(base::monotonicNow())) {
     writeOwnership(mOwner->revision, true);
   }
 }
@@ -569,6 +577,7 @@
       mClaimCallPending = false;
       const base::Error* error = base::errorOf(aResult);
       if (error == nullptr) {
+        mOwnershipPause.reset();
         applyOwner(
           { kOwnerKey, content.dump(), std::get<platform::Revision>(aResult) });
         mChanged.emit();
@@ -579,6 +588,7 @@
           mOwnerLease.drop("another VM owns the orders");
         }
       } else {
+        mOwnershipPause.recordFailure(base::monotonicNow());
         // The write may have succeeded; then the watch will report the key.
         observe::logWarn("ownership claim failed",
                          { { "error", error->message } });
--- a/apps/gateway/fleet.h
+++ b/apps/gateway/fleet.h
@@ -181,9 +181,9 @@
   std::optional<Ownership> mOwner;
   platform::Revision mOwnKeyRevision = 0; ///< of this VM's key in the store
   platform::Revision mRegistrationRevision = 0;
-  platform::Backoff mRegistrationBackoff;
-  base::TimePoint mRegistrationAt{}; ///< not written before, after a failure
-  Lease mLease;                      ///< of the registration
+  RetryPause mRegistrationPause;
+  RetryPause mOwnershipPause;
+  Lease mLease;      ///< of the registration
   Lease mOwnerLease; ///< of the order ownership, held while claiming or owning
   std::string mOwnershipLease; ///< lease under which the ownership was claimed
   base::TimePoint mStartedAt = base::monotonicNow();
--- a/apps/gateway/lease.cpp
+++ b/apps/gateway/lease.cpp
@@ -21,28 +21,21 @@
   : mClient(aClient)
   , mName(std::move(aName))
   , mTerm(aTerm)
-  , mBackoff(kInitialBackoff, kMaxBackoff, aSeed)
+  , mPause(kInitialBackoff, kMaxBackoff, aSeed)
 {
 }
 
 bool
 Lease::mayCall() const
 {
-  return !mCallPending && base::monotonicNow() >= mNextCallAt;
-}
-
-void
-Lease::recordFailure()
-{
-  mNextCallAt = base::monotonicNow() + mBackoff.next();
+  return !mCallPending && mPause.isOver(base::monotonicNow());
 }
 
 void
 Lease::recordSuccess(base::TimePoint aSentAt)
 {
   mRenewedAt = aSentAt;
-  mNextCallAt = {};
-  mBackoff.reset();
+  mPause.reset();
 }
 
 void
@@ -60,7 +53,8 @@
       mCallPending = false;
       mGrantPending = false;
       if (base::errorOf(aResult) != nullptr) {
-        recordFailure(); // The watch logs the lost connection.
+        mPause.recordFailure(
+          base::monotonicNow()); // The watch logs the lost connection.
         return;
       }
       if (mRevoked) {
@@ -98,7 +92,7 @@
         drop("expired");
         return;
       }
-      recordFailure();
+      mPause.recordFailure(base::monotonicNow());
     },
     mName);
 }
--- a/apps/gateway/lease.h
+++ b/apps/gateway/lease.h
@@ -1,6 +1,7 @@
 /** @file A lease of this VM at the platform's store. */
 #pragma once
 
+#include "apps/gateway/retry_pause.h"
 #include "platform/platform.h"
 
 #include <sigc++/sigc++.h>
@@ -68,17 +69,15 @@
 
 private:
   bool mayCall() const;
-  void recordFailure();
   void recordSuccess(base::TimePoint aSentAt);
   void revokeAtStore(const std::string& aId);
 
   platform::Client& mClient;
   std::string mName;
   base::Duration mTerm;
-  platform::Backoff mBackoff;
+  RetryPause mPause;
   std::string mId;
   base::TimePoint mRenewedAt{};
-  base::TimePoint mNextCallAt{};
   bool mCallPending = false;
   bool mGrantPending = false;
   bool mRevocationPending = false;
--- a/tests/e2e/test_refused_vm.py
+++ b/tests/e2e/test_refused_vm.py
@@ -60,5 +60,28 @@
         self.check_calls(RESET)
 
 
+class RefusedOwnership(FleetCase):
+    OWNER_KEY = "marigold/order-owner"
+    RETURN = 2.5  # seconds in which an owner is there again: the longest pause (1.2 s), claims in turn, latency
+
+    def test_refused_claims_back_off(self):
+        """Guards against VMs that write their claim of the orders each 150 ms while the store refuses it."""
+        store = self.platform.store
+        wait_for(lambda: self.OWNER_KEY in store.items)
+        self.platform.change(setattr, store, "refused_key", self.OWNER_KEY)
+        self.platform.change(store.remove, self.OWNER_KEY)
+        time.sleep(SECONDS)
+        begun = time.monotonic() - SECONDS
+        for port in self.store_ports:
+            calls = sum(at > begun and at_port == port for at, at_port in list(store.refused_writes))
+            print(f"port {port}: {calls} refused claims in {SECONDS:.0f} s")
+            self.assertLessEqual(calls, SECONDS / MIN_PAUSE)
+        self.assertTrue(store.refused_writes)
+        self.platform.change(setattr, store, "refused_key", None)
+        allowed = time.monotonic()
+        wait_for(lambda: self.OWNER_KEY in store.items)
+        self.assertLess(time.monotonic() - allowed, self.RETURN)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -61,6 +61,7 @@
         self.era = 1         # rises each time the store is restored from a copy
         self.copy = None     # what restore() goes back to
         self.refused_key = None  # writes of it are answered with 503 and not done
+        self.refused_writes = []  # (time, port) of these
         self.hold_grants = False  # leases are granted at once, but the answers wait
         self.answer_delay = 0  # seconds by which its answers are late
         self.lost_answers = 0  # number of answers to lose; their calls have taken effect
@@ -122,7 +123,7 @@
             finally:
                 self.open_watches[port] -= 1
         if path == "/-/kv-txn":
-            return self.transact(json.loads(body))
+            return self.transact(port, json.loads(body))
         if path == "/-/kv-lease":
             ttl = json.loads(body)["ttl_ms"]
             self.next_lease += 1
@@ -162,12 +163,13 @@
                 return 200, {"events": events, "at": self.revision}
             await asyncio.sleep(0.01)
 
-    def transact(self, call):
+    def transact(self, port, call):
         for row in call["expected"]:
             current = self.items.get(row["key"], {"revision": 0})["revision"]
             if current != row["revision"]:
                 return 412, {"items": []}
         if any(row["key"] == self.refused_key for row in call["write"]):
+            self.refused_writes.append((time.monotonic(), port))
             return 503, {}
         for row in call["write"]:
             lease = row.get("lease_id", 0)
