Give a relay that is a moment behind the time to catch up

Callers saw (by the scenario, not by a log): a VM that the store refuses lists at its relay. If the VM had seen a change that the relay gets a moment later, it took the relay's list for a failure, did without that relay for a second, for all of its watches, and had no view meanwhile, so changes were late for its callers.

Cause: PrefixWatch::listAt treated a list that is behind like a refusal.

The explorer asks that a relay whose lists of the same era have been behind for less than 0.3 s doesn't count as failed; the known order "list at a relay that is behind takes changes back" showed it on the code before. That order is still played, and the view must not go back in it.

--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -31,6 +31,8 @@
 /** Interval at which a watch that may not call the store yet tries the relays.
  */
 constexpr base::Duration kRelayPollInterval = 100ms;
+/** Time for a relay to get the changes that this VM has seen before it. */
+constexpr base::Duration kRelayCatchUp = 400ms;
 /** Time over which the watches of a VM ask again when connections to the store
  * went silent, so that the calls of a fleet don't arrive at the same moment. */
 constexpr base::Duration kSilenceJitter = 100ms;
@@ -136,6 +138,7 @@
     mStoreCallAt = {};
   }
   mLastFromStore = !aFromRelay;
+  mRelayBehindSince.reset();
   mRelayFailed = false;
   mStoreCallsPostponed = false;
   mConfirmedAt = std::min(base::monotonicNow(), mAnswerDueAt);
@@ -204,6 +207,16 @@
          (aSnapshot.era == mMirror.era() && aSnapshot.revision < mRevision);
 }
 
+/** The store tells VMs of a change at slightly different moments.
+ * @return true if the relay that is behind may still get what it lacks soon */
+bool
+PrefixWatch::mayCatchUp()
+{
+  const base::TimePoint now = base::monotonicNow();
+  mRelayBehindSince = mRelayBehindSince.value_or(now);
+  return now - *mRelayBehindSince < kRelayCatchUp;
+}
+
 /** Lists at a relay, if there is one, because the store may turn away this VM
  * only; else at the store after a delay. */
 void
@@ -242,7 +255,13 @@
         return;
       }
       const auto* snapshot = std::get_if<platform::Snapshot>(&aResult);
-      if (snapshot == nullptr || isBehind(*snapshot)) {
+      const bool behind = snapshot != nullptr && isBehind(*snapshot);
+      if (behind && mayCatchUp()) {
+        schedule(kRelayPollInterval, &PrefixWatch::retryList);
+        return;
+      }
+      mRelayBehindSince.reset();
+      if (snapshot == nullptr || behind) {
         mRelayFailed = mListed; // Without a view there is no time to lose.
         mRelays.failed(aRelay);
         retryList();
--- a/apps/gateway/prefix_watch.h
+++ b/apps/gateway/prefix_watch.h
@@ -119,6 +119,7 @@
   void retryList();
   void listAgain();
   bool isBehind(const platform::Snapshot& aSnapshot) const;
+  bool mayCatchUp();
   void onList(const platform::Snapshot& aSnapshot, bool aFromRelay);
   void wait();
   void onRestored();
@@ -173,6 +174,9 @@
   RelaySource mRelays;
   /** The store is not called before, because the relays or the store failed. */
   base::TimePoint mStoreCallAt{};
+  /** When a relay answered with a list that was behind, if the latest one was.
+   */
+  std::optional<base::TimePoint> mRelayBehindSince;
   bool mRelayFailed = false;         ///< since the latest answer
   bool mStoreCallsPostponed = false; ///< for that
   platform::Mirror mMirror;
--- a/tests/explore/watch_scenario.cpp
+++ b/tests/explore/watch_scenario.cpp
@@ -34,6 +34,8 @@
 /** Shortest time between a refusal of the store and the next call to it, half
  * of the first delay of prefix_watch.cpp. */
 constexpr base::Duration kMinBackoff = 50ms;
+/** Time for a relay to get what this VM has. */
+constexpr base::Duration kCatchUp = 300ms;
 constexpr base::Duration kPause = 20ms;
 constexpr base::Duration kLate = 300ms;
 
@@ -167,6 +169,7 @@
        return usable ? &mRelayClient : nullptr;
      },
       [this](const platform::Client&) {
+        requireTimeToCatchUp();
         mRelayFailedUntil = mWorld.now() + kRelayFailedPeriod;
       },
       [this] { return mRelayElected ? kStoreDelay : base::Duration{}; } });
@@ -338,7 +341,9 @@
     !isAtRelay(call) &&
     (!isSynchronization(call.request) || answer.status == kOk);
   const platform::Era era = mStoreClient.era();
+  noteRelayList(call);
   mNetwork.end(id, http::CallEnd::Complete, answer);
+  mRelayLists = false;
   // A restored store is listed at once, whoever tells of it; so is one that
   // answers a synchronization after failures.
   if (fromStore || mStoreClient.era() != era) {
@@ -346,6 +351,34 @@
   }
 }
 
+void
+WatchScenario::noteRelayList(const PendingCall& aCall)
+{
+  mRelayLists = isAtRelay(aCall) && !isWatch(aCall.request) &&
+                aCall.answer->status == kOk && mRelay.era == mStore.era &&
+                mRelay.era == mWatch.mirror().era();
+  if (!mRelayLists) {
+    return;
+  }
+  const auto revision = json::parse(aCall.answer->body).at("revision");
+  if (revision.get<std::uint64_t>() >= mWatch.mirror().revision()) {
+    mRelayBehindSince.reset();
+  } else if (!mRelayBehindSince) {
+    mRelayBehindSince = mWorld.now();
+  }
+}
+
+/** A VM that the store refuses has only its relay, which the store tells of a
+ * change a moment later than it told this VM. */
+void
+WatchScenario::requireTimeToCatchUp()
+{
+  if (mRelayLists && mRelayBehindSince &&
+      mWorld.now() < *mRelayBehindSince + kCatchUp) {
+    mViolation = "a relay that is a moment behind counts as failed";
+  }
+}
+
 bool
 WatchScenario::isPending(std::size_t aTarget) const
 {
@@ -796,6 +829,10 @@
        << mCompactions << mRestorations << mElections << mRelists << mHasLeases
        << mLate << mSynchronizations << mCopy.has_value()
        << mWatch.isReadingStore() << mWatch.mirror().revision();
+  if (mRelayBehindSince) {
+    text << " " << base::inMilliseconds(mRelayBehindSince->time_since_epoch())
+         << "b";
+  }
   if (mRefusedAt) {
     text << " " << base::inMilliseconds(mRefusedAt->time_since_epoch());
   }
--- a/tests/explore/watch_scenario.h
+++ b/tests/explore/watch_scenario.h
@@ -110,6 +110,8 @@
                  http::CallEnd aEnd,
                  const http::Response& aAnswer);
   void requirePauseAfterRefusal();
+  void noteRelayList(const PendingCall& aCall);
+  void requireTimeToCatchUp();
 
   World mWorld;
   Network mNetwork;
@@ -130,6 +132,9 @@
   /** When the watch lost the store with the only call under way, unless the
    * store has answered one since, or was restored. */
   std::optional<base::TimePoint> mRefusedAt;
+  /** Since when the lists of the relay are behind the view, if they are. */
+  std::optional<base::TimePoint> mRelayBehindSince;
+  bool mRelayLists = false; ///< it answers a list now
   std::string mViolation;
   std::size_t mWrites = 0;
   std::size_t mCompactions = 0;
