Back off from records of software and streams that the store refuses

While the store refused the record of software versions, the VM that writes it asked again every 500 ms for as long as the refusal lasted; every call is paid. A write of streams that failed in any way listed all streams before the next one.

The pause after a failed call is 0.5 to 1 s now, then 1 to 2 s (RetryPause); a conflict has none, so that two VMs that write beside each other are not late. The streams are listed again only if the revisions may be wrong: after a conflict, or if the outcome of a write is not known (that part by reading, no test).

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -121,7 +121,11 @@
                   mFleet,
                   mCrashes,
                   base::hash64(mSettings.vm, mIncarnation + 3))
-  , mStreamRecords(mPlatform, mFleet, mStreams, mSettings.firstStart)
+  , mStreamRecords(mPlatform,
+                   mFleet,
+                   mStreams,
+                   mSettings.firstStart,
+                   base::hash64(mSettings.vm, mIncarnation + 4))
   , mCatalogLoader(
       mLoop,
       [this](LoadedCatalog aLoaded) { applyCatalog(std::move(aLoaded)); })
--- a/apps/gateway/stream_records.cpp
+++ b/apps/gateway/stream_records.cpp
@@ -21,6 +21,9 @@
 /** Time between two writes. What began since is not known after a kill of all
  * VMs. */
 constexpr base::Duration kWriteInterval = 500ms;
+/** Longest pause after a failed call at first, and later. */
+constexpr base::Duration kInitialPause = 2 * kWriteInterval;
+constexpr base::Duration kMaxPause = 4 * kWriteInterval;
 /** Streams in one write; the oldest are left out. */
 constexpr std::size_t kMaxStreamsInSlot = 16'384;
 
@@ -61,11 +64,13 @@
 StreamRecords::StreamRecords(platform::Client& aClient,
                              Fleet& aFleet,
                              StreamRegistry& aStreams,
-                             bool aFirstStart)
+                             bool aFirstStart,
+                             std::uint64_t aSeed)
   : mClient(aClient)
   , mFleet(aFleet)
   , mStreams(aStreams)
   , mFirstStart(aFirstStart)
+  , mPause(kInitialPause, kMaxPause, aSeed)
 {
   mFleet.softwareRecord().connect(
     [this](const platform::Entry& aEntry) { applySoftware(aEntry); });
@@ -91,7 +96,8 @@
 void
 StreamRecords::tick(base::TimePoint aNow)
 {
-  if (!mSoftwareListed || mCallPending || !mReaders.empty()) {
+  if (!mSoftwareListed || mCallPending || !mReaders.empty() ||
+      !mPause.isOver(aNow)) {
     return;
   }
   const auto recent = mStreams.history().recent(aNow);
@@ -106,6 +112,15 @@
   }
 }
 
+/** After a conflict, the next write needs only what another VM has written. */
+void
+StreamRecords::noteFailure(const base::Error& aError)
+{
+  if (aError.code != base::Code::RevisionConflict) {
+    mPause.recordFailure(base::monotonicNow());
+  }
+}
+
 void
 StreamRecords::writeSoftware(const dispatch::SoftwareHistory::Table& aTable)
 {
@@ -119,12 +134,14 @@
       mCallPending = false;
       const base::Error* error = base::errorOf(aResult);
       if (error == nullptr) {
+        mPause.reset();
         mStored = aTable;
         mSoftwareRevision = std::get<platform::Revision>(aResult);
         observe::logInfo("software recorded",
                          { { "content", json(aTable).dump() } });
         return;
       }
+      noteFailure(*error);
       observe::logWarn("software not recorded",
                        { { "error", error->message } });
       if (error->code == base::Code::RevisionConflict) {
@@ -157,11 +174,15 @@
     [this, key, added](const base::Captured<platform::Revision>& aResult) {
       mCallPending = false;
       if (const base::Error* error = base::errorOf(aResult)) {
+        noteFailure(*error);
         observe::logWarn("streams not recorded",
                          { { "error", error->message } });
-        mSlotsListed = false; // The revisions may be wrong.
+        // A write that was refused leaves the revisions as they are.
+        mSlotsListed = error->code != base::Code::RevisionConflict &&
+                       error->code != base::Code::WriteOutcomeUnknown;
         return;
       }
+      mPause.reset();
       mSlots[key] = std::get<platform::Revision>(aResult);
       mNextSlot = (mNextSlot + 1) % kSlots;
       mStreamsStored = added;
@@ -185,6 +206,7 @@
     kStreamPrefix,
     [this](const base::Captured<platform::Snapshot>& aResult) {
       if (const base::Error* error = base::errorOf(aResult)) {
+        noteFailure(*error);
         observe::logWarn("streams not read", { { "error", error->message } });
       } else {
         onListed(std::get<platform::Snapshot>(aResult));
@@ -228,6 +250,7 @@
 void
 StreamRecords::onStoreRestored()
 {
+  mPause.reset();
   mSlotsListed = false;
   mStreamsStored = 0;
 }
--- a/apps/gateway/stream_records.h
+++ b/apps/gateway/stream_records.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "apps/gateway/fleet.h"
+#include "apps/gateway/retry_pause.h"
 #include "apps/gateway/stream_registry.h"
 
 namespace marigold::gateway {
@@ -18,11 +19,13 @@
 public:
   /** @param aClient client of the store @param aFleet fleet
    * @param aStreams streams; all of them must outlive this object
-   * @param aFirstStart whether nothing has served before */
+   * @param aFirstStart whether nothing has served before
+   * @param aSeed seed of the pauses */
   StreamRecords(platform::Client& aClient,
                 Fleet& aFleet,
                 StreamRegistry& aStreams,
-                bool aFirstStart);
+                bool aFirstStart,
+                std::uint64_t aSeed);
 
   /** Writes what is due. Call several times a second on the VM that writes.
    * @param aNow time */
@@ -37,6 +40,7 @@
 
 private:
   void applySoftware(const platform::Entry& aEntry);
+  void noteFailure(const base::Error& aError);
   void writeSoftware(const dispatch::SoftwareHistory::Table& aTable);
   void writeStreams();
   void onListed(const platform::Snapshot& aSnapshot);
@@ -49,6 +53,7 @@
   platform::Revision mSoftwareRevision = 0; ///< 0: no such key
   bool mSoftwareListed = false;
   bool mCallPending = false;
+  RetryPause mPause; ///< of writes, after failed calls
   /** No writes before, to bound their rate. */
   base::TimePoint mSoftwareNotBefore{};
   base::TimePoint mStreamsNotBefore{};
--- a/tests/e2e/test_refused_vm.py
+++ b/tests/e2e/test_refused_vm.py
@@ -62,6 +62,8 @@
 
 class RefusedOwnership(FleetCase):
     OWNER_KEY = "marigold/order-owner"
+    SOFTWARE_KEY = "marigold/software"
+    MOST_RECORDS = 6  # in SECONDS: pauses of 0.5 s, then of at least 1 s
     RETURN = 2.5  # seconds in which an owner is there again: the longest pause (1.2 s), claims in turn, latency
 
     def test_refused_claims_back_off(self):
@@ -82,6 +84,22 @@
         wait_for(lambda: self.OWNER_KEY in store.items)
         self.assertLess(time.monotonic() - allowed, self.RETURN)
 
+    def test_refused_records_of_software_back_off(self):
+        """Guards against a VM that writes the record of software versions each 500 ms while the store refuses it."""
+        store = self.platform.store
+        wait_for(lambda: self.SOFTWARE_KEY in store.items)
+        self.platform.change(setattr, store, "refused_key", self.SOFTWARE_KEY)
+        self.platform.change(store.remove, self.SOFTWARE_KEY)
+        wait_for(lambda: store.refused_writes)
+        time.sleep(SECONDS)
+        calls = len(store.refused_writes)
+        print(f"{calls} refused records in {SECONDS:.0f} s")
+        self.assertLessEqual(calls, self.MOST_RECORDS)
+        self.platform.change(setattr, store, "refused_key", None)
+        allowed = time.monotonic()
+        wait_for(lambda: self.SOFTWARE_KEY in store.items)
+        self.assertLess(time.monotonic() - allowed, self.RETURN)
+
 
 if __name__ == "__main__":
     unittest.main()
