Wait before a peer is asked again for a configuration that was rejected

A VM that can't read the configuration of a peer that has a newer one (other software, or a peer that answers something else) asked for it again at each of the peer's messages: 25 times in 5 s with one peer, each time for the whole text, which it parsed and logged as rejected. With more peers and large configurations that takes its link and processor time from callers.

Gateway::fetchCatalogFrom had no pause after an answer of no use. It waits 0.1 to 0.2 s after a rejected document or a failed call now, up to 1 s if that goes on (RetryPause), so a change is still in force within seconds. The pause ends with any version that comes into force.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -19,6 +19,10 @@
  * store calls: records change several times a second in all but tiny fleets. */
 constexpr int kUpstreamWatchPauses = 10;
 constexpr base::Duration kCatalogWatchPause = 20ms;
+/** Pause before a peer is asked for its configuration again when the last
+ * answer was of no use; it doubles up to the maximum. */
+constexpr base::Duration kInitialCatalogPause = 200ms;
+constexpr base::Duration kMaxCatalogPause = 1s;
 /** Several round trips between regions; a caller waits for the answer. */
 constexpr base::Duration kProcessCheckTimeout = 300ms;
 /** The peer takes 400 ms to find that it can't connect, and longer if it doubts
@@ -207,6 +211,9 @@
                     });
                   })
   , mEndBlocked(mLoop, [this] { endBlockedRequests(); })
+  , mCatalogPause(kInitialCatalogPause,
+                  kMaxCatalogPause,
+                  base::hash64(mSettings.vm, mIncarnation + 5))
 {
   if (mSettings.memoryBytes) {
     mMemory.setLimit(*mSettings.memoryBytes / kMemoryParts *
@@ -313,6 +320,9 @@
       .Increment();
     observe::logError("configuration rejected",
                       { { "source", source }, { "error", error->message } });
+    if (aLoaded.source == CatalogSource::Peer) {
+      mCatalogPause.recordFailure(base::monotonicNow());
+    }
     return;
   }
   const base::Duration begun = processCpuTime();
@@ -323,6 +333,7 @@
   if (!mRequests.applyCatalog(snapshot)) {
     return;
   }
+  mCatalogPause.reset();
   const catalog::Catalog& content = snapshot->content;
   mCarrier.setLimits(content.callerLimits);
   const auto worked = std::chrono::duration_cast<std::chrono::microseconds>(
@@ -540,6 +551,7 @@
   const auto member = mFleet.others().find(aPeer);
   // What is decoded now is probably the same version.
   if (mCatalogCall || mCatalogLoader.isBusy() ||
+      !mCatalogPause.isOver(base::monotonicNow()) ||
       member == mFleet.others().end()) {
     return;
   }
@@ -549,6 +561,8 @@
     constexpr int kOk = 200;
     if (aEnd == http::CallEnd::Complete && aAnswer.status == kOk) {
       mCatalogLoader.load(aAnswer.body, CatalogSource::Peer);
+    } else {
+      mCatalogPause.recordFailure(base::monotonicNow());
     }
   };
   mCatalogCall = mClient.start(member->second.operatorAddress,
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "apps/gateway/order_controller.h"
 #include "apps/gateway/peer_exchange.h"
 #include "apps/gateway/request_server.h"
+#include "apps/gateway/retry_pause.h"
 #include "apps/gateway/store_call_report.h"
 #include "apps/gateway/stream_records.h"
 #include "apps/gateway/watch_relay.h"
@@ -121,7 +122,8 @@
   CoalescedCallback mApplyPlacements;
   CoalescedCallback mRetryWaiting;
   CoalescedCallback mEndBlocked;
-  std::unique_ptr<http::Call> mCatalogCall;
+  std::unique_ptr<http::Call> mCatalogCall; ///< to a peer
+  RetryPause mCatalogPause;                 ///< of these calls
   std::list<std::unique_ptr<http::Call>> mProcessChecks;
   /** Upstreams whose records were missing after the store became reachable
    * again, with the time until which they may write them again. */
--- a/tests/e2e/test_refused_vm.py
+++ b/tests/e2e/test_refused_vm.py
@@ -1,10 +1,15 @@
 """Tests VMs that the store refuses while it serves the others, whose relays answer."""
 
+import base64
+import http.server
+import json
+import threading
 import time
 import unittest
 
-from fleet_case import FleetCase
+from fleet_case import BASE_PORT, FleetCase
 from gateway_process import wait_for
+from users_platform import HOST, ROUTES
 
 SECONDS = 5.0
 MIN_PAUSE = 0.4  # seconds between calls to a store that goes on failing: half of kMaxBackoff of prefix_watch.cpp
@@ -101,5 +106,61 @@
         self.assertLess(time.monotonic() - allowed, self.RETURN)
 
 
+class RejectedConfiguration(FleetCase):
+    PLACES = ("dc-a", "dc-b")
+    CONFIG_KEY = "op/config"
+    PEER_KEY = "marigold/vm/vm0"
+    PEER_PORT = BASE_PORT + 97  # answers in place of vm0 what no VM accepts
+    MOST_CALLS = 10  # in SECONDS: pauses that double from 0.1 s, later of at least 0.5 s
+    APPLY_SECONDS = 2.5  # as the users demand
+
+    def test_configuration_that_is_rejected_is_not_asked_for_at_once(self):
+        """Guards against a VM that asks a peer for its newer configuration at each message, though it can't read it."""
+        asked = []
+
+        class Peer(http.server.BaseHTTPRequestHandler):
+            def do_GET(self):
+                asked.append(self.path)
+                self.send_response(200)
+                self.send_header("Content-Length", "2")
+                self.end_headers()
+                self.wfile.write(b"{}")
+
+            def log_message(self, *_):
+                pass
+
+        peer = http.server.ThreadingHTTPServer((HOST, self.PEER_PORT), Peer)
+        threading.Thread(target=peer.serve_forever, daemon=True).start()
+        self.addCleanup(peer.server_close)
+        self.addCleanup(peer.shutdown)
+        store = self.platform.store
+        first = store.items[self.CONFIG_KEY]["value"]
+
+        def outdated(item):
+            if item["key"] == self.CONFIG_KEY:
+                return {**item, "value": first}
+            if item["key"] == self.PEER_KEY and "value" in item:
+                content = {**json.loads(base64.b64decode(item["value"])), "operator": f"{HOST}:{self.PEER_PORT}"}
+                return {**item, "value": base64.b64encode(json.dumps(content).encode()).decode()}
+            return item
+
+        self.platform.change(store.views.__setitem__, self.store_ports[1], outdated)
+        self.gateways[1].stop()
+        self.gateways[1].start()
+        wait_for(self.gateways[1].ready)
+        self.platform.publish(2, ["k1"], ROUTES)
+        wait_for(lambda: asked)
+        time.sleep(SECONDS)
+        calls = len(asked)
+        print(f"{calls} calls for the configuration in {SECONDS:.0f} s")
+        self.assertIn("configuration rejected", self.gateways[1].log())
+        self.assertLessEqual(calls, self.MOST_CALLS)
+        self.platform.change(store.views.pop, self.store_ports[1])
+        self.platform.publish(3, ["k1", "k3"], ROUTES)
+        published = time.monotonic()
+        wait_for(lambda: self.gateways[1].log_rows("configuration in force")[-1]["version"] == "3")
+        self.assertLess(time.monotonic() - published, self.APPLY_SECONDS)
+
+
 if __name__ == "__main__":
     unittest.main()
