--- a/tests/measure/measure_configuration.cpp
+++ b/tests/measure/measure_configuration.cpp
@@ -4,6 +4,7 @@
  * time, bytes on its link and memory, split by step, at several sizes and for
  * several changes. docs/decisions/0021-configuration-changes.md has its table.
  */
+#include "apps/gateway/catalog_loader.h"
 #include "apps/gateway/catalog_snapshot.h"
 #include "platform/answer_json.h"
 #include "platform/boundary.h"
@@ -33,7 +34,9 @@
   -h --help  Show this text.
 
 Prints one JSON object per line, size and change. Times are the shortest of
-several runs, in milliseconds of a core.
+several runs, in milliseconds of a core. pass_store_ms and pass_relay_ms are
+those of the pass of the loop in which an answer has come, with what follows it
+up to the end of the first slice of decoding.
 )";
 
 constexpr int kRepeats = 9;
@@ -205,6 +208,48 @@
   return ::mallinfo2().uordblks + ::mallinfo2().hblkhd - before;
 }
 
+/** A VM's copy of the store and its decoder, before a change. */
+struct Follower
+{
+  platform::Mirror mirror;
+  boundary::CatalogDecoder decoder;
+
+  explicit Follower(const std::string& aText)
+  {
+    mirror.replace(withRevision(aText, 1));
+    decode(decoder, aText);
+  }
+
+  /** What PrefixWatch and CatalogLoader do in the pass of the loop in which an
+   * answer has come: all up to the end of the first slice. */
+  void follow(const platform::WireProtocol& aProtocol,
+              const std::string& aAnswer)
+  {
+    const platform::Snapshot answer =
+      aProtocol.readChanges(platform::parseAnswer(aAnswer));
+    platform::Snapshot changes = answer;
+    mirror.resolve(changes.entries.at(0));
+    mirror.apply(changes);
+    decoder.begin(
+      std::make_shared<const std::string>(*changes.entries.at(0).value));
+    decoder.proceed(gateway::kCatalogSliceBytes);
+  }
+};
+
+/** @return shortest time of the pass in which a VM reads an answer */
+double
+pass(const std::string& aBefore,
+     const platform::WireProtocol& aProtocol,
+     const std::string& aAnswer)
+{
+  double best = 1e9;
+  for (int run = 0; run < kRepeats; ++run) {
+    Follower follower(aBefore);
+    best = std::min(best, once([&] { follower.follow(aProtocol, aAnswer); }));
+  }
+  return best;
+}
+
 json
 measure(int aRoutes, const Change& aChange)
 {
@@ -233,6 +278,13 @@
       platform::nativeProtocol().readChanges(platform::parseAnswer(fromRelay));
     reader.resolve(changes.entries.at(0));
   });
+  const json parsed = platform::parseAnswer(fromStore);
+  const double parse =
+    shortest([&] { (void)platform::parseAnswer(fromStore); });
+  const double readValue =
+    shortest([&] { boundary::storeProtocol().readChanges(parsed); });
+  const double passStore = pass(before, boundary::storeProtocol(), fromStore);
+  const double passRelay = pass(before, platform::nativeProtocol(), fromRelay);
   const double decodeAlone = shortest([&] {
     boundary::CatalogDecoder decoder;
     decode(decoder, after);
@@ -254,6 +306,10 @@
            { "document_bytes", after.size() },
            { "store_bytes", fromStore.size() },
            { "relay_bytes", fromRelay.size() },
+           { "pass_store_ms", passStore },
+           { "pass_relay_ms", passRelay },
+           { "parse_store_ms", parse },
+           { "value_store_ms", readValue },
            { "read_store_ms", readStore },
            { "remember_ms", remember },
            { "write_relay_ms", writeRelay },
