Share the values of keys between their owners

Behaviour is as it was; two tests write the text's accessor in place of c_str() of the value, one names the type that it reads.

--- a/apps/ctl/session.cpp
+++ b/apps/ctl/session.cpp
@@ -78,7 +78,8 @@
     return base::fail(error->code, error->message);
   }
   const auto& stored = std::get<platform::Entry>(entry);
-  BOOST_LEAF_AUTO(document, documents::decode(stored.value.value_or("")));
+  BOOST_LEAF_AUTO(document,
+                  documents::decode(stored.value.value_or("").text()));
   return StoredDocument{ document, stored.revision };
 }
 
--- a/apps/entry/platform_sync.cpp
+++ b/apps/entry/platform_sync.cpp
@@ -133,7 +133,7 @@
       continue;
     }
     const auto outcome = base::capture([&]() -> base::Result<documents::Offer> {
-      BOOST_LEAF_AUTO(document, documents::decode(*entry.value));
+      BOOST_LEAF_AUTO(document, documents::decode(entry.value->text()));
       return mConfiguration.offer(document);
     });
     if (const base::Error* error = base::errorOf(outcome)) {
--- a/apps/gateway/catalog_loader.cpp
+++ b/apps/gateway/catalog_loader.cpp
@@ -30,9 +30,9 @@
 }
 
 void
-CatalogLoader::load(const std::string& aText, CatalogSource aSource)
+CatalogLoader::load(const platform::SharedText& aText, CatalogSource aSource)
 {
-  auto text = std::make_shared<const std::string>(aText);
+  auto text = aText.shared();
   if (isBusy()) {
     mWaiting.at(static_cast<std::size_t>(aSource)) = std::move(text);
     return;
--- a/apps/gateway/catalog_loader.h
+++ b/apps/gateway/catalog_loader.h
@@ -56,7 +56,7 @@
 
   /** Decodes a text, the first slice of it before this function returns.
    * @param aText text @param aSource where it came from */
-  void load(const std::string& aText, CatalogSource aSource);
+  void load(const platform::SharedText& aText, CatalogSource aSource);
 
   /** @return true while a text is decoded or waits */
   bool isBusy() const { return mCurrent.text != nullptr; }
--- a/libs/platform/mirror.cpp
+++ b/libs/platform/mirror.cpp
@@ -35,6 +35,12 @@
   return bytes;
 }
 
+const std::string&
+text(const Entry& aEntry)
+{
+  return *aEntry.value;
+}
+
 /** @return how the value of a key became the next one; no patches if they
  * aren't worth it */
 std::vector<TextPatch>
@@ -43,8 +49,8 @@
   if (aNext.base == aStored.revision && !aNext.patches.empty()) {
     return aNext.patches; // From the relay that sent them.
   }
-  auto patch = makePatch(
-    *aStored.value, *aNext.value, aNext.value->size() / kMaxPatchPart);
+  auto patch =
+    makePatch(text(aStored), text(aNext), aNext.value->size() / kMaxPatchPart);
   return patch ? std::vector{ std::move(*patch) } : std::vector<TextPatch>();
 }
 
@@ -107,7 +113,7 @@
   if (stored == mEntries.end() || stored->second.revision != aEntry.base) {
     return false;
   }
-  const std::string* base = &*stored->second.value;
+  const std::string* base = &text(stored->second);
   std::string value;
   for (const TextPatch& patch : aEntry.patches) {
     auto next = applyPatch(patch, *base, kMaxValueBytes);
@@ -224,7 +230,7 @@
 void
 Mirror::completeEntry(Entry& aChange, bool aPatches) const
 {
-  const std::string& value = *mEntries.at(aChange.key).value;
+  const SharedText& value = *mEntries.at(aChange.key).value;
   if (!aPatches || aChange.patches.empty() ||
       sizeOf(aChange) > value.size() / kMaxPatchPart) {
     aChange.patches.clear();
@@ -250,7 +256,7 @@
 {
   json item{ { "key", aEntry.key }, { "revision", aEntry.revision } };
   if (aEntry.value || aEntry.patches.empty()) {
-    item["value"] = aEntry.value ? json(*aEntry.value) : json();
+    item["value"] = aEntry.value ? json(text(aEntry)) : json();
     return item;
   }
   item["base"] = aEntry.base;
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -14,6 +14,7 @@
 #include "platform/call_record.h"
 #include "platform/json_scanner.h"
 #include "platform/mirror.h"
+#include "platform/shared_text.h"
 #include "platform/text_patch.h"
 #include "platform/untrusted_json.h"
 #include "platform/view_age.h"
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -171,8 +171,9 @@
     page.revision = aContent.at("at");
     page.more = aContent.at("has_more");
     for (const auto& item : aContent.at("items")) {
-      page.entries.push_back(
-        { item.at("key"), item.at("value"), item.at("revision") });
+      page.entries.push_back({ item.at("key"),
+                               item.at("value").get<std::string>(),
+                               item.at("revision") });
     }
     return page;
   };
@@ -305,9 +306,9 @@
     { 13, { { "a", "3", 11 }, { "b", std::nullopt, 12 }, { "a", "4", 13 } } });
   const auto changes = mirror.changesAfter({ 10 });
   LONGS_EQUAL(3, changes->entries.size());
-  STRCMP_EQUAL("3", changes->entries.at(0).value->c_str());
+  STRCMP_EQUAL("3", changes->entries.at(0).value->text().c_str());
   STRCMP_EQUAL("b", changes->entries.at(1).key.c_str());
-  STRCMP_EQUAL("4", changes->entries.at(2).value->c_str());
+  STRCMP_EQUAL("4", changes->entries.at(2).value->text().c_str());
 }
 
 namespace {
--- a/libs/platform/wire_protocol.h
+++ b/libs/platform/wire_protocol.h
@@ -4,6 +4,7 @@
 
 #include "base/base.h"
 #include "http/message.h"
+#include "platform/shared_text.h"
 #include "platform/text_patch.h"
 
 #include <cstdint>
@@ -36,7 +37,7 @@
 {
   std::string key;
   /** Absent: the key was deleted, unless there are patches. */
-  std::optional<std::string> value;
+  std::optional<SharedText> value;
   Revision revision = 0;
   /** How the value came from that of the base revision, oldest first. A relay
    * sends them in place of a large value. */
--- a/tests/fuzz/fuzz_decoders.cpp
+++ b/tests/fuzz/fuzz_decoders.cpp
@@ -180,7 +180,7 @@
   mirror.replace({ 1, { { "k", kPatchedText, 1 } } });
   for (platform::Entry& entry : changes.entries) {
     if (mirror.resolve(entry) && !entry.patches.empty() &&
-        base::hash64(*entry.value) != entry.patches.back().resultHash) {
+        base::hash64(entry.value->text()) != entry.patches.back().resultHash) {
       throw std::runtime_error("a patch made another text");
     }
   }
--- a/tests/measure/measure_configuration.cpp
+++ b/tests/measure/measure_configuration.cpp
@@ -230,8 +230,7 @@
     platform::Snapshot changes = answer;
     mirror.resolve(changes.entries.at(0));
     mirror.apply(changes);
-    decoder.begin(
-      std::make_shared<const std::string>(*changes.entries.at(0).value));
+    decoder.begin(changes.entries.at(0).value->shared());
     decoder.proceed(gateway::kCatalogSliceBytes);
   }
 };
