--- a/libs/platform/tests/text_patch_tests.cpp
+++ b/libs/platform/tests/text_patch_tests.cpp
@@ -75,6 +75,31 @@
   CHECK(*platform::applyPatch(*patch, before, 1UL << 20U) == join(elements));
 }
 
+// Guards against a patch that is wrong or needlessly long where texts differ
+// at the end or the begin of a block in which they are compared.
+TEST(TextPatch, DifferencesAtAnyPlaceOfALongTextAreFound)
+{
+  base::Random random(11);
+  std::string before;
+  while (before.size() < 3 * 4096UL) {
+    before += static_cast<char>('a' + random.below(26));
+  }
+  for (const std::size_t border : { 0UL, 4096UL, 8192UL, before.size() }) {
+    for (std::size_t near = 0; near < 6; ++near) {
+      const std::size_t at = std::min(border + near, before.size() + 2) -
+                             std::min<std::size_t>(border, 3);
+      for (const std::string_view bytes : { "", "0", "01234" }) {
+        std::string after = before;
+        after.replace(std::min(at, after.size()), 1, bytes);
+        const auto patch = platform::makePatch(before, after, 200);
+        CHECK(patch.has_value());
+        CHECK(platform::patchBytes(*patch) <= 60);
+        CHECK(platform::applyPatch(*patch, before, 1UL << 20U) == after);
+      }
+    }
+  }
+}
+
 TEST(TextPatch, TextsWithNothingInCommonHaveNone)
 {
   const std::string before(5000, 'a');
--- a/libs/platform/text_patch.cpp
+++ b/libs/platform/text_patch.cpp
@@ -23,6 +23,49 @@
                       end == std::string_view::npos ? end : end + 1 - aOffset);
 }
 
+/** Texts are compared by blocks of this size first, which is much faster than
+ * by bytes. */
+constexpr std::size_t kBlockBytes = 4096;
+
+/** @return how many bytes two texts share at the front */
+std::size_t
+sharedPrefix(std::string_view aLeft, std::string_view aRight)
+{
+  const std::size_t shorter = std::min(aLeft.size(), aRight.size());
+  std::size_t at = 0;
+  while (at < shorter &&
+         aLeft.substr(at, kBlockBytes) == aRight.substr(at, kBlockBytes)) {
+    at += kBlockBytes;
+  }
+  at = std::min(at, shorter);
+  const std::string_view left = aLeft.substr(at);
+  const std::string_view right = aRight.substr(at);
+  const auto differs =
+    std::mismatch(left.begin(), left.end(), right.begin(), right.end());
+  return at + static_cast<std::size_t>(differs.first - left.begin());
+}
+
+/** @return how many bytes two texts share at the end */
+std::size_t
+sharedSuffix(std::string_view aLeft, std::string_view aRight)
+{
+  const std::size_t shorter = std::min(aLeft.size(), aRight.size());
+  std::size_t shared = 0;
+  while (shared + kBlockBytes <= shorter) {
+    const std::size_t next = shared + kBlockBytes;
+    if (aLeft.substr(aLeft.size() - next, kBlockBytes) !=
+        aRight.substr(aRight.size() - next, kBlockBytes)) {
+      break;
+    }
+    shared = next;
+  }
+  const std::string_view left = aLeft.substr(0, aLeft.size() - shared);
+  const std::string_view right = aRight.substr(0, aRight.size() - shared);
+  const auto differs =
+    std::mismatch(left.rbegin(), left.rend(), right.rbegin(), right.rend());
+  return shared + static_cast<std::size_t>(differs.first - left.rbegin());
+}
+
 class PatchBuilder
 {
 public:
@@ -121,14 +164,9 @@
 makePatch(std::string_view aOld, std::string_view aNew, std::size_t aMaxBytes)
 {
   const std::size_t shorter = std::min(aOld.size(), aNew.size());
-  const auto prefix = static_cast<std::size_t>(
-    std::mismatch(aOld.begin(), aOld.end(), aNew.begin(), aNew.end()).first -
-    aOld.begin());
-  const auto sharedEnd = static_cast<std::size_t>(
-    std::mismatch(aOld.rbegin(), aOld.rend(), aNew.rbegin(), aNew.rend())
-      .first -
-    aOld.rbegin());
-  const std::size_t suffix = std::min(sharedEnd, shorter - prefix);
+  const std::size_t prefix = sharedPrefix(aOld, aNew);
+  const std::size_t suffix =
+    std::min(sharedSuffix(aOld, aNew), shorter - prefix);
   const std::size_t oldEnd = aOld.size() - suffix;
   const std::size_t newEnd = aNew.size() - suffix;
 
@@ -173,12 +211,29 @@
   return bytes;
 }
 
+namespace {
+
+/** @return size of the text that a patch makes, at most a limit */
+std::size_t
+resultSize(const TextPatch& aPatch, std::size_t aMaxBytes)
+{
+  std::size_t bytes = 0;
+  for (const PatchPart& part : aPatch.parts) {
+    bytes += std::min(part.length, aMaxBytes - bytes);
+    bytes += std::min(part.bytes.size(), aMaxBytes - bytes);
+  }
+  return bytes;
+}
+
+} // namespace
+
 std::optional<std::string>
 applyPatch(const TextPatch& aPatch,
            std::string_view aOld,
            std::size_t aMaxBytes)
 {
   std::string text;
+  text.reserve(resultSize(aPatch, aMaxBytes));
   for (const PatchPart& part : aPatch.parts) {
     if (part.offset > aOld.size() || part.length > aOld.size() - part.offset ||
         part.length + part.bytes.size() > aMaxBytes - text.size()) {
