Look for bytes that are not plain by words in large strings of answers

The bytes of the last word were handled in the loop, which kept it from being a plain one. Tests of the parser are as they were and pass.

--- a/libs/platform/answer_json.cpp
+++ b/libs/platform/answer_json.cpp
@@ -31,14 +31,17 @@
   constexpr Word kSpaces = kEach * ' ';
   constexpr Word kHighBits = kEach * 0x80;
   Word odd = 0;
-  while (!aBytes.empty()) {
+  const auto look = [&odd](const char* aAt, std::size_t aSize) {
     Word word = kSpaces;
-    const std::size_t size = std::min(aBytes.size(), sizeof(word));
-    std::memcpy(&word, aBytes.data(), size);
-    odd |= ((word - kSpaces) | word) & kHighBits;
-    aBytes.remove_prefix(size);
+    std::memcpy(&word, aAt, aSize);
+    odd |= (word - kSpaces) | word;
+  };
+  std::size_t at = 0;
+  for (; at + sizeof(Word) <= aBytes.size(); at += sizeof(Word)) {
+    look(aBytes.data() + at, sizeof(Word));
   }
-  return odd == 0;
+  look(aBytes.data() + at, aBytes.size() - at);
+  return (odd & kHighBits) == 0;
 }
 
 /** @return where the string ends that begins before aBegin, npos if nowhere;
