--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -56,6 +56,7 @@
         self.refused_ports = {}  # port: (status, list of the calls refused there), None: they are reset
         self.views = {}      # port: function that returns an item as the VM with that port gets it
         self.calls = 0
+        self.asked = {"reads": 0.0, "writes": 0.0}  # calls as the limits of their rates count them, unanswered ones too
         self.open_watches = {}  # port: watches that wait now
         self.removed_at = {}  # key: time of its last removal
         self.era = 1         # rises each time the store is restored from a copy
@@ -108,6 +109,15 @@
         for key in [k for k, item in self.items.items() if item["lease_id"] == lease]:
             self.remove(key)
 
+    def count(self, method, path):
+        """Counts a call that has arrived; a renewal of a lease has a tenth of the price of a read."""
+        if path in ("/-/kv-range", "/-/kv-watch"):
+            self.asked["reads"] += 1
+        elif path in ("/-/kv-txn", "/-/kv-lease") or method == "DELETE":
+            self.asked["writes"] += 1
+        else:
+            self.asked["reads"] += 0.1
+
     async def handle(self, port, method, path, query, body):
         """Executes a call and returns (status, JSON body)."""
         self.calls += 1
@@ -599,6 +609,7 @@
         async def connection(reader, writer):
             try:
                 while request := await read_request(reader):
+                    self.store.count(request[0], request[1])
                     if port in self.store.severed_ports:
                         break
                     while port in self.store.unanswered_ports or writer in stalled:
