Remove marigold-entry with what only it used

Callers and operators use marigold-gateway only; marigold-entry, libs documents, identity, mesh (and nng), membership, request and routing, the manifest, the stand-ins in C++ and marigoldctl's commands for manifests and keys were a second product that nobody runs.

Config tests ask the checked reader what they asked by way of the manifest; fuzz-decoders feeds it settings in place of manifests.

marigoldctl status and dump ask gateways, by their registrations in the store or by operator addresses while it is away (test_operator_tool.py). Kept: the native protocol, in which VMs ask their relays, and http::Server, which serves the operator's pages. Left: 19 result codes that nobody emits (libs/base is untouched), and what marigold-load reads of runs, which no program of the tree serves any more.

Built from an empty folder (release, all targets; the command of deploy/system.toml for the gateway).

--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -1,6 +1,6 @@
 /** @file Entry point of marigoldctl, the operators' command line tool. */
-#include "apps/ctl/commands.h"
 #include "apps/ctl/explain.h"
+#include "apps/ctl/gateways.h"
 #include "base/number.h"
 #include "observe/observe.h"
 
@@ -11,25 +11,21 @@
 
 namespace {
 
-constexpr const char* kUsage = R"(Operates a marigoldtack deployment.
+constexpr const char* kUsage =
+  R"(Shows the state of gateways and explains requests from their logs.
 
 Usage:
-  marigoldctl manifest check FILE
-  marigoldctl --settings FILE manifest publish FILE
-  marigoldctl --settings FILE manifest show
-  marigoldctl --settings FILE manifest diff FILE
-  marigoldctl --settings FILE keys grant TEAM
-  marigoldctl --settings FILE keys withdraw ID
-  marigoldctl --settings FILE keys list
-  marigoldctl --settings FILE status
-  marigoldctl --settings FILE dump VM
+  marigoldctl status (--store ADDRESS | OPERATOR...)
+  marigoldctl dump --store ADDRESS VM
+  marigoldctl dump OPERATOR
   marigoldctl explain REQUEST LOG...
   marigoldctl explain [--slowest N] [--refused] [--team T] LOG...
   marigoldctl (-h | --help)
   marigoldctl --version
 
 Options:
-  --settings FILE  YAML settings: platform, operator_key, vms.
+  --store ADDRESS  Ask the VMs that are registered in the platform's store.
+                   While it is away, name operator addresses.
   --slowest N      List the N requests that took longest.
   --refused        List the requests that were refused or failed.
   --team T         List the requests of a team.
@@ -39,36 +35,6 @@
 
 using Arguments = std::map<std::string, docopt::value>;
 
-base::Result<void>
-runWithSession(Arguments& aArguments)
-{
-  BOOST_LEAF_AUTO(settings,
-                  ctl::readSettings(aArguments["--settings"].asString()));
-  ctl::Session session(std::move(settings));
-  if (aArguments["publish"].asBool()) {
-    return ctl::publishManifest(session, aArguments["FILE"].asString());
-  }
-  if (aArguments["show"].asBool()) {
-    return ctl::showManifest(session);
-  }
-  if (aArguments["diff"].asBool()) {
-    return ctl::diffManifest(session, aArguments["FILE"].asString());
-  }
-  if (aArguments["grant"].asBool()) {
-    return ctl::grantKey(session, aArguments["TEAM"].asString());
-  }
-  if (aArguments["withdraw"].asBool()) {
-    return ctl::withdrawKey(session, aArguments["ID"].asString());
-  }
-  if (aArguments["list"].asBool()) {
-    return ctl::listKeys(session);
-  }
-  if (aArguments["status"].asBool()) {
-    return ctl::showStatus(session);
-  }
-  return ctl::dumpVm(session, aArguments["VM"].asString());
-}
-
 base::Result<ctl::RequestFilter>
 readFilter(Arguments& aArguments)
 {
@@ -112,10 +78,22 @@
   if (aArguments["explain"].asBool()) {
     return explain(aArguments);
   }
-  if (aArguments["check"].asBool()) {
-    return ctl::checkManifest(aArguments["FILE"].asString());
+  ctl::Gateways gateways;
+  const docopt::value& store = aArguments["--store"];
+  if (aArguments["status"].asBool()) {
+    BOOST_LEAF_AUTO(vms,
+                    store
+                      ? gateways.registered(store.asString())
+                      : ctl::parseVms(aArguments["OPERATOR"].asStringList()));
+    return gateways.showStatus(vms, std::cout);
+  }
+  if (store) {
+    BOOST_LEAF_AUTO(vms, gateways.registered(store.asString()));
+    BOOST_LEAF_AUTO(vm, ctl::findVm(vms, aArguments["VM"].asString()));
+    return gateways.showDump(vm, std::cout);
   }
-  return runWithSession(aArguments);
+  BOOST_LEAF_AUTO(vms, ctl::parseVms(aArguments["OPERATOR"].asStringList()));
+  return gateways.showDump(vms.front(), std::cout);
 }
 
 } // namespace
--- a/apps/gateway/fleet.cpp
+++ b/apps/gateway/fleet.cpp
@@ -15,7 +15,6 @@
 
 constexpr const char* kPrefix = "marigold/";
 constexpr const char* kOwnerKey = "marigold/order-owner";
-constexpr const char* kMemberPrefix = "marigold/vm/";
 
 /** Terms of the leases. The registration of a failed VM may last a while,
  * because peers notice by its silence that it failed. The ownership must be
--- a/apps/gateway/fleet_records.h
+++ b/apps/gateway/fleet_records.h
@@ -5,6 +5,9 @@
 
 namespace marigold::gateway {
 
+/** Prefix of the keys of registrations; the name of the VM follows. */
+inline constexpr const char* kMemberPrefix = "marigold/vm/";
+
 /**
  * @param aVm name of the VM, from the key
  * @param aText value of the key; untrusted, any client can write to the store
--- a/apps/load/scenario.cpp
+++ b/apps/load/scenario.cpp
@@ -17,7 +17,7 @@
 constexpr std::int64_t kMaxBytes = 1'000'000;
 constexpr std::int64_t kMaxRequests = 10'000'000;
 
-/** Prompt size that the entry VMs charge as one token, see apps/entry. */
+/** Prompt size that gateways charge as one token, see libs/chat. */
 constexpr double kBytesPerToken = 4;
 
 const std::map<std::string, RequestKind> kKinds{
--- a/libs/config/config.h
+++ b/libs/config/config.h
@@ -1,9 +1,8 @@
 /**
  * @file
- * Public header of the config library: reads settings files and the manifest
- * from YAML and validates them as a whole before anything is applied.
+ * Public header of the config library: reads settings files from YAML
+ * and validates them as a whole before anything is applied.
  */
 #pragma once
 
 #include "config/checked_node.h"
-#include "config/manifest.h"
--- a/libs/platform/platform.h
+++ b/libs/platform/platform.h
@@ -1,15 +1,13 @@
 /**
  * @file
  * Public header of the platform library: an asynchronous client for the
- * platform's key-value store (compare-and-swap, leases, watches) and its list
- * of VMs.
+ * platform's key-value store (compare-and-swap, leases, watches).
  * docs/protocols.md describes the protocol.
  */
 #pragma once
 
 #include "base/base.h"
 #include "http/http.h"
-#include "membership/membership.h"
 #include "platform/backoff.h"
 #include "platform/call_record.h"
 #include "platform/json_scanner.h"
@@ -35,13 +33,6 @@
 template<typename Value>
 using Callback = std::function<void(const base::Captured<Value>&)>;
 
-/**
- * @param aText body of the platform's answer to a request for its list of VMs
- * @return the list, or DocumentInvalid
- */
-base::Result<membership::VmList>
-decodeVmList(const std::string& aText);
-
 /** Calls that a client has made. The platform limits the rate of calls. */
 struct CallCounts
 {
@@ -163,10 +154,6 @@
                    Callback<std::string> aDone,
                    const std::string& aName = {});
 
-  /** Requests the list of VMs, which may be stale.
-   * @param aDone gets its text, for decodeVmList() */
-  void listVms(Callback<std::string> aDone);
-
   /** Simulates a lost connection, for failure tests: no call is sent, answers
    * to pending calls are dropped, and the calls fail as timed out.
    * @param aActive true to start the outage, false to end it */
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that the build, the linters and the tests need.
 set -euo pipefail
 packages=(g++ ccache cmake ninja-build pkg-config clang-format clang-tidy git curl python3
-  libevent-dev libsigc++-3.0-dev libnng-dev nlohmann-json3-dev prometheus-cpp-dev
+  libevent-dev libsigc++-3.0-dev nlohmann-json3-dev prometheus-cpp-dev
   liblog4cxx-dev libdocopt-dev libyaml-cpp-dev libboost1.81-dev libxxhash-dev
   libssl-dev libhttp-parser-dev libcpputest-dev librapidcheck-dev)
 missing=()
