Let an upstream take another's place among those avoided only if it is clearly worse

Now the share must differ by 0.2, so that at most five swaps are possible, and avoidances that have lapsed don't count. EquallyBadUpstreamsDoNotSwapPlaces failed with a gap of 0 and passes with 0.2. The second form has no test.

--- a/libs/dispatch/tests/errors_tests.cpp
+++ b/libs/dispatch/tests/errors_tests.cpp
@@ -523,3 +523,25 @@
   CHECK(isAvoided(errors, "b"));
   CHECK_FALSE(isAvoided(errors, "a"));
 }
+
+// Guards against two upstreams that reject alike and take each other's place
+// among those avoided with each answer.
+TEST(UpstreamErrors, EquallyBadUpstreamsDoNotSwapPlaces)
+{
+  sound({ "a", "b", "c" });
+  unsigned changes = 0;
+  bool before = false;
+  for (unsigned i = 0; i < 60; ++i) {
+    // The one that is not avoided ends its requests at once and draws more.
+    const char* name = isAvoided(errors, "a") ? "b" : "a";
+    for (unsigned drawn = 0; drawn < 3; ++drawn) {
+      errors.onAnswer("s", name, Answer::Rejection, kStart);
+      errors.onAnswer("s", "c", Answer::Served, kStart);
+    }
+    const bool now = isAvoided(errors, "a");
+    changes += now != before ? 1 : 0;
+    before = now;
+  }
+  CHECK(isAvoided(errors, "a") != isAvoided(errors, "b"));
+  CHECK(changes <= 5); // The share of each in turn is larger by 0.2, up to 1.
+}
--- a/libs/dispatch/upstream_errors.cpp
+++ b/libs/dispatch/upstream_errors.cpp
@@ -53,6 +53,10 @@
  * also if its siblings have no answers to compare with. */
 constexpr double kCommonShare = 0.5;
 
+/** By how much the share of bad answers must differ for an upstream to take
+ * the place of another among those avoided. */
+constexpr double kMinShareGap = 0.2;
+
 constexpr Evidence kKinds[] = { Evidence::Error, Evidence::Rejection };
 
 double
@@ -198,18 +202,22 @@
   aState.trialServed = aServed;
 }
 
-/** Gives up the avoidance of an upstream with a smaller share of bad answers,
- * if there is one. @return true if there is */
+/** Gives up the avoidance of an upstream with a clearly smaller share of bad
+ * answers, if there is one. @return true if there is */
 bool
-UpstreamErrors::restoreBetterOne(Service& aService, double aShare)
+UpstreamErrors::restoreBetterOne(Service& aService,
+                                 double aShare,
+                                 base::TimePoint aNow)
 {
   State* best = nullptr;
+  double least = aShare - kMinShareGap;
   for (auto& [name, state] : aService) {
+    decay(state, aNow);
     if (state.avoidedFor) {
       const double share = state.record(*state.avoidedFor).share;
-      if (share < aShare) {
+      if (share < least) {
         best = &state;
-        aShare = share;
+        least = share;
       }
     }
   }
@@ -255,7 +263,7 @@
     return common;
   }
   if ((all.avoided + 1) * 2 > all.total &&
-      !restoreBetterOne(aService, record.share)) {
+      !restoreBetterOne(aService, record.share, aNow)) {
     return common;
   }
   state.restoreScore = threshold * kRestoreFraction;
--- a/libs/dispatch/upstream_errors.h
+++ b/libs/dispatch/upstream_errors.h
@@ -175,7 +175,9 @@
                     bool aBad);
   static void weighTrial(State& aState, bool aServed, base::TimePoint aNow);
   static void avoid(State& aState, Evidence aKind, base::TimePoint aNow);
-  static bool restoreBetterOne(Service& aService, double aShare);
+  static bool restoreBetterOne(Service& aService,
+                               double aShare,
+                               base::TimePoint aNow);
   static bool update(Service& aService,
                      const base::UpstreamName& aUpstream,
                      Evidence aKind,
