Hold no single rejection, nor one of a model that leaves, against an engine

Found by the review, by reading: an engine answers 503 "not run" to requests for a model that it unloads. Where errors are rare one such answer was enough to avoid it for all its models, and it counted as a failure for the owner of orders.

A rejection of a model that this VM knows to be leaving says nothing of the engine; one may come before the VM knows, so two in a row are needed. Rejections for want of room, of a named time, of brittle upstreams and of carriers no longer count for the owner of orders either, as they never did for the VM itself. OneRejectionAvoidsNobody failed with one rejection allowed.

--- a/apps/gateway/exchange_response.cpp
+++ b/apps/gateway/exchange_response.cpp
@@ -679,9 +679,6 @@
   mNotAccepted = true;
   const auto upstream =
     mLoadReservation ? mLoadReservation->upstream() : nullptr;
-  if (mHead.status != kMisdirected && !aMetadata.wrongUpstream) {
-    recordService(mContext, mLoadReservation.get(), dispatch::Service::Failed);
-  }
   const bool byPeer = mCall && !mCall->carrier().empty();
   endCall();
   if (aMetadata.wrongUpstream && upstream) {
@@ -717,7 +714,13 @@
   facts.brittle = candidate.brittle;
   facts.deadlineNear = !hasTimeForSend();
   facts.byPeer = aByPeer && !aMetadata.signedByUpstream;
+  const base::TimePoint now = base::monotonicNow();
+  facts.modelLeaves =
+    mMetadata.model && isEngineCall() &&
+    !mContext.upstreams.canServe(aUpstream, *mMetadata.model, now);
   if (dispatch::speaksAgainstUpstream(facts)) {
+    mContext.answers.onAnswer(
+      aUpstream.process().tag(), dispatch::Service::Failed, now);
     judge(aUpstream, dispatch::Answer::Rejection);
   }
 }
--- a/libs/dispatch/tests/errors_tests.cpp
+++ b/libs/dispatch/tests/errors_tests.cpp
@@ -524,6 +524,23 @@
   CHECK_FALSE(isAvoided(errors, "a"));
 }
 
+// Guards against an engine that is avoided for all its models because one was
+// just unloaded.
+TEST(UpstreamErrors, OneRejectionAvoidsNobody)
+{
+  sound({ "a", "b", "c" });
+  errors.onAnswer("s", "a", Answer::Rejection, kStart);
+  CHECK_FALSE(isAvoided(errors, "a"));
+  errors.onAnswer("s", "a", Answer::Served, kStart);
+  errors.onAnswer("s", "a", Answer::Rejection, kStart);
+  CHECK_FALSE(isAvoided(errors, "a"));
+  errors.onAnswer("s", "a", Answer::Rejection, kStart);
+  CHECK(isAvoided(errors, "a"));
+  dispatch::RejectionFacts facts;
+  facts.modelLeaves = true;
+  CHECK_FALSE(dispatch::speaksAgainstUpstream(facts));
+}
+
 // Guards against two upstreams that reject alike and take each other's place
 // among those avoided with each answer.
 TEST(UpstreamErrors, EquallyBadUpstreamsDoNotSwapPlaces)
--- a/libs/dispatch/upstream_errors.cpp
+++ b/libs/dispatch/upstream_errors.cpp
@@ -53,6 +53,9 @@
  * also if its siblings have no answers to compare with. */
 constexpr double kCommonShare = 0.5;
 
+/** Rejections in a row: a single one may have a reason that this VM has not
+ * heard of yet, as the unload of a model. */
+constexpr unsigned kMinRejections = 2;
 /** By how much the share of bad answers must differ for an upstream to take
  * the place of another among those avoided. */
 constexpr double kMinShareGap = 0.2;
@@ -83,7 +86,8 @@
 speaksAgainstUpstream(const RejectionFacts& aFacts)
 {
   return aFacts.hasRoom && !aFacts.othersWait && !aFacts.namesTime &&
-         !aFacts.brittle && !aFacts.deadlineNear && !aFacts.byPeer;
+         !aFacts.brittle && !aFacts.deadlineNear && !aFacts.byPeer &&
+         !aFacts.modelLeaves;
 }
 
 bool
@@ -240,6 +244,7 @@
   record.answers += 1;
   record.bad += aBad ? 1 : 0;
   record.share += kAnswerWeight * ((aBad ? 1 : 0) - record.share);
+  record.badInARow = aBad ? record.badInARow + 1 : 0;
   if (!aBad && record.score <= 0) {
     return false;
   }
@@ -259,7 +264,8 @@
     }
     return common;
   }
-  if (state.avoidedFor || common || record.score < threshold) {
+  if (state.avoidedFor || common || record.score < threshold ||
+      (aKind == Evidence::Rejection && record.badInARow < kMinRejections)) {
     return common;
   }
   if ((all.avoided + 1) * 2 > all.total &&
--- a/libs/dispatch/upstream_errors.h
+++ b/libs/dispatch/upstream_errors.h
@@ -46,6 +46,7 @@
   bool brittle = false;      ///< counts its rejections and says so
   bool deadlineNear = false; ///< the request may be rejected for that
   bool byPeer = false;       ///< a peer, not the upstream, may have answered
+  bool modelLeaves = false;  ///< the model is not there, or being unloaded
 };
 
 /** @param aFacts of a rejection
@@ -130,6 +131,7 @@
     double bad = 0;     ///< decaying count
     double share = 0;   ///< moving average over the latest answers
     double score = 0;   ///< log-likelihood ratio, at least 0
+    unsigned badInARow = 0;
   };
   struct State
   {
