Count an engine that breaks off each stream as impaired

Found by the review: a stream counts as served at its first event and as failed when it breaks off, so such an engine served exactly half, which was enough to replace the last sound replica. AreThoseThatBreakOffEachStream failed before.

--- a/libs/dispatch/served_answers.cpp
+++ b/libs/dispatch/served_answers.cpp
@@ -11,9 +11,10 @@
 /** Fewer answers say nothing of an upstream. */
 constexpr std::uint32_t kMinAnswers = 4;
 /** Share of its answers above which an upstream serves, and the same as a part
- * of the share that its siblings reach. */
-constexpr double kMinServedShare = 0.5;
-constexpr double kMinShareOfSiblings = 0.5;
+ * of the share that its siblings reach. A stream that breaks off has counted as
+ * served and as failed. */
+constexpr double kMaxServedShare = 0.5;
+constexpr double kMaxShareOfSiblings = 0.5;
 
 double
 servedShare(const peers::AnswerCounts& aCounts)
@@ -92,8 +93,8 @@
                                         all.failed - counts.failed };
     const double share = servedShare(counts);
     if (counts.served + counts.failed >= kMinAnswers &&
-        share < kMinServedShare &&
-        share < kMinShareOfSiblings * servedShare(siblings)) {
+        share <= kMaxServedShare && siblings.served > 0 &&
+        share <= kMaxShareOfSiblings * servedShare(siblings)) {
       impaired.insert(name);
     }
   }
--- a/libs/dispatch/tests/served_tests.cpp
+++ b/libs/dispatch/tests/served_tests.cpp
@@ -85,6 +85,16 @@
   CHECK(dispatch::impairedUpstreams({ { "a", { 0, 20 } } }).empty());
 }
 
+// A stream counts as served at its first event and as failed when it breaks
+// off. Guards against an engine that breaks off all of them and replaces one
+// that serves.
+TEST(ImpairedUpstreams, AreThoseThatBreakOffEachStream)
+{
+  const auto impaired =
+    dispatch::impairedUpstreams({ { "a", { 8, 8 } }, { "b", { 40, 0 } } });
+  CHECK((impaired == std::set<base::UpstreamName>{ "a" }));
+}
+
 // Guards against judging by a few answers, or by some errors among many.
 TEST(ImpairedUpstreams, AreNoneWithFewAnswersOrFewErrors)
 {
