Keep the slots of streams unlisted if a refused write ends behind a restore of the store

Found by the review: the refusal marked revisions of the former era as listed again; the next write met a conflict. No test: it cost one or two calls.

--- a/apps/gateway/stream_records.cpp
+++ b/apps/gateway/stream_records.cpp
@@ -178,7 +178,8 @@
         observe::logWarn("streams not recorded",
                          { { "error", error->message } });
         // A write that was refused leaves the revisions as they are.
-        mSlotsListed = error->code != base::Code::RevisionConflict &&
+        mSlotsListed = mSlotsListed &&
+                       error->code != base::Code::RevisionConflict &&
                        error->code != base::Code::WriteOutcomeUnknown;
         return;
       }
