--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -212,9 +212,6 @@
                     });
                   })
   , mEndBlocked(mLoop, [this] { endBlockedRequests(); })
-  , mCatalogPause(kInitialCatalogPause,
-                  kMaxCatalogPause,
-                  base::hash64(mSettings.vm, mIncarnation + 5))
 {
   if (mSettings.memoryBytes) {
     mMemory.setLimit(*mSettings.memoryBytes / kMemoryParts *
@@ -322,7 +319,7 @@
     observe::logError("configuration rejected",
                       { { "source", source }, { "error", error->message } });
     if (aLoaded.source == CatalogSource::Peer) {
-      mCatalogPause.recordFailure(base::monotonicNow());
+      pauseCatalogPeer();
     }
     return;
   }
@@ -334,7 +331,7 @@
   if (!mRequests.applyCatalog(snapshot)) {
     return;
   }
-  mCatalogPause.reset();
+  mCatalogPauses.clear();
   const catalog::Catalog& content = snapshot->content;
   mCarrier.setLimits(content.callerLimits);
   const auto worked = std::chrono::duration_cast<std::chrono::microseconds>(
@@ -546,13 +543,28 @@
                         std::move(events));
 }
 
+/** The peer that was asked last has no configuration that can be used. Others
+ * may have one. */
+void
+Gateway::pauseCatalogPeer()
+{
+  mCatalogPauses
+    .try_emplace(mCatalogPeer,
+                 kInitialCatalogPause,
+                 kMaxCatalogPause,
+                 base::hash64(mSettings.vm, mIncarnation + 5))
+    .first->second.recordFailure(base::monotonicNow());
+}
+
 void
 Gateway::fetchCatalogFrom(const base::VmName& aPeer)
 {
+  const auto pause = mCatalogPauses.find(aPeer);
   const auto member = mFleet.others().find(aPeer);
   // What is decoded now is probably the same version.
   if (mCatalogCall || mCatalogLoader.isBusy() ||
-      !mCatalogPause.isOver(base::monotonicNow()) ||
+      (pause != mCatalogPauses.end() &&
+       !pause->second.isOver(base::monotonicNow())) ||
       member == mFleet.others().end()) {
     return;
   }
@@ -563,9 +575,10 @@
     if (aEnd == http::CallEnd::Complete && aAnswer.status == kOk) {
       mCatalogLoader.load(aAnswer.body, CatalogSource::Peer);
     } else {
-      mCatalogPause.recordFailure(base::monotonicNow());
+      pauseCatalogPeer();
     }
   };
+  mCatalogPeer = aPeer;
   mCatalogCall = mClient.start(member->second.operatorAddress,
                                { "GET", "/catalog", "", {}, "" },
                                kPlatformTimeout,
--- a/apps/gateway/gateway.h
+++ b/apps/gateway/gateway.h
@@ -47,6 +47,7 @@
   void removeMissingUpstreams();
   void checkProcess(const Upstream& aUpstream, StreamRegistry::Started aDone);
   void fetchCatalogFrom(const base::VmName& aPeer);
+  void pauseCatalogPeer();
 
   // Peers.
   void onFleetChanged();
@@ -123,7 +124,8 @@
   CoalescedCallback mRetryWaiting;
   CoalescedCallback mEndBlocked;
   std::unique_ptr<http::Call> mCatalogCall; ///< to a peer
-  RetryPause mCatalogPause;                 ///< of these calls
+  base::VmName mCatalogPeer;                ///< the peer that was asked last
+  std::map<base::VmName, RetryPause> mCatalogPauses; ///< of calls to each peer
   std::list<std::unique_ptr<http::Call>> mProcessChecks;
   /** Upstreams whose records were missing after the store became reachable
    * again, with the time until which they may write them again. */
