--- a/apps/gateway/prefix_watch.cpp
+++ b/apps/gateway/prefix_watch.cpp
@@ -226,6 +226,7 @@
     listAt(*relay);
     return;
   }
+  mRelayBehindSince.reset();
   const base::Duration delay = untilStoreCall();
   if (delay > base::Duration::zero()) {
     schedule(std::min(kRelayPollInterval, delay), &PrefixWatch::retryList);
