Let the explorer excuse only the list of a watch that has lost the store

The check of pauses behind refusals had become wider than needed: any answered synchronization ended it.

--- a/tests/explore/watch_scenario.cpp
+++ b/tests/explore/watch_scenario.cpp
@@ -338,14 +338,14 @@
   const http::Response answer = *mNetwork.calls().at(id).answer;
   const PendingCall& call = mNetwork.calls().at(id);
   const bool fromStore =
-    !isAtRelay(call) &&
-    (!isSynchronization(call.request) || answer.status == kOk);
+    !isAtRelay(call) && (!isSynchronization(call.request) ||
+                         (answer.status == kOk && !mWatch.isConnected()));
   const platform::Era era = mStoreClient.era();
   noteRelayList(call);
   mNetwork.end(id, http::CallEnd::Complete, answer);
   mRelayLists = false;
   // A restored store is listed at once, whoever tells of it; so is one that
-  // answers a synchronization after failures.
+  // answers a synchronization of a watch that has lost it.
   if (fromStore || mStoreClient.era() != era) {
     mRefusedAt.reset();
   }
