--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -112,12 +112,12 @@
 
     def count(self, method, path):
         """Counts a call that has arrived; a renewal of a lease has a tenth of the price of a read."""
-        if path in ("/-/kv-range", "/-/kv-watch"):
-            self.asked["reads"] += 1
+        if path.startswith("/-/kv-keep/"):
+            self.asked["reads"] += 0.1
         elif path in ("/-/kv-txn", "/-/kv-lease") or method == "DELETE":
             self.asked["writes"] += 1
         else:
-            self.asked["reads"] += 0.1
+            self.asked["reads"] += 1
 
     async def handle(self, port, method, path, query, body):
         """Executes a call and returns (status, JSON body)."""
