--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -133,7 +133,7 @@
             finally:
                 self.open_watches[port] -= 1
         if path == "/-/kv-txn":
-            return self.transact(port, json.loads(body))
+            return self.transact(json.loads(body), port)
         if path == "/-/kv-lease":
             ttl = json.loads(body)["ttl_ms"]
             self.next_lease += 1
@@ -173,7 +173,7 @@
                 return 200, {"events": events, "at": self.revision}
             await asyncio.sleep(0.01)
 
-    def transact(self, port, call):
+    def transact(self, call, port=None):
         for row in call["expected"]:
             current = self.items.get(row["key"], {"revision": 0})["revision"]
             if current != row["revision"]:
