--- a/tests/e2e/users_platform.py
+++ b/tests/e2e/users_platform.py
@@ -112,12 +112,12 @@
 
     def count(self, method, path):
         """Counts a call that has arrived; a renewal of a lease has a tenth of the price of a read."""
-        if path in ("/-/kv-range", "/-/kv-watch"):
-            self.asked["reads"] += 1
+        if path.startswith("/-/kv-keep/"):
+            self.asked["reads"] += 0.1
         elif path in ("/-/kv-txn", "/-/kv-lease") or method == "DELETE":
             self.asked["writes"] += 1
         else:
-            self.asked["reads"] += 0.1
+            self.asked["reads"] += 1
 
     async def handle(self, port, method, path, query, body):
         """Executes a call and returns (status, JSON body)."""
@@ -133,7 +133,7 @@
             finally:
                 self.open_watches[port] -= 1
         if path == "/-/kv-txn":
-            return self.transact(port, json.loads(body))
+            return self.transact(json.loads(body), port)
         if path == "/-/kv-lease":
             ttl = json.loads(body)["ttl_ms"]
             self.next_lease += 1
@@ -173,7 +173,7 @@
                 return 200, {"events": events, "at": self.revision}
             await asyncio.sleep(0.01)
 
-    def transact(self, port, call):
+    def transact(self, call, port=None):
         for row in call["expected"]:
             current = self.items.get(row["key"], {"revision": 0})["revision"]
             if current != row["revision"]:
